--- /dev/null
+++ b/crates/core/src/dispatch/action.rs
@@ -0,0 +1,34 @@
+//! What the dispatcher asks its task to do.
+
+use {
+    crate::{
+        ids::{CallId, ServerId},
+        outcome::Outcome,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// One thing for the dispatcher's task to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DispatchAction {
+    /// Send a call to a server.
+    Send {
+        /// The call.
+        call: CallId,
+        /// The chosen server.
+        server: ServerId,
+        /// Where the server listens.
+        address: SocketAddr,
+        /// Whether only a connection that is new or was used a moment ago may carry the call.
+        fresh_connection: bool,
+    },
+    /// Give a call its final answer.
+    Reject {
+        /// The call.
+        call: CallId,
+        /// What the caller is told.
+        outcome: Outcome,
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+}
--- /dev/null
+++ b/crates/core/src/dispatch/finish.rs
@@ -0,0 +1,22 @@
+//! The end of one attempt at a server.
+
+use {
+    super::{AttemptResult, LoadReport},
+    crate::ids::{CallId, ServerId},
+    std::time::Duration,
+};
+
+/// The end of one attempt at a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finish {
+    /// The call.
+    pub call: CallId,
+    /// The server that was tried.
+    pub server: ServerId,
+    /// How the attempt ended.
+    pub result: AttemptResult,
+    /// Time from sending to the end.
+    pub latency: Duration,
+    /// Load that the server reported in its answer.
+    pub report: Option<LoadReport>,
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,14 @@
+//! Shared types and every decision of hemlockford, without I/O.
+//!
+//! Each decision is a plain state machine: typed events and a time go in, typed actions come out.
+//! No socket, clock, thread, task, environment access or global random source is used here, so the
+//! same code runs in the process, in the scripted scenarios and in the fault matrix.
+
+pub mod collections;
+pub mod dispatch;
+pub mod errors;
+pub mod ids;
+pub mod outcome;
+pub mod registry;
+pub mod text;
+pub mod units;
--- /dev/null
+++ b/crates/core/src/outcome/not_run.rs
@@ -0,0 +1,60 @@
+//! Reasons for which a request certainly did not run.
+
+use derive_more::Display;
+
+/// Why a request certainly did not run at any server.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum NotRunReason {
+    /// The customer's queue of this service is full.
+    #[display("queue-full")]
+    QueueFull,
+    /// The request could not have been answered within its deadline.
+    #[display("deadline")]
+    Deadline,
+    /// The service was shed because of overload.
+    #[display("overload")]
+    Overload,
+    /// No server of the service is ready.
+    #[display("no-server")]
+    NoServer,
+    /// The operators' text names no such service.
+    #[display("unknown-service")]
+    UnknownService,
+    /// The server refused the connection or the request before it was written.
+    #[display("refused")]
+    Refused,
+    /// The claim of the idempotency key could not be recorded.
+    #[display("claim-unavailable")]
+    ClaimUnavailable,
+    /// The idempotency key was used before for a different request.
+    #[display("key-reused")]
+    KeyReused,
+    /// The instance is shutting down.
+    #[display("shutting-down")]
+    ShuttingDown,
+    /// The instance cannot show that its configuration is current.
+    #[display("configuration-not-current")]
+    ConfigurationNotCurrent,
+    /// The request itself is malformed.
+    #[display("bad-request")]
+    BadRequest,
+}
+
+impl NotRunReason {
+    /// Returns the HTTP status that goes with the reason.
+    pub(super) fn status(self) -> u16 {
+        match self {
+            Self::UnknownService => 404,
+            Self::BadRequest => 400,
+            Self::KeyReused => 422,
+            Self::QueueFull
+            | Self::Deadline
+            | Self::Overload
+            | Self::NoServer
+            | Self::Refused
+            | Self::ClaimUnavailable
+            | Self::ShuttingDown
+            | Self::ConfigurationNotCurrent => 503,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/text/measure.rs
@@ -0,0 +1,20 @@
+//! The budget for measuring load.
+
+use crate::units::Share;
+
+/// Budget for measuring load over the whole system, section `[measure]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Measure {
+    /// Share of the slot time of all servers that probes may use.
+    pub server_share: Share,
+    /// Share of the entries' processor time that probes and reports may use.
+    pub entry_share: Share,
+    /// Bytes a second that probes and reports may send.
+    pub bytes: u64,
+}
+
+impl Default for Measure {
+    fn default() -> Self {
+        Self { server_share: Share::from_millionths(5_000), entry_share: Share::from_millionths(5_000), bytes: 21_000 }
+    }
+}
--- /dev/null
+++ b/crates/core/src/text/mod.rs
@@ -0,0 +1,27 @@
+//! The operators' text: services, what each depends on, customers and budgets.
+//!
+//! The text is the only lever of the operators. It is parsed and checked as a whole; all faults are
+//! reported at once, each with its section, key and line.
+
+mod check;
+mod claims;
+mod customer;
+mod fault;
+mod locator;
+mod measure;
+mod model;
+mod objective;
+mod parse;
+mod policy;
+mod service;
+
+pub use {
+    claims::Claims, customer::Customer, fault::Fault, measure::Measure, model::Text, objective::Objective,
+    policy::Policy, service::Service,
+};
+
+/// Longest permitted chain of dependencies, counted in services.
+pub const MAX_DEPTH: usize = 24;
+
+/// Largest text that is read, in bytes.
+pub const MAX_TEXT_BYTES: usize = 1 << 20;
--- /dev/null
+++ b/crates/core/src/text/model.rs
@@ -0,0 +1,57 @@
+//! The checked text.
+
+use {
+    super::{Claims, Customer, Fault, Measure, Service, check, parse},
+    crate::{
+        collections::FastMap,
+        ids::{ChangeNumber, CustomerId, ServiceId},
+    },
+};
+
+/// A text that passed every check.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Text {
+    /// Number of the change, chosen by the operator.
+    pub number: ChangeNumber,
+    /// Customers by name; others get the default.
+    pub customers: FastMap<CustomerId, Customer>,
+    /// Services by name.
+    pub services: FastMap<ServiceId, Service>,
+    /// Budget for measuring load.
+    pub measure: Measure,
+    /// Settings of claims.
+    pub claims: Claims,
+}
+
+impl Text {
+    /// Parses and checks a text; returns every fault that was found.
+    ///
+    /// ```
+    /// use hemlockford_core::text::Text;
+    /// let text = Text::parse("[change]\nnumber = 1\n[service catalogue]\n").unwrap();
+    /// assert_eq!(text.number, 1);
+    /// let faults = Text::parse("[change]\nnumber = 0\n").unwrap_err();
+    /// assert_eq!(faults[0].line, 2);
+    /// ```
+    pub fn parse(source: &str) -> Result<Self, Vec<Fault>> {
+        let mut parsed = parse::Parser::new(source).parse();
+        check::check(&mut parsed);
+        if parsed.faults.is_empty() {
+            return Ok(parsed.text);
+        }
+        parsed.faults.sort_by(|a, b| (a.line, &a.section, &a.key).cmp(&(b.line, &b.section, &b.key)));
+        Err(parsed.faults)
+    }
+
+    /// Returns the weight of a customer at a service.
+    pub fn weight(&self, service: &str, customer: &str) -> u32 {
+        let share = self.services.get(service).and_then(|service| service.shares.get(customer));
+        let own = self.customers.get(customer).map(|customer| customer.weight);
+        share.copied().or(own).unwrap_or(Customer::default().weight)
+    }
+
+    /// Returns whether another service depends on this one.
+    pub fn is_dependency(&self, service: &str) -> bool {
+        self.services.values().any(|other| other.depends.iter().any(|name| &**name == service))
+    }
+}
--- /dev/null
+++ b/crates/core/src/text/objective.rs
@@ -0,0 +1,35 @@
+//! The service-level objective of a service.
+
+use {
+    crate::units::{Share, parse_duration},
+    std::time::Duration,
+};
+
+/// Share of calls that must be answered within a latency.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Objective {
+    /// Share of calls that must be good.
+    pub share: Share,
+    /// Latency within which a whole answer counts as good.
+    pub latency: Duration,
+}
+
+impl Objective {
+    /// Parses an objective such as `99.9% in 250ms`.
+    ///
+    /// ```
+    /// use {hemlockford_core::text::Objective, std::time::Duration};
+    /// let objective = Objective::parse("99.9% in 250ms").unwrap();
+    /// assert_eq!(objective.latency, Duration::from_millis(250));
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        let (share, latency) = text.split_once(" in ")?;
+        Some(Self { share: Share::parse(share.trim())?, latency: parse_duration(latency.trim())? })
+    }
+}
+
+impl Default for Objective {
+    fn default() -> Self {
+        Self { share: Share::from_millionths(999_000), latency: Duration::from_millis(250) }
+    }
+}
--- /dev/null
+++ b/crates/core/src/text/parse.rs
@@ -0,0 +1,198 @@
+//! Reads the INI form of a text.
+
+use {
+    super::{Customer, Fault, MAX_TEXT_BYTES, Objective, Policy, Service, Text, locator::Locator},
+    crate::units::{Share, parse_duration},
+    ini::{Ini, Properties},
+};
+
+/// A text with the faults found so far.
+pub(super) struct Parsed {
+    pub(super) text: Text,
+    pub(super) faults: Vec<Fault>,
+    pub(super) locator: Locator,
+}
+
+impl Parsed {
+    pub(super) fn fault(&mut self, section: &str, key: &str, message: impl Into<Box<str>>) {
+        let line = match self.locator.line(section, key) {
+            0 => self.locator.line(section, ""),
+            line => line,
+        };
+        self.faults.push(Fault { line, section: section.into(), key: key.into(), message: message.into() });
+    }
+
+    /// Stores a parsed value, or records what was expected in its place.
+    fn set<T>(&mut self, place: (&str, &str), target: &mut T, value: Option<T>, expected: &str) {
+        match value {
+            Some(value) => *target = value,
+            None => self.fault(place.0, place.1, format!("expected {expected}")),
+        }
+    }
+}
+
+/// Parser of one source text.
+pub(super) struct Parser<'a> {
+    source: &'a str,
+    parsed: Parsed,
+}
+
+impl<'a> Parser<'a> {
+    pub(super) fn new(source: &'a str) -> Self {
+        let locator = Locator::new(source);
+        Self { source, parsed: Parsed { text: Text::default(), faults: Vec::new(), locator } }
+    }
+
+    pub(super) fn parse(mut self) -> Parsed {
+        if self.source.len() > MAX_TEXT_BYTES {
+            self.parsed.fault("", "", format!("text is longer than {MAX_TEXT_BYTES} bytes"));
+            return self.parsed;
+        }
+        match Ini::load_from_str_noescape(self.source) {
+            Ok(ini) => self.read_sections(&ini),
+            Err(e) => self.parsed.faults.push(Fault {
+                line: e.line,
+                section: "".into(),
+                key: "".into(),
+                message: e.msg.as_ref().into(),
+            }),
+        }
+        for (section, key, line) in self.parsed.locator.duplicates().to_vec() {
+            self.parsed.faults.push(Fault { line, section, key, message: "given twice".into() });
+        }
+        self.parsed
+    }
+
+    fn read_sections(&mut self, ini: &Ini) {
+        for (section, properties) in ini.iter() {
+            let Some(section) = section else {
+                self.read_unsectioned(properties);
+                continue;
+            };
+            let (kind, name) = section.split_once(' ').unwrap_or((section, ""));
+            match (kind, name.trim()) {
+                ("change", "") => self.read_change(section, properties),
+                ("measure", "") => self.read_measure(section, properties),
+                ("claims", "") => self.read_claims(section, properties),
+                ("customer", name) if is_name(name) => self.read_customer(section, name, properties),
+                ("service", name) if is_name(name) => self.read_service(section, name, properties),
+                ("customer" | "service", _) => self.parsed.fault(section, "", "expected a name of a-z, 0-9, - and _"),
+                _ => self.parsed.fault(section, "", "unknown section"),
+            }
+        }
+    }
+
+    fn read_unsectioned(&mut self, properties: &Properties) {
+        for (key, _) in properties.iter() {
+            self.parsed.fault("", key, "key outside of any section");
+        }
+    }
+
+    fn read_change(&mut self, section: &str, properties: &Properties) {
+        let mut number = 0;
+        for (key, value) in properties.iter() {
+            match key {
+                "number" => {
+                    let value = value.parse().ok().filter(|number| *number > 0);
+                    self.parsed.set((section, key), &mut number, value, "a whole number above 0");
+                }
+                _ => self.parsed.fault(section, key, "unknown key"),
+            }
+        }
+        self.parsed.text.number = number;
+    }
+
+    fn read_measure(&mut self, section: &str, properties: &Properties) {
+        let mut measure = std::mem::take(&mut self.parsed.text.measure);
+        for (key, value) in properties.iter() {
+            let place = (section, key);
+            match key {
+                "server-share" => {
+                    self.parsed.set(place, &mut measure.server_share, Share::parse(value), "a share such as 0.5%");
+                }
+                "entry-share" => {
+                    self.parsed.set(place, &mut measure.entry_share, Share::parse(value), "a share such as 0.5%");
+                }
+                "bytes" => self.parsed.set(place, &mut measure.bytes, value.parse().ok(), "bytes a second"),
+                _ => self.parsed.fault(section, key, "unknown key"),
+            }
+        }
+        self.parsed.text.measure = measure;
+    }
+
+    fn read_claims(&mut self, section: &str, properties: &Properties) {
+        let mut claims = std::mem::take(&mut self.parsed.text.claims);
+        for (key, value) in properties.iter() {
+            match key {
+                "retention" => {
+                    let value = parse_duration(value).filter(|retention| !retention.is_zero());
+                    self.parsed.set((section, key), &mut claims.retention, value, "a duration such as 15m");
+                }
+                _ => self.parsed.fault(section, key, "unknown key"),
+            }
+        }
+        self.parsed.text.claims = claims;
+    }
+
+    fn read_customer(&mut self, section: &str, name: &str, properties: &Properties) {
+        let mut customer = Customer::default();
+        for (key, value) in properties.iter() {
+            match key {
+                "weight" => {
+                    let value = value.parse().ok().filter(|weight| *weight > 0);
+                    self.parsed.set((section, key), &mut customer.weight, value, "a whole number above 0");
+                }
+                _ => self.parsed.fault(section, key, "unknown key"),
+            }
+        }
+        self.parsed.text.customers.insert(name.into(), customer);
+    }
+
+    fn read_service(&mut self, section: &str, name: &str, properties: &Properties) {
+        let mut service = Service::default();
+        for (key, value) in properties.iter() {
+            self.read_service_key((section, key), value, &mut service);
+        }
+        self.parsed.text.services.insert(name.into(), service);
+    }
+
+    fn read_service_key(&mut self, place: (&str, &str), value: &str, service: &mut Service) {
+        let parsed = &mut self.parsed;
+        match place.1 {
+            "depends" => service.depends = value.split(',').map(|name| name.trim().into()).collect(),
+            "deadline" => {
+                let value = parse_duration(value).filter(|deadline| !deadline.is_zero());
+                parsed.set(place, &mut service.deadline, value, "a duration such as 800ms");
+            }
+            "objective" => {
+                let value = Objective::parse(value);
+                parsed.set(place, &mut service.objective, value, "an objective such as 99.9% in 250ms");
+            }
+            "policy" => {
+                let names = Policy::ALL.map(|policy| policy.to_string()).join(", ");
+                parsed.set(place, &mut service.policy, Policy::parse(value), &format!("one of {names}"));
+            }
+            "retry-budget" => {
+                parsed.set(place, &mut service.retry_budget, Share::parse(value), "a share such as 10%");
+            }
+            "queue" => {
+                let value = value.parse().ok().filter(|queue| *queue > 0);
+                parsed.set(place, &mut service.queue, value, "a whole number above 0");
+            }
+            key => match key.strip_prefix("share.") {
+                Some(customer) => match value.parse() {
+                    Ok(share) => {
+                        service.shares.insert(customer.into(), share);
+                    }
+                    Err(_) => parsed.fault(place.0, place.1, "expected a whole number"),
+                },
+                None => parsed.fault(place.0, place.1, "unknown key"),
+            },
+        }
+    }
+}
+
+fn is_name(name: &str) -> bool {
+    let is_word = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '_';
+    !name.is_empty() && name.chars().all(is_word)
+}
--- /dev/null
+++ b/crates/core/src/text/policy.rs
@@ -0,0 +1,36 @@
+//! The closed set of policies for the choice of a server.
+
+use derive_more::Display;
+
+/// How an entry chooses the server of a call.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+pub enum Policy {
+    /// Server slots are shared between entries by permits.
+    #[default]
+    #[display("permits")]
+    Permits,
+    /// Any ready server, at random.
+    #[display("random")]
+    Random,
+    /// Ready servers in turn.
+    #[display("round-robin")]
+    RoundRobin,
+    /// The ready server with the fewest calls in flight from this entry.
+    #[display("least-in-flight")]
+    LeastInFlight,
+}
+
+impl Policy {
+    /// Every policy, in the order of the documentation.
+    pub const ALL: [Self; 4] = [Self::Permits, Self::Random, Self::RoundRobin, Self::LeastInFlight];
+
+    /// Finds the policy of a name in the text.
+    ///
+    /// ```
+    /// use hemlockford_core::text::Policy;
+    /// assert_eq!(Policy::parse("random"), Some(Policy::Random));
+    /// ```
+    pub fn parse(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|policy| policy.to_string() == name)
+    }
+}
--- /dev/null
+++ b/crates/core/src/text/service.rs
@@ -0,0 +1,48 @@
+//! A service and what it depends on.
+
+use {
+    super::{Objective, Policy},
+    crate::{
+        collections::FastMap,
+        ids::{CustomerId, ServiceId},
+        units::Share,
+    },
+    std::time::Duration,
+};
+
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
+const DEFAULT_RETRY_BUDGET: Share = Share::from_millionths(100_000);
+const DEFAULT_QUEUE: usize = 200;
+
+/// One service, section `[service NAME]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Services that its servers call.
+    pub depends: Vec<ServiceId>,
+    /// Time within which a call must be answered when the caller states none.
+    pub deadline: Duration,
+    /// Service-level objective.
+    pub objective: Objective,
+    /// How a server is chosen.
+    pub policy: Policy,
+    /// Share of calls that may be retried.
+    pub retry_budget: Share,
+    /// Calls of one customer that may wait at one entry.
+    pub queue: usize,
+    /// Weights of customers that differ from the customer's own.
+    pub shares: FastMap<CustomerId, u32>,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Self {
+            depends: Vec::new(),
+            deadline: DEFAULT_DEADLINE,
+            objective: Objective::default(),
+            policy: Policy::default(),
+            retry_budget: DEFAULT_RETRY_BUDGET,
+            queue: DEFAULT_QUEUE,
+            shares: FastMap::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/units/share.rs
@@ -0,0 +1,37 @@
+//! A part of a whole.
+
+use serde::{Deserialize, Serialize};
+
+const MILLIONTHS_PER_PERCENT: f64 = 10_000.0;
+
+/// A part of a whole in millionths, so that equal texts give equal values.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Share(u32);
+
+impl Share {
+    /// The whole.
+    pub const ONE: Self = Self(1_000_000);
+
+    /// Makes a share from millionths; more than the whole is cut to the whole.
+    pub const fn from_millionths(millionths: u32) -> Self {
+        if millionths > Self::ONE.0 { Self::ONE } else { Self(millionths) }
+    }
+
+    /// Parses a percentage such as `99.9%`.
+    ///
+    /// ```
+    /// use hemlockford_core::units::Share;
+    /// assert_eq!(Share::parse("0.5%").unwrap().fraction(), 0.005);
+    /// assert_eq!(Share::parse("101%"), None);
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        let percent: f64 = text.strip_suffix('%')?.trim_end().parse().ok()?;
+        let is_part = (0.0..=100.0).contains(&percent);
+        is_part.then(|| Self((percent * MILLIONTHS_PER_PERCENT).round() as u32))
+    }
+
+    /// Returns the share as a number between 0 and 1.
+    pub fn fraction(self) -> f64 {
+        f64::from(self.0) / f64::from(Self::ONE.0)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/gate.rs
@@ -0,0 +1,90 @@
+//! Messages between HTTP workers and the dispatcher's task.
+
+use {
+    hemlockford_core::{
+        dispatch::{Call, Finish},
+        ids::{CallId, ServerId},
+        outcome::Outcome,
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::sync::{mpsc, oneshot},
+};
+
+/// What the dispatcher decided about a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Send the call to a server.
+    Send {
+        /// The chosen server.
+        server: ServerId,
+        /// Where it listens.
+        address: SocketAddr,
+        /// Whether only a connection that is new or was used a moment ago may carry the call.
+        fresh_connection: bool,
+    },
+    /// Give the call its final answer.
+    Reject {
+        /// What the caller is told.
+        outcome: Outcome,
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+}
+
+/// A message from an HTTP worker to the dispatcher's task.
+#[derive(Debug)]
+pub enum GateMessage {
+    /// A call has arrived and waits for a decision.
+    Arrive(Call, oneshot::Sender<Decision>),
+    /// An attempt failed; the call waits for another decision.
+    Failed(Finish, oneshot::Sender<Decision>),
+    /// An attempt ended and the call needs no further decision.
+    Done(Finish),
+    /// The caller left while the call waited.
+    Cancel(CallId),
+}
+
+/// Handle through which HTTP workers reach the dispatcher's task.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    tx: mpsc::UnboundedSender<GateMessage>,
+}
+
+impl Gate {
+    /// Makes a gate and the receiving end for the dispatcher's task.
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<GateMessage>) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        (Self { tx }, rx)
+    }
+
+    /// Announces a call; the receiver yields the decision.
+    pub fn arrive(&self, call: Call) -> oneshot::Receiver<Decision> {
+        self.ask(|reply| GateMessage::Arrive(call, reply))
+    }
+
+    /// Reports a failed attempt; the receiver yields what to do next.
+    pub fn fail(&self, finish: Finish) -> oneshot::Receiver<Decision> {
+        self.ask(|reply| GateMessage::Failed(finish, reply))
+    }
+
+    /// Reports the end of an attempt that needs no further decision.
+    pub fn finish(&self, finish: Finish) {
+        self.send(GateMessage::Done(finish));
+    }
+
+    /// Withdraws a call that waits for a decision.
+    pub fn cancel(&self, call: CallId) {
+        self.send(GateMessage::Cancel(call));
+    }
+
+    fn ask(&self, message: impl FnOnce(oneshot::Sender<Decision>) -> GateMessage) -> oneshot::Receiver<Decision> {
+        let (reply, rx) = oneshot::channel();
+        self.send(message(reply));
+        rx
+    }
+
+    /// Sends a message; when the dispatcher is gone the process is stopping and the message has no use.
+    fn send(&self, message: GateMessage) {
+        let _ = self.tx.send(message);
+    }
+}
