Carry messages between instances over UDP and TCP

One connection for each direction was chosen over one shared connection, so that neither side has to agree on who opens it; the cost is a second socket for each pair of instances.

--- /dev/null
+++ b/crates/net/tests/transport.rs
@@ -0,0 +1,143 @@
+//! Transports under malformed input, lost peers and full queues.
+
+use {
+    hemlockford_core::errors::ErrorKind,
+    hemlockford_net::{
+        DatagramSocket, Envelope, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, NetOptions, StreamLinks, StreamListener, Timer,
+        decode, encode,
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{
+        io::{Read, Write},
+        net::{TcpListener, TcpStream, UdpSocket},
+        time::Duration,
+    },
+    tokio::sync::mpsc,
+};
+
+const SEED: u64 = 11;
+const WAIT: Duration = Duration::from_secs(5);
+
+fn envelope(message: &str) -> Envelope<String> {
+    Envelope { from: "e1".into(), incarnation: 3, message: message.into() }
+}
+
+/// Guards against a damaged message being taken for another one.
+#[test]
+fn every_flipped_bit_is_noticed() {
+    let bytes = encode(&envelope("hello"), MAX_DATAGRAM_BYTES).unwrap();
+    for bit in 0..bytes.len() * 8 {
+        let mut damaged = bytes.clone();
+        damaged[bit / 8] ^= 1 << (bit % 8);
+        assert!(decode::<String>(&damaged).is_err(), "bit {bit}");
+    }
+}
+
+/// Guards against panics and unbounded allocation on arbitrary and truncated input.
+#[test]
+fn garbage_and_truncation_are_errors() {
+    println!("seed {SEED}");
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    for _ in 0..10_000 {
+        let garbage: Vec<u8> = (0..rng.random_range(0..200)).map(|_| rng.random()).collect();
+        assert!(decode::<Vec<String>>(&garbage).is_err());
+    }
+    let bytes = encode(&envelope("hello"), MAX_DATAGRAM_BYTES).unwrap();
+    for length in 0..bytes.len() {
+        assert!(decode::<String>(&bytes[..length]).is_err());
+    }
+}
+
+/// Guards against a datagram that a path would fragment or drop.
+#[test]
+fn a_message_over_the_limit_is_refused() {
+    let report = encode(&envelope(&"x".repeat(MAX_DATAGRAM_BYTES)), MAX_DATAGRAM_BYTES).unwrap_err();
+    assert_eq!(*report.current_context(), ErrorKind::Limit);
+}
+
+/// Guards against a malformed datagram making the socket useless.
+#[actix_rt::test]
+async fn a_socket_goes_on_after_a_malformed_datagram() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let socket = DatagramSocket::new(socket).unwrap();
+    let sender = UdpSocket::bind("127.0.0.1:0").unwrap();
+    sender.send_to(b"garbage", address).unwrap();
+    sender.send_to(&[0; 2_000], address).unwrap();
+    assert!(socket.receive::<String>().await.is_err());
+    assert!(socket.receive::<String>().await.is_err());
+    socket.send(address, &envelope("after")).unwrap();
+    assert_eq!(socket.receive::<String>().await.unwrap().0, envelope("after"));
+}
+
+fn listen() -> (std::net::SocketAddr, mpsc::UnboundedReceiver<(Envelope<String>, usize)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let listener = StreamListener::new(listener, NetOptions::default()).unwrap();
+    let (tx, rx) = mpsc::unbounded_channel();
+    actix_rt::spawn(listener.run(tx));
+    (address, rx)
+}
+
+/// Guards against a forged length or garbage on one connection harming another one.
+#[actix_rt::test]
+async fn a_forged_length_closes_only_its_connection() {
+    let (address, mut rx) = listen();
+    for forged in [u32::MAX, MAX_FRAME_BYTES as u32 + 1] {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.write_all(&forged.to_le_bytes()).unwrap();
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        let read = actix_rt::task::spawn_blocking(move || stream.read(&mut [0])).await.unwrap();
+        assert!(matches!(read, Ok(0)) || read.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset));
+    }
+    let links = StreamLinks::start([("e2".into(), address)], &NetOptions::default());
+    assert!(links.send("e2", &envelope("whole")).unwrap() > 0);
+    let received = actix_rt::time::timeout(WAIT, rx.recv()).await.unwrap().unwrap();
+    assert_eq!(received.0, envelope("whole"));
+}
+
+/// Guards against a sender that stays disconnected after its peer came back.
+#[actix_rt::test]
+async fn a_link_reconnects_to_a_peer_that_came_back() {
+    let gone = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = gone.local_addr().unwrap();
+    drop(gone);
+    let links = StreamLinks::start([("e2".into(), address)], &NetOptions::default());
+    links.send("e2", &envelope("lost")).unwrap();
+    actix_rt::time::sleep(Duration::from_millis(100)).await;
+    let listener = StreamListener::new(TcpListener::bind(address).unwrap(), NetOptions::default()).unwrap();
+    let (tx, mut rx) = mpsc::unbounded_channel::<(Envelope<String>, usize)>();
+    actix_rt::spawn(listener.run(tx));
+    let received = actix_rt::time::timeout(WAIT, async {
+        loop {
+            links.send("e2", &envelope("again")).unwrap();
+            let wait = actix_rt::time::timeout(Duration::from_millis(50), rx.recv());
+            if let Ok(Some(received)) = wait.await {
+                return received.0;
+            }
+        }
+    });
+    assert_eq!(received.await.unwrap(), envelope("again"));
+}
+
+/// Guards against memory that grows while a peer cannot be reached.
+#[actix_rt::test]
+async fn messages_beyond_the_queue_are_dropped() {
+    let options = NetOptions { queue: 4, ..NetOptions::default() };
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let links = StreamLinks::start([("e2".into(), silent.local_addr().unwrap())], &options);
+    let sent = (0..100).filter(|_| links.send("e2", &envelope("x")).unwrap() > 0).count();
+    assert_eq!(sent, options.queue);
+}
+
+/// Guards against a burst of ticks after a subscriber was late.
+#[actix_rt::test]
+async fn a_late_subscriber_gets_one_tick() {
+    let (timer, task) = Timer::new();
+    actix_rt::spawn(task.run());
+    let mut rx = timer.subscribe(Duration::from_millis(5));
+    actix_rt::time::sleep(Duration::from_millis(60)).await;
+    rx.recv().await.unwrap();
+    assert!(rx.try_recv().is_err());
+    actix_rt::time::timeout(WAIT, rx.recv()).await.unwrap().unwrap();
+}
