Estimate the health of the servers of a service

Cause: the dispatcher chooses between servers by its own count alone, so a straggler or a server that fails fast attracts load.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod collections;
 pub mod dispatch;
 pub mod errors;
+pub mod health;
 pub mod ids;
 pub mod outcome;
 pub mod registry;
