Add the retry allowance and service-level burn

Cause: no module limits retries or says how fast a service uses up its error budget.

`retry`: an empty bucket of at most 10 tokens that gains the share of a token with each call that starts a chain; a token is kept by the entry or passed down, never both. Ruled out: a token that stays usable after it was passed down, because servers do not tell whether it was used below.

`burn`: three rings of buckets for each service and customer, five windows, three alerts. Reports carry counts of all customers, so that merged rates are exact; the summary lists only customers that burn.

--- /dev/null
+++ b/crates/core/src/burn/counter.rs
@@ -0,0 +1,100 @@
+//! The counters of one instance.
+
+use {
+    super::{
+        BurnReport, MAX_CUSTOMERS, MAX_CUSTOMERS_IN_ALL, OTHER_CUSTOMERS, ServiceCounts, Window, WindowCounts,
+        series::Series,
+    },
+    crate::{
+        collections::FastMap,
+        ids::{CustomerId, ServiceId},
+        text::{Objective, Text},
+    },
+    std::time::{Duration, Instant},
+};
+
+#[derive(Clone, Debug)]
+struct ServiceSeries {
+    objective: Objective,
+    all: Series,
+    customers: FastMap<CustomerId, Series>,
+}
+
+/// Counts the calls of one instance by service and customer.
+///
+/// ```
+/// use {
+///     hemlockford_core::{burn::{Burn, Window}, text::Text},
+///     std::time::{Duration, Instant},
+/// };
+/// let now = Instant::now();
+/// let mut burn = Burn::new(now);
+/// burn.configure(&Text::parse("[change]\nnumber = 1\n[service catalogue]\nobjective = 99% in 250ms\n").unwrap());
+/// burn.record(now, "catalogue", "kovar", Duration::from_millis(20), true);
+/// burn.record(now, "catalogue", "kovar", Duration::from_millis(900), true);
+/// let report = burn.report(now);
+/// assert_eq!(report.services["catalogue"].all.get(Window::FiveMinutes).bad(), 1);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Burn {
+    start: Instant,
+    services: FastMap<ServiceId, ServiceSeries>,
+    customers: usize,
+}
+
+impl Burn {
+    /// Makes counters that count no service yet.
+    pub fn new(now: Instant) -> Self {
+        Self { start: now, services: FastMap::default(), customers: 0 }
+    }
+
+    /// Takes the services and objectives of a text. Counts of services that remain are kept: calls that
+    /// were counted under an older objective are not judged again.
+    pub fn configure(&mut self, text: &Text) {
+        self.services.retain(|service, _| text.services.contains_key(service));
+        for (name, service) in &text.services {
+            let objective = service.objective.clone();
+            let make =
+                || ServiceSeries { objective: objective.clone(), all: Series::new(), customers: FastMap::default() };
+            self.services.entry(name.clone()).or_insert_with(make).objective = objective.clone();
+        }
+        self.customers = self.services.values().map(|service| service.customers.len()).sum();
+    }
+
+    /// Counts a call. It meets the objective if it is good, that is if the caller got the whole answer, and
+    /// was within the latency. Calls of services that the text does not name are not counted.
+    pub fn record(&mut self, now: Instant, service: &str, customer: &str, latency: Duration, good: bool) {
+        let age = self.age(now);
+        let Some(service) = self.services.get_mut(service) else { return };
+        let good = good && latency <= service.objective.latency;
+        service.all.add(age, good);
+        let has_room = service.customers.len() < MAX_CUSTOMERS && self.customers < MAX_CUSTOMERS_IN_ALL;
+        let customer = if has_room || service.customers.contains_key(customer) { customer } else { OTHER_CUSTOMERS };
+        if let Some(series) = service.customers.get_mut(customer) {
+            return series.add(age, good);
+        }
+        let mut series = Series::new();
+        series.add(age, good);
+        service.customers.insert(customer.into(), series);
+        self.customers += 1;
+    }
+
+    /// Returns the counts of all windows.
+    pub fn report(&self, now: Instant) -> BurnReport {
+        let age = self.age(now);
+        let counts = |series: &Series| WindowCounts::new(|window| series.sum(age, window));
+        let services = self.services.iter().map(|(name, service)| {
+            let customers = service.customers.iter().map(|(name, series)| (name.clone(), counts(series)));
+            // Customers without a call in the longest window add nothing to any sum.
+            let customers = customers.filter(|(_, counts)| counts.get(Window::ThreeDays).total > 0).collect();
+            let counts =
+                ServiceCounts { objective: service.objective.clone().into(), all: counts(&service.all), customers };
+            (name.clone(), counts)
+        });
+        BurnReport { services: services.collect() }
+    }
+
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.start)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! No socket, clock, thread, task, environment access or global random source is used here, so the
 //! same code runs in the process, in the scripted scenarios and in the fault matrix.
 
+pub mod burn;
 pub mod collections;
 pub mod dispatch;
 pub mod errors;
@@ -11,5 +12,6 @@
 pub mod ids;
 pub mod outcome;
 pub mod registry;
+pub mod retry;
 pub mod text;
 pub mod units;
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,13 @@
+//! The retry allowance: how many calls of a service may be tried a second time.
+//!
+//! Tokens are minted by the first entry of a chain only, so that the levels of a chain share one allowance.
+//! A token is in one place at a time: in the budget of the first entry, with the call at one entry, or on its
+//! way further down in [`ALLOWANCE_HEADER`].
+
+mod budget;
+mod token;
+
+pub use {
+    budget::RetryBudget,
+    token::{ALLOWANCE_HEADER, may_use_token, passes_token},
+};
