Add the measuring budget

Cause: nothing bounds what probes and load reports cost, and a division by the live entries that an entry hears from exceeds the budget when views differ.

The system's budget is divided by the roster size; more needs a loan of another entry.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod errors;
 pub mod health;
 pub mod ids;
+pub mod measure;
 pub mod outcome;
 pub mod registry;
 pub mod retry;
--- /dev/null
+++ b/crates/core/src/measure/budget.rs
@@ -0,0 +1,197 @@
+//! The owner of the measuring budget of one entry.
+
+use {
+    super::{
+        Loan, LoanRequest, MeasureCost, MeasureCounters, MeasureLimits, MeasureOptions, PROBE_TIMEOUT, QUIET_START,
+        QUIET_START_WITH_LOANS,
+        loan::{Borrowed, Lent},
+        sliding::Sliding,
+    },
+    crate::{
+        collections::FastMap,
+        ids::{Incarnation, ServerId},
+    },
+    std::time::{Duration, Instant},
+};
+
+/// A probe in progress, which counts with its whole reserve.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    until: Instant,
+    reserved: MeasureCost,
+}
+
+/// Owner of the measuring budget of one entry.
+///
+/// ```
+/// use {
+///     hemlockford_core::{measure::*, text::Measure},
+///     std::time::{Duration, Instant},
+/// };
+/// let start = Instant::now();
+/// let mut budget = MeasureBudget::new(start, 1, MeasureOptions::default());
+/// budget.set_limits(MeasureLimits::new(&Measure::default(), 72, 7));
+/// let cost = MeasureCost { slot_time: Duration::from_millis(30), bytes: 300, ..MeasureCost::default() };
+/// assert!(!budget.try_probe(start, "a", cost, 0.0));
+/// let now = start + QUIET_START;
+/// assert!(budget.try_probe(now, "a", cost, 0.0));
+/// assert!(!budget.try_probe(now, "b", cost, 0.0));
+/// budget.finish_probe(now, "a", MeasureCost { slot_time: Duration::from_millis(6), ..cost });
+/// assert!(budget.try_probe(now, "b", cost, 0.0));
+/// ```
+#[derive(Clone, Debug)]
+pub struct MeasureBudget {
+    options: MeasureOptions,
+    limits: MeasureLimits,
+    quiet_until: Instant,
+    settled: Sliding,
+    probes: FastMap<ServerId, Probe>,
+    reports: FastMap<ServerId, Instant>,
+    lent: Lent,
+    borrowed: Borrowed,
+    counters: MeasureCounters,
+}
+
+impl MeasureBudget {
+    /// Makes a budget that spends nothing before its quiet start is over, and nothing without limits.
+    pub fn new(now: Instant, incarnation: Incarnation, options: MeasureOptions) -> Self {
+        let quiet = if options.loans { QUIET_START_WITH_LOANS } else { QUIET_START };
+        Self {
+            options,
+            limits: MeasureLimits::default(),
+            quiet_until: now + quiet,
+            settled: Sliding::new(now),
+            probes: FastMap::default(),
+            reports: FastMap::default(),
+            lent: Lent::default(),
+            borrowed: Borrowed::new(incarnation),
+            counters: MeasureCounters::default(),
+        }
+    }
+
+    /// Sets the limits, after a change of the text or of the number of slots.
+    pub fn set_limits(&mut self, limits: MeasureLimits) {
+        self.limits = limits;
+    }
+
+    /// Returns whether a probe may begin, and reserves its cost. `most` is the most that it can cost if it
+    /// is cancelled after [`PROBE_TIMEOUT`]; `busy_part` is the part of the service's slots in use. Each probe
+    /// is ended by [`Self::finish_probe`].
+    ///
+    /// A probe gives way when the server has reported a moment ago, when the slots are busy, and while
+    /// another probe of the server runs.
+    pub fn try_probe(&mut self, now: Instant, server: &str, most: MeasureCost, busy_part: f64) -> bool {
+        self.expire_probes(now);
+        let is_fresh = |at: &Instant| now.saturating_duration_since(*at) < self.options.report_fresh;
+        let is_reported = self.reports.get(server).is_some_and(is_fresh);
+        if is_reported || busy_part >= self.options.busy_part || self.probes.contains_key(server) {
+            self.counters.gave_way += 1;
+            return false;
+        }
+        if !self.has_room(now, most, PROBE_TIMEOUT) {
+            return false;
+        }
+        self.probes.insert(server.into(), Probe { until: now + PROBE_TIMEOUT, reserved: most });
+        self.counters.probes += 1;
+        true
+    }
+
+    /// Replaces the reserve of a probe by what it cost.
+    pub fn finish_probe(&mut self, now: Instant, server: &str, spent: MeasureCost) {
+        self.expire_probes(now);
+        let Some(probe) = self.probes.remove(server) else { return };
+        if !spent.fits(&probe.reserved) {
+            self.counters.overruns += 1;
+        }
+        self.settle(now, spent);
+    }
+
+    /// Returns whether a load report that an answer carries may be used, and spends its cost. Probes of the
+    /// server give way for a moment.
+    pub fn try_report(&mut self, now: Instant, server: &str, cost: MeasureCost) -> bool {
+        self.expire_probes(now);
+        if !self.has_room(now, cost, Duration::ZERO) {
+            return false;
+        }
+        self.settle(now, cost);
+        self.counters.reports += 1;
+        match self.reports.get_mut(server) {
+            Some(at) => *at = now,
+            None => {
+                self.reports.insert(server.into(), now);
+            }
+        }
+        true
+    }
+
+    /// Removes a server. A probe of it that is in progress still counts.
+    pub fn forget(&mut self, server: &str) {
+        self.reports.remove(server);
+    }
+
+    /// Asks another entry for a part of its budget; `None` while an earlier request to it is pending.
+    pub fn request_loan(&mut self, now: Instant, from: &str, amount: MeasureCost) -> Option<LoanRequest> {
+        self.borrowed.request(now, from, without_processor(amount))
+    }
+
+    /// Consents to a loan out of what this entry neither has lent nor reserves; `None` if that is too
+    /// little. At most half of the entry's part is lent.
+    pub fn lend(&mut self, now: Instant, request: &LoanRequest) -> Option<Loan> {
+        self.expire_probes(now);
+        if !self.options.loans || now < self.quiet_until {
+            return None;
+        }
+        let amount = without_processor(request.amount);
+        let lent = self.lent.sum(now).plus(amount);
+        let half = self.limits.own.divided(2);
+        let is_free = lent.plus(self.reserved()).fits(&self.limits.own);
+        let may_lend = lent.fits(&half) && is_free && self.lent.push(now, amount);
+        may_lend.then_some(Loan { incarnation: request.incarnation, number: request.number, amount })
+    }
+
+    /// Takes a loan; returns whether it was asked for and is still worth something.
+    pub fn take_loan(&mut self, now: Instant, from: &str, loan: &Loan) -> bool {
+        self.borrowed.take(now, from, loan)
+    }
+
+    /// Returns the counters since the start.
+    pub fn counters(&self) -> MeasureCounters {
+        self.counters
+    }
+
+    /// Returns what may be spent in one window by a use that begins now and takes at most `length`.
+    fn limit(&self, now: Instant, length: Duration) -> MeasureCost {
+        self.limits.own.minus(self.lent.sum(now)).plus(self.borrowed.sum(now, length))
+    }
+
+    fn has_room(&mut self, now: Instant, cost: MeasureCost, length: Duration) -> bool {
+        let total = self.settled.sum(now).plus(self.reserved()).plus(cost);
+        let has_room = now >= self.quiet_until && total.fits(&self.limit(now, length));
+        if !has_room {
+            self.counters.over_budget += 1;
+        }
+        has_room
+    }
+
+    fn reserved(&self) -> MeasureCost {
+        self.probes.values().fold(MeasureCost::default(), |sum, probe| sum.plus(probe.reserved))
+    }
+
+    fn settle(&mut self, now: Instant, cost: MeasureCost) {
+        self.settled.add(now, cost);
+        self.counters.spent = self.counters.spent.plus(cost);
+    }
+
+    /// Settles probes whose end was not reported at their full reserve.
+    fn expire_probes(&mut self, now: Instant) {
+        let ended: Vec<_> = self.probes.extract_if(|_, probe| now >= probe.until).collect();
+        for (_, probe) in ended {
+            self.settle(now, probe.reserved);
+        }
+    }
+}
+
+/// An entry's processor time is its own and cannot be lent.
+fn without_processor(amount: MeasureCost) -> MeasureCost {
+    MeasureCost { processor: Duration::ZERO, ..amount }
+}
--- /dev/null
+++ b/crates/core/tests/measure.rs
@@ -0,0 +1,259 @@
+//! The measuring budget over several entries that join, leave, restart, lend and lose messages.
+
+use {
+    hemlockford_core::{
+        measure::{
+            Loan, LoanRequest, MeasureBudget, MeasureCost, MeasureLimits, MeasureOptions, PROBE_TIMEOUT, WINDOW,
+        },
+        text::Measure,
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::time::{Duration, Instant},
+};
+
+const SLOTS: u32 = 72;
+const RUN: Duration = Duration::from_secs(60);
+
+/// One use of the budget, from its begin to its end.
+struct Use {
+    begin: Duration,
+    end: Duration,
+    cost: MeasureCost,
+}
+
+/// Returns the most that was used in any window of one second; a use counts whole in each window it touches.
+fn peak(uses: &mut [Use]) -> MeasureCost {
+    uses.sort_by_key(|spent| spent.begin);
+    let mut peak = MeasureCost::default();
+    for window in uses.iter().map(|spent| spent.end) {
+        // No use is longer than a probe, so those that begin earlier ended before the window.
+        let from = uses.partition_point(|spent| spent.begin + PROBE_TIMEOUT < window);
+        let to = uses.partition_point(|spent| spent.begin < window + WINDOW);
+        let within = uses[from..to].iter().filter(|spent| spent.end >= window);
+        let sum = within.fold(MeasureCost::default(), |sum, spent| sum.plus(spent.cost));
+        peak.slot_time = peak.slot_time.max(sum.slot_time);
+        peak.bytes = peak.bytes.max(sum.bytes);
+    }
+    peak
+}
+
+/// How entries divide the budget.
+#[derive(Clone, Copy, PartialEq)]
+enum Division {
+    Roster,
+    Loans,
+    /// By the entries that one hears from; wrong, to show that the check notices.
+    Heard,
+}
+
+enum Message {
+    Ask(LoanRequest),
+    Grant(Loan),
+}
+
+struct Entry {
+    budget: Option<MeasureBudget>,
+    clock_rate: f64,
+    running: Vec<(Duration, Box<str>, MeasureCost)>,
+}
+
+struct Simulation {
+    rng: SmallRng,
+    division: Division,
+    start: Instant,
+    now: Duration,
+    entries: Vec<Entry>,
+    messages: Vec<(Duration, usize, usize, Message)>,
+    uses: Vec<Use>,
+    side: Vec<bool>,
+    starts: u64,
+    loans: u32,
+}
+
+impl Simulation {
+    fn new(seed: u64, division: Division) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let count = rng.random_range(2..=9);
+        // Clocks of machines differ by up to 100 ppm.
+        let entry = |rate| Entry { budget: None, clock_rate: 1.0 + rate, running: Vec::new() };
+        let entries = (0..count).map(|_| entry(rng.random_range(-1e-4..1e-4))).collect();
+        let (start, now, side) = (Instant::now(), Duration::ZERO, vec![true; count]);
+        Self { rng, division, start, now, entries, messages: vec![], uses: vec![], side, starts: 0, loans: 0 }
+    }
+
+    fn local(&self, entry: usize) -> Instant {
+        self.start + self.now.mul_f64(self.entries[entry].clock_rate)
+    }
+
+    fn limits(&self, entry: usize) -> MeasureLimits {
+        let heard = self.side.iter().zip(&self.entries).filter(|(s, e)| **s == self.side[entry] && e.budget.is_some());
+        let parts = if self.division == Division::Heard { heard.count() } else { self.entries.len() };
+        MeasureLimits::new(&Measure::default(), SLOTS, parts as u32)
+    }
+
+    fn step(&mut self) {
+        self.now += Duration::from_micros(self.rng.random_range(100..8_000));
+        if self.rng.random_bool(0.002) {
+            let rng = &mut self.rng;
+            self.side.iter_mut().for_each(|side| *side = rng.random_bool(0.6));
+        }
+        self.deliver();
+        let entry = self.rng.random_range(0..self.entries.len());
+        if self.rng.random_bool(0.004) {
+            self.stop_or_start(entry);
+        }
+        self.finish(entry);
+        let limits = self.limits(entry);
+        let now = self.local(entry);
+        let Some(budget) = &mut self.entries[entry].budget else { return };
+        budget.set_limits(limits);
+        let most = MeasureCost {
+            slot_time: Duration::from_millis(self.rng.random_range(1..30)),
+            processor: Duration::ZERO,
+            bytes: self.rng.random_range(20..600),
+        };
+        match self.rng.random_range(0..4) {
+            0 => {
+                let server = format!("s{}", self.rng.random_range(0..36));
+                let end = self.now + PROBE_TIMEOUT.mul_f64(self.rng.random_range(0.0..0.99));
+                if budget.try_probe(now, &server, most, 0.0) {
+                    self.uses.push(Use { begin: self.now, end, cost: most });
+                    self.entries[entry].running.push((end, server.into(), most));
+                }
+            }
+            1 => {
+                let cost = MeasureCost { slot_time: Duration::ZERO, ..most };
+                if budget.try_report(now, "reporter", cost) {
+                    self.uses.push(Use { begin: self.now, end: self.now, cost });
+                }
+            }
+            2 if self.division == Division::Loans => {
+                let lender = self.rng.random_range(0..self.side.len());
+                let amount = limits.own.divided(self.rng.random_range(2..5));
+                if let Some(request) = budget.request_loan(now, &lender.to_string(), amount) {
+                    self.send(entry, lender, &|| Message::Ask(request.clone()));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn finish(&mut self, entry: usize) {
+        let now = self.local(entry);
+        let Entry { budget, running, .. } = &mut self.entries[entry];
+        for (end, server, cost) in running.extract_if(.., |(end, ..)| *end <= self.now) {
+            // The end of one probe in ten is never reported.
+            if let Some(budget) = budget.as_mut().filter(|_| end.as_nanos() % 10 > 0) {
+                budget.finish_probe(now, &server, cost);
+            }
+        }
+    }
+
+    fn stop_or_start(&mut self, entry: usize) {
+        let options = MeasureOptions { loans: self.division == Division::Loans, ..MeasureOptions::default() };
+        self.starts += 1;
+        let budget = MeasureBudget::new(self.local(entry), self.starts, options);
+        let is_running = self.entries[entry].budget.is_some();
+        self.entries[entry].running.clear();
+        // Half of the stops are followed by a start at once.
+        let starts = !is_running || self.rng.random_bool(0.5);
+        self.entries[entry].budget = starts.then_some(budget);
+    }
+
+    /// Sends a message that may be lost, late or delivered twice.
+    fn send(&mut self, from: usize, to: usize, message: &dyn Fn() -> Message) {
+        let copies = if self.side[from] == self.side[to] { self.rng.random_range(0..=2) } else { 0 };
+        for _ in 0..copies {
+            let delay = Duration::from_secs_f64(self.rng.random_range(0.0_f64..1.4).powi(4));
+            self.messages.push((self.now + delay, from, to, message()));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let due: Vec<_> = self.messages.extract_if(.., |(at, ..)| *at <= self.now).collect();
+        for (_, from, to, message) in due {
+            let now = self.local(to);
+            let Some(budget) = &mut self.entries[to].budget else { continue };
+            match message {
+                Message::Ask(request) => {
+                    if let Some(loan) = budget.lend(now, &request).filter(|_| from != to) {
+                        self.send(to, from, &|| Message::Grant(loan.clone()));
+                    }
+                }
+                Message::Grant(loan) => self.loans += u32::from(budget.take_loan(now, &from.to_string(), &loan)),
+            }
+        }
+    }
+}
+
+fn run(seed: u64, division: Division) -> (MeasureCost, Simulation) {
+    let mut simulation = Simulation::new(seed, division);
+    while simulation.now < RUN {
+        simulation.step();
+    }
+    let mut uses = std::mem::take(&mut simulation.uses);
+    let spent = peak(&mut uses);
+    simulation.uses = uses;
+    (spent, simulation)
+}
+
+fn system() -> MeasureCost {
+    MeasureLimits::new(&Measure::default(), SLOTS, 1).own
+}
+
+/// Guards against any window of one second in which all entries together exceed the budget (P1).
+#[test]
+fn no_window_exceeds_the_budget() {
+    for division in [Division::Roster, Division::Loans] {
+        let (mut loans, mut highest) = (0, MeasureCost::default());
+        for seed in 0..100 {
+            let (spent, simulation) = run(seed, division);
+            assert!(spent.fits(&system()), "seed {seed}: {spent:?} exceeds {:?}", system());
+            assert!(!simulation.uses.is_empty(), "seed {seed}: nothing was measured");
+            loans += simulation.loans;
+            highest.slot_time = highest.slot_time.max(spent.slot_time);
+            highest.bytes = highest.bytes.max(spent.bytes);
+        }
+        println!("{loans} loans taken; highest window {highest:?} of {:?}", system());
+        assert_eq!(loans > 0, division == Division::Loans, "loans are not exercised");
+    }
+}
+
+/// Guards against a check that notices nothing: division by the peers one hears from must fail it.
+#[test]
+fn division_by_heard_peers_is_noticed() {
+    let exceeded = (0..20).filter(|seed| !run(*seed, Division::Heard).0.fits(&system())).count();
+    println!("division by heard peers exceeds the budget with {exceeded} of 20 seeds");
+    assert!(exceeded > 0);
+}
+
+fn ready_budget() -> (MeasureBudget, Instant) {
+    let start = Instant::now();
+    let mut budget = MeasureBudget::new(start, 1, MeasureOptions::default());
+    budget.set_limits(MeasureLimits::new(&Measure::default(), SLOTS, 7));
+    (budget, start + Duration::from_secs(10))
+}
+
+/// Guards against probes that add load at peak, or that ask for what an answer has just told.
+#[test]
+fn probes_give_way_to_load_and_reports() {
+    let (mut budget, now) = ready_budget();
+    let cost = MeasureCost { bytes: 100, ..MeasureCost::default() };
+    assert!(!budget.try_probe(now, "a", cost, 0.9), "slots are busy");
+    assert!(budget.try_report(now, "a", cost));
+    assert!(!budget.try_probe(now, "a", cost, 0.1), "a has just reported");
+    assert!(budget.try_probe(now, "b", cost, 0.1));
+    assert!(!budget.try_probe(now, "b", cost, 0.1), "a probe of b is in progress");
+    assert!(budget.try_probe(now + Duration::from_secs(2), "a", cost, 0.1));
+    assert_eq!(budget.counters().gave_way, 3);
+    assert_eq!(budget.counters().spent.bytes, 200, "a report and the first probe, whose end was not told");
+}
+
+/// Guards against a processor limit that is not checked; it is the entry's own and is not divided.
+#[test]
+fn processor_time_is_limited() {
+    let (mut budget, now) = ready_budget();
+    let cost = MeasureCost { processor: Duration::from_millis(1), ..MeasureCost::default() };
+    let allowed = (0..10).filter(|_| budget.try_report(now, "a", cost)).count();
+    assert_eq!(allowed, 5, "0.5% of one second");
+}
