--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,9 +5,12 @@
 //! same code runs in the process, in the scripted scenarios and in the fault matrix.
 
 pub mod collections;
+pub mod currency;
 pub mod dispatch;
 pub mod errors;
 pub mod ids;
+pub mod ledger;
+pub mod membership;
 pub mod outcome;
 pub mod registry;
 pub mod text;
--- /dev/null
+++ b/crates/core/src/registry/digest.rs
@@ -0,0 +1,44 @@
+//! Digest of the servers that an entry knows.
+
+use {
+    super::Announcement,
+    serde::{Deserialize, Serialize},
+};
+
+/// Parts into which servers are divided, so that a difference is repaired by sending one part only.
+const BUCKETS: usize = 8;
+
+/// Digest of the servers that an entry knows, by bucket. It covers what rarely changes: name, incarnation
+/// and state, but not sequences, because these differ all the time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest([u32; BUCKETS]);
+
+impl Digest {
+    /// Adds a server.
+    pub(super) fn add(&mut self, announcement: &Announcement) {
+        let server = fnv(FNV_BASIS, announcement.server.as_bytes());
+        let hash = fnv(server, &announcement.incarnation.to_le_bytes());
+        let hash = fnv(hash, &[announcement.state as u8]);
+        let bucket = bucket(&announcement.server);
+        self.0[bucket] = self.0[bucket].wrapping_add((hash ^ (hash >> 32)) as u32);
+    }
+
+    /// Returns the buckets that differ.
+    pub(super) fn differing(&self, other: &Self) -> [bool; BUCKETS] {
+        std::array::from_fn(|bucket| self.0[bucket] != other.0[bucket])
+    }
+}
+
+const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// FNV-1a, which gives the same result in every build, as entries compare digests with each other.
+fn fnv(basis: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(basis, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME))
+}
+
+/// Returns the bucket of a server.
+pub(super) fn bucket(server: &str) -> usize {
+    let hash = fnv(FNV_BASIS, server.as_bytes());
+    ((hash ^ (hash >> 32)) as usize) % BUCKETS
+}
