--- /dev/null
+++ b/crates/core/src/consensus/entry.rs
@@ -0,0 +1,51 @@
+//! Entries of the replicated log.
+
+use {
+    super::Member,
+    crate::ids::{LogIndex, Term},
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// Bytes that an entry takes in a message or a file beside its command, rounded up.
+const ENTRY_OVERHEAD: usize = 32;
+
+/// One entry of the replicated log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Position in the log.
+    pub index: LogIndex,
+    /// Term of the leader that created the entry; 0 for the entries that form a group.
+    pub term: Term,
+    /// What the entry carries.
+    pub payload: Payload,
+}
+
+/// What an entry carries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Payload {
+    /// Nothing; a new leader commits one in order to commit the entries of earlier terms.
+    Noop,
+    /// The named incarnation of a replica votes and counts from here on.
+    Admit(Member),
+    /// A command of the replicated state machine, opaque to consensus.
+    Command(Arc<[u8]>),
+}
+
+impl Entry {
+    /// Upper bound of the encoded size, in bytes.
+    ///
+    /// ```
+    /// use hemlockford_core::consensus::{Entry, Payload};
+    /// let entry = Entry { index: 1, term: 1, payload: Payload::Command(vec![0; 100].into()) };
+    /// assert!(entry.size() >= 100);
+    /// ```
+    pub fn size(&self) -> usize {
+        ENTRY_OVERHEAD
+            + match &self.payload {
+                Payload::Noop => 0,
+                Payload::Admit(member) => member.replica.len(),
+                Payload::Command(command) => command.len(),
+            }
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/member.rs
@@ -0,0 +1,50 @@
+//! A replica together with the incarnation that counts.
+
+use {
+    crate::ids::{Incarnation, InstanceId},
+    serde::{Deserialize, Serialize},
+};
+
+/// A replica together with one incarnation of its data folder.
+///
+/// The incarnation of a folder is chosen when the folder is first used, stays the same over restarts,
+/// and rises when the folder was lost.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The replica.
+    pub replica: InstanceId,
+    /// Incarnation of its data folder.
+    pub incarnation: Incarnation,
+}
+
+/// The admitted incarnation of each replica.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members(Vec<Member>);
+
+impl Members {
+    /// The admitted incarnation of a replica.
+    ///
+    /// ```
+    /// use hemlockford_core::consensus::{Member, Members};
+    /// let mut members = Members::default();
+    /// members.admit(Member { replica: "a".into(), incarnation: 1 });
+    /// members.admit(Member { replica: "a".into(), incarnation: 2 });
+    /// assert_eq!(members.incarnation("a"), Some(2));
+    /// ```
+    pub fn incarnation(&self, replica: &str) -> Option<Incarnation> {
+        self.0.iter().find(|member| &*member.replica == replica).map(|member| member.incarnation)
+    }
+
+    /// Admits an incarnation in place of the one admitted before.
+    pub fn admit(&mut self, member: Member) {
+        match self.0.iter_mut().find(|held| held.replica == member.replica) {
+            Some(held) => *held = member,
+            None => self.0.push(member),
+        }
+    }
+
+    /// The replicas with their admitted incarnations.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.0.iter()
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/options.rs
@@ -0,0 +1,51 @@
+//! Settings of a replica.
+
+use {crate::ids::InstanceId, std::time::Duration};
+
+/// Longest message between replicas, in bytes.
+pub const MESSAGE_BYTES: usize = 64 * 1024;
+/// Longest payload of a message: leaves 4 KB of `MESSAGE_BYTES` for the fields around it.
+pub const PAYLOAD_BYTES: usize = 60 * 1024;
+/// Longest command, so that each entry fits into one message.
+pub const COMMAND_BYTES: usize = PAYLOAD_BYTES - 1024;
+
+/// Settings of a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConsensusOptions {
+    /// This replica.
+    pub replica: InstanceId,
+    /// All replicas of the group, this one included, in the same order everywhere: 1, 3 or 5. The first
+    /// one proposes the formation of a new group.
+    pub replicas: Vec<InstanceId>,
+    /// Shortest election timeout; also the time for which a leader that a majority has answered may
+    /// act without another answer.
+    pub election_min: Duration,
+    /// Longest election timeout.
+    pub election_max: Duration,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Entries after the last snapshot that cause a new one.
+    pub snapshot_entries: usize,
+    /// Bytes of entries after the last snapshot that cause a new one.
+    pub snapshot_bytes: usize,
+    /// Messages with entries that may be on the way to one replica.
+    pub window_messages: usize,
+    /// Proposals that may wait to be committed.
+    pub window_proposals: usize,
+}
+
+impl Default for ConsensusOptions {
+    fn default() -> Self {
+        Self {
+            replica: InstanceId::default(),
+            replicas: Vec::new(),
+            election_min: Duration::from_millis(600),
+            election_max: Duration::from_millis(1_200),
+            heartbeat: Duration::from_millis(150),
+            snapshot_entries: 256,
+            snapshot_bytes: 4 * 1024 * 1024,
+            window_messages: 8,
+            window_proposals: 1_024,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/recovered.rs
@@ -0,0 +1,21 @@
+//! What the data folder held at start.
+
+use {
+    super::{Entry, Snapshot, Vote},
+    crate::ids::Incarnation,
+    std::sync::Arc,
+};
+
+/// What the data folder held at start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Recovered {
+    /// Incarnation of the folder: durable before consensus starts, the same over restarts, and higher
+    /// than before when the folder was lost.
+    pub incarnation: Incarnation,
+    /// The last vote saved.
+    pub vote: Vote,
+    /// The last snapshot saved.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry>,
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! same code runs in the process, in the scripted scenarios and in the fault matrix.
 
 pub mod collections;
+pub mod consensus;
 pub mod dispatch;
 pub mod errors;
 pub mod ids;
