--- /dev/null
+++ b/crates/core/src/ledger/changes.rs
@@ -0,0 +1,44 @@
+//! Accepted changes of the operators' text.
+
+use {
+    super::{SubmitOutcome, TextDigest},
+    crate::ids::ChangeNumber,
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// Accepted changes whose digests are kept: two days at the design target of 4,800 changes a day. A
+/// resubmission of an older change is answered as superseded.
+pub const HISTORY: usize = 9_600;
+
+/// Accepted changes: the text of the last one and the digests of the last [`HISTORY`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Changes {
+    pub(super) number: ChangeNumber,
+    pub(super) text: Box<str>,
+    digests: BTreeMap<ChangeNumber, TextDigest>,
+}
+
+impl Changes {
+    pub(super) fn submit(&mut self, number: ChangeNumber, text: Box<str>) -> SubmitOutcome {
+        let digest = TextDigest::of(text.as_bytes());
+        if number > self.number {
+            self.number = number;
+            self.text = text;
+            self.digests.insert(number, digest);
+            if self.digests.len() > HISTORY {
+                self.digests.pop_first();
+            }
+            return SubmitOutcome::Accepted { digest };
+        }
+        match self.digests.get(&number) {
+            Some(winner) if *winner == digest => SubmitOutcome::Accepted { digest },
+            Some(winner) => SubmitOutcome::Conflict { winner: *winner },
+            None => SubmitOutcome::Superseded { current: self.number },
+        }
+    }
+
+    pub(super) fn digest(&self, number: ChangeNumber) -> Option<TextDigest> {
+        self.digests.get(&number).copied()
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger/machine.rs
@@ -0,0 +1,134 @@
+//! The replicated state machine.
+
+use {
+    super::{ClaimKey, Command, Holder, LedgerOutcome, TextDigest, changes::Changes, claims::Claims},
+    crate::{
+        errors::{Result, corrupt},
+        ids::{ChangeNumber, LogIndex},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// Version of the snapshot's encoding, its first byte.
+const VERSION: u8 = 1;
+
+/// The replicated state machine.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    applied: LogIndex,
+    clock: u64,
+    changes: Changes,
+    claims: Claims,
+}
+
+impl Ledger {
+    /// Applies the command at a position of the log. A position that was applied before changes nothing.
+    ///
+    /// ```
+    /// use hemlockford_core::ledger::{Command, Ledger, LedgerOutcome, SubmitOutcome, TextDigest};
+    /// let mut ledger = Ledger::default();
+    /// let submit = |text: &str| Command::Submit { number: 4, text: text.into() };
+    /// let accepted = SubmitOutcome::Accepted { digest: TextDigest::of(b"a") };
+    /// assert_eq!(ledger.apply(1, submit("a")), LedgerOutcome::Submit(accepted));
+    /// assert_eq!(ledger.apply(2, submit("a")), LedgerOutcome::Submit(accepted));
+    /// let conflict = SubmitOutcome::Conflict { winner: TextDigest::of(b"a") };
+    /// assert_eq!(ledger.apply(3, submit("b")), LedgerOutcome::Submit(conflict));
+    /// ```
+    pub fn apply(&mut self, index: LogIndex, command: Command) -> LedgerOutcome {
+        if index <= self.applied {
+            return LedgerOutcome::AlreadyApplied;
+        }
+        self.applied = index;
+        match command {
+            Command::Noop { at } => {
+                self.advance(at);
+                LedgerOutcome::Current(self.changes.number)
+            }
+            Command::Submit { number, text } => LedgerOutcome::Submit(self.changes.submit(number, text)),
+            Command::Claim { key, holder, request_digest, retention_ms, at } => {
+                self.advance(at);
+                LedgerOutcome::Claim(self.claims.claim(self.clock, key, holder, request_digest, retention_ms))
+            }
+            Command::Settle { key, holder, outcome, at } => {
+                self.advance(at);
+                LedgerOutcome::Settle(self.claims.settle(self.clock, &key, &holder, outcome))
+            }
+            Command::Release { key, holder, at } => {
+                self.advance(at);
+                LedgerOutcome::Release(self.claims.release(self.clock, &key, holder))
+            }
+        }
+    }
+
+    /// Applies an encoded command.
+    pub fn apply_bytes(&mut self, index: LogIndex, command: &[u8]) -> LedgerOutcome {
+        match Command::decode(command) {
+            Ok(command) => self.apply(index, command),
+            Err(_) => {
+                self.applied = self.applied.max(index);
+                LedgerOutcome::Malformed
+            }
+        }
+    }
+
+    /// Returns the whole state as bytes.
+    ///
+    /// ```
+    /// use hemlockford_core::ledger::{Command, Ledger};
+    /// let mut ledger = Ledger::default();
+    /// ledger.apply(1, Command::Submit { number: 4, text: "a".into() });
+    /// assert_eq!(Ledger::restore(&ledger.snapshot().unwrap()).unwrap(), ledger);
+    /// assert!(Ledger::restore(&[0]).is_err());
+    /// ```
+    pub fn snapshot(&self) -> Result<Vec<u8>> {
+        postcard::to_extend(self, vec![VERSION]).map_err(|e| corrupt(e.to_string()))
+    }
+
+    /// Restores a state from bytes.
+    pub fn restore(bytes: &[u8]) -> Result<Self> {
+        match bytes.split_first() {
+            Some((&VERSION, body)) => postcard::from_bytes(body).map_err(|e| corrupt(e.to_string())),
+            _ => Err(corrupt("snapshot of an unknown version")),
+        }
+    }
+
+    /// Returns the number of the current change; 0 before the first.
+    pub fn number(&self) -> ChangeNumber {
+        self.changes.number
+    }
+
+    /// Returns the current text; empty before the first change.
+    pub fn text(&self) -> &str {
+        &self.changes.text
+    }
+
+    /// Returns the digest of an accepted change that is still remembered.
+    pub fn digest(&self, number: ChangeNumber) -> Option<TextDigest> {
+        self.changes.digest(number)
+    }
+
+    /// Returns the time of the last command, in milliseconds.
+    pub fn clock(&self) -> u64 {
+        self.clock
+    }
+
+    /// Returns the last applied position of the log.
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// Returns how many claims are held.
+    pub fn claims(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns the attempt that holds a key.
+    pub fn holder(&self, key: &ClaimKey) -> Option<&Holder> {
+        self.claims.holder(key)
+    }
+
+    fn advance(&mut self, at: u64) {
+        self.clock = self.clock.max(at);
+        self.claims.prune(self.clock);
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger/mod.rs
@@ -0,0 +1,23 @@
+//! The replicated state machine: changes of the operators' text and claims of idempotency keys.
+//!
+//! Commands are applied in the order of the replicated log and give the same result on every replica. Time
+//! comes only with the commands.
+
+mod changes;
+mod claim;
+mod claims;
+mod command;
+mod digest;
+mod machine;
+mod outcome;
+mod releases;
+
+pub use {
+    changes::HISTORY,
+    claim::{ClaimKey, Holder, MAX_BODY_BYTES, SettledOutcome},
+    claims::{MAX_CLAIMS, MIN_RETENTION_MS},
+    command::{Command, MAX_SUBMIT_BYTES},
+    digest::TextDigest,
+    machine::Ledger,
+    outcome::{ClaimOutcome, LedgerOutcome, ReleaseOutcome, SettleOutcome, SubmitOutcome},
+};
--- a/crates/core/src/membership/machine.rs
+++ b/crates/core/src/membership/machine.rs
@@ -120,13 +120,7 @@
         now.saturating_duration_since(self.started).as_millis() as u64
     }
 
-    fn receive(
-        &mut self,
-        now: Instant,
-        from: InstanceId,
-        heartbeat: Heartbeat,
-        actions: &mut Vec<MembershipAction>,
-    ) {
+    fn receive(&mut self, now: Instant, from: InstanceId, heartbeat: Heartbeat, actions: &mut Vec<MembershipAction>) {
         let Some(peer) = self.peers.get_mut(&from) else { return };
         if heartbeat.incarnation < peer.incarnation {
             return;
--- a/crates/core/src/registry/machine.rs
+++ b/crates/core/src/registry/machine.rs
@@ -204,6 +204,7 @@
         announcement.check()?;
         let now_ms = self.ms(now);
         let service = announcement.service.clone();
+        let is_full = self.servers.len() >= MAX_SERVERS;
         let is_changed = match self.servers.get_mut(&announcement.server) {
             Some(held) if announcement.incarnation < held.announcement.incarnation => return Ok(false),
             Some(held) if announcement.incarnation == held.announcement.incarnation => {
@@ -224,7 +225,7 @@
                 *held = Held::new(now_ms, age_ms, announcement, is_doubted);
                 true
             }
-            None if self.servers.len() >= MAX_SERVERS => return Err(AnnouncementFault::TooMany),
+            None if is_full => return Err(AnnouncementFault::TooMany),
             None => {
                 let held = Held::new(now_ms, age_ms, announcement, is_doubted);
                 self.servers.insert(held.announcement.server.clone(), held);
