Add the composite state machine of the control part

Cause: the process needs one state machine with a stable interface that joins membership, currency, registry, the replicated log and the ledger.

--- /dev/null
+++ b/crates/core/src/control/action.rs
@@ -0,0 +1,69 @@
+//! What the control part asks its task to do.
+
+use {
+    super::{Answer, ControlLog, PeerMessage},
+    crate::{
+        consensus::{Entry, Snapshot, Vote},
+        dispatch::ServerView,
+        ids::{InstanceId, LogIndex, ServiceId},
+        text::Text,
+    },
+    std::{sync::Arc, time::Instant},
+};
+
+/// One thing for the control task to do. Actions are carried out in order.
+#[derive(Clone, Debug)]
+pub enum ControlAction {
+    /// Send a message over UDP; it fits one datagram.
+    Datagram {
+        /// The receiver.
+        to: InstanceId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Send a message over TCP. Losing it is allowed, for example if no connection can be opened at once.
+    Stream {
+        /// The receiver.
+        to: InstanceId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Write to the data folder and report the sequence with `ControlEvent::Persisted` once it is durable.
+    Write {
+        /// Rising sequence of the write.
+        sequence: u64,
+        /// What to write.
+        write: Write,
+    },
+    /// Use this text from now on.
+    Install(Arc<Text>),
+    /// Answer a request of the instance itself.
+    Answer(Answer),
+    /// The servers of a service.
+    Servers(ServiceId, Vec<ServerView>),
+    /// The live instances, this one included.
+    Peers(Vec<InstanceId>),
+    /// The instance may serve calls until the given time, or not at all. It is to be compared with the time
+    /// of use, as a frozen process does not hear that the time has passed.
+    ServeUntil(Option<Instant>),
+    /// A state change that is worth a log line.
+    Log(ControlLog),
+    /// The planned stop is complete.
+    Stopped,
+    /// An invariant is broken; the process stops.
+    Broken(&'static str),
+}
+
+/// One write to the data folder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Write {
+    /// Replace the vote.
+    Vote(Vote),
+    /// Append entries to the log, following the last stored one.
+    Append(Vec<Entry>),
+    /// Remove entries from this one to the end of the log.
+    Truncate(LogIndex),
+    /// Replace the snapshot and remove the entries that it covers; remove the whole log if it does not
+    /// contain the last covered entry with the same term.
+    Snapshot(Arc<Snapshot>),
+}
--- /dev/null
+++ b/crates/core/src/control/machine.rs
@@ -0,0 +1,276 @@
+//! The state machine of the control part.
+
+use {
+    super::{
+        Answer, ControlAction, ControlEvent, ControlLog, ControlOptions, PeerMessage, SubmitAnswer,
+        leader::Leader,
+        replica::Replica,
+        requests::{Progress, Requests},
+    },
+    crate::{
+        consensus::{ConsensusEvent, ConsensusOptions, Recovered},
+        currency::{Currency, NotCurrent},
+        ids::{ChangeNumber, InstanceId},
+        ledger::{Ledger, MAX_SUBMIT_BYTES},
+        membership::{Membership, MembershipAction, MembershipEvent, MembershipOptions},
+        registry::{Registry, RegistryAction, RegistryEvent, RegistryOptions},
+        text::Text,
+    },
+    rand::rngs::SmallRng,
+    std::{sync::Arc, time::Instant},
+};
+
+/// The control part of one instance.
+pub struct Control {
+    pub(super) options: ControlOptions,
+    pub(super) membership: Membership,
+    pub(super) currency: Currency,
+    pub(super) registry: Registry,
+    pub(super) replica: Option<Replica>,
+    pub(super) requests: Requests,
+    pub(super) leader: Leader,
+    pub(super) text: Option<(Box<str>, Arc<Text>)>,
+    /// A committed change that is not installed yet.
+    pub(super) candidate: Option<(ChangeNumber, Box<str>)>,
+    pub(super) last_fetch: Option<Instant>,
+    pub(super) fetches: usize,
+    pub(super) last_noop: Instant,
+    pub(super) is_draining: bool,
+    pub(super) live: Vec<InstanceId>,
+    pub(super) until: Option<Instant>,
+    pub(super) readiness: Option<Result<(), NotCurrent>>,
+}
+
+impl Control {
+    /// Starts the control part. `recovered` is what the data folder held; an instance that `options` names
+    /// as a replica needs it, others do not use it.
+    ///
+    /// ```
+    /// use {
+    ///     hemlockford_core::control::{Control, ControlEvent, ControlOptions},
+    ///     rand::{SeedableRng, rngs::SmallRng},
+    ///     std::time::Instant,
+    /// };
+    /// let now = Instant::now();
+    /// let options = ControlOptions { peers: vec!["e2".into()], ..Default::default() };
+    /// let mut control = Control::new(options, None, now, SmallRng::seed_from_u64(1));
+    /// control.handle(now, ControlEvent::Tick, &mut Vec::new());
+    /// assert!(control.may_serve(now).is_err());
+    /// ```
+    pub fn new(options: ControlOptions, recovered: Option<Recovered>, now: Instant, rng: SmallRng) -> Self {
+        let replica = options.replicas.contains(&options.id).then(|| {
+            let (replica, replicas) = (options.id.clone(), options.replicas.clone());
+            let consensus = ConsensusOptions { replica, replicas, ..options.consensus.clone() };
+            Replica::new(consensus, recovered.unwrap_or_default(), now, rng)
+        });
+        let membership = MembershipOptions {
+            id: options.id.clone(),
+            incarnation: options.incarnation,
+            peers: options.peers.clone(),
+            ..MembershipOptions::default()
+        };
+        let mut requests = Requests::new(options.id.clone(), options.incarnation);
+        requests.ask_current(now);
+        Self {
+            membership: Membership::new(membership, now),
+            currency: Currency::new(options.peers.len() + 1),
+            registry: Registry::new(RegistryOptions { peers: options.peers.clone() }, now),
+            replica,
+            requests,
+            leader: Leader::default(),
+            text: None,
+            candidate: None,
+            last_fetch: None,
+            fetches: 0,
+            last_noop: now,
+            is_draining: false,
+            live: Vec::new(),
+            until: None,
+            readiness: None,
+            options,
+        }
+    }
+
+    /// Handles one event.
+    pub fn handle(&mut self, now: Instant, event: ControlEvent, actions: &mut Vec<ControlAction>) {
+        let mut progress = Progress::default();
+        let first = self.requests.next_key();
+        match event {
+            ControlEvent::Tick => self.tick(now, &mut progress, actions),
+            ControlEvent::Receive { from, message } => self.receive(now, from, message, &mut progress, actions),
+            ControlEvent::Submit { request, text } => self.submit(now, request, text, &mut progress),
+            ControlEvent::Claim { request, key, request_digest, deadline } => {
+                self.requests.claim(now, request, key, request_digest, deadline, &mut progress);
+            }
+            ControlEvent::Settle { key, holder, outcome } => self.requests.settle(now, key, holder, outcome),
+            ControlEvent::Release { key, holder } => self.requests.release(now, key, holder),
+            ControlEvent::Announce(announcement) => {
+                self.registry_event(now, RegistryEvent::Announce(announcement), actions);
+            }
+            ControlEvent::Persisted { up_to } => {
+                self.replica_event(now, ConsensusEvent::Persisted { up_to }, &mut progress, actions);
+            }
+            ControlEvent::Drain => self.is_draining = true,
+            ControlEvent::Stop => {
+                self.is_draining = true;
+                match self.replica {
+                    Some(_) => self.replica_event(now, ConsensusEvent::Stop, &mut progress, actions),
+                    None => actions.push(ControlAction::Stopped),
+                }
+            }
+        }
+        self.send_due(now, first, &mut progress, actions);
+        self.take_progress(now, progress, actions);
+        self.review(now, actions);
+    }
+
+    /// Returns whether this entry may serve calls, judged at `now`.
+    pub fn may_serve(&self, now: Instant) -> Result<(), NotCurrent> {
+        self.currency.may_serve(now, self.membership.reports())
+    }
+
+    /// Returns the membership of the roster, for status pages.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns the announced servers.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Returns the ledger, if this instance is a replica.
+    pub fn ledger(&self) -> Option<&Ledger> {
+        self.replica.as_ref().map(|replica| &replica.ledger)
+    }
+
+    /// Returns whether this instance leads the replicated log.
+    pub fn is_leading(&self) -> bool {
+        self.replica.as_ref().is_some_and(|replica| replica.is_leading)
+    }
+
+    /// Returns the number of the installed change; 0 before the first.
+    pub fn installed(&self) -> ChangeNumber {
+        self.currency.installed()
+    }
+
+    /// Returns the installed text.
+    pub fn text(&self) -> Option<&Arc<Text>> {
+        self.text.as_ref().map(|(_, text)| text)
+    }
+
+    /// Returns the source of the installed text.
+    pub fn source(&self) -> Option<&str> {
+        self.text.as_ref().map(|(source, _)| &**source)
+    }
+
+    fn tick(&mut self, now: Instant, progress: &mut Progress, actions: &mut Vec<ControlAction>) {
+        self.requests.expire(now, progress);
+        self.replica_event(now, ConsensusEvent::Tick, progress, actions);
+        self.registry_event(now, RegistryEvent::Tick, actions);
+        self.report(now);
+        self.membership_event(now, MembershipEvent::Tick, actions);
+        self.send_due(now, 0, progress, actions);
+        self.keep_time(now, progress, actions);
+        self.fetch(now, actions);
+    }
+
+    fn submit(&mut self, now: Instant, request: u64, text: Box<str>, progress: &mut Progress) {
+        let answer = match Text::parse(&text) {
+            _ if text.len() > MAX_SUBMIT_BYTES => SubmitAnswer::TooLong,
+            Err(faults) => SubmitAnswer::Invalid(faults),
+            Ok(parsed) => {
+                let timeout = self.options.submit_timeout;
+                return self.requests.submit(now, request, parsed.number, text, timeout, progress);
+            }
+        };
+        progress.answers.push(Answer::Submit { request, answer });
+    }
+
+    fn receive(
+        &mut self,
+        now: Instant,
+        from: InstanceId,
+        message: PeerMessage,
+        progress: &mut Progress,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if !self.options.peers.contains(&from) {
+            return;
+        }
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => {
+                let digest = heartbeat.status.digest;
+                let is_current = self.membership.incarnation(&from).is_none_or(|known| known <= heartbeat.incarnation);
+                self.membership_event(now, MembershipEvent::Receive { from: from.clone(), heartbeat }, actions);
+                if is_current && self.membership.is_live(now, &from) {
+                    self.registry_event(now, RegistryEvent::Digest { from, digest }, actions);
+                }
+            }
+            PeerMessage::Relay { incarnation, clock_ms, records } => {
+                // A relay whose age cannot be told is dropped; the digests repair it.
+                if let Some(age) = self.membership.age(now, &from, incarnation, clock_ms) {
+                    self.registry_event(now, RegistryEvent::Relay { age, records }, actions);
+                }
+            }
+            PeerMessage::Ask { servers } => self.registry_event(now, RegistryEvent::Ask { from, servers }, actions),
+            PeerMessage::Consensus(message) => {
+                self.replica_event(now, ConsensusEvent::Receive { from, message }, progress, actions);
+            }
+            PeerMessage::Request { id, request } => self.take_request(now, from, id, request, progress, actions),
+            PeerMessage::Reply { id, reply } => self.requests.reply(now, id, reply, progress),
+            PeerMessage::Install { number, text } => self.offer(now, number, text, actions),
+            PeerMessage::Fetch { above } => self.give(from, above, actions),
+        }
+    }
+
+    pub(super) fn membership_event(&mut self, now: Instant, event: MembershipEvent, actions: &mut Vec<ControlAction>) {
+        let mut out = Vec::new();
+        self.membership.handle(now, event, &mut out);
+        for action in out {
+            actions.push(match action {
+                MembershipAction::Send { to, heartbeat } => {
+                    ControlAction::Datagram { to, message: PeerMessage::Heartbeat(heartbeat) }
+                }
+                MembershipAction::Suspected(id) => ControlAction::Log(ControlLog::Suspected(id)),
+                MembershipAction::Lost(id) => ControlAction::Log(ControlLog::Lost(id)),
+                MembershipAction::Returned(id) => ControlAction::Log(ControlLog::Returned(id)),
+                MembershipAction::Restarted(id, incarnation) => {
+                    ControlAction::Log(ControlLog::Restarted(id, incarnation))
+                }
+            });
+        }
+    }
+
+    fn registry_event(&mut self, now: Instant, event: RegistryEvent, actions: &mut Vec<ControlAction>) {
+        let mut out = Vec::new();
+        self.registry.handle(now, event, &mut out);
+        for action in out {
+            match action {
+                RegistryAction::Relay { to, records } => {
+                    let (incarnation, clock_ms) = (self.options.incarnation, self.membership.clock_ms(now));
+                    let message = PeerMessage::Relay { incarnation, clock_ms, records };
+                    match to {
+                        Some(to) => actions.push(ControlAction::Datagram { to, message }),
+                        None => actions.extend(
+                            self.options
+                                .peers
+                                .iter()
+                                .map(|to| ControlAction::Datagram { to: to.clone(), message: message.clone() }),
+                        ),
+                    }
+                }
+                RegistryAction::Ask { to, servers } => {
+                    actions.push(ControlAction::Datagram { to, message: PeerMessage::Ask { servers } });
+                }
+                RegistryAction::Changed(service) => {
+                    let views = self.registry.views(now, &service);
+                    actions.push(ControlAction::Servers(service, views));
+                }
+                RegistryAction::Refused { server, fault } => {
+                    actions.push(ControlAction::Log(ControlLog::Refused(server, fault)));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/pending.rs
@@ -0,0 +1,70 @@
+//! A request that waits for an answer.
+
+use {
+    super::Request,
+    crate::{
+        ids::{ChangeNumber, InstanceId},
+        ledger::{ClaimKey, Holder},
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Time after which a request is sent again if there was no answer.
+const RESEND_AFTER: Duration = Duration::from_millis(500);
+
+/// Time after a refusal before the request is sent again.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// What the answer is for.
+#[derive(Clone, Debug)]
+pub(super) enum Waiter {
+    Current,
+    Submit { request: u64, number: ChangeNumber },
+    Claim { request: u64, key: ClaimKey, holder: Holder },
+    Settle,
+    Release,
+}
+
+/// A request that waits for an answer.
+#[derive(Clone, Debug)]
+pub(super) struct Pending {
+    pub(super) request: Request,
+    pub(super) waiter: Waiter,
+    pub(super) started: Instant,
+    pub(super) deadline: Option<Instant>,
+    /// Messages sent so far.
+    pub(super) sent: Vec<u64>,
+    /// Those of them that may have been taken by a leader.
+    pub(super) open: Vec<u64>,
+    pub(super) sent_to: Option<InstanceId>,
+    pub(super) next_send: Instant,
+}
+
+impl Pending {
+    pub(super) fn new(now: Instant, request: Request, waiter: Waiter, deadline: Option<Instant>) -> Self {
+        let (sent, open) = (Vec::new(), Vec::new());
+        Self { request, waiter, started: now, deadline, sent, open, sent_to: None, next_send: now }
+    }
+
+    pub(super) fn is_due(&self, now: Instant, leader: &InstanceId) -> bool {
+        let is_new_leader = self.sent_to.as_ref().is_some_and(|sent_to| sent_to != leader);
+        now >= self.next_send || (is_new_leader && !self.open.is_empty())
+    }
+
+    pub(super) fn sent(&mut self, now: Instant, leader: &InstanceId, sequence: u64) {
+        self.sent.push(sequence);
+        self.open.push(sequence);
+        self.sent_to = Some(leader.clone());
+        self.next_send = now + RESEND_AFTER;
+    }
+
+    /// Takes the news that one message was certainly not taken.
+    pub(super) fn refused(&mut self, now: Instant, sequence: u64) {
+        self.open.retain(|open| *open != sequence);
+        self.next_send = self.next_send.min(now + RETRY_AFTER);
+    }
+
+    pub(super) fn is_over(&self, now: Instant) -> bool {
+        self.deadline.is_some_and(|deadline| now >= deadline)
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/replica.rs
@@ -0,0 +1,176 @@
+//! The part of the replicated log that a replica owns, with the ledger.
+
+use {
+    super::{Request, Write, stub::Consensus},
+    crate::{
+        collections::FastMap,
+        consensus::{ConsensusAction, ConsensusEvent, ConsensusOptions, Message, ProposalResult, Recovered},
+        ids::{InstanceId, LogIndex, Term},
+        ledger::{Command, Ledger, LedgerOutcome},
+    },
+    rand::rngs::SmallRng,
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+};
+
+/// What the replica asks the control part to do.
+#[derive(Clone, Debug)]
+pub(super) enum ReplicaAction {
+    Send {
+        to: InstanceId,
+        message: Message,
+    },
+    Write {
+        sequence: u64,
+        write: Write,
+    },
+    Proposed {
+        id: u64,
+        result: ProposalResult,
+        outcome: Option<LedgerOutcome>,
+    },
+    Leading(Term),
+    Following(Term),
+    /// The ledger holds a newer change.
+    Changed,
+    Stopped,
+    Broken(&'static str),
+}
+
+/// The part of the replicated log that a replica owns, with the ledger.
+pub(super) struct Replica {
+    id: InstanceId,
+    consensus: Consensus,
+    pub(super) ledger: Ledger,
+    outcomes: FastMap<LogIndex, LedgerOutcome>,
+    next_proposal: u64,
+    pub(super) term: Term,
+    pub(super) leader: Option<InstanceId>,
+    pub(super) is_leading: bool,
+    /// Time of the ledger when this replica began to lead, and the own time then. Time goes on from there,
+    /// so that no wall clock that is wrong by an hour can end claims.
+    base: (u64, Instant),
+}
+
+impl Replica {
+    pub(super) fn new(options: ConsensusOptions, recovered: Recovered, now: Instant, rng: SmallRng) -> Self {
+        Self {
+            id: options.replica.clone(),
+            consensus: Consensus::new(options, recovered, now, rng),
+            ledger: Ledger::default(),
+            outcomes: FastMap::default(),
+            next_proposal: 0,
+            term: 0,
+            leader: None,
+            is_leading: false,
+            base: (0, now),
+        }
+    }
+
+    pub(super) fn handle(&mut self, now: Instant, event: ConsensusEvent, out: &mut Vec<ReplicaAction>) {
+        let mut events = VecDeque::from([event]);
+        let mut actions = Vec::new();
+        while let Some(event) = events.pop_front() {
+            self.consensus.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action, &mut events, out);
+            }
+        }
+        self.outcomes.clear();
+    }
+
+    /// Returns a number for a proposal, which its result repeats.
+    pub(super) fn next_proposal(&mut self) -> u64 {
+        self.next_proposal += 1;
+        self.next_proposal
+    }
+
+    /// Proposes a command for a request.
+    pub(super) fn propose(
+        &mut self,
+        now: Instant,
+        id: u64,
+        request: Request,
+        retention: Duration,
+        out: &mut Vec<ReplicaAction>,
+    ) {
+        let at = self.clock(now);
+        let command = match request {
+            Request::Current => Command::Noop { at },
+            Request::Submit { number, text } => Command::Submit { number, text },
+            Request::Claim { key, holder, request_digest } => {
+                Command::Claim { key, holder, request_digest, retention_ms: retention.as_millis() as u64, at }
+            }
+            Request::Settle { key, holder, outcome } => Command::Settle { key, holder, outcome, at },
+            Request::Release { key, holder } => Command::Release { key, holder, at },
+        };
+        match command.encode() {
+            Ok(bytes) => self.handle(now, ConsensusEvent::Propose { id, command: bytes.into() }, out),
+            Err(_) => out.push(ReplicaAction::Proposed { id, result: ProposalResult::TooLarge, outcome: None }),
+        }
+    }
+
+    fn clock(&self, now: Instant) -> u64 {
+        let (base, since) = self.base;
+        self.ledger.clock().max(base + now.saturating_duration_since(since).as_millis() as u64)
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Instant,
+        action: ConsensusAction,
+        events: &mut VecDeque<ConsensusEvent>,
+        out: &mut Vec<ReplicaAction>,
+    ) {
+        match action {
+            ConsensusAction::Send { to, message } => out.push(ReplicaAction::Send { to, message }),
+            ConsensusAction::SaveVote { sequence, vote } => write(sequence, Write::Vote(vote), out),
+            ConsensusAction::Append { sequence, entries } => write(sequence, Write::Append(entries), out),
+            ConsensusAction::Truncate { sequence, from } => write(sequence, Write::Truncate(from), out),
+            ConsensusAction::SaveSnapshot { sequence, snapshot } => write(sequence, Write::Snapshot(snapshot), out),
+            ConsensusAction::TakeSnapshot { index } => match self.ledger.snapshot() {
+                Ok(data) => events.push_back(ConsensusEvent::SnapshotTaken { index, data: data.into() }),
+                Err(_) => out.push(ReplicaAction::Broken("ledger cannot be encoded")),
+            },
+            ConsensusAction::RestoreSnapshot { snapshot } => match Ledger::restore(&snapshot.data) {
+                Ok(ledger) => {
+                    self.ledger = ledger;
+                    out.push(ReplicaAction::Changed);
+                }
+                Err(_) => out.push(ReplicaAction::Broken("snapshot of the ledger cannot be read")),
+            },
+            ConsensusAction::Apply { index, command } => {
+                let number = self.ledger.number();
+                let outcome = self.ledger.apply_bytes(index, &command);
+                self.outcomes.insert(index, outcome);
+                if self.ledger.number() != number {
+                    out.push(ReplicaAction::Changed);
+                }
+            }
+            ConsensusAction::Answer { id, result } => {
+                let outcome = match &result {
+                    ProposalResult::Committed { index } => self.outcomes.get(index).cloned(),
+                    _ => None,
+                };
+                out.push(ReplicaAction::Proposed { id, result, outcome });
+            }
+            ConsensusAction::BecomeLeader { term } => {
+                (self.term, self.leader, self.is_leading) = (term, Some(self.id.clone()), true);
+                self.base = (self.ledger.clock(), now);
+                out.push(ReplicaAction::Leading(term));
+            }
+            ConsensusAction::BecomeFollower { term, leader } => {
+                (self.term, self.leader, self.is_leading) = (term, leader, false);
+                out.push(ReplicaAction::Following(term));
+            }
+            ConsensusAction::Stopped => out.push(ReplicaAction::Stopped),
+            ConsensusAction::Broken(reason) => out.push(ReplicaAction::Broken(reason)),
+        }
+    }
+}
+
+fn write(sequence: u64, write: Write, out: &mut Vec<ReplicaAction>) {
+    out.push(ReplicaAction::Write { sequence, write });
+}
--- /dev/null
+++ b/crates/core/src/control/replicate.rs
@@ -0,0 +1,215 @@
+//! Requests, proposals and the replicated log.
+
+use {
+    super::{
+        Control, ControlAction, ControlLog, PeerMessage, Reply, Request, RequestId,
+        leader::{Origin, Spread},
+        replica::ReplicaAction,
+        requests::Progress,
+    },
+    crate::{
+        consensus::{ConsensusEvent, ProposalResult},
+        currency::{install_quorum, is_held_by_quorum},
+        ids::{ChangeNumber, InstanceId},
+        ledger::{LedgerOutcome, SubmitOutcome},
+        membership::{ConsensusHint, MembershipEvent},
+        text::Claims,
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Time between two commands that only carry time, proposed while claims are held so that they end.
+const TIME_INTERVAL: Duration = Duration::from_secs(30);
+
+impl Control {
+    pub(super) fn replica_event(
+        &mut self,
+        now: Instant,
+        event: ConsensusEvent,
+        progress: &mut Progress,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let Some(replica) = &mut self.replica else { return };
+        let mut out = Vec::new();
+        replica.handle(now, event, &mut out);
+        self.replica_actions(now, out, progress, actions);
+    }
+
+    /// Takes a request of another instance, or of this one if it leads.
+    pub(super) fn take_request(
+        &mut self,
+        now: Instant,
+        peer: InstanceId,
+        id: RequestId,
+        request: Request,
+        progress: &mut Progress,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if !self.leader.is_new(&peer, id) {
+            return;
+        }
+        let origin = Origin { peer, id };
+        let claims = self.text.as_ref().map_or_else(Claims::default, |(_, text)| text.claims.clone());
+        match &mut self.replica {
+            Some(replica) if replica.is_leading => {
+                let mut out = Vec::new();
+                let proposal = replica.next_proposal();
+                let number = match request {
+                    Request::Submit { number, .. } => Some(number),
+                    _ => None,
+                };
+                self.leader.proposed(proposal, origin, number);
+                replica.propose(now, proposal, request, claims.retention, &mut out);
+                self.replica_actions(now, out, progress, actions);
+            }
+            _ => {
+                let leader = self.hint(now).leader;
+                self.reply(now, origin, Reply::NotLeader { leader }, progress, actions);
+            }
+        }
+    }
+
+    /// Sends what is due of the requests from `first` on to the leader.
+    pub(super) fn send_due(
+        &mut self,
+        now: Instant,
+        first: u64,
+        progress: &mut Progress,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        // Nothing is sent to an instance that is not live, because it would remain unknown whether it took
+        // the request.
+        let leader = self.hint(now).leader;
+        let is_reachable = |leader: &InstanceId| *leader == self.options.id || self.membership.is_live(now, leader);
+        let Some(leader) = leader.filter(is_reachable) else { return };
+        for (id, request) in self.requests.due(now, &leader, first) {
+            if leader == self.options.id {
+                self.take_request(now, leader.clone(), id, request, progress, actions);
+            } else {
+                let message = PeerMessage::Request { id, request };
+                actions.push(ControlAction::Stream { to: leader.clone(), message });
+            }
+        }
+    }
+
+    /// Returns the leader as far as it is known.
+    pub(super) fn hint(&self, now: Instant) -> ConsensusHint {
+        if let Some(replica) = &self.replica {
+            return ConsensusHint { term: replica.term, leader: replica.leader.clone() };
+        }
+        let live = self.membership.reports().filter(|report| self.membership.is_live(now, report.peer));
+        let hints = live.map(|report| &report.status.hint).filter(|hint| hint.leader.is_some());
+        hints.max_by(|a, b| (a.term, &a.leader).cmp(&(b.term, &b.leader))).cloned().unwrap_or_default()
+    }
+
+    /// Proposes a command that carries only time, so that claims end also when nothing else is proposed.
+    pub(super) fn keep_time(&mut self, now: Instant, progress: &mut Progress, actions: &mut Vec<ControlAction>) {
+        let Some(replica) = &mut self.replica else { return };
+        let is_due = now.saturating_duration_since(self.last_noop) >= TIME_INTERVAL;
+        if !is_due || !replica.is_leading || replica.ledger.claims() == 0 {
+            return;
+        }
+        self.last_noop = now;
+        let mut out = Vec::new();
+        let proposal = replica.next_proposal();
+        replica.propose(now, proposal, Request::Current, Duration::ZERO, &mut out);
+        self.replica_actions(now, out, progress, actions);
+    }
+
+    /// Answers the submissions whose changes have reached the install quorum.
+    pub(super) fn review_waiting(&mut self, now: Instant, progress: &mut Progress, actions: &mut Vec<ControlAction>) {
+        if !self.leader.is_waiting() {
+            return;
+        }
+        let (membership, currency) = (&self.membership, &self.currency);
+        let roster = self.options.peers.len() + 1;
+        let spread = |number: ChangeNumber| {
+            let own = currency.installed_since(number);
+            let installed = |peer: &InstanceId| membership.status(peer).is_some_and(|s| s.installed >= number);
+            let peers = self.options.peers.iter();
+            let confirmed = peers.clone().filter(|peer| installed(peer)).count() + usize::from(own.is_some());
+            Spread {
+                is_confirmed: confirmed >= install_quorum(roster),
+                is_held: is_held_by_quorum(number, roster, own, membership.reports()),
+                is_everywhere: own.is_some() && peers.filter(|p| membership.is_live(now, p)).all(installed),
+            }
+        };
+        let (replies, is_prompt) = self.leader.update(now, spread);
+        for (origin, reply) in replies {
+            self.reply(now, origin, reply, progress, actions);
+        }
+        if is_prompt {
+            self.membership_event(now, MembershipEvent::Prompt, actions);
+        }
+    }
+
+    fn replica_actions(
+        &mut self,
+        now: Instant,
+        out: Vec<ReplicaAction>,
+        progress: &mut Progress,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        for action in out {
+            match action {
+                ReplicaAction::Send { to, message } => {
+                    actions.push(ControlAction::Stream { to, message: PeerMessage::Consensus(message) });
+                }
+                ReplicaAction::Write { sequence, write } => actions.push(ControlAction::Write { sequence, write }),
+                ReplicaAction::Proposed { id, result, outcome } => {
+                    self.proposed(now, id, result, outcome, progress, actions);
+                }
+                ReplicaAction::Leading(term) => actions.push(ControlAction::Log(ControlLog::Leading(term))),
+                ReplicaAction::Following(term) => {
+                    actions.push(ControlAction::Log(ControlLog::Following(term)));
+                    for (origin, reply) in self.leader.step_down() {
+                        self.reply(now, origin, reply, progress, actions);
+                    }
+                }
+                ReplicaAction::Changed => self.committed(now, actions),
+                ReplicaAction::Stopped => actions.push(ControlAction::Stopped),
+                ReplicaAction::Broken(reason) => actions.push(ControlAction::Broken(reason)),
+            }
+        }
+    }
+
+    fn proposed(
+        &mut self,
+        now: Instant,
+        id: u64,
+        result: ProposalResult,
+        outcome: Option<LedgerOutcome>,
+        progress: &mut Progress,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let Some((origin, number)) = self.leader.take_origin(id) else { return };
+        if let Some(LedgerOutcome::Submit(SubmitOutcome::Accepted { digest })) = &outcome {
+            let until = now + self.options.submit_timeout;
+            self.leader.wait(origin, number.unwrap_or_default(), *digest, until);
+            return;
+        }
+        let reply = match (result, outcome) {
+            (ProposalResult::Committed { .. }, Some(outcome)) => Reply::Outcome(outcome),
+            (ProposalResult::Committed { .. } | ProposalResult::Unknown, _) => Reply::Unknown,
+            (ProposalResult::NotLeader { leader }, _) => Reply::NotLeader { leader },
+            (ProposalResult::TooLarge | ProposalResult::Busy, _) => Reply::Refused,
+        };
+        self.reply(now, origin, reply, progress, actions);
+    }
+
+    fn reply(
+        &mut self,
+        now: Instant,
+        origin: Origin,
+        reply: Reply,
+        progress: &mut Progress,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if origin.peer == self.options.id {
+            self.requests.reply(now, origin.id, reply, progress);
+        } else {
+            let message = PeerMessage::Reply { id: origin.id, reply };
+            actions.push(ControlAction::Stream { to: origin.peer, message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/requests.rs
@@ -0,0 +1,250 @@
+//! The asking side: requests of this instance that wait for the leader.
+
+use {
+    super::{
+        Answer, CLAIM_LIFE, ClaimAnswer, Reply, Request, RequestId, SubmitAnswer,
+        pending::{Pending, Waiter},
+    },
+    crate::{
+        collections::FastMap,
+        ids::{ChangeNumber, Incarnation, InstanceId},
+        ledger::{
+            ClaimKey, ClaimOutcome, Holder, LedgerOutcome, ReleaseOutcome, SettleOutcome, SettledOutcome,
+            SubmitOutcome, TextDigest,
+        },
+    },
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// Most requests that wait at a time.
+const MAX_PENDING: usize = 8_192;
+
+/// Time for which an answer or a release is repeated until it is recorded. Beyond this the claim stays in
+/// doubt until its retention ends.
+const RECORD_FOR: Duration = Duration::from_secs(60);
+
+/// What an answer of the leader brought.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Progress {
+    pub(super) answers: Vec<Answer>,
+    /// Highest accepted change, asked for after the start of this process.
+    pub(super) current: Option<ChangeNumber>,
+}
+
+/// Requests of this instance that wait for the leader.
+#[derive(Clone, Debug)]
+pub(super) struct Requests {
+    id: InstanceId,
+    incarnation: Incarnation,
+    next_send: u64,
+    next_key: u64,
+    next_attempt: u64,
+    pending: BTreeMap<u64, Pending>,
+    /// Requests by the numbers of the messages that carried them.
+    sends: FastMap<u64, u64>,
+}
+
+impl Requests {
+    pub(super) fn new(id: InstanceId, incarnation: Incarnation) -> Self {
+        Self {
+            id,
+            incarnation,
+            next_send: 0,
+            next_key: 0,
+            next_attempt: 0,
+            pending: BTreeMap::new(),
+            sends: FastMap::default(),
+        }
+    }
+
+    /// Returns the key that the next request gets.
+    pub(super) fn next_key(&self) -> u64 {
+        self.next_key + 1
+    }
+
+    /// Asks for the highest accepted change until [`Self::stop_current`].
+    pub(super) fn ask_current(&mut self, now: Instant) {
+        self.add(Pending::new(now, Request::Current, Waiter::Current, None));
+    }
+
+    /// Stops asking for the highest accepted change.
+    pub(super) fn stop_current(&mut self) {
+        let is_current = |pending: &Pending| matches!(pending.waiter, Waiter::Current);
+        let keys: Vec<u64> =
+            self.pending.iter().filter(|(_, pending)| is_current(pending)).map(|(key, _)| *key).collect();
+        for key in keys {
+            self.remove(key);
+        }
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        now: Instant,
+        request: u64,
+        number: ChangeNumber,
+        text: Box<str>,
+        timeout: Duration,
+        progress: &mut Progress,
+    ) {
+        if self.pending.len() >= MAX_PENDING {
+            progress.answers.push(Answer::Submit { request, answer: SubmitAnswer::NotAccepted });
+            return;
+        }
+        let waiter = Waiter::Submit { request, number };
+        self.add(Pending::new(now, Request::Submit { number, text }, waiter, Some(now + timeout)));
+    }
+
+    pub(super) fn claim(
+        &mut self,
+        now: Instant,
+        request: u64,
+        key: ClaimKey,
+        request_digest: TextDigest,
+        deadline: Instant,
+        progress: &mut Progress,
+    ) {
+        let answer = match key.is_valid() {
+            false => Some(ClaimAnswer::Invalid),
+            true => (self.pending.len() >= MAX_PENDING).then_some(ClaimAnswer::NotRecorded),
+        };
+        if let Some(answer) = answer {
+            progress.answers.push(Answer::Claim { request, answer });
+            return;
+        }
+        self.next_attempt += 1;
+        let holder = Holder { instance: self.id.clone(), incarnation: self.incarnation, sequence: self.next_attempt };
+        let waiter = Waiter::Claim { request, key: key.clone(), holder: holder.clone() };
+        let deadline = deadline.min(now + CLAIM_LIFE);
+        self.add(Pending::new(now, Request::Claim { key, holder, request_digest }, waiter, Some(deadline)));
+    }
+
+    pub(super) fn settle(&mut self, now: Instant, key: ClaimKey, holder: Holder, outcome: SettledOutcome) {
+        let request = Request::Settle { key, holder, outcome };
+        self.add(Pending::new(now, request, Waiter::Settle, Some(now + RECORD_FOR)));
+    }
+
+    pub(super) fn release(&mut self, now: Instant, key: ClaimKey, holder: Holder) {
+        let request = Request::Release { key, holder };
+        self.add(Pending::new(now, request, Waiter::Release, Some(now + RECORD_FOR)));
+    }
+
+    /// Returns the messages to send to the leader now, of the requests from `first` on.
+    pub(super) fn due(&mut self, now: Instant, leader: &InstanceId, first: u64) -> Vec<(RequestId, Request)> {
+        let mut due = Vec::new();
+        for (key, pending) in self.pending.range_mut(first..) {
+            if pending.is_over(now) || !pending.is_due(now, leader) {
+                continue;
+            }
+            self.next_send += 1;
+            pending.sent(now, leader, self.next_send);
+            self.sends.insert(self.next_send, *key);
+            let id = RequestId { incarnation: self.incarnation, sequence: self.next_send };
+            due.push((id, pending.request.clone()));
+        }
+        due
+    }
+
+    /// Gives up the requests whose time is over.
+    pub(super) fn expire(&mut self, now: Instant, progress: &mut Progress) {
+        let over: Vec<u64> =
+            self.pending.iter().filter(|(_, pending)| pending.is_over(now)).map(|(key, _)| *key).collect();
+        for key in over {
+            let Some(pending) = self.remove(key) else { continue };
+            match pending.waiter {
+                Waiter::Submit { request, .. } => {
+                    let is_certain = pending.open.is_empty();
+                    let answer = if is_certain { SubmitAnswer::NotAccepted } else { SubmitAnswer::Unknown };
+                    progress.answers.push(Answer::Submit { request, answer });
+                }
+                Waiter::Claim { request, key, holder } => {
+                    progress.answers.push(Answer::Claim { request, answer: ClaimAnswer::NotRecorded });
+                    if !pending.open.is_empty() {
+                        self.release(now, key, holder);
+                    }
+                }
+                Waiter::Current | Waiter::Settle | Waiter::Release => {}
+            }
+        }
+    }
+
+    /// Takes an answer.
+    pub(super) fn reply(&mut self, now: Instant, id: RequestId, reply: Reply, progress: &mut Progress) {
+        if id.incarnation != self.incarnation {
+            return;
+        }
+        let Some(key) = self.sends.get(&id.sequence).copied() else { return };
+        let Some(pending) = self.pending.get_mut(&key) else { return };
+        // A frozen process may find an answer that arrived long ago; its request is over first.
+        if pending.is_over(now) {
+            return self.expire(now, progress);
+        }
+        match reply {
+            Reply::NotLeader { .. } | Reply::Refused => pending.refused(now, id.sequence),
+            Reply::Unknown => pending.next_send = now,
+            Reply::Accepted { digest, everywhere } => {
+                if let Waiter::Submit { request, number } = pending.waiter {
+                    let answer = SubmitAnswer::Accepted { number, digest, everywhere };
+                    progress.answers.push(Answer::Submit { request, answer });
+                    self.remove(key);
+                }
+            }
+            Reply::Outcome(outcome) => self.outcome(now, key, outcome, progress),
+        }
+    }
+
+    fn outcome(&mut self, now: Instant, key: u64, outcome: LedgerOutcome, progress: &mut Progress) {
+        let Some(pending) = self.pending.get(&key) else { return };
+        let started = pending.started;
+        match (pending.waiter.clone(), outcome) {
+            (Waiter::Current, LedgerOutcome::Current(number)) => progress.current = Some(number),
+            (Waiter::Submit { request, number }, LedgerOutcome::Submit(outcome)) => {
+                let answer = match outcome {
+                    // The acceptance follows by itself.
+                    SubmitOutcome::Accepted { .. } => return,
+                    SubmitOutcome::Conflict { winner } => SubmitAnswer::Conflict { number, winner },
+                    SubmitOutcome::Superseded { current } => SubmitAnswer::Superseded { current },
+                };
+                progress.answers.push(Answer::Submit { request, answer });
+            }
+            (Waiter::Claim { request, key, holder }, LedgerOutcome::Claim(outcome)) => {
+                let is_granted = outcome == ClaimOutcome::Granted;
+                if !is_granted && pending.open.len() > 1 {
+                    // Another copy of the claim may still be on its way and would hold the key for nothing.
+                    self.release(now, key, holder.clone());
+                }
+                let answer = match outcome {
+                    ClaimOutcome::Granted => ClaimAnswer::Granted { holder, send_before: started + CLAIM_LIFE },
+                    ClaimOutcome::Settled(outcome) => ClaimAnswer::Settled(outcome),
+                    ClaimOutcome::InDoubt => ClaimAnswer::InDoubt,
+                    ClaimOutcome::KeyReused => ClaimAnswer::KeyReused,
+                    ClaimOutcome::Invalid => ClaimAnswer::Invalid,
+                    ClaimOutcome::Released | ClaimOutcome::Full => ClaimAnswer::NotRecorded,
+                };
+                progress.answers.push(Answer::Claim { request, answer });
+            }
+            (Waiter::Settle, LedgerOutcome::Settle(SettleOutcome::Recorded | SettleOutcome::NotHeld)) => {}
+            (Waiter::Release, LedgerOutcome::Release(ReleaseOutcome::Released | ReleaseOutcome::Settled)) => {}
+            _ => return,
+        }
+        self.remove(key);
+    }
+
+    fn add(&mut self, pending: Pending) {
+        self.next_key += 1;
+        if self.pending.len() >= 2 * MAX_PENDING {
+            return;
+        }
+        self.pending.insert(self.next_key, pending);
+    }
+
+    fn remove(&mut self, key: u64) -> Option<Pending> {
+        let pending = self.pending.remove(&key)?;
+        for sequence in &pending.sent {
+            self.sends.remove(sequence);
+        }
+        Some(pending)
+    }
+}
--- a/crates/core/src/currency/machine.rs
+++ b/crates/core/src/currency/machine.rs
@@ -4,9 +4,15 @@
     super::{CURRENCY_WINDOW, Report, serve_quorum},
     crate::ids::ChangeNumber,
     derive_more::Display,
-    std::time::{Duration, Instant},
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
 };
 
+/// Installed numbers that are remembered with their times.
+const MAX_HISTORY: usize = 16;
+
 /// Why an entry may not serve.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum NotCurrent {
@@ -27,7 +33,8 @@
     roster: usize,
     window: Duration,
     installed: ChangeNumber,
-    installed_at: Option<Instant>,
+    /// Rising numbers installed last, with their times.
+    history: VecDeque<(ChangeNumber, Instant)>,
     informed: bool,
     learned: Option<ChangeNumber>,
 }
@@ -54,7 +61,7 @@
             roster: roster.max(1),
             window: CURRENCY_WINDOW,
             installed: 0,
-            installed_at: None,
+            history: VecDeque::new(),
             informed: false,
             learned: None,
         }
@@ -65,9 +72,9 @@
         self.installed
     }
 
-    /// Returns when the installed change was installed.
-    pub fn installed_at(&self) -> Option<Instant> {
-        self.installed_at
+    /// Returns the time from which this entry holds a change or a newer one, as far as is remembered.
+    pub fn installed_since(&self, number: ChangeNumber) -> Option<Instant> {
+        self.history.iter().find(|(installed, _)| *installed >= number).map(|(_, at)| *at)
     }
 
     /// Returns whether this entry's report says anything about what was accepted before its start.
@@ -88,7 +95,10 @@
             return false;
         }
         self.installed = number;
-        self.installed_at = Some(now);
+        self.history.push_back((number, now));
+        if self.history.len() > MAX_HISTORY {
+            self.history.pop_front();
+        }
         true
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod collections;
 pub mod consensus;
+pub mod control;
 pub mod currency;
 pub mod dispatch;
 pub mod errors;
--- a/crates/core/src/membership/event.rs
+++ b/crates/core/src/membership/event.rs
@@ -19,6 +19,8 @@
     },
     /// The state of this instance to report from now on.
     Report(Status),
+    /// Send a heartbeat to every peer at once.
+    Hasten,
     /// Send a heartbeat to every peer at once, and ask for one in return.
     Prompt,
 }
--- a/crates/core/src/membership/machine.rs
+++ b/crates/core/src/membership/machine.rs
@@ -73,6 +73,7 @@
             }
             MembershipEvent::Receive { from, heartbeat } => self.receive(now, from, heartbeat, actions),
             MembershipEvent::Report(status) => self.status = status,
+            MembershipEvent::Hasten => self.send_round(now, false, actions),
             MembershipEvent::Prompt => self.send_round(now, true, actions),
         }
     }
