--- /dev/null
+++ b/crates/core/src/consensus/apply.rs
@@ -0,0 +1,61 @@
+//! Applying committed entries and taking snapshots.
+
+use {
+    super::{Consensus, ConsensusAction, Effect, Payload, ProposalResult, Role, Snapshot},
+    crate::ids::LogIndex,
+    std::sync::Arc,
+};
+
+impl Consensus {
+    pub(super) fn apply(&mut self, actions: &mut Vec<ConsensusAction>) {
+        while self.applied < self.commit {
+            let Some(entry) = self.log.get(self.applied + 1) else {
+                return actions.push(ConsensusAction::Broken("a committed entry is missing"));
+            };
+            let index = entry.index;
+            self.applied_bytes += entry.size();
+            match entry.payload.clone() {
+                Payload::Noop => {}
+                Payload::Admit(member) => {
+                    if member.replica == self.options.replica && member.incarnation == self.incarnation {
+                        self.remember_admission(actions);
+                    }
+                }
+                Payload::Command(command) => actions.push(ConsensusAction::Apply { index, command }),
+            }
+            self.applied = index;
+            if let Role::Leader(leader) = &mut self.role {
+                while let Some((index, id)) = leader.proposals.pop_front_if(|(held, _)| *held <= index) {
+                    actions.push(ConsensusAction::Answer { id, result: ProposalResult::Committed { index } });
+                }
+            }
+        }
+        let entries = usize::try_from(self.applied - self.log.snapshot_index()).unwrap_or(usize::MAX);
+        let is_due = entries >= self.options.snapshot_entries || self.applied_bytes >= self.options.snapshot_bytes;
+        if is_due && !self.taking_snapshot {
+            self.taking_snapshot = true;
+            actions.push(ConsensusAction::TakeSnapshot { index: self.applied });
+        }
+    }
+
+    pub(super) fn remember_admission(&mut self, actions: &mut Vec<ConsensusAction>) {
+        if !self.vote.admitted {
+            self.vote.admitted = true;
+            // A replica that was admitted by a leader must not later confirm that its group was formed
+            // by the proposal that it once agreed to.
+            self.vote.binding = None;
+            self.save_vote(Effect::Admitted, actions);
+        }
+    }
+
+    pub(super) fn snapshot_taken(&mut self, index: LogIndex, data: Arc<[u8]>, actions: &mut Vec<ConsensusAction>) {
+        self.taking_snapshot = false;
+        let (Some(term), true) = (self.log.term(index), index > self.log.snapshot_index()) else { return };
+        let members = self.log.members_at(index);
+        let snapshot = Arc::new(Snapshot { index, term, members, data });
+        self.log.compact(snapshot.clone(), self.options.snapshot_entries, self.options.snapshot_bytes);
+        self.applied_bytes = 0;
+        let sequence = self.writes.issue(Effect::None);
+        actions.push(ConsensusAction::SaveSnapshot { sequence, snapshot });
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/log.rs
@@ -0,0 +1,135 @@
+//! The part of the replicated log that a replica holds in memory.
+
+use {
+    super::{Entry, Members, Payload, Recovered, Snapshot},
+    crate::ids::{LogIndex, Term},
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// The last snapshot, some entries before it and all entries after it.
+#[derive(Debug, Default)]
+pub(super) struct Log {
+    /// The last snapshot.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// Admitted incarnations at the last entry, committed or not.
+    pub members: Members,
+    base_index: LogIndex,
+    base_term: Term,
+    entries: VecDeque<Entry>,
+}
+
+impl Log {
+    pub fn new(recovered: &Recovered) -> Self {
+        let mut log = Self::default();
+        if let Some(snapshot) = &recovered.snapshot {
+            log.reset(snapshot.clone());
+        }
+        for entry in &recovered.entries {
+            log.append(entry.clone());
+        }
+        log
+    }
+
+    pub fn last_index(&self) -> LogIndex {
+        self.base_index + self.entries.len() as u64
+    }
+
+    pub fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.base_term, |entry| entry.term)
+    }
+
+    pub fn snapshot_index(&self) -> LogIndex {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)
+    }
+
+    /// Term of an entry; `None` if the entry is not held.
+    pub fn term(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base_index { Some(self.base_term) } else { self.get(index).map(|entry| entry.term) }
+    }
+
+    pub fn get(&self, index: LogIndex) -> Option<&Entry> {
+        let position = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(usize::try_from(position).ok()?)
+    }
+
+    /// First index held that has the same term as the given entry and all entries between them.
+    pub fn term_start(&self, index: LogIndex) -> LogIndex {
+        let term = self.term(index);
+        let mut start = index;
+        while start > self.base_index + 1 && self.term(start - 1) == term {
+            start -= 1;
+        }
+        start
+    }
+
+    /// Entries from an index on, at most `limit` bytes but at least one entry.
+    pub fn slice(&self, from: LogIndex, limit: usize) -> Vec<Entry> {
+        let mut size = 0;
+        let mut slice = Vec::new();
+        let mut index = from;
+        while let Some(entry) = self.get(index) {
+            size += entry.size();
+            if size > limit && !slice.is_empty() {
+                break;
+            }
+            slice.push(entry.clone());
+            index += 1;
+        }
+        slice
+    }
+
+    pub fn append(&mut self, entry: Entry) {
+        if let Payload::Admit(member) = &entry.payload {
+            self.members.admit(member.clone());
+        }
+        self.entries.push_back(entry);
+    }
+
+    pub fn truncate(&mut self, from: LogIndex) {
+        let keep = from.saturating_sub(self.base_index + 1);
+        self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        self.members = self.members_at(self.last_index());
+    }
+
+    /// Admitted incarnations at an entry that is not older than the snapshot.
+    pub fn members_at(&self, index: LogIndex) -> Members {
+        let covered = self.snapshot_index();
+        let mut members = self.snapshot.as_ref().map(|snapshot| snapshot.members.clone()).unwrap_or_default();
+        for entry in self.entries.iter().filter(|entry| entry.index > covered && entry.index <= index) {
+            if let Payload::Admit(member) = &entry.payload {
+                members.admit(member.clone());
+            }
+        }
+        members
+    }
+
+    /// Takes a snapshot of this log. Up to `keep` covered entries stay in memory for replicas that are
+    /// only a little behind, within `keep_bytes`.
+    pub fn compact(&mut self, snapshot: Arc<Snapshot>, keep: usize, keep_bytes: usize) {
+        let covered = usize::try_from(snapshot.index.saturating_sub(self.base_index)).unwrap_or(usize::MAX);
+        let covered = covered.min(self.entries.len());
+        let mut kept = 0;
+        let mut size = 0;
+        for entry in self.entries.iter().take(covered).rev() {
+            size += entry.size();
+            if kept == keep || size > keep_bytes {
+                break;
+            }
+            kept += 1;
+        }
+        for entry in self.entries.drain(..covered - kept) {
+            self.base_index = entry.index;
+            self.base_term = entry.term;
+        }
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Replaces the whole log by a snapshot.
+    pub fn reset(&mut self, snapshot: Arc<Snapshot>) {
+        self.entries.clear();
+        self.base_index = snapshot.index;
+        self.base_term = snapshot.term;
+        self.members = snapshot.members.clone();
+        self.snapshot = Some(snapshot);
+    }
+}
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -4,15 +4,36 @@
 //! stop, and re-admission of a replica that lost its data folder. See docs/notes/consensus.md.
 
 mod action;
+mod apply;
+mod election;
 mod entry;
 mod event;
+mod follower;
+mod formation;
+mod hand_over;
+mod log;
 mod member;
 mod message;
 mod options;
+mod progress;
 mod proposal;
 mod recovered;
+mod replica;
+mod replication;
+mod role;
 mod snapshot;
+mod transfer;
 mod vote;
+mod writes;
+
+use {
+    formation::Formation,
+    log::Log,
+    progress::{Progress, Transfer},
+    role::{Leader, Role},
+    transfer::Incoming,
+    writes::{Effect, Held, Writes},
+};
 
 pub use {
     action::ConsensusAction,
@@ -23,6 +44,7 @@
     options::{COMMAND_BYTES, ConsensusOptions, MESSAGE_BYTES, PAYLOAD_BYTES},
     proposal::ProposalResult,
     recovered::Recovered,
+    replica::Consensus,
     snapshot::Snapshot,
     vote::{Binding, Vote},
 };
--- /dev/null
+++ b/crates/core/src/consensus/replica.rs
@@ -0,0 +1,288 @@
+//! The state machine of one replica.
+
+use {
+    super::{
+        ConsensusAction, ConsensusEvent, ConsensusOptions, Effect, Formation, Held, Incoming, Log, Members, Message,
+        MessageBody, Recovered, Role, Vote, Writes,
+    },
+    crate::ids::{Incarnation, InstanceId, LogIndex, Term},
+    rand::{RngExt, rngs::SmallRng},
+    std::time::{Duration, Instant},
+};
+
+/// One replica of the replicated log.
+///
+/// ```
+/// use {
+///     hemlockford_core::consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Recovered},
+///     rand::{SeedableRng, rngs::SmallRng},
+///     std::time::{Duration, Instant},
+/// };
+/// let options = ConsensusOptions { replica: "a".into(), replicas: vec!["a".into()], ..Default::default() };
+/// let recovered = Recovered { incarnation: 1, ..Default::default() };
+/// let mut now = Instant::now();
+/// let mut actions = Vec::new();
+/// let mut replica = Consensus::new(now, options, recovered, SmallRng::seed_from_u64(1), &mut actions);
+/// while !replica.is_leader() {
+///     now += Duration::from_millis(50);
+///     replica.handle(now, ConsensusEvent::Tick, &mut actions);
+///     // Every write counts as durable at once in this example.
+///     replica.handle(now, ConsensusEvent::Persisted { up_to: u64::MAX }, &mut actions);
+/// }
+/// assert!(actions.contains(&ConsensusAction::BecomeLeader { term: 1 }));
+/// ```
+#[derive(Debug)]
+pub struct Consensus {
+    pub(super) options: ConsensusOptions,
+    pub(super) rng: SmallRng,
+    pub(super) incarnation: Incarnation,
+    pub(super) vote: Vote,
+    /// Whether the replica votes and counts: its admission is durable.
+    pub(super) admitted: bool,
+    pub(super) log: Log,
+    pub(super) writes: Writes,
+    pub(super) commit: LogIndex,
+    pub(super) applied: LogIndex,
+    /// Bytes of the entries applied since the last snapshot.
+    pub(super) applied_bytes: usize,
+    pub(super) taking_snapshot: bool,
+    pub(super) role: Role,
+    pub(super) leader: Option<InstanceId>,
+    pub(super) heard_leader: Option<Instant>,
+    pub(super) election_at: Instant,
+    pub(super) formation: Formation,
+    pub(super) incoming: Option<Incoming>,
+    pub(super) stopping: bool,
+}
+
+impl Consensus {
+    /// Makes a replica from what its data folder held. The actions restore the state machine's data.
+    pub fn new(
+        now: Instant,
+        options: ConsensusOptions,
+        recovered: Recovered,
+        rng: SmallRng,
+        actions: &mut Vec<ConsensusAction>,
+    ) -> Self {
+        let log = Log::new(&recovered);
+        let commit = log.snapshot_index();
+        let mut replica = Self {
+            incarnation: recovered.incarnation,
+            admitted: recovered.vote.admitted,
+            vote: recovered.vote,
+            writes: Writes::new(log.last_index()),
+            log,
+            commit,
+            applied: commit,
+            applied_bytes: 0,
+            taking_snapshot: false,
+            role: Role::Follower,
+            leader: None,
+            heard_leader: None,
+            election_at: now,
+            formation: Formation::new(now),
+            incoming: None,
+            stopping: false,
+            options,
+            rng,
+        };
+        replica.reset_election(now);
+        if let Some(snapshot) = replica.log.snapshot.clone() {
+            actions.push(ConsensusAction::RestoreSnapshot { snapshot });
+        }
+        replica.repair_formation(actions);
+        replica
+    }
+
+    /// Takes one event at a time and adds what is to be done.
+    pub fn handle(&mut self, now: Instant, event: ConsensusEvent, actions: &mut Vec<ConsensusAction>) {
+        self.check_lease(now, actions);
+        match event {
+            ConsensusEvent::Tick => self.tick(now, actions),
+            ConsensusEvent::Receive { from, message } => {
+                if from != self.options.replica && self.options.replicas.contains(&from) {
+                    self.receive(now, from, message, actions);
+                }
+            }
+            ConsensusEvent::Propose { id, command } => self.propose(id, command, actions),
+            ConsensusEvent::Persisted { up_to } => self.persisted(now, up_to, actions),
+            ConsensusEvent::SnapshotTaken { index, data } => self.snapshot_taken(index, data, actions),
+            ConsensusEvent::Stop => self.stop(now, actions),
+        }
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<ConsensusAction>) {
+        if self.is_leader() {
+            return self.heartbeat(now, actions);
+        }
+        if !self.admitted {
+            return self.tick_formation(now, actions);
+        }
+        if now >= self.election_at && !self.stopping {
+            self.start_pre_vote(now, actions);
+        }
+    }
+
+    fn receive(&mut self, now: Instant, from: InstanceId, message: Message, actions: &mut Vec<ConsensusAction>) {
+        let Message { term, incarnation, admitted, body } = message;
+        match &body {
+            MessageBody::Hello { binding, empty } => {
+                return self.hello(now, from, incarnation, binding.clone(), *empty, actions);
+            }
+            MessageBody::Form(binding) => return self.form_requested(&from, binding, actions),
+            MessageBody::Formed(binding) => return self.formed(now, binding, actions),
+            MessageBody::PreVoteRequest { last_index, last_term } => {
+                return self.pre_vote_requested(now, from, term, *last_index, *last_term, actions);
+            }
+            // A candidate that cannot win must not depose a leader that others hear.
+            MessageBody::VoteRequest { hand_over, .. } if !admitted || !hand_over && self.has_leader(now) => return,
+            MessageBody::PreVote { granted: true } => {
+                if admitted && self.log.members.incarnation(&from) == Some(incarnation) {
+                    self.pre_vote_granted(now, from, term, actions);
+                }
+                return;
+            }
+            _ => {}
+        }
+        if term > self.vote.term {
+            self.enter_term(now, term, actions);
+        }
+        if term < self.vote.term {
+            if matches!(body, MessageBody::Append { .. } | MessageBody::SnapshotPiece { .. }) {
+                // The answer tells a deposed leader of the newer term.
+                let index = self.log.last_index();
+                self.promise(from, MessageBody::Appended { round: 0, index, conflict: true }, actions);
+            }
+            return;
+        }
+        let is_from_leader = matches!(body, MessageBody::Append { .. } | MessageBody::SnapshotPiece { .. });
+        if is_from_leader && !self.follow(now, &from, actions) {
+            return;
+        }
+        match body {
+            MessageBody::VoteRequest { last_index, last_term, .. } => {
+                self.vote_requested(now, from, incarnation, (last_term, last_index), actions);
+            }
+            MessageBody::Vote { candidate, granted } => {
+                let counts = admitted && self.log.members.incarnation(&from) == Some(incarnation);
+                if granted && counts && candidate == self.incarnation {
+                    self.vote_granted(now, from, actions);
+                }
+            }
+            MessageBody::Append { round, prev_index, prev_term, entries, commit } => {
+                self.append_requested(from, round, (prev_index, prev_term), entries, commit, actions);
+            }
+            MessageBody::SnapshotPiece { round, index, term, members, total, offset, piece } => {
+                let head = Incoming { index, term, members, total, data: Vec::new() };
+                self.piece_received(from, round, head, offset, &piece, actions);
+            }
+            MessageBody::Appended { round, index, conflict } => {
+                self.appended(from, (incarnation, admitted), round, index, conflict, actions);
+            }
+            MessageBody::SnapshotReceived { round, index, offset } => {
+                self.piece_answered(&from, (incarnation, admitted), round, index, offset, actions);
+            }
+            MessageBody::TimeoutNow if self.leader.as_ref() == Some(&from) && self.admitted && !self.stopping => {
+                self.campaign(now, true, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn persisted(&mut self, now: Instant, up_to: u64, actions: &mut Vec<ConsensusAction>) {
+        let (admitted, released) = self.writes.persisted(up_to);
+        self.admitted |= admitted;
+        for held in released {
+            self.release(now, held, actions);
+        }
+        self.advance_commit(actions);
+        if !self.admitted {
+            self.try_formation(now, actions);
+        }
+    }
+
+    pub(super) fn release(&mut self, now: Instant, held: Held, actions: &mut Vec<ConsensusAction>) {
+        match held {
+            Held::Send(to, message) => actions.push(ConsensusAction::Send { to, message }),
+            Held::SelfVote(term) => {
+                if term == self.vote.term {
+                    self.vote_granted(now, self.options.replica.clone(), actions);
+                }
+            }
+        }
+    }
+
+    /// Sends a message that promises nothing.
+    pub(super) fn send(&self, to: InstanceId, body: MessageBody, actions: &mut Vec<ConsensusAction>) {
+        actions.push(ConsensusAction::Send { to, message: self.message(body) });
+    }
+
+    /// Sends a message once all writes so far are durable.
+    pub(super) fn promise(&mut self, to: InstanceId, body: MessageBody, actions: &mut Vec<ConsensusAction>) {
+        let message = self.message(body);
+        if let Some(Held::Send(to, message)) = self.writes.hold(Held::Send(to, message)) {
+            actions.push(ConsensusAction::Send { to, message });
+        }
+    }
+
+    pub(super) fn message(&self, body: MessageBody) -> Message {
+        Message { term: self.vote.term, incarnation: self.incarnation, admitted: self.admitted, body }
+    }
+
+    pub(super) fn save_vote(&mut self, effect: Effect, actions: &mut Vec<ConsensusAction>) {
+        let sequence = self.writes.issue(effect);
+        actions.push(ConsensusAction::SaveVote { sequence, vote: self.vote.clone() });
+    }
+
+    pub(super) fn others(&self) -> Vec<InstanceId> {
+        self.options.replicas.iter().filter(|replica| **replica != self.options.replica).cloned().collect()
+    }
+
+    pub(super) fn majority(&self) -> usize {
+        self.options.replicas.len() / 2 + 1
+    }
+
+    pub(super) fn reset_election(&mut self, now: Instant) {
+        let min = u64::try_from(self.options.election_min.as_millis()).unwrap_or(u64::MAX);
+        let max = u64::try_from(self.options.election_max.as_millis()).unwrap_or(u64::MAX);
+        // A group of one has nobody to wait for.
+        let wait = if self.options.replicas.len() == 1 { 0 } else { self.rng.random_range(min..=max.max(min)) };
+        self.election_at = now + Duration::from_millis(wait);
+    }
+
+    /// Whether this replica leads. The task of a frozen process may see an old answer; the state
+    /// machine compares the lease at every event.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Whether this replica votes and counts.
+    pub fn is_admitted(&self) -> bool {
+        self.admitted
+    }
+
+    /// The leader of this term, if known.
+    pub fn leader(&self) -> Option<&InstanceId> {
+        self.leader.as_ref()
+    }
+
+    /// Highest term seen.
+    pub fn term(&self) -> Term {
+        self.vote.term
+    }
+
+    /// Last entry known to be committed.
+    pub fn commit_index(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// Last entry of the log, committed or not.
+    pub fn last_index(&self) -> LogIndex {
+        self.log.last_index()
+    }
+
+    /// Incarnations admitted as of the last entry.
+    pub fn members(&self) -> &Members {
+        &self.log.members
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/replication.rs
@@ -0,0 +1,208 @@
+//! The leader's side of replication.
+
+use {
+    super::{
+        COMMAND_BYTES, Consensus, ConsensusAction, Effect, Entry, MessageBody, PAYLOAD_BYTES, Payload, Progress,
+        ProposalResult, Role,
+    },
+    crate::ids::{Incarnation, InstanceId, LogIndex},
+    std::{sync::Arc, time::Instant},
+};
+
+/// Entries by which a replica may be behind the end of the log and still count as caught up, so that
+/// steady proposals do not keep it from being admitted.
+const CAUGHT_UP_ENTRIES: u64 = 64;
+
+impl Consensus {
+    pub(super) fn propose(&mut self, id: u64, command: Arc<[u8]>, actions: &mut Vec<ConsensusAction>) {
+        let refused = match &mut self.role {
+            Role::Leader(leader) if leader.hand_over_until.is_some() => {
+                Some(ProposalResult::NotLeader { leader: None })
+            }
+            Role::Leader(leader) => {
+                if command.len() > COMMAND_BYTES {
+                    Some(ProposalResult::TooLarge)
+                } else if leader.proposals.len() >= self.options.window_proposals {
+                    Some(ProposalResult::Busy)
+                } else {
+                    leader.proposals.push_back((self.log.last_index() + 1, id));
+                    None
+                }
+            }
+            _ => Some(ProposalResult::NotLeader { leader: self.leader.clone() }),
+        };
+        match refused {
+            Some(result) => actions.push(ConsensusAction::Answer { id, result }),
+            None => self.lead_entry(Payload::Command(command), actions),
+        }
+    }
+
+    /// Appends an entry as the leader and sends it on.
+    pub(super) fn lead_entry(&mut self, payload: Payload, actions: &mut Vec<ConsensusAction>) {
+        let entry = Entry { index: self.log.last_index() + 1, term: self.vote.term, payload };
+        self.log.append(entry.clone());
+        let sequence = self.writes.issue(Effect::Log(entry.index));
+        actions.push(ConsensusAction::Append { sequence, entries: vec![entry] });
+        for to in self.others() {
+            self.send_entries(&to, false, actions);
+        }
+    }
+
+    pub(super) fn heartbeat(&mut self, now: Instant, actions: &mut Vec<ConsensusAction>) {
+        let Role::Leader(leader) = &mut self.role else { return };
+        if now >= leader.next_heartbeat {
+            leader.round += 1;
+            leader.rounds.push_back((leader.round, now));
+            leader.next_heartbeat = now + self.options.heartbeat;
+            leader.hand_over_sent = false;
+            for to in self.others() {
+                self.send_entries(&to, true, actions);
+            }
+            self.confirm_rounds();
+        }
+        self.try_hand_over(now, actions);
+    }
+
+    /// Sends the entries that the window allows; with `probe`, a message even if there are none.
+    pub(super) fn send_entries(&mut self, to: &InstanceId, probe: bool, actions: &mut Vec<ConsensusAction>) {
+        let (term, incarnation, admitted) = (self.vote.term, self.incarnation, self.admitted);
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(progress) = leader.progress.get_mut(to) else { return };
+        let (round, commit) = (leader.round, self.commit);
+        let mut send = |prev_index: LogIndex, prev_term, entries| {
+            let body = MessageBody::Append { round, prev_index, prev_term, entries, commit };
+            let message = super::Message { term, incarnation, admitted, body };
+            actions.push(ConsensusAction::Send { to: to.clone(), message });
+        };
+        let known = self.log.term(progress.next - 1);
+        let (Some(prev_term), None) = (known, &progress.transfer) else {
+            // The entries are in a snapshot only. It is sent when the replica answers, so that nothing
+            // large is sent to a replica that cannot be reached.
+            if probe {
+                send(self.log.last_index(), self.log.last_term(), Vec::new());
+            }
+            return;
+        };
+        if progress.probing {
+            if probe {
+                send(progress.next - 1, prev_term, Vec::new());
+            }
+            return;
+        }
+        let mut is_sent = false;
+        let mut prev_term = prev_term;
+        while progress.in_flight.len() < self.options.window_messages && progress.next <= self.log.last_index() {
+            let entries = self.log.slice(progress.next, PAYLOAD_BYTES);
+            let Some(last) = entries.last() else { break };
+            let (last_index, last_term) = (last.index, last.term);
+            send(progress.next - 1, prev_term, entries);
+            progress.in_flight.push_back(last_index);
+            progress.next = last_index + 1;
+            prev_term = last_term;
+            is_sent = true;
+        }
+        if probe && !is_sent {
+            send(progress.next - 1, prev_term, Vec::new());
+        }
+    }
+
+    /// Takes a replica's answer to `Append`.
+    pub(super) fn appended(
+        &mut self,
+        from: InstanceId,
+        sender: (Incarnation, bool),
+        round: u64,
+        index: LogIndex,
+        conflict: bool,
+        actions: &mut Vec<ConsensusAction>,
+    ) {
+        let last_index = self.log.last_index();
+        let Some(progress) = self.observe(&from, sender, round) else { return };
+        if conflict {
+            let is_news = progress.retry_after(index.min(last_index));
+            let is_offered = self.offer_snapshot(&from, actions);
+            if is_news && !is_offered {
+                self.send_entries(&from, true, actions);
+            }
+        } else if index > last_index {
+            return actions.push(ConsensusAction::Broken("a replica confirms entries that the leader does not have"));
+        } else {
+            progress.matched(index);
+        }
+        self.confirm_rounds();
+        self.admit_caught_up(&from, actions);
+        self.advance_commit(actions);
+        self.send_entries(&from, false, actions);
+    }
+
+    /// Notes who answered which round; `None` if the sender is a stale incarnation.
+    pub(super) fn observe(
+        &mut self,
+        from: &InstanceId,
+        (incarnation, admitted): (Incarnation, bool),
+        round: u64,
+    ) -> Option<&mut Progress> {
+        let Role::Leader(leader) = &mut self.role else { return None };
+        let progress = leader.progress.get_mut(from)?;
+        if !progress.observe(incarnation, admitted) {
+            return None;
+        }
+        progress.round = progress.round.max(round);
+        Some(progress)
+    }
+
+    /// Admits a replica's new incarnation once it holds nearly everything.
+    fn admit_caught_up(&mut self, from: &InstanceId, actions: &mut Vec<ConsensusAction>) {
+        let Role::Leader(leader) = &self.role else { return };
+        let Some(progress) = leader.progress.get(from) else { return };
+        let admitted = self.log.members.incarnation(from).unwrap_or_default();
+        let is_caught_up = progress.matched > 0 && progress.matched + CAUGHT_UP_ENTRIES >= self.log.last_index();
+        if progress.incarnation > admitted && is_caught_up && leader.hand_over_until.is_none() {
+            let member = super::Member { replica: from.clone(), incarnation: progress.incarnation };
+            self.lead_entry(Payload::Admit(member), actions);
+        }
+    }
+
+    /// Replicas that vote and count, with what is known of them.
+    pub(super) fn counted(&self) -> impl Iterator<Item = (&InstanceId, &Progress)> {
+        let progress = match &self.role {
+            Role::Leader(leader) => Some(&leader.progress),
+            _ => None,
+        };
+        self.options.replicas.iter().filter_map(move |replica| {
+            let progress = progress?.get(replica)?;
+            let is_counted = progress.admitted && self.log.members.incarnation(replica) == Some(progress.incarnation);
+            is_counted.then_some((replica, progress))
+        })
+    }
+
+    /// The highest value that a majority has reached.
+    fn majority_value(&self, own: u64, of: impl Fn(&Progress) -> u64) -> u64 {
+        let mut values: Vec<_> = self.counted().map(|(_, progress)| of(progress)).chain([own]).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.majority() - 1).copied().unwrap_or_default()
+    }
+
+    pub(super) fn confirm_rounds(&mut self) {
+        let Role::Leader(leader) = &self.role else { return };
+        let confirmed = self.majority_value(leader.round, |progress| progress.round);
+        let Role::Leader(leader) = &mut self.role else { return };
+        while let Some((round, at)) = leader.rounds.pop_front_if(|(round, _)| *round <= confirmed) {
+            leader.confirmed_round = round;
+            leader.confirmed_at = at;
+        }
+    }
+
+    /// Commits what a majority has durable. An entry of an earlier term is committed only by one of
+    /// this term after it, as a later leader may still replace it otherwise.
+    pub(super) fn advance_commit(&mut self, actions: &mut Vec<ConsensusAction>) {
+        if !self.is_leader() {
+            return;
+        }
+        let index = self.majority_value(self.writes.durable_index, |progress| progress.matched);
+        if index > self.commit && self.log.term(index) == Some(self.vote.term) {
+            self.commit = index;
+            self.apply(actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/role.rs
@@ -0,0 +1,46 @@
+//! Roles of a replica.
+
+use {
+    super::Progress,
+    crate::{
+        collections::{FastMap, FastSet},
+        ids::{InstanceId, LogIndex},
+    },
+    std::{collections::VecDeque, time::Instant},
+};
+
+/// Role of a replica in its term.
+#[derive(Debug)]
+pub(super) enum Role {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether it could win an election; holds the replicas that said yes.
+    PreCandidate(FastSet<InstanceId>),
+    /// Stands for election; holds the replicas that granted their vote.
+    Candidate(FastSet<InstanceId>),
+    /// Leads.
+    Leader(Box<Leader>),
+}
+
+/// State of a leader.
+#[derive(Debug)]
+pub(super) struct Leader {
+    /// What is known of the other replicas.
+    pub progress: FastMap<InstanceId, Progress>,
+    /// Number of the last heartbeat round.
+    pub round: u64,
+    /// Rounds that a majority may yet answer, with the time that they were sent.
+    pub rounds: VecDeque<(u64, Instant)>,
+    /// Last round that a majority has answered.
+    pub confirmed_round: u64,
+    /// When that round was sent; before the first one, when leadership began.
+    pub confirmed_at: Instant,
+    /// When the next heartbeat is due.
+    pub next_heartbeat: Instant,
+    /// Proposals that wait to be committed: index of the entry and number of the proposal.
+    pub proposals: VecDeque<(LogIndex, u64)>,
+    /// When a planned stop gives up handing over.
+    pub hand_over_until: Option<Instant>,
+    /// Whether a replica was asked to take over since the last heartbeat.
+    pub hand_over_sent: bool,
+}
--- /dev/null
+++ b/crates/core/src/consensus/transfer.rs
@@ -0,0 +1,142 @@
+//! Sending a snapshot to a replica that is far behind, in pieces.
+
+use {
+    super::{
+        Consensus, ConsensusAction, Effect, Members, Message, MessageBody, PAYLOAD_BYTES, Role, Snapshot, Transfer,
+    },
+    crate::ids::{Incarnation, InstanceId, LogIndex, Term},
+    std::sync::Arc,
+};
+
+/// A snapshot of which some pieces have arrived.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    pub index: LogIndex,
+    pub term: Term,
+    pub members: Members,
+    pub total: u64,
+    pub data: Vec<u8>,
+}
+
+impl Incoming {
+    fn is_same(&self, other: &Self) -> bool {
+        (self.index, self.term, self.total) == (other.index, other.term, other.total)
+    }
+}
+
+impl Consensus {
+    /// Starts sending a snapshot to a replica whose next entry is in the snapshot only, or sends the
+    /// last piece again if nothing was answered since the last heartbeat. Returns whether a snapshot is
+    /// on its way.
+    pub(super) fn offer_snapshot(&mut self, to: &InstanceId, actions: &mut Vec<ConsensusAction>) -> bool {
+        let Role::Leader(leader) = &mut self.role else { return false };
+        let Some(progress) = leader.progress.get_mut(to) else { return false };
+        if let Some(transfer) = &mut progress.transfer {
+            if transfer.moved {
+                transfer.moved = false;
+                return true;
+            }
+        } else {
+            let is_held = self.log.term(progress.next - 1).is_some();
+            let Some(snapshot) = self.log.snapshot.clone().filter(|_| !is_held) else { return false };
+            progress.transfer = Some(Transfer { snapshot, offset: 0, moved: true });
+        }
+        self.send_piece(to, actions);
+        true
+    }
+
+    fn send_piece(&self, to: &InstanceId, actions: &mut Vec<ConsensusAction>) {
+        let Role::Leader(leader) = &self.role else { return };
+        let Some(Transfer { snapshot, offset, .. }) =
+            leader.progress.get(to).and_then(|progress| progress.transfer.as_ref())
+        else {
+            return;
+        };
+        let start = usize::try_from(*offset).unwrap_or(usize::MAX).min(snapshot.data.len());
+        let end = (start + PAYLOAD_BYTES).min(snapshot.data.len());
+        let body = MessageBody::SnapshotPiece {
+            round: leader.round,
+            index: snapshot.index,
+            term: snapshot.term,
+            members: snapshot.members.clone(),
+            total: snapshot.data.len() as u64,
+            offset: start as u64,
+            piece: snapshot.data[start..end].into(),
+        };
+        let message: Message = self.message(body);
+        actions.push(ConsensusAction::Send { to: to.clone(), message });
+    }
+
+    pub(super) fn piece_received(
+        &mut self,
+        from: InstanceId,
+        round: u64,
+        head: Incoming,
+        offset: u64,
+        piece: &[u8],
+        actions: &mut Vec<ConsensusAction>,
+    ) {
+        let index = head.index;
+        if index <= self.commit {
+            return self.promise(from, MessageBody::Appended { round, index, conflict: false }, actions);
+        }
+        let mut incoming = match self.incoming.take() {
+            Some(incoming) if incoming.is_same(&head) => incoming,
+            _ => head,
+        };
+        let held = incoming.data.len() as u64;
+        if offset == held && held + piece.len() as u64 <= incoming.total {
+            incoming.data.extend_from_slice(piece);
+        }
+        let offset = incoming.data.len() as u64;
+        if offset < incoming.total {
+            self.incoming = Some(incoming);
+            return self.send(from, MessageBody::SnapshotReceived { round, index, offset }, actions);
+        }
+        self.install(incoming, actions);
+        self.promise(from, MessageBody::Appended { round, index, conflict: false }, actions);
+    }
+
+    fn install(&mut self, incoming: Incoming, actions: &mut Vec<ConsensusAction>) {
+        let Incoming { index, term, members, data, .. } = incoming;
+        if self.log.term(index) == Some(term) {
+            // The log holds the same entries, so it only needs to be applied.
+            self.commit = index;
+            return self.apply(actions);
+        }
+        let snapshot = Arc::new(Snapshot { index, term, members, data: data.into() });
+        self.log.reset(snapshot.clone());
+        self.commit = index;
+        self.applied = index;
+        self.applied_bytes = 0;
+        self.writes.cut(0);
+        let sequence = self.writes.issue(Effect::Log(index));
+        actions.push(ConsensusAction::RestoreSnapshot { snapshot: snapshot.clone() });
+        actions.push(ConsensusAction::SaveSnapshot { sequence, snapshot });
+        if self.log.members.incarnation(&self.options.replica) == Some(self.incarnation) {
+            self.remember_admission(actions);
+        }
+    }
+
+    /// Takes a replica's answer to a piece and sends the next one.
+    pub(super) fn piece_answered(
+        &mut self,
+        from: &InstanceId,
+        sender: (Incarnation, bool),
+        round: u64,
+        index: LogIndex,
+        offset: u64,
+        actions: &mut Vec<ConsensusAction>,
+    ) {
+        let Some(progress) = self.observe(from, sender, round) else { return };
+        if let Some(transfer) = &mut progress.transfer
+            && transfer.snapshot.index == index
+            && transfer.offset != offset
+        {
+            transfer.offset = offset;
+            transfer.moved = true;
+            self.send_piece(from, actions);
+        }
+        self.confirm_rounds();
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/writes.rs
@@ -0,0 +1,90 @@
+//! Writes that are not durable yet, and what waits for them.
+
+use {
+    super::Message,
+    crate::ids::{InstanceId, LogIndex, Term},
+    std::collections::VecDeque,
+};
+
+/// What a write makes true once it is durable.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Effect {
+    /// Nothing that consensus acts on by itself.
+    None,
+    /// The log is durable up to this entry.
+    Log(LogIndex),
+    /// The replica remembers that it is admitted.
+    Admitted,
+}
+
+/// What is done once all writes issued before it are durable.
+#[derive(Debug)]
+pub(super) enum Held {
+    /// Send a message that promises something.
+    Send(InstanceId, Message),
+    /// Count the replica's own vote in a term.
+    SelfVote(Term),
+}
+
+/// Writes that are not durable yet, and what waits for them.
+#[derive(Debug, Default)]
+pub(super) struct Writes {
+    /// Last entry up to which the log is durable.
+    pub durable_index: LogIndex,
+    issued: u64,
+    pending: VecDeque<(u64, Effect)>,
+    held: VecDeque<(u64, Held)>,
+}
+
+impl Writes {
+    pub fn new(durable_index: LogIndex) -> Self {
+        Self { durable_index, ..Self::default() }
+    }
+
+    pub fn issue(&mut self, effect: Effect) -> u64 {
+        self.issued += 1;
+        self.pending.push_back((self.issued, effect));
+        self.issued
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Keeps an action until all writes issued so far are durable; gives it back if they are.
+    pub fn hold(&mut self, held: Held) -> Option<Held> {
+        if self.is_idle() {
+            return Some(held);
+        }
+        self.held.push_back((self.issued, held));
+        None
+    }
+
+    /// Notes that entries after `last` are no longer part of the log.
+    pub fn cut(&mut self, last: LogIndex) {
+        self.durable_index = self.durable_index.min(last);
+        for (_, effect) in &mut self.pending {
+            if let Effect::Log(index) = effect {
+                *index = (*index).min(last);
+            }
+        }
+    }
+
+    /// Takes the report of durable writes; returns whether the replica now remembers that it is
+    /// admitted, and what need not wait any longer.
+    pub fn persisted(&mut self, up_to: u64) -> (bool, Vec<Held>) {
+        let mut admitted = false;
+        while let Some((_, effect)) = self.pending.pop_front_if(|(sequence, _)| *sequence <= up_to) {
+            match effect {
+                Effect::None => {}
+                Effect::Log(index) => self.durable_index = self.durable_index.max(index),
+                Effect::Admitted => admitted = true,
+            }
+        }
+        let mut released = Vec::new();
+        while let Some((_, held)) = self.held.pop_front_if(|(sequence, _)| *sequence <= up_to) {
+            released.push(held);
+        }
+        (admitted, released)
+    }
+}
