--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -17,7 +17,6 @@
 mod replicate;
 mod request;
 mod requests;
-mod stub;
 
 pub use {
     action::{ControlAction, Write},
--- a/crates/core/src/control/replica.rs
+++ b/crates/core/src/control/replica.rs
@@ -1,10 +1,10 @@
 //! The part of the replicated log that a replica owns, with the ledger.
 
 use {
-    super::{Request, Write, stub::Consensus},
+    super::{Request, Write},
     crate::{
         collections::FastMap,
-        consensus::{ConsensusAction, ConsensusEvent, ConsensusOptions, Message, ProposalResult, Recovered},
+        consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Message, ProposalResult, Recovered},
         ids::{InstanceId, LogIndex, Term},
         ledger::{Command, Ledger, LedgerOutcome},
     },
@@ -43,6 +43,8 @@
 pub(super) struct Replica {
     id: InstanceId,
     consensus: Consensus,
+    /// What starting the log asked for; carried out with the first event.
+    startup: Vec<ConsensusAction>,
     pub(super) ledger: Ledger,
     outcomes: FastMap<LogIndex, LedgerOutcome>,
     next_proposal: u64,
@@ -56,9 +58,12 @@
 
 impl Replica {
     pub(super) fn new(options: ConsensusOptions, recovered: Recovered, now: Instant, rng: SmallRng) -> Self {
+        let id = options.replica.clone();
+        let mut startup = Vec::new();
         Self {
-            id: options.replica.clone(),
-            consensus: Consensus::new(options, recovered, now, rng),
+            id,
+            consensus: Consensus::new(now, options, recovered, rng, &mut startup),
+            startup,
             ledger: Ledger::default(),
             outcomes: FastMap::default(),
             next_proposal: 0,
@@ -70,7 +75,11 @@
     }
 
     pub(super) fn handle(&mut self, now: Instant, event: ConsensusEvent, out: &mut Vec<ReplicaAction>) {
-        let mut events = VecDeque::from([event]);
+        let mut events = VecDeque::new();
+        for action in std::mem::take(&mut self.startup) {
+            self.carry_out(now, action, &mut events, out);
+        }
+        events.push_back(event);
         let mut actions = Vec::new();
         while let Some(event) = events.pop_front() {
             self.consensus.handle(now, event, &mut actions);
