Add the scenario language and the scripts for the control part

Cause: the control part was shown by doc examples only. The scripts cover competing operators, lost answers, cuts, freezes, lost folders, leaving servers and claims; every invariant is checked every 50 ms of scenario time.

--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Test support: scripted scenarios and faults against the state machines of hemlockford.
+
+pub mod script;
--- /dev/null
+++ b/crates/scenario/src/script/fault.rs
@@ -0,0 +1,60 @@
+//! Faults that strike when a certain message arrives.
+
+use super::Kind;
+
+/// A fault that strikes when a message arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The message is lost.
+    Lose,
+    /// The message arrives twice, the second time after 700 ms.
+    Repeat,
+    /// The message arrives 700 ms later, after messages that were sent after it.
+    Delay,
+    /// The receiver crashes before it takes the message, and loses what was not synced.
+    KillReceiver,
+    /// The receiver takes the message, syncs and crashes.
+    KillReceiverAfter,
+    /// The sender crashes after sending.
+    KillSender,
+    /// The receiver is frozen for 4 s.
+    Freeze,
+    /// The link is cut for 4 s.
+    Cut,
+    /// The way back is cut for 4 s.
+    CutBack,
+    /// The receiver crashes and loses its data folder.
+    LoseDisk,
+}
+
+impl Fault {
+    /// Every fault.
+    pub const ALL: [Self; 10] = [
+        Self::Lose,
+        Self::Repeat,
+        Self::Delay,
+        Self::KillReceiver,
+        Self::KillReceiverAfter,
+        Self::KillSender,
+        Self::Freeze,
+        Self::Cut,
+        Self::CutBack,
+        Self::LoseDisk,
+    ];
+}
+
+/// A fault and the message at which it strikes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Trigger {
+    /// Number of the message since [`World::arm`](super::World::arm), from 0, of the kinds that count.
+    pub message: u64,
+    /// The fault.
+    pub fault: Fault,
+}
+
+impl Trigger {
+    /// Returns whether messages of a kind count; the others are the same at every time.
+    pub fn counts(kind: Kind) -> bool {
+        !matches!(kind, Kind::Heartbeat | Kind::LogHeartbeat)
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/script/step.rs
@@ -0,0 +1,103 @@
+//! One step of a script.
+
+use {
+    super::{Kind, RuleEffect},
+    hemlockford_core::{dispatch::ServerState, units::parse_duration},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// One step of a script with its line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Line, counted from 1.
+    pub line: usize,
+    /// Name of the step.
+    pub verb: Box<str>,
+    /// Arguments without a name.
+    pub words: Vec<Box<str>>,
+    /// Arguments with a name.
+    pub named: BTreeMap<Box<str>, Box<str>>,
+}
+
+impl Step {
+    /// Parses a script; comments and empty lines are left out.
+    ///
+    /// ```
+    /// use hemlockford_scenario::script::Step;
+    /// let steps = Step::parse_all("# comment\nsubmit e1 number=2 text=a\n");
+    /// assert_eq!((steps[0].line, &*steps[0].verb), (2, "submit"));
+    /// assert_eq!(steps[0].named["number"], "2".into());
+    /// ```
+    pub fn parse_all(source: &str) -> Vec<Self> {
+        let lines = source.lines().enumerate();
+        lines.filter_map(|(index, line)| Self::parse(index + 1, line)).collect()
+    }
+
+    fn parse(line: usize, source: &str) -> Option<Self> {
+        let source = source.split('#').next().unwrap_or_default();
+        let mut parts = source.split_whitespace();
+        let verb = parts.next()?.into();
+        let (mut words, mut named) = (Vec::new(), BTreeMap::new());
+        for part in parts {
+            match part.split_once('=') {
+                Some((name, value)) => {
+                    named.insert(name.into(), value.into());
+                }
+                None => words.push(part.into()),
+            }
+        }
+        Some(Self { line, verb, words, named })
+    }
+
+    /// Returns a named argument.
+    pub fn named(&self, name: &str) -> Option<&str> {
+        self.named.get(name).map(|value| &**value)
+    }
+
+    /// Returns a named argument that must be given.
+    pub fn required(&self, name: &str) -> Result<&str, String> {
+        self.named(name).ok_or_else(|| format!("{name}= is missing"))
+    }
+
+    /// Returns an argument without a name.
+    pub fn word(&self, index: usize) -> Result<&str, String> {
+        self.words.get(index).map(|word| &**word).ok_or_else(|| format!("argument {} is missing", index + 1))
+    }
+
+    /// Returns a number.
+    pub fn number(&self, name: &str) -> Result<u64, String> {
+        self.required(name)?.parse().map_err(|_| format!("{name}= must be a whole number"))
+    }
+
+    /// Returns a duration.
+    pub fn duration(text: &str) -> Result<Duration, String> {
+        parse_duration(text).ok_or_else(|| format!("{text} is not a duration such as 2s"))
+    }
+
+    /// Returns the state of a server; `ready` if none is given.
+    pub fn server_state(&self) -> Result<ServerState, String> {
+        Ok(match self.named("state").unwrap_or("ready") {
+            "starting" => ServerState::Starting,
+            "ready" => ServerState::Ready,
+            "draining" => ServerState::Draining,
+            "leaving" => ServerState::Leaving,
+            other => return Err(format!("{other} is no state of a server")),
+        })
+    }
+
+    /// Returns the kind of messages that is meant; all if none is given.
+    pub fn kind(&self) -> Result<Option<Kind>, String> {
+        let Some(name) = self.named("kind") else { return Ok(None) };
+        Kind::parse(name).map(Some).ok_or_else(|| format!("{name} is no kind of message"))
+    }
+
+    /// Returns the effect of the rule that the step makes.
+    pub fn effect(&self) -> Result<RuleEffect, String> {
+        let by = || Ok::<_, String>(Self::duration(self.required("by")?)?.as_millis() as u64);
+        Ok(match &*self.verb {
+            "drop" => RuleEffect::Drop,
+            "delay" => RuleEffect::Delay(by()?),
+            _ => RuleEffect::Repeat(by()?),
+        })
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/script/world.rs
@@ -0,0 +1,558 @@
+//! Several instances with their network, disks, servers and the clock.
+
+use {
+    super::{Checks, Disk, Fault, Kind, Network, Node, NodeState, Server, Trigger},
+    hemlockford_core::{
+        control::{
+            Answer, Channel, ClaimAnswer, Control, ControlAction, ControlEvent, ControlOptions, PeerMessage,
+            TICK_INTERVAL,
+        },
+        dispatch::ServerState,
+        ledger::{ClaimKey, Holder, MIN_RETENTION_MS, SettledOutcome, TextDigest},
+        registry::{ANNOUNCE_INTERVAL, Announcement},
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time for which a fault of a trigger lasts, in milliseconds.
+const FAULT_MS: u64 = 4_000;
+
+/// Delay of a message that a trigger delays or repeats, in milliseconds.
+const DELAY_MS: u64 = 700;
+
+/// Time that a sync of the data folder takes, in milliseconds.
+const SYNC_MS: u64 = 2;
+
+/// Time between two checks of the invariants, in milliseconds.
+const CHECK_MS: u64 = 50;
+
+/// Most datagrams that wait for a frozen process; a socket buffer holds about as many.
+const MAX_BACKLOG: usize = 500;
+
+/// Longest datagram, in bytes.
+const MAX_DATAGRAM: usize = 1_200;
+
+/// Size of a world.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorldOptions {
+    /// Instances of the roster.
+    pub instances: usize,
+    /// Replicas, the first of the instances.
+    pub replicas: usize,
+    /// Seed of every random choice.
+    pub seed: u64,
+}
+
+/// Something that happens at a certain time.
+#[derive(Clone, Debug)]
+pub(super) enum Event {
+    Tick { node: usize, incarnation: u64 },
+    Deliver { from: usize, to: usize, message: PeerMessage, counted: bool },
+    Announce { to: usize, announcement: Announcement },
+    Synced { node: usize, incarnation: u64, up_to: u64 },
+    Beat { server: usize },
+    Restart { node: usize },
+    Wake { node: usize },
+    Heal { from: usize, to: usize },
+}
+
+/// Several instances with their network, disks, servers and the clock.
+pub struct World {
+    options: WorldOptions,
+    base: Instant,
+    now_ms: u64,
+    order: u64,
+    queue: BTreeMap<(u64, u64), Event>,
+    rng: SmallRng,
+    /// The instances.
+    pub nodes: Vec<Node>,
+    /// Their links.
+    pub network: Network,
+    /// The servers.
+    pub servers: Vec<Server>,
+    /// The invariants.
+    pub checks: Checks,
+    triggers: Vec<Trigger>,
+    messages: Option<u64>,
+    next_request: u64,
+    keys: BTreeMap<(usize, u64), ClaimKey>,
+    /// Attempts that were granted and have neither settled nor released, by instance and key.
+    pub granted: BTreeMap<(usize, ClaimKey), (Holder, Instant)>,
+    next_check: u64,
+    fault: Option<String>,
+}
+
+impl World {
+    /// Makes a world in which no instance runs yet.
+    pub fn new(options: WorldOptions) -> Self {
+        let nodes = (0..options.instances).map(|node| Node::new(name(node), node < options.replicas)).collect();
+        Self {
+            options,
+            base: Instant::now(),
+            now_ms: 0,
+            order: 0,
+            queue: BTreeMap::new(),
+            rng: SmallRng::seed_from_u64(options.seed),
+            nodes,
+            network: Network::default(),
+            servers: Vec::new(),
+            checks: Checks::default(),
+            triggers: Vec::new(),
+            messages: None,
+            next_request: 0,
+            keys: BTreeMap::new(),
+            granted: BTreeMap::new(),
+            next_check: 0,
+            fault: None,
+        }
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> Instant {
+        self.base + Duration::from_millis(self.now_ms)
+    }
+
+    /// Returns the time in milliseconds since the start of the world.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Starts or restarts the process of an instance.
+    pub fn start(&mut self, node: usize) {
+        if self.nodes[node].state != NodeState::Down {
+            return;
+        }
+        let now = self.now();
+        let (instances, replicas) = (self.options.instances, self.options.replicas);
+        let seed = self.rng.random();
+        let this = &mut self.nodes[node];
+        this.incarnation += 1;
+        let options = ControlOptions {
+            id: this.id.clone(),
+            incarnation: this.incarnation,
+            peers: (0..instances).filter(|peer| *peer != node).map(name).collect(),
+            replicas: (0..replicas).map(name).collect(),
+            ..ControlOptions::default()
+        };
+        let recovered = this.disk.as_ref().map(Disk::recovered);
+        this.control = Some(Control::new(options, recovered, now, SmallRng::seed_from_u64(seed)));
+        this.state = NodeState::Up;
+        this.installed = 0;
+        this.answers.clear();
+        this.is_stopped = false;
+        let incarnation = this.incarnation;
+        let first = self.rng.random_range(0..TICK_INTERVAL.as_millis() as u64);
+        self.push(first, Event::Tick { node, incarnation });
+    }
+
+    /// Kills the process of an instance; what was not synced is lost.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].kill();
+        self.granted.retain(|(at, _), _| *at != node);
+        self.keys.retain(|(at, _), _| *at != node);
+    }
+
+    /// Kills the process of an instance after everything that was written is synced.
+    pub fn kill_synced(&mut self, node: usize) {
+        if let Some(disk) = &mut self.nodes[node].disk {
+            disk.sync_all();
+        }
+        self.kill(node);
+    }
+
+    /// Kills the process of an instance and empties its data folder.
+    pub fn lose_disk(&mut self, node: usize) {
+        self.kill(node);
+        let incarnation = self.nodes[node].incarnation + 1;
+        if let Some(disk) = &mut self.nodes[node].disk {
+            *disk = Disk::new(incarnation);
+        }
+    }
+
+    /// Freezes the process of an instance.
+    pub fn freeze(&mut self, node: usize) {
+        if self.nodes[node].is_up() {
+            self.nodes[node].state = NodeState::Frozen;
+        }
+    }
+
+    /// Wakes a frozen process; it finds what arrived meanwhile before it learns that time has passed.
+    pub fn wake(&mut self, node: usize) {
+        if self.nodes[node].state != NodeState::Frozen {
+            return;
+        }
+        self.nodes[node].state = NodeState::Up;
+        for event in std::mem::take(&mut self.nodes[node].backlog) {
+            self.happen(event);
+        }
+    }
+
+    /// Submits a text; returns the number of the request.
+    pub fn submit(&mut self, node: usize, text: &str) -> u64 {
+        self.next_request += 1;
+        let request = self.next_request;
+        self.give(node, ControlEvent::Submit { request, text: text.into() });
+        request
+    }
+
+    /// Claims a key; returns the number of the request.
+    pub fn claim(&mut self, node: usize, key: &ClaimKey, digest: &str, deadline: Duration) -> u64 {
+        self.next_request += 1;
+        let request = self.next_request;
+        self.keys.insert((node, request), key.clone());
+        let deadline = self.now() + deadline;
+        let request_digest = TextDigest::of(digest.as_bytes());
+        self.give(node, ControlEvent::Claim { request, key: key.clone(), request_digest, deadline });
+        request
+    }
+
+    /// Records the answer to a request that was granted here; returns whether it was still permitted to be sent.
+    pub fn settle(&mut self, node: usize, key: &ClaimKey, status: u16) -> bool {
+        let Some((holder, before)) = self.granted.remove(&(node, key.clone())) else { return false };
+        if self.now() >= before {
+            return false;
+        }
+        let outcome = SettledOutcome::new(status, b"done");
+        self.give(node, ControlEvent::Settle { key: key.clone(), holder, outcome });
+        true
+    }
+
+    /// Gives up a request that was granted here.
+    pub fn release(&mut self, node: usize, key: &ClaimKey) -> bool {
+        let Some((holder, _)) = self.granted.remove(&(node, key.clone())) else { return false };
+        self.checks.released(key);
+        self.give(node, ControlEvent::Release { key: key.clone(), holder });
+        true
+    }
+
+    /// Starts a server that announces itself to an entry, as a new incarnation if it is known.
+    pub fn announce(&mut self, id: &str, service: &str, entry: usize, state: ServerState) {
+        let known = self.servers.iter().position(|server| &*server.id == id);
+        let fresh = Server {
+            id: id.into(),
+            service: service.into(),
+            entry,
+            state,
+            incarnation: 1,
+            started: self.now_ms,
+            sequence: 0,
+            quiet_since: None,
+            is_announcing: true,
+        };
+        match known {
+            Some(server) if self.servers[server].is_announcing => {
+                (self.servers[server].entry, self.servers[server].state) = (entry, state);
+            }
+            Some(server) => {
+                let incarnation = self.servers[server].incarnation + 1;
+                self.servers[server] = Server { incarnation, ..fresh };
+                self.push(0, Event::Beat { server });
+            }
+            None => {
+                self.servers.push(fresh);
+                self.push(0, Event::Beat { server: self.servers.len() - 1 });
+            }
+        }
+    }
+
+    /// Lets a server say that it leaves; it says so once and then falls silent.
+    pub fn leave(&mut self, id: &str, entry: Option<usize>) -> bool {
+        let Some(server) = self.servers.iter().position(|server| &*server.id == id) else { return false };
+        self.servers[server].state = ServerState::Leaving;
+        self.servers[server].entry = entry.unwrap_or(self.servers[server].entry);
+        self.beat(server);
+        self.servers[server].is_announcing = false;
+        self.servers[server].quiet_since = Some(self.now_ms);
+        true
+    }
+
+    /// Lets a server fall silent without a word.
+    pub fn silence(&mut self, id: &str) -> bool {
+        let Some(server) = self.servers.iter_mut().find(|server| &*server.id == id) else { return false };
+        server.is_announcing = false;
+        server.quiet_since = Some(self.now_ms);
+        true
+    }
+
+    /// Sends one announcement that arrives late.
+    pub fn announce_late(&mut self, id: &str, entry: usize, delay: u64) -> bool {
+        let now_ms = self.now_ms;
+        let Some(server) = self.servers.iter_mut().find(|server| &*server.id == id) else { return false };
+        let announcement = server.announcement(now_ms);
+        self.push(delay, Event::Announce { to: entry, announcement });
+        true
+    }
+
+    /// Counts messages from here on and lets the faults strike at theirs.
+    pub fn arm(&mut self, triggers: Vec<Trigger>) {
+        self.triggers = triggers;
+        self.messages = Some(0);
+    }
+
+    /// Stops counting; returns how many messages were counted.
+    pub fn disarm(&mut self) -> u64 {
+        self.triggers.clear();
+        self.messages.take().unwrap_or(0)
+    }
+
+    /// Heals every link, wakes and restarts every instance.
+    pub fn heal_everything(&mut self) {
+        self.disarm();
+        self.network.heal_all();
+        for node in 0..self.nodes.len() {
+            self.wake(node);
+            self.start(node);
+        }
+    }
+
+    /// Returns the instance that leads, as the highest term shows.
+    pub fn leader(&self) -> Option<usize> {
+        let leading = |node: &Node| node.is_up() && node.control.as_ref().is_some_and(Control::is_leading);
+        (0..self.nodes.len()).find(|node| leading(&self.nodes[*node]))
+    }
+
+    /// Lets time pass; fails with the first broken invariant.
+    pub fn run(&mut self, duration: Duration) -> Result<(), String> {
+        let end = self.now_ms + duration.as_millis() as u64;
+        self.run_until(end, |_| false).map(drop)
+    }
+
+    /// Lets time pass until something is the case; returns whether it came to be.
+    pub fn run_for(&mut self, limit: Duration, is_done: impl Fn(&Self) -> bool) -> Result<bool, String> {
+        let end = self.now_ms + limit.as_millis() as u64;
+        self.run_until(end, is_done)
+    }
+
+    /// Checks at the end that nothing confirmed was lost.
+    pub fn check_final(&self) -> Result<(), String> {
+        self.checks.check_final(&self.nodes).map_err(|e| self.at(&e))
+    }
+
+    fn run_until(&mut self, end: u64, is_done: impl Fn(&Self) -> bool) -> Result<bool, String> {
+        loop {
+            if let Some(fault) = self.fault.take() {
+                return Err(self.at(&fault));
+            }
+            if is_done(self) {
+                return Ok(true);
+            }
+            let next = self.queue.first_key_value().map_or(end, |((at, _), _)| (*at).min(end));
+            if self.next_check <= next {
+                self.now_ms = self.now_ms.max(self.next_check);
+                self.next_check = self.now_ms + CHECK_MS;
+                let now = self.now();
+                let checked = self.checks.check(now, self.now_ms, &mut self.nodes, &self.servers);
+                checked.map_err(|e| self.at(&e))?;
+                continue;
+            }
+            if next >= end {
+                self.now_ms = end;
+                return Ok(false);
+            }
+            self.now_ms = next;
+            if let Some((_, event)) = self.queue.pop_first() {
+                self.happen(event);
+            }
+        }
+    }
+
+    fn at(&self, fault: &str) -> String {
+        format!("{} ms, seed {}: {fault}", self.now_ms, self.options.seed)
+    }
+
+    fn push(&mut self, delay: u64, event: Event) {
+        self.order += 1;
+        self.queue.insert((self.now_ms + delay, self.order), event);
+    }
+
+    fn happen(&mut self, event: Event) {
+        let target = match &event {
+            Event::Tick { node, .. } | Event::Synced { node, .. } => Some(*node),
+            Event::Deliver { to, .. } | Event::Announce { to, .. } => Some(*to),
+            Event::Beat { .. } | Event::Restart { .. } | Event::Wake { .. } | Event::Heal { .. } => None,
+        };
+        if let Some(node) = target.filter(|node| self.nodes[*node].state == NodeState::Frozen) {
+            let backlog = &mut self.nodes[node].backlog;
+            if backlog.len() < MAX_BACKLOG || !matches!(event, Event::Deliver { .. }) {
+                backlog.push(event);
+            }
+            return;
+        }
+        match event {
+            Event::Tick { node, incarnation } if self.nodes[node].incarnation == incarnation => {
+                if self.nodes[node].is_up() {
+                    self.push(TICK_INTERVAL.as_millis() as u64, Event::Tick { node, incarnation });
+                    self.give(node, ControlEvent::Tick);
+                }
+            }
+            Event::Synced { node, incarnation, up_to } if self.nodes[node].incarnation == incarnation => {
+                if let Some(disk) = &mut self.nodes[node].disk {
+                    disk.sync(up_to);
+                }
+                self.give(node, ControlEvent::Persisted { up_to });
+            }
+            Event::Tick { .. } | Event::Synced { .. } => {}
+            Event::Deliver { from, to, message, counted } => self.deliver(from, to, message, counted),
+            Event::Announce { to, announcement } => self.give(to, ControlEvent::Announce(announcement)),
+            Event::Beat { server } => {
+                if self.servers[server].is_announcing {
+                    self.beat(server);
+                    self.push(ANNOUNCE_INTERVAL.as_millis() as u64, Event::Beat { server });
+                }
+            }
+            Event::Restart { node } => self.start(node),
+            Event::Wake { node } => self.wake(node),
+            Event::Heal { from, to } => self.network.heal(from, to),
+        }
+    }
+
+    fn beat(&mut self, server: usize) {
+        let now_ms = self.now_ms;
+        let announcement = self.servers[server].announcement(now_ms);
+        let to = self.servers[server].entry;
+        let arrivals =
+            self.network.arrivals(now_ms, (usize::MAX, to), Kind::Announce, Channel::Datagram, &mut self.rng);
+        for at in arrivals {
+            self.push(at - now_ms, Event::Announce { to, announcement: announcement.clone() });
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: PeerMessage, counted: bool) {
+        let fault = self.strike(&message, counted);
+        match fault {
+            Some(Fault::Lose) => return,
+            Some(Fault::Delay) => {
+                self.push(DELAY_MS, Event::Deliver { from, to, message, counted: true });
+                return;
+            }
+            Some(Fault::Repeat) => {
+                self.push(DELAY_MS, Event::Deliver { from, to, message: message.clone(), counted: true });
+            }
+            Some(Fault::KillReceiver) => {
+                self.kill(to);
+                self.push(FAULT_MS, Event::Restart { node: to });
+                return;
+            }
+            Some(Fault::LoseDisk) => {
+                self.lose_disk(to);
+                self.push(FAULT_MS, Event::Restart { node: to });
+                return;
+            }
+            Some(Fault::Freeze) => {
+                self.freeze(to);
+                self.push(FAULT_MS, Event::Wake { node: to });
+                self.nodes[to].backlog.push(Event::Deliver { from, to, message, counted: true });
+                return;
+            }
+            Some(Fault::Cut) => {
+                self.cut_for_fault(from, to);
+                self.cut_for_fault(to, from);
+                return;
+            }
+            Some(Fault::CutBack) => self.cut_for_fault(to, from),
+            Some(Fault::KillSender) => {
+                self.kill(from);
+                self.push(FAULT_MS, Event::Restart { node: from });
+            }
+            Some(Fault::KillReceiverAfter) | None => {}
+        }
+        let sender = self.nodes[from].id.clone();
+        self.give(to, ControlEvent::Receive { from: sender, message });
+        if fault == Some(Fault::KillReceiverAfter) {
+            self.kill_synced(to);
+            self.push(FAULT_MS, Event::Restart { node: to });
+        }
+    }
+
+    fn cut_for_fault(&mut self, from: usize, to: usize) {
+        self.network.cut(from, to);
+        self.push(FAULT_MS, Event::Heal { from, to });
+    }
+
+    /// Returns the fault that strikes at this message.
+    fn strike(&mut self, message: &PeerMessage, counted: bool) -> Option<Fault> {
+        if counted || !Trigger::counts(Kind::of(message)) {
+            return None;
+        }
+        let number = self.messages?;
+        self.messages = Some(number + 1);
+        self.triggers.iter().find(|trigger| trigger.message == number).map(|trigger| trigger.fault)
+    }
+
+    /// Gives an event to a process and carries out what it asks for.
+    pub fn give(&mut self, node: usize, event: ControlEvent) {
+        let now = self.now();
+        let Some(control) = self.nodes[node].control.as_mut() else { return };
+        let mut actions = Vec::new();
+        control.handle(now, event, &mut actions);
+        let mut up_to = None;
+        for action in actions {
+            match action {
+                ControlAction::Datagram { to, message } => self.send(node, &to, message, Channel::Datagram),
+                ControlAction::Stream { to, message } => self.send(node, &to, message, Channel::Stream),
+                ControlAction::Write { sequence, write } => {
+                    if let Some(disk) = &mut self.nodes[node].disk {
+                        disk.write(sequence, write);
+                        up_to = Some(sequence);
+                    }
+                }
+                ControlAction::Answer(answer) => self.answer(node, answer),
+                ControlAction::Stopped => self.nodes[node].is_stopped = true,
+                ControlAction::Broken(reason) => self.fault = Some(format!("{}: {reason}", name(node))),
+                ControlAction::Install(_)
+                | ControlAction::Servers(..)
+                | ControlAction::Peers(_)
+                | ControlAction::ServeUntil(_)
+                | ControlAction::Log(_) => {}
+            }
+        }
+        if let Some(up_to) = up_to {
+            let incarnation = self.nodes[node].incarnation;
+            self.push(SYNC_MS, Event::Synced { node, incarnation, up_to });
+        }
+    }
+
+    fn answer(&mut self, node: usize, answer: Answer) {
+        let request = match &answer {
+            Answer::Submit { request, .. } | Answer::Claim { request, .. } => *request,
+        };
+        let key = self.keys.remove(&(node, request));
+        let retention = Duration::from_millis(MIN_RETENTION_MS);
+        if let Err(fault) = self.checks.answer(self.now(), &answer, key.as_ref(), retention) {
+            self.fault = Some(format!("{}: {fault}", name(node)));
+        }
+        if let (Some(key), Answer::Claim { answer: ClaimAnswer::Granted { holder, send_before }, .. }) = (key, &answer)
+        {
+            self.granted.insert((node, key), (holder.clone(), *send_before));
+        }
+        if self.nodes[node].answers.insert(request, answer).is_some() {
+            self.fault = Some(format!("{}: request {request} was answered twice", name(node)));
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &str, message: PeerMessage, channel: Channel) {
+        let Some(to) = self.nodes.iter().position(|node| &*node.id == to) else { return };
+        let size = postcard::to_allocvec(&message).map_or(0, |bytes| bytes.len());
+        if channel != message.channel() || (channel == Channel::Datagram && size > MAX_DATAGRAM) {
+            self.fault = Some(format!("{}: {size} bytes over {channel:?}: {message:?}", name(from)));
+        }
+        let kind = Kind::of(&message);
+        for at in self.network.arrivals(self.now_ms, (from, to), kind, channel, &mut self.rng) {
+            self.push(at - self.now_ms, Event::Deliver { from, to, message: message.clone(), counted: false });
+        }
+    }
+}
+
+/// Returns the name of an instance, counted from 0.
+fn name(node: usize) -> Box<str> {
+    format!("e{}", node + 1).into()
+}
+
+/// Returns a text with a number and one service.
+pub fn text(number: u64, service: &str) -> String {
+    format!("[change]\nnumber = {number}\n[service {service}]\n")
+}
