--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,11 +6,16 @@
 
 pub mod burn;
 pub mod collections;
+pub mod consensus;
+pub mod control;
+pub mod currency;
 pub mod dispatch;
 pub mod errors;
 pub mod health;
 pub mod ids;
+pub mod ledger;
 pub mod measure;
+pub mod membership;
 pub mod outcome;
 pub mod registry;
 pub mod retry;
