--- /dev/null
+++ b/crates/proxy/tests/requests.rs
@@ -0,0 +1,209 @@
+//! What is accepted from callers and how it reaches servers.
+
+mod support;
+
+use {
+    hemlockford_core::dispatch::AttemptResult,
+    std::time::{Duration, Instant},
+    support::{Bed, Script, answering, pause, refusing},
+};
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Guards against a message that two parsers take for different requests.
+#[actix_rt::test]
+async fn ambiguous_framing_is_refused() {
+    let (server, seen) = answering(OK).await;
+    let bed = Bed::start(Script::to(server.address));
+    let shapes = [
+        "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        "transfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n0\r\n\r\n",
+        "content-length: 5\r\ncontent-length: 6\r\n\r\nhello",
+        "content-length: 5, 6\r\n\r\nhello",
+        "content-length: +5\r\n\r\nhello",
+        "content-length: -5\r\n\r\nhello",
+        "content-length: 0x5\r\n\r\nhello",
+        "content-length: 99999999999999999999999\r\n\r\nhello",
+        "content-length : 5\r\n\r\nhello",
+        "transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "transfer-encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+        "transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n\r\n0\r\n\r\n",
+        "transfer-encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "transfer-encoding:\u{b}chunked\r\n\r\n0\r\n\r\n",
+        "x: y\r\n content-length: 5\r\n\r\nhello",
+    ];
+    for shape in shapes {
+        let mut caller = bed.caller().await;
+        caller.send(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\n{shape}")).await;
+        caller.send("GET /catalogue/smuggled HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        let got = caller.answer().await;
+        assert_eq!((got.status, got.outcome()), (400, "not-run; bad-request"), "{shape:?}");
+        assert_eq!(got.header("connection"), Some("close"), "{shape:?}");
+        assert_eq!(caller.rest().await, "", "nothing is read as a next request after {shape:?}");
+    }
+    assert!(seen.borrow().is_empty());
+}
+
+/// Guards against headers of the system whose odd values are guessed at.
+#[actix_rt::test]
+async fn odd_header_values_are_refused() {
+    let (server, seen) = answering(OK).await;
+    let bed = Bed::start(Script::to(server.address));
+    let long = format!("hemlockford-customer: {}", "a".repeat(65));
+    let odd = [
+        "hemlockford-deadline: soon",
+        "hemlockford-deadline: -1",
+        "hemlockford-deadline: +1",
+        "hemlockford-deadline: 5\r\nhemlockford-deadline: 6",
+        "hemlockford-depth: 25",
+        "hemlockford-depth: 300",
+        "hemlockford-depth: x",
+        "hemlockford-customer:",
+        "hemlockford-customer: a b",
+        &long,
+        "idempotency-key:",
+    ];
+    for field in odd {
+        let got = bed.call(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\n{field}\r\n\r\n")).await;
+        assert_eq!((got.status, got.outcome()), (400, "not-run; bad-request"), "{field}");
+        assert!(got.body.len() < 200, "the explanation is bounded");
+    }
+    let got = bed.call("GET /elsewhere HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    assert_eq!((got.status, got.outcome()), (404, "not-run; unknown-service"));
+    assert!(seen.borrow().is_empty());
+    let long = format!("GET /catalogue HTTP/1.1\r\nx: {}\r\n\r\n", "a".repeat(70_000));
+    assert_eq!(bed.call(&long).await.status, 400);
+}
+
+/// Guards against headers of one connection that reach the next, and against a server that speaks for the
+/// system.
+#[actix_rt::test]
+async fn heads_are_translated() {
+    let (server, seen) = answering(
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: x-hop\r\nx-hop: 1\r\nkeep-alive: timeout=5\r\n\
+         hemlockford-outcome: not-run; overload\r\nhemlockford-once: claimed\r\nhemlockford-load: 1/2\r\nx-kept: 1\r\n\r\nok",
+    )
+    .await;
+    let bed = Bed::start(Script::to(server.address));
+    let got = bed
+        .call(
+            "GET /catalogue/a?b=c HTTP/1.1\r\nhost: shop.example\r\nconnection: x-private, te\r\nx-private: 1\r\n\
+             te: trailers\r\nupgrade: h2c\r\nforwarded: for=10.0.0.1\r\nx-forwarded-for: 10.0.0.1\r\n\
+             hemlockford-customer: kovar\r\nhemlockford-depth: 3\r\nhemlockford-deadline: 900\r\n\
+             hemlockford-retry-allowance: 1\r\nhemlockford-shed: 1\r\n\r\n",
+        )
+        .await;
+    assert_eq!(got.outcome(), "answered");
+    assert_eq!(got.header("x-kept"), Some("1"));
+    for name in ["x-hop", "keep-alive", "hemlockford-once", "hemlockford-load"] {
+        assert_eq!(got.header(name), None, "{name}");
+    }
+    let seen = seen.borrow()[0].to_ascii_lowercase();
+    assert!(seen.starts_with("get /catalogue/a?b=c http/1.1\r\n"), "{seen}");
+    for line in [
+        "host: shop.example",
+        "forwarded: for=10.0.0.1",
+        "forwarded: for=127.0.0.1;proto=http",
+        "x-forwarded-for: 10.0.0.1",
+        "x-forwarded-for: 127.0.0.1",
+        "hemlockford-customer: kovar",
+        "hemlockford-depth: 4",
+    ] {
+        assert!(seen.lines().any(|other| other == line), "{line} in {seen}");
+    }
+    for name in ["x-private", "te:", "upgrade", "hemlockford-shed", "hemlockford-retry-allowance"] {
+        assert!(!seen.lines().any(|line| line.starts_with(name)), "{name} in {seen}");
+    }
+    let left = seen.lines().find_map(|line| line.strip_prefix("hemlockford-deadline: ")).unwrap();
+    assert!((1..=900).contains(&left.parse::<u32>().unwrap()));
+    let call = bed.log.borrow().calls[0].clone();
+    assert_eq!((&*call.customer, call.depth, call.retry_allowance), ("kovar", 3, true));
+}
+
+/// Guards against a retry token that is passed on without a decision, or not at all.
+#[actix_rt::test]
+async fn the_retry_token_is_passed_on_as_decided() {
+    let (server, seen) = answering(OK).await;
+    let bed = Bed::start(Script { pass_allowance: true, ..Script::to(server.address) });
+    bed.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    assert!(seen.borrow()[0].contains("hemlockford-retry-allowance: 1\r\n"));
+    bed.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-depth: 1\r\n\r\n").await;
+    let allowances: Vec<bool> = bed.log.borrow().calls.iter().map(|call| call.retry_allowance).collect();
+    assert_eq!(allowances, [true, false], "the first entry may mint a token, later ones need one");
+}
+
+/// Guards against a caller that waits for an interim answer which never comes.
+#[actix_rt::test]
+async fn a_caller_that_expects_100_is_told_to_continue() {
+    let (server, seen) = answering(OK).await;
+    let bed = Bed::start(Script::to(server.address));
+    let head = "POST /booking/a HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: 5\r\n\r\n";
+    let mut caller = bed.caller().await;
+    caller.send(head).await;
+    assert_eq!(caller.answer().await.status, 100);
+    caller.send("hello").await;
+    assert_eq!(caller.answer().await.status, 200);
+    assert!(seen.borrow()[0].ends_with("hello") && !seen.borrow()[0].contains("expect"));
+    // A refused request is answered without asking for its body.
+    let bed = Bed::start(Script::to(refusing()));
+    let got = bed.call(head).await;
+    assert_eq!((got.status, got.outcome()), (503, "not-run; refused"));
+}
+
+/// Guards against callers that hold a connection by sending slowly.
+#[actix_rt::test]
+async fn slow_senders_are_closed() {
+    let (server, _) = answering(OK).await;
+    let mut script = Script::to(server.address);
+    script.options.head_timeout = Duration::from_millis(100);
+    script.options.body_idle = Duration::from_millis(100);
+    let bed = Bed::start(script);
+    let start = Instant::now();
+    let mut silent = bed.caller().await;
+    assert_eq!(silent.rest().await, "");
+    let mut slow = bed.caller().await;
+    slow.send("GET /catalogue/a HTT").await;
+    assert_eq!(slow.answer().await.status, 400);
+    assert_eq!(slow.rest().await, "");
+    let mut slow = bed.caller().await;
+    slow.send("POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhel").await;
+    let got = slow.answer().await;
+    assert_eq!((got.status, got.outcome()), (504, "unknown; timeout"));
+    assert_eq!(slow.rest().await, "");
+    assert!(start.elapsed() < Duration::from_secs(4));
+    assert_eq!(bed.results(), [AttemptResult::CallerLeft], "a slow caller is no fault of the server");
+}
+
+/// Guards against a body that ends early and is passed on as whole.
+#[actix_rt::test]
+async fn a_body_that_is_cut_off_is_not_completed() {
+    for body in ["content-length: 9\r\n\r\nhello", "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n"] {
+        let (server, seen) = answering(OK).await;
+        let bed = Bed::start(Script::to(server.address));
+        let mut caller = bed.caller().await;
+        caller.send(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\n{body}")).await;
+        pause(30).await;
+        drop(caller);
+        pause(50).await;
+        assert!(seen.borrow().is_empty(), "{body:?}");
+        assert_eq!(bed.results(), [AttemptResult::CallerLeft]);
+    }
+}
+
+/// Guards against more callers than a worker is set up for.
+#[actix_rt::test]
+async fn callers_beyond_the_limit_are_refused_at_once() {
+    let (server, _) = answering(OK).await;
+    let mut script = Script::to(server.address);
+    script.options.callers = 1;
+    let bed = Bed::start(script);
+    let request = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n";
+    let mut first = bed.caller().await;
+    first.send(request).await;
+    assert_eq!(first.answer().await.status, 200);
+    let got = bed.call(request).await;
+    assert_eq!((got.status, got.outcome()), (503, "not-run; overload"));
+    drop(first);
+    pause(30).await;
+    assert_eq!(bed.call(request).await.status, 200);
+}
