--- /dev/null
+++ b/crates/hemlockford/src/bench.rs
@@ -0,0 +1,104 @@
+//! The command `bench`.
+
+use {
+    crate::{
+        command::{AddedArguments, Bench, BenchArguments},
+        exit::Exit,
+        local::Local,
+        log::{LogFormat, logger},
+    },
+    error_stack::ResultExt,
+    hemlockford_core::errors::{ErrorKind, Result, invalid_input},
+    hemlockford_tools::{AddedOptions, AddedRow, EmulateOptions, LoadOptions, ServiceTime, added},
+    std::{path::Path, time::Duration},
+};
+
+/// Servers of a comparison within this process.
+const SERVERS: usize = 8;
+/// Slots of each of them; enough that no call waits, because the comparison is about the path alone.
+const SLOTS: u32 = 64;
+const DEFAULT_RATES: [f64; 3] = [1_000.0, 4_000.0, 8_000.0];
+/// Target for the 99th percentile of the added latency, in microseconds.
+const TARGET_P99: i64 = 540;
+
+pub(crate) fn bench(arguments: BenchArguments) -> Result<Exit> {
+    match arguments.bench {
+        Some(Bench::Added(arguments)) => compare(arguments),
+        None => Err(invalid_input("a measurement is missing; see bench --help")),
+    }
+}
+
+fn compare(arguments: AddedArguments) -> Result<Exit> {
+    if arguments.entry.is_empty() != arguments.server.is_empty() {
+        return Err(invalid_input("--entry and --server are needed together"));
+    }
+    let rates = if arguments.rate.is_empty() { DEFAULT_RATES.to_vec() } else { arguments.rate };
+    let mut options = AddedOptions {
+        entries: arguments.entry,
+        servers: arguments.server,
+        rates,
+        time: arguments.time,
+        rounds: arguments.rounds,
+        load: LoadOptions {
+            service: arguments.service.clone().into(),
+            arrivals: arguments.arrivals,
+            answer_bytes: arguments.answer_bytes,
+            threads: arguments.threads,
+            seed: arguments.seed,
+            ..LoadOptions::default()
+        },
+    };
+    let rows = actix_rt::System::new().block_on(async {
+        let mut local = None;
+        if options.entries.is_empty() {
+            let text = format!("[change]\nnumber = 1\n[service {}]\n", arguments.service);
+            let servers = EmulateOptions {
+                service: arguments.service.into(),
+                servers: SERVERS,
+                slots: SLOTS,
+                service_time: ServiceTime::Constant(Duration::ZERO),
+                ..EmulateOptions::default()
+            };
+            let started = Local::start(&text, servers, &logger(LogFormat::Term)).await?;
+            options.entries.push(started.addresses().callers);
+            options.servers.extend(started.emulation().addresses().servers.iter().map(|server| server.address));
+            local = Some(started);
+        }
+        let rows = actix_rt::task::spawn_blocking(move || added(&options)).await.change_context(ErrorKind::Io)?;
+        if let Some(local) = local {
+            local.stop();
+        }
+        rows
+    })?;
+    print(&rows);
+    if let Some(path) = &arguments.csv {
+        write(path, &rows)?;
+    }
+    Ok(Exit::from_success(rows.iter().all(|row| row.is_clean)))
+}
+
+fn print(rows: &[AddedRow]) {
+    println!("{:>8}  {:>24}  {:>24}  {:>24}", "calls/s", "direct", "through", "added");
+    println!("{:>8}  {1:>24}  {1:>24}  {1:>24}", "", "p50 / p99 / p99.9 us");
+    for row in rows {
+        let quantiles = |of: &dyn Fn(f64) -> i64| format!("{} / {} / {}", of(0.5), of(0.99), of(0.999));
+        println!(
+            "{:>8}  {:>24}  {:>24}  {:>24}  {}",
+            row.rate,
+            quantiles(&|quantile| row.direct.quantile(quantile) as i64),
+            quantiles(&|quantile| row.through.quantile(quantile) as i64),
+            quantiles(&|quantile| row.added(quantile)),
+            if row.added(0.99) <= TARGET_P99 { "within 540 us" } else { "above 540 us" },
+        );
+        if !row.is_clean {
+            println!("          broken promises: direct {:?}, through {:?}", row.direct.faults, row.through.faults);
+        }
+    }
+}
+
+fn write(path: &Path, rows: &[AddedRow]) -> Result<()> {
+    let lines: Vec<_> = rows.iter().map(AddedRow::to_csv).collect();
+    std::fs::write(path, format!("{}\n{}\n", AddedRow::CSV_TITLE, lines.join("\n")))
+        .change_context(ErrorKind::Io)
+        .attach_with(|| format!("cannot write {}", path.display()))
+}
--- /dev/null
+++ b/crates/hemlockford/src/demo.rs
@@ -0,0 +1,47 @@
+//! The command `demo`.
+
+use {
+    crate::{command::DemoArguments, exit::Exit, local::Local, log::logger, stop::stop_signal},
+    hemlockford_core::errors::Result,
+    hemlockford_tools::EmulateOptions,
+    std::time::Duration,
+};
+
+/// Text of the demonstration.
+const TEXT: &str = "\
+[change]
+number = 1
+
+[customer kovar]
+weight = 3
+
+[service catalogue]
+deadline = 2s
+share.kovar = 3
+";
+
+/// Runs an entry and stand-in servers in one process and prints a call to try.
+pub(crate) fn demo(arguments: &DemoArguments) -> Result<Exit> {
+    let log = logger(arguments.log);
+    actix_rt::System::new().block_on(async {
+        let options = EmulateOptions { servers: arguments.servers, answer_bytes: 0, ..EmulateOptions::default() };
+        let local = Local::start(TEXT, options, &log).await?;
+        let addresses = local.addresses();
+        let control = local.emulation().addresses().control;
+        let server = &local.emulation().addresses().servers[0].server;
+        println!("An entry and {} servers are running. Try:", arguments.servers);
+        println!("  curl -i http://{}/catalogue/hello", addresses.callers);
+        println!("Make a server slow, and look at what ran:");
+        println!("  curl -X POST 'http://{control}/control/{server}?mode=straggler&factor=100'");
+        println!("  curl http://{control}/executions");
+        println!("Admin listener: http://{}", addresses.admin);
+        match arguments.time {
+            Some(time) => drop(actix_rt::time::timeout(time.max(Duration::from_millis(1)), stop_signal()).await),
+            None => {
+                stop_signal().await?;
+            }
+        }
+        local.stop();
+        Ok(Exit::Ok)
+    })
+}
--- /dev/null
+++ b/crates/hemlockford/src/load.rs
@@ -0,0 +1,51 @@
+//! The command `load`.
+
+use {
+    crate::{command::LoadArguments, exit::Exit, run::print_line},
+    hemlockford_core::errors::{Result, invalid_input},
+    hemlockford_tools::{LoadOptions, load::CustomerLoad},
+};
+
+/// Calls a second when neither a rate nor a customer is stated.
+const DEFAULT_RATE: f64 = 100.0;
+
+/// Sends load; fails when an answer was wrong, partial or repeated.
+pub(crate) fn load(arguments: LoadArguments) -> Result<Exit> {
+    let targets = match (arguments.target.is_empty(), arguments.direct.is_empty()) {
+        (false, true) => arguments.target,
+        (true, false) => arguments.direct,
+        (true, true) => return Err(invalid_input("--target or --direct is missing")),
+        (false, false) => return Err(invalid_input("--target and --direct exclude each other")),
+    };
+    let mut customers = arguments.customer;
+    if let Some(rate) = arguments.rate.or(customers.is_empty().then_some(DEFAULT_RATE)) {
+        customers.push(CustomerLoad { name: None, rate });
+    }
+    let default = LoadOptions::default();
+    let summary = hemlockford_tools::load(LoadOptions {
+        targets,
+        service: arguments.service.into(),
+        customers,
+        arrivals: arguments.arrivals,
+        methods: if arguments.method.is_empty() { default.methods } else { arguments.method },
+        upload_bytes: arguments.upload_bytes,
+        chunked: arguments.chunked,
+        answer_bytes: arguments.answer_bytes,
+        deadline: arguments.deadline,
+        timeout: arguments.timeout,
+        keys: arguments.keys,
+        time: arguments.time,
+        calls: arguments.calls,
+        in_flight: arguments.in_flight,
+        threads: arguments.threads,
+        seed: arguments.seed,
+        control: arguments.control,
+        ..default
+    })?;
+    if arguments.json {
+        print_line(&summary.to_json())?;
+    } else {
+        print!("{summary}");
+    }
+    Ok(Exit::from_success(summary.is_clean()))
+}
--- /dev/null
+++ b/crates/hemlockford/src/local.rs
@@ -0,0 +1,66 @@
+//! An entry and stand-in servers within this process, on loopback.
+
+use {
+    crate::client,
+    hemlockford_core::errors::{Result, unavailable},
+    hemlockford_instance::{Addresses, Instance, Settings},
+    hemlockford_tools::{EmulateOptions, Emulation},
+    slog::{Logger, o},
+    std::time::{Duration, Instant},
+};
+
+/// Time for one request to the entry.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time within which the first call must be answered: the servers announce themselves at the start and
+/// again after 800 ms.
+const READY_LIMIT: Duration = Duration::from_secs(5);
+/// Time between two looks at whether calls are answered.
+const READY_CHECK: Duration = Duration::from_millis(20);
+
+/// An entry and stand-in servers.
+pub(crate) struct Local {
+    instance: Instance,
+    emulation: Emulation,
+}
+
+impl Local {
+    /// Starts the entry and the servers, submits the text and waits until a call is answered.
+    pub(crate) async fn start(text: &str, options: EmulateOptions, log: &Logger) -> Result<Self> {
+        let instance = Instance::start(&Settings::default())?;
+        let admin = instance.addresses().admin;
+        let service = options.service.clone();
+        let options = EmulateOptions { entries: vec![admin], ..options };
+        let emulation = Emulation::start(options, log.new(o!("part" => "servers")))?;
+        let local = Self { instance, emulation };
+        let answer = client::post(admin, "/submit", text.into(), REQUEST_TIMEOUT).await?;
+        if answer.status != 200 {
+            return Err(unavailable(format!("the text was not accepted: {}", answer.body)));
+        }
+        let end = Instant::now() + READY_LIMIT;
+        let callers = local.addresses().callers;
+        loop {
+            let answer = client::get(callers, &format!("/{service}/ready"), REQUEST_TIMEOUT).await;
+            match answer {
+                Ok(answer) if answer.status == 200 => return Ok(local),
+                Ok(_) | Err(_) if Instant::now() < end => actix_rt::time::sleep(READY_CHECK).await,
+                Ok(answer) => return Err(unavailable(format!("no call is answered: {}", answer.body))),
+                Err(report) => return Err(report),
+            }
+        }
+    }
+
+    /// Returns the addresses of the entry.
+    pub(crate) fn addresses(&self) -> &Addresses {
+        self.instance.addresses()
+    }
+
+    /// Returns the servers.
+    pub(crate) fn emulation(&self) -> &Emulation {
+        &self.emulation
+    }
+
+    /// Stops the entry and the servers.
+    pub(crate) fn stop(self) {
+        self.instance.stop();
+    }
+}
--- a/crates/hemlockford/src/main.rs
+++ b/crates/hemlockford/src/main.rs
@@ -1,35 +1,76 @@
 //! The command line of hemlockford.
 
+mod bench;
+mod client;
 mod command;
+mod demo;
+mod emulate;
+mod exit;
+mod load;
+mod local;
+mod log;
+mod read;
 mod run;
+mod stop;
+mod submit;
+mod table;
+mod text;
 
 use {
-    command::{Arguments, Command},
-    gumdrop::Options,
+    command::{Arguments, Command, EXIT_CODES},
+    exit::Exit,
+    gumdrop::{Options, ParsingStyle},
     std::process::ExitCode,
 };
 
-/// Exit code of a command that failed or was used wrongly.
-const EXIT_FAILURE: u8 = 1;
-
 fn main() -> ExitCode {
-    let arguments = Arguments::parse_args_default_or_exit();
-    let Some(command) = arguments.command else {
-        eprintln!("{}", Arguments::usage());
-        return ExitCode::from(EXIT_FAILURE);
+    let words: Vec<_> = std::env::args().skip(1).collect();
+    let arguments = match Arguments::parse_args(&words, ParsingStyle::AllOptions) {
+        Ok(arguments) => arguments,
+        Err(e) => {
+            eprintln!("hemlockford: {e}; see --help");
+            return Exit::Failure.into();
+        }
     };
-    let result = match command {
-        Command::Run(options) => run::run(&options),
-        Command::Check(options) => run::check(&options),
-        Command::Submit(options) => run::submit(&options),
-        Command::Emulate(options) => run::emulate(options),
-        Command::Load(options) => run::load(options),
+    if arguments.help_requested() {
+        print_help(&arguments);
+        return Exit::Ok.into();
+    }
+    let result = match arguments.command {
+        Some(Command::Run(arguments)) => run::run(&arguments),
+        Some(Command::Check(arguments)) => text::check(&arguments),
+        Some(Command::Submit(arguments)) => submit::submit(&arguments),
+        Some(Command::Status(arguments)) => read::status(&arguments),
+        Some(Command::Report(arguments)) => read::report(&arguments),
+        Some(Command::Demo(arguments)) => demo::demo(&arguments),
+        Some(Command::Emulate(arguments)) => emulate::emulate(arguments),
+        Some(Command::Load(arguments)) => load::load(arguments),
+        Some(Command::Bench(arguments)) => bench::bench(arguments),
+        None => {
+            print_help(&arguments);
+            return Exit::Failure.into();
+        }
     };
     match result {
-        Ok(code) => ExitCode::from(code),
+        Ok(exit) => exit.into(),
         Err(report) => {
             eprintln!("hemlockford: {report:?}");
-            ExitCode::from(EXIT_FAILURE)
+            Exit::Failure.into()
         }
     }
 }
+
+/// Prints the help of the innermost command that was given.
+fn print_help(arguments: &Arguments) {
+    let mut path = String::from("hemlockford");
+    let mut command = arguments as &dyn Options;
+    while let Some(inner) = command.command() {
+        path.extend(inner.command_name().map(|name| format!(" {name}")));
+        command = inner;
+    }
+    println!("Usage: {path} [OPTIONS]\n\n{}", command.self_usage());
+    if let Some(commands) = command.self_command_list() {
+        println!("\nCommands:\n{commands}");
+    }
+    println!("\n{EXIT_CODES}");
+}
--- /dev/null
+++ b/crates/hemlockford/src/read.rs
@@ -0,0 +1,62 @@
+//! The commands `status` and `report`, which read from the admin listener of each instance.
+
+use {
+    crate::{client, command::ReadArguments, exit::Exit, run::print_line, table},
+    error_stack::ResultExt,
+    hemlockford_core::errors::{ErrorKind, Result, invalid_input, unavailable},
+    serde_json::{Map, Value, json},
+    std::net::SocketAddr,
+};
+
+pub(crate) fn status(arguments: &ReadArguments) -> Result<Exit> {
+    read(arguments, "/status", "/status")
+}
+
+pub(crate) fn report(arguments: &ReadArguments) -> Result<Exit> {
+    read(arguments, "/report", "/report?format=text")
+}
+
+/// Reads one page of each instance; an instance that does not answer is named and makes the command fail.
+fn read(arguments: &ReadArguments, json_page: &str, text_page: &str) -> Result<Exit> {
+    let addresses: Vec<_> = arguments.from.iter().chain(&arguments.more).copied().collect();
+    if addresses.is_empty() {
+        return Err(invalid_input("--from is missing"));
+    }
+    actix_rt::System::new().block_on(async {
+        let mut all = Map::new();
+        let mut is_complete = true;
+        for from in addresses {
+            let page = if arguments.json { json_page } else { text_page };
+            let body = fetch(from, page, arguments).await;
+            is_complete &= body.is_ok();
+            match body {
+                Ok(body) if arguments.json => {
+                    let value: Value = serde_json::from_str(&body).change_context(ErrorKind::Corrupt)?;
+                    all.insert(from.to_string(), value);
+                }
+                Ok(body) => println!("{from}\n{}", text(&body)),
+                Err(report) if arguments.json => {
+                    all.insert(from.to_string(), json!({"error": format!("{report:?}")}));
+                }
+                Err(report) => println!("{from}\nno answer: {report:?}\n"),
+            }
+        }
+        if arguments.json {
+            print_line(&all)?;
+        }
+        Ok(Exit::from_success(is_complete))
+    })
+}
+
+async fn fetch(from: SocketAddr, page: &str, arguments: &ReadArguments) -> Result<String> {
+    let answer = client::get(from, page, arguments.timeout).await?;
+    if answer.status != 200 {
+        return Err(unavailable(format!("status {}: {}", answer.status, answer.body.trim())));
+    }
+    Ok(answer.body)
+}
+
+/// Returns JSON as tables and anything else as it is.
+fn text(body: &str) -> String {
+    serde_json::from_str(body).map_or_else(|_| body.into(), |value| table::render(&value))
+}
--- /dev/null
+++ b/crates/instance/src/settings/mod.rs
@@ -0,0 +1,77 @@
+//! Settings of one instance.
+
+mod parse;
+mod peer;
+
+pub use peer::Peer;
+
+use {
+    hemlockford_core::{
+        ids::{DataCentreId, InstanceId},
+        text::Fault,
+    },
+    parse::Parser,
+    std::{net::SocketAddr, path::PathBuf, time::Duration},
+};
+
+/// Time in which the platform's balancer notices that an instance is not ready.
+const DEFAULT_NOTICE: Duration = Duration::from_secs(5);
+const DEFAULT_WORKERS: usize = 2;
+/// Largest number of workers; more threads than any intended machine has.
+const MAX_WORKERS: usize = 64;
+
+/// Settings of one instance, section `[instance]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of this instance.
+    pub id: InstanceId,
+    /// Where it runs.
+    pub data_centre: DataCentreId,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it listens for servers, operators and the platform.
+    pub admin: SocketAddr,
+    /// Where it listens for other instances, over UDP and TCP.
+    pub listen: SocketAddr,
+    /// Threads that serve callers.
+    pub workers: usize,
+    /// Folder of durable state; an instance that has one is a control replica.
+    pub data: Option<PathBuf>,
+    /// Time between losing readiness and refusing new calls on a planned stop.
+    pub notice: Duration,
+    /// The other instances.
+    pub peers: Vec<Peer>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            id: "entry".into(),
+            data_centre: "local".into(),
+            callers: any_port,
+            admin: any_port,
+            listen: any_port,
+            workers: DEFAULT_WORKERS,
+            data: None,
+            notice: DEFAULT_NOTICE,
+            peers: Vec::new(),
+        }
+    }
+}
+
+impl Settings {
+    /// Parses settings; returns every fault that was found, with its section and key.
+    ///
+    /// ```
+    /// use hemlockford_instance::Settings;
+    /// let settings = Settings::parse("[instance]\nid = e1\ncallers = 127.0.0.1:8080\n").unwrap();
+    /// assert_eq!(settings.callers.port(), 8080);
+    /// let faults = Settings::parse("[instance]\ncolour = red\nworkers = 0\n").unwrap_err();
+    /// assert_eq!(faults.len(), 2);
+    /// assert_eq!((faults[1].line, &*faults[1].key), (3, "workers"));
+    /// ```
+    pub fn parse(source: &str) -> Result<Self, Vec<Fault>> {
+        Parser::new(source).parse()
+    }
+}
--- /dev/null
+++ b/crates/instance/src/settings/parse.rs
@@ -0,0 +1,192 @@
+//! Parser of settings that collects every fault.
+
+use {
+    super::{MAX_WORKERS, Peer, Settings},
+    hemlockford_core::{collections::FastMap, text::Fault, units::parse_duration},
+    ini::{Ini, Properties},
+    std::{net::SocketAddr, str::FromStr},
+};
+
+/// Reads settings and collects every fault.
+pub(super) struct Parser<'a> {
+    source: &'a str,
+    settings: Settings,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Parser<'a> {
+    pub(super) fn new(source: &'a str) -> Self {
+        Self { source, settings: Settings::default(), faults: Vec::new() }
+    }
+
+    pub(super) fn parse(mut self) -> Result<Settings, Vec<Fault>> {
+        match Ini::load_from_str_noescape(self.source) {
+            Ok(ini) => self.read(&ini),
+            Err(e) => {
+                let fault = Fault { line: e.line, section: "".into(), key: "".into(), message: e.msg.into() };
+                self.faults.push(fault);
+            }
+        }
+        if self.faults.is_empty() {
+            return Ok(self.settings);
+        }
+        self.faults.sort_by_key(|fault| fault.line);
+        Err(self.faults)
+    }
+
+    fn read(&mut self, ini: &Ini) {
+        for (section, properties) in ini.iter() {
+            let Some(section) = section else {
+                for (key, _) in properties.iter() {
+                    self.fault("", key, "key outside of any section");
+                }
+                continue;
+            };
+            match section.split_once(' ').map_or((section, ""), |(kind, name)| (kind, name.trim())) {
+                ("instance", "") => self.read_instance(section, properties),
+                ("peer", name) if !name.is_empty() => self.read_peer(section, name, properties),
+                _ => self.fault(section, "", "unknown section; expected [instance] or [peer NAME]"),
+            }
+        }
+        self.check_duplicates(ini);
+        self.check_whole();
+    }
+
+    fn read_instance(&mut self, section: &str, properties: &Properties) {
+        for (key, value) in properties.iter() {
+            match key {
+                "id" => self.name(section, key, value, |settings, id| settings.id = id),
+                "data-centre" => self.name(section, key, value, |settings, id| settings.data_centre = id),
+                "callers" => self.settings.callers = self.address(section, key, value, self.settings.callers),
+                "admin" => self.settings.admin = self.address(section, key, value, self.settings.admin),
+                "listen" => self.settings.listen = self.address(section, key, value, self.settings.listen),
+                "workers" => match value.parse() {
+                    Ok(workers) if (1..=MAX_WORKERS).contains(&workers) => self.settings.workers = workers,
+                    Ok(_) | Err(_) => self.fault(section, key, &format!("expected a number from 1 to {MAX_WORKERS}")),
+                },
+                "data" if value.is_empty() => self.fault(section, key, "expected a folder"),
+                "data" => self.settings.data = Some(value.into()),
+                "notice" => match parse_duration(value) {
+                    Some(notice) => self.settings.notice = notice,
+                    None => self.fault(section, key, "expected a duration such as 5s"),
+                },
+                _ => self.fault(
+                    section,
+                    key,
+                    "unknown key; expected id, data-centre, callers, admin, listen, workers, data or notice",
+                ),
+            }
+        }
+    }
+
+    fn read_peer(&mut self, section: &str, name: &str, properties: &Properties) {
+        let mut peer = Peer { id: name.into(), address: SocketAddr::from(([0, 0, 0, 0], 0)), replica: false };
+        let mut has_address = false;
+        for (key, value) in properties.iter() {
+            match (key, value) {
+                ("address", _) => {
+                    has_address = true;
+                    peer.address = self.address(section, key, value, peer.address);
+                    if peer.address.port() == 0 && SocketAddr::from_str(value).is_ok() {
+                        self.fault(section, key, "expected a port other than 0, which cannot be reached");
+                    }
+                }
+                ("replica", "yes") => peer.replica = true,
+                ("replica", "no") => peer.replica = false,
+                ("replica", _) => self.fault(section, key, "expected yes or no"),
+                _ => self.fault(section, key, "unknown key; expected address or replica"),
+            }
+        }
+        if !has_address {
+            self.fault(section, "address", "missing");
+        }
+        self.settings.peers.push(peer);
+    }
+
+    /// Checks what concerns more than one section.
+    fn check_whole(&mut self) {
+        let id = self.settings.id.clone();
+        let mut by_address = FastMap::default();
+        for peer in self.settings.peers.clone() {
+            let section = format!("peer {}", peer.id);
+            if peer.id == id {
+                self.fault(&section, "", "has the name of this instance");
+            }
+            if peer.address.port() != 0
+                && let Some(other) = by_address.insert(peer.address, peer.id.clone())
+            {
+                self.fault(&section, "address", &format!("is also the address of [peer {other}]"));
+            }
+        }
+        let listeners =
+            [("callers", self.settings.callers), ("admin", self.settings.admin), ("listen", self.settings.listen)];
+        for (index, (key, address)) in listeners.iter().enumerate() {
+            if address.port() != 0
+                && let Some((other, _)) = listeners[..index].iter().find(|(_, other)| other == address)
+            {
+                self.fault("instance", key, &format!("is also the address of {other}"));
+            }
+        }
+    }
+
+    fn check_duplicates(&mut self, ini: &Ini) {
+        let mut sections = FastMap::<&str, usize>::default();
+        for (section, properties) in ini.iter() {
+            let section = section.unwrap_or_default();
+            let count = sections.entry(section).or_default();
+            *count += 1;
+            if *count == 2 && !section.is_empty() {
+                self.fault(section, "", "section is given more than once");
+            }
+            let mut keys = FastMap::<&str, usize>::default();
+            for (key, _) in properties.iter() {
+                let count = keys.entry(key).or_default();
+                *count += 1;
+                if *count == 2 {
+                    self.fault(section, key, "key is given more than once");
+                }
+            }
+        }
+    }
+
+    fn name(&mut self, section: &str, key: &str, value: &str, set: impl FnOnce(&mut Settings, Box<str>)) {
+        if value.is_empty() || value.contains(char::is_whitespace) {
+            return self.fault(section, key, "expected a name without spaces");
+        }
+        set(&mut self.settings, value.into());
+    }
+
+    fn address(&mut self, section: &str, key: &str, value: &str, default: SocketAddr) -> SocketAddr {
+        value.parse().unwrap_or_else(|_| {
+            self.fault(section, key, "expected an IP address with a port, such as 127.0.0.1:8080");
+            default
+        })
+    }
+
+    fn fault(&mut self, section: &str, key: &str, message: &str) {
+        let line = line_of(self.source, section, key);
+        self.faults.push(Fault { line, section: section.into(), key: key.into(), message: message.into() });
+    }
+}
+
+/// Returns the last line of a key, or of a section if the key is empty, which the INI library does not
+/// report; 0 if there is none.
+fn line_of(source: &str, section: &str, key: &str) -> usize {
+    let mut current = "";
+    let mut found = 0;
+    for (index, line) in source.lines().enumerate() {
+        let line = line.trim();
+        if let Some(header) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
+            current = header.trim();
+            if current == section && key.is_empty() {
+                found = index + 1;
+            }
+        } else if current == section
+            && !line.starts_with([';', '#'])
+            && line.split_once(['=', ':']).is_some_and(|(name, _)| name.trim() == key)
+        {
+            found = index + 1;
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/instance/src/settings/peer.rs
@@ -0,0 +1,14 @@
+//! Another instance of the system.
+
+use {hemlockford_core::ids::InstanceId, std::net::SocketAddr};
+
+/// Another instance of the system, section `[peer NAME]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Name of the instance.
+    pub id: InstanceId,
+    /// Where it listens for other instances, over UDP and TCP.
+    pub address: SocketAddr,
+    /// Whether it is a control replica.
+    pub replica: bool,
+}
--- /dev/null
+++ b/crates/tools/src/content.rs
@@ -0,0 +1,85 @@
+//! Content that is derived from a request, so that a caller can check an answer against its own request.
+
+use std::hash::Hasher;
+
+/// Bytes that both ends derive from the path, the request id and the length.
+#[derive(Clone, Debug)]
+pub struct Content {
+    bytes: Vec<u8>,
+    matched: usize,
+    is_wrong: bool,
+}
+
+/// What a check of received bytes found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Every byte is there and is right.
+    Whole,
+    /// What is there is right, but the end is missing.
+    Partial,
+    /// A byte differs, or there are too many.
+    Wrong,
+}
+
+impl Content {
+    /// Derives the content of a request.
+    ///
+    /// ```
+    /// use hemlockford_tools::{Content, Verdict};
+    /// let mut content = Content::new("/catalogue/7", "a-7", 100);
+    /// let bytes = content.bytes().to_vec();
+    /// content.compare(&bytes[..60]);
+    /// assert_eq!(content.verdict(), Verdict::Partial);
+    /// content.compare(&bytes[60..]);
+    /// assert_eq!(content.verdict(), Verdict::Whole);
+    /// ```
+    pub fn new(path: &str, request: &str, length: usize) -> Self {
+        let mut bytes = format!("{path} {request} {length}\n").into_bytes();
+        let mut state = filler_seed(&bytes);
+        bytes.reserve(length + 8);
+        while bytes.len() < length {
+            state ^= state << 13;
+            state ^= state >> 7;
+            state ^= state << 17;
+            bytes.extend_from_slice(&state.to_le_bytes());
+        }
+        bytes.truncate(length);
+        Self { bytes, matched: 0, is_wrong: false }
+    }
+
+    /// Returns the whole content.
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// Takes the whole content.
+    pub fn into_bytes(self) -> Vec<u8> {
+        self.bytes
+    }
+
+    /// Compares the next received bytes.
+    pub fn compare(&mut self, received: &[u8]) {
+        let expected = self.bytes.get(self.matched..self.matched + received.len());
+        if expected == Some(received) {
+            self.matched += received.len();
+        } else {
+            self.is_wrong = true;
+        }
+    }
+
+    /// Returns what the bytes compared so far amount to.
+    pub fn verdict(&self) -> Verdict {
+        match (self.is_wrong, self.matched == self.bytes.len()) {
+            (true, _) => Verdict::Wrong,
+            (false, true) => Verdict::Whole,
+            (false, false) => Verdict::Partial,
+        }
+    }
+}
+
+/// Returns the non-zero state of a xorshift generator for the filler of a content.
+fn filler_seed(head: &[u8]) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    hasher.write(head);
+    hasher.finish() | 1
+}
--- /dev/null
+++ b/crates/tools/src/emulate/emulation.rs
@@ -0,0 +1,178 @@
+//! Starts the stand-in servers of one process.
+
+use {
+    super::{
+        announcer, connection, control::Control, executions::Executions, options::EmulateOptions, server::Server,
+        shared::Shared,
+    },
+    crate::timer::PreciseTimer,
+    actix_http::ServiceConfig,
+    error_stack::ResultExt,
+    hemlockford_core::errors::{ErrorKind, Result, invalid_input},
+    rand::{SeedableRng, rngs::SmallRng},
+    serde::Serialize,
+    slog::{Logger, info},
+    std::{
+        cell::{Cell, RefCell},
+        net::{SocketAddr, TcpListener},
+        rc::Rc,
+        sync::{Arc, mpsc},
+        thread,
+        time::{Duration, Instant},
+    },
+    tokio::sync::{Semaphore, watch},
+};
+
+/// Time between two looks at whether the servers are idle.
+const IDLE_CHECK: Duration = Duration::from_millis(20);
+
+/// Stand-in servers that run on their own threads until this value is dropped.
+pub struct Emulation {
+    addresses: EmulationAddresses,
+    control: Control,
+    log: Logger,
+    stop: watch::Sender<bool>,
+}
+
+/// Addresses of the stand-in servers of one process.
+#[derive(Clone, Debug, Serialize)]
+pub struct EmulationAddresses {
+    /// Control listener.
+    pub control: SocketAddr,
+    /// Servers.
+    pub servers: Vec<ServerAddress>,
+    /// Seed of the service times.
+    pub seed: u64,
+}
+
+/// Name and address of one server.
+#[derive(Clone, Debug, Serialize)]
+pub struct ServerAddress {
+    /// Name.
+    pub server: Box<str>,
+    /// Where it listens for calls.
+    pub address: SocketAddr,
+}
+
+impl Emulation {
+    /// Binds every listener and starts the threads.
+    pub fn start(options: EmulateOptions, log: Logger) -> Result<Self> {
+        if options.servers == 0 || options.threads == 0 || options.slots == 0 {
+            return Err(invalid_input("servers, slots and threads must be above zero"));
+        }
+        let options = Arc::new(options);
+        let executions = Arc::<Executions>::default();
+        let epoch = Instant::now();
+        let mut listeners = Vec::new();
+        let mut servers = Vec::new();
+        for number in 0..options.servers {
+            let (listener, address) = bind(&options)?;
+            let name = format!("{}-{number}", options.prefix).into();
+            servers.push(Arc::new(Shared::new(name, address, epoch, options.behaviour)));
+            listeners.push(Some(listener));
+        }
+        let (control_listener, control_address) = bind(&options)?;
+        let control = Control { servers: servers.clone().into(), executions: executions.clone() };
+        let (stop, stop_rx) = watch::channel(false);
+        let timer = PreciseTimer::start();
+        for thread_number in 0..options.threads.min(options.servers) {
+            let numbers = (thread_number..options.servers).step_by(options.threads);
+            let parts: Vec<_> = numbers
+                .filter_map(|number| Some((number, listeners[number].take()?, servers[number].clone())))
+                .collect();
+            let (options, executions, timer) = (options.clone(), executions.clone(), timer.clone());
+            run_thread(stop_rx.clone(), move || {
+                for (number, listener, shared) in parts {
+                    let seed = options.seed.wrapping_add(number as u64);
+                    let server = Rc::new(Server {
+                        slots: Semaphore::new(options.slots as usize),
+                        options: options.clone(),
+                        shared,
+                        executions: executions.clone(),
+                        timer: timer.clone(),
+                        waiting: Cell::new(0),
+                        rng: RefCell::new(SmallRng::seed_from_u64(seed)),
+                        lagging: Cell::new(None),
+                    });
+                    actix_rt::spawn(announcer::announce(server.clone(), number));
+                    actix_rt::spawn(accept(server, listener));
+                }
+            })?;
+        }
+        let served = control.clone();
+        run_thread(stop_rx, move || {
+            actix_rt::spawn(served.run(control_listener));
+        })?;
+        let servers = servers
+            .iter()
+            .map(|server| ServerAddress { server: server.name.clone(), address: server.address })
+            .collect();
+        let addresses = EmulationAddresses { control: control_address, servers, seed: options.seed };
+        info!(log, "stand-in servers started"; "servers" => options.servers, "control" => %control_address);
+        Ok(Self { addresses, control, log, stop })
+    }
+
+    /// Returns the addresses.
+    pub fn addresses(&self) -> &EmulationAddresses {
+        &self.addresses
+    }
+
+    /// Returns the counts as the control listener serves them.
+    pub fn executions(&self) -> serde_json::Value {
+        self.control.executions()
+    }
+
+    /// Announces that every server leaves, serves for the time given, and finishes the calls in progress.
+    pub async fn leave(&self, linger: Duration, limit: Duration) {
+        for server in self.control.servers.iter() {
+            // The mode is one of the known ones, so that it cannot be refused.
+            let _ = server.apply("mode=leaving");
+        }
+        info!(self.log, "stand-in servers are leaving"; "linger_ms" => linger.as_millis() as u64);
+        actix_rt::time::sleep(linger).await;
+        let end = Instant::now() + limit;
+        let is_busy = || self.control.servers.iter().any(|server| server.count(|counts| counts.in_flight > 0));
+        while is_busy() && Instant::now() < end {
+            actix_rt::time::sleep(IDLE_CHECK).await;
+        }
+        info!(self.log, "stand-in servers stopped");
+    }
+}
+
+impl Drop for Emulation {
+    fn drop(&mut self) {
+        // The threads also end when the sender is dropped.
+        let _ = self.stop.send(true);
+    }
+}
+
+/// Runs local tasks on a thread of their own until the stop signal; returns once the tasks are started.
+fn run_thread(mut stop: watch::Receiver<bool>, start: impl FnOnce() + Send + 'static) -> Result<()> {
+    let (started, is_started) = mpsc::channel();
+    let thread = thread::Builder::new().name("emulate".into()).spawn(move || {
+        let Ok(runtime) = actix_rt::Runtime::new() else { return };
+        runtime.block_on(async move {
+            start();
+            let _ = started.send(());
+            let _ = stop.changed().await;
+        });
+    });
+    thread.change_context(ErrorKind::Io)?;
+    is_started.recv().change_context(ErrorKind::Io).attach("runtime of a thread cannot be made")
+}
+
+fn bind(options: &EmulateOptions) -> Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind((options.bind, 0)).change_context(ErrorKind::Io)?;
+    listener.set_nonblocking(true).change_context(ErrorKind::Io)?;
+    let address = listener.local_addr().change_context(ErrorKind::Io)?;
+    Ok((listener, address))
+}
+
+async fn accept(server: Rc<Server>, listener: TcpListener) -> Result<()> {
+    let listener = tokio::net::TcpListener::from_std(listener).change_context(ErrorKind::Io)?;
+    let config = ServiceConfig::default();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        actix_rt::spawn(connection::serve(server.clone(), stream, config.clone()));
+    }
+}
--- /dev/null
+++ b/crates/tools/src/emulate/mod.rs
@@ -0,0 +1,23 @@
+//! Stand-in servers that announce themselves and count what they run.
+
+mod announcer;
+mod behaviour;
+mod connection;
+mod control;
+mod emulation;
+mod executions;
+mod options;
+mod reply;
+mod server;
+mod service_time;
+mod shared;
+
+pub(crate) use service_time::exponential;
+pub use {
+    behaviour::{Behaviour, Cut, Report},
+    emulation::{Emulation, EmulationAddresses, ServerAddress},
+    executions::{ExecutionReport, Executions},
+    options::EmulateOptions,
+    service_time::ServiceTime,
+    shared::ServerReport,
+};
--- /dev/null
+++ b/crates/tools/src/emulate/server.rs
@@ -0,0 +1,209 @@
+//! One stand-in server: its slots, its queue and how it runs a call.
+
+use {
+    super::{
+        behaviour::{Behaviour, Report},
+        executions::Executions,
+        options::EmulateOptions,
+        reply::Reply,
+        shared::Shared,
+    },
+    crate::{content::Content, headers, timer::PreciseTimer},
+    actix_http::{Request, StatusCode, header::HeaderName},
+    hemlockford_core::dispatch::LOAD_HEADER,
+    rand::rngs::SmallRng,
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::sync::Semaphore,
+};
+
+/// Path that answers the cost of a probe.
+const PROBE: &str = "/probe";
+/// Longest answer that a request may ask for.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// One stand-in server.
+pub(super) struct Server {
+    pub(super) options: Arc<EmulateOptions>,
+    pub(super) shared: Arc<Shared>,
+    pub(super) executions: Arc<Executions>,
+    pub(super) timer: PreciseTimer,
+    pub(super) slots: Semaphore,
+    pub(super) waiting: Cell<u32>,
+    pub(super) rng: RefCell<SmallRng>,
+    /// Load that was last reported and when it was read, for reports that lag.
+    pub(super) lagging: Cell<Option<(Instant, u32)>>,
+}
+
+/// What a server needs to know of a request.
+pub(super) struct Call {
+    path: Box<str>,
+    request: Box<str>,
+    is_idempotent: bool,
+    answer_bytes: Option<usize>,
+}
+
+/// Counts a call as in flight until it is dropped.
+struct InFlight<'a>(&'a Shared);
+
+/// Counts a call as waiting for a slot until it is dropped.
+struct Waiting<'a>(&'a Cell<u32>);
+
+/// Counts an execution as cancelled when it is dropped before its end.
+struct Execution<'a> {
+    shared: &'a Shared,
+    is_finished: bool,
+}
+
+impl Call {
+    pub(super) fn new(req: &Request) -> Self {
+        let text = |name: &HeaderName| req.head().headers().get(name).and_then(|value| value.to_str().ok());
+        let length = text(&headers::ANSWER_BYTES).and_then(|value| value.parse().ok());
+        Self {
+            path: req.path().into(),
+            request: text(&headers::REQUEST).unwrap_or(req.path()).into(),
+            is_idempotent: req.method().is_idempotent(),
+            answer_bytes: length.map(|length: usize| length.min(MAX_ANSWER_BYTES)),
+        }
+    }
+
+    /// Returns the content that an upload of this call must have.
+    pub(super) fn upload(&self, length: usize) -> Content {
+        Content::new(&self.path, &self.request, length)
+    }
+}
+
+impl Server {
+    /// Runs one call; dropping the future cancels the call and frees its slot.
+    pub(super) async fn run(self: &Rc<Self>, call: &Call) -> Reply {
+        let _in_flight = InFlight::new(&self.shared);
+        if &*call.path == PROBE {
+            return self.probe().await;
+        }
+        let behaviour = self.shared.behaviour();
+        if behaviour.fail_fast {
+            // The caller cannot know that nothing ran, so this counts as an execution.
+            let number = self.executions.start(&call.request, call.is_idempotent);
+            self.shared.count_start();
+            self.shared.count(|counts| {
+                counts.failed_fast += 1;
+                counts.finished += 1;
+            });
+            return self
+                .reply(StatusCode::INTERNAL_SERVER_ERROR, "failed\n")
+                .header(headers::EXECUTION, &number.to_string());
+        }
+        let is_busy = self.slots.available_permits() == 0;
+        if behaviour.shed.is_some_and(|bound| is_busy && self.waiting.get() >= bound) {
+            self.shared.count(|counts| counts.shed += 1);
+            return self.reply(StatusCode::SERVICE_UNAVAILABLE, "shed\n").header(headers::SHED, "1");
+        }
+        let waiting = Waiting::new(&self.waiting);
+        // The semaphore is never closed, so that a failure to acquire cannot happen.
+        let _slot = self.slots.acquire().await;
+        drop(waiting);
+        let start = Instant::now();
+        let number = self.executions.start(&call.request, call.is_idempotent);
+        self.shared.count_start();
+        let execution = Execution { shared: &self.shared, is_finished: false };
+        let behaviour = self.shared.behaviour();
+        if behaviour.hung {
+            std::future::pending::<()>().await;
+        }
+        self.timer.sleep_until(start + self.service_time(&behaviour, start)).await;
+        execution.finish();
+        let length = call.answer_bytes.unwrap_or(self.options.answer_bytes);
+        let body = Content::new(&call.path, &call.request, length).into_bytes();
+        let mut reply = self.reply(StatusCode::OK, body).header(headers::EXECUTION, &number.to_string());
+        reply.cut = behaviour.cut;
+        reply.chunked = behaviour.chunked;
+        reply
+    }
+
+    /// Returns the load that the server reports now.
+    pub(super) fn reported_load(&self) -> Option<u32> {
+        let actual = self.shared.count(|counts| counts.in_flight);
+        match self.shared.behaviour().report {
+            Report::Honest => Some(actual),
+            Report::Fixed(load) => Some(load),
+            Report::Absent => None,
+            Report::LagMs(lag) => {
+                let now = Instant::now();
+                let known = self.lagging.get().filter(|(at, _)| now - *at < Duration::from_millis(lag));
+                let (at, load) = known.unwrap_or((now, actual));
+                self.lagging.set(Some((at, load)));
+                Some(load)
+            }
+        }
+    }
+
+    async fn probe(&self) -> Reply {
+        self.shared.count(|counts| counts.probes += 1);
+        let _slot = self.slots.acquire().await;
+        self.timer.sleep_until(Instant::now() + self.options.probe_time).await;
+        self.reply(StatusCode::OK, "ok\n")
+    }
+
+    fn reply(&self, status: StatusCode, body: impl Into<bytes::Bytes>) -> Reply {
+        let reply = Reply::new(status, body);
+        match self.reported_load() {
+            Some(load) => reply.header(HeaderName::from_static(LOAD_HEADER), &format!("{load}/{}", self.options.slots)),
+            None => reply,
+        }
+    }
+
+    /// Draws the service time of a call that starts now, in a cold server as in a warm one.
+    fn service_time(&self, behaviour: &Behaviour, now: Instant) -> Duration {
+        let drawn = self.options.service_time.sample(&mut *self.rng.borrow_mut());
+        let age = now.saturating_duration_since(self.shared.start().0);
+        let warmth = match self.options.cold_time {
+            Duration::ZERO => 1.0,
+            cold => (age.as_secs_f64() / cold.as_secs_f64()).min(1.0),
+        };
+        let cold_factor = self.options.cold_factor + (1.0 - self.options.cold_factor) * warmth;
+        drawn.mul_f64(cold_factor * behaviour.factor)
+    }
+}
+
+impl<'a> InFlight<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.count(|counts| counts.in_flight += 1);
+        Self(shared)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.count(|counts| counts.in_flight -= 1);
+    }
+}
+
+impl<'a> Waiting<'a> {
+    fn new(waiting: &'a Cell<u32>) -> Self {
+        waiting.set(waiting.get() + 1);
+        Self(waiting)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Execution<'_> {
+    fn finish(mut self) {
+        self.is_finished = true;
+    }
+}
+
+impl Drop for Execution<'_> {
+    fn drop(&mut self) {
+        let is_finished = self.is_finished;
+        self.shared.count(|counts| if is_finished { counts.finished += 1 } else { counts.cancelled += 1 });
+    }
+}
--- /dev/null
+++ b/crates/tools/src/emulate/shared.rs
@@ -0,0 +1,131 @@
+//! The part of a stand-in server that its own thread shares with the control listener.
+
+use {
+    super::behaviour::Behaviour,
+    hemlockford_core::dispatch::ServerState,
+    serde::Serialize,
+    std::{
+        net::SocketAddr,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::{Instant, SystemTime, UNIX_EPOCH},
+    },
+    tokio::sync::Notify,
+};
+
+/// The part of a stand-in server that its own thread shares with the control listener.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) name: Box<str>,
+    pub(super) address: SocketAddr,
+    /// Start of the process, from which the reported times count.
+    pub(super) epoch: Instant,
+    /// Signalled when the announced state may have changed, so that it is announced at once.
+    pub(super) changed: Notify,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    behaviour: Behaviour,
+    start: Instant,
+    incarnation: u64,
+    counts: Counts,
+}
+
+/// Counts of one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub(super) struct Counts {
+    pub(super) started: u64,
+    pub(super) finished: u64,
+    pub(super) cancelled: u64,
+    pub(super) shed: u64,
+    pub(super) failed_fast: u64,
+    pub(super) probes: u64,
+    pub(super) in_flight: u32,
+    pub(super) connections: u32,
+    pub(super) refused_connections: u64,
+    pub(super) last_started_ms: Option<u64>,
+    pub(super) leaving_since_ms: Option<u64>,
+    pub(super) started_after_leaving: u64,
+}
+
+/// Counts and behaviour of one server, with times in milliseconds since the start of the process.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ServerReport {
+    server: Box<str>,
+    address: SocketAddr,
+    behaviour: Behaviour,
+    #[serde(flatten)]
+    counts: Counts,
+}
+
+impl Shared {
+    pub(super) fn new(name: Box<str>, address: SocketAddr, epoch: Instant, behaviour: Behaviour) -> Self {
+        let state = State { behaviour, start: epoch, incarnation: wall_clock(), counts: Counts::default() };
+        Self { name, address, epoch, changed: Notify::new(), state: Mutex::new(state) }
+    }
+
+    pub(super) fn behaviour(&self) -> Behaviour {
+        self.lock().behaviour
+    }
+
+    /// Returns the start and the incarnation.
+    pub(super) fn start(&self) -> (Instant, u64) {
+        let state = self.lock();
+        (state.start, state.incarnation)
+    }
+
+    /// Applies a mode; `restart` also makes a new incarnation that starts cold.
+    pub(super) fn apply(&self, query: &str) -> Result<Behaviour, String> {
+        let mut state = self.lock();
+        if query.split('&').any(|pair| pair == "mode=restart") {
+            state.start = Instant::now();
+            state.incarnation = wall_clock().max(state.incarnation + 1);
+            state.behaviour.state = ServerState::Ready;
+        } else {
+            state.behaviour.apply(query)?;
+        }
+        let is_leaving = matches!(state.behaviour.state, ServerState::Draining | ServerState::Leaving);
+        let since = state.counts.leaving_since_ms.filter(|_| is_leaving);
+        state.counts.leaving_since_ms = is_leaving.then(|| since.unwrap_or(self.now_ms()));
+        let behaviour = state.behaviour;
+        drop(state);
+        self.changed.notify_one();
+        Ok(behaviour)
+    }
+
+    pub(super) fn count<T>(&self, change: impl FnOnce(&mut Counts) -> T) -> T {
+        change(&mut self.lock().counts)
+    }
+
+    pub(super) fn count_start(&self) {
+        let now = self.now_ms();
+        self.count(|counts| {
+            counts.started += 1;
+            counts.last_started_ms = Some(now);
+            counts.started_after_leaving += u64::from(counts.leaving_since_ms.is_some());
+        });
+    }
+
+    pub(super) fn report(&self) -> ServerReport {
+        let state = self.lock();
+        ServerReport {
+            server: self.name.clone(),
+            address: self.address,
+            behaviour: state.behaviour,
+            counts: state.counts,
+        }
+    }
+
+    pub(super) fn now_ms(&self) -> u64 {
+        self.epoch.elapsed().as_millis() as u64
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn wall_clock() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as u64)
+}
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -1,9 +1,18 @@
-//! Stand-in servers and an open-loop load generator, for experiments and tests.
+//! Stand-in servers, an open-loop load generator and comparisons of the two, for experiments and tests.
 
-mod emulate;
-mod load;
+pub mod compare;
+mod content;
+pub mod emulate;
+mod headers;
+pub mod load;
+mod quantity;
+mod timer;
 
 pub use {
-    emulate::{EmulateOptions, emulate},
+    compare::{AddedOptions, AddedRow, added},
+    content::{Content, Verdict},
+    emulate::{EmulateOptions, Emulation, ServiceTime},
     load::{LoadOptions, LoadSummary, load},
+    quantity::parse_time,
+    timer::PreciseTimer,
 };
--- /dev/null
+++ b/crates/tools/src/load/schedule.rs
@@ -0,0 +1,100 @@
+//! Arrival times, which are fixed by the options and the seed alone.
+
+use {
+    super::options::{Arrivals, LoadOptions},
+    crate::emulate::exponential,
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::time::Duration,
+};
+
+/// One call that is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Time since the start of the run.
+    pub at: Duration,
+    /// Number within the run.
+    pub number: u64,
+    /// Index of the customer.
+    pub customer: usize,
+    /// Index of the method.
+    pub method: usize,
+}
+
+/// The calls of a run in the order of their times.
+#[derive(Debug)]
+pub struct Schedule {
+    arrivals: Arrivals,
+    end: f64,
+    rates: Vec<f64>,
+    /// Time of the next call of each customer, in seconds.
+    next: Vec<f64>,
+    weights: Vec<u32>,
+    number: u64,
+    calls: u64,
+    rng: SmallRng,
+}
+
+impl Schedule {
+    /// Makes the schedule of a run.
+    ///
+    /// ```
+    /// use hemlockford_tools::load::{LoadOptions, Schedule};
+    /// let schedule = Schedule::new(&LoadOptions::default());
+    /// assert_eq!(schedule.count(), 500);
+    /// ```
+    pub fn new(options: &LoadOptions) -> Self {
+        let mut rng = SmallRng::seed_from_u64(options.seed);
+        let rates: Vec<_> = options.customers.iter().map(|customer| customer.rate).collect();
+        // Customers start at different points of their interval, so that they do not arrive in step.
+        let next = rates.iter().enumerate().map(|(index, rate)| match options.arrivals {
+            Arrivals::Constant => index as f64 / rates.len() as f64 / rate,
+            Arrivals::Poisson => exponential(&mut rng) / rate,
+        });
+        let next = next.collect();
+        Self {
+            arrivals: options.arrivals,
+            end: options.time.as_secs_f64(),
+            rates,
+            next,
+            weights: options.methods.iter().map(|share| share.weight).collect(),
+            number: 0,
+            calls: options.calls,
+            rng,
+        }
+    }
+
+    fn method(&mut self) -> usize {
+        let total: u32 = self.weights.iter().sum();
+        if self.weights.len() < 2 || total == 0 {
+            return 0;
+        }
+        let mut drawn = self.rng.random_range(0..total);
+        for (index, weight) in self.weights.iter().enumerate() {
+            match drawn.checked_sub(*weight) {
+                Some(rest) => drawn = rest,
+                None => return index,
+            }
+        }
+        0
+    }
+}
+
+impl Iterator for Schedule {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        let (customer, at) =
+            self.next.iter().copied().enumerate().min_by(|(_, first), (_, second)| first.total_cmp(second))?;
+        if at >= self.end || self.number >= self.calls {
+            return None;
+        }
+        let step = match self.arrivals {
+            Arrivals::Constant => 1.0,
+            Arrivals::Poisson => exponential(&mut self.rng),
+        };
+        self.next[customer] += step / self.rates[customer];
+        let arrival = Arrival { at: Duration::from_secs_f64(at), number: self.number, customer, method: self.method() };
+        self.number += 1;
+        Some(arrival)
+    }
+}
--- /dev/null
+++ b/crates/tools/src/load/tally.rs
@@ -0,0 +1,152 @@
+//! Counts and latencies of a group of calls.
+
+use {
+    super::outcome::{CallOutcome, FaultKind},
+    hdrhistogram::Histogram,
+    serde_json::{Value, json},
+    std::{collections::BTreeMap, fmt::Debug, time::Duration},
+};
+
+/// Longest latency that is told apart; a call is given up long before.
+const HIGHEST_MICROSECONDS: u64 = 600_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+/// Quantiles of reports.
+const QUANTILES: [(&str, f64); 5] = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("p99.9", 0.999), ("max", 1.0)];
+
+/// Counts and latencies of a group of calls. Latency counts from the intended start.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    /// Latency of answers with a status below 500, in microseconds.
+    pub latency: Histogram<u64>,
+    /// Time until a caller was told that its call did not run, in microseconds.
+    pub rejection: Histogram<u64>,
+    /// Answers by status.
+    pub answered: BTreeMap<u16, u64>,
+    /// Calls that did not run, by reason.
+    pub not_run: BTreeMap<Box<str>, u64>,
+    /// Calls of which it is not known whether they ran, by reason.
+    pub unknown: BTreeMap<Box<str>, u64>,
+    /// Answers that broke a promise.
+    pub faults: BTreeMap<FaultKind, u64>,
+    /// Calls that were due but not sent because too many were in flight.
+    pub unsent: u64,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        Self {
+            latency: histogram(),
+            rejection: histogram(),
+            answered: BTreeMap::new(),
+            not_run: BTreeMap::new(),
+            unknown: BTreeMap::new(),
+            faults: BTreeMap::new(),
+            unsent: 0,
+        }
+    }
+}
+
+/// Makes an empty histogram of microseconds.
+pub(super) fn histogram() -> Histogram<u64> {
+    // The bounds are constants that the library accepts; a histogram that grows is the fallback.
+    Histogram::new_with_bounds(1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+        .or_else(|_| Histogram::new(SIGNIFICANT_DIGITS))
+        .unwrap_or_else(|_| unreachable!("three digits are within the library's limits"))
+}
+
+impl Tally {
+    /// Counts one call.
+    pub fn record(&mut self, outcome: CallOutcome, latency: Duration) {
+        let microseconds = latency.as_micros() as u64;
+        match outcome {
+            CallOutcome::Answered(status) => {
+                if status < 500 {
+                    self.latency.saturating_record(microseconds);
+                }
+                *self.answered.entry(status).or_default() += 1;
+            }
+            CallOutcome::NotRun(reason) => {
+                self.rejection.saturating_record(microseconds);
+                *self.not_run.entry(reason).or_default() += 1;
+            }
+            CallOutcome::Unknown(reason) => *self.unknown.entry(reason).or_default() += 1,
+            CallOutcome::Fault(kind) => *self.faults.entry(kind).or_default() += 1,
+        }
+    }
+
+    /// Adds the calls of another group.
+    pub fn merge(&mut self, other: &Self) {
+        // Histograms of the same bounds can always be added.
+        let _ = self.latency.add(&other.latency);
+        let _ = self.rejection.add(&other.rejection);
+        add(&mut self.answered, &other.answered);
+        add(&mut self.not_run, &other.not_run);
+        add(&mut self.unknown, &other.unknown);
+        add(&mut self.faults, &other.faults);
+        self.unsent += other.unsent;
+    }
+
+    /// Returns the number of answers with a status below 500.
+    pub fn good(&self) -> u64 {
+        self.answered.iter().filter(|(status, _)| **status < 500).map(|(_, count)| count).sum()
+    }
+
+    /// Returns the number of answers that broke a promise.
+    pub fn fault_count(&self) -> u64 {
+        self.faults.values().sum()
+    }
+
+    /// Returns a latency in microseconds.
+    pub fn quantile(&self, quantile: f64) -> u64 {
+        self.latency.value_at_quantile(quantile)
+    }
+
+    /// Returns the counts and latencies for a machine.
+    pub fn to_json(&self) -> Value {
+        json!({
+            "good": self.good(),
+            "answered": names(&self.answered, u16::to_string),
+            "not_run": names(&self.not_run, |reason| reason.to_string()),
+            "unknown": names(&self.unknown, |reason| reason.to_string()),
+            "faults": names(&self.faults, FaultKind::to_string),
+            "unsent": self.unsent,
+            "latency_us": quantiles(&self.latency),
+            "rejection_us": quantiles(&self.rejection),
+        })
+    }
+
+    /// Returns the counts and latencies as lines for a person.
+    pub fn to_lines(&self, name: &str) -> String {
+        let list = |counts: Vec<String>| if counts.is_empty() { "none".into() } else { counts.join(", ") };
+        let counted = |counts: &BTreeMap<Box<str>, u64>| list(counts.iter().map(|(k, n)| format!("{k} {n}")).collect());
+        let latency: Vec<_> =
+            QUANTILES.iter().map(|(name, quantile)| format!("{name} {} us", self.quantile(*quantile))).collect();
+        format!(
+            "{name}: {} good\n  answered: {}\n  not run: {}\n  unknown: {}\n  faults: {}; unsent: {}\n  latency: {}\n",
+            self.good(),
+            list(self.answered.iter().map(|(status, count)| format!("{status} {count}")).collect()),
+            counted(&self.not_run),
+            counted(&self.unknown),
+            list(self.faults.iter().map(|(kind, count)| format!("{kind} {count}")).collect()),
+            self.unsent,
+            latency.join(", "),
+        )
+    }
+}
+
+/// Returns the quantiles of a histogram by name.
+pub(super) fn quantiles(histogram: &Histogram<u64>) -> Value {
+    let pairs =
+        QUANTILES.iter().map(|(name, quantile)| ((*name).into(), histogram.value_at_quantile(*quantile).into()));
+    Value::Object(pairs.collect())
+}
+
+fn add<K: Ord + Clone>(to: &mut BTreeMap<K, u64>, from: &BTreeMap<K, u64>) {
+    for (key, count) in from {
+        *to.entry(key.clone()).or_default() += count;
+    }
+}
+
+fn names<K: Debug>(counts: &BTreeMap<K, u64>, name: impl Fn(&K) -> String) -> Value {
+    Value::Object(counts.iter().map(|(key, count)| (name(key), (*count).into())).collect())
+}
