Test the real binary as processes and show that the load checks fail

Cause: nothing proved from outside what ran, and no test used the real processes.

The stand-in servers can crash and come back within their process, so that their counts survive and a false 'not run' can be shown; those of a killed process are lost. Constant arrival times are multiplied rather than added up: 501 instead of 500 calls came out of 5 s at 100/s before.

--- a/crates/hemlockford/src/bench.rs
+++ b/crates/hemlockford/src/bench.rs
@@ -90,6 +90,12 @@
             quantiles(&|quantile| row.added(quantile)),
             if row.added(0.99) <= TARGET_P99 { "within 540 us" } else { "above 540 us" },
         );
+        println!(
+            "          added p99 by round: {:?} us, median {} us; calls started late by up to {} us at p99",
+            row.rounds_p99,
+            row.median_p99(),
+            row.late_p99,
+        );
         if !row.is_clean {
             println!("          broken promises: direct {:?}, through {:?}", row.direct.faults, row.through.faults);
         }
--- a/crates/hemlockford/src/main.rs
+++ b/crates/hemlockford/src/main.rs
@@ -18,12 +18,21 @@
 
 use {
     command::{Arguments, Command, EXIT_CODES},
+    error_stack::{
+        Report,
+        fmt::{Charset, ColorMode},
+    },
     exit::Exit,
     gumdrop::{Options, ParsingStyle},
-    std::process::ExitCode,
+    std::{backtrace::Backtrace, panic::Location, process::ExitCode},
 };
 
 fn main() -> ExitCode {
+    // An operator needs what failed and why, not where in the source.
+    Report::set_color_mode(ColorMode::None);
+    Report::set_charset(Charset::Ascii);
+    Report::install_debug_hook::<Location>(|_, _| {});
+    Report::install_debug_hook::<Backtrace>(|_, _| {});
     let words: Vec<_> = std::env::args().skip(1).collect();
     let arguments = match Arguments::parse_args(&words, ParsingStyle::AllOptions) {
         Ok(arguments) => arguments,
--- /dev/null
+++ b/crates/hemlockford/tests/processes/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the real binary as processes on loopback, with ports that the system chooses.
+
+mod commands;
+mod faults;
+mod path;
+mod process;
+mod relay;
+mod system;
--- /dev/null
+++ b/crates/hemlockford/tests/processes/process.rs
@@ -0,0 +1,101 @@
+//! One process of the binary.
+
+use {
+    serde_json::Value,
+    std::{
+        io::{BufRead, BufReader, Read},
+        process::{Child, ChildStdout, Command, Stdio},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_hemlockford");
+/// Time within which a process must end after it was asked to.
+const EXIT_LIMIT: Duration = Duration::from_secs(30);
+
+/// A running process, killed by its id when dropped.
+pub struct Process {
+    child: Child,
+    stdout: BufReader<ChildStdout>,
+}
+
+/// Result of a process that ended.
+#[derive(Debug)]
+pub struct Ended {
+    pub code: i32,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl Process {
+    /// Starts the binary.
+    pub fn start(arguments: &[&str]) -> Self {
+        let mut child = Command::new(BINARY)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the binary starts");
+        let stdout = BufReader::new(child.stdout.take().expect("standard output is piped"));
+        Self { child, stdout }
+    }
+
+    /// Reads the next line; empty at the end of the output.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.stdout.read_line(&mut line).expect("the output is text");
+        line
+    }
+
+    /// Reads the next line as JSON, such as the line that says where a process listens.
+    pub fn json(&mut self) -> Value {
+        let line = self.line();
+        serde_json::from_str(&line).unwrap_or_else(|e| panic!("{e} in '{line}'"))
+    }
+
+    /// Sends a signal by name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status().expect("kill runs");
+        assert!(status.success(), "signal {name} to {id}");
+    }
+
+    /// Kills the process as a crash would.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the end and returns the exit code and the rest of the output.
+    pub fn wait(&mut self) -> (i32, String) {
+        let end = Instant::now() + EXIT_LIMIT;
+        let status = loop {
+            if let Some(status) = self.child.try_wait().expect("the process can be waited for") {
+                break status;
+            }
+            assert!(Instant::now() < end, "the process did not end");
+            thread::sleep(Duration::from_millis(10));
+        };
+        let mut rest = String::new();
+        self.stdout.read_to_string(&mut rest).expect("the output is text");
+        (status.code().unwrap_or(-1), rest)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Runs the binary to its end.
+pub fn run(arguments: &[&str]) -> Ended {
+    let output = Command::new(BINARY).args(arguments).stdin(Stdio::null()).output().expect("the binary starts");
+    Ended {
+        code: output.status.code().unwrap_or(-1),
+        stdout: String::from_utf8_lossy(&output.stdout).into(),
+        stderr: String::from_utf8_lossy(&output.stderr).into(),
+    }
+}
--- a/crates/tools/src/compare.rs
+++ b/crates/tools/src/compare.rs
@@ -45,6 +45,11 @@
     pub direct: Tally,
     /// Calls through an entry.
     pub through: Tally,
+    /// Difference at the 99th percentile in each round, in microseconds and in rising order.
+    pub rounds_p99: Vec<i64>,
+    /// How late calls were started at the 99th percentile, in microseconds, in the worst part; it shows
+    /// how much the machine was disturbed.
+    pub late_p99: u64,
     /// Whether every answer was whole, right and not repeated.
     pub is_clean: bool,
 }
@@ -52,13 +57,20 @@
 impl AddedRow {
     /// Title line of the CSV form.
     pub const CSV_TITLE: &'static str = "rate,direct_p50_us,direct_p99_us,direct_p999_us,through_p50_us,\
-        through_p99_us,through_p999_us,added_p50_us,added_p99_us,added_p999_us,direct_good,through_good,clean";
+        through_p99_us,through_p999_us,added_p50_us,added_p99_us,added_p999_us,rounds_median_added_p99_us,late_p99_us,\
+        direct_good,through_good,clean";
 
     /// Returns what the entry adds at a quantile, in microseconds.
     pub fn added(&self, quantile: f64) -> i64 {
         self.through.quantile(quantile) as i64 - self.direct.quantile(quantile) as i64
     }
 
+    /// Returns the median over the rounds of the difference at the 99th percentile, in microseconds. A round
+    /// that was disturbed by something else on the machine moves it less than the merged figure.
+    pub fn median_p99(&self) -> i64 {
+        self.rounds_p99.get(self.rounds_p99.len() / 2).copied().unwrap_or_default()
+    }
+
     /// Returns one line of CSV.
     pub fn to_csv(&self) -> String {
         const QUANTILES: [f64; 3] = [0.5, 0.99, 0.999];
@@ -71,6 +83,7 @@
         for quantile in QUANTILES {
             let _ = write!(line, ",{}", self.added(quantile));
         }
+        let _ = write!(line, ",{},{}", self.median_p99(), self.late_p99);
         let _ = write!(line, ",{},{},{}", self.direct.good(), self.through.good(), self.is_clean);
         line
     }
@@ -81,22 +94,37 @@
     if options.entries.is_empty() || options.servers.is_empty() {
         return Err(invalid_input("both entries and servers are needed"));
     }
-    let mut rows = Vec::new();
-    for rate in &options.rates {
-        let mut row = AddedRow { rate: *rate, direct: Tally::default(), through: Tally::default(), is_clean: true };
-        for _ in 0..options.rounds {
-            for (targets, tally) in [(&options.servers, &mut row.direct), (&options.entries, &mut row.through)] {
-                let summary = load(LoadOptions {
-                    targets: targets.clone(),
-                    customers: vec![CustomerLoad { name: None, rate: *rate }],
-                    time: options.time,
-                    ..options.load.clone()
-                })?;
-                tally.merge(&summary.total);
-                row.is_clean &= summary.is_clean();
-            }
-        }
-        rows.push(row);
+    options.rates.iter().map(|rate| compare(options, *rate)).collect()
+}
+
+fn compare(options: &AddedOptions, rate: f64) -> Result<AddedRow> {
+    let mut row = AddedRow {
+        rate,
+        direct: Tally::default(),
+        through: Tally::default(),
+        rounds_p99: Vec::new(),
+        late_p99: 0,
+        is_clean: true,
+    };
+    for _ in 0..options.rounds {
+        let direct = part(options, &options.servers, &mut row)?;
+        let through = part(options, &options.entries, &mut row)?;
+        row.rounds_p99.push(through.quantile(0.99) as i64 - direct.quantile(0.99) as i64);
+        row.direct.merge(&direct);
+        row.through.merge(&through);
     }
-    Ok(rows)
+    row.rounds_p99.sort_unstable();
+    Ok(row)
+}
+
+fn part(options: &AddedOptions, targets: &[SocketAddr], row: &mut AddedRow) -> Result<Tally> {
+    let summary = load(LoadOptions {
+        targets: targets.to_vec(),
+        customers: vec![CustomerLoad { name: None, rate: row.rate }],
+        time: options.time,
+        ..options.load.clone()
+    })?;
+    row.is_clean &= summary.is_clean();
+    row.late_p99 = row.late_p99.max(summary.lateness.value_at_quantile(0.99));
+    Ok(summary.total)
 }
--- a/crates/tools/src/emulate/announcer.rs
+++ b/crates/tools/src/emulate/announcer.rs
@@ -27,7 +27,7 @@
         let changed = server.shared.changed.notified();
         let behaviour = server.shared.behaviour();
         let (start, incarnation) = server.shared.start();
-        if !behaviour.silent {
+        if !behaviour.silent && !behaviour.down {
             sequence = if incarnation == last_incarnation { sequence + 1 } else { 1 };
             last_incarnation = incarnation;
             let announcement = Announcement {
--- a/crates/tools/src/emulate/behaviour.rs
+++ b/crates/tools/src/emulate/behaviour.rs
@@ -23,6 +23,8 @@
     pub silent: bool,
     /// What it reports as its load.
     pub report: Report,
+    /// Whether it is down as after a crash: no listener, no connection, no announcement.
+    pub down: bool,
 }
 
 /// How an answer is cut off half way.
@@ -63,6 +65,7 @@
             hung: false,
             silent: false,
             report: Report::Honest,
+            down: false,
         }
     }
 }
@@ -110,6 +113,7 @@
             "chunked" => self.chunked = true,
             "hung" => self.hung = true,
             "silent" => self.silent = true,
+            "crash" => self.down = true,
             "report" => {
                 self.report = match (value("fixed"), value("lag-ms")) {
                     (Some(fixed), None) => Report::Fixed(number("fixed", fixed)?),
@@ -121,7 +125,7 @@
             other => {
                 return Err(format!(
                     "mode '{other}' is none of normal, starting, ready, draining, leaving, straggler, fail-fast, \
-                     shed, cut, chunked, hung, silent, report, restart"
+                     shed, cut, chunked, hung, silent, report, crash, restart"
                 ));
             }
         }
--- a/crates/tools/src/emulate/connection.rs
+++ b/crates/tools/src/emulate/connection.rs
@@ -35,7 +35,12 @@
         server.timer.sleep_until(std::time::Instant::now() + server.options.connect_time).await;
     }
     let mut framed = Framed::new(stream, Codec::new(config));
-    exchange(&server, &mut framed).await;
+    let mut up = server.shared.up.subscribe();
+    tokio::select! {
+        () = exchange(&server, &mut framed) => {}
+        // A crash closes the connection and drops its call.
+        _ = up.wait_for(|is_up| !is_up) => {}
+    }
     server.shared.count(|counts| counts.connections -= 1);
 }
 
--- a/crates/tools/src/emulate/control.rs
+++ b/crates/tools/src/emulate/control.rs
@@ -70,7 +70,12 @@
         let report = self.executions.report();
         let servers: Vec<_> = self.servers.iter().map(|server| server.report()).collect();
         let now = self.servers.first().map_or(0, |server| server.now_ms());
-        json!({"now_ms": now, "executions": report, "servers": servers})
+        json!({
+            "now_ms": now,
+            "executions": report,
+            "service_time_late_us": self.executions.lateness(),
+            "servers": servers,
+        })
     }
 
     fn switch(&self, name: &str, query: &str) -> Response<BoxBody> {
--- a/crates/tools/src/emulate/emulation.rs
+++ b/crates/tools/src/emulate/emulation.rs
@@ -162,17 +162,36 @@
 }
 
 fn bind(options: &EmulateOptions) -> Result<(TcpListener, SocketAddr)> {
-    let listener = TcpListener::bind((options.bind, 0)).change_context(ErrorKind::Io)?;
-    listener.set_nonblocking(true).change_context(ErrorKind::Io)?;
+    let listener = listen((options.bind, 0).into())?;
     let address = listener.local_addr().change_context(ErrorKind::Io)?;
     Ok((listener, address))
 }
 
+/// Accepts connections while the server is up; after a crash it listens again at the same address.
 async fn accept(server: Rc<Server>, listener: TcpListener) -> Result<()> {
-    let listener = tokio::net::TcpListener::from_std(listener).change_context(ErrorKind::Io)?;
     let config = ServiceConfig::default();
+    let mut up = server.shared.up.subscribe();
+    let mut listener = Some(listener);
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        actix_rt::spawn(connection::serve(server.clone(), stream, config.clone()));
+        // The sender lives as long as the server.
+        let _ = up.wait_for(|is_up| *is_up).await;
+        let bound = listener.take().map_or_else(|| listen(server.shared.address), Ok)?;
+        let bound = tokio::net::TcpListener::from_std(bound).change_context(ErrorKind::Io)?;
+        loop {
+            tokio::select! {
+                accepted = bound.accept() => {
+                    let Ok((stream, _)) = accepted else { continue };
+                    actix_rt::spawn(connection::serve(server.clone(), stream, config.clone()));
+                }
+                _ = up.wait_for(|is_up| !is_up) => break,
+            }
+        }
     }
 }
+
+/// Listens at an address; after a crash the standard library allows it while old connections linger.
+fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address).change_context(ErrorKind::Io)?;
+    listener.set_nonblocking(true).change_context(ErrorKind::Io)?;
+    Ok(listener)
+}
--- a/crates/tools/src/emulate/executions.rs
+++ b/crates/tools/src/emulate/executions.rs
@@ -1,9 +1,14 @@
 //! Counts of what the servers of one process ran, to prove repeats and work after leaving from outside.
 
 use {
+    crate::histogram::{histogram, quantiles},
+    hdrhistogram::Histogram,
     hemlockford_core::collections::FastMap,
     serde::Serialize,
-    std::sync::{Mutex, MutexGuard, PoisonError},
+    std::{
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
 };
 
 /// Request ids that are remembered; about 200 MB at 100 bytes each. Later ones are counted as untracked.
@@ -18,8 +23,9 @@
     seen: Mutex<Seen>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Seen {
+    late: Histogram<u64>,
     counts: FastMap<Box<str>, u32>,
     repeated: Vec<Box<str>>,
     report: ExecutionReport,
@@ -68,6 +74,16 @@
         *count
     }
 
+    /// Records how much longer an execution took than its service time.
+    pub fn late(&self, late: Duration) {
+        self.lock().late.saturating_record(late.as_micros() as u64);
+    }
+
+    /// Returns how much longer executions took than their service time, in microseconds by quantile.
+    pub fn lateness(&self) -> serde_json::Value {
+        quantiles(&self.lock().late)
+    }
+
     /// Counts an upload whose content was not that of its request.
     pub fn wrong_upload(&self) {
         self.lock().report.wrong_uploads += 1;
@@ -89,3 +105,9 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Default for Seen {
+    fn default() -> Self {
+        Self { late: histogram(), counts: FastMap::default(), repeated: Vec::new(), report: ExecutionReport::default() }
+    }
+}
--- a/crates/tools/src/emulate/server.rs
+++ b/crates/tools/src/emulate/server.rs
@@ -114,7 +114,9 @@
         if behaviour.hung {
             std::future::pending::<()>().await;
         }
-        self.timer.sleep_until(start + self.service_time(&behaviour, start)).await;
+        let end = start + self.service_time(&behaviour, start);
+        self.timer.sleep_until(end).await;
+        self.executions.late(end.elapsed());
         execution.finish();
         let length = call.answer_bytes.unwrap_or(self.options.answer_bytes);
         let body = Content::new(&call.path, &call.request, length).into_bytes();
--- a/crates/tools/src/emulate/shared.rs
+++ b/crates/tools/src/emulate/shared.rs
@@ -9,7 +9,7 @@
         sync::{Mutex, MutexGuard, PoisonError},
         time::{Instant, SystemTime, UNIX_EPOCH},
     },
-    tokio::sync::Notify,
+    tokio::sync::{Notify, watch},
 };
 
 /// The part of a stand-in server that its own thread shares with the control listener.
@@ -21,6 +21,8 @@
     pub(super) epoch: Instant,
     /// Signalled when the announced state may have changed, so that it is announced at once.
     pub(super) changed: Notify,
+    /// Whether the server is up; a crash closes its listener and connections.
+    pub(super) up: watch::Sender<bool>,
     state: Mutex<State>,
 }
 
@@ -62,7 +64,14 @@
 impl Shared {
     pub(super) fn new(name: Box<str>, address: SocketAddr, epoch: Instant, behaviour: Behaviour) -> Self {
         let state = State { behaviour, start: epoch, incarnation: wall_clock(), counts: Counts::default() };
-        Self { name, address, epoch, changed: Notify::new(), state: Mutex::new(state) }
+        Self {
+            name,
+            address,
+            epoch,
+            changed: Notify::new(),
+            up: watch::Sender::new(!behaviour.down),
+            state: Mutex::new(state),
+        }
     }
 
     pub(super) fn behaviour(&self) -> Behaviour {
@@ -82,6 +91,7 @@
             state.start = Instant::now();
             state.incarnation = wall_clock().max(state.incarnation + 1);
             state.behaviour.state = ServerState::Ready;
+            state.behaviour.down = false;
         } else {
             state.behaviour.apply(query)?;
         }
@@ -90,6 +100,7 @@
         state.counts.leaving_since_ms = is_leaving.then(|| since.unwrap_or(self.now_ms()));
         let behaviour = state.behaviour;
         drop(state);
+        self.up.send_replace(!behaviour.down);
         self.changed.notify_one();
         Ok(behaviour)
     }
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -4,6 +4,7 @@
 mod content;
 pub mod emulate;
 mod headers;
+mod histogram;
 pub mod load;
 mod quantity;
 mod timer;
--- a/crates/tools/src/load/schedule.rs
+++ b/crates/tools/src/load/schedule.rs
@@ -28,6 +28,10 @@
     rates: Vec<f64>,
     /// Time of the next call of each customer, in seconds.
     next: Vec<f64>,
+    /// Time of the first call of each customer, in seconds.
+    first: Vec<f64>,
+    /// Calls of each customer so far.
+    counts: Vec<u64>,
     weights: Vec<u32>,
     number: u64,
     calls: u64,
@@ -50,11 +54,13 @@
             Arrivals::Constant => index as f64 / rates.len() as f64 / rate,
             Arrivals::Poisson => exponential(&mut rng) / rate,
         });
-        let next = next.collect();
+        let next: Vec<_> = next.collect();
         Self {
             arrivals: options.arrivals,
             end: options.time.as_secs_f64(),
             rates,
+            first: next.clone(),
+            counts: vec![0; next.len()],
             next,
             weights: options.methods.iter().map(|share| share.weight).collect(),
             number: 0,
@@ -88,11 +94,12 @@
         if at >= self.end || self.number >= self.calls {
             return None;
         }
-        let step = match self.arrivals {
-            Arrivals::Constant => 1.0,
-            Arrivals::Poisson => exponential(&mut self.rng),
+        self.counts[customer] += 1;
+        self.next[customer] = match self.arrivals {
+            // Multiplied rather than added up, so that rounding does not accumulate.
+            Arrivals::Constant => self.first[customer] + self.counts[customer] as f64 / self.rates[customer],
+            Arrivals::Poisson => at + exponential(&mut self.rng) / self.rates[customer],
         };
-        self.next[customer] += step / self.rates[customer];
         let arrival = Arrival { at: Duration::from_secs_f64(at), number: self.number, customer, method: self.method() };
         self.number += 1;
         Some(arrival)
--- a/crates/tools/src/load/summary.rs
+++ b/crates/tools/src/load/summary.rs
@@ -1,7 +1,8 @@
 //! Result of a run of load.
 
 use {
-    super::tally::{Tally, histogram, quantiles},
+    super::tally::Tally,
+    crate::histogram::{histogram, quantiles},
     hdrhistogram::Histogram,
     serde_json::{Value, json},
     std::{collections::BTreeMap, fmt, time::Duration},
--- a/crates/tools/src/load/tally.rs
+++ b/crates/tools/src/load/tally.rs
@@ -2,17 +2,12 @@
 
 use {
     super::outcome::{CallOutcome, FaultKind},
+    crate::histogram::{QUANTILES, histogram, quantiles},
     hdrhistogram::Histogram,
     serde_json::{Value, json},
     std::{collections::BTreeMap, fmt::Debug, time::Duration},
 };
 
-/// Longest latency that is told apart; a call is given up long before.
-const HIGHEST_MICROSECONDS: u64 = 600_000_000;
-const SIGNIFICANT_DIGITS: u8 = 3;
-/// Quantiles of reports.
-const QUANTILES: [(&str, f64); 5] = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("p99.9", 0.999), ("max", 1.0)];
-
 /// Counts and latencies of a group of calls. Latency counts from the intended start.
 #[derive(Clone, Debug)]
 pub struct Tally {
@@ -46,14 +41,6 @@
     }
 }
 
-/// Makes an empty histogram of microseconds.
-pub(super) fn histogram() -> Histogram<u64> {
-    // The bounds are constants that the library accepts; a histogram that grows is the fallback.
-    Histogram::new_with_bounds(1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
-        .or_else(|_| Histogram::new(SIGNIFICANT_DIGITS))
-        .unwrap_or_else(|_| unreachable!("three digits are within the library's limits"))
-}
-
 impl Tally {
     /// Counts one call.
     pub fn record(&mut self, outcome: CallOutcome, latency: Duration) {
@@ -134,13 +121,6 @@
     }
 }
 
-/// Returns the quantiles of a histogram by name.
-pub(super) fn quantiles(histogram: &Histogram<u64>) -> Value {
-    let pairs =
-        QUANTILES.iter().map(|(name, quantile)| ((*name).into(), histogram.value_at_quantile(*quantile).into()));
-    Value::Object(pairs.collect())
-}
-
 fn add<K: Ord + Clone>(to: &mut BTreeMap<K, u64>, from: &BTreeMap<K, u64>) {
     for (key, count) in from {
         *to.entry(key.clone()).or_default() += count;
