--- /dev/null
+++ b/crates/tools/src/compare.rs
@@ -0,0 +1,130 @@
+//! Comparison of calls through an entry with direct calls, in one run and in turn.
+
+use {
+    crate::load::{CustomerLoad, LoadOptions, Tally, load},
+    hemlockford_core::errors::{Result, invalid_input},
+    std::{fmt::Write, net::SocketAddr, time::Duration},
+};
+
+/// Options of a comparison.
+#[derive(Clone, Debug)]
+pub struct AddedOptions {
+    /// Caller addresses of the entries.
+    pub entries: Vec<SocketAddr>,
+    /// Addresses of the servers.
+    pub servers: Vec<SocketAddr>,
+    /// Rates in calls a second.
+    pub rates: Vec<f64>,
+    /// Length of each part; every rate has one part direct and one through in each round.
+    pub time: Duration,
+    /// Rounds, over which the latencies are put together.
+    pub rounds: usize,
+    /// The other options of both parts.
+    pub load: LoadOptions,
+}
+
+impl Default for AddedOptions {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+            servers: Vec::new(),
+            rates: vec![1_000.0, 4_000.0, 8_000.0],
+            time: Duration::from_secs(2),
+            rounds: 2,
+            load: LoadOptions::default(),
+        }
+    }
+}
+
+/// Result at one rate.
+#[derive(Clone, Debug)]
+pub struct AddedRow {
+    /// Calls a second.
+    pub rate: f64,
+    /// Direct calls.
+    pub direct: Tally,
+    /// Calls through an entry.
+    pub through: Tally,
+    /// Difference at the 99th percentile in each round, in microseconds and in rising order.
+    pub rounds_p99: Vec<i64>,
+    /// How late calls were started at the 99th percentile, in microseconds, in the worst part; it shows
+    /// how much the machine was disturbed.
+    pub late_p99: u64,
+    /// Whether every answer was whole, right and not repeated.
+    pub is_clean: bool,
+}
+
+impl AddedRow {
+    /// Title line of the CSV form.
+    pub const CSV_TITLE: &'static str = "rate,direct_p50_us,direct_p99_us,direct_p999_us,through_p50_us,\
+        through_p99_us,through_p999_us,added_p50_us,added_p99_us,added_p999_us,rounds_median_added_p99_us,late_p99_us,\
+        direct_good,through_good,clean";
+
+    /// Returns what the entry adds at a quantile, in microseconds.
+    pub fn added(&self, quantile: f64) -> i64 {
+        self.through.quantile(quantile) as i64 - self.direct.quantile(quantile) as i64
+    }
+
+    /// Returns the median over the rounds of the difference at the 99th percentile, in microseconds. A round
+    /// that was disturbed by something else on the machine moves it less than the merged figure.
+    pub fn median_p99(&self) -> i64 {
+        self.rounds_p99.get(self.rounds_p99.len() / 2).copied().unwrap_or_default()
+    }
+
+    /// Returns one line of CSV.
+    pub fn to_csv(&self) -> String {
+        const QUANTILES: [f64; 3] = [0.5, 0.99, 0.999];
+        let mut line = format!("{}", self.rate);
+        let latencies = [&self.direct, &self.through].map(|tally| QUANTILES.map(|quantile| tally.quantile(quantile)));
+        // Writing to a string cannot fail.
+        for latency in latencies.as_flattened() {
+            let _ = write!(line, ",{latency}");
+        }
+        for quantile in QUANTILES {
+            let _ = write!(line, ",{}", self.added(quantile));
+        }
+        let _ = write!(line, ",{},{}", self.median_p99(), self.late_p99);
+        let _ = write!(line, ",{},{},{}", self.direct.good(), self.through.good(), self.is_clean);
+        line
+    }
+}
+
+/// Measures what the entries add to direct calls. Blocks until the end.
+pub fn added(options: &AddedOptions) -> Result<Vec<AddedRow>> {
+    if options.entries.is_empty() || options.servers.is_empty() {
+        return Err(invalid_input("both entries and servers are needed"));
+    }
+    options.rates.iter().map(|rate| compare(options, *rate)).collect()
+}
+
+fn compare(options: &AddedOptions, rate: f64) -> Result<AddedRow> {
+    let mut row = AddedRow {
+        rate,
+        direct: Tally::default(),
+        through: Tally::default(),
+        rounds_p99: Vec::new(),
+        late_p99: 0,
+        is_clean: true,
+    };
+    for _ in 0..options.rounds {
+        let direct = part(options, &options.servers, &mut row)?;
+        let through = part(options, &options.entries, &mut row)?;
+        row.rounds_p99.push(through.quantile(0.99) as i64 - direct.quantile(0.99) as i64);
+        row.direct.merge(&direct);
+        row.through.merge(&through);
+    }
+    row.rounds_p99.sort_unstable();
+    Ok(row)
+}
+
+fn part(options: &AddedOptions, targets: &[SocketAddr], row: &mut AddedRow) -> Result<Tally> {
+    let summary = load(LoadOptions {
+        targets: targets.to_vec(),
+        customers: vec![CustomerLoad { name: None, rate: row.rate }],
+        time: options.time,
+        ..options.load.clone()
+    })?;
+    row.is_clean &= summary.is_clean();
+    row.late_p99 = row.late_p99.max(summary.lateness.value_at_quantile(0.99));
+    Ok(summary.total)
+}
