--- /dev/null
+++ b/crates/core/src/admission/customer_queue.rs
@@ -0,0 +1,66 @@
+//! Waiting calls of one customer.
+
+use {
+    super::Waiting,
+    crate::ids::{CallId, CustomerId},
+    std::collections::VecDeque,
+};
+
+/// Waiting calls of one customer of a service.
+#[derive(Debug, Default)]
+pub(super) struct CustomerQueue {
+    pub(super) customer: CustomerId,
+    pub(super) weight: f64,
+    pub(super) deficit: f64,
+    /// Whether the customer has its turn among the others.
+    pub(super) is_queued: bool,
+    lookups: VecDeque<Waiting>,
+    uploads: VecDeque<Waiting>,
+    /// Slot time that uploads have had beyond that of look-ups while both waited.
+    upload_lead: f64,
+}
+
+impl CustomerQueue {
+    pub(super) fn len(&self) -> usize {
+        self.lookups.len() + self.uploads.len()
+    }
+
+    pub(super) fn push_back(&mut self, waiting: Waiting) {
+        self.queue(waiting.upload).push_back(waiting);
+    }
+
+    /// Returns whether the next call is an upload: uploads and look-ups of a customer get equal slot time
+    /// while both wait, so that a batch of uploads does not hold up the look-ups.
+    pub(super) fn next(&self, with_uploads: bool) -> Option<bool> {
+        match (self.lookups.is_empty(), self.uploads.is_empty() || !with_uploads) {
+            (true, true) => None,
+            (false, true) => Some(false),
+            (true, false) => Some(true),
+            (false, false) => Some(self.upload_lead < 0.0),
+        }
+    }
+
+    pub(super) fn pop(&mut self, upload: bool, cost: f64) -> Option<Waiting> {
+        let waiting = self.queue(upload).pop_front()?;
+        if self.lookups.is_empty() || self.uploads.is_empty() {
+            self.upload_lead = 0.0;
+        } else {
+            self.upload_lead += if upload { cost } else { -cost };
+        }
+        Some(waiting)
+    }
+
+    pub(super) fn remove(&mut self, call: CallId, upload: bool) -> bool {
+        let queue = self.queue(upload);
+        let position = queue.iter().position(|waiting| waiting.call == call);
+        position.is_some_and(|position| queue.remove(position).is_some())
+    }
+
+    fn queue(&mut self, upload: bool) -> &mut VecDeque<Waiting> {
+        if upload { &mut self.uploads } else { &mut self.lookups }
+    }
+
+    pub(super) fn drain(&mut self) -> impl Iterator<Item = Waiting> + '_ {
+        self.lookups.drain(..).chain(self.uploads.drain(..))
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,11 +4,13 @@
 //! No socket, clock, thread, task, environment access or global random source is used here, so the
 //! same code runs in the process, in the scripted scenarios and in the fault matrix.
 
+pub mod admission;
 pub mod collections;
 pub mod dispatch;
 pub mod errors;
 pub mod ids;
 pub mod outcome;
 pub mod registry;
+pub mod slots;
 pub mod text;
 pub mod units;
--- /dev/null
+++ b/crates/core/src/slots/allot.rs
@@ -0,0 +1,186 @@
+//! Division of the slots of one service between entries and customers.
+
+use {
+    super::{Coordinator, CustomerDemand, CustomerShare, Key, MAX_CUSTOMERS, split},
+    crate::{collections::FastMap, ids::InstanceId},
+    rand::rngs::SmallRng,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time between two requests for idle permits to the same entry, a little more than the time until its
+/// answer arrives over a link of 1 ms.
+const RECALL_INTERVAL: Duration = Duration::from_millis(4);
+/// Time for which entries have to be waiting before permits in use are divided anew. Shorter queues are
+/// gone before a division could help.
+const CONTENTION: Duration = Duration::from_millis(20);
+/// Time between two divisions.
+const SHARE_INTERVAL: Duration = Duration::from_millis(50);
+/// Customer that stands for all calls of an entry that did not list its customers.
+const UNLISTED: Key = 0;
+/// Weight in place of zero, so that a customer without a share is served when slots are idle.
+const LEAST_WEIGHT: f64 = 0.01;
+
+impl Coordinator {
+    /// Hands out free permits, asks idle ones back and, under lasting overload, divides those in use.
+    pub(super) fn allot(&mut self, now: Instant, live: &[InstanceId], rng: &mut SmallRng) {
+        if !self.is_active {
+            return;
+        }
+        self.resync(now, live);
+        if !self.is_ready(now, live) {
+            return;
+        }
+        self.grant_free(now, live, rng);
+        let unmet: u32 = self.members.values().map(|member| member.unmet(now)).sum();
+        if unmet == 0 {
+            self.contended_since = None;
+            return;
+        }
+        self.is_busy = true;
+        self.recall_idle(now, unmet);
+        let since = *self.contended_since.get_or_insert(now);
+        let is_due = self.shared_at.is_none_or(|at| now >= at + SHARE_INTERVAL);
+        if now >= since + CONTENTION && is_due {
+            self.shared_at = Some(now);
+            self.share(now);
+        }
+    }
+
+    /// Grants free slots one at a time to the entry that has the fewest permits for its load.
+    fn grant_free(&mut self, now: Instant, live: &[InstanceId], rng: &mut SmallRng) {
+        let mut served = Vec::new();
+        while self.stock.free_count() > 0 {
+            let satisfaction = |member: &super::Member| f64::from(member.target) / f64::from(member.load().max(1));
+            let waiting = self.members.iter().filter(|(id, member)| member.unmet(now) > 0 && live.contains(id));
+            let next = waiting.min_by(|a, b| satisfaction(a.1).total_cmp(&satisfaction(b.1))).map(|(id, _)| id.clone());
+            let Some(id) = next else { break };
+            if !self.grant(now, &id, rng) {
+                return;
+            }
+            if !served.contains(&id) {
+                served.push(id);
+            }
+        }
+        // An entry that asked is likely to need more in a moment; a part of the idle slots saves it the
+        // next message.
+        let extra = self.stock.free_count() / (2 * self.members.len().max(1) as u32);
+        for id in served {
+            for _ in 0..extra {
+                self.grant(now, &id, rng);
+            }
+        }
+    }
+
+    fn grant(&mut self, now: Instant, id: &InstanceId, rng: &mut SmallRng) -> bool {
+        let Some(server) = self.stock.pick(rng) else { return false };
+        let held = self.members.get(id).and_then(|member| member.claims.get(&server)).map_or(0, |claim| claim.target);
+        self.set_target(id, server, held + 1);
+        if let Some(member) = self.members.get_mut(id) {
+            member.granted_at = Some(now);
+        }
+        true
+    }
+
+    /// Asks the entries that seem to have the most idle permits for some of them.
+    fn recall_idle(&mut self, now: Instant, unmet: u32) {
+        let is_due = |at: Option<Instant>| at.is_none_or(|at| now >= at + RECALL_INTERVAL);
+        let mut left = unmet;
+        let mut idle: Vec<_> = self.members.values_mut().filter(|member| member.idle() > 0).collect();
+        idle.sort_by_key(|member| std::cmp::Reverse(member.idle()));
+        for member in idle {
+            if left == 0 {
+                return;
+            }
+            let count = member.idle().min(left);
+            left -= count;
+            if is_due(member.recalled_at) {
+                member.recall = count;
+                member.recalled_at = Some(now);
+            }
+        }
+    }
+
+    /// Divides all slots over customers by weight, and those of a customer over entries by its demand there;
+    /// entries that hold more than their part lose permits if another entry waits for its part.
+    fn share(&mut self, now: Instant) {
+        let parts = self.parts();
+        // Every entry with waiting calls is owed one permit at least, or its calls would wait for ever.
+        let owed = |(id, part): (&InstanceId, &f64)| {
+            let member = &self.members[id];
+            let part = part.floor().max(1.0) as u32;
+            if member.unmet(now) > 0 { part.saturating_sub(member.target) } else { 0 }
+        };
+        let mut owed: u32 = parts.iter().map(owed).sum();
+        let is_starving = self.members.values().any(|member| member.unmet(now) > 0 && member.target == 0);
+        let mut is_taken = false;
+        for (id, part) in &parts {
+            let surplus = self.members[id].target.saturating_sub(part.ceil().max(1.0) as u32).min(owed);
+            owed -= surplus;
+            is_taken |= surplus > 0;
+            self.take_back(id, surplus);
+        }
+        if is_starving && !is_taken {
+            // There are fewer slots than entries, which take turns.
+            let holders = self.members.iter().filter(|(_, member)| member.target > 0);
+            if let Some(id) = holders.min_by_key(|(_, member)| member.granted_at).map(|(id, _)| id.clone()) {
+                self.take_back(&id, 1);
+            }
+        }
+    }
+
+    fn take_back(&mut self, id: &InstanceId, count: u32) {
+        let mut claims: Vec<_> =
+            self.members[id].claims.iter().map(|(server, claim)| (claim.target, *server)).collect();
+        claims.sort_unstable_by(|a, b| b.cmp(a));
+        let (mut left, mut depth) = (count, 0);
+        while left > 0 && claims.iter().any(|claim| claim.0 > depth) {
+            for (target, server) in claims.iter().filter(|claim| claim.0 > depth) {
+                if left > 0 {
+                    left -= 1;
+                    self.set_target(id, *server, target - depth - 1);
+                }
+            }
+            depth += 1;
+        }
+    }
+
+    /// Returns the part of each entry, and notes the shares of its customers.
+    fn parts(&mut self) -> BTreeMap<InstanceId, f64> {
+        let mut totals: BTreeMap<Key, u32> = BTreeMap::new();
+        let demands: Vec<(InstanceId, Vec<CustomerDemand>)> = self
+            .members
+            .iter()
+            .map(|(id, member)| {
+                let unlisted = CustomerDemand { customer: UNLISTED, waiting: member.need, in_flight: member.in_flight };
+                (id.clone(), if member.demand.is_empty() { vec![unlisted] } else { member.demand.clone() })
+            })
+            .collect();
+        let load = |demand: &CustomerDemand| demand.waiting + demand.in_flight;
+        for demand in demands.iter().flat_map(|(_, demand)| demand) {
+            *totals.entry(demand.customer).or_default() += load(demand);
+        }
+        let weight =
+            |customer: &Key| self.weights.get(customer).map_or(1.0, |weight| f64::from(*weight).max(LEAST_WEIGHT));
+        let claims: Vec<_> = totals.iter().map(|(customer, total)| (f64::from(*total), weight(customer))).collect();
+        let shares = split(f64::from(self.stock.capacity()), &claims);
+        let shares: FastMap<Key, f64> = totals.keys().copied().zip(shares).collect();
+        let mut parts = BTreeMap::new();
+        for (id, demand) in demands {
+            let part = |demand: &CustomerDemand| {
+                shares[&demand.customer] * f64::from(load(demand)) / f64::from(totals[&demand.customer].max(1))
+            };
+            parts.insert(id.clone(), demand.iter().map(part).sum());
+            let Some(member) = self.members.get_mut(&id) else { continue };
+            member.shares = demand
+                .iter()
+                .filter(|demand| demand.customer != UNLISTED)
+                .take(MAX_CUSTOMERS)
+                .map(|demand| CustomerShare { customer: demand.customer, tenths: (part(demand) * 10.0).ceil() as u32 })
+                .collect();
+        }
+        parts
+    }
+}
--- /dev/null
+++ b/crates/core/src/slots/coordinator.rs
@@ -0,0 +1,183 @@
+//! The permits of one service that this instance hands out.
+
+use {
+    super::{COLLECT, Claim, Key, Member, Outbox, REPEAT, SlotReport, Stock},
+    crate::{collections::FastMap, ids::InstanceId},
+    std::{collections::BTreeMap, time::Instant},
+};
+
+/// The permits of one service that this instance hands out while it is the coordinator. For every server
+/// the sum of the bounds of all entries is counted as taken, so a slot is free only when no entry can use it.
+#[derive(Debug, Default)]
+pub(super) struct Coordinator {
+    pub(super) service: Key,
+    pub(super) is_active: bool,
+    /// Whether something is to be done as time passes.
+    pub(super) is_busy: bool,
+    pub(super) members: BTreeMap<InstanceId, Member>,
+    pub(super) stock: Stock,
+    /// Weights of the customers that the text names.
+    pub(super) weights: FastMap<Key, u32>,
+    /// Grants whose record has changed.
+    pub(super) changes: Vec<(InstanceId, Key)>,
+    /// Since when entries have been waiting while no slot is free.
+    pub(super) contended_since: Option<Instant>,
+    pub(super) shared_at: Option<Instant>,
+    collecting_until: Option<Instant>,
+    may_finish_early: bool,
+}
+
+impl Coordinator {
+    /// Starts the role. Nothing is granted until all live entries have reported or [`COLLECT`] has passed.
+    pub(super) fn start(&mut self, now: Instant, may_finish_early: bool) {
+        (self.is_active, self.is_busy) = (true, true);
+        self.may_finish_early = may_finish_early;
+        self.collecting_until = Some(now + COLLECT);
+        let members: Vec<_> = self.members.keys().cloned().collect();
+        members.iter().for_each(|member| self.reset(member));
+    }
+
+    /// Ends the role.
+    pub(super) fn stop(&mut self) {
+        (self.is_active, self.is_busy) = (false, false);
+    }
+
+    /// Returns whether grants may be made, which ends the collection of reports when it is due.
+    pub(super) fn is_ready(&mut self, now: Instant, live: &[InstanceId]) -> bool {
+        let Some(until) = self.collecting_until else { return true };
+        let has_reported = |id: &InstanceId| self.members.get(id).is_some_and(|member| member.is_complete);
+        if now < until && !(self.may_finish_early && live.iter().all(has_reported)) {
+            return false;
+        }
+        self.collecting_until = None;
+        true
+    }
+
+    /// Asks entries whose claims are gone to report anew, until they do.
+    pub(super) fn resync(&mut self, now: Instant, live: &[InstanceId]) {
+        self.is_busy = self.collecting_until.is_some();
+        for (id, member) in &mut self.members {
+            if member.stale.is_none() || member.is_complete || !live.contains(id) {
+                continue;
+            }
+            self.is_busy = true;
+            if member.resync_at.is_none_or(|at| now >= at + REPEAT) {
+                member.resync_at = Some(now);
+                member.is_resync_due = true;
+            }
+        }
+    }
+
+    /// Forgets what an entry holds; it has to report anew.
+    pub(super) fn reset(&mut self, id: &InstanceId) {
+        let Some(member) = self.members.get_mut(id) else { return };
+        for (server, claim) in member.claims.drain() {
+            self.stock.take(server, claim.bound, 0);
+        }
+        member.reset();
+    }
+
+    /// Forgets an entry.
+    pub(super) fn remove(&mut self, id: &InstanceId) {
+        self.reset(id);
+        self.members.remove(id);
+    }
+
+    /// Takes what an entry reports. `grants` holds the grants that the entry has not confirmed.
+    pub(super) fn report(&mut self, now: Instant, from: &InstanceId, report: &SlotReport, grants: &Outbox) {
+        if self.members.get(from).is_some_and(|member| member.attach < report.attach) {
+            self.reset(from);
+        }
+        let member = self.members.entry(from.clone()).or_default();
+        if member.stale.is_some_and(|stale| report.attach <= stale) {
+            member.is_resync_due = true;
+            return;
+        }
+        if report.attach < member.attach {
+            return;
+        }
+        member.attach = report.attach;
+        (member.need, member.in_flight) = (report.need, report.in_flight);
+        member.need_at = Some(now);
+        member.demand.clone_from(&report.demand);
+        for holding in &report.holdings {
+            let claim = member.claims.entry(holding.server).or_default();
+            let before = *claim;
+            claim.reported = holding.held;
+            if grants.contains(self.service, holding.server) {
+                // The entry has yet to apply a grant that overrides what it says here.
+                claim.bound = claim.bound.max(holding.held);
+            } else {
+                let target = if member.is_complete { claim.target.min(holding.held) } else { holding.held };
+                *claim = Claim { target, bound: holding.held.max(target), reported: holding.held, raised: 0 };
+            }
+            member.target = member.target - before.target + claim.target;
+            self.stock.take(holding.server, before.bound, claim.bound);
+            if claim.target == 0 && claim.bound == 0 {
+                member.claims.remove(&holding.server);
+            }
+        }
+        member.is_adoption_due |= report.complete && !report.adopted;
+        if report.complete && !member.is_complete {
+            member.is_complete = true;
+            let held: Vec<_> = member.claims.keys().copied().collect();
+            self.trim(from, held);
+        }
+    }
+
+    /// Takes the confirmation of a grant.
+    pub(super) fn confirm(&mut self, from: &InstanceId, server: Key) {
+        let Some(member) = self.members.get_mut(from) else { return };
+        let Some(claim) = member.claims.get_mut(&server) else { return };
+        let before = *claim;
+        claim.bound = claim.target.max(claim.reported);
+        claim.raised = 0;
+        member.raised -= before.raised;
+        self.stock.take(server, before.bound, claim.bound);
+        if claim.target == 0 && claim.bound == 0 {
+            member.claims.remove(&server);
+        }
+    }
+
+    /// Sets the permits that an entry shall hold.
+    pub(super) fn set_target(&mut self, id: &InstanceId, server: Key, target: u32) {
+        let Some(member) = self.members.get_mut(id) else { return };
+        let claim = member.claims.entry(server).or_default();
+        let before = *claim;
+        claim.target = target;
+        claim.bound = claim.bound.max(target);
+        claim.raised += target.saturating_sub(before.target);
+        // What was reported before the change says nothing about the time after it.
+        claim.reported = 0;
+        member.raised = member.raised - before.raised + claim.raised;
+        member.target = member.target - before.target + target;
+        self.stock.take(server, before.bound, claim.bound);
+        self.changes.push((id.clone(), server));
+    }
+
+    /// Sets the slots of the servers that are open; permits for others are taken back.
+    pub(super) fn set_capacity(&mut self, servers: &FastMap<Key, u32>) {
+        self.stock.set_capacity(servers);
+        if !self.is_active {
+            return;
+        }
+        let members: Vec<_> = self.members.keys().cloned().collect();
+        for id in &members {
+            let held: Vec<_> = self.members[id].claims.keys().copied().collect();
+            self.trim(id, held);
+        }
+    }
+
+    /// Takes back permits of an entry for which the servers have no slots.
+    fn trim(&mut self, id: &InstanceId, mut servers: Vec<Key>) {
+        servers.sort_unstable();
+        for server in servers {
+            let target =
+                self.members.get(id).and_then(|member| member.claims.get(&server)).map_or(0, |claim| claim.target);
+            let excess = self.stock.excess(server).min(target);
+            if excess > 0 {
+                self.set_target(id, server, target - excess);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/slots/exchange.rs
@@ -0,0 +1,284 @@
+//! Slot messages, as they come in and go out.
+
+use {
+    super::{
+        ACK_DELAY, CustomerDemand, Holding, Key, LEASE, MAX_CUSTOMERS, MAX_SERVICES, Permit, SlotGrant, SlotMessage,
+        SlotReport, Slots, Taken,
+    },
+    crate::ids::InstanceId,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::{Duration, Instant},
+    },
+};
+
+impl Slots {
+    /// Takes a message from another entry, or from this one in its other role.
+    pub fn receive(&mut self, now: Instant, from: &InstanceId, message: &SlotMessage) {
+        if self.links.get(from).is_some_and(|link| link.is_silent(now)) && self.has_claims(from) {
+            self.revoke(from);
+        }
+        let header = message.header();
+        let link = self.links.entry(from.clone()).or_default();
+        let lease_end = link.lease_end();
+        let (taken, is_new) = match link.take(now, self.incarnation, header) {
+            Taken::Dropped => {
+                self.counters.dropped += 1;
+                return;
+            }
+            Taken::New => (None, true),
+            Taken::Current { is_new, is_revoked, reports_count } => (Some((is_revoked, reports_count)), is_new),
+        };
+        self.counters.taken += 1;
+        if is_new {
+            self.restarted(now, from, lease_end);
+        }
+        let Some((is_revoked, reports_count)) = taken else { return };
+        if is_revoked {
+            self.revoked(now, from);
+        }
+        let Some(link) = self.links.get_mut(from) else { return };
+        if header.wants_ack {
+            link.ask(now, ACK_DELAY);
+        }
+        if !reports_count {
+            // The entry has to learn the new epoch.
+            link.ask(now, Duration::ZERO);
+        }
+        let next = link.next();
+        link.holdings.confirm(header.ack, next);
+        if let SlotMessage::Update(_, reports, grants) = message {
+            for grant in grants {
+                self.apply(now, from, grant);
+            }
+            if reports_count {
+                for report in reports {
+                    self.take_report(now, from, report);
+                }
+            }
+        }
+        let Some(link) = self.links.get_mut(from) else { return };
+        for (service, server) in link.grants.confirm(header.ack, next) {
+            if let Some(slots) = self.services.get_mut(&service) {
+                slots.coordinator.confirm(from, server);
+                self.touched.insert(service);
+            }
+        }
+    }
+
+    /// Divides permits where needed and adds the messages that are due. `demand` yields the calls of a
+    /// service by customer.
+    pub fn flush(
+        &mut self,
+        now: Instant,
+        demand: &dyn Fn(Key) -> Vec<CustomerDemand>,
+        messages: &mut Vec<(InstanceId, SlotMessage)>,
+    ) {
+        for service in std::mem::take(&mut self.touched) {
+            self.allot(now, service);
+        }
+        let due: Vec<_> = self
+            .links
+            .iter()
+            .filter(|(id, link)| link.is_due(now, self.holds_permits(id)))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            let message = self.message(now, &id, demand);
+            if id != self.me {
+                self.counters.sent += 1;
+                self.counters.renewals += u64::from(matches!(message, SlotMessage::Renew(_)));
+            }
+            messages.push((id, message));
+        }
+    }
+
+    fn holds_permits(&self, from: &InstanceId) -> bool {
+        let holds = |holder: &super::Holder| holder.coordinator.as_ref() == Some(from) && holder.granted() > 0;
+        self.services.values().any(|slots| holds(&slots.holder))
+    }
+
+    fn allot(&mut self, now: Instant, service: Key) {
+        let Some(slots) = self.services.get_mut(&service) else { return };
+        slots.coordinator.allot(now, &self.live, &mut self.rng);
+        for (id, server) in std::mem::take(&mut slots.coordinator.changes) {
+            let link = self.links.entry(id).or_default();
+            let next = link.next();
+            link.grants.mark(service, server, next);
+            link.ask(now, Duration::ZERO);
+        }
+        for (id, member) in &slots.coordinator.members {
+            if member.is_adoption_due || member.is_resync_due || member.recall > 0 || !member.shares.is_empty() {
+                let link = self.links.entry(id.clone()).or_default();
+                link.replies.insert(service);
+                link.ask(now, Duration::ZERO);
+            }
+        }
+    }
+
+    fn message(&mut self, now: Instant, to: &InstanceId, demand: &dyn Fn(Key) -> Vec<CustomerDemand>) -> SlotMessage {
+        let holds_permits = self.holds_permits(to);
+        let link = self.links.entry(to.clone()).or_default();
+        let mut reports: BTreeMap<Key, Vec<Key>> = BTreeMap::new();
+        link.holdings.records().for_each(|(service, server)| reports.entry(service).or_default().push(server));
+        let mut grants: BTreeMap<Key, Vec<Key>> = BTreeMap::new();
+        link.grants.records().for_each(|(service, server)| grants.entry(service).or_default().push(server));
+        for service in some(&mut link.reports) {
+            reports.entry(service).or_default();
+        }
+        for service in some(&mut link.replies) {
+            grants.entry(service).or_default();
+        }
+        let has_more = !link.reports.is_empty() || !link.replies.is_empty();
+        let wants_ack = link.has_unacknowledged() || holds_permits && link.needs_renewal(now);
+        let header = link.send(now, self.incarnation, wants_ack);
+        if has_more {
+            link.ask(now, Duration::ZERO);
+        }
+        if reports.is_empty() && grants.is_empty() {
+            return SlotMessage::Renew(header);
+        }
+        let mut room = MAX_CUSTOMERS;
+        let reports = reports
+            .into_iter()
+            .filter_map(|(service, servers)| self.report(now, to, service, &servers, demand, &mut room));
+        let reports = reports.collect();
+        let mut room = MAX_CUSTOMERS;
+        let grants = grants.into_iter().filter_map(|(service, servers)| self.grant(to, service, &servers, &mut room));
+        let grants = grants.collect();
+        SlotMessage::Update(header, reports, grants)
+    }
+
+    fn report(
+        &self,
+        now: Instant,
+        to: &InstanceId,
+        service: Key,
+        servers: &[Key],
+        demand: &dyn Fn(Key) -> Vec<CustomerDemand>,
+        room: &mut usize,
+    ) -> Option<SlotReport> {
+        let slots = self.services.get(&service)?;
+        let holder = &slots.holder;
+        let mut customers = if slots.is_standing(now) { demand(service) } else { Vec::new() };
+        customers
+            .sort_unstable_by_key(|demand| (std::cmp::Reverse(demand.waiting + demand.in_flight), demand.customer));
+        customers.truncate(*room);
+        *room -= customers.len();
+        let holding = |server: &Key| {
+            let seat = holder.seat(*server).cloned().unwrap_or_default();
+            Holding { server: *server, held: seat.held(), in_flight: seat.in_flight }
+        };
+        Some(SlotReport {
+            service,
+            attach: holder.attach,
+            complete: self.links.get(to)?.holdings.is_complete(service),
+            adopted: holder.is_adopted,
+            need: if slots.waiting > 0 { holder.reported_need } else { 0 },
+            in_flight: holder.in_flight(),
+            demand: customers,
+            holdings: servers.iter().map(holding).collect(),
+        })
+    }
+
+    fn grant(&mut self, to: &InstanceId, service: Key, servers: &[Key], room: &mut usize) -> Option<SlotGrant> {
+        let member = self.services.get_mut(&service)?.coordinator.members.get_mut(to)?;
+        let permit =
+            |server: &Key| Permit { server: *server, count: member.claims.get(server).map_or(0, |claim| claim.target) };
+        let permits = servers.iter().map(permit).collect();
+        let mut shares = std::mem::take(&mut member.shares);
+        shares.truncate(*room);
+        *room -= shares.len();
+        member.is_adoption_due = false;
+        Some(SlotGrant {
+            service,
+            attach: member.attach,
+            resync: std::mem::take(&mut member.is_resync_due),
+            recall: std::mem::take(&mut member.recall),
+            permits,
+            shares,
+        })
+    }
+
+    /// Applies what a coordinator granted or took back.
+    fn apply(&mut self, now: Instant, from: &InstanceId, grant: &SlotGrant) {
+        let Some(slots) = self.services.get_mut(&grant.service) else { return };
+        if slots.holder.coordinator.as_ref() != Some(from) || slots.holder.attach != grant.attach {
+            return;
+        }
+        if grant.resync {
+            return self.attach(now, grant.service, from.clone());
+        }
+        slots.holder.is_adopted = true;
+        slots.holder.previous_end = None;
+        if !grant.shares.is_empty() {
+            slots.shares.clone_from(&grant.shares);
+            slots.shares_end = Some(now + LEASE);
+        }
+        for permit in &grant.permits {
+            let Some(slots) = self.services.get_mut(&grant.service) else { return };
+            let before = slots.holder.seat(permit.server).map_or(0, |seat| seat.granted);
+            let held = slots.holder.set_granted(permit.server, permit.count);
+            if permit.count < before || held > permit.count {
+                self.mark_holding(now, grant.service, permit.server, Duration::ZERO);
+            }
+        }
+        if grant.recall > 0 {
+            self.release(now, grant.service, grant.recall, Duration::ZERO);
+            if let Some(link) = self.links.get_mut(from) {
+                link.reports.insert(grant.service);
+                link.ask(now, Duration::ZERO);
+            }
+        }
+    }
+
+    fn take_report(&mut self, now: Instant, from: &InstanceId, report: &SlotReport) {
+        let Some(slots) = self.services.get_mut(&report.service) else { return };
+        if !slots.coordinator.is_active {
+            return;
+        }
+        let Some(link) = self.links.get(from) else { return };
+        slots.coordinator.report(now, from, report, &link.grants);
+        self.touched.insert(report.service);
+    }
+
+    /// A peer is a new process: what it held as an entry is gone, and as a coordinator it knows nothing.
+    fn restarted(&mut self, now: Instant, peer: &InstanceId, lease_end: Option<Instant>) {
+        self.each_attached(now, peer, |holder| {
+            if holder.is_adopted {
+                (holder.is_adopted, holder.previous_end) = (false, lease_end);
+            }
+        });
+        self.services.values_mut().for_each(|slots| slots.coordinator.remove(peer));
+        let active = self.services.iter().filter(|(_, slots)| slots.coordinator.is_active).map(|(service, _)| *service);
+        self.touched.extend(active);
+    }
+
+    /// A coordinator has taken back every permit.
+    fn revoked(&mut self, now: Instant, peer: &InstanceId) {
+        self.each_attached(now, peer, |holder| {
+            holder.drop_granted();
+            holder.previous_end = None;
+            holder.is_adopted = false;
+        });
+    }
+
+    fn each_attached(&mut self, now: Instant, peer: &InstanceId, change: impl Fn(&mut super::Holder)) {
+        let attached = self.services.iter().filter(|(_, slots)| slots.holder.coordinator.as_ref() == Some(peer));
+        let attached: BTreeSet<_> = attached.map(|(service, _)| *service).collect();
+        for service in attached {
+            if let Some(slots) = self.services.get_mut(&service) {
+                change(&mut slots.holder);
+            }
+            self.attach(now, service, peer.clone());
+        }
+    }
+}
+
+fn some(services: &mut BTreeSet<Key>) -> Vec<Key> {
+    let taken: Vec<_> = services.iter().copied().take(MAX_SERVICES).collect();
+    taken.iter().for_each(|service| {
+        services.remove(service);
+    });
+    taken
+}
--- /dev/null
+++ b/crates/core/src/slots/holder.rs
@@ -0,0 +1,175 @@
+//! The permits of one service that this entry holds.
+
+use {
+    super::{Key, Seat, key},
+    crate::{collections::FastMap, ids::InstanceId},
+    std::time::Instant,
+};
+
+/// The permits of one service that this entry holds, with an index of the servers that have a free one.
+#[derive(Debug, Default)]
+pub(super) struct Holder {
+    seats: FastMap<Key, Seat>,
+    free: Vec<Key>,
+    free_count: u32,
+    in_flight: u32,
+    granted: u32,
+    /// Coordinator to which the entry reports.
+    pub(super) coordinator: Option<InstanceId>,
+    /// Number of the report of all holdings that grants must answer.
+    pub(super) attach: u32,
+    /// Whether the coordinator has taken over the reported permits.
+    pub(super) is_adopted: bool,
+    /// Until when permits of the previous coordinator may be used.
+    pub(super) previous_end: Option<Instant>,
+    /// Whether the entry uses its own share because no coordinator can be reached.
+    pub(super) is_fallback: bool,
+    /// Since when no permit could be used for want of a lease.
+    pub(super) unusable_since: Option<Instant>,
+    /// Least number of free permits since the last review.
+    pub(super) least_free: u32,
+    /// Time of the last call.
+    pub(super) last_use: Option<Instant>,
+    /// Permits that were last reported as needed.
+    pub(super) reported_need: u32,
+    /// Time of the last report of a need.
+    pub(super) asked_at: Option<Instant>,
+    /// Since when calls have been waiting without a break.
+    pub(super) waiting_since: Option<Instant>,
+}
+
+impl Holder {
+    /// Takes the servers that are open for new calls, with the slots of each.
+    pub(super) fn set_servers(&mut self, me: Key, roster: usize, servers: &FastMap<Key, u32>) {
+        for seat in self.seats.values_mut() {
+            seat.is_open = false;
+            seat.fallback = 0;
+        }
+        let total: u32 = servers.values().sum();
+        let share = total.div_ceil(roster.max(1) as u32).max(1);
+        let slots = servers.iter().flat_map(|(server, slots)| (0..*slots).map(move |slot| (*server, slot)));
+        let mut ranked: Vec<_> =
+            slots.map(|(server, slot)| (key::rank(server ^ (u64::from(slot) << 43), me), server)).collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        for server in servers.keys() {
+            self.seats.entry(*server).or_default().is_open = true;
+        }
+        for (_, server) in ranked.iter().take(share as usize) {
+            self.seats.entry(*server).or_default().fallback += 1;
+        }
+        self.reindex();
+    }
+
+    /// Counts what is free anew, after a change that concerns many servers.
+    pub(super) fn reindex(&mut self) {
+        self.free.clear();
+        self.free_count = 0;
+        self.seats.retain(|_, seat| {
+            (seat.position, seat.counted) = (None, 0);
+            !seat.is_unused()
+        });
+        let mut servers: Vec<_> = self.seats.keys().copied().collect();
+        // The order must not depend on the history of the map, so that a run can be repeated.
+        servers.sort_unstable();
+        for server in servers {
+            self.refresh(server);
+        }
+    }
+
+    /// Changes the permits granted for a server; returns the permits held afterwards.
+    pub(super) fn set_granted(&mut self, server: Key, count: u32) -> u32 {
+        let seat = self.seats.entry(server).or_default();
+        self.granted = self.granted - seat.granted + count;
+        seat.granted = count;
+        let held = seat.held();
+        self.refresh(server);
+        held
+    }
+
+    /// Drops every granted permit.
+    pub(super) fn drop_granted(&mut self) {
+        self.seats.values_mut().for_each(|seat| seat.granted = 0);
+        self.granted = 0;
+        self.reindex();
+    }
+
+    /// Counts a call that starts.
+    pub(super) fn start(&mut self, server: Key) {
+        self.seats.entry(server).or_default().in_flight += 1;
+        self.in_flight += 1;
+        self.refresh(server);
+        self.least_free = self.least_free.min(self.free_count);
+    }
+
+    /// Counts a call that has ended; returns whether a permit beyond what may be used became free.
+    pub(super) fn end(&mut self, server: Key) -> bool {
+        let Some(seat) = self.seats.get_mut(&server) else { return false };
+        let was_beyond = seat.in_flight > seat.granted;
+        self.in_flight -= u32::from(seat.in_flight > 0);
+        seat.in_flight = seat.in_flight.saturating_sub(1);
+        if seat.is_unused() {
+            self.remove_free(server);
+            self.seats.remove(&server);
+        } else {
+            self.refresh(server);
+        }
+        was_beyond
+    }
+
+    /// Servers with a free permit.
+    pub(super) fn free(&self) -> &[Key] {
+        &self.free
+    }
+
+    pub(super) fn free_count(&self) -> u32 {
+        self.free_count
+    }
+
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    pub(super) fn granted(&self) -> u32 {
+        self.granted
+    }
+
+    pub(super) fn seat(&self, server: Key) -> Option<&Seat> {
+        self.seats.get(&server)
+    }
+
+    /// Returns the servers for which anything is held.
+    pub(super) fn held(&self) -> Vec<Key> {
+        let mut held: Vec<_> = self.seats.iter().filter(|(_, seat)| seat.held() > 0).map(|(key, _)| *key).collect();
+        held.sort_unstable();
+        held
+    }
+
+    fn refresh(&mut self, server: Key) {
+        let Some(seat) = self.seats.get_mut(&server) else { return };
+        let limit = if self.is_fallback { seat.fallback } else { seat.granted };
+        let free = if seat.is_open { limit.saturating_sub(seat.in_flight) } else { 0 };
+        self.free_count = self.free_count - seat.counted + free;
+        seat.counted = free;
+        match seat.position {
+            None if free > 0 => {
+                seat.position = Some(self.free.len());
+                self.free.push(server);
+            }
+            Some(_) if free == 0 => self.remove_free(server),
+            _ => {}
+        }
+    }
+
+    fn remove_free(&mut self, server: Key) {
+        let Some(seat) = self.seats.get_mut(&server) else { return };
+        self.free_count -= seat.counted;
+        seat.counted = 0;
+        let Some(position) = seat.position.take() else { return };
+        self.free.swap_remove(position);
+        if let Some(moved) = self.free.get(position)
+            && let Some(seat) = self.seats.get_mut(moved)
+        {
+            seat.position = Some(position);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/slots/link.rs
@@ -0,0 +1,183 @@
+//! The exchange of slot messages with one peer.
+
+use {
+    super::{COALESCE, Key, LEASE, MAX_SENT, Outbox, RENEW, REPEAT, SlotHeader, key},
+    crate::{collections::FastSet, ids::Incarnation},
+    std::{
+        collections::{BTreeSet, VecDeque},
+        time::{Duration, Instant},
+    },
+};
+
+/// What a message from a peer means for the link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Taken {
+    /// The message is old, or was meant for an earlier process; nothing in it counts.
+    Dropped,
+    /// The peer is a new process; nothing else in the message counts.
+    New,
+    /// The message counts.
+    Current {
+        /// The peer is a new process.
+        is_new: bool,
+        /// The peer has taken back every permit that it had granted.
+        is_revoked: bool,
+        /// The reports in it are of the current epoch.
+        reports_count: bool,
+    },
+}
+
+/// Sequence numbers, acknowledgements and leases between this instance and one peer, in both roles.
+#[derive(Debug, Default)]
+pub(super) struct Link {
+    incarnation: Option<Incarnation>,
+    received: u64,
+    sequence: u64,
+    sent: VecDeque<(u64, Instant)>,
+    lease_start: Option<Instant>,
+    heard: Option<Instant>,
+    epoch: u32,
+    peer_epoch: u32,
+    /// Whether the peer is this instance itself, so that nothing is gained by waiting for further changes.
+    pub(super) is_local: bool,
+    /// Holdings to be reported to the peer.
+    pub(super) holdings: Outbox,
+    /// Permits to be granted to the peer.
+    pub(super) grants: Outbox,
+    /// Services to be reported to the peer.
+    pub(super) reports: BTreeSet<Key>,
+    /// Services about which the peer is to be answered.
+    pub(super) replies: BTreeSet<Key>,
+    /// Time of the last message to the peer.
+    pub(super) last_sent: Option<Instant>,
+    /// Time from which on a message is due, if any.
+    pub(super) due: Option<Instant>,
+}
+
+impl Link {
+    /// Makes the link of an instance to itself.
+    pub(super) fn local() -> Self {
+        Self { is_local: true, ..Self::default() }
+    }
+
+    /// Number of the next message.
+    pub(super) fn next(&self) -> u64 {
+        self.sequence + 1
+    }
+
+    /// Returns whether permits granted by the peer may be used. The lease counts from when the message that
+    /// the peer acknowledged was sent, which is before the peer's own count starts.
+    pub(super) fn has_lease(&self, now: Instant) -> bool {
+        self.lease_start.is_some_and(|start| now < start + LEASE)
+    }
+
+    /// Returns the end of the lease on permits granted by the peer.
+    pub(super) fn lease_end(&self) -> Option<Instant> {
+        self.lease_start.map(|start| start + LEASE)
+    }
+
+    /// Returns whether the peer has been silent for its whole lease.
+    pub(super) fn is_silent(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|heard| now >= heard + LEASE)
+    }
+
+    /// Takes back every permit of the peer, which must report anew.
+    pub(super) fn revoke(&mut self) {
+        self.heard = None;
+        self.epoch += 1;
+        self.grants.clear();
+    }
+
+    /// Forgets every service but those given.
+    pub(super) fn retain(&mut self, services: &FastSet<Key>) {
+        self.holdings.retain(services);
+        self.grants.retain(services);
+    }
+
+    /// Asks for a message to the peer within a time, but not sooner after the last one than the time for
+    /// which changes are collected.
+    pub(super) fn ask(&mut self, now: Instant, within: Duration) {
+        let collected = self.last_sent.map_or(now, |sent| sent + COALESCE);
+        let due = if self.is_local { now } else { collected.max(now + within) };
+        self.due = Some(self.due.map_or(due, |earlier| earlier.min(due)));
+    }
+
+    /// Returns whether a message is due, which includes repeating what was not acknowledged and renewing the
+    /// lease on permits that are held.
+    pub(super) fn is_due(&self, now: Instant, holds_permits: bool) -> bool {
+        let is_repeat_due = self.last_sent.is_none_or(|sent| now >= sent + REPEAT);
+        self.due.is_some_and(|due| now >= due)
+            || is_repeat_due && (self.has_unacknowledged() || holds_permits && self.needs_renewal(now))
+    }
+
+    /// Returns whether the lease has to be renewed.
+    pub(super) fn needs_renewal(&self, now: Instant) -> bool {
+        self.lease_start.is_none_or(|start| now >= start + RENEW)
+    }
+
+    /// Returns whether the peer has yet to acknowledge a record.
+    pub(super) fn has_unacknowledged(&self) -> bool {
+        !self.holdings.is_empty() || !self.grants.is_empty()
+    }
+
+    /// Makes the header of the next message.
+    pub(super) fn send(&mut self, now: Instant, incarnation: Incarnation, wants_ack: bool) -> SlotHeader {
+        self.sequence += 1;
+        self.sent.push_back((self.sequence, now));
+        if self.sent.len() > MAX_SENT {
+            self.sent.pop_front();
+        }
+        self.last_sent = Some(now);
+        self.due = None;
+        SlotHeader {
+            incarnation,
+            session: self.incarnation.map_or(0, key::session),
+            sequence: self.sequence,
+            ack: self.received,
+            epoch: self.epoch,
+            echo: self.peer_epoch,
+            wants_ack,
+        }
+    }
+
+    /// Takes the header of a message from the peer.
+    pub(super) fn take(&mut self, now: Instant, own: Incarnation, header: &SlotHeader) -> Taken {
+        let known = self.incarnation;
+        if known.is_some_and(|known| header.incarnation < known) {
+            return Taken::Dropped;
+        }
+        let is_new = known != Some(header.incarnation);
+        if is_new && known.is_some() {
+            // The new process knows nothing of what was said to the old one; numbers go on rising.
+            *self = Self { sequence: self.sequence, is_local: self.is_local, ..Self::default() };
+        }
+        self.incarnation = Some(header.incarnation);
+        let is_for_earlier_process = header.session != 0 && header.session != key::session(own);
+        if is_for_earlier_process {
+            // The peer has not noticed that this process is new; any message tells it.
+            self.ask(now, COALESCE);
+        }
+        if header.sequence <= self.received || is_for_earlier_process {
+            return if is_new { Taken::New } else { Taken::Dropped };
+        }
+        self.received = header.sequence;
+        self.heard = Some(now);
+        if header.session != 0 {
+            self.acknowledge(header.ack);
+        }
+        let is_revoked = header.epoch != self.peer_epoch;
+        self.peer_epoch = header.epoch;
+        Taken::Current { is_new, is_revoked, reports_count: header.echo == self.epoch }
+    }
+
+    fn acknowledge(&mut self, ack: u64) {
+        while let Some((sequence, at)) = self.sent.front().copied()
+            && sequence <= ack
+        {
+            self.sent.pop_front();
+            if sequence == ack {
+                self.lease_start = Some(self.lease_start.map_or(at, |start| start.max(at)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/slots/member.rs
@@ -0,0 +1,74 @@
+//! What a coordinator knows of one entry.
+
+use {
+    super::{CustomerDemand, CustomerShare, Key, NEED_LIFETIME},
+    crate::collections::FastMap,
+    std::time::Instant,
+};
+
+/// Permits of one server that an entry may hold.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Claim {
+    /// Permits that the entry shall hold.
+    pub(super) target: u32,
+    /// Most permits that the entry may hold until it confirms the target.
+    pub(super) bound: u32,
+    /// What the entry said it holds.
+    pub(super) reported: u32,
+    /// Permits added that the entry has not confirmed.
+    pub(super) raised: u32,
+}
+
+/// What a coordinator knows of one entry of a service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Member {
+    pub(super) claims: FastMap<Key, Claim>,
+    /// The entry's report of all holdings under which the claims stand.
+    pub(super) attach: u32,
+    /// Reports up to this one are of no use, as the claims that they add to are gone.
+    pub(super) stale: Option<u32>,
+    /// Whether all that the entry holds is known.
+    pub(super) is_complete: bool,
+    /// Whether the entry has to be told that its report is complete.
+    pub(super) is_adoption_due: bool,
+    /// Whether the entry has to report all it holds anew.
+    pub(super) is_resync_due: bool,
+    pub(super) need: u32,
+    pub(super) need_at: Option<Instant>,
+    pub(super) in_flight: u32,
+    pub(super) demand: Vec<CustomerDemand>,
+    /// Sum of the targets.
+    pub(super) target: u32,
+    /// Sum of the permits added that are not confirmed.
+    pub(super) raised: u32,
+    /// Idle permits to be asked back.
+    pub(super) recall: u32,
+    pub(super) recalled_at: Option<Instant>,
+    pub(super) shares: Vec<CustomerShare>,
+    pub(super) resync_at: Option<Instant>,
+    /// Time of the last grant that added a permit.
+    pub(super) granted_at: Option<Instant>,
+}
+
+impl Member {
+    /// Permits that the entry waits for and that are not on their way to it.
+    pub(super) fn unmet(&self, now: Instant) -> u32 {
+        let is_current = self.need_at.is_some_and(|at| now < at + NEED_LIFETIME);
+        if self.is_complete && is_current { self.need.saturating_sub(self.raised) } else { 0 }
+    }
+
+    /// Permits that the entry did not use when it last reported.
+    pub(super) fn idle(&self) -> u32 {
+        self.target.saturating_sub(self.in_flight + self.need)
+    }
+
+    /// Calls that the entry has waiting or in flight.
+    pub(super) fn load(&self) -> u32 {
+        self.need + self.in_flight
+    }
+
+    /// Forgets what the entry holds, which it has to report anew.
+    pub(super) fn reset(&mut self) {
+        *self = Self { attach: self.attach, stale: Some(self.attach), ..Self::default() };
+    }
+}
--- /dev/null
+++ b/crates/core/src/slots/mod.rs
@@ -0,0 +1,69 @@
+//! Sharing of server slots between entries by permits.
+//!
+//! For each service one live entry is the coordinator. It hands out permits, each for one slot of one
+//! server, and never has more outstanding for a server than the server has slots. All permits that an entry
+//! has from one coordinator share one lease. The entry counts it from when it sent the message that the
+//! coordinator acknowledged, the coordinator from when that message arrived, so it ends at the entry first.
+
+mod allot;
+mod coordinator;
+mod counters;
+mod exchange;
+mod holder;
+mod key;
+mod link;
+mod member;
+mod message;
+mod outbox;
+mod seat;
+mod service;
+mod slots;
+mod split;
+mod stock;
+
+pub use {
+    counters::SlotCounters,
+    key::{Key, key},
+    message::{CustomerDemand, CustomerShare, Holding, Permit, SlotGrant, SlotHeader, SlotMessage, SlotReport},
+    slots::Slots,
+    split::split,
+};
+
+use {
+    coordinator::Coordinator,
+    holder::Holder,
+    link::{Link, Taken},
+    member::{Claim, Member},
+    outbox::Outbox,
+    seat::Seat,
+    service::ServiceSlots,
+    std::time::Duration,
+    stock::Stock,
+};
+
+/// Time for which permits may be used without an answer from the coordinator.
+pub const LEASE: Duration = Duration::from_secs(1);
+/// Time after which a lease is renewed; two renewals may be lost before it ends.
+pub const RENEW: Duration = Duration::from_millis(300);
+/// Time for which a new coordinator waits for the reports of live entries, and for which an entry waits for
+/// a coordinator before it goes on with its own share.
+pub const COLLECT: Duration = Duration::from_millis(300);
+/// Permits that one message lists each way. With the other limits a message stays under 1,200 bytes, so
+/// that its datagram is not fragmented.
+pub const MAX_RECORDS: usize = 16;
+/// Services that one message lists each way without permits.
+pub const MAX_SERVICES: usize = 8;
+/// Customers that one message lists each way.
+pub const MAX_CUSTOMERS: usize = 12;
+
+/// Least time between two messages to one peer.
+const COALESCE: Duration = Duration::from_millis(1);
+/// Time within which a record is acknowledged when there is nothing else to say.
+const ACK_DELAY: Duration = Duration::from_millis(5);
+/// Time after which records without acknowledgement are sent again.
+const REPEAT: Duration = Duration::from_millis(20);
+/// Messages whose time of sending is remembered for the lease; far more than are sent within a round trip.
+const MAX_SENT: usize = 256;
+/// Time for which a coordinator believes a reported need. It is longer than the time between two reports
+/// of an entry whose calls go on waiting.
+const NEED_LIFETIME: Duration = Duration::from_millis(60);
--- /dev/null
+++ b/crates/core/src/slots/outbox.rs
@@ -0,0 +1,76 @@
+//! Records that a peer has not yet acknowledged.
+
+use {
+    super::{Key, MAX_RECORDS},
+    crate::collections::FastSet,
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Records, by service and server, that a peer has not yet acknowledged. Every message repeats the whole
+/// window, so an acknowledged message covers every record that was in the window when it was sent, however
+/// many messages before it were lost or overtaken.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    window: BTreeMap<(Key, Key), u64>,
+    backlog: BTreeSet<(Key, Key)>,
+}
+
+impl Outbox {
+    /// Notes that a record has changed; `next` is the number of the next message.
+    pub(super) fn mark(&mut self, service: Key, server: Key, next: u64) {
+        let record = (service, server);
+        if self.window.contains_key(&record) || self.window.len() < MAX_RECORDS {
+            self.window.insert(record, next);
+        } else {
+            self.backlog.insert(record);
+        }
+    }
+
+    /// Takes an acknowledgement and returns the records that it covers.
+    pub(super) fn confirm(&mut self, ack: u64, next: u64) -> Vec<(Key, Key)> {
+        let confirmed: Vec<_> =
+            self.window.extract_if(.., |_, first| *first <= ack).map(|(record, _)| record).collect();
+        while self.window.len() < MAX_RECORDS
+            && let Some(record) = self.backlog.pop_first()
+        {
+            self.window.insert(record, next);
+        }
+        confirmed
+    }
+
+    /// Returns whether a record is not yet acknowledged.
+    pub(super) fn contains(&self, service: Key, server: Key) -> bool {
+        let record = (service, server);
+        self.window.contains_key(&record) || self.backlog.contains(&record)
+    }
+
+    /// Forgets the records of a service.
+    pub(super) fn forget(&mut self, service: Key) {
+        self.window.retain(|record, _| record.0 != service);
+        self.backlog.retain(|record| record.0 != service);
+    }
+
+    /// Forgets every service but those given.
+    pub(super) fn retain(&mut self, services: &FastSet<Key>) {
+        self.window.retain(|record, _| services.contains(&record.0));
+        self.backlog.retain(|record| services.contains(&record.0));
+    }
+
+    pub(super) fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.window.is_empty()
+    }
+
+    /// Returns whether every record of a service is in the window.
+    pub(super) fn is_complete(&self, service: Key) -> bool {
+        self.backlog.range((service, 0)..=(service, Key::MAX)).next().is_none()
+    }
+
+    /// Returns the records that the next message repeats, ordered by service.
+    pub(super) fn records(&self) -> impl Iterator<Item = (Key, Key)> + '_ {
+        self.window.keys().copied()
+    }
+}
--- /dev/null
+++ b/crates/core/src/slots/service.rs
@@ -0,0 +1,112 @@
+//! The slots of one service, in both roles of an instance.
+
+use {
+    super::{COLLECT, Coordinator, CustomerShare, Holder, Key, Link},
+    crate::{collections::FastMap, ids::InstanceId},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time that a call may wait for a permit of its own entry before another one is asked for: about a round
+/// trip to the coordinator, as a sooner answer cannot be had.
+const PATIENCE: Duration = Duration::from_millis(2);
+/// Time between two reports of the same need.
+const ASK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two reports of the same need once calls have been waiting for long.
+const STANDING_INTERVAL: Duration = Duration::from_millis(50);
+/// Time from which on waiting calls are reported by customer.
+const STANDING: Duration = Duration::from_millis(20);
+/// Time over which idle permits must stay idle before they are given back.
+const REVIEW: Duration = Duration::from_millis(20);
+/// Idle permits that are kept, so that one more call needs no message.
+const RESERVE: u32 = 1;
+/// Time without calls after which every permit is given back, so that an idle service costs no messages.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// The slots of one service, in both roles of an instance.
+#[derive(Debug, Default)]
+pub(super) struct ServiceSlots {
+    pub(super) holder: Holder,
+    pub(super) coordinator: Coordinator,
+    /// Slots of each server that is open for new calls.
+    pub(super) servers: FastMap<Key, u32>,
+    /// Shares of customers at this entry, under overload, and until when they hold.
+    pub(super) shares: Vec<CustomerShare>,
+    pub(super) shares_end: Option<Instant>,
+    pub(super) waiting: u32,
+    reviewed_at: Option<Instant>,
+}
+
+impl ServiceSlots {
+    /// Returns whether permits may be used now, and changes to or from the entry's own share when the
+    /// coordinator was lost or found.
+    pub(super) fn is_usable(&mut self, now: Instant, links: &BTreeMap<InstanceId, Link>) -> bool {
+        let holder = &mut self.holder;
+        let link = holder.coordinator.as_ref().and_then(|id| links.get(id));
+        let is_leased = holder.is_adopted && link.is_some_and(|link| link.has_lease(now));
+        let is_previous = !holder.is_adopted && holder.previous_end.is_some_and(|end| now < end);
+        let is_answered = holder.is_adopted && holder.granted() == 0 && self.waiting == 0;
+        if is_leased || is_previous || is_answered {
+            holder.unusable_since = None;
+            if holder.is_fallback {
+                holder.is_fallback = false;
+                holder.reindex();
+            }
+            return is_leased || is_previous;
+        }
+        let since = *holder.unusable_since.get_or_insert(now);
+        if now >= since + COLLECT && !holder.is_fallback {
+            holder.is_fallback = true;
+            holder.reindex();
+        }
+        holder.is_fallback
+    }
+
+    /// Notes the number of waiting calls; returns whether the coordinator has to be told now. Calls that the
+    /// entry's own permits will serve within a round trip do not count.
+    pub(super) fn wait(&mut self, now: Instant, waiting: u32, service_time: Duration, is_local: bool) -> bool {
+        self.waiting = waiting;
+        if waiting == 0 {
+            self.holder.waiting_since = None;
+            (self.holder.reported_need, self.holder.asked_at) = (0, None);
+            return false;
+        }
+        self.holder.waiting_since.get_or_insert(now);
+        let need = self.need(service_time, is_local);
+        let interval = if self.is_standing(now) { STANDING_INTERVAL } else { ASK_INTERVAL };
+        let is_again = self.holder.asked_at.is_none_or(|at| now >= at + interval);
+        let is_due = need > 0 && (is_again || need > self.holder.reported_need && !self.is_standing(now));
+        if is_due {
+            self.holder.reported_need = need;
+            self.holder.asked_at = Some(now);
+        }
+        is_due
+    }
+
+    fn need(&self, service_time: Duration, is_local: bool) -> u32 {
+        let patience = if is_local { Duration::ZERO } else { PATIENCE };
+        let soon = f64::from(self.holder.in_flight()) * patience.as_secs_f64() / service_time.as_secs_f64().max(1e-6);
+        self.waiting.saturating_sub(soon as u32)
+    }
+
+    /// Returns whether calls have been waiting for so long that customers have to be told apart.
+    pub(super) fn is_standing(&self, now: Instant) -> bool {
+        self.holder.waiting_since.is_some_and(|since| now >= since + STANDING)
+    }
+
+    /// Returns the number of permits that stayed idle and are to be given back.
+    pub(super) fn review(&mut self, now: Instant) -> u32 {
+        let holder = &mut self.holder;
+        if holder.granted() == 0 || self.reviewed_at.is_some_and(|at| now < at + REVIEW) {
+            return 0;
+        }
+        self.reviewed_at = Some(now);
+        let is_idle = holder.in_flight() == 0 && holder.last_use.is_none_or(|at| now >= at + IDLE);
+        let reserve = if is_idle { 0 } else { RESERVE };
+        let surplus = if holder.is_fallback { 0 } else { holder.least_free.saturating_sub(reserve) };
+        holder.least_free = holder.free_count();
+        surplus.min(holder.free_count())
+    }
+}
--- /dev/null
+++ b/crates/core/src/slots/slots.rs
@@ -0,0 +1,324 @@
+//! All permits of one instance, as entry and as coordinator.
+
+use {
+    super::{ACK_DELAY, CustomerShare, Key, Link, ServiceSlots, SlotCounters, key},
+    crate::{
+        collections::{FastMap, FastSet},
+        ids::{Incarnation, InstanceId},
+    },
+    rand::rngs::SmallRng,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::{Duration, Instant},
+    },
+};
+
+/// Gap between two events from which on the process must have been frozen. Others may have chosen new
+/// coordinators by then, as a peer is suspected after 1 s of silence.
+const FREEZE: Duration = Duration::from_millis(500);
+
+/// All permits of one instance, as entry and as coordinator.
+#[derive(Debug)]
+pub struct Slots {
+    pub(super) me: InstanceId,
+    pub(super) incarnation: Incarnation,
+    roster: usize,
+    pub(super) rng: SmallRng,
+    pub(super) live: Vec<InstanceId>,
+    pub(super) links: BTreeMap<InstanceId, Link>,
+    pub(super) services: FastMap<Key, ServiceSlots>,
+    /// Services whose permits have to be divided again.
+    pub(super) touched: BTreeSet<Key>,
+    pub(super) counters: SlotCounters,
+    last_event: Option<Instant>,
+    started: Option<Instant>,
+    last_tick: Option<Instant>,
+}
+
+impl Slots {
+    /// Makes the slots of an instance that knows no service and no peer.
+    pub fn new(me: InstanceId, incarnation: Incarnation, roster: usize, rng: SmallRng) -> Self {
+        let own_link = Link::local();
+        Self {
+            live: vec![me.clone()],
+            links: BTreeMap::from([(me.clone(), own_link)]),
+            me,
+            incarnation,
+            roster: roster.max(1),
+            rng,
+            services: FastMap::default(),
+            touched: BTreeSet::new(),
+            counters: SlotCounters::default(),
+            last_event: None,
+            started: None,
+            last_tick: None,
+        }
+    }
+
+    /// Returns the counts of what was done.
+    pub fn counters(&self) -> SlotCounters {
+        self.counters
+    }
+
+    /// Notes that an event is handled at `now`; has to be called first.
+    pub fn wake(&mut self, now: Instant) {
+        self.started.get_or_insert(now);
+        let was_frozen = self.last_event.is_some_and(|last| now >= last + FREEZE);
+        self.last_event = Some(now);
+        if was_frozen {
+            let services: Vec<_> = self.services.keys().copied().collect();
+            for service in services {
+                self.start_role(now, service);
+            }
+        }
+    }
+
+    /// Sets the live entries.
+    pub fn set_peers(&mut self, now: Instant, peers: Vec<InstanceId>) {
+        self.live = peers;
+        self.live.push(self.me.clone());
+        self.live.sort_unstable();
+        self.live.dedup();
+        let mut services: Vec<_> = self.services.keys().copied().collect();
+        services.sort_unstable();
+        for service in services {
+            self.assign(now, service);
+        }
+        let (live, links) = (&self.live, &mut self.links);
+        let gone: Vec<_> = links.keys().filter(|id| !live.contains(id)).cloned().collect();
+        for id in gone {
+            let is_needed = self.has_claims(&id) || self.links[&id].has_lease(now);
+            if !is_needed {
+                self.services.values_mut().for_each(|service| service.coordinator.remove(&id));
+            }
+        }
+    }
+
+    /// Sets the servers of a service that are open for new calls, with the slots of each.
+    pub fn set_servers(&mut self, now: Instant, service: Key, servers: FastMap<Key, u32>) {
+        let me = key(&self.me);
+        let slots = self.services.entry(service).or_default();
+        if slots.servers == servers {
+            return;
+        }
+        slots.coordinator.service = service;
+        slots.holder.set_servers(me, self.roster, &servers);
+        slots.coordinator.set_capacity(&servers);
+        slots.servers = servers;
+        self.assign(now, service);
+        self.touched.insert(service);
+    }
+
+    /// Sets the weights of the customers that the text names for a service.
+    pub fn set_weights(&mut self, service: Key, weights: FastMap<Key, u32>) {
+        self.services.entry(service).or_default().coordinator.weights = weights;
+    }
+
+    /// Forgets every service but those given.
+    pub fn retain(&mut self, services: &FastSet<Key>) {
+        self.services.retain(|service, _| services.contains(service));
+        for link in self.links.values_mut() {
+            link.retain(services);
+        }
+    }
+
+    /// Returns the servers of a service for which a permit is free and may be used now.
+    pub fn free(&mut self, now: Instant, service: Key) -> &[Key] {
+        let Some(slots) = self.services.get_mut(&service) else { return &[] };
+        let was_fallback = slots.holder.is_fallback;
+        if !slots.is_usable(now, &self.links) {
+            return &[];
+        }
+        self.counters.fallbacks += u64::from(slots.holder.is_fallback && !was_fallback);
+        slots.holder.free()
+    }
+
+    /// Counts a call that is sent to a server.
+    pub fn start(&mut self, now: Instant, service: Key, server: Key) {
+        let Some(slots) = self.services.get_mut(&service) else { return };
+        slots.holder.start(server);
+        slots.holder.last_use = Some(now);
+    }
+
+    /// Counts a call that has ended at a server.
+    pub fn end(&mut self, now: Instant, service: Key, server: Key) {
+        let Some(slots) = self.services.get_mut(&service) else { return };
+        if slots.holder.end(server) {
+            // The permit was recalled while the call ran; the coordinator waits for it.
+            self.mark_holding(now, service, server, Duration::ZERO);
+        }
+    }
+
+    /// Notes how many calls of a service wait, and how long one takes.
+    pub fn wait(&mut self, now: Instant, service: Key, waiting: u32, service_time: Duration) {
+        let Some(slots) = self.services.get_mut(&service) else { return };
+        let Some(coordinator) = slots.holder.coordinator.clone() else { return };
+        if slots.wait(now, waiting, service_time, coordinator == self.me) {
+            let link = self.links.entry(coordinator).or_default();
+            link.reports.insert(service);
+            link.ask(now, Duration::ZERO);
+        }
+    }
+
+    /// Returns the shares of customers at this entry while the service is overloaded.
+    pub fn shares(&self, now: Instant, service: Key) -> &[CustomerShare] {
+        match self.services.get(&service) {
+            Some(slots) if slots.shares_end.is_some_and(|end| now < end) => &slots.shares,
+            _ => &[],
+        }
+    }
+
+    /// Returns the permits that this entry may use now for a server, without those of its own share.
+    pub fn permits(&self, now: Instant, service: Key, server: Key) -> u32 {
+        let Some(slots) = self.services.get(&service) else { return 0 };
+        let holder = &slots.holder;
+        let link = holder.coordinator.as_ref().and_then(|id| self.links.get(id));
+        let is_leased = holder.is_adopted && link.is_some_and(|link| link.has_lease(now));
+        let is_previous = !holder.is_adopted && holder.previous_end.is_some_and(|end| now < end);
+        if is_leased || is_previous { holder.seat(server).map_or(0, |seat| seat.granted) } else { 0 }
+    }
+
+    /// Returns the number of permits and of own slots that may be used for a service, free or not.
+    pub fn limit(&self, service: Key) -> u32 {
+        self.services.get(&service).map_or(0, |slots| slots.holder.granted().max(slots.holder.in_flight()))
+    }
+
+    /// Returns the coordinator of a service.
+    pub fn coordinator(&self, service: Key) -> Option<&InstanceId> {
+        self.services.get(&service)?.holder.coordinator.as_ref()
+    }
+
+    /// Does what is due because time has passed.
+    pub fn tick(&mut self, now: Instant) {
+        if self.last_tick == Some(now) {
+            return;
+        }
+        self.last_tick = Some(now);
+        let silent: Vec<_> =
+            self.links.iter().filter(|(_, link)| link.is_silent(now)).map(|(id, _)| id.clone()).collect();
+        for id in &silent {
+            if self.has_claims(id) {
+                self.revoke(id);
+            }
+        }
+        let mut services: Vec<_> = self.services.keys().copied().collect();
+        services.sort_unstable();
+        for service in services {
+            let Some(slots) = self.services.get_mut(&service) else { continue };
+            if slots.coordinator.is_busy {
+                self.touched.insert(service);
+            }
+            let surplus = slots.review(now);
+            if surplus > 0 {
+                self.release(now, service, surplus, ACK_DELAY);
+            }
+            self.report_until_adopted(now, service);
+        }
+    }
+
+    /// Gives idle permits back.
+    pub(super) fn release(&mut self, now: Instant, service: Key, count: u32, within: Duration) {
+        for _ in 0..count {
+            let Some(slots) = self.services.get_mut(&service) else { return };
+            if slots.holder.is_fallback {
+                return;
+            }
+            let Some(server) = slots.holder.free().last().copied() else { return };
+            let granted = slots.holder.seat(server).map_or(0, |seat| seat.granted);
+            slots.holder.set_granted(server, granted.saturating_sub(1));
+            self.mark_holding(now, service, server, within);
+        }
+    }
+
+    /// Has the permits held for a server reported.
+    pub(super) fn mark_holding(&mut self, now: Instant, service: Key, server: Key, within: Duration) {
+        let coordinator = self.services.get(&service).and_then(|slots| slots.holder.coordinator.clone());
+        let Some(coordinator) = coordinator else { return };
+        let link = self.links.entry(coordinator).or_default();
+        let next = link.next();
+        link.holdings.mark(service, server, next);
+        link.ask(now, within);
+    }
+
+    /// Chooses the coordinator of a service and takes the role if it is this instance.
+    fn assign(&mut self, now: Instant, service: Key) {
+        let chosen = self.live.iter().max_by_key(|id| (key::rank(service, key(id)), (*id).clone())).cloned();
+        let Some(chosen) = chosen else { return };
+        let Some(slots) = self.services.get_mut(&service) else { return };
+        if chosen != self.me {
+            slots.coordinator.stop();
+        } else if !slots.coordinator.is_active {
+            slots.coordinator.is_active = true;
+            self.counters.roles += 1;
+            self.start_role(now, service);
+        }
+        if self.services[&service].holder.coordinator.as_ref() != Some(&chosen) {
+            self.attach(now, service, chosen);
+        }
+    }
+
+    fn start_role(&mut self, now: Instant, service: Key) {
+        let is_settled = self.live.len() >= self.roster || self.started.is_some_and(|at| now >= at + super::COLLECT);
+        let Some(slots) = self.services.get_mut(&service) else { return };
+        if slots.coordinator.is_active {
+            slots.coordinator.start(now, is_settled);
+            for link in self.links.values_mut() {
+                link.grants.forget(service);
+            }
+        }
+    }
+
+    /// Reports all that is held to a coordinator that knows nothing of it. The permits may be used until the
+    /// lease of the coordinator that granted them ends.
+    pub(super) fn attach(&mut self, now: Instant, service: Key, to: InstanceId) {
+        let Some(slots) = self.services.get_mut(&service) else { return };
+        let holder = &mut slots.holder;
+        let previous = holder.coordinator.replace(to.clone());
+        if let Some(link) = previous.and_then(|id| self.links.get_mut(&id)) {
+            if holder.is_adopted {
+                holder.previous_end = link.lease_end();
+            }
+            link.holdings.forget(service);
+        }
+        holder.is_adopted = false;
+        holder.attach += 1;
+        let held = holder.held();
+        let link = self.links.entry(to).or_default();
+        let next = link.next();
+        for server in held {
+            link.holdings.mark(service, server, next);
+        }
+        link.reports.insert(service);
+        link.ask(now, Duration::ZERO);
+    }
+
+    fn report_until_adopted(&mut self, now: Instant, service: Key) {
+        let Some(slots) = self.services.get(&service) else { return };
+        let Some(coordinator) = slots.holder.coordinator.clone().filter(|_| !slots.holder.is_adopted) else { return };
+        let link = self.links.entry(coordinator).or_default();
+        if link.last_sent.is_none_or(|sent| now >= sent + super::REPEAT) {
+            link.reports.insert(service);
+            link.ask(now, Duration::ZERO);
+        }
+    }
+
+    /// Takes back every permit of an entry that was silent for its whole lease.
+    pub(super) fn revoke(&mut self, id: &InstanceId) {
+        self.counters.revoked += 1;
+        if let Some(link) = self.links.get_mut(id) {
+            link.revoke();
+        }
+        for (service, slots) in &mut self.services {
+            slots.coordinator.reset(id);
+            if slots.coordinator.is_active {
+                self.touched.insert(*service);
+            }
+        }
+    }
+
+    pub(super) fn has_claims(&self, id: &InstanceId) -> bool {
+        let has_claims =
+            |slots: &ServiceSlots| slots.coordinator.members.get(id).is_some_and(|member| !member.claims.is_empty());
+        self.services.values().any(has_claims)
+    }
+}
--- /dev/null
+++ b/crates/core/src/slots/split.rs
@@ -0,0 +1,25 @@
+//! Weighted max-min division.
+
+/// Divides `capacity` by weight, so that nobody gets more than it asks for and what one leaves goes to the
+/// others.
+///
+/// ```
+/// use hemlockford_core::slots::split;
+/// // A noisy customer and two quiet ones of equal weight.
+/// assert_eq!(split(40.0, &[(400.0, 1.0), (4.0, 1.0), (6.0, 1.0)]), [30.0, 4.0, 6.0]);
+/// ```
+pub fn split(capacity: f64, claims: &[(f64, f64)]) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..claims.len()).collect();
+    let saturation = |index: &usize| claims[*index].0 / claims[*index].1;
+    order.sort_by(|a, b| saturation(a).total_cmp(&saturation(b)));
+    let mut weight: f64 = claims.iter().map(|claim| claim.1).sum();
+    let mut left = capacity;
+    let mut parts = vec![0.0; claims.len()];
+    for index in order {
+        let (asked, own) = claims[index];
+        parts[index] = asked.min(left * own / weight);
+        left -= parts[index];
+        weight -= own;
+    }
+    parts
+}
--- /dev/null
+++ b/crates/core/src/slots/stock.rs
@@ -0,0 +1,101 @@
+//! Slots of the servers of one service, as their coordinator counts them.
+
+use {
+    super::Key,
+    crate::collections::FastMap,
+    rand::{RngExt, rngs::SmallRng},
+};
+
+#[derive(Clone, Debug, Default)]
+struct Shelf {
+    capacity: u32,
+    taken: u32,
+    position: Option<usize>,
+}
+
+/// Slots of the servers of one service, with an index of the servers that have a free one.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Stock {
+    shelves: FastMap<Key, Shelf>,
+    free: Vec<Key>,
+    free_count: u32,
+    capacity: u32,
+}
+
+impl Stock {
+    /// Sets the slots of each server that is open for new calls; returns the servers that were closed.
+    pub(super) fn set_capacity(&mut self, servers: &FastMap<Key, u32>) -> Vec<Key> {
+        let mut closed: Vec<_> = self.shelves.keys().filter(|server| !servers.contains_key(*server)).copied().collect();
+        closed.sort_unstable();
+        let mut opened: Vec<_> = servers.iter().collect();
+        opened.sort_unstable();
+        for (server, slots) in
+            opened.into_iter().map(|(key, slots)| (*key, *slots)).chain(closed.iter().map(|key| (*key, 0)))
+        {
+            self.change(server, |shelf| shelf.capacity = slots);
+        }
+        closed
+    }
+
+    /// Changes the number of taken slots of a server.
+    pub(super) fn take(&mut self, server: Key, before: u32, after: u32) {
+        if before != after {
+            self.change(server, |shelf| shelf.taken = shelf.taken - before + after);
+        }
+    }
+
+    /// Picks a server with a free slot; of two at random the one with more free slots.
+    pub(super) fn pick(&self, rng: &mut SmallRng) -> Option<Key> {
+        let mut any = || self.free.get(rng.random_range(0..self.free.len().max(1))).copied();
+        let (first, second) = (any()?, any()?);
+        Some(if self.free_at(second) > self.free_at(first) { second } else { first })
+    }
+
+    pub(super) fn free_count(&self) -> u32 {
+        self.free_count
+    }
+
+    /// Slots of all open servers.
+    pub(super) fn capacity(&self) -> u32 {
+        self.capacity
+    }
+
+    /// Slots taken beyond what a server has.
+    pub(super) fn excess(&self, server: Key) -> u32 {
+        self.shelves.get(&server).map_or(0, |shelf| shelf.taken.saturating_sub(shelf.capacity))
+    }
+
+    fn free_at(&self, server: Key) -> u32 {
+        self.shelves.get(&server).map_or(0, |shelf| shelf.capacity.saturating_sub(shelf.taken))
+    }
+
+    fn change(&mut self, server: Key, change: impl FnOnce(&mut Shelf)) {
+        let shelf = self.shelves.entry(server).or_default();
+        let free = |shelf: &Shelf| shelf.capacity.saturating_sub(shelf.taken);
+        let (capacity_before, free_before) = (shelf.capacity, free(shelf));
+        change(shelf);
+        let free_after = free(shelf);
+        self.capacity = self.capacity - capacity_before + shelf.capacity;
+        self.free_count = self.free_count - free_before + free_after;
+        let position = shelf.position;
+        let is_gone = shelf.capacity == 0 && shelf.taken == 0;
+        match position {
+            None if free_after > 0 => {
+                shelf.position = Some(self.free.len());
+                self.free.push(server);
+            }
+            Some(position) if free_after == 0 => {
+                shelf.position = None;
+                self.free.swap_remove(position);
+                let moved = self.free.get(position).and_then(|moved| self.shelves.get_mut(moved));
+                if let Some(moved) = moved {
+                    moved.position = Some(position);
+                }
+            }
+            _ => {}
+        }
+        if is_gone {
+            self.shelves.remove(&server);
+        }
+    }
+}
