Dispatch calls through fair queues and slot permits

Health, the retry allowance and the fair queues are combined in the dispatcher; a loop in virtual time drives several dispatchers.

--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        ids::{CallId, ServerId},
+        ids::{CallId, InstanceId, ServerId},
         outcome::Outcome,
+        slots::SlotMessage,
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -21,6 +22,8 @@
         address: SocketAddr,
         /// Whether only a connection that is new or was used a moment ago may carry the call.
         fresh_connection: bool,
+        /// Whether a retry token goes down with the call.
+        retry_allowance: bool,
     },
     /// Give a call its final answer.
     Reject {
@@ -31,4 +34,16 @@
         /// When the caller may come back.
         retry_after: Duration,
     },
+    /// Send a message to another entry.
+    Tell {
+        /// The other entry.
+        to: InstanceId,
+        /// What it is told.
+        message: SlotMessage,
+    },
+    /// Probe a server.
+    Probe {
+        /// The server.
+        server: ServerId,
+    },
 }
--- /dev/null
+++ b/crates/core/src/dispatch/active.rs
@@ -0,0 +1,33 @@
+//! A call that has arrived and not yet left.
+
+use {
+    super::Call,
+    crate::{
+        outcome::{NotRunReason, Outcome, UnknownReason},
+        slots::Key,
+    },
+};
+
+/// A call that has arrived and not yet left.
+#[derive(Debug)]
+pub(super) struct ActiveCall {
+    pub(super) call: Call,
+    pub(super) service: Key,
+    /// Server that runs the call, if any.
+    pub(super) server: Option<Key>,
+    /// Servers that failed the call.
+    pub(super) tried: Vec<Key>,
+    /// Why it is not known whether an earlier attempt ran, if one may have.
+    pub(super) doubt: Option<UnknownReason>,
+    /// Whether the call has its retry token here.
+    pub(super) has_token: bool,
+    /// Whether a retry token went down with an attempt.
+    pub(super) was_passed_down: bool,
+}
+
+impl ActiveCall {
+    /// Returns the outcome when no further attempt is made: not run only if no attempt may have run.
+    pub(super) fn outcome(&self, reason: NotRunReason) -> Outcome {
+        self.doubt.map_or(Outcome::NotRun(reason), Outcome::Unknown)
+    }
+}
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -3,7 +3,8 @@
 use {
     super::{Call, Finish, ServerView},
     crate::{
-        ids::{CallId, ServiceId},
+        ids::{CallId, InstanceId, ServiceId},
+        slots::SlotMessage,
         text::Text,
     },
     std::sync::Arc,
@@ -20,6 +21,15 @@
     Cancel(CallId),
     /// The servers of a service.
     Servers(ServiceId, Vec<ServerView>),
+    /// The live entries.
+    Peers(Vec<InstanceId>),
+    /// A message from another entry.
+    Peer {
+        /// The other entry.
+        from: InstanceId,
+        /// What it says.
+        message: SlotMessage,
+    },
     /// The text to apply.
     Configure(Arc<Text>),
     /// Time has passed.
--- a/crates/core/src/dispatch/finish.rs
+++ b/crates/core/src/dispatch/finish.rs
@@ -19,4 +19,6 @@
     pub latency: Duration,
     /// Load that the server reported in its answer.
     pub report: Option<LoadReport>,
+    /// Whether the caller has no answer yet and the call waits for a decision.
+    pub wants_decision: bool,
 }
--- /dev/null
+++ b/crates/core/src/dispatch/servers.rs
@@ -0,0 +1,137 @@
+//! The servers of one service, indexed for the choice of one.
+
+use {
+    super::{ServerState, ServerView},
+    crate::{
+        collections::FastMap,
+        health::{Health, Standing},
+        slots::{Key, key},
+    },
+    rand::{RngExt, rngs::SmallRng},
+    std::{collections::BTreeSet, time::Instant},
+};
+
+/// Servers that are looked at for one choice; the cost of a choice does not depend on their number.
+const CANDIDATES: usize = 4;
+
+/// The servers of one service, indexed for the choice of one.
+#[derive(Debug, Default)]
+pub(super) struct Servers {
+    views: FastMap<Key, ServerView>,
+    ready: Vec<Key>,
+    next: usize,
+    /// Ready servers by calls in flight; a random number decides between equals.
+    by_load: BTreeSet<(u32, u32, Key)>,
+    loads: FastMap<Key, (u32, u32)>,
+    /// Servers that health has ejected or tries.
+    pub(super) ejected: BTreeSet<Key>,
+}
+
+impl Servers {
+    /// Sets the servers. Of two servers with the same key only the first by name is used, as messages could
+    /// not tell them apart.
+    pub(super) fn set(&mut self, mut views: Vec<ServerView>, rng: &mut SmallRng) {
+        views.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        self.views.clear();
+        for view in views {
+            self.views.entry(key(&view.id)).or_insert(view);
+        }
+        let ready = self.views.iter().filter(|(_, view)| view.state == ServerState::Ready);
+        self.ready = ready.map(|(key, _)| *key).collect();
+        self.ready.sort_unstable();
+        self.by_load.clear();
+        let views = &self.views;
+        self.loads.retain(|key, load| load.0 > 0 || views.contains_key(key));
+        for key in &self.ready {
+            let load = self.loads.entry(*key).or_insert_with(|| (0, rng.random()));
+            self.by_load.insert((load.0, load.1, *key));
+        }
+        self.ejected.retain(|key| views.contains_key(key));
+    }
+
+    pub(super) fn view(&self, server: Key) -> Option<&ServerView> {
+        self.views.get(&server)
+    }
+
+    pub(super) fn views(&self) -> impl Iterator<Item = &ServerView> {
+        self.views.values()
+    }
+
+    /// Ready servers.
+    pub(super) fn ready(&self) -> &[Key] {
+        &self.ready
+    }
+
+    /// Servers whose slots are shared out: ready, with a lease, and not ejected.
+    pub(super) fn open(&self, now: Instant) -> FastMap<Key, u32> {
+        let open = self.ready.iter().filter(|key| !self.ejected.contains(key) && self.is_usable(now, **key));
+        open.filter_map(|key| Some((*key, self.views.get(key)?.slots))).collect()
+    }
+
+    /// Returns whether a server may get a new call; its lease is checked at the time of use.
+    pub(super) fn is_usable(&self, now: Instant, server: Key) -> bool {
+        self.views.get(&server).is_some_and(|view| view.state == ServerState::Ready && now < view.lease_end)
+    }
+
+    /// Counts a call that starts or ends at a server.
+    pub(super) fn count(&mut self, server: Key, has_started: bool, rng: &mut SmallRng) {
+        let load = self.loads.entry(server).or_default();
+        let was_ready = self.by_load.remove(&(load.0, load.1, server));
+        load.0 = if has_started { load.0 + 1 } else { load.0.saturating_sub(1) };
+        load.1 = rng.random();
+        if was_ready {
+            self.by_load.insert((load.0, load.1, server));
+        }
+    }
+
+    /// Picks the best of a few servers of which each has a free permit.
+    pub(super) fn pick_free(
+        &self,
+        now: Instant,
+        free: &[Key],
+        tried: &[Key],
+        health: &mut Health,
+        rng: &mut SmallRng,
+    ) -> Option<Key> {
+        let mut best: Option<(f64, Key)> = None;
+        let start = if free.len() > CANDIDATES { rng.random_range(0..free.len()) } else { 0 };
+        for step in 0..free.len().min(CANDIDATES) {
+            // A random stride through a list in no particular order is as good as independent choices.
+            let server = free[(start + step) % free.len()];
+            let Some(view) = self.views.get(&server).filter(|view| now < view.lease_end) else { continue };
+            if tried.contains(&server) || view.state != ServerState::Ready {
+                continue;
+            }
+            match health.standing(now, &view.id) {
+                Standing::Ejected => continue,
+                Standing::Warming { share } if !rng.random_bool(share.clamp(0.0, 1.0)) => continue,
+                Standing::Warming { .. } | Standing::Trial | Standing::Usable => {}
+            }
+            let score = health.score(now, &view.id);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, server));
+            }
+        }
+        best.map(|(_, server)| server)
+    }
+
+    pub(super) fn pick_random(&self, now: Instant, tried: &[Key], rng: &mut SmallRng) -> Option<Key> {
+        let start = rng.random_range(0..self.ready.len().max(1));
+        self.first_usable(now, start, tried)
+    }
+
+    pub(super) fn pick_next(&mut self, now: Instant, tried: &[Key]) -> Option<Key> {
+        self.next = (self.next + 1) % self.ready.len().max(1);
+        self.first_usable(now, self.next, tried)
+    }
+
+    pub(super) fn pick_least(&self, now: Instant, tried: &[Key]) -> Option<Key> {
+        let mut by_load = self.by_load.iter().map(|(_, _, key)| *key);
+        by_load.find(|key| !tried.contains(key) && self.is_usable(now, *key))
+    }
+
+    fn first_usable(&self, now: Instant, start: usize, tried: &[Key]) -> Option<Key> {
+        let mut all = self.ready.iter().cycle().skip(start).take(self.ready.len()).copied();
+        all.find(|key| !tried.contains(key) && self.is_usable(now, *key))
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/waiting.rs
@@ -0,0 +1,241 @@
+//! Calls that wait at the entry.
+
+use {
+    super::{ActiveCall, Call, DispatchAction, Dispatcher},
+    crate::{
+        admission::{Terms, Waiting},
+        ids::CallId,
+        outcome::{NotRunReason, Outcome},
+        slots::{Key, key},
+        text::Policy,
+    },
+    rand::RngExt,
+    std::{
+        cmp::Reverse,
+        time::{Duration, Instant},
+    },
+};
+
+/// When a caller may come back if nothing better is known: servers announce themselves each 800 ms.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Bounds of the time after which a caller may come back.
+const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(30));
+/// Tenths of a permit in one unit of a customer's share.
+const TENTHS: f64 = 10.0;
+
+impl Dispatcher {
+    /// Sends a call if nobody waits and a permit is free; otherwise the call waits or is refused.
+    pub(super) fn admit(&mut self, now: Instant, active: ActiveCall, actions: &mut Vec<DispatchAction>) {
+        let service = active.service;
+        let Some(state) = self.services.get(&service) else { return };
+        let may_start = !active.call.upload || state.may_upload(now, self.slots.limit(service));
+        if state.waiting() == 0
+            && may_start
+            && let Some(server) = self.choose(now, &active, Policy::Permits)
+        {
+            return self.send(now, active, server, actions);
+        }
+        let Some(settings) = self.text.services.get(&active.call.service) else { return };
+        let limit = settings.queue;
+        if self.is_overloaded(&active.call) {
+            return self.refuse(&active.call, NotRunReason::Overload, actions);
+        }
+        let weight = self.weight(now, &active.call);
+        let terms = Terms { weight, limit, slots: self.slots.limit(service) };
+        let Some(state) = self.services.get_mut(&service) else { return };
+        let call = &active.call;
+        let waiting = Waiting { call: call.id, upload: call.upload, deadline: call.deadline };
+        match state.queue.push(now, &call.customer, waiting, &state.pace, terms) {
+            Err(reason) => self.refuse(&active.call, reason, actions),
+            Ok(()) => {
+                let service_time = state.pace.service_time(call.upload);
+                self.expire_at(now, call.deadline, service_time, call.id);
+                self.waiting += 1;
+                self.calls.insert(active.call.id, active);
+                self.backlogged.insert(service);
+                self.pump(now, service, actions);
+            }
+        }
+    }
+
+    /// Services that nobody depends on are shed at half the limit, so that calls in progress further up,
+    /// whose work is lost without their dependencies, come through.
+    fn is_overloaded(&self, call: &Call) -> bool {
+        let limit = self.options.waiting_limit;
+        self.waiting >= limit || self.waiting >= limit / 2 && !self.text.is_dependency(&call.service)
+    }
+
+    fn weight(&self, now: Instant, call: &Call) -> f64 {
+        let weight = f64::from(self.text.weight(&call.service, &call.customer));
+        let shares = self.slots.shares(now, key(&call.service));
+        if shares.is_empty() {
+            return weight;
+        }
+        let customer = key(&call.customer);
+        shares.iter().find(|share| share.customer == customer).map_or(weight, |share| f64::from(share.tenths) / TENTHS)
+    }
+
+    pub(super) fn expire_at(&mut self, now: Instant, deadline: Instant, service_time: Duration, call: CallId) {
+        let latest = deadline.checked_sub(service_time).unwrap_or(deadline).max(now);
+        self.expiries.push(Reverse((latest, call)));
+    }
+
+    /// Takes over the shares of customers that the coordinator has set.
+    pub(super) fn take_shares(&mut self, now: Instant) {
+        for service in &self.backlogged {
+            let shares = self.slots.shares(now, *service);
+            let Some(state) = self.services.get_mut(service) else { continue };
+            if shares.is_empty() {
+                continue;
+            }
+            let queued: Vec<_> = state.queue.customers().map(|(name, _)| name.clone()).collect();
+            for name in queued {
+                let customer = key(&name);
+                if let Some(share) = shares.iter().find(|share| share.customer == customer) {
+                    state.queue.set_weight(&name, f64::from(share.tenths) / TENTHS);
+                }
+            }
+        }
+    }
+
+    /// Sends waiting calls of every service for which permits are free.
+    pub(super) fn pump_all(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        let services: Vec<_> = self.backlogged.iter().copied().collect();
+        for service in services {
+            self.pump(now, service, actions);
+        }
+    }
+
+    /// Sends waiting calls of a service while permits are free.
+    pub(super) fn pump(&mut self, now: Instant, service: Key, actions: &mut Vec<DispatchAction>) {
+        if !self.backlogged.contains(&service) {
+            return;
+        }
+        self.pump_again(now, service, actions);
+        while let Some(server) = self.choose_for_next(now, service) {
+            let Some(state) = self.services.get_mut(&service) else { return };
+            let with_uploads = state.may_upload(now, self.slots.limit(service));
+            let Some((_, waiting)) = state.queue.pop(&state.pace, with_uploads) else { break };
+            let service_time = state.pace.service_time(waiting.upload);
+            let Some(active) = self.calls.remove(&waiting.call) else { continue };
+            self.waiting -= 1;
+            if now + service_time > active.call.deadline {
+                self.give_up(&active, NotRunReason::Deadline, actions);
+            } else {
+                self.send(now, active, server, actions);
+            }
+        }
+        self.note_waiting(now, service);
+    }
+
+    /// Sends calls that failed once; a call that finds no server but those it has tried does not hold up the
+    /// others.
+    fn pump_again(&mut self, now: Instant, service: Key, actions: &mut Vec<DispatchAction>) {
+        let Some(state) = self.services.get_mut(&service) else { return };
+        for call in std::mem::take(&mut state.again) {
+            let Some(active) = self.calls.remove(&call) else { continue };
+            match self.choose(now, &active, Policy::Permits) {
+                Some(server) => {
+                    self.waiting -= 1;
+                    self.send(now, active, server, actions);
+                }
+                None => {
+                    self.calls.insert(call, active);
+                    if let Some(state) = self.services.get_mut(&service) {
+                        state.again.push(call);
+                    }
+                }
+            }
+        }
+    }
+
+    fn choose_for_next(&mut self, now: Instant, service: Key) -> Option<Key> {
+        let state = self.services.get_mut(&service)?;
+        if state.queue.is_empty() {
+            return None;
+        }
+        let free = self.slots.free(now, service);
+        state.servers.pick_free(now, free, &[], &mut state.health, &mut self.rng)
+    }
+
+    pub(super) fn note_waiting(&mut self, now: Instant, service: Key) {
+        let Some(state) = self.services.get(&service) else { return };
+        let waiting = state.waiting();
+        self.slots.wait(now, service, waiting as u32, state.pace.service_time(false));
+        if waiting == 0 {
+            self.backlogged.remove(&service);
+        } else {
+            self.backlogged.insert(service);
+        }
+    }
+
+    /// Rejects waiting calls that can no longer make their deadline.
+    pub(super) fn expire(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        while let Some(Reverse((at, call))) = self.expiries.peek().copied()
+            && at <= now
+        {
+            self.expiries.pop();
+            let is_waiting = self.calls.get(&call).is_some_and(|active| active.server.is_none());
+            if !is_waiting {
+                continue;
+            }
+            if let Some(active) = self.withdraw(call) {
+                self.note_waiting(now, active.service);
+                self.give_up(&active, NotRunReason::Deadline, actions);
+            }
+        }
+    }
+
+    /// Takes a waiting call out of its queue.
+    pub(super) fn withdraw(&mut self, call: CallId) -> Option<ActiveCall> {
+        let active = self.calls.remove(&call)?;
+        self.waiting -= 1;
+        if let Some(state) = self.services.get_mut(&active.service) {
+            let is_queued = state.queue.remove(&active.call.customer, call, active.call.upload);
+            if !is_queued {
+                state.again.retain(|other| *other != call);
+            }
+        }
+        Some(active)
+    }
+
+    /// Rejects every waiting call of a service.
+    pub(super) fn reject_waiting(&mut self, service: Key, reason: NotRunReason, actions: &mut Vec<DispatchAction>) {
+        let Some(state) = self.services.get_mut(&service) else { return };
+        let queued = state.queue.drain().into_iter().map(|waiting| waiting.call);
+        let calls: Vec<_> = queued.chain(std::mem::take(&mut state.again)).collect();
+        for call in calls {
+            let Some(active) = self.calls.remove(&call) else { continue };
+            self.waiting -= 1;
+            self.give_up(&active, reason, actions);
+        }
+        self.backlogged.remove(&service);
+    }
+
+    /// Rejects a call that has not been sent.
+    pub(super) fn refuse(&mut self, call: &Call, reason: NotRunReason, actions: &mut Vec<DispatchAction>) {
+        let retry_after = self.retry_after(call, reason);
+        actions.push(DispatchAction::Reject { call: call.id, outcome: Outcome::NotRun(reason), retry_after });
+    }
+
+    /// Rejects a call for which no further attempt is made.
+    pub(super) fn give_up(&mut self, active: &ActiveCall, reason: NotRunReason, actions: &mut Vec<DispatchAction>) {
+        let retry_after = self.retry_after(&active.call, reason);
+        actions.push(DispatchAction::Reject { call: active.call.id, outcome: active.outcome(reason), retry_after });
+    }
+
+    /// Estimates when a caller may come back: after the time in which what waits now will have been served.
+    /// A random part keeps callers that were rejected together from coming back together.
+    fn retry_after(&mut self, call: &Call, reason: NotRunReason) -> Duration {
+        let service = key(&call.service);
+        let wait = match (reason, self.services.get(&service)) {
+            (NotRunReason::QueueFull | NotRunReason::Deadline | NotRunReason::Overload, Some(state)) => {
+                let weight = f64::from(self.text.weight(&call.service, &call.customer));
+                state.queue.wait(&call.customer, weight, &state.pace, self.slots.limit(service))
+            }
+            _ => RETRY_AFTER,
+        };
+        let jitter = self.rng.random_range(1.0..1.5);
+        wait.mul_f64(jitter).clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,12 +5,16 @@
 //! same code runs in the process, in the scripted scenarios and in the fault matrix.
 
 pub mod admission;
+pub mod burn;
 pub mod collections;
 pub mod dispatch;
 pub mod errors;
+pub mod health;
 pub mod ids;
+pub mod measure;
 pub mod outcome;
 pub mod registry;
+pub mod retry;
 pub mod slots;
 pub mod text;
 pub mod units;
--- a/crates/core/src/slots/allot.rs
+++ b/crates/core/src/slots/allot.rs
@@ -51,14 +51,19 @@
 
     /// Grants free slots one at a time to the entry that has the fewest permits for its load.
     fn grant_free(&mut self, now: Instant, live: &[InstanceId], rng: &mut SmallRng) {
-        let mut served = Vec::new();
+        let (mut served, mut failed) = (Vec::new(), Vec::new());
         while self.stock.free_count() > 0 {
             let satisfaction = |member: &super::Member| f64::from(member.target) / f64::from(member.load().max(1));
-            let waiting = self.members.iter().filter(|(id, member)| member.unmet(now) > 0 && live.contains(id));
+            let waiting = self
+                .members
+                .iter()
+                .filter(|(id, member)| member.unmet(now) > 0 && live.contains(id) && !failed.contains(*id));
             let next = waiting.min_by(|a, b| satisfaction(a.1).total_cmp(&satisfaction(b.1))).map(|(id, _)| id.clone());
             let Some(id) = next else { break };
             if !self.grant(now, &id, rng) {
-                return;
+                // What is left is refused by this entry; another one may take it.
+                failed.push(id);
+                continue;
             }
             if !served.contains(&id) {
                 served.push(id);
@@ -75,8 +80,9 @@
     }
 
     fn grant(&mut self, now: Instant, id: &InstanceId, rng: &mut SmallRng) -> bool {
-        let Some(server) = self.stock.pick(rng) else { return false };
-        let held = self.members.get(id).and_then(|member| member.claims.get(&server)).map_or(0, |claim| claim.target);
+        let Some(member) = self.members.get(id) else { return false };
+        let Some(server) = self.stock.pick(rng, |server| member.refuses(now, server)) else { return false };
+        let held = member.claims.get(&server).map_or(0, |claim| claim.target);
         self.set_target(id, server, held + 1);
         if let Some(member) = self.members.get_mut(id) {
             member.granted_at = Some(now);
--- a/crates/core/src/slots/coordinator.rs
+++ b/crates/core/src/slots/coordinator.rs
@@ -3,9 +3,16 @@
 use {
     super::{COLLECT, Claim, Key, Member, Outbox, REPEAT, SlotReport, Stock},
     crate::{collections::FastMap, ids::InstanceId},
-    std::{collections::BTreeMap, time::Instant},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
 };
 
+/// Time for which an entry gets no permits for a server that it refused; a refusal is lifted by that time
+/// without a message.
+const REFUSAL: Duration = Duration::from_secs(1);
+
 /// The permits of one service that this instance hands out while it is the coordinator. For every server
 /// the sum of the bounds of all entries is counted as taken, so a slot is free only when no entry can use it.
 #[derive(Debug, Default)]
@@ -102,6 +109,11 @@
         member.demand.clone_from(&report.demand);
         for holding in &report.holdings {
             let claim = member.claims.entry(holding.server).or_default();
+            if holding.refused {
+                member.refused.insert(holding.server, now + REFUSAL);
+            } else {
+                member.refused.remove(&holding.server);
+            }
             let before = *claim;
             claim.reported = holding.held;
             if grants.contains(self.service, holding.server) {
--- a/crates/core/src/slots/exchange.rs
+++ b/crates/core/src/slots/exchange.rs
@@ -77,12 +77,7 @@
         for service in std::mem::take(&mut self.touched) {
             self.allot(now, service);
         }
-        let due: Vec<_> = self
-            .links
-            .iter()
-            .filter(|(id, link)| link.is_due(now, self.holds_permits(id)))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let due: Vec<_> = self.links.iter().filter(|(_, link)| link.is_due(now)).map(|(id, _)| id.clone()).collect();
         for id in due {
             let message = self.message(now, &id, demand);
             if id != self.me {
@@ -93,7 +88,7 @@
         }
     }
 
-    fn holds_permits(&self, from: &InstanceId) -> bool {
+    pub(super) fn holds_permits(&self, from: &InstanceId) -> bool {
         let holds = |holder: &super::Holder| holder.coordinator.as_ref() == Some(from) && holder.granted() > 0;
         self.services.values().any(|slots| holds(&slots.holder))
     }
@@ -167,7 +162,7 @@
         *room -= customers.len();
         let holding = |server: &Key| {
             let seat = holder.seat(*server).cloned().unwrap_or_default();
-            Holding { server: *server, held: seat.held(), in_flight: seat.in_flight }
+            Holding { server: *server, held: seat.held(), refused: !seat.is_open, in_flight: seat.in_flight }
         };
         Some(SlotReport {
             service,
@@ -218,8 +213,11 @@
         for permit in &grant.permits {
             let Some(slots) = self.services.get_mut(&grant.service) else { return };
             let before = slots.holder.seat(permit.server).map_or(0, |seat| seat.granted);
-            let held = slots.holder.set_granted(permit.server, permit.count);
-            if permit.count < before || held > permit.count {
+            // No permit is kept for a server that is not open to this entry.
+            let is_open = slots.holder.seat(permit.server).is_some_and(|seat| seat.is_open);
+            let count = if is_open { permit.count } else { 0 };
+            let held = slots.holder.set_granted(permit.server, count);
+            if count < before || held != permit.count {
                 self.mark_holding(now, grant.service, permit.server, Duration::ZERO);
             }
         }
--- a/crates/core/src/slots/holder.rs
+++ b/crates/core/src/slots/holder.rs
@@ -76,6 +76,14 @@
         }
     }
 
+    /// Returns the servers with permits that are not open for new calls.
+    pub(super) fn closed(&self) -> Vec<Key> {
+        let closed = self.seats.iter().filter(|(_, seat)| !seat.is_open && seat.granted > 0);
+        let mut closed: Vec<_> = closed.map(|(server, _)| *server).collect();
+        closed.sort_unstable();
+        closed
+    }
+
     /// Changes the permits granted for a server; returns the permits held afterwards.
     pub(super) fn set_granted(&mut self, server: Key, count: u32) -> u32 {
         let seat = self.seats.entry(server).or_default();
--- a/crates/core/src/slots/link.rs
+++ b/crates/core/src/slots/link.rs
@@ -102,12 +102,14 @@
         self.due = Some(self.due.map_or(due, |earlier| earlier.min(due)));
     }
 
-    /// Returns whether a message is due, which includes repeating what was not acknowledged and renewing the
-    /// lease on permits that are held.
-    pub(super) fn is_due(&self, now: Instant, holds_permits: bool) -> bool {
-        let is_repeat_due = self.last_sent.is_none_or(|sent| now >= sent + REPEAT);
+    /// Returns whether a message is due.
+    pub(super) fn is_due(&self, now: Instant) -> bool {
         self.due.is_some_and(|due| now >= due)
-            || is_repeat_due && (self.has_unacknowledged() || holds_permits && self.needs_renewal(now))
+    }
+
+    /// Returns whether the last message was so long ago that what was not acknowledged is to be repeated.
+    pub(super) fn is_repeat_due(&self, now: Instant) -> bool {
+        self.last_sent.is_none_or(|sent| now >= sent + REPEAT)
     }
 
     /// Returns whether the lease has to be renewed.
--- a/crates/core/src/slots/member.rs
+++ b/crates/core/src/slots/member.rs
@@ -45,6 +45,8 @@
     pub(super) recall: u32,
     pub(super) recalled_at: Option<Instant>,
     pub(super) shares: Vec<CustomerShare>,
+    /// Servers for which the entry wants no permits for now.
+    pub(super) refused: FastMap<Key, Instant>,
     pub(super) resync_at: Option<Instant>,
     /// Time of the last grant that added a permit.
     pub(super) granted_at: Option<Instant>,
@@ -67,6 +69,11 @@
         self.need + self.in_flight
     }
 
+    /// Returns whether the entry wants no permits for a server for now.
+    pub(super) fn refuses(&self, now: Instant, server: Key) -> bool {
+        self.refused.get(&server).is_some_and(|until| now < *until)
+    }
+
     /// Forgets what the entry holds, which it has to report anew.
     pub(super) fn reset(&mut self) {
         *self = Self { attach: self.attach, stale: Some(self.attach), ..Self::default() };
--- a/crates/core/src/slots/message.rs
+++ b/crates/core/src/slots/message.rs
@@ -84,6 +84,8 @@
     pub server: Key,
     /// Permits held.
     pub held: u32,
+    /// Whether the entry wants no permits for the server, for example because its calls fail there.
+    pub refused: bool,
     /// Calls in flight.
     pub in_flight: u32,
 }
--- a/crates/core/src/slots/mod.rs
+++ b/crates/core/src/slots/mod.rs
@@ -17,16 +17,16 @@
 mod outbox;
 mod seat;
 mod service;
-mod slots;
 mod split;
+mod state;
 mod stock;
 
 pub use {
     counters::SlotCounters,
     key::{Key, key},
     message::{CustomerDemand, CustomerShare, Holding, Permit, SlotGrant, SlotHeader, SlotMessage, SlotReport},
-    slots::Slots,
     split::split,
+    state::Slots,
 };
 
 use {
--- a/crates/core/src/slots/slots.rs
+++ b/crates/core/src/slots/state.rs
@@ -105,6 +105,12 @@
         slots.holder.set_servers(me, self.roster, &servers);
         slots.coordinator.set_capacity(&servers);
         slots.servers = servers;
+        for server in slots.holder.closed() {
+            if let Some(slots) = self.services.get_mut(&service) {
+                slots.holder.set_granted(server, 0);
+            }
+            self.mark_holding(now, service, server, ACK_DELAY);
+        }
         self.assign(now, service);
         self.touched.insert(service);
     }
@@ -214,6 +220,19 @@
             }
             self.report_until_adopted(now, service);
         }
+        self.repeat(now);
+    }
+
+    /// Has messages sent again that were not acknowledged, and leases renewed.
+    fn repeat(&mut self, now: Instant) {
+        let due: Vec<_> =
+            self.links.iter().filter(|(_, link)| link.is_repeat_due(now)).map(|(id, _)| id.clone()).collect();
+        for id in due {
+            let link = &self.links[&id];
+            if link.has_unacknowledged() || link.needs_renewal(now) && self.holds_permits(&id) {
+                self.links.entry(id).or_default().ask(now, Duration::ZERO);
+            }
+        }
     }
 
     /// Gives idle permits back.
--- a/crates/core/src/slots/stock.rs
+++ b/crates/core/src/slots/stock.rs
@@ -6,6 +6,9 @@
     rand::{RngExt, rngs::SmallRng},
 };
 
+/// Servers that are looked at for one grant.
+const TRIES: usize = 6;
+
 #[derive(Clone, Debug, Default)]
 struct Shelf {
     capacity: u32,
@@ -44,11 +47,22 @@
         }
     }
 
-    /// Picks a server with a free slot; of two at random the one with more free slots.
-    pub(super) fn pick(&self, rng: &mut SmallRng) -> Option<Key> {
-        let mut any = || self.free.get(rng.random_range(0..self.free.len().max(1))).copied();
-        let (first, second) = (any()?, any()?);
-        Some(if self.free_at(second) > self.free_at(first) { second } else { first })
+    /// Picks a server with a free slot that is not refused: of two at random the one with more free slots.
+    pub(super) fn pick(&self, rng: &mut SmallRng, is_refused: impl Fn(Key) -> bool) -> Option<Key> {
+        let mut best: Option<Key> = None;
+        let mut seen = 0;
+        for _ in 0..TRIES {
+            let server = *self.free.get(rng.random_range(0..self.free.len().max(1)))?;
+            if is_refused(server) {
+                continue;
+            }
+            best = best.filter(|best| self.free_at(*best) >= self.free_at(server)).or(Some(server));
+            seen += 1;
+            if seen == 2 {
+                break;
+            }
+        }
+        best
     }
 
     pub(super) fn free_count(&self) -> u32 {
--- /dev/null
+++ b/crates/core/tests/support/cluster.rs
@@ -0,0 +1,366 @@
+//! A few dispatchers, stand-in servers and a lossy exchange of messages in virtual time.
+
+use {
+    super::{Server, Traffic},
+    hemlockford_core::{
+        collections::FastMap,
+        dispatch::{
+            AttemptResult, Call, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish, ServerState,
+            ServerView,
+        },
+        outcome::Outcome,
+        slots::SlotMessage,
+        text::Text,
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{
+        cmp::Reverse,
+        collections::BinaryHeap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+pub const SERVICE: &str = "catalogue";
+const TICK: Duration = Duration::from_millis(1);
+const FAR: Duration = Duration::from_secs(86_400);
+/// IP and UDP header of a datagram.
+const DATAGRAM_BYTES: u64 = 28;
+
+#[derive(Debug)]
+pub enum Step {
+    Tick(usize),
+    Arrive(usize),
+    Deliver(usize, usize, SlotMessage),
+    Depart(usize, u64),
+    Timeout(u64),
+}
+
+/// What happened to one call.
+#[derive(Clone, Debug)]
+pub struct Record {
+    pub customer: Box<str>,
+    pub entry: usize,
+    pub arrived: Duration,
+    pub work: Duration,
+    pub server: Option<usize>,
+    pub ended: Option<Duration>,
+    pub outcome: Option<Outcome>,
+    pub decisions: usize,
+}
+
+pub struct Cluster {
+    pub base: Instant,
+    pub now: Duration,
+    pub entries: Vec<Option<Dispatcher>>,
+    pub frozen: Vec<bool>,
+    pub servers: Vec<Server>,
+    pub records: FastMap<u64, Record>,
+    pub delay: Duration,
+    pub loss: f64,
+    pub duplicate: f64,
+    pub jitter: Duration,
+    pub deadline: Duration,
+    pub idempotent: bool,
+    pub messages: u64,
+    pub bytes: u64,
+    pub largest: usize,
+    pub traffic: Vec<Traffic>,
+    pub text: Arc<Text>,
+    pub rng: SmallRng,
+    pub noise: SmallRng,
+    steps: BinaryHeap<Reverse<(Duration, u64, usize)>>,
+    pending: FastMap<usize, Step>,
+    number: u64,
+    next_call: u64,
+    incarnation: u64,
+}
+
+impl Cluster {
+    pub fn new(seed: u64, entries: usize, servers: usize, slots: usize, text: &str) -> Self {
+        let mut cluster = Self {
+            base: Instant::now(),
+            now: Duration::ZERO,
+            entries: (0..entries).map(|_| None).collect(),
+            frozen: vec![false; entries],
+            servers: (0..servers).map(|number| Server::new(&format!("server-{number:02}"), slots)).collect(),
+            records: FastMap::default(),
+            delay: Duration::from_millis(1),
+            loss: 0.0,
+            duplicate: 0.0,
+            jitter: Duration::ZERO,
+            deadline: Duration::from_millis(800),
+            idempotent: true,
+            messages: 0,
+            bytes: 0,
+            largest: 0,
+            traffic: Vec::new(),
+            text: Arc::new(Text::parse(text).expect("a text without faults")),
+            rng: SmallRng::seed_from_u64(seed),
+            noise: SmallRng::seed_from_u64(seed ^ 0x5eed),
+            steps: BinaryHeap::new(),
+            pending: FastMap::default(),
+            number: 0,
+            next_call: 0,
+            incarnation: 0,
+        };
+        (0..entries).for_each(|entry| cluster.start(entry));
+        let peers: Vec<_> = (0..entries).collect();
+        peers.iter().for_each(|entry| cluster.set_peers(*entry, &peers));
+        cluster
+    }
+
+    pub fn name(entry: usize) -> Box<str> {
+        format!("entry-{entry}").into()
+    }
+
+    pub fn instant(&self) -> Instant {
+        self.base + self.now
+    }
+
+    /// Starts an entry as a new process.
+    pub fn start(&mut self, entry: usize) {
+        self.incarnation += 1;
+        let options = DispatchOptions {
+            id: Self::name(entry),
+            incarnation: self.incarnation,
+            roster: self.entries.len(),
+            ..DispatchOptions::default()
+        };
+        let rng = SmallRng::seed_from_u64(self.rng.random());
+        self.entries[entry] = Some(Dispatcher::new(options, rng));
+        self.handle(entry, DispatchEvent::Configure(self.text.clone()));
+        let views = (0..self.servers.len()).map(|server| self.view(server)).collect();
+        self.handle(entry, DispatchEvent::Servers(SERVICE.into(), views));
+        let offset = Duration::from_micros(self.rng.random_range(0..1_000));
+        self.push(self.now + offset, Step::Tick(entry));
+    }
+
+    /// Kills an entry; its calls end at the servers at once.
+    pub fn kill(&mut self, entry: usize) {
+        self.entries[entry] = None;
+        let lost: Vec<_> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.entry == entry && record.ended.is_none())
+            .map(|(call, _)| *call)
+            .collect();
+        for call in lost {
+            for server in 0..self.servers.len() {
+                if self.servers[server].remove(call) {
+                    self.run(server);
+                }
+            }
+            self.records.remove(&call);
+        }
+    }
+
+    pub fn set_peers(&mut self, entry: usize, peers: &[usize]) {
+        let peers = peers.iter().map(|peer| Self::name(*peer)).collect();
+        self.handle(entry, DispatchEvent::Peers(peers));
+    }
+
+    pub fn view(&self, server: usize) -> ServerView {
+        ServerView {
+            id: self.servers[server].id.clone(),
+            address: ([127, 0, 0, 1], 9_000 + server as u16).into(),
+            data_centre: "".into(),
+            slots: self.servers[server].slots as u32,
+            connections: 250,
+            state: ServerState::Ready,
+            lease_end: self.base + FAR,
+            ready_since: self.base.checked_sub(Duration::from_secs(60)).unwrap_or(self.base),
+        }
+    }
+
+    /// Adds a stream of calls from now on.
+    pub fn add_traffic(&mut self, traffic: Traffic) {
+        self.traffic.push(traffic);
+        let number = self.traffic.len() - 1;
+        let first = self.now + self.traffic[number].gap(&mut self.rng);
+        self.push(first, Step::Arrive(number));
+    }
+
+    pub fn run_for(&mut self, duration: Duration) {
+        self.run_with(duration, |_| {});
+    }
+
+    /// Runs for a time and calls `check` after each step.
+    pub fn run_with(&mut self, duration: Duration, mut check: impl FnMut(&Self)) {
+        let end = self.now + duration;
+        while let Some(Reverse((at, _, id))) = self.steps.peek().copied()
+            && at <= end
+        {
+            self.steps.pop();
+            self.now = self.now.max(at);
+            if let Some(step) = self.pending.remove(&id) {
+                self.step(step);
+                check(self);
+            }
+        }
+        self.now = end;
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Tick(entry) => {
+                if self.entries[entry].is_none() {
+                    return;
+                }
+                if !self.frozen[entry] {
+                    self.handle(entry, DispatchEvent::Tick);
+                }
+                self.push(self.now + TICK, Step::Tick(entry));
+            }
+            Step::Deliver(to, from, message) => {
+                if self.frozen[to] {
+                    // The message waits in the socket's buffer.
+                    return self.push(self.now + TICK, Step::Deliver(to, from, message));
+                }
+                self.handle(to, DispatchEvent::Peer { from: Self::name(from), message });
+            }
+            Step::Arrive(number) => self.arrive(number),
+            Step::Depart(server, call) => {
+                if self.servers[server].running.contains(&call) {
+                    self.servers[server].remove(call);
+                    self.run(server);
+                    self.finish(call, AttemptResult::Complete);
+                }
+            }
+            Step::Timeout(call) => {
+                let server =
+                    self.records.get(&call).filter(|record| record.ended.is_none()).and_then(|record| record.server);
+                if let Some(server) = server {
+                    self.servers[server].remove(call);
+                    self.run(server);
+                    self.finish(call, AttemptResult::Timeout);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, number: usize) {
+        let gap = self.traffic[number].gap(&mut self.rng);
+        self.push(self.now + gap, Step::Arrive(number));
+        let traffic = &self.traffic[number];
+        let (customer, upload) = (traffic.customer.clone(), traffic.upload);
+        let entry = traffic.entries[self.rng.random_range(0..traffic.entries.len())];
+        let work = traffic.work.mul_f64(-self.rng.random_range(f64::MIN_POSITIVE..1.0f64).ln());
+        if self.entries[entry].is_none() || self.frozen[entry] {
+            return;
+        }
+        self.call(entry, customer, work, upload);
+    }
+
+    /// Makes one call through an entry.
+    pub fn call(&mut self, entry: usize, customer: Box<str>, work: Duration, upload: bool) -> u64 {
+        self.next_call += 1;
+        let id = self.next_call;
+        let record = Record {
+            customer: customer.clone(),
+            entry,
+            arrived: self.now,
+            work,
+            server: None,
+            ended: None,
+            outcome: None,
+            decisions: 0,
+        };
+        self.records.insert(id, record);
+        self.push(self.now + self.deadline, Step::Timeout(id));
+        let call = Call {
+            id,
+            service: SERVICE.into(),
+            customer,
+            idempotent: self.idempotent,
+            replayable: self.idempotent && !upload,
+            deadline: self.instant() + self.deadline,
+            depth: 0,
+            retry_allowance: false,
+            upload,
+        };
+        self.handle(entry, DispatchEvent::Arrive(call));
+        id
+    }
+
+    fn finish(&mut self, call: u64, result: AttemptResult) {
+        let Some(record) = self.records.get_mut(&call) else { return };
+        let Some(server) = record.server.take() else { return };
+        if result == AttemptResult::Complete {
+            record.ended = Some(self.now);
+            record.outcome = Some(Outcome::Answered);
+            record.decisions += 1;
+        }
+        let finish = Finish {
+            call,
+            server: self.servers[server].id.clone(),
+            result,
+            latency: self.now - record.arrived,
+            report: None,
+            wants_decision: result != AttemptResult::Complete,
+        };
+        let entry = record.entry;
+        self.handle(entry, DispatchEvent::Finish(finish));
+    }
+
+    pub fn handle(&mut self, entry: usize, event: DispatchEvent) {
+        let now = self.instant();
+        let Some(dispatcher) = &mut self.entries[entry] else { return };
+        let mut actions = Vec::new();
+        dispatcher.handle(now, event, &mut actions);
+        for action in actions {
+            self.act(entry, action);
+        }
+    }
+
+    fn act(&mut self, entry: usize, action: DispatchAction) {
+        match action {
+            DispatchAction::Send { call, server, .. } => {
+                let server = self.servers.iter().position(|known| known.id == server).expect("a known server");
+                let record = self.records.get_mut(&call).expect("a known call");
+                assert!(record.ended.is_none() && record.server.is_none(), "call {call} is sent once at a time");
+                record.server = Some(server);
+                let work = record.work;
+                self.servers[server].push(call, work);
+                self.run(server);
+            }
+            DispatchAction::Reject { call, outcome, .. } => {
+                let record = self.records.get_mut(&call).expect("a known call");
+                record.ended = Some(self.now);
+                record.outcome = Some(outcome);
+                record.decisions += 1;
+            }
+            DispatchAction::Tell { to, message } => self.tell(entry, &to, message),
+            DispatchAction::Probe { .. } => {}
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: &str, message: SlotMessage) {
+        let size = postcard::to_stdvec(&message).expect("a message that can be encoded").len();
+        self.messages += 1;
+        self.bytes += size as u64 + DATAGRAM_BYTES;
+        self.largest = self.largest.max(size);
+        let Some(to) = (0..self.entries.len()).find(|entry| *Self::name(*entry) == *to) else { return };
+        let copies = if self.noise.random_bool(self.duplicate) { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.noise.random_bool(self.loss) {
+                continue;
+            }
+            let late = self.jitter.mul_f64(self.noise.random_range(0.0..1.0));
+            self.push(self.now + self.delay + late, Step::Deliver(to, from, message.clone()));
+        }
+    }
+
+    fn run(&mut self, server: usize) {
+        while let Some((call, work)) = self.servers[server].start() {
+            self.push(self.now + work, Step::Depart(server, call));
+        }
+    }
+
+    fn push(&mut self, at: Duration, step: Step) {
+        self.number += 1;
+        let id = self.number as usize;
+        self.pending.insert(id, step);
+        self.steps.push(Reverse((at, self.number, id)));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/support/server.rs
@@ -0,0 +1,42 @@
+//! A stand-in server that runs as many calls at a time as it has slots and queues the others.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// A stand-in server in virtual time.
+#[derive(Debug)]
+pub struct Server {
+    pub id: Box<str>,
+    pub slots: usize,
+    /// Factor on the time that a call takes.
+    pub slowness: f64,
+    pub running: Vec<u64>,
+    pub queued: VecDeque<(u64, Duration)>,
+    /// Most calls that were at the server at a time.
+    pub most: usize,
+}
+
+impl Server {
+    pub fn new(id: &str, slots: usize) -> Self {
+        Self { id: id.into(), slots, slowness: 1.0, running: Vec::new(), queued: VecDeque::new(), most: 0 }
+    }
+
+    pub fn push(&mut self, call: u64, work: Duration) {
+        self.queued.push_back((call, work.mul_f64(self.slowness)));
+        self.most = self.most.max(self.running.len() + self.queued.len());
+    }
+
+    /// Starts the next call if a slot is free.
+    pub fn start(&mut self) -> Option<(u64, Duration)> {
+        let next = (self.running.len() < self.slots).then(|| self.queued.pop_front())??;
+        self.running.push(next.0);
+        Some(next)
+    }
+
+    /// Removes a call; returns whether it was there.
+    pub fn remove(&mut self, call: u64) -> bool {
+        let before = self.running.len() + self.queued.len();
+        self.running.retain(|running| *running != call);
+        self.queued.retain(|queued| queued.0 != call);
+        before > self.running.len() + self.queued.len()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/support/traffic.rs
@@ -0,0 +1,24 @@
+//! A stream of calls.
+
+use {
+    rand::{RngExt, rngs::SmallRng},
+    std::time::Duration,
+};
+
+/// A stream of calls of one customer with exponential gaps and service times.
+#[derive(Clone, Debug)]
+pub struct Traffic {
+    pub customer: Box<str>,
+    /// Calls a second.
+    pub rate: f64,
+    pub entries: Vec<usize>,
+    /// Mean time that a call takes at a server.
+    pub work: Duration,
+    pub upload: bool,
+}
+
+impl Traffic {
+    pub fn gap(&self, rng: &mut SmallRng) -> Duration {
+        Duration::from_secs_f64(-rng.random_range(f64::MIN_POSITIVE..1.0f64).ln() / self.rate)
+    }
+}
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use {
     hemlockford_core::{
         collections::FastMap,
-        dispatch::{DispatchAction, DispatchEvent, Dispatcher},
+        dispatch::{DispatchAction, DispatchEvent, Dispatcher, Finish},
         ids::CallId,
     },
     hemlockford_proxy::{Decision, GateMessage},
@@ -53,7 +53,7 @@
             }
             GateMessage::Failed(finish, reply) => {
                 self.waiting.insert(finish.call, reply);
-                DispatchEvent::Finish(finish)
+                DispatchEvent::Finish(Finish { wants_decision: true, ..finish })
             }
             GateMessage::Done(finish) => DispatchEvent::Finish(finish),
             GateMessage::Cancel(call) => {
@@ -65,10 +65,11 @@
 
     fn carry_out(&mut self, action: DispatchAction) {
         let (call, decision) = match action {
-            DispatchAction::Send { call, server, address, fresh_connection } => {
+            DispatchAction::Send { call, server, address, fresh_connection, .. } => {
                 (call, Decision::Send { server, address, fresh_connection })
             }
             DispatchAction::Reject { call, outcome, retry_after } => (call, Decision::Reject { outcome, retry_after }),
+            DispatchAction::Tell { .. } | DispatchAction::Probe { .. } => return,
         };
         if let Some(reply) = self.waiting.remove(&call) {
             // The worker may have dropped the call; it reports that by itself.
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -41,6 +41,7 @@
             result,
             latency: self.start.elapsed(),
             report: self.report,
+            wants_decision: false,
         }
     }
 
