--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        ids::{CallId, ServerId},
+        ids::{CallId, InstanceId, ServerId},
         outcome::Outcome,
+        slots::SlotMessage,
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -33,4 +34,16 @@
         /// When the caller may come back.
         retry_after: Duration,
     },
+    /// Send a message to another entry.
+    Tell {
+        /// The other entry.
+        to: InstanceId,
+        /// What it is told.
+        message: SlotMessage,
+    },
+    /// Probe a server.
+    Probe {
+        /// The server.
+        server: ServerId,
+    },
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -1,104 +1,298 @@
 //! The state machine that chooses a server for each call.
 
 use {
-    super::{AttemptResult, Call, DispatchAction, DispatchEvent, Finish, ServerState, ServerView},
+    super::{ActiveCall, Call, DispatchAction, DispatchEvent, DispatchOptions, ServerView, ServiceState},
     crate::{
-        collections::FastMap,
-        ids::{CallId, ServerId, ServiceId},
-        outcome::{NotRunReason, Outcome, UnknownReason},
-        text::Text,
+        collections::{FastMap, FastSet},
+        ids::{CallId, InstanceId, ServiceId},
+        outcome::NotRunReason,
+        slots::{Key, SlotCounters, SlotMessage, Slots, key},
+        text::{Policy, Text},
     },
-    rand::{RngExt, rngs::SmallRng},
+    rand::{SeedableRng, rngs::SmallRng},
     std::{
+        cmp::Reverse,
+        collections::{BTreeSet, BinaryHeap},
         sync::Arc,
         time::{Duration, Instant},
     },
 };
 
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time between two looks at servers whose lease or ejection may have ended.
+const REVIEW: Duration = Duration::from_millis(100);
+/// Messages of an instance to itself that one event may cause; a bound against a loop, never reached.
+const MAX_ROUNDS: usize = 16;
 
 /// Chooses a server for each call of one instance.
 #[derive(Debug)]
 pub struct Dispatcher {
-    rng: SmallRng,
-    text: Arc<Text>,
-    servers: FastMap<ServiceId, Vec<ServerView>>,
-    in_flight: FastMap<ServerId, u32>,
-    calls: FastMap<CallId, Call>,
+    pub(super) options: DispatchOptions,
+    pub(super) rng: SmallRng,
+    pub(super) text: Arc<Text>,
+    pub(super) slots: Slots,
+    pub(super) services: FastMap<Key, ServiceState>,
+    pub(super) calls: FastMap<CallId, ActiveCall>,
+    /// Services with waiting calls.
+    pub(super) backlogged: BTreeSet<Key>,
+    /// When waiting calls are to be given up.
+    pub(super) expiries: BinaryHeap<Reverse<(Instant, CallId)>>,
+    pub(super) waiting: usize,
+    messages: Vec<(InstanceId, SlotMessage)>,
+    reviewed_at: Option<Instant>,
 }
 
 impl Dispatcher {
-    /// Makes a dispatcher without a text or servers.
-    pub fn new(rng: SmallRng) -> Self {
+    /// Makes a dispatcher without a text, servers or peers.
+    ///
+    /// ```
+    /// use {
+    ///     hemlockford_core::dispatch::{DispatchOptions, Dispatcher},
+    ///     rand::{SeedableRng, rngs::SmallRng},
+    /// };
+    /// let options = DispatchOptions { id: "entry-1".into(), roster: 6, ..DispatchOptions::default() };
+    /// let dispatcher = Dispatcher::new(options, SmallRng::seed_from_u64(1));
+    /// assert_eq!(dispatcher.waiting(), 0);
+    /// ```
+    pub fn new(options: DispatchOptions, mut rng: SmallRng) -> Self {
+        let slots_rng = SmallRng::from_rng(&mut rng);
         Self {
+            slots: Slots::new(options.id.clone(), options.incarnation, options.roster, slots_rng),
+            options,
             rng,
             text: Arc::default(),
-            servers: FastMap::default(),
-            in_flight: FastMap::default(),
+            services: FastMap::default(),
             calls: FastMap::default(),
+            backlogged: BTreeSet::new(),
+            expiries: BinaryHeap::new(),
+            waiting: 0,
+            messages: Vec::new(),
+            reviewed_at: None,
         }
     }
 
     /// Takes one event at a time and adds what is to be done.
     pub fn handle(&mut self, now: Instant, event: DispatchEvent, actions: &mut Vec<DispatchAction>) {
+        self.slots.wake(now);
         match event {
             DispatchEvent::Arrive(call) => self.arrive(now, call, actions),
-            DispatchEvent::Finish(finish) => self.finish(&finish, actions),
-            DispatchEvent::Cancel(call) => {
-                self.calls.remove(&call);
+            DispatchEvent::Finish(finish) => self.finish(now, &finish, actions),
+            DispatchEvent::Cancel(call) => self.cancel(now, call, actions),
+            DispatchEvent::Servers(service, servers) => self.set_servers(now, &service, servers, actions),
+            DispatchEvent::Peers(peers) => self.slots.set_peers(now, peers),
+            DispatchEvent::Peer { from, message } => {
+                self.slots.receive(now, &from, &message);
+                self.take_shares(now);
+                self.pump_all(now, actions);
             }
-            DispatchEvent::Servers(service, servers) => {
-                self.servers.insert(service, servers);
+            DispatchEvent::Configure(text) => self.configure(text, actions),
+            DispatchEvent::Tick => {
+                self.slots.tick(now);
+                self.expire(now, actions);
+                self.review(now);
+                self.pump_all(now, actions);
             }
-            DispatchEvent::Configure(text) => self.text = text,
-            DispatchEvent::Tick => {}
         }
+        self.exchange(now, actions);
+    }
+
+    /// Returns the number of calls that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Returns the number of calls that wait or are in flight.
+    pub fn active(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns the counts of slot sharing.
+    pub fn slot_counters(&self) -> SlotCounters {
+        self.slots.counters()
+    }
+
+    /// Returns the permits of a coordinator that this entry may use now for a server, in use or not.
+    pub fn permits(&self, now: Instant, service: &str, server: &str) -> u32 {
+        self.slots.permits(now, key(service), key(server))
+    }
+
+    /// Returns the coordinator of a service, as this entry sees it.
+    pub fn coordinator(&self, service: &str) -> Option<&InstanceId> {
+        self.slots.coordinator(key(service))
     }
 
     fn arrive(&mut self, now: Instant, call: Call, actions: &mut Vec<DispatchAction>) {
-        if !self.text.services.contains_key(&call.service) {
-            return actions.push(reject(call.id, Outcome::NotRun(NotRunReason::UnknownService)));
-        }
-        let servers = self.servers.get(&call.service).map(Vec::as_slice).unwrap_or_default();
-        let is_usable = |server: &&ServerView| server.state == ServerState::Ready && now < server.lease_end;
-        let usable: Vec<_> = servers.iter().filter(is_usable).collect();
-        if usable.is_empty() {
-            return actions.push(reject(call.id, Outcome::NotRun(NotRunReason::NoServer)));
-        }
-        let first = usable[self.rng.random_range(0..usable.len())];
-        let second = usable[self.rng.random_range(0..usable.len())];
-        let load = |server: &ServerView| self.in_flight.get(&server.id).copied().unwrap_or_default();
-        let chosen = if load(second) < load(first) { second } else { first };
+        let service = key(&call.service);
+        let Some(settings) = self.text.services.get(&call.service) else {
+            return self.refuse(&call, NotRunReason::UnknownService, actions);
+        };
+        let (policy, has_dependencies) = (settings.policy, !settings.depends.is_empty());
+        let state = self.services.entry(service).or_insert_with(|| ServiceState::new(self.options.data_centre.clone()));
+        if call.depth == 0 {
+            state.budget.on_call(now);
+        }
+        state.note_arrival(now, call.upload);
+        let has_token = call.retry_allowance || call.depth == 0 && has_dependencies && state.budget.try_mint(now);
+        let is_served = !state.servers.ready().is_empty();
+        let active = ActiveCall {
+            call,
+            service,
+            server: None,
+            tried: Vec::new(),
+            doubt: None,
+            has_token,
+            was_passed_down: false,
+        };
+        if !is_served {
+            return self.refuse(&active.call, NotRunReason::NoServer, actions);
+        }
+        match policy {
+            Policy::Permits => self.admit(now, active, actions),
+            Policy::Random | Policy::RoundRobin | Policy::LeastInFlight => match self.choose(now, &active, policy) {
+                Some(server) => self.send(now, active, server, actions),
+                None => self.refuse(&active.call, NotRunReason::NoServer, actions),
+            },
+        }
+    }
+
+    /// Chooses a server for a call at once; `None` if there is none for it now.
+    pub(super) fn choose(&mut self, now: Instant, active: &ActiveCall, policy: Policy) -> Option<Key> {
+        let state = self.services.get_mut(&active.service)?;
+        let tried = &active.tried;
+        match policy {
+            Policy::Permits => {
+                let free = self.slots.free(now, active.service);
+                state.servers.pick_free(now, free, tried, &mut state.health, &mut self.rng)
+            }
+            Policy::Random => state.servers.pick_random(now, tried, &mut self.rng),
+            Policy::RoundRobin => state.servers.pick_next(now, tried),
+            Policy::LeastInFlight => state.servers.pick_least(now, tried),
+        }
+    }
+
+    /// Sends a call to a server.
+    pub(super) fn send(
+        &mut self,
+        now: Instant,
+        mut active: ActiveCall,
+        server: Key,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let Some(state) = self.services.get_mut(&active.service) else { return };
+        let Some(view) = state.servers.view(server) else { return };
+        let is_retry = !active.tried.is_empty();
+        let has_dependencies =
+            self.text.services.get(&active.call.service).is_some_and(|service| !service.depends.is_empty());
+        let passes_token = active.has_token && crate::retry::passes_token(has_dependencies, is_retry);
+        active.was_passed_down |= passes_token;
         actions.push(DispatchAction::Send {
-            call: call.id,
-            server: chosen.id.clone(),
-            address: chosen.address,
-            fresh_connection: !call.idempotent,
-            pass_allowance: call.retry_allowance && call.depth > 0,
+            call: active.call.id,
+            server: view.id.clone(),
+            address: view.address,
+            fresh_connection: !active.call.idempotent,
+            pass_allowance: passes_token,
         });
-        *self.in_flight.entry(chosen.id.clone()).or_default() += 1;
-        self.calls.insert(call.id, call);
+        if state.servers.ejected.contains(&server)
+            || state.health.standing(now, &view.id) == crate::health::Standing::Trial
+        {
+            state.health.begin_trial(now, &view.id);
+        }
+        state.servers.count(server, true, &mut self.rng);
+        state.start(&active.call.customer, active.call.upload);
+        self.slots.start(now, active.service, server);
+        active.server = Some(server);
+        self.calls.insert(active.call.id, active);
+    }
+
+    fn set_servers(
+        &mut self,
+        now: Instant,
+        name: &ServiceId,
+        views: Vec<ServerView>,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let service = key(name);
+        let state = self.services.entry(service).or_insert_with(|| ServiceState::new(self.options.data_centre.clone()));
+        for gone in state.servers.views().filter(|old| !views.iter().any(|view| view.id == old.id)) {
+            state.health.forget(&gone.id);
+        }
+        for view in &views {
+            state.health.introduce(now, &view.id, view.ready_since);
+            state.health.describe(now, &view.id, &view.data_centre, view.slots);
+        }
+        state.servers.set(views, &mut self.rng);
+        let is_served = !state.servers.ready().is_empty();
+        self.open_servers(now, service);
+        if is_served {
+            self.pump(now, service, actions);
+        } else {
+            self.reject_waiting(service, NotRunReason::NoServer, actions);
+        }
     }
 
-    fn finish(&mut self, finish: &Finish, actions: &mut Vec<DispatchAction>) {
-        if let Some(in_flight) = self.in_flight.get_mut(&finish.server) {
-            *in_flight = in_flight.saturating_sub(1);
-        }
-        self.calls.remove(&finish.call);
-        let outcome = match finish.result {
-            AttemptResult::Complete | AttemptResult::CallerLeft => return,
-            AttemptResult::Shed => Outcome::NotRun(NotRunReason::Overload),
-            AttemptResult::RefusedBeforeWrite => Outcome::NotRun(NotRunReason::Refused),
-            AttemptResult::BadAnswer => Outcome::Unknown(UnknownReason::BadAnswer),
-            AttemptResult::Timeout => Outcome::Unknown(UnknownReason::Timeout),
-            AttemptResult::ServerError | AttemptResult::BrokenAfterWrite => {
-                Outcome::Unknown(UnknownReason::ConnectionLost)
+    /// Tells the slots which servers are open.
+    pub(super) fn open_servers(&mut self, now: Instant, service: Key) {
+        if let Some(state) = self.services.get(&service) {
+            self.slots.set_servers(now, service, state.servers.open(now));
+        }
+    }
+
+    fn configure(&mut self, text: Arc<Text>, actions: &mut Vec<DispatchAction>) {
+        self.text = text.clone();
+        let mut known = FastSet::default();
+        for (name, service) in &text.services {
+            let key_of = key(name);
+            known.insert(key_of);
+            let state =
+                self.services.entry(key_of).or_insert_with(|| ServiceState::new(self.options.data_centre.clone()));
+            state.budget.set_share(service.retry_budget);
+            let named = text.customers.keys().chain(service.shares.keys());
+            let weights = named.map(|customer| (key(customer), text.weight(name, customer))).collect();
+            self.slots.set_weights(key_of, weights);
+        }
+        let removed: Vec<_> = self.backlogged.iter().filter(|service| !known.contains(service)).copied().collect();
+        for service in removed {
+            self.reject_waiting(service, NotRunReason::UnknownService, actions);
+        }
+    }
+
+    /// Looks at servers whose lease may have ended, and at ejected ones that may be tried.
+    fn review(&mut self, now: Instant) {
+        if self.reviewed_at.is_some_and(|at| now < at + REVIEW) {
+            return;
+        }
+        self.reviewed_at = Some(now);
+        let mut services: Vec<_> = self.services.keys().copied().collect();
+        services.sort_unstable();
+        for service in services {
+            let Some(state) = self.services.get_mut(&service) else { continue };
+            state.health.set_demand(now, state.in_flight());
+            for server in state.servers.ejected.clone() {
+                state.review_ejected(now, server);
             }
-        };
-        actions.push(reject(finish.call, outcome));
+            self.open_servers(now, service);
+        }
     }
-}
 
-fn reject(call: CallId, outcome: Outcome) -> DispatchAction {
-    DispatchAction::Reject { call, outcome, retry_after: RETRY_AFTER }
+    /// Sends the slot messages that are due; those to this instance itself are taken at once.
+    fn exchange(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        for _ in 0..MAX_ROUNDS {
+            let services = &self.services;
+            let demand = |service| services.get(&service).map(ServiceState::demand).unwrap_or_default();
+            self.slots.flush(now, &demand, &mut self.messages);
+            let mut is_local = false;
+            for (to, message) in std::mem::take(&mut self.messages) {
+                if to == self.options.id {
+                    self.slots.receive(now, &to, &message);
+                    is_local = true;
+                } else {
+                    actions.push(DispatchAction::Tell { to, message });
+                }
+            }
+            if !is_local {
+                return;
+            }
+            self.take_shares(now);
+            self.pump_all(now, actions);
+        }
+    }
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -1,13 +1,19 @@
 //! Choice of a server for each call.
 
 mod action;
+mod active;
 mod attempt;
 mod call;
 mod dispatcher;
 mod event;
 mod finish;
 mod load;
+mod options;
+mod retrying;
 mod server;
+mod servers;
+mod service;
+mod waiting;
 
 pub use {
     action::DispatchAction,
@@ -17,5 +23,8 @@
     event::DispatchEvent,
     finish::Finish,
     load::{LOAD_HEADER, LoadReport},
+    options::DispatchOptions,
     server::{ServerState, ServerView},
 };
+
+use {active::ActiveCall, servers::Servers, service::ServiceState};
--- /dev/null
+++ b/crates/core/src/dispatch/retrying.rs
@@ -0,0 +1,140 @@
+//! The end of attempts, and what follows a failed one.
+
+use {
+    super::{ActiveCall, AttemptResult, DispatchAction, Dispatcher, Finish},
+    crate::{
+        ids::CallId,
+        outcome::{NotRunReason, UnknownReason},
+        retry::may_use_token,
+        slots::key,
+        text::Policy,
+    },
+    std::time::Instant,
+};
+
+impl Dispatcher {
+    /// Takes the end of an attempt. An attempt that is not known has ended before and is ignored.
+    pub(super) fn finish(&mut self, now: Instant, finish: &Finish, actions: &mut Vec<DispatchAction>) {
+        let server = key(&finish.server);
+        if self.calls.get(&finish.call).is_none_or(|active| active.server != Some(server)) {
+            return;
+        }
+        let Some(mut active) = self.calls.remove(&finish.call) else { return };
+        let service = active.service;
+        active.server = None;
+        if let Some(state) = self.services.get_mut(&service) {
+            state.servers.count(server, false, &mut self.rng);
+            state.end(&active.call.customer, active.call.upload);
+            state.health.observe(now, &finish.server, finish.result, finish.latency, finish.report);
+            if finish.result == AttemptResult::Complete {
+                state.pace.observe(active.call.upload, finish.latency);
+            }
+            if state.review_ejected(now, server) {
+                self.open_servers(now, service);
+            }
+        }
+        self.slots.end(now, service, server);
+        let is_final = matches!(finish.result, AttemptResult::Complete | AttemptResult::CallerLeft);
+        if finish.wants_decision && !is_final {
+            self.decide(now, active, server, finish.result, actions);
+        }
+        self.pump(now, service, actions);
+    }
+
+    /// Withdraws a call, wherever it is.
+    pub(super) fn cancel(&mut self, now: Instant, call: CallId, actions: &mut Vec<DispatchAction>) {
+        let Some(active) = self.calls.get(&call) else { return };
+        let service = active.service;
+        let running = active.server.and_then(|server| {
+            let view = self.services.get(&service)?.servers.view(server);
+            Some((server, view.map(|view| view.id.clone())))
+        });
+        match running {
+            // The caller left while the decision was on its way to it.
+            Some((server, id)) => {
+                let Some(active) = self.calls.remove(&call) else { return };
+                if let Some(state) = self.services.get_mut(&service) {
+                    state.servers.count(server, false, &mut self.rng);
+                    state.end(&active.call.customer, active.call.upload);
+                    if let Some(id) = id {
+                        let result = AttemptResult::CallerLeft;
+                        state.health.observe(now, &id, result, std::time::Duration::ZERO, None);
+                    }
+                }
+                self.slots.end(now, service, server);
+                self.pump(now, service, actions);
+            }
+            None => {
+                self.withdraw(call);
+                self.note_waiting(now, service);
+            }
+        }
+    }
+
+    /// Sends a call whose attempt failed to another server, or gives it up.
+    fn decide(
+        &mut self,
+        now: Instant,
+        mut active: ActiveCall,
+        server: u64,
+        result: AttemptResult,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        active.tried.push(server);
+        let reason = match result {
+            AttemptResult::Shed => NotRunReason::Overload,
+            _ => NotRunReason::Refused,
+        };
+        match result {
+            AttemptResult::Shed | AttemptResult::RefusedBeforeWrite => {}
+            AttemptResult::Timeout => active.doubt = Some(UnknownReason::Timeout),
+            AttemptResult::BadAnswer => active.doubt = Some(UnknownReason::BadAnswer),
+            _ => active.doubt = Some(UnknownReason::ConnectionLost),
+        }
+        if !self.may_repeat(now, &active, result) || !self.take_token(now, &mut active, result) {
+            return self.give_up(&active, reason, actions);
+        }
+        let policy = self.text.services.get(&active.call.service).map_or(Policy::Permits, |service| service.policy);
+        match self.choose(now, &active, policy) {
+            Some(server) => self.send(now, active, server, actions),
+            None if policy == Policy::Permits => self.wait_again(now, active),
+            None => self.give_up(&active, reason, actions),
+        }
+    }
+
+    /// Returns whether a failed call may be sent again, its allowance apart.
+    fn may_repeat(&self, now: Instant, active: &ActiveCall, result: AttemptResult) -> bool {
+        let call = &active.call;
+        let is_harmless = match result {
+            // Nothing was written, so the whole request is still there.
+            AttemptResult::RefusedBeforeWrite => true,
+            // The body of an upload went to the server that shed it.
+            AttemptResult::Shed => call.replayable || !call.upload,
+            _ => call.idempotent && call.replayable,
+        };
+        let Some(state) = self.services.get(&active.service) else { return false };
+        let has_time = now + state.pace.service_time(call.upload) <= call.deadline;
+        let has_other = state.servers.ready().iter().any(|server| !active.tried.contains(server));
+        is_harmless && has_time && has_other
+    }
+
+    /// Uses the call's own token, or one of the first entry's.
+    fn take_token(&mut self, now: Instant, active: &mut ActiveCall, result: AttemptResult) -> bool {
+        if std::mem::take(&mut active.has_token) {
+            return may_use_token(result, active.was_passed_down);
+        }
+        let is_first_entry = active.call.depth == 0;
+        is_first_entry && self.services.get_mut(&active.service).is_some_and(|state| state.budget.try_spend(now))
+    }
+
+    fn wait_again(&mut self, now: Instant, active: ActiveCall) {
+        let Some(state) = self.services.get_mut(&active.service) else { return };
+        state.again.push(active.call.id);
+        let service_time = state.pace.service_time(active.call.upload);
+        let (deadline, call, service) = (active.call.deadline, active.call.id, active.service);
+        self.calls.insert(call, active);
+        self.waiting += 1;
+        self.backlogged.insert(service);
+        self.expire_at(now, deadline, service_time, call);
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/service.rs
@@ -0,0 +1,117 @@
+//! What the dispatcher keeps for one service.
+
+use {
+    super::Servers,
+    crate::{
+        admission::{FairQueue, Pace},
+        collections::FastMap,
+        health::{Health, HealthOptions, Standing},
+        ids::{CallId, CustomerId, DataCentreId},
+        retry::RetryBudget,
+        slots::{CustomerDemand, Key, key},
+        text::Service,
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Time without look-ups from which on uploads may use every slot.
+const LOOKUP_MEMORY: Duration = Duration::from_secs(1);
+
+/// What the dispatcher keeps for one service.
+#[derive(Debug)]
+pub(super) struct ServiceState {
+    pub(super) servers: Servers,
+    pub(super) queue: FairQueue,
+    /// Calls that are to be sent again, before those that wait for their first attempt.
+    pub(super) again: Vec<CallId>,
+    pub(super) pace: Pace,
+    pub(super) health: Health,
+    pub(super) budget: RetryBudget,
+    in_flight: FastMap<CustomerId, u32>,
+    total: u32,
+    uploads: u32,
+    last_lookup: Option<Instant>,
+}
+
+impl ServiceState {
+    pub(super) fn new(data_centre: DataCentreId) -> Self {
+        Self {
+            servers: Servers::default(),
+            queue: FairQueue::default(),
+            again: Vec::new(),
+            pace: Pace::default(),
+            health: Health::new(HealthOptions { data_centre, ..HealthOptions::default() }),
+            budget: RetryBudget::new(Service::default().retry_budget),
+            in_flight: FastMap::default(),
+            total: 0,
+            uploads: 0,
+            last_lookup: None,
+        }
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.queue.len() + self.again.len()
+    }
+
+    /// Notes that a call has arrived.
+    pub(super) fn note_arrival(&mut self, now: Instant, upload: bool) {
+        if !upload {
+            self.last_lookup = Some(now);
+        }
+    }
+
+    /// Counts a call that starts.
+    pub(super) fn start(&mut self, customer: &CustomerId, upload: bool) {
+        *self.in_flight.entry(customer.clone()).or_default() += 1;
+        self.total += 1;
+        self.uploads += u32::from(upload);
+    }
+
+    /// Counts a call that has ended.
+    pub(super) fn end(&mut self, customer: &CustomerId, upload: bool) {
+        if let Some(count) = self.in_flight.get_mut(customer) {
+            *count -= 1;
+            if *count == 0 {
+                self.in_flight.remove(customer);
+            }
+        }
+        self.total -= 1;
+        self.uploads -= u32::from(upload);
+    }
+
+    /// Calls in flight.
+    pub(super) fn in_flight(&self) -> u32 {
+        self.total
+    }
+
+    /// Returns whether one more upload may start. While look-ups come in, uploads leave a quarter of the
+    /// slots to them, so that a look-up never has to wait for the end of an upload.
+    pub(super) fn may_upload(&self, now: Instant, slots: u32) -> bool {
+        let has_lookups = self.last_lookup.is_some_and(|at| now < at + LOOKUP_MEMORY);
+        !has_lookups || self.uploads < (slots - slots.div_ceil(4)).max(1)
+    }
+
+    /// Calls by customer, for the coordinator.
+    pub(super) fn demand(&self) -> Vec<CustomerDemand> {
+        let mut demand: FastMap<Key, CustomerDemand> = FastMap::default();
+        let empty = |customer| CustomerDemand { customer, waiting: 0, in_flight: 0 };
+        for (name, waiting) in self.queue.customers() {
+            let customer = key(name);
+            demand.entry(customer).or_insert(empty(customer)).waiting += waiting as u32;
+        }
+        for (name, in_flight) in &self.in_flight {
+            let customer = key(name);
+            demand.entry(customer).or_insert(empty(customer)).in_flight += in_flight;
+        }
+        demand.into_values().collect()
+    }
+
+    /// Brings the list of ejected servers up to date; returns whether it has changed.
+    pub(super) fn review_ejected(&mut self, now: Instant, server: Key) -> bool {
+        let Some(view) = self.servers.view(server) else { return false };
+        match self.health.standing(now, &view.id) {
+            Standing::Ejected => self.servers.ejected.insert(server),
+            Standing::Trial | Standing::Usable | Standing::Warming { .. } => self.servers.ejected.remove(&server),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! No socket, clock, thread, task, environment access or global random source is used here, so the
 //! same code runs in the process, in the scripted scenarios and in the fault matrix.
 
+pub mod admission;
 pub mod burn;
 pub mod collections;
 pub mod consensus;
@@ -19,5 +20,6 @@
 pub mod outcome;
 pub mod registry;
 pub mod retry;
+pub mod slots;
 pub mod text;
 pub mod units;
--- a/crates/core/src/retry/token.rs
+++ b/crates/core/src/retry/token.rs
@@ -28,6 +28,9 @@
     match result {
         AttemptResult::Complete | AttemptResult::CallerLeft => false,
         AttemptResult::Shed | AttemptResult::RefusedBeforeWrite => true,
-        AttemptResult::ServerError | AttemptResult::BrokenAfterWrite | AttemptResult::Timeout => !was_passed_down,
+        AttemptResult::ServerError
+        | AttemptResult::BrokenAfterWrite
+        | AttemptResult::BadAnswer
+        | AttemptResult::Timeout => !was_passed_down,
     }
 }
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -6,7 +6,7 @@
     error_stack::ResultExt,
     hemlockford_core::{
         collections::FastMap,
-        dispatch::Dispatcher,
+        dispatch::{DispatchOptions, Dispatcher},
         errors::{ErrorKind, Result},
         text::Text,
     },
@@ -55,8 +55,10 @@
         let (dispatch_tx, dispatch_rx) = mpsc::unbounded_channel();
         let (control_tx, control_rx) = mpsc::unbounded_channel();
         let (text_tx, text_rx) = watch::channel(Arc::<Text>::default());
+        let dispatch_options =
+            DispatchOptions { id: settings.id.clone(), incarnation: seed(), ..DispatchOptions::default() };
         let dispatcher = DispatcherTask {
-            dispatcher: Dispatcher::new(SmallRng::seed_from_u64(seed())),
+            dispatcher: Dispatcher::new(dispatch_options, SmallRng::seed_from_u64(seed())),
             gate: gate_rx,
             control: dispatch_rx,
             waiting: FastMap::default(),
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -46,6 +46,7 @@
             result,
             latency: self.start.elapsed(),
             report: self.report,
+            wants_decision: false,
         }
     }
 
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -188,6 +188,7 @@
             result: AttemptResult::CallerLeft,
             latency: std::time::Duration::ZERO,
             report: None,
+            wants_decision: false,
         }),
         Ok(Decision::Reject { .. }) => {}
         Err(_) => gate.cancel(call.id),
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -74,6 +74,7 @@
 
     /// Reports a failed attempt; the receiver yields what to do next.
     pub fn fail(&self, finish: Finish) -> oneshot::Receiver<Decision> {
+        let finish = Finish { wants_decision: true, ..finish };
         self.ask(|reply| GateMessage::Failed(finish, reply))
     }
 
--- a/crates/tools/tests/checks.rs
+++ b/crates/tools/tests/checks.rs
@@ -49,7 +49,7 @@
     }
     let head = String::from_utf8(head).expect("a head");
     let path = head.split(' ').nth(1).expect("a path");
-    let request = head.lines().find_map(|line| line.strip_prefix("hemlockford-request: ")).expect("an id");
+    let request = head.lines().find_map(|line| line.strip_prefix("load-request: ")).expect("an id");
     Content::new(path, request, 1_000).into_bytes()
 }
 
