Test the estimate of servers

Guards against stragglers and fail-fast servers that attract load, ejections that leave too few servers, misleading reports, cold starts and ejections of healthy servers.

--- /dev/null
+++ b/crates/core/tests/health.rs
@@ -0,0 +1,235 @@
+//! The estimate of servers against stragglers, failures, reports and slow starts.
+
+use {
+    hemlockford_core::{
+        dispatch::{AttemptResult, LoadReport},
+        health::{Health, HealthOptions, Standing},
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::time::{Duration, Instant},
+};
+
+const SERVERS: usize = 20;
+const USUAL: Duration = Duration::from_millis(20);
+/// Calls of one entry: a sixth of 85% of 20 servers with 2 slots and 20 ms.
+const INTERVAL: Duration = Duration::from_micros(3_500);
+
+fn name(server: usize) -> String {
+    format!("s{server}")
+}
+
+/// Service with `count` servers that are past their slow start.
+fn service(count: usize) -> (Health, Instant) {
+    let start = Instant::now();
+    let mut health = Health::new(HealthOptions::default());
+    for server in 0..count {
+        health.introduce(start, &name(server), start);
+        health.describe(start, &name(server), "", 2);
+    }
+    (health, start + Duration::from_secs(60))
+}
+
+fn answer(health: &mut Health, now: Instant, server: usize, latency: Duration) {
+    health.observe(now, &name(server), AttemptResult::Complete, latency, None);
+}
+
+fn fail(health: &mut Health, now: Instant, server: usize) {
+    health.observe(now, &name(server), AttemptResult::ServerError, Duration::from_micros(200), None);
+}
+
+/// What the bad server 0 does in [`run`].
+#[derive(Clone, Copy)]
+enum Fault {
+    None,
+    Straggler,
+    FailFast,
+}
+
+/// Result of a run: calls sent to server 0, all calls, and time in which healthy servers were out.
+struct Run {
+    at_bad: usize,
+    calls: usize,
+    healthy_out: Duration,
+}
+
+/// Sends calls for `length`, each to the better of two servers that may get it, with answers that arrive
+/// after exponential service times.
+fn run(seed: u64, fault: Fault, length: Duration) -> Run {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (mut health, start) = service(SERVERS);
+    let mut running: Vec<(Instant, usize, Duration)> = Vec::new();
+    let mut result = Run { at_bad: 0, calls: 0, healthy_out: Duration::ZERO };
+    let mut now = start;
+    while now < start + length {
+        now += INTERVAL;
+        for (at, server, latency) in running.extract_if(.., |(at, ..)| *at <= now) {
+            match (server, fault) {
+                (0, Fault::FailFast) => fail(&mut health, at, server),
+                _ => answer(&mut health, at, server, latency),
+            }
+        }
+        let standings: Vec<_> = (0..SERVERS).map(|server| health.standing(now, &name(server))).collect();
+        let is_out = |standing: &&Standing| matches!(standing, Standing::Ejected | Standing::Trial);
+        result.healthy_out += INTERVAL * standings[1..].iter().filter(is_out).count() as u32;
+        let chosen = standings.iter().position(|standing| *standing == Standing::Trial).unwrap_or_else(|| {
+            let usable: Vec<_> = (0..SERVERS).filter(|server| standings[*server] != Standing::Ejected).collect();
+            let [a, b] = [(); 2].map(|()| usable[rng.random_range(0..usable.len())]);
+            if health.score(now, &name(a)) <= health.score(now, &name(b)) { a } else { b }
+        });
+        health.begin_trial(now, &name(chosen));
+        let slow = match (chosen, fault) {
+            (0, Fault::Straggler) => 10.0,
+            (0, Fault::FailFast) => 0.01,
+            _ => 1.0,
+        };
+        let latency = USUAL.mul_f64(-slow * (1.0 - rng.random::<f64>()).ln());
+        running.push((now + latency, chosen, latency));
+        result.calls += 1;
+        result.at_bad += usize::from(chosen == 0);
+    }
+    result
+}
+
+/// Guards against a straggler or a fail-fast server that attracts load. Its fair part would be 1 in 20; the
+/// tail goal looks at 1 in 100 calls, so fewer than that may meet it.
+#[test]
+fn bad_servers_are_avoided() {
+    for (fault, label) in [(Fault::Straggler, "straggler"), (Fault::FailFast, "fail-fast server")] {
+        let runs: Vec<_> = (0..20).map(|seed| run(seed, fault, Duration::from_secs(20))).collect();
+        let worst = runs.iter().map(|run| run.at_bad).max().unwrap();
+        println!("{label}: at most {worst} of {} calls in 20 s, seeds 0 to 19", runs[0].calls);
+        assert!(worst * 100 < runs[0].calls, "{label} got {worst} of {} calls", runs[0].calls);
+    }
+}
+
+/// Guards against ejections for the usual spread of service times, which would cost capacity.
+#[test]
+fn healthy_servers_stay_in() {
+    let length = Duration::from_secs(60);
+    let out: Duration = (0..10).map(|seed| run(seed, Fault::None, length).healthy_out).sum();
+    let part = out.as_secs_f64() / (length.as_secs_f64() * 10.0 * (SERVERS - 1) as f64);
+    println!("healthy servers were out for {:.3}% of their time, seeds 0 to 9", part * 100.0);
+    assert!(part < 0.01);
+}
+
+/// Guards against a straggler that is noticed late, stays out for ever or returns without trials.
+#[test]
+fn straggler_is_ejected_and_let_back() {
+    let (mut health, mut now) = service(6);
+    for server in (0..6).cycle().take(60) {
+        now += Duration::from_millis(5);
+        answer(&mut health, now, server, USUAL);
+    }
+    answer(&mut health, now, 0, USUAL * 10);
+    answer(&mut health, now, 0, USUAL * 10);
+    assert_eq!(health.standing(now, "s0"), Standing::Ejected, "two answers are enough");
+    let mut lengths = Vec::new();
+    for _ in 0..6 {
+        let ejected = now;
+        while health.standing(now, "s0") == Standing::Ejected {
+            now += Duration::from_millis(100);
+        }
+        lengths.push((now - ejected).as_secs());
+        health.begin_trial(now, "s0");
+        assert_eq!(health.standing(now, "s0"), Standing::Ejected, "one trial call at a time");
+        answer(&mut health, now, 0, USUAL * 10);
+    }
+    assert_eq!(lengths, [2, 4, 8, 16, 30, 30], "each ejection is twice as long, up to 30 s");
+    now += Duration::from_secs(30);
+    for _ in 0..3 {
+        assert_eq!(health.standing(now, "s0"), Standing::Trial);
+        health.begin_trial(now, "s0");
+        answer(&mut health, now, 0, USUAL);
+    }
+    assert!(matches!(health.standing(now, "s0"), Standing::Warming { .. }), "let back with a slow start");
+}
+
+/// Guards against ejections that leave too few servers, and against a rise of demand after them.
+#[test]
+fn enough_servers_stay_in() {
+    let (mut health, now) = service(9);
+    let out =
+        |health: &mut Health| (0..9).filter(|server| health.standing(now, &name(*server)) == Standing::Ejected).count();
+    for server in (0..9).cycle().take(90) {
+        if server < 5 { fail(&mut health, now, server) } else { answer(&mut health, now, server, USUAL) }
+    }
+    assert_eq!(out(&mut health), 3, "a third at most");
+    health.set_demand(now, 14);
+    assert_eq!(out(&mut health), 2, "14 calls need 7 servers with 2 slots");
+    for server in 5..9 {
+        health.forget(&name(server));
+    }
+    assert_eq!(out(&mut health), 0, "5 servers have too few slots");
+    health.set_demand(now, 0);
+    (0..50).for_each(|call| fail(&mut health, now, call % 5));
+    assert_eq!(out(&mut health), 0, "all fail alike, so none is worse than the others");
+}
+
+/// Guards against a lying or stale report that overrides what the entry has seen itself.
+#[test]
+fn own_answers_outweigh_reports() {
+    let (mut health, now) = service(3);
+    let idle = Some(LoadReport { in_flight: 0, slots: 2 });
+    let full = Some(LoadReport { in_flight: 1_000, slots: 2 });
+    for _ in 0..8 {
+        health.observe(now, "s0", AttemptResult::Complete, USUAL * 2, idle);
+        health.observe(now, "s1", AttemptResult::Complete, USUAL, full);
+        answer(&mut health, now, 2, USUAL);
+    }
+    assert!(health.score(now, "s1") < health.score(now, "s0"), "s1 answers faster, whatever both report");
+    assert!(health.score(now, "s2") < health.score(now, "s1"), "the report still tells equals apart");
+    let later = now + Duration::from_secs(5);
+    assert!(health.score(later, "s1") < health.score(later, "s2") * 1.05, "a report is soon worth nothing");
+    let [before, after] = [now, now + Duration::from_secs(60)].map(|at| health.score(at, "s0"));
+    assert!(after < before, "old evidence gives way to what is usual");
+}
+
+/// Guards against failures that do not count and callers who leave and do.
+#[test]
+fn results_count_against_the_server() {
+    use AttemptResult::{BrokenAfterWrite, CallerLeft, RefusedBeforeWrite, ServerError, Shed, Timeout};
+    for result in [ServerError, Shed, RefusedBeforeWrite, BrokenAfterWrite, Timeout, CallerLeft] {
+        let (mut health, now) = service(2);
+        answer(&mut health, now, 0, USUAL);
+        answer(&mut health, now, 1, USUAL);
+        health.observe(now, "s0", result, USUAL / 10, None);
+        let is_worse = health.score(now, "s0") > health.score(now, "s1") * 1.5;
+        assert_eq!(is_worse, result != CallerLeft, "{result}");
+    }
+}
+
+/// Guards against a cold server that gets its full load at once.
+#[test]
+fn new_servers_warm_up() {
+    let (mut health, now) = service(2);
+    health.introduce(now, "new", now);
+    let mut last = 0.0;
+    for seconds in 0..4 {
+        let standing = health.standing(now + Duration::from_secs(seconds), "new");
+        let Standing::Warming { share } = standing else { panic!("{standing:?} after {seconds} s") };
+        assert!(share > last && share < 1.0);
+        last = share;
+    }
+    let later = now + Duration::from_secs(4);
+    assert_eq!(health.standing(later, "new"), Standing::Usable);
+    health.introduce(later, "new", now);
+    assert_eq!(health.standing(later, "new"), Standing::Usable, "the same start is known already");
+    health.introduce(later, "new", later);
+    assert!(matches!(health.standing(later, "new"), Standing::Warming { .. }), "it started anew");
+}
+
+/// Guards against a far server that is chosen without need, and a near one that is kept while it is slower.
+#[test]
+fn near_servers_are_preferred_while_not_slower() {
+    let (mut health, now) = service(2);
+    health.describe(now, "s1", "elsewhere", 2);
+    assert!(health.score(now, "s0") < health.score(now, "s1"), "nothing is known but the distance");
+    let way = Duration::from_millis(1);
+    for _ in 0..8 {
+        answer(&mut health, now, 0, USUAL);
+        answer(&mut health, now, 1, USUAL + way);
+    }
+    assert!(health.score(now, "s0") < health.score(now, "s1"), "both serve alike");
+    (0..8).for_each(|_| answer(&mut health, now, 0, USUAL * 2));
+    assert!(health.score(now, "s1") < health.score(now, "s0"), "the near one is slower");
+}
