Cancel calls whose caller left, and settle claims

A call given up in the middle of an upload to a server that does not read left that server's connection half open: the orderly close waited behind the written data (seen in /proc/net/tcp as FIN_WAIT1 with a full send queue). Such connections are now reset. The same holds on the caller's side: its end of file stays behind data that it cannot deliver, so that only a reset or the deadline ends such a call; the test states both.

--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -28,9 +28,6 @@
     tokio::{select, sync::oneshot},
 };
 
-/// Value of the `hemlockford-once` header where no claim protects the request.
-const SENT_ONCE: &str = "sent-once";
-
 /// What becomes of the caller's connection after a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Next {
@@ -53,6 +50,7 @@
     call: Call,
     body: RequestBody,
     key: Option<Box<str>>,
+    has_key: bool,
     expects_continue: bool,
     claim: Option<HeldClaim>,
     /// Time spent in attempts.
@@ -90,6 +88,7 @@
             start,
             call,
             body,
+            has_key: key.is_some(),
             key,
             expects_continue,
             claim: None,
@@ -224,6 +223,7 @@
         if *shared.stop.borrow() {
             self.writer.close_after();
         }
+        let once = self.once();
         let start = attempt.elapsed();
         let progress = Progress::default();
         let exchange = Exchange {
@@ -236,11 +236,7 @@
             gate: &shared.gate,
             counters: &shared.counters,
             progress: &progress,
-            once: match (&self.claim, self.call.idempotent) {
-                (Some(_), _) => Some("claimed"),
-                (None, false) => Some(SENT_ONCE),
-                (None, true) => None,
-            },
+            once,
             outlives_caller: self.claim.is_some(),
         };
         let ended = exchange.run(&mut connection).await;
@@ -248,17 +244,9 @@
         if progress.is_begun.get() && matches!(ended, Ended::Gone(_) | Ended::Expired) {
             self.may_have_run = Some(UnknownReason::Timeout);
         }
+        connection.release();
         match ended {
-            Ended::Whole(recorded) => {
-                connection.release();
-                Ok(Ended::Whole(recorded))
-            }
-            Ended::Failed(result) => {
-                if result == AttemptResult::Shed {
-                    connection.release();
-                }
-                Err(self.failed(&mut attempt, result))
-            }
+            Ended::Failed(result) => Err(self.failed(&mut attempt, result)),
             ended => Ok(ended),
         }
     }
@@ -323,8 +311,8 @@
             }
             Told::Outcome(outcome, retry_after) => {
                 let mut reply = Reply::outcome(outcome, retry_after, "");
-                if !self.call.idempotent && self.claim.is_none() && matches!(outcome, Outcome::Unknown(_)) {
-                    reply.once = Some(SENT_ONCE);
+                if matches!(outcome, Outcome::Unknown(_)) {
+                    reply.once = self.once();
                 }
                 (Some(outcome), self.reply(reply).await)
             }
@@ -349,6 +337,15 @@
         next
     }
 
+    /// Says how the request is kept from running twice, if it was sent.
+    fn once(&self) -> Option<&'static str> {
+        match (&self.claim, self.has_key || self.call.idempotent) {
+            (Some(_), _) => Some("claimed"),
+            (None, false) => Some("sent-once"),
+            (None, true) => None,
+        }
+    }
+
     async fn reply(&mut self, reply: Reply) -> Next {
         if *self.shared.stop.borrow() {
             self.writer.close_after();
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -83,14 +83,19 @@
         }
     }
 
-    /// Gives the connection back after a whole exchange, or closes it when it must not be used again.
+    /// Gives the connection back after a whole exchange, closes it if it must not be used again, and resets it
+    /// if the exchange was given up. A server that does not read would never see an orderly close, which
+    /// waits behind the data that was written.
     pub(crate) fn release(self) {
         let Self { reader, writer, lease } = self;
         // Bytes beyond the answer would be taken for the answer to the next request.
         let keep_alive = reader.codec.borrow().as_ref().is_some_and(ClientCodec::keep_alive);
-        if reader.is_whole
-            && reader.buf.is_empty()
-            && writer.is_whole
+        if !reader.is_whole || !writer.is_whole {
+            let _ = writer.half.as_ref().set_zero_linger();
+            writer.half.forget();
+            return;
+        }
+        if reader.buf.is_empty()
             && keep_alive
             && let Ok(io) = reader.half.reunite(writer.half)
         {
--- /dev/null
+++ b/crates/proxy/tests/claims.rs
@@ -0,0 +1,183 @@
+//! Requests with an idempotency key.
+
+mod support;
+
+use {
+    hemlockford_proxy::{Claim, ClaimDecision, ClaimMessage},
+    std::{cell::RefCell, rc::Rc, time::Duration},
+    support::{Answer, Bed, Script, Server, answering, pause, refusing, serve, within},
+    tokio::sync::mpsc,
+};
+
+const OK: &str = "HTTP/1.1 201 Created\r\ncontent-type: text/x\r\ncontent-length: 2\r\n\r\nok";
+const LIMIT: Duration = Duration::from_secs(1);
+
+/// What the task that records claims was told.
+#[derive(Default)]
+struct Log {
+    claims: Vec<Claim>,
+    /// Settled and released tickets, in order.
+    ends: Vec<String>,
+}
+
+/// Starts a worker whose claims are decided as given after a delay.
+fn start(server: std::net::SocketAddr, decision: ClaimDecision, delay: u64) -> (Bed, Rc<RefCell<Log>>) {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let log = Rc::new(RefCell::new(Log::default()));
+    let record = log.clone();
+    actix_rt::spawn(async move {
+        while let Some(message) = rx.recv().await {
+            match message {
+                ClaimMessage::Claim(claim, reply) => {
+                    record.borrow_mut().claims.push(claim);
+                    pause(delay).await;
+                    let _ = reply.send(decision.clone());
+                }
+                ClaimMessage::Settle { ticket, status, content_type, body } => {
+                    let body = body.map(|body| body.len());
+                    record.borrow_mut().ends.push(format!("settle {ticket} {status} {content_type:?} {body:?}"));
+                }
+                ClaimMessage::Release { ticket } => record.borrow_mut().ends.push(format!("release {ticket}")),
+            }
+        }
+    });
+    (Bed::start(Script { claims: Some(tx), ..Script::to(server) }), log)
+}
+
+fn request(body: &str) -> String {
+    let length = body.len();
+    format!("POST /booking/a HTTP/1.1\r\nhost: x\r\nidempotency-key: k1\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+const GRANTED: ClaimDecision = ClaimDecision::Granted { ticket: 7 };
+
+async fn ends_with(log: &Rc<RefCell<Log>>, ends: &[&str]) -> bool {
+    within(LIMIT, || log.borrow().ends == ends).await
+}
+
+/// Guards against an answer that is not recorded for a copy of the request.
+#[actix_rt::test]
+async fn a_whole_answer_settles_the_claim() {
+    let (server, _) = answering(OK).await;
+    let (bed, log) = start(server.address, GRANTED, 0);
+    let got = bed.call(&request("hi")).await;
+    assert_eq!((got.status, got.header("hemlockford-once")), (201, Some("claimed")));
+    assert!(ends_with(&log, &["settle 7 201 Some(\"text/x\") Some(2)"]).await);
+    assert_eq!((&*log.borrow().claims[0].key, &*log.borrow().claims[0].customer), ("k1", "default"));
+    let long = Box::leak(format!("HTTP/1.1 200 OK\r\ncontent-length: 4097\r\n\r\n{:4097}", "").into_boxed_str());
+    let (server, _) = answering(long).await;
+    let (bed, log) = start(server.address, GRANTED, 0);
+    assert_eq!(bed.call(&request("hi")).await.body.len(), 4_097);
+    assert!(ends_with(&log, &["settle 7 200 None None"]).await);
+}
+
+/// Guards against a claim that is kept, or given up, contrary to what is known about the request.
+#[actix_rt::test]
+async fn a_claim_is_released_only_if_the_request_did_not_run() {
+    let closing: Server = serve(|mut io, _| async move {
+        io.message(false).await;
+    })
+    .await;
+    let cutting = serve(|mut io, _| async move {
+        io.message(false).await;
+        io.send("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello").await;
+    })
+    .await;
+    let (shedding, _) =
+        answering("HTTP/1.1 503 Service Unavailable\r\nhemlockford-shed: 1\r\ncontent-length: 0\r\n\r\n").await;
+    for (server, ends) in [
+        (refusing(), ["release 7"].as_slice()),
+        (shedding.address, ["release 7"].as_slice()),
+        (closing.address, [].as_slice()),
+        (cutting.address, [].as_slice()),
+    ] {
+        let (bed, log) = start(server, GRANTED, 0);
+        let mut caller = bed.caller().await;
+        caller.send(&request("hi")).await;
+        caller.message(false).await;
+        pause(50).await;
+        assert_eq!(log.borrow().ends, ends);
+    }
+}
+
+/// Guards against a request that is sent without a granted claim.
+#[actix_rt::test]
+async fn only_a_granted_claim_is_sent() {
+    let (server, seen) = answering(OK).await;
+    let replay = |body| ClaimDecision::Replay { status: 201, content_type: Some("text/x".into()), body };
+    let told = |got: &Answer| {
+        let once = got.header("hemlockford-once").unwrap_or_default().to_owned();
+        (got.status, got.outcome().to_owned(), once, got.body.clone())
+    };
+    for (decision, status, outcome, once) in [
+        (ClaimDecision::InDoubt, 409, "unknown; in-doubt", ""),
+        (ClaimDecision::KeyReused, 422, "not-run; key-reused", ""),
+        (ClaimDecision::Unavailable, 503, "not-run; claim-unavailable", ""),
+        (replay(Some("ok".into())), 201, "answered", "replayed"),
+        (replay(None), 201, "answered", "replayed; body not recorded"),
+    ] {
+        let (bed, _log) = start(server.address, decision, 0);
+        let got = told(&bed.call(&request("hi")).await);
+        assert_eq!((got.0, got.1.as_str(), got.2.as_str()), (status, outcome, once));
+        assert!(bed.log.borrow().calls.is_empty(), "the dispatcher is not asked");
+    }
+    let bed = Bed::start(Script::to(server.address));
+    assert_eq!(bed.call(&request("hi")).await.outcome(), "not-run; claim-unavailable");
+    assert!(seen.borrow().is_empty());
+    let get = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\nidempotency-key: k1\r\n\r\n";
+    assert_eq!(bed.call(get).await.status, 201, "an idempotent request needs no claim");
+}
+
+/// Guards against a claim that stays in doubt because the caller left while the request ran, and against a
+/// grant that nobody uses.
+#[actix_rt::test]
+async fn a_claimed_request_is_settled_though_its_caller_left() {
+    let server = serve(|mut io, _| async move {
+        io.message(false).await;
+        pause(100).await;
+        io.send("HTTP/1.1 201 Created\r\ncontent-length: 9\r\n\r\nhello").await;
+        pause(50).await;
+        io.send("more").await;
+    })
+    .await;
+    for (delay, ends) in [(0, ["settle 7 201 None Some(9)"]), (100, ["release 7"])] {
+        let (bed, log) = start(server.address, GRANTED, delay);
+        let mut caller = bed.caller().await;
+        caller.send(&request("hi")).await;
+        pause(40).await;
+        drop(caller);
+        assert!(ends_with(&log, &ends).await, "{:?}", log.borrow().ends);
+    }
+}
+
+/// Guards against different requests that are taken for copies of one, and the reverse.
+#[actix_rt::test]
+async fn the_digest_covers_method_target_and_body() {
+    let (server, seen) = answering(OK).await;
+    let (bed, log) = start(server.address, GRANTED, 0);
+    let chunked =
+        request("hi").replace("content-length: 2\r\n\r\nhi", "transfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
+    let large = "a".repeat(70_000);
+    let requests = [
+        request("hi"),
+        request("ho"),
+        request("hi").replace("/a ", "/a?b "),
+        request("hi").replace("POST", "PATCH"),
+        request(&large),
+        request("hi"),
+        chunked,
+        request(&large.replace('a', "b")),
+    ];
+    for request in &requests {
+        assert_eq!(bed.call(request).await.status, 201);
+    }
+    let digests: Vec<u128> = log.borrow().claims.iter().map(|claim| claim.request_digest).collect();
+    for first in 0..5 {
+        for second in 0..first {
+            assert_ne!(digests[first], digests[second], "requests {first} and {second}");
+        }
+    }
+    assert_eq!((digests[0], digests[0]), (digests[5], digests[6]));
+    assert_eq!(digests[4], digests[7], "a large body counts by its length only");
+    assert!(seen.borrow()[4].ends_with(&large), "a large body is sent whole");
+}
--- /dev/null
+++ b/crates/proxy/tests/leaving.rs
@@ -0,0 +1,140 @@
+//! Callers that leave, and instances that stop.
+
+mod support;
+
+use {
+    hemlockford_core::dispatch::AttemptResult,
+    std::{cell::Cell, rc::Rc, time::Duration},
+    support::{Bed, Script, Server, answering, pause, serve, within},
+    tokio::io::AsyncWriteExt,
+};
+
+const GET: &str = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n";
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+/// Time within which a call whose caller left must be cancelled.
+const LIMIT: Duration = Duration::from_secs(1);
+
+/// A server that sends a part of an answer and then waits until its connection is closed.
+async fn waiting(part: &'static str) -> (Server, Rc<Cell<bool>>) {
+    let closed = Rc::new(Cell::new(false));
+    let is_closed = closed.clone();
+    let server = serve(move |mut io, _| {
+        let is_closed = is_closed.clone();
+        async move {
+            io.message(false).await;
+            io.send(part).await;
+            io.rest().await;
+            is_closed.set(true);
+        }
+    });
+    (server.await, closed)
+}
+
+/// Guards against calls that run on for a caller that has left: by a close, a reset, or a half-close,
+/// before the answer or in the middle of it.
+#[actix_rt::test]
+async fn leaving_cancels_a_running_call() {
+    for part in ["", "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello"] {
+        for manner in ["close", "reset", "half-close"] {
+            let (server, closed) = waiting(part).await;
+            let bed = Bed::start(Script::to(server.address));
+            let mut caller = bed.caller().await;
+            caller.send(GET).await;
+            pause(30).await;
+            assert!(!closed.get());
+            match manner {
+                "reset" => {
+                    caller.io.set_zero_linger().unwrap();
+                    drop(caller);
+                }
+                "half-close" => {
+                    caller.io.shutdown().await.unwrap();
+                    std::mem::forget(caller);
+                }
+                _ => drop(caller),
+            }
+            assert!(within(LIMIT, || closed.get()).await, "{manner} after {part:?}");
+            assert_eq!(bed.results(), [AttemptResult::CallerLeft]);
+        }
+    }
+}
+
+/// Guards against a waiting call that is dispatched for a caller that has left.
+#[actix_rt::test]
+async fn leaving_withdraws_a_waiting_call() {
+    let (server, seen) = answering(OK).await;
+    let mut bed = Bed::start(Script { hold: true, ..Script::to(server.address) });
+    let mut caller = bed.caller().await;
+    caller.send(GET).await;
+    assert!(within(LIMIT, || bed.log.borrow().calls.len() == 1).await);
+    drop(caller);
+    assert!(within(LIMIT, || bed.log.borrow().cancelled.len() == 1).await);
+    assert_eq!(bed.log.borrow().cancelled[0], bed.log.borrow().calls[0].id);
+    assert!(seen.borrow().is_empty());
+    assert_eq!(bed.records.recv().await.unwrap().outcome, None);
+}
+
+/// Guards against a next request, or a flood of them, that is taken for leaving or hides it.
+#[actix_rt::test]
+async fn a_pipelined_request_is_not_leaving() {
+    for next in [1, 4_000] {
+        let (server, closed) = waiting("").await;
+        let bed = Bed::start(Script::to(server.address));
+        let mut caller = bed.caller().await;
+        caller.send(GET).await;
+        pause(20).await;
+        caller.send(&GET.repeat(next)).await;
+        pause(100).await;
+        assert!(!closed.get(), "{next} further requests are no leaving");
+        drop(caller);
+        assert!(within(LIMIT, || closed.get()).await, "leaving is seen behind {next} requests");
+        assert_eq!(bed.log.borrow().calls.len(), 1);
+    }
+}
+
+/// Guards against a planned stop that cuts off calls or takes new ones.
+#[actix_rt::test]
+async fn a_graceful_stop_cuts_nothing_off() {
+    let server = serve(|mut io, _| async move {
+        while io.message(false).await.is_some() {
+            io.send("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello").await;
+            pause(400).await;
+            io.send("world").await;
+        }
+    })
+    .await;
+    let bed = Bed::start(Script::to(server.address));
+    let mut idle = bed.caller().await;
+    idle.send(GET).await;
+    idle.answer().await;
+    let mut running = bed.caller().await;
+    running.send(GET).await;
+    running.send(GET).await;
+    pause(50).await;
+    bed.stop.send(true).unwrap();
+    pause(50).await;
+    let got = bed.call(GET).await;
+    assert_eq!((got.status, got.outcome()), (503, "not-run; shutting-down"));
+    assert_eq!(got.header("connection"), Some("close"));
+    assert_eq!(idle.rest().await, "", "an idle connection is closed in order");
+    assert!(!bed.worker.is_finished());
+    assert_eq!(running.answer().await.body, b"helloworld");
+    let got = running.answer().await;
+    assert_eq!((got.status, got.outcome()), (503, "not-run; shutting-down"));
+    assert_eq!(running.rest().await, "");
+    assert!(within(Duration::from_secs(2), || bed.worker.is_finished()).await);
+    assert_eq!(bed.results(), [AttemptResult::Complete; 2]);
+    assert!(tokio::net::TcpStream::connect(bed.address).await.is_err());
+}
+
+/// Guards against a stop that waits for callers that send nothing.
+#[actix_rt::test]
+async fn a_stop_without_calls_ends_soon() {
+    let (server, _) = answering(OK).await;
+    let bed = Bed::start(Script::to(server.address));
+    let silent = bed.caller().await;
+    pause(20).await;
+    bed.stop.send(true).unwrap();
+    assert!(within(Duration::from_secs(2), || bed.worker.is_finished()).await);
+    drop(silent);
+}
--- /dev/null
+++ b/crates/proxy/tests/pool.rs
@@ -0,0 +1,121 @@
+//! Connections to servers that are kept for the next call.
+
+mod support;
+
+use {
+    hemlockford_core::dispatch::AttemptResult,
+    hemlockford_proxy::ConnectionBound,
+    std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
+    support::{Bed, Script, answering, pause, serve, within},
+};
+
+const GET: &str = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n";
+const POST: &str = "POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Guards against a call that fails on a connection which the server closed while it was idle.
+#[actix_rt::test]
+async fn a_stale_connection_is_replaced() {
+    let server = serve(|mut io, _| async move {
+        io.message(false).await;
+        io.send(OK).await;
+    })
+    .await;
+    let bed = Bed::start(Script::to(server.address));
+    for _ in 0..3 {
+        assert_eq!(bed.call(GET).await.status, 200);
+        pause(20).await;
+    }
+    assert_eq!(server.connections.get(), 3);
+    assert_eq!(bed.results(), [AttemptResult::Complete; 3]);
+}
+
+/// Guards against a non-idempotent request on a connection that the server may be closing just then.
+#[actix_rt::test]
+async fn a_non_idempotent_request_needs_a_fresh_connection() {
+    let (server, _) = answering(OK).await;
+    let bed = Bed::start(Script::to(server.address));
+    assert_eq!(bed.call(GET).await.status, 200);
+    assert_eq!(bed.call(POST).await.status, 200);
+    assert_eq!(server.connections.get(), 1, "a connection that was used a moment ago is fresh");
+    pause(150).await;
+    assert_eq!(bed.call(POST).await.status, 200);
+    assert_eq!(server.connections.get(), 2, "one that was idle for longer is not");
+    pause(150).await;
+    assert_eq!(bed.call(GET).await.status, 200);
+    assert_eq!(server.connections.get(), 2, "it does carry a request that may be repeated");
+}
+
+/// Guards against a connection that is used again though the server announced its close.
+#[actix_rt::test]
+async fn an_announced_close_is_heeded() {
+    let (server, _) = answering("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok").await;
+    let bed = Bed::start(Script::to(server.address));
+    for _ in 0..2 {
+        assert_eq!(bed.call(GET).await.status, 200);
+    }
+    assert_eq!(server.connections.get(), 2);
+}
+
+/// Guards against more connections to a server than its share, and against waiters that are forgotten.
+#[actix_rt::test]
+async fn connections_to_one_server_are_bounded() {
+    let (open, most) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let counts = (open.clone(), most.clone());
+    let server = serve(move |mut io, _| {
+        let (open, most) = counts.clone();
+        async move {
+            open.set(open.get() + 1);
+            most.set(most.get().max(open.get()));
+            while io.message(false).await.is_some() {
+                pause(20).await;
+                io.send(OK).await;
+            }
+            open.set(open.get() - 1);
+        }
+    })
+    .await;
+    let mut script = Script::to(server.address);
+    script.options.bound = Arc::new(ConnectionBound::new(12, 3, 2));
+    script.options.warm_per_server = 8;
+    let bed = Rc::new(Bed::start(script));
+    let calls: Vec<_> = (0..10)
+        .map(|_| {
+            let bed = bed.clone();
+            actix_rt::spawn(async move { bed.call(GET).await.status })
+        })
+        .collect();
+    for call in calls {
+        assert_eq!(call.await.unwrap(), 200);
+    }
+    pause(250).await;
+    assert_eq!(most.get(), 2);
+}
+
+/// Guards against connections that are never dropped, and against calls that pay for opening one.
+#[actix_rt::test]
+async fn idle_connections_expire_and_spare_ones_are_opened() {
+    let open = Rc::new(Cell::new(0));
+    let count = open.clone();
+    let server = serve(move |mut io, _| {
+        let open = count.clone();
+        async move {
+            open.set(open.get() + 1);
+            while io.message(false).await.is_some() {
+                pause(300).await;
+                io.send(OK).await;
+            }
+            open.set(open.get() - 1);
+        }
+    })
+    .await;
+    let mut script = Script::to(server.address);
+    script.options.idle_timeout = Duration::from_millis(600);
+    script.options.warm_per_server = 1;
+    let bed = Bed::start(script);
+    let mut caller = bed.caller().await;
+    caller.send(GET).await;
+    assert!(within(Duration::from_secs(1), || open.get() == 2).await, "a spare one is opened while one is in use");
+    assert_eq!(caller.answer().await.status, 200);
+    assert!(within(Duration::from_secs(3), || open.get() == 0).await, "none is kept to a server not in use");
+}
--- /dev/null
+++ b/crates/proxy/tests/streams.rs
@@ -0,0 +1,203 @@
+//! Bodies on their way, in both directions at once.
+
+mod support;
+
+use {
+    hemlockford_core::dispatch::AttemptResult,
+    std::{cell::Cell, rc::Rc, time::Duration},
+    support::{Bed, Caller, Script, pause, serve, within},
+    tokio::io::{AsyncReadExt, AsyncWriteExt},
+};
+
+const SIZE: usize = 10 * 1_024 * 1_024;
+/// What the kernel may hold for a stalled side (send and receive buffers of both connections, which
+/// grow up to a few MB each), together with the proxy's own buffers of 64 KB. It is well below [`LARGE`].
+const HELD_LIMIT: usize = 24 * 1_024 * 1_024;
+const LARGE: usize = 64 * 1_024 * 1_024;
+/// Longer than a debug build needs for the bodies below.
+const LONG: Duration = Duration::from_secs(20);
+
+fn byte(position: usize) -> u8 {
+    (position % 251) as u8
+}
+
+/// Writes a patterned body until it is written or the other side does not take any more.
+async fn write_pattern(io: &mut (impl AsyncWriteExt + Unpin), size: usize, written: &Cell<usize>) {
+    let mut part = Vec::new();
+    while written.get() < size {
+        part.clear();
+        part.extend((written.get()..size.min(written.get() + 32_768)).map(byte));
+        if io.write_all(&part).await.is_err() {
+            return;
+        }
+        written.set(written.get() + part.len());
+    }
+}
+
+async fn read_pattern(io: &mut (impl AsyncReadExt + Unpin), start: &[u8], size: usize) {
+    let mut position = 0;
+    let mut buf = vec![0; 65_536];
+    let mut part = start.to_vec();
+    loop {
+        assert!(part.iter().enumerate().all(|(index, got)| *got == byte(position + index)), "at {position}");
+        position += part.len();
+        if position >= size {
+            return assert_eq!(position, size);
+        }
+        let read = io.read(&mut buf).await.unwrap();
+        assert!(read > 0, "the body ended at {position} of {size}");
+        part = buf[..read].to_vec();
+    }
+}
+
+/// Reads a head and returns it with the bytes after it that came along.
+async fn read_head(caller: &mut Caller) -> (String, Vec<u8>) {
+    loop {
+        if let Some(end) = caller.buf.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            let rest = caller.buf.split_off(end + 4);
+            return (String::from_utf8(std::mem::take(&mut caller.buf)).unwrap(), rest);
+        }
+        assert!(caller.io.read_buf(&mut caller.buf).await.unwrap() > 0);
+    }
+}
+
+/// Guards against bodies that wait for each other or are changed on the way.
+#[actix_rt::test]
+async fn large_bodies_pass_in_both_directions_at_once() {
+    let server = serve(|mut io, _| async move {
+        let (_, rest) = read_head(&mut io).await;
+        io.send(&format!("HTTP/1.1 200 OK\r\ncontent-length: {SIZE}\r\n\r\n")).await;
+        let (mut read, mut write) = io.io.split();
+        let written = Cell::new(0);
+        tokio::join!(read_pattern(&mut read, &rest, SIZE), write_pattern(&mut write, SIZE, &written));
+    })
+    .await;
+    let bed = Bed::start(Script::to(server.address));
+    let mut caller = bed.caller().await;
+    caller.send(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: {SIZE}\r\n\r\n")).await;
+    // The answer begins before anything of the body is sent.
+    let (head, rest) = read_head(&mut caller).await;
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    let (mut read, mut write) = caller.io.split();
+    let written = Cell::new(0);
+    let both = async { tokio::join!(read_pattern(&mut read, &rest, SIZE), write_pattern(&mut write, SIZE, &written)) };
+    actix_rt::time::timeout(LONG, both).await.expect("both bodies pass");
+    assert!(within(Duration::from_secs(1), || bed.results() == [AttemptResult::Complete]).await);
+    assert_eq!(bed.counter("hemlockford_body_bytes_total"), 2 * SIZE as u64);
+}
+
+/// Guards against an answer that is gathered for a caller that does not read.
+#[actix_rt::test]
+async fn a_caller_that_does_not_read_holds_the_server_back() {
+    let written = Rc::new(Cell::new(0));
+    let count = written.clone();
+    let server = serve(move |mut io, _| {
+        let count = count.clone();
+        async move {
+            io.message(false).await;
+            io.send(&format!("HTTP/1.1 200 OK\r\ncontent-length: {LARGE}\r\n\r\n")).await;
+            write_pattern(&mut io.io, LARGE, &count).await;
+        }
+    })
+    .await;
+    let bed = Bed::start(Script::to(server.address));
+    let mut caller = bed.caller().await;
+    caller.send("GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    pause(1_000).await;
+    assert!(written.get() < HELD_LIMIT, "{} bytes are held", written.get());
+    assert!(bed.counter("hemlockford_body_bytes_total") < HELD_LIMIT as u64);
+    // The deadline ends the call; the server is not blamed for it.
+    assert!(within(Duration::from_secs(3), || bed.results() == [AttemptResult::CallerLeft]).await);
+}
+
+/// Guards against an upload that is gathered for a server that does not read, and against a caller whose
+/// leaving goes unnoticed behind data that nobody reads. A reset is seen at once. The end of file of a
+/// plain close stays behind the data that the caller's kernel cannot deliver (its socket is in FIN_WAIT1
+/// and ours is still established), so that only the deadline of 2 s ends such a call.
+#[actix_rt::test]
+async fn a_server_that_does_not_read_holds_the_caller_back() {
+    for (is_reset, limit) in [(true, Duration::from_secs(1)), (false, Duration::from_secs(3))] {
+        let closed = Rc::new(Cell::new(false));
+        let is_closed = closed.clone();
+        let server = serve(move |mut io, _| {
+            let is_closed = is_closed.clone();
+            async move {
+                read_head(&mut io).await;
+                while io.io.ready(tokio::io::Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
+                    pause(20).await;
+                }
+                is_closed.set(true);
+            }
+        })
+        .await;
+        let bed = Bed::start(Script::to(server.address));
+        let mut caller = bed.caller().await;
+        caller.send(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: {LARGE}\r\n\r\n")).await;
+        if is_reset {
+            caller.io.set_zero_linger().unwrap();
+        }
+        let written = Rc::new(Cell::new(0));
+        let count = written.clone();
+        let upload = actix_rt::spawn(async move { write_pattern(&mut caller.io, LARGE, &count).await });
+        pause(500).await;
+        assert!(written.get() < HELD_LIMIT, "{} bytes are held", written.get());
+        assert!(!closed.get());
+        upload.abort();
+        assert!(within(limit, || closed.get()).await, "the server sees the close");
+        let result = if is_reset { AttemptResult::CallerLeft } else { AttemptResult::Timeout };
+        assert_eq!(bed.results(), [result]);
+    }
+}
+
+/// Guards against an early answer that waits for the upload, or is lost when the server closes.
+#[actix_rt::test]
+async fn an_early_answer_is_passed_on_during_the_upload() {
+    for closes in [false, true] {
+        let server = serve(move |mut io, _| async move {
+            read_head(&mut io).await;
+            io.send("HTTP/1.1 413 Payload Too Large\r\ncontent-length: 3\r\n\r\nbig").await;
+            if !closes {
+                io.rest().await;
+            }
+        })
+        .await;
+        let bed = Bed::start(Script::to(server.address));
+        let mut caller = bed.caller().await;
+        caller.send(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: {SIZE}\r\n\r\nsome")).await;
+        let got = caller.answer().await;
+        assert_eq!((got.status, got.body.as_slice()), (413, b"big".as_slice()));
+        // The rest of the body cannot be taken for a request: the connection ends.
+        caller.send("GET /catalogue/smuggled HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        assert_eq!(caller.rest().await, "");
+        assert_eq!(bed.log.borrow().calls.len(), 1);
+        // The server's connection carried half a request and is not used again.
+        let got = bed.call("GET /catalogue/b HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        assert_eq!((got.status, server.connections.get()), (413, 2));
+    }
+}
+
+/// Guards against chunked bodies that lose their framing.
+#[actix_rt::test]
+async fn chunked_bodies_pass_in_both_directions() {
+    let server = serve(|mut io, _| async move {
+        while let Some(request) = io.message(false).await {
+            assert!(request.head.contains("transfer-encoding: chunked\r\n"));
+            io.send("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await;
+            for part in request.body.chunks(3) {
+                io.send(&format!("{:x}\r\n{}\r\n", part.len(), String::from_utf8_lossy(part))).await;
+                pause(5).await;
+            }
+            io.send("0\r\n\r\n").await;
+        }
+    })
+    .await;
+    let bed = Bed::start(Script::to(server.address));
+    let mut caller = bed.caller().await;
+    for _ in 0..2 {
+        caller.send("PUT /catalogue/a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhel").await;
+        pause(10).await;
+        caller.send("lo\r\n6;x=y\r\n world\r\n0\r\n\r\n").await;
+        assert_eq!(caller.answer().await.body, b"hello world");
+    }
+    assert_eq!(server.connections.get(), 1);
+}
