--- /dev/null
+++ b/crates/scenario/src/fakes/checks.rs
@@ -0,0 +1,179 @@
+//! What must hold after every step.
+
+use {
+    super::{Image, Node},
+    hemlockford_core::{
+        collections::{FastMap, FastSet},
+        consensus::{Member, Message, MessageBody, ProposalResult},
+        ids::{InstanceId, LogIndex, Term},
+    },
+    std::fmt::{self, Display, Formatter},
+};
+
+/// A rule that did not hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// Two replicas led in one term.
+    TwoLeaders(Term),
+    /// A replica led without votes of a majority of admitted replicas.
+    LeaderWithoutMajority(Term),
+    /// A replica applied something else than another one at the same place, or skipped a command.
+    LogsDiffer(InstanceId, LogIndex),
+    /// A confirmed command was not durable on a majority of admitted replicas.
+    ConfirmedWithoutMajority(LogIndex),
+    /// A confirmed command is missing.
+    ConfirmedLost(u64),
+    /// A command that was answered as not taken was applied.
+    RefusedApplied(u64),
+    /// A replica that has not applied its own admission voted or claimed to count.
+    CountedWithoutAdmission(InstanceId),
+    /// The state machine found an invariant broken.
+    Broken(&'static str),
+    /// No progress within the bound after all faults ended.
+    NoProgress,
+}
+
+impl Display for Violation {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+/// What must hold after every step, kept apart from the state machines that are checked.
+#[derive(Debug, Default)]
+pub struct Checks {
+    /// Rules that did not hold.
+    pub violations: Vec<Violation>,
+    /// Every command applied anywhere, in order.
+    pub applied: Vec<(LogIndex, u64)>,
+    /// Answers given.
+    pub answers: FastMap<u64, ProposalResult>,
+    /// Members that have applied their own admission.
+    pub admitted: FastSet<(InstanceId, u64)>,
+    /// Latest admitted member of each replica.
+    pub latest: FastMap<InstanceId, Member>,
+    leaders: FastMap<Term, InstanceId>,
+    votes: FastSet<(Term, InstanceId, InstanceId)>,
+    holders: FastMap<(LogIndex, Term), FastSet<InstanceId>>,
+}
+
+impl Checks {
+    fn report(&mut self, violation: Violation) {
+        if !self.violations.contains(&violation) {
+            self.violations.push(violation);
+        }
+    }
+
+    /// A state machine found an invariant broken.
+    pub fn broken(&mut self, what: &'static str) {
+        self.report(Violation::Broken(what));
+    }
+
+    /// Notes whether the replica has applied its own admission.
+    pub fn note_admission(&mut self, node: &Node) {
+        let Some(consensus) = &node.consensus else { return };
+        let member = node.member();
+        let key = (member.replica.clone(), member.incarnation);
+        if !self.admitted.contains(&key) && node.disk.cached.admits(&member, consensus.commit_index()) {
+            self.admitted.insert(key);
+            self.latest.insert(member.replica.clone(), member);
+            self.note_durable(node);
+        }
+    }
+
+    /// Whether the replica has applied its own admission since its folder was last lost.
+    pub fn is_admitted(&self, node: &Node) -> bool {
+        self.admitted.contains(&(node.replica.clone(), node.disk.incarnation))
+    }
+
+    /// Notes which entries are durable on an admitted replica.
+    pub fn note_durable(&mut self, node: &Node) {
+        if self.is_admitted(node) {
+            for entry in node.disk.durable.entries.iter().rev() {
+                let holders = self.holders.entry((entry.index, entry.term)).or_default();
+                if !holders.insert(node.replica.clone()) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// A replica sends a message.
+    pub fn sent(&mut self, node: &Node, to: &InstanceId, message: &Message) {
+        let is_vote = matches!(message.body, MessageBody::Vote { granted: true, .. });
+        let is_counting = is_vote || message.admitted || matches!(message.body, MessageBody::PreVote { granted: true });
+        if is_counting && !self.is_admitted(node) {
+            return self.report(Violation::CountedWithoutAdmission(node.replica.clone()));
+        }
+        if is_vote {
+            self.votes.insert((message.term, to.clone(), node.replica.clone()));
+        }
+    }
+
+    /// A replica leads from here on.
+    pub fn led(&mut self, replica: &InstanceId, term: Term, replicas: usize) {
+        if self.leaders.insert(term, replica.clone()).is_some_and(|held| held != *replica) {
+            self.report(Violation::TwoLeaders(term));
+        }
+        let votes = self.votes.iter().filter(|(held, candidate, _)| *held == term && candidate == replica).count();
+        if votes + 1 < replicas / 2 + 1 {
+            self.report(Violation::LeaderWithoutMajority(term));
+        }
+    }
+
+    /// A replica has applied a command, which is the last one of `commands`.
+    pub fn applied(&mut self, replica: &InstanceId, commands: &[(LogIndex, u64)]) {
+        let Some(last) = commands.last() else { return };
+        let is_next =
+            commands.len() == self.applied.len() + 1 && self.applied.last().is_none_or(|(index, _)| *index < last.0);
+        if is_next {
+            self.applied.push(*last);
+        } else if self.applied.get(commands.len() - 1) != Some(last) {
+            self.report(Violation::LogsDiffer(replica.clone(), last.0));
+        }
+    }
+
+    /// A replica has replaced its state by a snapshot.
+    pub fn restored(&mut self, replica: &InstanceId, commands: &[(LogIndex, u64)]) {
+        if !self.applied.starts_with(commands) {
+            let index = commands.last().map_or(0, |(index, _)| *index);
+            self.report(Violation::LogsDiffer(replica.clone(), index));
+        }
+    }
+
+    /// A proposal was answered by the replica with this folder.
+    pub fn answered(&mut self, id: u64, result: ProposalResult, image: &Image, replicas: usize) {
+        if let ProposalResult::Committed { index } = result {
+            let term = image.entries.iter().find(|entry| entry.index == index).map(|entry| entry.term);
+            let holders = term.and_then(|term| self.holders.get(&(index, term))).map_or(0, FastSet::len);
+            if term.is_some() && holders < replicas / 2 + 1 {
+                self.report(Violation::ConfirmedWithoutMajority(index));
+            }
+            if !self.applied.contains(&(index, id)) {
+                self.report(Violation::ConfirmedLost(id));
+            }
+        }
+        self.answers.insert(id, result);
+    }
+
+    /// Checks the answers once every replica has applied the same commands.
+    pub fn finished(&mut self) {
+        let answers: Vec<_> = self.answers.iter().map(|(id, result)| (*id, result.clone())).collect();
+        for (id, result) in answers {
+            let count = self.applied.iter().filter(|(_, command)| *command == id).count();
+            match result {
+                ProposalResult::Committed { .. } if count != 1 => {
+                    self.report(Violation::ConfirmedLost(id));
+                }
+                ProposalResult::Committed { .. } | ProposalResult::Unknown => {}
+                _ if count != 0 => self.report(Violation::RefusedApplied(id)),
+                _ => {}
+            }
+        }
+    }
+
+    /// No progress within the bound.
+    pub fn no_progress(&mut self) {
+        self.report(Violation::NoProgress);
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/fakes/cluster.rs
@@ -0,0 +1,336 @@
+//! Replicas, their disks and their links on a virtual clock.
+
+use {
+    super::{Checks, FakeMachine, FakeNet, Node, Write},
+    hemlockford_core::{
+        consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Message},
+        ids::InstanceId,
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{
+        collections::BTreeMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time between two ticks of a process.
+const TICK: Duration = Duration::from_millis(50);
+/// Time that a fsync takes.
+const SYNC: Duration = Duration::from_millis(2);
+/// Time until a process that ended is started again.
+const RESTART: Duration = Duration::from_millis(200);
+
+/// Size and settings of a cluster.
+#[derive(Clone, Copy, Debug)]
+pub struct ClusterOptions {
+    /// Replicas.
+    pub replicas: usize,
+    /// Entries between two snapshots.
+    pub snapshot_entries: usize,
+    /// Bytes added to each snapshot, so that it takes several pieces.
+    pub padding: usize,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+impl Default for ClusterOptions {
+    fn default() -> Self {
+        Self { replicas: 3, snapshot_entries: 256, padding: 0, seed: 1 }
+    }
+}
+
+/// What happens next.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// A process ticks.
+    Tick(usize, u64),
+    /// A process starts.
+    Start(usize, u64),
+    /// A message arrives.
+    Deliver(usize, usize, Message),
+    /// A fsync ends.
+    Synced(usize, u64, u64),
+}
+
+impl Step {
+    /// The replica that the step happens at.
+    pub fn node(&self) -> usize {
+        match self {
+            Self::Tick(node, _) | Self::Start(node, _) | Self::Deliver(_, node, _) | Self::Synced(node, ..) => *node,
+        }
+    }
+
+    /// Whether the step belongs to an exchange, rather than to the passing of time.
+    pub fn is_exchange(&self) -> bool {
+        matches!(self, Self::Deliver(..) | Self::Synced(..))
+    }
+}
+
+/// Replicas, their disks and their links on a virtual clock.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The replicas.
+    pub nodes: Vec<Node>,
+    /// The links between them.
+    pub net: FakeNet,
+    /// What must hold.
+    pub checks: Checks,
+    /// Time since the start.
+    pub now: Duration,
+    /// Number of the last proposal.
+    pub proposed: u64,
+    options: ClusterOptions,
+    start: Instant,
+    rng: SmallRng,
+    queue: BTreeMap<(Duration, u64), Step>,
+    queued: u64,
+    incarnations: u64,
+}
+
+impl Cluster {
+    /// Makes a cluster of empty replicas and starts them.
+    pub fn new(options: ClusterOptions) -> Self {
+        let nodes = (0..options.replicas).map(|node| Node::new(format!("r{node}").into(), node as u64 + 1)).collect();
+        let mut cluster = Self {
+            nodes,
+            net: FakeNet::default(),
+            checks: Checks::default(),
+            now: Duration::ZERO,
+            proposed: 0,
+            options,
+            start: Instant::now(),
+            rng: SmallRng::seed_from_u64(options.seed),
+            queue: BTreeMap::new(),
+            queued: 0,
+            incarnations: options.replicas as u64,
+        };
+        for node in 0..options.replicas {
+            cluster.start(node);
+        }
+        cluster
+    }
+
+    /// The next step, taken off the queue; the clock moves to it.
+    pub fn next_step(&mut self) -> Option<Step> {
+        loop {
+            let ((at, number), step) = self.queue.pop_first()?;
+            self.now = self.now.max(at);
+            let frozen_until = self.nodes[step.node()].frozen_until;
+            if frozen_until <= self.now {
+                return Some(step);
+            }
+            self.queue.insert((frozen_until, number), step);
+        }
+    }
+
+    /// Puts a step into the queue.
+    pub fn schedule(&mut self, wait: Duration, step: Step) {
+        self.queued += 1;
+        self.queue.insert((self.now + wait, self.queued), step);
+    }
+
+    /// Carries out a step.
+    pub fn run(&mut self, step: Step) {
+        match step {
+            Step::Start(node, run) if self.nodes[node].run == run => self.start(node),
+            Step::Tick(node, run) if self.nodes[node].run == run && self.nodes[node].consensus.is_some() => {
+                self.schedule(TICK, Step::Tick(node, run));
+                self.handle(node, ConsensusEvent::Tick);
+            }
+            Step::Deliver(from, to, message) if self.net.is_open(from, to) => {
+                let from = self.nodes[from].replica.clone();
+                self.handle(to, ConsensusEvent::Receive { from, message });
+            }
+            Step::Synced(node, run, up_to) if self.nodes[node].run == run => {
+                self.nodes[node].is_syncing = false;
+                self.nodes[node].disk.sync(up_to);
+                self.checks.note_durable(&self.nodes[node]);
+                self.handle(node, ConsensusEvent::Persisted { up_to });
+            }
+            _ => {}
+        }
+    }
+
+    /// Runs until a time has passed, with a proposal to every replica that leads each 30 ms.
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            let until = (self.now + Duration::from_millis(30)).min(end);
+            self.run_until(until);
+            self.propose();
+        }
+    }
+
+    /// Runs until a time has passed, without proposals.
+    pub fn run_for_quietly(&mut self, time: Duration) {
+        self.run_until(self.now + time);
+    }
+
+    fn run_until(&mut self, until: Duration) {
+        while self.queue.first_key_value().is_some_and(|((at, _), _)| *at <= until) {
+            if let Some(step) = self.next_step() {
+                self.run(step);
+            }
+        }
+        self.now = self.now.max(until);
+    }
+
+    /// Proposes a command to every replica that leads.
+    pub fn propose(&mut self) {
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].is_leader() && self.nodes[node].frozen_until <= self.now {
+                self.proposed += 1;
+                let id = self.proposed;
+                let command: Arc<[u8]> = Arc::from(id.to_le_bytes());
+                self.handle(node, ConsensusEvent::Propose { id, command });
+            }
+        }
+    }
+
+    /// Starts a process.
+    pub fn start(&mut self, node: usize) {
+        let seed = self.rng.random();
+        let replicas: Vec<InstanceId> = self.nodes.iter().map(|node| node.replica.clone()).collect();
+        let at = &mut self.nodes[node];
+        if at.consensus.is_some() {
+            return;
+        }
+        let options = ConsensusOptions {
+            replica: at.replica.clone(),
+            replicas,
+            snapshot_entries: self.options.snapshot_entries,
+            ..Default::default()
+        };
+        at.run += 1;
+        at.is_syncing = false;
+        at.machine = FakeMachine::default();
+        let (run, mut actions) = (at.run, Vec::new());
+        let now = self.start + self.now;
+        let rng = SmallRng::seed_from_u64(seed);
+        at.consensus = Some(Consensus::new(now, options, at.disk.recover(), rng, &mut actions));
+        self.schedule(TICK, Step::Tick(node, run));
+        self.carry_out(node, actions);
+    }
+
+    /// Ends a process; the first unsynced writes may survive. It is started again a little later.
+    pub fn crash(&mut self, node: usize, survivors: usize) {
+        let at = &mut self.nodes[node];
+        at.consensus = None;
+        at.disk.crash(survivors);
+        at.run += 1;
+        let run = at.run;
+        self.checks.note_durable(&self.nodes[node]);
+        self.schedule(RESTART, Step::Start(node, run));
+    }
+
+    /// Ends a process and empties its folder.
+    pub fn lose_disk(&mut self, node: usize) {
+        self.crash(node, 0);
+        self.incarnations += 1;
+        let lies = self.nodes[node].disk.lies;
+        self.nodes[node].disk = super::FakeDisk::new(self.incarnations);
+        self.nodes[node].disk.lies = lies;
+    }
+
+    /// Freezes a process.
+    pub fn freeze(&mut self, node: usize, time: Duration) {
+        self.nodes[node].frozen_until = self.now + time;
+    }
+
+    /// Asks a process to stop as planned; it is started again a little later.
+    pub fn stop(&mut self, node: usize) {
+        self.handle(node, ConsensusEvent::Stop);
+    }
+
+    /// Ends all faults: opens the links, wakes and starts every process.
+    pub fn heal(&mut self) {
+        self.net.cuts.clear();
+        for node in 0..self.nodes.len() {
+            self.nodes[node].frozen_until = Duration::ZERO;
+            self.start(node);
+        }
+    }
+
+    /// The replica that leads in the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let term = |node: &usize| self.nodes[*node].consensus.as_ref().map(Consensus::term);
+        (0..self.nodes.len()).filter(|node| self.nodes[*node].is_leader()).max_by_key(term)
+    }
+
+    /// Whether every replica is admitted and has applied every command, with one leader.
+    pub fn is_settled(&self) -> bool {
+        let is_settled = |node: &Node| node.is_admitted() && node.machine.commands == self.checks.applied;
+        self.leader().is_some() && self.nodes.iter().all(is_settled)
+    }
+
+    fn handle(&mut self, node: usize, event: ConsensusEvent) {
+        let now = self.start + self.now;
+        let mut actions = Vec::new();
+        if let Some(consensus) = &mut self.nodes[node].consensus {
+            consensus.handle(now, event, &mut actions);
+        }
+        self.carry_out(node, actions);
+    }
+
+    fn carry_out(&mut self, node: usize, actions: Vec<ConsensusAction>) {
+        let is_stopped = actions.contains(&ConsensusAction::Stopped);
+        for action in &actions {
+            let write = match action.clone() {
+                ConsensusAction::SaveVote { sequence, vote } => (sequence, Write::Vote(vote)),
+                ConsensusAction::Append { sequence, entries } => (sequence, Write::Append(entries)),
+                ConsensusAction::Truncate { sequence, from } => (sequence, Write::Truncate(from)),
+                ConsensusAction::SaveSnapshot { sequence, snapshot } => (sequence, Write::Snapshot(snapshot)),
+                _ => continue,
+            };
+            self.nodes[node].disk.write(write.0, write.1);
+        }
+        self.checks.note_admission(&self.nodes[node]);
+        for action in actions {
+            self.carry_out_one(node, action);
+        }
+        let at = &mut self.nodes[node];
+        if let (Some(up_to), false) = (at.disk.pending(), at.is_syncing) {
+            at.is_syncing = true;
+            let run = at.run;
+            self.schedule(SYNC, Step::Synced(node, run, up_to));
+        }
+        if is_stopped {
+            self.crash(node, usize::MAX);
+        }
+    }
+
+    fn carry_out_one(&mut self, node: usize, action: ConsensusAction) {
+        let replicas = self.nodes.len();
+        let at = &mut self.nodes[node];
+        match action {
+            ConsensusAction::Send { to, message } => {
+                self.checks.sent(at, &to, &message);
+                let Some(to) = self.nodes.iter().position(|node| node.replica == to) else { return };
+                let admitted = self.checks.latest.get(&self.nodes[node].replica);
+                for (from, message) in self.net.carry(node, to, replicas, message, admitted) {
+                    self.schedule(FakeNet::LATENCY, Step::Deliver(from, to, message));
+                }
+            }
+            ConsensusAction::Apply { index, command } => {
+                let id = u64::from_le_bytes(command[..8].try_into().unwrap_or_default());
+                at.machine.commands.push((index, id));
+                self.checks.applied(&at.replica, &at.machine.commands);
+            }
+            ConsensusAction::RestoreSnapshot { snapshot } => {
+                at.machine = FakeMachine::decode(&snapshot.data);
+                self.checks.restored(&at.replica, &at.machine.commands);
+            }
+            ConsensusAction::TakeSnapshot { index } => {
+                let data = at.machine.encode(self.options.padding);
+                self.handle(node, ConsensusEvent::SnapshotTaken { index, data });
+            }
+            ConsensusAction::Answer { id, result } => {
+                self.checks.answered(id, result, &at.disk.cached, replicas);
+            }
+            ConsensusAction::BecomeLeader { term } => self.checks.led(&at.replica, term, replicas),
+            ConsensusAction::Broken(what) => self.checks.broken(what),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/fakes/disk.rs
@@ -0,0 +1,124 @@
+//! A data folder in memory that loses unsynced writes in a crash.
+
+use {
+    hemlockford_core::{
+        consensus::{Entry, Member, Members, Payload, Recovered, Snapshot, Vote},
+        ids::{Incarnation, LogIndex},
+    },
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// One write that consensus asked for.
+#[derive(Clone, Debug)]
+pub enum Write {
+    /// Replace the vote.
+    Vote(Vote),
+    /// Append entries.
+    Append(Vec<Entry>),
+    /// Remove entries from the end.
+    Truncate(LogIndex),
+    /// Replace the snapshot.
+    Snapshot(Arc<Snapshot>),
+}
+
+/// Content of a folder.
+#[derive(Clone, Debug, Default)]
+pub struct Image {
+    /// The vote.
+    pub vote: Vote,
+    /// The snapshot.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry>,
+}
+
+impl Image {
+    fn apply(&mut self, write: Write) {
+        match write {
+            Write::Vote(vote) => self.vote = vote,
+            Write::Append(entries) => self.entries.extend(entries),
+            Write::Truncate(from) => self.entries.retain(|entry| entry.index < from),
+            Write::Snapshot(snapshot) => {
+                let is_covered = self.term(snapshot.index) == Some(snapshot.term);
+                self.entries.retain(|entry| is_covered && entry.index > snapshot.index);
+                self.snapshot = Some(snapshot);
+            }
+        }
+    }
+
+    fn term(&self, index: LogIndex) -> Option<u64> {
+        self.entries.iter().find(|entry| entry.index == index).map(|entry| entry.term)
+    }
+
+    /// Whether the part of the log up to `commit` admits a member.
+    pub fn admits(&self, member: &Member, commit: LogIndex) -> bool {
+        let is_in_snapshot = |members: &Members| members.incarnation(&member.replica) == Some(member.incarnation);
+        self.snapshot.as_ref().is_some_and(|snapshot| is_in_snapshot(&snapshot.members))
+            || self
+                .entries
+                .iter()
+                .any(|entry| entry.index <= commit && matches!(&entry.payload, Payload::Admit(held) if held == member))
+    }
+}
+
+/// A data folder in memory.
+#[derive(Debug, Default)]
+pub struct FakeDisk {
+    /// Incarnation of the folder.
+    pub incarnation: Incarnation,
+    /// What a crash leaves.
+    pub durable: Image,
+    /// What the process sees.
+    pub cached: Image,
+    /// Whether the disk reports writes as durable that a crash then drops.
+    pub lies: bool,
+    unsynced: VecDeque<(u64, Write)>,
+}
+
+impl FakeDisk {
+    /// An empty folder.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self { incarnation, ..Self::default() }
+    }
+
+    /// Takes a write without making it durable.
+    pub fn write(&mut self, sequence: u64, write: Write) {
+        self.cached.apply(write.clone());
+        self.unsynced.push_back((sequence, write));
+    }
+
+    /// Last write that is not durable yet.
+    pub fn pending(&self) -> Option<u64> {
+        self.unsynced.back().map(|(sequence, _)| *sequence)
+    }
+
+    /// Makes writes durable up to a sequence.
+    pub fn sync(&mut self, up_to: u64) {
+        while let Some((_, write)) = self.unsynced.pop_front_if(|(sequence, _)| *sequence <= up_to) {
+            if !self.lies {
+                self.durable.apply(write);
+            }
+        }
+    }
+
+    /// Drops what is not durable. Some leading unsynced writes may survive.
+    pub fn crash(&mut self, survivors: usize) {
+        for (_, write) in self.unsynced.drain(..).take(survivors) {
+            if !self.lies {
+                self.durable.apply(write);
+            }
+        }
+        self.unsynced.clear();
+        self.cached = self.durable.clone();
+    }
+
+    /// What a process finds at start.
+    pub fn recover(&self) -> Recovered {
+        Recovered {
+            incarnation: self.incarnation,
+            vote: self.durable.vote.clone(),
+            snapshot: self.durable.snapshot.clone(),
+            entries: self.durable.entries.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/fakes/net.rs
@@ -0,0 +1,71 @@
+//! Links between replicas that can be cut, and rewriting of messages on purpose.
+
+use {
+    hemlockford_core::{
+        collections::FastSet,
+        consensus::{Member, Message, MessageBody},
+    },
+    std::time::Duration,
+};
+
+/// A rule that the network breaks on purpose, to show that the checks notice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Forgery {
+    /// None.
+    #[default]
+    None,
+    /// A message of a replica that is not admitted claims the admitted incarnation.
+    Incarnation,
+    /// A granted vote arrives a second time under the name of another replica.
+    Vote,
+    /// An acknowledgement names an entry that the replica may not have.
+    Acknowledgement,
+}
+
+/// Links between replicas.
+#[derive(Debug, Default)]
+pub struct FakeNet {
+    /// Directed links that lose every message.
+    pub cuts: FastSet<(usize, usize)>,
+    /// Rule that is broken on purpose.
+    pub forgery: Forgery,
+}
+
+impl FakeNet {
+    /// Delivery time of a message in a quiet network.
+    pub const LATENCY: Duration = Duration::from_millis(1);
+
+    /// Whether a link carries messages.
+    pub fn is_open(&self, from: usize, to: usize) -> bool {
+        !self.cuts.contains(&(from, to))
+    }
+
+    /// What arrives for one message: sender and message.
+    pub fn carry(
+        &self,
+        from: usize,
+        to: usize,
+        replicas: usize,
+        message: Message,
+        admitted: Option<&Member>,
+    ) -> Vec<(usize, Message)> {
+        let mut message = message;
+        match (self.forgery, &mut message.body) {
+            (Forgery::Incarnation, body) if !message.admitted && !matches!(body, MessageBody::Hello { .. }) => {
+                if let Some(member) = admitted {
+                    message.incarnation = member.incarnation;
+                    message.admitted = true;
+                }
+            }
+            (Forgery::Acknowledgement, MessageBody::Appended { index, conflict, .. }) => {
+                *index = (*index + 1) * u64::from(!*conflict);
+            }
+            (Forgery::Vote, MessageBody::Vote { granted: true, .. } | MessageBody::PreVote { granted: true }) => {
+                let other = (0..replicas).find(|other| *other != from && *other != to).unwrap_or(from);
+                return vec![(from, message.clone()), (other, message)];
+            }
+            _ => {}
+        }
+        vec![(from, message)]
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/matrix/cell.rs
@@ -0,0 +1,137 @@
+//! One cell of the matrix: an exchange with faults at given steps.
+
+use {
+    super::{Exchange, Fault},
+    crate::fakes::{Cluster, Forgery, Violation},
+    hemlockford_core::{collections::FastSet, consensus::ProposalResult},
+    std::time::Duration,
+};
+
+/// Time from the start of the exchange until all faults end.
+const WINDOW: Duration = Duration::from_millis(2_000);
+/// Bound on the time from the end of all faults until every replica is admitted and has applied
+/// everything: an election takes about 1 s, and a replica may need one to be admitted after another.
+const PROGRESS: Duration = Duration::from_secs(10);
+/// Time between proposals.
+const PROPOSE: Duration = Duration::from_millis(30);
+
+/// A rule that the stand-ins break on purpose, to show that the checks notice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Sabotage {
+    /// None.
+    #[default]
+    None,
+    /// Disks report writes as durable that a crash then drops.
+    SyncSkipped,
+    /// The network breaks a rule.
+    Net(Forgery),
+}
+
+/// One cell of the matrix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cell {
+    /// The exchange.
+    pub exchange: Exchange,
+    /// Replicas.
+    pub replicas: usize,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Faults with the steps that they are injected at.
+    pub faults: Vec<(usize, Fault)>,
+    /// Rule broken on purpose.
+    pub sabotage: Sabotage,
+}
+
+/// What came of a cell.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CellResult {
+    /// Rules that did not hold.
+    pub violations: Vec<Violation>,
+    /// Steps until the exchange was over, if it was.
+    pub steps: Option<usize>,
+    /// Whether a majority of folders was lost, so that no progress is possible.
+    pub is_majority_lost: bool,
+    /// Time from the end of all faults until every replica had caught up.
+    pub recovery: Duration,
+}
+
+impl Cell {
+    /// Runs the cell.
+    pub fn run(&self) -> CellResult {
+        let (mut cluster, subject) = self.exchange.prepare(self.replicas, self.seed, |cluster| match self.sabotage {
+            Sabotage::None => {}
+            Sabotage::SyncSkipped => cluster.nodes.iter_mut().for_each(|node| node.disk.lies = true),
+            Sabotage::Net(forgery) => cluster.net.forgery = forgery,
+        });
+        let mut result = CellResult::default();
+        let mut lost = FastSet::default();
+        if matches!(self.exchange, Exchange::Admit | Exchange::AdmitLeader) {
+            lost.insert(subject);
+        }
+        self.run_window(&mut cluster, subject, &mut lost, &mut result);
+        if result.is_majority_lost && self.exchange == Exchange::Formation {
+            // A group whose majority was lost before the rest learned of it may be formed again.
+            return result;
+        }
+        self.heal(&mut cluster, &mut result);
+        result.violations = cluster.checks.violations;
+        result
+    }
+
+    fn run_window(&self, cluster: &mut Cluster, subject: usize, lost: &mut FastSet<usize>, result: &mut CellResult) {
+        let (proposed, end) = (cluster.proposed, cluster.now + WINDOW);
+        let (mut count, mut next_proposal) = (0, cluster.now);
+        while let Some(mut step) = cluster.next_step() {
+            if cluster.now >= end {
+                cluster.schedule(Duration::ZERO, step);
+                break;
+            }
+            if cluster.now >= next_proposal {
+                next_proposal = cluster.now + PROPOSE;
+                cluster.propose();
+            }
+            if step.is_exchange() {
+                let mut kept = Some(step);
+                for (_, fault) in self.faults.iter().filter(|(at, _)| *at == count) {
+                    self.note_loss(cluster, *fault, lost, result);
+                    kept = kept.and_then(|step| fault.inject(cluster, step));
+                }
+                count += 1;
+                let Some(kept) = kept else { continue };
+                step = kept;
+            }
+            cluster.run(step);
+            if result.steps.is_none() && self.exchange.is_over(cluster, subject, proposed) {
+                result.steps = Some(count);
+            }
+        }
+    }
+
+    fn note_loss(&self, cluster: &Cluster, fault: Fault, lost: &mut FastSet<usize>, result: &mut CellResult) {
+        let Fault::LoseDisk(node) = fault else { return };
+        lost.retain(|node| !cluster.checks.is_admitted(&cluster.nodes[*node]));
+        let at = &cluster.nodes[node];
+        if cluster.checks.is_admitted(at) || at.disk.cached.vote.binding.is_some() {
+            lost.insert(node);
+        }
+        result.is_majority_lost |= lost.len() > self.replicas - (self.replicas / 2 + 1);
+    }
+
+    fn heal(&self, cluster: &mut Cluster, result: &mut CellResult) {
+        cluster.heal();
+        let (start, proposed) = (cluster.now, cluster.proposed);
+        while cluster.now < start + PROGRESS && cluster.checks.violations.is_empty() {
+            cluster.run_for(PROPOSE);
+            cluster.run_for_quietly(PROPOSE);
+            let is_confirmed = |id| matches!(cluster.checks.answers.get(&id), Some(ProposalResult::Committed { .. }));
+            if cluster.is_settled() && (proposed + 1..=cluster.proposed).any(is_confirmed) {
+                result.recovery = cluster.now - start;
+                cluster.checks.finished();
+                return;
+            }
+        }
+        if !result.is_majority_lost && cluster.checks.violations.is_empty() {
+            cluster.checks.no_progress();
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/matrix/exchange.rs
@@ -0,0 +1,97 @@
+//! Exchanges of the replicated log that faults are injected into.
+
+use {
+    crate::fakes::{Cluster, ClusterOptions},
+    hemlockford_core::consensus::ProposalResult,
+    std::time::Duration,
+};
+
+/// Bytes added to a snapshot, so that it takes three pieces.
+const PADDING: usize = 150_000;
+/// Time that a follower is cut off before it catches up.
+const BEHIND: Duration = Duration::from_millis(1_200);
+/// Most time that a group takes to form without faults.
+const FORMATION: Duration = Duration::from_secs(5);
+
+/// An exchange of the replicated log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exchange {
+    /// Empty replicas form a group.
+    Formation,
+    /// The leader ends and another one is elected.
+    Election,
+    /// Commands are replicated.
+    Append,
+    /// Replicas take snapshots and truncate their logs.
+    Snapshot,
+    /// A replica that was cut off gets a snapshot in pieces.
+    CatchUp,
+    /// A follower lost its folder and is admitted again.
+    Admit,
+    /// The leader lost its folder and is admitted again.
+    AdmitLeader,
+    /// The leader stops as planned.
+    HandOver,
+}
+
+impl Exchange {
+    /// Every exchange.
+    pub const ALL: [Self; 8] = [
+        Self::Formation,
+        Self::Election,
+        Self::Append,
+        Self::Snapshot,
+        Self::CatchUp,
+        Self::Admit,
+        Self::AdmitLeader,
+        Self::HandOver,
+    ];
+
+    /// Makes a cluster and brings it to the start of the exchange; returns the replica it is about.
+    pub fn prepare(self, replicas: usize, seed: u64, adjust: impl Fn(&mut Cluster)) -> (Cluster, usize) {
+        let snapshot_entries = match self {
+            Self::Snapshot => 8,
+            Self::CatchUp => 16,
+            _ => 256,
+        };
+        let padding = if self == Self::CatchUp { PADDING } else { 0 };
+        let mut cluster = Cluster::new(ClusterOptions { replicas, snapshot_entries, padding, seed });
+        if self != Self::Formation {
+            let end = cluster.now + FORMATION;
+            while !cluster.is_settled() && cluster.now < end {
+                cluster.run_for(Duration::from_millis(100));
+            }
+        }
+        adjust(&mut cluster);
+        let leader = cluster.leader().unwrap_or_default();
+        let follower = (leader + 1) % replicas;
+        match self {
+            Self::Formation | Self::Append | Self::Snapshot => {}
+            Self::Election => cluster.crash(leader, usize::MAX),
+            Self::CatchUp => {
+                cluster.net.cuts.extend((0..replicas).flat_map(|other| [(follower, other), (other, follower)]));
+                cluster.run_for(BEHIND);
+                cluster.net.cuts.clear();
+            }
+            Self::Admit => cluster.lose_disk(follower),
+            Self::AdmitLeader => cluster.lose_disk(leader),
+            Self::HandOver => cluster.stop(leader),
+        }
+        let subject = if matches!(self, Self::CatchUp | Self::Admit) { follower } else { leader };
+        (cluster, subject)
+    }
+
+    /// Whether the exchange is over; `proposed` is the number of proposals at its start.
+    pub fn is_over(self, cluster: &Cluster, subject: usize, proposed: u64) -> bool {
+        let is_confirmed = |id: &u64| matches!(cluster.checks.answers.get(id), Some(ProposalResult::Committed { .. }));
+        let confirmed = (proposed + 1..=cluster.proposed).filter(is_confirmed).count();
+        let node = &cluster.nodes[subject];
+        match self {
+            Self::Formation | Self::Election | Self::HandOver => confirmed >= 1,
+            Self::Append => confirmed >= 4,
+            Self::Snapshot => confirmed >= 12,
+            Self::CatchUp => node.machine.commands.len() + 1 >= cluster.checks.applied.len(),
+            Self::Admit | Self::AdmitLeader => node.is_admitted() && confirmed >= 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/matrix/fault.rs
@@ -0,0 +1,103 @@
+//! Faults of the matrix.
+
+use {
+    crate::fakes::{Cluster, Step},
+    std::time::Duration,
+};
+
+/// Delay of a message that arrives after an election timeout.
+const LATE: Duration = Duration::from_millis(700);
+/// Delay of a message that arrives behind those sent a moment later.
+const BEHIND: Duration = Duration::from_millis(5);
+/// Time for which a process is frozen: longer than the longest election timeout.
+const FROZEN: Duration = Duration::from_millis(1_500);
+
+/// A fault that is injected at one step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The process ends; unsynced writes are gone.
+    CrashBeforeSync(usize),
+    /// The process ends; only the first unsynced write survives.
+    CrashTorn(usize),
+    /// The process ends after its writes became durable, before it knows.
+    CrashAfterSync(usize),
+    /// The message is lost; a fsync takes long.
+    Lose,
+    /// The message arrives now and once more late.
+    Duplicate,
+    /// The message arrives late; a fsync takes long.
+    Delay,
+    /// The message arrives behind later ones.
+    Reorder,
+    /// Nothing that the replica sends arrives.
+    CutOut(usize),
+    /// Nothing that is sent to the replica arrives.
+    CutIn(usize),
+    /// Both.
+    CutBoth(usize),
+    /// The process stands still.
+    Freeze(usize),
+    /// The process ends and its folder is emptied.
+    LoseDisk(usize),
+}
+
+impl Fault {
+    /// Every fault for a number of replicas.
+    pub fn all(replicas: usize) -> Vec<Self> {
+        let mut all = vec![Self::Lose, Self::Duplicate, Self::Delay, Self::Reorder];
+        for node in 0..replicas {
+            all.extend([
+                Self::CrashBeforeSync(node),
+                Self::CrashTorn(node),
+                Self::CrashAfterSync(node),
+                Self::CutOut(node),
+                Self::CutIn(node),
+                Self::CutBoth(node),
+                Self::Freeze(node),
+                Self::LoseDisk(node),
+            ]);
+        }
+        all
+    }
+
+    /// Injects the fault at a step; returns the step if it still happens now.
+    pub fn inject(self, cluster: &mut Cluster, step: Step) -> Option<Step> {
+        let nodes = cluster.nodes.len();
+        match self {
+            Self::CrashBeforeSync(node) => cluster.crash(node, 0),
+            Self::CrashTorn(node) => cluster.crash(node, 1),
+            Self::CrashAfterSync(node) => cluster.crash(node, usize::MAX),
+            Self::Lose => {
+                if let Step::Synced(..) = step {
+                    cluster.schedule(LATE, step);
+                }
+                return None;
+            }
+            Self::Duplicate => {
+                if let Step::Deliver(..) = step {
+                    cluster.schedule(LATE, step.clone());
+                }
+            }
+            Self::Delay => {
+                cluster.schedule(LATE, step);
+                return None;
+            }
+            Self::Reorder => {
+                cluster.schedule(BEHIND, step);
+                return None;
+            }
+            Self::CutOut(node) => cluster.net.cuts.extend((0..nodes).map(|other| (node, other))),
+            Self::CutIn(node) => cluster.net.cuts.extend((0..nodes).map(|other| (other, node))),
+            Self::CutBoth(node) => cluster.net.cuts.extend((0..nodes).flat_map(|other| [(node, other), (other, node)])),
+            Self::Freeze(node) => {
+                cluster.freeze(node, FROZEN);
+                if step.node() == node {
+                    cluster.schedule(FROZEN, step);
+                    return None;
+                }
+            }
+            Self::LoseDisk(node) => cluster.lose_disk(node),
+        }
+        Some(step)
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/matrix/generate.rs
@@ -0,0 +1,104 @@
+//! Generated cells: singly at every step, and in pairs by a seed.
+
+use {
+    super::{Cell, CellResult, Exchange, Fault, Sabotage},
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{
+        fmt::{self, Display, Formatter},
+        sync::atomic::{AtomicUsize, Ordering},
+        thread,
+        time::Duration,
+    },
+};
+
+/// Sum over the cells of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Summary {
+    /// Cells run.
+    pub cells: usize,
+    /// Cells in which a majority of folders was lost.
+    pub majority_lost: usize,
+    /// Longest time from the end of all faults until every replica had caught up.
+    pub recovery: Duration,
+    /// Cells in which a rule did not hold.
+    pub failures: Vec<(Cell, CellResult)>,
+}
+
+impl Display for Summary {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self { cells, majority_lost, recovery, failures } = self;
+        let failed = failures.len();
+        write!(f, "{cells} cells, {failed} failed, {majority_lost} with a majority lost, recovery up to {recovery:?}")?;
+        for (cell, result) in failures.iter().take(10) {
+            write!(f, "\n{cell:?}: {:?}", result.violations)?;
+        }
+        Ok(())
+    }
+}
+
+impl Summary {
+    /// Adds another sum.
+    pub fn add(&mut self, other: Self) {
+        self.cells += other.cells;
+        self.majority_lost += other.majority_lost;
+        self.recovery = self.recovery.max(other.recovery);
+        self.failures.extend(other.failures);
+    }
+}
+
+/// Steps of an exchange without faults.
+///
+/// # Panics
+///
+/// Panics if a rule does not hold or the exchange does not end, as every other cell is then worthless.
+pub fn steps(exchange: Exchange, replicas: usize, seed: u64) -> usize {
+    let cell = Cell { exchange, replicas, seed, faults: Vec::new(), sabotage: Sabotage::None };
+    let result = cell.run();
+    assert_eq!(result.violations, [], "{exchange:?} without faults, seed {seed}");
+    result.steps.unwrap_or_else(|| panic!("{exchange:?} does not end without faults, seed {seed}"))
+}
+
+/// Every fault at every step of an exchange; of them every `stride`th cell.
+pub fn singles(exchange: Exchange, replicas: usize, seed: u64, stride: usize) -> Vec<Cell> {
+    let faults = Fault::all(replicas);
+    let cells = (0..=steps(exchange, replicas, seed)).flat_map(|step| faults.iter().map(move |fault| (step, *fault)));
+    let cell = |fault| Cell { exchange, replicas, seed, faults: vec![fault], sabotage: Sabotage::None };
+    cells.step_by(stride).map(cell).collect()
+}
+
+/// Pairs of faults at random steps of an exchange.
+pub fn pairs(exchange: Exchange, replicas: usize, seed: u64, count: usize) -> Vec<Cell> {
+    let (faults, steps) = (Fault::all(replicas), steps(exchange, replicas, seed));
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut fault = || (rng.random_range(0..=steps), faults[rng.random_range(0..faults.len())]);
+    let mut cell = || Cell { exchange, replicas, seed, faults: vec![fault(), fault()], sabotage: Sabotage::None };
+    (0..count).map(|_| cell()).collect()
+}
+
+/// Runs cells on several threads.
+pub fn run(cells: &[Cell], threads: usize) -> Summary {
+    let next = AtomicUsize::new(0);
+    let work = || {
+        let mut summary = Summary::default();
+        while let Some(cell) = cells.get(next.fetch_add(1, Ordering::Relaxed)) {
+            let result = cell.run();
+            summary.cells += 1;
+            summary.majority_lost += usize::from(result.is_majority_lost);
+            summary.recovery = summary.recovery.max(result.recovery);
+            if !result.violations.is_empty() {
+                summary.failures.push((cell.clone(), result));
+            }
+        }
+        summary
+    };
+    let mut summary = Summary::default();
+    thread::scope(|scope| {
+        let workers: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+        for worker in workers {
+            if let Ok(part) = worker.join() {
+                summary.add(part);
+            }
+        }
+    });
+    summary
+}
--- /dev/null
+++ b/crates/scenario/src/matrix/mod.rs
@@ -0,0 +1,13 @@
+//! Fault matrix: every fault at every step of every exchange of the replicated log.
+
+mod cell;
+mod exchange;
+mod fault;
+mod generate;
+
+pub use {
+    cell::{Cell, CellResult, Sabotage},
+    exchange::Exchange,
+    fault::Fault,
+    generate::{Summary, pairs, run, singles, steps},
+};
