Go on from the matched entries when a conflict hint lies before them

Cause: a replica answers a conflict with the start of the conflicting term. The leader ignored a hint before the entries known to match, as if it were a stale message, and never sent the replica another entry. Lost messages were ruled out: every heartbeat got the same conflict as answer.

--- a/crates/core/src/consensus/progress.rs
+++ b/crates/core/src/consensus/progress.rs
@@ -75,9 +75,11 @@
         }
     }
 
-    /// Goes back to an entry that the logs may agree on; returns whether that is news.
+    /// Goes back to an entry that the logs may agree on; returns whether that is news. A replica names
+    /// the start of a term, which may lie before what is known to match.
     pub fn retry_after(&mut self, index: LogIndex) -> bool {
-        if index < self.matched || index + 1 >= self.next && (!self.probing || index + 1 == self.next) {
+        let index = index.max(self.matched);
+        if index + 1 >= self.next && (!self.probing || index + 1 == self.next) {
             return false;
         }
         self.next = index + 1;
