Raise the ballot when a late proposal has taken it

Cause: a proposer that lost its folder starts again with ballot 1. A late message of its old folder can bind a replica to ballot 1 first, and the proposer then waited for that replica for ever, because its own ballot was not lower. A lost message was ruled out: every later message named the other binding.

--- a/crates/core/src/consensus/formation.rs
+++ b/crates/core/src/consensus/formation.rs
@@ -95,16 +95,20 @@
             return;
         }
         let mut members = vec![Member { replica: self.options.replica.clone(), incarnation: self.incarnation }];
-        let mut ballot = self.vote.binding.as_ref().map_or(0, |binding| binding.ballot);
-        let mut is_agreed = true;
+        let own_ballot = self.vote.binding.as_ref().map_or(0, |binding| binding.ballot);
+        let mut ballot = own_ballot;
+        let (mut is_agreed, mut is_refused) = (true, false);
         for other in self.others() {
             let Some(heard) = self.formation.heard.get(&other).filter(|heard| heard.empty) else { return };
             members.push(Member { replica: other, incarnation: heard.incarnation });
-            ballot = ballot.max(heard.binding.as_ref().map_or(0, |binding| binding.ballot));
+            let heard_ballot = heard.binding.as_ref().map_or(0, |binding| binding.ballot);
+            ballot = ballot.max(heard_ballot);
             is_agreed &= heard.binding == self.vote.binding;
+            // A late message of the proposer's lost folder may have taken the same ballot.
+            is_refused |= heard.binding != self.vote.binding && heard_ballot >= own_ballot;
         }
         match self.vote.binding.clone() {
-            Some(binding) if binding.members == members && binding.ballot == ballot => {
+            Some(binding) if binding.members == members && !is_refused => {
                 if is_agreed {
                     self.form(now, &binding, actions);
                 }
--- a/crates/scenario/tests/regressions.rs
+++ b/crates/scenario/tests/regressions.rs
@@ -26,3 +26,13 @@
     ];
     check(Exchange::Append, 3, 11, &faults);
 }
+
+/// Guards against a proposer that lost its folder and waits for ever for a replica that a late message
+/// of the old folder has bound to the same ballot.
+#[test]
+fn ballot_taken_by_late_proposal_of_lost_folder() {
+    let faults = [(34, Fault::LoseDisk(0)), (4, Fault::CutOut(0)), (31, Fault::CrashTorn(1)), (20, Fault::Freeze(1))];
+    check(Exchange::Formation, 3, 15, &faults);
+    let faults = [(25, Fault::LoseDisk(0)), (5, Fault::CutBoth(0)), (39, Fault::CutBoth(0)), (20, Fault::Freeze(2))];
+    check(Exchange::Formation, 3, 14, &faults);
+}
