--- a/crates/scenario/src/fakes/cluster.rs
+++ b/crates/scenario/src/fakes/cluster.rs
@@ -228,9 +228,9 @@
     pub fn lose_disk(&mut self, node: usize) {
         self.crash(node, 0);
         self.incarnations += 1;
-        let lies = self.nodes[node].disk.lies;
+        let lie = self.nodes[node].disk.lie;
         self.nodes[node].disk = super::FakeDisk::new(self.incarnations);
-        self.nodes[node].disk.lies = lies;
+        self.nodes[node].disk.lie = lie;
     }
 
     /// Freezes a process.
--- a/crates/scenario/src/fakes/disk.rs
+++ b/crates/scenario/src/fakes/disk.rs
@@ -61,6 +61,18 @@
     }
 }
 
+/// Writes that a disk reports as durable and that a crash then drops, to show that the checks notice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Lie {
+    /// None.
+    #[default]
+    None,
+    /// Votes.
+    Votes,
+    /// All.
+    All,
+}
+
 /// A data folder in memory.
 #[derive(Debug, Default)]
 pub struct FakeDisk {
@@ -70,8 +82,8 @@
     pub durable: Image,
     /// What the process sees.
     pub cached: Image,
-    /// Whether the disk reports writes as durable that a crash then drops.
-    pub lies: bool,
+    /// Writes that the disk reports as durable and that a crash then drops.
+    pub lie: Lie,
     unsynced: VecDeque<(u64, Write)>,
 }
 
@@ -95,20 +107,27 @@
     /// Makes writes durable up to a sequence.
     pub fn sync(&mut self, up_to: u64) {
         while let Some((_, write)) = self.unsynced.pop_front_if(|(sequence, _)| *sequence <= up_to) {
-            if !self.lies {
-                self.durable.apply(write);
-            }
+            self.keep(write);
+        }
+    }
+
+    fn keep(&mut self, write: Write) {
+        let is_kept = match self.lie {
+            Lie::None => true,
+            Lie::Votes => !matches!(write, Write::Vote(_)),
+            Lie::All => false,
+        };
+        if is_kept {
+            self.durable.apply(write);
         }
     }
 
     /// Drops what is not durable. Some leading unsynced writes may survive.
     pub fn crash(&mut self, survivors: usize) {
-        for (_, write) in self.unsynced.drain(..).take(survivors) {
-            if !self.lies {
-                self.durable.apply(write);
-            }
+        let survivors: Vec<_> = self.unsynced.drain(..).take(survivors).collect();
+        for (_, write) in survivors {
+            self.keep(write);
         }
-        self.unsynced.clear();
         self.cached = self.durable.clone();
     }
 
--- a/crates/scenario/src/matrix/cell.rs
+++ b/crates/scenario/src/matrix/cell.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Exchange, Fault},
-    crate::fakes::{Cluster, Forgery, Violation},
+    crate::fakes::{Cluster, Forgery, Lie, Violation},
     hemlockford_core::{collections::FastSet, consensus::ProposalResult},
     std::time::Duration,
 };
@@ -25,7 +25,7 @@
     #[default]
     None,
     /// Disks report writes as durable that a crash then drops.
-    SyncSkipped,
+    Disk(Lie),
     /// The network breaks a rule.
     Net(Forgery),
 }
@@ -66,7 +66,7 @@
     pub fn run(&self) -> CellResult {
         let (mut cluster, subject) = self.exchange.prepare(self.replicas, self.seed, |cluster| match self.sabotage {
             Sabotage::None => {}
-            Sabotage::SyncSkipped => cluster.nodes.iter_mut().for_each(|node| node.disk.lies = true),
+            Sabotage::Disk(lie) => cluster.nodes.iter_mut().for_each(|node| node.disk.lie = lie),
             Sabotage::Net(forgery) => cluster.net.forgery = forgery,
         });
         let mut result = CellResult::default();
--- a/crates/scenario/tests/sabotage.rs
+++ b/crates/scenario/tests/sabotage.rs
@@ -1,7 +1,7 @@
 //! Shows that the checks of the fault matrix can fail: a rule is broken on purpose.
 
 use hemlockford_scenario::{
-    fakes::{Forgery, Violation},
+    fakes::{Forgery, Lie, Violation},
     matrix::{Exchange, Sabotage, groups, run},
 };
 
@@ -26,10 +26,17 @@
 /// Guards against checks that do not notice a fsync that is skipped.
 #[test]
 fn skipped_sync_is_noticed() {
-    let found = violations(Sabotage::SyncSkipped, 3, &[Exchange::Append]);
+    let found = violations(Sabotage::Disk(Lie::All), 3, &[Exchange::Append]);
     assert!(found.iter().any(|violation| matches!(violation, Violation::ConfirmedWithoutMajority(_))));
 }
 
+/// Guards against checks that do not notice a vote that a crash makes a replica forget.
+#[test]
+fn forgotten_vote_is_noticed() {
+    let found = violations(Sabotage::Disk(Lie::Votes), 3, &[Exchange::Election, Exchange::HandOver]);
+    assert!(found.iter().any(|violation| matches!(violation, Violation::TwoLeaders(_))));
+}
+
 /// Guards against checks that do not notice a vote that is counted twice. Among 3 replicas one vote is
 /// enough, so that only 5 show it.
 #[test]
