Add the durable store of a replica

Each log record tells how much of the file was durable when it was written, so that damage in the middle is told from a torn tail of several records; scanning for any intact record was ruled out, because an unsynced batch may be written out of order.

--- /dev/null
+++ b/crates/store/src/record.rs
@@ -0,0 +1,65 @@
+//! Records: length, crc32, version and a postcard body.
+//!
+//! Each record of the log also tells up to where the file was durable when the record was written. So
+//! damage can be told from a write that a crash tore: behind damage lies a record that was written when
+//! the damaged place was durable already.
+
+use {
+    hemlockford_core::{
+        consensus::{Entry, Vote},
+        errors::{Result, corrupt},
+        ids::{LogIndex, Term},
+    },
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+};
+
+/// Version of the format.
+const VERSION: u8 = 1;
+/// Bytes before the version: length and crc32.
+const HEAD: usize = 8;
+
+/// One record of the log.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct LogRecord {
+    /// Length up to which the file was durable when the record was written.
+    pub durable: u64,
+    /// What the record says.
+    pub body: LogBody,
+}
+
+/// What a record of the log says.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum LogBody {
+    Vote(Vote),
+    Entry(Entry),
+    Truncate(LogIndex),
+    /// A snapshot was saved.
+    Snapshot(LogIndex, Term),
+}
+
+/// Adds a record to a buffer.
+pub(crate) fn encode<T: Serialize>(body: &T, buf: &mut Vec<u8>) -> Result<()> {
+    let body = postcard::to_stdvec(body).map_err(|error| corrupt(format!("cannot encode a record: {error}")))?;
+    let len = u32::try_from(body.len() + 1).map_err(|_| corrupt("a record is longer than 4 GB"))?;
+    let mut crc = crc32fast::Hasher::new();
+    crc.update(&[VERSION]);
+    crc.update(&body);
+    buf.extend(len.to_le_bytes());
+    buf.extend(crc.finalize().to_le_bytes());
+    buf.push(VERSION);
+    buf.extend(body);
+    Ok(())
+}
+
+/// Reads the record at the start of a buffer; returns it with its whole length. `None` if the bytes are
+/// no intact record.
+pub(crate) fn decode<T: DeserializeOwned>(buf: &[u8]) -> Option<(T, usize)> {
+    let number = |at: usize| Some(u32::from_le_bytes(buf.get(at..at + 4)?.try_into().ok()?));
+    let len = usize::try_from(number(0)?).ok()?;
+    let content = buf.get(HEAD..HEAD.checked_add(len)?)?;
+    let (version, body) = content.split_first()?;
+    if *version != VERSION || crc32fast::hash(content) != number(4)? {
+        return None;
+    }
+    Some((postcard::from_bytes(body).ok()?, HEAD + len))
+}
--- /dev/null
+++ b/crates/store/tests/fake/mod.rs
@@ -0,0 +1,175 @@
+//! A disk in memory that crashes, tears writes, is full, or fails a sync.
+
+use {
+    hemlockford_store::Disk,
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{
+        collections::BTreeMap,
+        io::{Error, ErrorKind, Result},
+        sync::{Arc, Mutex, MutexGuard},
+    },
+};
+
+/// Size of the pieces that a torn write keeps or loses, in bytes.
+const SECTOR: usize = 16;
+
+#[derive(Debug, Clone, Default)]
+struct Inode {
+    durable: Vec<u8>,
+    cached: Vec<u8>,
+}
+
+/// State of the disk; names and contents become durable apart from each other.
+#[derive(Debug, Default)]
+pub struct State {
+    inodes: Vec<Inode>,
+    cached: BTreeMap<String, usize>,
+    durable: BTreeMap<String, usize>,
+    /// Operations that succeed before the process ends.
+    pub left: Option<usize>,
+    /// Bytes that fit.
+    pub capacity: Option<usize>,
+    /// Syncs that succeed before one fails.
+    pub syncs_left: Option<usize>,
+}
+
+/// A disk in memory; clones share the state.
+#[derive(Debug, Clone, Default)]
+pub struct FakeDisk(Arc<Mutex<State>>);
+
+impl FakeDisk {
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap()
+    }
+
+    /// Ends the process and drops what is not durable; unsynced appends may survive in part.
+    pub fn crash(&self, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut state = self.state();
+        state.left = None;
+        if rng.random() {
+            // The file system wrote the names of its own accord.
+            state.durable = state.cached.clone();
+        }
+        state.cached = state.durable.clone();
+        for inode in &mut state.inodes {
+            if inode.cached.starts_with(&inode.durable) && rng.random() {
+                let kept = inode.durable.len();
+                let len = rng.random_range(kept..=inode.cached.len());
+                inode.cached.truncate(len);
+                for sector in inode.cached[kept..].chunks_mut(SECTOR) {
+                    if rng.random_bool(0.2) {
+                        sector.fill(0);
+                    }
+                }
+                inode.durable = inode.cached.clone();
+            }
+            inode.cached = inode.durable.clone();
+        }
+    }
+
+    pub fn bytes(&self, file: &str) -> Vec<u8> {
+        let state = self.state();
+        state.cached.get(file).map(|inode| state.inodes[*inode].cached.clone()).unwrap_or_default()
+    }
+
+    pub fn overwrite(&self, file: &str, data: Vec<u8>) {
+        let mut state = self.state();
+        let inode = state.cached[file];
+        state.inodes[inode] = Inode { durable: data.clone(), cached: data };
+    }
+}
+
+impl State {
+    fn step(&mut self) -> Result<()> {
+        match &mut self.left {
+            Some(0) => Err(Error::other("the process ended")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn inode(&mut self, file: &str) -> Result<&mut Inode> {
+        let at = *self.cached.get(file).ok_or(ErrorKind::NotFound)?;
+        Ok(&mut self.inodes[at])
+    }
+
+    /// Writes what fits.
+    fn put(&mut self, file: &str, data: &[u8]) -> Result<()> {
+        let used: usize = self.cached.values().map(|inode| self.inodes[*inode].cached.len()).sum();
+        let fits = self.capacity.map_or(data.len(), |capacity| capacity.saturating_sub(used).min(data.len()));
+        self.inode(file)?.cached.extend(&data[..fits]);
+        if fits < data.len() { Err(ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+}
+
+impl Disk for FakeDisk {
+    fn read(&self, file: &str) -> Result<Option<Vec<u8>>> {
+        let state = self.state();
+        Ok(state.cached.get(file).map(|inode| state.inodes[*inode].cached.clone()))
+    }
+
+    fn create(&mut self, file: &str, data: &[u8]) -> Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        let inode = state.inodes.len();
+        state.inodes.push(Inode::default());
+        state.cached.insert(file.into(), inode);
+        state.put(file, data)
+    }
+
+    fn append(&mut self, file: &str, data: &[u8]) -> Result<()> {
+        let mut state = self.state();
+        // The process may end while the write is under way.
+        let end = state.step();
+        state.put(file, data)?;
+        end
+    }
+
+    fn truncate(&mut self, file: &str, len: u64) -> Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        state.inode(file)?.cached.truncate(len as usize);
+        Ok(())
+    }
+
+    fn sync(&mut self, file: &str) -> Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        if let Some(left) = &mut state.syncs_left {
+            if *left == 0 {
+                state.syncs_left = None;
+                return Err(Error::other("the device failed"));
+            }
+            *left -= 1;
+        }
+        let inode = state.inode(file)?;
+        inode.durable = inode.cached.clone();
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        let inode = state.cached.remove(from).ok_or(ErrorKind::NotFound)?;
+        state.cached.insert(to.into(), inode);
+        Ok(())
+    }
+
+    fn remove(&mut self, file: &str) -> Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        state.cached.remove(file);
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        state.durable = state.cached.clone();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/store/tests/store.rs
@@ -0,0 +1,224 @@
+//! The store under crashes, torn writes, a full disk, failed syncs and damage.
+
+mod fake;
+
+use {
+    fake::FakeDisk,
+    hemlockford_core::{
+        consensus::{Entry, Member, Members, Payload, Recovered, Snapshot, Vote},
+        errors::ErrorKind,
+    },
+    hemlockford_store::{Opened, Store, StoreOptions, Write},
+    std::sync::Arc,
+};
+
+/// Seeds of torn writes tried at each operation.
+const SEEDS: u64 = 40;
+
+fn open(disk: &FakeDisk) -> Opened {
+    Store::open_disk(Box::new(disk.clone()), StoreOptions { clock: 100 }).unwrap()
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    let command: Vec<u8> = (0..40).map(|at| (index * 7 + term + at) as u8).collect();
+    Entry { index, term, payload: Payload::Command(command.into()) }
+}
+
+fn vote(term: u64) -> Write {
+    Write::Vote(Vote { term, voted_for: Some(Member { replica: "a".into(), incarnation: 1 }), ..Vote::default() })
+}
+
+fn snapshot(index: u64, term: u64) -> Write {
+    Write::Snapshot(Arc::new(Snapshot { index, term, members: Members::default(), data: vec![9; 50].into() }))
+}
+
+/// Batches of a replica that votes, appends, replaces a conflicting end, takes a snapshot of its own and
+/// installs one over a log that differs.
+fn script() -> Vec<Vec<Write>> {
+    vec![
+        vec![vote(1), Write::Append(vec![entry(1, 1), entry(2, 1)])],
+        vec![Write::Append(vec![entry(3, 1)]), Write::Append(vec![entry(4, 1)])],
+        vec![vote(2), Write::Truncate(3), Write::Append(vec![entry(3, 2), entry(4, 2)])],
+        vec![snapshot(3, 2)],
+        vec![Write::Append(vec![entry(5, 2)]), vote(3), Write::Append(vec![entry(6, 3)])],
+        vec![snapshot(5, 4), Write::Append(vec![entry(6, 4)])],
+        vec![Write::Append(vec![entry(7, 4)])],
+    ]
+}
+
+fn apply(state: &mut Recovered, write: &Write) {
+    match write {
+        Write::Vote(vote) => state.vote = vote.clone(),
+        Write::Append(entries) => state.entries.extend(entries.iter().cloned()),
+        Write::Truncate(from) => state.entries.retain(|entry| entry.index < *from),
+        Write::Snapshot(snapshot) => {
+            let last = (snapshot.index, snapshot.term);
+            let is_held = state.entries.iter().any(|entry| (entry.index, entry.term) == last);
+            state.entries.retain(|entry| is_held && entry.index > snapshot.index);
+            state.snapshot = Some(snapshot.clone());
+        }
+    }
+}
+
+/// Every state between two records, with the number of whole batches in it.
+fn states() -> Vec<(usize, Recovered)> {
+    let mut state = Recovered { incarnation: 100, ..Recovered::default() };
+    let mut states = vec![(0, state.clone())];
+    for (done, batch) in script().into_iter().enumerate() {
+        for write in batch {
+            let parts = match write {
+                Write::Append(entries) => entries.into_iter().map(|entry| Write::Append(vec![entry])).collect(),
+                other => vec![other],
+            };
+            for part in parts {
+                apply(&mut state, &part);
+                states.push((done, state.clone()));
+            }
+        }
+        states.last_mut().unwrap().0 = done + 1;
+    }
+    states
+}
+
+/// Guards against a write that is reported as durable and is gone, or that is there in part, after a
+/// crash before or after any file operation, also when the process crashes again while it recovers.
+#[test]
+fn crash_at_every_operation() {
+    let states = states();
+    let mut crashes = 0;
+    for seed in 0..SEEDS {
+        for operations in 0.. {
+            let disk = FakeDisk::default();
+            disk.state().left = Some(operations);
+            let mut durable = 0;
+            if let Ok(mut opened) = Store::open_disk(Box::new(disk.clone()), StoreOptions { clock: 100 }) {
+                durable =
+                    script().into_iter().take_while(|batch| opened.store.write(&mut batch.clone()).is_ok()).count();
+            }
+            disk.crash(seed);
+            disk.state().left = Some(seed as usize % 6);
+            let _ = Store::open_disk(Box::new(disk.clone()), StoreOptions { clock: 100 });
+            disk.crash(seed + 1);
+            let recovered = open(&disk).recovered;
+            let is_allowed = states.iter().any(|(done, state)| *done >= durable && *state == recovered);
+            assert!(is_allowed, "seed {seed}, {operations} operations, {durable} batches durable: {recovered:?}");
+            crashes += 1;
+            if durable == script().len() {
+                break;
+            }
+        }
+    }
+    println!("{crashes} crashes, seeds 0 to {}", SEEDS - 1);
+    assert!(crashes > 40 * 30, "only {crashes} crashes");
+}
+
+/// Guards against a sync that is repeated after it failed, as if the data were still there to be synced.
+#[test]
+fn failed_sync_is_final() {
+    for syncs in 0..12 {
+        let disk = FakeDisk::default();
+        let mut opened = open(&disk);
+        disk.state().syncs_left = Some(syncs);
+        let failed = script().into_iter().position(|batch| opened.store.write(&mut batch.clone()).is_err());
+        assert!(failed.is_some(), "{syncs} syncs");
+        assert_eq!(disk.state().syncs_left, None, "the failure was hit");
+        let error = opened.store.append(&[entry(9, 9)]).unwrap_err();
+        assert_eq!(*error.current_context(), ErrorKind::Io);
+        assert!(opened.store.write(&mut Vec::new()).is_err());
+    }
+}
+
+/// Guards against a full disk that leaves half a record, loses what was there, or keeps the store from
+/// going on once there is room.
+#[test]
+fn full_disk_is_refused_cleanly() {
+    let (_, last) = states().pop().unwrap();
+    let mut refusals = 0;
+    for capacity in 30..700 {
+        let disk = FakeDisk::default();
+        let mut opened = open(&disk);
+        disk.state().capacity = Some(capacity);
+        for batch in script() {
+            let mut left = batch.clone();
+            while let Err(error) = opened.store.write(&mut left) {
+                refusals += 1;
+                assert_eq!(*error.current_context(), ErrorKind::Limit, "{error:?}");
+                assert!(disk.state().capacity.is_some(), "refused with room: {error:?}");
+                disk.state().capacity = None;
+            }
+            assert!(left.is_empty());
+        }
+        drop(opened);
+        disk.crash(capacity as u64);
+        assert_eq!(open(&disk).recovered, last, "capacity {capacity}");
+    }
+    println!("{refusals} refusals");
+    assert!(refusals > 300, "only {refusals} refusals");
+}
+
+/// Guards against damage before the tail that is skipped or cut off as if a crash had torn it.
+#[test]
+fn damage_is_reported_with_its_place() {
+    let disk = FakeDisk::default();
+    let mut opened = open(&disk);
+    for batch in script().iter().take(5) {
+        opened.store.write(&mut batch.clone()).unwrap();
+    }
+    let before = opened.store.log_len() as usize;
+    opened.store.append(&[entry(7, 3)]).unwrap();
+    let intact = disk.bytes("log");
+    for at in 0..before {
+        let mut data = intact.clone();
+        data[at] ^= 0x10;
+        disk.overwrite("log", data);
+        let report = Store::open_disk(Box::new(disk.clone()), StoreOptions { clock: 100 }).unwrap_err();
+        assert_eq!(*report.current_context(), ErrorKind::Corrupt, "byte {at}");
+        let text = format!("{report:?}");
+        assert!(text.contains("log: the record at offset "), "byte {at}: {text}");
+    }
+    for file in ["snapshot", "identity"] {
+        disk.overwrite("log", intact.clone());
+        let (other, mut data) = (disk.bytes(file), disk.bytes(file));
+        let middle = data.len() / 2;
+        data[middle] ^= 1;
+        disk.overwrite(file, data);
+        let report = Store::open_disk(Box::new(disk.clone()), StoreOptions { clock: 100 }).unwrap_err();
+        assert!(format!("{report:?}").contains(&format!("{file}: the record at offset 0 is damaged")));
+        disk.overwrite(file, other);
+    }
+}
+
+/// Guards against a torn tail that stops start-up or is built upon.
+#[test]
+fn torn_tail_is_cut() {
+    let disk = FakeDisk::default();
+    let mut opened = open(&disk);
+    opened.store.append(&[entry(1, 1)]).unwrap();
+    let kept = opened.store.log_len();
+    opened.store.append(&[entry(2, 1)]).unwrap();
+    let intact = disk.bytes("log");
+    for len in kept as usize..intact.len() {
+        disk.overwrite("log", intact[..len].to_vec());
+        let mut opened = open(&disk);
+        assert_eq!((opened.cut, opened.store.log_len()), (len as u64 - kept, kept));
+        opened.store.append(&[entry(2, 2)]).unwrap();
+        assert_eq!(open(&disk).recovered.entries, [entry(1, 1), entry(2, 2)]);
+    }
+}
+
+/// Guards against a folder with a file missing that passes for an empty one, and against an incarnation
+/// that changes or does not rise.
+#[test]
+fn identity_is_kept() {
+    let folder = tempfile::tempdir().unwrap();
+    let open = |clock| Store::open(folder.path(), StoreOptions { clock });
+    let first = open(50).unwrap();
+    assert_eq!((first.is_new, first.recovered.incarnation, first.process), (true, 50, 50));
+    assert!(open(51).is_err(), "the folder is locked");
+    drop(first);
+    let second = open(40).unwrap();
+    assert_eq!((second.is_new, second.recovered.incarnation, second.process), (false, 50, 51));
+    drop(second);
+    std::fs::remove_file(folder.path().join("log")).unwrap();
+    assert_eq!(*open(60).unwrap_err().current_context(), ErrorKind::Corrupt);
+}
