--- /dev/null
+++ b/crates/core/tests/currency.rs
@@ -0,0 +1,205 @@
+//! Generated cases of cuts, losses, delays, freezes and restarts against the install and serve quorums.
+//!
+//! Guards against an entry that serves under an older text more than 2 s after a newer one was accepted.
+
+use {
+    hemlockford_core::{
+        currency::{Currency, is_held_by_quorum},
+        ids::ChangeNumber,
+        membership::{Heartbeat, Membership, MembershipAction, MembershipEvent, MembershipOptions, Status},
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::time::{Duration, Instant},
+};
+
+const SEED: u64 = 4_711;
+const CASES: u64 = 600;
+const STEP_MS: u64 = 50;
+const CASE_MS: u64 = 20_000;
+const WINDOW_MS: u64 = 2_000;
+
+struct Entry {
+    membership: Membership,
+    currency: Currency,
+    incarnation: u64,
+    frozen_until: u64,
+    /// Heartbeats that wait: time, sender, message.
+    inbox: Vec<(u64, usize, Heartbeat)>,
+}
+
+struct Model {
+    roster: usize,
+    base: Instant,
+    now_ms: u64,
+    rng: SmallRng,
+    entries: Vec<Entry>,
+    /// Groups of entries that hear each other.
+    sides: Vec<u8>,
+    committed: ChangeNumber,
+    /// Whether restarted entries can ask the log.
+    is_log_up: bool,
+    loss: u32,
+    longest_delay: u64,
+    /// The highest accepted change, and when each was accepted.
+    accepted: Vec<(ChangeNumber, u64)>,
+    late: u64,
+}
+
+fn name(entry: usize) -> Box<str> {
+    format!("e{entry}").into()
+}
+
+impl Model {
+    fn new(roster: usize, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let (is_log_up, loss, longest_delay) =
+            (rng.random_range(0..2) == 0, rng.random_range(0..30), [10, 400, 3_000][rng.random_range(0..3)]);
+        let sides = vec![0; roster];
+        let base = Instant::now();
+        let mut model = Self {
+            roster,
+            base,
+            now_ms: 0,
+            rng,
+            entries: Vec::new(),
+            sides,
+            committed: 0,
+            is_log_up,
+            loss,
+            longest_delay,
+            accepted: Vec::new(),
+            late: 0,
+        };
+        for entry in 0..roster {
+            let mut fresh = model.fresh(entry, 1);
+            // The first start of a system asks the log.
+            fresh.currency.learn(0);
+            model.entries.push(fresh);
+        }
+        model
+    }
+
+    fn now(&self) -> Instant {
+        self.base + Duration::from_millis(self.now_ms)
+    }
+
+    fn fresh(&self, entry: usize, incarnation: u64) -> Entry {
+        let peers = (0..self.roster).filter(|peer| *peer != entry).map(name).collect();
+        let options = MembershipOptions { id: name(entry), incarnation, peers, ..Default::default() };
+        let membership = Membership::new(options, self.now());
+        let currency = Currency::new(self.roster);
+        Entry { membership, currency, incarnation, frozen_until: 0, inbox: Vec::new() }
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        self.disturb();
+        for entry in 0..self.roster {
+            if self.entries[entry].frozen_until <= self.now_ms {
+                self.act(entry);
+            }
+        }
+        self.judge();
+    }
+
+    /// Lets something happen to the entries and their links.
+    fn disturb(&mut self) {
+        let entry = self.rng.random_range(0..self.roster);
+        match self.rng.random_range(0..60) {
+            0 | 1 => self.sides[entry] = self.rng.random_range(0..2),
+            2 => self.sides.fill(0),
+            // Entry 0 judges the acceptance and keeps its memory.
+            3 | 4 if entry > 0 => {
+                let incarnation = self.entries[entry].incarnation + 1;
+                self.entries[entry] = self.fresh(entry, incarnation);
+            }
+            5 => self.entries[entry].frozen_until = self.now_ms + self.rng.random_range(100..6_000),
+            6..9 => self.committed += 1,
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, entry: usize) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let Entry { inbox, .. } = &mut self.entries[entry];
+        let (due, rest) = std::mem::take(inbox).into_iter().partition(|(at, _, _)| *at <= now_ms);
+        *inbox = rest;
+        let mut actions = Vec::new();
+        for (_, from, heartbeat) in Vec::<(u64, usize, Heartbeat)>::from(due) {
+            let event = MembershipEvent::Receive { from: name(from), heartbeat };
+            self.entries[entry].membership.handle(now, event, &mut actions);
+        }
+        // A pushed or fetched change arrives now and then, from the log or from an entry on the same side.
+        let is_near = |other: usize| self.sides[other] == self.sides[entry];
+        let nearby = (0..self.roster).filter(|other| is_near(*other));
+        let newest = nearby.map(|other| self.entries[other].currency.installed()).max().unwrap_or(0);
+        let pushed = if self.is_log_up && self.rng.random_range(0..20) == 0 { self.committed } else { 0 };
+        let fetched = if self.rng.random_range(0..10) == 0 { newest } else { 0 };
+        let seeded = if entry == 0 && self.rng.random_range(0..10) == 0 { self.committed } else { 0 };
+        let is_asking = self.is_log_up && self.rng.random_range(0..20) == 0;
+        let Entry { membership, currency, .. } = &mut self.entries[entry];
+        if is_asking && !currency.is_informed() {
+            currency.learn(self.committed);
+        }
+        currency.update(now, || membership.reports());
+        let offered = pushed.max(fetched).max(seeded);
+        if offered > 0 {
+            currency.install(now, offered);
+        }
+        currency.update(now, || membership.reports());
+        let (installed, informed) = (currency.installed(), currency.is_informed());
+        let status = Status { installed, informed, ..Status::default() };
+        membership.handle(now, MembershipEvent::Report(status), &mut actions);
+        membership.handle(now, MembershipEvent::Tick, &mut actions);
+        for action in actions {
+            let MembershipAction::Send { to, heartbeat } = action else { continue };
+            let to: usize = to[1..].parse().expect("name of an entry");
+            if self.sides[to] == self.sides[entry] && self.rng.random_range(0..100) >= self.loss {
+                let at = self.now_ms + self.rng.random_range(1..=self.longest_delay);
+                self.entries[to].inbox.push((at, entry, heartbeat));
+            }
+        }
+    }
+
+    /// Takes note of accepted changes and checks what every entry serves under, also frozen ones.
+    fn judge(&mut self) {
+        let now = self.now();
+        let Entry { membership, currency, .. } = &self.entries[0];
+        let highest = self.accepted.last().map_or(0, |(number, _)| *number);
+        for number in highest + 1..=currency.installed() {
+            if is_held_by_quorum(number, self.roster, currency.installed_since(number), membership.reports()) {
+                self.accepted.push((number, self.now_ms));
+            }
+        }
+        for entry in &self.entries {
+            let is_serving = entry.currency.may_serve(now, entry.membership.reports()).is_ok();
+            let newer = self.accepted.iter().find(|(number, _)| *number > entry.currency.installed());
+            if let Some((_, at)) = newer.filter(|_| is_serving) {
+                self.late = self.late.max(self.now_ms - at);
+            }
+        }
+    }
+}
+
+#[test]
+fn no_entry_serves_an_older_text_for_longer_than_the_window() {
+    let (mut accepted, mut latest) = (0, 0);
+    for case in 0..CASES {
+        let roster = 1 + (case % 8) as usize;
+        let mut model = Model::new(roster, SEED + case);
+        while model.now_ms < CASE_MS {
+            model.step();
+            assert!(
+                model.late <= WINDOW_MS,
+                "roster {roster}, seed {}: an older text is served {} ms after a newer one was accepted, at {} ms",
+                SEED + case,
+                model.late,
+                model.now_ms
+            );
+        }
+        accepted += model.accepted.len();
+        latest = latest.max(model.late);
+    }
+    println!("seeds {SEED}..{}: {accepted} changes accepted, longest service after one {latest} ms", SEED + CASES);
+    assert!(accepted as u64 > CASES, "the cases hardly accept any change, so they show nothing");
+}
