--- a/crates/core/tests/currency.rs
+++ b/crates/core/tests/currency.rs
@@ -4,6 +4,7 @@
 
 use {
     hemlockford_core::{
+        collections::FastSet,
         currency::{Currency, is_held_by_quorum},
         ids::ChangeNumber,
         membership::{Heartbeat, Membership, MembershipAction, MembershipEvent, MembershipOptions, Status},
@@ -33,13 +34,15 @@
     now_ms: u64,
     rng: SmallRng,
     entries: Vec<Entry>,
-    /// Groups of entries that hear each other.
-    sides: Vec<u8>,
+    /// Links that are cut, by direction.
+    cuts: FastSet<(usize, usize)>,
     committed: ChangeNumber,
     /// Whether restarted entries can ask the log.
     is_log_up: bool,
     loss: u32,
     longest_delay: u64,
+    /// A change reaches an entry on average once in this many steps.
+    spread: u32,
     /// The highest accepted change, and when each was accepted.
     accepted: Vec<(ChangeNumber, u64)>,
     late: u64,
@@ -52,9 +55,10 @@
 impl Model {
     fn new(roster: usize, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let (is_log_up, loss, longest_delay) =
-            (rng.random_range(0..2) == 0, rng.random_range(0..30), [10, 400, 3_000][rng.random_range(0..3)]);
-        let sides = vec![0; roster];
+        let is_log_up = rng.random_range(0..2) == 0;
+        let loss = rng.random_range(0..30);
+        let longest_delay = [10, 400, 3_000][rng.random_range(0..3)];
+        let spread = [5, 20, 80][rng.random_range(0..3)];
         let base = Instant::now();
         let mut model = Self {
             roster,
@@ -62,11 +66,12 @@
             now_ms: 0,
             rng,
             entries: Vec::new(),
-            sides,
+            cuts: FastSet::default(),
             committed: 0,
             is_log_up,
             loss,
             longest_delay,
+            spread,
             accepted: Vec::new(),
             late: 0,
         };
@@ -106,8 +111,8 @@
     fn disturb(&mut self) {
         let entry = self.rng.random_range(0..self.roster);
         match self.rng.random_range(0..60) {
-            0 | 1 => self.sides[entry] = self.rng.random_range(0..2),
-            2 => self.sides.fill(0),
+            0 | 1 => self.cut(entry),
+            2 => self.cuts.clear(),
             // Entry 0 judges the acceptance and keeps its memory.
             3 | 4 if entry > 0 => {
                 let incarnation = self.entries[entry].incarnation + 1;
@@ -119,30 +124,44 @@
         }
     }
 
+    /// Cuts an entry off from a random part of the others, in one direction or in both.
+    fn cut(&mut self, entry: usize) {
+        for other in (0..self.roster).filter(|other| *other != entry) {
+            match self.rng.random_range(0..4) {
+                0 => self.cuts.extend([(entry, other), (other, entry)]),
+                1 => self.cuts.extend([(entry, other)]),
+                _ => {
+                    self.cuts.remove(&(entry, other));
+                    self.cuts.remove(&(other, entry));
+                }
+            }
+        }
+    }
+
     fn act(&mut self, entry: usize) {
         let (now, now_ms) = (self.now(), self.now_ms);
         let Entry { inbox, .. } = &mut self.entries[entry];
-        let (due, rest) = std::mem::take(inbox).into_iter().partition(|(at, _, _)| *at <= now_ms);
+        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(inbox).into_iter().partition(|(at, _, _)| *at <= now_ms);
         *inbox = rest;
         let mut actions = Vec::new();
-        for (_, from, heartbeat) in Vec::<(u64, usize, Heartbeat)>::from(due) {
+        for (_, from, heartbeat) in due {
             let event = MembershipEvent::Receive { from: name(from), heartbeat };
             self.entries[entry].membership.handle(now, event, &mut actions);
         }
-        // A pushed or fetched change arrives now and then, from the log or from an entry on the same side.
-        let is_near = |other: usize| self.sides[other] == self.sides[entry];
+        // A pushed or fetched change arrives now and then, from the log or from an entry that can be reached.
+        let is_near = |other: usize| !self.cuts.contains(&(other, entry)) && !self.cuts.contains(&(entry, other));
         let nearby = (0..self.roster).filter(|other| is_near(*other));
         let newest = nearby.map(|other| self.entries[other].currency.installed()).max().unwrap_or(0);
-        let pushed = if self.is_log_up && self.rng.random_range(0..20) == 0 { self.committed } else { 0 };
-        let fetched = if self.rng.random_range(0..10) == 0 { newest } else { 0 };
-        let seeded = if entry == 0 && self.rng.random_range(0..10) == 0 { self.committed } else { 0 };
-        let is_asking = self.is_log_up && self.rng.random_range(0..20) == 0;
+        let mut is_due = |spread: u32| self.rng.random_range(0..spread) == 0;
+        let pushed = if is_due(self.spread) && (self.is_log_up || entry == 0) { self.committed } else { 0 };
+        let fetched = if is_due(self.spread) { newest } else { 0 };
+        let is_asking = self.is_log_up && is_due(20);
         let Entry { membership, currency, .. } = &mut self.entries[entry];
         if is_asking && !currency.is_informed() {
             currency.learn(self.committed);
         }
         currency.update(now, || membership.reports());
-        let offered = pushed.max(fetched).max(seeded);
+        let offered = pushed.max(fetched);
         if offered > 0 {
             currency.install(now, offered);
         }
@@ -154,7 +173,7 @@
         for action in actions {
             let MembershipAction::Send { to, heartbeat } = action else { continue };
             let to: usize = to[1..].parse().expect("name of an entry");
-            if self.sides[to] == self.sides[entry] && self.rng.random_range(0..100) >= self.loss {
+            if !self.cuts.contains(&(entry, to)) && self.rng.random_range(0..100) >= self.loss {
                 let at = self.now_ms + self.rng.random_range(1..=self.longest_delay);
                 self.entries[to].inbox.push((at, entry, heartbeat));
             }
--- /dev/null
+++ b/crates/core/tests/ledger.rs
@@ -0,0 +1,143 @@
+//! Generated command sequences against the ledger.
+
+use {
+    hemlockford_core::{
+        collections::FastMap,
+        ledger::{
+            ClaimKey, ClaimOutcome, Command, HISTORY, Holder, Ledger, LedgerOutcome, MAX_BODY_BYTES, ReleaseOutcome,
+            SettleOutcome, SettledOutcome, SubmitOutcome, TextDigest,
+        },
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+};
+
+const SEED: u64 = 99;
+
+fn key(number: u32) -> ClaimKey {
+    ClaimKey { service: "stock".into(), customer: "kovar".into(), key: format!("k{number}").into() }
+}
+
+fn holder(sequence: u64) -> Holder {
+    Holder { instance: format!("e{}", sequence % 3).into(), incarnation: 1 + sequence / 1_000, sequence }
+}
+
+fn claim(key: ClaimKey, holder: Holder, at: u64) -> Command {
+    Command::Claim { key, holder, request_digest: TextDigest::of(b"same"), retention_ms: 60_000, at }
+}
+
+fn random_command(rng: &mut SmallRng, at: u64, attempts: &mut Vec<(ClaimKey, Holder)>) -> Command {
+    let known = |rng: &mut SmallRng, attempts: &Vec<(ClaimKey, Holder)>| {
+        attempts.get(rng.random_range(0..attempts.len().max(1))).cloned().unwrap_or((key(0), holder(0)))
+    };
+    match rng.random_range(0..10) {
+        0 => {
+            let number = rng.random_range(1..60);
+            Command::Submit { number, text: format!("text {}", rng.random_range(0..3)).into() }
+        }
+        1..=4 => {
+            let attempt = (key(rng.random_range(0..20)), holder(attempts.len() as u64));
+            attempts.push(attempt.clone());
+            claim(attempt.0, attempt.1, at)
+        }
+        // Duplicates and commands that were overtaken.
+        5 | 6 => {
+            let (key, holder) = known(rng, attempts);
+            claim(key, holder, at)
+        }
+        7 => {
+            let (key, holder) = known(rng, attempts);
+            Command::Settle { key, holder, outcome: SettledOutcome::new(200, b"done"), at }
+        }
+        8 => {
+            let (key, holder) = known(rng, attempts);
+            Command::Release { key, holder, at }
+        }
+        _ => Command::Noop { at },
+    }
+}
+
+/// Guards against a released attempt that claims, two holders of one key, two winners of one number, a
+/// number that falls, and replicas that differ after a snapshot.
+#[test]
+fn generated_commands_keep_the_rules() {
+    for seed in SEED..SEED + 60 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let (mut ledger, mut copy) = (Ledger::default(), Ledger::default());
+        let mut attempts = Vec::new();
+        let mut released: FastMap<Holder, u64> = FastMap::default();
+        let mut winners: FastMap<u64, TextDigest> = FastMap::default();
+        let mut at = 0u64;
+        for index in 1..2_000 {
+            at += rng.random_range(0..400);
+            // The time of a command may lie behind that of an earlier one after a change of leader.
+            let behind = at.saturating_sub(rng.random_range(0..300));
+            let command = random_command(&mut rng, behind, &mut attempts);
+            let number = ledger.number();
+            let outcome = ledger.apply(index, command.clone());
+            assert_eq!(copy.apply_bytes(index, &command.encode().expect("short command")), outcome);
+            assert_eq!(copy.apply(index, command.clone()), LedgerOutcome::AlreadyApplied);
+            assert!(ledger.number() >= number, "seed {seed}: number fell");
+            match (command, outcome) {
+                (Command::Claim { key, holder, .. }, LedgerOutcome::Claim(ClaimOutcome::Granted)) => {
+                    assert!(!released.contains_key(&holder), "seed {seed}: released attempt claims");
+                    assert_eq!(ledger.holder(&key), Some(&holder));
+                }
+                (Command::Claim { key, holder, .. }, LedgerOutcome::Claim(ClaimOutcome::InDoubt)) => {
+                    assert_ne!(ledger.holder(&key), Some(&holder));
+                }
+                (Command::Release { holder, .. }, LedgerOutcome::Release(ReleaseOutcome::Released)) => {
+                    released.insert(holder, at);
+                }
+                (
+                    command @ Command::Submit { number, .. },
+                    LedgerOutcome::Submit(SubmitOutcome::Accepted { digest }),
+                ) => {
+                    assert_eq!(command.digest(), Some(digest));
+                    assert_eq!(*winners.entry(number).or_insert(digest), digest, "seed {seed}: two winners");
+                }
+                _ => {}
+            }
+            if rng.random_range(0..50) == 0 {
+                copy = Ledger::restore(&copy.snapshot().expect("snapshot")).expect("restore");
+                assert_eq!(copy, ledger, "seed {seed}: replicas differ after a snapshot");
+            }
+        }
+    }
+}
+
+/// Guards against a claim command that arrives after its release was forgotten.
+#[test]
+fn a_forgotten_release_still_stops_its_attempt() {
+    let mut ledger = Ledger::default();
+    ledger.apply(1, Command::Release { key: key(1), holder: holder(3), at: 0 });
+    ledger.apply(2, Command::Noop { at: 3_600_000 });
+    let outcome = ledger.apply(3, claim(key(1), holder(3), 3_600_000));
+    assert_eq!(outcome, LedgerOutcome::Claim(ClaimOutcome::Released));
+    let outcome = ledger.apply(4, claim(key(1), holder(6), 3_600_000));
+    assert_eq!(outcome, LedgerOutcome::Claim(ClaimOutcome::Granted));
+}
+
+/// Guards against state that grows without bound.
+#[test]
+fn state_is_bounded() {
+    let mut ledger = Ledger::default();
+    let long = SettledOutcome::new(200, &[7; 3 * MAX_BODY_BYTES]);
+    assert_eq!((long.body.len(), long.is_truncated), (MAX_BODY_BYTES, true));
+    for index in 0..5_000 {
+        let (key, holder) = (key(index), holder(u64::from(index)));
+        let at = u64::from(index);
+        ledger.apply(2 * at + 1, claim(key.clone(), holder.clone(), at));
+        let settle = Command::Settle { key, holder, outcome: long.clone(), at };
+        assert_eq!(ledger.apply(2 * at + 2, settle), LedgerOutcome::Settle(SettleOutcome::Recorded));
+    }
+    let bytes = ledger.snapshot().expect("snapshot").len();
+    assert!(bytes < 10 << 20, "{bytes} bytes");
+    ledger.apply(20_000, Command::Noop { at: 1_000_000 });
+    assert_eq!(ledger.claims(), 0);
+    for number in 1..=HISTORY as u64 + 10 {
+        ledger.apply(20_000 + number, Command::Submit { number, text: "text".into() });
+    }
+    assert_eq!(ledger.digest(10), None);
+    assert!(ledger.digest(11).is_some());
+    assert!(ledger.snapshot().expect("snapshot").len() < 1 << 20);
+}
