--- /dev/null
+++ b/crates/scenario/examples/matrix.rs
@@ -0,0 +1,28 @@
+//! Runs the fault matrix of the replicated log: `matrix [replicas] [seed] [groups] [threads] [stride] [group size]`.
+
+use {
+    hemlockford_scenario::matrix::{Exchange, Summary, groups, run, singles, steps},
+    std::{env, process::ExitCode, time::Instant},
+};
+
+fn main() -> ExitCode {
+    let numbers: Vec<u64> = env::args().skip(1).filter_map(|number| number.parse().ok()).collect();
+    let number = |at: usize, default| numbers.get(at).copied().unwrap_or(default);
+    let size = |at, default| usize::try_from(number(at, default)).unwrap_or(usize::MAX);
+    let (replicas, seed, count) = (size(0, 3), number(1, 1), size(2, 1_000));
+    let (threads, stride, faults) = (size(3, 4), size(4, 1), size(5, 2));
+    println!("replicas {replicas}, seed {seed}, {count} groups of {faults} faults for each exchange, stride {stride}");
+    let mut total = Summary::default();
+    for exchange in Exchange::ALL {
+        let start = Instant::now();
+        let mut cells = singles(exchange, replicas, seed, stride);
+        let single = cells.len();
+        cells.extend(groups(exchange, replicas, seed, count, faults));
+        let summary = run(&cells, threads);
+        let (steps, time) = (steps(exchange, replicas, seed), start.elapsed());
+        println!("{exchange:?}: {steps} steps, {single} singly, {summary}, {time:.1?}");
+        total.add(summary);
+    }
+    println!("total: {} cells, {} failed", total.cells, total.failures.len());
+    if total.failures.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -1,3 +1,5 @@
-//! Test support: scripted scenarios and faults against the state machines of hemlockford.
+//! Scenario language and fault matrices against the state machines (test support).
 
+pub mod fakes;
+pub mod matrix;
 pub mod script;
--- a/crates/scenario/src/script/world.rs
+++ b/crates/scenario/src/script/world.rs
@@ -1,11 +1,12 @@
 //! Several instances with their network, disks, servers and the clock.
 
 use {
-    super::{Checks, Disk, Fault, Kind, Network, Node, NodeState, Server, Trigger},
+    super::{Checks, Fault, Kind, Network, Node, NodeState, Server, Trigger},
+    crate::fakes::{self, FakeDisk},
     hemlockford_core::{
         control::{
             Answer, Channel, ClaimAnswer, Control, ControlAction, ControlEvent, ControlOptions, PeerMessage,
-            TICK_INTERVAL,
+            TICK_INTERVAL, Write,
         },
         dispatch::ServerState,
         ledger::{ClaimKey, Holder, MIN_RETENTION_MS, SettledOutcome, TextDigest},
@@ -144,7 +145,7 @@
             replicas: (0..replicas).map(name).collect(),
             ..ControlOptions::default()
         };
-        let recovered = this.disk.as_ref().map(Disk::recovered);
+        let recovered = this.disk.as_ref().map(FakeDisk::recover);
         this.control = Some(Control::new(options, recovered, now, SmallRng::seed_from_u64(seed)));
         this.state = NodeState::Up;
         this.installed = 0;
@@ -155,9 +156,10 @@
         self.push(first, Event::Tick { node, incarnation });
     }
 
-    /// Kills the process of an instance; what was not synced is lost.
+    /// Kills the process of an instance; what was not synced is lost but for some leading writes.
     pub fn kill(&mut self, node: usize) {
-        self.nodes[node].kill();
+        let survivors = self.rng.random_range(0..=2);
+        self.nodes[node].kill(survivors);
         self.granted.retain(|(at, _), _| *at != node);
         self.keys.retain(|(at, _), _| *at != node);
     }
@@ -165,7 +167,7 @@
     /// Kills the process of an instance after everything that was written is synced.
     pub fn kill_synced(&mut self, node: usize) {
         if let Some(disk) = &mut self.nodes[node].disk {
-            disk.sync_all();
+            disk.sync(u64::MAX);
         }
         self.kill(node);
     }
@@ -175,7 +177,7 @@
         self.kill(node);
         let incarnation = self.nodes[node].incarnation + 1;
         if let Some(disk) = &mut self.nodes[node].disk {
-            *disk = Disk::new(incarnation);
+            *disk = FakeDisk::new(incarnation);
             self.lost_folders.insert(node);
         }
     }
@@ -504,7 +506,7 @@
                 ControlAction::Stream { to, message } => self.send(node, &to, message, Channel::Stream),
                 ControlAction::Write { sequence, write } => {
                     if let Some(disk) = &mut self.nodes[node].disk {
-                        disk.write(sequence, write);
+                        disk.write(sequence, kept(write));
                         up_to = Some(sequence);
                     }
                 }
@@ -564,3 +566,12 @@
 pub fn text(number: u64, service: &str) -> String {
     format!("[change]\nnumber = {number}\n[service {service}]\n")
 }
+
+fn kept(write: Write) -> fakes::Write {
+    match write {
+        Write::Vote(vote) => fakes::Write::Vote(vote),
+        Write::Append(entries) => fakes::Write::Append(entries),
+        Write::Truncate(from) => fakes::Write::Truncate(from),
+        Write::Snapshot(snapshot) => fakes::Write::Snapshot(snapshot),
+    }
+}
--- /dev/null
+++ b/crates/scenario/tests/regressions.rs
@@ -0,0 +1,38 @@
+//! Cells of the fault matrix that once failed, each with the fault that it guards against.
+
+use hemlockford_scenario::matrix::{Cell, Exchange, Fault, Sabotage};
+
+fn check(exchange: Exchange, replicas: usize, seed: u64, faults: &[(usize, Fault)]) {
+    let cell = Cell { exchange, replicas, seed, faults: faults.to_vec(), sabotage: Sabotage::None };
+    assert_eq!(cell.run().violations, [], "{cell:?}");
+}
+
+/// Guards against a leader that ignores a conflict because the hint lies before the entries that it
+/// knows to match: the replica then never gets another entry.
+#[test]
+fn conflict_hint_before_matched_entries() {
+    let faults = [
+        (33, Fault::CutOut(1)),
+        (32, Fault::CrashTorn(1)),
+        (13, Fault::CrashBeforeSync(2)),
+        (11, Fault::CrashBeforeSync(0)),
+    ];
+    check(Exchange::Append, 3, 12, &faults);
+    let faults = [
+        (1, Fault::CrashTorn(2)),
+        (23, Fault::CrashAfterSync(0)),
+        (24, Fault::CrashAfterSync(1)),
+        (2, Fault::CrashBeforeSync(0)),
+    ];
+    check(Exchange::Append, 3, 11, &faults);
+}
+
+/// Guards against a proposer that lost its folder and waits for ever for a replica that a late message
+/// of the old folder has bound to the same ballot.
+#[test]
+fn ballot_taken_by_late_proposal_of_lost_folder() {
+    let faults = [(34, Fault::LoseDisk(0)), (4, Fault::CutOut(0)), (31, Fault::CrashTorn(1)), (20, Fault::Freeze(1))];
+    check(Exchange::Formation, 3, 15, &faults);
+    let faults = [(25, Fault::LoseDisk(0)), (5, Fault::CutBoth(0)), (39, Fault::CutBoth(0)), (20, Fault::Freeze(2))];
+    check(Exchange::Formation, 3, 14, &faults);
+}
