--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -1,4 +1,4 @@
-//! Test support: scripted scenarios and fault matrices against the state machines of hemlockford.
+//! Scenario language and fault matrices against the state machines (test support).
 
 pub mod fakes;
 pub mod matrix;
--- a/crates/scenario/src/script/node.rs
+++ b/crates/scenario/src/script/node.rs
@@ -1,7 +1,8 @@
 //! One instance: its process, its data folder and what it told its environment.
 
 use {
-    super::{Disk, world::Event},
+    super::world::Event,
+    crate::fakes::FakeDisk,
     hemlockford_core::{
         control::{Answer, Control},
         ids::{ChangeNumber, Incarnation, InstanceId},
@@ -29,7 +30,7 @@
     /// State of the process.
     pub state: NodeState,
     /// Its data folder, if it is a replica.
-    pub disk: Option<Disk>,
+    pub disk: Option<FakeDisk>,
     /// Incarnation of the process.
     pub incarnation: Incarnation,
     /// Answers by request, of the present process.
@@ -50,7 +51,7 @@
             id,
             control: None,
             state: NodeState::Down,
-            disk: is_replica.then(|| Disk::new(1)),
+            disk: is_replica.then(|| FakeDisk::new(1)),
             incarnation: 0,
             answers: BTreeMap::new(),
             served: 0,
@@ -65,12 +66,13 @@
         self.state == NodeState::Up
     }
 
-    pub(super) fn kill(&mut self) {
+    /// Ends the process; some leading writes that were not synced may survive.
+    pub(super) fn kill(&mut self, survivors: usize) {
         self.control = None;
         self.state = NodeState::Down;
         self.backlog.clear();
         if let Some(disk) = &mut self.disk {
-            disk.crash();
+            disk.crash(survivors);
         }
     }
 }
--- a/crates/scenario/src/script/world.rs
+++ b/crates/scenario/src/script/world.rs
@@ -1,11 +1,12 @@
 //! Several instances with their network, disks, servers and the clock.
 
 use {
-    super::{Checks, Disk, Fault, Kind, Network, Node, NodeState, Server, Trigger},
+    super::{Checks, Fault, Kind, Network, Node, NodeState, Server, Trigger},
+    crate::fakes::{self, FakeDisk},
     hemlockford_core::{
         control::{
             Answer, Channel, ClaimAnswer, Control, ControlAction, ControlEvent, ControlOptions, PeerMessage,
-            TICK_INTERVAL,
+            TICK_INTERVAL, Write,
         },
         dispatch::ServerState,
         ledger::{ClaimKey, Holder, MIN_RETENTION_MS, SettledOutcome, TextDigest},
@@ -13,7 +14,7 @@
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
 };
@@ -77,7 +78,11 @@
     /// The invariants.
     pub checks: Checks,
     triggers: Vec<Trigger>,
+    /// Kinds of messages that are counted for triggers.
+    counted: Vec<Kind>,
     messages: Option<u64>,
+    /// Replicas whose data folders were lost.
+    pub lost_folders: BTreeSet<usize>,
     next_request: u64,
     keys: BTreeMap<(usize, u64), ClaimKey>,
     /// Attempts that were granted and have neither settled nor released, by instance and key.
@@ -102,7 +107,9 @@
             servers: Vec::new(),
             checks: Checks::default(),
             triggers: Vec::new(),
+            counted: Vec::new(),
             messages: None,
+            lost_folders: BTreeSet::new(),
             next_request: 0,
             keys: BTreeMap::new(),
             granted: BTreeMap::new(),
@@ -138,7 +145,7 @@
             replicas: (0..replicas).map(name).collect(),
             ..ControlOptions::default()
         };
-        let recovered = this.disk.as_ref().map(Disk::recovered);
+        let recovered = this.disk.as_ref().map(FakeDisk::recover);
         this.control = Some(Control::new(options, recovered, now, SmallRng::seed_from_u64(seed)));
         this.state = NodeState::Up;
         this.installed = 0;
@@ -149,9 +156,10 @@
         self.push(first, Event::Tick { node, incarnation });
     }
 
-    /// Kills the process of an instance; what was not synced is lost.
+    /// Kills the process of an instance; what was not synced is lost but for some leading writes.
     pub fn kill(&mut self, node: usize) {
-        self.nodes[node].kill();
+        let survivors = self.rng.random_range(0..=2);
+        self.nodes[node].kill(survivors);
         self.granted.retain(|(at, _), _| *at != node);
         self.keys.retain(|(at, _), _| *at != node);
     }
@@ -159,7 +167,7 @@
     /// Kills the process of an instance after everything that was written is synced.
     pub fn kill_synced(&mut self, node: usize) {
         if let Some(disk) = &mut self.nodes[node].disk {
-            disk.sync_all();
+            disk.sync(u64::MAX);
         }
         self.kill(node);
     }
@@ -169,7 +177,8 @@
         self.kill(node);
         let incarnation = self.nodes[node].incarnation + 1;
         if let Some(disk) = &mut self.nodes[node].disk {
-            *disk = Disk::new(incarnation);
+            *disk = FakeDisk::new(incarnation);
+            self.lost_folders.insert(node);
         }
     }
 
@@ -287,8 +296,9 @@
         true
     }
 
-    /// Counts messages from here on and lets the faults strike at theirs.
-    pub fn arm(&mut self, triggers: Vec<Trigger>) {
+    /// Counts messages of some kinds from here on and lets the faults strike at theirs.
+    pub fn arm(&mut self, kinds: &[Kind], triggers: Vec<Trigger>) {
+        self.counted = kinds.to_vec();
         self.triggers = triggers;
         self.messages = Some(0);
     }
@@ -475,7 +485,7 @@
 
     /// Returns the fault that strikes at this message.
     fn strike(&mut self, message: &PeerMessage, counted: bool) -> Option<Fault> {
-        if counted || !Trigger::counts(Kind::of(message)) {
+        if counted || !self.counted.contains(&Kind::of(message)) {
             return None;
         }
         let number = self.messages?;
@@ -496,7 +506,7 @@
                 ControlAction::Stream { to, message } => self.send(node, &to, message, Channel::Stream),
                 ControlAction::Write { sequence, write } => {
                     if let Some(disk) = &mut self.nodes[node].disk {
-                        disk.write(sequence, write);
+                        disk.write(sequence, kept(write));
                         up_to = Some(sequence);
                     }
                 }
@@ -556,3 +566,12 @@
 pub fn text(number: u64, service: &str) -> String {
     format!("[change]\nnumber = {number}\n[service {service}]\n")
 }
+
+fn kept(write: Write) -> fakes::Write {
+    match write {
+        Write::Vote(vote) => fakes::Write::Vote(vote),
+        Write::Append(entries) => fakes::Write::Append(entries),
+        Write::Truncate(from) => fakes::Write::Truncate(from),
+        Write::Snapshot(snapshot) => fakes::Write::Snapshot(snapshot),
+    }
+}
