--- a/crates/hemlockford/src/bench.rs
+++ b/crates/hemlockford/src/bench.rs
@@ -39,6 +39,7 @@
         rates,
         time: arguments.time,
         rounds: arguments.rounds,
+        late_limit: arguments.late_limit,
         load: LoadOptions {
             service: arguments.service.clone().into(),
             arrivals: arguments.arrivals,
@@ -48,6 +49,7 @@
             ..LoadOptions::default()
         },
     };
+    let rounds = arguments.rounds;
     let rows = actix_rt::System::new().block_on(async {
         let mut local = None;
         if options.entries.is_empty() {
@@ -74,7 +76,11 @@
     if let Some(path) = &arguments.csv {
         write(path, &rows)?;
     }
-    Ok(Exit::from_success(rows.iter().all(|row| row.is_clean)))
+    let is_complete = rows.iter().all(|row| row.rounds_p99.len() == rounds);
+    if !is_complete {
+        eprintln!("hemlockford: the machine was too disturbed for the rounds that were asked for");
+    }
+    Ok(Exit::from_success(is_complete && rows.iter().all(|row| row.is_clean)))
 }
 
 fn print(rows: &[AddedRow]) {
@@ -91,9 +97,11 @@
             if row.added(0.99) <= TARGET_P99 { "within 540 us" } else { "above 540 us" },
         );
         println!(
-            "          added p99 by round: {:?} us, median {} us; calls started late by up to {} us at p99",
+            "          added p99 by round: {:?} us, median {} us; {} disturbed rounds left out; calls started late \
+             by up to {} us at p99",
             row.rounds_p99,
             row.median_p99(),
+            row.disturbed,
             row.late_p99,
         );
         if !row.is_clean {
--- a/crates/hemlockford/src/command/tool.rs
+++ b/crates/hemlockford/src/command/tool.rs
@@ -193,6 +193,14 @@
     pub(crate) time: Duration,
     #[options(help = "rounds of one part direct and one through", default = "2", no_short)]
     pub(crate) rounds: usize,
+    #[options(
+        help = "lateness of starts at p99 above which a round counts as disturbed and is repeated",
+        default = "500us",
+        no_short,
+        meta = "TIME",
+        parse(try_from_str = "parse_time")
+    )]
+    pub(crate) late_limit: Duration,
     #[options(help = "constant or poisson", default = "poisson", no_short)]
     pub(crate) arrivals: Arrivals,
     #[options(help = "bytes of an answer", default = "1000", no_short)]
--- a/crates/tools/src/compare.rs
+++ b/crates/tools/src/compare.rs
@@ -1,11 +1,14 @@
 //! Comparison of calls through an entry with direct calls, in one run and in turn.
 
 use {
-    crate::load::{CustomerLoad, LoadOptions, Tally, load},
+    crate::load::{CustomerLoad, LoadOptions, LoadSummary, Tally, load},
     hemlockford_core::errors::{Result, invalid_input},
     std::{fmt::Write, net::SocketAddr, time::Duration},
 };
 
+/// Disturbed rounds for each round that is wanted, after which a comparison ends with fewer.
+const MAX_DISTURBED: usize = 3;
+
 /// Options of a comparison.
 #[derive(Clone, Debug)]
 pub struct AddedOptions {
@@ -19,6 +22,9 @@
     pub time: Duration,
     /// Rounds, over which the latencies are put together.
     pub rounds: usize,
+    /// Lateness of the calls' starts at the 99th percentile above which a round is taken to be disturbed by
+    /// something else on the machine. It is left out and repeated.
+    pub late_limit: Duration,
     /// The other options of both parts.
     pub load: LoadOptions,
 }
@@ -31,6 +37,7 @@
             rates: vec![1_000.0, 4_000.0, 8_000.0],
             time: Duration::from_secs(2),
             rounds: 2,
+            late_limit: Duration::from_micros(500),
             load: LoadOptions::default(),
         }
     }
@@ -47,9 +54,11 @@
     pub through: Tally,
     /// Difference at the 99th percentile in each round, in microseconds and in rising order.
     pub rounds_p99: Vec<i64>,
-    /// How late calls were started at the 99th percentile, in microseconds, in the worst part; it shows
-    /// how much the machine was disturbed.
+    /// How late calls were started at the 99th percentile, in microseconds, in the worst part of the
+    /// rounds that count.
     pub late_p99: u64,
+    /// Rounds that were left out because the machine was disturbed.
+    pub disturbed: usize,
     /// Whether every answer was whole, right and not repeated.
     pub is_clean: bool,
 }
@@ -57,7 +66,7 @@
 impl AddedRow {
     /// Title line of the CSV form.
     pub const CSV_TITLE: &'static str = "rate,direct_p50_us,direct_p99_us,direct_p999_us,through_p50_us,\
-        through_p99_us,through_p999_us,added_p50_us,added_p99_us,added_p999_us,rounds_median_added_p99_us,late_p99_us,\
+        through_p99_us,through_p999_us,added_p50_us,added_p99_us,added_p999_us,rounds_median_added_p99_us,late_p99_us,disturbed_rounds,\
         direct_good,through_good,clean";
 
     /// Returns what the entry adds at a quantile, in microseconds.
@@ -83,7 +92,7 @@
         for quantile in QUANTILES {
             let _ = write!(line, ",{}", self.added(quantile));
         }
-        let _ = write!(line, ",{},{}", self.median_p99(), self.late_p99);
+        let _ = write!(line, ",{},{},{}", self.median_p99(), self.late_p99, self.disturbed);
         let _ = write!(line, ",{},{},{}", self.direct.good(), self.through.good(), self.is_clean);
         line
     }
@@ -104,20 +113,32 @@
         through: Tally::default(),
         rounds_p99: Vec::new(),
         late_p99: 0,
+        disturbed: 0,
         is_clean: true,
     };
-    for _ in 0..options.rounds {
+    let late_limit = options.late_limit.as_micros() as u64;
+    while row.rounds_p99.len() < options.rounds && row.disturbed < options.rounds * MAX_DISTURBED {
         let direct = part(options, &options.servers, &mut row)?;
         let through = part(options, &options.entries, &mut row)?;
-        row.rounds_p99.push(through.quantile(0.99) as i64 - direct.quantile(0.99) as i64);
-        row.direct.merge(&direct);
-        row.through.merge(&through);
+        let late = late_p99(&direct).max(late_p99(&through));
+        if late > late_limit {
+            row.disturbed += 1;
+            continue;
+        }
+        row.late_p99 = row.late_p99.max(late);
+        row.rounds_p99.push(through.total.quantile(0.99) as i64 - direct.total.quantile(0.99) as i64);
+        row.direct.merge(&direct.total);
+        row.through.merge(&through.total);
     }
     row.rounds_p99.sort_unstable();
     Ok(row)
 }
 
-fn part(options: &AddedOptions, targets: &[SocketAddr], row: &mut AddedRow) -> Result<Tally> {
+fn late_p99(summary: &LoadSummary) -> u64 {
+    summary.lateness.value_at_quantile(0.99)
+}
+
+fn part(options: &AddedOptions, targets: &[SocketAddr], row: &mut AddedRow) -> Result<LoadSummary> {
     let summary = load(LoadOptions {
         targets: targets.to_vec(),
         customers: vec![CustomerLoad { name: None, rate: row.rate }],
@@ -125,6 +146,5 @@
         ..options.load.clone()
     })?;
     row.is_clean &= summary.is_clean();
-    row.late_p99 = row.late_p99.max(summary.lateness.value_at_quantile(0.99));
-    Ok(summary.total)
+    Ok(summary)
 }
--- a/crates/tools/src/emulate/server.rs
+++ b/crates/tools/src/emulate/server.rs
@@ -45,6 +45,8 @@
     request: Box<str>,
     is_idempotent: bool,
     answer_bytes: Option<usize>,
+    /// Time by which the caller needs the answer.
+    deadline: Option<Instant>,
 }
 
 /// Counts a call as in flight until it is dropped.
@@ -63,11 +65,13 @@
     pub(super) fn new(req: &Request) -> Self {
         let text = |name: &HeaderName| req.head().headers().get(name).and_then(|value| value.to_str().ok());
         let length = text(&headers::ANSWER_BYTES).and_then(|value| value.parse().ok());
+        let left = text(&headers::DEADLINE).and_then(|value| value.parse().ok()).map(Duration::from_millis);
         Self {
             path: req.path().into(),
             request: text(&headers::REQUEST).unwrap_or(req.path()).into(),
             is_idempotent: req.method().is_idempotent(),
             answer_bytes: length.map(|length: usize| length.min(MAX_ANSWER_BYTES)),
+            deadline: left.map(|left| Instant::now() + left),
         }
     }
 
@@ -99,13 +103,17 @@
         }
         let is_busy = self.slots.available_permits() == 0;
         if behaviour.shed.is_some_and(|bound| is_busy && self.waiting.get() >= bound) {
-            self.shared.count(|counts| counts.shed += 1);
-            return self.reply(StatusCode::SERVICE_UNAVAILABLE, "shed\n").header(headers::SHED, "1");
+            return self.shed();
         }
         let waiting = Waiting::new(&self.waiting);
         // The semaphore is never closed, so that a failure to acquire cannot happen.
-        let _slot = self.slots.acquire().await;
+        let slot = match call.deadline {
+            Some(deadline) => tokio::time::timeout_at(deadline.into(), self.slots.acquire()).await,
+            None => Ok(self.slots.acquire().await),
+        };
         drop(waiting);
+        // A call whose deadline passed while it waited is not run any more.
+        let Ok(_slot) = slot else { return self.shed() };
         let start = Instant::now();
         let number = self.executions.start(&call.request, call.is_idempotent);
         self.shared.count_start();
@@ -143,6 +151,12 @@
         }
     }
 
+    /// Refuses a call that was not run.
+    fn shed(&self) -> Reply {
+        self.shared.count(|counts| counts.shed += 1);
+        self.reply(StatusCode::SERVICE_UNAVAILABLE, "shed\n").header(headers::SHED, "1")
+    }
+
     async fn probe(&self) -> Reply {
         self.shared.count(|counts| counts.probes += 1);
         let _slot = self.slots.acquire().await;
--- a/crates/tools/src/load/connection.rs
+++ b/crates/tools/src/load/connection.rs
@@ -43,11 +43,13 @@
     }
 
     pub(super) fn idle(&self) -> Idle {
-        let mut byte = [0];
-        match self.framed.io_ref().try_read(&mut byte) {
+        let mut buf = [0; 16];
+        match self.framed.io_ref().try_read(&mut buf) {
             _ if !self.framed.is_read_buf_empty() => Idle::Unasked,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Idle::Open,
             Ok(0) | Err(_) => Idle::Closed,
+            // A server may end an idle connection with a request timeout (RFC 9110, section 15.5.9).
+            Ok(length) if buf[..length].starts_with(b"HTTP/1.1 408") => Idle::Closed,
             Ok(_) => Idle::Unasked,
         }
     }
