Report every fault of a text at its line; bound recursion and durations

Cause: a property test over the fault kinds of design section 3 and over arbitrary bytes found that - a chain of 20,000 services, within the permitted size, overflowed the stack of the recursive depth check; - a line without `=` was joined to the next one, an indented comment was read as a key, a trailing backslash continued a line, and a byte order mark or text after a header hid the section, so that faults named a wrong line or line 0; - `[service a]` with two blanks lost the lines of its cross-key faults; - only the first cycle was reported, and no deadline was checked beside one; - a deadline of 18446744073709551615ms was accepted, which overflows a time; an objective in 0ms as well.

Lines are now brought into one form, with one text line each, before the INI library reads them. The graph of services is walked without recursion. Durations are at most a year. Ruled out: an own INI parser, since only the form of single lines was at fault.

--- a/crates/core/src/text/check.rs
+++ b/crates/core/src/text/check.rs
@@ -1,8 +1,8 @@
 //! Checks that concern more than one key of a text.
 
 use {
-    super::{MAX_DEPTH, parse::Parsed},
-    crate::{collections::FastMap, ids::ServiceId},
+    super::{MAX_DEPTH, graph::Graph, parse::Parsed},
+    crate::{collections::FastSet, ids::ServiceId},
 };
 
 /// Adds the faults of the text as a whole.
@@ -10,9 +10,8 @@
     check_number(parsed);
     check_names(parsed);
     check_shares(parsed);
-    if check_depth(parsed) {
-        check_deadlines(parsed);
-    }
+    let acyclic = check_depth(parsed);
+    check_deadlines(parsed, &acyclic);
 }
 
 fn check_number(parsed: &mut Parsed) {
@@ -50,59 +49,31 @@
     }
 }
 
-/// Checks for cycles and chains that are too deep; returns whether there is no cycle.
-fn check_depth(parsed: &mut Parsed) -> bool {
-    let mut depths = FastMap::default();
-    let mut names: Vec<ServiceId> = parsed.text.services.keys().cloned().collect();
-    names.sort();
-    for name in &names {
-        let mut path = Vec::new();
-        if let Err(cycle) = depth(parsed, name, &mut depths, &mut path) {
-            let message = format!("cycle of dependencies: {}", cycle.join(" -> "));
-            parsed.fault(&section(&cycle[0]), "depends", message);
-            return false;
-        }
+/// Checks for cycles and for chains that are too deep; returns the services that neither are in a cycle nor
+/// depend on one.
+fn check_depth(parsed: &mut Parsed) -> FastSet<ServiceId> {
+    let graph = Graph::new(&parsed.text);
+    let depths = graph.depths();
+    for cycle in graph.cycles(&depths) {
+        let message = format!("cycle of dependencies: {}", cycle.join(" -> "));
+        parsed.fault(&section(&cycle[0]), "depends", message);
     }
-    for name in names {
-        let depth = depths[&name];
+    let mut acyclic = FastSet::default();
+    for (name, depth) in graph.names.into_iter().zip(depths) {
+        let Some(depth) = depth else { continue };
         if depth > MAX_DEPTH {
             let message = format!("chain of {depth} services is deeper than {MAX_DEPTH}");
             parsed.fault(&section(&name), "depends", message);
         }
+        acyclic.insert(name);
     }
-    true
-}
-
-/// Returns the number of services on the longest chain from `name`, or the cycle that was met.
-fn depth(
-    parsed: &Parsed,
-    name: &ServiceId,
-    depths: &mut FastMap<ServiceId, usize>,
-    path: &mut Vec<ServiceId>,
-) -> Result<usize, Vec<ServiceId>> {
-    if let Some(known) = depths.get(name) {
-        return Ok(*known);
-    }
-    if let Some(start) = path.iter().position(|other| other == name) {
-        let mut cycle = path[start..].to_vec();
-        cycle.push(name.clone());
-        return Err(cycle);
-    }
-    path.push(name.clone());
-    let mut deepest = 0;
-    if let Some(service) = parsed.text.services.get(name) {
-        for dependency in &service.depends {
-            deepest = deepest.max(depth(parsed, dependency, depths, path)?);
-        }
-    }
-    path.pop();
-    depths.insert(name.clone(), deepest + 1);
-    Ok(deepest + 1)
+    acyclic
 }
 
-fn check_deadlines(parsed: &mut Parsed) {
+/// Checks deadlines; along a cycle no deadline could be right.
+fn check_deadlines(parsed: &mut Parsed, acyclic: &FastSet<ServiceId>) {
     let mut faults = Vec::new();
-    for (name, service) in &parsed.text.services {
+    for (name, service) in parsed.text.services.iter().filter(|(name, _)| acyclic.contains(*name)) {
         for dependency in &service.depends {
             let Some(other) = parsed.text.services.get(dependency) else { continue };
             if service.deadline <= other.deadline {
--- a/crates/core/src/text/locator.rs
+++ b/crates/core/src/text/locator.rs
@@ -10,16 +10,16 @@
 }
 
 impl Locator {
+    /// Reads a text in the form that `Lines` gives.
     pub(super) fn new(source: &str) -> Self {
         let mut locator = Self::default();
         let mut section: Box<str> = "".into();
         for (index, line) in source.lines().enumerate() {
-            let line = line.trim();
             if let Some(header) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
-                section = header.trim().into();
+                section = header.into();
                 locator.insert(section.clone(), "".into(), index + 1);
-            } else if let Some((key, _)) = line.split_once(['=', ':']).filter(|_| !line.starts_with([';', '#'])) {
-                locator.insert(section.clone(), key.trim().into(), index + 1);
+            } else if let Some((key, _)) = line.split_once('=') {
+                locator.insert(section.clone(), key.into(), index + 1);
             }
         }
         locator
--- a/crates/core/src/text/mod.rs
+++ b/crates/core/src/text/mod.rs
@@ -7,6 +7,8 @@
 mod claims;
 mod customer;
 mod fault;
+mod graph;
+mod lines;
 mod locator;
 mod measure;
 mod model;
--- a/crates/core/src/text/parse.rs
+++ b/crates/core/src/text/parse.rs
@@ -1,9 +1,9 @@
 //! Reads the INI form of a text.
 
 use {
-    super::{Customer, Fault, MAX_TEXT_BYTES, Objective, Policy, Service, Text, locator::Locator},
+    super::{Customer, Fault, MAX_TEXT_BYTES, Objective, Policy, Service, Text, lines::Lines, locator::Locator},
     crate::units::{Share, parse_duration},
-    ini::{Ini, Properties},
+    ini::{Ini, ParseOption, Properties},
 };
 
 /// A text with the faults found so far.
@@ -32,23 +32,28 @@
 }
 
 /// Parser of one source text.
-pub(super) struct Parser<'a> {
-    source: &'a str,
+pub(super) struct Parser {
+    source: Box<str>,
+    is_too_long: bool,
     parsed: Parsed,
 }
 
-impl<'a> Parser<'a> {
-    pub(super) fn new(source: &'a str) -> Self {
-        let locator = Locator::new(source);
-        Self { source, parsed: Parsed { text: Text::default(), faults: Vec::new(), locator } }
+impl Parser {
+    pub(super) fn new(source: &str) -> Self {
+        let is_too_long = source.len() > MAX_TEXT_BYTES;
+        let Lines { text, faults } = Lines::new(if is_too_long { "" } else { source });
+        let locator = Locator::new(&text);
+        Self { source: text, is_too_long, parsed: Parsed { text: Text::default(), faults, locator } }
     }
 
     pub(super) fn parse(mut self) -> Parsed {
-        if self.source.len() > MAX_TEXT_BYTES {
+        if self.is_too_long {
             self.parsed.fault("", "", format!("text is longer than {MAX_TEXT_BYTES} bytes"));
             return self.parsed;
         }
-        match Ini::load_from_str_noescape(self.source) {
+        // Values are taken as they stand: a quoted one could go on in the next line.
+        let options = ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+        match Ini::load_from_str_opt(&self.source, options) {
             Ok(ini) => self.read_sections(&ini),
             Err(e) => self.parsed.faults.push(Fault {
                 line: e.line,
@@ -165,7 +170,7 @@
                 parsed.set(place, &mut service.deadline, value, "a duration such as 800ms");
             }
             "objective" => {
-                let value = Objective::parse(value);
+                let value = Objective::parse(value).filter(|objective| !objective.latency.is_zero());
                 parsed.set(place, &mut service.objective, value, "an objective such as 99.9% in 250ms");
             }
             "policy" => {
--- a/crates/core/src/units/mod.rs
+++ b/crates/core/src/units/mod.rs
@@ -6,7 +6,11 @@
 
 use std::time::Duration;
 
-/// Parses a duration such as `250ms`, `5s`, `15m` or `1h`.
+/// Longest duration in milliseconds that is read: a year. A time that lies further ahead could not be
+/// represented on every platform.
+const MAX_MILLISECONDS: u64 = 365 * 24 * 3_600_000;
+
+/// Parses a duration of at most a year, such as `250ms`, `5s`, `15m` or `1h`.
 ///
 /// ```
 /// use {hemlockford_core::units::parse_duration, std::time::Duration};
@@ -24,5 +28,6 @@
         "h" => 3_600_000,
         _ => return None,
     };
-    Some(Duration::from_millis(number.checked_mul(milliseconds)?))
+    let milliseconds = number.checked_mul(milliseconds).filter(|length| *length <= MAX_MILLISECONDS)?;
+    Some(Duration::from_millis(milliseconds))
 }
--- /dev/null
+++ b/crates/core/tests/text.rs
@@ -0,0 +1,179 @@
+//! Faults of the operators' text and the lines they are reported at.
+
+use {
+    hemlockford_core::text::{MAX_TEXT_BYTES, Text},
+    rand::{RngExt, SeedableRng, rngs::SmallRng, seq::SliceRandom},
+};
+
+const KINDS: usize = 14;
+/// Faults of a line as a whole, which name no key.
+const OF_LINE: [&str; 2] = ["expected [section]", "a backslash"];
+
+/// A section as lines, each with the start of the message of the fault that it is to cause.
+type Section = Vec<(String, Option<&'static str>)>;
+
+fn section(lines: &[&str]) -> Section {
+    // A line that causes a fault is written as `line @ message`.
+    let split = |line: &'static str| match line.split_once(" @ ") {
+        Some((line, message)) => (line.to_string(), Some(message)),
+        None => (line.to_string(), None),
+    };
+    lines.iter().map(|line| split(line.to_string().leak())).collect()
+}
+
+/// Returns sections that hold one fault of a kind of section 3 of the design, or of the form of the text.
+fn faulty(kind: usize, rng: &mut SmallRng) -> Vec<Section> {
+    let sections: &[&[&str]] = match kind {
+        0 => &[&["[bogus] @ unknown section"]],
+        1 => &[&["[service key]", "colour = red @ unknown key"]],
+        2 => &[&["[service gap]", "deadline = 1s", "depends = base, nowhere @ no service named 'nowhere'"]],
+        3 => &[&["[service ring-a]", "depends = ring-b @ cycle"], &["[service ring-b]", "depends = ring-a"]],
+        4 => return deep_chain(),
+        5 => &[&["[service hasty]", "depends = base", "deadline = 100ms @ 100 ms is not longer"]],
+        6 => &[&["[service full]", "queue = 0 @ expected a whole number above 0"]],
+        7 => &[&["[service nobody] @ the shares", "share.kovar = 0"]],
+        8 => &[&["[service twice]", "queue = 5", "queue = 6 @ given twice"]],
+        9 => &[&["[service noise]", "queue 5 @ expected [section]", "policy = random\\ @ a backslash"]],
+        10 => &[&["[claims]", "retention = 15 @ expected a duration"]],
+        11 => &[&["[measure]", "server-share = 0.5 @ expected a share"]],
+        12 => &[&["[service \u{e9}] @ expected a name", "queue = 5"]],
+        _ => {
+            let units = [
+                "deadline = 800 @ expected a duration",
+                "deadline = 800sec @ expected a duration",
+                "deadline = 99999999999h @ expected a duration",
+                "objective = 99.9 in 250ms @ expected an objective",
+                "objective = 99.9% in 0ms @ expected an objective",
+                "retry-budget = 110% @ expected a share",
+                "policy = best @ expected one of",
+                "policy = 'random' @ expected one of",
+                "queue = -1 @ expected a whole number",
+                "share.kovar = much @ expected a whole number",
+            ];
+            return vec![section(&["[service units]", units[rng.random_range(0..units.len())]])];
+        }
+    };
+    sections.iter().map(|lines| section(lines)).collect()
+}
+
+fn deep_chain() -> Vec<Section> {
+    let link = |depth: u32| {
+        let [header, deadline] = [format!("[service deep{depth}]"), format!("deadline = {depth}s")];
+        let fault = if depth == 25 { " @ chain of 25 services" } else { "" };
+        let depends = format!("depends = deep{}{fault}", depth - 1);
+        if depth == 1 { section(&[&header, &deadline]) } else { section(&[&header, &deadline, &depends]) }
+    };
+    (1..=25).map(link).collect()
+}
+
+/// Writes a line in one of the forms that mean the same.
+fn vary(line: &str, rng: &mut SmallRng) -> String {
+    let mut line = line.to_string();
+    if rng.random_bool(0.3) {
+        line = line.replacen(" = ", ["=", ":", " : ", "  =\t"][rng.random_range(0..4)], 1);
+    }
+    if line.starts_with('[') && rng.random_bool(0.3) {
+        line = line.replace('[', "[ ").replacen(' ', "  ", 1);
+    }
+    format!("{}{line}{}", " ".repeat(rng.random_range(0..3)), " ".repeat(rng.random_range(0..3)))
+}
+
+/// Guards against a fault that is missed, reported elsewhere or joined by faults that are none.
+#[test]
+fn every_fault_has_its_line() {
+    for seed in 0..700 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut kinds: Vec<_> =
+            (0..KINDS).filter(|kind| *kind == seed as usize % KINDS || rng.random_bool(0.15)).collect();
+        kinds.shuffle(&mut rng);
+        let number = ["number = 7", "number = 0 @ expected a whole number above 0", ""][rng.random_range(0..3)];
+        let change = if number.is_empty() { "[change] @ missing" } else { "[change]" };
+        let mut sections = vec![
+            section(&[change, number]),
+            section(&["[customer kovar]", "weight = 3"]),
+            section(&["[service base]", "deadline = 100ms", "share.kovar = 2"]),
+        ];
+        kinds.iter().for_each(|kind| sections.extend(faulty(*kind, &mut rng)));
+        sections.shuffle(&mut rng);
+
+        let (mut source, mut expected) = (Vec::new(), Vec::new());
+        for lines in &sections {
+            let header = lines[0].0.trim_matches(['[', ']']);
+            for (line, message) in lines {
+                for _ in 0..rng.random_range(0..3) {
+                    source.push(["", "  # x = 1", "; [service y]", "\t"][rng.random_range(0..4)].to_string());
+                }
+                source.push(vary(line, &mut rng));
+                let has_key = !line.starts_with('[') && !message.is_some_and(|message| OF_LINE.contains(&message));
+                let key = match message {
+                    Some("missing") => "number",
+                    _ if has_key => line.split(" = ").next().unwrap_or_default(),
+                    _ => "",
+                };
+                expected.extend(message.map(|message| (source.len(), header, key, message)));
+            }
+        }
+        let source = source.join(["\n", "\r\n"][rng.random_range(0..2)]);
+        let faults = Text::parse(&source).err().unwrap_or_default();
+        let is_same = faults.len() == expected.len()
+            && faults.iter().zip(&expected).all(|(fault, (line, section, key, message))| {
+                let place = (fault.line, &*fault.section, &*fault.key);
+                place == (*line, *section, *key) && fault.message.starts_with(message)
+            });
+        assert!(is_same, "seed {seed}, expected {expected:?}, got {faults:#?} in\n{source}");
+    }
+}
+
+/// Guards against input that panics, and against lines beyond the end of the text.
+#[test]
+fn arbitrary_bytes_never_panic() {
+    const PIECES: [&str; 16] = [
+        "[",
+        "]",
+        "=",
+        ":",
+        "\n",
+        "\r",
+        ";",
+        "#",
+        "\"",
+        "'",
+        "\\",
+        "\u{feff}",
+        "service a",
+        "depends",
+        "number",
+        "1ms",
+    ];
+    for seed in 0..20_000 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut bytes = b"[change]\nnumber = 1\n[service a]\ndepends = b\n[service b]\nqueue = 1\n".to_vec();
+        for _ in 0..rng.random_range(0..30) {
+            let at = rng.random_range(0..=bytes.len());
+            let to = bytes.len().min(at + rng.random_range(0..4));
+            let piece = PIECES[rng.random_range(0..PIECES.len())].as_bytes();
+            let random: [u8; 3] = rng.random();
+            bytes.splice(at..to, if rng.random_bool(0.7) { piece } else { &random }.iter().copied());
+        }
+        let source = String::from_utf8_lossy(&bytes);
+        let lines = source.lines().count();
+        for fault in Text::parse(&source).err().unwrap_or_default() {
+            assert!(fault.line <= lines, "seed {seed}: {fault} in {lines} lines");
+        }
+    }
+}
+
+/// Guards against a stack overflow: the permitted size holds chains and cycles of many thousand services.
+#[test]
+fn long_chains_and_cycles_are_faults() {
+    let link = |number: u32, next: u32| format!("[service s{number}]\ndepends = s{next}\n");
+    for last in [20_000, 0] {
+        let chain: String =
+            (0..20_000).map(|number| link(number, if number == 19_999 { last } else { number + 1 })).collect();
+        let source = format!("[change]\nnumber = 1\n{chain}");
+        assert!(source.len() < MAX_TEXT_BYTES);
+        let faults = Text::parse(&source).unwrap_err();
+        let is_cycle = faults.iter().any(|fault| fault.message.starts_with("cycle"));
+        assert_eq!(is_cycle, last == 0);
+    }
+}
