Let ejected servers back without announced trials; count the text's customers by name

Cause: an ejected server came back only if the dispatcher announced each trial call; one that did not would have sent it calls for ever without counting them. An answer after the ejection's end now counts as a trial. Names that callers send could use up the 1,000 named customers of a service, so that customers of the text were counted under `(other)`; those now always have a place.

--- a/crates/core/src/burn/counter.rs
+++ b/crates/core/src/burn/counter.rs
@@ -6,7 +6,7 @@
         series::Series,
     },
     crate::{
-        collections::FastMap,
+        collections::{FastMap, FastSet},
         ids::{CustomerId, ServiceId},
         text::{Objective, Text},
     },
@@ -39,13 +39,15 @@
 pub struct Burn {
     start: Instant,
     services: FastMap<ServiceId, ServiceSeries>,
+    /// Customers of the text, which are counted by name whatever other names callers send.
+    named: FastSet<CustomerId>,
     customers: usize,
 }
 
 impl Burn {
     /// Makes counters that count no service yet.
     pub fn new(now: Instant) -> Self {
-        Self { start: now, services: FastMap::default(), customers: 0 }
+        Self { start: now, services: FastMap::default(), named: FastSet::default(), customers: 0 }
     }
 
     /// Takes the services and objectives of a text. Counts of services that remain are kept: calls that
@@ -58,6 +60,7 @@
                 || ServiceSeries { objective: objective.clone(), all: Series::new(), customers: FastMap::default() };
             self.services.entry(name.clone()).or_insert_with(make).objective = objective.clone();
         }
+        self.named = text.customers.keys().cloned().collect();
         self.customers = self.services.values().map(|service| service.customers.len()).sum();
     }
 
@@ -69,7 +72,11 @@
         let good = good && latency <= service.objective.latency;
         service.all.add(age, good);
         let has_room = service.customers.len() < MAX_CUSTOMERS && self.customers < MAX_CUSTOMERS_IN_ALL;
-        let customer = if has_room || service.customers.contains_key(customer) { customer } else { OTHER_CUSTOMERS };
+        let customer = if has_room || service.customers.contains_key(customer) || self.named.contains(customer) {
+            customer
+        } else {
+            OTHER_CUSTOMERS
+        };
         if let Some(series) = service.customers.get_mut(customer) {
             return series.add(age, good);
         }
--- a/crates/core/src/burn/mod.rs
+++ b/crates/core/src/burn/mod.rs
@@ -19,7 +19,7 @@
     window::{Window, WindowCount, WindowCounts},
 };
 
-/// Customers of one service that are counted by name.
+/// Customers of one service that are counted by name, apart from those that the text names.
 pub const MAX_CUSTOMERS: usize = 1_000;
 /// Customers of all services together that are counted by name. One takes under 1 kB, so that all of them
 /// stay far below the 32 MB that control may use on an instance.
--- a/crates/core/src/burn/window.rs
+++ b/crates/core/src/burn/window.rs
@@ -1,6 +1,7 @@
 //! The time windows over which burn is measured.
 
 use {
+    crate::units::Share,
     derive_more::Display,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -71,7 +72,7 @@
     /// let rate = count.burn_rate(Share::parse("99%").unwrap());
     /// assert!((rate - 2.0).abs() < 1e-9);
     /// ```
-    pub fn burn_rate(self, objective: crate::units::Share) -> f64 {
+    pub fn burn_rate(self, objective: Share) -> f64 {
         if self.bad() == 0 {
             return 0.0;
         }
--- a/crates/core/src/health/ejection.rs
+++ b/crates/core/src/health/ejection.rs
@@ -77,9 +77,13 @@
 
     /// Counts an answer of a server that is out; returns whether the server is to be let back.
     ///
-    /// Answers to calls that were sent before the ejection are ignored.
+    /// Answers that arrive before the ejection is over belong to calls from before it and are ignored.
     pub(super) fn finish_trial(&mut self, now: Instant, is_good: bool, options: &HealthOptions) -> bool {
-        let State::OnTrial { good, .. } = self.state else { return false };
+        let good = match self.state {
+            State::OnTrial { good, .. } => good,
+            State::Out { until } if now >= until => 0,
+            State::Out { .. } | State::In { .. } => return false,
+        };
         if !is_good {
             self.eject(now, options);
             return false;
