Run the control part, permits, claims and the data folder in an instance

An instance now runs the state machines of the core crate: the control task with its sockets and data folder, the dispatcher with slot messages, claims of idempotency keys, the burn report, metrics, readiness and the planned stop. The storage task has a thread of its own because an fsync would hold up heartbeats; a shared thread was ruled out for that reason.

--- a/crates/core/src/ledger/claim.rs
+++ b/crates/core/src/ledger/claim.rs
@@ -50,6 +50,8 @@
 pub struct SettledOutcome {
     /// HTTP status.
     pub status: u16,
+    /// Content type of the body.
+    pub content_type: Option<Box<str>>,
     /// The body, or its beginning.
     pub body: Box<[u8]>,
     /// Whether the body is not whole.
@@ -57,17 +59,20 @@
 }
 
 impl SettledOutcome {
-    /// Keeps as much of an answer as is permitted.
+    /// Keeps as much of an answer as is permitted; without a body, one that is known to exist counts as
+    /// truncated.
     ///
     /// ```
     /// use hemlockford_core::ledger::{MAX_BODY_BYTES, SettledOutcome};
-    /// assert!(!SettledOutcome::new(201, b"done").is_truncated);
-    /// let long = SettledOutcome::new(200, &[0; MAX_BODY_BYTES + 1]);
+    /// assert!(!SettledOutcome::new(201, None, Some(b"done")).is_truncated);
+    /// let long = SettledOutcome::new(200, None, Some(&[0; MAX_BODY_BYTES + 1]));
     /// assert!(long.is_truncated && long.body.len() == MAX_BODY_BYTES);
     /// ```
-    pub fn new(status: u16, body: &[u8]) -> Self {
-        let kept = &body[..body.len().min(MAX_BODY_BYTES)];
-        Self { status, body: kept.into(), is_truncated: kept.len() < body.len() }
+    pub fn new(status: u16, content_type: Option<Box<str>>, body: Option<&[u8]>) -> Self {
+        let whole = body.unwrap_or_default();
+        let kept = &whole[..whole.len().min(MAX_BODY_BYTES)];
+        let content_type = content_type.filter(|content_type| content_type.len() <= MAX_NAME_BYTES);
+        Self { status, content_type, body: kept.into(), is_truncated: body.is_none() || kept.len() < whole.len() }
     }
 }
 
--- a/crates/core/src/membership/machine.rs
+++ b/crates/core/src/membership/machine.rs
@@ -84,6 +84,12 @@
         heard.is_some_and(|heard| now.saturating_duration_since(heard) < self.options.lost_after)
     }
 
+    /// Returns for how long nothing fresh was heard of a peer; nothing if it was never heard.
+    pub fn silence(&self, now: Instant, peer: &str) -> Option<Duration> {
+        let heard = self.peers.get(peer).and_then(|peer| peer.heard);
+        heard.map(|heard| now.saturating_duration_since(heard))
+    }
+
     /// Returns the live instances, this one included, in order of their names.
     pub fn live(&self, now: Instant) -> Vec<InstanceId> {
         let mut live: Vec<_> = self.peers.keys().filter(|peer| self.is_live(now, peer)).cloned().collect();
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -46,7 +46,7 @@
         }
         7 => {
             let (key, holder) = known(rng, attempts);
-            Command::Settle { key, holder, outcome: SettledOutcome::new(200, b"done"), at }
+            Command::Settle { key, holder, outcome: SettledOutcome::new(200, None, Some(b"done")), at }
         }
         8 => {
             let (key, holder) = known(rng, attempts);
@@ -121,7 +121,7 @@
 #[test]
 fn state_is_bounded() {
     let mut ledger = Ledger::default();
-    let long = SettledOutcome::new(200, &[7; 3 * MAX_BODY_BYTES]);
+    let long = SettledOutcome::new(200, None, Some(&[7; 3 * MAX_BODY_BYTES]));
     assert_eq!((long.body.len(), long.is_truncated), (MAX_BODY_BYTES, true));
     for index in 0..5_000 {
         let (key, holder) = (key(index), holder(u64::from(index)));
--- a/crates/hemlockford/src/local.rs
+++ b/crates/hemlockford/src/local.rs
@@ -2,15 +2,21 @@
 
 use {
     crate::client,
-    hemlockford_core::errors::{Result, unavailable},
+    error_stack::ResultExt,
+    hemlockford_core::errors::{ErrorKind, Result, unavailable},
     hemlockford_instance::{Addresses, Instance, Settings},
     hemlockford_tools::{EmulateOptions, Emulation},
     slog::{Logger, o},
-    std::time::{Duration, Instant},
+    std::{
+        path::PathBuf,
+        time::{Duration, Instant},
+    },
 };
 
 /// Time for one request to the entry.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for the submission: the group is formed and a leader elected first.
+const SUBMIT_TIMEOUT: Duration = Duration::from_secs(12);
 /// Time within which the first call must be answered: the servers announce themselves at the start and
 /// again after 800 ms.
 const READY_LIMIT: Duration = Duration::from_secs(5);
@@ -21,18 +27,42 @@
 pub(crate) struct Local {
     instance: Instance,
     emulation: Emulation,
+    /// Removed last, when nothing writes to it any more.
+    _folder: DataFolder,
+}
+
+/// A data folder that is removed when it is dropped.
+struct DataFolder {
+    path: PathBuf,
+}
+
+impl DataFolder {
+    fn create() -> Result<Self> {
+        let path = std::env::temp_dir().join(format!("hemlockford-{}", std::process::id()));
+        std::fs::create_dir(&path).change_context(ErrorKind::Io).attach_with(|| path.display().to_string())?;
+        Ok(Self { path })
+    }
+}
+
+impl Drop for DataFolder {
+    fn drop(&mut self) {
+        // What is left behind is only a temporary folder.
+        let _ = std::fs::remove_dir_all(&self.path);
+    }
 }
 
 impl Local {
     /// Starts the entry and the servers, submits the text and waits until a call is answered.
     pub(crate) async fn start(text: &str, options: EmulateOptions, log: &Logger) -> Result<Self> {
-        let instance = Instance::start(&Settings::default())?;
+        let folder = DataFolder::create()?;
+        let settings = Settings { data: Some(folder.path.clone()), notice: Duration::ZERO, ..Settings::default() };
+        let instance = Instance::start(&settings, &log.new(o!("part" => "entry")))?;
         let admin = instance.addresses().admin;
         let service = options.service.clone();
         let options = EmulateOptions { entries: vec![admin], ..options };
         let emulation = Emulation::start(options, log.new(o!("part" => "servers")))?;
-        let local = Self { instance, emulation };
-        let answer = client::post(admin, "/submit", text.into(), REQUEST_TIMEOUT).await?;
+        let local = Self { instance, emulation, _folder: folder };
+        let answer = client::post(admin, "/submit", text.into(), SUBMIT_TIMEOUT).await?;
         if answer.status != 200 {
             return Err(unavailable(format!("the text was not accepted: {}", answer.body)));
         }
--- a/crates/hemlockford/src/run.rs
+++ b/crates/hemlockford/src/run.rs
@@ -1,9 +1,15 @@
 //! The command `run`.
 
 use {
-    crate::{command::RunArguments, exit::Exit, log::logger, stop::stop_signal, text::read},
+    crate::{
+        command::RunArguments,
+        exit::Exit,
+        log::logger,
+        stop::{Stop, stop_signal},
+        text::read,
+    },
     error_stack::ResultExt,
-    hemlockford_core::errors::{ErrorKind, Result},
+    hemlockford_core::errors::{ErrorKind, Result, unavailable},
     hemlockford_instance::{Instance, Settings},
     slog::{error, info},
 };
@@ -21,14 +27,23 @@
         }
     };
     actix_rt::System::new().block_on(async {
-        let instance = Instance::start(&settings)?;
+        let mut instance = Instance::start(&settings, &log)?;
         let addresses = instance.addresses();
         print_line(addresses)?;
-        info!(log, "instance started";
-            "id" => &*addresses.id, "callers" => %addresses.callers, "admin" => %addresses.admin);
-        let stop = stop_signal().await?;
-        info!(log, "instance is stopping"; "signal" => ?stop);
-        instance.stop();
+        info!(log, "instance started"; "id" => &*addresses.id, "callers" => %addresses.callers,
+            "admin" => %addresses.admin, "listen" => %addresses.listen);
+        tokio::select! {
+            stop = stop_signal() => match stop? {
+                Stop::Graceful => instance.shut_down().await,
+                Stop::AtOnce => instance.stop(),
+            },
+            // Nothing may be promised any more, so that nothing is finished either.
+            failure = instance.failed() => {
+                error!(log, "instance failed"; "failure" => &*failure);
+                return Err(unavailable(failure));
+            }
+        }
+        info!(log, "instance stopped");
         Ok(Exit::Ok)
     })
 }
--- a/crates/hemlockford/tests/processes/system.rs
+++ b/crates/hemlockford/tests/processes/system.rs
@@ -35,7 +35,9 @@
     pub fn start() -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
         let settings = folder.path().join("entry.ini");
-        std::fs::write(&settings, "[instance]\nid = e1\n").expect("the settings are written");
+        let data = folder.path().join("data");
+        let source = format!("[instance]\nid = e1\nnotice = 200ms\ndata = {}\n", data.display());
+        std::fs::write(&settings, source).expect("the settings are written");
         let mut entry = Process::start(&["run", "--settings", &settings.to_string_lossy()]);
         let ready = entry.json();
         let address = |key: &str| ready[key].as_str().expect("an address").to_owned();
--- a/crates/instance/src/admin.rs
+++ b/crates/instance/src/admin.rs
@@ -2,31 +2,52 @@
 
 use {
     crate::control::ControlMessage,
-    actix_http::{HttpService, Method, Request, Response, StatusCode, body::BoxBody},
+    actix_http::{
+        HttpService, Method, Request, Response, StatusCode,
+        body::BoxBody,
+        header::{CONTENT_TYPE, HeaderValue},
+    },
     actix_service::{Service, ServiceFactory, fn_service},
     error_stack::ResultExt,
     futures_util::StreamExt,
     hemlockford_core::{
+        burn::BurnReport,
+        control::SubmitAnswer,
         errors::{ErrorKind, Result, unavailable},
         text::MAX_TEXT_BYTES,
     },
-    std::{convert::Infallible, rc::Rc},
+    prometheus::{Registry, TextEncoder},
+    std::{
+        convert::Infallible,
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{
         net::TcpListener,
-        sync::{mpsc, oneshot},
+        sync::{Semaphore, mpsc, oneshot, watch},
     },
 };
 
+/// Connections served at a time. Each of 36 servers keeps one; the rest is for operators and the platform.
+const MAX_CONNECTIONS: usize = 2_500;
+/// Time within which a request head must arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Serves the admin listener.
 #[derive(Clone)]
 pub(crate) struct AdminTask {
     pub(crate) control: mpsc::UnboundedSender<ControlMessage>,
+    pub(crate) reports: mpsc::UnboundedSender<oneshot::Sender<BurnReport>>,
+    pub(crate) serve_until: watch::Receiver<Option<Instant>>,
+    pub(crate) is_draining: watch::Receiver<bool>,
+    pub(crate) registry: Registry,
 }
 
 impl AdminTask {
     pub(crate) async fn run(self, listener: std::net::TcpListener) -> Result<()> {
         let listener = TcpListener::from_std(listener).change_context(ErrorKind::Io)?;
-        let factory = HttpService::build().h1(fn_service(move |req| {
+        let factory = HttpService::build().client_request_timeout(HEAD_TIMEOUT).h1(fn_service(move |req| {
             let admin = self.clone();
             async move { Ok::<_, Infallible>(admin.handle(req).await) }
         }));
@@ -34,11 +55,16 @@
             return Err(unavailable("HTTP service cannot be built"));
         };
         let service = Rc::new(service);
+        let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         loop {
+            let Ok(place) = places.clone().acquire_owned().await else { return Ok(()) };
             let Ok((stream, peer)) = listener.accept().await else { continue };
+            let _ = stream.set_nodelay(true);
             let service = service.clone();
             actix_rt::spawn(async move {
+                // An error concerns this connection only.
                 let _ = service.call((stream, Some(peer))).await;
+                drop(place);
             });
         }
     }
@@ -49,7 +75,11 @@
         match (method, &*path) {
             (Method::POST, "/announce") => self.announce(&mut req).await,
             (Method::POST, "/submit") => self.submit(&mut req).await,
-            (Method::GET, "/live" | "/ready") => text(StatusCode::OK, "ok\n"),
+            (Method::GET, "/status") => self.status().await,
+            (Method::GET, "/report") => self.report(req.uri().query() == Some("format=text")).await,
+            (Method::GET, "/metrics") => self.metrics(),
+            (Method::GET, "/live") => text(StatusCode::OK, "ok\n"),
+            (Method::GET, "/ready") => self.ready(),
             _ => text(StatusCode::NOT_FOUND, "no such page\n"),
         }
     }
@@ -70,15 +100,73 @@
         let Ok(source) = std::str::from_utf8(&body) else { return text(StatusCode::BAD_REQUEST, "not UTF-8\n") };
         let (reply, rx) = oneshot::channel();
         let _ = self.control.send(ControlMessage::Submit(source.into(), reply));
+        let (status, body) = describe(rx.await.unwrap_or(SubmitAnswer::Unknown));
+        text(status, &body)
+    }
+
+    async fn status(&self) -> Response<BoxBody> {
+        let (reply, rx) = oneshot::channel();
+        let _ = self.control.send(ControlMessage::Status(reply));
         match rx.await {
-            Ok(Ok(number)) => text(StatusCode::OK, &format!("accepted {number}\n")),
-            Ok(Err(faults)) => {
-                let lines: String = faults.iter().map(|fault| format!("{fault}\n")).collect();
-                text(StatusCode::UNPROCESSABLE_ENTITY, &lines)
-            }
+            Ok(status) => json(&status),
             Err(_) => text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
         }
     }
+
+    async fn report(&self, is_text: bool) -> Response<BoxBody> {
+        let (reply, rx) = oneshot::channel();
+        let _ = self.reports.send(reply);
+        match rx.await {
+            Ok(report) if is_text => text(StatusCode::OK, &report.summary().to_string()),
+            Ok(report) => json(&report),
+            Err(_) => text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+        }
+    }
+
+    fn metrics(&self) -> Response<BoxBody> {
+        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
+            Ok(body) => text(StatusCode::OK, &body),
+            Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{e}\n")),
+        }
+    }
+
+    fn ready(&self) -> Response<BoxBody> {
+        if *self.is_draining.borrow() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "shutting down\n");
+        }
+        match self.serve_until.borrow().is_some_and(|until| Instant::now() < until) {
+            true => text(StatusCode::OK, "ok\n"),
+            false => text(StatusCode::SERVICE_UNAVAILABLE, "configuration not current\n"),
+        }
+    }
+}
+
+/// Returns the HTTP status and the text of an answer to an operator.
+fn describe(answer: SubmitAnswer) -> (StatusCode, String) {
+    match answer {
+        SubmitAnswer::Accepted { number, digest, everywhere: true } => {
+            (StatusCode::OK, format!("accepted {number} {digest}, in force on every live instance\n"))
+        }
+        SubmitAnswer::Accepted { number, digest, everywhere: false } => {
+            (StatusCode::OK, format!("accepted {number} {digest}, not yet in force on every live instance\n"))
+        }
+        SubmitAnswer::Invalid(faults) => {
+            (StatusCode::UNPROCESSABLE_ENTITY, faults.iter().map(|fault| format!("{fault}\n")).collect())
+        }
+        SubmitAnswer::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "the text is too long\n".into()),
+        SubmitAnswer::Conflict { number, winner } => {
+            (StatusCode::CONFLICT, format!("change {number} is held by another text, digest {winner}\n"))
+        }
+        SubmitAnswer::Superseded { current } => {
+            (StatusCode::CONFLICT, format!("superseded: the current change is {current}\n"))
+        }
+        SubmitAnswer::NotAccepted => {
+            (StatusCode::SERVICE_UNAVAILABLE, "not accepted: no control leader can be reached; try again\n".into())
+        }
+        SubmitAnswer::Unknown => {
+            (StatusCode::GATEWAY_TIMEOUT, "unknown whether accepted; submitting the same text again is safe\n".into())
+        }
+    }
 }
 
 /// Reads a body of bounded size.
@@ -97,3 +185,14 @@
 fn text(status: StatusCode, body: &str) -> Response<BoxBody> {
     Response::new(status).set_body(BoxBody::new(body.to_owned()))
 }
+
+fn json(value: &impl serde::Serialize) -> Response<BoxBody> {
+    match serde_json::to_vec(value) {
+        Ok(body) => {
+            let mut response = Response::new(StatusCode::OK).set_body(BoxBody::new(body));
+            response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            response
+        }
+        Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{e}\n")),
+    }
+}
--- /dev/null
+++ b/crates/instance/src/control/status.rs
@@ -0,0 +1,109 @@
+//! The page that shows the state of an instance.
+
+use {
+    hemlockford_core::{
+        control::Control,
+        currency::NotCurrent,
+        dispatch::ServerState,
+        ids::{ChangeNumber, DataCentreId, InstanceId, ServerId, ServiceId},
+    },
+    serde::Serialize,
+    std::time::{Duration, Instant},
+};
+
+/// State of an instance, as JSON.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Status {
+    pub(crate) instance: InstanceId,
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) number: ChangeNumber,
+    pub(crate) ready: bool,
+    pub(crate) reason: Box<str>,
+    pub(crate) leader: Box<str>,
+    pub(crate) instances: Vec<InstanceStatus>,
+    pub(crate) servers: Vec<ServerStatus>,
+}
+
+/// Another instance, as this one sees it.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct InstanceStatus {
+    pub(crate) id: InstanceId,
+    pub(crate) state: &'static str,
+    pub(crate) age_ms: Option<u64>,
+    pub(crate) number: ChangeNumber,
+}
+
+/// A server, as this instance sees it.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct ServerStatus {
+    pub(crate) id: ServerId,
+    pub(crate) service: ServiceId,
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) state: ServerState,
+    pub(crate) lease_ms: u64,
+}
+
+impl Status {
+    pub(crate) fn new(
+        now: Instant,
+        control: &Control,
+        names: (&InstanceId, &DataCentreId),
+        peers: &[InstanceId],
+    ) -> Self {
+        let standing = control.may_serve(now);
+        let text = control.text();
+        let mut services: Vec<_> = text.iter().flat_map(|text| text.services.keys()).collect();
+        services.sort();
+        let servers = services.into_iter().flat_map(|service| servers(now, control, service)).collect();
+        Self {
+            instance: names.0.clone(),
+            data_centre: names.1.clone(),
+            number: control.installed(),
+            ready: standing.is_ok(),
+            reason: standing.err().map_or("".into(), |reason: NotCurrent| reason.to_string().into()),
+            leader: leader(now, control, names.0).unwrap_or_default(),
+            instances: peers.iter().map(|peer| instance(now, control, peer)).collect(),
+            servers,
+        }
+    }
+}
+
+fn leader(now: Instant, control: &Control, own: &InstanceId) -> Option<InstanceId> {
+    if control.is_leading() {
+        return Some(own.clone());
+    }
+    let live = control.membership().live(now);
+    let hints = live.iter().filter_map(|peer| control.membership().status(peer)).map(|status| &status.hint);
+    hints.max_by_key(|hint| hint.term)?.leader.clone()
+}
+
+fn instance(now: Instant, control: &Control, peer: &InstanceId) -> InstanceStatus {
+    let membership = control.membership();
+    let silence = membership.silence(now, peer);
+    let state = match silence {
+        None => "never heard",
+        Some(silence) if silence >= hemlockford_core::membership::LOST_AFTER => "lost",
+        Some(silence) if silence >= hemlockford_core::membership::SUSPECT_AFTER => "suspected",
+        Some(_) => "live",
+    };
+    InstanceStatus {
+        id: peer.clone(),
+        state,
+        age_ms: silence.map(|silence| silence.as_millis() as u64),
+        number: membership.status(peer).map_or(0, |status| status.installed),
+    }
+}
+
+fn servers(now: Instant, control: &Control, service: &ServiceId) -> Vec<ServerStatus> {
+    let mut views = control.registry().views(now, service);
+    views.sort_by(|a, b| a.id.cmp(&b.id));
+    let left = |end: Instant| end.saturating_duration_since(now).min(Duration::from_secs(60)).as_millis() as u64;
+    let status = |view: hemlockford_core::dispatch::ServerView| ServerStatus {
+        id: view.id,
+        service: service.clone(),
+        data_centre: view.data_centre,
+        state: view.state,
+        lease_ms: left(view.lease_end),
+    };
+    views.into_iter().map(status).collect()
+}
--- /dev/null
+++ b/crates/instance/src/control/task.rs
@@ -0,0 +1,224 @@
+//! The task that owns the control state machine.
+
+use {
+    super::{ControlMessage, Status, claims::Claims},
+    crate::{
+        counters::Counters,
+        peers::{DatagramSender, StreamSender},
+        storage::StorageWrite,
+        wire::Wire,
+    },
+    hemlockford_core::{
+        collections::FastMap,
+        control::{Answer, Control, ControlAction, ControlEvent, ControlLog, SubmitAnswer, TICK_INTERVAL, Write},
+        dispatch::DispatchEvent,
+        ids::{DataCentreId, InstanceId},
+        text::Text,
+    },
+    hemlockford_net::Timer,
+    hemlockford_proxy::ClaimMessage,
+    slog::{Logger, info, warn},
+    std::{
+        sync::{Arc, mpsc as blocking},
+        time::Instant,
+    },
+    tokio::sync::{mpsc, oneshot, watch},
+};
+
+/// What the control task is made of.
+pub(crate) struct ControlParts {
+    pub(crate) control: Control,
+    pub(crate) id: InstanceId,
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) peers: Vec<InstanceId>,
+    pub(crate) rx: mpsc::UnboundedReceiver<ControlMessage>,
+    pub(crate) claims: mpsc::UnboundedReceiver<ClaimMessage>,
+    pub(crate) dispatcher: mpsc::UnboundedSender<DispatchEvent>,
+    pub(crate) text: watch::Sender<Arc<Text>>,
+    pub(crate) serve_until: watch::Sender<Option<Instant>>,
+    pub(crate) storage: Option<blocking::Sender<StorageWrite>>,
+    pub(crate) datagrams: DatagramSender,
+    pub(crate) streams: StreamSender,
+    pub(crate) failure: mpsc::UnboundedSender<Box<str>>,
+    pub(crate) timer: Timer,
+    pub(crate) counters: Counters,
+    pub(crate) log: Logger,
+}
+
+/// Carries events into the control state machine and its actions out.
+pub(crate) struct ControlTask {
+    parts: ControlParts,
+    submits: FastMap<u64, oneshot::Sender<SubmitAnswer>>,
+    next_submit: u64,
+    pending_claims: Claims,
+    stopping: Vec<oneshot::Sender<()>>,
+    actions: Vec<ControlAction>,
+}
+
+impl ControlTask {
+    pub(crate) fn new(parts: ControlParts) -> Self {
+        Self {
+            parts,
+            submits: FastMap::default(),
+            next_submit: 0,
+            pending_claims: Claims::default(),
+            stopping: Vec::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        let mut tick = self.parts.timer.subscribe(TICK_INTERVAL);
+        // The first heartbeats go out at once instead of after one period.
+        self.handle(ControlEvent::Tick);
+        loop {
+            let event = tokio::select! {
+                message = self.parts.rx.recv() => match message {
+                    Some(message) => self.receive(message),
+                    None => return,
+                },
+                Some(message) = self.parts.claims.recv() => self.pending_claims.take(Instant::now(), message),
+                Some(_) = tick.recv() => Some(ControlEvent::Tick),
+            };
+            if let Some(event) = event {
+                self.handle(event);
+            }
+        }
+    }
+
+    /// Turns a message into an event; `None` where the message is answered at once.
+    fn receive(&mut self, message: ControlMessage) -> Option<ControlEvent> {
+        Some(match message {
+            ControlMessage::Announce(announcement) => {
+                self.parts.counters.announcements.inc();
+                ControlEvent::Announce(announcement)
+            }
+            ControlMessage::Submit(text, reply) => {
+                self.next_submit += 1;
+                self.submits.insert(self.next_submit, reply);
+                ControlEvent::Submit { request: self.next_submit, text }
+            }
+            ControlMessage::Receive { from, message } => ControlEvent::Receive { from, message },
+            ControlMessage::Persisted(up_to) => ControlEvent::Persisted { up_to },
+            ControlMessage::Status(reply) => {
+                let ControlParts { control, id, data_centre, peers, .. } = &self.parts;
+                let _ = reply.send(Status::new(Instant::now(), control, (id, data_centre), peers));
+                return None;
+            }
+            ControlMessage::Drain => ControlEvent::Drain,
+            ControlMessage::Stop(reply) => {
+                self.stopping.push(reply);
+                ControlEvent::Stop
+            }
+        })
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        let mut follow_up = Some(event);
+        while let Some(event) = follow_up.take() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.parts.control.handle(Instant::now(), event, &mut actions);
+            for action in actions.drain(..) {
+                follow_up = self.carry_out(action).or(follow_up);
+            }
+            self.actions = actions;
+        }
+    }
+
+    /// Carries out an action; returns an event that follows from it.
+    ///
+    /// A channel that is closed belongs to a task that has stopped, as the process is stopping.
+    fn carry_out(&mut self, action: ControlAction) -> Option<ControlEvent> {
+        let parts = &mut self.parts;
+        match action {
+            ControlAction::Datagram { to, message } => parts.datagrams.send(&to, Wire::Control(message)),
+            ControlAction::Stream { to, message } => parts.streams.send(&to, Wire::Control(message)),
+            ControlAction::Write { sequence, write } => {
+                if let Some(storage) = &parts.storage {
+                    let _ = storage.send(StorageWrite { sequence, write: stored(write) });
+                }
+            }
+            ControlAction::Install(text) => {
+                parts.counters.change.set(text.number as i64);
+                let _ = parts.dispatcher.send(DispatchEvent::Configure(text.clone()));
+                parts.text.send_replace(text);
+            }
+            ControlAction::Answer(answer) => return self.answer(answer),
+            ControlAction::Servers(service, views) => {
+                parts.counters.servers.with_label_values(&[&service]).set(views.len() as i64);
+                let _ = parts.dispatcher.send(DispatchEvent::Servers(service, views));
+            }
+            ControlAction::Peers(live) => {
+                parts.counters.live.set(live.len() as i64);
+                let _ = parts.dispatcher.send(DispatchEvent::Peers(live));
+            }
+            ControlAction::ServeUntil(until) => drop(parts.serve_until.send_replace(until)),
+            ControlAction::Log(entry) => self.log(&entry),
+            ControlAction::Stopped => {
+                for reply in self.stopping.drain(..) {
+                    let _ = reply.send(());
+                }
+            }
+            ControlAction::Broken(invariant) => {
+                let _ = parts.failure.send(format!("broken invariant: {invariant}").into());
+            }
+        }
+        None
+    }
+
+    fn answer(&mut self, answer: Answer) -> Option<ControlEvent> {
+        match answer {
+            Answer::Submit { request, answer } => {
+                self.parts.counters.submits.with_label_values(&[submit_name(&answer)]).inc();
+                if let Some(reply) = self.submits.remove(&request) {
+                    // The operator may have left; the text can be submitted again.
+                    let _ = reply.send(answer);
+                }
+                None
+            }
+            Answer::Claim { request, answer } => {
+                let (name, event) = self.pending_claims.answer(request, answer);
+                self.parts.counters.claims.with_label_values(&[name]).inc();
+                event
+            }
+        }
+    }
+
+    fn log(&self, entry: &ControlLog) {
+        let ControlParts { counters, log, .. } = &self.parts;
+        match entry {
+            ControlLog::Ready => counters.ready.set(1),
+            ControlLog::NotReady(_) => counters.ready.set(0),
+            ControlLog::Leading(_) => counters.leading.set(1),
+            ControlLog::Following(_) => counters.leading.set(0),
+            _ => {}
+        }
+        match entry {
+            ControlLog::Suspected(_) | ControlLog::Lost(_) | ControlLog::NotReady(_) | ControlLog::Unreadable(_) => {
+                warn!(log, "{}", entry);
+            }
+            _ => info!(log, "{}", entry),
+        }
+    }
+}
+
+fn stored(write: Write) -> hemlockford_store::Write {
+    match write {
+        Write::Vote(vote) => hemlockford_store::Write::Vote(vote),
+        Write::Append(entries) => hemlockford_store::Write::Append(entries),
+        Write::Truncate(from) => hemlockford_store::Write::Truncate(from),
+        Write::Snapshot(snapshot) => hemlockford_store::Write::Snapshot(snapshot),
+    }
+}
+
+fn submit_name(answer: &SubmitAnswer) -> &'static str {
+    match answer {
+        SubmitAnswer::Invalid(_) => "invalid",
+        SubmitAnswer::TooLong => "too-long",
+        SubmitAnswer::Accepted { .. } => "accepted",
+        SubmitAnswer::Conflict { .. } => "conflict",
+        SubmitAnswer::Superseded { .. } => "superseded",
+        SubmitAnswer::NotAccepted => "not-accepted",
+        SubmitAnswer::Unknown => "unknown",
+    }
+}
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -1,18 +1,29 @@
 //! The task that owns the dispatcher.
 
 use {
+    crate::{counters::Counters, peers::DatagramSender, wire::Wire},
     hemlockford_core::{
         collections::FastMap,
-        dispatch::{DispatchAction, DispatchEvent, Dispatcher, Finish},
+        dispatch::{DispatchAction, DispatchEvent, Dispatcher},
         ids::CallId,
+        outcome::{NotRunReason, Outcome},
     },
+    hemlockford_net::Timer,
     hemlockford_proxy::{Decision, GateMessage},
     std::time::{Duration, Instant},
-    tokio::sync::{mpsc, oneshot},
+    tokio::sync::{mpsc, oneshot, watch},
 };
 
-/// Time between two ticks of the dispatcher.
-const TICK: Duration = Duration::from_millis(1);
+/// Time between two ticks while calls wait, which bounds how late a call is given up.
+const BUSY_TICK: Duration = Duration::from_millis(1);
+/// Time between two ticks otherwise. Ticks each millisecond would cost an idle instance about as much
+/// processor time as all of its control may use.
+const IDLE_TICK: Duration = Duration::from_millis(20);
+/// Time after which a caller that was refused for an outdated configuration may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Messages that are taken before the actions of the first are carried out, so that calls cannot keep
+/// peers or ticks waiting.
+const BATCH: usize = 64;
 
 /// Carries events into the dispatcher and its actions out.
 pub(crate) struct DispatcherTask {
@@ -20,60 +31,116 @@
     pub(crate) gate: mpsc::UnboundedReceiver<GateMessage>,
     pub(crate) control: mpsc::UnboundedReceiver<DispatchEvent>,
     pub(crate) waiting: FastMap<CallId, oneshot::Sender<Decision>>,
+    pub(crate) serve_until: watch::Receiver<Option<Instant>>,
+    pub(crate) datagrams: DatagramSender,
+    pub(crate) timer: Timer,
+    pub(crate) counters: Counters,
 }
 
 impl DispatcherTask {
     pub(crate) async fn run(mut self) {
-        let mut tick = actix_rt::time::interval(TICK);
+        let mut idle = self.timer.subscribe(IDLE_TICK);
+        let mut busy = None;
         let mut actions = Vec::new();
         loop {
-            let event = tokio::select! {
-                message = self.gate.recv() => match message {
-                    Some(message) => self.receive(message),
+            let is_busy = self.dispatcher.waiting() > 0;
+            if is_busy != busy.is_some() {
+                busy = is_busy.then(|| self.timer.subscribe(BUSY_TICK));
+            }
+            let busy_tick = async {
+                match &mut busy {
+                    Some(busy) => busy.recv().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                event = self.control.recv() => match event {
+                    Some(event) => self.handle(event, &mut actions),
                     None => return,
                 },
-                event = self.control.recv() => match event {
-                    Some(event) => event,
+                Some(_) = busy_tick => self.handle(DispatchEvent::Tick, &mut actions),
+                Some(_) = idle.recv() => {
+                    self.handle(DispatchEvent::Tick, &mut actions);
+                    self.counters.waiting.set(self.dispatcher.waiting() as i64);
+                    self.counters.active.set(self.dispatcher.active() as i64);
+                }
+                message = self.gate.recv() => match message {
+                    Some(message) => self.take(message, &mut actions),
                     None => return,
                 },
-                _ = tick.tick() => DispatchEvent::Tick,
-            };
-            self.dispatcher.handle(Instant::now(), event, &mut actions);
-            for action in actions.drain(..) {
-                self.carry_out(action);
+            }
+            for _ in 0..BATCH {
+                let Ok(message) = self.gate.try_recv() else { break };
+                self.take(message, &mut actions);
             }
         }
     }
 
-    fn receive(&mut self, message: GateMessage) -> DispatchEvent {
-        match message {
+    fn take(&mut self, message: GateMessage, actions: &mut Vec<DispatchAction>) {
+        let event = match message {
             GateMessage::Arrive(call, reply) => {
+                if !self.may_serve() {
+                    // A worker that left needs no answer.
+                    let _ = reply.send(not_current());
+                    return;
+                }
                 self.waiting.insert(call.id, reply);
                 DispatchEvent::Arrive(call)
             }
             GateMessage::Failed(finish, reply) => {
                 self.waiting.insert(finish.call, reply);
-                DispatchEvent::Finish(Finish { wants_decision: true, ..finish })
+                DispatchEvent::Finish(finish)
             }
             GateMessage::Done(finish) => DispatchEvent::Finish(finish),
             GateMessage::Cancel(call) => {
                 self.waiting.remove(&call);
                 DispatchEvent::Cancel(call)
             }
+        };
+        self.handle(event, actions);
+    }
+
+    fn handle(&mut self, event: DispatchEvent, actions: &mut Vec<DispatchAction>) {
+        self.dispatcher.handle(Instant::now(), event, actions);
+        // An action that is taken back gives others their turn, which adds actions.
+        while !actions.is_empty() {
+            for action in std::mem::take(actions) {
+                self.carry_out(action, actions);
+            }
         }
     }
 
-    fn carry_out(&mut self, action: DispatchAction) {
-        let (call, decision) = match action {
+    fn carry_out(&mut self, action: DispatchAction, more: &mut Vec<DispatchAction>) {
+        match action {
             DispatchAction::Send { call, server, address, fresh_connection, pass_allowance } => {
-                (call, Decision::Send { server, address, fresh_connection, pass_allowance })
+                if !self.may_serve() {
+                    self.dispatcher.handle(Instant::now(), DispatchEvent::Cancel(call), more);
+                    return self.decide(call, not_current());
+                }
+                self.decide(call, Decision::Send { server, address, fresh_connection, pass_allowance });
             }
-            DispatchAction::Reject { call, outcome, retry_after } => (call, Decision::Reject { outcome, retry_after }),
-            DispatchAction::Tell { .. } | DispatchAction::Probe { .. } => return,
-        };
+            DispatchAction::Reject { call, outcome, retry_after } => {
+                self.decide(call, Decision::Reject { outcome, retry_after });
+            }
+            DispatchAction::Tell { to, message } => self.datagrams.send(&to, Wire::Slots(message)),
+            DispatchAction::Probe { .. } => {}
+        }
+    }
+
+    fn decide(&mut self, call: CallId, decision: Decision) {
         if let Some(reply) = self.waiting.remove(&call) {
             // The worker may have dropped the call; it reports that by itself.
             let _ = reply.send(decision);
         }
     }
+
+    /// Compares with the time of use, so that a process that was frozen does not serve an old text.
+    fn may_serve(&self) -> bool {
+        self.serve_until.borrow().is_some_and(|until| Instant::now() < until)
+    }
+}
+
+fn not_current() -> Decision {
+    Decision::Reject { outcome: Outcome::NotRun(NotRunReason::ConfigurationNotCurrent), retry_after: RETRY_AFTER }
 }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -1,16 +1,24 @@
 //! The tasks of a running instance and their wiring.
 //!
 //! Each task owns its sockets and its state and talks to the others by messages: HTTP workers accept
-//! callers, the dispatcher's task chooses servers, the control task keeps servers and the text, and
+//! callers, the dispatcher's task chooses servers, the control task keeps membership, servers and the
+//! text, the storage task writes to the data folder, the report task keeps the service-level burn, and
 //! the admin task speaks HTTP with servers, operators and the platform.
 
+mod addresses;
 mod admin;
 mod control;
+mod counters;
 mod dispatcher;
 mod instance;
+mod peers;
+mod report;
 mod settings;
+mod storage;
+mod wire;
 
 pub use {
-    instance::{Addresses, Instance},
+    addresses::Addresses,
+    instance::Instance,
     settings::{Peer, Settings},
 };
--- /dev/null
+++ b/crates/instance/src/peers.rs
@@ -0,0 +1,122 @@
+//! Sockets towards the other instances.
+
+use {
+    crate::{control::ControlMessage, counters::Counters, settings::Peer, wire::Wire},
+    hemlockford_core::{
+        collections::{FastMap, FastSet},
+        control::PeerMessage,
+        dispatch::DispatchEvent,
+        errors::ErrorKind,
+        ids::{Incarnation, InstanceId},
+        slots::SlotMessage,
+    },
+    hemlockford_net::{DatagramSocket, Envelope, StreamLinks},
+    std::net::SocketAddr,
+    tokio::sync::mpsc,
+};
+
+/// Sends messages to the other instances in datagrams.
+#[derive(Clone, Debug)]
+pub(crate) struct DatagramSender {
+    socket: DatagramSocket,
+    addresses: FastMap<InstanceId, SocketAddr>,
+    id: InstanceId,
+    incarnation: Incarnation,
+    counters: Counters,
+}
+
+impl DatagramSender {
+    pub(crate) fn new(
+        socket: DatagramSocket,
+        peers: &[Peer],
+        id: InstanceId,
+        incarnation: Incarnation,
+        counters: Counters,
+    ) -> Self {
+        let addresses = peers.iter().map(|peer| (peer.id.clone(), peer.address)).collect();
+        Self { socket, addresses, id, incarnation, counters }
+    }
+
+    pub(crate) fn envelope(&self, message: Wire) -> Envelope<Wire> {
+        Envelope { from: self.id.clone(), incarnation: self.incarnation, message }
+    }
+
+    pub(crate) fn send(&self, to: &str, message: Wire) {
+        let Some(address) = self.addresses.get(to) else { return };
+        let kind = kind(&message);
+        // The state machines bound their datagrams; one that is too long would be dropped and counted as 0.
+        let bytes = self.socket.send(*address, &self.envelope(message)).unwrap_or_default();
+        self.counters.count("udp", "sent", kind, bytes);
+    }
+}
+
+/// Sends messages over TCP.
+pub(crate) struct StreamSender {
+    pub(crate) links: StreamLinks,
+    pub(crate) datagrams: DatagramSender,
+    pub(crate) counters: Counters,
+}
+
+impl StreamSender {
+    pub(crate) fn send(&self, to: &str, message: Wire) {
+        let kind = kind(&message);
+        let bytes = self.links.send(to, &self.datagrams.envelope(message)).unwrap_or_default();
+        self.counters.count("tcp", "sent", kind, bytes);
+    }
+}
+
+/// Passes received messages on to the parts that they concern.
+#[derive(Clone)]
+pub(crate) struct Receiver {
+    pub(crate) known: FastSet<InstanceId>,
+    pub(crate) control: mpsc::UnboundedSender<ControlMessage>,
+    pub(crate) dispatcher: mpsc::UnboundedSender<DispatchEvent>,
+    pub(crate) counters: Counters,
+}
+
+impl Receiver {
+    /// Receives datagrams until the parts are gone.
+    pub(crate) async fn receive_datagrams(self, socket: DatagramSocket) {
+        while !self.control.is_closed() {
+            match socket.receive().await {
+                Ok((envelope, bytes)) => self.pass(envelope, bytes, "udp"),
+                Err(report) if *report.current_context() == ErrorKind::Corrupt => self.counters.malformed.inc(),
+                // An error of an earlier send to a peer that is down is reported here; the socket goes on.
+                Err(_) => actix_rt::task::yield_now().await,
+            }
+        }
+    }
+
+    /// Passes on what the TCP connections received.
+    pub(crate) async fn receive_streams(self, mut rx: mpsc::UnboundedReceiver<(Envelope<Wire>, usize)>) {
+        while let Some((envelope, bytes)) = rx.recv().await {
+            self.pass(envelope, bytes, "tcp");
+        }
+    }
+
+    fn pass(&self, envelope: Envelope<Wire>, bytes: usize, transport: &str) {
+        let Envelope { from, message, .. } = envelope;
+        if !self.known.contains(&from) {
+            self.counters.unknown_sender.inc();
+            return;
+        }
+        self.counters.count(transport, "received", kind(&message), bytes);
+        // A closed channel means that the process is stopping.
+        match message {
+            Wire::Slots(message) => drop(self.dispatcher.send(DispatchEvent::Peer { from, message })),
+            Wire::Control(message) => drop(self.control.send(ControlMessage::Receive { from, message })),
+        }
+    }
+}
+
+/// Name of a message's kind in the counters.
+fn kind(message: &Wire) -> &'static str {
+    match message {
+        Wire::Slots(SlotMessage::Renew(_) | SlotMessage::Update(..)) => "slots",
+        Wire::Control(PeerMessage::Heartbeat(_)) => "heartbeat",
+        Wire::Control(PeerMessage::Relay { .. } | PeerMessage::Ask { .. }) => "servers",
+        Wire::Control(PeerMessage::Consensus(_)) => "consensus",
+        Wire::Control(PeerMessage::Request { .. } | PeerMessage::Reply { .. }) => "request",
+        Wire::Control(PeerMessage::Install { .. } | PeerMessage::Fetch { .. }) => "change",
+    }
+}
--- a/crates/scenario/src/script/world.rs
+++ b/crates/scenario/src/script/world.rs
@@ -225,7 +225,7 @@
         if self.now() >= before {
             return false;
         }
-        let outcome = SettledOutcome::new(status, b"done");
+        let outcome = SettledOutcome::new(status, None, Some(b"done"));
         self.give(node, ControlEvent::Settle { key: key.clone(), holder, outcome });
         true
     }
