--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -4,6 +4,7 @@
     super::{ActiveCall, Call, DispatchAction, DispatchEvent, DispatchOptions, ServerView, ServiceState},
     crate::{
         collections::{FastMap, FastSet},
+        health::Standing,
         ids::{CallId, InstanceId, ServiceId},
         outcome::NotRunReason,
         slots::{Key, SlotCounters, SlotMessage, Slots, key},
@@ -194,16 +195,22 @@
             fresh_connection: !active.call.idempotent,
             retry_allowance: passes_token,
         });
-        if state.servers.ejected.contains(&server)
-            || state.health.standing(now, &view.id) == crate::health::Standing::Trial
-        {
+        let is_trial = state.health.standing(now, &view.id) == Standing::Trial;
+        if is_trial {
             state.health.begin_trial(now, &view.id);
         }
         state.servers.count(server, true, &mut self.rng);
         state.start(&active.call.customer, active.call.upload);
         self.slots.start(now, active.service, server);
+        let service = active.service;
         active.server = Some(server);
         self.calls.insert(active.call.id, active);
+        let is_closed =
+            is_trial && self.services.get_mut(&service).is_some_and(|state| state.review_ejected(now, server));
+        if is_closed {
+            // While the trial runs the server gets no other call, so permits for it are of no use here.
+            self.open_servers(now, service);
+        }
     }
 
     fn set_servers(
