Judge ejections by the load of all entries

Cause: each entry compared the remaining slots with its own calls only, so at full load the coordinator ejected healthy servers for two slow answers in a row, which exponential service times produce.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -298,7 +298,7 @@
         services.sort_unstable();
         for service in services {
             let Some(state) = self.services.get_mut(&service) else { continue };
-            state.health.set_demand(now, state.in_flight());
+            state.health.set_demand(now, self.slots.in_use(service));
             for server in state.servers.ejected.clone() {
                 state.review_ejected(now, server);
             }
--- a/crates/core/src/dispatch/service.rs
+++ b/crates/core/src/dispatch/service.rs
@@ -28,7 +28,6 @@
     pub(super) health: Health,
     pub(super) budget: RetryBudget,
     in_flight: FastMap<CustomerId, u32>,
-    total: u32,
     uploads: u32,
     last_lookup: Option<Instant>,
 }
@@ -43,7 +42,6 @@
             health: Health::new(HealthOptions { data_centre, ..HealthOptions::default() }),
             budget: RetryBudget::new(Service::default().retry_budget),
             in_flight: FastMap::default(),
-            total: 0,
             uploads: 0,
             last_lookup: None,
         }
@@ -63,7 +61,6 @@
     /// Counts a call that starts.
     pub(super) fn start(&mut self, customer: &CustomerId, upload: bool) {
         *self.in_flight.entry(customer.clone()).or_default() += 1;
-        self.total += 1;
         self.uploads += u32::from(upload);
     }
 
@@ -75,15 +72,9 @@
                 self.in_flight.remove(customer);
             }
         }
-        self.total -= 1;
         self.uploads -= u32::from(upload);
     }
 
-    /// Calls in flight.
-    pub(super) fn in_flight(&self) -> u32 {
-        self.total
-    }
-
     /// Returns whether one more upload may start. While look-ups come in, uploads leave a quarter of the
     /// slots to them, so that a look-up never has to wait for the end of an upload.
     pub(super) fn may_upload(&self, now: Instant, slots: u32) -> bool {
--- a/crates/core/src/slots/state.rs
+++ b/crates/core/src/slots/state.rs
@@ -193,6 +193,17 @@
         self.services.get(&service).map_or(0, |slots| slots.holder.granted().max(slots.holder.in_flight()))
     }
 
+    /// Estimates the slots of a service that all entries together have in use. The coordinator counts them;
+    /// another entry takes its own calls for an equal part.
+    pub fn in_use(&self, service: Key) -> u32 {
+        let Some(slots) = self.services.get(&service) else { return 0 };
+        if slots.coordinator.is_active {
+            slots.coordinator.members.values().map(|member| member.target).sum()
+        } else {
+            slots.holder.in_flight() * self.live.len() as u32
+        }
+    }
+
     /// Returns the coordinator of a service.
     pub fn coordinator(&self, service: Key) -> Option<&InstanceId> {
         self.services.get(&service)?.holder.coordinator.as_ref()
