Grant freed permits by fair parts under overload

Cause: the entry with the longest queue got every freed permit, so a noisy customer at one entry starved the quiet ones at others.

--- a/crates/core/src/slots/allot.rs
+++ b/crates/core/src/slots/allot.rs
@@ -51,7 +51,7 @@
     fn grant_free(&mut self, now: Instant, live: &[InstanceId], rng: &mut SmallRng) {
         let (mut served, mut failed) = (Vec::new(), Vec::new());
         while self.stock.free_count() > 0 {
-            let satisfaction = |member: &super::Member| f64::from(member.target) / f64::from(member.load().max(1));
+            let satisfaction = |member: &super::Member| f64::from(member.target) / member.due(now);
             let waiting = self
                 .members
                 .iter()
@@ -110,7 +110,7 @@
     /// Divides all slots over customers by weight, and those of a customer over entries by its demand there;
     /// entries that hold more than their part lose permits if another entry waits for its part.
     fn share(&mut self, now: Instant) {
-        let parts = self.parts();
+        let parts = self.parts(now);
         // Every entry with waiting calls is owed one permit at least, or its calls would wait for ever.
         let owed = |(id, part): (&InstanceId, &f64)| {
             let member = &self.members[id];
@@ -155,7 +155,7 @@
     }
 
     /// Returns the part of each entry, and notes the shares of its customers.
-    fn parts(&mut self) -> BTreeMap<InstanceId, f64> {
+    fn parts(&mut self, now: Instant) -> BTreeMap<InstanceId, f64> {
         let mut totals: BTreeMap<Key, u32> = BTreeMap::new();
         let demands: Vec<(InstanceId, Vec<CustomerDemand>)> = self
             .members
@@ -166,6 +166,7 @@
                 (id.clone(), if member.demand.is_empty() { vec![unlisted] } else { member.demand.clone() })
             })
             .collect();
+        let is_standing = self.members.values().any(|member| !member.demand.is_empty());
         let load = |demand: &CustomerDemand| demand.waiting + demand.in_flight;
         for demand in demands.iter().flat_map(|(_, demand)| demand) {
             *totals.entry(demand.customer).or_default() += load(demand);
@@ -180,8 +181,10 @@
             let part = |demand: &CustomerDemand| {
                 shares[&demand.customer] * f64::from(load(demand)) / f64::from(totals[&demand.customer].max(1))
             };
-            parts.insert(id.clone(), demand.iter().map(part).sum());
+            let sum: f64 = demand.iter().map(part).sum();
+            parts.insert(id.clone(), sum);
             let Some(member) = self.members.get_mut(&id) else { continue };
+            member.part = is_standing.then_some((now, sum));
             member.shares = demand
                 .iter()
                 .filter(|demand| demand.customer != UNLISTED)
--- a/crates/core/src/slots/member.rs
+++ b/crates/core/src/slots/member.rs
@@ -43,6 +43,8 @@
     pub(super) recall: u32,
     pub(super) recalled_at: Option<Instant>,
     pub(super) shares: Vec<CustomerShare>,
+    /// Part of all slots that was last found for the entry under overload, and when.
+    pub(super) part: Option<(Instant, f64)>,
     /// Servers for which the entry wants no permits for now.
     pub(super) refused: FastMap<Key, Instant>,
     pub(super) resync_at: Option<Instant>,
@@ -78,6 +80,15 @@
         self.refused.get(&server).is_some_and(|until| now < *until)
     }
 
+    /// Permits that are due to the entry: its part under overload, otherwise what it can use. A long queue
+    /// at one entry must not draw all free permits there.
+    pub(super) fn due(&self, now: Instant) -> f64 {
+        match self.part {
+            Some((at, part)) if now < at + NEED_LIFETIME => part.max(1.0),
+            _ => f64::from(self.load().max(1)),
+        }
+    }
+
     /// Forgets what the entry holds, which it has to report anew.
     pub(super) fn reset(&mut self) {
         *self = Self { attach: self.attach, stale: Some(self.attach), ..Self::default() };
