--- a/crates/core/src/dispatch/waiting.rs
+++ b/crates/core/src/dispatch/waiting.rs
@@ -48,7 +48,7 @@
         match state.queue.push(now, &call.customer, waiting, &state.pace, terms) {
             Err(reason) => self.refuse(&active.call, reason, actions),
             Ok(()) => {
-                let service_time = state.pace.service_time(call.upload);
+                let service_time = state.pace.safe_time(call.upload);
                 self.expire_at(now, call.deadline, service_time, call.id);
                 self.waiting += 1;
                 self.calls.insert(active.call.id, active);
@@ -116,7 +116,7 @@
             let Some(state) = self.services.get_mut(&service) else { return };
             let with_uploads = state.may_upload(now, self.slots.limit(service));
             let Some((_, waiting)) = state.queue.pop(&state.pace, with_uploads) else { break };
-            let service_time = state.pace.service_time(waiting.upload);
+            let service_time = state.pace.safe_time(waiting.upload);
             let Some(active) = self.calls.remove(&waiting.call) else { continue };
             self.waiting -= 1;
             if now + service_time > active.call.deadline {
@@ -199,17 +199,22 @@
         Some(active)
     }
 
-    /// Rejects every waiting call of a service.
-    pub(super) fn reject_waiting(&mut self, service: Key, reason: NotRunReason, actions: &mut Vec<DispatchAction>) {
-        let Some(state) = self.services.get_mut(&service) else { return };
+    /// Takes every waiting call of a service out of its queue.
+    pub(super) fn take_waiting(&mut self, service: Key) -> Vec<ActiveCall> {
+        self.backlogged.remove(&service);
+        let Some(state) = self.services.get_mut(&service) else { return Vec::new() };
         let queued = state.queue.drain().into_iter().map(|waiting| waiting.call);
         let calls: Vec<_> = queued.chain(std::mem::take(&mut state.again)).collect();
-        for call in calls {
-            let Some(active) = self.calls.remove(&call) else { continue };
-            self.waiting -= 1;
-            self.give_up(&active, reason, actions);
+        let calls: Vec<_> = calls.into_iter().filter_map(|call| self.calls.remove(&call)).collect();
+        self.waiting -= calls.len();
+        calls
+    }
+
+    /// Rejects every waiting call of a service.
+    pub(super) fn reject_waiting(&mut self, service: Key, reason: NotRunReason, actions: &mut Vec<DispatchAction>) {
+        for call in self.take_waiting(service) {
+            self.give_up(&call, reason, actions);
         }
-        self.backlogged.remove(&service);
     }
 
     /// Rejects a call that has not been sent.
--- a/crates/core/src/slots/allot.rs
+++ b/crates/core/src/slots/allot.rs
@@ -1,7 +1,7 @@
 //! Division of the slots of one service between entries and customers.
 
 use {
-    super::{Coordinator, CustomerDemand, CustomerShare, Key, MAX_CUSTOMERS, split},
+    super::{Coordinator, CustomerDemand, CustomerShare, Key, MAX_CUSTOMERS, UNLISTED, split},
     crate::{collections::FastMap, ids::InstanceId},
     rand::rngs::SmallRng,
     std::{
@@ -15,11 +15,9 @@
 const RECALL_INTERVAL: Duration = Duration::from_millis(4);
 /// Time for which entries have to be waiting before permits in use are divided anew. Shorter queues are
 /// gone before a division could help.
-const CONTENTION: Duration = Duration::from_millis(20);
+const CONTENTION: Duration = Duration::from_millis(5);
 /// Time between two divisions.
-const SHARE_INTERVAL: Duration = Duration::from_millis(50);
-/// Customer that stands for all calls of an entry that did not list its customers.
-const UNLISTED: Key = 0;
+const SHARE_INTERVAL: Duration = Duration::from_millis(20);
 /// Weight in place of zero, so that a customer without a share is served when slots are idle.
 const LEAST_WEIGHT: f64 = 0.01;
 
@@ -53,7 +51,7 @@
     fn grant_free(&mut self, now: Instant, live: &[InstanceId], rng: &mut SmallRng) {
         let (mut served, mut failed) = (Vec::new(), Vec::new());
         while self.stock.free_count() > 0 {
-            let satisfaction = |member: &super::Member| f64::from(member.target) / f64::from(member.load().max(1));
+            let satisfaction = |member: &super::Member| f64::from(member.target) / member.due(now);
             let waiting = self
                 .members
                 .iter()
@@ -112,14 +110,17 @@
     /// Divides all slots over customers by weight, and those of a customer over entries by its demand there;
     /// entries that hold more than their part lose permits if another entry waits for its part.
     fn share(&mut self, now: Instant) {
-        let parts = self.parts();
+        let parts = self.parts(now);
         // Every entry with waiting calls is owed one permit at least, or its calls would wait for ever.
         let owed = |(id, part): (&InstanceId, &f64)| {
             let member = &self.members[id];
             let part = part.floor().max(1.0) as u32;
             if member.unmet(now) > 0 { part.saturating_sub(member.target) } else { 0 }
         };
-        let mut owed: u32 = parts.iter().map(owed).sum();
+        let owed: u32 = parts.iter().map(owed).sum();
+        // Permits that were taken back come free when the entry confirms that or its calls end.
+        let coming: u32 = self.members.values().map(|member| member.leaving()).sum();
+        let mut owed = owed.saturating_sub(coming);
         let is_starving = self.members.values().any(|member| member.unmet(now) > 0 && member.target == 0);
         let mut is_taken = false;
         for (id, part) in &parts {
@@ -154,16 +155,18 @@
     }
 
     /// Returns the part of each entry, and notes the shares of its customers.
-    fn parts(&mut self) -> BTreeMap<InstanceId, f64> {
+    fn parts(&mut self, now: Instant) -> BTreeMap<InstanceId, f64> {
         let mut totals: BTreeMap<Key, u32> = BTreeMap::new();
         let demands: Vec<(InstanceId, Vec<CustomerDemand>)> = self
             .members
             .iter()
             .map(|(id, member)| {
-                let unlisted = CustomerDemand { customer: UNLISTED, waiting: member.need, in_flight: member.in_flight };
+                let in_use = member.load() - member.need;
+                let unlisted = CustomerDemand { customer: UNLISTED, waiting: member.need, in_flight: in_use };
                 (id.clone(), if member.demand.is_empty() { vec![unlisted] } else { member.demand.clone() })
             })
             .collect();
+        let is_standing = self.members.values().any(|member| !member.demand.is_empty());
         let load = |demand: &CustomerDemand| demand.waiting + demand.in_flight;
         for demand in demands.iter().flat_map(|(_, demand)| demand) {
             *totals.entry(demand.customer).or_default() += load(demand);
@@ -178,8 +181,10 @@
             let part = |demand: &CustomerDemand| {
                 shares[&demand.customer] * f64::from(load(demand)) / f64::from(totals[&demand.customer].max(1))
             };
-            parts.insert(id.clone(), demand.iter().map(part).sum());
+            let sum: f64 = demand.iter().map(part).sum();
+            parts.insert(id.clone(), sum);
             let Some(member) = self.members.get_mut(&id) else { continue };
+            member.part = is_standing.then_some((now, sum));
             member.shares = demand
                 .iter()
                 .filter(|demand| demand.customer != UNLISTED)
--- a/crates/core/src/slots/member.rs
+++ b/crates/core/src/slots/member.rs
@@ -13,8 +13,6 @@
     pub(super) target: u32,
     /// Most permits that the entry may hold until it confirms the target.
     pub(super) bound: u32,
-    /// What the entry said it holds.
-    pub(super) reported: u32,
     /// Permits added that the entry has not confirmed.
     pub(super) raised: u32,
 }
@@ -45,6 +43,8 @@
     pub(super) recall: u32,
     pub(super) recalled_at: Option<Instant>,
     pub(super) shares: Vec<CustomerShare>,
+    /// Part of all slots that was last found for the entry under overload, and when.
+    pub(super) part: Option<(Instant, f64)>,
     /// Servers for which the entry wants no permits for now.
     pub(super) refused: FastMap<Key, Instant>,
     pub(super) resync_at: Option<Instant>,
@@ -59,6 +59,11 @@
         if self.is_complete && is_current { self.need.saturating_sub(self.raised) } else { 0 }
     }
 
+    /// Permits that were taken back and that the entry may still use.
+    pub(super) fn leaving(&self) -> u32 {
+        self.claims.values().map(|claim| claim.bound - claim.target).sum()
+    }
+
     /// Permits that the entry did not use when it last reported.
     pub(super) fn idle(&self) -> u32 {
         self.target.saturating_sub(self.in_flight + self.need)
@@ -66,7 +71,8 @@
 
     /// Calls that the entry has waiting or in flight.
     pub(super) fn load(&self) -> u32 {
-        self.need + self.in_flight
+        // An entry reports when it has more calls or fewer; between two reports its permits are in use.
+        self.need + if self.need > 0 { self.target.max(self.in_flight) } else { self.target }
     }
 
     /// Returns whether the entry wants no permits for a server for now.
@@ -74,6 +80,15 @@
         self.refused.get(&server).is_some_and(|until| now < *until)
     }
 
+    /// Permits that are due to the entry: its part under overload, otherwise what it can use. A long queue
+    /// at one entry must not draw all free permits there.
+    pub(super) fn due(&self, now: Instant) -> f64 {
+        match self.part {
+            Some((at, part)) if now < at + NEED_LIFETIME => part.max(1.0),
+            _ => f64::from(self.load().max(1)),
+        }
+    }
+
     /// Forgets what the entry holds, which it has to report anew.
     pub(super) fn reset(&mut self) {
         *self = Self { attach: self.attach, stale: Some(self.attach), ..Self::default() };
