--- /dev/null
+++ b/crates/scenario/tests/single.rs
@@ -0,0 +1,84 @@
+//! The state machine of the replicated log together with the store on real files.
+
+use {
+    hemlockford_core::consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions},
+    hemlockford_scenario::fakes::FakeMachine,
+    hemlockford_store::{Opened, Store, StoreOptions, Write},
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{
+        path::Path,
+        time::{Duration, Instant},
+    },
+};
+
+struct Replica {
+    consensus: Consensus,
+    store: Store,
+    machine: FakeMachine,
+    now: Instant,
+    confirmed: usize,
+}
+
+impl Replica {
+    fn start(folder: &Path, clock: u64) -> Self {
+        let Opened { store, recovered, .. } = Store::open(folder, StoreOptions { clock }).unwrap();
+        let options = ConsensusOptions {
+            replica: "a".into(),
+            replicas: vec!["a".into()],
+            snapshot_entries: 16,
+            ..ConsensusOptions::default()
+        };
+        let (now, mut actions) = (Instant::now(), Vec::new());
+        let consensus = Consensus::new(now, options, recovered, SmallRng::seed_from_u64(clock), &mut actions);
+        let mut replica = Self { consensus, store, machine: FakeMachine::default(), now, confirmed: 0 };
+        replica.carry_out(actions);
+        while !replica.consensus.is_leader() {
+            replica.now += Duration::from_millis(50);
+            replica.handle(ConsensusEvent::Tick);
+        }
+        replica
+    }
+
+    fn handle(&mut self, event: ConsensusEvent) {
+        let mut actions = Vec::new();
+        self.consensus.handle(self.now, event, &mut actions);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<ConsensusAction>) {
+        let (sequences, mut writes): (Vec<_>, Vec<_>) = actions.iter().filter_map(Write::of).unzip();
+        self.store.write(&mut writes).unwrap();
+        for action in actions {
+            match action {
+                ConsensusAction::Apply { index, command } => {
+                    self.machine.commands.push((index, u64::from_le_bytes(command[..].try_into().unwrap())));
+                }
+                ConsensusAction::RestoreSnapshot { snapshot } => self.machine = FakeMachine::decode(&snapshot.data),
+                ConsensusAction::TakeSnapshot { index } => {
+                    self.handle(ConsensusEvent::SnapshotTaken { index, data: self.machine.encode(0) });
+                }
+                ConsensusAction::Answer { .. } => self.confirmed += 1,
+                ConsensusAction::Broken(what) => panic!("{what}"),
+                _ => {}
+            }
+        }
+        if let Some(up_to) = sequences.last() {
+            self.handle(ConsensusEvent::Persisted { up_to: *up_to });
+        }
+    }
+}
+
+/// Guards against commands that are lost, repeated or reordered by a restart from the real store.
+#[test]
+fn restarts_keep_every_command() {
+    let folder = tempfile::tempdir().unwrap();
+    for run in 0..4 {
+        let mut replica = Replica::start(folder.path(), run + 1);
+        let held: Vec<_> = replica.machine.commands.iter().map(|(_, command)| *command).collect();
+        assert_eq!(held, (0..run * 21).collect::<Vec<_>>(), "run {run}");
+        for id in run * 21..(run + 1) * 21 {
+            replica.handle(ConsensusEvent::Propose { id, command: id.to_le_bytes().into() });
+        }
+        assert_eq!(replica.confirmed, 21);
+    }
+}
