--- a/crates/core/src/consensus/writes.rs
+++ b/crates/core/src/consensus/writes.rs
@@ -6,6 +6,10 @@
     std::collections::VecDeque,
 };
 
+/// Messages that may wait for writes. A disk that stands still holds back each answer to a heartbeat;
+/// beyond this number answers are dropped, as the network may drop them too.
+const HELD_LIMIT: usize = 1_024;
+
 /// What a write makes true once it is durable.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Effect {
@@ -56,7 +60,9 @@
         if self.is_idle() {
             return Some(held);
         }
-        self.held.push_back((self.issued, held));
+        if self.held.len() < HELD_LIMIT {
+            self.held.push_back((self.issued, held));
+        }
         None
     }
 
--- a/crates/scenario/src/fakes/checks.rs
+++ b/crates/scenario/src/fakes/checks.rs
@@ -31,6 +31,8 @@
     Broken(&'static str),
     /// No progress within the bound after all faults ended.
     NoProgress,
+    /// No progress within the bound although a majority was without faults.
+    NoProgressOfMajority,
 }
 
 impl Display for Violation {
@@ -173,7 +175,7 @@
     }
 
     /// No progress within the bound.
-    pub fn no_progress(&mut self) {
-        self.report(Violation::NoProgress);
+    pub fn no_progress(&mut self, violation: Violation) {
+        self.report(violation);
     }
 }
--- a/crates/scenario/src/matrix/fault.rs
+++ b/crates/scenario/src/matrix/fault.rs
@@ -60,6 +60,21 @@
         all
     }
 
+    /// The replica that the fault befalls; `None` if it befalls one message.
+    pub fn node(self) -> Option<usize> {
+        match self {
+            Self::CrashBeforeSync(node)
+            | Self::CrashTorn(node)
+            | Self::CrashAfterSync(node)
+            | Self::CutOut(node)
+            | Self::CutIn(node)
+            | Self::CutBoth(node)
+            | Self::Freeze(node)
+            | Self::LoseDisk(node) => Some(node),
+            Self::Lose | Self::Duplicate | Self::Delay | Self::Reorder => None,
+        }
+    }
+
     /// Injects the fault at a step; returns the step if it still happens now.
     pub fn inject(self, cluster: &mut Cluster, step: Step) -> Option<Step> {
         let nodes = cluster.nodes.len();
