Trust a server's clock only after two announcements agree on it

Cause: random schedules found that an announcement which was late by up to 20 s was taken for new by an entry that had not heard of the server. Raising the caution only after a freeze was not enough, as the network can be what is late.

--- a/crates/core/src/registry/held.rs
+++ b/crates/core/src/registry/held.rs
@@ -10,9 +10,14 @@
 /// server whose clock is 50 ppm slow would look 4.3 s late after a day and lose its lease.
 const DRIFT_DIVISOR: i64 = 5_000;
 
-/// Time between two announcements that show that they did not wait in one queue.
+/// Time between the arrivals of two announcements that show that they did not wait in one queue: half the
+/// time between two announcements.
 const APART_MS: i64 = 400;
 
+/// Permitted difference between the ages of two such announcements. Two that were late by different times
+/// do not confirm each other.
+const AGREE_MS: i64 = 150;
+
 /// Remaining life of a tombstone below which it is no longer compared, because entries drop it at slightly
 /// different times.
 const UNCOMPARED_MS: i64 = 5_000;
@@ -25,7 +30,7 @@
     least_ms: i64,
     least_at_ms: i64,
     ready_since_ms: i64,
-    /// Time of the first announcement while it is uncertain whether it was old.
+    /// Time of the first announcement while it is unknown how late it was.
     doubted_ms: Option<i64>,
     /// Whether what was relayed last still holds but for the lease.
     pub(super) is_relayed: bool,
@@ -50,9 +55,6 @@
     /// than the lease has changed.
     pub(super) fn take(&mut self, now_ms: i64, age_ms: i64, mut announcement: Announcement) -> bool {
         self.calibrate(now_ms, age_ms, announcement.uptime_ms);
-        if self.doubted_ms.is_some_and(|first| now_ms - first >= APART_MS) {
-            self.doubted_ms = None;
-        }
         if self.announcement.is_final() && !announcement.is_final() {
             announcement.state = self.announcement.state;
         }
@@ -74,6 +76,14 @@
     /// Takes the time of a message of this incarnation.
     pub(super) fn calibrate(&mut self, now_ms: i64, age_ms: i64, uptime_ms: u64) {
         let offset = now_ms - age_ms - uptime_ms as i64;
+        if let Some(first) = self.doubted_ms {
+            if offset < self.least_ms - AGREE_MS {
+                // The first one was late, so this one is the first that may not have been.
+                self.doubted_ms = Some(now_ms);
+            } else if now_ms - first >= APART_MS && offset <= self.least_ms + AGREE_MS {
+                self.trust();
+            }
+        }
         let drift = (now_ms - self.least_at_ms) / DRIFT_DIVISOR;
         let risen = self.least_ms + drift;
         if offset < risen {
@@ -85,12 +95,19 @@
         }
     }
 
+    /// Takes the ages of announcements for true from now on; the other entries are told.
+    pub(super) fn trust(&mut self) {
+        if self.doubted_ms.take().is_some() {
+            self.is_relayed = false;
+        }
+    }
+
     /// Returns the age of the last announcement.
     pub(super) fn age_ms(&self, now_ms: i64) -> i64 {
         (now_ms - self.sent_ms()).max(0)
     }
 
-    /// Returns whether it can be told how old the announcement is.
+    /// Returns whether it is unknown how old the announcements are.
     pub(super) fn is_doubted(&self) -> bool {
         self.doubted_ms.is_some()
     }
--- a/crates/core/src/registry/machine.rs
+++ b/crates/core/src/registry/machine.rs
@@ -36,12 +36,6 @@
 /// Most records sent for one repair; the next heartbeat repairs more.
 const MAX_REPAIRED: usize = 64;
 
-/// Time without any event after which the process is taken to have been frozen. Ticks come each 50 ms.
-const FROZEN: Duration = Duration::from_millis(500);
-
-/// Time after a freeze for which announcements of unknown servers may have waited in a queue.
-const DOUBT: Duration = Duration::from_secs(3);
-
 /// Options of [`Registry`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RegistryOptions {
@@ -58,10 +52,8 @@
     /// Servers to relay, with the times that each is still to be relayed.
     pending: FastMap<ServerId, u8>,
     changed: FastSet<ServiceId>,
-    last_event: Instant,
     last_relay: Instant,
     last_ask: Instant,
-    doubt_until: Option<Instant>,
     next_asked: usize,
     next_repaired: usize,
 }
@@ -73,7 +65,7 @@
     /// use {
     ///     hemlockford_core::{
     ///         dispatch::ServerState,
-    ///         registry::{Announcement, Registry, RegistryEvent, RegistryOptions, SERVER_LEASE},
+    ///         registry::{ANNOUNCE_INTERVAL, Announcement, Registry, RegistryEvent, RegistryOptions, SERVER_LEASE},
     ///     },
     ///     std::time::Instant,
     /// };
@@ -84,7 +76,12 @@
     ///     data_centre: "dc1".into(), slots: 2, connections: 250, state: ServerState::Ready,
     ///     sequence: 1, incarnation: 1, uptime_ms: 0, in_flight: 0,
     /// };
-    /// registry.handle(now, RegistryEvent::Announce(announcement), &mut Vec::new());
+    /// registry.handle(now, RegistryEvent::Announce(announcement.clone()), &mut Vec::new());
+    /// // It is unknown how late the first one was.
+    /// assert!(registry.views(now, "stock").is_empty());
+    /// let again = Announcement { sequence: 2, uptime_ms: 800, ..announcement };
+    /// let now = now + ANNOUNCE_INTERVAL;
+    /// registry.handle(now, RegistryEvent::Announce(again), &mut Vec::new());
     /// assert_eq!(registry.views(now, "stock").len(), 1);
     /// assert!(registry.views(now + SERVER_LEASE, "stock").is_empty());
     /// ```
@@ -95,10 +92,8 @@
             servers: FastMap::default(),
             pending: FastMap::default(),
             changed: FastSet::default(),
-            last_event: now,
             last_relay: now,
             last_ask: now,
-            doubt_until: None,
             next_asked: 0,
             next_repaired: 0,
         }
@@ -106,10 +101,6 @@
 
     /// Handles one event.
     pub fn handle(&mut self, now: Instant, event: RegistryEvent, actions: &mut Vec<RegistryAction>) {
-        if now.saturating_duration_since(self.last_event) > FROZEN {
-            self.doubt_until = Some(now + DOUBT);
-        }
-        self.last_event = self.last_event.max(now);
         match event {
             RegistryEvent::Announce(announcement) => self.announce(now, announcement, actions),
             RegistryEvent::Relay { age, records } => {
@@ -160,8 +151,9 @@
 
     fn announce(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<RegistryAction>) {
         let server = announcement.server.clone();
-        let is_doubted = self.doubt_until.is_some_and(|until| now < until);
-        match self.take(now, 0, announcement, is_doubted, actions) {
+        // It cannot be told how late the first announcement of a server is. It may have waited in a socket
+        // buffer while this process was frozen, or in the network while the server left.
+        match self.take(now, 0, announcement, true, actions) {
             Ok(true) => {
                 let repeats = if self.servers[&server].announcement.is_final() { FINAL_REPEATS } else { 1 };
                 let is_final = repeats > 1;
@@ -177,17 +169,17 @@
 
     fn take_record(&mut self, now: Instant, age: Duration, record: Record, actions: &mut Vec<RegistryAction>) {
         let age_ms = i64::from(record.age_ms()) + age.as_millis() as i64;
-        let announcement = match record {
-            Record::Full { announcement, .. } => announcement,
+        let (announcement, is_doubted) = match record {
+            Record::Full { announcement, doubted, .. } => (announcement, doubted),
             Record::Renewal { server, incarnation, sequence, uptime_ms, .. } => {
                 // A renewal of something unknown is repaired by the digests.
                 let held = self.servers.get(&server).filter(|held| held.announcement.incarnation == incarnation);
                 let Some(held) = held else { return };
-                Announcement { sequence, uptime_ms, ..held.announcement.clone() }
+                (Announcement { sequence, uptime_ms, ..held.announcement.clone() }, true)
             }
         };
         let server = announcement.server.clone();
-        if let Err(fault) = self.take(now, age_ms, announcement, false, actions) {
+        if let Err(fault) = self.take(now, age_ms, announcement, is_doubted, actions) {
             actions.push(RegistryAction::Refused { server, fault });
         }
     }
@@ -208,8 +200,12 @@
         let is_changed = match self.servers.get_mut(&announcement.server) {
             Some(held) if announcement.incarnation < held.announcement.incarnation => return Ok(false),
             Some(held) if announcement.incarnation == held.announcement.incarnation => {
+                if !is_doubted {
+                    held.trust();
+                }
                 if announcement.sequence <= held.announcement.sequence {
                     held.calibrate(now_ms, age_ms, announcement.uptime_ms);
+                    self.changed.insert(service);
                     return Ok(false);
                 }
                 let was_service = held.announcement.service.clone();
@@ -278,13 +274,14 @@
         let mut records = Vec::new();
         for (server, repeats) in pending {
             let age_ms = self.servers.get(&server).map_or(0, |held| clamp(held.age_ms(self.ms(now))));
-            let Some(held) = self.servers.get_mut(&server).filter(|held| !held.is_doubted()) else { continue };
+            let Some(held) = self.servers.get_mut(&server) else { continue };
+            let doubted = held.is_doubted();
             let was = &held.announcement;
             records.push(if held.is_relayed && !was.is_final() {
                 let (incarnation, sequence, uptime_ms) = (was.incarnation, was.sequence, was.uptime_ms);
                 Record::Renewal { server: server.clone(), incarnation, sequence, uptime_ms, age_ms }
             } else {
-                Record::Full { announcement: was.clone(), age_ms }
+                Record::Full { announcement: was.clone(), age_ms, doubted }
             });
             held.is_relayed = true;
             if repeats > 1 {
@@ -330,7 +327,8 @@
     }
 
     fn full(&self, now: Instant, held: &Held) -> Record {
-        Record::Full { announcement: held.announcement.clone(), age_ms: clamp(held.age_ms(self.ms(now))) }
+        let age_ms = clamp(held.age_ms(self.ms(now)));
+        Record::Full { announcement: held.announcement.clone(), age_ms, doubted: held.is_doubted() }
     }
 
     fn ms(&self, now: Instant) -> i64 {
--- a/crates/core/src/registry/record.rs
+++ b/crates/core/src/registry/record.rs
@@ -15,6 +15,8 @@
         announcement: Announcement,
         /// Its age when the record was sent, in milliseconds.
         age_ms: u32,
+        /// Whether the sender does not know how late the announcement was when it arrived.
+        doubted: bool,
     },
     /// The server announced itself again with nothing changed.
     Renewal {
--- a/crates/scenario/src/script/world.rs
+++ b/crates/scenario/src/script/world.rs
@@ -287,10 +287,11 @@
         true
     }
 
-    /// Sends one announcement that arrives late.
+    /// Sends one announcement that arrives late. A server that has left or fallen silent sends none.
     pub fn announce_late(&mut self, id: &str, entry: usize, delay: u64) -> bool {
         let now_ms = self.now_ms;
-        let Some(server) = self.servers.iter_mut().find(|server| &*server.id == id) else { return false };
+        let mut announcing = self.servers.iter_mut().filter(|server| server.is_announcing);
+        let Some(server) = announcing.find(|server| &*server.id == id) else { return false };
         let announcement = server.announcement(now_ms);
         self.push(delay, Event::Announce { to: entry, announcement });
         true
