--- a/crates/core/src/registry/held.rs
+++ b/crates/core/src/registry/held.rs
@@ -29,6 +29,8 @@
     /// Least time seen at which the server's clock was zero.
     least_ms: i64,
     least_at_ms: i64,
+    /// Time at which the server's clock was zero, as the last announcement shows it by itself.
+    last_ms: i64,
     ready_since_ms: i64,
     /// Time of the first announcement while it is unknown how late it was.
     doubted_ms: Option<i64>,
@@ -43,6 +45,7 @@
         Self {
             least_ms: now_ms - age_ms - announcement.uptime_ms as i64,
             least_at_ms: now_ms,
+            last_ms: now_ms - age_ms - announcement.uptime_ms as i64,
             ready_since_ms: now_ms,
             doubted_ms: doubted.then_some(now_ms),
             is_relayed: false,
@@ -55,6 +58,7 @@
     /// than the lease has changed.
     pub(super) fn take(&mut self, now_ms: i64, age_ms: i64, mut announcement: Announcement) -> bool {
         self.calibrate(now_ms, age_ms, announcement.uptime_ms);
+        self.last_ms = now_ms - age_ms - announcement.uptime_ms as i64;
         if self.announcement.is_final() && !announcement.is_final() {
             announcement.state = self.announcement.state;
         }
@@ -102,9 +106,14 @@
         }
     }
 
-    /// Returns the age of the last announcement.
+    /// Returns the age of the last announcement. While it is doubted, this is the time since it arrived:
+    /// an age that relies on an earlier message must not confirm that message at another entry.
     pub(super) fn age_ms(&self, now_ms: i64) -> i64 {
-        (now_ms - self.sent_ms()).max(0)
+        let sent_ms = match self.is_doubted() {
+            true => self.last_ms + self.announcement.uptime_ms as i64,
+            false => self.sent_ms(),
+        };
+        (now_ms - sent_ms).max(0)
     }
 
     /// Returns whether it is unknown how old the announcements are.
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -138,6 +138,17 @@
     assert!(entry.is_usable(810));
 }
 
+/// Guards against two late announcements that confirm each other on the way over another entry.
+#[test]
+fn an_age_that_is_doubted_confirms_nothing() {
+    let mut entry = Entry::new();
+    entry.announce(17_000, 1, 0, ServerState::Ready);
+    entry.announce(18_500, 2, 400, ServerState::Ready);
+    let relayed = entry.give(18_560, RegistryEvent::Tick);
+    let [RegistryAction::Relay { records, .. }] = &relayed[..] else { panic!("{relayed:?}") };
+    assert!(matches!(records[0], Record::Full { doubted: true, age_ms: 60, .. }), "{records:?}");
+}
+
 /// Guards against a server whose clock is a little slow and that loses its lease after some hours.
 #[test]
 fn clocks_may_drift() {
