--- a/crates/core/src/registry/held.rs
+++ b/crates/core/src/registry/held.rs
@@ -16,7 +16,7 @@
 
 /// Permitted difference between the ages of two such announcements. Two that were late by different times
 /// do not confirm each other.
-const AGREE_MS: i64 = 150;
+const AGREE_MS: i64 = 100;
 
 /// Remaining life of a tombstone below which it is no longer compared, because entries drop it at slightly
 /// different times.
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Returns whether it is certain here that an announcement of this incarnation was late.
+    pub(super) fn is_late(&self, now_ms: i64, age_ms: i64, uptime_ms: u64) -> bool {
+        !self.is_doubted() && now_ms - age_ms - uptime_ms as i64 > self.least_ms + AGREE_MS
+    }
+
     /// Takes the ages of announcements for true from now on; the other entries are told.
     pub(super) fn trust(&mut self) {
         if self.doubted_ms.take().is_some() {
--- a/crates/core/src/registry/machine.rs
+++ b/crates/core/src/registry/machine.rs
@@ -104,9 +104,11 @@
         match event {
             RegistryEvent::Announce(announcement) => self.announce(now, announcement, actions),
             RegistryEvent::Relay { age, records } => {
+                let corrected = records.iter().filter_map(|record| self.correct(now, age, record)).collect();
                 for record in records {
                     self.take_record(now, age, record, actions);
                 }
+                send(None, corrected, actions);
             }
             RegistryEvent::Digest { from, digest } => self.repair(now, from, &digest, actions),
             RegistryEvent::Ask { from, servers } => {
@@ -167,6 +169,15 @@
         }
     }
 
+    /// Returns what is known of a server whose announcement another entry doubts and which was late.
+    fn correct(&self, now: Instant, age: Duration, record: &Record) -> Option<Record> {
+        let Record::Full { announcement, doubted: true, age_ms } = record else { return None };
+        let age_ms = i64::from(*age_ms) + age.as_millis() as i64;
+        let held = self.servers.get(&announcement.server)?;
+        let is_same = held.announcement.incarnation == announcement.incarnation;
+        (is_same && held.is_late(self.ms(now), age_ms, announcement.uptime_ms)).then(|| self.full(now, held))
+    }
+
     fn take_record(&mut self, now: Instant, age: Duration, record: Record, actions: &mut Vec<RegistryAction>) {
         let age_ms = i64::from(record.age_ms()) + age.as_millis() as i64;
         let (announcement, is_doubted) = match record {
