--- a/crates/core/src/registry/machine.rs
+++ b/crates/core/src/registry/machine.rs
@@ -36,6 +36,12 @@
 /// Most records sent for one repair; the next heartbeat repairs more.
 const MAX_REPAIRED: usize = 64;
 
+/// Time without any event after which the process is taken to have been frozen. Ticks come each 50 ms.
+const FROZEN: Duration = Duration::from_millis(500);
+
+/// Time after a freeze for which announcements are read that waited in socket buffers.
+const THAW: Duration = Duration::from_millis(500);
+
 /// Options of [`Registry`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RegistryOptions {
@@ -52,6 +58,8 @@
     /// Servers to relay, with the times that each is still to be relayed.
     pending: FastMap<ServerId, u8>,
     changed: FastSet<ServiceId>,
+    last_event: Instant,
+    thawed: Option<Instant>,
     last_relay: Instant,
     last_ask: Instant,
     next_asked: usize,
@@ -92,6 +100,8 @@
             servers: FastMap::default(),
             pending: FastMap::default(),
             changed: FastSet::default(),
+            last_event: now,
+            thawed: None,
             last_relay: now,
             last_ask: now,
             next_asked: 0,
@@ -101,6 +111,10 @@
 
     /// Handles one event.
     pub fn handle(&mut self, now: Instant, event: RegistryEvent, actions: &mut Vec<RegistryAction>) {
+        if now.saturating_duration_since(self.last_event) > FROZEN {
+            self.thawed = Some(now);
+        }
+        self.last_event = self.last_event.max(now);
         match event {
             RegistryEvent::Announce(announcement) => self.announce(now, announcement, actions),
             RegistryEvent::Relay { age, records } => {
@@ -153,6 +167,14 @@
 
     fn announce(&mut self, now: Instant, announcement: Announcement, actions: &mut Vec<RegistryAction>) {
         let server = announcement.server.clone();
+        // What waited while this process was frozen is late by an unknown time. It counts only for a server
+        // whose clock is known; others are heard again.
+        let is_thawing = self.thawed.is_some_and(|thawed| now.saturating_duration_since(thawed) < THAW);
+        let known = self.servers.get(&server).filter(|held| !held.is_doubted());
+        let is_known = known.is_some_and(|held| held.announcement.incarnation >= announcement.incarnation);
+        if is_thawing && !is_known && !announcement.is_final() {
+            return;
+        }
         // It cannot be told how late the first announcement of a server is. It may have waited in a socket
         // buffer while this process was frozen, or in the network while the server left.
         match self.take(now, 0, announcement, true, actions) {
