--- /dev/null
+++ b/crates/scenario/examples/control_figures.rs
@@ -0,0 +1,115 @@
+//! Figures of the control part in scenario time: 7 instances, 3 replicas, messages take 1 to 3 ms, a sync 2 ms.
+
+use {
+    hemlockford_core::{control::Answer, dispatch::ServerState, ledger::ClaimKey},
+    hemlockford_scenario::script::{World, WorldOptions, text},
+    std::time::{Duration, Instant},
+};
+
+/// Bytes of the headers of a datagram over IPv4.
+const HEADER_BYTES: u64 = 28;
+const SERVERS: usize = 36;
+const ROUNDS: usize = 50;
+const IDLE: Duration = Duration::from_secs(20);
+
+fn main() -> Result<(), String> {
+    let mut world = World::new(WorldOptions { instances: 7, replicas: 3, seed: 1 });
+    (0..7).for_each(|node| world.start(node));
+    let mut spans = Spans::default();
+    spans.submits(&mut world)?;
+    println!("submit to answer, {ROUNDS} changes: {}", spans.take());
+    spans.installs(&mut world)?;
+    println!("submit to in force on 7 entries, {ROUNDS} changes: {}", spans.take());
+    spans.claims(&mut world)?;
+    println!("claim to answer at an entry that is no replica, {ROUNDS} claims: {}", spans.take());
+    let idle = per_second(&mut world)?;
+    for server in 0..SERVERS {
+        let service =
+            ["catalogue", "supplier-orders", "intake"][if server < 20 { 0 } else { 1 + usize::from(server >= 30) }];
+        world.announce(&format!("server-{server:02}"), service, server % 7, ServerState::Ready);
+        world.run(Duration::from_millis(37))?;
+    }
+    world.run(Duration::from_secs(3))?;
+    let busy = per_second(&mut world)?;
+    println!("received per node and second with headers: {idle} bytes without servers, {busy} bytes with {SERVERS}");
+    spans.leaves(&mut world)?;
+    println!("leaving to gone on 7 entries, 20 servers: {}", spans.take());
+    Ok(())
+}
+
+/// Most that one node receives in a second, with headers, over some idle time.
+fn per_second(world: &mut World) -> Result<u64, String> {
+    let before = world.received.clone();
+    let started = Instant::now();
+    world.run(IDLE)?;
+    println!("20 s of scenario time took {:?} for 7 instances", started.elapsed());
+    let received = world.received.iter().zip(before).map(|(now, was)| now.1 - was.1 + HEADER_BYTES * (now.0 - was.0));
+    Ok(received.max().unwrap_or(0) / IDLE.as_secs())
+}
+
+#[derive(Default)]
+struct Spans(Vec<u64>);
+
+impl Spans {
+    fn measure(&mut self, world: &mut World, is_done: impl Fn(&World) -> bool) -> Result<(), String> {
+        let started = world.now_ms();
+        match world.run_for(Duration::from_secs(11), is_done)? {
+            true => self.0.push(world.now_ms() - started),
+            false => return Err("not done within 11 s".into()),
+        }
+        // The next one starts at another moment of the heartbeats.
+        world.run(Duration::from_millis(1_013))
+    }
+
+    fn submits(&mut self, world: &mut World) -> Result<(), String> {
+        world.run(Duration::from_secs(3))?;
+        for number in 1..=ROUNDS as u64 {
+            let request = world.submit(5, &text(number, "stock"));
+            self.measure(world, |world| world.nodes[5].answers.contains_key(&request))?;
+        }
+        Ok(())
+    }
+
+    fn installs(&mut self, world: &mut World) -> Result<(), String> {
+        for number in ROUNDS as u64 + 1..=2 * ROUNDS as u64 {
+            world.submit(5, &text(number, "stock"));
+            let is_installed = |world: &World, node: usize| {
+                world.nodes[node].control.as_ref().is_some_and(|control| control.installed() == number)
+            };
+            self.measure(world, |world| (0..7).all(|node| is_installed(world, node)))?;
+        }
+        Ok(())
+    }
+
+    fn claims(&mut self, world: &mut World) -> Result<(), String> {
+        for number in 0..ROUNDS {
+            let key = ClaimKey { service: "stock".into(), customer: "kovar".into(), key: format!("k{number}").into() };
+            let request = world.claim(5, &key, "same", Duration::from_secs(3));
+            self.measure(world, |world| world.nodes[5].answers.contains_key(&request))?;
+            match &world.nodes[5].answers[&request] {
+                Answer::Claim { .. } => world.settle(5, &key, 200),
+                Answer::Submit { .. } => return Err("wrong answer".into()),
+            };
+        }
+        Ok(())
+    }
+
+    fn leaves(&mut self, world: &mut World) -> Result<(), String> {
+        for server in 0..20 {
+            let id = format!("server-{server:02}");
+            world.leave(&id, None);
+            let is_gone = |world: &World, node: usize| {
+                let control = world.nodes[node].control.as_ref();
+                control.is_some_and(|c| c.registry().views(world.now(), "catalogue").iter().all(|view| *view.id != *id))
+            };
+            self.measure(world, |world| (0..7).all(|node| is_gone(world, node)))?;
+        }
+        Ok(())
+    }
+
+    fn take(&mut self) -> String {
+        let mut spans = std::mem::take(&mut self.0);
+        spans.sort_unstable();
+        format!("median {} ms, maximum {} ms", spans[spans.len() / 2], spans[spans.len() - 1])
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/script/events.rs
@@ -0,0 +1,260 @@
+//! What happens in a world as time passes.
+
+use {
+    super::{
+        Fault, Kind, NodeState, World,
+        world::{Event, name},
+    },
+    crate::fakes,
+    hemlockford_core::{
+        control::{Answer, Channel, ClaimAnswer, ControlAction, ControlEvent, PeerMessage, TICK_INTERVAL, Write},
+        ledger::MIN_RETENTION_MS,
+        registry::ANNOUNCE_INTERVAL,
+    },
+    std::time::Duration,
+};
+
+/// Time for which a fault of a trigger lasts, in milliseconds.
+const FAULT_MS: u64 = 4_000;
+
+/// Delay of a message that a trigger delays or repeats, in milliseconds.
+const DELAY_MS: u64 = 700;
+
+/// Time that a sync of the data folder takes, in milliseconds.
+const SYNC_MS: u64 = 2;
+
+/// Time between two checks of the invariants, in milliseconds.
+const CHECK_MS: u64 = 50;
+
+/// Most datagrams that wait for a frozen process; a socket buffer holds about as many.
+const MAX_BACKLOG: usize = 500;
+
+/// Longest datagram, in bytes.
+const MAX_DATAGRAM: usize = 1_200;
+
+impl World {
+    pub(super) fn run_until(&mut self, end: u64, is_done: impl Fn(&Self) -> bool) -> Result<bool, String> {
+        loop {
+            if let Some(fault) = self.fault.take() {
+                return Err(self.at(&fault));
+            }
+            if is_done(self) {
+                return Ok(true);
+            }
+            let next = self.queue.first_key_value().map_or(end, |((at, _), _)| (*at).min(end));
+            if self.next_check <= next {
+                self.now_ms = self.now_ms.max(self.next_check);
+                self.next_check = self.now_ms + CHECK_MS;
+                let now = self.now();
+                let checked = self.checks.check(now, self.now_ms, &mut self.nodes, &self.servers);
+                checked.map_err(|e| self.at(&e))?;
+                continue;
+            }
+            if next >= end {
+                self.now_ms = end;
+                return Ok(false);
+            }
+            self.now_ms = next;
+            if let Some((_, event)) = self.queue.pop_first() {
+                self.happen(event);
+            }
+        }
+    }
+
+    pub(super) fn at(&self, fault: &str) -> String {
+        format!("{} ms, seed {}: {fault}", self.now_ms, self.options.seed)
+    }
+
+    pub(super) fn push(&mut self, delay: u64, event: Event) {
+        self.order += 1;
+        self.queue.insert((self.now_ms + delay, self.order), event);
+    }
+
+    pub(super) fn happen(&mut self, event: Event) {
+        let target = match &event {
+            Event::Tick { node, .. } | Event::Synced { node, .. } => Some(*node),
+            Event::Deliver { to, .. } | Event::Announce { to, .. } => Some(*to),
+            Event::Beat { .. } | Event::Restart { .. } | Event::Wake { .. } | Event::Heal { .. } => None,
+        };
+        if let Some(node) = target.filter(|node| self.nodes[*node].state == NodeState::Frozen) {
+            let backlog = &mut self.nodes[node].backlog;
+            if backlog.len() < MAX_BACKLOG || !matches!(event, Event::Deliver { .. }) {
+                backlog.push(event);
+            }
+            return;
+        }
+        match event {
+            Event::Tick { node, incarnation } if self.nodes[node].incarnation == incarnation => {
+                if self.nodes[node].is_up() {
+                    self.push(TICK_INTERVAL.as_millis() as u64, Event::Tick { node, incarnation });
+                    self.give(node, ControlEvent::Tick);
+                }
+            }
+            Event::Synced { node, incarnation, up_to } if self.nodes[node].incarnation == incarnation => {
+                if let Some(disk) = &mut self.nodes[node].disk {
+                    disk.sync(up_to);
+                }
+                self.give(node, ControlEvent::Persisted { up_to });
+            }
+            Event::Tick { .. } | Event::Synced { .. } => {}
+            Event::Deliver { from, to, message, counted } => self.deliver(from, to, message, counted),
+            Event::Announce { to, announcement } => self.give(to, ControlEvent::Announce(announcement)),
+            Event::Beat { server } => {
+                if self.servers[server].is_announcing {
+                    self.beat(server);
+                    self.push(ANNOUNCE_INTERVAL.as_millis() as u64, Event::Beat { server });
+                }
+            }
+            Event::Restart { node } => self.start(node),
+            Event::Wake { node } => self.wake(node),
+            Event::Heal { from, to } => self.network.heal(from, to),
+        }
+    }
+
+    pub(super) fn beat(&mut self, server: usize) {
+        let now_ms = self.now_ms;
+        let announcement = self.servers[server].announcement(now_ms);
+        let to = self.servers[server].entry;
+        let arrivals =
+            self.network.arrivals(now_ms, (usize::MAX, to), Kind::Announce, Channel::Datagram, &mut self.rng);
+        for at in arrivals {
+            self.push(at - now_ms, Event::Announce { to, announcement: announcement.clone() });
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: PeerMessage, counted: bool) {
+        let fault = self.strike(&message, counted);
+        match fault {
+            Some(Fault::Lose) => return,
+            Some(Fault::Delay) => {
+                self.push(DELAY_MS, Event::Deliver { from, to, message, counted: true });
+                return;
+            }
+            Some(Fault::Repeat) => {
+                self.push(DELAY_MS, Event::Deliver { from, to, message: message.clone(), counted: true });
+            }
+            Some(Fault::KillReceiver) => {
+                self.kill(to);
+                self.push(FAULT_MS, Event::Restart { node: to });
+                return;
+            }
+            Some(Fault::LoseDisk) => {
+                self.lose_disk(to);
+                self.push(FAULT_MS, Event::Restart { node: to });
+                return;
+            }
+            Some(Fault::Freeze) => {
+                self.freeze(to);
+                self.push(FAULT_MS, Event::Wake { node: to });
+                self.nodes[to].backlog.push(Event::Deliver { from, to, message, counted: true });
+                return;
+            }
+            Some(Fault::Cut) => {
+                self.cut_for_fault(from, to);
+                self.cut_for_fault(to, from);
+                return;
+            }
+            Some(Fault::CutBack) => self.cut_for_fault(to, from),
+            Some(Fault::KillSender) => {
+                self.kill(from);
+                self.push(FAULT_MS, Event::Restart { node: from });
+            }
+            Some(Fault::KillReceiverAfter) | None => {}
+        }
+        let sender = self.nodes[from].id.clone();
+        self.give(to, ControlEvent::Receive { from: sender, message });
+        if fault == Some(Fault::KillReceiverAfter) {
+            self.kill_synced(to);
+            self.push(FAULT_MS, Event::Restart { node: to });
+        }
+    }
+
+    fn cut_for_fault(&mut self, from: usize, to: usize) {
+        self.network.cut(from, to);
+        self.push(FAULT_MS, Event::Heal { from, to });
+    }
+
+    /// Returns the fault that strikes at this message.
+    fn strike(&mut self, message: &PeerMessage, counted: bool) -> Option<Fault> {
+        if counted || !self.counted.contains(&Kind::of(message)) {
+            return None;
+        }
+        let number = self.messages?;
+        self.messages = Some(number + 1);
+        self.triggers.iter().find(|trigger| trigger.message == number).map(|trigger| trigger.fault)
+    }
+
+    /// Gives an event to a process and carries out what it asks for.
+    pub fn give(&mut self, node: usize, event: ControlEvent) {
+        let now = self.now();
+        let Some(control) = self.nodes[node].control.as_mut() else { return };
+        let mut actions = Vec::new();
+        control.handle(now, event, &mut actions);
+        let mut up_to = None;
+        for action in actions {
+            match action {
+                ControlAction::Datagram { to, message } => self.send(node, &to, message, Channel::Datagram),
+                ControlAction::Stream { to, message } => self.send(node, &to, message, Channel::Stream),
+                ControlAction::Write { sequence, write } => {
+                    if let Some(disk) = &mut self.nodes[node].disk {
+                        disk.write(sequence, kept(write));
+                        up_to = Some(sequence);
+                    }
+                }
+                ControlAction::Answer(answer) => self.answer(node, answer),
+                ControlAction::Stopped => self.nodes[node].is_stopped = true,
+                ControlAction::Broken(reason) => self.fault = Some(format!("{}: {reason}", name(node))),
+                ControlAction::Install(_)
+                | ControlAction::Servers(..)
+                | ControlAction::Peers(_)
+                | ControlAction::ServeUntil(_)
+                | ControlAction::Log(_) => {}
+            }
+        }
+        if let Some(up_to) = up_to {
+            let incarnation = self.nodes[node].incarnation;
+            self.push(SYNC_MS, Event::Synced { node, incarnation, up_to });
+        }
+    }
+
+    fn answer(&mut self, node: usize, answer: Answer) {
+        let request = match &answer {
+            Answer::Submit { request, .. } | Answer::Claim { request, .. } => *request,
+        };
+        let key = self.keys.remove(&(node, request));
+        let retention = Duration::from_millis(MIN_RETENTION_MS);
+        if let Err(fault) = self.checks.answer(self.now(), &answer, key.as_ref(), retention) {
+            self.fault = Some(format!("{}: {fault}", name(node)));
+        }
+        if let (Some(key), Answer::Claim { answer: ClaimAnswer::Granted { holder, send_before }, .. }) = (key, &answer)
+        {
+            self.granted.insert((node, key), (holder.clone(), *send_before));
+        }
+        if self.nodes[node].answers.insert(request, answer).is_some() {
+            self.fault = Some(format!("{}: request {request} was answered twice", name(node)));
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &str, message: PeerMessage, channel: Channel) {
+        let Some(to) = self.nodes.iter().position(|node| &*node.id == to) else { return };
+        let size = postcard::to_allocvec(&message).map_or(0, |bytes| bytes.len());
+        if channel != message.channel() || (channel == Channel::Datagram && size > MAX_DATAGRAM) {
+            self.fault = Some(format!("{}: {size} bytes over {channel:?}: {message:?}", name(from)));
+        }
+        let kind = Kind::of(&message);
+        for at in self.network.arrivals(self.now_ms, (from, to), kind, channel, &mut self.rng) {
+            self.received[to].0 += 1;
+            self.received[to].1 += size as u64;
+            self.push(at - self.now_ms, Event::Deliver { from, to, message: message.clone(), counted: false });
+        }
+    }
+}
+
+fn kept(write: Write) -> fakes::Write {
+    match write {
+        Write::Vote(vote) => fakes::Write::Vote(vote),
+        Write::Append(entries) => fakes::Write::Append(entries),
+        Write::Truncate(from) => fakes::Write::Truncate(from),
+        Write::Snapshot(snapshot) => fakes::Write::Snapshot(snapshot),
+    }
+}
--- a/crates/scenario/src/script/mod.rs
+++ b/crates/scenario/src/script/mod.rs
@@ -4,6 +4,7 @@
 //! that of `fakes`; every invariant is checked every 50 ms of scenario time.
 
 mod check;
+mod events;
 mod fault;
 mod network;
 mod node;
--- a/crates/scenario/src/script/world.rs
+++ b/crates/scenario/src/script/world.rs
@@ -1,16 +1,13 @@
 //! Several instances with their network, disks, servers and the clock.
 
 use {
-    super::{Checks, Fault, Kind, Network, Node, NodeState, Server, Trigger},
-    crate::fakes::{self, FakeDisk},
+    super::{Checks, Kind, Network, Node, NodeState, Server, Trigger},
+    crate::fakes::FakeDisk,
     hemlockford_core::{
-        control::{
-            Answer, Channel, ClaimAnswer, Control, ControlAction, ControlEvent, ControlOptions, PeerMessage,
-            TICK_INTERVAL, Write,
-        },
+        control::{Control, ControlEvent, ControlOptions, PeerMessage, TICK_INTERVAL},
         dispatch::ServerState,
-        ledger::{ClaimKey, Holder, MIN_RETENTION_MS, SettledOutcome, TextDigest},
-        registry::{ANNOUNCE_INTERVAL, Announcement},
+        ledger::{ClaimKey, Holder, SettledOutcome, TextDigest},
+        registry::Announcement,
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{
@@ -19,24 +16,6 @@
     },
 };
 
-/// Time for which a fault of a trigger lasts, in milliseconds.
-const FAULT_MS: u64 = 4_000;
-
-/// Delay of a message that a trigger delays or repeats, in milliseconds.
-const DELAY_MS: u64 = 700;
-
-/// Time that a sync of the data folder takes, in milliseconds.
-const SYNC_MS: u64 = 2;
-
-/// Time between two checks of the invariants, in milliseconds.
-const CHECK_MS: u64 = 50;
-
-/// Most datagrams that wait for a frozen process; a socket buffer holds about as many.
-const MAX_BACKLOG: usize = 500;
-
-/// Longest datagram, in bytes.
-const MAX_DATAGRAM: usize = 1_200;
-
 /// Size of a world.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WorldOptions {
@@ -63,12 +42,12 @@
 
 /// Several instances with their network, disks, servers and the clock.
 pub struct World {
-    options: WorldOptions,
-    base: Instant,
-    now_ms: u64,
-    order: u64,
-    queue: BTreeMap<(u64, u64), Event>,
-    rng: SmallRng,
+    pub(super) options: WorldOptions,
+    pub(super) base: Instant,
+    pub(super) now_ms: u64,
+    pub(super) order: u64,
+    pub(super) queue: BTreeMap<(u64, u64), Event>,
+    pub(super) rng: SmallRng,
     /// The instances.
     pub nodes: Vec<Node>,
     /// Their links.
@@ -77,18 +56,20 @@
     pub servers: Vec<Server>,
     /// The invariants.
     pub checks: Checks,
-    triggers: Vec<Trigger>,
+    pub(super) triggers: Vec<Trigger>,
     /// Kinds of messages that are counted for triggers.
-    counted: Vec<Kind>,
-    messages: Option<u64>,
+    pub(super) counted: Vec<Kind>,
+    pub(super) messages: Option<u64>,
     /// Replicas whose data folders were lost.
     pub lost_folders: BTreeSet<usize>,
     next_request: u64,
-    keys: BTreeMap<(usize, u64), ClaimKey>,
+    pub(super) keys: BTreeMap<(usize, u64), ClaimKey>,
     /// Attempts that were granted and have neither settled nor released, by instance and key.
     pub granted: BTreeMap<(usize, ClaimKey), (Holder, Instant)>,
-    next_check: u64,
-    fault: Option<String>,
+    pub(super) next_check: u64,
+    pub(super) fault: Option<String>,
+    /// Messages and bytes that each instance received.
+    pub received: Vec<(u64, u64)>,
 }
 
 impl World {
@@ -115,6 +96,7 @@
             granted: BTreeMap::new(),
             next_check: 0,
             fault: None,
+            received: vec![(0, 0); options.instances],
         }
     }
 
@@ -342,224 +324,10 @@
     pub fn check_final(&self) -> Result<(), String> {
         self.checks.check_final(&self.nodes).map_err(|e| self.at(&e))
     }
-
-    fn run_until(&mut self, end: u64, is_done: impl Fn(&Self) -> bool) -> Result<bool, String> {
-        loop {
-            if let Some(fault) = self.fault.take() {
-                return Err(self.at(&fault));
-            }
-            if is_done(self) {
-                return Ok(true);
-            }
-            let next = self.queue.first_key_value().map_or(end, |((at, _), _)| (*at).min(end));
-            if self.next_check <= next {
-                self.now_ms = self.now_ms.max(self.next_check);
-                self.next_check = self.now_ms + CHECK_MS;
-                let now = self.now();
-                let checked = self.checks.check(now, self.now_ms, &mut self.nodes, &self.servers);
-                checked.map_err(|e| self.at(&e))?;
-                continue;
-            }
-            if next >= end {
-                self.now_ms = end;
-                return Ok(false);
-            }
-            self.now_ms = next;
-            if let Some((_, event)) = self.queue.pop_first() {
-                self.happen(event);
-            }
-        }
-    }
-
-    fn at(&self, fault: &str) -> String {
-        format!("{} ms, seed {}: {fault}", self.now_ms, self.options.seed)
-    }
-
-    fn push(&mut self, delay: u64, event: Event) {
-        self.order += 1;
-        self.queue.insert((self.now_ms + delay, self.order), event);
-    }
-
-    fn happen(&mut self, event: Event) {
-        let target = match &event {
-            Event::Tick { node, .. } | Event::Synced { node, .. } => Some(*node),
-            Event::Deliver { to, .. } | Event::Announce { to, .. } => Some(*to),
-            Event::Beat { .. } | Event::Restart { .. } | Event::Wake { .. } | Event::Heal { .. } => None,
-        };
-        if let Some(node) = target.filter(|node| self.nodes[*node].state == NodeState::Frozen) {
-            let backlog = &mut self.nodes[node].backlog;
-            if backlog.len() < MAX_BACKLOG || !matches!(event, Event::Deliver { .. }) {
-                backlog.push(event);
-            }
-            return;
-        }
-        match event {
-            Event::Tick { node, incarnation } if self.nodes[node].incarnation == incarnation => {
-                if self.nodes[node].is_up() {
-                    self.push(TICK_INTERVAL.as_millis() as u64, Event::Tick { node, incarnation });
-                    self.give(node, ControlEvent::Tick);
-                }
-            }
-            Event::Synced { node, incarnation, up_to } if self.nodes[node].incarnation == incarnation => {
-                if let Some(disk) = &mut self.nodes[node].disk {
-                    disk.sync(up_to);
-                }
-                self.give(node, ControlEvent::Persisted { up_to });
-            }
-            Event::Tick { .. } | Event::Synced { .. } => {}
-            Event::Deliver { from, to, message, counted } => self.deliver(from, to, message, counted),
-            Event::Announce { to, announcement } => self.give(to, ControlEvent::Announce(announcement)),
-            Event::Beat { server } => {
-                if self.servers[server].is_announcing {
-                    self.beat(server);
-                    self.push(ANNOUNCE_INTERVAL.as_millis() as u64, Event::Beat { server });
-                }
-            }
-            Event::Restart { node } => self.start(node),
-            Event::Wake { node } => self.wake(node),
-            Event::Heal { from, to } => self.network.heal(from, to),
-        }
-    }
-
-    fn beat(&mut self, server: usize) {
-        let now_ms = self.now_ms;
-        let announcement = self.servers[server].announcement(now_ms);
-        let to = self.servers[server].entry;
-        let arrivals =
-            self.network.arrivals(now_ms, (usize::MAX, to), Kind::Announce, Channel::Datagram, &mut self.rng);
-        for at in arrivals {
-            self.push(at - now_ms, Event::Announce { to, announcement: announcement.clone() });
-        }
-    }
-
-    fn deliver(&mut self, from: usize, to: usize, message: PeerMessage, counted: bool) {
-        let fault = self.strike(&message, counted);
-        match fault {
-            Some(Fault::Lose) => return,
-            Some(Fault::Delay) => {
-                self.push(DELAY_MS, Event::Deliver { from, to, message, counted: true });
-                return;
-            }
-            Some(Fault::Repeat) => {
-                self.push(DELAY_MS, Event::Deliver { from, to, message: message.clone(), counted: true });
-            }
-            Some(Fault::KillReceiver) => {
-                self.kill(to);
-                self.push(FAULT_MS, Event::Restart { node: to });
-                return;
-            }
-            Some(Fault::LoseDisk) => {
-                self.lose_disk(to);
-                self.push(FAULT_MS, Event::Restart { node: to });
-                return;
-            }
-            Some(Fault::Freeze) => {
-                self.freeze(to);
-                self.push(FAULT_MS, Event::Wake { node: to });
-                self.nodes[to].backlog.push(Event::Deliver { from, to, message, counted: true });
-                return;
-            }
-            Some(Fault::Cut) => {
-                self.cut_for_fault(from, to);
-                self.cut_for_fault(to, from);
-                return;
-            }
-            Some(Fault::CutBack) => self.cut_for_fault(to, from),
-            Some(Fault::KillSender) => {
-                self.kill(from);
-                self.push(FAULT_MS, Event::Restart { node: from });
-            }
-            Some(Fault::KillReceiverAfter) | None => {}
-        }
-        let sender = self.nodes[from].id.clone();
-        self.give(to, ControlEvent::Receive { from: sender, message });
-        if fault == Some(Fault::KillReceiverAfter) {
-            self.kill_synced(to);
-            self.push(FAULT_MS, Event::Restart { node: to });
-        }
-    }
-
-    fn cut_for_fault(&mut self, from: usize, to: usize) {
-        self.network.cut(from, to);
-        self.push(FAULT_MS, Event::Heal { from, to });
-    }
-
-    /// Returns the fault that strikes at this message.
-    fn strike(&mut self, message: &PeerMessage, counted: bool) -> Option<Fault> {
-        if counted || !self.counted.contains(&Kind::of(message)) {
-            return None;
-        }
-        let number = self.messages?;
-        self.messages = Some(number + 1);
-        self.triggers.iter().find(|trigger| trigger.message == number).map(|trigger| trigger.fault)
-    }
-
-    /// Gives an event to a process and carries out what it asks for.
-    pub fn give(&mut self, node: usize, event: ControlEvent) {
-        let now = self.now();
-        let Some(control) = self.nodes[node].control.as_mut() else { return };
-        let mut actions = Vec::new();
-        control.handle(now, event, &mut actions);
-        let mut up_to = None;
-        for action in actions {
-            match action {
-                ControlAction::Datagram { to, message } => self.send(node, &to, message, Channel::Datagram),
-                ControlAction::Stream { to, message } => self.send(node, &to, message, Channel::Stream),
-                ControlAction::Write { sequence, write } => {
-                    if let Some(disk) = &mut self.nodes[node].disk {
-                        disk.write(sequence, kept(write));
-                        up_to = Some(sequence);
-                    }
-                }
-                ControlAction::Answer(answer) => self.answer(node, answer),
-                ControlAction::Stopped => self.nodes[node].is_stopped = true,
-                ControlAction::Broken(reason) => self.fault = Some(format!("{}: {reason}", name(node))),
-                ControlAction::Install(_)
-                | ControlAction::Servers(..)
-                | ControlAction::Peers(_)
-                | ControlAction::ServeUntil(_)
-                | ControlAction::Log(_) => {}
-            }
-        }
-        if let Some(up_to) = up_to {
-            let incarnation = self.nodes[node].incarnation;
-            self.push(SYNC_MS, Event::Synced { node, incarnation, up_to });
-        }
-    }
-
-    fn answer(&mut self, node: usize, answer: Answer) {
-        let request = match &answer {
-            Answer::Submit { request, .. } | Answer::Claim { request, .. } => *request,
-        };
-        let key = self.keys.remove(&(node, request));
-        let retention = Duration::from_millis(MIN_RETENTION_MS);
-        if let Err(fault) = self.checks.answer(self.now(), &answer, key.as_ref(), retention) {
-            self.fault = Some(format!("{}: {fault}", name(node)));
-        }
-        if let (Some(key), Answer::Claim { answer: ClaimAnswer::Granted { holder, send_before }, .. }) = (key, &answer)
-        {
-            self.granted.insert((node, key), (holder.clone(), *send_before));
-        }
-        if self.nodes[node].answers.insert(request, answer).is_some() {
-            self.fault = Some(format!("{}: request {request} was answered twice", name(node)));
-        }
-    }
-
-    fn send(&mut self, from: usize, to: &str, message: PeerMessage, channel: Channel) {
-        let Some(to) = self.nodes.iter().position(|node| &*node.id == to) else { return };
-        let size = postcard::to_allocvec(&message).map_or(0, |bytes| bytes.len());
-        if channel != message.channel() || (channel == Channel::Datagram && size > MAX_DATAGRAM) {
-            self.fault = Some(format!("{}: {size} bytes over {channel:?}: {message:?}", name(from)));
-        }
-        let kind = Kind::of(&message);
-        for at in self.network.arrivals(self.now_ms, (from, to), kind, channel, &mut self.rng) {
-            self.push(at - self.now_ms, Event::Deliver { from, to, message: message.clone(), counted: false });
-        }
-    }
 }
 
 /// Returns the name of an instance, counted from 0.
-fn name(node: usize) -> Box<str> {
+pub(super) fn name(node: usize) -> Box<str> {
     format!("e{}", node + 1).into()
 }
 
@@ -567,12 +335,3 @@
 pub fn text(number: u64, service: &str) -> String {
     format!("[change]\nnumber = {number}\n[service {service}]\n")
 }
-
-fn kept(write: Write) -> fakes::Write {
-    match write {
-        Write::Vote(vote) => fakes::Write::Vote(vote),
-        Write::Append(entries) => fakes::Write::Append(entries),
-        Write::Truncate(from) => fakes::Write::Truncate(from),
-        Write::Snapshot(snapshot) => fakes::Write::Snapshot(snapshot),
-    }
-}
