--- a/crates/scenario/src/script/events.rs
+++ b/crates/scenario/src/script/events.rs
@@ -122,7 +122,7 @@
         }
     }
 
-    fn deliver(&mut self, from: usize, to: usize, message: PeerMessage, counted: bool) {
+    fn deliver(&mut self, from: usize, to: usize, mut message: PeerMessage, counted: bool) {
         let fault = self.strike(&message, counted);
         match fault {
             Some(Fault::Lose) => return,
@@ -161,6 +161,9 @@
             }
             Some(Fault::KillReceiverAfter) | None => {}
         }
+        if let Some(forge) = &mut self.forge {
+            forge(to, &mut message);
+        }
         let sender = self.nodes[from].id.clone();
         self.give(to, ControlEvent::Receive { from: sender, message });
         if fault == Some(Fault::KillReceiverAfter) {
--- a/crates/scenario/src/script/mod.rs
+++ b/crates/scenario/src/script/mod.rs
@@ -21,5 +21,5 @@
     run::run,
     server::Server,
     step::Step,
-    world::{World, WorldOptions, text},
+    world::{Forge, World, WorldOptions, text},
 };
--- a/crates/scenario/src/script/world.rs
+++ b/crates/scenario/src/script/world.rs
@@ -40,6 +40,9 @@
     Heal { from: usize, to: usize },
 }
 
+/// Changes a message before it arrives, to show that the checks notice.
+pub type Forge = Box<dyn FnMut(usize, &mut PeerMessage)>;
+
 /// Several instances with their network, disks, servers and the clock.
 pub struct World {
     pub(super) options: WorldOptions,
@@ -68,6 +71,8 @@
     pub granted: BTreeMap<(usize, ClaimKey), (Holder, Instant)>,
     pub(super) next_check: u64,
     pub(super) fault: Option<String>,
+    /// Changes messages, given the receiver.
+    pub forge: Option<Forge>,
     /// Messages and bytes that each instance received.
     pub received: Vec<(u64, u64)>,
 }
@@ -96,6 +101,7 @@
             granted: BTreeMap::new(),
             next_check: 0,
             fault: None,
+            forge: None,
             received: vec![(0, 0); options.instances],
         }
     }
--- /dev/null
+++ b/crates/scenario/tests/control_sabotage.rs
@@ -0,0 +1,105 @@
+//! Shows that the checks of the scenarios fail when a rule is broken on purpose.
+//!
+//! Guards against checks that pass because they look at nothing.
+
+use {
+    hemlockford_core::{
+        control::{PeerMessage, Reply},
+        dispatch::ServerState,
+        ledger::{ClaimKey, ClaimOutcome, LedgerOutcome, TextDigest},
+        registry::Record,
+    },
+    hemlockford_scenario::script::{Forge, Kind, Rule, RuleEffect, World, WorldOptions, text},
+    std::time::Duration,
+};
+
+const SEED: u64 = 31;
+
+fn set_up() -> World {
+    let mut world = World::new(WorldOptions { instances: 5, replicas: 3, seed: SEED });
+    (0..5).for_each(|node| world.start(node));
+    world.run(Duration::from_secs(3)).expect("start");
+    world.submit(3, &text(1, "stock"));
+    world.run(Duration::from_secs(1)).expect("first change");
+    world
+}
+
+fn forge(world: &mut World, forge: impl FnMut(usize, &mut PeerMessage) + 'static) {
+    world.forge = Some(Box::new(forge) as Forge);
+}
+
+#[test]
+fn two_holders_of_a_claim_are_noticed() {
+    let mut world = set_up();
+    forge(&mut world, |_, message| {
+        if let PeerMessage::Reply { reply: Reply::Outcome(LedgerOutcome::Claim(outcome)), .. } = message {
+            *outcome = ClaimOutcome::Granted;
+        }
+    });
+    let key = ClaimKey { service: "stock".into(), customer: "kovar".into(), key: "k1".into() };
+    world.claim(3, &key, "same", Duration::from_secs(2));
+    world.claim(4, &key, "same", Duration::from_secs(2));
+    let fault = world.run(Duration::from_secs(2)).expect_err("two holders");
+    assert!(fault.contains("claim k1 granted to"), "{fault}");
+}
+
+#[test]
+fn an_old_text_in_force_is_noticed() {
+    let mut world = set_up();
+    let rule = Rule { from: None, to: Some(4), kind: Some(Kind::Install), effect: RuleEffect::Drop, percent: 100 };
+    world.network.rules.push(rule);
+    forge(&mut world, |to, message| {
+        if let (4, PeerMessage::Heartbeat(heartbeat)) = (to, message) {
+            heartbeat.status.installed = heartbeat.status.installed.min(1);
+        }
+    });
+    world.submit(3, &text(2, "stock"));
+    let fault = world.run(Duration::from_secs(5)).expect_err("old text");
+    assert!(fault.contains("e5: serves under 1") && fault.contains("after 2 was accepted"), "{fault}");
+}
+
+#[test]
+fn a_confirmed_change_that_is_lost_is_noticed() {
+    let mut world = set_up();
+    let rule = Rule { from: None, to: None, kind: Some(Kind::Log), effect: RuleEffect::Drop, percent: 100 };
+    world.network.rules.push(rule);
+    world.submit(3, &text(2, "stock"));
+    let digest = TextDigest::of(text(2, "stock").as_bytes());
+    forge(&mut world, move |_, message| {
+        if let PeerMessage::Reply { reply, .. } = message {
+            *reply = Reply::Accepted { digest, everywhere: true };
+        }
+    });
+    let ended = world.run(Duration::from_secs(3)).and_then(|()| {
+        world.forge = None;
+        (0..5).for_each(|node| world.kill(node));
+        world.heal_everything();
+        world.run(Duration::from_secs(10))?;
+        world.check_final()
+    });
+    let fault = ended.expect_err("lost change");
+    assert!(fault.contains("after 2 was accepted") || fault.contains("of 2 accepted"), "{fault}");
+}
+
+#[test]
+fn a_server_that_is_brought_back_is_noticed() {
+    let mut world = set_up();
+    world.announce("s1", "stock", 4, ServerState::Ready);
+    world.run(Duration::from_secs(2)).expect("announced");
+    world.leave("s1", None);
+    let mut forged = 0;
+    forge(&mut world, move |_, message| {
+        let PeerMessage::Relay { records, .. } = message else { return };
+        for record in records {
+            if let Record::Full { announcement, age_ms, .. } = record {
+                forged += 1;
+                *age_ms = 0;
+                announcement.state = ServerState::Ready;
+                announcement.sequence += forged;
+                announcement.uptime_ms += 1_000 * forged;
+            }
+        }
+    });
+    let fault = world.run(Duration::from_secs(6)).expect_err("server is back");
+    assert!(fault.contains("s1 is usable"), "{fault}");
+}
