--- a/crates/scenario/src/script/mod.rs
+++ b/crates/scenario/src/script/mod.rs
@@ -4,6 +4,7 @@
 //! that of `fakes`; every invariant is checked every 50 ms of scenario time.
 
 mod check;
+mod events;
 mod fault;
 mod network;
 mod node;
@@ -20,5 +21,5 @@
     run::run,
     server::Server,
     step::Step,
-    world::{World, WorldOptions, text},
+    world::{Forge, World, WorldOptions, text},
 };
