Have every entry list its customers under overload

Cause: calls of entries without a long queue counted as one customer, so they were held to one share. Entries are told when permits are divided by customer, list theirs for a while and give idle permits back within 5 ms.

--- a/crates/core/src/slots/allot.rs
+++ b/crates/core/src/slots/allot.rs
@@ -18,6 +18,10 @@
 const CONTENTION: Duration = Duration::from_millis(5);
 /// Time between two divisions.
 const SHARE_INTERVAL: Duration = Duration::from_millis(20);
+/// Weight of the calls that are not listed by customer, well above that of any customer.
+const UNLISTED_WEIGHT: f64 = 1e6;
+/// Time between two messages about the shares of customers.
+const TELL_INTERVAL: Duration = Duration::from_millis(100);
 /// Weight in place of zero, so that a customer without a share is served when slots are idle.
 const LEAST_WEIGHT: f64 = 0.01;
 
@@ -171,11 +175,18 @@
         for demand in demands.iter().flat_map(|(_, demand)| demand) {
             *totals.entry(demand.customer).or_default() += load(demand);
         }
-        let weight =
-            |customer: &Key| self.weights.get(customer).map_or(1.0, |weight| f64::from(*weight).max(LEAST_WEIGHT));
+        // Entries that list no customers have no long queues; what they hold is not taken for another's.
+        let weight = |customer: &Key| match *customer {
+            UNLISTED => UNLISTED_WEIGHT,
+            _ => self.weights.get(customer).map_or(1.0, |weight| f64::from(*weight).max(LEAST_WEIGHT)),
+        };
         let claims: Vec<_> = totals.iter().map(|(customer, total)| (f64::from(*total), weight(customer))).collect();
         let shares = split(f64::from(self.stock.capacity()), &claims);
         let shares: FastMap<Key, f64> = totals.keys().copied().zip(shares).collect();
+        let is_told = self.told_at.is_some_and(|at| now < at + TELL_INTERVAL);
+        if is_standing && !is_told {
+            self.told_at = Some(now);
+        }
         let mut parts = BTreeMap::new();
         for (id, demand) in demands {
             let part = |demand: &CustomerDemand| {
@@ -185,6 +196,10 @@
             parts.insert(id.clone(), sum);
             let Some(member) = self.members.get_mut(&id) else { continue };
             member.part = is_standing.then_some((now, sum));
+            if !is_standing || is_told {
+                continue;
+            }
+            member.is_listing_due = true;
             member.shares = demand
                 .iter()
                 .filter(|demand| demand.customer != UNLISTED)
--- a/crates/core/src/slots/coordinator.rs
+++ b/crates/core/src/slots/coordinator.rs
@@ -30,6 +30,8 @@
     /// Since when entries have been waiting while no slot is free.
     pub(super) contended_since: Option<Instant>,
     pub(super) shared_at: Option<Instant>,
+    /// When the entries were last told the shares of customers.
+    pub(super) told_at: Option<Instant>,
     collecting_until: Option<Instant>,
     may_finish_early: bool,
 }
--- a/crates/core/src/slots/exchange.rs
+++ b/crates/core/src/slots/exchange.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        ACK_DELAY, CustomerDemand, Holding, Key, LEASE, MAX_CUSTOMERS, MAX_SERVICES, Permit, SlotGrant, SlotMessage,
-        SlotReport, Slots, Taken, UNLISTED,
+        ACK_DELAY, CustomerDemand, Holding, Key, LEASE, LISTING, MAX_CUSTOMERS, MAX_SERVICES, Permit, SlotGrant,
+        SlotMessage, SlotReport, Slots, Taken, UNLISTED,
     },
     crate::ids::InstanceId,
     std::{
@@ -110,7 +110,7 @@
             link.ask(now, Duration::ZERO);
         }
         for (id, member) in &slots.coordinator.members {
-            if member.is_adoption_due || member.is_resync_due || member.recall > 0 || !member.shares.is_empty() {
+            if member.is_adoption_due || member.is_resync_due || member.recall > 0 || member.is_listing_due {
                 let link = self.links.entry(id.clone()).or_default();
                 link.replies.insert(service);
                 link.ask(now, Duration::ZERO);
@@ -166,7 +166,7 @@
     ) -> Option<SlotReport> {
         let slots = self.services.get(&service)?;
         let holder = &slots.holder;
-        let mut customers = if slots.is_standing(now) { demand(service) } else { Vec::new() };
+        let mut customers = if slots.is_standing(now) || slots.is_listing(now) { demand(service) } else { Vec::new() };
         customers
             .sort_unstable_by_key(|demand| (std::cmp::Reverse(demand.waiting + demand.in_flight), demand.customer));
         if customers.len() > *room {
@@ -217,6 +217,7 @@
             service,
             attach: member.attach,
             resync: std::mem::take(&mut member.is_resync_due),
+            overload: std::mem::take(&mut member.is_listing_due),
             recall: std::mem::take(&mut member.recall),
             permits,
             shares,
@@ -234,6 +235,9 @@
         }
         slots.holder.is_adopted = true;
         slots.holder.previous_end = None;
+        if grant.overload {
+            slots.listing_end = Some(now + LISTING);
+        }
         if !grant.shares.is_empty() {
             slots.shares.clone_from(&grant.shares);
             slots.shares_end = Some(now + LEASE);
--- a/crates/core/src/slots/member.rs
+++ b/crates/core/src/slots/member.rs
@@ -43,6 +43,8 @@
     pub(super) recall: u32,
     pub(super) recalled_at: Option<Instant>,
     pub(super) shares: Vec<CustomerShare>,
+    /// Whether the entry has to be told that permits are divided by customer.
+    pub(super) is_listing_due: bool,
     /// Part of all slots that was last found for the entry under overload, and when.
     pub(super) part: Option<(Instant, f64)>,
     /// Servers for which the entry wants no permits for now.
--- a/crates/core/src/slots/message.rs
+++ b/crates/core/src/slots/message.rs
@@ -99,6 +99,8 @@
     pub attach: u32,
     /// Whether the entry has to report all it holds anew.
     pub resync: bool,
+    /// Whether permits are divided by customer, so that the entry has to list its customers.
+    pub overload: bool,
     /// Idle permits that the entry is asked to give back.
     pub recall: u32,
     /// Permits that the entry may use from now on, where that has changed.
--- a/crates/core/src/slots/mod.rs
+++ b/crates/core/src/slots/mod.rs
@@ -69,3 +69,5 @@
 const NEED_LIFETIME: Duration = Duration::from_millis(60);
 /// Customer that stands for all calls of an entry that are not listed by customer.
 const UNLISTED: Key = 0;
+/// Time for which an entry lists its customers after it was told that permits are divided by customer.
+const LISTING: Duration = Duration::from_millis(300);
--- a/crates/core/src/slots/service.rs
+++ b/crates/core/src/slots/service.rs
@@ -20,6 +20,8 @@
 const STANDING: Duration = Duration::from_millis(100);
 /// Time over which idle permits must stay idle before they are given back.
 const REVIEW: Duration = Duration::from_millis(20);
+/// The same while other entries have long queues, when an idle permit is a loss.
+const CONTENDED_REVIEW: Duration = Duration::from_millis(5);
 /// Idle permits that are kept, so that one more call needs no message.
 const RESERVE: u32 = 1;
 /// Time without calls after which every permit is given back, so that an idle service costs no messages.
@@ -36,6 +38,9 @@
     pub(super) shares: Vec<CustomerShare>,
     pub(super) shares_end: Option<Instant>,
     pub(super) waiting: u32,
+    /// Until when customers are listed because permits are divided by customer.
+    pub(super) listing_end: Option<Instant>,
+    listed_at: Option<Instant>,
     reviewed_at: Option<Instant>,
 }
 
@@ -86,6 +91,20 @@
         is_due
     }
 
+    /// Returns whether customers are listed because permits are divided by customer.
+    pub(super) fn is_listing(&self, now: Instant) -> bool {
+        self.listing_end.is_some_and(|end| now < end)
+    }
+
+    /// Returns whether customers are to be listed again, without a need for permits.
+    pub(super) fn is_list_due(&mut self, now: Instant) -> bool {
+        let is_due = self.is_listing(now) && self.listed_at.is_none_or(|at| now >= at + STANDING_INTERVAL);
+        if is_due {
+            self.listed_at = Some(now);
+        }
+        is_due
+    }
+
     fn need(&self, now: Instant, service_time: Duration, is_local: bool) -> u32 {
         // When no call ends for so long, calls take longer than they did and the estimate is of no use.
         let is_stalled = self.holder.last_end.is_none_or(|at| now >= at + PATIENCE);
@@ -101,13 +120,15 @@
 
     /// Returns the number of permits that stayed idle and are to be given back.
     pub(super) fn review(&mut self, now: Instant) -> u32 {
+        let is_contended = self.is_listing(now);
         let holder = &mut self.holder;
-        if holder.granted() == 0 || self.reviewed_at.is_some_and(|at| now < at + REVIEW) {
+        let interval = if is_contended { CONTENDED_REVIEW } else { REVIEW };
+        if holder.granted() == 0 || self.reviewed_at.is_some_and(|at| now < at + interval) {
             return 0;
         }
         self.reviewed_at = Some(now);
         let is_idle = holder.in_flight() == 0 && holder.last_use.is_none_or(|at| now >= at + IDLE);
-        let reserve = if is_idle { 0 } else { RESERVE };
+        let reserve = if is_idle || is_contended { 0 } else { RESERVE };
         let surplus = if holder.is_fallback { 0 } else { holder.least_free.saturating_sub(reserve) };
         holder.least_free = holder.free_count();
         surplus.min(holder.free_count())
--- a/crates/core/src/slots/state.rs
+++ b/crates/core/src/slots/state.rs
@@ -233,6 +233,13 @@
             if surplus > 0 {
                 self.release(now, service, surplus, ACK_DELAY);
             }
+            let Some(slots) = self.services.get_mut(&service) else { continue };
+            if slots.is_list_due(now)
+                && let Some(link) = slots.holder.coordinator.as_ref().and_then(|id| self.links.get_mut(id))
+            {
+                link.reports.insert(service);
+                link.ask(now, Duration::ZERO);
+            }
             self.report_until_adopted(now, service);
         }
         self.repeat(now);
