--- a/crates/core/src/slots/service.rs
+++ b/crates/core/src/slots/service.rs
@@ -17,7 +17,7 @@
 /// Time between two reports of the same need once calls have been waiting for long.
 const STANDING_INTERVAL: Duration = Duration::from_millis(50);
 /// Time from which on waiting calls are reported by customer; a shorter queue is no overload.
-const STANDING: Duration = Duration::from_millis(100);
+const STANDING: Duration = Duration::from_millis(300);
 /// Time over which idle permits must stay idle before they are given back.
 const REVIEW: Duration = Duration::from_millis(20);
 /// The same while other entries have long queues, when an idle permit is a loss.
