Serve a customer that starts to wait next

Cause: a quiet customer waited for several calls of a noisy one at each turn, as a turn was as long as its share, and its share was held to what it had in flight. A turn is now at most one look-up, the first call of a customer that did not wait is next, and shares are those that a customer is entitled to. Streams of the measurement now draw from their own random numbers.

--- a/crates/core/src/admission/fair_queue.rs
+++ b/crates/core/src/admission/fair_queue.rs
@@ -17,6 +17,9 @@
 /// call stays short.
 const LEAST_WEIGHT: f64 = 0.05;
 
+/// Slot time, in look-ups, that a customer may use at once when it starts to wait.
+const FIRST_TURN: f64 = 1.0;
+
 /// Waiting calls of one service in bounded queues by customer, served by weighted deficit round robin.
 /// A customer that does not wait leaves its turns to the others.
 #[derive(Debug, Default)]
@@ -25,6 +28,8 @@
     turns: VecDeque<CustomerId>,
     len: usize,
     uploads: usize,
+    /// Greatest weight of those that wait, for which a turn is one look-up.
+    greatest: f64,
 }
 
 impl FairQueue {
@@ -55,11 +60,15 @@
     pub fn put(&mut self, customer: &str, weight: f64, waiting: Waiting) {
         let queue = self.customers.entry(customer.into()).or_default();
         queue.weight = weight.max(LEAST_WEIGHT);
+        self.greatest = self.greatest.max(queue.weight);
         queue.push_back(waiting);
         if !queue.is_queued {
+            // A customer that did not wait has left its turns to others, so its first call is next. One whose
+            // queue was emptied keeps its place until its turn comes and gains nothing by short bursts.
             queue.is_queued = true;
+            queue.deficit = FIRST_TURN;
             queue.customer = customer.into();
-            self.turns.push_back(customer.into());
+            self.turns.push_front(customer.into());
         }
         self.len += 1;
         self.uploads += usize::from(waiting.upload);
@@ -85,6 +94,9 @@
     /// Takes the next call by weight; without `with_uploads` uploads stay where they are.
     pub fn pop(&mut self, pace: &Pace, with_uploads: bool) -> Option<(CustomerId, Waiting)> {
         let mut skipped = 0;
+        if self.len == 0 {
+            self.greatest = LEAST_WEIGHT;
+        }
         while skipped < self.turns.len() {
             let customer = self.turns.front()?;
             let queue = self.customers.get_mut(customer)?;
@@ -101,7 +113,7 @@
             };
             let cost = pace.cost(upload);
             if queue.deficit < cost {
-                queue.deficit += queue.weight;
+                queue.deficit += queue.weight / self.greatest;
                 self.turns.rotate_left(1);
                 skipped = 0;
                 continue;
@@ -119,6 +131,7 @@
     pub fn set_weight(&mut self, customer: &str, weight: f64) {
         if let Some(queue) = self.customers.get_mut(customer) {
             queue.weight = weight.max(LEAST_WEIGHT);
+            self.greatest = self.greatest.max(queue.weight);
         }
     }
 
--- a/crates/core/src/dispatch/waiting.rs
+++ b/crates/core/src/dispatch/waiting.rs
@@ -71,8 +71,11 @@
         if shares.is_empty() {
             return weight;
         }
+        // A customer that had no calls when the shares were made is not held below the others.
         let customer = key(&call.customer);
-        shares.iter().find(|share| share.customer == customer).map_or(weight, |share| f64::from(share.tenths) / TENTHS)
+        let own = shares.iter().find(|share| share.customer == customer).map(|share| share.tenths);
+        let most = shares.iter().map(|share| share.tenths).max().unwrap_or_default();
+        own.map_or(weight * f64::from(most), f64::from) / TENTHS
     }
 
     pub(super) fn expire_at(&mut self, now: Instant, deadline: Instant, service_time: Duration, call: CallId) {
--- a/crates/core/src/slots/allot.rs
+++ b/crates/core/src/slots/allot.rs
@@ -182,6 +182,8 @@
         };
         let claims: Vec<_> = totals.iter().map(|(customer, total)| (f64::from(*total), weight(customer))).collect();
         let shares = split(f64::from(self.stock.capacity()), &claims);
+        // What a customer of weight 1 may use. One that uses less is not held to that at its entries.
+        let level = claims.iter().zip(&shares).map(|((_, weight), share)| share / weight).fold(0.0, f64::max);
         let shares: FastMap<Key, f64> = totals.keys().copied().zip(shares).collect();
         let is_told = self.told_at.is_some_and(|at| now < at + TELL_INTERVAL);
         if is_standing && !is_told {
@@ -192,6 +194,10 @@
             let part = |demand: &CustomerDemand| {
                 shares[&demand.customer] * f64::from(load(demand)) / f64::from(totals[&demand.customer].max(1))
             };
+            let share = |demand: &CustomerDemand| {
+                let fraction = f64::from(load(demand)) / f64::from(totals[&demand.customer].max(1));
+                (level * weight(&demand.customer) * fraction * 10.0).ceil() as u32
+            };
             let sum: f64 = demand.iter().map(part).sum();
             parts.insert(id.clone(), sum);
             let Some(member) = self.members.get_mut(&id) else { continue };
@@ -204,7 +210,7 @@
                 .iter()
                 .filter(|demand| demand.customer != UNLISTED)
                 .take(MAX_CUSTOMERS)
-                .map(|demand| CustomerShare { customer: demand.customer, tenths: (part(demand) * 10.0).ceil() as u32 })
+                .map(|demand| CustomerShare { customer: demand.customer, tenths: share(demand) })
                 .collect();
         }
         parts
--- /dev/null
+++ b/crates/core/tests/fairness.rs
@@ -0,0 +1,63 @@
+//! A noisy customer takes only its share.
+
+mod support;
+
+use {
+    hemlockford_core::outcome::Outcome,
+    std::time::Duration,
+    support::{Cluster, Traffic},
+};
+
+const TEXT: &str = "[change]\nnumber = 1\n[service catalogue]\ndeadline = 800ms\n";
+/// The stated target for a quiet customer beside a noisy one.
+const MOST_SLOWER: f64 = 1.25;
+
+fn traffic(customer: &str, rate: f64, entries: &[usize]) -> Traffic {
+    Traffic {
+        customer: customer.into(),
+        rate,
+        entries: entries.to_vec(),
+        work: Duration::from_millis(10),
+        upload: false,
+        exponential: true,
+    }
+}
+
+/// Returns the p99 of the quiet customer in seconds; every call of it has to be answered.
+fn quiet_p99(seed: u64, noisy: Option<&[usize]>) -> f64 {
+    let mut cluster = Cluster::new(seed, 4, 10, 2, TEXT);
+    cluster.run_for(Duration::from_secs(1));
+    cluster.add_traffic(traffic("quiet", 500.0, &[0, 1, 2, 3]));
+    if let Some(entries) = noisy {
+        // Ten times its half of the capacity of 2,000 calls/s.
+        cluster.add_traffic(traffic("noisy", 10_000.0, entries));
+    }
+    cluster.run_for(Duration::from_secs(1));
+    cluster.records.retain(|_, record| record.ended.is_none());
+    cluster.run_for(Duration::from_secs(4));
+    let quiet = cluster.records.values().filter(|record| &*record.customer == "quiet" && record.ended.is_some());
+    let mut times: Vec<_> = quiet
+        .map(|record| {
+            assert_eq!(record.outcome, Some(Outcome::Answered), "{record:?}");
+            (record.ended.unwrap_or_default() - record.arrived).as_secs_f64()
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times[times.len() * 99 / 100]
+}
+
+/// Guards against a noisy customer that starves a quiet one, through all entries or through one.
+#[test]
+fn quiet_customer_is_not_starved() {
+    for seed in [1, 2] {
+        println!("seed {seed}");
+        let alone = quiet_p99(seed, None);
+        for entries in [&[0, 1, 2, 3][..], &[2]] {
+            let beside = quiet_p99(seed, Some(entries));
+            assert!(
+                beside <= MOST_SLOWER * alone,
+                "{beside} beside a noisy customer through {entries:?}, {alone} alone"
+            );
+        }
+    }
+}
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -67,6 +67,9 @@
     pub bytes: u64,
     pub largest: usize,
     pub traffic: Vec<Traffic>,
+    /// One source of random numbers per stream, so that a stream is the same beside any other.
+    draws: Vec<SmallRng>,
+    seed: u64,
     pub text: Arc<Text>,
     pub rng: SmallRng,
     pub noise: SmallRng,
@@ -96,6 +99,8 @@
             bytes: 0,
             largest: 0,
             traffic: Vec::new(),
+            draws: Vec::new(),
+            seed,
             text: Arc::new(Text::parse(text).expect("a text without faults")),
             rng: SmallRng::seed_from_u64(seed),
             noise: SmallRng::seed_from_u64(seed ^ 0x5eed),
@@ -183,7 +188,8 @@
     pub fn add_traffic(&mut self, traffic: Traffic) {
         self.traffic.push(traffic);
         let number = self.traffic.len() - 1;
-        let first = self.now + self.traffic[number].gap(&mut self.rng);
+        self.draws.push(SmallRng::seed_from_u64(self.seed + 1_000 * (number as u64 + 1)));
+        let first = self.now + self.traffic[number].gap(&mut self.draws[number]);
         self.push(first, Step::Arrive(number));
     }
 
@@ -246,12 +252,12 @@
     }
 
     fn arrive(&mut self, number: usize) {
-        let gap = self.traffic[number].gap(&mut self.rng);
-        self.push(self.now + gap, Step::Arrive(number));
-        let traffic = &self.traffic[number];
+        let (traffic, draws) = (&self.traffic[number], &mut self.draws[number]);
+        let gap = traffic.gap(draws);
         let (customer, upload) = (traffic.customer.clone(), traffic.upload);
-        let entry = traffic.entries[self.rng.random_range(0..traffic.entries.len())];
-        let work = traffic.draw_work(&mut self.rng);
+        let entry = traffic.entries[draws.random_range(0..traffic.entries.len())];
+        let work = traffic.draw_work(draws);
+        self.push(self.now + gap, Step::Arrive(number));
         if self.entries[entry].is_none() || self.frozen[entry] {
             return;
         }
