--- /dev/null
+++ b/crates/core/examples/choice.rs
@@ -0,0 +1,96 @@
+//! Measures the time of one choice, from a call's arrival to its end, against the number of known servers.
+//! Prints CSV.
+
+use {
+    hemlockford_core::{
+        dispatch::{
+            AttemptResult, Call, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish, ServerState,
+            ServerView,
+        },
+        text::{Policy, Text},
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const SIZES: [usize; 4] = [10, 100, 1_000, 1_900];
+const CALLS: u64 = 200_000;
+/// Calls in flight while choices are measured.
+const IN_FLIGHT: u64 = 10;
+const SEED: u64 = 3;
+
+fn main() {
+    println!("policy,servers,ns_per_call");
+    for policy in Policy::ALL {
+        for servers in SIZES {
+            println!("{policy},{servers},{:.0}", measure(policy, servers));
+        }
+    }
+}
+
+fn measure(policy: Policy, servers: usize) -> f64 {
+    let mut dispatcher = Dispatcher::new(DispatchOptions::default(), SmallRng::seed_from_u64(SEED));
+    let (mut now, mut actions) = (Instant::now(), Vec::new());
+    let text = format!("[change]\nnumber = 1\n[service catalogue]\npolicy = {policy}\n");
+    let text = Text::parse(&text).expect("a text without faults");
+    dispatcher.handle(now, DispatchEvent::Configure(Arc::new(text)), &mut actions);
+    let view = |number| ServerView {
+        id: format!("server-{number}").into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        data_centre: "".into(),
+        slots: 2,
+        connections: 250,
+        state: ServerState::Ready,
+        lease_end: now + Duration::from_secs(86_400),
+        ready_since: now.checked_sub(Duration::from_secs(60)).unwrap_or(now),
+    };
+    let views = (0..servers).map(view).collect();
+    dispatcher.handle(now, DispatchEvent::Servers("catalogue".into(), views), &mut actions);
+    for _ in 0..1_000 {
+        now += Duration::from_millis(1);
+        dispatcher.handle(now, DispatchEvent::Tick, &mut actions);
+    }
+    let mut running = std::collections::VecDeque::new();
+    let begin = Instant::now();
+    for id in 0..CALLS {
+        now += Duration::from_micros(50);
+        actions.clear();
+        let call = Call {
+            id,
+            service: "catalogue".into(),
+            customer: "kovar".into(),
+            idempotent: true,
+            replayable: true,
+            deadline: now + Duration::from_secs(1),
+            depth: 0,
+            retry_allowance: false,
+            upload: false,
+        };
+        dispatcher.handle(now, DispatchEvent::Arrive(call), &mut actions);
+        for action in actions.drain(..) {
+            if let DispatchAction::Send { call, server, .. } = action {
+                running.push_back((call, server));
+            }
+        }
+        if running.len() as u64 > IN_FLIGHT
+            && let Some((call, server)) = running.pop_front()
+        {
+            let finish = Finish {
+                call,
+                server,
+                result: AttemptResult::Complete,
+                latency: Duration::from_micros(500),
+                report: None,
+                wants_decision: false,
+            };
+            dispatcher.handle(now, DispatchEvent::Finish(finish), &mut actions);
+        }
+        if id % 20 == 0 {
+            dispatcher.handle(now, DispatchEvent::Tick, &mut actions);
+        }
+    }
+    begin.elapsed().as_nanos() as f64 / CALLS as f64
+}
