--- a/crates/core/src/slots/allot.rs
+++ b/crates/core/src/slots/allot.rs
@@ -18,6 +18,10 @@
 const CONTENTION: Duration = Duration::from_millis(5);
 /// Time between two divisions.
 const SHARE_INTERVAL: Duration = Duration::from_millis(20);
+/// Weight of the calls that are not listed by customer, well above that of any customer.
+const UNLISTED_WEIGHT: f64 = 1e6;
+/// Time between two messages about the shares of customers.
+const TELL_INTERVAL: Duration = Duration::from_millis(100);
 /// Weight in place of zero, so that a customer without a share is served when slots are idle.
 const LEAST_WEIGHT: f64 = 0.01;
 
@@ -171,25 +175,42 @@
         for demand in demands.iter().flat_map(|(_, demand)| demand) {
             *totals.entry(demand.customer).or_default() += load(demand);
         }
-        let weight =
-            |customer: &Key| self.weights.get(customer).map_or(1.0, |weight| f64::from(*weight).max(LEAST_WEIGHT));
+        // Entries that list no customers have no long queues; what they hold is not taken for another's.
+        let weight = |customer: &Key| match *customer {
+            UNLISTED => UNLISTED_WEIGHT,
+            _ => self.weights.get(customer).map_or(1.0, |weight| f64::from(*weight).max(LEAST_WEIGHT)),
+        };
         let claims: Vec<_> = totals.iter().map(|(customer, total)| (f64::from(*total), weight(customer))).collect();
         let shares = split(f64::from(self.stock.capacity()), &claims);
+        // What a customer of weight 1 may use. One that uses less is not held to that at its entries.
+        let level = claims.iter().zip(&shares).map(|((_, weight), share)| share / weight).fold(0.0, f64::max);
         let shares: FastMap<Key, f64> = totals.keys().copied().zip(shares).collect();
+        let is_told = self.told_at.is_some_and(|at| now < at + TELL_INTERVAL);
+        if is_standing && !is_told {
+            self.told_at = Some(now);
+        }
         let mut parts = BTreeMap::new();
         for (id, demand) in demands {
             let part = |demand: &CustomerDemand| {
                 shares[&demand.customer] * f64::from(load(demand)) / f64::from(totals[&demand.customer].max(1))
             };
+            let share = |demand: &CustomerDemand| {
+                let fraction = f64::from(load(demand)) / f64::from(totals[&demand.customer].max(1));
+                (level * weight(&demand.customer) * fraction * 10.0).ceil() as u32
+            };
             let sum: f64 = demand.iter().map(part).sum();
             parts.insert(id.clone(), sum);
             let Some(member) = self.members.get_mut(&id) else { continue };
             member.part = is_standing.then_some((now, sum));
+            if !is_standing || is_told {
+                continue;
+            }
+            member.is_listing_due = true;
             member.shares = demand
                 .iter()
                 .filter(|demand| demand.customer != UNLISTED)
                 .take(MAX_CUSTOMERS)
-                .map(|demand| CustomerShare { customer: demand.customer, tenths: (part(demand) * 10.0).ceil() as u32 })
+                .map(|demand| CustomerShare { customer: demand.customer, tenths: share(demand) })
                 .collect();
         }
         parts
