--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -33,7 +33,8 @@
             // A caller of version 1.0 takes the end of the connection for the end of the answer.
             let mut buf = [0; 1_024];
             let end = loop {
-                match tokio::io::AsyncReadExt::read(&mut caller.io, &mut buf).await {
+                let read = tokio::io::AsyncReadExt::read(&mut caller.io, &mut buf);
+                match actix_rt::time::timeout(Duration::from_secs(5), read).await.expect("the connection ends") {
                     Ok(0) => break "end of file",
                     Ok(read) => caller.buf.extend(&buf[..read]),
                     Err(_) => break "reset",
@@ -124,19 +125,27 @@
 /// Guards against bytes beyond an answer that reach the next caller as its answer.
 #[actix_rt::test]
 async fn bytes_beyond_an_answer_meet_no_other_caller() {
-    for delay in [0, 20] {
+    // Arriving with the answer, right after it, and on the idle connection.
+    for delay in [None, Some(0), Some(20)] {
         let server = serve(move |mut io, number| async move {
             while io.message(false).await.is_some() {
-                io.send(&format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}")).await;
-                pause(delay).await;
-                io.send("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother").await;
+                let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}");
+                let beyond = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother";
+                match delay {
+                    None => io.send(&format!("{answer}{beyond}")).await,
+                    Some(delay) => {
+                        io.send(&answer).await;
+                        pause(delay).await;
+                        io.send(beyond).await;
+                    }
+                }
             }
         })
         .await;
         let bed = Bed::start(Script::to(server.address));
         for number in 0..3 {
             assert_eq!(bed.call(GET).await.body, number.to_string().as_bytes());
-            pause(delay + 20).await;
+            pause(40).await;
         }
     }
 }
--- a/crates/proxy/tests/claims.rs
+++ b/crates/proxy/tests/claims.rs
@@ -100,6 +100,22 @@
     }
 }
 
+/// Guards against a claim that is given up though the server has seen a part of the request.
+#[actix_rt::test]
+async fn a_claim_stays_held_when_the_caller_leaves_during_its_upload() {
+    let (server, _) = answering(OK).await;
+    let (bed, log) = start(server.address, GRANTED, 0);
+    let mut caller = bed.caller().await;
+    let whole = request(&"a".repeat(200_000));
+    caller.send(&whole[..150_000]).await;
+    assert!(within(LIMIT, || server.connections.get() == 1).await);
+    pause(50).await;
+    drop(caller);
+    assert!(within(LIMIT, || bed.results().len() == 1).await);
+    pause(50).await;
+    assert!(log.borrow().ends.is_empty());
+}
+
 /// Guards against a request that is sent without a granted claim.
 #[actix_rt::test]
 async fn only_a_granted_claim_is_sent() {
