Withdraw waiting calls when their worker ends

A call that waited for a decision was withdrawn only on the ways out that said so; when the worker's task was dropped, the dispatcher kept it. The receiver is now held by a guard that withdraws on drop. Short answers and interim answers are written within 1 s, as a caller that does not read could have held a session, and a graceful stop, for ever.

--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -8,11 +8,12 @@
         claims::{Claim, ClaimDecision, Claimed, HeldClaim, PendingClaim},
         connection::Connection,
         digest::Digest,
-        exchange::{Ended, Exchange, Recorded, withdraw},
+        exchange::{Ended, Exchange, Recorded},
         gate::Decision,
         headers,
         reply::{RETRY_AFTER, Reply},
         request::Parsed,
+        waiting::Waiting,
         worker::Shared,
     },
     actix_http::{Method, RequestHead},
@@ -25,7 +26,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    tokio::{select, sync::oneshot},
+    tokio::select,
 };
 
 /// What becomes of the caller's connection after a call.
@@ -144,7 +145,9 @@
     }
 
     async fn dispatch(&mut self) -> Told {
-        let mut waiting = self.shared.gate.arrive(self.call.clone());
+        let gate = self.shared.gate.clone();
+        let decision = gate.arrive(self.call.clone());
+        let mut waiting = Waiting::new(gate, self.call.id, decision);
         loop {
             let decision = match self.decision(waiting).await {
                 Ok(decision) => decision,
@@ -160,12 +163,10 @@
                 Ok(Ended::CutOff) => return Told::CutOff,
                 Ok(Ended::Gone(gone)) => return Told::Gone(gone),
                 Ok(Ended::Expired | Ended::Again(_)) => {
-                    let outcome = self.honest(Outcome::NotRun(NotRunReason::Deadline));
-                    return Told::Outcome(outcome, RETRY_AFTER);
+                    return self.told(NotRunReason::Deadline);
                 }
                 Ok(Ended::Failed(_)) => {
-                    let outcome = self.honest(Outcome::NotRun(NotRunReason::Refused));
-                    return Told::Outcome(outcome, RETRY_AFTER);
+                    return self.told(NotRunReason::Refused);
                 }
                 Err(Unsent::Asked(next)) => waiting = next,
                 Err(Unsent::Told(told)) => return told,
@@ -174,25 +175,19 @@
     }
 
     /// Waits for a decision while watching the caller and the deadline.
-    async fn decision(&mut self, mut waiting: oneshot::Receiver<Decision>) -> Result<Decision, Told> {
-        let told = select! {
+    async fn decision(&mut self, mut waiting: Waiting) -> Result<Decision, Told> {
+        select! {
             biased;
-            decision = &mut waiting => {
-                return match decision {
-                    Ok(decision @ Decision::Send { .. }) => Ok(decision),
-                    Ok(Decision::Reject { outcome, retry_after }) => {
-                        Err(Told::Outcome(self.honest(outcome), retry_after))
-                    }
-                    Err(_) => Err(Told::Outcome(self.honest(Outcome::NotRun(NotRunReason::ShuttingDown)), RETRY_AFTER)),
-                };
-            }
-            gone = self.reader.watch() => Told::Gone(gone),
-            () = sleep_until(self.call.deadline.into()) => {
-                Told::Outcome(self.honest(Outcome::NotRun(NotRunReason::Deadline)), RETRY_AFTER)
-            }
-        };
-        withdraw(&self.shared.gate, &self.call, waiting);
-        Err(told)
+            decision = waiting.decided() => match decision {
+                Some(decision @ Decision::Send { .. }) => Ok(decision),
+                Some(Decision::Reject { outcome, retry_after }) => {
+                    Err(Told::Outcome(self.honest(outcome), retry_after))
+                }
+                None => Err(self.told(NotRunReason::ShuttingDown)),
+            },
+            gone = self.reader.watch() => Err(Told::Gone(gone)),
+            () = sleep_until(self.call.deadline.into()) => Err(self.told(NotRunReason::Deadline)),
+        }
     }
 
     /// Makes one attempt; a failed one asks the dispatcher what to do next.
@@ -217,8 +212,7 @@
             return Err(self.failed(&mut attempt, AttemptResult::RefusedBeforeWrite));
         }
         if self.claim.as_ref().is_some_and(|claim| !claim.is_valid()) {
-            let outcome = self.honest(Outcome::NotRun(NotRunReason::ClaimUnavailable));
-            return Err(Unsent::Told(Told::Outcome(outcome, RETRY_AFTER)));
+            return Err(Unsent::Told(self.told(NotRunReason::ClaimUnavailable)));
         }
         if *shared.stop.borrow() {
             self.writer.close_after();
@@ -267,8 +261,7 @@
             }
             () = sleep_until(self.call.deadline.into()) => {
                 attempt.finish(AttemptResult::RefusedBeforeWrite);
-                let outcome = self.honest(Outcome::NotRun(NotRunReason::Deadline));
-                Err(Unsent::Told(Told::Outcome(outcome, RETRY_AFTER)))
+                Err(Unsent::Told(self.told(NotRunReason::Deadline)))
             }
         }
     }
@@ -280,7 +273,8 @@
             AttemptResult::BadAnswer => self.may_have_run = Some(UnknownReason::BadAnswer),
             _ => {}
         }
-        Unsent::Asked(self.shared.gate.fail(attempt.end(result)))
+        let decision = self.shared.gate.fail(attempt.end(result));
+        Unsent::Asked(Waiting::new(self.shared.gate.clone(), self.call.id, decision))
     }
 
     /// Lets a caller that waits for it send its body.
@@ -288,7 +282,7 @@
         let is_due = std::mem::take(&mut self.expects_continue) && !self.body.framing().is_empty();
         if is_due && self.reader.is_idle() {
             self.writer.start_continue();
-            self.writer.flush().await.map_err(|_| Told::Gone(Gone::Left))?;
+            self.writer.flush_soon().await.map_err(|_| Told::Gone(Gone::Left))?;
         }
         Ok(())
     }
@@ -301,6 +295,11 @@
         }
     }
 
+    /// Returns that the request did not run, or that it is unknown.
+    fn told(&self, reason: NotRunReason) -> Told {
+        Told::Outcome(self.honest(Outcome::NotRun(reason)), RETRY_AFTER)
+    }
+
     async fn conclude(mut self, told: Told) -> Next {
         let (outcome, next) = match told {
             Told::Answer(recorded) => {
@@ -351,7 +350,7 @@
             self.writer.close_after();
         }
         let is_head = self.head.method == Method::HEAD;
-        if reply.encode(self.writer, is_head).is_err() || self.writer.flush().await.is_err() {
+        if reply.encode(self.writer, is_head).is_err() || self.writer.flush_soon().await.is_err() {
             return Next::Cut;
         }
         if self.writer.keep_alive() { Next::Keep } else { Next::Close }
@@ -361,7 +360,7 @@
 /// Why an attempt has no end of its own.
 enum Unsent {
     /// The dispatcher has been asked what to do next.
-    Asked(oneshot::Receiver<Decision>),
+    Asked(Waiting),
     /// The call has ended.
     Told(Told),
 }
--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -22,6 +22,8 @@
 
 /// Bytes that are asked for in one read.
 const READ_SIZE: usize = 16 * 1_024;
+/// Time within which a caller must take a short answer; most of them fit into the socket's buffer.
+const WRITE_TIME: Duration = Duration::from_secs(1);
 /// Interval at which a caller whose data is not being read is checked for having closed.
 const CLOSE_CHECK: Duration = Duration::from_millis(200);
 
@@ -277,6 +279,11 @@
         Ok(())
     }
 
+    /// Writes what is encoded, for a caller that reads.
+    pub(crate) async fn flush_soon(&mut self) -> io::Result<()> {
+        timeout(WRITE_TIME, self.flush()).await?
+    }
+
     /// Closes the sending half.
     pub(crate) async fn shutdown(&mut self) {
         // The connection is being given up; there is nobody to tell about a failure.
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -11,13 +11,14 @@
         framing::Framing,
         gate::{Decision, Gate},
         headers, reply,
+        waiting::Waiting,
     },
     actix_http::{RequestHead, ResponseHead, StatusCode, header},
     actix_rt::time::sleep_until,
     bytes::{Bytes, BytesMut},
     hemlockford_core::dispatch::{AttemptResult, Call, LOAD_HEADER, LoadReport},
     std::pin::pin,
-    tokio::{select, sync::oneshot},
+    tokio::select,
 };
 
 /// How an exchange ended for the caller.
@@ -114,19 +115,14 @@
         let is_error = head.status.is_server_error();
         if is_error && self.call.idempotent && self.call.replayable {
             let finish = self.attempt.end(AttemptResult::ServerError);
-            let mut decision = self.gate.fail(finish);
-            let mut failed = None;
+            let mut waiting = Waiting::new(self.gate.clone(), self.call.id, self.gate.fail(finish));
             select! {
                 biased;
-                gone = &mut upload, if !is_gone => failed = Some(Ended::Gone(gone)),
-                decision = &mut decision => if let Ok(decision @ Decision::Send { .. }) = decision {
+                gone = &mut upload, if !is_gone => return Ended::Gone(gone),
+                decision = waiting.decided() => if let Some(decision @ Decision::Send { .. }) = decision {
                     return Ended::Again(decision);
                 },
-                () = &mut expiry => failed = Some(Ended::Expired),
-            }
-            if let Some(failed) = failed {
-                withdraw(self.gate, self.call, decision);
-                return failed;
+                () = &mut expiry => return Ended::Expired,
             }
         }
         if reply::encode_head((&head, framing), self.once, self.head.version, self.writer).is_err() {
@@ -178,22 +174,6 @@
     }
 }
 
-/// Stops waiting for a decision. One that has arrived meanwhile gives its slot back.
-pub(crate) fn withdraw(gate: &Gate, call: &Call, mut decision: oneshot::Receiver<Decision>) {
-    decision.close();
-    match decision.try_recv() {
-        Ok(Decision::Send { server, .. }) => gate.finish(hemlockford_core::dispatch::Finish {
-            call: call.id,
-            server,
-            result: AttemptResult::CallerLeft,
-            latency: std::time::Duration::ZERO,
-            report: None,
-        }),
-        Ok(Decision::Reject { .. }) => {}
-        Err(_) => gate.cancel(call.id),
-    }
-}
-
 /// Passes a body on. A part is read only after the parts before it were written, so that a caller that
 /// does not read holds the server back.
 async fn pass_on(
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 mod reply;
 mod request;
 mod session;
+mod waiting;
 mod worker;
 
 pub use {
--- a/crates/proxy/src/options.rs
+++ b/crates/proxy/src/options.rs
@@ -12,7 +12,7 @@
 pub(crate) const BUFFER_LIMIT: usize = 64 * 1_024;
 /// Greatest request body that is kept so that the call can be sent again, in bytes.
 pub(crate) const KEPT_BODY_LIMIT: usize = 64 * 1_024;
-/// Greatest head of a request or an answer, in bytes. The library's own limit is higher.
+/// Greatest head of a request or an answer, in bytes.
 pub(crate) const HEAD_LIMIT: usize = 64 * 1_024;
 
 /// Bound on the connections of one worker to one server.
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -78,7 +78,7 @@
         deadline: now + stated.map_or(limit, |left| left.min(limit)),
         depth,
         retry_allowance: depth == 0 || head.headers.contains_key(headers::ALLOWANCE),
-        upload: !framing.is_empty(),
+        upload: !is_small,
     };
     Ok(Parsed { call, framing, key: key.map(Into::into), expects_continue })
 }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -118,15 +118,10 @@
             self.writer.close_after();
         }
         let reply = Reply::outcome(outcome, RETRY_AFTER, refusal.detail);
-        let written = timeout(LINGER_TIME, async {
-            reply.encode(&mut self.writer, is_head)?;
-            self.writer.flush().await
-        });
-        match written.await {
-            Ok(Ok(())) if must_close => Next::Close,
-            Ok(Ok(())) => Next::Keep,
-            _ => Next::Cut,
+        if reply.encode(&mut self.writer, is_head).is_err() || self.writer.flush_soon().await.is_err() {
+            return Next::Cut;
         }
+        if self.writer.keep_alive() { Next::Keep } else { Next::Close }
     }
 
     async fn close(&mut self) {
--- /dev/null
+++ b/crates/proxy/src/waiting.rs
@@ -0,0 +1,52 @@
+//! A call that waits for a decision.
+
+use {
+    crate::gate::{Decision, Gate},
+    hemlockford_core::{
+        dispatch::{AttemptResult, Finish},
+        ids::CallId,
+    },
+    std::time::Duration,
+    tokio::sync::oneshot,
+};
+
+/// A call that waits for a decision; it is withdrawn when it is dropped undecided, also when the whole
+/// worker is.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    gate: Gate,
+    call: CallId,
+    rx: Option<oneshot::Receiver<Decision>>,
+}
+
+impl Waiting {
+    pub(crate) fn new(gate: Gate, call: CallId, rx: oneshot::Receiver<Decision>) -> Self {
+        Self { gate, call, rx: Some(rx) }
+    }
+
+    /// Waits for the decision; `None` means that the dispatcher is gone.
+    pub(crate) async fn decided(&mut self) -> Option<Decision> {
+        let decision = self.rx.as_mut()?.await.ok();
+        self.rx = None;
+        decision
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let Some(mut rx) = self.rx.take() else { return };
+        rx.close();
+        match rx.try_recv() {
+            // A decision that has arrived meanwhile gives its slot back.
+            Ok(Decision::Send { server, .. }) => self.gate.finish(Finish {
+                call: self.call,
+                server,
+                result: AttemptResult::CallerLeft,
+                latency: Duration::ZERO,
+                report: None,
+            }),
+            Ok(Decision::Reject { .. }) => {}
+            Err(_) => self.gate.cancel(self.call),
+        }
+    }
+}
--- a/crates/proxy/tests/leaving.rs
+++ b/crates/proxy/tests/leaving.rs
@@ -74,6 +74,24 @@
     assert_eq!(bed.records.recv().await.unwrap().outcome, None);
 }
 
+/// Guards against calls that keep their slots, or their place in a queue, when a worker's task ends.
+#[actix_rt::test]
+async fn the_end_of_a_worker_cancels_its_calls() {
+    for hold in [true, false] {
+        let (server, closed) = waiting("").await;
+        let bed = Bed::start(Script { hold, ..Script::to(server.address) });
+        let mut caller = bed.caller().await;
+        caller.send(GET).await;
+        pause(50).await;
+        bed.worker.abort();
+        assert_eq!(caller.rest().await, "");
+        let told = || bed.log.borrow().cancelled.len() + bed.results().len();
+        assert!(within(LIMIT, || told() == 1).await);
+        assert_eq!(bed.results() == [AttemptResult::CallerLeft], !hold);
+        assert!(hold || within(LIMIT, || closed.get()).await, "the server sees the close");
+    }
+}
+
 /// Guards against a next request, or a flood of them, that is taken for leaving or hides it.
 #[actix_rt::test]
 async fn a_pipelined_request_is_not_leaving() {
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -120,6 +120,28 @@
     assert_eq!((&*call.customer, call.depth, call.retry_allowance), ("kovar", 3, true));
 }
 
+/// Guards against a target in absolute form, or one of another kind, that reaches a server unchanged.
+#[actix_rt::test]
+async fn unusual_targets_are_handled() {
+    let (server, seen) = answering(OK).await;
+    let bed = Bed::start(Script::to(server.address));
+    for (target, status) in [
+        ("GET http://y/catalogue/a?b", 200),
+        ("OPTIONS *", 404),
+        ("CONNECT y:1", 400),
+        ("GET /../catalogue/a", 404),
+        ("GET //catalogue/a", 404),
+    ] {
+        let got = bed.call(&format!("{target} HTTP/1.1\r\nhost: x\r\n\r\n")).await;
+        assert_eq!(got.status, status, "{target}");
+    }
+    let websocket = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: websocket\r\n\r\n";
+    assert_eq!(bed.call(websocket).await.status, 400);
+    assert_eq!(bed.call("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n").await.status, 400);
+    assert_eq!(seen.borrow().len(), 1);
+    assert!(seen.borrow()[0].starts_with("GET /catalogue/a?b HTTP/1.1\r\n"), "{:?}", seen.borrow());
+}
+
 /// Guards against a retry token that is passed on without a decision, or not at all.
 #[actix_rt::test]
 async fn the_retry_token_is_passed_on_as_decided() {
