Send no chunks to callers of version 1.0

Seen from a raw socket: the library's encoder answers a caller of version 1.0 with transfer-encoding: chunked. Such answers now end with the connection, which is reset when they are not whole, also when the worker's task ends in the middle. A killed process closes in order; that case stays.

--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -58,11 +58,15 @@
 
 /// Writes answers to one caller.
 pub(crate) struct CallerWriter {
-    half: OwnedWriteHalf,
+    /// Present until the writer is dropped.
+    half: Option<OwnedWriteHalf>,
     codec: SharedCodec,
     out: BytesMut,
     must_close: bool,
     is_started: bool,
+    is_open_ended: bool,
+    /// Set while an answer without a stated length is not whole, and when the connection is to be reset.
+    must_reset: bool,
     outlives_caller: bool,
     is_discarding: bool,
     is_blocked: bool,
@@ -74,11 +78,13 @@
     let codec = Rc::new(RefCell::new(Codec::new(config)));
     let reader = CallerReader { half: read, codec: codec.clone(), buf: BytesMut::new(), options, is_body_whole: true };
     let writer = CallerWriter {
-        half: write,
+        half: Some(write),
         codec,
         out: BytesMut::new(),
         must_close: false,
         is_started: false,
+        is_open_ended: false,
+        must_reset: false,
         outlives_caller: false,
         is_discarding: false,
         is_blocked: false,
@@ -246,15 +252,33 @@
     /// Encodes the head of an answer.
     pub(crate) fn start(&mut self, mut response: Response<()>, size: BodySize) -> io::Result<()> {
         self.is_started = true;
+        self.must_reset = size == BodySize::Stream;
         if self.must_close {
             response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
         self.codec.borrow_mut().encode(Message::Item((response, size)), &mut self.out)
     }
 
+    /// Encodes the head of an answer that ends with the connection, for a caller of version 1.0, which knows no
+    /// chunks. The encoder would send it chunks all the same.
+    pub(crate) fn start_open_ended(&mut self, response: Response<()>) -> io::Result<()> {
+        self.close_after();
+        self.start(response, BodySize::None)?;
+        self.is_open_ended = true;
+        self.must_reset = true;
+        Ok(())
+    }
+
     /// Encodes a part of a body; `None` is its end.
     pub(crate) fn part(&mut self, part: Option<Bytes>) -> io::Result<()> {
-        self.codec.borrow_mut().encode(Message::Chunk(part), &mut self.out)
+        let is_end = part.is_none();
+        if self.is_open_ended {
+            self.out.extend(part);
+        } else {
+            self.codec.borrow_mut().encode(Message::Chunk(part), &mut self.out)?;
+        }
+        self.must_reset &= !is_end;
+        Ok(())
     }
 
     /// Returns whether so much is encoded that it should be written.
@@ -265,8 +289,9 @@
     /// Writes what is encoded.
     pub(crate) async fn flush(&mut self) -> io::Result<()> {
         while !self.out.is_empty() && !self.is_discarding {
+            let Some(half) = &mut self.half else { return Err(io::ErrorKind::NotConnected.into()) };
             self.is_blocked = true;
-            let written = self.half.write_buf(&mut self.out).await;
+            let written = half.write_buf(&mut self.out).await;
             self.is_blocked = false;
             match written {
                 Ok(0) | Err(_) if self.outlives_caller => self.is_discarding = true,
@@ -287,14 +312,26 @@
     /// Closes the sending half.
     pub(crate) async fn shutdown(&mut self) {
         // The connection is being given up; there is nobody to tell about a failure.
-        let _ = self.half.shutdown().await;
+        if let Some(half) = &mut self.half {
+            let _ = half.shutdown().await;
+        }
     }
 
     /// Makes the connection end with a reset, so that what was passed on is never taken for a whole answer,
     /// not even by a caller for whom the end of the connection is the end of the answer.
-    pub(crate) fn cut(self) {
-        let _ = self.half.as_ref().set_zero_linger();
-        // Dropping the half would close it in order first.
-        self.half.forget();
+    pub(crate) fn cut(mut self) {
+        self.must_reset = true;
+    }
+}
+
+impl Drop for CallerWriter {
+    fn drop(&mut self) {
+        if self.must_reset
+            && let Some(half) = self.half.take()
+        {
+            let _ = half.as_ref().set_zero_linger();
+            // Dropping the half would close it in order first.
+            half.forget();
+        }
     }
 }
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -89,8 +89,7 @@
         fields.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
     }
     if framing == Framing::Chunked && caller < Version::HTTP_11 {
-        // For such a caller the answer ends with the connection.
-        writer.close_after();
+        return writer.start_open_ended(response);
     }
     writer.start(response, framing.size())
 }
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -122,6 +122,20 @@
     assert_eq!((got.status, got.body.as_slice()), (200, b"ok".as_slice()));
 }
 
+/// Guards against chunks sent to a caller that does not know them.
+#[actix_rt::test]
+async fn a_caller_of_version_1_0_gets_no_chunks() {
+    let (server, _) = answering("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n").await;
+    let bed = Bed::start(Script::to(server.address));
+    let mut caller = bed.caller().await;
+    caller.send("GET /catalogue/a HTTP/1.0\r\nconnection: keep-alive\r\n\r\n").await;
+    let got = caller.rest().await;
+    let (head, body) = got.split_once("\r\n\r\n").unwrap();
+    assert_eq!(body, "ok");
+    // Without `keep-alive` the connection of this version ends with the answer.
+    assert!(!head.contains("chunked") && !head.contains("keep-alive") && !head.contains("content-length"), "{head}");
+}
+
 /// Guards against bytes beyond an answer that reach the next caller as its answer.
 #[actix_rt::test]
 async fn bytes_beyond_an_answer_meet_no_other_caller() {
--- a/crates/proxy/tests/leaving.rs
+++ b/crates/proxy/tests/leaving.rs
@@ -6,7 +6,7 @@
     hemlockford_core::dispatch::AttemptResult,
     std::{cell::Cell, rc::Rc, time::Duration},
     support::{Bed, Script, Server, answering, pause, serve, within},
-    tokio::io::AsyncWriteExt,
+    tokio::io::{AsyncReadExt, AsyncWriteExt},
 };
 
 const GET: &str = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n";
@@ -92,6 +92,22 @@
     }
 }
 
+/// Guards against an answer that looks whole to a caller of version 1.0 because a worker's task ended.
+#[actix_rt::test]
+async fn the_end_of_a_worker_resets_open_ended_answers() {
+    let (server, _closed) = waiting("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n").await;
+    let bed = Bed::start(Script::to(server.address));
+    let mut caller = bed.caller().await;
+    caller.send(&GET.replace("1.1", "1.0")).await;
+    let mut buf = [0; 1_024];
+    while !caller.buf.ends_with(b"hello") {
+        let read = caller.io.read(&mut buf).await.unwrap();
+        caller.buf.extend(&buf[..read]);
+    }
+    bed.worker.abort();
+    assert!(caller.io.read(&mut buf).await.is_err(), "the connection is reset");
+}
+
 /// Guards against a next request, or a flood of them, that is taken for leaving or hides it.
 #[actix_rt::test]
 async fn a_pipelined_request_is_not_leaving() {
