--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -8,9 +8,10 @@
     },
     actix_codec::{Decoder, Encoder},
     actix_http::{
-        Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode,
+        Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Version,
         body::BodySize,
         h1::{ClientCodec, Message},
+        header::{self, HeaderMap},
     },
     bytes::{Bytes, BytesMut},
     std::{cell::RefCell, io, rc::Rc},
@@ -44,6 +45,8 @@
     codec: SharedCodec,
     buf: BytesMut,
     is_whole: bool,
+    /// Whether the server closes the connection after the answer.
+    closes: bool,
 }
 
 /// Writes the request.
@@ -77,7 +80,13 @@
         let (read, write) = io.into_split();
         let codec = Rc::new(RefCell::new(Some(ClientCodec::new(config))));
         Self {
-            reader: ServerReader { half: read, codec: codec.clone(), buf: BytesMut::new(), is_whole: false },
+            reader: ServerReader {
+                half: read,
+                codec: codec.clone(),
+                buf: BytesMut::new(),
+                is_whole: false,
+                closes: false,
+            },
             writer: ServerWriter { half: write, codec, out: BytesMut::new(), is_whole: false },
             lease,
         }
@@ -95,7 +104,8 @@
             writer.half.forget();
             return;
         }
-        if reader.buf.is_empty()
+        if !reader.closes
+            && reader.buf.is_empty()
             && keep_alive
             && let Ok(io) = reader.half.reunite(writer.half)
         {
@@ -124,6 +134,8 @@
                 Ok(Some(head)) => {
                     let framing = Framing::of_answer(method, &head).ok_or(NoAnswer::Bad)?;
                     self.is_whole = framing.is_empty();
+                    // The codec alone takes a connection of version 1.0 for one that stays.
+                    self.closes = head.version < Version::HTTP_11 || is_close(&head.headers);
                     return Ok((head, framing));
                 }
                 Ok(None) if self.buf.len() >= HEAD_LIMIT => return Err(NoAnswer::Bad),
@@ -197,3 +209,10 @@
         }
     }
 }
+
+/// Returns whether the connection options name `close`.
+fn is_close(headers: &HeaderMap) -> bool {
+    let mut options =
+        headers.get_all(header::CONNECTION).flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
--- a/crates/proxy/tests/outcomes.rs
+++ b/crates/proxy/tests/outcomes.rs
@@ -88,6 +88,16 @@
     assert_eq!(bed.call(GET).await.status, 200);
 }
 
+/// Guards against a body that is lost, or sent in part, when the first server refuses the connection.
+#[actix_rt::test]
+async fn a_body_that_nobody_read_goes_to_the_next_server() {
+    let (working, seen) = answering(OK).await;
+    let bed = Bed::start(Script { servers: vec![refusing(), working.address], ..Script::to(refusing()) });
+    assert_eq!(bed.call(POST).await.status, 200);
+    assert!(seen.borrow()[0].ends_with("\r\n\r\nhi"));
+    assert_eq!(bed.results(), [AttemptResult::RefusedBeforeWrite, AttemptResult::Complete]);
+}
+
 /// Guards against *unknown* for a request that the server shed, and against *not run* for any other 503.
 #[actix_rt::test]
 async fn only_a_shed_request_is_not_run() {
--- a/crates/proxy/tests/pool.rs
+++ b/crates/proxy/tests/pool.rs
@@ -49,12 +49,18 @@
 /// Guards against a connection that is used again though the server announced its close.
 #[actix_rt::test]
 async fn an_announced_close_is_heeded() {
-    let (server, _) = answering("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok").await;
-    let bed = Bed::start(Script::to(server.address));
-    for _ in 0..2 {
-        assert_eq!(bed.call(GET).await.status, 200);
+    for answer in [
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nconnection: x-hop, CLOSE\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok",
+    ] {
+        let (server, _) = answering(answer).await;
+        let bed = Bed::start(Script::to(server.address));
+        for _ in 0..2 {
+            assert_eq!(bed.call(GET).await.status, 200);
+        }
+        assert_eq!(server.connections.get(), 2, "{answer:?}");
     }
-    assert_eq!(server.connections.get(), 2);
 }
 
 /// Guards against more connections to a server than its share, and against waiters that are forgotten.
@@ -92,6 +98,24 @@
     assert_eq!(most.get(), 2);
 }
 
+/// Guards against *unknown* for a call whose deadline passed before there was a connection for it.
+#[actix_rt::test]
+async fn a_call_without_a_connection_is_not_run() {
+    let server = serve(|mut io, _| async move {
+        io.message(false).await;
+        pause(5_000).await;
+    })
+    .await;
+    let mut script = Script::to(server.address);
+    script.options.bound = Arc::new(ConnectionBound::new(1, 1, 1));
+    let bed = Bed::start(script);
+    let mut holder = bed.caller().await;
+    holder.send(GET).await;
+    assert!(within(Duration::from_secs(1), || server.connections.get() == 1).await);
+    let got = bed.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-deadline: 50\r\n\r\n").await;
+    assert_eq!((got.status, got.outcome()), (503, "not-run; deadline"));
+}
+
 /// Guards against connections that are never dropped, and against calls that pay for opening one.
 #[actix_rt::test]
 async fn idle_connections_expire_and_spare_ones_are_opened() {
