Name a host to servers when the caller named none

A caller of version 1.0 may leave out the host, and the request went on as version 1.1 without one (seen at a raw server), which is not valid. Also covers malformed chunks and the rest of refused requests.

--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -207,7 +207,7 @@
         };
         self.allow_body().await.map_err(Unsent::Told)?;
         let left = self.call.deadline.saturating_duration_since(Instant::now());
-        let head = headers::request_head(self.head, self.peer, left, self.call.depth, pass_allowance);
+        let head = headers::request_head(self.head, (self.peer, address), left, self.call.depth, pass_allowance);
         if connection.writer.start(head, self.body.framing().size()).is_err() {
             return Err(self.failed(&mut attempt, AttemptResult::RefusedBeforeWrite));
         }
@@ -236,7 +236,9 @@
         let ended = exchange.run(&mut connection).await;
         self.attempts += attempt.elapsed() - start;
         if progress.is_begun.get() && matches!(ended, Ended::Gone(_) | Ended::Expired) {
-            self.may_have_run = Some(UnknownReason::Timeout);
+            let is_malformed = matches!(ended, Ended::Gone(Gone::Malformed));
+            let reason = if is_malformed { UnknownReason::ConnectionLost } else { UnknownReason::Timeout };
+            self.may_have_run = Some(reason);
         }
         connection.release();
         match ended {
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -45,7 +45,7 @@
 /// Makes the head of a request to a server.
 pub(crate) fn request_head(
     from: &RequestHead,
-    caller: SocketAddr,
+    (caller, server): (SocketAddr, SocketAddr),
     left: Duration,
     depth: u8,
     pass_allowance: bool,
@@ -68,6 +68,10 @@
     if pass_allowance {
         head.headers.insert(ALLOWANCE, HeaderValue::from_static("1"));
     }
+    if !head.headers.contains_key(header::HOST) {
+        // A caller of version 1.0 may leave it out, but the request goes on as version 1.1.
+        append(&mut head.headers, header::HOST, &server.to_string());
+    }
     let ip = caller.ip();
     let node = if ip.is_ipv6() { format!("for=\"[{ip}]\";proto=http") } else { format!("for={ip};proto=http") };
     append(&mut head.headers, header::FORWARDED, &node);
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -135,6 +135,8 @@
         let got = bed.call(&format!("{target} HTTP/1.1\r\nhost: x\r\n\r\n")).await;
         assert_eq!(got.status, status, "{target}");
     }
+    assert_eq!(bed.call("GET /catalogue/a HTTP/1.0\r\n\r\n").await.status, 200);
+    assert!(seen.borrow_mut().pop().unwrap().contains(&format!("\r\nhost: {}\r\n", server.address)));
     let websocket = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: websocket\r\n\r\n";
     assert_eq!(bed.call(websocket).await.status, 400);
     assert_eq!(bed.call("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n").await.status, 400);
@@ -199,7 +201,12 @@
 /// Guards against a body that ends early and is passed on as whole.
 #[actix_rt::test]
 async fn a_body_that_is_cut_off_is_not_completed() {
-    for body in ["content-length: 9\r\n\r\nhello", "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n"] {
+    for body in [
+        "content-length: 9\r\n\r\nhello",
+        "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\nzz\r\n",
+        "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\nfffffffffffffffff\r\n",
+    ] {
         let (server, seen) = answering(OK).await;
         let bed = Bed::start(Script::to(server.address));
         let mut caller = bed.caller().await;
@@ -212,6 +219,23 @@
     }
 }
 
+/// Guards against the rest of a refused request that is taken for the next one, and against a body after HEAD.
+#[actix_rt::test]
+async fn refused_requests_leave_the_connection_in_step() {
+    let bed = Bed::start(Script::to(refusing()));
+    let mut caller = bed.caller().await;
+    let post = "POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: 60000\r\n\r\n";
+    for _ in 0..3 {
+        caller.send(post).await;
+        assert_eq!(caller.answer().await.outcome(), "not-run; refused");
+        caller.send(&"GET /catalogue/a ".repeat(4_000)[..60_000]).await;
+        caller.send("HEAD /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\nGET /other HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        assert_eq!(caller.message(true).await.unwrap().outcome(), "not-run; refused");
+        assert_eq!(caller.answer().await.outcome(), "not-run; unknown-service");
+    }
+    assert_eq!(bed.log.borrow().calls.len(), 6);
+}
+
 /// Guards against more callers than a worker is set up for.
 #[actix_rt::test]
 async fn callers_beyond_the_limit_are_refused_at_once() {
