--- a/crates/tools/src/compare.rs
+++ b/crates/tools/src/compare.rs
@@ -7,7 +7,10 @@
 };
 
 /// Disturbed rounds for each round that is wanted, after which a comparison ends with fewer.
-const MAX_DISTURBED: usize = 3;
+const MAX_DISTURBED: usize = 10;
+
+/// Time before each part in which connections are opened, so that opening them is not taken for latency.
+const WARM_UP: Duration = Duration::from_millis(100);
 
 /// Options of a comparison.
 #[derive(Clone, Debug)]
@@ -142,6 +145,7 @@
     let summary = load(LoadOptions {
         targets: targets.to_vec(),
         customers: vec![CustomerLoad { name: None, rate: row.rate }],
+        warm_up: WARM_UP,
         time: options.time,
         ..options.load.clone()
     })?;
--- a/crates/tools/src/load/options.rs
+++ b/crates/tools/src/load/options.rs
@@ -61,6 +61,8 @@
     pub timeout: Duration,
     /// Whether calls that are not idempotent carry an idempotency key.
     pub keys: bool,
+    /// Time before the run whose calls open connections and are not counted, unless they break a promise.
+    pub warm_up: Duration,
     /// Length of the run.
     pub time: Duration,
     /// Largest number of calls.
@@ -91,6 +93,7 @@
             deadline: None,
             timeout: Duration::from_secs(10),
             keys: false,
+            warm_up: Duration::ZERO,
             time: Duration::from_secs(5),
             calls: 10_000_000,
             in_flight: 10_000,
--- a/crates/tools/src/load/run.rs
+++ b/crates/tools/src/load/run.rs
@@ -53,7 +53,7 @@
         merge(&mut summary, &result.summary);
         denied.extend(result.denied);
     }
-    summary.elapsed = start.elapsed();
+    summary.elapsed = start.elapsed().saturating_sub(options.warm_up);
     if let Some(control) = options.control {
         let runtime = actix_rt::Runtime::new().change_context(ErrorKind::Io)?;
         summary.verification = Some(runtime.block_on(verify::verify(control, &denied))?);
--- a/crates/tools/src/load/schedule.rs
+++ b/crates/tools/src/load/schedule.rs
@@ -57,7 +57,7 @@
         let next: Vec<_> = next.collect();
         Self {
             arrivals: options.arrivals,
-            end: options.time.as_secs_f64(),
+            end: (options.warm_up + options.time).as_secs_f64(),
             rates,
             first: next.clone(),
             counts: vec![0; next.len()],
--- a/crates/tools/src/load/worker.rs
+++ b/crates/tools/src/load/worker.rs
@@ -56,7 +56,9 @@
         let limit = worker.options.in_flight / worker.options.threads;
         while let Some(due) = due.recv().await {
             let late = due.intended.elapsed();
-            worker.result.borrow_mut().summary.lateness.saturating_record(late.as_micros() as u64);
+            if due.arrival.at >= worker.options.warm_up {
+                worker.result.borrow_mut().summary.lateness.saturating_record(late.as_micros() as u64);
+            }
             if worker.in_flight.get() >= limit {
                 worker.result.borrow_mut().summary.total.unsent += 1;
                 continue;
@@ -87,6 +89,10 @@
         let outcome = tokio::time::timeout_at(end.into(), call.run(&self)).await;
         let outcome = outcome.unwrap_or_else(|_| CallOutcome::Unknown("given-up".into()));
         let latency = Instant::now().saturating_duration_since(due.intended);
+        self.in_flight.set(self.in_flight.get() - 1);
+        if due.arrival.at < self.options.warm_up && !matches!(outcome, CallOutcome::Fault(_)) {
+            return;
+        }
         let mut result = self.result.borrow_mut();
         if matches!(outcome, CallOutcome::NotRun(_)) && result.denied.len() < MAX_DENIED {
             result.denied.push(request.into());
@@ -96,6 +102,5 @@
             tally.record(outcome.clone(), latency);
         }
         result.summary.total.record(outcome, latency);
-        self.in_flight.set(self.in_flight.get() - 1);
     }
 }
