--- /dev/null
+++ b/crates/tools/tests/emulate.rs
@@ -0,0 +1,190 @@
+//! Behaviour of stand-in servers.
+
+use {
+    hemlockford_core::{dispatch::ServerState, registry::Announcement},
+    hemlockford_tools::{EmulateOptions, Emulation, ServiceTime},
+    slog::{Discard, Logger, o},
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::mpsc,
+        thread,
+        time::Duration,
+    },
+};
+
+/// Time for one exchange; far above what any takes.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+fn start(options: EmulateOptions) -> Emulation {
+    Emulation::start(options, Logger::root(Discard, o!())).expect("the servers start")
+}
+
+fn one_server() -> EmulateOptions {
+    let service_time = ServiceTime::Constant(Duration::from_millis(1));
+    EmulateOptions { servers: 1, slots: 1, service_time, ..EmulateOptions::default() }
+}
+
+/// Sends a request and returns the connection.
+fn send(address: SocketAddr, method: &str, path: &str, headers: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.set_read_timeout(Some(TIMEOUT)).expect("a timeout");
+    let head = format!("{method} {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{headers}\r\n");
+    stream.write_all(head.as_bytes()).expect("sent");
+    stream
+}
+
+fn exchange(address: SocketAddr, method: &str, path: &str) -> String {
+    read(send(address, method, path, ""))
+}
+
+fn read(stream: TcpStream) -> String {
+    String::from_utf8_lossy(&read_bytes(stream)).into()
+}
+
+fn read_bytes(mut stream: TcpStream) -> Vec<u8> {
+    let mut answer = Vec::new();
+    // A connection that is closed with unread bytes ends with an error.
+    let _ = stream.read_to_end(&mut answer);
+    answer
+}
+
+/// Returns the bytes after the head.
+fn body(answer: &[u8]) -> &[u8] {
+    let end = answer.windows(4).position(|end| end == b"\r\n\r\n").expect("a head");
+    &answer[end + 4..]
+}
+
+/// Switches the mode of every server.
+fn switch(emulation: &Emulation, query: &str) {
+    let answer = exchange(emulation.addresses().control, "POST", &format!("/control/all?{query}"));
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Waits until a count of the first server has a value.
+fn wait(emulation: &Emulation, count: &str, value: u32) {
+    for _ in 0..1_000 {
+        if emulation.executions()["servers"][0][count] == value {
+            return;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    panic!("{count} did not become {value}: {}", emulation.executions());
+}
+
+/// Guards against a stand-in server that takes calls beyond its bounds, which would make overload look
+/// harmless, and against counting what it refused as executed.
+#[test]
+fn bounds_are_kept() {
+    let emulation = start(EmulateOptions { connections: 2, ..one_server() });
+    let address = emulation.addresses().servers[0].address;
+    switch(&emulation, "mode=hung");
+    switch(&emulation, "mode=shed&bound=0");
+    let held = send(address, "GET", "/held", "");
+    wait(&emulation, "started", 1);
+    let shed = exchange(address, "GET", "/shed");
+    assert!(shed.starts_with("HTTP/1.1 503") && shed.contains("hemlockford-shed: 1"), "{shed}");
+    switch(&emulation, "mode=normal");
+    let late = read(send(address, "GET", "/late", "hemlockford-deadline: 20\r\n"));
+    assert!(late.starts_with("HTTP/1.1 503") && late.contains("hemlockford-shed: 1"), "{late}");
+    wait(&emulation, "connections", 1);
+    let waiting = send(address, "GET", "/waiting", "");
+    wait(&emulation, "connections", 2);
+    assert_eq!(exchange(address, "GET", "/over"), "");
+    drop(held);
+    assert!(read(waiting).starts_with("HTTP/1.1 200"));
+    let counts = emulation.executions();
+    assert_eq!(counts["executions"]["total"], 2, "{counts}");
+    assert_eq!(counts["servers"][0]["shed"], 2, "{counts}");
+    assert_eq!(counts["servers"][0]["refused_connections"], 1, "{counts}");
+}
+
+/// Guards against modes that do nothing, so that a test with them would prove nothing.
+#[test]
+fn modes_take_effect() {
+    let emulation = start(one_server());
+    let address = emulation.addresses().servers[0].address;
+    assert!(exchange(address, "GET", "/a").contains("hemlockford-load: 1/1"));
+    switch(&emulation, "mode=report&fixed=7");
+    assert!(exchange(address, "GET", "/a").contains("hemlockford-load: 7/1"));
+    switch(&emulation, "mode=report");
+    assert!(!exchange(address, "GET", "/a").contains("hemlockford-load"));
+    switch(&emulation, "mode=fail-fast");
+    assert!(exchange(address, "GET", "/a").starts_with("HTTP/1.1 500"));
+    switch(&emulation, "mode=normal");
+    switch(&emulation, "mode=cut&body=length");
+    let cut = read_bytes(send(address, "GET", "/a", ""));
+    assert!(String::from_utf8_lossy(&cut).contains("content-length: 1000"));
+    assert_eq!(body(&cut).len(), 500);
+    switch(&emulation, "mode=cut&body=chunked");
+    let cut = read_bytes(send(address, "GET", "/a", ""));
+    assert!(String::from_utf8_lossy(&cut).contains("transfer-encoding: chunked"));
+    assert!(body(&cut).len() > 500 && !cut.ends_with(b"0\r\n\r\n"));
+    switch(&emulation, "mode=crash");
+    wait(&emulation, "connections", 0);
+    let refused = || TcpStream::connect(address).is_err();
+    assert!(
+        (0..1_000).any(|_| refused() || {
+            thread::sleep(Duration::from_millis(5));
+            false
+        }),
+        "still listens"
+    );
+    switch(&emulation, "mode=restart");
+    switch(&emulation, "mode=normal");
+    let answered = || TcpStream::connect(address).is_ok();
+    assert!(
+        (0..1_000).any(|_| answered() || {
+            thread::sleep(Duration::from_millis(5));
+            false
+        }),
+        "is still down"
+    );
+    assert!(exchange(address, "GET", "/a").starts_with("HTTP/1.1 200"));
+    let control = emulation.addresses().control;
+    assert!(exchange(control, "POST", "/control/nosuch?mode=normal").starts_with("HTTP/1.1 404"));
+    assert!(exchange(control, "POST", "/control/all?mode=nosuch").starts_with("HTTP/1.1 400"));
+}
+
+/// Guards against announcements that stop when one entry is gone, that repeat a sequence number, or that
+/// do not say at once that the server leaves.
+#[test]
+fn announcements_go_to_an_entry_that_answers() {
+    let gone = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let entry = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let entries = [&gone, &entry].map(|listener| listener.local_addr().expect("an address")).into();
+    drop(gone);
+    let (tx, received) = mpsc::channel();
+    thread::spawn(move || {
+        for stream in entry.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut request = Vec::new();
+            let mut buf = [0; 4_096];
+            let announcement: Announcement = loop {
+                let length = stream.read(&mut buf).expect("a request");
+                assert!(length > 0, "the request ended early");
+                request.extend_from_slice(&buf[..length]);
+                let text = String::from_utf8_lossy(&request);
+                let body = text.split_once("\r\n\r\n").map(|(_, body)| body.to_owned());
+                if let Some(announcement) = body.and_then(|body| serde_json::from_str(&body).ok()) {
+                    break announcement;
+                }
+            };
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n").expect("answered");
+            if tx.send(announcement).is_err() {
+                return;
+            }
+        }
+    });
+    let emulation = start(EmulateOptions { entries, ..one_server() });
+    let next = || received.recv_timeout(TIMEOUT).expect("an announcement");
+    let first = next();
+    assert_eq!((first.state, first.sequence, first.slots), (ServerState::Ready, 1, 1));
+    assert_eq!(first.address, emulation.addresses().servers[0].address);
+    switch(&emulation, "mode=leaving");
+    let leaving = (0..3).map(|_| next()).find(|next| next.state == ServerState::Leaving).expect("it leaves");
+    assert!(leaving.sequence > first.sequence && leaving.incarnation == first.incarnation);
+    switch(&emulation, "mode=restart");
+    let again = (0..3).map(|_| next()).find(|next| next.state == ServerState::Ready).expect("it is back");
+    assert!(again.sequence == 1 && again.incarnation > first.incarnation);
+}
