Install signal handlers before a process says that it is ready

Cause: a signal that came between the ready line and the handlers ended or missed the process; a trial script waited for such a process until it was killed.

--- a/crates/hemlockford/src/demo.rs
+++ b/crates/hemlockford/src/demo.rs
@@ -1,7 +1,7 @@
 //! The command `demo`.
 
 use {
-    crate::{command::DemoArguments, exit::Exit, local::Local, log::logger, stop::stop_signal},
+    crate::{command::DemoArguments, exit::Exit, local::Local, log::logger, stop::StopSignals},
     hemlockford_core::errors::Result,
     hemlockford_tools::EmulateOptions,
     std::time::Duration,
@@ -24,6 +24,7 @@
 pub(crate) fn demo(arguments: &DemoArguments) -> Result<Exit> {
     let log = logger(arguments.log);
     actix_rt::System::new().block_on(async {
+        let mut signals = StopSignals::install()?;
         let options = EmulateOptions { servers: arguments.servers, answer_bytes: 0, ..EmulateOptions::default() };
         let local = Local::start(TEXT, options, &log).await?;
         let addresses = local.addresses();
@@ -36,9 +37,9 @@
         println!("  curl http://{control}/executions");
         println!("Admin listener: http://{}", addresses.admin);
         match arguments.time {
-            Some(time) => drop(actix_rt::time::timeout(time.max(Duration::from_millis(1)), stop_signal()).await),
+            Some(time) => drop(actix_rt::time::timeout(time.max(Duration::from_millis(1)), signals.wait()).await),
             None => {
-                stop_signal().await?;
+                signals.wait().await;
             }
         }
         local.stop();
--- a/crates/hemlockford/src/emulate.rs
+++ b/crates/hemlockford/src/emulate.rs
@@ -6,7 +6,7 @@
         exit::Exit,
         log::logger,
         run::print_line,
-        stop::{Stop, stop_signal},
+        stop::{Stop, StopSignals},
     },
     hemlockford_core::errors::{Result, invalid_input},
     hemlockford_tools::{EmulateOptions, Emulation, emulate::Behaviour},
@@ -45,9 +45,10 @@
         seed: arguments.seed,
     };
     actix_rt::System::new().block_on(async {
+        let mut signals = StopSignals::install()?;
         let emulation = Emulation::start(options, log)?;
         print_line(emulation.addresses())?;
-        if stop_signal().await? == Stop::Graceful {
+        if signals.wait().await == Stop::Graceful {
             emulation.leave(linger, FINISH_LIMIT).await;
         }
         print_line(&emulation.executions())?;
--- a/crates/hemlockford/src/run.rs
+++ b/crates/hemlockford/src/run.rs
@@ -1,7 +1,7 @@
 //! The command `run`.
 
 use {
-    crate::{command::RunArguments, exit::Exit, log::logger, stop::stop_signal, text::read},
+    crate::{command::RunArguments, exit::Exit, log::logger, stop::StopSignals, text::read},
     error_stack::ResultExt,
     hemlockford_core::errors::{ErrorKind, Result},
     hemlockford_instance::{Instance, Settings},
@@ -21,12 +21,13 @@
         }
     };
     actix_rt::System::new().block_on(async {
+        let mut signals = StopSignals::install()?;
         let instance = Instance::start(&settings)?;
         let addresses = instance.addresses();
         print_line(addresses)?;
         info!(log, "instance started";
             "id" => &*addresses.id, "callers" => %addresses.callers, "admin" => %addresses.admin);
-        let stop = stop_signal().await?;
+        let stop = signals.wait().await;
         info!(log, "instance is stopping"; "signal" => ?stop);
         instance.stop();
         Ok(Exit::Ok)
--- a/crates/hemlockford/src/stop.rs
+++ b/crates/hemlockford/src/stop.rs
@@ -1,7 +1,7 @@
 //! Signals that stop a process.
 
 use {
-    actix_rt::signal::unix::{SignalKind, signal},
+    actix_rt::signal::unix::{Signal, SignalKind, signal},
     error_stack::ResultExt,
     hemlockford_core::errors::{ErrorKind, Result},
     std::{future::poll_fn, task::Poll},
@@ -16,15 +16,31 @@
     AtOnce,
 }
 
-/// Waits for SIGTERM or SIGINT.
-pub(crate) async fn stop_signal() -> Result<Stop> {
-    let mut terminate = signal(SignalKind::terminate()).change_context(ErrorKind::Io)?;
-    let mut interrupt = signal(SignalKind::interrupt()).change_context(ErrorKind::Io)?;
-    Ok(poll_fn(|cx| {
-        if terminate.poll_recv(cx).is_ready() {
-            return Poll::Ready(Stop::Graceful);
-        }
-        interrupt.poll_recv(cx).map(|_| Stop::AtOnce)
-    })
-    .await)
+/// Signals that stop a process, from the time at which this value is made.
+///
+/// It is made before a process says that it is ready, because a signal without a handler would end it
+/// without a graceful stop.
+pub(crate) struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers; needs a runtime.
+    pub(crate) fn install() -> Result<Self> {
+        let terminate = signal(SignalKind::terminate()).change_context(ErrorKind::Io)?;
+        let interrupt = signal(SignalKind::interrupt()).change_context(ErrorKind::Io)?;
+        Ok(Self { terminate, interrupt })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    pub(crate) async fn wait(&mut self) -> Stop {
+        poll_fn(|cx| {
+            if self.terminate.poll_recv(cx).is_ready() {
+                return Poll::Ready(Stop::Graceful);
+            }
+            self.interrupt.poll_recv(cx).map(|_| Stop::AtOnce)
+        })
+        .await
+    }
 }
