--- a/crates/hemlockford/src/run.rs
+++ b/crates/hemlockford/src/run.rs
@@ -5,7 +5,7 @@
         command::RunArguments,
         exit::Exit,
         log::logger,
-        stop::{Stop, stop_signal},
+        stop::{Stop, StopSignals},
         text::read,
     },
     error_stack::ResultExt,
@@ -27,13 +27,14 @@
         }
     };
     actix_rt::System::new().block_on(async {
+        let mut signals = StopSignals::install()?;
         let mut instance = Instance::start(&settings, &log)?;
         let addresses = instance.addresses();
         print_line(addresses)?;
         info!(log, "instance started"; "id" => &*addresses.id, "callers" => %addresses.callers,
             "admin" => %addresses.admin, "listen" => %addresses.listen);
         tokio::select! {
-            stop = stop_signal() => match stop? {
+            stop = signals.wait() => match stop {
                 Stop::Graceful => instance.shut_down().await,
                 Stop::AtOnce => instance.stop(),
             },
