Answer heartbeats while a write is pending

Cause: a follower held back every answer to the leader until its pending writes were durable, so that an fsync longer than the election timeout looked like a lost replica and the leader stepped down. Seen as keyed bookings refused as not run: on a disk shared with builds (fsync p90 158 ms, maximum 465 ms in a trial) five instances changed their leader 12 times in 30 s. Ruled out: lost messages, as heartbeats over UDP showed every peer live throughout.

A follower now answers at once with what is durable, if the term is durable too, and again once the writes are.

--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -36,9 +36,21 @@
             self.commit = commit;
             self.apply(actions);
         }
+        self.report_durable(&from, round, end, actions);
         self.promise(from, MessageBody::Appended { round, index: end, conflict: false }, actions);
     }
 
+    /// Answers at once with what is durable while writes are pending. The leader steps down without answers
+    /// of a majority, so that a slow fsync must not look like a lost replica.
+    fn report_durable(&self, to: &InstanceId, round: u64, end: LogIndex, actions: &mut Vec<ConsensusAction>) {
+        // The answer counts entries for the leader of this term, which must be remembered after a crash.
+        if !self.writes.is_idle() && self.writes.is_vote_durable() {
+            let index = self.writes.durable_index.min(end);
+            let message = self.message(MessageBody::Appended { round, index, conflict: false });
+            actions.push(ConsensusAction::Send { to: to.clone(), message });
+        }
+    }
+
     /// Appends the entries that the log does not contain yet, in place of those that differ.
     fn take_entries(&mut self, entries: Vec<Entry>, actions: &mut Vec<ConsensusAction>) -> bool {
         let mut fresh = Vec::new();
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -230,7 +230,7 @@
     }
 
     pub(super) fn save_vote(&mut self, effect: Effect, actions: &mut Vec<ConsensusAction>) {
-        let sequence = self.writes.issue(effect);
+        let sequence = self.writes.issue_vote(effect);
         actions.push(ConsensusAction::SaveVote { sequence, vote: self.vote.clone() });
     }
 
--- a/crates/core/src/consensus/writes.rs
+++ b/crates/core/src/consensus/writes.rs
@@ -36,6 +36,8 @@
     /// Last entry up to which the log is durable.
     pub durable_index: LogIndex,
     issued: u64,
+    /// Sequence of the last write of the vote.
+    vote: u64,
     pending: VecDeque<(u64, Effect)>,
     held: VecDeque<(u64, Held)>,
 }
@@ -51,6 +53,15 @@
         self.issued
     }
 
+    pub fn issue_vote(&mut self, effect: Effect) -> u64 {
+        self.vote = self.issue(effect);
+        self.vote
+    }
+
+    pub fn is_vote_durable(&self) -> bool {
+        self.pending.front().is_none_or(|(sequence, _)| *sequence > self.vote)
+    }
+
     pub fn is_idle(&self) -> bool {
         self.pending.is_empty()
     }
