--- a/crates/tools/src/load/worker.rs
+++ b/crates/tools/src/load/worker.rs
@@ -37,6 +37,26 @@
     pub(super) denied: Vec<Box<str>>,
 }
 
+/// Counts a call as in flight until it is dropped, also by a panic.
+struct InFlight(Rc<Worker>);
+
+impl InFlight {
+    fn new(worker: Rc<Worker>) -> Self {
+        worker.in_flight.set(worker.in_flight.get() + 1);
+        Self(worker)
+    }
+
+    async fn call(self, due: Due) {
+        self.0.call(due).await;
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
 impl Worker {
     pub(super) fn new(options: Arc<LoadOptions>, methods: Vec<Method>, run_id: Box<str>) -> Self {
         let summary = LoadSummary::new(options.seed);
@@ -63,8 +83,7 @@
                 worker.result.borrow_mut().summary.total.unsent += 1;
                 continue;
             }
-            worker.in_flight.set(worker.in_flight.get() + 1);
-            actix_rt::spawn(worker.clone().call(due));
+            actix_rt::spawn(InFlight::new(worker.clone()).call(due));
         }
         while worker.in_flight.get() > 0 {
             actix_rt::time::sleep(Duration::from_millis(1)).await;
@@ -82,14 +101,13 @@
         self.idle.borrow_mut().entry(address).or_default().push(connection);
     }
 
-    async fn call(self: Rc<Self>, due: Due) {
+    async fn call(&self, due: Due) {
         let request = format!("{}-{}", self.run_id, due.arrival.number);
-        let call = Call::new(&self, &due, &request);
+        let call = Call::new(self, &due, &request);
         let end = due.intended + self.options.timeout;
-        let outcome = tokio::time::timeout_at(end.into(), call.run(&self)).await;
+        let outcome = tokio::time::timeout_at(end.into(), call.run(self)).await;
         let outcome = outcome.unwrap_or_else(|_| CallOutcome::Unknown("given-up".into()));
         let latency = Instant::now().saturating_duration_since(due.intended);
-        self.in_flight.set(self.in_flight.get() - 1);
         if due.arrival.at < self.options.warm_up && !matches!(outcome, CallOutcome::Fault(_)) {
             return;
         }
