--- a/crates/hemlockford/tests/processes/path.rs
+++ b/crates/hemlockford/tests/processes/path.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        process::Process,
+        process::{Process, run},
         relay::Relay,
         system::{Servers, System, get},
     },
@@ -113,3 +113,27 @@
     one.send_to(b"lost", relay.address()).expect("sent");
     assert!(other.recv_from(&mut buf).is_err(), "a datagram passed a cut link");
 }
+
+/// Guards against a comparison that reports figures without calls behind them, in one process or between
+/// processes.
+#[test]
+fn the_comparison_counts_both_paths() {
+    let system = System::start();
+    let servers = system.servers(&["--servers", "2", "--slots", "8", "--service-time", "0us"]);
+    let csv = system.file("added.csv", "");
+    let csv_path = csv.to_string_lossy();
+    // The limit lets every round count, since a shared machine may be busy and no latency is judged here.
+    let common = ["bench", "added", "--rate", "200", "--time", "300ms", "--rounds", "2", "--late-limit", "60s"];
+    let addresses = ["--entry", &system.callers, "--server", &servers.addresses[0], "--server", &servers.addresses[1]];
+    for between in [&addresses[..], &[]] {
+        let ended = run(&[&common[..], between, &["--arrivals", "constant", "--csv", &csv_path]].concat());
+        assert_eq!(ended.code, 0, "{ended:?}");
+        let lines = std::fs::read_to_string(&csv).expect("the CSV");
+        let (title, row) = lines.trim().split_once('\n').expect("a title and a row");
+        let value = |name: &str| {
+            let index = title.split(',').position(|column| column == name).expect("a column");
+            row.split(',').nth(index).expect("a value").to_owned()
+        };
+        assert_eq!([value("rate"), value("direct_good"), value("through_good")], ["200", "120", "120"], "{lines}");
+    }
+}
