Let connections rest after an answer

A seeded run of 30 callers against faulty servers delivered the second answer of a server to the next caller: the bytes arrived after the connection was checked and used again. Traced to a server without TCP_NODELAY, whose second write waits for a delayed acknowledgement of about 40 ms. A rest of 1 ms now lets bytes that follow an answer directly arrive before the check.

Ruled out: buffered bytes in the proxy (the connection had none) and stale readiness of the socket (the bytes were not there yet).

--- a/crates/proxy/src/options.rs
+++ b/crates/proxy/src/options.rs
@@ -67,6 +67,9 @@
     pub connect_timeout: Duration,
     /// Time for which an idle connection to a server is kept.
     pub idle_timeout: Duration,
+    /// Time for which a connection rests after an answer. A faulty server may send bytes beyond an answer, which
+    /// cannot be told from the answer to the next request if they arrive after that was written.
+    pub rest: Duration,
     /// Age up to which an idle connection may carry a non-idempotent request. A server may close an
     /// idle connection just as a request is written, and then it is not known whether it ran.
     pub fresh_age: Duration,
@@ -86,6 +89,7 @@
             callers: 4_096,
             connect_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(30),
+            rest: Duration::from_millis(1),
             fresh_age: Duration::from_millis(100),
             warm_per_server: 1,
             bound: Arc::new(ConnectionBound::new(250, 1, 1)),
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -3,7 +3,7 @@
 use {
     crate::{connection::Connection, counters::ProxyCounters, options::ProxyOptions},
     actix_http::ServiceConfig,
-    actix_rt::time::timeout,
+    actix_rt::time::{sleep, timeout},
     hemlockford_core::collections::FastMap,
     std::{
         cell::RefCell,
@@ -30,6 +30,14 @@
     freed: Rc<Notify>,
 }
 
+/// What there is for a call among the idle connections.
+enum Taken {
+    Connection(TcpStream),
+    /// None yet, and there is no room to open one.
+    Resting(Duration),
+    Nothing,
+}
+
 /// Connections of one worker to all servers.
 #[derive(Clone)]
 pub(crate) struct Pool {
@@ -53,11 +61,16 @@
     /// Takes an idle connection that is young enough and that the server has not closed, or opens one.
     pub(crate) async fn acquire(&self, address: SocketAddr, fresh: bool) -> io::Result<Connection> {
         let lease = self.lease(address).await;
-        if let Some(io) = self.take(address, fresh) {
-            self.counters.reused.inc();
-            return Ok(Connection::new(io, self.config.clone(), lease));
-        }
-        let io = self.open(address).await?;
+        let io = loop {
+            match self.take(address, fresh) {
+                Taken::Connection(io) => {
+                    self.counters.reused.inc();
+                    break io;
+                }
+                Taken::Resting(left) => sleep(left).await,
+                Taken::Nothing => break self.open(address).await?,
+            }
+        };
         Ok(Connection::new(io, self.config.clone(), lease))
     }
 
@@ -102,23 +115,29 @@
         }
     }
 
-    fn take(&self, address: SocketAddr, fresh: bool) -> Option<TcpStream> {
-        let max_age = if fresh { self.options.fresh_age } else { self.options.idle_timeout };
+    fn take(&self, address: SocketAddr, fresh: bool) -> Taken {
+        let ProxyOptions { rest, fresh_age, idle_timeout, bound, .. } = &*self.options;
+        let max_age = if fresh { fresh_age } else { idle_timeout };
         let mut servers = self.servers.borrow_mut();
-        let server = servers.get_mut(&address)?;
-        while let Some((since, io)) = server.idle.pop() {
-            if since.elapsed() > max_age {
-                // It and the older ones stay for requests that may be repeated, if the bound allows.
-                server.idle.push((since, io));
-                break;
-            }
+        let Some(server) = servers.get_mut(&address) else { return Taken::Nothing };
+        let mut next = server.idle.partition_point(|(since, _)| since.elapsed() >= *rest);
+        while next > 0 && server.idle[next - 1].0.elapsed() <= *max_age {
+            next -= 1;
+            let (_, io) = server.idle.remove(next);
             if is_open(&io) {
-                return Some(io);
+                return Taken::Connection(io);
+            }
+        }
+        // Older ones stay for requests that may be repeated, if the bound allows.
+        let excess = (server.in_use + server.idle.len()).saturating_sub(bound.per_worker());
+        let resting = server.idle.get(next).map(|(since, _)| rest.saturating_sub(since.elapsed()));
+        match resting {
+            Some(left) if excess > next => Taken::Resting(left),
+            _ => {
+                server.idle.drain(..excess.min(next));
+                Taken::Nothing
             }
         }
-        let excess = (server.in_use + server.idle.len()).saturating_sub(self.options.bound.per_worker());
-        server.idle.drain(..excess.min(server.idle.len()));
-        None
     }
 
     async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -156,10 +156,16 @@
             }
         })
         .await;
-        let bed = Bed::start(Script::to(server.address));
-        for number in 0..3 {
-            assert_eq!(bed.call(GET).await.body, number.to_string().as_bytes());
-            pause(40).await;
+        // The next call comes when the bytes are there, or so soon that only the rest keeps it away from them.
+        for (rest, wait) in [(0, 40), (60, 0)] {
+            let first = server.connections.get();
+            let mut script = Script::to(server.address);
+            script.options.rest = Duration::from_millis(rest);
+            let bed = Bed::start(script);
+            for number in first..first + 3 {
+                assert_eq!(bed.call(GET).await.body, number.to_string().as_bytes(), "{delay:?} {rest}");
+                pause(wait).await;
+            }
         }
     }
 }
@@ -209,3 +215,70 @@
         assert_eq!(caller.answer().await.body, path.as_bytes());
     }
 }
+
+/// Guards against answers that change hands when many callers meet every fault of servers at once.
+#[actix_rt::test]
+async fn no_caller_gets_a_part_of_the_answer_to_another() {
+    let server = serve(|mut io, _| async move {
+        while let Some(request) = io.message(false).await {
+            let path = request.head.split(' ').nth(1).unwrap().to_owned();
+            let body = path.repeat(200);
+            let whole = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+            let chunked =
+                format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n", body.len());
+            match path.rsplit('/').next() {
+                Some("cut") => return io.send(&whole[..whole.len() / 2]).await,
+                Some("cut-chunks") => return io.send(&chunked).await,
+                Some("close") => return,
+                Some("late") => pause(60).await,
+                Some("beyond") => io.send(&whole).await,
+                Some("chunks") => {
+                    io.send(&format!("{chunked}0\r\n\r\n")).await;
+                    continue;
+                }
+                _ => {}
+            }
+            io.send(&whole).await;
+        }
+    })
+    .await;
+    // Bytes beyond an answer are noticed if they come within the rest, which the server's two writes do. Without
+    // TCP_NODELAY the second write waits for a delayed acknowledgement of the first, about 40 ms.
+    let mut script = Script::to(server.address);
+    script.options.rest = Duration::from_millis(30);
+    let bed = std::rc::Rc::new(Bed::start(script));
+    let faults = ["none", "chunks", "none", "cut", "cut-chunks", "close", "late", "beyond"];
+    for seed in [1_u64, 2, 3] {
+        println!("seed {seed}");
+        let callers: Vec<_> = (0..30)
+            .map(|caller| {
+                let bed = bed.clone();
+                actix_rt::spawn(async move {
+                    let (mut state, mut whole) = (seed * 1_000 + caller, 0);
+                    let mut io = bed.caller().await;
+                    for number in 0..20 {
+                        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+                        let path = format!("/catalogue/{caller}-{number}/{}", faults[(state >> 60) as usize % 8]);
+                        io.send(&format!("GET {path} HTTP/1.1\r\nhost: x\r\nhemlockford-deadline: 40\r\n\r\n")).await;
+                        match io.message(false).await {
+                            Some(got) if got.outcome() == "answered" => {
+                                let is_own = got.body == path.repeat(200).as_bytes();
+                                assert!(is_own, "seed {seed}, {path}: {:?}", String::from_utf8_lossy(&got.body[..40]));
+                                whole += 1;
+                            }
+                            Some(got) => assert!(got.status >= 500, "{}", got.head),
+                            None => io = bed.caller().await,
+                        }
+                    }
+                    whole
+                })
+            })
+            .collect();
+        let mut whole = 0;
+        for caller in callers {
+            whole += caller.await.unwrap();
+        }
+        println!("{whole} whole answers of {}", 30 * 20);
+        assert!(whole > 0);
+    }
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -45,7 +45,7 @@
             servers: vec![server],
             hold: false,
             pass_allowance: false,
-            options: ProxyOptions { warm_per_server: 0, ..ProxyOptions::default() },
+            options: ProxyOptions { warm_per_server: 0, rest: Duration::ZERO, ..ProxyOptions::default() },
             claims: None,
         }
     }
@@ -181,6 +181,7 @@
     let count = connections.clone();
     actix_rt::spawn(async move {
         while let Ok((io, _)) = listener.accept().await {
+            io.set_nodelay(true).unwrap();
             let number = count.replace(count.get() + 1);
             actix_rt::spawn(handle(Caller { io, buf: Vec::new() }, number));
         }
