--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -1,7 +1,7 @@
 //! What a request head says to the system.
 
 use {
-    crate::{framing::Framing, headers},
+    crate::{framing::Framing, headers, options::KEPT_BODY_LIMIT},
     actix_http::{
         Method, RequestHead, Version,
         header::{self, HeaderName},
@@ -66,7 +66,7 @@
     if key.is_some_and(|key| key.is_empty() || key.len() > KEY_LIMIT) {
         return Err(bad("idempotency-key is not a key of 1 to 255 characters"));
     }
-    let is_small = framing.is_empty() || matches!(framing, Framing::Sized(length) if length <= KEPT);
+    let is_small = framing.is_empty() || matches!(framing, Framing::Sized(length) if length <= KEPT_BODY_LIMIT as u64);
     let expects_continue = head.version == Version::HTTP_11
         && head.headers.get(header::EXPECT).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"));
     let call = Call {
@@ -83,8 +83,6 @@
     Ok(Parsed { call, framing, key: key.map(Into::into), expects_continue })
 }
 
-const KEPT: u64 = crate::options::KEPT_BODY_LIMIT as u64;
-
 fn bad(detail: &'static str) -> Refusal {
     Refusal { reason: NotRunReason::BadRequest, detail }
 }
