Check promises, own-term commits, elections and hand-over

Trials with rules removed from the state machine showed what the matrix did not notice: votes, vote requests and admissions before their fsync, and commits of an earlier term. The checks now compare each promise with what is durable on the fake disk and each commit with the leader's term, and notice all four.

--- a/crates/scenario/src/fakes/checks.rs
+++ b/crates/scenario/src/fakes/checks.rs
@@ -27,6 +27,10 @@
     RefusedApplied(u64),
     /// A replica that has not applied its own admission voted or claimed to count.
     CountedWithoutAdmission(InstanceId),
+    /// A replica promised something that was not durable.
+    PromisedBeforeDurable(InstanceId),
+    /// A leader committed up to an entry of an earlier term.
+    CommittedEarlierTerm(LogIndex),
     /// The state machine found an invariant broken.
     Broken(&'static str),
     /// No progress within the bound after all faults ended.
@@ -83,6 +87,16 @@
         }
     }
 
+    /// Checks that what a leader commits ends in its own term; `before` is what it had committed before.
+    pub fn committed(&mut self, node: &Node, before: LogIndex) {
+        let Some(consensus) = node.consensus.as_ref().filter(|consensus| consensus.is_leader()) else { return };
+        let index = consensus.commit_index();
+        let entry = node.disk.cached.entries.iter().find(|entry| entry.index == index);
+        if index > before && entry.is_some_and(|entry| entry.term != consensus.term()) {
+            self.report(Violation::CommittedEarlierTerm(index));
+        }
+    }
+
     /// Whether the replica has applied its own admission since its folder was last lost.
     pub fn is_admitted(&self, node: &Node) -> bool {
         self.admitted.contains(&(node.replica.clone(), node.disk.incarnation))
@@ -107,6 +121,9 @@
         if is_counting && !self.is_admitted(node) {
             return self.report(Violation::CountedWithoutAdmission(node.replica.clone()));
         }
+        if !is_durable(node, to, message) {
+            self.report(Violation::PromisedBeforeDurable(node.replica.clone()));
+        }
         if is_vote {
             self.votes.insert((message.term, to.clone(), node.replica.clone()));
         }
@@ -179,3 +196,28 @@
         self.report(violation);
     }
 }
+
+/// Whether what a message promises is durable.
+fn is_durable(node: &Node, to: &InstanceId, message: &Message) -> bool {
+    let image = &node.disk.durable;
+    let voted_for = |replica: &InstanceId| {
+        let held = image.vote.voted_for.as_ref();
+        image.vote.term > message.term
+            || image.vote.term == message.term && held.is_some_and(|member| member.replica == *replica)
+    };
+    let is_body_durable = match &message.body {
+        MessageBody::Vote { granted: true, .. } => voted_for(to),
+        MessageBody::VoteRequest { .. } => voted_for(&node.replica),
+        MessageBody::Appended { index, conflict: false, .. } => {
+            let snapshot = image.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+            let last = image.entries.last().map_or(snapshot, |entry| entry.index.max(snapshot));
+            *index <= last || image.vote.term > message.term
+        }
+        // A higher ballot that the replica has agreed to since holds the promise as well.
+        MessageBody::Hello { binding: Some(binding), .. } => {
+            image.vote.binding.as_ref().is_some_and(|held| held == binding || held.ballot > binding.ballot)
+        }
+        _ => true,
+    };
+    is_body_durable && (!message.admitted || image.vote.admitted)
+}
--- a/crates/scenario/src/fakes/cluster.rs
+++ b/crates/scenario/src/fakes/cluster.rs
@@ -4,7 +4,7 @@
     super::{Checks, FakeMachine, FakeNet, Node, Write},
     hemlockford_core::{
         consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Message},
-        ids::InstanceId,
+        ids::{InstanceId, LogIndex},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{
@@ -210,7 +210,7 @@
         let rng = SmallRng::seed_from_u64(seed);
         at.consensus = Some(Consensus::new(now, options, at.disk.recover(), rng, &mut actions));
         self.schedule(TICK, Step::Tick(node, run));
-        self.carry_out(node, actions);
+        self.carry_out(node, actions, LogIndex::MAX);
     }
 
     /// Ends a process; the first unsynced writes may survive. It is started again a little later.
@@ -266,14 +266,15 @@
 
     fn handle(&mut self, node: usize, event: ConsensusEvent) {
         let now = self.start + self.now;
-        let mut actions = Vec::new();
+        let (mut actions, mut before) = (Vec::new(), 0);
         if let Some(consensus) = &mut self.nodes[node].consensus {
+            before = consensus.commit_index();
             consensus.handle(now, event, &mut actions);
         }
-        self.carry_out(node, actions);
+        self.carry_out(node, actions, before);
     }
 
-    fn carry_out(&mut self, node: usize, actions: Vec<ConsensusAction>) {
+    fn carry_out(&mut self, node: usize, actions: Vec<ConsensusAction>, committed_before: LogIndex) {
         let is_stopped = actions.contains(&ConsensusAction::Stopped);
         for action in &actions {
             let write = match action.clone() {
@@ -285,6 +286,7 @@
             };
             self.nodes[node].disk.write(write.0, write.1);
         }
+        self.checks.committed(&self.nodes[node], committed_before);
         self.checks.note_admission(&self.nodes[node]);
         for action in actions {
             self.carry_out_one(node, action);
--- /dev/null
+++ b/crates/scenario/tests/election.rs
@@ -0,0 +1,79 @@
+//! Elections and hand-over on the virtual clock.
+
+use {
+    hemlockford_core::consensus::{Consensus, ConsensusOptions, ProposalResult},
+    hemlockford_scenario::fakes::{Cluster, ClusterOptions},
+    std::time::Duration,
+};
+
+fn settled(replicas: usize, seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(ClusterOptions { replicas, seed, ..ClusterOptions::default() });
+    cluster.run_for(Duration::from_secs(2));
+    cluster.run_for_quietly(Duration::from_millis(300));
+    assert!(cluster.is_settled(), "seed {seed}");
+    cluster
+}
+
+fn term(cluster: &Cluster) -> Option<u64> {
+    cluster.leader().and_then(|leader| cluster.nodes[leader].consensus.as_ref().map(Consensus::term))
+}
+
+/// Guards against a replica that was cut off, in one direction or both, and deposes the leader when it
+/// comes back or while it hears nobody.
+#[test]
+fn returning_replica_does_not_depose_the_leader() {
+    for (seed, is_deaf, is_mute) in [(1, true, true), (2, true, false), (3, false, true)] {
+        let mut cluster = settled(3, seed);
+        let (leader, before) = (cluster.leader(), term(&cluster));
+        let follower = (leader.unwrap() + 1) % 3;
+        for other in 0..3 {
+            cluster.net.cuts.extend(is_deaf.then_some((other, follower)));
+            cluster.net.cuts.extend(is_mute.then_some((follower, other)));
+        }
+        cluster.run_for(Duration::from_secs(5));
+        assert_eq!((cluster.leader(), term(&cluster)), (leader, before), "seed {seed}, cut off");
+        cluster.heal();
+        cluster.run_for(Duration::from_secs(5));
+        assert_eq!((cluster.leader(), term(&cluster)), (leader, before), "seed {seed}, back");
+        assert_eq!(cluster.checks.violations, []);
+    }
+}
+
+/// Guards against a planned stop that waits for an election timeout or loses proposals.
+#[test]
+fn planned_stop_hands_over_at_once() {
+    for replicas in [3, 5] {
+        let mut cluster = settled(replicas, 4);
+        cluster.run_for(Duration::from_millis(100));
+        let leader = cluster.leader().unwrap();
+        let (start, confirmed) = (cluster.now, cluster.checks.applied.len());
+        cluster.propose();
+        cluster.stop(leader);
+        while cluster.leader().is_none_or(|now| now == leader) || cluster.checks.applied.len() < confirmed + 2 {
+            cluster.run_for(Duration::from_millis(5));
+            assert!(cluster.now < start + ConsensusOptions::default().election_min, "no hand-over");
+        }
+        println!("{replicas} replicas: the next leader confirms after {:?}", cluster.now - start);
+        assert!(!cluster.checks.answers.values().any(|result| *result == ProposalResult::Unknown));
+        assert_eq!(cluster.checks.violations, []);
+    }
+}
+
+/// Guards against elections that split again and again: a leader that ended is replaced in about 1 s.
+#[test]
+fn lost_leader_is_replaced() {
+    let mut longest = Duration::ZERO;
+    for seed in 0..50 {
+        let mut cluster = settled(3, seed);
+        let leader = cluster.leader().unwrap();
+        cluster.crash(leader, 0);
+        cluster.freeze(leader, Duration::from_secs(60));
+        let start = cluster.now;
+        while cluster.leader().is_none() {
+            cluster.run_for(Duration::from_millis(10));
+            assert!(cluster.now < start + Duration::from_secs(3), "seed {seed}: no leader");
+        }
+        longest = longest.max(cluster.now - start);
+    }
+    println!("seeds 0 to 49: a leader after at most {longest:?}");
+}
