--- a/crates/scenario/tests/election.rs
+++ b/crates/scenario/tests/election.rs
@@ -39,6 +39,22 @@
     }
 }
 
+/// Guards against a replica that hears the third one but not the leader, and deposes it although the
+/// third one hears the leader. Nothing is proposed, so that its log is no worse than the others.
+#[test]
+fn partly_cut_replica_does_not_depose_the_leader() {
+    let mut cluster = settled(3, 5);
+    let (leader, before) = (cluster.leader().unwrap(), term(&cluster));
+    let follower = (leader + 1) % 3;
+    cluster.net.cuts.extend([(leader, follower), (follower, leader)]);
+    cluster.run_for_quietly(Duration::from_secs(5));
+    assert_eq!((cluster.leader(), term(&cluster)), (Some(leader), before), "cut off");
+    cluster.heal();
+    cluster.run_for_quietly(Duration::from_secs(5));
+    assert_eq!((cluster.leader(), term(&cluster)), (Some(leader), before), "back");
+    assert_eq!(cluster.checks.violations, []);
+}
+
 /// Guards against a planned stop that waits for an election timeout or loses proposals.
 #[test]
 fn planned_stop_hands_over_at_once() {
