--- a/crates/scenario/tests/promises.rs
+++ b/crates/scenario/tests/promises.rs
@@ -1,9 +1,9 @@
-//! What a replica may count as durable.
+//! What a replica may count as durable, whom its log admits, and which group it agrees to form.
 
 use {
     hemlockford_core::consensus::{
-        Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Entry, Member, Message, MessageBody, Payload,
-        Recovered, Vote,
+        Binding, Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Entry, Member, Message, MessageBody,
+        Payload, Recovered, Vote,
     },
     rand::{SeedableRng, rngs::SmallRng},
     std::time::Instant,
@@ -20,11 +20,13 @@
     MessageBody::Append { round: 1, prev_index: 3, prev_term: 0, entries, commit: 3 }
 }
 
-/// Guards against a replica that counts the fsync of entries that were replaced since as the fsync of
-/// those in their place, and then confirms as a leader what it has not written.
-#[test]
-fn replaced_entries_are_not_durable() {
-    let (now, mut actions) = (Instant::now(), Vec::new());
+fn options() -> ConsensusOptions {
+    let replicas = NAMES.map(Box::from).to_vec();
+    ConsensusOptions { replica: "b".into(), replicas, snapshot_entries: 4, ..ConsensusOptions::default() }
+}
+
+/// The replica "b" of a group that was formed, in term 1.
+fn member(now: Instant) -> Consensus {
     let founding = |(index, name): (u64, &str)| {
         let payload = Payload::Admit(Member { replica: name.into(), incarnation: 10 });
         Entry { index, term: 0, payload }
@@ -35,10 +37,16 @@
         entries: (1..).zip(NAMES).map(founding).collect(),
         ..Recovered::default()
     };
-    let replicas = NAMES.map(Box::from).to_vec();
-    let options = ConsensusOptions { replica: "b".into(), replicas, ..ConsensusOptions::default() };
-    let late = now + options.election_max * 2;
-    let mut replica = Consensus::new(now, options, recovered, SmallRng::seed_from_u64(1), &mut actions);
+    Consensus::new(now, options(), recovered, SmallRng::seed_from_u64(1), &mut Vec::new())
+}
+
+/// Guards against a replica that counts the fsync of entries that were replaced since as the fsync of
+/// those in their place, and then confirms as a leader what it has not written.
+#[test]
+fn replaced_entries_are_not_durable() {
+    let (now, mut actions) = (Instant::now(), Vec::new());
+    let late = now + options().election_max * 2;
+    let mut replica = member(now);
     replica.handle(now, receive("a", 2, append(2, &[4, 5, 6])), &mut actions);
     replica.handle(now, receive("c", 3, append(3, &[4])), &mut actions);
     replica.handle(late, ConsensusEvent::Tick, &mut actions);
@@ -62,3 +70,66 @@
     replica.handle(late, ConsensusEvent::Persisted { up_to }, &mut actions);
     assert_eq!(replica.commit_index(), 6);
 }
+
+/// Guards against an admission that stays in force after the entry was replaced, or that a snapshot
+/// takes from an entry behind it.
+#[test]
+fn admission_lasts_as_long_as_its_entry() {
+    let (now, mut actions) = (Instant::now(), Vec::new());
+    let mut replica = member(now);
+    let admit = |index, incarnation| {
+        let payload = Payload::Admit(Member { replica: "c".into(), incarnation });
+        Entry { index, term: 2, payload }
+    };
+    let entries = vec![admit(4, 11), admit(5, 12)];
+    let body = MessageBody::Append { round: 1, prev_index: 3, prev_term: 0, entries, commit: 4 };
+    replica.handle(now, receive("a", 2, body), &mut actions);
+    assert_eq!(replica.members().incarnation("c"), Some(12));
+    assert!(actions.contains(&ConsensusAction::TakeSnapshot { index: 4 }));
+    replica.handle(now, ConsensusEvent::SnapshotTaken { index: 4, data: [].into() }, &mut actions);
+    let snapshot = actions.iter().find_map(|action| match action {
+        ConsensusAction::SaveSnapshot { snapshot, .. } => Some(snapshot),
+        _ => None,
+    });
+    assert_eq!(snapshot.unwrap().members.incarnation("c"), Some(11));
+    let entries = vec![Entry { index: 5, term: 3, payload: Payload::Noop }];
+    let body = MessageBody::Append { round: 1, prev_index: 4, prev_term: 2, entries, commit: 4 };
+    replica.handle(now, receive("c", 3, body), &mut actions);
+    assert_eq!((replica.members().incarnation("c"), replica.last_index()), (Some(11), 5));
+}
+
+/// Guards against two groups: a replica that goes back to an older proposal, or that agrees to one while
+/// its folder holds entries.
+#[test]
+fn agreement_to_form_does_not_go_back() {
+    let (now, mut actions) = (Instant::now(), Vec::new());
+    let recovered = Recovered { incarnation: 10, ..Recovered::default() };
+    let mut replica = Consensus::new(now, options(), recovered, SmallRng::seed_from_u64(1), &mut actions);
+    let binding = |ballot, first| {
+        let incarnations = [first, 10, 10];
+        let member = |(name, incarnation): (&str, u64)| Member { replica: name.into(), incarnation };
+        Binding { ballot, members: NAMES.into_iter().zip(incarnations).map(member).collect() }
+    };
+    let agreed = |actions: &mut Vec<ConsensusAction>| {
+        let mut saved = actions.drain(..).filter_map(|action| match action {
+            ConsensusAction::SaveVote { vote, .. } => vote.binding,
+            _ => None,
+        });
+        saved.next_back()
+    };
+    let mut form = |replica: &mut Consensus, binding: Binding| {
+        replica.handle(now, receive("a", 0, MessageBody::Form(binding)), &mut actions);
+        agreed(&mut actions)
+    };
+    assert_eq!(form(&mut replica, binding(2, 11)), Some(binding(2, 11)));
+    assert_eq!(form(&mut replica, binding(2, 10)), None, "the same ballot");
+    assert_eq!(form(&mut replica, binding(1, 10)), None, "a lower ballot");
+    assert_eq!(form(&mut replica, binding(3, 12)), Some(binding(3, 12)));
+    let body = MessageBody::Formed(binding(2, 11));
+    replica.handle(now, receive("a", 0, body), &mut Vec::new());
+    assert_eq!(replica.last_index(), 0, "joined a proposal that it has gone on from");
+    let entries = vec![Entry { index: 1, term: 1, payload: Payload::Noop }];
+    let body = MessageBody::Append { round: 1, prev_index: 0, prev_term: 0, entries, commit: 0 };
+    replica.handle(now, receive("c", 1, body), &mut Vec::new());
+    assert_eq!(form(&mut replica, binding(4, 13)), None, "not empty");
+}
