Answer heartbeats while entries are on their way to the disk

Cause: a follower's answer to a heartbeat waited for the fsync of the entries before it. With disks that take longer than the shortest election timeout, the leader heard from nobody and stepped down, again and again. Found by a new test with a fsync of 900 ms on all disks. A follower now answers each round at once with what is durable already, provided that its term is; skipping the wait for the term was ruled out, as a crash could then take it back to an earlier leader. The matrix gets slow disks as a fault.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -42,7 +42,7 @@
     pub(super) fn enter_term(&mut self, now: Instant, term: Term, actions: &mut Vec<ConsensusAction>) {
         self.vote.term = term;
         self.vote.voted_for = None;
-        self.save_vote(Effect::None, actions);
+        self.save_vote(Effect::Vote, actions);
         // The leader of an earlier term must not keep others from being elected in this one.
         self.heard_leader = None;
         self.become_follower(now, None, actions);
@@ -136,7 +136,7 @@
     pub(super) fn campaign(&mut self, now: Instant, hand_over: bool, actions: &mut Vec<ConsensusAction>) {
         self.vote.term += 1;
         self.vote.voted_for = Some(Member { replica: self.options.replica.clone(), incarnation: self.incarnation });
-        self.save_vote(Effect::None, actions);
+        self.save_vote(Effect::Vote, actions);
         self.reset_election(now);
         self.leader = None;
         self.heard_leader = None;
@@ -169,7 +169,7 @@
             self.reset_election(now);
             if self.vote.voted_for.is_none() {
                 self.vote.voted_for = Some(candidate);
-                self.save_vote(Effect::None, actions);
+                self.save_vote(Effect::Vote, actions);
             }
         }
         self.promise(from, MessageBody::Vote { candidate: incarnation, granted }, actions);
--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -36,9 +36,22 @@
             self.commit = commit;
             self.apply(actions);
         }
+        self.answer_round(&from, round, end, actions);
         self.promise(from, MessageBody::Appended { round, index: end, conflict: false }, actions);
     }
 
+    /// Answers a heartbeat round at once, with what is durable already, when entries are on their way to
+    /// the disk. Otherwise slow disks of a majority would depose the leader. The term must be durable, or
+    /// a crash could take this replica back to an earlier leader that replaces the entries answered for.
+    fn answer_round(&mut self, from: &InstanceId, round: u64, end: LogIndex, actions: &mut Vec<ConsensusAction>) {
+        let is_due = self.answered_round != (self.vote.term, round);
+        if is_due && !self.writes.is_idle() && self.writes.is_term_durable() {
+            self.answered_round = (self.vote.term, round);
+            let index = self.writes.durable_index.min(end);
+            self.send(from.clone(), MessageBody::Appended { round, index, conflict: false }, actions);
+        }
+    }
+
     /// Appends the entries that the log does not contain yet, in place of those that differ.
     fn take_entries(&mut self, entries: Vec<Entry>, actions: &mut Vec<ConsensusAction>) -> bool {
         let mut fresh = Vec::new();
--- a/crates/core/src/consensus/formation.rs
+++ b/crates/core/src/consensus/formation.rs
@@ -115,7 +115,7 @@
             }
             _ => {
                 self.vote.binding = Some(Binding { ballot: ballot + 1, members });
-                self.save_vote(Effect::None, actions);
+                self.save_vote(Effect::Vote, actions);
                 self.request_form(actions);
             }
         }
@@ -143,7 +143,7 @@
         let is_newer = self.vote.binding.as_ref().is_none_or(|held| binding.ballot > held.ballot);
         if is_named && binding.members.contains(&own) && is_newer {
             self.vote.binding = Some(binding.clone());
-            self.save_vote(Effect::None, actions);
+            self.save_vote(Effect::Vote, actions);
         }
         self.say_hello(from.clone(), actions);
     }
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -50,6 +50,8 @@
     pub(super) leader: Option<InstanceId>,
     pub(super) heard_leader: Option<Instant>,
     pub(super) election_at: Instant,
+    /// Last heartbeat round answered ahead of the fsync, with its term.
+    pub(super) answered_round: (Term, u64),
     pub(super) formation: Formation,
     pub(super) incoming: Option<Incoming>,
     pub(super) stopping: bool,
@@ -80,6 +82,7 @@
             leader: None,
             heard_leader: None,
             election_at: now,
+            answered_round: (0, 0),
             formation: Formation::new(now),
             incoming: None,
             stopping: false,
--- a/crates/core/src/consensus/writes.rs
+++ b/crates/core/src/consensus/writes.rs
@@ -15,6 +15,8 @@
 pub(super) enum Effect {
     /// Nothing that consensus acts on by itself.
     None,
+    /// The replica remembers its term and vote.
+    Vote,
     /// The log is durable up to this entry.
     Log(LogIndex),
     /// The replica remembers that it is admitted.
@@ -55,6 +57,11 @@
         self.pending.is_empty()
     }
 
+    /// Whether the term is durable.
+    pub fn is_term_durable(&self) -> bool {
+        !self.pending.iter().any(|(_, effect)| matches!(effect, Effect::Vote | Effect::Admitted))
+    }
+
     /// Keeps an action until all writes issued so far are durable; gives it back if they are.
     pub fn hold(&mut self, held: Held) -> Option<Held> {
         if self.is_idle() {
@@ -82,7 +89,7 @@
         let mut admitted = false;
         while let Some((_, effect)) = self.pending.pop_front_if(|(sequence, _)| *sequence <= up_to) {
             match effect {
-                Effect::None => {}
+                Effect::None | Effect::Vote => {}
                 Effect::Log(index) => self.durable_index = self.durable_index.max(index),
                 Effect::Admitted => admitted = true,
             }
--- a/crates/scenario/src/fakes/cluster.rs
+++ b/crates/scenario/src/fakes/cluster.rs
@@ -16,8 +16,6 @@
 
 /// Time between two ticks of a process.
 const TICK: Duration = Duration::from_millis(50);
-/// Time that a fsync takes.
-const SYNC: Duration = Duration::from_millis(2);
 /// Time until a process that ended is started again.
 const RESTART: Duration = Duration::from_millis(200);
 
@@ -243,11 +241,12 @@
         self.handle(node, ConsensusEvent::Stop);
     }
 
-    /// Ends all faults: opens the links, wakes and starts every process.
+    /// Ends all faults: opens the links, wakes and starts every process, and makes the disks quick.
     pub fn heal(&mut self) {
         self.net.cuts.clear();
         for node in 0..self.nodes.len() {
             self.nodes[node].frozen_until = Duration::ZERO;
+            self.nodes[node].set_sync_time(None);
             self.start(node);
         }
     }
@@ -294,8 +293,8 @@
         let at = &mut self.nodes[node];
         if let (Some(up_to), false) = (at.disk.pending(), at.is_syncing) {
             at.is_syncing = true;
-            let run = at.run;
-            self.schedule(SYNC, Step::Synced(node, run, up_to));
+            let (run, time) = (at.run, at.sync_time);
+            self.schedule(time, Step::Synced(node, run, up_to));
         }
         if is_stopped {
             self.crash(node, usize::MAX);
--- a/crates/scenario/src/fakes/node.rs
+++ b/crates/scenario/src/fakes/node.rs
@@ -9,6 +9,9 @@
     std::time::Duration,
 };
 
+/// Time that a fsync takes.
+const SYNC: Duration = Duration::from_millis(2);
+
 /// One replica with its disk and state machine.
 #[derive(Debug)]
 pub struct Node {
@@ -26,6 +29,8 @@
     pub frozen_until: Duration,
     /// Whether a fsync is running.
     pub is_syncing: bool,
+    /// Time that a fsync takes.
+    pub sync_time: Duration,
 }
 
 impl Node {
@@ -39,9 +44,15 @@
             run: 0,
             frozen_until: Duration::ZERO,
             is_syncing: false,
+            sync_time: SYNC,
         }
     }
 
+    /// Makes each fsync take a time, or the usual time.
+    pub fn set_sync_time(&mut self, time: Option<Duration>) {
+        self.sync_time = time.unwrap_or(SYNC);
+    }
+
     /// The replica with the incarnation of its folder.
     pub fn member(&self) -> Member {
         Member { replica: self.replica.clone(), incarnation: self.disk.incarnation }
--- a/crates/scenario/src/matrix/fault.rs
+++ b/crates/scenario/src/matrix/fault.rs
@@ -12,6 +12,9 @@
 /// Time for which a process is frozen: longer than the longest election timeout.
 const FROZEN: Duration = Duration::from_millis(1_500);
 
+/// Time that a fsync takes on a slow disk: longer than the shortest election timeout.
+const SLOW: Duration = Duration::from_millis(900);
+
 /// A fault that is injected at one step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -39,6 +42,8 @@
     Freeze(usize),
     /// The process ends and its folder is emptied.
     LoseDisk(usize),
+    /// Each fsync takes long.
+    SlowDisk(usize),
 }
 
 impl Fault {
@@ -55,6 +60,7 @@
                 Self::CutBoth(node),
                 Self::Freeze(node),
                 Self::LoseDisk(node),
+                Self::SlowDisk(node),
             ]);
         }
         all
@@ -70,7 +76,8 @@
             | Self::CutIn(node)
             | Self::CutBoth(node)
             | Self::Freeze(node)
-            | Self::LoseDisk(node) => Some(node),
+            | Self::LoseDisk(node)
+            | Self::SlowDisk(node) => Some(node),
             Self::Lose | Self::Duplicate | Self::Delay | Self::Reorder => None,
         }
     }
@@ -112,6 +119,7 @@
                 }
             }
             Self::LoseDisk(node) => cluster.lose_disk(node),
+            Self::SlowDisk(node) => cluster.nodes[node].set_sync_time(Some(SLOW)),
         }
         Some(step)
     }
--- a/crates/scenario/tests/election.rs
+++ b/crates/scenario/tests/election.rs
@@ -55,6 +55,20 @@
     assert_eq!(cluster.checks.violations, []);
 }
 
+/// Guards against a leader that steps down because all disks are slow: answers to heartbeats must not
+/// wait for a fsync of entries.
+#[test]
+fn slow_disks_do_not_depose_the_leader() {
+    let mut cluster = settled(3, 6);
+    let (leader, before) = (cluster.leader(), term(&cluster));
+    cluster.nodes.iter_mut().for_each(|node| node.set_sync_time(Some(Duration::from_millis(900))));
+    let confirmed = cluster.checks.applied.len();
+    cluster.run_for(Duration::from_secs(10));
+    assert_eq!((cluster.leader(), term(&cluster)), (leader, before));
+    assert!(cluster.checks.applied.len() > confirmed + 100, "{} confirmed", cluster.checks.applied.len() - confirmed);
+    assert_eq!(cluster.checks.violations, []);
+}
+
 /// Guards against a planned stop that waits for an election timeout or loses proposals.
 #[test]
 fn planned_stop_hands_over_at_once() {
