Keep a replica with a slow disk from disturbing elections

Cause: a candidate restarted its election while the fsync of its own vote was still running, so that the answers came too late, and it raised the term of the others without being elected. A split vote was ruled out: each of the candidate's terms ended before its requests were answered. A replica now stands for election only when its term is durable, and waits for answers from the time that its requests go out.

--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -121,7 +121,8 @@
         if !self.admitted {
             return self.tick_formation(now, actions);
         }
-        if now >= self.election_at && !self.stopping {
+        // A replica whose disk is slower than an election would only disturb the others' elections.
+        if now >= self.election_at && !self.stopping && self.writes.is_term_durable() {
             self.start_pre_vote(now, actions);
         }
     }
@@ -209,6 +210,8 @@
             Held::Send(to, message) => actions.push(ConsensusAction::Send { to, message }),
             Held::SelfVote(term) => {
                 if term == self.vote.term {
+                    // The requests are sent only now, so the time for the answers starts now.
+                    self.reset_election(now);
                     self.vote_granted(now, self.options.replica.clone(), actions);
                 }
             }
--- a/crates/scenario/tests/regressions.rs
+++ b/crates/scenario/tests/regressions.rs
@@ -36,3 +36,12 @@
     let faults = [(25, Fault::LoseDisk(0)), (5, Fault::CutBoth(0)), (39, Fault::CutBoth(0)), (20, Fault::Freeze(2))];
     check(Exchange::Formation, 3, 14, &faults);
 }
+
+/// Guards against a candidate that gives up its election before its own vote is durable, and so raises
+/// the term of the others for ever without being elected.
+#[test]
+fn candidate_with_slow_disk() {
+    check(Exchange::Append, 5, 3, &[(48, Fault::CutIn(0)), (45, Fault::SlowDisk(1))]);
+    check(Exchange::CatchUp, 5, 3, &[(33, Fault::CrashTorn(0)), (3, Fault::SlowDisk(3))]);
+    check(Exchange::CatchUp, 5, 3, &[(32, Fault::CrashTorn(0)), (39, Fault::SlowDisk(3))]);
+}
