--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -36,18 +36,19 @@
             self.commit = commit;
             self.apply(actions);
         }
-        self.report_durable(&from, round, end, actions);
+        self.answer_round(&from, round, end, actions);
         self.promise(from, MessageBody::Appended { round, index: end, conflict: false }, actions);
     }
 
-    /// Answers at once with what is durable while writes are pending. The leader steps down without answers
-    /// of a majority, so that a slow fsync must not look like a lost replica.
-    fn report_durable(&self, to: &InstanceId, round: u64, end: LogIndex, actions: &mut Vec<ConsensusAction>) {
-        // The answer counts entries for the leader of this term, which must be remembered after a crash.
-        if !self.writes.is_idle() && self.writes.is_vote_durable() {
+    /// Answers a heartbeat round at once, with what is durable already, when entries are on their way to
+    /// the disk. Otherwise slow disks of a majority would depose the leader. The term must be durable, or
+    /// a crash could take this replica back to an earlier leader that replaces the entries answered for.
+    fn answer_round(&mut self, from: &InstanceId, round: u64, end: LogIndex, actions: &mut Vec<ConsensusAction>) {
+        let is_due = self.answered_round != (self.vote.term, round);
+        if is_due && !self.writes.is_idle() && self.writes.is_term_durable() {
+            self.answered_round = (self.vote.term, round);
             let index = self.writes.durable_index.min(end);
-            let message = self.message(MessageBody::Appended { round, index, conflict: false });
-            actions.push(ConsensusAction::Send { to: to.clone(), message });
+            self.send(from.clone(), MessageBody::Appended { round, index, conflict: false }, actions);
         }
     }
 
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -50,6 +50,8 @@
     pub(super) leader: Option<InstanceId>,
     pub(super) heard_leader: Option<Instant>,
     pub(super) election_at: Instant,
+    /// Last heartbeat round answered ahead of the fsync, with its term.
+    pub(super) answered_round: (Term, u64),
     pub(super) formation: Formation,
     pub(super) incoming: Option<Incoming>,
     pub(super) stopping: bool,
@@ -80,6 +82,7 @@
             leader: None,
             heard_leader: None,
             election_at: now,
+            answered_round: (0, 0),
             formation: Formation::new(now),
             incoming: None,
             stopping: false,
@@ -118,7 +121,8 @@
         if !self.admitted {
             return self.tick_formation(now, actions);
         }
-        if now >= self.election_at && !self.stopping {
+        // A replica whose disk is slower than an election would only disturb the others' elections.
+        if now >= self.election_at && !self.stopping && self.writes.is_term_durable() {
             self.start_pre_vote(now, actions);
         }
     }
@@ -206,6 +210,8 @@
             Held::Send(to, message) => actions.push(ConsensusAction::Send { to, message }),
             Held::SelfVote(term) => {
                 if term == self.vote.term {
+                    // The requests are sent only now, so the time for the answers starts now.
+                    self.reset_election(now);
                     self.vote_granted(now, self.options.replica.clone(), actions);
                 }
             }
@@ -230,7 +236,7 @@
     }
 
     pub(super) fn save_vote(&mut self, effect: Effect, actions: &mut Vec<ConsensusAction>) {
-        let sequence = self.writes.issue_vote(effect);
+        let sequence = self.writes.issue(effect);
         actions.push(ConsensusAction::SaveVote { sequence, vote: self.vote.clone() });
     }
 
--- a/crates/scenario/src/fakes/cluster.rs
+++ b/crates/scenario/src/fakes/cluster.rs
@@ -4,7 +4,7 @@
     super::{Checks, FakeMachine, FakeNet, Node, Write},
     hemlockford_core::{
         consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Message},
-        ids::InstanceId,
+        ids::{InstanceId, LogIndex},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{
@@ -16,8 +16,6 @@
 
 /// Time between two ticks of a process.
 const TICK: Duration = Duration::from_millis(50);
-/// Time that a fsync takes.
-const SYNC: Duration = Duration::from_millis(2);
 /// Time until a process that ended is started again.
 const RESTART: Duration = Duration::from_millis(200);
 
@@ -210,7 +208,7 @@
         let rng = SmallRng::seed_from_u64(seed);
         at.consensus = Some(Consensus::new(now, options, at.disk.recover(), rng, &mut actions));
         self.schedule(TICK, Step::Tick(node, run));
-        self.carry_out(node, actions);
+        self.carry_out(node, actions, LogIndex::MAX);
     }
 
     /// Ends a process; the first unsynced writes may survive. It is started again a little later.
@@ -243,11 +241,12 @@
         self.handle(node, ConsensusEvent::Stop);
     }
 
-    /// Ends all faults: opens the links, wakes and starts every process.
+    /// Ends all faults: opens the links, wakes and starts every process, and makes the disks quick.
     pub fn heal(&mut self) {
         self.net.cuts.clear();
         for node in 0..self.nodes.len() {
             self.nodes[node].frozen_until = Duration::ZERO;
+            self.nodes[node].set_sync_time(None);
             self.start(node);
         }
     }
@@ -266,14 +265,15 @@
 
     fn handle(&mut self, node: usize, event: ConsensusEvent) {
         let now = self.start + self.now;
-        let mut actions = Vec::new();
+        let (mut actions, mut before) = (Vec::new(), 0);
         if let Some(consensus) = &mut self.nodes[node].consensus {
+            before = consensus.commit_index();
             consensus.handle(now, event, &mut actions);
         }
-        self.carry_out(node, actions);
+        self.carry_out(node, actions, before);
     }
 
-    fn carry_out(&mut self, node: usize, actions: Vec<ConsensusAction>) {
+    fn carry_out(&mut self, node: usize, actions: Vec<ConsensusAction>, committed_before: LogIndex) {
         let is_stopped = actions.contains(&ConsensusAction::Stopped);
         for action in &actions {
             let write = match action.clone() {
@@ -285,6 +285,7 @@
             };
             self.nodes[node].disk.write(write.0, write.1);
         }
+        self.checks.committed(&self.nodes[node], committed_before);
         self.checks.note_admission(&self.nodes[node]);
         for action in actions {
             self.carry_out_one(node, action);
@@ -292,8 +293,8 @@
         let at = &mut self.nodes[node];
         if let (Some(up_to), false) = (at.disk.pending(), at.is_syncing) {
             at.is_syncing = true;
-            let run = at.run;
-            self.schedule(SYNC, Step::Synced(node, run, up_to));
+            let (run, time) = (at.run, at.sync_time);
+            self.schedule(time, Step::Synced(node, run, up_to));
         }
         if is_stopped {
             self.crash(node, usize::MAX);
