--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -96,6 +96,7 @@
     entry.announce(150, 2, 50, ServerState::Ready);
     entry.announce(200, 4, 200, ServerState::Ready);
     entry.relay(250, 0, announcement(5, 250, ServerState::Ready));
+    assert!(!entry.is_usable(250));
     entry.announce(59_000, 6, 300, ServerState::Ready);
     assert!(!entry.is_usable(59_000));
     entry.relay(59_000, 0, Announcement { incarnation: 2, ..announcement(1, 0, ServerState::Ready) });
