--- a/crates/core/src/control/configure.rs
+++ b/crates/core/src/control/configure.rs
@@ -16,6 +16,10 @@
 /// Time between two questions for a newer change.
 const FETCH_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Least extension of the time for which the entry may serve that is reported, so that not every heartbeat
+/// is.
+const SERVE_UNTIL_STEP: Duration = Duration::from_millis(100);
+
 impl Control {
     /// Takes a committed change, which is installed now or once this entry knows that it is not too old.
     pub(super) fn offer(
@@ -26,7 +30,7 @@
         actions: &mut Vec<ControlAction>,
     ) {
         let best = self.candidate.as_ref().map_or(self.currency.installed(), |(number, _)| *number);
-        if number > best {
+        if number > best && number > self.unreadable {
             self.candidate = Some((number, text));
         }
         self.install_candidate(now, actions);
@@ -61,7 +65,8 @@
 
     /// Asks another entry for a change that is known but not here.
     pub(super) fn fetch(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
-        let Some(wanted) = self.currency.wanted(self.membership.reports()) else { return };
+        let wanted = self.currency.wanted(self.membership.reports()).filter(|wanted| *wanted > self.unreadable);
+        let Some(wanted) = wanted else { return };
         let is_here = self.candidate.as_ref().is_some_and(|(number, _)| *number >= wanted);
         let is_early = self.last_fetch.is_some_and(|last| now.saturating_duration_since(last) < FETCH_INTERVAL);
         if is_here || is_early {
@@ -137,7 +142,11 @@
             }));
         }
         let until = until.ok().filter(|_| !self.is_draining);
-        if until != self.until {
+        let is_news = match (self.until, until) {
+            (Some(was), Some(until)) => until < was || until >= was + SERVE_UNTIL_STEP,
+            (was, until) => was != until,
+        };
+        if is_news {
             self.until = until;
             actions.push(ControlAction::ServeUntil(until));
         }
@@ -148,6 +157,7 @@
         let text = match Text::parse(&source) {
             Ok(text) if text.number == number => Arc::new(text),
             _ => {
+                self.unreadable = number;
                 actions.push(ControlAction::Log(ControlLog::Unreadable(number)));
                 return;
             }
--- a/crates/core/src/control/machine.rs
+++ b/crates/core/src/control/machine.rs
@@ -32,6 +32,8 @@
     pub(super) text: Option<(Box<str>, Arc<Text>)>,
     /// A committed change that is not installed yet.
     pub(super) candidate: Option<(ChangeNumber, Box<str>)>,
+    /// Highest committed change whose text this version cannot read.
+    pub(super) unreadable: ChangeNumber,
     pub(super) last_fetch: Option<Instant>,
     pub(super) fetches: usize,
     pub(super) last_noop: Instant,
@@ -80,6 +82,7 @@
             leader: Leader::default(),
             text: None,
             candidate: None,
+            unreadable: 0,
             last_fetch: None,
             fetches: 0,
             last_noop: now,
--- a/crates/core/src/membership/machine.rs
+++ b/crates/core/src/membership/machine.rs
@@ -92,6 +92,13 @@
         live
     }
 
+    /// Returns the peers that are not live, in order of their names.
+    pub fn lost(&self, now: Instant) -> Vec<InstanceId> {
+        let mut lost: Vec<_> = self.peers.keys().filter(|peer| !self.is_live(now, peer)).cloned().collect();
+        lost.sort_unstable();
+        lost
+    }
+
     /// Returns what each peer that was heard last reported.
     pub fn reports(&self) -> impl Iterator<Item = Report<'_>> {
         self.peers.iter().filter_map(|(id, peer)| {
--- a/crates/core/src/registry/machine.rs
+++ b/crates/core/src/registry/machine.rs
@@ -88,6 +88,7 @@
     /// // It is unknown how late the first one was.
     /// assert!(registry.views(now, "stock").is_empty());
     /// let again = Announcement { sequence: 2, uptime_ms: 800, ..announcement };
+    /// registry.handle(now + ANNOUNCE_INTERVAL / 2, RegistryEvent::Tick, &mut Vec::new());
     /// let now = now + ANNOUNCE_INTERVAL;
     /// registry.handle(now, RegistryEvent::Announce(again), &mut Vec::new());
     /// assert_eq!(registry.views(now, "stock").len(), 1);
