--- a/crates/scenario/examples/control_figures.rs
+++ b/crates/scenario/examples/control_figures.rs
@@ -1,7 +1,11 @@
 //! Figures of the control part in scenario time: 7 instances, 3 replicas, messages take 1 to 3 ms, a sync 2 ms.
 
 use {
-    hemlockford_core::{control::Answer, dispatch::ServerState, ledger::ClaimKey},
+    hemlockford_core::{
+        control::Answer,
+        dispatch::ServerState,
+        ledger::{ClaimKey, Command, Holder, Ledger, MAX_CLAIMS, SettledOutcome, TextDigest},
+    },
     hemlockford_scenario::script::{World, WorldOptions, text},
     std::time::{Duration, Instant},
 };
@@ -34,9 +38,30 @@
     println!("received per node and second with headers: {idle} bytes without servers, {busy} bytes with {SERVERS}");
     spans.leaves(&mut world)?;
     println!("leaving to gone on 7 entries, 20 servers: {}", spans.take());
+    for claims in [1_000, MAX_CLAIMS] {
+        snapshot(claims);
+    }
     Ok(())
 }
 
+/// Prints what a snapshot of a ledger with some claims takes, each settled with 256 bytes.
+fn snapshot(claims: usize) {
+    let mut ledger = Ledger::default();
+    for number in 0..claims as u64 {
+        let key = ClaimKey { service: "stock".into(), customer: "kovar".into(), key: format!("order-{number}").into() };
+        let holder = Holder { instance: "e1".into(), incarnation: 1, sequence: number };
+        let request_digest = TextDigest::of(b"request");
+        let claim =
+            Command::Claim { key: key.clone(), holder: holder.clone(), request_digest, retention_ms: 900_000, at: 0 };
+        ledger.apply(2 * number + 1, claim);
+        let outcome = SettledOutcome::new(200, &[7; 256]);
+        ledger.apply(2 * number + 2, Command::Settle { key, holder, outcome, at: 0 });
+    }
+    let started = Instant::now();
+    let bytes = ledger.snapshot().map_or(0, |bytes| bytes.len());
+    println!("snapshot of a ledger with {claims} claims: {bytes} bytes in {:?}", started.elapsed());
+}
+
 /// Most that one node receives in a second, with headers, over some idle time.
 fn per_second(world: &mut World) -> Result<u64, String> {
     let before = world.received.clone();
