--- a/crates/core/src/slots/allot.rs
+++ b/crates/core/src/slots/allot.rs
@@ -17,7 +17,9 @@
 /// gone before a division could help.
 const CONTENTION: Duration = Duration::from_millis(5);
 /// Time between two divisions.
-const SHARE_INTERVAL: Duration = Duration::from_millis(20);
+const SHARE_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for which a list of customers is believed; two of them may be lost.
+const LIST_LIFETIME: Duration = Duration::from_millis(200);
 /// Weight of the calls that are not listed by customer, well above that of any customer.
 const UNLISTED_WEIGHT: f64 = 1e6;
 /// Time between two messages about the shares of customers.
@@ -160,27 +162,36 @@
 
     /// Returns the part of each entry, and notes the shares of its customers.
     fn parts(&mut self, now: Instant) -> BTreeMap<InstanceId, f64> {
-        let mut totals: BTreeMap<Key, u32> = BTreeMap::new();
-        let demands: Vec<(InstanceId, Vec<CustomerDemand>)> = self
+        for member in self.members.values_mut() {
+            if member.listed_at.is_some_and(|at| now >= at + LIST_LIFETIME) {
+                member.demand.clear();
+            }
+        }
+        let mut totals: BTreeMap<Key, f64> = BTreeMap::new();
+        // Loads by customer and entry. A list is older than the entry's total, which sets the scale.
+        let loads: Vec<(InstanceId, Vec<(Key, f64)>)> = self
             .members
             .iter()
             .map(|(id, member)| {
-                let in_use = member.load() - member.need;
-                let unlisted = CustomerDemand { customer: UNLISTED, waiting: member.need, in_flight: in_use };
-                (id.clone(), if member.demand.is_empty() { vec![unlisted] } else { member.demand.clone() })
+                let listed: f64 = member.demand.iter().map(|demand| f64::from(demand.waiting + demand.in_flight)).sum();
+                if listed == 0.0 {
+                    return (id.clone(), vec![(UNLISTED, f64::from(member.load()))]);
+                }
+                let scale = f64::from((member.need + member.in_flight).max(1)) / listed;
+                let load = |demand: &CustomerDemand| f64::from(demand.waiting + demand.in_flight) * scale;
+                (id.clone(), member.demand.iter().map(|demand| (demand.customer, load(demand))).collect())
             })
             .collect();
         let is_standing = self.members.values().any(|member| !member.demand.is_empty());
-        let load = |demand: &CustomerDemand| demand.waiting + demand.in_flight;
-        for demand in demands.iter().flat_map(|(_, demand)| demand) {
-            *totals.entry(demand.customer).or_default() += load(demand);
+        for (customer, load) in loads.iter().flat_map(|(_, loads)| loads) {
+            *totals.entry(*customer).or_default() += load;
         }
         // Entries that list no customers have no long queues; what they hold is not taken for another's.
         let weight = |customer: &Key| match *customer {
             UNLISTED => UNLISTED_WEIGHT,
             _ => self.weights.get(customer).map_or(1.0, |weight| f64::from(*weight).max(LEAST_WEIGHT)),
         };
-        let claims: Vec<_> = totals.iter().map(|(customer, total)| (f64::from(*total), weight(customer))).collect();
+        let claims: Vec<_> = totals.iter().map(|(customer, total)| (*total, weight(customer))).collect();
         let shares = split(f64::from(self.stock.capacity()), &claims);
         // What a customer of weight 1 may use. One that uses less is not held to that at its entries.
         let level = claims.iter().zip(&shares).map(|((_, weight), share)| share / weight).fold(0.0, f64::max);
@@ -190,15 +201,10 @@
             self.told_at = Some(now);
         }
         let mut parts = BTreeMap::new();
-        for (id, demand) in demands {
-            let part = |demand: &CustomerDemand| {
-                shares[&demand.customer] * f64::from(load(demand)) / f64::from(totals[&demand.customer].max(1))
-            };
-            let share = |demand: &CustomerDemand| {
-                let fraction = f64::from(load(demand)) / f64::from(totals[&demand.customer].max(1));
-                (level * weight(&demand.customer) * fraction * 10.0).ceil() as u32
-            };
-            let sum: f64 = demand.iter().map(part).sum();
+        for (id, loads) in loads {
+            let fraction = |(customer, load): &(Key, f64)| load / totals[customer].max(f64::MIN_POSITIVE);
+            let share = |load: &(Key, f64)| (level * weight(&load.0) * fraction(load) * 10.0).ceil() as u32;
+            let sum: f64 = loads.iter().map(|load| shares[&load.0] * fraction(load)).sum();
             parts.insert(id.clone(), sum);
             let Some(member) = self.members.get_mut(&id) else { continue };
             member.part = is_standing.then_some((now, sum));
@@ -206,12 +212,8 @@
                 continue;
             }
             member.is_listing_due = true;
-            member.shares = demand
-                .iter()
-                .filter(|demand| demand.customer != UNLISTED)
-                .take(MAX_CUSTOMERS)
-                .map(|demand| CustomerShare { customer: demand.customer, tenths: share(demand) })
-                .collect();
+            let listed = loads.iter().filter(|(customer, _)| *customer != UNLISTED).take(MAX_CUSTOMERS);
+            member.shares = listed.map(|load| CustomerShare { customer: load.0, tenths: share(load) }).collect();
         }
         parts
     }
--- a/crates/core/src/slots/coordinator.rs
+++ b/crates/core/src/slots/coordinator.rs
@@ -111,7 +111,10 @@
         member.attach = report.attach;
         (member.need, member.in_flight) = (report.need, report.in_flight);
         member.need_at = Some(now);
-        member.demand.clone_from(&report.demand);
+        if !report.demand.is_empty() {
+            member.demand.clone_from(&report.demand);
+            member.listed_at = Some(now);
+        }
         for holding in &report.holdings {
             let claim = member.claims.entry(holding.server).or_default();
             if holding.refused {
--- a/crates/core/src/slots/exchange.rs
+++ b/crates/core/src/slots/exchange.rs
@@ -156,7 +156,7 @@
     }
 
     fn report(
-        &self,
+        &mut self,
         now: Instant,
         to: &InstanceId,
         service: Key,
@@ -164,9 +164,9 @@
         demand: &dyn Fn(Key) -> Vec<CustomerDemand>,
         room: &mut usize,
     ) -> Option<SlotReport> {
-        let slots = self.services.get(&service)?;
+        let slots = self.services.get_mut(&service)?;
+        let mut customers = if slots.begin_list(now) { demand(service) } else { Vec::new() };
         let holder = &slots.holder;
-        let mut customers = if slots.is_standing(now) || slots.is_listing(now) { demand(service) } else { Vec::new() };
         customers
             .sort_unstable_by_key(|demand| (std::cmp::Reverse(demand.waiting + demand.in_flight), demand.customer));
         if customers.len() > *room {
--- a/crates/core/src/slots/member.rs
+++ b/crates/core/src/slots/member.rs
@@ -35,6 +35,8 @@
     pub(super) need_at: Option<Instant>,
     pub(super) in_flight: u32,
     pub(super) demand: Vec<CustomerDemand>,
+    /// Time of the last report that listed customers.
+    pub(super) listed_at: Option<Instant>,
     /// Sum of the targets.
     pub(super) target: u32,
     /// Sum of the permits added that are not confirmed.
--- a/crates/core/src/slots/service.rs
+++ b/crates/core/src/slots/service.rs
@@ -16,6 +16,8 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two reports of the same need once calls have been waiting for long.
 const STANDING_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two lists of customers. They make up most of a message, and loads change little in between.
+const LIST_INTERVAL: Duration = Duration::from_millis(50);
 /// Time from which on waiting calls are reported by customer; a shorter queue is no overload.
 const STANDING: Duration = Duration::from_millis(300);
 /// Time over which idle permits must stay idle before they are given back.
@@ -99,8 +101,14 @@
     }
 
     /// Returns whether customers are to be listed again, without a need for permits.
-    pub(super) fn is_list_due(&mut self, now: Instant) -> bool {
-        let is_due = self.is_listing(now) && self.listed_at.is_none_or(|at| now >= at + STANDING_INTERVAL);
+    pub(super) fn is_list_due(&self, now: Instant) -> bool {
+        self.is_listing(now) && self.listed_at.is_none_or(|at| now >= at + LIST_INTERVAL)
+    }
+
+    /// Returns whether the report that is being made lists customers.
+    pub(super) fn begin_list(&mut self, now: Instant) -> bool {
+        let is_recent = self.listed_at.is_some_and(|at| now < at + LIST_INTERVAL);
+        let is_due = !is_recent && (self.is_standing(now) || self.is_listing(now));
         if is_due {
             self.listed_at = Some(now);
         }
