--- a/crates/core/examples/choice.rs
+++ b/crates/core/examples/choice.rs
@@ -1,5 +1,5 @@
-//! Measures the time of one choice, from a call's arrival to its end, against the number of known servers.
-//! Prints CSV.
+//! Measures the time of one choice, from a call's arrival to its end, against the number of known servers,
+//! and that of one tick of an idle instance of the size of the design target. Prints CSV.
 
 use {
     hemlockford_core::{
@@ -21,6 +21,11 @@
 /// Calls in flight while choices are measured.
 const IN_FLIGHT: u64 = 10;
 const SEED: u64 = 3;
+/// Size of the design target.
+const SERVICES: usize = 58;
+const SERVERS_PER_SERVICE: usize = 33;
+const PEERS: usize = 9;
+const TICKS: u32 = 20_000;
 
 fn main() {
     println!("policy,servers,ns_per_call");
@@ -29,16 +34,12 @@
             println!("{policy},{servers},{:.0}", measure(policy, servers));
         }
     }
+    println!("tick,{},{:.0}", SERVICES * SERVERS_PER_SERVICE, measure_tick());
 }
 
-fn measure(policy: Policy, servers: usize) -> f64 {
-    let mut dispatcher = Dispatcher::new(DispatchOptions::default(), SmallRng::seed_from_u64(SEED));
-    let (mut now, mut actions) = (Instant::now(), Vec::new());
-    let text = format!("[change]\nnumber = 1\n[service catalogue]\npolicy = {policy}\n");
-    let text = Text::parse(&text).expect("a text without faults");
-    dispatcher.handle(now, DispatchEvent::Configure(Arc::new(text)), &mut actions);
-    let view = |number| ServerView {
-        id: format!("server-{number}").into(),
+fn view(name: String, now: Instant) -> ServerView {
+    ServerView {
+        id: name.into(),
         address: ([127, 0, 0, 1], 9_000).into(),
         data_centre: "".into(),
         slots: 2,
@@ -46,8 +47,40 @@
         state: ServerState::Ready,
         lease_end: now + Duration::from_secs(86_400),
         ready_since: now.checked_sub(Duration::from_secs(60)).unwrap_or(now),
-    };
-    let views = (0..servers).map(view).collect();
+    }
+}
+
+/// Returns the nanoseconds of one tick, of which there is one a millisecond.
+fn measure_tick() -> f64 {
+    let options = DispatchOptions { id: "entry-0".into(), ..DispatchOptions::default() };
+    let mut dispatcher = Dispatcher::new(options, SmallRng::seed_from_u64(SEED));
+    let (mut now, mut actions) = (Instant::now(), Vec::new());
+    let names: Vec<String> = (0..SERVICES).map(|number| format!("service-{number}")).collect();
+    let sections: String = names.iter().map(|name| format!("[service {name}]\n")).collect();
+    let text = Text::parse(&format!("[change]\nnumber = 1\n{sections}")).expect("a text without faults");
+    dispatcher.handle(now, DispatchEvent::Configure(Arc::new(text)), &mut actions);
+    for name in &names {
+        let views = (0..SERVERS_PER_SERVICE).map(|number| view(format!("{name}-{number}"), now)).collect();
+        dispatcher.handle(now, DispatchEvent::Servers(name.as_str().into(), views), &mut actions);
+    }
+    let peers = (0..PEERS).map(|number| format!("entry-{number}").into()).collect();
+    dispatcher.handle(now, DispatchEvent::Peers(peers), &mut actions);
+    let begin = Instant::now();
+    for _ in 0..TICKS {
+        now += Duration::from_millis(1);
+        actions.clear();
+        dispatcher.handle(now, DispatchEvent::Tick, &mut actions);
+    }
+    begin.elapsed().as_nanos() as f64 / f64::from(TICKS)
+}
+
+fn measure(policy: Policy, servers: usize) -> f64 {
+    let mut dispatcher = Dispatcher::new(DispatchOptions::default(), SmallRng::seed_from_u64(SEED));
+    let (mut now, mut actions) = (Instant::now(), Vec::new());
+    let text = format!("[change]\nnumber = 1\n[service catalogue]\npolicy = {policy}\n");
+    let text = Text::parse(&text).expect("a text without faults");
+    dispatcher.handle(now, DispatchEvent::Configure(Arc::new(text)), &mut actions);
+    let views = (0..servers).map(|number| view(format!("server-{number}"), now)).collect();
     dispatcher.handle(now, DispatchEvent::Servers("catalogue".into(), views), &mut actions);
     for _ in 0..1_000 {
         now += Duration::from_millis(1);
