--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -222,14 +222,15 @@
     ) {
         let service = key(name);
         let state = self.services.entry(service).or_insert_with(|| ServiceState::new(self.options.data_centre.clone()));
-        for gone in state.servers.views().filter(|old| !views.iter().any(|view| view.id == old.id)) {
-            state.health.forget(&gone.id);
-        }
+        let before: Vec<_> = state.servers.views().map(|view| view.id.clone()).collect();
         for view in &views {
             state.health.introduce(now, &view.id, view.ready_since);
             state.health.describe(now, &view.id, &view.data_centre, view.slots);
         }
         state.servers.set(views, &mut self.rng);
+        for gone in before.iter().filter(|id| state.servers.view(key(id)).is_none()) {
+            state.health.forget(gone);
+        }
         let is_served = !state.servers.ready().is_empty();
         self.open_servers(now, service);
         if is_served {
--- a/crates/core/src/slots/link.rs
+++ b/crates/core/src/slots/link.rs
@@ -1,7 +1,7 @@
 //! The exchange of slot messages with one peer.
 
 use {
-    super::{COALESCE, Key, LEASE, MAX_SENT, Outbox, RENEW, REPEAT, SlotHeader, key},
+    super::{COALESCE, Key, LEASE, MAX_SENT, Outbox, RENEW, REPEAT, REPEAT_UNHEARD, SlotHeader, key},
     crate::{collections::FastSet, ids::Incarnation},
     std::{
         collections::{BTreeSet, VecDeque},
@@ -109,7 +109,9 @@
 
     /// Returns whether the last message was so long ago that what was not acknowledged is to be repeated.
     pub(super) fn is_repeat_due(&self, now: Instant) -> bool {
-        self.last_sent.is_none_or(|sent| now >= sent + REPEAT)
+        let is_heard = self.heard.is_some_and(|heard| now < heard + LEASE);
+        let interval = if is_heard { REPEAT } else { REPEAT_UNHEARD };
+        self.last_sent.is_none_or(|sent| now >= sent + interval)
     }
 
     /// Returns whether the lease has to be renewed.
--- a/crates/core/src/slots/mod.rs
+++ b/crates/core/src/slots/mod.rs
@@ -62,6 +62,9 @@
 const ACK_DELAY: Duration = Duration::from_millis(5);
 /// Time after which records without acknowledgement are sent again.
 const REPEAT: Duration = Duration::from_millis(20);
+/// The same for a peer that has been silent for a lease, so that one that is gone costs little until the
+/// list of live entries says so.
+const REPEAT_UNHEARD: Duration = Duration::from_millis(100);
 /// Messages whose time of sending is remembered for the lease; far more than are sent within a round trip.
 const MAX_SENT: usize = 256;
 /// Time for which a coordinator believes a reported need. It is longer than the time between two reports
--- a/crates/core/src/slots/state.rs
+++ b/crates/core/src/slots/state.rs
@@ -361,7 +361,7 @@
         let Some(slots) = self.services.get(&service) else { return };
         let Some(coordinator) = slots.holder.coordinator.clone().filter(|_| !slots.holder.is_adopted) else { return };
         let link = self.links.entry(coordinator).or_default();
-        if link.last_sent.is_none_or(|sent| now >= sent + super::REPEAT) {
+        if link.is_repeat_due(now) {
             link.reports.insert(service);
             link.ask(now, Duration::ZERO);
         }
