--- a/crates/core/src/slots/allot.rs
+++ b/crates/core/src/slots/allot.rs
@@ -10,9 +10,9 @@
     },
 };
 
-/// Time between two requests for idle permits to the same entry, a little more than the time until its
-/// answer arrives over a link of 1 ms.
-const RECALL_INTERVAL: Duration = Duration::from_millis(4);
+/// Time between two requests for idle permits to the same entry. An answer takes some 4 ms over a link of
+/// 1 ms, and what it says holds for a while, as calls take longer than that.
+const RECALL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time for which entries have to be waiting before permits in use are divided anew. Shorter queues are
 /// gone before a division could help.
 const CONTENTION: Duration = Duration::from_millis(5);
