--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -127,7 +127,7 @@
     fn arrive(&mut self, now: Instant, call: Call, actions: &mut Vec<DispatchAction>) {
         let service = key(&call.service);
         let Some(settings) = self.text.services.get(&call.service) else {
-            return self.refuse(&call, NotRunReason::UnknownService, actions);
+            return self.refuse(now, &call, NotRunReason::UnknownService, actions);
         };
         let (policy, has_dependencies) = (settings.policy, !settings.depends.is_empty());
         let state = self.services.entry(service).or_insert_with(|| ServiceState::new(self.options.data_centre.clone()));
@@ -147,13 +147,13 @@
             was_passed_down: false,
         };
         if !is_served {
-            return self.refuse(&active.call, NotRunReason::NoServer, actions);
+            return self.refuse(now, &active.call, NotRunReason::NoServer, actions);
         }
         match policy {
             Policy::Permits => self.admit(now, active, actions),
             Policy::Random | Policy::RoundRobin | Policy::LeastInFlight => match self.choose(now, &active, policy) {
                 Some(server) => self.send(now, active, server, actions),
-                None => self.refuse(&active.call, NotRunReason::NoServer, actions),
+                None => self.refuse(now, &active.call, NotRunReason::NoServer, actions),
             },
         }
     }
@@ -222,20 +222,21 @@
     ) {
         let service = key(name);
         let state = self.services.entry(service).or_insert_with(|| ServiceState::new(self.options.data_centre.clone()));
-        for gone in state.servers.views().filter(|old| !views.iter().any(|view| view.id == old.id)) {
-            state.health.forget(&gone.id);
-        }
+        let before: Vec<_> = state.servers.views().map(|view| view.id.clone()).collect();
         for view in &views {
             state.health.introduce(now, &view.id, view.ready_since);
             state.health.describe(now, &view.id, &view.data_centre, view.slots);
         }
         state.servers.set(views, &mut self.rng);
+        for gone in before.iter().filter(|id| state.servers.view(key(id)).is_none()) {
+            state.health.forget(gone);
+        }
         let is_served = !state.servers.ready().is_empty();
         self.open_servers(now, service);
         if is_served {
             self.pump(now, service, actions);
         } else {
-            self.reject_waiting(service, NotRunReason::NoServer, actions);
+            self.reject_waiting(now, service, NotRunReason::NoServer, actions);
         }
     }
 
@@ -270,7 +271,7 @@
             match known.get(&service) {
                 Some(Policy::Permits) => {}
                 Some(policy) => self.send_waiting(now, service, *policy, actions),
-                None => self.reject_waiting(service, NotRunReason::UnknownService, actions),
+                None => self.reject_waiting(now, service, NotRunReason::UnknownService, actions),
             }
         }
         for service in known.into_keys() {
@@ -283,7 +284,7 @@
         for call in self.take_waiting(service) {
             match self.choose(now, &call, policy) {
                 Some(server) => self.send(now, call, server, actions),
-                None => self.give_up(&call, NotRunReason::NoServer, actions),
+                None => self.give_up(now, &call, NotRunReason::NoServer, actions),
             }
         }
     }
