--- a/crates/scenario/examples/control_figures.rs
+++ b/crates/scenario/examples/control_figures.rs
@@ -54,7 +54,7 @@
         let claim =
             Command::Claim { key: key.clone(), holder: holder.clone(), request_digest, retention_ms: 900_000, at: 0 };
         ledger.apply(2 * number + 1, claim);
-        let outcome = SettledOutcome::new(200, &[7; 256]);
+        let outcome = SettledOutcome::new(200, None, Some(&[7; 256]));
         ledger.apply(2 * number + 2, Command::Settle { key, holder, outcome, at: 0 });
     }
     let started = Instant::now();
