--- a/crates/scenario/tests/promises.rs
+++ b/crates/scenario/tests/promises.rs
@@ -49,6 +49,9 @@
     let mut replica = member(now);
     replica.handle(now, receive("a", 2, append(2, &[4, 5, 6])), &mut actions);
     replica.handle(now, receive("c", 3, append(3, &[4])), &mut actions);
+    // The first three writes are term 2, its entries and term 3; a replica stands for election only
+    // when its term is durable.
+    replica.handle(now, ConsensusEvent::Persisted { up_to: 3 }, &mut actions);
     replica.handle(late, ConsensusEvent::Tick, &mut actions);
     replica.handle(late, receive("c", 4, MessageBody::PreVote { granted: true }), &mut actions);
     let written = |actions: &[ConsensusAction]| {
