Enter the balancer only once the servers are known; check announcements

An announcement with a field out of bounds is refused with 422 instead of being dropped silently. The three types for one write of a replica (store, control, scenario fakes) are one type in the consensus module now.

--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -24,6 +24,7 @@
 mod snapshot;
 mod transfer;
 mod vote;
+mod write;
 mod writes;
 
 use {
@@ -47,4 +48,5 @@
     replica::Consensus,
     snapshot::Snapshot,
     vote::{Binding, Vote},
+    write::Write,
 };
--- a/crates/store/src/write.rs
+++ b/crates/core/src/consensus/write.rs
@@ -1,10 +1,8 @@
 //! Writes of a replica.
 
 use {
-    hemlockford_core::{
-        consensus::{ConsensusAction, Entry, Snapshot, Vote},
-        ids::LogIndex,
-    },
+    super::{ConsensusAction, Entry, Snapshot, Vote},
+    crate::ids::LogIndex,
     std::sync::Arc,
 };
 
@@ -26,7 +24,7 @@
     /// The write that an action asks for, with its sequence.
     ///
     /// ```
-    /// use {hemlockford_core::consensus::ConsensusAction, hemlockford_store::Write};
+    /// use hemlockford_core::consensus::{ConsensusAction, Write};
     /// let action = ConsensusAction::Truncate { sequence: 7, from: 3 };
     /// assert_eq!(Write::of(&action), Some((7, Write::Truncate(3))));
     /// assert_eq!(Write::of(&ConsensusAction::Stopped), None);
--- a/crates/core/src/control/action.rs
+++ b/crates/core/src/control/action.rs
@@ -3,9 +3,9 @@
 use {
     super::{Answer, ControlLog, PeerMessage},
     crate::{
-        consensus::{Entry, Snapshot, Vote},
+        consensus::Write,
         dispatch::ServerView,
-        ids::{InstanceId, LogIndex, ServiceId},
+        ids::{InstanceId, ServiceId},
         text::Text,
     },
     std::{sync::Arc, time::Instant},
@@ -53,17 +53,3 @@
     /// An invariant is broken; the process stops.
     Broken(&'static str),
 }
-
-/// One write to the data folder.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Write {
-    /// Replace the vote.
-    Vote(Vote),
-    /// Append entries to the log, following the last stored one.
-    Append(Vec<Entry>),
-    /// Remove entries from this one to the end of the log.
-    Truncate(LogIndex),
-    /// Replace the snapshot and remove the entries that it covers; remove the whole log if it does not
-    /// contain the last covered entry with the same term.
-    Snapshot(Arc<Snapshot>),
-}
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -19,7 +19,7 @@
 mod requests;
 
 pub use {
-    action::{ControlAction, Write},
+    action::ControlAction,
     answer::{Answer, ClaimAnswer, SubmitAnswer},
     event::ControlEvent,
     log::ControlLog,
--- a/crates/core/src/control/replica.rs
+++ b/crates/core/src/control/replica.rs
@@ -1,10 +1,12 @@
 //! The part of the replicated log that a replica owns, with the ledger.
 
 use {
-    super::{Request, Write},
+    super::Request,
     crate::{
         collections::FastMap,
-        consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Message, ProposalResult, Recovered},
+        consensus::{
+            Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Message, ProposalResult, Recovered, Write,
+        },
         ids::{InstanceId, LogIndex, Term},
         ledger::{Command, Ledger, LedgerOutcome},
     },
--- a/crates/hemlockford/tests/cluster/serving.rs
+++ b/crates/hemlockford/tests/cluster/serving.rs
@@ -42,9 +42,8 @@
     cluster.expect_within(IN_FORCE_LIMIT, "the entry is back with the change", |cluster| {
         cluster.members[4].is_ready() && cluster.members[4].number() == 2
     });
-    cluster.expect_within(IN_FORCE_LIMIT, "the entry serves again", |cluster| {
-        get(&cluster.members[4].callers, "/catalogue/back").0 == 200
-    });
+    let (status, body) = get(&cluster.members[4].callers, "/catalogue/back");
+    assert_eq!(status, 200, "the entry was back in the balancer before it knew a server: {body}");
     drop(servers);
 }
 
--- a/crates/instance/src/admin.rs
+++ b/crates/instance/src/admin.rs
@@ -14,6 +14,7 @@
         burn::BurnReport,
         control::SubmitAnswer,
         errors::{ErrorKind, Result, unavailable},
+        registry::Announcement,
         text::MAX_TEXT_BYTES,
     },
     prometheus::{Registry, TextEncoder},
@@ -41,6 +42,8 @@
     pub(crate) reports: mpsc::UnboundedSender<oneshot::Sender<BurnReport>>,
     pub(crate) serve_until: watch::Receiver<Option<Instant>>,
     pub(crate) is_draining: watch::Receiver<bool>,
+    /// Whether the servers are known.
+    pub(crate) is_in_step: watch::Receiver<bool>,
     pub(crate) registry: Registry,
 }
 
@@ -87,14 +90,19 @@
     async fn announce(&self, req: &mut Request) -> Response<BoxBody> {
         let Some(body) = read_body(req).await else { return text(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n") };
         match serde_json::from_slice(&body) {
-            Ok(announcement) => {
-                let _ = self.control.send(ControlMessage::Announce(announcement));
-                text(StatusCode::OK, "ok\n")
-            }
+            Ok(announcement) => self.take(announcement),
             Err(e) => text(StatusCode::BAD_REQUEST, &format!("{e}\n")),
         }
     }
 
+    fn take(&self, announcement: Announcement) -> Response<BoxBody> {
+        if let Err(fault) = announcement.check() {
+            return text(StatusCode::UNPROCESSABLE_ENTITY, &format!("{fault}\n"));
+        }
+        let _ = self.control.send(ControlMessage::Announce(announcement));
+        text(StatusCode::OK, "ok\n")
+    }
+
     async fn submit(&self, req: &mut Request) -> Response<BoxBody> {
         let Some(body) = read_body(req).await else { return text(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n") };
         let Ok(source) = std::str::from_utf8(&body) else { return text(StatusCode::BAD_REQUEST, "not UTF-8\n") };
@@ -134,10 +142,13 @@
         if *self.is_draining.borrow() {
             return text(StatusCode::SERVICE_UNAVAILABLE, "shutting down\n");
         }
-        match self.serve_until.borrow().is_some_and(|until| Instant::now() < until) {
-            true => text(StatusCode::OK, "ok\n"),
-            false => text(StatusCode::SERVICE_UNAVAILABLE, "configuration not current\n"),
+        if self.serve_until.borrow().is_none_or(|until| Instant::now() >= until) {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "configuration not current\n");
+        }
+        if !*self.is_in_step.borrow() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "servers not known yet\n");
         }
+        text(StatusCode::OK, "ok\n")
     }
 }
 
--- a/crates/instance/src/control/task.rs
+++ b/crates/instance/src/control/task.rs
@@ -10,15 +10,17 @@
     },
     hemlockford_core::{
         collections::FastMap,
-        control::{Answer, Control, ControlAction, ControlEvent, ControlLog, SubmitAnswer, TICK_INTERVAL, Write},
+        control::{Answer, Control, ControlAction, ControlEvent, ControlLog, SubmitAnswer, TICK_INTERVAL},
         dispatch::DispatchEvent,
         ids::{DataCentreId, InstanceId},
+        registry::SERVER_LEASE,
         text::Text,
     },
     hemlockford_net::Timer,
     hemlockford_proxy::ClaimMessage,
     slog::{Logger, info, warn},
     std::{
+        mem::take,
         sync::{Arc, mpsc as blocking},
         time::Instant,
     },
@@ -36,6 +38,7 @@
     pub(crate) dispatcher: mpsc::UnboundedSender<DispatchEvent>,
     pub(crate) text: watch::Sender<Arc<Text>>,
     pub(crate) serve_until: watch::Sender<Option<Instant>>,
+    pub(crate) is_in_step: watch::Sender<bool>,
     pub(crate) storage: Option<blocking::Sender<StorageWrite>>,
     pub(crate) datagrams: DatagramSender,
     pub(crate) streams: StreamSender,
@@ -52,6 +55,8 @@
     next_submit: u64,
     pending_claims: Claims,
     stopping: Vec<oneshot::Sender<()>>,
+    /// Since when the instance may serve.
+    serving_since: Option<Instant>,
     actions: Vec<ControlAction>,
 }
 
@@ -63,6 +68,7 @@
             next_submit: 0,
             pending_claims: Claims::default(),
             stopping: Vec::new(),
+            serving_since: None,
             actions: Vec::new(),
         }
     }
@@ -82,6 +88,7 @@
             };
             if let Some(event) = event {
                 self.handle(event);
+                self.compare_servers();
             }
         }
     }
@@ -135,7 +142,7 @@
             ControlAction::Stream { to, message } => parts.streams.send(&to, Wire::Control(message)),
             ControlAction::Write { sequence, write } => {
                 if let Some(storage) = &parts.storage {
-                    let _ = storage.send(StorageWrite { sequence, write: stored(write) });
+                    let _ = storage.send(StorageWrite { sequence, write });
                 }
             }
             ControlAction::Install(text) => {
@@ -166,6 +173,26 @@
         None
     }
 
+    /// Notes when the servers are known: once they are the same as those of a live peer, or each server has
+    /// had the time to announce itself. Until then the balancer would send calls that find no server.
+    fn compare_servers(&mut self) {
+        let parts = &self.parts;
+        let Some(since) = self.serving_since else {
+            parts.is_in_step.send_if_modified(take);
+            return;
+        };
+        if *parts.is_in_step.borrow() {
+            return;
+        }
+        let now = Instant::now();
+        let (membership, digest) = (parts.control.membership(), parts.control.registry().digest(now));
+        let mut peers = parts.peers.iter().filter(|peer| membership.is_live(now, peer));
+        let is_known = peers.any(|peer| membership.status(peer).is_some_and(|status| status.digest == digest));
+        if is_known || now >= since + SERVER_LEASE {
+            parts.is_in_step.send_replace(true);
+        }
+    }
+
     fn answer(&mut self, answer: Answer) -> Option<ControlEvent> {
         match answer {
             Answer::Submit { request, answer } => {
@@ -184,11 +211,17 @@
         }
     }
 
-    fn log(&self, entry: &ControlLog) {
+    fn log(&mut self, entry: &ControlLog) {
         let ControlParts { counters, log, .. } = &self.parts;
         match entry {
-            ControlLog::Ready => counters.ready.set(1),
-            ControlLog::NotReady(_) => counters.ready.set(0),
+            ControlLog::Ready => {
+                self.serving_since = Some(Instant::now());
+                counters.ready.set(1);
+            }
+            ControlLog::NotReady(_) => {
+                self.serving_since = None;
+                counters.ready.set(0);
+            }
             ControlLog::Leading(_) => counters.leading.set(1),
             ControlLog::Following(_) => counters.leading.set(0),
             _ => {}
@@ -202,15 +235,6 @@
     }
 }
 
-fn stored(write: Write) -> hemlockford_store::Write {
-    match write {
-        Write::Vote(vote) => hemlockford_store::Write::Vote(vote),
-        Write::Append(entries) => hemlockford_store::Write::Append(entries),
-        Write::Truncate(from) => hemlockford_store::Write::Truncate(from),
-        Write::Snapshot(snapshot) => hemlockford_store::Write::Snapshot(snapshot),
-    }
-}
-
 fn submit_name(answer: &SubmitAnswer) -> &'static str {
     match answer {
         SubmitAnswer::Invalid(_) => "invalid",
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -93,6 +93,7 @@
         let (text_tx, text_rx) = watch::channel(Arc::<Text>::default());
         let (serve_tx, serve_rx) = watch::channel(None);
         let (drain_tx, drain_rx) = watch::channel(false);
+        let (step_tx, step_rx) = watch::channel(false);
         let (stop_tx, stop_rx) = watch::channel(false);
         let (failure_tx, failure_rx) = mpsc::unbounded_channel();
         let (done_tx, done_rx) = mpsc::unbounded_channel();
@@ -133,6 +134,7 @@
             reports: reports_tx,
             serve_until: serve_rx.clone(),
             is_draining: drain_rx,
+            is_in_step: step_rx,
             registry,
         };
         let Sockets { callers, admin: admin_listener, listen, datagrams } = sockets;
@@ -174,6 +176,7 @@
                     dispatcher: dispatch_tx,
                     text: text_tx,
                     serve_until: serve_tx,
+                    is_in_step: step_tx,
                     storage,
                     datagrams,
                     streams,
--- a/crates/instance/src/storage.rs
+++ b/crates/instance/src/storage.rs
@@ -4,8 +4,8 @@
 
 use {
     crate::control::ControlMessage,
-    hemlockford_core::errors::ErrorKind,
-    hemlockford_store::{Store, Write},
+    hemlockford_core::{consensus::Write, errors::ErrorKind},
+    hemlockford_store::Store,
     prometheus::{Histogram, IntCounter},
     slog::{Logger, error, info},
     std::{
--- a/crates/scenario/src/fakes/cluster.rs
+++ b/crates/scenario/src/fakes/cluster.rs
@@ -1,9 +1,9 @@
 //! Replicas, their disks and their links on a virtual clock.
 
 use {
-    super::{Checks, FakeMachine, FakeNet, Node, Write},
+    super::{Checks, FakeMachine, FakeNet, Node},
     hemlockford_core::{
-        consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Message},
+        consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Message, Write},
         ids::{InstanceId, LogIndex},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
@@ -276,14 +276,9 @@
     fn carry_out(&mut self, node: usize, actions: Vec<ConsensusAction>, committed_before: LogIndex) {
         let is_stopped = actions.contains(&ConsensusAction::Stopped);
         for action in &actions {
-            let write = match action.clone() {
-                ConsensusAction::SaveVote { sequence, vote } => (sequence, Write::Vote(vote)),
-                ConsensusAction::Append { sequence, entries } => (sequence, Write::Append(entries)),
-                ConsensusAction::Truncate { sequence, from } => (sequence, Write::Truncate(from)),
-                ConsensusAction::SaveSnapshot { sequence, snapshot } => (sequence, Write::Snapshot(snapshot)),
-                _ => continue,
-            };
-            self.nodes[node].disk.write(write.0, write.1);
+            if let Some((sequence, write)) = Write::of(action) {
+                self.nodes[node].disk.write(sequence, write);
+            }
         }
         self.checks.committed(&self.nodes[node], committed_before);
         self.checks.note_admission(&self.nodes[node]);
--- a/crates/scenario/src/fakes/disk.rs
+++ b/crates/scenario/src/fakes/disk.rs
@@ -2,25 +2,12 @@
 
 use {
     hemlockford_core::{
-        consensus::{Entry, Member, Members, Payload, Recovered, Snapshot, Vote},
+        consensus::{Entry, Member, Members, Payload, Recovered, Snapshot, Vote, Write},
         ids::{Incarnation, LogIndex},
     },
     std::{collections::VecDeque, sync::Arc},
 };
 
-/// One write that consensus asked for.
-#[derive(Clone, Debug)]
-pub enum Write {
-    /// Replace the vote.
-    Vote(Vote),
-    /// Append entries.
-    Append(Vec<Entry>),
-    /// Remove entries from the end.
-    Truncate(LogIndex),
-    /// Replace the snapshot.
-    Snapshot(Arc<Snapshot>),
-}
-
 /// Content of a folder.
 #[derive(Clone, Debug, Default)]
 pub struct Image {
--- a/crates/scenario/src/fakes/mod.rs
+++ b/crates/scenario/src/fakes/mod.rs
@@ -10,7 +10,7 @@
 pub use {
     checks::{Checks, Violation},
     cluster::{Cluster, ClusterOptions, Step},
-    disk::{FakeDisk, Image, Lie, Write},
+    disk::{FakeDisk, Image, Lie},
     machine::FakeMachine,
     net::{FakeNet, Forgery},
     node::Node,
--- a/crates/scenario/src/script/events.rs
+++ b/crates/scenario/src/script/events.rs
@@ -5,9 +5,8 @@
         Fault, Kind, NodeState, World,
         world::{Event, name},
     },
-    crate::fakes,
     hemlockford_core::{
-        control::{Answer, Channel, ClaimAnswer, ControlAction, ControlEvent, PeerMessage, TICK_INTERVAL, Write},
+        control::{Answer, Channel, ClaimAnswer, ControlAction, ControlEvent, PeerMessage, TICK_INTERVAL},
         ledger::MIN_RETENTION_MS,
         registry::ANNOUNCE_INTERVAL,
     },
@@ -200,7 +199,7 @@
                 ControlAction::Stream { to, message } => self.send(node, &to, message, Channel::Stream),
                 ControlAction::Write { sequence, write } => {
                     if let Some(disk) = &mut self.nodes[node].disk {
-                        disk.write(sequence, kept(write));
+                        disk.write(sequence, write);
                         up_to = Some(sequence);
                     }
                 }
@@ -252,12 +251,3 @@
         }
     }
 }
-
-fn kept(write: Write) -> fakes::Write {
-    match write {
-        Write::Vote(vote) => fakes::Write::Vote(vote),
-        Write::Append(entries) => fakes::Write::Append(entries),
-        Write::Truncate(from) => fakes::Write::Truncate(from),
-        Write::Snapshot(snapshot) => fakes::Write::Snapshot(snapshot),
-    }
-}
--- a/crates/scenario/tests/single.rs
+++ b/crates/scenario/tests/single.rs
@@ -1,9 +1,9 @@
 //! The state machine of the replicated log together with the store on real files.
 
 use {
-    hemlockford_core::consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions},
+    hemlockford_core::consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Write},
     hemlockford_scenario::fakes::FakeMachine,
-    hemlockford_store::{Opened, Store, StoreOptions, Write},
+    hemlockford_store::{Opened, Store, StoreOptions},
     rand::{SeedableRng, rngs::SmallRng},
     std::{
         path::Path,
--- a/crates/store/examples/restart.rs
+++ b/crates/store/examples/restart.rs
@@ -2,8 +2,8 @@
 //! with a snapshot every 256 entries. Prints CSV.
 
 use {
-    hemlockford_core::consensus::{Entry, Members, Payload, Snapshot},
-    hemlockford_store::{Store, StoreOptions, Write},
+    hemlockford_core::consensus::{Entry, Members, Payload, Snapshot, Write},
+    hemlockford_store::{Store, StoreOptions},
     std::{fmt::Write as _, hint::black_box, sync::Arc, time::Instant},
 };
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,11 +8,9 @@
 mod record;
 mod replay;
 mod store;
-mod write;
 
 pub use {
     disk::Disk,
     folder::Folder,
     store::{Opened, Store, StoreOptions},
-    write::Write,
 };
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -2,13 +2,13 @@
 
 use {
     crate::{
-        Disk, Folder, Write,
+        Disk, Folder,
         identity::Identity,
         record::{self, LogBody, LogRecord},
         replay::Replay,
     },
     hemlockford_core::{
-        consensus::{Entry, Recovered, Snapshot, Vote},
+        consensus::{Entry, Recovered, Snapshot, Vote, Write},
         errors::{self, ErrorKind, Result, corrupt},
         ids::{Incarnation, LogIndex},
     },
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -5,10 +5,10 @@
 use {
     fake::FakeDisk,
     hemlockford_core::{
-        consensus::{Entry, Member, Members, Payload, Recovered, Snapshot, Vote},
+        consensus::{Entry, Member, Members, Payload, Recovered, Snapshot, Vote, Write},
         errors::ErrorKind,
     },
-    hemlockford_store::{Opened, Store, StoreOptions, Write},
+    hemlockford_store::{Opened, Store, StoreOptions},
     std::sync::Arc,
 };
 
