Add up the burn of all instances in report

Cause: report printed each instance's table on its own, so that a customer whose calls are spread over entries never showed its true rate. Counts are now merged before rates and alerts are worked out; the alternative, merging on an instance, was ruled out because every entry would have to hear the counts of all others. The new test fails when only one instance counts.

--- a/crates/hemlockford/src/main.rs
+++ b/crates/hemlockford/src/main.rs
@@ -9,8 +9,9 @@
 mod load;
 mod local;
 mod log;
-mod read;
+mod report;
 mod run;
+mod status;
 mod stop;
 mod submit;
 mod table;
@@ -49,8 +50,8 @@
         Some(Command::Run(arguments)) => run::run(&arguments),
         Some(Command::Check(arguments)) => text::check(&arguments),
         Some(Command::Submit(arguments)) => submit::submit(&arguments),
-        Some(Command::Status(arguments)) => read::status(&arguments),
-        Some(Command::Report(arguments)) => read::report(&arguments),
+        Some(Command::Status(arguments)) => status::status(&arguments),
+        Some(Command::Report(arguments)) => report::report(&arguments),
         Some(Command::Demo(arguments)) => demo::demo(&arguments),
         Some(Command::Emulate(arguments)) => emulate::emulate(arguments),
         Some(Command::Load(arguments)) => load::load(arguments),
--- a/crates/hemlockford/src/read.rs
+++ b/crates/hemlockford/src/status.rs
@@ -1,4 +1,4 @@
-//! The commands `status` and `report`, which read from the admin listener of each instance.
+//! The command `status`, which reads from the admin listener of each instance.
 
 use {
     crate::{client, command::ReadArguments, exit::Exit, run::print_line, table},
@@ -8,16 +8,8 @@
     std::net::SocketAddr,
 };
 
+/// Reads the state of each instance; one that does not answer is named and makes the command fail.
 pub(crate) fn status(arguments: &ReadArguments) -> Result<Exit> {
-    read(arguments, "/status", "/status")
-}
-
-pub(crate) fn report(arguments: &ReadArguments) -> Result<Exit> {
-    read(arguments, "/report", "/report?format=text")
-}
-
-/// Reads one page of each instance; an instance that does not answer is named and makes the command fail.
-fn read(arguments: &ReadArguments, json_page: &str, text_page: &str) -> Result<Exit> {
     let addresses: Vec<_> = arguments.from.iter().chain(&arguments.more).copied().collect();
     if addresses.is_empty() {
         return Err(invalid_input("--from is missing"));
@@ -26,8 +18,7 @@
         let mut all = Map::new();
         let mut is_complete = true;
         for from in addresses {
-            let page = if arguments.json { json_page } else { text_page };
-            let body = fetch(from, page, arguments).await;
+            let body = fetch(from, arguments).await;
             is_complete &= body.is_ok();
             match body {
                 Ok(body) if arguments.json => {
@@ -48,8 +39,8 @@
     })
 }
 
-async fn fetch(from: SocketAddr, page: &str, arguments: &ReadArguments) -> Result<String> {
-    let answer = client::get(from, page, arguments.timeout).await?;
+async fn fetch(from: SocketAddr, arguments: &ReadArguments) -> Result<String> {
+    let answer = client::get(from, "/status", arguments.timeout).await?;
     if answer.status != 200 {
         return Err(unavailable(format!("status {}: {}", answer.status, answer.body.trim())));
     }
--- a/crates/hemlockford/tests/processes/commands.rs
+++ b/crates/hemlockford/tests/processes/commands.rs
@@ -124,6 +124,29 @@
     let all: serde_json::Value = serde_json::from_str(&ended.stdout).expect("JSON");
     assert_eq!(all[&answering]["instance"], "e1");
     assert!(all[&silent]["error"].is_string(), "{all}");
-    let text = respond("200 OK", "catalogue  burn 0.5\n");
-    assert!(run(&["report", "--from", &text]).stdout.contains("burn 0.5"));
+}
+
+/// Guards against a report of one instance's calls only, and against one that hides a silent instance.
+#[test]
+fn report_adds_up_the_calls_of_every_instance() {
+    let system = System::start();
+    let servers = system.servers(&["--servers", "2", "--service-time", "1ms"]);
+    let (ended, summary) = system.load(&servers, &["--rate", "50", "--time", "1s", "--customer", "kovar=50"]);
+    assert_eq!(ended.code, 0, "{summary}");
+    let report = |from: &[&str]| {
+        let mut arguments = vec!["report", "--json"];
+        arguments.extend(from.iter().flat_map(|from| ["--from", from]));
+        let ended = run(&arguments);
+        (ended.code, serde_json::from_str::<serde_json::Value>(&ended.stdout).expect("JSON"))
+    };
+    let total = |report: &serde_json::Value| report["services"][0]["windows"][0]["total"].as_u64().expect("a count");
+    let (code, once) = report(&[&system.admin]);
+    assert!(code == 0 && total(&once) >= 50, "{once}");
+    assert_eq!(once["services"][0]["service"], "catalogue", "{once}");
+    let (code, twice) = report(&[&system.admin, &system.admin]);
+    assert!(code == 0 && total(&twice) == 2 * total(&once), "{twice}");
+    let silent = respond("", "");
+    assert_eq!(report(&[&system.admin, &silent]).0, 1, "a silent instance is not hidden");
+    let text = run(&["report", "--from", &system.admin]).stdout;
+    assert!(text.contains("catalogue") && text.contains("99.9% in 250ms"), "{text}");
 }
