Measure slopes of time, memory and messages

The design target had no measured base. bench slopes runs the state machines and codecs in virtual time and writes one CSV and one plot for each slope.

--- a/crates/hemlockford/src/bench.rs
+++ b/crates/hemlockford/src/bench.rs
@@ -2,14 +2,16 @@
 
 use {
     crate::{
-        command::{AddedArguments, Bench, BenchArguments},
+        command::{AddedArguments, Bench, BenchArguments, SlopesArguments},
         exit::Exit,
         local::Local,
         log::{LogFormat, logger},
     },
     error_stack::ResultExt,
     hemlockford_core::errors::{ErrorKind, Result, invalid_input},
-    hemlockford_tools::{AddedOptions, AddedRow, EmulateOptions, LoadOptions, ServiceTime, added},
+    hemlockford_tools::{
+        AddedOptions, AddedRow, EmulateOptions, LoadOptions, ServiceTime, SlopesOptions, added, slopes,
+    },
     std::{path::Path, time::Duration},
 };
 
@@ -24,10 +26,19 @@
 pub(crate) fn bench(arguments: BenchArguments) -> Result<Exit> {
     match arguments.bench {
         Some(Bench::Added(arguments)) => compare(arguments),
+        Some(Bench::Slopes(arguments)) => measure_slopes(arguments),
         None => Err(invalid_input("a measurement is missing; see bench --help")),
     }
 }
 
+fn measure_slopes(arguments: SlopesArguments) -> Result<Exit> {
+    let only = arguments.only.into_iter().map(Into::into).collect();
+    for slope in slopes(&SlopesOptions { out: arguments.out, only })? {
+        println!("{}\n{}", slope.title, slope.to_csv());
+    }
+    Ok(Exit::Ok)
+}
+
 fn compare(arguments: AddedArguments) -> Result<Exit> {
     if arguments.entry.is_empty() != arguments.server.is_empty() {
         return Err(invalid_input("--entry and --server are needed together"));
--- a/crates/hemlockford/src/command/mod.rs
+++ b/crates/hemlockford/src/command/mod.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 pub(crate) use {
     operator::{CheckArguments, ReadArguments, RunArguments, SubmitArguments},
-    tool::{AddedArguments, Bench, BenchArguments, DemoArguments, EmulateArguments, LoadArguments},
+    tool::{AddedArguments, Bench, BenchArguments, DemoArguments, EmulateArguments, LoadArguments, SlopesArguments},
 };
 
 /// Arguments of the program.
--- a/crates/hemlockford/src/command/tool.rs
+++ b/crates/hemlockford/src/command/tool.rs
@@ -169,6 +169,18 @@
 pub(crate) enum Bench {
     #[options(help = "latency that an entry adds to direct calls")]
     Added(AddedArguments),
+    #[options(help = "time, memory and messages against what the system holds")]
+    Slopes(SlopesArguments),
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct SlopesArguments {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "folder that takes a CSV file and a plot for each slope", required, meta = "FOLDER")]
+    pub(crate) out: PathBuf,
+    #[options(help = "name of a slope to measure; may be repeated", no_short, meta = "NAME")]
+    pub(crate) only: Vec<String>,
 }
 
 #[derive(Debug, Options)]
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -7,6 +7,7 @@
 mod histogram;
 pub mod load;
 mod quantity;
+pub mod slopes;
 mod timer;
 
 pub use {
@@ -15,5 +16,6 @@
     emulate::{EmulateOptions, Emulation, ServiceTime},
     load::{LoadOptions, LoadSummary, load},
     quantity::parse_time,
+    slopes::{SlopesOptions, slopes},
     timer::PreciseTimer,
 };
--- /dev/null
+++ b/crates/tools/src/slopes/balance.rs
@@ -0,0 +1,100 @@
+//! Slopes of the dispatcher: a choice, a tick, and slot messages.
+
+use {
+    super::{
+        Slope, clock,
+        dispatchers::{Dispatchers, GroupOptions, SLOTS, WORK},
+    },
+    hemlockford_core::errors::Result,
+    std::time::Duration,
+};
+
+const SERVERS: [usize; 6] = [20, 58, 120, 380, 950, 1_900];
+/// Share of all slots in use.
+const LOAD: f64 = 0.6;
+/// Time in which coordinators take up their role and permits spread.
+const WARM_UP: Duration = Duration::from_millis(1_500);
+/// Runs of which the mean is taken at most.
+const MAX_ROUNDS: usize = 200;
+/// Calls a second in the comparisons that vary something else.
+const RATE: f64 = 2_400.0;
+const MEASURED: Duration = Duration::from_secs(3);
+
+/// Processor time of a call's two decisions (its choice and its end) and of ticks, against servers known.
+pub(super) fn choice() -> Result<Slope> {
+    let mut slope = Slope::new(
+        "choice",
+        "Dispatcher of one entry against servers known",
+        "servers",
+        &["processor us of one call (choice and end)", "processor us of one tick without calls"],
+    );
+    for (line, services) in [("1 service", 1), ("58 services", 58)] {
+        for servers in SERVERS.into_iter().filter(|servers| *servers >= services) {
+            let options = GroupOptions { entries: 1, services, servers, rate: 0.0 };
+            let (tick, _) = time_of(options, 1_000)?;
+            let rate = LOAD * (servers * SLOTS) as f64 / WORK.as_secs_f64();
+            // The calls share one tick each millisecond, whose own time is taken off.
+            let seconds = (30_000.0 / rate).clamp(0.1, 3.0);
+            let ticks = (seconds * 1e3) as usize;
+            let (busy, calls) = time_of(GroupOptions { rate, ..options }, ticks)?;
+            slope.push(line, servers as f64, &[(busy - tick) * ticks as f64 / calls * 1e6, tick * 1e6]);
+        }
+    }
+    Ok(slope)
+}
+
+/// Returns the processor time of a tick with all that happens in the millisecond, and the calls of all ticks.
+fn time_of(options: GroupOptions, ticks: usize) -> Result<(f64, f64)> {
+    let mut group = Dispatchers::new(options)?;
+    group.run(WARM_UP)?;
+    let (start, before) = (clock::processor_time()?, group.calls);
+    for rounds in 1.. {
+        group.run(Duration::from_millis(ticks as u64))?;
+        let taken = clock::processor_time()? - start;
+        if taken >= clock::ENOUGH || rounds == MAX_ROUNDS {
+            let rounds = rounds as f64;
+            return Ok((taken / rounds / ticks as f64, (group.calls - before) as f64 / rounds));
+        }
+    }
+    Ok((0.0, 0.0))
+}
+
+/// Slot messages of an entry against entries, services and calls.
+pub(super) fn slots() -> Result<Slope> {
+    let mut slope = Slope::new(
+        "slots",
+        "Slot messages at 60% load",
+        "entries or services or calls/s",
+        &["bytes/s sent by an entry", "messages/s sent by an entry", "bytes of all entries for a call"],
+    );
+    let servers_for = |rate: f64| (rate * WORK.as_secs_f64() / (LOAD * SLOTS as f64)).ceil() as usize;
+    for entries in [2, 3, 6, 12, 24, 48] {
+        let options = GroupOptions { entries, services: 3, servers: servers_for(RATE), rate: RATE };
+        push(&mut slope, "entries (3 services 2400 calls/s)", entries as f64, options)?;
+    }
+    for services in [1, 3, 6, 10, 20] {
+        let options = GroupOptions { entries: 6, services, servers: servers_for(RATE), rate: RATE };
+        push(&mut slope, "services (6 entries 2400 calls/s)", services as f64, options)?;
+    }
+    for rate in [300.0, 600.0, 1_200.0, 2_400.0, 4_800.0, 9_600.0] {
+        let options = GroupOptions { entries: 6, services: 3, servers: servers_for(rate), rate };
+        push(&mut slope, "calls/s (6 entries 3 services)", rate, options)?;
+    }
+    for rate in [300.0, 600.0, 1_200.0, 2_400.0, 4_800.0, 9_600.0] {
+        let options = GroupOptions { entries: 1, services: 3, servers: servers_for(rate).max(3), rate };
+        push(&mut slope, "calls/s (1 entry 3 services)", rate, options)?;
+    }
+    Ok(slope)
+}
+
+fn push(slope: &mut Slope, line: &str, x: f64, options: GroupOptions) -> Result<()> {
+    let mut group = Dispatchers::new(options)?;
+    group.run(WARM_UP)?;
+    let (messages, bytes, answered) = (group.messages, group.bytes, group.answered);
+    group.run(MEASURED)?;
+    let per_entry = MEASURED.as_secs_f64() * options.entries as f64;
+    let answered = (group.answered - answered).max(1) as f64;
+    let bytes = (group.bytes - bytes) as f64;
+    slope.push(line, x, &[bytes / per_entry, (group.messages - messages) as f64 / per_entry, bytes / answered]);
+    Ok(())
+}
--- /dev/null
+++ b/crates/tools/src/slopes/control.rs
@@ -0,0 +1,174 @@
+//! Slopes of the control part: heartbeats, announcements and changes.
+
+use {
+    super::{
+        Slope, clock,
+        controls::{Controls, GroupOptions, Traffic, announcement, services_of},
+        texts,
+    },
+    error_stack::ResultExt,
+    hemlockford_core::{
+        errors::{ErrorKind, Result},
+        text::Text,
+    },
+    std::time::Duration,
+};
+
+/// Time in which the group forms and elects a leader.
+const FORM: Duration = Duration::from_secs(3);
+/// Time in which every server has announced itself at least twice.
+const ANNOUNCED: Duration = Duration::from_millis(1_700);
+/// Virtual time that is measured at least, and the multiple of it at most.
+const MEASURED: Duration = Duration::from_secs(4);
+const MAX_ROUNDS: usize = 50;
+/// Time between two changes.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Changes of which the mean is taken.
+const CHANGES: u64 = 40;
+
+/// Heartbeats against instances.
+pub(super) fn heartbeat() -> Result<Slope> {
+    let mut slope = Slope::new(
+        "heartbeat",
+        "Heartbeats without servers",
+        "instances",
+        &["heartbeat bytes/s sent by a node", "processor share of a node in %", "replication bytes/s of the leader"],
+    );
+    for instances in [3, 5, 7, 14, 25, 36, 50] {
+        let mut group = start(GroupOptions { instances, servers: 0, with_dispatcher: false }, 3)?;
+        let (processor, traffic) = measure(&mut group)?;
+        let leader = group.leader().unwrap_or_default();
+        let before = group.sent[leader].other_bytes;
+        group.run(MEASURED)?;
+        let replication = (group.sent[leader].other_bytes - before) / MEASURED.as_secs_f64();
+        let nodes = instances as f64;
+        let values = [traffic.heartbeat_bytes / nodes, processor / nodes * 100.0, replication];
+        slope.push("3 control replicas", nodes, &values);
+    }
+    Ok(slope)
+}
+
+/// Announcements and their relay against servers and entries.
+pub(super) fn relay() -> Result<Slope> {
+    let mut slope = Slope::new(
+        "relay",
+        "Announcements each 800 ms and their relay to all entries",
+        "servers or entries",
+        &[
+            "relay bytes/s sent by a node",
+            "relay datagrams/s sent by a node",
+            "processor share of the control part in % (heartbeats taken off)",
+            "processor share of the dispatcher's updates in %",
+            "bytes/s of announcements at a node",
+        ],
+    );
+    for servers in [36, 120, 400, 900, 1_900] {
+        push_relay(&mut slope, "servers (7 entries)", servers as f64, 7, servers)?;
+    }
+    for entries in [3, 7, 14, 28] {
+        push_relay(&mut slope, "entries (400 servers)", entries as f64, entries, 400)?;
+    }
+    Ok(slope)
+}
+
+fn push_relay(slope: &mut Slope, line: &str, x: f64, instances: usize, servers: usize) -> Result<()> {
+    let services = services_of(servers);
+    let mut results = Vec::new();
+    for (servers, with_dispatcher) in [(0, false), (servers, false), (servers, true)] {
+        let mut group = start(GroupOptions { instances, servers, with_dispatcher }, services)?;
+        group.run(ANNOUNCED)?;
+        if group.servers_known() != servers {
+            return Err(hemlockford_core::errors::unavailable("an instance does not know every server"));
+        }
+        results.push(measure(&mut group)?);
+    }
+    let nodes = instances as f64;
+    let share = |of: usize, without: usize| (results[of].0 - results[without].0).max(0.0) / nodes * 100.0;
+    let traffic = results[1].1;
+    let body = serde_json::to_vec(&announcement(0, services)).change_context(ErrorKind::InvalidInput)?;
+    let announced = announcement_bytes(body.len()) * servers as f64 / 0.8 / nodes;
+    let (bytes, messages) = (traffic.relay_bytes / nodes, traffic.relay_messages / nodes);
+    slope.push(line, x, &[bytes, messages, share(1, 0), share(2, 1), announced]);
+    Ok(())
+}
+
+/// Returns the bytes on the wire of one announcement by `POST` over an open connection, both ways.
+fn announcement_bytes(body: usize) -> f64 {
+    let request = format!(
+        "POST /announce HTTP/1.1\r\nhost: 10.0.0.1:8081\r\ncontent-type: application/json\r\n\
+         accept-encoding: \r\ndate: Thu, 03 Dec 2026 10:00:00 GMT\r\ncontent-length: {body}\r\n\r\n"
+    );
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\ndate: Thu, 03 Dec 2026 10:00:00 GMT\r\n\r\n";
+    // The answer acknowledges the request, and one further segment acknowledges the answer.
+    (request.len() + body + answer.len() + 3 * 52) as f64
+}
+
+/// One change against its text and against instances.
+pub(super) fn change() -> Result<Slope> {
+    let mut slope = Slope::new(
+        "change",
+        "One change: 1 ms between instances and 2 ms for an fsync (virtual time)",
+        "services or instances",
+        &[
+            "bytes of the text",
+            "bytes sent by the leader for a change",
+            "ms until in force on every instance",
+            "us to parse and check the text (least)",
+            "processor ms of a node for a change",
+        ],
+    );
+    for services in [3, 15, 60, 120, 240] {
+        push_change(&mut slope, "services (7 instances)", services as f64, 7, services)?;
+    }
+    for instances in [3, 7, 14, 28, 50] {
+        push_change(&mut slope, "instances (60 services)", instances as f64, instances, 60)?;
+    }
+    Ok(slope)
+}
+
+fn push_change(slope: &mut Slope, line: &str, x: f64, instances: usize, services: usize) -> Result<()> {
+    let mut group = start(GroupOptions { instances, servers: 0, with_dispatcher: false }, services)?;
+    let idle = measure(&mut group)?.0;
+    let leader = group.leader().unwrap_or_default();
+    let (start, bytes, begin) = (clock::processor_time()?, group.sent[leader].other_bytes, group.now());
+    let mut slowest = Duration::ZERO;
+    for number in 0..CHANGES {
+        slowest = slowest.max(group.submit(instances - 1, 2 + number, texts::text(2 + number, services))?);
+        group.run(PAUSE)?;
+    }
+    let lasted = (group.now() - begin).as_secs_f64();
+    let processor = (clock::processor_time()? - start - idle * lasted).max(0.0) / (CHANGES * instances as u64) as f64;
+    let bytes = (group.sent[leader].other_bytes - bytes) / CHANGES as f64;
+    let text = texts::text(9, services);
+    let (parse, _) = clock::repeat(100, || drop(Text::parse(&text)));
+    let in_force = slowest.as_secs_f64() * 1e3;
+    slope.push(line, x, &[text.len() as f64, bytes, in_force, parse * 1e6, processor * 1e3]);
+    Ok(())
+}
+
+fn start(options: GroupOptions, services: usize) -> Result<Controls> {
+    let mut group = Controls::new(options);
+    group.run(FORM)?;
+    group.submit(0, 1, texts::text(1, services))?;
+    Ok(group)
+}
+
+/// Returns the processor time and the traffic of all instances in one second of virtual time.
+fn measure(group: &mut Controls) -> Result<(f64, Traffic)> {
+    let (start, begin, before) = (clock::processor_time()?, group.now(), group.total());
+    for _ in 0..MAX_ROUNDS {
+        group.run(MEASURED)?;
+        if clock::processor_time()? - start >= clock::ENOUGH {
+            break;
+        }
+    }
+    let (processor, after) = (clock::processor_time()? - start, group.total());
+    let seconds = (group.now() - begin).as_secs_f64();
+    let traffic = Traffic {
+        heartbeat_bytes: (after.heartbeat_bytes - before.heartbeat_bytes) / seconds,
+        relay_bytes: (after.relay_bytes - before.relay_bytes) / seconds,
+        relay_messages: (after.relay_messages - before.relay_messages) / seconds,
+        other_bytes: (after.other_bytes - before.other_bytes) / seconds,
+    };
+    Ok((processor / seconds, traffic))
+}
--- /dev/null
+++ b/crates/tools/src/slopes/mod.rs
@@ -0,0 +1,72 @@
+//! Slopes: how time, memory and messages grow with what the system holds.
+//!
+//! The state machines and codecs of the running instances are measured in one process, without a network.
+//! docs/notes/capacity-method.md says how, and what the errors are.
+
+mod agenda;
+mod balance;
+mod clock;
+mod control;
+mod controls;
+mod datagrams;
+mod dispatchers;
+mod durable;
+mod memory;
+mod plot;
+mod slope;
+mod texts;
+mod wire;
+
+pub use slope::{Row, Slope};
+
+use {
+    error_stack::ResultExt,
+    hemlockford_core::errors::{ErrorKind, Result, invalid_input},
+    std::{fs, path::PathBuf},
+};
+
+/// A measurement with its name.
+type Measurement = (&'static str, fn() -> Result<Slope>);
+
+/// All measurements in the order in which they run. Memory comes first, when the process holds nothing.
+const MEASUREMENTS: [Measurement; 9] = [
+    ("memory", memory::memory),
+    ("choice", balance::choice),
+    ("heartbeat", control::heartbeat),
+    ("relay", control::relay),
+    ("slots", balance::slots),
+    ("change", control::change),
+    ("restart", durable::restart),
+    ("claims", durable::claims),
+    ("datagram", datagrams::datagram),
+];
+
+/// What to measure.
+#[derive(Clone, Debug)]
+pub struct SlopesOptions {
+    /// Folder that takes a CSV file and a plot for each slope.
+    pub out: PathBuf,
+    /// Names of the slopes to measure; all of them if there is none.
+    pub only: Vec<Box<str>>,
+}
+
+/// Measures slopes, writes each as CSV and SVG, and returns them.
+pub fn slopes(options: &SlopesOptions) -> Result<Vec<Slope>> {
+    if let Some(unknown) = options.only.iter().find(|name| !MEASUREMENTS.iter().any(|known| *known.0 == ***name)) {
+        let known: Vec<_> = MEASUREMENTS.iter().map(|known| known.0).collect();
+        return Err(invalid_input(format!("unknown slope {unknown}; expected one of {}", known.join(", "))));
+    }
+    let failed = || format!("cannot create {}", options.out.display());
+    fs::create_dir_all(&options.out).change_context(ErrorKind::Io).attach_with(failed)?;
+    let mut measured = Vec::new();
+    for (name, measure) in MEASUREMENTS {
+        if !options.only.is_empty() && !options.only.iter().any(|only| **only == *name) {
+            continue;
+        }
+        let slope = measure().attach_with(|| format!("slope {name}"))?;
+        slope.write(&options.out)?;
+        plot::plot(&slope, &options.out)?;
+        measured.push(slope);
+    }
+    Ok(measured)
+}
--- /dev/null
+++ b/crates/tools/src/slopes/slope.rs
@@ -0,0 +1,91 @@
+//! One measured slope.
+
+use {
+    error_stack::ResultExt,
+    hemlockford_core::errors::{ErrorKind, Result},
+    std::{fmt::Write, fs, path::Path},
+};
+
+/// One measured slope: a table whose rows belong to lines, with a common horizontal quantity.
+#[derive(Clone, Debug)]
+pub struct Slope {
+    /// Name of the CSV file and of the plot, without extension.
+    pub name: &'static str,
+    /// Title of the plot.
+    pub title: &'static str,
+    /// The quantity that is varied.
+    pub x: &'static str,
+    /// Measured quantities with their units, one for each value of a row.
+    pub measures: Vec<&'static str>,
+    /// Rows in the order of the lines.
+    pub rows: Vec<Row>,
+}
+
+/// One point of a line.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// The line that the row belongs to.
+    pub line: Box<str>,
+    /// Value of the quantity that is varied.
+    pub x: f64,
+    /// Measured values.
+    pub values: Vec<f64>,
+}
+
+impl Slope {
+    /// Makes a slope without rows.
+    pub fn new(name: &'static str, title: &'static str, x: &'static str, measures: &[&'static str]) -> Self {
+        Self { name, title, x, measures: measures.into(), rows: Vec::new() }
+    }
+
+    /// Adds a point.
+    pub fn push(&mut self, line: &str, x: f64, values: &[f64]) {
+        self.rows.push(Row { line: line.into(), x, values: values.into() });
+    }
+
+    /// Returns the names of the lines in order.
+    pub fn lines(&self) -> Vec<&str> {
+        let mut lines: Vec<&str> = Vec::new();
+        for row in &self.rows {
+            if !lines.contains(&&*row.line) {
+                lines.push(&row.line);
+            }
+        }
+        lines
+    }
+
+    /// Returns the table as CSV.
+    ///
+    /// ```
+    /// use hemlockford_tools::slopes::Slope;
+    /// let mut slope = Slope::new("size", "Size", "servers", &["bytes"]);
+    /// slope.push("all", 20.0, &[1.25]);
+    /// assert_eq!(slope.to_csv(), "line,servers,bytes\nall,20,1.25\n");
+    /// ```
+    pub fn to_csv(&self) -> String {
+        let mut csv = format!("line,{},{}\n", self.x, self.measures.join(","));
+        for row in &self.rows {
+            let values: Vec<_> = row.values.iter().map(|value| number(*value)).collect();
+            // Writing to a string cannot fail.
+            let _ = writeln!(csv, "{},{},{}", row.line, row.x, values.join(","));
+        }
+        csv
+    }
+
+    /// Writes the table into a folder.
+    pub fn write(&self, folder: &Path) -> Result<()> {
+        let path = folder.join(format!("{}.csv", self.name));
+        let written = fs::write(&path, self.to_csv()).change_context(ErrorKind::Io);
+        written.attach_with(|| format!("cannot write {}", path.display()))
+    }
+}
+
+/// Formats with four significant digits at least; more would be noise.
+fn number(value: f64) -> String {
+    let decimals = match value.abs() {
+        size if size >= 1_000.0 || value == value.trunc() => 0,
+        size if size >= 10.0 => 2,
+        _ => 4,
+    };
+    format!("{value:.decimals$}")
+}
