--- a/crates/hemlockford/src/bench.rs
+++ b/crates/hemlockford/src/bench.rs
@@ -33,7 +33,7 @@
 
 fn measure_slopes(arguments: SlopesArguments) -> Result<Exit> {
     let only = arguments.only.into_iter().map(Into::into).collect();
-    for slope in slopes(&SlopesOptions { out: arguments.out, only })? {
+    for slope in slopes(&SlopesOptions { out: arguments.out, only, entry: arguments.entry })? {
         println!("{}\n{}", slope.title, slope.to_csv());
     }
     Ok(Exit::Ok)
--- a/crates/hemlockford/src/command/tool.rs
+++ b/crates/hemlockford/src/command/tool.rs
@@ -7,6 +7,7 @@
         ServiceTime,
         load::{Arrivals, CustomerLoad, MethodShare},
         parse_time,
+        slopes::EntryRun,
     },
     std::{
         net::{IpAddr, SocketAddr},
@@ -181,6 +182,12 @@
     pub(crate) out: PathBuf,
     #[options(help = "name of a slope to measure; may be repeated", no_short, meta = "NAME")]
     pub(crate) only: Vec<String>,
+    #[options(
+        help = "calls/s, processor ms a second and resident KB of a run of an entry under load; may be repeated",
+        no_short,
+        meta = "RATE:MS:KB"
+    )]
+    pub(crate) entry: Vec<EntryRun>,
 }
 
 #[derive(Debug, Options)]
--- /dev/null
+++ b/crates/tools/src/slopes/entry.rs
@@ -0,0 +1,51 @@
+//! Runs of an entry process under load.
+
+use {super::Slope, std::str::FromStr};
+
+/// What an entry process took in one run of `hemlockford load`, as the kernel counts it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EntryRun {
+    /// Calls a second.
+    pub rate: f64,
+    /// Processor time of all threads in a second of the run, in milliseconds.
+    pub processor_ms: f64,
+    /// Resident memory at the end of the run, in KB.
+    pub resident_kb: f64,
+}
+
+impl FromStr for EntryRun {
+    type Err = String;
+
+    /// Parses `RATE:MS:KB`.
+    ///
+    /// ```
+    /// use hemlockford_tools::slopes::EntryRun;
+    /// let run: EntryRun = "1000:61.5:9000".parse().unwrap();
+    /// assert_eq!((run.rate, run.processor_ms, run.resident_kb), (1_000.0, 61.5, 9_000.0));
+    /// assert!("1000:x:1".parse::<EntryRun>().is_err());
+    /// assert!("0:61.5:9000".parse::<EntryRun>().is_err());
+    /// ```
+    fn from_str(text: &str) -> Result<Self, String> {
+        let numbers: Option<Vec<f64>> = text.split(':').map(|part| part.parse().ok()).collect();
+        match numbers.as_deref() {
+            Some([rate, processor_ms, resident_kb]) if *rate > 0.0 => {
+                Ok(Self { rate: *rate, processor_ms: *processor_ms, resident_kb: *resident_kb })
+            }
+            _ => Err(format!("{text} is not of the form RATE:MS:KB")),
+        }
+    }
+}
+
+/// Returns the slope of an entry's processor time and memory against calls.
+pub(super) fn slope(runs: &[EntryRun]) -> Slope {
+    let mut slope = Slope::new(
+        "entry",
+        "One entry process under load",
+        "calls/s",
+        &["processor us of a call", "share of a core in %", "resident KB"],
+    );
+    for run in runs {
+        slope.push("1 entry", run.rate, &[run.processor_ms * 1e3 / run.rate, run.processor_ms / 10.0, run.resident_kb]);
+    }
+    slope
+}
--- a/crates/tools/src/slopes/mod.rs
+++ b/crates/tools/src/slopes/mod.rs
@@ -11,6 +11,7 @@
 mod datagrams;
 mod dispatchers;
 mod durable;
+mod entry;
 mod memory;
 mod memory_disk;
 mod plot;
@@ -18,7 +19,10 @@
 mod texts;
 mod wire;
 
-pub use slope::{Row, Slope};
+pub use {
+    entry::EntryRun,
+    slope::{Row, Slope},
+};
 
 use {
     error_stack::ResultExt,
@@ -49,8 +53,10 @@
 pub struct SlopesOptions {
     /// Folder that takes a CSV file and a plot for each slope.
     pub out: PathBuf,
-    /// Names of the slopes to measure; all of them if there is none.
+    /// Names of the slopes to measure; all of them if there is neither a name nor a run of an entry.
     pub only: Vec<Box<str>>,
+    /// Runs of an entry process under load, which become the slope `entry`.
+    pub entry: Vec<EntryRun>,
 }
 
 /// Measures slopes, writes each as CSV and SVG, and returns them.
@@ -61,15 +67,24 @@
     }
     let failed = || format!("cannot create {}", options.out.display());
     fs::create_dir_all(&options.out).change_context(ErrorKind::Io).attach_with(failed)?;
+    let is_all = options.only.is_empty() && options.entry.is_empty();
     let mut measured = Vec::new();
     for (name, measure) in MEASUREMENTS {
-        if !options.only.is_empty() && !options.only.iter().any(|only| **only == *name) {
-            continue;
+        if is_all || options.only.iter().any(|only| **only == *name) {
+            let slope = measure().attach_with(|| format!("slope {name}"))?;
+            keep(slope, options, &mut measured)?;
         }
-        let slope = measure().attach_with(|| format!("slope {name}"))?;
-        slope.write(&options.out)?;
-        plot::plot(&slope, &options.out)?;
-        measured.push(slope);
+    }
+    if !options.entry.is_empty() {
+        keep(entry::slope(&options.entry), options, &mut measured)?;
     }
     Ok(measured)
 }
+
+/// Writes a slope at once, so that a later failure does not lose it.
+fn keep(slope: Slope, options: &SlopesOptions, measured: &mut Vec<Slope>) -> Result<()> {
+    slope.write(&options.out)?;
+    plot::plot(&slope, &options.out)?;
+    measured.push(slope);
+    Ok(())
+}
--- a/crates/tools/src/slopes/slope.rs
+++ b/crates/tools/src/slopes/slope.rs
@@ -60,7 +60,7 @@
     /// use hemlockford_tools::slopes::Slope;
     /// let mut slope = Slope::new("size", "Size", "servers", &["bytes"]);
     /// slope.push("all", 20.0, &[1.25]);
-    /// assert_eq!(slope.to_csv(), "line,servers,bytes\nall,20,1.25\n");
+    /// assert_eq!(slope.to_csv(), "line,servers,bytes\nall,20,1.2500\n");
     /// ```
     pub fn to_csv(&self) -> String {
         let mut csv = format!("line,{},{}\n", self.x, self.measures.join(","));
