--- a/crates/hemlockford/src/command/tool.rs
+++ b/crates/hemlockford/src/command/tool.rs
@@ -7,6 +7,7 @@
         ServiceTime,
         load::{Arrivals, CustomerLoad, MethodShare},
         parse_time,
+        slopes::EntryRun,
     },
     std::{
         net::{IpAddr, SocketAddr},
@@ -169,6 +170,24 @@
 pub(crate) enum Bench {
     #[options(help = "latency that an entry adds to direct calls")]
     Added(AddedArguments),
+    #[options(help = "time, memory and messages against what the system holds")]
+    Slopes(SlopesArguments),
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct SlopesArguments {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "folder that takes a CSV file and a plot for each slope", required, meta = "FOLDER")]
+    pub(crate) out: PathBuf,
+    #[options(help = "name of a slope to measure; may be repeated", no_short, meta = "NAME")]
+    pub(crate) only: Vec<String>,
+    #[options(
+        help = "calls/s, processor ms a second and resident KB of a run of an entry under load; may be repeated",
+        no_short,
+        meta = "RATE:MS:KB"
+    )]
+    pub(crate) entry: Vec<EntryRun>,
 }
 
 #[derive(Debug, Options)]
