--- a/crates/tools/src/slopes/durable.rs
+++ b/crates/tools/src/slopes/durable.rs
@@ -11,11 +11,11 @@
     error_stack::ResultExt,
     hemlockford_core::{
         consensus::{Member, Members, Snapshot},
-        control::{Answer, ClaimAnswer, Control, ControlAction, ControlEvent, ControlOptions, Write},
+        control::{Answer, ClaimAnswer, Control, ControlAction, ControlEvent, ControlOptions},
         errors::{ErrorKind, Result, unavailable},
         ledger::{Command, Ledger, TextDigest},
     },
-    hemlockford_store::{Disk, Folder, Store, StoreOptions, Write as Stored},
+    hemlockford_store::{Disk, Folder, Store, StoreOptions},
     rand::{SeedableRng, rngs::SmallRng},
     std::{
         path::Path,
@@ -83,7 +83,7 @@
                 match action {
                     ControlAction::Write { sequence, write } => {
                         up_to = Some(sequence);
-                        writes.push(stored(write));
+                        writes.push(write);
                     }
                     ControlAction::Answer(answer) => self.answers.push(answer),
                     ControlAction::Broken(reason) => return Err(unavailable(reason)),
@@ -141,15 +141,6 @@
     matches!(answer, Answer::Claim { answer: ClaimAnswer::Granted { .. }, .. })
 }
 
-fn stored(write: Write) -> Stored {
-    match write {
-        Write::Vote(vote) => Stored::Vote(vote),
-        Write::Append(entries) => Stored::Append(entries),
-        Write::Truncate(from) => Stored::Truncate(from),
-        Write::Snapshot(snapshot) => Stored::Snapshot(snapshot),
-    }
-}
-
 fn length(folder: &Path, file: &str) -> f64 {
     std::fs::metadata(folder.join(file)).map_or(0.0, |metadata| metadata.len() as f64)
 }
