--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -24,6 +24,9 @@
         fresh_connection: bool,
         /// Whether the request carries the retry token on to the server.
         pass_allowance: bool,
+        /// Whether the request asks for a load report in the answer; a report that was not asked for is
+        /// ignored.
+        want_report: bool,
     },
     /// Give a call its final answer.
     Reject {
@@ -41,9 +44,16 @@
         /// What it is told.
         message: SlotMessage,
     },
-    /// Probe a server.
+    /// Probe a server. The probe must have ended [`PROBE_TIMEOUT`](crate::measure::PROBE_TIMEOUT) after
+    /// the decision, however late it is begun.
     Probe {
+        /// Number of the probe.
+        probe: u64,
         /// The server.
         server: ServerId,
+        /// Where the server listens.
+        address: SocketAddr,
+        /// Time after its begin at which the probe is cut off, so that it costs no more than was reserved.
+        limit: Duration,
     },
 }
--- a/crates/core/src/dispatch/active.rs
+++ b/crates/core/src/dispatch/active.rs
@@ -23,6 +23,8 @@
     pub(super) has_token: bool,
     /// Whether a retry token went down with an attempt.
     pub(super) was_passed_down: bool,
+    /// Whether the running attempt asked for a load report.
+    pub(super) asked_report: bool,
 }
 
 impl ActiveCall {
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The state machine that chooses a server for each call.
 
 use {
-    super::{ActiveCall, Call, DispatchAction, DispatchEvent, DispatchOptions, ServerView, ServiceState},
+    super::{ActiveCall, Call, DispatchAction, DispatchEvent, DispatchOptions, Measuring, ServerView, ServiceState},
     crate::{
         collections::{FastMap, FastSet},
         health::Standing,
@@ -39,7 +39,8 @@
     pub(super) expiries: BinaryHeap<Reverse<(Instant, CallId)>>,
     pub(super) waiting: usize,
     /// Services whose slots are shared by permits.
-    by_permits: FastSet<Key>,
+    pub(super) by_permits: FastSet<Key>,
+    pub(super) measuring: Measuring,
     messages: Vec<(InstanceId, SlotMessage)>,
     reviewed_at: Option<Instant>,
 }
@@ -69,6 +70,7 @@
             expiries: BinaryHeap::new(),
             waiting: 0,
             by_permits: FastSet::default(),
+            measuring: Measuring::default(),
             messages: Vec::new(),
             reviewed_at: None,
         }
@@ -77,6 +79,7 @@
     /// Takes one event at a time and adds what is to be done.
     pub fn handle(&mut self, now: Instant, event: DispatchEvent, actions: &mut Vec<DispatchAction>) {
         self.slots.wake(now);
+        self.measuring.wake(now, self.options.incarnation);
         match event {
             DispatchEvent::Arrive(call) => self.arrive(now, call, actions),
             DispatchEvent::Finish(finish) => self.finish(now, &finish, actions),
@@ -89,10 +92,13 @@
                 self.pump_all(now, actions);
             }
             DispatchEvent::Configure(text) => self.configure(now, text, actions),
+            DispatchEvent::Probed { probe, latency, report, ok } => {
+                self.finish_probe(now, probe, latency, report, ok);
+            }
             DispatchEvent::Tick => {
                 self.slots.tick(now);
                 self.expire(now, actions);
-                self.review(now);
+                self.review(now, actions);
                 self.pump_all(now, actions);
             }
         }
@@ -145,6 +151,7 @@
             doubt: None,
             has_token,
             was_passed_down: false,
+            asked_report: false,
         };
         if !is_served {
             return self.refuse(now, &active.call, NotRunReason::NoServer, actions);
@@ -188,12 +195,14 @@
             self.text.services.get(&active.call.service).is_some_and(|service| !service.depends.is_empty());
         let passes_token = active.has_token && crate::retry::passes_token(has_dependencies, is_retry);
         active.was_passed_down |= passes_token;
+        active.asked_report = self.by_permits.contains(&active.service) && self.measuring.ask_report(now, &view.id);
         actions.push(DispatchAction::Send {
             call: active.call.id,
             server: view.id.clone(),
             address: view.address,
             fresh_connection: !active.call.idempotent,
             pass_allowance: passes_token,
+            want_report: active.asked_report,
         });
         let is_trial = state.health.standing(now, &view.id) == Standing::Trial;
         if is_trial {
@@ -230,9 +239,11 @@
         state.servers.set(views, &mut self.rng);
         for gone in before.iter().filter(|id| state.servers.view(key(id)).is_none()) {
             state.health.forget(gone);
+            self.measuring.forget(gone);
         }
         let is_served = !state.servers.ready().is_empty();
         self.open_servers(now, service);
+        self.limit_measuring(now);
         if is_served {
             self.pump(now, service, actions);
         } else {
@@ -267,6 +278,8 @@
             }
         }
         self.slots.retain(&self.by_permits);
+        self.measuring.retain(&self.by_permits);
+        self.limit_measuring(now);
         for service in self.backlogged.clone() {
             match known.get(&service) {
                 Some(Policy::Permits) => {}
@@ -289,8 +302,8 @@
         }
     }
 
-    /// Looks at servers whose lease may have ended, and at ejected ones that may be tried.
-    fn review(&mut self, now: Instant) {
+    /// Looks at servers whose lease may have ended, at ejected ones that may be tried, and at silent ones.
+    fn review(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
         if self.reviewed_at.is_some_and(|at| now < at + REVIEW) {
             return;
         }
@@ -305,6 +318,8 @@
             }
             self.open_servers(now, service);
         }
+        self.limit_measuring(now);
+        self.probe_silent(now, actions);
     }
 
     /// Sends the slot messages that are due; those to this instance itself are taken at once.
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -1,13 +1,13 @@
 //! What the dispatcher is told.
 
 use {
-    super::{Call, Finish, ServerView},
+    super::{Call, Finish, LoadReport, ServerView},
     crate::{
         ids::{CallId, InstanceId, ServiceId},
         slots::SlotMessage,
         text::Text,
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// One thing that the dispatcher is told.
@@ -32,6 +32,17 @@
     },
     /// The text to apply.
     Configure(Arc<Text>),
+    /// A probe has ended.
+    Probed {
+        /// Number of the probe.
+        probe: u64,
+        /// Time from its begin to its end.
+        latency: Duration,
+        /// Load that the server reported.
+        report: Option<LoadReport>,
+        /// Whether the server answered in time.
+        ok: bool,
+    },
     /// Time has passed.
     Tick,
 }
--- a/crates/core/src/dispatch/load.rs
+++ b/crates/core/src/dispatch/load.rs
@@ -5,6 +5,9 @@
 /// Name of the response header in which a server reports its load.
 pub const LOAD_HEADER: &str = "hemlockford-load";
 
+/// Name of the request header, with value 1, that asks for a report in the answer.
+pub const WANT_LOAD_HEADER: &str = "hemlockford-want-load";
+
 /// Load of a server as the server reports it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
--- /dev/null
+++ b/crates/core/src/dispatch/measuring.rs
@@ -0,0 +1,222 @@
+//! Probes and asked load reports of one entry, within its measuring budget.
+
+use {
+    super::{DispatchAction, Dispatcher, LoadReport},
+    crate::{
+        collections::{FastMap, FastSet},
+        ids::{Incarnation, ServerId},
+        measure::{MeasureBudget, MeasureCost, MeasureCounters, MeasureLimits, MeasureOptions, PROBE_TIMEOUT},
+        slots::{Key, key},
+        text::Measure,
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Time without an answer after which what is known about a server is old. A report has then lost 86% of
+/// its weight.
+const ESTIMATE_AGE: Duration = Duration::from_secs(1);
+/// Slot time reserved for the first probe of a server: 6 ms to answer it, a new connection and both ways.
+const FIRST_PROBE: Duration = Duration::from_millis(12);
+/// Least and most slot time reserved for a probe. 6 ms is what a probe takes at today's users; 48 ms of
+/// the 51 ms of one entry of seven let one such probe run each second.
+const PROBE_RANGE: (Duration, Duration) = (Duration::from_millis(6), Duration::from_millis(48));
+/// Header lines of a report: 26 bytes ask for it, and 41 carry two numbers of 10 digits.
+const REPORT_BYTES: u64 = 67;
+/// Heads of a probe and of its answer; more than the 300 bytes that they have with the prober's headers.
+const PROBE_BYTES: u64 = 512;
+/// Processor time of one header that is written and one that is parsed. An assumed upper bound.
+const REPORT_PROCESSOR: Duration = Duration::from_micros(5);
+/// Processor time of a connection and one exchange without a body. An assumed upper bound.
+const PROBE_PROCESSOR: Duration = Duration::from_micros(200);
+
+const REPORT_COST: MeasureCost =
+    MeasureCost { slot_time: Duration::ZERO, processor: REPORT_PROCESSOR, bytes: REPORT_BYTES };
+
+/// What an entry keeps for measuring.
+#[derive(Debug, Default)]
+pub(super) struct Measuring {
+    /// Made at the first event, which is the first time that the dispatcher is told.
+    budget: Option<MeasureBudget>,
+    limits: MeasureLimits,
+    /// When each server last answered or was last probed.
+    heard: FastMap<Key, Instant>,
+    /// Slot time to reserve for the next probe of a server.
+    reserves: FastMap<Key, Duration>,
+    running: FastMap<u64, RunningProbe>,
+    /// The highest part of each service's slots in use of late, and when it was seen.
+    busy: FastMap<Key, (f64, Instant)>,
+    last_probe: u64,
+}
+
+#[derive(Debug)]
+struct RunningProbe {
+    service: Key,
+    server: ServerId,
+    reserve: Duration,
+    until: Instant,
+}
+
+impl Measuring {
+    /// Makes the budget, whose quiet start begins with the first event.
+    pub(super) fn wake(&mut self, now: Instant, incarnation: Incarnation) {
+        self.budget.get_or_insert_with(|| MeasureBudget::new(now, incarnation, MeasureOptions::default()));
+    }
+
+    /// Returns whether an answer of the server is asked for a load report, and reserves its cost.
+    pub(super) fn ask_report(&mut self, now: Instant, server: &str) -> bool {
+        self.budget.as_mut().is_some_and(|budget| budget.ask_report(now, server, REPORT_COST))
+    }
+
+    /// Ends an exchange whose answer was asked for a report.
+    pub(super) fn finish_report(&mut self, now: Instant) {
+        if let Some(budget) = &mut self.budget {
+            budget.finish_report(now, REPORT_COST);
+        }
+    }
+
+    pub(super) fn note_answer(&mut self, now: Instant, server: Key) {
+        self.heard.insert(server, now);
+    }
+
+    pub(super) fn forget(&mut self, server: &str) {
+        self.heard.remove(&key(server));
+        self.reserves.remove(&key(server));
+        if let Some(budget) = &mut self.budget {
+            budget.forget(server);
+        }
+    }
+
+    /// Drops what is known of services that are not shared by permits any more.
+    pub(super) fn retain(&mut self, services: &FastSet<Key>) {
+        self.busy.retain(|service, _| services.contains(service));
+    }
+
+    fn set_limits(&mut self, measure: &Measure, slots: u32, roster: u32) {
+        self.limits = MeasureLimits::new(measure, slots, roster);
+        if let Some(budget) = &mut self.budget {
+            budget.set_limits(self.limits);
+        }
+    }
+
+    /// Returns the highest part of late. An entry estimates the part from its few own calls, so that a
+    /// single value is often far below the load.
+    fn hold_busy(&mut self, now: Instant, service: Key, part: f64) -> f64 {
+        let held = self.busy.entry(service).or_insert((part, now));
+        if part >= held.0 || now.saturating_duration_since(held.1) >= ESTIMATE_AGE {
+            *held = (part, now);
+        }
+        held.0
+    }
+
+    /// Begins a probe if the budget allows it; returns its number and the time within which it must end.
+    fn try_probe(
+        &mut self,
+        now: Instant,
+        (service, server): (Key, &ServerId),
+        busy_part: f64,
+    ) -> Option<(u64, Duration)> {
+        let reserve = self.reserves.get(&key(server)).copied().unwrap_or(FIRST_PROBE);
+        // A reserve that grew while the server was slow must not rule out every later probe.
+        let reserve = reserve.min(self.limits.own.slot_time).max(PROBE_RANGE.0);
+        if !self.budget.as_mut()?.try_probe(now, server, probe_cost(reserve), busy_part) {
+            return None;
+        }
+        self.last_probe += 1;
+        let probe = RunningProbe { service, server: server.clone(), reserve, until: now + PROBE_TIMEOUT };
+        self.running.insert(self.last_probe, probe);
+        self.heard.insert(key(server), now);
+        Some((self.last_probe, reserve))
+    }
+
+    /// Ends a probe; returns the service and the server if it was running.
+    fn finish_probe(&mut self, now: Instant, probe: u64, latency: Duration, ok: bool) -> Option<(Key, ServerId)> {
+        let RunningProbe { service, server, reserve, until } = self.running.remove(&probe)?;
+        if now >= until {
+            // The budget has settled it at its reserve.
+            return None;
+        }
+        let is_cut_off = !ok && latency >= reserve;
+        // The time of the slot lies within the latency.
+        self.budget.as_mut()?.finish_probe(now, &server, probe_cost(latency));
+        let is_known = self.heard.contains_key(&key(&server));
+        if is_known && (ok || is_cut_off) {
+            let next = if ok { latency.saturating_mul(2) } else { reserve.saturating_mul(2) };
+            self.reserves.insert(key(&server), next.clamp(PROBE_RANGE.0, PROBE_RANGE.1));
+        }
+        Some((service, server))
+    }
+}
+
+impl Dispatcher {
+    /// Returns the counts of measuring.
+    pub fn measure_counters(&self) -> MeasureCounters {
+        self.measuring.budget.as_ref().map(MeasureBudget::counters).unwrap_or_default()
+    }
+
+    /// Returns what this entry may spend on measuring in any second.
+    pub fn measure_limits(&self) -> MeasureLimits {
+        self.measuring.limits
+    }
+
+    /// Brings the limits up to date with the text and with the servers whose lease is valid.
+    pub(super) fn limit_measuring(&mut self, now: Instant) {
+        let views = self.services.values().flat_map(|state| state.servers.views());
+        let slots = views.filter(|view| now < view.lease_end).map(|view| view.slots).sum();
+        self.measuring.set_limits(&self.text.measure, slots, self.options.roster as u32);
+    }
+
+    /// Probes servers that have not answered for a while, the longest silent first.
+    pub(super) fn probe_silent(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        self.measuring.running.retain(|_, probe| now < probe.until);
+        let me = key(&self.options.id);
+        let mut silent = Vec::new();
+        for service in &self.by_permits {
+            let Some(state) = self.services.get(service) else { continue };
+            let total: u32 = state.servers.open(now).values().sum();
+            let is_full = state.waiting() > 0 || total == 0;
+            let busy_part = if is_full { 1.0 } else { f64::from(self.slots.in_use(*service)) / f64::from(total) };
+            let busy_part = self.measuring.hold_busy(now, *service, busy_part);
+            for server in state.servers.open(now).into_keys().filter(|server| state.servers.in_flight(*server) == 0) {
+                let heard = self.measuring.heard.get(&server).copied();
+                if heard.is_none_or(|at| now.saturating_duration_since(at) >= ESTIMATE_AGE) {
+                    // Entries probe servers of equal age in different orders, so that they do not meet.
+                    silent.push((heard, server ^ me, *service, server, busy_part));
+                }
+            }
+        }
+        silent.sort_unstable_by_key(|(heard, order, service, ..)| (*heard, *order, *service));
+        for (_, _, service, server, busy_part) in silent {
+            let Some(view) = self.services.get(&service).and_then(|state| state.servers.view(server)) else { continue };
+            let refused = self.measure_counters().over_budget;
+            match self.measuring.try_probe(now, (service, &view.id), busy_part) {
+                Some((probe, limit)) => {
+                    actions.push(DispatchAction::Probe { probe, server: view.id.clone(), address: view.address, limit })
+                }
+                // What has no room for this probe has none for the next.
+                None if self.measure_counters().over_budget > refused => return,
+                None => {}
+            }
+        }
+    }
+
+    /// Takes the end of a probe. A probe that is not running any more is ignored.
+    pub(super) fn finish_probe(
+        &mut self,
+        now: Instant,
+        probe: u64,
+        latency: Duration,
+        report: Option<LoadReport>,
+        ok: bool,
+    ) {
+        let Some((service, server)) = self.measuring.finish_probe(now, probe, latency, ok) else { return };
+        if let Some(report) = report.filter(|_| ok)
+            && let Some(state) = self.services.get_mut(&service)
+        {
+            state.health.take_report(now, &server, report);
+        }
+    }
+}
+
+fn probe_cost(slot_time: Duration) -> MeasureCost {
+    MeasureCost { slot_time, processor: PROBE_PROCESSOR, bytes: PROBE_BYTES }
+}
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod event;
 mod finish;
 mod load;
+mod measuring;
 mod options;
 mod retrying;
 mod server;
@@ -22,9 +23,9 @@
     dispatcher::Dispatcher,
     event::DispatchEvent,
     finish::Finish,
-    load::{LOAD_HEADER, LoadReport},
+    load::{LOAD_HEADER, LoadReport, WANT_LOAD_HEADER},
     options::DispatchOptions,
     server::{ServerState, ServerView},
 };
 
-use {active::ActiveCall, servers::Servers, service::ServiceState};
+use {active::ActiveCall, measuring::Measuring, servers::Servers, service::ServiceState};
--- a/crates/core/src/dispatch/retrying.rs
+++ b/crates/core/src/dispatch/retrying.rs
@@ -22,10 +22,18 @@
         let Some(mut active) = self.calls.remove(&finish.call) else { return };
         let service = active.service;
         active.server = None;
+        let asked_report = std::mem::take(&mut active.asked_report);
+        if asked_report {
+            self.measuring.finish_report(now);
+        }
+        let report = finish.report.filter(|_| asked_report);
         if let Some(state) = self.services.get_mut(&service) {
             state.servers.count(server, false, &mut self.rng);
             state.end(&active.call.customer, active.call.upload);
-            state.health.observe(now, &finish.server, finish.result, finish.latency, finish.report);
+            state.health.observe(now, &finish.server, finish.result, finish.latency, report);
+            if finish.result != AttemptResult::CallerLeft && state.servers.view(server).is_some() {
+                self.measuring.note_answer(now, server);
+            }
             if finish.result == AttemptResult::Complete {
                 state.pace.observe(active.call.upload, finish.latency);
             }
@@ -53,6 +61,9 @@
             // The caller left while the decision was on its way to it.
             Some((server, id)) => {
                 let Some(active) = self.calls.remove(&call) else { return };
+                if active.asked_report {
+                    self.measuring.finish_report(now);
+                }
                 if let Some(state) = self.services.get_mut(&service) {
                     state.servers.count(server, false, &mut self.rng);
                     state.end(&active.call.customer, active.call.upload);
--- a/crates/core/src/dispatch/servers.rs
+++ b/crates/core/src/dispatch/servers.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Calls of this entry that a server runs.
+    pub(super) fn in_flight(&self, server: Key) -> u32 {
+        self.loads.get(&server).map_or(0, |load| load.0)
+    }
+
     /// Picks the best of a few servers of which each has a free permit.
     pub(super) fn pick_free(
         &self,
--- a/crates/core/src/health/monitor.rs
+++ b/crates/core/src/health/monitor.rs
@@ -144,6 +144,13 @@
         self.servers.insert(server, estimate);
     }
 
+    /// Takes a load report that came without a call.
+    pub fn take_report(&mut self, now: Instant, server: &str, report: LoadReport) {
+        if let Some(estimate) = self.servers.get_mut(server) {
+            estimate.set_report(now, report);
+        }
+    }
+
     /// Notes that a call was sent to a server whose standing is [`Standing::Trial`]; until it ends, the
     /// server gets no other.
     pub fn begin_trial(&mut self, now: Instant, server: &str) {
--- a/crates/core/src/measure/budget.rs
+++ b/crates/core/src/measure/budget.rs
@@ -47,6 +47,8 @@
     settled: Sliding,
     probes: FastMap<ServerId, Probe>,
     reports: FastMap<ServerId, Instant>,
+    /// Reserve of the reports that were asked for and whose exchange has not ended.
+    asked: MeasureCost,
     lent: Lent,
     borrowed: Borrowed,
     counters: MeasureCounters,
@@ -63,6 +65,7 @@
             settled: Sliding::new(now),
             probes: FastMap::default(),
             reports: FastMap::default(),
+            asked: MeasureCost::default(),
             lent: Lent::default(),
             borrowed: Borrowed::new(incarnation),
             counters: MeasureCounters::default(),
@@ -88,7 +91,7 @@
             self.counters.gave_way += 1;
             return false;
         }
-        if !self.has_room(now, most, PROBE_TIMEOUT) {
+        if !self.has_room(now, most, self.limit(now, PROBE_TIMEOUT)) {
             return false;
         }
         self.probes.insert(server.into(), Probe { until: now + PROBE_TIMEOUT, reserved: most });
@@ -110,18 +113,51 @@
     /// server give way for a moment.
     pub fn try_report(&mut self, now: Instant, server: &str, cost: MeasureCost) -> bool {
         self.expire_probes(now);
-        if !self.has_room(now, cost, Duration::ZERO) {
+        if !self.has_room(now, cost, self.limit(now, Duration::ZERO)) {
             return false;
         }
-        self.settle(now, cost);
-        self.counters.reports += 1;
+        self.settle_report(now, cost);
+        self.note_report(now, server);
+        true
+    }
+
+    /// Returns whether the answer to a request may be asked for a load report, and reserves its cost until
+    /// [`Self::finish_report`], since the answer may come much later than the request. A server that was
+    /// asked a moment ago is not asked again.
+    pub fn ask_report(&mut self, now: Instant, server: &str, cost: MeasureCost) -> bool {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < self.options.report_spacing;
+        if self.reports.get(server).is_some_and(is_recent) {
+            return false;
+        }
+        self.expire_probes(now);
+        // An exchange may outlast any loan, so its report is paid out of the entry's own part.
+        if !self.has_room(now, cost, self.own_limit(now)) {
+            return false;
+        }
+        self.asked = self.asked.plus(cost);
+        self.note_report(now, server);
+        true
+    }
+
+    /// Settles a report that was asked for at the end of its exchange, whether it came or not.
+    pub fn finish_report(&mut self, now: Instant, cost: MeasureCost) {
+        self.asked = self.asked.minus(cost);
+        self.settle_report(now, cost);
+    }
+
+    fn note_report(&mut self, now: Instant, server: &str) {
         match self.reports.get_mut(server) {
             Some(at) => *at = now,
             None => {
                 self.reports.insert(server.into(), now);
             }
         }
-        true
+    }
+
+    fn settle_report(&mut self, now: Instant, cost: MeasureCost) {
+        self.settle(now, cost);
+        self.counters.reports += 1;
+        self.counters.report_spent = self.counters.report_spent.plus(cost);
     }
 
     /// Removes a server. A probe of it that is in progress still counts.
@@ -161,12 +197,17 @@
 
     /// Returns what may be spent in one window by a use that begins now and takes at most `length`.
     fn limit(&self, now: Instant, length: Duration) -> MeasureCost {
-        self.limits.own.minus(self.lent.sum(now)).plus(self.borrowed.sum(now, length))
+        self.own_limit(now).plus(self.borrowed.sum(now, length))
+    }
+
+    /// Returns what is left in one window without loans that were taken.
+    fn own_limit(&self, now: Instant) -> MeasureCost {
+        self.limits.own.minus(self.lent.sum(now))
     }
 
-    fn has_room(&mut self, now: Instant, cost: MeasureCost, length: Duration) -> bool {
+    fn has_room(&mut self, now: Instant, cost: MeasureCost, limit: MeasureCost) -> bool {
         let total = self.settled.sum(now).plus(self.reserved()).plus(cost);
-        let has_room = now >= self.quiet_until && total.fits(&self.limit(now, length));
+        let has_room = now >= self.quiet_until && total.fits(&limit);
         if !has_room {
             self.counters.over_budget += 1;
         }
@@ -174,7 +215,7 @@
     }
 
     fn reserved(&self) -> MeasureCost {
-        self.probes.values().fold(MeasureCost::default(), |sum, probe| sum.plus(probe.reserved))
+        self.probes.values().fold(self.asked, |sum, probe| sum.plus(probe.reserved))
     }
 
     fn settle(&mut self, now: Instant, cost: MeasureCost) {
--- a/crates/core/src/measure/counters.rs
+++ b/crates/core/src/measure/counters.rs
@@ -18,6 +18,8 @@
     pub over_budget: u64,
     /// Probes that cost more than was reserved for them; the excess was spent outside of the budget.
     pub overruns: u64,
+    /// Spent on reports.
+    pub report_spent: MeasureCost,
     /// Everything spent.
     pub spent: MeasureCost,
 }
--- a/crates/core/src/measure/options.rs
+++ b/crates/core/src/measure/options.rs
@@ -7,6 +7,8 @@
 pub struct MeasureOptions {
     /// A report of a server makes a probe of it needless for this long.
     pub report_fresh: Duration,
+    /// Time between two asked reports of one server.
+    pub report_spacing: Duration,
     /// Part of a service's slots in use from which its servers are not probed.
     pub busy_part: f64,
     /// Whether entries lend to each other. It must be the same on all entries, and off it must have been off
@@ -17,6 +19,8 @@
 impl Default for MeasureOptions {
     fn default() -> Self {
         // At 85% of the slots, the load at which tail latency is judged, a probe is likely to delay a call.
-        Self { report_fresh: Duration::from_millis(500), busy_part: 0.85, loans: false }
+        // A report keeps 61% of its weight for 250 ms, and the budget has no room for one in every answer.
+        let report_spacing = Duration::from_millis(250);
+        Self { report_fresh: Duration::from_millis(500), report_spacing, busy_part: 0.85, loans: false }
     }
 }
--- a/crates/core/tests/dispatcher.rs
+++ b/crates/core/tests/dispatcher.rs
@@ -3,8 +3,8 @@
 use {
     hemlockford_core::{
         dispatch::{
-            AttemptResult, Call, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish, ServerState,
-            ServerView,
+            AttemptResult, Call, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish, LoadReport,
+            ServerState, ServerView,
         },
         ids::{CallId, ServerId},
         outcome::{NotRunReason, Outcome, UnknownReason},
@@ -259,3 +259,35 @@
         assert_eq!(actions.iter().find_map(is_fresh), Some(!idempotent));
     }
 }
+
+/// Guards against reports that servers send unasked: they would bypass the measuring budget.
+#[test]
+fn only_reports_that_were_asked_for_count() {
+    let full = Some(LoadReport { in_flight: 1_000, slots: 2 });
+    let chosen = |wait: u32, report: Option<LoadReport>| -> Vec<ServerId> {
+        let mut bench = Bench::new(Policy::Permits, 2, 100);
+        for _ in 0..wait {
+            bench.tick(MS);
+        }
+        let finish = |bench: &mut Bench, call, server: ServerId| {
+            let report = report.filter(|_| &*server == "catalogue-0");
+            let (result, latency) = (AttemptResult::Complete, 5 * MS);
+            let finish = Finish { call, server, result, latency, report, wants_decision: false };
+            bench.handle(DispatchEvent::Finish(finish));
+        };
+        // Takes every slot, so that each later choice is between both servers.
+        let held: Vec<_> = (100..104).map(|id| bench.arrive(bench.call(id)).expect("a server")).collect();
+        for (id, server) in (100..).zip(held) {
+            finish(&mut bench, id, server);
+        }
+        let mut chosen = Vec::new();
+        for id in 0..20 {
+            let server = bench.arrive(bench.call(id)).expect("a server");
+            finish(&mut bench, id, server.clone());
+            chosen.push(server);
+        }
+        chosen
+    };
+    assert_eq!(chosen(0, full), chosen(0, None), "nothing is asked for shortly after the start");
+    assert_ne!(chosen(2_000, full), chosen(2_000, None), "a report has no effect, so that nothing is shown");
+}
--- a/crates/core/tests/measure.rs
+++ b/crates/core/tests/measure.rs
@@ -299,3 +299,23 @@
     assert!(borrower.clone().try_probe(end - PROBE_TIMEOUT, "b", more, 0.0));
     assert!(!borrower.try_probe(end - PROBE_TIMEOUT / 2, "b", more, 0.0), "the probe may outlast the loan");
 }
+
+/// Guards against reports that are counted when they are asked for and come much later, all at once.
+#[test]
+fn an_asked_report_counts_until_its_exchange_has_ended() {
+    let start = Instant::now();
+    let mut budget = MeasureBudget::new(start, 1, MeasureOptions::default());
+    budget.set_limits(MeasureLimits::new(&Measure::default(), SLOTS, 7));
+    let cost = MeasureCost { bytes: 1_000, ..MeasureCost::default() };
+    let now = start + Duration::from_secs(10);
+    for server in ["a", "b", "c"] {
+        assert!(budget.ask_report(now, server, cost));
+    }
+    let end = now + Duration::from_secs(5);
+    assert!(!budget.ask_report(end, "d", cost), "three answers of 1,000 of 3,000 bytes are still to come");
+    budget.finish_report(end, cost);
+    assert!(!budget.ask_report(end + WINDOW, "d", cost), "one of them came within the window");
+    let later = end + WINDOW + WINDOW / 32;
+    assert!(budget.ask_report(later, "d", cost));
+    assert!(!budget.ask_report(later, "d", MeasureCost::default()), "it was asked a moment ago");
+}
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -1,12 +1,12 @@
 //! A few dispatchers, stand-in servers and a lossy exchange of messages in virtual time.
 
 use {
-    super::{Server, Traffic},
+    super::{Probe, Server, Traffic, Use},
     hemlockford_core::{
         collections::FastMap,
         dispatch::{
-            AttemptResult, Call, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish, ServerState,
-            ServerView,
+            AttemptResult, Call, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish, LOAD_HEADER,
+            WANT_LOAD_HEADER,
         },
         outcome::Outcome,
         slots::SlotMessage,
@@ -23,7 +23,7 @@
 
 pub const SERVICE: &str = "catalogue";
 const TICK: Duration = Duration::from_millis(1);
-const FAR: Duration = Duration::from_secs(86_400);
+pub const FAR: Duration = Duration::from_secs(86_400);
 /// IP and UDP header of a datagram.
 const DATAGRAM_BYTES: u64 = 28;
 
@@ -34,6 +34,7 @@
     Deliver(usize, usize, SlotMessage),
     Depart(usize, u64),
     Timeout(u64),
+    CutOff(u64),
 }
 
 /// What happened to one call.
@@ -45,6 +46,8 @@
     pub work: Duration,
     pub server: Option<usize>,
     pub sent: Duration,
+    /// Whether the running attempt was asked for a report.
+    pub asked: bool,
     pub ended: Option<Duration>,
     pub outcome: Option<Outcome>,
     pub decisions: usize,
@@ -67,6 +70,14 @@
     pub bytes: u64,
     pub largest: usize,
     pub traffic: Vec<Traffic>,
+    /// Time of a slot that a probe takes.
+    pub probe_time: Duration,
+    pub probes: FastMap<u64, Probe>,
+    pub probes_begun: Vec<Duration>,
+    pub reports_asked: Vec<Duration>,
+    pub uses: Vec<Use>,
+    /// How often each entry was started.
+    pub starts: Vec<u64>,
     /// One source of random numbers per stream, so that a stream is the same beside any other.
     draws: Vec<SmallRng>,
     seed: u64,
@@ -99,6 +110,12 @@
             bytes: 0,
             largest: 0,
             traffic: Vec::new(),
+            probe_time: Duration::from_millis(6),
+            probes: FastMap::default(),
+            probes_begun: Vec::new(),
+            reports_asked: Vec::new(),
+            uses: Vec::new(),
+            starts: vec![0; entries],
             draws: Vec::new(),
             seed,
             text: Arc::new(Text::parse(text).expect("a text without faults")),
@@ -132,6 +149,7 @@
     /// Starts an entry as a new process.
     pub fn start(&mut self, entry: usize) {
         self.incarnation += 1;
+        self.starts[entry] += 1;
         let options = DispatchOptions {
             id: Self::name(entry),
             incarnation: self.incarnation,
@@ -147,43 +165,6 @@
         self.push(self.now + offset, Step::Tick(entry));
     }
 
-    /// Kills an entry; its calls end at the servers at once.
-    pub fn kill(&mut self, entry: usize) {
-        self.entries[entry] = None;
-        let lost: Vec<_> = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.entry == entry && record.ended.is_none())
-            .map(|(call, _)| *call)
-            .collect();
-        for call in lost {
-            for server in 0..self.servers.len() {
-                if self.servers[server].remove(call) {
-                    self.run(server);
-                }
-            }
-            self.records.remove(&call);
-        }
-    }
-
-    pub fn set_peers(&mut self, entry: usize, peers: &[usize]) {
-        let peers = peers.iter().map(|peer| Self::name(*peer)).collect();
-        self.handle(entry, DispatchEvent::Peers(peers));
-    }
-
-    pub fn view(&self, server: usize) -> ServerView {
-        ServerView {
-            id: self.servers[server].id.clone(),
-            address: ([127, 0, 0, 1], 9_000 + server as u16).into(),
-            data_centre: "".into(),
-            slots: self.servers[server].slots as u32,
-            connections: 250,
-            state: ServerState::Ready,
-            lease_end: self.base + FAR,
-            ready_since: self.base.checked_sub(Duration::from_secs(60)).unwrap_or(self.base),
-        }
-    }
-
     /// Adds a stream of calls from now on.
     pub fn add_traffic(&mut self, traffic: Traffic) {
         self.traffic.push(traffic);
@@ -233,12 +214,13 @@
             }
             Step::Arrive(number) => self.arrive(number),
             Step::Depart(server, call) => {
-                if self.servers[server].running.contains(&call) {
+                if self.servers[server].running.contains(&call) && !self.end_probe(call, true) {
                     self.servers[server].remove(call);
                     self.run(server);
                     self.finish(call, AttemptResult::Complete);
                 }
             }
+            Step::CutOff(probe) => drop(self.end_probe(probe, false)),
             Step::Timeout(call) => {
                 let server =
                     self.records.get(&call).filter(|record| record.ended.is_none()).and_then(|record| record.server);
@@ -275,6 +257,7 @@
             work,
             server: None,
             sent: self.now,
+            asked: false,
             ended: None,
             outcome: None,
             decisions: 0,
@@ -304,15 +287,19 @@
             record.outcome = Some(Outcome::Answered);
             record.decisions += 1;
         }
+        let (asked, sent, entry) = (std::mem::take(&mut record.asked), record.sent, record.entry);
+        let report = (asked && result == AttemptResult::Complete).then(|| self.load(server));
+        if let Some(report) = report {
+            self.count_header(&format!("{LOAD_HEADER}: {}/{}\r\n", report.in_flight, report.slots));
+        }
         let finish = Finish {
             call,
             server: self.servers[server].id.clone(),
             result,
-            latency: self.now - record.sent,
-            report: None,
+            latency: self.now - sent,
+            report,
             wants_decision: result != AttemptResult::Complete,
         };
-        let entry = record.entry;
         self.handle(entry, DispatchEvent::Finish(finish));
     }
 
@@ -328,13 +315,18 @@
 
     fn act(&mut self, entry: usize, action: DispatchAction) {
         match action {
-            DispatchAction::Send { call, server, .. } => {
+            DispatchAction::Send { call, server, want_report, .. } => {
                 let server = self.servers.iter().position(|known| known.id == server).expect("a known server");
                 let record = self.records.get_mut(&call).expect("a known call");
                 assert!(record.ended.is_none() && record.server.is_none(), "call {call} is sent once at a time");
                 record.server = Some(server);
                 record.sent = self.now;
+                record.asked = want_report;
                 let work = record.work;
+                if want_report {
+                    self.reports_asked.push(self.now);
+                    self.count_header(&format!("{WANT_LOAD_HEADER}: 1\r\n"));
+                }
                 self.servers[server].push(call, work);
                 self.run(server);
             }
@@ -345,7 +337,7 @@
                 record.decisions += 1;
             }
             DispatchAction::Tell { to, message } => self.tell(entry, &to, message),
-            DispatchAction::Probe { .. } => {}
+            DispatchAction::Probe { .. } => self.probe(entry, &action),
         }
     }
 
@@ -365,8 +357,13 @@
         }
     }
 
-    fn run(&mut self, server: usize) {
+    pub fn cut_off_at(&mut self, at: Duration, probe: u64) {
+        self.push(at, Step::CutOff(probe));
+    }
+
+    pub fn run(&mut self, server: usize) {
         while let Some((call, work)) = self.servers[server].start() {
+            self.note_start(call);
             self.push(self.now + work, Step::Depart(server, call));
         }
     }
--- /dev/null
+++ b/crates/core/tests/support/entries.rs
@@ -0,0 +1,47 @@
+//! Entries that end, and what they are told of servers and of each other.
+
+use {
+    super::{Cluster, cluster::FAR},
+    hemlockford_core::dispatch::{DispatchEvent, ServerState, ServerView},
+    std::time::Duration,
+};
+
+impl Cluster {
+    /// Kills an entry; its calls end at the servers at once.
+    pub fn kill(&mut self, entry: usize) {
+        self.entries[entry] = None;
+        self.end_probes(entry);
+        let lost: Vec<_> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.entry == entry && record.ended.is_none())
+            .map(|(call, _)| *call)
+            .collect();
+        for call in lost {
+            for server in 0..self.servers.len() {
+                if self.servers[server].remove(call) {
+                    self.run(server);
+                }
+            }
+            self.records.remove(&call);
+        }
+    }
+
+    pub fn set_peers(&mut self, entry: usize, peers: &[usize]) {
+        let peers = peers.iter().map(|peer| Self::name(*peer)).collect();
+        self.handle(entry, DispatchEvent::Peers(peers));
+    }
+
+    pub fn view(&self, server: usize) -> ServerView {
+        ServerView {
+            id: self.servers[server].id.clone(),
+            address: ([127, 0, 0, 1], 9_000 + server as u16).into(),
+            data_centre: "".into(),
+            slots: self.servers[server].slots as u32,
+            connections: 250,
+            state: ServerState::Ready,
+            lease_end: self.base + FAR,
+            ready_since: self.base.checked_sub(Duration::from_secs(60)).unwrap_or(self.base),
+        }
+    }
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -3,11 +3,14 @@
 #![allow(dead_code, unused_imports, unreachable_pub)]
 
 mod cluster;
+mod entries;
+mod probes;
 mod server;
 mod traffic;
 
 pub use {
     cluster::{Cluster, SERVICE},
+    probes::{Probe, Use},
     server::Server,
     traffic::Traffic,
 };
--- /dev/null
+++ b/crates/core/tests/support/probes.rs
@@ -0,0 +1,110 @@
+//! Probes and load reports in virtual time, and what they cost.
+
+use {
+    super::Cluster,
+    hemlockford_core::{
+        dispatch::{DispatchAction, DispatchEvent, LoadReport},
+        measure::{MeasureCost, PROBE_TIMEOUT, WINDOW},
+    },
+    std::time::Duration,
+};
+
+/// Numbers of probes at the servers begin here, so that they differ from those of calls.
+const FIRST_PROBE: u64 = 1 << 60;
+/// Heads of a probe and its answer as the process test saw them, rounded up.
+const PROBE_BYTES: u64 = 300;
+
+/// One use of the measuring budget, from its begin to its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Use {
+    pub begin: Duration,
+    pub end: Duration,
+    pub cost: MeasureCost,
+}
+
+/// One probe on its way.
+#[derive(Debug)]
+pub struct Probe {
+    entry: usize,
+    starts: u64,
+    number: u64,
+    server: usize,
+    begin: Duration,
+    /// When it got a slot.
+    started: Option<Duration>,
+}
+
+impl Cluster {
+    pub fn probe(&mut self, entry: usize, action: &DispatchAction) {
+        let DispatchAction::Probe { probe, server, limit, .. } = action else { return };
+        let server = self.servers.iter().position(|known| known.id == *server).expect("a known server");
+        assert!(*limit <= PROBE_TIMEOUT, "the reserve lapses during the probe");
+        let id = FIRST_PROBE + self.probes_begun.len() as u64;
+        self.probes_begun.push(self.now);
+        let probe = Probe { entry, starts: self.starts[entry], number: *probe, server, begin: self.now, started: None };
+        self.probes.insert(id, probe);
+        self.cut_off_at(self.now + *limit, id);
+        self.servers[server].push(id, self.probe_time);
+        self.run(server);
+    }
+
+    /// Notes that something got a slot.
+    pub fn note_start(&mut self, id: u64) {
+        if let Some(probe) = self.probes.get_mut(&id) {
+            probe.started = Some(self.now);
+        }
+    }
+
+    /// Ends a probe; returns whether there is one of this number.
+    pub fn end_probe(&mut self, id: u64, ok: bool) -> bool {
+        let Some(probe) = self.probes.remove(&id) else { return id >= FIRST_PROBE };
+        let report = self.load(probe.server);
+        self.servers[probe.server].remove(id);
+        self.run(probe.server);
+        let slot_time = probe.started.map(|started| self.now - started).unwrap_or_default();
+        let cost = MeasureCost { slot_time, processor: Duration::ZERO, bytes: PROBE_BYTES };
+        self.uses.push(Use { begin: probe.begin, end: self.now, cost });
+        if self.starts[probe.entry] == probe.starts {
+            let latency = self.now - probe.begin;
+            let event = DispatchEvent::Probed { probe: probe.number, latency, report: Some(report), ok };
+            self.handle(probe.entry, event);
+        }
+        true
+    }
+
+    /// Ends the probes of an entry that was killed, whose connections close.
+    pub fn end_probes(&mut self, entry: usize) {
+        let ids: Vec<_> = self.probes.iter().filter(|(_, probe)| probe.entry == entry).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.end_probe(id, false);
+        }
+    }
+
+    pub fn load(&self, server: usize) -> LoadReport {
+        let server = &self.servers[server];
+        let in_flight = (server.running.len() + server.queued.len()) as u32;
+        LoadReport { in_flight, slots: server.slots as u32 }
+    }
+
+    /// Counts a header that asks for a report, or one that carries it.
+    pub fn count_header(&mut self, header: &str) {
+        let cost = MeasureCost { bytes: header.len() as u64, ..MeasureCost::default() };
+        self.uses.push(Use { begin: self.now, end: self.now, cost });
+    }
+
+    /// Returns the most that all entries used in any window of one second. A use counts whole in each window
+    /// that it touches.
+    pub fn peak_use(&mut self) -> MeasureCost {
+        self.uses.sort_by_key(|spent| spent.begin);
+        let mut peak = MeasureCost::default();
+        for window in self.uses.iter().map(|spent| spent.end) {
+            let from = self.uses.partition_point(|spent| spent.begin + PROBE_TIMEOUT < window);
+            let to = self.uses.partition_point(|spent| spent.begin < window + WINDOW);
+            let within = self.uses[from..to].iter().filter(|spent| spent.end >= window);
+            let sum = within.fold(MeasureCost::default(), |sum, spent| sum.plus(spent.cost));
+            peak.slot_time = peak.slot_time.max(sum.slot_time);
+            peak.bytes = peak.bytes.max(sum.bytes);
+        }
+        peak
+    }
+}
--- a/crates/hemlockford/tests/processes/main.rs
+++ b/crates/hemlockford/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod faults;
+mod measuring;
 mod path;
 mod process;
 mod relay;
--- a/crates/hemlockford/tests/processes/system.rs
+++ b/crates/hemlockford/tests/processes/system.rs
@@ -33,6 +33,11 @@
 impl System {
     /// Starts an entry and submits a text with the service `catalogue`.
     pub fn start() -> Self {
+        Self::with_text("")
+    }
+
+    /// The same with more sections in the text.
+    pub fn with_text(more: &str) -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
         let settings = folder.path().join("entry.ini");
         let data = folder.path().join("data");
@@ -42,12 +47,20 @@
         let ready = entry.json();
         let address = |key: &str| ready[key].as_str().expect("an address").to_owned();
         let system = Self { callers: address("callers"), admin: address("admin"), entry, folder };
-        let text = system.file("text.ini", "[change]\nnumber = 1\n[service catalogue]\ndeadline = 2s\n");
+        let text =
+            system.file("text.ini", &format!("[change]\nnumber = 1\n[service catalogue]\ndeadline = 2s\n{more}"));
         let ended = run(&["submit", "--to", &system.admin, &text.to_string_lossy()]);
         assert_eq!(ended.code, 0, "{ended:?}");
         system
     }
 
+    /// Returns the value of a metric of the entry.
+    pub fn metric(&self, name: &str) -> f64 {
+        let (_, page) = get(&self.admin, "/metrics");
+        let value = page.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok());
+        value.unwrap_or_else(|| panic!("no metric {name} in {page}"))
+    }
+
     /// Writes a file that lives as long as the system.
     pub fn file(&self, name: &str, content: &str) -> PathBuf {
         let path = self.folder.path().join(name);
--- a/crates/instance/src/counters.rs
+++ b/crates/instance/src/counters.rs
@@ -1,6 +1,7 @@
 //! Counters of the control part and of the dispatcher.
 
 use {
+    crate::measure::MeasureMetrics,
     error_stack::ResultExt,
     hemlockford_core::errors::{ErrorKind, Result},
     prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry},
@@ -28,6 +29,7 @@
     pub(crate) servers: IntGaugeVec,
     pub(crate) waiting: IntGauge,
     pub(crate) active: IntGauge,
+    pub(crate) measure: MeasureMetrics,
 }
 
 impl Counters {
@@ -74,6 +76,7 @@
             servers,
             waiting: gauge("hemlockford_waiting_calls", "Calls that wait for a server.")?,
             active: gauge("hemlockford_active_calls", "Calls that wait or run.")?,
+            measure: MeasureMetrics::register(registry)?,
         })
     }
 
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -1,11 +1,17 @@
 //! The task that owns the dispatcher.
 
 use {
-    crate::{counters::Counters, peers::DatagramSender, wire::Wire},
+    crate::{
+        counters::Counters,
+        peers::DatagramSender,
+        prober::{Probe, Prober},
+        wire::Wire,
+    },
     hemlockford_core::{
         collections::FastMap,
         dispatch::{DispatchAction, DispatchEvent, Dispatcher},
         ids::CallId,
+        measure::MeasureCounters,
         outcome::{NotRunReason, Outcome},
     },
     hemlockford_net::Timer,
@@ -38,6 +44,12 @@
     pub(crate) datagrams: DatagramSender,
     pub(crate) timer: Timer,
     pub(crate) counters: Counters,
+    pub(crate) prober: Prober,
+    pub(crate) probed: mpsc::UnboundedReceiver<DispatchEvent>,
+    /// Time of the last event, which is when the actions were decided.
+    pub(crate) handled_at: Instant,
+    /// Counts that the metrics show.
+    pub(crate) measured: MeasureCounters,
 }
 
 impl DispatcherTask {
@@ -66,11 +78,13 @@
                     }
                     None => return,
                 },
+                Some(event) = self.probed.recv() => self.handle(event, &mut actions),
                 Some(_) = busy_tick => self.handle(DispatchEvent::Tick, &mut actions),
                 Some(_) = idle.recv() => {
                     self.handle(DispatchEvent::Tick, &mut actions);
                     self.counters.waiting.set(self.dispatcher.waiting() as i64);
                     self.counters.active.set(self.dispatcher.active() as i64);
+                    self.show_measuring();
                 }
                 message = self.gate.recv() => match message {
                     Some(message) => {
@@ -112,7 +126,8 @@
     }
 
     fn handle(&mut self, event: DispatchEvent, actions: &mut Vec<DispatchAction>) {
-        self.dispatcher.handle(Instant::now(), event, actions);
+        self.handled_at = Instant::now();
+        self.dispatcher.handle(self.handled_at, event, actions);
         // An action that is taken back gives others their turn, which adds actions.
         while !actions.is_empty() {
             for action in std::mem::take(actions) {
@@ -123,21 +138,29 @@
 
     fn carry_out(&mut self, action: DispatchAction, more: &mut Vec<DispatchAction>) {
         match action {
-            DispatchAction::Send { call, server, address, fresh_connection, pass_allowance } => {
+            DispatchAction::Send { call, server, address, fresh_connection, pass_allowance, want_report } => {
                 if !self.may_serve() {
                     self.dispatcher.handle(Instant::now(), DispatchEvent::Cancel(call), more);
                     return self.decide(call, not_current());
                 }
-                self.decide(call, Decision::Send { server, address, fresh_connection, pass_allowance });
+                self.decide(call, Decision::Send { server, address, fresh_connection, pass_allowance, want_report });
             }
             DispatchAction::Reject { call, outcome, retry_after } => {
                 self.decide(call, Decision::Reject { outcome, retry_after });
             }
             DispatchAction::Tell { to, message } => self.datagrams.send(&to, Wire::Slots(message)),
-            DispatchAction::Probe { .. } => {}
+            DispatchAction::Probe { probe, server: _, address, limit } => {
+                self.prober.start(Probe { number: probe, address, limit, decided: self.handled_at });
+            }
         }
     }
 
+    fn show_measuring(&mut self) {
+        let counters = self.dispatcher.measure_counters();
+        self.counters.measure.update(&self.measured, &counters, &self.dispatcher.measure_limits());
+        self.measured = counters;
+    }
+
     fn decide(&mut self, call: CallId, decision: Decision) {
         if let Some(reply) = self.waiting.remove(&call) {
             // The worker may have dropped the call; it reports that by itself.
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -8,6 +8,7 @@
         counters::Counters,
         dispatcher::DispatcherTask,
         peers::{DatagramSender, Receiver, StreamSender},
+        prober::Prober,
         report::ReportTask,
         settings::Settings,
         storage::{StorageTask, StorageWrite},
@@ -21,6 +22,7 @@
         dispatch::{DispatchEvent, DispatchOptions, Dispatcher},
         errors::{ErrorKind, Result},
         ids::Incarnation,
+        measure::MeasureCounters,
         text::Text,
     },
     hemlockford_net::{DatagramSocket, NetOptions, StreamLinks, StreamListener, Timer},
@@ -191,21 +193,28 @@
                 let _ = failure.send(format!("{report:?}").into());
             }
         });
-        arbiters[1].spawn(async move {
-            let Ok(datagrams) = sender_rx.await else { return };
-            let (timer, timer_task) = Timer::new();
-            actix_rt::spawn(timer_task.run());
-            let task = DispatcherTask {
-                dispatcher,
-                gate: gate_rx,
-                control: dispatch_rx,
-                waiting: FastMap::default(),
-                serve_until: serve_rx,
-                datagrams,
-                timer,
-                counters,
-            };
-            task.run().await;
+        arbiters[1].spawn_fn(move || {
+            actix_rt::spawn(async move {
+                let Ok(datagrams) = sender_rx.await else { return };
+                let (timer, timer_task) = Timer::new();
+                actix_rt::spawn(timer_task.run());
+                let (prober, probed) = Prober::new();
+                let task = DispatcherTask {
+                    dispatcher,
+                    gate: gate_rx,
+                    control: dispatch_rx,
+                    waiting: FastMap::default(),
+                    serve_until: serve_rx,
+                    datagrams,
+                    timer,
+                    counters,
+                    prober,
+                    probed,
+                    handled_at: Instant::now(),
+                    measured: MeasureCounters::default(),
+                };
+                task.run().await;
+            });
         });
 
         let bound = ConnectionBound::new(SERVER_CONNECTIONS, settings.peers.len() + 1, settings.workers);
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -192,7 +192,7 @@
 
     /// Makes one attempt; a failed one asks the dispatcher what to do next.
     async fn attempt(&mut self, decision: Decision) -> Result<Ended, Unsent> {
-        let Decision::Send { server, address, fresh_connection, pass_allowance } = decision else {
+        let Decision::Send { server, address, fresh_connection, pass_allowance, want_report } = decision else {
             return Ok(Ended::Expired);
         };
         let shared = self.shared;
@@ -207,7 +207,13 @@
         };
         self.allow_body().await.map_err(Unsent::Told)?;
         let left = self.call.deadline.saturating_duration_since(Instant::now());
-        let head = headers::request_head(self.head, (self.peer, address), left, self.call.depth, pass_allowance);
+        let head = headers::request_head(
+            self.head,
+            (self.peer, address),
+            left,
+            self.call.depth,
+            (pass_allowance, want_report),
+        );
         if connection.writer.start(head, self.body.framing().size()).is_err() {
             return Err(self.failed(&mut attempt, AttemptResult::RefusedBeforeWrite));
         }
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -23,6 +23,8 @@
         fresh_connection: bool,
         /// Whether the request carries the retry token on to the server.
         pass_allowance: bool,
+        /// Whether the request asks for a load report in the answer.
+        want_report: bool,
     },
     /// Give the call its final answer.
     Reject {
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -5,7 +5,10 @@
         RequestHead, ResponseHead,
         header::{self, HeaderMap, HeaderName, HeaderValue},
     },
-    hemlockford_core::outcome::{OUTCOME_HEADER, Outcome},
+    hemlockford_core::{
+        dispatch::WANT_LOAD_HEADER,
+        outcome::{OUTCOME_HEADER, Outcome},
+    },
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -23,6 +26,8 @@
 pub(crate) const SHED: HeaderName = HeaderName::from_static("hemlockford-shed");
 /// Says how a non-idempotent request is kept from running twice.
 pub(crate) const ONCE: HeaderName = HeaderName::from_static("hemlockford-once");
+/// Present with value 1 when the answer is asked for the server's load.
+const WANT_LOAD: HeaderName = HeaderName::from_static(WANT_LOAD_HEADER);
 /// What is known about a request that got its final answer.
 pub(crate) const OUTCOME: HeaderName = HeaderName::from_static(OUTCOME_HEADER);
 /// Key of a claim.
@@ -48,7 +53,7 @@
     (caller, server): (SocketAddr, SocketAddr),
     left: Duration,
     depth: u8,
-    pass_allowance: bool,
+    (pass_allowance, want_report): (bool, bool),
 ) -> RequestHead {
     let mut head = RequestHead::default();
     head.method = from.method.clone();
@@ -68,6 +73,9 @@
     if pass_allowance {
         head.headers.insert(ALLOWANCE, HeaderValue::from_static("1"));
     }
+    if want_report {
+        head.headers.insert(WANT_LOAD, HeaderValue::from_static("1"));
+    }
     if !head.headers.contains_key(header::HOST) {
         // A caller of version 1.0 may leave it out, but the request goes on as version 1.1.
         append(&mut head.headers, header::HOST, &server.to_string());
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -156,6 +156,18 @@
     assert_eq!(allowances, [true, false], "the first entry may mint a token, later ones need one");
 }
 
+/// Guards against a load report that is asked for without a decision, such as by a caller, and so outside of
+/// the measuring budget.
+#[actix_rt::test]
+async fn a_report_is_asked_for_only_as_decided() {
+    for want_report in [true, false] {
+        let (server, seen) = answering(OK).await;
+        let bed = Bed::start(Script { want_report, ..Script::to(server.address) });
+        bed.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-want-load: 1\r\n\r\n").await;
+        assert_eq!(seen.borrow()[0].matches("hemlockford-want-load: 1\r\n").count(), usize::from(want_report));
+    }
+}
+
 /// Guards against a caller that waits for an interim answer which never comes.
 #[actix_rt::test]
 async fn a_caller_that_expects_100_is_told_to_continue() {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -35,6 +35,7 @@
     /// Whether calls are left to wait.
     pub hold: bool,
     pub pass_allowance: bool,
+    pub want_report: bool,
     pub options: ProxyOptions,
     pub claims: Option<mpsc::UnboundedSender<ClaimMessage>>,
 }
@@ -45,6 +46,7 @@
             servers: vec![server],
             hold: false,
             pass_allowance: false,
+            want_report: false,
             options: ProxyOptions { warm_per_server: 0, rest: Duration::ZERO, ..ProxyOptions::default() },
             claims: None,
         }
@@ -130,6 +132,7 @@
                 address: *address,
                 fresh_connection: !idempotent,
                 pass_allowance: script.pass_allowance,
+                want_report: script.want_report,
             },
             None => Decision::Reject {
                 outcome: finish.map_or(Outcome::NotRun(NotRunReason::NoServer), |finish| outcome(finish.result)),
--- a/crates/tools/src/emulate/server.rs
+++ b/crates/tools/src/emulate/server.rs
@@ -10,7 +10,7 @@
     },
     crate::{content::Content, headers, timer::PreciseTimer},
     actix_http::{Request, StatusCode, header::HeaderName},
-    hemlockford_core::dispatch::LOAD_HEADER,
+    hemlockford_core::dispatch::{LOAD_HEADER, WANT_LOAD_HEADER},
     rand::rngs::SmallRng,
     std::{
         cell::{Cell, RefCell},
@@ -45,6 +45,7 @@
     request: Box<str>,
     is_idempotent: bool,
     answer_bytes: Option<usize>,
+    wants_load: bool,
     /// Time by which the caller needs the answer.
     deadline: Option<Instant>,
 }
@@ -70,6 +71,7 @@
             path: req.path().into(),
             request: text(&headers::REQUEST).unwrap_or(req.path()).into(),
             is_idempotent: req.method().is_idempotent(),
+            wants_load: req.head().headers().contains_key(WANT_LOAD_HEADER),
             answer_bytes: length.map(|length: usize| length.min(MAX_ANSWER_BYTES)),
             deadline: left.map(|left| Instant::now() + left),
         }
@@ -86,7 +88,7 @@
     pub(super) async fn run(self: &Rc<Self>, call: &Call) -> Reply {
         let _in_flight = InFlight::new(&self.shared);
         if &*call.path == PROBE {
-            return self.probe().await;
+            return self.probe(call).await;
         }
         let behaviour = self.shared.behaviour();
         if behaviour.fail_fast {
@@ -98,12 +100,12 @@
                 counts.finished += 1;
             });
             return self
-                .reply(StatusCode::INTERNAL_SERVER_ERROR, "failed\n")
+                .reply(call, StatusCode::INTERNAL_SERVER_ERROR, "failed\n")
                 .header(headers::EXECUTION, &number.to_string());
         }
         let is_busy = self.slots.available_permits() == 0;
         if behaviour.shed.is_some_and(|bound| is_busy && self.waiting.get() >= bound) {
-            return self.shed();
+            return self.shed(call);
         }
         let waiting = Waiting::new(&self.waiting);
         // The semaphore is never closed, so that a failure to acquire cannot happen.
@@ -113,7 +115,7 @@
         };
         drop(waiting);
         // A call whose deadline passed while it waited is not run any more.
-        let Ok(_slot) = slot else { return self.shed() };
+        let Ok(_slot) = slot else { return self.shed(call) };
         let start = Instant::now();
         let number = self.executions.start(&call.request, call.is_idempotent);
         self.shared.count_start();
@@ -128,7 +130,7 @@
         execution.finish();
         let length = call.answer_bytes.unwrap_or(self.options.answer_bytes);
         let body = Content::new(&call.path, &call.request, length).into_bytes();
-        let mut reply = self.reply(StatusCode::OK, body).header(headers::EXECUTION, &number.to_string());
+        let mut reply = self.reply(call, StatusCode::OK, body).header(headers::EXECUTION, &number.to_string());
         reply.cut = behaviour.cut;
         reply.chunked = behaviour.chunked;
         reply
@@ -152,22 +154,25 @@
     }
 
     /// Refuses a call that was not run.
-    fn shed(&self) -> Reply {
+    fn shed(&self, call: &Call) -> Reply {
         self.shared.count(|counts| counts.shed += 1);
-        self.reply(StatusCode::SERVICE_UNAVAILABLE, "shed\n").header(headers::SHED, "1")
+        self.reply(call, StatusCode::SERVICE_UNAVAILABLE, "shed\n").header(headers::SHED, "1")
     }
 
-    async fn probe(&self) -> Reply {
+    async fn probe(&self, call: &Call) -> Reply {
         self.shared.count(|counts| counts.probes += 1);
         let _slot = self.slots.acquire().await;
         self.timer.sleep_until(Instant::now() + self.options.probe_time).await;
-        self.reply(StatusCode::OK, "ok\n")
+        self.reply(call, StatusCode::OK, "ok\n")
     }
 
-    fn reply(&self, status: StatusCode, body: impl Into<bytes::Bytes>) -> Reply {
+    fn reply(&self, call: &Call, status: StatusCode, body: impl Into<bytes::Bytes>) -> Reply {
         let reply = Reply::new(status, body);
-        match self.reported_load() {
-            Some(load) => reply.header(HeaderName::from_static(LOAD_HEADER), &format!("{load}/{}", self.options.slots)),
+        match self.reported_load().filter(|_| call.wants_load) {
+            Some(load) => {
+                self.shared.count(|counts| counts.reports += 1);
+                reply.header(HeaderName::from_static(LOAD_HEADER), &format!("{load}/{}", self.options.slots))
+            }
             None => reply,
         }
     }
--- a/crates/tools/src/emulate/shared.rs
+++ b/crates/tools/src/emulate/shared.rs
@@ -43,6 +43,8 @@
     pub(super) shed: u64,
     pub(super) failed_fast: u64,
     pub(super) probes: u64,
+    /// Answers that carried a load report.
+    pub(super) reports: u64,
     pub(super) in_flight: u32,
     pub(super) connections: u32,
     pub(super) refused_connections: u64,
--- a/crates/tools/tests/emulate.rs
+++ b/crates/tools/tests/emulate.rs
@@ -104,11 +104,13 @@
 fn modes_take_effect() {
     let emulation = start(one_server());
     let address = emulation.addresses().servers[0].address;
-    assert!(exchange(address, "GET", "/a").contains("hemlockford-load: 1/1"));
+    let asked = || read(send(address, "GET", "/a", "hemlockford-want-load: 1\r\n"));
+    assert!(asked().contains("hemlockford-load: 1/1"));
+    assert!(!exchange(address, "GET", "/a").contains("hemlockford-load"), "a report that was not asked for");
     switch(&emulation, "mode=report&fixed=7");
-    assert!(exchange(address, "GET", "/a").contains("hemlockford-load: 7/1"));
+    assert!(asked().contains("hemlockford-load: 7/1"));
     switch(&emulation, "mode=report");
-    assert!(!exchange(address, "GET", "/a").contains("hemlockford-load"));
+    assert!(!asked().contains("hemlockford-load"));
     switch(&emulation, "mode=fail-fast");
     assert!(exchange(address, "GET", "/a").starts_with("HTTP/1.1 500"));
     switch(&emulation, "mode=normal");
