Count only calls in the check of calls at one server

A probe needs no permit, so a stand-in server may hold one beside as many calls as it has slots; permits_stay_within_slots_when_messages_are_lost took it for a call. The check of calls is as strict as before.

--- a/crates/core/tests/support/probes.rs
+++ b/crates/core/tests/support/probes.rs
@@ -1,7 +1,7 @@
 //! Probes and load reports in virtual time, and what they cost.
 
 use {
-    super::Cluster,
+    super::{Cluster, server::FIRST_PROBE},
     hemlockford_core::{
         dispatch::{DispatchAction, DispatchEvent, LoadReport},
         measure::{MeasureCost, PROBE_TIMEOUT, WINDOW},
@@ -9,8 +9,6 @@
     std::time::Duration,
 };
 
-/// Numbers of probes at the servers begin here, so that they differ from those of calls.
-const FIRST_PROBE: u64 = 1 << 60;
 /// Heads of a probe and its answer as the process test saw them, rounded up.
 const PROBE_BYTES: u64 = 300;
 
--- a/crates/core/tests/support/server.rs
+++ b/crates/core/tests/support/server.rs
@@ -2,6 +2,9 @@
 
 use std::{collections::VecDeque, time::Duration};
 
+/// Numbers of probes begin here, so that they differ from those of calls.
+pub const FIRST_PROBE: u64 = 1 << 60;
+
 /// A stand-in server in virtual time.
 #[derive(Debug)]
 pub struct Server {
@@ -22,7 +25,9 @@
 
     pub fn push(&mut self, call: u64, work: Duration) {
         self.queued.push_back((call, work.mul_f64(self.slowness)));
-        self.most = self.most.max(self.running.len() + self.queued.len());
+        let all = self.running.iter().chain(self.queued.iter().map(|(call, _)| call));
+        // A probe needs no permit, so that it may be there beside as many calls as there are slots.
+        self.most = self.most.max(all.filter(|call| **call < FIRST_PROBE).count());
     }
 
     /// Starts the next call if a slot is free.
