--- a/crates/core/src/dispatch/measuring.rs
+++ b/crates/core/src/dispatch/measuring.rs
@@ -26,7 +26,8 @@
 const PROBE_BYTES: u64 = 512;
 /// Processor time of one header that is written and one that is parsed. An assumed upper bound.
 const REPORT_PROCESSOR: Duration = Duration::from_micros(5);
-/// Processor time of a connection and one exchange without a body. An assumed upper bound.
+/// Processor time of a connection and one exchange without a body. Two trials with 700 probes each gave 29
+/// and 71 us, on a clock with ticks of 10 ms over the whole process; hence the margin.
 const PROBE_PROCESSOR: Duration = Duration::from_micros(200);
 
 const REPORT_COST: MeasureCost =
@@ -172,11 +173,15 @@
         let mut silent = Vec::new();
         for service in &self.by_permits {
             let Some(state) = self.services.get(service) else { continue };
-            let total: u32 = state.servers.open(now).values().sum();
-            let is_full = state.waiting() > 0 || total == 0;
-            let busy_part = if is_full { 1.0 } else { f64::from(self.slots.in_use(*service)) / f64::from(total) };
+            let open = state.servers.open(now);
+            let total: u32 = open.values().sum();
+            if total == 0 {
+                continue;
+            }
+            let busy_part =
+                if state.waiting() > 0 { 1.0 } else { f64::from(self.slots.in_use(*service)) / f64::from(total) };
             let busy_part = self.measuring.hold_busy(now, *service, busy_part);
-            for server in state.servers.open(now).into_keys().filter(|server| state.servers.in_flight(*server) == 0) {
+            for server in open.into_keys().filter(|server| state.servers.in_flight(*server) == 0) {
                 let heard = self.measuring.heard.get(&server).copied();
                 if heard.is_none_or(|at| now.saturating_duration_since(at) >= ESTIMATE_AGE) {
                     // Entries probe servers of equal age in different orders, so that they do not meet.
--- a/crates/core/tests/support/probes.rs
+++ b/crates/core/tests/support/probes.rs
@@ -9,7 +9,7 @@
     std::time::Duration,
 };
 
-/// Heads of a probe and its answer as the process test saw them, rounded up.
+/// A probe of 173 bytes and its answer of 120 bytes, as a running entry sends and gets them, rounded up.
 const PROBE_BYTES: u64 = 300;
 
 /// One use of the measuring budget, from its begin to its end.
