Add programs that compare load balancing and added latency on real processes

The programs start the binary, reuse the test support for processes, and have no relays between instances, since these would add to what is measured.

--- /dev/null
+++ b/crates/hemlockford/examples/compare/main.rs
@@ -0,0 +1,68 @@
+//! Load balancing of six entries over 20 servers, compared with baselines and with one entry that sees
+//! every call. docs/notes/measurements.md says what is measured.
+
+mod bed;
+mod options;
+mod row;
+#[path = "../support/mod.rs"]
+mod support;
+
+use {
+    bed::{Bed, ENTRIES},
+    gumdrop::Options,
+    options::{Arguments, Condition, Policy, Size},
+    row::{HEADER, Row},
+    std::time::Duration,
+    support::table::Table,
+};
+
+fn main() {
+    let arguments = Arguments::parse_args_default_or_exit();
+    println!("seed {}, load average {:.1}", arguments.seed, support::machine::load_average());
+    let mut table = Table::new(&HEADER);
+    for size in or_all(&arguments.size, &Size::ALL) {
+        // Only one group runs at a time, so that the other one takes no processor time. The ideal comes first.
+        let (mut several, mut single) = (None, None);
+        for policy in Policy::ALL {
+            let rows = rows(&arguments, policy);
+            if rows.is_empty() {
+                continue;
+            }
+            let (bed, other, instances) = match policy {
+                Policy::Ideal => (&mut single, &mut several, 1),
+                _ => (&mut several, &mut single, ENTRIES),
+            };
+            *other = None;
+            let bed = bed.get_or_insert_with(|| Bed::start(size, instances, arguments.seed, arguments.workers));
+            bed.set_policy(policy);
+            measure(&arguments, size, policy, bed, &rows, &mut table);
+        }
+    }
+    table.finish(arguments.out.as_deref());
+}
+
+/// Returns the conditions and loads that are measured with a policy.
+fn rows(arguments: &Arguments, policy: Policy) -> Vec<(Condition, u32)> {
+    let is_chosen = |condition: &Condition| match arguments.policy.as_slice() {
+        [] => condition.includes(policy),
+        policies => policies.contains(&policy),
+    };
+    let conditions = or_all(&arguments.condition, &Condition::ALL).into_iter().filter(is_chosen);
+    conditions
+        .flat_map(|condition| or_all(&arguments.load, condition.loads()).into_iter().map(move |load| (condition, load)))
+        .collect()
+}
+
+/// Measures the rows of a policy that is in force.
+fn measure(arguments: &Arguments, size: Size, policy: Policy, bed: &Bed, rows: &[(Condition, u32)], table: &mut Table) {
+    let time = Duration::from_secs_f64(arguments.seconds);
+    for (condition, load) in rows.iter().copied() {
+        let row = Row { bed, size, condition, policy, load, time, seed: arguments.seed };
+        table.add(row.measure());
+        eprintln!("{}", table.last());
+    }
+}
+
+fn or_all<T: Copy>(chosen: &[T], all: &[T]) -> Vec<T> {
+    if chosen.is_empty() { all.to_vec() } else { chosen.to_vec() }
+}
--- /dev/null
+++ b/crates/hemlockford/examples/support/table.rs
@@ -0,0 +1,49 @@
+//! Rows that are printed as a table and written as CSV.
+
+use std::{fs, path::Path};
+
+/// Rows under a header, of which each name states its unit.
+pub struct Table {
+    header: Vec<&'static str>,
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    pub fn new(header: &[&'static str]) -> Self {
+        Self { header: header.to_vec(), rows: Vec::new() }
+    }
+
+    pub fn add(&mut self, row: Vec<String>) {
+        assert_eq!(row.len(), self.header.len(), "a row has another number of columns");
+        self.rows.push(row);
+    }
+
+    /// Returns the last row as `name=value` pairs, to print while a run goes on.
+    pub fn last(&self) -> String {
+        let row = self.rows.last().map_or(&[][..], Vec::as_slice);
+        let pairs = self.header.iter().zip(row).filter(|(_, value)| !value.is_empty());
+        pairs.map(|(name, value)| format!("{name}={value}")).collect::<Vec<_>>().join(" ")
+    }
+
+    /// Returns the rows with aligned columns.
+    pub fn to_text(&self) -> String {
+        let header: Vec<_> = self.header.iter().map(|name| (*name).to_owned()).collect();
+        let lines: Vec<_> = std::iter::once(&header).chain(&self.rows).collect();
+        let width = |column: usize| lines.iter().map(|line| line[column].len()).max().unwrap_or_default();
+        let widths: Vec<_> = (0..header.len()).map(width).collect();
+        let render = |line: &&Vec<String>| {
+            let cells = line.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+            cells.collect::<Vec<_>>().join("  ").trim_end().to_owned() + "\n"
+        };
+        lines.iter().map(render).collect()
+    }
+
+    /// Prints the rows, and writes them as CSV when a file is named.
+    pub fn finish(&self, out: Option<&Path>) {
+        print!("{}", self.to_text());
+        if let Some(path) = out {
+            let lines = std::iter::once(self.header.join(",")).chain(self.rows.iter().map(|row| row.join(",")));
+            fs::write(path, lines.map(|line| line + "\n").collect::<String>()).expect("the file is written");
+        }
+    }
+}
--- a/crates/hemlockford/tests/processes/process.rs
+++ b/crates/hemlockford/tests/processes/process.rs
@@ -4,16 +4,28 @@
     serde_json::Value,
     std::{
         io::{BufRead, BufReader, Read},
+        path::PathBuf,
         process::{Child, ChildStdout, Command, Stdio},
         thread,
         time::{Duration, Instant},
     },
 };
 
-const BINARY: &str = env!("CARGO_BIN_EXE_hemlockford");
 /// Time within which a process must end after it was asked to.
 const EXIT_LIMIT: Duration = Duration::from_secs(30);
 
+/// Returns the path of the binary. Cargo states it to tests only; examples are built next to it.
+fn binary() -> PathBuf {
+    match option_env!("CARGO_BIN_EXE_hemlockford") {
+        Some(path) => path.into(),
+        None => {
+            let example = std::env::current_exe().expect("the path of this program");
+            let folder = example.parent().and_then(|examples| examples.parent()).expect("the folder of the binary");
+            folder.join("hemlockford")
+        }
+    }
+}
+
 /// A running process, killed by its id when dropped.
 pub struct Process {
     child: Child,
@@ -31,7 +43,7 @@
 impl Process {
     /// Starts the binary.
     pub fn start(arguments: &[&str]) -> Self {
-        let mut child = Command::new(BINARY)
+        let mut child = Command::new(binary())
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -42,6 +54,11 @@
         Self { child, stdout }
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Reads the next line; empty at the end of the output.
     pub fn line(&mut self) -> String {
         let mut line = String::new();
@@ -92,7 +109,7 @@
 
 /// Runs the binary to its end.
 pub fn run(arguments: &[&str]) -> Ended {
-    let output = Command::new(BINARY).args(arguments).stdin(Stdio::null()).output().expect("the binary starts");
+    let output = Command::new(binary()).args(arguments).stdin(Stdio::null()).output().expect("the binary starts");
     Ended {
         code: output.status.code().unwrap_or(-1),
         stdout: String::from_utf8_lossy(&output.stdout).into(),
--- a/crates/hemlockford/tests/processes/system.rs
+++ b/crates/hemlockford/tests/processes/system.rs
@@ -1,7 +1,7 @@
 //! An entry, stand-in servers and load as processes.
 
 use {
-    crate::process::{Ended, Process, run},
+    super::process::{Ended, Process, run},
     serde_json::Value,
     std::{
         io::{Read, Write},
