--- a/crates/hemlockford/examples/compare/row.rs
+++ b/crates/hemlockford/examples/compare/row.rs
@@ -8,7 +8,7 @@
     },
     hemlockford_tools::{
         LoadOptions, LoadSummary,
-        load::{Arrivals, CustomerLoad, Tally},
+        load::{Arrivals, CustomerLoad, MethodShare, Tally},
     },
     std::{
         net::SocketAddr,
@@ -19,6 +19,8 @@
 
 /// Calls of the noisy customer for each call of another customer.
 const NOISE: f64 = 10.0;
+/// Look-ups and confirmations; the latter must not run twice.
+const METHODS: [(&str, u32); 2] = [("GET", 9), ("POST", 1)];
 /// Calls before the measured part: connections are opened and permits are handed out.
 const WARM_UP: Duration = Duration::from_secs(1);
 /// Lateness of starts at p99 above which a row counts as disturbed by something else on the machine: a
@@ -155,6 +157,7 @@
             targets: targets.to_vec(),
             customers,
             arrivals: Arrivals::Poisson,
+            methods: METHODS.map(|(method, weight)| MethodShare { method: method.into(), weight }).to_vec(),
             warm_up: WARM_UP,
             time: self.time,
             seed,
--- a/crates/hemlockford/examples/support/table.rs
+++ b/crates/hemlockford/examples/support/table.rs
@@ -25,14 +25,15 @@
         pairs.map(|(name, value)| format!("{name}={value}")).collect::<Vec<_>>().join(" ")
     }
 
-    /// Returns the rows with aligned columns.
+    /// Returns the rows with aligned columns, without those that are empty in every row.
     pub fn to_text(&self) -> String {
         let header: Vec<_> = self.header.iter().map(|name| (*name).to_owned()).collect();
         let lines: Vec<_> = std::iter::once(&header).chain(&self.rows).collect();
+        let is_filled = |column: &usize| self.rows.iter().any(|row| !row[*column].is_empty());
         let width = |column: usize| lines.iter().map(|line| line[column].len()).max().unwrap_or_default();
-        let widths: Vec<_> = (0..header.len()).map(width).collect();
+        let widths: Vec<_> = (0..header.len()).filter(is_filled).map(|column| (column, width(column))).collect();
         let render = |line: &&Vec<String>| {
-            let cells = line.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+            let cells = widths.iter().map(|(column, width)| format!("{:<width$}", line[*column]));
             cells.collect::<Vec<_>>().join("  ").trim_end().to_owned() + "\n"
         };
         lines.iter().map(render).collect()
