--- a/crates/hemlockford/examples/control/idle.rs
+++ b/crates/hemlockford/examples/control/idle.rs
@@ -18,7 +18,7 @@
 
 /// Measures the bytes between instances and the processor time of each.
 pub fn measure(group: &Group, time: Duration, results: &mut Results) {
-    let _servers = group.servers(&["--servers", &SERVERS.to_string()]);
+    let servers = group.servers(&["--servers", &SERVERS.to_string(), "--prefix", "idle"]);
     group.wait_servers(SERVERS);
     thread::sleep(SETTLE);
     let start = Instant::now();
@@ -40,6 +40,11 @@
         let resident = machine::resident_bytes(instance.process.id()) as f64 / 1e6;
         results.add("idle", "resident memory", &instance.name, resident, "MB");
     }
+    drop(servers);
+    // The leases of servers that were killed lapse; until then calls would be sent to them.
+    group.wait("no server is known", |group| {
+        group.instances.iter().all(|one| one.status()["servers"].as_array().is_some_and(Vec::is_empty))
+    });
 }
 
 fn read(group: &Group) -> Vec<(Metrics, Duration)> {
--- a/crates/hemlockford/examples/control/restart.rs
+++ b/crates/hemlockford/examples/control/restart.rs
@@ -18,7 +18,7 @@
 /// A restart that takes longer ends the program; there is no stated target.
 const LIMIT: Duration = Duration::from_secs(30);
 
-/// Kills and restarts the leader's group: a control replica and an instance without a data folder.
+/// Kills and restarts a control replica, which may lead, and an instance without a data folder.
 pub fn measure(group: &mut Group, restarts: usize, results: &mut Results) {
     memory(group, "resident memory after changes", results);
     let last = group.instances.len() - 1;
