--- a/crates/hemlockford/examples/control/change.rs
+++ b/crates/hemlockford/examples/control/change.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         results::Results,
-        support::{group::Group, system::post},
+        support::{group::Group, http::post},
         text::text,
     },
     std::{
--- a/crates/hemlockford/examples/support/mod.rs
+++ b/crates/hemlockford/examples/support/mod.rs
@@ -11,6 +11,7 @@
 pub mod system;
 
 pub mod group;
+pub mod http;
 pub mod machine;
 pub mod metrics;
 pub mod table;
--- a/crates/hemlockford/tests/processes/process.rs
+++ b/crates/hemlockford/tests/processes/process.rs
@@ -74,7 +74,7 @@
 
     /// Sends a signal by name, such as `TERM`.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
+        let id = self.id().to_string();
         let status = Command::new("kill").args(["-s", name, &id]).status().expect("kill runs");
         assert!(status.success(), "signal {name} to {id}");
     }
--- a/crates/hemlockford/tests/processes/system.rs
+++ b/crates/hemlockford/tests/processes/system.rs
@@ -119,24 +119,12 @@
 
 /// Sends a request without a body on a connection of its own.
 pub fn request(address: &str, method: &str, path: &str) -> (u16, String) {
-    exchange(address, method, path, "")
-}
-
-/// Posts a body and returns the status and body of the answer; the status is 0 when there was no answer.
-pub fn post(address: &str, path: &str, body: &str) -> (u16, String) {
-    exchange(address, "POST", path, body)
-}
-
-fn exchange(address: &str, method: &str, path: &str, body: &str) -> (u16, String) {
     let exchange = || -> std::io::Result<String> {
         let mut stream = TcpStream::connect(address)?;
         stream.set_read_timeout(Some(Duration::from_secs(10)))?;
-        let length = body.len();
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
-        );
-        // One write, so that no delayed acknowledgement separates the head from the body.
-        stream.write_all(format!("{head}{body}").as_bytes())?;
+        let head =
+            format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
+        stream.write_all(head.as_bytes())?;
         let mut answer = Vec::new();
         stream.read_to_end(&mut answer)?;
         Ok(String::from_utf8_lossy(&answer).into())
