Hand accepted connections to the worker with the fewest

Cause: the workers of an entry accept from one listener, and whichever wakes first gets the connection.

Ruled out: a listener for each worker, which needs socket options that the standard library lacks, and waiting before accepting while ahead, which does not balance single arrivals.

--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -24,7 +24,7 @@
         text::Text,
     },
     hemlockford_net::{DatagramSocket, NetOptions, StreamLinks, StreamListener, Timer},
-    hemlockford_proxy::{ClaimMessage, ConnectionBound, Gate, ProxyCounters, ProxyOptions, Worker},
+    hemlockford_proxy::{ClaimMessage, ConnectionBound, Gate, Handover, ProxyCounters, ProxyOptions, Worker},
     hemlockford_store::{Store, StoreOptions},
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
@@ -210,11 +210,12 @@
 
         let bound = ConnectionBound::new(SERVER_CONNECTIONS, settings.peers.len() + 1, settings.workers);
         let options = ProxyOptions { bound: Arc::new(bound), ..ProxyOptions::default() };
-        for number in 0..settings.workers {
+        for (number, handover) in Handover::among(settings.workers).into_iter().enumerate() {
             let listener = callers.try_clone().change_context(ErrorKind::Io)?;
             let done = done_tx.clone();
             let worker = Worker {
                 number: number as u64,
+                handover,
                 options: options.clone(),
                 gate: gate.clone(),
                 text: text_rx.clone(),
--- /dev/null
+++ b/crates/proxy/src/handover.rs
@@ -0,0 +1,73 @@
+//! Even shares of the callers' connections among the workers of one instance.
+
+use {
+    std::{
+        net::{SocketAddr, TcpStream},
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+    },
+    tokio::sync::mpsc,
+};
+
+/// A connection that another worker accepted.
+pub(crate) type Accepted = (TcpStream, SocketAddr, Share);
+
+/// One worker's end of the exchange of accepted connections.
+///
+/// All workers accept from one listener, and whichever wakes first gets the connection. Connections live
+/// long, so that chance would decide for a long time which worker carries most of the calls. A worker
+/// therefore hands a connection to the one with the fewest.
+#[derive(Debug)]
+pub struct Handover {
+    own: usize,
+    counts: Arc<[AtomicUsize]>,
+    workers: Vec<mpsc::UnboundedSender<Accepted>>,
+    pub(crate) received: mpsc::UnboundedReceiver<Accepted>,
+}
+
+/// Counts one connection of a worker until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Share {
+    counts: Arc<[AtomicUsize]>,
+    worker: usize,
+}
+
+impl Handover {
+    /// Makes the ends for all workers of an instance.
+    ///
+    /// ```
+    /// assert_eq!(hemlockford_proxy::Handover::among(2).len(), 2);
+    /// ```
+    pub fn among(workers: usize) -> Vec<Self> {
+        let counts: Arc<[_]> = (0..workers).map(|_| AtomicUsize::new(0)).collect();
+        let (senders, receivers): (Vec<_>, Vec<_>) = (0..workers).map(|_| mpsc::unbounded_channel()).unzip();
+        let ends = receivers.into_iter().enumerate();
+        ends.map(|(own, received)| Self { own, counts: counts.clone(), workers: senders.clone(), received }).collect()
+    }
+
+    /// Counts a connection for this worker.
+    pub(crate) fn keep(&self) -> Share {
+        self.share(self.own)
+    }
+
+    /// Returns the end of the worker with the fewest connections, unless this one has as few.
+    pub(crate) fn other(&self) -> Option<(&mpsc::UnboundedSender<Accepted>, Share)> {
+        let count = |worker: usize| self.counts[worker].load(Ordering::Relaxed);
+        let least = (0..self.counts.len()).min_by_key(|worker| count(*worker))?;
+        let is_less = count(least) < count(self.own);
+        is_less.then(|| (&self.workers[least], self.share(least)))
+    }
+
+    fn share(&self, worker: usize) -> Share {
+        self.counts[worker].fetch_add(1, Ordering::Relaxed);
+        Share { counts: self.counts.clone(), worker }
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.counts[self.worker].fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod framing;
 mod gate;
+mod handover;
 mod headers;
 mod options;
 mod pool;
@@ -28,6 +29,7 @@
     claims::{Claim, ClaimDecision, ClaimMessage, ClaimTicket, SETTLED_BODY_LIMIT},
     counters::{CallRecord, ProxyCounters},
     gate::{Decision, Gate, GateMessage},
+    handover::Handover,
     options::{ConnectionBound, ProxyOptions},
     worker::Worker,
 };
--- a/crates/proxy/src/worker.rs
+++ b/crates/proxy/src/worker.rs
@@ -5,6 +5,7 @@
         claims::ClaimMessage,
         counters::{CallRecord, ProxyCounters},
         gate::Gate,
+        handover::{Handover, Share},
         options::ProxyOptions,
         pool::{MAINTENANCE_INTERVAL, Pool},
         session::Session,
@@ -19,9 +20,9 @@
         outcome::{NotRunReason, Outcome},
         text::Text,
     },
-    std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
+    std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
     tokio::{
-        net::TcpListener,
+        net::{TcpListener, TcpStream},
         select,
         sync::{mpsc, watch},
         task::JoinSet,
@@ -40,6 +41,8 @@
 pub struct Worker {
     /// Number of the worker within its instance; keeps call numbers apart.
     pub number: u64,
+    /// Exchange of accepted connections with the other workers of the instance.
+    pub handover: Handover,
     /// Options of the HTTP path.
     pub options: ProxyOptions,
     /// Way to the dispatcher.
@@ -101,6 +104,7 @@
         let keep_alive = KeepAlive::Timeout(options.keep_alive);
         let config = ServiceConfig::new(keep_alive, options.head_timeout, Duration::ZERO, false, None);
         let mut stop = self.stop.clone();
+        let mut handover = self.handover;
         let shared = Rc::new(Shared {
             pool: Pool::new(options.clone(), config.clone(), self.counters.clone()),
             options,
@@ -126,10 +130,17 @@
                         sleep(ACCEPT_PAUSE).await;
                         continue;
                     };
-                    let _ = io.set_nodelay(true);
-                    let refusal = (sessions.len() >= shared.options.callers).then_some(NotRunReason::Overload);
-                    let session = Session::new(shared.clone(), io, peer, refusal);
-                    if is_stopping { &mut late } else { &mut sessions }.spawn_local(session.run());
+                    // A worker that stops may have finished before it takes a connection over.
+                    let kept = if is_stopping { Some(io) } else { hand_over(&handover, io, peer) };
+                    if let Some(io) = kept {
+                        let share = handover.keep();
+                        serve(&shared, if is_stopping { &mut late } else { &mut sessions }, io, peer, share);
+                    }
+                }
+                Some((io, peer, share)) = handover.received.recv() => {
+                    if let Ok(io) = TcpStream::from_std(io) {
+                        serve(&shared, if is_stopping { &mut late } else { &mut sessions }, io, peer, share);
+                    }
                 }
                 Some(_) = sessions.join_next() => {}
                 Some(_) = late.join_next() => {}
@@ -141,7 +152,37 @@
             }
         }
         drop(listener);
+        // A worker that has not seen the signal may have handed these over meanwhile.
+        handover.received.close();
+        while let Ok((io, peer, share)) = handover.received.try_recv() {
+            if let Ok(io) = TcpStream::from_std(io) {
+                serve(&shared, &mut late, io, peer, share);
+            }
+        }
         while late.join_next().await.is_some() {}
         Ok(())
     }
 }
+
+/// Hands a connection to the worker with the fewest, and returns it if this worker keeps it.
+fn hand_over(handover: &Handover, io: TcpStream, peer: SocketAddr) -> Option<TcpStream> {
+    let Some((worker, share)) = handover.other() else { return Some(io) };
+    // A connection that cannot leave this worker's reactor is broken.
+    let io = io.into_std().ok()?;
+    match worker.send((io, peer, share)) {
+        Ok(()) => None,
+        // The other worker has ended.
+        Err(mpsc::error::SendError((io, _, _))) => TcpStream::from_std(io).ok(),
+    }
+}
+
+/// Serves a connection in a task of its own.
+fn serve(shared: &Rc<Shared>, sessions: &mut JoinSet<()>, io: TcpStream, peer: SocketAddr, share: Share) {
+    let _ = io.set_nodelay(true);
+    let refusal = (sessions.len() >= shared.options.callers).then_some(NotRunReason::Overload);
+    let session = Session::new(shared.clone(), io, peer, refusal);
+    sessions.spawn_local(async move {
+        let _share = share;
+        session.run().await;
+    });
+}
--- /dev/null
+++ b/crates/proxy/tests/handover.rs
@@ -0,0 +1,111 @@
+//! Shares of connections among the workers of one instance.
+
+use {
+    hemlockford_core::{
+        outcome::{NotRunReason, Outcome},
+        text::Text,
+    },
+    hemlockford_proxy::{Decision, Gate, GateMessage, Handover, ProxyCounters, ProxyOptions, Worker},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        sync::{mpsc, watch},
+        task::JoinHandle,
+        time::timeout,
+    },
+};
+
+const WORKERS: usize = 2;
+/// Call numbers of one worker; the quotient tells which worker announced a call.
+const CALLS_PER_WORKER: u64 = 1 << 48;
+const TEXT: &str = "[change]\nnumber = 1\n[service catalogue]\n";
+/// Time for an answer or for the end of the workers, for which there is no stated target.
+const LIMIT: Duration = Duration::from_secs(10);
+
+struct Instance {
+    address: SocketAddr,
+    messages: mpsc::UnboundedReceiver<GateMessage>,
+    stop: watch::Sender<bool>,
+    workers: Vec<JoinHandle<()>>,
+    _text: watch::Sender<Arc<Text>>,
+}
+
+impl Instance {
+    fn start() -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let (gate, messages) = Gate::new();
+        let (text_tx, text) = watch::channel(Arc::new(Text::parse(TEXT).unwrap()));
+        let (stop_tx, stop) = watch::channel(false);
+        let counters = ProxyCounters::register(&prometheus::Registry::new()).unwrap();
+        let ends = Handover::among(WORKERS).into_iter().enumerate();
+        let workers = ends.map(|(number, handover)| {
+            let worker = Worker {
+                number: number as u64,
+                handover,
+                options: ProxyOptions::default(),
+                gate: gate.clone(),
+                text: text.clone(),
+                stop: stop.clone(),
+                claims: None,
+                counters: counters.clone(),
+                records: None,
+            };
+            let listener = listener.try_clone().unwrap();
+            actix_rt::spawn(async move { worker.run(listener).await.unwrap() })
+        });
+        let workers = workers.collect();
+        Self { address: listener.local_addr().unwrap(), messages, stop: stop_tx, workers, _text: text_tx }
+    }
+
+    /// Opens a connection, sends a call, answers it, and returns the worker that served it.
+    async fn call(&mut self) -> (TcpStream, usize) {
+        let mut io = TcpStream::connect(self.address).await.unwrap();
+        io.write_all(b"GET /catalogue/a HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
+        let message = timeout(LIMIT, self.messages.recv()).await.expect("a call within the limit");
+        let Some(GateMessage::Arrive(call, reply)) = message else { panic!("{message:?}") };
+        let outcome = Outcome::NotRun(NotRunReason::Overload);
+        reply.send(Decision::Reject { outcome, retry_after: Duration::from_secs(1) }).unwrap();
+        let mut buf = [0; 1_000];
+        let length = timeout(LIMIT, io.read(&mut buf)).await.expect("an answer within the limit").unwrap();
+        assert!(buf[..length].starts_with(b"HTTP/1.1 503"), "{:?}", String::from_utf8_lossy(&buf[..length]));
+        (io, (call.id / CALLS_PER_WORKER) as usize)
+    }
+}
+
+/// Guards against one worker that gets most of the connections of long-lived callers.
+#[actix_rt::test]
+async fn workers_get_equal_shares_of_open_connections() {
+    let mut instance = Instance::start();
+    let (mut open, mut counts) = (Vec::new(), [0; WORKERS]);
+    for _ in 0..20 {
+        let (io, worker) = instance.call().await;
+        open.push(io);
+        counts[worker] += 1;
+    }
+    assert_eq!(counts, [10, 10]);
+}
+
+/// Guards against a count that stays when its connections are closed, which would send all new ones to one
+/// worker, and against workers that do not end.
+#[actix_rt::test]
+async fn closed_connections_no_longer_count_and_workers_end() {
+    let mut instance = Instance::start();
+    let mut open: [Vec<TcpStream>; WORKERS] = Default::default();
+    for _ in 0..20 {
+        let (io, worker) = instance.call().await;
+        open[worker].push(io);
+    }
+    open[0].clear();
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    for _ in 0..10 {
+        let (io, worker) = instance.call().await;
+        assert_eq!(worker, 0, "the worker with fewer connections");
+        open[worker].push(io);
+    }
+    instance.stop.send(true).unwrap();
+    for worker in instance.workers {
+        timeout(LIMIT, worker).await.expect("the worker ends").unwrap();
+    }
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -8,7 +8,9 @@
         outcome::{NotRunReason, Outcome, UnknownReason},
         text::Text,
     },
-    hemlockford_proxy::{CallRecord, ClaimMessage, Decision, Gate, GateMessage, ProxyCounters, ProxyOptions, Worker},
+    hemlockford_proxy::{
+        CallRecord, ClaimMessage, Decision, Gate, GateMessage, Handover, ProxyCounters, ProxyOptions, Worker,
+    },
     std::{
         cell::{Cell, RefCell},
         future::Future,
@@ -81,6 +83,7 @@
         let registry = prometheus::Registry::new();
         let worker = Worker {
             number: 1,
+            handover: Handover::among(1).remove(0),
             options: script.options.clone(),
             gate,
             text,
