--- a/crates/hemlockford/examples/compare/main.rs
+++ b/crates/hemlockford/examples/compare/main.rs
@@ -16,10 +16,14 @@
     support::table::Table,
 };
 
+/// Columns that must be 0.
+const PROMISES: [&str; 3] = ["wrong_partial_repeated", "ran_twice", "ran_but_denied"];
+
 fn main() {
     let arguments = Arguments::parse_args_default_or_exit();
     println!("seed {}, load average {:.1}", arguments.seed, support::machine::load_average());
     let mut table = Table::new(&HEADER);
+    let mut broken = 0_usize;
     for size in or_all(&arguments.size, &Size::ALL) {
         // Only one group runs at a time, so that the other one takes no processor time. The ideal comes first.
         let (mut several, mut single) = (None, None);
@@ -35,10 +39,14 @@
             *other = None;
             let bed = bed.get_or_insert_with(|| Bed::start(size, instances, arguments.seed, arguments.workers));
             bed.set_policy(policy);
-            measure(&arguments, size, policy, bed, &rows, &mut table);
+            broken += measure(&arguments, size, policy, bed, &rows, &mut table);
         }
     }
     table.finish(arguments.out.as_deref());
+    if broken > 0 {
+        eprintln!("{broken} rows broke a promise");
+        std::process::exit(1);
+    }
 }
 
 /// Returns the conditions and loads that are measured with a policy.
@@ -53,16 +61,26 @@
         .collect()
 }
 
-/// Measures the rows of a policy that is in force.
-fn measure(arguments: &Arguments, size: Size, policy: Policy, bed: &Bed, rows: &[(Condition, u32)], table: &mut Table) {
+/// Measures the rows of a policy that is in force, and returns how many of them broke a promise.
+fn measure(
+    arguments: &Arguments,
+    size: Size,
+    policy: Policy,
+    bed: &Bed,
+    rows: &[(Condition, u32)],
+    table: &mut Table,
+) -> usize {
     let time = Duration::from_secs_f64(arguments.seconds);
+    let mut broken = 0_usize;
     let mut alone = BTreeMap::<_, OnceLock<_>>::new();
     for (condition, load) in rows.iter().copied() {
         let alone = alone.entry(load).or_default();
         let row = Row { bed, size, condition, policy, load, time, seed: arguments.seed, alone };
         table.add(row.measure());
         eprintln!("{}", table.last());
+        broken += usize::from(PROMISES.iter().any(|name| table.last_value(name) != "0"));
     }
+    broken
 }
 
 fn or_all<T: Copy>(chosen: &[T], all: &[T]) -> Vec<T> {
--- a/crates/hemlockford/examples/support/table.rs
+++ b/crates/hemlockford/examples/support/table.rs
@@ -18,6 +18,12 @@
         self.rows.push(row);
     }
 
+    /// Returns a cell of the last row.
+    pub fn last_value(&self, name: &str) -> &str {
+        let column = self.header.iter().position(|header| *header == name).expect("a column of this name");
+        self.rows.last().map_or("", |row| &row[column])
+    }
+
     /// Returns the last row as `name=value` pairs, to print while a run goes on.
     pub fn last(&self) -> String {
         let row = self.rows.last().map_or(&[][..], Vec::as_slice);
