Record finished calls each 100 ms instead of one by one

Cause: every finished call woke the thread of control, which runs the task of the report.

The shortest step of the report is 30 s, and each report takes in what has finished first.

--- a/crates/instance/src/report.rs
+++ b/crates/instance/src/report.rs
@@ -1,16 +1,30 @@
 //! The task that keeps the service-level burn.
 
 use {
+    actix_rt::time::interval,
     hemlockford_core::{
         burn::{Burn, BurnReport},
         outcome::Outcome,
         text::Text,
     },
     hemlockford_proxy::CallRecord,
-    std::{sync::Arc, time::Instant},
-    tokio::sync::{mpsc, oneshot, watch},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::{
+            mpsc::{self, error::TryRecvError},
+            oneshot, watch,
+        },
+        time::MissedTickBehavior,
+    },
 };
 
+/// Time between two looks at finished calls. Waiting for each one would wake the thread of control once
+/// per call, at the cost of the worker that serves the call. The shortest step of the report is 30 s.
+const RECORD_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Records finished calls and answers with the report.
 pub(crate) struct ReportTask {
     pub(crate) records: mpsc::UnboundedReceiver<CallRecord>,
@@ -21,14 +35,32 @@
 impl ReportTask {
     pub(crate) async fn run(mut self) {
         let mut burn = Burn::new(Instant::now());
+        let mut ticks = interval(RECORD_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                record = self.records.recv() => match record {
-                    Some(record) => add(&mut burn, &record),
-                    None => return,
+                _ = ticks.tick() => if !self.record(&mut burn) {
+                    return;
                 },
-                Some(reply) = self.requests.recv() => drop(reply.send(burn.report(Instant::now()))),
-                Ok(()) = self.text.changed() => burn.configure(&self.text.borrow_and_update().clone()),
+                Some(reply) = self.requests.recv() => {
+                    self.record(&mut burn);
+                    drop(reply.send(burn.report(Instant::now())));
+                }
+                Ok(()) = self.text.changed() => {
+                    self.record(&mut burn);
+                    burn.configure(&self.text.borrow_and_update().clone());
+                }
+            }
+        }
+    }
+
+    /// Records the calls that have finished, and returns whether there may be more.
+    fn record(&mut self, burn: &mut Burn) -> bool {
+        loop {
+            match self.records.try_recv() {
+                Ok(record) => add(burn, &record),
+                Err(TryRecvError::Empty) => return true,
+                Err(TryRecvError::Disconnected) => return false,
             }
         }
     }
