--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/call_time.rs
@@ -14,12 +14,12 @@
 
 /// Average time that calls of a service take at a server, uploads apart from the others.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Pace {
+pub struct CallTime {
     seconds: [Option<f64>; 2],
     deviation: [f64; 2],
 }
 
-impl Pace {
+impl CallTime {
     /// Takes the time of one answer.
     pub fn observe(&mut self, upload: bool, latency: Duration) {
         let (kind, latency) = (usize::from(upload), latency.as_secs_f64());
@@ -31,10 +31,10 @@
     /// Returns the expected time of a call.
     ///
     /// ```
-    /// use {hemlockford_core::admission::Pace, std::time::Duration};
-    /// let mut pace = Pace::default();
-    /// pace.observe(false, Duration::from_millis(10));
-    /// assert_eq!(pace.service_time(false), Duration::from_millis(10));
+    /// use {hemlockford_core::admission::CallTime, std::time::Duration};
+    /// let mut call_time = CallTime::default();
+    /// call_time.observe(false, Duration::from_millis(10));
+    /// assert_eq!(call_time.service_time(false), Duration::from_millis(10));
     /// ```
     pub fn service_time(&self, upload: bool) -> Duration {
         let either = self.seconds[usize::from(upload)].or(self.seconds[usize::from(!upload)]);
--- a/crates/core/src/admission/fair_queue.rs
+++ b/crates/core/src/admission/fair_queue.rs
@@ -1,7 +1,7 @@
 //! Waiting calls of one service.
 
 use {
-    super::{Pace, Terms, Waiting, customer_queue::CustomerQueue},
+    super::{CallTime, QueueLimits, Waiting, customer_queue::CustomerQueue},
     crate::{
         collections::FastMap,
         ids::{CallId, CustomerId},
@@ -41,12 +41,12 @@
         now: Instant,
         customer: &str,
         waiting: Waiting,
-        pace: &Pace,
-        terms: Terms,
+        call_time: &CallTime,
+        limits: QueueLimits,
     ) -> Result<(), NotRunReason> {
-        let Terms { weight, limit, slots } = terms;
-        let wait = self.wait(customer, weight, pace, slots);
-        if now + wait + pace.safe_time(waiting.upload) > waiting.deadline {
+        let QueueLimits { weight, limit, slots } = limits;
+        let wait = self.wait(customer, weight, call_time, slots);
+        if now + wait + call_time.safe_time(waiting.upload) > waiting.deadline {
             return Err(NotRunReason::Deadline);
         }
         if self.customers.get(customer).map_or(0, CustomerQueue::len) >= limit {
@@ -76,7 +76,7 @@
 
     /// Estimates how long one more call of a customer would wait: its queue drains by its weight among the
     /// customers that wait, and no later than the whole queue would in order of arrival.
-    pub fn wait(&self, customer: &str, weight: f64, pace: &Pace, slots: u32) -> Duration {
+    pub fn wait(&self, customer: &str, weight: f64, call_time: &CallTime, slots: u32) -> Duration {
         if slots == 0 || self.len == 0 {
             // Without slots the wait is not known; the deadline still ends it.
             return Duration::ZERO;
@@ -86,13 +86,13 @@
         let queued = self.turns.iter().filter(|name| &***name != customer);
         let others: f64 = queued.filter_map(|name| self.customers.get(name)).map(|queue| queue.weight).sum();
         let turns = ((own + 1.0) * (others + weight) / weight).min(self.len as f64 + 1.0);
-        let lookups = (self.len - self.uploads) as f64 * pace.service_time(false).as_secs_f64();
-        let uploads = self.uploads as f64 * pace.service_time(true).as_secs_f64();
+        let lookups = (self.len - self.uploads) as f64 * call_time.service_time(false).as_secs_f64();
+        let uploads = self.uploads as f64 * call_time.service_time(true).as_secs_f64();
         Duration::from_secs_f64(turns * (lookups + uploads) / self.len as f64 / f64::from(slots))
     }
 
     /// Takes the next call by weight; without `with_uploads` uploads stay where they are.
-    pub fn pop(&mut self, pace: &Pace, with_uploads: bool) -> Option<(CustomerId, Waiting)> {
+    pub fn pop(&mut self, call_time: &CallTime, with_uploads: bool) -> Option<(CustomerId, Waiting)> {
         let mut skipped = 0;
         if self.len == 0 {
             self.greatest = LEAST_WEIGHT;
@@ -111,7 +111,7 @@
                 }
                 continue;
             };
-            let cost = pace.cost(upload);
+            let cost = call_time.cost(upload);
             if queue.deficit < cost {
                 queue.deficit += queue.weight / self.greatest;
                 self.turns.rotate_left(1);
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -4,10 +4,10 @@
 //! a call that cannot be answered within its deadline leaves at once, so that slots are spent on calls whose
 //! answers still count.
 
+mod call_time;
 mod customer_queue;
 mod fair_queue;
-mod pace;
-mod terms;
+mod queue_limits;
 mod waiting;
 
-pub use {fair_queue::FairQueue, pace::Pace, terms::Terms, waiting::Waiting};
+pub use {call_time::CallTime, fair_queue::FairQueue, queue_limits::QueueLimits, waiting::Waiting};
--- a/crates/core/src/admission/terms.rs
+++ b/crates/core/src/admission/queue_limits.rs
@@ -2,7 +2,7 @@
 
 /// Bounds for one call that is to wait.
 #[derive(Clone, Copy, Debug)]
-pub struct Terms {
+pub struct QueueLimits {
     /// Weight of the customer.
     pub weight: f64,
     /// Calls of the customer that may wait.
--- a/crates/core/src/dispatch/service.rs
+++ b/crates/core/src/dispatch/service.rs
@@ -3,7 +3,7 @@
 use {
     super::Servers,
     crate::{
-        admission::{FairQueue, Pace},
+        admission::{CallTime, FairQueue},
         collections::FastMap,
         health::{Health, HealthOptions, Standing},
         ids::{CallId, CustomerId, DataCentreId},
@@ -24,7 +24,7 @@
     pub(super) queue: FairQueue,
     /// Calls that are to be sent again, before those that wait for their first attempt.
     pub(super) again: Vec<CallId>,
-    pub(super) pace: Pace,
+    pub(super) call_time: CallTime,
     pub(super) health: Health,
     pub(super) budget: RetryBudget,
     in_flight: FastMap<CustomerId, u32>,
@@ -38,7 +38,7 @@
             servers: Servers::default(),
             queue: FairQueue::default(),
             again: Vec::new(),
-            pace: Pace::default(),
+            call_time: CallTime::default(),
             health: Health::new(HealthOptions { data_centre, ..HealthOptions::default() }),
             budget: RetryBudget::new(Service::default().retry_budget),
             in_flight: FastMap::default(),
--- a/crates/core/src/dispatch/waiting.rs
+++ b/crates/core/src/dispatch/waiting.rs
@@ -3,7 +3,7 @@
 use {
     super::{ActiveCall, Call, DispatchAction, Dispatcher},
     crate::{
-        admission::{Terms, Waiting},
+        admission::{QueueLimits, Waiting},
         ids::CallId,
         outcome::{NotRunReason, Outcome},
         slots::{Key, key},
@@ -41,14 +41,14 @@
             return self.refuse(now, &active.call, NotRunReason::Overload, actions);
         }
         let weight = self.weight(now, &active.call);
-        let terms = Terms { weight, limit, slots: self.slots.limit(now, service) };
+        let limits = QueueLimits { weight, limit, slots: self.slots.limit(now, service) };
         let Some(state) = self.services.get_mut(&service) else { return };
         let call = &active.call;
         let waiting = Waiting { call: call.id, upload: call.upload, deadline: call.deadline };
-        match state.queue.push(now, &call.customer, waiting, &state.pace, terms) {
+        match state.queue.push(now, &call.customer, waiting, &state.call_time, limits) {
             Err(reason) => self.refuse(now, &active.call, reason, actions),
             Ok(()) => {
-                let service_time = state.pace.safe_time(call.upload);
+                let service_time = state.call_time.safe_time(call.upload);
                 self.expire_at(now, call.deadline, service_time, call.id);
                 self.waiting += 1;
                 self.calls.insert(active.call.id, active);
@@ -118,8 +118,8 @@
         while let Some(server) = self.choose_for_next(now, service) {
             let Some(state) = self.services.get_mut(&service) else { return };
             let with_uploads = state.may_upload(now, self.slots.limit(now, service));
-            let Some((_, waiting)) = state.queue.pop(&state.pace, with_uploads) else { break };
-            let service_time = state.pace.safe_time(waiting.upload);
+            let Some((_, waiting)) = state.queue.pop(&state.call_time, with_uploads) else { break };
+            let service_time = state.call_time.safe_time(waiting.upload);
             let Some(active) = self.calls.remove(&waiting.call) else { continue };
             self.waiting -= 1;
             if now + service_time > active.call.deadline {
@@ -164,7 +164,7 @@
     pub(super) fn note_waiting(&mut self, now: Instant, service: Key) {
         let Some(state) = self.services.get(&service) else { return };
         let waiting = state.waiting();
-        self.slots.wait(now, service, waiting as u32, state.pace.service_time(false));
+        self.slots.wait(now, service, waiting as u32, state.call_time.service_time(false));
         if waiting == 0 {
             self.backlogged.remove(&service);
         } else {
@@ -257,7 +257,7 @@
         let wait = match (reason, self.services.get(&service)) {
             (NotRunReason::QueueFull | NotRunReason::Deadline | NotRunReason::Overload, Some(state)) => {
                 let weight = f64::from(self.text.weight(&call.service, &call.customer));
-                state.queue.wait(&call.customer, weight, &state.pace, self.slots.limit(now, service))
+                state.queue.wait(&call.customer, weight, &state.call_time, self.slots.limit(now, service))
             }
             _ => RETRY_AFTER,
         };
--- a/crates/core/src/registry/machine.rs
+++ b/crates/core/src/registry/machine.rs
@@ -40,7 +40,7 @@
 const FROZEN: Duration = Duration::from_millis(500);
 
 /// Time after a freeze for which announcements are read that waited in socket buffers.
-const THAW: Duration = Duration::from_millis(500);
+const RESUME_GRACE: Duration = Duration::from_millis(500);
 
 /// Options of [`Registry`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -59,7 +59,7 @@
     pending: FastMap<ServerId, u8>,
     changed: FastSet<ServiceId>,
     last_event: Instant,
-    thawed: Option<Instant>,
+    resumed: Option<Instant>,
     last_relay: Instant,
     last_ask: Instant,
     next_asked: usize,
@@ -102,7 +102,7 @@
             pending: FastMap::default(),
             changed: FastSet::default(),
             last_event: now,
-            thawed: None,
+            resumed: None,
             last_relay: now,
             last_ask: now,
             next_asked: 0,
@@ -113,7 +113,7 @@
     /// Handles one event.
     pub fn handle(&mut self, now: Instant, event: RegistryEvent, actions: &mut Vec<RegistryAction>) {
         if now.saturating_duration_since(self.last_event) > FROZEN {
-            self.thawed = Some(now);
+            self.resumed = Some(now);
         }
         self.last_event = self.last_event.max(now);
         match event {
@@ -170,10 +170,10 @@
         let server = announcement.server.clone();
         // What waited while this process was frozen is late by an unknown time. It counts only for a server
         // whose clock is known; others are heard again.
-        let is_thawing = self.thawed.is_some_and(|thawed| now.saturating_duration_since(thawed) < THAW);
+        let is_resuming = self.resumed.is_some_and(|resumed| now.saturating_duration_since(resumed) < RESUME_GRACE);
         let known = self.servers.get(&server).filter(|held| !held.is_doubted());
         let is_known = known.is_some_and(|held| held.announcement.incarnation >= announcement.incarnation);
-        if is_thawing && !is_known && !announcement.is_final() {
+        if is_resuming && !is_known && !announcement.is_final() {
             return;
         }
         // It cannot be told how late the first announcement of a server is. It may have waited in a socket
--- a/crates/core/src/slots/allot.rs
+++ b/crates/core/src/slots/allot.rs
@@ -56,7 +56,7 @@
     /// Grants free slots one at a time to the entry that has the fewest permits for its load.
     fn grant_free(&mut self, now: Instant, live: &[InstanceId], rng: &mut SmallRng) {
         let (mut served, mut failed) = (Vec::new(), Vec::new());
-        while self.stock.free_count() > 0 {
+        while self.pool.free_count() > 0 {
             let satisfaction = |member: &super::Member| f64::from(member.target) / member.due(now);
             let waiting = self
                 .members
@@ -80,7 +80,7 @@
         }
         // An entry that asked is likely to need more in a moment; a part of the idle slots saves it the
         // next message.
-        let extra = self.stock.free_count() / (2 * self.members.len().max(1) as u32);
+        let extra = self.pool.free_count() / (2 * self.members.len().max(1) as u32);
         for id in served {
             for _ in 0..extra {
                 self.grant(now, &id, rng);
@@ -90,8 +90,8 @@
 
     fn grant(&mut self, now: Instant, id: &InstanceId, rng: &mut SmallRng) -> bool {
         let Some(member) = self.members.get(id) else { return false };
-        let Some(server) = self.stock.pick(rng, |server| member.refuses(now, server)) else { return false };
-        let held = member.claims.get(&server).map_or(0, |claim| claim.target);
+        let Some(server) = self.pool.pick(rng, |server| member.refuses(now, server)) else { return false };
+        let held = member.allotments.get(&server).map_or(0, |allotment| allotment.target);
         self.set_target(id, server, held + 1);
         if let Some(member) = self.members.get_mut(id) {
             member.granted_at = Some(now);
@@ -150,12 +150,12 @@
     }
 
     fn take_back(&mut self, id: &InstanceId, count: u32) {
-        let mut claims: Vec<_> =
-            self.members[id].claims.iter().map(|(server, claim)| (claim.target, *server)).collect();
-        claims.sort_unstable_by(|a, b| b.cmp(a));
+        let mut allotments: Vec<_> =
+            self.members[id].allotments.iter().map(|(server, allotment)| (allotment.target, *server)).collect();
+        allotments.sort_unstable_by(|a, b| b.cmp(a));
         let (mut left, mut depth) = (count, 0);
-        while left > 0 && claims.iter().any(|claim| claim.0 > depth) {
-            for (target, server) in claims.iter().filter(|claim| claim.0 > depth) {
+        while left > 0 && allotments.iter().any(|allotment| allotment.0 > depth) {
+            for (target, server) in allotments.iter().filter(|allotment| allotment.0 > depth) {
                 if left > 0 {
                     left -= 1;
                     self.set_target(id, *server, target - depth - 1);
@@ -196,10 +196,10 @@
             UNLISTED => UNLISTED_WEIGHT,
             _ => self.weights.get(customer).map_or(1.0, |weight| f64::from(*weight).max(LEAST_WEIGHT)),
         };
-        let claims: Vec<_> = totals.iter().map(|(customer, total)| (*total, weight(customer))).collect();
-        let shares = split(f64::from(self.stock.capacity()), &claims);
+        let allotments: Vec<_> = totals.iter().map(|(customer, total)| (*total, weight(customer))).collect();
+        let shares = split(f64::from(self.pool.capacity()), &allotments);
         // What a customer of weight 1 may use. One that uses less is not held to that at its entries.
-        let level = claims.iter().zip(&shares).map(|((_, weight), share)| share / weight).fold(0.0, f64::max);
+        let level = allotments.iter().zip(&shares).map(|((_, weight), share)| share / weight).fold(0.0, f64::max);
         let shares: FastMap<Key, f64> = totals.keys().copied().zip(shares).collect();
         let is_told = self.told_at.is_some_and(|at| now < at + TELL_INTERVAL);
         if is_standing && !is_told {
--- a/crates/core/src/slots/coordinator.rs
+++ b/crates/core/src/slots/coordinator.rs
@@ -1,7 +1,7 @@
 //! The permits of one service that this instance hands out.
 
 use {
-    super::{COLLECT, Claim, Key, Member, Outbox, REPEAT, SlotReport, Stock},
+    super::{Allotment, COLLECT, Key, Member, Outbox, REPEAT, SlotPool, SlotReport},
     crate::{collections::FastMap, ids::InstanceId},
     std::{
         collections::BTreeMap,
@@ -22,7 +22,7 @@
     /// Whether something is to be done as time passes.
     pub(super) is_busy: bool,
     pub(super) members: BTreeMap<InstanceId, Member>,
-    pub(super) stock: Stock,
+    pub(super) pool: SlotPool,
     /// Weights of the customers that the text names.
     pub(super) weights: FastMap<Key, u32>,
     /// Grants whose record has changed.
@@ -65,7 +65,7 @@
         true
     }
 
-    /// Asks entries whose claims are gone to report anew, until they do.
+    /// Asks entries whose allotments are gone to report anew, until they do.
     pub(super) fn resync(&mut self, now: Instant, live: &[InstanceId]) {
         self.is_busy = self.collecting_until.is_some();
         for (id, member) in &mut self.members {
@@ -83,8 +83,8 @@
     /// Forgets what an entry holds; it has to report anew.
     pub(super) fn reset(&mut self, id: &InstanceId) {
         let Some(member) = self.members.get_mut(id) else { return };
-        for (server, claim) in member.claims.drain() {
-            self.stock.take(server, claim.bound, 0);
+        for (server, allotment) in member.allotments.drain() {
+            self.pool.take(server, allotment.bound, 0);
         }
         member.reset();
     }
@@ -116,30 +116,30 @@
             member.listed_at = Some(now);
         }
         for holding in &report.holdings {
-            let claim = member.claims.entry(holding.server).or_default();
+            let allotment = member.allotments.entry(holding.server).or_default();
             if holding.refused {
                 member.refused.insert(holding.server, now + REFUSAL);
             } else {
                 member.refused.remove(&holding.server);
             }
-            let before = *claim;
+            let before = *allotment;
             if grants.contains(self.service, holding.server) {
                 // The entry has yet to apply a grant that overrides what it says here.
-                claim.bound = claim.bound.max(holding.held);
+                allotment.bound = allotment.bound.max(holding.held);
             } else {
-                let target = if member.is_complete { claim.target.min(holding.held) } else { holding.held };
-                *claim = Claim { target, bound: holding.held.max(target), raised: 0 };
+                let target = if member.is_complete { allotment.target.min(holding.held) } else { holding.held };
+                *allotment = Allotment { target, bound: holding.held.max(target), raised: 0 };
             }
-            member.target = member.target - before.target + claim.target;
-            self.stock.take(holding.server, before.bound, claim.bound);
-            if claim.target == 0 && claim.bound == 0 {
-                member.claims.remove(&holding.server);
+            member.target = member.target - before.target + allotment.target;
+            self.pool.take(holding.server, before.bound, allotment.bound);
+            if allotment.target == 0 && allotment.bound == 0 {
+                member.allotments.remove(&holding.server);
             }
         }
         member.is_adoption_due |= report.complete && !report.adopted;
         if report.complete && !member.is_complete {
             member.is_complete = true;
-            let held: Vec<_> = member.claims.keys().copied().collect();
+            let held: Vec<_> = member.allotments.keys().copied().collect();
             self.trim(from, held);
         }
     }
@@ -147,40 +147,40 @@
     /// Takes the confirmation of a grant.
     pub(super) fn confirm(&mut self, from: &InstanceId, server: Key) {
         let Some(member) = self.members.get_mut(from) else { return };
-        let Some(claim) = member.claims.get_mut(&server) else { return };
-        let before = *claim;
-        claim.bound = claim.target;
-        claim.raised = 0;
+        let Some(allotment) = member.allotments.get_mut(&server) else { return };
+        let before = *allotment;
+        allotment.bound = allotment.target;
+        allotment.raised = 0;
         member.raised -= before.raised;
-        self.stock.take(server, before.bound, claim.bound);
-        if claim.target == 0 && claim.bound == 0 {
-            member.claims.remove(&server);
+        self.pool.take(server, before.bound, allotment.bound);
+        if allotment.target == 0 && allotment.bound == 0 {
+            member.allotments.remove(&server);
         }
     }
 
     /// Sets the permits that an entry shall hold.
     pub(super) fn set_target(&mut self, id: &InstanceId, server: Key, target: u32) {
         let Some(member) = self.members.get_mut(id) else { return };
-        let claim = member.claims.entry(server).or_default();
-        let before = *claim;
-        claim.target = target;
-        claim.bound = claim.bound.max(target);
-        claim.raised += target.saturating_sub(before.target);
-        member.raised = member.raised - before.raised + claim.raised;
+        let allotment = member.allotments.entry(server).or_default();
+        let before = *allotment;
+        allotment.target = target;
+        allotment.bound = allotment.bound.max(target);
+        allotment.raised += target.saturating_sub(before.target);
+        member.raised = member.raised - before.raised + allotment.raised;
         member.target = member.target - before.target + target;
-        self.stock.take(server, before.bound, claim.bound);
+        self.pool.take(server, before.bound, allotment.bound);
         self.changes.push((id.clone(), server));
     }
 
     /// Sets the slots of the servers that are open; permits for others are taken back.
     pub(super) fn set_capacity(&mut self, servers: &FastMap<Key, u32>) {
-        self.stock.set_capacity(servers);
+        self.pool.set_capacity(servers);
         if !self.is_active {
             return;
         }
         let members: Vec<_> = self.members.keys().cloned().collect();
         for id in &members {
-            let held: Vec<_> = self.members[id].claims.keys().copied().collect();
+            let held: Vec<_> = self.members[id].allotments.keys().copied().collect();
             self.trim(id, held);
         }
     }
@@ -189,9 +189,12 @@
     fn trim(&mut self, id: &InstanceId, mut servers: Vec<Key>) {
         servers.sort_unstable();
         for server in servers {
-            let target =
-                self.members.get(id).and_then(|member| member.claims.get(&server)).map_or(0, |claim| claim.target);
-            let excess = self.stock.excess(server).min(target);
+            let target = self
+                .members
+                .get(id)
+                .and_then(|member| member.allotments.get(&server))
+                .map_or(0, |allotment| allotment.target);
+            let excess = self.pool.excess(server).min(target);
             if excess > 0 {
                 self.set_target(id, server, target - excess);
             }
--- a/crates/core/src/slots/exchange.rs
+++ b/crates/core/src/slots/exchange.rs
@@ -179,8 +179,8 @@
         }
         *room -= customers.len();
         let holding = |server: &Key| {
-            let seat = holder.seat(*server).cloned().unwrap_or_default();
-            Holding { server: *server, held: seat.held(), refused: !seat.is_open, in_flight: seat.in_flight }
+            let permits = holder.server(*server).cloned().unwrap_or_default();
+            Holding { server: *server, held: permits.held(), refused: !permits.is_open, in_flight: permits.in_flight }
         };
         Some(SlotReport {
             service,
@@ -205,7 +205,7 @@
         let member = self.services.get_mut(&service)?.coordinator.members.get_mut(to)?;
         let permit = |(server, first): &(Key, u64)| Permit {
             server: *server,
-            count: member.claims.get(server).map_or(0, |claim| claim.target),
+            count: member.allotments.get(server).map_or(0, |allotment| allotment.target),
             age: sequence.saturating_sub(*first) as u32,
         };
         let permits = servers.iter().map(permit).collect();
@@ -247,9 +247,9 @@
             if !slots.holder.renew(permit.server, sequence.saturating_sub(u64::from(permit.age))) {
                 continue;
             }
-            let before = slots.holder.seat(permit.server).map_or(0, |seat| seat.granted);
+            let before = slots.holder.server(permit.server).map_or(0, |permits| permits.granted);
             // No permit is kept for a server that is not open to this entry.
-            let is_open = slots.holder.seat(permit.server).is_some_and(|seat| seat.is_open);
+            let is_open = slots.holder.server(permit.server).is_some_and(|permits| permits.is_open);
             let count = if is_open { permit.count } else { 0 };
             let held = slots.holder.set_granted(permit.server, count);
             if count < before || held != permit.count {
--- a/crates/core/src/slots/holder.rs
+++ b/crates/core/src/slots/holder.rs
@@ -1,7 +1,7 @@
 //! The permits of one service that this entry holds.
 
 use {
-    super::{Key, Seat, key},
+    super::{Key, ServerPermits, key},
     crate::{collections::FastMap, ids::InstanceId},
     std::time::Instant,
 };
@@ -9,7 +9,7 @@
 /// The permits of one service that this entry holds, with an index of the servers that have a free one.
 #[derive(Debug, Default)]
 pub(super) struct Holder {
-    seats: FastMap<Key, Seat>,
+    permits: FastMap<Key, ServerPermits>,
     free: Vec<Key>,
     free_count: u32,
     in_flight: u32,
@@ -43,9 +43,9 @@
 impl Holder {
     /// Takes the servers that are open for new calls, with the slots of each.
     pub(super) fn set_servers(&mut self, me: Key, roster: usize, servers: &FastMap<Key, u32>) {
-        for seat in self.seats.values_mut() {
-            seat.is_open = false;
-            seat.fallback = 0;
+        for permits in self.permits.values_mut() {
+            permits.is_open = false;
+            permits.fallback = 0;
         }
         let total: u32 = servers.values().sum();
         let share = total.div_ceil(roster.max(1) as u32).max(1);
@@ -54,10 +54,10 @@
             slots.map(|(server, slot)| (key::rank(server ^ (u64::from(slot) << 43), me), server)).collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         for server in servers.keys() {
-            self.seats.entry(*server).or_default().is_open = true;
+            self.permits.entry(*server).or_default().is_open = true;
         }
         for (_, server) in ranked.iter().take(share as usize) {
-            self.seats.entry(*server).or_default().fallback += 1;
+            self.permits.entry(*server).or_default().fallback += 1;
         }
         self.reindex();
     }
@@ -66,11 +66,11 @@
     pub(super) fn reindex(&mut self) {
         self.free.clear();
         self.free_count = 0;
-        self.seats.retain(|_, seat| {
-            (seat.position, seat.counted) = (None, 0);
-            !seat.is_unused()
+        self.permits.retain(|_, permits| {
+            (permits.position, permits.counted) = (None, 0);
+            !permits.is_unused()
         });
-        let mut servers: Vec<_> = self.seats.keys().copied().collect();
+        let mut servers: Vec<_> = self.permits.keys().copied().collect();
         // The order must not depend on the history of the map, so that a run can be repeated.
         servers.sort_unstable();
         for server in servers {
@@ -80,7 +80,7 @@
 
     /// Returns the servers with permits that are not open for new calls.
     pub(super) fn closed(&self) -> Vec<Key> {
-        let closed = self.seats.iter().filter(|(_, seat)| !seat.is_open && seat.granted > 0);
+        let closed = self.permits.iter().filter(|(_, permits)| !permits.is_open && permits.granted > 0);
         let mut closed: Vec<_> = closed.map(|(server, _)| *server).collect();
         closed.sort_unstable();
         closed
@@ -88,37 +88,37 @@
 
     /// Changes the permits granted for a server; returns the permits held afterwards.
     pub(super) fn set_granted(&mut self, server: Key, count: u32) -> u32 {
-        let seat = self.seats.entry(server).or_default();
-        self.granted = self.granted - seat.granted + count;
-        seat.granted = count;
-        let held = seat.held();
+        let permits = self.permits.entry(server).or_default();
+        self.granted = self.granted - permits.granted + count;
+        permits.granted = count;
+        let held = permits.held();
         self.refresh(server);
         held
     }
 
     /// Notes which message first carried the permits for a server; returns whether it is a newer one.
     pub(super) fn renew(&mut self, server: Key, version: u64) -> bool {
-        let seat = self.seats.entry(server).or_default();
-        let is_newer = version > seat.version;
-        seat.version = seat.version.max(version);
+        let permits = self.permits.entry(server).or_default();
+        let is_newer = version > permits.version;
+        permits.version = permits.version.max(version);
         is_newer
     }
 
     /// Forgets which messages carried the permits, as another exchange starts.
     pub(super) fn forget_versions(&mut self) {
-        self.seats.values_mut().for_each(|seat| seat.version = 0);
+        self.permits.values_mut().for_each(|permits| permits.version = 0);
     }
 
     /// Drops every granted permit.
     pub(super) fn drop_granted(&mut self) {
-        self.seats.values_mut().for_each(|seat| seat.granted = 0);
+        self.permits.values_mut().for_each(|permits| permits.granted = 0);
         self.granted = 0;
         self.reindex();
     }
 
     /// Counts a call that starts.
     pub(super) fn start(&mut self, server: Key) {
-        self.seats.entry(server).or_default().in_flight += 1;
+        self.permits.entry(server).or_default().in_flight += 1;
         self.in_flight += 1;
         self.refresh(server);
         self.least_free = self.least_free.min(self.free_count);
@@ -126,13 +126,13 @@
 
     /// Counts a call that has ended; returns whether a permit beyond what may be used became free.
     pub(super) fn end(&mut self, server: Key) -> bool {
-        let Some(seat) = self.seats.get_mut(&server) else { return false };
-        let was_beyond = seat.in_flight > seat.granted;
-        self.in_flight -= u32::from(seat.in_flight > 0);
-        seat.in_flight = seat.in_flight.saturating_sub(1);
-        if seat.is_unused() {
+        let Some(permits) = self.permits.get_mut(&server) else { return false };
+        let was_beyond = permits.in_flight > permits.granted;
+        self.in_flight -= u32::from(permits.in_flight > 0);
+        permits.in_flight = permits.in_flight.saturating_sub(1);
+        if permits.is_unused() {
             self.remove_free(server);
-            self.seats.remove(&server);
+            self.permits.remove(&server);
         } else {
             self.refresh(server);
         }
@@ -156,26 +156,27 @@
         self.granted
     }
 
-    pub(super) fn seat(&self, server: Key) -> Option<&Seat> {
-        self.seats.get(&server)
+    pub(super) fn server(&self, server: Key) -> Option<&ServerPermits> {
+        self.permits.get(&server)
     }
 
     /// Returns the servers for which anything is held.
     pub(super) fn held(&self) -> Vec<Key> {
-        let mut held: Vec<_> = self.seats.iter().filter(|(_, seat)| seat.held() > 0).map(|(key, _)| *key).collect();
+        let mut held: Vec<_> =
+            self.permits.iter().filter(|(_, permits)| permits.held() > 0).map(|(key, _)| *key).collect();
         held.sort_unstable();
         held
     }
 
     fn refresh(&mut self, server: Key) {
-        let Some(seat) = self.seats.get_mut(&server) else { return };
-        let limit = if self.is_fallback { seat.fallback } else { seat.granted };
-        let free = if seat.is_open { limit.saturating_sub(seat.in_flight) } else { 0 };
-        self.free_count = self.free_count - seat.counted + free;
-        seat.counted = free;
-        match seat.position {
+        let Some(permits) = self.permits.get_mut(&server) else { return };
+        let limit = if self.is_fallback { permits.fallback } else { permits.granted };
+        let free = if permits.is_open { limit.saturating_sub(permits.in_flight) } else { 0 };
+        self.free_count = self.free_count - permits.counted + free;
+        permits.counted = free;
+        match permits.position {
             None if free > 0 => {
-                seat.position = Some(self.free.len());
+                permits.position = Some(self.free.len());
                 self.free.push(server);
             }
             Some(_) if free == 0 => self.remove_free(server),
@@ -184,15 +185,15 @@
     }
 
     fn remove_free(&mut self, server: Key) {
-        let Some(seat) = self.seats.get_mut(&server) else { return };
-        self.free_count -= seat.counted;
-        seat.counted = 0;
-        let Some(position) = seat.position.take() else { return };
+        let Some(permits) = self.permits.get_mut(&server) else { return };
+        self.free_count -= permits.counted;
+        permits.counted = 0;
+        let Some(position) = permits.position.take() else { return };
         self.free.swap_remove(position);
         if let Some(moved) = self.free.get(position)
-            && let Some(seat) = self.seats.get_mut(moved)
+            && let Some(permits) = self.permits.get_mut(moved)
         {
-            seat.position = Some(position);
+            permits.position = Some(position);
         }
     }
 }
--- a/crates/core/src/slots/member.rs
+++ b/crates/core/src/slots/member.rs
@@ -8,7 +8,7 @@
 
 /// Permits of one server that an entry may hold.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Claim {
+pub(super) struct Allotment {
     /// Permits that the entry shall hold.
     pub(super) target: u32,
     /// Most permits that the entry may hold until it confirms the target.
@@ -20,10 +20,10 @@
 /// What a coordinator knows of one entry of a service.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Member {
-    pub(super) claims: FastMap<Key, Claim>,
-    /// The entry's report of all holdings under which the claims stand.
+    pub(super) allotments: FastMap<Key, Allotment>,
+    /// The entry's report of all holdings under which the allotments stand.
     pub(super) attach: u32,
-    /// Reports up to this one are of no use, as the claims that they add to are gone.
+    /// Reports up to this one are of no use, as the allotments that they add to are gone.
     pub(super) stale: Option<u32>,
     /// Whether all that the entry holds is known.
     pub(super) is_complete: bool,
@@ -65,7 +65,7 @@
 
     /// Permits that were taken back and that the entry may still use.
     pub(super) fn leaving(&self) -> u32 {
-        self.claims.values().map(|claim| claim.bound - claim.target).sum()
+        self.allotments.values().map(|allotment| allotment.bound - allotment.target).sum()
     }
 
     /// Permits that the entry did not use when it last reported.
--- a/crates/core/src/slots/mod.rs
+++ b/crates/core/src/slots/mod.rs
@@ -15,11 +15,11 @@
 mod member;
 mod message;
 mod outbox;
-mod seat;
+mod server_permits;
 mod service;
+mod slot_pool;
 mod split;
 mod state;
-mod stock;
 
 pub use {
     counters::SlotCounters,
@@ -33,12 +33,12 @@
     coordinator::Coordinator,
     holder::Holder,
     link::{Link, Taken},
-    member::{Claim, Member},
+    member::{Allotment, Member},
     outbox::Outbox,
-    seat::Seat,
+    server_permits::ServerPermits,
     service::ServiceSlots,
+    slot_pool::SlotPool,
     std::time::Duration,
-    stock::Stock,
 };
 
 /// Time for which permits may be used without an answer from the coordinator.
--- a/crates/core/src/slots/stock.rs
+++ b/crates/core/src/slots/slot_pool.rs
@@ -10,7 +10,7 @@
 const TRIES: usize = 6;
 
 #[derive(Clone, Debug, Default)]
-struct Shelf {
+struct ServerSlots {
     capacity: u32,
     taken: u32,
     position: Option<usize>,
@@ -18,24 +18,24 @@
 
 /// Slots of the servers of one service, with an index of the servers that have a free one.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Stock {
-    shelves: FastMap<Key, Shelf>,
+pub(super) struct SlotPool {
+    servers: FastMap<Key, ServerSlots>,
     free: Vec<Key>,
     free_count: u32,
     capacity: u32,
 }
 
-impl Stock {
+impl SlotPool {
     /// Sets the slots of each server that is open for new calls; returns the servers that were closed.
     pub(super) fn set_capacity(&mut self, servers: &FastMap<Key, u32>) -> Vec<Key> {
-        let mut closed: Vec<_> = self.shelves.keys().filter(|server| !servers.contains_key(*server)).copied().collect();
+        let mut closed: Vec<_> = self.servers.keys().filter(|server| !servers.contains_key(*server)).copied().collect();
         closed.sort_unstable();
         let mut opened: Vec<_> = servers.iter().collect();
         opened.sort_unstable();
         for (server, slots) in
             opened.into_iter().map(|(key, slots)| (*key, *slots)).chain(closed.iter().map(|key| (*key, 0)))
         {
-            self.change(server, |shelf| shelf.capacity = slots);
+            self.change(server, |entry| entry.capacity = slots);
         }
         closed
     }
@@ -43,7 +43,7 @@
     /// Changes the number of taken slots of a server.
     pub(super) fn take(&mut self, server: Key, before: u32, after: u32) {
         if before != after {
-            self.change(server, |shelf| shelf.taken = shelf.taken - before + after);
+            self.change(server, |slots| slots.taken = slots.taken - before + after);
         }
     }
 
@@ -76,32 +76,32 @@
 
     /// Slots taken beyond what a server has.
     pub(super) fn excess(&self, server: Key) -> u32 {
-        self.shelves.get(&server).map_or(0, |shelf| shelf.taken.saturating_sub(shelf.capacity))
+        self.servers.get(&server).map_or(0, |slots| slots.taken.saturating_sub(slots.capacity))
     }
 
     fn free_at(&self, server: Key) -> u32 {
-        self.shelves.get(&server).map_or(0, |shelf| shelf.capacity.saturating_sub(shelf.taken))
+        self.servers.get(&server).map_or(0, |slots| slots.capacity.saturating_sub(slots.taken))
     }
 
-    fn change(&mut self, server: Key, change: impl FnOnce(&mut Shelf)) {
-        let shelf = self.shelves.entry(server).or_default();
-        let free = |shelf: &Shelf| shelf.capacity.saturating_sub(shelf.taken);
-        let (capacity_before, free_before) = (shelf.capacity, free(shelf));
-        change(shelf);
-        let free_after = free(shelf);
-        self.capacity = self.capacity - capacity_before + shelf.capacity;
+    fn change(&mut self, server: Key, change: impl FnOnce(&mut ServerSlots)) {
+        let slots = self.servers.entry(server).or_default();
+        let free = |slots: &ServerSlots| slots.capacity.saturating_sub(slots.taken);
+        let (capacity_before, free_before) = (slots.capacity, free(slots));
+        change(slots);
+        let free_after = free(slots);
+        self.capacity = self.capacity - capacity_before + slots.capacity;
         self.free_count = self.free_count - free_before + free_after;
-        let position = shelf.position;
-        let is_gone = shelf.capacity == 0 && shelf.taken == 0;
+        let position = slots.position;
+        let is_gone = slots.capacity == 0 && slots.taken == 0;
         match position {
             None if free_after > 0 => {
-                shelf.position = Some(self.free.len());
+                slots.position = Some(self.free.len());
                 self.free.push(server);
             }
             Some(position) if free_after == 0 => {
-                shelf.position = None;
+                slots.position = None;
                 self.free.swap_remove(position);
-                let moved = self.free.get(position).and_then(|moved| self.shelves.get_mut(moved));
+                let moved = self.free.get(position).and_then(|moved| self.servers.get_mut(moved));
                 if let Some(moved) = moved {
                     moved.position = Some(position);
                 }
@@ -109,7 +109,7 @@
             _ => {}
         }
         if is_gone {
-            self.shelves.remove(&server);
+            self.servers.remove(&server);
         }
     }
 }
--- a/crates/core/src/slots/split.rs
+++ b/crates/core/src/slots/split.rs
@@ -8,15 +8,15 @@
 /// // A noisy customer and two quiet ones of equal weight.
 /// assert_eq!(split(40.0, &[(400.0, 1.0), (4.0, 1.0), (6.0, 1.0)]), [30.0, 4.0, 6.0]);
 /// ```
-pub fn split(capacity: f64, claims: &[(f64, f64)]) -> Vec<f64> {
-    let mut order: Vec<usize> = (0..claims.len()).collect();
-    let saturation = |index: &usize| claims[*index].0 / claims[*index].1;
+pub fn split(capacity: f64, allotments: &[(f64, f64)]) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..allotments.len()).collect();
+    let saturation = |index: &usize| allotments[*index].0 / allotments[*index].1;
     order.sort_by(|a, b| saturation(a).total_cmp(&saturation(b)));
-    let mut weight: f64 = claims.iter().map(|claim| claim.1).sum();
+    let mut weight: f64 = allotments.iter().map(|allotment| allotment.1).sum();
     let mut left = capacity;
-    let mut parts = vec![0.0; claims.len()];
+    let mut parts = vec![0.0; allotments.len()];
     for index in order {
-        let (asked, own) = claims[index];
+        let (asked, own) = allotments[index];
         parts[index] = asked.min(left * own / weight);
         left -= parts[index];
         weight -= own;
--- a/crates/core/src/slots/state.rs
+++ b/crates/core/src/slots/state.rs
@@ -186,7 +186,7 @@
         let link = holder.coordinator.as_ref().and_then(|id| self.links.get(id));
         let is_leased = holder.is_adopted && link.is_some_and(|link| link.has_lease(now));
         let is_previous = !holder.is_adopted && holder.previous_end.is_some_and(|end| now < end);
-        if is_leased || is_previous { holder.seat(server).map_or(0, |seat| seat.granted) } else { 0 }
+        if is_leased || is_previous { holder.server(server).map_or(0, |permits| permits.granted) } else { 0 }
     }
 
     /// Estimates the number of calls of a service that this entry can have in flight in a moment: what it
@@ -271,7 +271,7 @@
                 return;
             }
             let Some(server) = slots.holder.free().last().copied() else { return };
-            let granted = slots.holder.seat(server).map_or(0, |seat| seat.granted);
+            let granted = slots.holder.server(server).map_or(0, |permits| permits.granted);
             slots.holder.set_granted(server, granted.saturating_sub(1));
             self.mark_holding(now, service, server, within);
         }
@@ -382,8 +382,9 @@
     }
 
     pub(super) fn has_claims(&self, id: &InstanceId) -> bool {
-        let has_claims =
-            |slots: &ServiceSlots| slots.coordinator.members.get(id).is_some_and(|member| !member.claims.is_empty());
+        let has_claims = |slots: &ServiceSlots| {
+            slots.coordinator.members.get(id).is_some_and(|member| !member.allotments.is_empty())
+        };
         self.services.values().any(has_claims)
     }
 }
--- a/crates/hemlockford/examples/compare/main.rs
+++ b/crates/hemlockford/examples/compare/main.rs
@@ -1,19 +1,19 @@
 //! Load balancing of six entries over 20 servers, compared with baselines and with one entry that sees
 //! every call. docs/notes/measurements.md says what is measured.
 
-mod bed;
 mod options;
 mod row;
 #[path = "../support/mod.rs"]
 mod support;
+mod system;
 
 use {
-    bed::{Bed, ENTRIES},
     gumdrop::Options,
     options::{Arguments, Condition, Policy, Size},
     row::{HEADER, Row},
     std::{collections::BTreeMap, sync::OnceLock, time::Duration},
     support::table::Table,
+    system::{ENTRIES, TestSystem},
 };
 
 /// Columns that must be 0.
@@ -32,14 +32,15 @@
             if rows.is_empty() {
                 continue;
             }
-            let (bed, other, instances) = match policy {
+            let (system, other, instances) = match policy {
                 Policy::Ideal => (&mut single, &mut several, 1),
                 _ => (&mut several, &mut single, ENTRIES),
             };
             *other = None;
-            let bed = bed.get_or_insert_with(|| Bed::start(size, instances, arguments.seed, arguments.workers));
-            bed.set_policy(policy);
-            broken += measure(&arguments, size, policy, bed, &rows, &mut table);
+            let system =
+                system.get_or_insert_with(|| TestSystem::start(size, instances, arguments.seed, arguments.workers));
+            system.set_policy(policy);
+            broken += measure(&arguments, size, policy, system, &rows, &mut table);
         }
     }
     table.finish(arguments.out.as_deref());
@@ -66,7 +67,7 @@
     arguments: &Arguments,
     size: Size,
     policy: Policy,
-    bed: &Bed,
+    system: &TestSystem,
     rows: &[(Condition, u32)],
     table: &mut Table,
 ) -> usize {
@@ -75,7 +76,7 @@
     let mut alone = BTreeMap::<_, OnceLock<_>>::new();
     for (condition, load) in rows.iter().copied() {
         let alone = alone.entry(load).or_default();
-        let row = Row { bed, size, condition, policy, load, time, seed: arguments.seed, alone };
+        let row = Row { system, size, condition, policy, load, time, seed: arguments.seed, alone };
         table.add(row.measure());
         eprintln!("{}", table.last());
         broken += usize::from(PROMISES.iter().any(|name| table.last_value(name) != "0"));
--- a/crates/hemlockford/examples/compare/row.rs
+++ b/crates/hemlockford/examples/compare/row.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        bed::{Bed, QUIET_CUSTOMERS, SERVERS, costs, customer},
         options::{Condition, Policy, Size},
         support::machine,
+        system::{QUIET_CUSTOMERS, SERVERS, TestSystem, costs, customer},
     },
     hemlockford_tools::{
         LoadOptions, LoadSummary,
@@ -69,7 +69,7 @@
 
 /// What is measured.
 pub struct Row<'a> {
-    pub bed: &'a Bed,
+    pub system: &'a TestSystem,
     pub size: Size,
     pub condition: Condition,
     pub policy: Policy,
@@ -112,13 +112,13 @@
     }
 
     fn attempt(&self) -> Attempt {
-        let (all, noisy_targets) = self.bed.targets(self.condition);
+        let (all, noisy_targets) = self.system.targets(self.condition);
         let (_, share) = self.rates();
         // A server that leaves does so within the run; the other faults are there from the start.
         if self.condition != Condition::Leaving {
-            self.bed.begin(self.condition);
+            self.system.begin(self.condition);
         }
-        let before = self.bed.metrics();
+        let before = self.system.metrics();
         let start = Instant::now();
         let (quiet, noisy) = thread::scope(|scope| {
             let quiet = scope.spawn(|| self.load(&all, quiet_customers(share), self.seed));
@@ -128,15 +128,15 @@
             });
             if self.condition == Condition::Leaving {
                 thread::sleep(WARM_UP + self.time / 3);
-                self.bed.begin(self.condition);
+                self.system.begin(self.condition);
             }
             let quiet = quiet.join().expect("the load ends");
             (quiet, noisy.map(|noisy| noisy.join().expect("the load ends")))
         });
         let elapsed = start.elapsed().as_secs_f64();
-        let (slot_bytes, measuring) = costs(&before, &self.bed.metrics());
-        let last_call = if self.condition == Condition::Leaving { self.bed.last_call_after_leaving() } else { None };
-        self.bed.end(self.condition);
+        let (slot_bytes, measuring) = costs(&before, &self.system.metrics());
+        let last_call = if self.condition == Condition::Leaving { self.system.last_call_after_leaving() } else { None };
+        self.system.end(self.condition);
         let short = |name: &str| name.trim_start_matches("hemlockford_").replace(',', " ");
         let measuring: Vec<_> = measuring
             .iter()
@@ -148,7 +148,7 @@
 
     /// Returns the p99 of the customers beside the noisy one without it.
     fn measure_alone(&self) -> u64 {
-        let (all, _) = self.bed.targets(self.condition);
+        let (all, _) = self.system.targets(self.condition);
         let mut summary = self.load(&all, quiet_customers(self.rates().1), self.seed);
         for _ in 1..ATTEMPTS {
             if summary.lateness.value_at_quantile(0.99) <= LATE_LIMIT_US {
@@ -168,7 +168,7 @@
             warm_up: WARM_UP,
             time: self.time,
             seed,
-            control: self.bed.servers.control.parse().ok(),
+            control: self.system.servers.control.parse().ok(),
             ..LoadOptions::default()
         };
         hemlockford_tools::load(options).expect("the load runs")
--- a/crates/hemlockford/examples/compare/bed.rs
+++ b/crates/hemlockford/examples/compare/system.rs
@@ -18,13 +18,13 @@
 const RECOVERY: Duration = Duration::from_secs(3);
 
 /// Entries with their own servers.
-pub struct Bed {
+pub struct TestSystem {
     pub group: Group,
     pub servers: Servers,
     pub policy: Option<Policy>,
 }
 
-impl Bed {
+impl TestSystem {
     pub fn start(size: Size, instances: usize, seed: u64, workers: u32) -> Self {
         let group =
             Group::start_with(instances, instances.min(3), &text(Policy::Permits), &format!("workers = {workers}\n"));
--- a/crates/hemlockford/examples/support/machine.rs
+++ b/crates/hemlockford/examples/support/machine.rs
@@ -5,22 +5,23 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-/// Clock ticks a second of the processor times in `/proc`; the kernel fixes this value for programs.
-const TICKS_PER_SECOND: f64 = 100.0;
-
 /// Returns the load average of the last minute.
 pub fn load_average() -> f64 {
     let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
     text.split(' ').next().and_then(|load| load.parse().ok()).unwrap_or(f64::NAN)
 }
 
-/// Returns the processor time that a process has used in user and system mode.
+/// Returns the processor time that the threads of a process have used.
+///
+/// The scheduler's own counts are in nanoseconds. The user and system times of `/proc/ID/stat` are sampled at
+/// clock ticks, which timers of the process coincide with, so that they show up to 3 times as much.
 pub fn processor_time(id: u32) -> Duration {
-    let text = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-    // The name of the process is in parentheses and may contain spaces.
-    let fields = text.rsplit_once(") ").map_or("", |(_, fields)| fields);
-    let ticks: f64 = fields.split(' ').skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum();
-    Duration::from_secs_f64(ticks / TICKS_PER_SECOND)
+    let threads = fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
+    let used = threads.filter_map(|thread| {
+        let text = fs::read_to_string(thread.path().join("schedstat")).ok()?;
+        text.split(' ').next()?.parse::<u64>().ok()
+    });
+    Duration::from_nanos(used.sum())
 }
 
 /// Returns the resident memory of a process in bytes.
--- a/crates/instance/src/control/mod.rs
+++ b/crates/instance/src/control/mod.rs
@@ -4,9 +4,11 @@
 mod message;
 mod status;
 mod task;
+mod thread;
 
 pub(crate) use {
     message::ControlMessage,
     status::Status,
     task::{ControlParts, ControlTask},
+    thread::{ControlThread, control_options},
 };
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -13,6 +13,7 @@
         ids::CallId,
         measure::MeasureCounters,
         outcome::{NotRunReason, Outcome},
+        slots::SlotMessage,
     },
     hemlockford_net::Timer,
     hemlockford_proxy::{Decision, GateMessage},
@@ -73,7 +74,10 @@
                 biased;
                 event = self.control.recv() => match event {
                     Some(event) => {
-                        busy_until = Instant::now() + BUSY_TIME;
+                        // News of servers, which arrive several times a second, leave nothing to be sent.
+                        if matches!(event, DispatchEvent::Peer { message: SlotMessage::Update(..), .. }) {
+                            busy_until = Instant::now() + BUSY_TIME;
+                        }
                         self.handle(event, &mut actions);
                     }
                     None => return,
--- /dev/null
+++ b/crates/instance/src/durable.rs
@@ -0,0 +1,37 @@
+//! What an instance has kept from earlier starts.
+
+use {
+    crate::{clock::wall_clock, settings::Settings},
+    error_stack::ResultExt,
+    hemlockford_core::{
+        consensus::Recovered,
+        errors::{ErrorKind, Result},
+        ids::Incarnation,
+    },
+    hemlockford_store::{Store, StoreOptions},
+    slog::{Logger, info, warn},
+};
+
+/// What an instance has kept from earlier starts; without a data folder only a new incarnation.
+pub(crate) struct Durable {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) store: Option<Store>,
+    pub(crate) recovered: Option<Recovered>,
+}
+
+impl Durable {
+    pub(crate) fn open(settings: &Settings, log: &Logger) -> Result<Self> {
+        let Some(folder) = &settings.data else {
+            return Ok(Self { incarnation: wall_clock(), store: None, recovered: None });
+        };
+        std::fs::create_dir_all(folder)
+            .change_context(ErrorKind::Io)
+            .attach_with(|| format!("cannot create {}", folder.display()))?;
+        let opened = Store::open(folder, StoreOptions { clock: wall_clock() })?;
+        info!(log, "data folder opened"; "new" => opened.is_new, "entries" => opened.recovered.entries.len());
+        if opened.cut > 0 {
+            warn!(log, "a torn tail of the log was cut off"; "bytes" => opened.cut);
+        }
+        Ok(Self { incarnation: opened.process, store: Some(opened.store), recovered: Some(opened.recovered) })
+    }
+}
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -7,15 +7,19 @@
 
 mod addresses;
 mod admin;
+mod clock;
 mod control;
 mod counters;
 mod dispatcher;
+mod durable;
+mod guard;
 mod instance;
 mod measure;
 mod peers;
 mod prober;
 mod report;
 mod settings;
+mod sockets;
 mod storage;
 mod wire;
 
--- /dev/null
+++ b/crates/instance/src/sockets.rs
@@ -0,0 +1,61 @@
+//! What an instance binds before any task starts, so that a fault in the settings is an error of the start.
+
+use {
+    crate::{addresses::Addresses, settings::Settings},
+    error_stack::ResultExt,
+    hemlockford_core::errors::{ErrorKind, Result},
+    std::net::{SocketAddr, TcpListener, UdpSocket},
+};
+
+/// Attempts at finding a port that is free for both UDP and TCP.
+const BIND_ATTEMPTS: usize = 16;
+
+/// Bound sockets of an instance.
+pub(crate) struct Sockets {
+    pub(crate) callers: TcpListener,
+    pub(crate) admin: TcpListener,
+    pub(crate) listen: TcpListener,
+    pub(crate) datagrams: UdpSocket,
+}
+
+impl Sockets {
+    pub(crate) fn bind(settings: &Settings) -> Result<Self> {
+        let (listen, datagrams) = bind_both(settings.listen)?;
+        Ok(Self { callers: bind(settings.callers)?, admin: bind(settings.admin)?, listen, datagrams })
+    }
+
+    pub(crate) fn addresses(&self, settings: &Settings) -> Result<Addresses> {
+        let address = |listener: &TcpListener| listener.local_addr().change_context(ErrorKind::Io);
+        Ok(Addresses {
+            id: settings.id.clone(),
+            callers: address(&self.callers)?,
+            admin: address(&self.admin)?,
+            listen: address(&self.listen)?,
+        })
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address)
+        .change_context(ErrorKind::Io)
+        .attach_with(|| format!("cannot listen on {address}"))?;
+    listener.set_nonblocking(true).change_context(ErrorKind::Io)?;
+    Ok(listener)
+}
+
+/// Binds the same port for TCP and UDP. With port 0 the port that TCP got may be taken for UDP.
+fn bind_both(address: SocketAddr) -> Result<(TcpListener, UdpSocket)> {
+    let mut attempts = if address.port() == 0 { BIND_ATTEMPTS } else { 1 };
+    loop {
+        let listener = bind(address)?;
+        let bound = listener.local_addr().change_context(ErrorKind::Io)?;
+        attempts -= 1;
+        match UdpSocket::bind(bound) {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(e) if attempts == 0 => {
+                return Err(e).change_context(ErrorKind::Io).attach_with(|| format!("cannot use UDP on {bound}"));
+            }
+            Err(_) => {}
+        }
+    }
+}
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -5,7 +5,7 @@
 use {
     hemlockford_core::dispatch::AttemptResult,
     std::time::Duration,
-    support::{Bed, Script, answering, pause, serve, within},
+    support::{Script, TestProxy, answering, pause, serve, within},
 };
 
 const GET: &str = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n";
@@ -27,8 +27,8 @@
                 pause(20).await;
             })
             .await;
-            let bed = Bed::start(Script::to(server.address));
-            let mut caller = bed.caller().await;
+            let proxy = TestProxy::start(Script::to(server.address));
+            let mut caller = proxy.caller().await;
             caller.send(&GET.replace("1.1", version)).await;
             // A caller of version 1.0 takes the end of the connection for the end of the answer.
             let mut buf = [0; 1_024];
@@ -43,7 +43,7 @@
             assert_eq!(end, "reset", "{answer:?} to a caller of version {version}");
             let got = String::from_utf8_lossy(&caller.buf).into_owned();
             assert!(!got.contains("0\r\n\r\n") || got.contains("content-length: 100\r\n\r\n"), "{got}");
-            assert_eq!(bed.results(), [AttemptResult::BrokenAfterWrite]);
+            assert_eq!(proxy.results(), [AttemptResult::BrokenAfterWrite]);
         }
     }
 }
@@ -64,10 +64,10 @@
     ];
     for answer in bad {
         let (server, _) = answering(answer).await;
-        let bed = Bed::start(Script::to(server.address));
-        let got = bed.call(GET).await;
+        let proxy = TestProxy::start(Script::to(server.address));
+        let got = proxy.call(GET).await;
         assert_eq!((got.status, got.outcome()), (502, "unknown; bad-answer"), "{:.60}", answer);
-        assert_eq!(bed.results(), [AttemptResult::BadAnswer], "{:.60}", answer);
+        assert_eq!(proxy.results(), [AttemptResult::BadAnswer], "{:.60}", answer);
     }
 }
 
@@ -83,8 +83,8 @@
     ];
     for (method, answer, length) in cases {
         let (server, _) = answering(answer).await;
-        let bed = Bed::start(Script::to(server.address));
-        let mut caller = bed.caller().await;
+        let proxy = TestProxy::start(Script::to(server.address));
+        let mut caller = proxy.caller().await;
         for _ in 0..2 {
             caller.send(&GET.replace("GET", method)).await;
             let got = caller.message(method == "HEAD").await.unwrap();
@@ -102,8 +102,8 @@
 async fn redirects_pass_through() {
     let (server, seen) =
         answering("HTTP/1.1 307 Temporary Redirect\r\nlocation: /booking/b\r\ncontent-length: 0\r\n\r\n").await;
-    let bed = Bed::start(Script::to(server.address));
-    let got = bed.call("POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhi").await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let got = proxy.call("POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhi").await;
     assert_eq!((got.status, got.header("location")), (307, Some("/booking/b")));
     assert_eq!(got.header("hemlockford-once"), Some("sent-once"));
     assert_eq!(seen.borrow().len(), 1);
@@ -117,8 +117,8 @@
          HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
     )
     .await;
-    let bed = Bed::start(Script::to(server.address));
-    let got = bed.call(GET).await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let got = proxy.call(GET).await;
     assert_eq!((got.status, got.body.as_slice()), (200, b"ok".as_slice()));
 }
 
@@ -126,8 +126,8 @@
 #[actix_rt::test]
 async fn a_caller_of_version_1_0_gets_no_chunks() {
     let (server, _) = answering("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n").await;
-    let bed = Bed::start(Script::to(server.address));
-    let mut caller = bed.caller().await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let mut caller = proxy.caller().await;
     caller.send("GET /catalogue/a HTTP/1.0\r\nconnection: keep-alive\r\n\r\n").await;
     let got = caller.rest().await;
     let (head, body) = got.split_once("\r\n\r\n").unwrap();
@@ -161,9 +161,9 @@
             let first = server.connections.get();
             let mut script = Script::to(server.address);
             script.options.rest = Duration::from_millis(rest);
-            let bed = Bed::start(script);
+            let proxy = TestProxy::start(script);
             for number in first..first + 3 {
-                assert_eq!(bed.call(GET).await.body, number.to_string().as_bytes(), "{delay:?} {rest}");
+                assert_eq!(proxy.call(GET).await.body, number.to_string().as_bytes(), "{delay:?} {rest}");
                 pause(wait).await;
             }
         }
@@ -180,8 +180,8 @@
         }
     })
     .await;
-    let bed = Bed::start(Script::to(server.address));
-    let mut caller = bed.caller().await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let mut caller = proxy.caller().await;
     caller.send("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-deadline: 60\r\n\r\n").await;
     let got = caller.answer().await;
     assert_eq!((got.status, got.outcome()), (504, "unknown; timeout"));
@@ -189,8 +189,8 @@
     pause(150).await;
     caller.send(GET).await;
     assert_eq!(caller.answer().await.body, b"1");
-    assert!(within(Duration::from_secs(1), || bed.results().len() == 2).await);
-    assert_eq!(bed.results(), [AttemptResult::Timeout, AttemptResult::Complete]);
+    assert!(within(Duration::from_secs(1), || proxy.results().len() == 2).await);
+    assert_eq!(proxy.results(), [AttemptResult::Timeout, AttemptResult::Complete]);
 }
 
 /// Guards against answers to pipelined requests that are mixed up.
@@ -205,8 +205,8 @@
         }
     })
     .await;
-    let bed = Bed::start(Script::to(server.address));
-    let mut caller = bed.caller().await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let mut caller = proxy.caller().await;
     let paths = ["/catalogue/slow", "/catalogue/b", "/catalogue/slow", "/catalogue/c"];
     for path in paths {
         caller.send(&format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n")).await;
@@ -246,16 +246,16 @@
     // TCP_NODELAY the second write waits for a delayed acknowledgement of the first, about 40 ms.
     let mut script = Script::to(server.address);
     script.options.rest = Duration::from_millis(30);
-    let bed = std::rc::Rc::new(Bed::start(script));
+    let proxy = std::rc::Rc::new(TestProxy::start(script));
     let faults = ["none", "chunks", "none", "cut", "cut-chunks", "close", "late", "beyond"];
     for seed in [1_u64, 2, 3] {
         println!("seed {seed}");
         let callers: Vec<_> = (0..30)
             .map(|caller| {
-                let bed = bed.clone();
+                let proxy = proxy.clone();
                 actix_rt::spawn(async move {
                     let (mut state, mut whole) = (seed * 1_000 + caller, 0);
-                    let mut io = bed.caller().await;
+                    let mut io = proxy.caller().await;
                     for number in 0..20 {
                         state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
                         let path = format!("/catalogue/{caller}-{number}/{}", faults[(state >> 60) as usize % 8]);
@@ -267,7 +267,7 @@
                                 whole += 1;
                             }
                             Some(got) => assert!(got.status >= 500, "{}", got.head),
-                            None => io = bed.caller().await,
+                            None => io = proxy.caller().await,
                         }
                     }
                     whole
--- a/crates/proxy/tests/claims.rs
+++ b/crates/proxy/tests/claims.rs
@@ -5,7 +5,7 @@
 use {
     hemlockford_proxy::{Claim, ClaimDecision, ClaimMessage},
     std::{cell::RefCell, rc::Rc, time::Duration},
-    support::{Answer, Bed, Script, Server, answering, pause, refusing, serve, within},
+    support::{Answer, Script, Server, TestProxy, answering, pause, refusing, serve, within},
     tokio::sync::mpsc,
 };
 
@@ -21,7 +21,7 @@
 }
 
 /// Starts a worker whose claims are decided as given after a delay.
-fn start(server: std::net::SocketAddr, decision: ClaimDecision, delay: u64) -> (Bed, Rc<RefCell<Log>>) {
+fn start(server: std::net::SocketAddr, decision: ClaimDecision, delay: u64) -> (TestProxy, Rc<RefCell<Log>>) {
     let (tx, mut rx) = mpsc::unbounded_channel();
     let log = Rc::new(RefCell::new(Log::default()));
     let record = log.clone();
@@ -41,7 +41,7 @@
             }
         }
     });
-    (Bed::start(Script { claims: Some(tx), ..Script::to(server) }), log)
+    (TestProxy::start(Script { claims: Some(tx), ..Script::to(server) }), log)
 }
 
 fn request(body: &str) -> String {
@@ -59,15 +59,15 @@
 #[actix_rt::test]
 async fn a_whole_answer_settles_the_claim() {
     let (server, _) = answering(OK).await;
-    let (bed, log) = start(server.address, GRANTED, 0);
-    let got = bed.call(&request("hi")).await;
+    let (proxy, log) = start(server.address, GRANTED, 0);
+    let got = proxy.call(&request("hi")).await;
     assert_eq!((got.status, got.header("hemlockford-once")), (201, Some("claimed")));
     assert!(ends_with(&log, &["settle 7 201 Some(\"text/x\") Some(2)"]).await);
     assert_eq!((&*log.borrow().claims[0].key, &*log.borrow().claims[0].customer), ("k1", "default"));
     let long = Box::leak(format!("HTTP/1.1 200 OK\r\ncontent-length: 4097\r\n\r\n{:4097}", "").into_boxed_str());
     let (server, _) = answering(long).await;
-    let (bed, log) = start(server.address, GRANTED, 0);
-    assert_eq!(bed.call(&request("hi")).await.body.len(), 4_097);
+    let (proxy, log) = start(server.address, GRANTED, 0);
+    assert_eq!(proxy.call(&request("hi")).await.body.len(), 4_097);
     assert!(ends_with(&log, &["settle 7 200 None None"]).await);
 }
 
@@ -91,8 +91,8 @@
         (closing.address, [].as_slice()),
         (cutting.address, [].as_slice()),
     ] {
-        let (bed, log) = start(server, GRANTED, 0);
-        let mut caller = bed.caller().await;
+        let (proxy, log) = start(server, GRANTED, 0);
+        let mut caller = proxy.caller().await;
         caller.send(&request("hi")).await;
         caller.message(false).await;
         pause(50).await;
@@ -104,14 +104,14 @@
 #[actix_rt::test]
 async fn a_claim_stays_held_when_the_caller_leaves_during_its_upload() {
     let (server, _) = answering(OK).await;
-    let (bed, log) = start(server.address, GRANTED, 0);
-    let mut caller = bed.caller().await;
+    let (proxy, log) = start(server.address, GRANTED, 0);
+    let mut caller = proxy.caller().await;
     let whole = request(&"a".repeat(200_000));
     caller.send(&whole[..150_000]).await;
     assert!(within(LIMIT, || server.connections.get() == 1).await);
     pause(50).await;
     drop(caller);
-    assert!(within(LIMIT, || bed.results().len() == 1).await);
+    assert!(within(LIMIT, || proxy.results().len() == 1).await);
     pause(50).await;
     assert!(log.borrow().ends.is_empty());
 }
@@ -132,16 +132,16 @@
         (replay(Some("ok".into())), 201, "answered", "replayed"),
         (replay(None), 201, "answered", "replayed; body not recorded"),
     ] {
-        let (bed, _log) = start(server.address, decision, 0);
-        let got = told(&bed.call(&request("hi")).await);
+        let (proxy, _log) = start(server.address, decision, 0);
+        let got = told(&proxy.call(&request("hi")).await);
         assert_eq!((got.0, got.1.as_str(), got.2.as_str()), (status, outcome, once));
-        assert!(bed.log.borrow().calls.is_empty(), "the dispatcher is not asked");
+        assert!(proxy.log.borrow().calls.is_empty(), "the dispatcher is not asked");
     }
-    let bed = Bed::start(Script::to(server.address));
-    assert_eq!(bed.call(&request("hi")).await.outcome(), "not-run; claim-unavailable");
+    let proxy = TestProxy::start(Script::to(server.address));
+    assert_eq!(proxy.call(&request("hi")).await.outcome(), "not-run; claim-unavailable");
     assert!(seen.borrow().is_empty());
     let get = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\nidempotency-key: k1\r\n\r\n";
-    assert_eq!(bed.call(get).await.status, 201, "an idempotent request needs no claim");
+    assert_eq!(proxy.call(get).await.status, 201, "an idempotent request needs no claim");
 }
 
 /// Guards against a claim that stays in doubt because the caller left while the request ran, and against a
@@ -157,8 +157,8 @@
     })
     .await;
     for (delay, ends) in [(0, ["settle 7 201 None Some(9)"]), (100, ["release 7"])] {
-        let (bed, log) = start(server.address, GRANTED, delay);
-        let mut caller = bed.caller().await;
+        let (proxy, log) = start(server.address, GRANTED, delay);
+        let mut caller = proxy.caller().await;
         caller.send(&request("hi")).await;
         pause(40).await;
         drop(caller);
@@ -170,7 +170,7 @@
 #[actix_rt::test]
 async fn the_digest_covers_method_target_and_body() {
     let (server, seen) = answering(OK).await;
-    let (bed, log) = start(server.address, GRANTED, 0);
+    let (proxy, log) = start(server.address, GRANTED, 0);
     let chunked =
         request("hi").replace("content-length: 2\r\n\r\nhi", "transfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
     let large = "a".repeat(70_000);
@@ -185,7 +185,7 @@
         request(&large.replace('a', "b")),
     ];
     for request in &requests {
-        assert_eq!(bed.call(request).await.status, 201);
+        assert_eq!(proxy.call(request).await.status, 201);
     }
     let digests: Vec<u128> = log.borrow().claims.iter().map(|claim| claim.request_digest).collect();
     for first in 0..5 {
--- a/crates/proxy/tests/leaving.rs
+++ b/crates/proxy/tests/leaving.rs
@@ -5,7 +5,7 @@
 use {
     hemlockford_core::dispatch::AttemptResult,
     std::{cell::Cell, rc::Rc, time::Duration},
-    support::{Bed, Script, Server, answering, pause, serve, within},
+    support::{Script, Server, TestProxy, answering, pause, serve, within},
     tokio::io::{AsyncReadExt, AsyncWriteExt},
 };
 
@@ -37,8 +37,8 @@
     for part in ["", "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello"] {
         for manner in ["close", "reset", "half-close"] {
             let (server, closed) = waiting(part).await;
-            let bed = Bed::start(Script::to(server.address));
-            let mut caller = bed.caller().await;
+            let proxy = TestProxy::start(Script::to(server.address));
+            let mut caller = proxy.caller().await;
             caller.send(GET).await;
             pause(30).await;
             assert!(!closed.get());
@@ -54,7 +54,7 @@
                 _ => drop(caller),
             }
             assert!(within(LIMIT, || closed.get()).await, "{manner} after {part:?}");
-            assert_eq!(bed.results(), [AttemptResult::CallerLeft]);
+            assert_eq!(proxy.results(), [AttemptResult::CallerLeft]);
         }
     }
 }
@@ -63,15 +63,15 @@
 #[actix_rt::test]
 async fn leaving_withdraws_a_waiting_call() {
     let (server, seen) = answering(OK).await;
-    let mut bed = Bed::start(Script { hold: true, ..Script::to(server.address) });
-    let mut caller = bed.caller().await;
+    let mut proxy = TestProxy::start(Script { hold: true, ..Script::to(server.address) });
+    let mut caller = proxy.caller().await;
     caller.send(GET).await;
-    assert!(within(LIMIT, || bed.log.borrow().calls.len() == 1).await);
+    assert!(within(LIMIT, || proxy.log.borrow().calls.len() == 1).await);
     drop(caller);
-    assert!(within(LIMIT, || bed.log.borrow().cancelled.len() == 1).await);
-    assert_eq!(bed.log.borrow().cancelled[0], bed.log.borrow().calls[0].id);
+    assert!(within(LIMIT, || proxy.log.borrow().cancelled.len() == 1).await);
+    assert_eq!(proxy.log.borrow().cancelled[0], proxy.log.borrow().calls[0].id);
     assert!(seen.borrow().is_empty());
-    assert_eq!(bed.records.recv().await.unwrap().outcome, None);
+    assert_eq!(proxy.records.recv().await.unwrap().outcome, None);
 }
 
 /// Guards against calls that keep their slots, or their place in a queue, when a worker's task ends.
@@ -79,15 +79,15 @@
 async fn the_end_of_a_worker_cancels_its_calls() {
     for hold in [true, false] {
         let (server, closed) = waiting("").await;
-        let bed = Bed::start(Script { hold, ..Script::to(server.address) });
-        let mut caller = bed.caller().await;
+        let proxy = TestProxy::start(Script { hold, ..Script::to(server.address) });
+        let mut caller = proxy.caller().await;
         caller.send(GET).await;
         pause(50).await;
-        bed.worker.abort();
+        proxy.worker.abort();
         assert_eq!(caller.rest().await, "");
-        let told = || bed.log.borrow().cancelled.len() + bed.results().len();
+        let told = || proxy.log.borrow().cancelled.len() + proxy.results().len();
         assert!(within(LIMIT, || told() == 1).await);
-        assert_eq!(bed.results() == [AttemptResult::CallerLeft], !hold);
+        assert_eq!(proxy.results() == [AttemptResult::CallerLeft], !hold);
         assert!(hold || within(LIMIT, || closed.get()).await, "the server sees the close");
     }
 }
@@ -96,15 +96,15 @@
 #[actix_rt::test]
 async fn the_end_of_a_worker_resets_open_ended_answers() {
     let (server, _closed) = waiting("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n").await;
-    let bed = Bed::start(Script::to(server.address));
-    let mut caller = bed.caller().await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let mut caller = proxy.caller().await;
     caller.send(&GET.replace("1.1", "1.0")).await;
     let mut buf = [0; 1_024];
     while !caller.buf.ends_with(b"hello") {
         let read = caller.io.read(&mut buf).await.unwrap();
         caller.buf.extend(&buf[..read]);
     }
-    bed.worker.abort();
+    proxy.worker.abort();
     assert!(caller.io.read(&mut buf).await.is_err(), "the connection is reset");
 }
 
@@ -113,8 +113,8 @@
 async fn a_pipelined_request_is_not_leaving() {
     for next in [1, 4_000] {
         let (server, closed) = waiting("").await;
-        let bed = Bed::start(Script::to(server.address));
-        let mut caller = bed.caller().await;
+        let proxy = TestProxy::start(Script::to(server.address));
+        let mut caller = proxy.caller().await;
         caller.send(GET).await;
         pause(20).await;
         caller.send(&GET.repeat(next)).await;
@@ -122,7 +122,7 @@
         assert!(!closed.get(), "{next} further requests are no leaving");
         drop(caller);
         assert!(within(LIMIT, || closed.get()).await, "leaving is seen behind {next} requests");
-        assert_eq!(bed.log.borrow().calls.len(), 1);
+        assert_eq!(proxy.log.borrow().calls.len(), 1);
     }
 }
 
@@ -137,38 +137,38 @@
         }
     })
     .await;
-    let bed = Bed::start(Script::to(server.address));
-    let mut idle = bed.caller().await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let mut idle = proxy.caller().await;
     idle.send(GET).await;
     idle.answer().await;
-    let mut running = bed.caller().await;
+    let mut running = proxy.caller().await;
     running.send(GET).await;
     running.send(GET).await;
     pause(50).await;
-    bed.stop.send(true).unwrap();
+    proxy.stop.send(true).unwrap();
     pause(50).await;
-    let got = bed.call(GET).await;
+    let got = proxy.call(GET).await;
     assert_eq!((got.status, got.outcome()), (503, "not-run; shutting-down"));
     assert_eq!(got.header("connection"), Some("close"));
     assert_eq!(idle.rest().await, "", "an idle connection is closed in order");
-    assert!(!bed.worker.is_finished());
+    assert!(!proxy.worker.is_finished());
     assert_eq!(running.answer().await.body, b"helloworld");
     let got = running.answer().await;
     assert_eq!((got.status, got.outcome()), (503, "not-run; shutting-down"));
     assert_eq!(running.rest().await, "");
-    assert!(within(Duration::from_secs(2), || bed.worker.is_finished()).await);
-    assert_eq!(bed.results(), [AttemptResult::Complete; 2]);
-    assert!(tokio::net::TcpStream::connect(bed.address).await.is_err());
+    assert!(within(Duration::from_secs(2), || proxy.worker.is_finished()).await);
+    assert_eq!(proxy.results(), [AttemptResult::Complete; 2]);
+    assert!(tokio::net::TcpStream::connect(proxy.address).await.is_err());
 }
 
 /// Guards against a stop that waits for callers that send nothing.
 #[actix_rt::test]
 async fn a_stop_without_calls_ends_soon() {
     let (server, _) = answering(OK).await;
-    let bed = Bed::start(Script::to(server.address));
-    let silent = bed.caller().await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let silent = proxy.caller().await;
     pause(20).await;
-    bed.stop.send(true).unwrap();
-    assert!(within(Duration::from_secs(2), || bed.worker.is_finished()).await);
+    proxy.stop.send(true).unwrap();
+    assert!(within(Duration::from_secs(2), || proxy.worker.is_finished()).await);
     drop(silent);
 }
--- a/crates/proxy/tests/outcomes.rs
+++ b/crates/proxy/tests/outcomes.rs
@@ -5,7 +5,7 @@
 use {
     hemlockford_core::dispatch::AttemptResult,
     std::time::{Duration, Instant},
-    support::{Bed, Script, answering, pause, refusing, serve, within},
+    support::{Script, TestProxy, answering, pause, refusing, serve, within},
 };
 
 const GET: &str = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n";
@@ -18,11 +18,11 @@
 #[actix_rt::test]
 async fn a_refused_connection_is_not_run() {
     for request in [GET, POST] {
-        let bed = Bed::start(Script::to(refusing()));
-        let got = bed.call(request).await;
+        let proxy = TestProxy::start(Script::to(refusing()));
+        let got = proxy.call(request).await;
         assert_eq!((got.status, got.outcome()), (503, "not-run; refused"));
         assert!(got.header("retry-after").is_some());
-        assert_eq!(bed.results(), [AttemptResult::RefusedBeforeWrite]);
+        assert_eq!(proxy.results(), [AttemptResult::RefusedBeforeWrite]);
     }
 }
 
@@ -33,11 +33,11 @@
         io.message(false).await;
     })
     .await;
-    let bed = Bed::start(Script::to(server.address));
-    let got = bed.call(POST).await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let got = proxy.call(POST).await;
     assert_eq!((got.status, got.outcome()), (502, "unknown; connection-lost"));
     assert_eq!(got.header("hemlockford-once"), Some("sent-once"));
-    assert_eq!((bed.results(), server.connections.get()), (vec![AttemptResult::BrokenAfterWrite], 1));
+    assert_eq!((proxy.results(), server.connections.get()), (vec![AttemptResult::BrokenAfterWrite], 1));
 }
 
 /// Guards against *not run* when the first attempt may have run and the second was refused.
@@ -49,8 +49,8 @@
     .await;
     let (failing, _) = answering(ERROR).await;
     for first in [closing.address, failing.address] {
-        let bed = Bed::start(Script { servers: vec![first, refusing()], ..Script::to(first) });
-        let got = bed.call(GET).await;
+        let proxy = TestProxy::start(Script { servers: vec![first, refusing()], ..Script::to(first) });
+        let got = proxy.call(GET).await;
         assert_eq!((got.status, got.outcome()), (502, "unknown; connection-lost"));
     }
 }
@@ -60,19 +60,20 @@
 async fn a_server_error_is_retried_or_passed_on() {
     let (failing, _) = answering(ERROR).await;
     let (working, _) = answering(OK).await;
-    let bed = Bed::start(Script::to(failing.address));
-    let got = bed.call(GET).await;
+    let proxy = TestProxy::start(Script::to(failing.address));
+    let got = proxy.call(GET).await;
     assert_eq!((got.status, got.outcome(), got.body.as_slice()), (500, "answered", b"bad".as_slice()));
-    assert_eq!(bed.results(), [AttemptResult::ServerError]);
-    let bed = Bed::start(Script { servers: vec![failing.address, working.address], ..Script::to(failing.address) });
-    assert_eq!(bed.call(GET).await.status, 200);
+    assert_eq!(proxy.results(), [AttemptResult::ServerError]);
+    let proxy =
+        TestProxy::start(Script { servers: vec![failing.address, working.address], ..Script::to(failing.address) });
+    assert_eq!(proxy.call(GET).await.status, 200);
     let put = "PUT /catalogue/a HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhi";
-    assert_eq!(bed.call(put).await.status, 200, "a small body is kept and sent again");
-    let got = bed.call(POST).await;
+    assert_eq!(proxy.call(put).await.status, 200, "a small body is kept and sent again");
+    let got = proxy.call(POST).await;
     assert_eq!((got.status, got.outcome()), (500, "answered"), "a non-idempotent request is sent once");
     let chunked = "PUT /catalogue/a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n";
-    assert_eq!(bed.call(chunked).await.status, 500, "a body that was not kept cannot be sent again");
-    let replayable: Vec<bool> = bed.log.borrow().calls.iter().map(|call| call.replayable).collect();
+    assert_eq!(proxy.call(chunked).await.status, 500, "a body that was not kept cannot be sent again");
+    let replayable: Vec<bool> = proxy.log.borrow().calls.iter().map(|call| call.replayable).collect();
     assert_eq!(replayable, [true, true, false, false]);
 }
 
@@ -81,39 +82,40 @@
 async fn a_consumed_body_is_not_sent_again_whatever_was_decided() {
     let (shedding, _) = answering(SHED).await;
     let (working, seen) = answering(OK).await;
-    let bed = Bed::start(Script { servers: vec![shedding.address, working.address], ..Script::to(shedding.address) });
-    let got = bed.call(POST).await;
+    let proxy =
+        TestProxy::start(Script { servers: vec![shedding.address, working.address], ..Script::to(shedding.address) });
+    let got = proxy.call(POST).await;
     assert_eq!((got.status, got.outcome()), (503, "not-run; refused"));
     assert!(seen.borrow().is_empty());
-    assert_eq!(bed.call(GET).await.status, 200);
+    assert_eq!(proxy.call(GET).await.status, 200);
 }
 
 /// Guards against a body that is lost, or sent in part, when the first server refuses the connection.
 #[actix_rt::test]
 async fn a_body_that_nobody_read_goes_to_the_next_server() {
     let (working, seen) = answering(OK).await;
-    let bed = Bed::start(Script { servers: vec![refusing(), working.address], ..Script::to(refusing()) });
-    assert_eq!(bed.call(POST).await.status, 200);
+    let proxy = TestProxy::start(Script { servers: vec![refusing(), working.address], ..Script::to(refusing()) });
+    assert_eq!(proxy.call(POST).await.status, 200);
     assert!(seen.borrow()[0].ends_with("\r\n\r\nhi"));
-    assert_eq!(bed.results(), [AttemptResult::RefusedBeforeWrite, AttemptResult::Complete]);
+    assert_eq!(proxy.results(), [AttemptResult::RefusedBeforeWrite, AttemptResult::Complete]);
 }
 
 /// Guards against *unknown* for a request that the server shed, and against *not run* for any other 503.
 #[actix_rt::test]
 async fn only_a_shed_request_is_not_run() {
     let (server, _) = answering(SHED).await;
-    let bed = Bed::start(Script::to(server.address));
+    let proxy = TestProxy::start(Script::to(server.address));
     for request in [GET, POST] {
-        let got = bed.call(request).await;
+        let got = proxy.call(request).await;
         assert_eq!((got.status, got.outcome()), (503, "not-run; overload"));
     }
-    assert_eq!(bed.results(), [AttemptResult::Shed; 2]);
+    assert_eq!(proxy.results(), [AttemptResult::Shed; 2]);
     assert!(server.connections.get() <= 2);
     let (server, _) = answering("HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n").await;
-    let bed = Bed::start(Script::to(server.address));
-    let got = bed.call(POST).await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let got = proxy.call(POST).await;
     assert_eq!((got.status, got.outcome()), (503, "answered"));
-    assert_eq!(bed.results(), [AttemptResult::ServerError]);
+    assert_eq!(proxy.results(), [AttemptResult::ServerError]);
 }
 
 /// Guards against a call that is held beyond its deadline, and against one longer than the service's.
@@ -125,11 +127,11 @@
     })
     .await;
     let request = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-deadline: 80\r\n\r\n";
-    let waiting = Bed::start(Script { hold: true, ..Script::to(silent.address) });
-    let running = Bed::start(Script::to(silent.address));
-    for (bed, told) in [(&waiting, (503, "not-run; deadline")), (&running, (504, "unknown; timeout"))] {
+    let waiting = TestProxy::start(Script { hold: true, ..Script::to(silent.address) });
+    let running = TestProxy::start(Script::to(silent.address));
+    for (proxy, told) in [(&waiting, (503, "not-run; deadline")), (&running, (504, "unknown; timeout"))] {
         let start = Instant::now();
-        let got = bed.call(request).await;
+        let got = proxy.call(request).await;
         assert_eq!((got.status, got.outcome()), told);
         assert!(got.header("retry-after").is_some());
         assert!(start.elapsed() < Duration::from_secs(1));
@@ -137,10 +139,10 @@
     assert!(within(Duration::from_secs(1), || !waiting.log.borrow().cancelled.is_empty()).await);
     assert_eq!(running.results(), [AttemptResult::Timeout]);
     let (server, _) = answering(OK).await;
-    let bed = Bed::start(Script::to(server.address));
+    let proxy = TestProxy::start(Script::to(server.address));
     let start = Instant::now();
-    bed.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-deadline: 900000\r\n\r\n").await;
-    let deadline = bed.log.borrow().calls[0].deadline;
+    proxy.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-deadline: 900000\r\n\r\n").await;
+    let deadline = proxy.log.borrow().calls[0].deadline;
     assert!(deadline <= start + Duration::from_secs(3), "the service's deadline of 2 s is the limit");
 }
 
@@ -148,12 +150,12 @@
 #[actix_rt::test]
 async fn calls_are_counted_and_recorded() {
     let (server, _) = answering(OK).await;
-    let mut bed = Bed::start(Script::to(server.address));
-    bed.call(GET).await;
-    bed.call("PUT /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-customer: k\r\ncontent-length: 2\r\n\r\nhi").await;
-    let record = bed.records.recv().await.unwrap();
+    let mut proxy = TestProxy::start(Script::to(server.address));
+    proxy.call(GET).await;
+    proxy.call("PUT /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-customer: k\r\ncontent-length: 2\r\n\r\nhi").await;
+    let record = proxy.records.recv().await.unwrap();
     assert_eq!((&*record.service, &*record.customer), ("catalogue", "default"));
-    let record = bed.records.recv().await.unwrap();
+    let record = proxy.records.recv().await.unwrap();
     assert_eq!((&*record.customer, record.outcome), ("k", Some(hemlockford_core::outcome::Outcome::Answered)));
     for (name, value) in [
         ("hemlockford_calls_total", 2),
@@ -162,6 +164,6 @@
         ("hemlockford_connections_reused_total", 1),
         ("hemlockford_body_bytes_total", 6),
     ] {
-        assert_eq!(bed.counter(name), value, "{name}");
+        assert_eq!(proxy.counter(name), value, "{name}");
     }
 }
--- a/crates/proxy/tests/pool.rs
+++ b/crates/proxy/tests/pool.rs
@@ -6,7 +6,7 @@
     hemlockford_core::dispatch::AttemptResult,
     hemlockford_proxy::ConnectionBound,
     std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
-    support::{Bed, Script, answering, pause, serve, within},
+    support::{Script, TestProxy, answering, pause, serve, within},
 };
 
 const GET: &str = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n";
@@ -21,28 +21,28 @@
         io.send(OK).await;
     })
     .await;
-    let bed = Bed::start(Script::to(server.address));
+    let proxy = TestProxy::start(Script::to(server.address));
     for _ in 0..3 {
-        assert_eq!(bed.call(GET).await.status, 200);
+        assert_eq!(proxy.call(GET).await.status, 200);
         pause(20).await;
     }
     assert_eq!(server.connections.get(), 3);
-    assert_eq!(bed.results(), [AttemptResult::Complete; 3]);
+    assert_eq!(proxy.results(), [AttemptResult::Complete; 3]);
 }
 
 /// Guards against a non-idempotent request on a connection that the server may be closing just then.
 #[actix_rt::test]
 async fn a_non_idempotent_request_needs_a_fresh_connection() {
     let (server, _) = answering(OK).await;
-    let bed = Bed::start(Script::to(server.address));
-    assert_eq!(bed.call(GET).await.status, 200);
-    assert_eq!(bed.call(POST).await.status, 200);
+    let proxy = TestProxy::start(Script::to(server.address));
+    assert_eq!(proxy.call(GET).await.status, 200);
+    assert_eq!(proxy.call(POST).await.status, 200);
     assert_eq!(server.connections.get(), 1, "a connection that was used a moment ago is fresh");
     pause(150).await;
-    assert_eq!(bed.call(POST).await.status, 200);
+    assert_eq!(proxy.call(POST).await.status, 200);
     assert_eq!(server.connections.get(), 2, "one that was idle for longer is not");
     pause(150).await;
-    assert_eq!(bed.call(GET).await.status, 200);
+    assert_eq!(proxy.call(GET).await.status, 200);
     assert_eq!(server.connections.get(), 2, "it does carry a request that may be repeated");
 }
 
@@ -55,9 +55,9 @@
         "HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok",
     ] {
         let (server, _) = answering(answer).await;
-        let bed = Bed::start(Script::to(server.address));
+        let proxy = TestProxy::start(Script::to(server.address));
         for _ in 0..2 {
-            assert_eq!(bed.call(GET).await.status, 200);
+            assert_eq!(proxy.call(GET).await.status, 200);
         }
         assert_eq!(server.connections.get(), 2, "{answer:?}");
     }
@@ -84,11 +84,11 @@
     let mut script = Script::to(server.address);
     script.options.bound = Arc::new(ConnectionBound::new(12, 3, 2));
     script.options.warm_per_server = 8;
-    let bed = Rc::new(Bed::start(script));
+    let proxy = Rc::new(TestProxy::start(script));
     let calls: Vec<_> = (0..10)
         .map(|_| {
-            let bed = bed.clone();
-            actix_rt::spawn(async move { bed.call(GET).await.status })
+            let proxy = proxy.clone();
+            actix_rt::spawn(async move { proxy.call(GET).await.status })
         })
         .collect();
     for call in calls {
@@ -108,11 +108,11 @@
     .await;
     let mut script = Script::to(server.address);
     script.options.bound = Arc::new(ConnectionBound::new(1, 1, 1));
-    let bed = Bed::start(script);
-    let mut holder = bed.caller().await;
+    let proxy = TestProxy::start(script);
+    let mut holder = proxy.caller().await;
     holder.send(GET).await;
     assert!(within(Duration::from_secs(1), || server.connections.get() == 1).await);
-    let got = bed.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-deadline: 50\r\n\r\n").await;
+    let got = proxy.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-deadline: 50\r\n\r\n").await;
     assert_eq!((got.status, got.outcome()), (503, "not-run; deadline"));
 }
 
@@ -136,8 +136,8 @@
     let mut script = Script::to(server.address);
     script.options.idle_timeout = Duration::from_millis(600);
     script.options.warm_per_server = 1;
-    let bed = Bed::start(script);
-    let mut caller = bed.caller().await;
+    let proxy = TestProxy::start(script);
+    let mut caller = proxy.caller().await;
     caller.send(GET).await;
     assert!(within(Duration::from_secs(1), || open.get() == 2).await, "a spare one is opened while one is in use");
     assert_eq!(caller.answer().await.status, 200);
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -5,7 +5,7 @@
 use {
     hemlockford_core::dispatch::AttemptResult,
     std::time::{Duration, Instant},
-    support::{Bed, Script, answering, pause, refusing},
+    support::{Script, TestProxy, answering, pause, refusing},
 };
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
@@ -14,7 +14,7 @@
 #[actix_rt::test]
 async fn ambiguous_framing_is_refused() {
     let (server, seen) = answering(OK).await;
-    let bed = Bed::start(Script::to(server.address));
+    let proxy = TestProxy::start(Script::to(server.address));
     let shapes = [
         "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
         "transfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n0\r\n\r\n",
@@ -33,7 +33,7 @@
         "x: y\r\n content-length: 5\r\n\r\nhello",
     ];
     for shape in shapes {
-        let mut caller = bed.caller().await;
+        let mut caller = proxy.caller().await;
         caller.send(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\n{shape}")).await;
         caller.send("GET /catalogue/smuggled HTTP/1.1\r\nhost: x\r\n\r\n").await;
         let got = caller.answer().await;
@@ -48,7 +48,7 @@
 #[actix_rt::test]
 async fn odd_header_values_are_refused() {
     let (server, seen) = answering(OK).await;
-    let bed = Bed::start(Script::to(server.address));
+    let proxy = TestProxy::start(Script::to(server.address));
     let long = format!("hemlockford-customer: {}", "a".repeat(65));
     let odd = [
         "hemlockford-deadline: soon",
@@ -64,15 +64,15 @@
         "idempotency-key:",
     ];
     for field in odd {
-        let got = bed.call(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\n{field}\r\n\r\n")).await;
+        let got = proxy.call(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\n{field}\r\n\r\n")).await;
         assert_eq!((got.status, got.outcome()), (400, "not-run; bad-request"), "{field}");
         assert!(got.body.len() < 200, "the explanation is bounded");
     }
-    let got = bed.call("GET /elsewhere HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    let got = proxy.call("GET /elsewhere HTTP/1.1\r\nhost: x\r\n\r\n").await;
     assert_eq!((got.status, got.outcome()), (404, "not-run; unknown-service"));
     assert!(seen.borrow().is_empty());
     let long = format!("GET /catalogue HTTP/1.1\r\nx: {}\r\n\r\n", "a".repeat(70_000));
-    assert_eq!(bed.call(&long).await.status, 400);
+    assert_eq!(proxy.call(&long).await.status, 400);
 }
 
 /// Guards against headers of one connection that reach the next, and against a server that speaks for the
@@ -84,8 +84,8 @@
          hemlockford-outcome: not-run; overload\r\nhemlockford-once: claimed\r\nhemlockford-load: 1/2\r\nx-kept: 1\r\n\r\nok",
     )
     .await;
-    let bed = Bed::start(Script::to(server.address));
-    let got = bed
+    let proxy = TestProxy::start(Script::to(server.address));
+    let got = proxy
         .call(
             "GET /catalogue/a?b=c HTTP/1.1\r\nhost: shop.example\r\nconnection: x-private, te\r\nx-private: 1\r\n\
              te: trailers\r\nupgrade: h2c\r\nforwarded: for=10.0.0.1\r\nx-forwarded-for: 10.0.0.1\r\n\
@@ -116,7 +116,7 @@
     }
     let left = seen.lines().find_map(|line| line.strip_prefix("hemlockford-deadline: ")).unwrap();
     assert!((1..=900).contains(&left.parse::<u32>().unwrap()));
-    let call = bed.log.borrow().calls[0].clone();
+    let call = proxy.log.borrow().calls[0].clone();
     assert_eq!((&*call.customer, call.depth, call.retry_allowance), ("kovar", 3, true));
 }
 
@@ -124,7 +124,7 @@
 #[actix_rt::test]
 async fn unusual_targets_are_handled() {
     let (server, seen) = answering(OK).await;
-    let bed = Bed::start(Script::to(server.address));
+    let proxy = TestProxy::start(Script::to(server.address));
     for (target, status) in [
         ("GET http://y/catalogue/a?b", 200),
         ("OPTIONS *", 404),
@@ -132,14 +132,14 @@
         ("GET /../catalogue/a", 404),
         ("GET //catalogue/a", 404),
     ] {
-        let got = bed.call(&format!("{target} HTTP/1.1\r\nhost: x\r\n\r\n")).await;
+        let got = proxy.call(&format!("{target} HTTP/1.1\r\nhost: x\r\n\r\n")).await;
         assert_eq!(got.status, status, "{target}");
     }
-    assert_eq!(bed.call("GET /catalogue/a HTTP/1.0\r\n\r\n").await.status, 200);
+    assert_eq!(proxy.call("GET /catalogue/a HTTP/1.0\r\n\r\n").await.status, 200);
     assert!(seen.borrow_mut().pop().unwrap().contains(&format!("\r\nhost: {}\r\n", server.address)));
     let websocket = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: websocket\r\n\r\n";
-    assert_eq!(bed.call(websocket).await.status, 400);
-    assert_eq!(bed.call("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n").await.status, 400);
+    assert_eq!(proxy.call(websocket).await.status, 400);
+    assert_eq!(proxy.call("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n").await.status, 400);
     assert_eq!(seen.borrow().len(), 1);
     assert!(seen.borrow()[0].starts_with("GET /catalogue/a?b HTTP/1.1\r\n"), "{:?}", seen.borrow());
 }
@@ -148,11 +148,11 @@
 #[actix_rt::test]
 async fn the_retry_token_is_passed_on_as_decided() {
     let (server, seen) = answering(OK).await;
-    let bed = Bed::start(Script { pass_allowance: true, ..Script::to(server.address) });
-    bed.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    let proxy = TestProxy::start(Script { pass_allowance: true, ..Script::to(server.address) });
+    proxy.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n").await;
     assert!(seen.borrow()[0].contains("hemlockford-retry-allowance: 1\r\n"));
-    bed.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-depth: 1\r\n\r\n").await;
-    let allowances: Vec<bool> = bed.log.borrow().calls.iter().map(|call| call.retry_allowance).collect();
+    proxy.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-depth: 1\r\n\r\n").await;
+    let allowances: Vec<bool> = proxy.log.borrow().calls.iter().map(|call| call.retry_allowance).collect();
     assert_eq!(allowances, [true, false], "the first entry may mint a token, later ones need one");
 }
 
@@ -162,8 +162,8 @@
 async fn a_report_is_asked_for_only_as_decided() {
     for want_report in [true, false] {
         let (server, seen) = answering(OK).await;
-        let bed = Bed::start(Script { want_report, ..Script::to(server.address) });
-        bed.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-want-load: 1\r\n\r\n").await;
+        let proxy = TestProxy::start(Script { want_report, ..Script::to(server.address) });
+        proxy.call("GET /catalogue/a HTTP/1.1\r\nhost: x\r\nhemlockford-want-load: 1\r\n\r\n").await;
         assert_eq!(seen.borrow()[0].matches("hemlockford-want-load: 1\r\n").count(), usize::from(want_report));
     }
 }
@@ -172,17 +172,17 @@
 #[actix_rt::test]
 async fn a_caller_that_expects_100_is_told_to_continue() {
     let (server, seen) = answering(OK).await;
-    let bed = Bed::start(Script::to(server.address));
+    let proxy = TestProxy::start(Script::to(server.address));
     let head = "POST /booking/a HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: 5\r\n\r\n";
-    let mut caller = bed.caller().await;
+    let mut caller = proxy.caller().await;
     caller.send(head).await;
     assert_eq!(caller.answer().await.status, 100);
     caller.send("hello").await;
     assert_eq!(caller.answer().await.status, 200);
     assert!(seen.borrow()[0].ends_with("hello") && !seen.borrow()[0].contains("expect"));
     // A refused request is answered without asking for its body.
-    let bed = Bed::start(Script::to(refusing()));
-    let got = bed.call(head).await;
+    let proxy = TestProxy::start(Script::to(refusing()));
+    let got = proxy.call(head).await;
     assert_eq!((got.status, got.outcome()), (503, "not-run; refused"));
 }
 
@@ -193,21 +193,21 @@
     let mut script = Script::to(server.address);
     script.options.head_timeout = Duration::from_millis(100);
     script.options.body_idle = Duration::from_millis(100);
-    let bed = Bed::start(script);
+    let proxy = TestProxy::start(script);
     let start = Instant::now();
-    let mut silent = bed.caller().await;
+    let mut silent = proxy.caller().await;
     assert_eq!(silent.rest().await, "");
-    let mut slow = bed.caller().await;
+    let mut slow = proxy.caller().await;
     slow.send("GET /catalogue/a HTT").await;
     assert_eq!(slow.answer().await.status, 400);
     assert_eq!(slow.rest().await, "");
-    let mut slow = bed.caller().await;
+    let mut slow = proxy.caller().await;
     slow.send("POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhel").await;
     let got = slow.answer().await;
     assert_eq!((got.status, got.outcome()), (504, "unknown; timeout"));
     assert_eq!(slow.rest().await, "");
     assert!(start.elapsed() < Duration::from_secs(4));
-    assert_eq!(bed.results(), [AttemptResult::CallerLeft], "a slow caller is no fault of the server");
+    assert_eq!(proxy.results(), [AttemptResult::CallerLeft], "a slow caller is no fault of the server");
 }
 
 /// Guards against a body that ends early and is passed on as whole.
@@ -220,22 +220,22 @@
         "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\nfffffffffffffffff\r\n",
     ] {
         let (server, seen) = answering(OK).await;
-        let bed = Bed::start(Script::to(server.address));
-        let mut caller = bed.caller().await;
+        let proxy = TestProxy::start(Script::to(server.address));
+        let mut caller = proxy.caller().await;
         caller.send(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\n{body}")).await;
         pause(30).await;
         drop(caller);
         pause(50).await;
         assert!(seen.borrow().is_empty(), "{body:?}");
-        assert_eq!(bed.results(), [AttemptResult::CallerLeft]);
+        assert_eq!(proxy.results(), [AttemptResult::CallerLeft]);
     }
 }
 
 /// Guards against the rest of a refused request that is taken for the next one, and against a body after HEAD.
 #[actix_rt::test]
 async fn refused_requests_leave_the_connection_in_step() {
-    let bed = Bed::start(Script::to(refusing()));
-    let mut caller = bed.caller().await;
+    let proxy = TestProxy::start(Script::to(refusing()));
+    let mut caller = proxy.caller().await;
     let post = "POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: 60000\r\n\r\n";
     for _ in 0..3 {
         caller.send(post).await;
@@ -245,7 +245,7 @@
         assert_eq!(caller.message(true).await.unwrap().outcome(), "not-run; refused");
         assert_eq!(caller.answer().await.outcome(), "not-run; unknown-service");
     }
-    assert_eq!(bed.log.borrow().calls.len(), 6);
+    assert_eq!(proxy.log.borrow().calls.len(), 6);
 }
 
 /// Guards against more callers than a worker is set up for.
@@ -254,14 +254,14 @@
     let (server, _) = answering(OK).await;
     let mut script = Script::to(server.address);
     script.options.callers = 1;
-    let bed = Bed::start(script);
+    let proxy = TestProxy::start(script);
     let request = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n";
-    let mut first = bed.caller().await;
+    let mut first = proxy.caller().await;
     first.send(request).await;
     assert_eq!(first.answer().await.status, 200);
-    let got = bed.call(request).await;
+    let got = proxy.call(request).await;
     assert_eq!((got.status, got.outcome()), (503, "not-run; overload"));
     drop(first);
     pause(30).await;
-    assert_eq!(bed.call(request).await.status, 200);
+    assert_eq!(proxy.call(request).await.status, 200);
 }
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -5,7 +5,7 @@
 use {
     hemlockford_core::dispatch::AttemptResult,
     std::{cell::Cell, rc::Rc, time::Duration},
-    support::{Bed, Caller, Script, pause, serve, within},
+    support::{Caller, Script, TestProxy, pause, serve, within},
     tokio::io::{AsyncReadExt, AsyncWriteExt},
 };
 
@@ -72,8 +72,8 @@
         tokio::join!(read_pattern(&mut read, &rest, SIZE), write_pattern(&mut write, SIZE, &written));
     })
     .await;
-    let bed = Bed::start(Script::to(server.address));
-    let mut caller = bed.caller().await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let mut caller = proxy.caller().await;
     caller.send(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: {SIZE}\r\n\r\n")).await;
     // The answer begins before anything of the body is sent.
     let (head, rest) = read_head(&mut caller).await;
@@ -82,8 +82,8 @@
     let written = Cell::new(0);
     let both = async { tokio::join!(read_pattern(&mut read, &rest, SIZE), write_pattern(&mut write, SIZE, &written)) };
     actix_rt::time::timeout(LONG, both).await.expect("both bodies pass");
-    assert!(within(Duration::from_secs(1), || bed.results() == [AttemptResult::Complete]).await);
-    assert_eq!(bed.counter("hemlockford_body_bytes_total"), 2 * SIZE as u64);
+    assert!(within(Duration::from_secs(1), || proxy.results() == [AttemptResult::Complete]).await);
+    assert_eq!(proxy.counter("hemlockford_body_bytes_total"), 2 * SIZE as u64);
 }
 
 /// Guards against an answer that is gathered for a caller that does not read.
@@ -100,14 +100,14 @@
         }
     })
     .await;
-    let bed = Bed::start(Script::to(server.address));
-    let mut caller = bed.caller().await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let mut caller = proxy.caller().await;
     caller.send("GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n").await;
     pause(1_000).await;
     assert!(written.get() < HELD_LIMIT, "{} bytes are held", written.get());
-    assert!(bed.counter("hemlockford_body_bytes_total") < HELD_LIMIT as u64);
+    assert!(proxy.counter("hemlockford_body_bytes_total") < HELD_LIMIT as u64);
     // The deadline ends the call; the server is not blamed for it.
-    assert!(within(Duration::from_secs(3), || bed.results() == [AttemptResult::CallerLeft]).await);
+    assert!(within(Duration::from_secs(3), || proxy.results() == [AttemptResult::CallerLeft]).await);
 }
 
 /// Guards against an upload that is gathered for a server that does not read, and against a caller whose
@@ -130,8 +130,8 @@
             }
         })
         .await;
-        let bed = Bed::start(Script::to(server.address));
-        let mut caller = bed.caller().await;
+        let proxy = TestProxy::start(Script::to(server.address));
+        let mut caller = proxy.caller().await;
         caller.send(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: {LARGE}\r\n\r\n")).await;
         if is_reset {
             caller.io.set_zero_linger().unwrap();
@@ -145,7 +145,7 @@
         upload.abort();
         assert!(within(limit, || closed.get()).await, "the server sees the close");
         let result = if is_reset { AttemptResult::CallerLeft } else { AttemptResult::Timeout };
-        assert_eq!(bed.results(), [result]);
+        assert_eq!(proxy.results(), [result]);
     }
 }
 
@@ -161,17 +161,17 @@
             }
         })
         .await;
-        let bed = Bed::start(Script::to(server.address));
-        let mut caller = bed.caller().await;
+        let proxy = TestProxy::start(Script::to(server.address));
+        let mut caller = proxy.caller().await;
         caller.send(&format!("POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: {SIZE}\r\n\r\nsome")).await;
         let got = caller.answer().await;
         assert_eq!((got.status, got.body.as_slice()), (413, b"big".as_slice()));
         // The rest of the body cannot be taken for a request: the connection ends.
         caller.send("GET /catalogue/smuggled HTTP/1.1\r\nhost: x\r\n\r\n").await;
         assert_eq!(caller.rest().await, "");
-        assert_eq!(bed.log.borrow().calls.len(), 1);
+        assert_eq!(proxy.log.borrow().calls.len(), 1);
         // The server's connection carried half a request and is not used again.
-        let got = bed.call("GET /catalogue/b HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        let got = proxy.call("GET /catalogue/b HTTP/1.1\r\nhost: x\r\n\r\n").await;
         assert_eq!((got.status, server.connections.get()), (413, 2));
     }
 }
@@ -191,8 +191,8 @@
         }
     })
     .await;
-    let bed = Bed::start(Script::to(server.address));
-    let mut caller = bed.caller().await;
+    let proxy = TestProxy::start(Script::to(server.address));
+    let mut caller = proxy.caller().await;
     for _ in 0..2 {
         caller.send("PUT /catalogue/a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhel").await;
         pause(10).await;
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -63,7 +63,7 @@
     pub cancelled: Vec<CallId>,
 }
 
-pub struct Bed {
+pub struct TestProxy {
     pub address: SocketAddr,
     pub log: Rc<RefCell<Log>>,
     pub stop: watch::Sender<bool>,
@@ -73,7 +73,7 @@
     _text: watch::Sender<Arc<Text>>,
 }
 
-impl Bed {
+impl TestProxy {
     pub fn start(script: Script) -> Self {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
--- a/crates/tools/src/slopes/controls.rs
+++ b/crates/tools/src/slopes/controls.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        agenda::Agenda,
+        event_queue::EventQueue,
         texts,
         wire::{self, INCARNATION, Sent},
     },
@@ -62,7 +62,7 @@
 
 /// The control parts of several instances.
 pub(super) struct Controls {
-    agenda: Agenda<Step>,
+    events: EventQueue<Step>,
     nodes: Vec<Control>,
     dispatchers: Vec<Dispatcher>,
     names: Vec<InstanceId>,
@@ -78,8 +78,8 @@
     /// Starts a group that knows no text.
     pub(super) fn new(options: GroupOptions) -> Self {
         let names: Vec<InstanceId> = (0..options.instances).map(|index| format!("entry-{index:02}").into()).collect();
-        let mut agenda = Agenda::new();
-        let start = agenda.instant();
+        let mut events = EventQueue::new();
+        let start = events.instant();
         let replicas: Vec<_> = names.iter().take(REPLICAS).cloned().collect();
         let mut nodes = Vec::new();
         let mut dispatchers = Vec::new();
@@ -104,33 +104,33 @@
             }
             // Processes do not tick at the same time.
             let offset = TICK_INTERVAL * index as u32 / options.instances as u32;
-            agenda.push(offset, Step::Tick(index));
+            events.push(offset, Step::Tick(index));
         }
         let services = services_of(options.servers);
         let servers = (0..options.servers).map(|index| announcement(index, services)).collect();
         for index in 0..options.servers {
             let offset = ANNOUNCE_INTERVAL * index as u32 / options.servers as u32;
-            agenda.push(QUIET + offset, Step::Announce(index));
+            events.push(QUIET + offset, Step::Announce(index));
         }
         let indexes = names.iter().enumerate().map(|(index, name)| (name.clone(), index)).collect();
         let sent = vec![Traffic::default(); options.instances];
-        Self { agenda, nodes, dispatchers, names, indexes, sent, servers, accepted: 0, options }
+        Self { events, nodes, dispatchers, names, indexes, sent, servers, accepted: 0, options }
     }
 
     /// Submits a text at an instance and runs until it is accepted; returns when it was in force on every
     /// instance, counted from the submission.
     pub(super) fn submit(&mut self, at: usize, number: u64, text: Box<str>) -> Result<Duration> {
-        let start = self.agenda.now;
+        let start = self.events.now;
         let accepted = self.accepted + 1;
         self.handle(at, ControlEvent::Submit { request: number, text })?;
         let mut in_force = None;
         while self.accepted < accepted || in_force.is_none() {
-            if self.agenda.now > start + Duration::from_secs(12) {
+            if self.events.now > start + Duration::from_secs(12) {
                 return Err(unavailable("a change was not accepted in virtual time"));
             }
             self.run(Duration::from_micros(100))?;
             if in_force.is_none() && self.nodes.iter().all(|node| node.installed() >= number) {
-                in_force = Some(self.agenda.now - start);
+                in_force = Some(self.events.now - start);
             }
         }
         Ok(in_force.unwrap_or_default())
@@ -148,7 +148,7 @@
 
     /// Returns the virtual time since the start.
     pub(super) fn now(&self) -> Duration {
-        self.agenda.now
+        self.events.now
     }
 
     /// Returns which instance leads the replicated log.
@@ -163,16 +163,16 @@
 
     /// Runs for a time.
     pub(super) fn run(&mut self, time: Duration) -> Result<()> {
-        let until = self.agenda.now + time;
-        while let Some(step) = self.agenda.next(until) {
+        let until = self.events.now + time;
+        while let Some(step) = self.events.next(until) {
             match step {
                 Step::Tick(node) => {
-                    self.agenda.push(TICK_INTERVAL, Step::Tick(node));
+                    self.events.push(TICK_INTERVAL, Step::Tick(node));
                     self.handle(node, ControlEvent::Tick)?;
                 }
                 Step::Announce(server) => {
-                    self.agenda.push(ANNOUNCE_INTERVAL, Step::Announce(server));
-                    let now = self.agenda.now.as_millis() as u64;
+                    self.events.push(ANNOUNCE_INTERVAL, Step::Announce(server));
+                    let now = self.events.now.as_millis() as u64;
                     let announcement = &mut self.servers[server];
                     announcement.sequence += 1;
                     announcement.uptime_ms = DAY_MS + now;
@@ -191,7 +191,7 @@
     }
 
     fn handle(&mut self, node: usize, event: ControlEvent) -> Result<()> {
-        let now = self.agenda.instant();
+        let now = self.events.instant();
         let mut actions = Vec::new();
         self.nodes[node].handle(now, event, &mut actions);
         for action in actions {
@@ -199,7 +199,7 @@
                 ControlAction::Datagram { to, message } | ControlAction::Stream { to, message } => {
                     self.send(node, &to, &message)?;
                 }
-                ControlAction::Write { sequence, .. } => self.agenda.push(SYNC, Step::Persisted(node, sequence)),
+                ControlAction::Write { sequence, .. } => self.events.push(SYNC, Step::Persisted(node, sequence)),
                 ControlAction::Answer(Answer::Submit { answer: SubmitAnswer::Accepted { .. }, .. }) => {
                     self.accepted += 1;
                 }
@@ -214,7 +214,7 @@
 
     /// Tells the dispatcher; what it says to others is left out, as slot messages are measured by themselves.
     fn tell(&mut self, node: usize, event: DispatchEvent) {
-        let now = self.agenda.instant();
+        let now = self.events.instant();
         if let Some(dispatcher) = self.dispatchers.get_mut(node) {
             dispatcher.handle(now, event, &mut Vec::new());
         }
@@ -233,7 +233,7 @@
             _ => traffic.other_bytes += bytes,
         }
         if let Some(to) = self.indexes.get(to).copied() {
-            self.agenda.push(DELAY, Step::Deliver { to, from, sent });
+            self.events.push(DELAY, Step::Deliver { to, from, sent });
         }
         Ok(())
     }
--- a/crates/tools/src/slopes/dispatchers.rs
+++ b/crates/tools/src/slopes/dispatchers.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        agenda::Agenda,
+        event_queue::EventQueue,
         texts,
         wire::{self, INCARNATION, Sent},
     },
@@ -52,7 +52,7 @@
 
 /// The dispatchers of several entries.
 pub(super) struct Dispatchers {
-    agenda: Agenda<Step>,
+    events: EventQueue<Step>,
     nodes: Vec<Dispatcher>,
     names: Vec<InstanceId>,
     indexes: FastMap<InstanceId, usize>,
@@ -69,7 +69,7 @@
     pub(super) fn new(options: GroupOptions) -> Result<Self> {
         let names: Vec<InstanceId> = (0..options.entries).map(|index| format!("entry-{index:02}").into()).collect();
         let mut group = Self {
-            agenda: Agenda::new(),
+            events: EventQueue::new(),
             nodes: Vec::new(),
             indexes: names.iter().enumerate().map(|(index, name)| (name.clone(), index)).collect(),
             names,
@@ -95,29 +95,29 @@
                 let views = group.views(service);
                 group.handle(index, DispatchEvent::Servers(texts::service(service).into(), views))?;
             }
-            group.agenda.push(TICK * index as u32 / options.entries as u32, Step::Tick(index));
+            group.events.push(TICK * index as u32 / options.entries as u32, Step::Tick(index));
         }
         for index in 0..options.entries {
             group.handle(index, DispatchEvent::Peers(group.names.clone()))?;
         }
         if options.rate > 0.0 {
-            group.agenda.push(Duration::ZERO, Step::Arrive);
+            group.events.push(Duration::ZERO, Step::Arrive);
         }
         Ok(group)
     }
 
     /// Runs for a time.
     pub(super) fn run(&mut self, time: Duration) -> Result<()> {
-        let until = self.agenda.now + time;
-        while let Some(step) = self.agenda.next(until) {
+        let until = self.events.now + time;
+        while let Some(step) = self.events.next(until) {
             match step {
                 Step::Tick(entry) => {
-                    self.agenda.push(TICK, Step::Tick(entry));
+                    self.events.push(TICK, Step::Tick(entry));
                     self.handle(entry, DispatchEvent::Tick)?;
                 }
                 Step::Arrive => {
                     let gap = exponential(&mut self.rng, 1.0 / self.options.rate);
-                    self.agenda.push(Duration::from_secs_f64(gap), Step::Arrive);
+                    self.events.push(Duration::from_secs_f64(gap), Step::Arrive);
                     let entry = self.rng.random_range(0..self.options.entries);
                     self.call(entry)?;
                 }
@@ -152,7 +152,7 @@
             customer: format!("customer-{}", self.rng.random_range(0..CUSTOMERS)).into(),
             idempotent: true,
             replayable: true,
-            deadline: self.agenda.instant() + DEADLINE,
+            deadline: self.events.instant() + DEADLINE,
             depth: 0,
             retry_allowance: false,
             upload: false,
@@ -161,21 +161,21 @@
     }
 
     fn handle(&mut self, entry: usize, event: DispatchEvent) -> Result<()> {
-        let now = self.agenda.instant();
+        let now = self.events.instant();
         let mut actions = Vec::new();
         self.nodes[entry].handle(now, event, &mut actions);
         for action in actions {
             match action {
                 DispatchAction::Send { call, server, .. } => {
                     let work = Duration::from_secs_f64(exponential(&mut self.rng, WORK.as_secs_f64()));
-                    self.agenda.push(work, Step::Finish { entry, call, server, latency: work });
+                    self.events.push(work, Step::Finish { entry, call, server, latency: work });
                 }
                 DispatchAction::Tell { to, message } => {
                     let sent = wire::slots(&self.names[entry], &message)?;
                     self.messages += 1;
                     self.bytes += sent.on_wire as u64;
                     if let Some(to) = self.indexes.get(&to).copied() {
-                        self.agenda.push(DELAY, Step::Deliver { to, from: entry, sent });
+                        self.events.push(DELAY, Step::Deliver { to, from: entry, sent });
                     }
                 }
                 DispatchAction::Reject { .. } | DispatchAction::Probe { .. } => {}
@@ -186,7 +186,7 @@
 
     /// Returns the servers of a service.
     fn views(&self, service: usize) -> Vec<ServerView> {
-        let now = self.agenda.instant();
+        let now = self.events.instant();
         let numbers = (0..self.options.servers).filter(|index| index % self.options.services == service);
         let view = |index: usize| ServerView {
             id: format!("server-{index:04}").into(),
--- a/crates/tools/src/slopes/agenda.rs
+++ b/crates/tools/src/slopes/event_queue.rs
@@ -7,14 +7,14 @@
 
 /// Steps ordered by virtual time, with a clock that stands at the last one taken.
 #[derive(Debug)]
-pub(super) struct Agenda<S> {
+pub(super) struct EventQueue<S> {
     base: Instant,
     pub(super) now: Duration,
     steps: BTreeMap<(Duration, u64), S>,
     number: u64,
 }
 
-impl<S> Agenda<S> {
+impl<S> EventQueue<S> {
     pub(super) fn new() -> Self {
         Self { base: Instant::now(), now: Duration::ZERO, steps: BTreeMap::new(), number: 0 }
     }
--- a/crates/tools/src/slopes/mod.rs
+++ b/crates/tools/src/slopes/mod.rs
@@ -3,7 +3,6 @@
 //! The state machines and codecs of the running instances are measured in one process, without a network.
 //! docs/notes/capacity-method.md says how, and what the errors are.
 
-mod agenda;
 mod balance;
 mod clock;
 mod control;
@@ -12,6 +11,7 @@
 mod dispatchers;
 mod durable;
 mod entry;
+mod event_queue;
 mod memory;
 mod memory_disk;
 mod plot;
