--- a/crates/instance/src/control/task.rs
+++ b/crates/instance/src/control/task.rs
@@ -11,8 +11,8 @@
     hemlockford_core::{
         collections::FastMap,
         control::{Answer, Control, ControlAction, ControlEvent, ControlLog, SubmitAnswer, TICK_INTERVAL},
-        dispatch::{DispatchEvent, ServerView},
-        ids::{DataCentreId, InstanceId, ServiceId},
+        dispatch::DispatchEvent,
+        ids::{DataCentreId, InstanceId},
         registry::SERVER_LEASE,
         text::Text,
     },
@@ -55,8 +55,6 @@
     next_submit: u64,
     pending_claims: Claims,
     stopping: Vec<oneshot::Sender<()>>,
-    /// News of servers that the dispatcher has not been told yet.
-    servers: FastMap<ServiceId, Vec<ServerView>>,
     /// Since when the instance may serve.
     serving_since: Option<Instant>,
     actions: Vec<ControlAction>,
@@ -70,7 +68,6 @@
             next_submit: 0,
             pending_claims: Claims::default(),
             stopping: Vec::new(),
-            servers: FastMap::default(),
             serving_since: None,
             actions: Vec::new(),
         }
@@ -87,10 +84,7 @@
                     None => return,
                 },
                 Some(message) = self.parts.claims.recv() => self.pending_claims.take(Instant::now(), message),
-                Some(_) = tick.recv() => {
-                    self.tell_servers();
-                    Some(ControlEvent::Tick)
-                }
+                Some(_) = tick.recv() => Some(ControlEvent::Tick),
             };
             if let Some(event) = event {
                 self.handle(event);
@@ -157,7 +151,10 @@
                 parts.text.send_replace(text);
             }
             ControlAction::Answer(answer) => return self.answer(answer),
-            ControlAction::Servers(service, views) => drop(self.servers.insert(service, views)),
+            ControlAction::Servers(service, views) => {
+                parts.counters.servers.with_label_values(&[&service]).set(views.len() as i64);
+                let _ = parts.dispatcher.send(DispatchEvent::Servers(service, views));
+            }
             ControlAction::Peers(live) => {
                 parts.counters.live.set(live.len() as i64);
                 let _ = parts.dispatcher.send(DispatchEvent::Peers(live));
@@ -176,15 +173,6 @@
         None
     }
 
-    /// Tells the dispatcher what is new of servers. Renewals arrive one by one, and each would wake the
-    /// dispatcher; a server that leaves has 3 s, of which a tick takes little.
-    fn tell_servers(&mut self) {
-        for (service, views) in self.servers.drain() {
-            self.parts.counters.servers.with_label_values(&[&service]).set(views.len() as i64);
-            let _ = self.parts.dispatcher.send(DispatchEvent::Servers(service, views));
-        }
-    }
-
     /// Notes when the servers are known: once they are the same as those of a live peer, or each server has
     /// had the time to announce itself. Until then the balancer would send calls that find no server.
     fn compare_servers(&mut self) {
