Lay out the types of routes, terms of calls and dynamic groups

The parts of a fleet are built side by side on these types. A call carries the terms of its route, a load report carries the pace of the server's machine, and a group may let replicas join.

--- a/crates/core/examples/choice.rs
+++ b/crates/core/examples/choice.rs
@@ -4,8 +4,8 @@
 use {
     hemlockford_core::{
         dispatch::{
-            AttemptResult, Call, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish, ServerState,
-            ServerView,
+            AttemptResult, Call, CallTerms, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish,
+            ServerState, ServerView,
         },
         text::{Policy, Text},
     },
@@ -101,6 +101,7 @@
             depth: 0,
             retry_allowance: false,
             upload: false,
+            terms: CallTerms::default(),
         };
         dispatcher.handle(now, DispatchEvent::Arrive(call), &mut actions);
         for action in actions.drain(..) {
--- a/crates/core/src/consensus/event.rs
+++ b/crates/core/src/consensus/event.rs
@@ -25,6 +25,12 @@
         /// The command.
         command: Arc<[u8]>,
     },
+    /// The state as of the last commit is to be read. The answer follows once a majority has confirmed that
+    /// this replica led after the event.
+    Read {
+        /// Number that the answer repeats, unique within one run of the process.
+        id: u64,
+    },
     /// Every write action with a sequence up to this one is durable.
     Persisted {
         /// Sequence of the last durable write.
--- a/crates/core/src/consensus/options.rs
+++ b/crates/core/src/consensus/options.rs
@@ -17,6 +17,12 @@
     /// All replicas of the group, this one included, in the same order everywhere: 1, 3 or 5. The first
     /// one proposes the formation of a new group.
     pub replicas: Vec<InstanceId>,
+    /// Whether replicas may join and leave while the group runs; `replicas` then names the founders only.
+    pub is_dynamic: bool,
+    /// Whether this replica may take part in forming a new group.
+    pub may_found: bool,
+    /// Voters that a dynamic group aims at.
+    pub voters: usize,
     /// Shortest election timeout; also the time for which a leader that a majority has answered may
     /// act without another answer.
     pub election_min: Duration,
@@ -39,6 +45,9 @@
         Self {
             replica: InstanceId::default(),
             replicas: Vec::new(),
+            is_dynamic: false,
+            may_found: true,
+            voters: 3,
             election_min: Duration::from_millis(600),
             election_max: Duration::from_millis(1_200),
             heartbeat: Duration::from_millis(150),
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ConsensusAction, ConsensusEvent, ConsensusOptions, Effect, Formation, Held, Incoming, Log, Members, Message,
-        MessageBody, Recovered, Role, Vote, Writes,
+        MessageBody, ProposalResult, Recovered, Role, Vote, Writes,
     },
     crate::ids::{Incarnation, InstanceId, LogIndex, Term},
     rand::{RngExt, rngs::SmallRng},
@@ -108,6 +108,10 @@
                 }
             }
             ConsensusEvent::Propose { id, command } => self.propose(id, command, actions),
+            ConsensusEvent::Read { id } => {
+                let result = ProposalResult::NotLeader { leader: self.leader.clone() };
+                actions.push(ConsensusAction::Answer { id, result });
+            }
             ConsensusEvent::Persisted { up_to } => self.persisted(now, up_to, actions),
             ConsensusEvent::SnapshotTaken { index, data } => self.snapshot_taken(index, data, actions),
             ConsensusEvent::Stop => self.stop(now, actions),
--- a/crates/core/src/dispatch/call.rs
+++ b/crates/core/src/dispatch/call.rs
@@ -1,6 +1,7 @@
 //! A caller's request, as far as decisions need it.
 
 use {
+    super::CallTerms,
     crate::ids::{CallId, CustomerId, ServiceId},
     std::time::Instant,
 };
@@ -26,4 +27,6 @@
     pub retry_allowance: bool,
     /// Whether the request carries a large body.
     pub upload: bool,
+    /// What the route of the call promises and permits.
+    pub terms: CallTerms,
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod server;
 mod servers;
 mod service;
+mod terms;
 mod waiting;
 
 pub use {
@@ -23,9 +24,10 @@
     dispatcher::Dispatcher,
     event::DispatchEvent,
     finish::Finish,
-    load::{LOAD_HEADER, LoadReport, WANT_LOAD_HEADER},
+    load::{LOAD_HEADER, LoadReport, USUAL_PACE, WANT_LOAD_HEADER},
     options::DispatchOptions,
     server::{ServerState, ServerView},
+    terms::CallTerms,
 };
 
 use {active::ActiveCall, measuring::Measuring, servers::Servers, service::ServiceState};
--- a/crates/core/src/text/mod.rs
+++ b/crates/core/src/text/mod.rs
@@ -8,6 +8,7 @@
 mod customer;
 mod fault;
 mod graph;
+mod limits;
 mod lines;
 mod locator;
 mod measure;
@@ -15,11 +16,14 @@
 mod objective;
 mod parse;
 mod policy;
+mod route;
+mod route_kind;
 mod service;
+mod target;
 
 pub use {
-    claims::Claims, customer::Customer, fault::Fault, measure::Measure, model::Text, objective::Objective,
-    policy::Policy, service::Service,
+    claims::Claims, customer::Customer, fault::Fault, limits::Limits, measure::Measure, model::Text,
+    objective::Objective, policy::Policy, route::Route, route_kind::RouteKind, service::Service, target::Target,
 };
 
 /// Longest permitted chain of dependencies, counted in services.
--- a/crates/core/src/text/model.rs
+++ b/crates/core/src/text/model.rs
@@ -1,7 +1,7 @@
 //! The checked text.
 
 use {
-    super::{Claims, Customer, Fault, Measure, Service, check, parse},
+    super::{Claims, Customer, Fault, Limits, Measure, Route, Service, check, parse},
     crate::{
         collections::FastMap,
         ids::{ChangeNumber, CustomerId, ServiceId},
@@ -17,6 +17,10 @@
     pub customers: FastMap<CustomerId, Customer>,
     /// Services by name.
     pub services: FastMap<ServiceId, Service>,
+    /// Routes in the order of the text; without any, the first segment of the path names the service.
+    pub routes: Vec<Route>,
+    /// Bounds on what callers may send.
+    pub limits: Limits,
     /// Budget for measuring load.
     pub measure: Measure,
     /// Settings of claims.
--- a/crates/core/src/text/service.rs
+++ b/crates/core/src/text/service.rs
@@ -13,6 +13,9 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
 const DEFAULT_RETRY_BUDGET: Share = Share::from_millionths(100_000);
 const DEFAULT_QUEUE: usize = 200;
+const DEFAULT_HEALTH: &str = "/probe";
+/// The users' servers accept 250 connections.
+const DEFAULT_CONNECTIONS: u32 = 250;
 
 /// One service, section `[service NAME]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,6 +32,10 @@
     pub retry_budget: Share,
     /// Calls of one customer that may wait at one entry.
     pub queue: usize,
+    /// Path on which servers answer health checks.
+    pub health: Box<str>,
+    /// Connections that a server accepts from all entries together.
+    pub connections: u32,
     /// Weights of customers that differ from the customer's own.
     pub shares: FastMap<CustomerId, u32>,
 }
@@ -42,6 +49,8 @@
             policy: Policy::default(),
             retry_budget: DEFAULT_RETRY_BUDGET,
             queue: DEFAULT_QUEUE,
+            health: DEFAULT_HEALTH.into(),
+            connections: DEFAULT_CONNECTIONS,
             shares: FastMap::default(),
         }
     }
--- a/crates/core/tests/dispatcher.rs
+++ b/crates/core/tests/dispatcher.rs
@@ -3,8 +3,8 @@
 use {
     hemlockford_core::{
         dispatch::{
-            AttemptResult, Call, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish, LoadReport,
-            ServerState, ServerView,
+            AttemptResult, Call, CallTerms, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish,
+            LoadReport, ServerState, ServerView, USUAL_PACE,
         },
         ids::{CallId, ServerId},
         outcome::{NotRunReason, Outcome, UnknownReason},
@@ -80,6 +80,7 @@
             depth: 0,
             retry_allowance: true,
             upload: false,
+            terms: CallTerms::default(),
         }
     }
 
@@ -263,7 +264,7 @@
 /// Guards against reports that servers send unasked: they would bypass the measuring budget.
 #[test]
 fn only_reports_that_were_asked_for_count() {
-    let full = Some(LoadReport { in_flight: 1_000, slots: 2 });
+    let full = Some(LoadReport { in_flight: 1_000, slots: 2, pace: USUAL_PACE });
     let chosen = |wait: u32, report: Option<LoadReport>| -> Vec<ServerId> {
         let mut bench = Bench::new(Policy::Permits, 2, 100);
         for _ in 0..wait {
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -5,8 +5,8 @@
     hemlockford_core::{
         collections::FastMap,
         dispatch::{
-            AttemptResult, Call, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish, LOAD_HEADER,
-            WANT_LOAD_HEADER,
+            AttemptResult, Call, CallTerms, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish,
+            LOAD_HEADER, WANT_LOAD_HEADER,
         },
         outcome::Outcome,
         slots::SlotMessage,
@@ -274,6 +274,7 @@
             depth: 0,
             retry_allowance: false,
             upload,
+            terms: CallTerms::default(),
         };
         self.handle(entry, DispatchEvent::Arrive(call));
         id
--- a/crates/core/tests/support/probes.rs
+++ b/crates/core/tests/support/probes.rs
@@ -3,7 +3,7 @@
 use {
     super::{Cluster, server::FIRST_PROBE},
     hemlockford_core::{
-        dispatch::{DispatchAction, DispatchEvent, LoadReport},
+        dispatch::{DispatchAction, DispatchEvent, LoadReport, USUAL_PACE},
         measure::{MeasureCost, PROBE_TIMEOUT, WINDOW},
     },
     std::time::Duration,
@@ -81,7 +81,7 @@
     pub fn load(&self, server: usize) -> LoadReport {
         let server = &self.servers[server];
         let in_flight = (server.running.len() + server.queued.len()) as u32;
-        LoadReport { in_flight, slots: server.slots as u32 }
+        LoadReport { in_flight, slots: server.slots as u32, pace: USUAL_PACE }
     }
 
     /// Counts a header that asks for a report, or one that carries it.
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -6,7 +6,12 @@
         Method, RequestHead, Version,
         header::{self, HeaderName},
     },
-    hemlockford_core::{dispatch::Call, ids::CallId, outcome::NotRunReason, text::Text},
+    hemlockford_core::{
+        dispatch::{Call, CallTerms},
+        ids::CallId,
+        outcome::NotRunReason,
+        text::Text,
+    },
     std::time::{Duration, Instant},
 };
 
@@ -79,6 +84,7 @@
         depth,
         retry_allowance: depth == 0 || head.headers.contains_key(headers::ALLOWANCE),
         upload: !is_small,
+        terms: CallTerms::default(),
     };
     Ok(Parsed { call, framing, key: key.map(Into::into), expects_continue })
 }
--- a/crates/tools/src/slopes/dispatchers.rs
+++ b/crates/tools/src/slopes/dispatchers.rs
@@ -9,8 +9,8 @@
     hemlockford_core::{
         collections::FastMap,
         dispatch::{
-            AttemptResult, Call, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish, ServerState,
-            ServerView,
+            AttemptResult, Call, CallTerms, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher, Finish,
+            ServerState, ServerView,
         },
         errors::Result,
         ids::{InstanceId, ServerId},
@@ -156,6 +156,7 @@
             depth: 0,
             retry_allowance: false,
             upload: false,
+            terms: CallTerms::default(),
         };
         self.handle(entry, DispatchEvent::Arrive(call))
     }
