--- a/crates/hemlockford/src/main.rs
+++ b/crates/hemlockford/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod emulate;
 mod exit;
+mod fleet;
 mod load;
 mod local;
 mod log;
--- a/crates/hemlockford/src/run.rs
+++ b/crates/hemlockford/src/run.rs
@@ -4,6 +4,7 @@
     crate::{
         command::RunArguments,
         exit::Exit,
+        fleet,
         log::logger,
         stop::{Stop, StopSignals},
         text::read,
@@ -12,6 +13,7 @@
     hemlockford_core::errors::{ErrorKind, Result, unavailable},
     hemlockford_instance::{Instance, Settings},
     slog::{error, info},
+    std::path::Path,
 };
 
 pub(crate) fn run(arguments: &RunArguments) -> Result<Exit> {
@@ -28,6 +30,10 @@
     };
     actix_rt::System::new().block_on(async {
         let mut signals = StopSignals::install()?;
+        if let Some(fleet) = &settings.fleet {
+            let reload = || reload(&arguments.settings);
+            return fleet::run(&settings, fleet, signals, reload, &log).await;
+        }
         let mut instance = Instance::start(&settings, &log)?;
         let addresses = instance.addresses();
         print_line(addresses)?;
@@ -49,6 +55,11 @@
     })
 }
 
+/// Reads the settings again; `None` if they cannot be read now.
+fn reload(path: &Path) -> Option<Settings> {
+    Settings::parse(&std::fs::read_to_string(path).ok()?).ok()
+}
+
 /// Prints a value as one line of JSON, by which a script learns the addresses.
 pub(crate) fn print_line(value: &impl serde::Serialize) -> Result<()> {
     println!("{}", serde_json::to_string(value).change_context(ErrorKind::InvalidInput)?);
--- /dev/null
+++ b/crates/instance/src/fleet/balancer_task.rs
@@ -0,0 +1,109 @@
+//! The task that owns the balancer.
+
+use {
+    super::prober::{Probe, Prober},
+    crate::counters::Counters,
+    actix_rt::time::sleep_until,
+    hemlockford_core::{
+        collections::FastMap,
+        dispatch::{DispatchAction, DispatchEvent},
+        ids::CallId,
+        probing::Balancer,
+    },
+    hemlockford_proxy::{Decision, GateMessage},
+    std::time::{Duration, Instant},
+    tokio::{
+        select,
+        sync::{mpsc, oneshot},
+    },
+};
+
+/// Time until the next tick when the balancer names none.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+/// Messages that are taken in one turn.
+const BATCH: usize = 64;
+
+/// Carries events into the balancer and its actions out.
+pub(super) struct BalancerTask {
+    pub(super) balancer: Balancer,
+    pub(super) gate: mpsc::UnboundedReceiver<GateMessage>,
+    pub(super) events: mpsc::UnboundedReceiver<DispatchEvent>,
+    pub(super) prober: Prober,
+    pub(super) probed: mpsc::UnboundedReceiver<DispatchEvent>,
+    pub(super) waiting: FastMap<CallId, oneshot::Sender<Decision>>,
+    pub(super) counters: Counters,
+}
+
+impl BalancerTask {
+    pub(super) async fn run(mut self) {
+        let mut actions = Vec::new();
+        loop {
+            let wake = self.balancer.next_wake().unwrap_or_else(|| Instant::now() + LONGEST_SLEEP);
+            select! {
+                biased;
+                event = self.events.recv() => match event {
+                    Some(event) => self.handle(event, &mut actions),
+                    None => return,
+                },
+                Some(event) = self.probed.recv() => self.handle(event, &mut actions),
+                message = self.gate.recv() => match message {
+                    Some(message) => self.take(message, &mut actions),
+                    None => return,
+                },
+                () = sleep_until(wake.into()) => self.handle(DispatchEvent::Tick, &mut actions),
+            }
+            for _ in 0..BATCH {
+                let Ok(message) = self.gate.try_recv() else { break };
+                self.take(message, &mut actions);
+            }
+            self.counters.waiting.set(self.balancer.waiting() as i64);
+            self.counters.active.set(self.balancer.active() as i64);
+        }
+    }
+
+    fn take(&mut self, message: GateMessage, actions: &mut Vec<DispatchAction>) {
+        let event = match message {
+            GateMessage::Arrive(call, reply) => {
+                self.waiting.insert(call.id, reply);
+                DispatchEvent::Arrive(call)
+            }
+            GateMessage::Failed(finish, reply) => {
+                self.waiting.insert(finish.call, reply);
+                DispatchEvent::Finish(finish)
+            }
+            GateMessage::Done(finish) => DispatchEvent::Finish(finish),
+            GateMessage::Cancel(call) => {
+                self.waiting.remove(&call);
+                DispatchEvent::Cancel(call)
+            }
+        };
+        self.handle(event, actions);
+    }
+
+    fn handle(&mut self, event: DispatchEvent, actions: &mut Vec<DispatchAction>) {
+        self.balancer.handle(Instant::now(), event, actions);
+        for action in std::mem::take(actions) {
+            match action {
+                DispatchAction::Send { call, server, address, fresh_connection, pass_allowance, want_report } => {
+                    let decision = Decision::Send { server, address, fresh_connection, pass_allowance, want_report };
+                    self.decide(call, decision);
+                }
+                DispatchAction::Reject { call, outcome, retry_after } => {
+                    self.decide(call, Decision::Reject { outcome, retry_after });
+                }
+                DispatchAction::Probe { probe, server, address, limit, path } => {
+                    self.prober.start(Probe { number: probe, server, address, limit, path });
+                }
+                // Entries of a fleet have nothing to tell each other.
+                DispatchAction::Tell { .. } => {}
+            }
+        }
+    }
+
+    fn decide(&mut self, call: CallId, decision: Decision) {
+        if let Some(reply) = self.waiting.remove(&call) {
+            // The worker may have dropped the call; it reports that by itself.
+            let _ = reply.send(decision);
+        }
+    }
+}
--- /dev/null
+++ b/crates/instance/src/fleet/entry.rs
@@ -0,0 +1,197 @@
+//! An entry of a fleet.
+
+use {
+    super::{
+        Interface,
+        admin::{AdminTask, Readiness},
+        balancer_task::BalancerTask,
+        entry_task::EntryTask,
+        network::Network,
+        prober::Prober,
+        replica::seeds,
+    },
+    crate::{
+        clock::wall_clock,
+        counters::Counters,
+        guard::PanicGuard,
+        settings::{FleetSettings, Settings},
+        sockets::{bind, bind_both},
+    },
+    actix_rt::{
+        task::JoinHandle,
+        time::{sleep, sleep_until, timeout_at},
+    },
+    hemlockford_core::{
+        collections::FastMap,
+        dispatch::DispatchEvent,
+        errors::Result,
+        fleet::{EntryLink, EntryOptions},
+        ids::InstanceId,
+        probing::{Balancer, BalancerOptions},
+        text::Text,
+    },
+    hemlockford_proxy::{ConnectionBound, Gate, Handover, ProxyCounters, ProxyOptions, Worker},
+    prometheus::Registry,
+    rand::{SeedableRng, rngs::SmallRng},
+    slog::{Logger, info},
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::sync::{mpsc, watch},
+};
+
+/// Time for which requests are still served after readiness was lost: the platform asks once a second and
+/// stops sending connections after two refusals.
+const NOTICE: Duration = Duration::from_millis(2_700);
+/// Time that is left of the grace when the process ends.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+
+/// A running entry.
+pub struct FleetEntry {
+    port: u16,
+    grace: Duration,
+    seeds: mpsc::UnboundedSender<Vec<InstanceId>>,
+    is_draining: watch::Sender<bool>,
+    stop: watch::Sender<bool>,
+    worker: JoinHandle<Result<()>>,
+    failure: mpsc::UnboundedReceiver<Box<str>>,
+    log: Logger,
+}
+
+impl FleetEntry {
+    /// Binds the listeners and starts the tasks on the current thread.
+    pub fn start(
+        settings: &Settings,
+        fleet: &FleetSettings,
+        interface: Rc<dyn Interface>,
+        log: &Logger,
+    ) -> Result<Self> {
+        let callers = bind(settings.callers)?;
+        let admin_listener = bind(settings.admin)?;
+        let sockets = bind_both(settings.listen)?;
+        let listen = settings.listen;
+        let (id, incarnation): (InstanceId, _) = (listen.to_string().into(), wall_clock());
+        let registry = Registry::new();
+        let counters = Counters::register(&registry)?;
+        let proxy_counters = ProxyCounters::register(&registry)?;
+        let dialect = Rc::new(interface.dialect());
+
+        let (gate, gate_rx) = Gate::new();
+        let (events_tx, events_rx) = mpsc::unbounded_channel();
+        let (received_tx, received_rx) = mpsc::unbounded_channel();
+        let (seeds_tx, seeds_rx) = mpsc::unbounded_channel();
+        let (text_tx, text_rx) = watch::channel(Arc::<Text>::default());
+        let (step_tx, step_rx) = watch::channel(false);
+        let (drain_tx, drain_rx) = watch::channel(false);
+        let (stop_tx, stop_rx) = watch::channel(false);
+        let (failure_tx, failure_rx) = mpsc::unbounded_channel();
+
+        let options = EntryOptions {
+            id: id.clone(),
+            incarnation,
+            data_centre: settings.data_centre.clone(),
+            seeds: seeds(&fleet.seeds, listen.port()),
+            ..EntryOptions::default()
+        };
+        let task = EntryTask {
+            link: EntryLink::new(Instant::now(), options, SmallRng::seed_from_u64(incarnation)),
+            network: Network::start(sockets, (id, incarnation), counters.clone(), received_tx)?,
+            received: received_rx,
+            seeds: seeds_rx,
+            balancer: events_tx,
+            text: text_tx,
+            is_in_step: step_tx,
+            counters: counters.clone(),
+            log: log.clone(),
+        };
+        let guard = PanicGuard { part: "the link to the replicas", failure: failure_tx.clone() };
+        actix_rt::spawn(async move {
+            let _guard = guard;
+            task.run().await;
+        });
+        let (prober, probed) = Prober::new(dialect.clone());
+        let task = BalancerTask {
+            balancer: Balancer::new(balancer_options(settings, fleet), SmallRng::seed_from_u64(incarnation ^ 1)),
+            gate: gate_rx,
+            events: events_rx,
+            prober,
+            probed,
+            waiting: FastMap::default(),
+            counters,
+        };
+        let guard = PanicGuard { part: "the balancer", failure: failure_tx };
+        actix_rt::spawn(async move {
+            let _guard = guard;
+            task.run().await;
+        });
+        let admin = AdminTask {
+            interface,
+            replica: None,
+            readiness: Readiness { is_in_step: step_rx, is_draining: drain_rx },
+            registry,
+        };
+        actix_rt::spawn(admin.run(admin_listener));
+        let worker = Worker {
+            number: 0,
+            handover: Handover::among(1).remove(0),
+            options: ProxyOptions { dialect: (*dialect).clone(), ..ProxyOptions::fleet() },
+            gate,
+            text: text_rx,
+            stop: stop_rx,
+            claims: None,
+            counters: proxy_counters,
+            records: None,
+        };
+        let worker = actix_rt::spawn(worker.run(callers));
+        info!(log, "entry started"; "callers" => %settings.callers, "listen" => %listen);
+        Ok(Self {
+            port: listen.port(),
+            grace: fleet.grace,
+            seeds: seeds_tx,
+            is_draining: drain_tx,
+            stop: stop_tx,
+            worker,
+            failure: failure_rx,
+            log: log.clone(),
+        })
+    }
+
+    /// Takes the seeds of changed settings.
+    pub fn set_seeds(&self, addresses: &[SocketAddr]) {
+        let _ = self.seeds.send(seeds(addresses, self.port));
+    }
+
+    /// Waits until an invariant is broken, and returns what happened.
+    pub async fn failed(&mut self) -> Box<str> {
+        match self.failure.recv().await {
+            Some(failure) => failure,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Stops as planned: not ready first, after the notice no new calls, then every call in progress is
+    /// finished, within the grace that the platform gives.
+    pub async fn shut_down(self) {
+        let end = Instant::now() + self.grace.saturating_sub(EXIT_MARGIN);
+        info!(self.log, "shutting down: not ready");
+        self.is_draining.send_replace(true);
+        self.stop.send_replace(Stop::Draining);
+        sleep(NOTICE).await;
+        info!(self.log, "shutting down: no new calls");
+        self.stop.send_replace(Stop::Closing);
+        let _ = timeout_at(end.into(), self.worker).await;
+    }
+}
+
+fn balancer_options(settings: &Settings, fleet: &FleetSettings) -> BalancerOptions {
+    BalancerOptions {
+        data_centre: settings.data_centre.clone(),
+        ratio: fleet.retry_ratio,
+        slack: fleet.retry_slack,
+        window: fleet.retry_window,
+        ..BalancerOptions::default()
+    }
+}
--- /dev/null
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -0,0 +1,93 @@
+//! The task that owns an entry's link to the replicas.
+
+use {
+    super::network::Network,
+    crate::counters::Counters,
+    actix_rt::time::sleep_until,
+    hemlockford_core::{
+        dispatch::DispatchEvent,
+        fleet::{EntryAction, EntryEvent, EntryLink, FleetMessage},
+        ids::InstanceId,
+        text::Text,
+    },
+    hemlockford_net::Envelope,
+    slog::{Logger, info},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        select,
+        sync::{mpsc, watch},
+    },
+};
+
+/// Time until the next tick when the state machine names none.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+
+/// Carries events into the state machine and its actions out.
+pub(super) struct EntryTask {
+    pub(super) link: EntryLink,
+    pub(super) network: Network,
+    pub(super) received: mpsc::UnboundedReceiver<(Envelope<FleetMessage>, usize)>,
+    pub(super) seeds: mpsc::UnboundedReceiver<Vec<InstanceId>>,
+    pub(super) balancer: mpsc::UnboundedSender<DispatchEvent>,
+    pub(super) text: watch::Sender<Arc<Text>>,
+    pub(super) is_in_step: watch::Sender<bool>,
+    pub(super) counters: Counters,
+    pub(super) log: Logger,
+}
+
+impl EntryTask {
+    pub(super) async fn run(mut self) {
+        let mut actions = Vec::new();
+        self.link.handle(Instant::now(), EntryEvent::Tick, &mut actions);
+        self.carry_out(&mut actions);
+        loop {
+            let wake = self.link.next_wake().unwrap_or_else(|| Instant::now() + LONGEST_SLEEP);
+            let event = select! {
+                biased;
+                Some((envelope, bytes)) = self.received.recv() => {
+                    self.counters.count("any", "received", "fleet", bytes);
+                    let Envelope { from, incarnation, message } = envelope;
+                    EntryEvent::Receive { from, incarnation, message }
+                }
+                seeds = self.seeds.recv() => match seeds {
+                    Some(seeds) => EntryEvent::Seeds(seeds),
+                    None => return,
+                },
+                () = sleep_until(wake.into()) => EntryEvent::Tick,
+            };
+            self.link.handle(Instant::now(), event, &mut actions);
+            self.carry_out(&mut actions);
+        }
+    }
+
+    fn carry_out(&mut self, actions: &mut Vec<EntryAction>) {
+        for action in actions.drain(..) {
+            match action {
+                EntryAction::Send { to, message } => self.network.send(&to, message),
+                EntryAction::Text(text) => {
+                    info!(self.log, "text installed"; "number" => text.number);
+                    // The balancer knows the services before any worker sends it calls to them.
+                    self.tell(DispatchEvent::Configure(text.clone()));
+                    self.text.send_replace(text);
+                }
+                EntryAction::Servers(service, servers) => self.tell(DispatchEvent::Servers(service, servers)),
+                EntryAction::Entries(count) => {
+                    self.tell(DispatchEvent::Peers(vec![InstanceId::default(); count as usize]));
+                }
+                EntryAction::Ready(is_ready) => {
+                    info!(self.log, "readiness changed"; "ready" => is_ready);
+                    self.is_in_step.send_replace(is_ready);
+                }
+                EntryAction::Log(entry) => info!(self.log, "{}", entry),
+            }
+        }
+    }
+
+    fn tell(&self, event: DispatchEvent) {
+        // Without the balancer the process is stopping.
+        let _ = self.balancer.send(event);
+    }
+}
--- /dev/null
+++ b/crates/instance/src/fleet/mod.rs
@@ -0,0 +1,20 @@
+//! The tasks of an instance of a fleet: an entry or a control replica.
+//!
+//! All tasks of a process run on one thread, because the machines have a fraction of one core; a replica
+//! has one more thread for fsync.
+
+mod admin;
+mod balancer_task;
+mod entry;
+mod entry_task;
+mod interface;
+mod network;
+mod prober;
+mod replica;
+mod replica_task;
+
+pub use {
+    entry::FleetEntry,
+    interface::{AdminReply, AdminRequest, Interface},
+    replica::FleetReplica,
+};
--- /dev/null
+++ b/crates/instance/src/fleet/network.rs
@@ -0,0 +1,72 @@
+//! Sockets between the instances of a fleet.
+
+use {
+    crate::counters::Counters,
+    hemlockford_core::{
+        errors::{ErrorKind, Result},
+        fleet::FleetMessage,
+        ids::{Incarnation, InstanceId},
+    },
+    hemlockford_net::{DatagramSocket, Envelope, NetOptions, StreamLinks, StreamListener},
+    std::net::{SocketAddr, TcpListener, UdpSocket},
+    tokio::sync::mpsc,
+};
+
+/// Connections accepted from other instances. With 300 entries to 7 replicas each replica has about 50.
+const MAX_CONNECTIONS: usize = 1_024;
+/// Time for opening a connection. An instance without power does not answer.
+const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(300);
+
+/// Sends messages to other instances, whose names are their addresses.
+pub(super) struct Network {
+    id: InstanceId,
+    incarnation: Incarnation,
+    socket: DatagramSocket,
+    links: StreamLinks,
+    counters: Counters,
+}
+
+impl Network {
+    /// Takes over the sockets; every message received is passed on.
+    pub(super) fn start(
+        (listen, datagrams): (TcpListener, UdpSocket),
+        (id, incarnation): (InstanceId, Incarnation),
+        counters: Counters,
+        received: mpsc::UnboundedSender<(Envelope<FleetMessage>, usize)>,
+    ) -> Result<Self> {
+        let options = NetOptions {
+            connect_timeout: CONNECT_TIMEOUT,
+            max_connections: MAX_CONNECTIONS,
+            ..NetOptions::default()
+        };
+        let socket = DatagramSocket::new(datagrams)?;
+        actix_rt::spawn(StreamListener::new(listen, options.clone())?.run(received.clone()));
+        actix_rt::spawn(receive(socket.clone(), received, counters.clone()));
+        Ok(Self { id, incarnation, socket, links: StreamLinks::on_demand(&options), counters })
+    }
+
+    /// Sends a message, in a datagram if it fits one. It may be lost either way.
+    pub(super) fn send(&mut self, to: &str, message: FleetMessage) {
+        let is_small = message.fits_datagram();
+        let envelope = Envelope { from: self.id.clone(), incarnation: self.incarnation, message };
+        let Ok(address) = to.parse::<SocketAddr>() else { return };
+        let sent = if is_small { self.socket.send(address, &envelope) } else { self.links.send(to, &envelope) };
+        self.counters.count(if is_small { "udp" } else { "tcp" }, "sent", "fleet", sent.unwrap_or_default());
+    }
+}
+
+async fn receive(
+    socket: DatagramSocket,
+    received: mpsc::UnboundedSender<(Envelope<FleetMessage>, usize)>,
+    counters: Counters,
+) {
+    while !received.is_closed() {
+        match socket.receive().await {
+            // Without a receiver the process is stopping.
+            Ok(message) => drop(received.send(message)),
+            Err(report) if *report.current_context() == ErrorKind::Corrupt => counters.malformed.inc(),
+            // An error of an earlier send to an instance that is down is reported here; the socket goes on.
+            Err(_) => actix_rt::task::yield_now().await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/instance/src/fleet/replica.rs
@@ -0,0 +1,158 @@
+//! A control replica of a fleet.
+
+use {
+    super::{
+        Interface,
+        admin::{AdminTask, Readiness},
+        network::Network,
+        replica_task::{ReplicaMessage, ReplicaTask},
+    },
+    crate::{
+        clock::wall_clock,
+        counters::Counters,
+        durable::Durable,
+        guard::PanicGuard,
+        settings::{FleetSettings, Settings},
+        sockets::{bind, bind_both},
+        storage::StorageTask,
+    },
+    actix_rt::time::timeout,
+    hemlockford_core::{
+        collections::FastMap,
+        errors::{Result, invalid_input},
+        fleet::{Replica, ReplicaOptions},
+        ids::InstanceId,
+    },
+    prometheus::Registry,
+    rand::{SeedableRng, rngs::SmallRng},
+    slog::{Logger, info, warn},
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        sync::mpsc as blocking,
+        time::{Duration, Instant},
+    },
+    tokio::sync::{mpsc, watch},
+};
+
+/// Time for handing over leadership on a planned stop; an election takes at most about as long.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(2);
+
+/// A running control replica.
+pub struct FleetReplica {
+    port: u16,
+    messages: mpsc::UnboundedSender<ReplicaMessage>,
+    stopped: mpsc::UnboundedReceiver<()>,
+    failure: mpsc::UnboundedReceiver<Box<str>>,
+    log: Logger,
+}
+
+impl FleetReplica {
+    /// Binds the listeners, opens the data folder and starts the tasks on the current thread.
+    pub fn start(
+        settings: &Settings,
+        fleet: &FleetSettings,
+        interface: Rc<dyn Interface>,
+        log: &Logger,
+    ) -> Result<Self> {
+        let admin_listener = bind(settings.admin)?;
+        let sockets = bind_both(settings.listen)?;
+        let listen = settings.listen;
+        let Durable { incarnation, store, recovered } = Durable::open(settings, log)?;
+        let (Some(store), Some(recovered)) = (store, recovered) else {
+            return Err(invalid_input("a replica needs a data folder"));
+        };
+        let registry = Registry::new();
+        let counters = Counters::register(&registry)?;
+        let (messages_tx, messages_rx) = mpsc::unbounded_channel();
+        let (received_tx, received_rx) = mpsc::unbounded_channel();
+        let (persisted_tx, persisted_rx) = mpsc::unbounded_channel();
+        let (stopped_tx, stopped_rx) = mpsc::unbounded_channel();
+        let (failure_tx, failure_rx) = mpsc::unbounded_channel();
+        let (storage_tx, storage_rx) = blocking::channel();
+        let storage = StorageTask {
+            store,
+            rx: storage_rx,
+            persisted: Box::new(move |up_to| {
+                // Without a receiver the process is stopping.
+                let _ = persisted_tx.send(up_to);
+            }),
+            failure: failure_tx.clone(),
+            seconds: counters.storage_seconds.clone(),
+            full: counters.storage_full.clone(),
+            log: log.clone(),
+        };
+        std::thread::spawn(move || storage.run());
+        let id: InstanceId = listen.to_string().into();
+        let options = ReplicaOptions {
+            id: id.clone(),
+            incarnation,
+            data_centre: settings.data_centre.clone(),
+            seeds: seeds(&fleet.seeds, listen.port()),
+            first_start: fleet.first_start,
+            voters: 2 * fleet.tolerate + 1,
+            ..ReplicaOptions::default()
+        };
+        let mut actions = Vec::new();
+        let rng = SmallRng::seed_from_u64(wall_clock());
+        let replica = Replica::new(Instant::now(), options, recovered, rng, &mut actions);
+        let task = ReplicaTask {
+            replica,
+            network: Network::start(sockets, (id, incarnation), counters.clone(), received_tx)?,
+            received: received_rx,
+            messages: messages_rx,
+            persisted: persisted_rx,
+            storage: storage_tx,
+            stopped: stopped_tx,
+            failure: failure_tx.clone(),
+            counters,
+            log: log.clone(),
+            asked: FastMap::default(),
+            last_ask: 0,
+        };
+        let guard = PanicGuard { part: "the replica", failure: failure_tx };
+        actix_rt::spawn(async move {
+            let _guard = guard;
+            task.run(actions).await;
+        });
+        // A replica takes no callers.
+        let (_, never) = watch::channel(false);
+        let readiness = Readiness { is_in_step: never.clone(), is_draining: never };
+        let admin = AdminTask { interface, replica: Some(messages_tx.clone()), readiness, registry };
+        actix_rt::spawn(admin.run(admin_listener));
+        info!(log, "replica started"; "admin" => %settings.admin, "listen" => %listen);
+        Ok(Self {
+            port: listen.port(),
+            messages: messages_tx,
+            stopped: stopped_rx,
+            failure: failure_rx,
+            log: log.clone(),
+        })
+    }
+
+    /// Takes the seeds of changed settings.
+    pub fn set_seeds(&self, addresses: &[SocketAddr]) {
+        let _ = self.messages.send(ReplicaMessage::Seeds(seeds(addresses, self.port)));
+    }
+
+    /// Waits until an invariant is broken or the data folder fails, and returns what happened.
+    pub async fn failed(&mut self) -> Box<str> {
+        match self.failure.recv().await {
+            Some(failure) => failure,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Hands leadership over.
+    pub async fn shut_down(mut self) {
+        let _ = self.messages.send(ReplicaMessage::Stop);
+        if timeout(HAND_OVER_LIMIT, self.stopped.recv()).await.is_err() {
+            warn!(self.log, "leadership was not handed over in time");
+        }
+    }
+}
+
+/// Returns the names of the seeds: all instances of a fleet use the same port among themselves.
+pub(super) fn seeds(addresses: &[SocketAddr], port: u16) -> Vec<InstanceId> {
+    addresses.iter().map(|address| SocketAddr::new(address.ip(), port).to_string().into()).collect()
+}
--- /dev/null
+++ b/crates/instance/src/fleet/replica_task.rs
@@ -0,0 +1,126 @@
+//! The task that owns the replica's state machine.
+
+use {
+    super::network::Network,
+    crate::{clock::wall_clock, counters::Counters, storage::StorageWrite},
+    actix_rt::time::sleep_until,
+    hemlockford_core::{
+        collections::FastMap,
+        fleet::{FleetMessage, Replica, ReplicaAction, ReplicaAnswer, ReplicaEvent},
+    },
+    hemlockford_net::Envelope,
+    slog::{Logger, info},
+    std::{
+        sync::mpsc as blocking,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        select,
+        sync::{mpsc, oneshot},
+    },
+};
+
+/// Nanoseconds in a millisecond.
+const MILLISECOND: u64 = 1_000_000;
+/// Time until the next tick when the state machine names none.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+
+/// What the replica's task is told.
+#[derive(Debug)]
+pub(super) enum ReplicaMessage {
+    /// An event, whose answer goes to the sender.
+    Ask(Ask, oneshot::Sender<ReplicaAnswer>),
+    /// The settings name other seeds.
+    Seeds(Vec<Box<str>>),
+    /// The process stops as planned.
+    Stop,
+}
+
+/// A request from outside the fleet.
+#[derive(Debug)]
+pub(super) enum Ask {
+    Announce(hemlockford_core::fleet::Record),
+    Depart { server: Box<str>, born: Option<u64> },
+    Submit(Box<str>),
+    Read,
+}
+
+/// Carries events into the state machine and its actions out.
+pub(super) struct ReplicaTask {
+    pub(super) replica: Replica,
+    pub(super) network: Network,
+    pub(super) received: mpsc::UnboundedReceiver<(Envelope<FleetMessage>, usize)>,
+    pub(super) messages: mpsc::UnboundedReceiver<ReplicaMessage>,
+    pub(super) persisted: mpsc::UnboundedReceiver<u64>,
+    pub(super) storage: blocking::Sender<StorageWrite>,
+    pub(super) stopped: mpsc::UnboundedSender<()>,
+    pub(super) failure: mpsc::UnboundedSender<Box<str>>,
+    pub(super) counters: Counters,
+    pub(super) log: Logger,
+    pub(super) asked: FastMap<u64, oneshot::Sender<ReplicaAnswer>>,
+    pub(super) last_ask: u64,
+}
+
+impl ReplicaTask {
+    /// Runs until the process ends. The actions of the state machine's creation are carried out first.
+    pub(super) async fn run(mut self, mut actions: Vec<ReplicaAction>) {
+        self.carry_out(&mut actions);
+        loop {
+            let wake = self.replica.next_wake().unwrap_or_else(|| Instant::now() + LONGEST_SLEEP);
+            let event = select! {
+                biased;
+                Some(up_to) = self.persisted.recv() => ReplicaEvent::Persisted { up_to },
+                Some((envelope, bytes)) = self.received.recv() => {
+                    self.counters.count("any", "received", "fleet", bytes);
+                    let Envelope { from, incarnation, message } = envelope;
+                    ReplicaEvent::Receive { from, incarnation, message }
+                }
+                message = self.messages.recv() => match message {
+                    Some(message) => self.event(message),
+                    None => return,
+                },
+                () = sleep_until(wake.into()) => ReplicaEvent::Tick,
+            };
+            self.replica.handle(Instant::now(), event, &mut actions);
+            self.carry_out(&mut actions);
+        }
+    }
+
+    fn event(&mut self, message: ReplicaMessage) -> ReplicaEvent {
+        let (ask, reply) = match message {
+            ReplicaMessage::Ask(ask, reply) => (ask, reply),
+            ReplicaMessage::Seeds(seeds) => return ReplicaEvent::Seeds(seeds),
+            ReplicaMessage::Stop => return ReplicaEvent::Stop,
+        };
+        self.last_ask += 1;
+        let (id, wall_ms) = (self.last_ask, wall_clock() / MILLISECOND);
+        self.asked.insert(id, reply);
+        match ask {
+            Ask::Announce(record) => ReplicaEvent::Announce { id, record, wall_ms },
+            Ask::Depart { server, born } => ReplicaEvent::Depart { id, server, born, wall_ms },
+            Ask::Submit(text) => ReplicaEvent::Submit { id, text },
+            Ask::Read => ReplicaEvent::Read { id },
+        }
+    }
+
+    fn carry_out(&mut self, actions: &mut Vec<ReplicaAction>) {
+        for action in actions.drain(..) {
+            match action {
+                ReplicaAction::Send { to, message } => self.network.send(&to, message),
+                // Without the storage thread the folder has failed, and the process stops.
+                ReplicaAction::Write { sequence, write } => {
+                    let _ = self.storage.send(StorageWrite { sequence, write });
+                }
+                ReplicaAction::Answer { id, answer } => {
+                    if let Some(reply) = self.asked.remove(&id) {
+                        // The caller may have left.
+                        let _ = reply.send(answer);
+                    }
+                }
+                ReplicaAction::Log(entry) => info!(self.log, "{}", entry),
+                ReplicaAction::Stopped => drop(self.stopped.send(())),
+                ReplicaAction::Broken(what) => drop(self.failure.send(what.into())),
+            }
+        }
+    }
+}
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -85,10 +85,14 @@
 
         let storage = store.map(|store| {
             let (tx, rx) = blocking::channel();
+            let persisted_tx = control_tx.clone();
             let task = StorageTask {
                 store,
                 rx,
-                control: control_tx.clone(),
+                persisted: Box::new(move |up_to| {
+                    // Without a receiver the process is stopping.
+                    let _ = persisted_tx.send(ControlMessage::Persisted(up_to));
+                }),
                 failure: failure_tx.clone(),
                 seconds: counters.storage_seconds.clone(),
                 full: counters.storage_full.clone(),
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -12,6 +12,7 @@
 mod counters;
 mod dispatcher;
 mod durable;
+mod fleet;
 mod guard;
 mod instance;
 mod measure;
@@ -25,6 +26,7 @@
 
 pub use {
     addresses::Addresses,
+    fleet::{AdminReply, AdminRequest, FleetEntry, FleetReplica, Interface},
     instance::Instance,
-    settings::{Peer, Settings},
+    settings::{FleetRole, FleetSettings, Peer, Settings},
 };
--- a/crates/instance/src/settings/mod.rs
+++ b/crates/instance/src/settings/mod.rs
@@ -1,9 +1,13 @@
 //! Settings of one instance.
 
+mod fleet;
 mod parse;
 mod peer;
 
-pub use peer::Peer;
+pub use {
+    fleet::{FleetRole, FleetSettings},
+    peer::Peer,
+};
 
 use {
     hemlockford_core::{
@@ -21,7 +25,7 @@
 const MAX_WORKERS: usize = 64;
 
 /// Settings of one instance, section `[instance]`.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of this instance.
     pub id: InstanceId,
@@ -39,8 +43,10 @@
     pub data: Option<PathBuf>,
     /// Time between losing readiness and refusing new calls on a planned stop.
     pub notice: Duration,
-    /// The other instances.
+    /// The other instances of a roster.
     pub peers: Vec<Peer>,
+    /// Settings of a fleet, if the instance belongs to one rather than to a roster.
+    pub fleet: Option<FleetSettings>,
 }
 
 impl Default for Settings {
@@ -56,6 +62,7 @@
             data: None,
             notice: DEFAULT_NOTICE,
             peers: Vec::new(),
+            fleet: None,
         }
     }
 }
--- a/crates/instance/src/settings/parse.rs
+++ b/crates/instance/src/settings/parse.rs
@@ -1,12 +1,15 @@
 //! Parser of settings that collects every fault.
 
 use {
-    super::{MAX_WORKERS, Peer, Settings},
+    super::{FleetRole, FleetSettings, MAX_WORKERS, Peer, Settings},
     hemlockford_core::{collections::FastMap, text::Fault, units::parse_duration},
     ini::{Ini, Properties},
-    std::{net::SocketAddr, str::FromStr},
+    std::{net::SocketAddr, str::FromStr, time::Duration},
 };
 
+/// Most lost data folders that a group can be asked to bear.
+const MAX_TOLERATED: usize = 4;
+
 /// Reads settings and collects every fault.
 pub(super) struct Parser<'a> {
     source: &'a str,
@@ -45,7 +48,8 @@
             match section.split_once(' ').map_or((section, ""), |(kind, name)| (kind, name.trim())) {
                 ("instance", "") => self.read_instance(section, properties),
                 ("peer", name) if !name.is_empty() => self.read_peer(section, name, properties),
-                _ => self.fault(section, "", "unknown section; expected [instance] or [peer NAME]"),
+                ("fleet", "") => self.read_fleet(section, properties),
+                _ => self.fault(section, "", "unknown section; expected [instance], [fleet] or [peer NAME]"),
             }
         }
         self.check_duplicates(ini);
@@ -66,10 +70,7 @@
                 },
                 "data" if value.is_empty() => self.fault(section, key, "expected a folder"),
                 "data" => self.settings.data = Some(value.into()),
-                "notice" => match parse_duration(value) {
-                    Some(notice) => self.settings.notice = notice,
-                    None => self.fault(section, key, "expected a duration such as 5s"),
-                },
+                "notice" => self.settings.notice = self.duration(section, key, value),
                 _ => self.fault(
                     section,
                     key,
@@ -79,6 +80,45 @@
         }
     }
 
+    fn read_fleet(&mut self, section: &str, properties: &Properties) {
+        let mut fleet = FleetSettings::default();
+        for (key, value) in properties.iter() {
+            match (key, value) {
+                ("role", "entry") => fleet.role = FleetRole::Entry,
+                ("role", "replica") => fleet.role = FleetRole::Replica,
+                ("role", _) => self.fault(section, key, "expected entry or replica"),
+                ("interface", _) => fleet.interface = Some(value.into()),
+                ("seeds", _) => {
+                    for seed in value.split(',').map(str::trim).filter(|seed| !seed.is_empty()) {
+                        match seed.parse() {
+                            Ok(seed) => fleet.seeds.push(seed),
+                            Err(_) => self.fault(section, key, "expected IP addresses with ports, separated by commas"),
+                        }
+                    }
+                }
+                ("first-start", "true") => fleet.first_start = true,
+                ("first-start", "false") => fleet.first_start = false,
+                ("first-start", _) => self.fault(section, key, "expected true or false"),
+                ("tolerate", _) => match value.parse() {
+                    Ok(tolerate) if tolerate <= MAX_TOLERATED => fleet.tolerate = tolerate,
+                    Ok(_) | Err(_) => {
+                        self.fault(section, key, &format!("expected a number from 0 to {MAX_TOLERATED}"));
+                    }
+                },
+                ("retry-ratio", _) => fleet.retry_ratio = self.amount(section, key, value),
+                ("retry-slack", _) => fleet.retry_slack = self.amount(section, key, value),
+                ("retry-window", _) => fleet.retry_window = self.duration(section, key, value),
+                ("grace", _) => fleet.grace = self.duration(section, key, value),
+                // The platform fills the file in and may come to know more than this version does.
+                _ => {}
+            }
+        }
+        if fleet.role == FleetRole::Replica && self.settings.data.is_none() {
+            self.fault(section, "role", "a replica needs the key data in [instance] before this section");
+        }
+        self.settings.fleet = Some(fleet);
+    }
+
     fn read_peer(&mut self, section: &str, name: &str, properties: &Properties) {
         let mut peer = Peer { id: name.into(), address: SocketAddr::from(([0, 0, 0, 0], 0)), replica: false };
         let mut has_address = false;
@@ -156,6 +196,21 @@
         set(&mut self.settings, value.into());
     }
 
+    fn duration(&mut self, section: &str, key: &str, value: &str) -> Duration {
+        parse_duration(value).unwrap_or_else(|| {
+            self.fault(section, key, "expected a duration such as 5s");
+            Duration::ZERO
+        })
+    }
+
+    fn amount(&mut self, section: &str, key: &str, value: &str) -> f64 {
+        let amount = value.parse().ok().filter(|amount: &f64| amount.is_finite() && *amount >= 0.0);
+        amount.unwrap_or_else(|| {
+            self.fault(section, key, "expected a number that is not negative");
+            0.0
+        })
+    }
+
     fn address(&mut self, section: &str, key: &str, value: &str, default: SocketAddr) -> SocketAddr {
         value.parse().unwrap_or_else(|_| {
             self.fault(section, key, "expected an IP address with a port, such as 127.0.0.1:8080");
--- a/crates/instance/src/sockets.rs
+++ b/crates/instance/src/sockets.rs
@@ -35,7 +35,7 @@
     }
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener> {
+pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener> {
     let listener = TcpListener::bind(address)
         .change_context(ErrorKind::Io)
         .attach_with(|| format!("cannot listen on {address}"))?;
@@ -44,7 +44,7 @@
 }
 
 /// Binds the same port for TCP and UDP. With port 0 the port that TCP got may be taken for UDP.
-fn bind_both(address: SocketAddr) -> Result<(TcpListener, UdpSocket)> {
+pub(crate) fn bind_both(address: SocketAddr) -> Result<(TcpListener, UdpSocket)> {
     let mut attempts = if address.port() == 0 { BIND_ATTEMPTS } else { 1 };
     loop {
         let listener = bind(address)?;
--- a/crates/instance/src/storage.rs
+++ b/crates/instance/src/storage.rs
@@ -3,7 +3,6 @@
 //! It has a thread of its own, because an fsync blocks for milliseconds and heartbeats must not wait for it.
 
 use {
-    crate::control::ControlMessage,
     hemlockford_core::{consensus::Write, errors::ErrorKind},
     hemlockford_store::Store,
     prometheus::{Histogram, IntCounter},
@@ -28,7 +27,8 @@
 pub(crate) struct StorageTask {
     pub(crate) store: Store,
     pub(crate) rx: Receiver<StorageWrite>,
-    pub(crate) control: mpsc::UnboundedSender<ControlMessage>,
+    /// Told the sequence of the last durable write.
+    pub(crate) persisted: Box<dyn Fn(u64) + Send>,
     pub(crate) failure: mpsc::UnboundedSender<Box<str>>,
     pub(crate) seconds: Histogram,
     pub(crate) full: IntCounter,
@@ -51,7 +51,7 @@
                     if std::mem::take(&mut is_full) {
                         info!(self.log, "data folder has room again");
                     }
-                    let _ = self.control.send(ControlMessage::Persisted(up_to));
+                    (self.persisted)(up_to);
                 }
                 Err(report) if *report.current_context() == ErrorKind::Limit => {
                     self.full.inc();
