Parse and write routes, limits and durations in microseconds

The types of routes and limits were laid out, but the parser refused their sections. Routes are read after the services, because the default of a timeout is a deadline of a service. Text::write gives the source of a text that a program built; parsing it gives an equal text for 3,000 generated ones. Sub-millisecond durations need a unit that does not round, so microseconds are written as 1500us.

--- a/crates/core/src/text/check.rs
+++ b/crates/core/src/text/check.rs
@@ -3,6 +3,7 @@
 use {
     super::{MAX_DEPTH, graph::Graph, parse::Parsed},
     crate::{collections::FastSet, ids::ServiceId},
+    std::time::Duration,
 };
 
 /// Adds the faults of the text as a whole.
@@ -78,9 +79,9 @@
             let Some(other) = parsed.text.services.get(dependency) else { continue };
             if service.deadline <= other.deadline {
                 let message = format!(
-                    "{} ms is not longer than the {} ms of '{dependency}', on which it depends",
-                    service.deadline.as_millis(),
-                    other.deadline.as_millis()
+                    "{} is not longer than the {} of '{dependency}', on which it depends",
+                    with_unit(service.deadline),
+                    with_unit(other.deadline)
                 );
                 faults.push((section(name), message));
             }
@@ -91,6 +92,14 @@
     }
 }
 
+/// Writes a duration in milliseconds, or in microseconds where it would lose some.
+fn with_unit(duration: Duration) -> String {
+    match duration.as_micros() {
+        micros if micros.is_multiple_of(1_000) => format!("{} ms", micros / 1_000),
+        micros => format!("{micros} us"),
+    }
+}
+
 fn section(service: &str) -> String {
     format!("service {service}")
 }
--- a/crates/core/src/text/mod.rs
+++ b/crates/core/src/text/mod.rs
@@ -1,4 +1,4 @@
-//! The operators' text: services, what each depends on, customers and budgets.
+//! The operators' text: services, what each depends on, routes, customers and budgets.
 //!
 //! The text is the only lever of the operators. It is parsed and checked as a whole; all faults are
 //! reported at once, each with its section, key and line.
@@ -15,11 +15,13 @@
 mod model;
 mod objective;
 mod parse;
+mod parse_route;
 mod policy;
 mod route;
 mod route_kind;
 mod service;
 mod target;
+mod write;
 
 pub use {
     claims::Claims, customer::Customer, fault::Fault, limits::Limits, measure::Measure, model::Text,
--- a/crates/core/src/text/model.rs
+++ b/crates/core/src/text/model.rs
@@ -1,7 +1,7 @@
 //! The checked text.
 
 use {
-    super::{Claims, Customer, Fault, Limits, Measure, Route, Service, check, parse},
+    super::{Claims, Customer, Fault, Limits, Measure, Route, Service, check, parse, write},
     crate::{
         collections::FastMap,
         ids::{ChangeNumber, CustomerId, ServiceId},
@@ -47,6 +47,20 @@
         Err(parsed.faults)
     }
 
+    /// Writes the source of a text. Parsing it gives an equal text, if this one could come from a source: its
+    /// names and values are permitted ones and its durations are whole microseconds.
+    ///
+    /// ```
+    /// use hemlockford_core::text::{Service, Text};
+    /// let mut text = Text { number: 1, ..Text::default() };
+    /// text.services.insert("catalogue".into(), Service { queue: 50, ..Service::default() });
+    /// assert_eq!(text.write(), "[change]\nnumber = 1\n\n[service catalogue]\nqueue = 50\n");
+    /// assert_eq!(Text::parse(&text.write()), Ok(text));
+    /// ```
+    pub fn write(&self) -> String {
+        write::write(self)
+    }
+
     /// Returns the weight of a customer at a service.
     pub fn weight(&self, service: &str, customer: &str) -> u32 {
         let share = self.services.get(service).and_then(|service| service.shares.get(customer));
--- a/crates/core/src/text/objective.rs
+++ b/crates/core/src/text/objective.rs
@@ -1,12 +1,14 @@
 //! The service-level objective of a service.
 
 use {
-    crate::units::{Share, parse_duration},
+    crate::units::{Share, format_duration, parse_duration},
+    derive_more::Display,
     std::time::Duration,
 };
 
 /// Share of calls that must be answered within a latency.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("{share} in {}", format_duration(*latency))]
 pub struct Objective {
     /// Share of calls that must be good.
     pub share: Share,
--- a/crates/core/src/text/parse.rs
+++ b/crates/core/src/text/parse.rs
@@ -1,7 +1,12 @@
 //! Reads the INI form of a text.
 
 use {
-    super::{Customer, Fault, MAX_TEXT_BYTES, Objective, Policy, Service, Text, lines::Lines, locator::Locator},
+    super::{
+        Customer, Fault, MAX_TEXT_BYTES, Objective, Policy, Service, Text,
+        lines::Lines,
+        locator::Locator,
+        parse_route::{RouteParser, is_dotted_name, is_path},
+    },
     crate::units::{Share, parse_duration},
     ini::{Ini, ParseOption, Properties},
 };
@@ -23,7 +28,7 @@
     }
 
     /// Stores a parsed value, or records what was expected in its place.
-    fn set<T>(&mut self, place: (&str, &str), target: &mut T, value: Option<T>, expected: &str) {
+    pub(super) fn set<T>(&mut self, place: (&str, &str), target: &mut T, value: Option<T>, expected: &str) {
         match value {
             Some(value) => *target = value,
             None => self.fault(place.0, place.1, format!("expected {expected}")),
@@ -69,6 +74,8 @@
     }
 
     fn read_sections(&mut self, ini: &Ini) {
+        // Routes are read last: the default of their timeout is a deadline of a service.
+        let mut routes = Vec::new();
         for (section, properties) in ini.iter() {
             let Some(section) = section else {
                 self.read_unsectioned(properties);
@@ -79,12 +86,21 @@
                 ("change", "") => self.read_change(section, properties),
                 ("measure", "") => self.read_measure(section, properties),
                 ("claims", "") => self.read_claims(section, properties),
+                ("limits", "") => self.read_limits(section, properties),
                 ("customer", name) if is_name(name) => self.read_customer(section, name, properties),
-                ("service", name) if is_name(name) => self.read_service(section, name, properties),
-                ("customer" | "service", _) => self.parsed.fault(section, "", "expected a name of a-z, 0-9, - and _"),
+                ("service", name) if is_dotted_name(name) => self.read_service(section, name, properties),
+                ("route", name) if is_dotted_name(name) => routes.push((section, name, properties)),
+                ("customer", _) => self.parsed.fault(section, "", "expected a name of a-z, 0-9, - and _"),
+                ("service" | "route", _) => {
+                    self.parsed.fault(section, "", "expected a name of a-z, 0-9, dots, - and _");
+                }
                 _ => self.parsed.fault(section, "", "unknown section"),
             }
         }
+        let mut parser = RouteParser::new(&mut self.parsed);
+        for (section, name, properties) in routes {
+            parser.read(section, name, properties);
+        }
     }
 
     fn read_unsectioned(&mut self, properties: &Properties) {
@@ -139,6 +155,31 @@
         self.parsed.text.claims = claims;
     }
 
+    fn read_limits(&mut self, section: &str, properties: &Properties) {
+        let mut limits = std::mem::take(&mut self.parsed.text.limits);
+        for (key, value) in properties.iter() {
+            let place = (section, key);
+            let duration = || parse_duration(value).filter(|duration| !duration.is_zero());
+            match key {
+                "header-bytes" => {
+                    let value = value.parse().ok().filter(|bytes| *bytes > 0);
+                    self.parsed.set(place, &mut limits.header_bytes, value, "a whole number of bytes above 0");
+                }
+                "body-bytes" => {
+                    self.parsed.set(place, &mut limits.body_bytes, value.parse().ok(), "a whole number of bytes");
+                }
+                "header-timeout" => {
+                    self.parsed.set(place, &mut limits.header_timeout, duration(), "a duration such as 5s");
+                }
+                "idle-timeout" => {
+                    self.parsed.set(place, &mut limits.idle_timeout, duration(), "a duration such as 60s");
+                }
+                _ => self.parsed.fault(section, key, "unknown key"),
+            }
+        }
+        self.parsed.text.limits = limits;
+    }
+
     fn read_customer(&mut self, section: &str, name: &str, properties: &Properties) {
         let mut customer = Customer::default();
         for (key, value) in properties.iter() {
@@ -184,6 +225,14 @@
                 let value = value.parse().ok().filter(|queue| *queue > 0);
                 parsed.set(place, &mut service.queue, value, "a whole number above 0");
             }
+            "health" => {
+                let value = Some(value).filter(|path| is_path(path)).map(Into::into);
+                parsed.set(place, &mut service.health, value, "a path such as /probe");
+            }
+            "connections" => {
+                let value = value.parse().ok().filter(|connections| *connections > 0);
+                parsed.set(place, &mut service.connections, value, "a whole number above 0");
+            }
             key => match key.strip_prefix("share.") {
                 Some(customer) => match value.parse() {
                     Ok(share) => {
--- /dev/null
+++ b/crates/core/src/text/parse_route.rs
@@ -0,0 +1,169 @@
+//! Reads the sections of routes.
+
+use {
+    super::{
+        Route, RouteKind, Target,
+        parse::Parsed,
+        route::{DEFAULT_ATTEMPTS, DEFAULT_OBJECTIVE, DEFAULT_PRIORITY, MAX_TIMEOUT, default_timeout},
+    },
+    crate::{
+        collections::{FastMap, FastSet},
+        dispatch::CallTerms,
+        units::parse_duration,
+    },
+    ini::Properties,
+    std::time::Duration,
+};
+
+const KEYS: [&str; 9] = ["host", "prefix", "kind", "timeout", "objective", "priority", "attempts", "service", "split"];
+
+/// Parser of the sections of routes, after those of services.
+pub(super) struct RouteParser<'a> {
+    parsed: &'a mut Parsed,
+    /// Names of routes by host and prefix.
+    names: FastMap<(Box<str>, Box<str>), Box<str>>,
+}
+
+impl<'a> RouteParser<'a> {
+    pub(super) fn new(parsed: &'a mut Parsed) -> Self {
+        Self { parsed, names: FastMap::default() }
+    }
+
+    /// Reads one route; one that lacks a usable host, prefix, kind or target is left out.
+    pub(super) fn read(&mut self, section: &str, name: &str, properties: &Properties) {
+        for (key, _) in properties.iter().filter(|(key, _)| !KEYS.contains(key)) {
+            self.parsed.fault(section, key, "unknown key");
+        }
+        let place = (section, properties);
+        let host = self.required(place, "host", parse_host, "a host without a port");
+        let prefix = self.required(place, "prefix", parse_prefix, "a path that begins and ends with /");
+        let kind = self.required(place, "kind", RouteKind::parse, "one of idempotent, once, upload");
+        let targets = self.read_targets(section, properties);
+        let mut timeout = default_timeout(targets.as_deref().unwrap_or_default(), &self.parsed.text.services);
+        let terms = self.read_terms(section, properties, &mut timeout);
+        if let (Some(host), Some(prefix)) = (&host, &prefix) {
+            self.check_unique(section, name, host, prefix);
+        }
+        if let (Some(host), Some(prefix), Some(kind), Some(targets)) = (host, prefix, kind, targets) {
+            let is_split = properties.contains_key("split");
+            let route = Route { name: name.into(), host, prefix, kind, timeout, terms, targets, is_split };
+            self.parsed.text.routes.push(route);
+        }
+    }
+
+    /// Returns the value of a key that a route must have.
+    fn required<T>(
+        &mut self,
+        (section, properties): (&str, &Properties),
+        key: &str,
+        parse: impl Fn(&str) -> Option<T>,
+        expected: &str,
+    ) -> Option<T> {
+        let value = properties.get(key);
+        let parsed = value.and_then(parse);
+        if parsed.is_none() {
+            let missing = if value.is_none() { "missing: " } else { "" };
+            self.parsed.fault(section, key, format!("{missing}expected {expected}"));
+        }
+        parsed
+    }
+
+    fn read_terms(&mut self, section: &str, properties: &Properties, timeout: &mut Duration) -> CallTerms {
+        let mut terms =
+            CallTerms { attempts: DEFAULT_ATTEMPTS, priority: DEFAULT_PRIORITY, objective: DEFAULT_OBJECTIVE };
+        for (key, value) in properties.iter() {
+            let place = (section, key);
+            match key {
+                "timeout" => {
+                    let value = parse_positive(value).filter(|timeout| *timeout <= MAX_TIMEOUT);
+                    self.parsed.set(place, timeout, value, "a duration above zero and of at most 10m");
+                }
+                "objective" => {
+                    self.parsed.set(place, &mut terms.objective, parse_positive(value), "a duration such as 250ms");
+                }
+                "priority" => self.parsed.set(place, &mut terms.priority, value.parse().ok(), "a whole number"),
+                "attempts" => {
+                    let value = value.parse().ok().filter(|attempts| *attempts > 0);
+                    self.parsed.set(place, &mut terms.attempts, value, "a whole number above 0");
+                }
+                _ => {}
+            }
+        }
+        terms
+    }
+
+    fn read_targets(&mut self, section: &str, properties: &Properties) -> Option<Vec<Target>> {
+        let (key, targets) = match (properties.get("service"), properties.get("split")) {
+            (Some(service), None) => ("service", vec![Target { service: service.into(), weight: 1 }]),
+            (None, Some(split)) => match parse_split(split) {
+                Some(targets) => ("split", targets),
+                None => {
+                    self.parsed.fault(section, "split", "expected services with whole weights such as a:90, b:10");
+                    return None;
+                }
+            },
+            (Some(_), Some(_)) => {
+                self.parsed.fault(section, "split", "expected either a service or a split, not both");
+                return None;
+            }
+            (None, None) => {
+                self.parsed.fault(section, "service", "missing: expected a service or a split");
+                return None;
+            }
+        };
+        let mut named = FastSet::default();
+        for target in &targets {
+            let name = &target.service;
+            if !named.insert(name) {
+                self.parsed.fault(section, key, format!("service '{name}' is named twice"));
+            } else if !self.parsed.text.services.contains_key(name) {
+                self.parsed.fault(section, key, format!("no service named '{name}'"));
+            }
+        }
+        if targets.iter().all(|target| target.weight == 0) {
+            self.parsed.fault(section, key, "the weights of its services add up to nothing");
+        }
+        Some(targets)
+    }
+
+    /// Checks that no earlier route matches the same requests.
+    fn check_unique(&mut self, section: &str, name: &str, host: &str, prefix: &str) {
+        let first = self.names.entry((host.into(), prefix.into())).or_insert_with(|| name.into());
+        // A section that is given twice is a fault of its own.
+        if **first != *name {
+            self.parsed.fault(section, "prefix", format!("the same host and prefix as those of route '{first}'"));
+        }
+    }
+}
+
+fn parse_split(text: &str) -> Option<Vec<Target>> {
+    let target = |part: &str| {
+        let (service, weight) = part.split_once(':')?;
+        Some(Target { service: service.trim().into(), weight: weight.trim().parse().ok()? })
+    };
+    text.split(',').map(target).collect()
+}
+
+fn parse_host(text: &str) -> Option<Box<str>> {
+    let host = text.to_ascii_lowercase();
+    is_dotted_name(&host).then(|| host.into())
+}
+
+fn parse_prefix(text: &str) -> Option<Box<str>> {
+    (is_path(text) && text.ends_with('/') && !text.contains('?')).then(|| text.into())
+}
+
+fn parse_positive(text: &str) -> Option<Duration> {
+    parse_duration(text).filter(|duration| !duration.is_zero())
+}
+
+/// Returns whether this is an absolute path of a URI, with or without a query.
+pub(super) fn is_path(text: &str) -> bool {
+    text.starts_with('/') && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"-._~!$&'()*+,;=:@%/?".contains(&b))
+}
+
+/// Returns whether this is a name that may hold dots. One of dots only would be a step in a path.
+pub(super) fn is_dotted_name(name: &str) -> bool {
+    let is_word = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '.' | '-' | '_');
+    name.chars().all(is_word) && name.chars().any(|c| c != '.')
+}
--- a/crates/core/src/text/route.rs
+++ b/crates/core/src/text/route.rs
@@ -1,11 +1,19 @@
 //! A route: which requests go to which services, and on what terms.
 
 use {
-    super::{RouteKind, Target},
-    crate::dispatch::CallTerms,
+    super::{RouteKind, Service, Target},
+    crate::{collections::FastMap, dispatch::CallTerms, ids::ServiceId},
     std::time::Duration,
 };
 
+/// Longest timeout of a route.
+pub(super) const MAX_TIMEOUT: Duration = Duration::from_secs(10 * 60);
+
+pub(super) const DEFAULT_ATTEMPTS: u32 = 2;
+pub(super) const DEFAULT_PRIORITY: u32 = 0;
+pub(super) const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(250);
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// One route, section `[route NAME]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
@@ -26,3 +34,9 @@
     /// Whether the text gives the targets as a split, even if there is only one.
     pub is_split: bool,
 }
+
+/// Returns the timeout of a route that gives none: the longest deadline of its services.
+pub(super) fn default_timeout(targets: &[Target], services: &FastMap<ServiceId, Service>) -> Duration {
+    let deadlines = targets.iter().filter_map(|target| services.get(&target.service)).map(|service| service.deadline);
+    deadlines.max().unwrap_or(DEFAULT_TIMEOUT).min(MAX_TIMEOUT)
+}
--- /dev/null
+++ b/crates/core/src/text/write.rs
@@ -0,0 +1,136 @@
+//! Writes the INI form of a text.
+
+use {
+    super::{
+        Claims, Customer, Limits, Measure, Route, Service, Text,
+        route::{DEFAULT_ATTEMPTS, DEFAULT_OBJECTIVE, DEFAULT_PRIORITY, default_timeout},
+    },
+    crate::{collections::FastMap, units::format_duration},
+    std::fmt::{Display, Write},
+};
+
+/// Writes what differs from the defaults, with customers and services in the order of their names.
+pub(super) fn write(text: &Text) -> String {
+    let mut writer = Writer { source: String::new() };
+    writer.header("change");
+    writer.line("number", text.number);
+    for (name, customer) in by_name(&text.customers) {
+        writer.header(format_args!("customer {name}"));
+        writer.customer(customer);
+    }
+    for (name, service) in by_name(&text.services) {
+        writer.header(format_args!("service {name}"));
+        writer.service(service);
+    }
+    for route in &text.routes {
+        writer.header(format_args!("route {}", route.name));
+        writer.route(route, text);
+    }
+    writer.limits(&text.limits);
+    writer.measure(&text.measure);
+    writer.claims(&text.claims);
+    writer.source
+}
+
+struct Writer {
+    source: String,
+}
+
+impl Writer {
+    fn header(&mut self, section: impl Display) {
+        let gap = if self.source.is_empty() { "" } else { "\n" };
+        self.push(format_args!("{gap}[{section}]\n"));
+    }
+
+    fn line(&mut self, key: impl Display, value: impl Display) {
+        self.push(format_args!("{key} = {value}\n"));
+    }
+
+    fn push(&mut self, text: impl Display) {
+        write!(self.source, "{text}").expect("a string takes what is written to it");
+    }
+
+    /// Writes a value that is not the default.
+    fn value<T: Display + PartialEq>(&mut self, key: &str, value: T, default: T) {
+        if value != default {
+            self.line(key, value);
+        }
+    }
+
+    fn customer(&mut self, customer: &Customer) {
+        self.value("weight", customer.weight, Customer::default().weight);
+    }
+
+    fn service(&mut self, service: &Service) {
+        let default = Service::default();
+        if !service.depends.is_empty() {
+            self.line("depends", service.depends.join(", "));
+        }
+        self.value("deadline", format_duration(service.deadline), format_duration(default.deadline));
+        self.value("objective", &service.objective, &default.objective);
+        self.value("policy", service.policy, default.policy);
+        self.value("retry-budget", service.retry_budget, default.retry_budget);
+        self.value("queue", service.queue, default.queue);
+        self.value("health", &service.health, &default.health);
+        self.value("connections", service.connections, default.connections);
+        for (customer, share) in by_name(&service.shares) {
+            self.line(format_args!("share.{customer}"), share);
+        }
+    }
+
+    fn route(&mut self, route: &Route, text: &Text) {
+        self.line("host", &route.host);
+        self.line("prefix", &route.prefix);
+        self.line("kind", route.kind);
+        let timeout = default_timeout(&route.targets, &text.services);
+        self.value("timeout", format_duration(route.timeout), format_duration(timeout));
+        self.value("objective", format_duration(route.terms.objective), format_duration(DEFAULT_OBJECTIVE));
+        self.value("priority", route.terms.priority, DEFAULT_PRIORITY);
+        self.value("attempts", route.terms.attempts, DEFAULT_ATTEMPTS);
+        match &route.targets[..] {
+            [target] if !route.is_split => self.line("service", &target.service),
+            targets => {
+                let targets = targets.iter().map(|target| format!("{}:{}", target.service, target.weight));
+                self.line("split", targets.collect::<Vec<_>>().join(", "));
+            }
+        }
+    }
+
+    fn limits(&mut self, limits: &Limits) {
+        let default = Limits::default();
+        if *limits == default {
+            return;
+        }
+        self.header("limits");
+        self.value("header-bytes", limits.header_bytes, default.header_bytes);
+        self.value("body-bytes", limits.body_bytes, default.body_bytes);
+        self.value("header-timeout", format_duration(limits.header_timeout), format_duration(default.header_timeout));
+        self.value("idle-timeout", format_duration(limits.idle_timeout), format_duration(default.idle_timeout));
+    }
+
+    fn measure(&mut self, measure: &Measure) {
+        let default = Measure::default();
+        if *measure == default {
+            return;
+        }
+        self.header("measure");
+        self.value("server-share", measure.server_share, default.server_share);
+        self.value("entry-share", measure.entry_share, default.entry_share);
+        self.value("bytes", measure.bytes, default.bytes);
+    }
+
+    fn claims(&mut self, claims: &Claims) {
+        let default = Claims::default();
+        if *claims != default {
+            self.header("claims");
+            self.line("retention", format_duration(claims.retention));
+        }
+    }
+}
+
+/// Returns the entries in the order of their names, so that equal texts have equal sources.
+fn by_name<T>(map: &FastMap<Box<str>, T>) -> Vec<(&str, &T)> {
+    let mut entries: Vec<_> = map.iter().map(|(name, value)| (&**name, value)).collect();
+    entries.sort_unstable_by_key(|(name, _)| *name);
+    entries
+}
--- a/crates/core/src/units/mod.rs
+++ b/crates/core/src/units/mod.rs
@@ -6,11 +6,14 @@
 
 use std::time::Duration;
 
-/// Longest duration in milliseconds that is read: a year. A time that lies further ahead could not be
+/// Longest duration in microseconds that is read: a year. A time that lies further ahead could not be
 /// represented on every platform.
-const MAX_MILLISECONDS: u64 = 365 * 24 * 3_600_000;
+const MAX_MICROSECONDS: u64 = 365 * 24 * 3_600_000_000;
 
-/// Parses a duration of at most a year, such as `250ms`, `5s`, `15m` or `1h`.
+/// Units of durations in microseconds, longest first.
+const UNITS: [(&str, u64); 5] = [("h", 3_600_000_000), ("m", 60_000_000), ("s", 1_000_000), ("ms", 1_000), ("us", 1)];
+
+/// Parses a duration of at most a year, such as `1500us`, `250ms`, `5s`, `15m` or `1h`.
 ///
 /// ```
 /// use {hemlockford_core::units::parse_duration, std::time::Duration};
@@ -21,13 +24,23 @@
     let digits = text.find(|c: char| !c.is_ascii_digit())?;
     let (number, unit) = text.split_at(digits);
     let number: u64 = number.parse().ok()?;
-    let milliseconds = match unit.trim_start() {
-        "ms" => 1,
-        "s" => 1_000,
-        "m" => 60_000,
-        "h" => 3_600_000,
-        _ => return None,
-    };
-    let milliseconds = number.checked_mul(milliseconds).filter(|length| *length <= MAX_MILLISECONDS)?;
-    Some(Duration::from_millis(milliseconds))
+    let (_, unit) = UNITS.into_iter().find(|(name, _)| *name == unit.trim_start())?;
+    let microseconds = number.checked_mul(unit).filter(|length| *length <= MAX_MICROSECONDS)?;
+    Some(Duration::from_micros(microseconds))
+}
+
+/// Writes a duration in the longest unit of which it is a multiple; a part of a microsecond is rounded up.
+///
+/// ```
+/// use {hemlockford_core::units::format_duration, std::time::Duration};
+/// assert_eq!(format_duration(Duration::from_secs(90)), "90s");
+/// assert_eq!(format_duration(Duration::from_secs_f64(0.0123)), "12300us");
+/// ```
+pub fn format_duration(duration: Duration) -> String {
+    let microseconds = duration.as_nanos().div_ceil(1_000);
+    let divides = |unit: u64| microseconds.is_multiple_of(u128::from(unit));
+    match UNITS.into_iter().find(|(_, unit)| microseconds > 0 && divides(*unit)) {
+        Some((name, unit)) => format!("{}{name}", microseconds / u128::from(unit)),
+        None => "0ms".into(),
+    }
 }
--- a/crates/core/src/units/share.rs
+++ b/crates/core/src/units/share.rs
@@ -1,11 +1,16 @@
 //! A part of a whole.
 
-use serde::{Deserialize, Serialize};
+use {
+    derive_more::Display,
+    serde::{Deserialize, Serialize},
+};
 
 const MILLIONTHS_PER_PERCENT: f64 = 10_000.0;
 
-/// A part of a whole in millionths, so that equal texts give equal values.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+/// A part of a whole in millionths, so that equal texts give equal values. It is displayed as the
+/// percentage that `parse` reads.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[display("{}%", f64::from(self.0) / MILLIONTHS_PER_PERCENT)]
 pub struct Share(u32);
 
 impl Share {
--- /dev/null
+++ b/crates/core/tests/text_write.rs
@@ -0,0 +1,204 @@
+//! The writer of texts as the inverse of the parser.
+
+use {
+    hemlockford_core::{
+        collections::FastMap,
+        dispatch::CallTerms,
+        text::{
+            Claims, Customer, Limits, MAX_TEXT_BYTES, Measure, Objective, Policy, Route, RouteKind, Service, Target,
+            Text,
+        },
+        units::{Share, format_duration, parse_duration},
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::time::Duration,
+};
+
+const TEXTS: u64 = 3_000;
+/// Longest duration that the parser reads.
+const YEAR: Duration = Duration::from_secs(365 * 24 * 3_600);
+const WORD: &[u8] = b"abcxyz059-_";
+const DOTTED: &[u8] = b"abcxyz059-_.";
+const PATH: &[u8] = b"abcXYZ059-._~!$&'()*+,;=:@%/";
+
+/// Returns a string of some characters that ends with a number of its own.
+fn word(characters: &[u8], number: usize, rng: &mut SmallRng) -> Box<str> {
+    let length = rng.random_range(0..6);
+    let random = (0..length).map(|_| char::from(characters[rng.random_range(0..characters.len())]));
+    format!("{}{number}", random.collect::<String>()).into()
+}
+
+/// Returns a duration above zero of any of the orders of magnitude up to the longest one.
+fn duration(longest: Duration, rng: &mut SmallRng) -> Duration {
+    let longest = longest.as_micros() as u64;
+    let unit = [1, 1_000, 1_000_000, 60_000_000, 3_600_000_000][rng.random_range(0..5)];
+    Duration::from_micros((rng.random_range(1..1_000) * unit).min(longest))
+}
+
+fn share(rng: &mut SmallRng) -> Share {
+    Share::from_millionths(rng.random_range(0..=1_000_000))
+}
+
+fn service(customers: &[Box<str>], rng: &mut SmallRng) -> Service {
+    let mut shares: FastMap<_, _> = customers.iter().map(|name| (name.clone(), rng.random_range(0..9))).collect();
+    shares.retain(|_, _| rng.random_bool(0.5));
+    if shares.values().all(|share| *share == 0) {
+        shares.clear();
+    }
+    Service {
+        depends: Vec::new(),
+        deadline: duration(YEAR, rng),
+        objective: Objective { share: share(rng), latency: duration(YEAR, rng) },
+        policy: Policy::ALL[rng.random_range(0..4)],
+        retry_budget: share(rng),
+        queue: rng.random_range(1..usize::MAX),
+        health: format!("/{}?a=1", word(PATH, 0, rng)).into(),
+        connections: rng.random_range(1..=u32::MAX),
+        shares,
+    }
+}
+
+fn route(number: usize, services: &[Box<str>], rng: &mut SmallRng) -> Route {
+    let is_split = rng.random_bool(0.5);
+    let count = if is_split { rng.random_range(1..=services.len()) } else { 1 };
+    let first = rng.random_range(0..=services.len() - count);
+    let mut targets: Vec<_> = services[first..first + count]
+        .iter()
+        .map(|service| Target { service: service.clone(), weight: rng.random_range(0..=u32::MAX) })
+        .collect();
+    targets[0].weight = if is_split { targets[0].weight.max(1) } else { 1 };
+    Route {
+        name: word(DOTTED, number, rng),
+        host: word(DOTTED, 0, rng),
+        prefix: format!("/{}/", word(PATH, number, rng)).into(),
+        kind: RouteKind::ALL[rng.random_range(0..3)],
+        timeout: duration(Duration::from_secs(600), rng),
+        terms: CallTerms {
+            attempts: rng.random_range(1..=u32::MAX),
+            priority: rng.random_range(0..=u32::MAX),
+            objective: duration(Duration::from_secs(9_999), rng),
+        },
+        targets,
+        is_split,
+    }
+}
+
+fn text(rng: &mut SmallRng) -> Text {
+    let customers: Vec<_> = (0..rng.random_range(0..4)).map(|number| word(WORD, number, rng)).collect();
+    let services: Vec<_> = (0..rng.random_range(1..6)).map(|number| word(DOTTED, number, rng)).collect();
+    let mut text = Text { number: rng.random_range(1..=u64::MAX), ..Text::default() };
+    for name in &customers {
+        text.customers.insert(name.clone(), Customer { weight: rng.random_range(1..=u32::MAX) });
+    }
+    for (number, name) in services.iter().enumerate() {
+        let mut service = service(&customers, rng);
+        if rng.random_bool(0.3) {
+            service = Service::default();
+        }
+        // A service depends on earlier ones, whose deadlines are shorter.
+        service.depends = services[..number].iter().filter(|_| rng.random_bool(0.5)).cloned().collect();
+        let others = service.depends.iter().map(|other| text.services[other].deadline);
+        let longest = others.max().unwrap_or_default();
+        service.deadline = service.deadline.max(longest + Duration::from_micros(1));
+        if service.deadline > YEAR {
+            service.depends.clear();
+            service.deadline = Duration::from_secs(1);
+        }
+        text.services.insert(name.clone(), service);
+    }
+    text.routes = (0..rng.random_range(0..5)).map(|number| route(number, &services, rng)).collect();
+    if rng.random_bool(0.7) {
+        text.limits = Limits {
+            header_bytes: rng.random_range(1..=u64::MAX),
+            body_bytes: rng.random(),
+            header_timeout: duration(YEAR, rng),
+            idle_timeout: duration(YEAR, rng),
+        };
+        text.measure =
+            Measure { server_share: share(rng), entry_share: share(rng), bytes: rng.random_range(0..=u64::MAX) };
+        text.claims = Claims { retention: duration(YEAR, rng) };
+    }
+    text
+}
+
+/// Guards against a field that the writer loses or changes, and against a source that depends on the order of a map.
+#[test]
+fn parsing_what_was_written_gives_the_same_text() {
+    println!("seeds 0 to {TEXTS}");
+    for seed in 0..TEXTS {
+        let text = text(&mut SmallRng::seed_from_u64(seed));
+        let source = text.write();
+        let parsed = Text::parse(&source).unwrap_or_else(|faults| panic!("seed {seed}: {faults:#?} in\n{source}"));
+        assert_eq!(parsed, text, "seed {seed} in\n{source}");
+        assert_eq!(parsed.write(), source, "seed {seed}");
+    }
+}
+
+/// Guards against a default of the writer that is not the parser's.
+#[test]
+fn defaults_survive() {
+    let sources = [
+        "[change]\nnumber = 1\n",
+        "[change]\nnumber = 1\n[customer a]\n[service b]\ndeadline = 1h\n[service c]\ndepends = b\ndeadline = 2h\n\
+         [route r]\nhost = h\nprefix = /\nkind = once\nservice = b\n\
+         [route s]\nhost = h\nprefix = /s/\nkind = once\nsplit = b:1\n[limits]\n[claims]\n[measure]\n",
+    ];
+    for source in sources {
+        let text = Text::parse(source).unwrap();
+        assert_eq!(Text::parse(&text.write()), Ok(text), "{source}");
+    }
+}
+
+/// Guards against a text of many routes that is read but is too long once it is written.
+#[test]
+fn ten_thousand_routes_stay_within_the_permitted_size() {
+    let mut text = Text { number: 1, ..Text::default() };
+    text.services.insert("booking".into(), Service::default());
+    let mut rng = SmallRng::seed_from_u64(1);
+    for number in 0..10_000 {
+        let mut route = route(number, &["booking".into()], &mut rng);
+        route.name = format!("r{number}").into();
+        route.host = "fit.example".into();
+        route.prefix = format!("/p{number}/").into();
+        route.timeout = Duration::from_secs(2);
+        route.terms = CallTerms { attempts: 2, priority: 0, objective: Duration::from_millis(250) };
+        route.is_split = false;
+        route.targets = vec![Target { service: "booking".into(), weight: 1 }];
+        text.routes.push(route);
+    }
+    let source = text.write();
+    assert!(source.len() < MAX_TEXT_BYTES, "{} bytes", source.len());
+    assert!(Text::parse(&source) == Ok(text));
+}
+
+/// Guards against a unit that loses a part of a duration, and against times that a reader could not represent.
+#[test]
+fn durations_survive_to_the_microsecond() {
+    for (text, micros) in
+        [("1us", 1), ("1500us", 1_500), ("12300us", 12_300), ("600 ms", 600_000), ("1h", 3_600_000_000)]
+    {
+        assert_eq!(parse_duration(text), Some(Duration::from_micros(micros)), "{text}");
+    }
+    for text in ["0.6s", "1ns", "1 u s", "us", "31536000000001us", "99999999999999999999us"] {
+        assert_eq!(parse_duration(text), None, "{text}");
+    }
+    for (seconds, text) in
+        [(0.15, "150ms"), (0.0123, "12300us"), (0.6, "600ms"), (2.0, "2s"), (0.0, "0ms"), (1e-7, "1us")]
+    {
+        assert_eq!(format_duration(Duration::from_secs_f64(seconds)), text);
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    for _ in 0..100_000 {
+        let duration = duration(YEAR, &mut rng);
+        assert_eq!(parse_duration(&format_duration(duration)), Some(duration));
+    }
+}
+
+/// Guards against a percentage that is rounded to another share.
+#[test]
+fn shares_survive_to_the_millionth() {
+    for millionths in 0..=1_000_000 {
+        let share = Share::from_millionths(millionths);
+        assert_eq!(Share::parse(&share.to_string()), Some(share), "{share}");
+    }
+}
