--- a/crates/core/src/text/lines.rs
+++ b/crates/core/src/text/lines.rs
@@ -21,12 +21,11 @@
         let mut section = String::new();
         for (index, line) in source.trim_start_matches('\u{feff}').lines().enumerate() {
             let line = line.trim();
-            let is_header = line.starts_with('[');
-            match normalize(line) {
-                Ok(line) => {
-                    text.push_str(&line);
-                    if is_header {
-                        section = line[1..line.len() - 1].into();
+            let start = text.len();
+            match normalize(line, &mut text) {
+                Ok(()) => {
+                    if let Some(header) = text[start..].strip_prefix('[') {
+                        section = header[..header.len() - 1].into();
                     }
                 }
                 Err(message) => faults.push(Fault {
@@ -42,10 +41,10 @@
     }
 }
 
-/// Returns the one form of a trimmed line, or what is wrong with it.
-fn normalize(line: &str) -> Result<String, &'static str> {
+/// Appends the one form of a trimmed line, or says what is wrong with the line.
+fn normalize(line: &str, text: &mut String) -> Result<(), &'static str> {
     if line.is_empty() || line.starts_with([';', '#']) {
-        return Ok(String::new());
+        return Ok(());
     }
     // The library reads a backslash as an escape or as a sign that the next line goes on, even where
     // escapes are off.
@@ -58,10 +57,24 @@
     }
     if let Some(rest) = line.strip_prefix('[') {
         let header = rest.strip_suffix(']').filter(|header| !header.contains(['[', ']'])).ok_or(NO_LINE)?;
-        let words: Vec<_> = header.split_whitespace().collect();
-        return if words.is_empty() { Err(NO_LINE) } else { Ok(format!("[{}]", words.join(" "))) };
+        let mut words = header.split_whitespace();
+        let first = words.next().ok_or(NO_LINE)?;
+        text.push('[');
+        text.push_str(first);
+        for word in words {
+            text.push(' ');
+            text.push_str(word);
+        }
+        text.push(']');
+        return Ok(());
     }
     let (key, value) = line.split_once(['=', ':']).ok_or(NO_LINE)?;
     let key = key.trim_end();
-    if key.is_empty() { Err(NO_LINE) } else { Ok(format!("{key}={}", value.trim_start())) }
+    if key.is_empty() {
+        return Err(NO_LINE);
+    }
+    text.push_str(key);
+    text.push('=');
+    text.push_str(value.trim_start());
+    Ok(())
 }
--- a/crates/core/src/text/locator.rs
+++ b/crates/core/src/text/locator.rs
@@ -2,10 +2,11 @@
 
 use {crate::collections::FastMap, std::collections::hash_map::Entry};
 
-/// Index from (section, key) to line numbers.
+/// Index from sections and their keys to line numbers.
 #[derive(Debug, Default)]
 pub(super) struct Locator {
-    lines: FastMap<(Box<str>, Box<str>), usize>,
+    /// Lines by key within a section; that of the header has the empty key.
+    sections: FastMap<Box<str>, FastMap<Box<str>, usize>>,
     duplicates: Vec<(Box<str>, Box<str>, usize)>,
 }
 
@@ -13,37 +14,36 @@
     /// Reads a text in the form that `Lines` gives.
     pub(super) fn new(source: &str) -> Self {
         let mut locator = Self::default();
-        let mut section: Box<str> = "".into();
+        let mut section = "";
+        let mut keys = locator.sections.entry(section.into()).or_default();
         for (index, line) in source.lines().enumerate() {
-            if let Some(header) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
-                section = header.into();
-                locator.insert(section.clone(), "".into(), index + 1);
-            } else if let Some((key, _)) = line.split_once('=') {
-                locator.insert(section.clone(), key.into(), index + 1);
+            let key = match line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
+                Some(header) => {
+                    section = header;
+                    keys = locator.sections.entry(section.into()).or_default();
+                    ""
+                }
+                None => match line.split_once('=') {
+                    Some((key, _)) => key,
+                    None => continue,
+                },
+            };
+            match keys.entry(key.into()) {
+                Entry::Occupied(_) => locator.duplicates.push((section.into(), key.into(), index + 1)),
+                Entry::Vacant(entry) => {
+                    entry.insert(index + 1);
+                }
             }
         }
         locator
     }
 
     pub(super) fn line(&self, section: &str, key: &str) -> usize {
-        let place = (section.into(), key.into());
-        self.lines.get(&place).copied().unwrap_or_default()
+        self.sections.get(section).and_then(|keys| keys.get(key)).copied().unwrap_or_default()
     }
 
     /// Sections and keys that are given a second time, with their lines.
     pub(super) fn duplicates(&self) -> &[(Box<str>, Box<str>, usize)] {
         &self.duplicates
     }
-
-    fn insert(&mut self, section: Box<str>, key: Box<str>, line: usize) {
-        match self.lines.entry((section, key)) {
-            Entry::Occupied(entry) => {
-                let (section, key) = entry.key().clone();
-                self.duplicates.push((section, key, line));
-            }
-            Entry::Vacant(entry) => {
-                entry.insert(line);
-            }
-        }
-    }
 }
