Tell apart an answer of a server at another server's address

A server answers 421 without running the request when its address belongs to another one. The attempt did not run, so the dispatcher lets it go elsewhere like one that was refused before it was written.

--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -17,6 +17,9 @@
     /// The connection could not be opened, so nothing was written.
     #[display("refused-before-write")]
     RefusedBeforeWrite,
+    /// The server answered that its address belongs to another server; it did not run the request.
+    #[display("misdirected")]
+    Misdirected,
     /// The connection broke after the first byte may have been written.
     #[display("broken-after-write")]
     BrokenAfterWrite,
--- a/crates/core/src/dispatch/retrying.rs
+++ b/crates/core/src/dispatch/retrying.rs
@@ -97,7 +97,7 @@
             _ => NotRunReason::Refused,
         };
         match result {
-            AttemptResult::Shed | AttemptResult::RefusedBeforeWrite => {}
+            AttemptResult::Shed | AttemptResult::RefusedBeforeWrite | AttemptResult::Misdirected => {}
             AttemptResult::Timeout => active.doubt = Some(UnknownReason::Timeout),
             AttemptResult::BadAnswer => active.doubt = Some(UnknownReason::BadAnswer),
             _ => active.doubt = Some(UnknownReason::ConnectionLost),
@@ -118,7 +118,8 @@
         let call = &active.call;
         let is_harmless = match result {
             // Nothing was written, so the whole request is still there.
-            AttemptResult::RefusedBeforeWrite => true,
+            // The proxy checks whether the body of a misdirected request is still there.
+            AttemptResult::RefusedBeforeWrite | AttemptResult::Misdirected => true,
             // The body of an upload went to the server that shed it.
             AttemptResult::Shed => call.replayable || !call.upload,
             _ => call.idempotent && call.replayable,
--- a/crates/core/tests/dispatcher.rs
+++ b/crates/core/tests/dispatcher.rs
@@ -137,6 +137,8 @@
         (AttemptResult::ServerError, false, true, false, true, Some(unknown)),
         (AttemptResult::RefusedBeforeWrite, false, false, true, true, None),
         (AttemptResult::RefusedBeforeWrite, false, false, true, false, Some(refused)),
+        (AttemptResult::Misdirected, false, false, false, true, None),
+        (AttemptResult::Misdirected, false, false, false, false, Some(refused)),
         (AttemptResult::Shed, false, false, false, true, None),
         (AttemptResult::Shed, false, false, true, true, Some(shed)),
     ];
@@ -152,9 +154,12 @@
             if expected.is_none() {
                 let second = server(&actions).expect("a second server");
                 assert_ne!(first, second, "{case}");
-                // The token is spent, and the first attempt may have run unless it was refused or shed.
+                // The token is spent, and the first attempt may have run unless the server said otherwise.
                 let last = outcome(&bench.fail(1, &second, AttemptResult::RefusedBeforeWrite));
-                let is_certain = matches!(result, AttemptResult::RefusedBeforeWrite | AttemptResult::Shed);
+                let is_certain = matches!(
+                    result,
+                    AttemptResult::RefusedBeforeWrite | AttemptResult::Misdirected | AttemptResult::Shed
+                );
                 assert_eq!(last, Some(if is_certain { refused } else { unknown }), "{case}");
             }
             assert_eq!(bench.dispatcher.active(), 0, "{case}");
