--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -3,11 +3,15 @@
 //! Tokens are minted by the first entry of a chain only, so that the levels of a chain share one allowance.
 //! A token is in one place at a time: in the budget of the first entry, with the call at one entry, or on its
 //! way further down in [`ALLOWANCE_HEADER`].
+//!
+//! In a fleet, each entry counts the extra attempts of a service in a [`SlidingBudget`] instead.
 
 mod budget;
+mod sliding;
 mod token;
 
 pub use {
     budget::RetryBudget,
+    sliding::SlidingBudget,
     token::{ALLOWANCE_HEADER, may_use_token, passes_token},
 };
