--- /dev/null
+++ b/crates/core/examples/probing/main.rs
@@ -0,0 +1,78 @@
+//! Simulates the traffic of Brno in virtual time and prints the share of calls answered within the objective
+//! for each way of choosing a server, as CSV.
+//!
+//! Arguments: seconds of traffic (default a day), part of the name of the lines to run, `grown` or `today`,
+//! and `start` if the pace at its start is to hold for a whole call.
+
+#[path = "../../tests/support/fleet/mod.rs"]
+#[allow(dead_code, unused_imports, unreachable_pub)]
+mod fleet;
+
+use {
+    fleet::{Fleet, FleetOptions, Workload},
+    hemlockford_core::text::Policy,
+    std::time::{Duration, Instant},
+};
+
+const DAY: u64 = 86_400;
+const LOADS: [f64; 2] = [1.0, 1.6];
+const WARM_UP: Duration = Duration::from_secs(5);
+/// Time between two restarts of a server. 39 servers restart about once an hour.
+const RESTART: Duration = Duration::from_secs(90);
+
+fn main() {
+    let arguments: Vec<_> = std::env::args().skip(1).collect();
+    let seconds: u64 = arguments.first().and_then(|text| text.parse().ok()).unwrap_or(DAY);
+    let only = arguments.get(1).cloned().unwrap_or_default();
+    let is_grown = arguments.iter().any(|text| text == "grown");
+    let pace_at_start = arguments.iter().any(|text| text == "start");
+    println!(
+        "policy,load,service,calls,in_time,late,rejected,unknown,p50_ms,p99_ms,worth,probes_per_call,\
+         connections_per_call,remote,sheds,extra,wakes_per_call"
+    );
+    for load in LOADS {
+        for policy in [None, Some(Policy::LeastInFlight), Some(Policy::Random)] {
+            let name = policy.map_or("probing".into(), |policy| policy.to_string());
+            if !format!("{name}-{load}").contains(only.trim_matches('.')) {
+                continue;
+            }
+            let workloads = if is_grown { Workload::brno_grown(load) } else { Workload::brno(load) };
+            let entries = if is_grown { 44 } else { 7 };
+            let restart = Some(RESTART);
+            let options =
+                FleetOptions { policy, workloads, entries, pace_at_start, restart, ..FleetOptions::default() };
+            measure(&name, load, options, Duration::from_secs(seconds));
+        }
+    }
+}
+
+fn measure(name: &str, load: f64, options: FleetOptions, time: Duration) {
+    let mut fleet = Fleet::new(options);
+    let begin = Instant::now();
+    fleet.run_for(WARM_UP);
+    fleet.tallies.iter_mut().for_each(|tally| *tally = fleet::Tally::default());
+    fleet.run_for(time);
+    let names = fleet.options.workloads.iter().map(|workload| workload.service).chain(["all"]);
+    let tallies = fleet.tallies.iter().cloned().chain([fleet.total()]);
+    for (service, tally) in names.zip(tallies) {
+        let part = |count: u64| count as f64 / tally.calls as f64;
+        println!(
+            "{name},{load},{service},{},{:.4},{:.4},{:.4},{:.4},{:.0},{:.0},{:.4},{:.2},{:.2},{:.3},{:.4},{:.4},{:.2}",
+            tally.calls,
+            tally.share(),
+            part(tally.late),
+            part(tally.rejected),
+            part(tally.unknown),
+            tally.percentile(0.5),
+            tally.percentile(0.99),
+            tally.worth(),
+            part(tally.probes),
+            part(tally.connections),
+            part(tally.remote + tally.remote_uploads),
+            part(tally.sheds),
+            part(tally.attempts.saturating_sub(tally.calls)),
+            part(tally.wakes),
+        );
+    }
+    eprintln!("{:.1} s", begin.elapsed().as_secs_f64());
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod measure;
 pub mod membership;
 pub mod outcome;
+pub mod probing;
 pub mod registry;
 pub mod retry;
 pub mod slots;
--- /dev/null
+++ b/crates/core/src/probing/balancer.rs
@@ -0,0 +1,220 @@
+//! The state machine that chooses a server for each call of a fleet's entry.
+
+use {
+    super::{ActiveCall, BalancerOptions, RunningProbe, ServiceState, Stage, service::LONGEST_RETRY_AFTER},
+    crate::{
+        collections::FastMap,
+        dispatch::{Call, DispatchAction, DispatchEvent, ServerView},
+        ids::{CallId, ServiceId},
+        outcome::NotRunReason,
+        slots::{Key, key},
+        text::Text,
+    },
+    rand::{RngExt, rngs::SmallRng},
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap},
+        sync::Arc,
+        time::Instant,
+    },
+};
+
+/// Part of the usual work in which some calls are done. A call with less time than that is not sent.
+const LEAST_WORK: f64 = 0.5;
+
+/// What is to be looked at when its time has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Wake {
+    /// A call whose probes or whose time in the queue end.
+    Call(CallId),
+    /// A service with waiting calls, whose servers are to be probed.
+    Service(Key),
+}
+
+/// Chooses a server for each call of one entry of a fleet.
+#[derive(Debug)]
+pub struct Balancer {
+    pub(super) options: BalancerOptions,
+    pub(super) rng: SmallRng,
+    pub(super) text: Option<Arc<Text>>,
+    /// Live entries, this one included.
+    pub(super) entries: usize,
+    pub(super) services: FastMap<Key, ServiceState>,
+    pub(super) calls: FastMap<CallId, ActiveCall>,
+    pub(super) probes: BTreeMap<u64, RunningProbe>,
+    pub(super) last_probe: u64,
+    wakes: BinaryHeap<Reverse<(Instant, Wake)>>,
+    pub(super) waiting: usize,
+}
+
+impl Balancer {
+    /// Makes a balancer without a text or servers.
+    ///
+    /// ```
+    /// use {
+    ///     hemlockford_core::probing::{Balancer, BalancerOptions},
+    ///     rand::{SeedableRng, rngs::SmallRng},
+    /// };
+    /// let options = BalancerOptions { data_centre: "brno-1".into(), ..BalancerOptions::default() };
+    /// let balancer = Balancer::new(options, SmallRng::seed_from_u64(1));
+    /// assert_eq!(balancer.next_wake(), None);
+    /// ```
+    pub fn new(options: BalancerOptions, rng: SmallRng) -> Self {
+        Self {
+            entries: options.entries.max(1),
+            options,
+            rng,
+            text: None,
+            services: FastMap::default(),
+            calls: FastMap::default(),
+            probes: BTreeMap::new(),
+            last_probe: 0,
+            wakes: BinaryHeap::new(),
+            waiting: 0,
+        }
+    }
+
+    /// Takes one event at a time and adds what is to be done.
+    pub fn handle(&mut self, now: Instant, event: DispatchEvent, actions: &mut Vec<DispatchAction>) {
+        match event {
+            DispatchEvent::Arrive(call) => self.arrive(now, call, actions),
+            DispatchEvent::Finish(finish) => self.finish(now, &finish, actions),
+            DispatchEvent::Cancel(call) => self.cancel(now, call, actions),
+            DispatchEvent::Servers(service, views) => self.set_servers(now, &service, views, actions),
+            DispatchEvent::Peers(peers) => self.entries = peers.len().max(1),
+            // Entries of a fleet do not talk to each other.
+            DispatchEvent::Peer { .. } => {}
+            DispatchEvent::Configure(text) => self.text = Some(text),
+            DispatchEvent::Probed { probe, latency: _, report, ok } => {
+                self.finish_probe(now, probe, report.filter(|_| ok), actions);
+            }
+            DispatchEvent::Tick => {}
+        }
+        self.take_wakes(now, actions);
+    }
+
+    /// Returns the number of calls that wait in a queue.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Returns the number of calls that wait or are in flight.
+    pub fn active(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns the time at which a [`DispatchEvent::Tick`] is needed if no other event comes before.
+    pub fn next_wake(&self) -> Option<Instant> {
+        self.wakes.peek().map(|Reverse((at, _))| *at)
+    }
+
+    pub(super) fn wake_at(&mut self, at: Instant, wake: Wake) {
+        self.wakes.push(Reverse((at, wake)));
+    }
+
+    fn take_wakes(&mut self, now: Instant, actions: &mut Vec<DispatchAction>) {
+        while let Some(Reverse((at, wake))) = self.wakes.peek().copied() {
+            let is_needed = self.is_needed(at, wake);
+            if is_needed && at > now {
+                return;
+            }
+            self.wakes.pop();
+            match wake {
+                _ if !is_needed => {}
+                Wake::Call(call) => self.end_stage(now, call, actions),
+                Wake::Service(service) => self.review(now, service, actions),
+            }
+        }
+    }
+
+    /// Returns whether a wake still belongs to what it was set for.
+    fn is_needed(&self, at: Instant, wake: Wake) -> bool {
+        match wake {
+            Wake::Call(call) => self.calls.get(&call).is_some_and(|active| match &active.stage {
+                Stage::Probing { until, .. } | Stage::Waiting { until } => *until == at,
+                Stage::Running { .. } => false,
+            }),
+            Wake::Service(service) => self.services.get(&service).is_some_and(|state| state.review == Some(at)),
+        }
+    }
+
+    fn end_stage(&mut self, now: Instant, call: CallId, actions: &mut Vec<DispatchAction>) {
+        match self.calls.get(&call).map(|active| &active.stage) {
+            Some(Stage::Probing { .. }) => self.end_round(now, call, true, actions),
+            Some(Stage::Waiting { .. }) => self.leave_queue(now, call, actions),
+            Some(Stage::Running { .. }) | None => {}
+        }
+    }
+
+    fn arrive(&mut self, now: Instant, call: Call, actions: &mut Vec<DispatchAction>) {
+        let service = key(&call.service);
+        let active = ActiveCall {
+            call,
+            service,
+            arrived: now,
+            stage: Stage::Waiting { until: now },
+            tried: Vec::new(),
+            doubt: None,
+            refusal: NotRunReason::NoServer,
+        };
+        let is_known = self.text.as_ref().is_none_or(|text| text.services.contains_key(&active.call.service));
+        if !is_known {
+            return self.give_up(now, &active, NotRunReason::UnknownService, actions);
+        }
+        let Some(state) = self.services.get_mut(&service) else {
+            return self.give_up(now, &active, NotRunReason::NoServer, actions);
+        };
+        state.budget.on_request(now);
+        if !state.servers.iter().any(|server| server.is_announced(now)) {
+            return self.give_up(now, &active, NotRunReason::NoServer, actions);
+        }
+        if !self.has_time(now, &active) {
+            return self.give_up(now, &active, NotRunReason::Deadline, actions);
+        }
+        self.begin_round(now, active, Vec::new(), 0, actions);
+    }
+
+    /// Returns whether a call can be answered by its deadline.
+    pub(super) fn has_time(&self, now: Instant, active: &ActiveCall) -> bool {
+        let Some(state) = self.services.get(&active.service) else { return false };
+        let work = state.usual.work(active.call.terms.objective);
+        let left = active.call.deadline.saturating_duration_since(now).as_secs_f64();
+        left >= LEAST_WORK * work
+    }
+
+    fn set_servers(
+        &mut self,
+        now: Instant,
+        name: &ServiceId,
+        views: Vec<ServerView>,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let service = key(name);
+        let state = self.services.entry(service).or_insert_with(|| ServiceState::new(&self.options));
+        state.servers.set(now, views, &self.options.data_centre, &mut self.rng);
+        self.pump(now, service, actions);
+    }
+
+    /// Gives a call its final answer without a further attempt.
+    pub(super) fn give_up(
+        &mut self,
+        now: Instant,
+        active: &ActiveCall,
+        reason: NotRunReason,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        // Callers that were rejected together must not come back together.
+        let jitter = self.rng.random_range(1.0..1.5);
+        let objective = active.call.terms.objective;
+        let state = self.services.get(&active.service);
+        let retry_after = match reason {
+            NotRunReason::UnknownService | NotRunReason::NoServer => None,
+            _ => state.map(|state| state.retry_after(now, objective, self.entries, jitter)),
+        };
+        actions.push(DispatchAction::Reject {
+            call: active.call.id,
+            outcome: active.outcome(reason),
+            retry_after: retry_after.unwrap_or(LONGEST_RETRY_AFTER),
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/probing/cost.rs
@@ -0,0 +1,96 @@
+//! The expected cost of sending a call to a server, as a part of the call's worth.
+
+use {
+    super::{ActiveCall, Server, Usual},
+    std::time::{Duration, Instant},
+};
+
+/// An answer later than the objective loses nine tenths of its worth.
+const LATE: f64 = 0.9;
+/// Spread of the time of a call around the expected one, as a part of the time left; the chance of being late
+/// rises from an eighth to seven eighths within twice this on both sides.
+const LATE_SPREAD: f64 = 0.12;
+/// Cost of a latency as long as the objective. It decides between servers that all make the objective, and
+/// is small enough that a look-up stays in its data centre for a gain of less than a fifth of the objective.
+const LATENCY: f64 = 0.1;
+/// A 5 KB look-up to another data centre costs a fiftieth of its worth in bytes.
+const REMOTE: f64 = 0.02;
+/// A 60 KB upload to another data centre costs a sixth of its worth.
+const REMOTE_UPLOAD: f64 = 0.167;
+/// Both ways to another data centre take 1.8 to 2.8 ms.
+const REMOTE_TIME: f64 = 0.002;
+/// A new connection costs a sixtieth of a call.
+const CONNECTION: f64 = 1.0 / 60.0;
+/// Time for which a connection that is not in use is assumed to stay open.
+const CONNECTION_KEPT: Duration = Duration::from_secs(4);
+/// A server with more than this part of its slots busy works slower.
+const BUSY: f64 = 0.8;
+/// Factor on the time of work at a busy server, less one.
+const BUSY_SLOWER: f64 = 0.7;
+/// Cost of slowing down each call that runs at a server already.
+const CROWDING: f64 = 0.05;
+/// A cold server works at half speed for this time.
+const COLD: Duration = Duration::from_secs(3);
+const COLD_PACE: f64 = 2.0;
+
+/// The expected cost of sending a call to a server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Cost {
+    /// Expected seconds until the answer.
+    pub(super) seconds: f64,
+    /// Expected loss as a part of the call's worth.
+    pub(super) loss: f64,
+    /// Expected calls at the server, without this one.
+    pub(super) load: f64,
+    /// Expected factor on the work.
+    pub(super) factor: f64,
+}
+
+impl Cost {
+    pub(super) fn of(now: Instant, active: &ActiveCall, server: &Server, usual: &Usual) -> Self {
+        let slots = f64::from(server.slots());
+        let load = server.load(now, usual);
+        let is_cold = now < server.view.ready_since + COLD;
+        let factor = server.pace(now, usual) * busy_factor(load, slots) * if is_cold { COLD_PACE } else { 1.0 };
+        let work = usual.work(active.call.terms.objective);
+        let queue = (load + 1.0 - slots).max(0.0) / slots;
+        let way = if server.is_remote { REMOTE_TIME } else { 0.0 };
+        let seconds = work * factor * (1.0 + queue) + way;
+
+        let objective = active.call.terms.objective.as_secs_f64().max(1e-3);
+        let late = late(seconds, active.objective_left(now).as_secs_f64());
+        let bytes = match (server.is_remote, active.call.upload) {
+            (false, _) => 0.0,
+            (true, false) => REMOTE,
+            (true, true) => REMOTE_UPLOAD,
+        };
+        let is_connected = active.call.idempotent
+            && server.own == 0
+            && server.last_end.is_some_and(|at| now.saturating_duration_since(at) < CONNECTION_KEPT);
+        let connection = if is_connected { 0.0 } else { CONNECTION };
+        let failure = server.failure(now);
+        let answered = LATE * late + LATENCY * (seconds / objective).min(10.0);
+        let loss = failure + (1.0 - failure) * answered + CROWDING * load.min(slots) + bytes + connection;
+        Self { seconds, loss, load, factor }
+    }
+
+    /// Loss at an idle server of the own data centre with usual pace, the least that a probe can find.
+    pub(super) fn least_loss(now: Instant, active: &ActiveCall, usual: &Usual) -> f64 {
+        let objective = active.call.terms.objective;
+        let seconds = usual.work(objective);
+        LATE * late(seconds, active.objective_left(now).as_secs_f64())
+            + LATENCY * seconds / objective.as_secs_f64().max(1e-3)
+    }
+}
+
+/// Chance that an answer expected after `seconds` comes later than `left`.
+fn late(seconds: f64, left: f64) -> f64 {
+    let left = left.max(1e-3);
+    1.0 / (1.0 + (-(seconds / left - 1.0) / LATE_SPREAD).exp())
+}
+
+/// Factor on work with one more call; loads between whole numbers are expectations.
+fn busy_factor(load: f64, slots: f64) -> f64 {
+    let quiet = (BUSY * slots).floor();
+    1.0 + BUSY_SLOWER * (load + 1.0 - quiet).clamp(0.0, 1.0)
+}
--- /dev/null
+++ b/crates/core/src/probing/options.rs
@@ -0,0 +1,40 @@
+//! Settings of a balancer.
+
+use {crate::ids::DataCentreId, std::time::Duration};
+
+/// Settings of a balancer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BalancerOptions {
+    /// Data centre of this instance.
+    pub data_centre: DataCentreId,
+    /// Extra attempts of a service per request that all entries together may send.
+    pub ratio: f64,
+    /// Extra attempts of a service in a window that all entries together may send without requests.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+    /// Probes of one server in a second that all entries together may send.
+    pub probe_rate: u32,
+    /// Live entries that are assumed before the first [`Peers`](crate::dispatch::DispatchEvent::Peers).
+    pub entries: usize,
+    /// Calls of one service that may wait at this entry.
+    pub queue: usize,
+}
+
+impl Default for BalancerOptions {
+    fn default() -> Self {
+        Self {
+            data_centre: "".into(),
+            // The figures of Brno.
+            ratio: 0.2,
+            slack: 64.0,
+            window: Duration::from_secs(10),
+            probe_rate: 60,
+            // One more than the larger of today's users has, so that the slack is not exceeded.
+            entries: 8,
+            // A call waits for at most an eighth of its objective, 100 ms at most, so that a full queue stands
+            // for 2,000 calls/s at one entry, which is more than an entry of the grown fleets gets.
+            queue: 200,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/probing/queue.rs
@@ -0,0 +1,48 @@
+//! Calls of one service that wait for a server, in the order in which they are served.
+
+use {
+    super::ActiveCall,
+    crate::ids::CallId,
+    std::{collections::BTreeSet, time::Instant},
+};
+
+/// Rank of a waiting call: its priority, then its deadline; the number tells equals apart.
+type Rank = (u32, Instant, CallId);
+
+/// Calls of one service that wait for a server, in the order in which they are served.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    calls: BTreeSet<Rank>,
+}
+
+impl Queue {
+    pub(super) fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    pub(super) fn push(&mut self, active: &ActiveCall) {
+        self.calls.insert(rank(active));
+    }
+
+    pub(super) fn remove(&mut self, active: &ActiveCall) {
+        self.calls.remove(&rank(active));
+    }
+
+    /// Returns whether a waiting call is to be served before this one.
+    pub(super) fn outranks(&self, active: &ActiveCall) -> bool {
+        self.calls.first().is_some_and(|first| *first < rank(active))
+    }
+
+    /// Returns the call that is served last, if it ranks below this one.
+    pub(super) fn last_below(&self, active: &ActiveCall) -> Option<CallId> {
+        self.calls.last().filter(|last| **last > rank(active)).map(|(.., call)| *call)
+    }
+
+    pub(super) fn calls(&self) -> Vec<CallId> {
+        self.calls.iter().map(|(.., call)| *call).collect()
+    }
+}
+
+fn rank(active: &ActiveCall) -> Rank {
+    (active.call.terms.priority, active.call.deadline, active.call.id)
+}
--- /dev/null
+++ b/crates/core/src/probing/reported.rs
@@ -0,0 +1,49 @@
+//! What a server last said about its load.
+
+use {
+    crate::dispatch::{LoadReport, USUAL_PACE},
+    std::time::{Duration, Instant},
+};
+
+/// A server's pace is drawn anew about every 300 ms, so that a report of it loses its weight in this time.
+const PACE_MEMORY: Duration = Duration::from_millis(300);
+/// Calls take 160 to 210 ms, after which other calls run than those that were reported.
+const LOAD_MEMORY: Duration = Duration::from_millis(200);
+
+/// What a server last said about its load.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Reported {
+    pub(super) at: Instant,
+    /// Calls of other entries that the server ran or held.
+    others: u32,
+    /// Factor on the usual time of work.
+    pace: f64,
+}
+
+impl Reported {
+    /// Takes a report in which `own` calls of this entry are counted.
+    pub(super) fn new(now: Instant, report: LoadReport, own: u32) -> Self {
+        let pace = f64::from(report.pace.max(1)) / f64::from(USUAL_PACE);
+        Self { at: now, others: report.in_flight.saturating_sub(own), pace }
+    }
+
+    pub(super) fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.at)
+    }
+
+    /// Expected pace now, which drifts from the reported one to the mean.
+    pub(super) fn pace(&self, now: Instant, mean: f64) -> f64 {
+        let weight = weight(self.age(now), PACE_MEMORY);
+        self.pace * weight + mean * (1.0 - weight)
+    }
+
+    /// Expected calls of other entries now.
+    pub(super) fn others(&self, now: Instant, mean: f64) -> f64 {
+        let weight = weight(self.age(now), LOAD_MEMORY);
+        f64::from(self.others) * weight + mean * (1.0 - weight)
+    }
+}
+
+fn weight(age: Duration, memory: Duration) -> f64 {
+    (-age.as_secs_f64() / memory.as_secs_f64()).exp()
+}
--- /dev/null
+++ b/crates/core/src/probing/servers.rs
@@ -0,0 +1,135 @@
+//! The servers of one service, those of the own data centre first.
+
+use {
+    super::Server,
+    crate::{
+        collections::FastMap,
+        dispatch::ServerView,
+        slots::{Key, key},
+    },
+    rand::{RngExt, rngs::SmallRng},
+    std::time::{Duration, Instant},
+};
+
+/// Part of the slots of a service that stays in use, whatever fails.
+const KEPT_PART: f64 = 0.5;
+/// A server that became ready this long ago has been given calls by other entries.
+const NEW: Duration = Duration::from_millis(3_500);
+/// When a new server gets its first call of an entry at the latest, in milliseconds: within 4 s, but rather
+/// when it is no longer cold. Each entry draws a time, so that they do not meet there.
+const DUE: std::ops::Range<u64> = 1_200..2_200;
+/// Entries of other data centres come later, as a new server has mostly got calls then.
+const DUE_REMOTE: std::ops::Range<u64> = 2_200..3_000;
+/// Servers of other data centres that are looked at for one choice; the cost does not grow with their number.
+pub(super) const REMOTE_SAMPLE: usize = 4;
+
+/// The servers of one service, those of the own data centre first.
+#[derive(Debug, Default)]
+pub(super) struct Servers {
+    all: Vec<Server>,
+    places: FastMap<Key, usize>,
+    /// Number of servers in the own data centre.
+    local: usize,
+}
+
+impl Servers {
+    /// Sets the servers. What is known of a server is kept unless its address or the time at which it became
+    /// ready has changed.
+    pub(super) fn set(&mut self, now: Instant, views: Vec<ServerView>, data_centre: &str, rng: &mut SmallRng) {
+        let mut known: FastMap<Key, Server> = self.all.drain(..).map(|server| (server.key, server)).collect();
+        self.places.clear();
+        for view in views {
+            let id = key(&view.id);
+            if self.places.contains_key(&id) {
+                continue;
+            }
+            let is_remote = *view.data_centre != *data_centre;
+            let same = known
+                .remove(&id)
+                .filter(|old| old.view.address == view.address && old.view.ready_since == view.ready_since);
+            let server = match same {
+                Some(mut old) => {
+                    old.view = view;
+                    old.is_remote = is_remote;
+                    old
+                }
+                None => {
+                    let mut server = Server::new(now, id, view, is_remote);
+                    let range = if is_remote { DUE_REMOTE } else { DUE };
+                    let wait = Duration::from_millis(rng.random_range(range));
+                    let is_new = now < server.view.ready_since + NEW;
+                    server.due = is_new.then(|| server.view.ready_since + wait);
+                    server
+                }
+            };
+            self.places.insert(id, 0);
+            self.all.push(server);
+        }
+        self.all.sort_unstable_by(|a, b| (a.is_remote, &a.view.id).cmp(&(b.is_remote, &b.view.id)));
+        self.places = self.all.iter().enumerate().map(|(place, server)| (server.key, place)).collect();
+        self.local = self.all.iter().filter(|server| !server.is_remote).count();
+        self.keep_enough(now);
+    }
+
+    pub(super) fn get(&self, server: Key) -> Option<&Server> {
+        self.all.get(*self.places.get(&server)?)
+    }
+
+    pub(super) fn get_mut(&mut self, server: Key) -> Option<&mut Server> {
+        self.all.get_mut(*self.places.get(&server)?)
+    }
+
+    /// Returns a server whose record has not changed since it became known at this time.
+    pub(super) fn get_since(&mut self, server: Key, since: Instant) -> Option<&mut Server> {
+        self.get_mut(server).filter(|server| server.since == since)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Server> {
+        self.all.iter()
+    }
+
+    /// Servers of the own data centre, and a random few of the others.
+    pub(super) fn sample(&self, rng: &mut SmallRng) -> impl Iterator<Item = &Server> {
+        let remote = self.all.len() - self.local;
+        let start = if remote > 0 { rng.random_range(0..remote) } else { 0 };
+        let others = (0..remote.min(REMOTE_SAMPLE)).map(move |step| self.local + (start + step) % remote);
+        (0..self.local).chain(others).map(|place| &self.all[place])
+    }
+
+    /// Ejects a server, or lengthens its ejection, if the others have enough of the slots.
+    pub(super) fn eject(&mut self, now: Instant, server: Key) {
+        let Some(place) = self.places.get(&server).copied() else { return };
+        let before = self.all[place].ejection;
+        self.all[place].ejection.eject(now);
+        if !before.is_out() && !self.has_enough(now) {
+            self.all[place].ejection = before;
+        }
+    }
+
+    /// Lets a server back.
+    pub(super) fn let_back(&mut self, server: Key) {
+        if let Some(server) = self.get_mut(server) {
+            server.ejection.let_back();
+        }
+    }
+
+    /// Lets servers back, those whose ejection ends first, while too few others are left.
+    pub(super) fn keep_enough(&mut self, now: Instant) {
+        while !self.has_enough(now) {
+            let out = self.all.iter().filter(|server| server.is_announced(now));
+            let first = out.filter_map(|server| Some((server.ejection.until()?, server.key))).min();
+            let Some((_, first)) = first else { return };
+            self.let_back(first);
+        }
+    }
+
+    /// Returns whether the servers that are not ejected have enough of the slots of all that take calls.
+    fn has_enough(&self, now: Instant) -> bool {
+        let (mut all, mut usable) = (0, 0);
+        for server in self.all.iter().filter(|server| server.is_announced(now)) {
+            all += server.slots();
+            usable += if server.ejection.is_out() { 0 } else { server.slots() };
+        }
+        f64::from(usable) >= KEPT_PART * f64::from(all)
+    }
+}
--- /dev/null
+++ b/crates/core/src/probing/service.rs
@@ -0,0 +1,52 @@
+//! What a balancer keeps for one service.
+
+use {
+    super::{BalancerOptions, Queue, Servers, Usual},
+    crate::retry::SlidingBudget,
+    std::time::{Duration, Instant},
+};
+
+/// Bounds of the time after which a caller may come back. A caller honours it up to a third of its time left,
+/// which is 0.4 s of the shortest deadline.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(20);
+pub(super) const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What a balancer keeps for one service.
+#[derive(Debug)]
+pub(super) struct ServiceState {
+    pub(super) servers: Servers,
+    pub(super) queue: Queue,
+    pub(super) budget: SlidingBudget,
+    pub(super) usual: Usual,
+    /// When servers are probed next for the calls that wait, if any do.
+    pub(super) review: Option<Instant>,
+}
+
+impl ServiceState {
+    pub(super) fn new(options: &BalancerOptions) -> Self {
+        Self {
+            servers: Servers::default(),
+            queue: Queue::default(),
+            budget: SlidingBudget::new(options.ratio, options.slack, options.window),
+            usual: Usual::new(),
+            review: None,
+        }
+    }
+
+    /// Estimates the time until a slot is free for a call that comes after those that wait. Other entries
+    /// are taken to have as many waiting calls.
+    pub(super) fn retry_after(&self, now: Instant, objective: Duration, entries: usize, jitter: f64) -> Duration {
+        let (mut slots, mut load) = (0.0, 0.0);
+        for server in self.servers.iter().filter(|server| server.is_usable(now)) {
+            slots += f64::from(server.slots());
+            load += server.load(now, &self.usual);
+        }
+        if slots == 0.0 {
+            return LONGEST_RETRY_AFTER;
+        }
+        let waiting = (self.queue.len() + 1) * entries;
+        let ahead = (load + waiting as f64 - slots).max(0.0);
+        let seconds = self.usual.work(objective) * self.usual.pace * ahead / slots;
+        Duration::from_secs_f64((seconds * jitter).min(LONGEST_RETRY_AFTER.as_secs_f64())).max(LEAST_RETRY_AFTER)
+    }
+}
--- /dev/null
+++ b/crates/core/tests/probing_choice.rs
@@ -0,0 +1,193 @@
+//! Which server a fleet's entry chooses for a call.
+
+#[path = "support/probed_entry.rs"]
+#[allow(dead_code, unreachable_pub)]
+mod probed_entry;
+
+use {
+    hemlockford_core::{
+        dispatch::{AttemptResult, Call, DispatchAction, DispatchEvent},
+        outcome::{NotRunReason, Outcome},
+    },
+    probed_entry::{MS, ProbedEntry, load, rejected, sent},
+    std::time::Duration,
+};
+
+const THREE: [(&str, &str); 3] = [("s1", "a"), ("s2", "a"), ("s3", "a")];
+
+/// Guards against a choice by load alone: a slow server that is idle is worse than a usual one.
+#[test]
+fn prefers_the_server_with_usual_pace() {
+    for fast in ["s1", "s2", "s3"] {
+        let mut entry = ProbedEntry::new(&THREE);
+        for (server, _) in THREE {
+            entry.reports.insert(server.into(), load(0, if server == fast { 100 } else { 400 }));
+        }
+        assert_eq!(&*entry.place().1, fast);
+    }
+}
+
+/// Guards against a choice by pace alone.
+#[test]
+fn prefers_the_idle_server_at_equal_pace() {
+    let mut entry = ProbedEntry::new(&THREE);
+    entry.reports.insert("s1".into(), load(2, 100));
+    entry.reports.insert("s2".into(), load(1, 100));
+    assert_eq!(&*entry.place().1, "s3");
+}
+
+/// Guards against two calls that arrive within one probe time meeting at the same server, since neither
+/// probe can show the other call.
+#[test]
+fn simultaneous_calls_count_each_other() {
+    let mut entry = ProbedEntry::new(&THREE);
+    let calls: Vec<_> = (0..3).map(|_| entry.call()).collect();
+    let ids: Vec<_> = calls.iter().map(|call| call.id).collect();
+    let mut actions = Vec::new();
+    for call in calls {
+        actions.extend(entry.handle(DispatchEvent::Arrive(call)));
+    }
+    let actions = entry.answer_probes(actions);
+    let mut servers: Vec<_> = ids.iter().map(|id| sent(&actions, *id).expect("a call that is sent")).collect();
+    servers.sort();
+    assert_eq!(servers, ["s1", "s2", "s3"].map(Box::from));
+}
+
+/// Guards against probes without bound: a fresh report takes the place of a probe, and no server is probed by
+/// one of 7 entries more than 8 times a second.
+#[test]
+fn probes_are_few() {
+    let mut entry = ProbedEntry::new(&THREE);
+    let peers = (0..7).map(|number| format!("entry-{number}").into()).collect();
+    entry.handle(DispatchEvent::Peers(peers));
+    entry.complete();
+    let first = entry.probed.len();
+    assert!(first <= 3, "{first}");
+    entry.complete();
+    assert_eq!(entry.probed.len(), first, "reports are fresh");
+    entry.probed.clear();
+    for _ in 0..100 {
+        entry.pass(10 * MS);
+        entry.complete();
+    }
+    for (server, _) in THREE {
+        let count = entry.probed.iter().filter(|probed| ***probed == *server).count();
+        assert!(count <= 10, "{server} was probed {count} times in 1.2 s");
+    }
+}
+
+/// Guards against a call that waits for a probe that is never answered.
+#[test]
+fn decides_without_answers() {
+    let mut entry = ProbedEntry::new(&THREE);
+    let call = entry.call();
+    let id = call.id;
+    let actions = entry.handle(DispatchEvent::Arrive(call));
+    assert!(actions.iter().all(|action| matches!(action, DispatchAction::Probe { .. })));
+    let start = entry.now;
+    let mut actions = Vec::new();
+    while sent(&actions, id).is_none() {
+        let at = entry.balancer.next_wake().expect("a time at which the choice is made");
+        entry.now = at;
+        actions = entry.handle(DispatchEvent::Tick);
+    }
+    assert!(entry.now - start <= 24 * MS, "{:?}", entry.now - start);
+}
+
+/// Guards against a failed probe ruling a server out: a health check that fails is no proof that calls do.
+#[test]
+fn failed_probes_only_lower_the_estimate() {
+    let mut entry = ProbedEntry::new(&THREE[..1]);
+    entry.reports.clear();
+    for _ in 0..20 {
+        let call = entry.call();
+        let id = call.id;
+        let mut actions = entry.arrive(call);
+        actions.extend(entry.pass(30 * MS));
+        assert!(sent(&actions, id).is_some());
+        entry.end(id, "s1", AttemptResult::Complete);
+        entry.pass(200 * MS);
+    }
+    let mut entry = ProbedEntry::new(&THREE);
+    entry.reports.remove("s1");
+    let mut served = 0;
+    for _ in 0..30 {
+        served += usize::from(&*entry.complete() == "s1");
+        entry.pass(200 * MS);
+    }
+    assert!(served <= 3, "a silent server got {served} of 30 calls");
+}
+
+/// Guards against uploads that go to another data centre for little: the bytes cost a sixth of their worth.
+#[test]
+fn uploads_stay_in_the_own_data_centre() {
+    let servers = [("own", "a"), ("far", "b")];
+    let mut entry = ProbedEntry::new(&servers);
+    entry.reports.insert("own".into(), load(1, 100));
+    let objective = 600 * MS;
+    let of = |call: Call| Call { terms: hemlockford_core::dispatch::CallTerms { objective, ..call.terms }, ..call };
+    let upload = of(entry.upload());
+    assert_eq!(&*entry.place_call(upload).1, "own", "slower, but within the objective");
+
+    let mut entry = ProbedEntry::new(&servers);
+    entry.reports.insert("own".into(), load(0, 400));
+    let upload = of(entry.upload());
+    assert_eq!(&*entry.place_call(upload).1, "far", "the own server would miss the objective");
+
+    let mut entry = ProbedEntry::new(&servers);
+    assert_eq!(&*entry.place().1, "own", "a look-up without need");
+    let mut entry = ProbedEntry::new(&servers);
+    entry.reports.insert("own".into(), load(1, 100));
+    assert_eq!(&*entry.place().1, "far", "a look-up that is clearly faster there");
+}
+
+/// Guards against calls held for a service that has no servers, and against a wrong reason.
+#[test]
+fn rejects_at_once_without_servers_or_time() {
+    let mut entry = ProbedEntry::new(&[]);
+    let call = entry.call();
+    let id = call.id;
+    let actions = entry.arrive(call);
+    assert_eq!(rejected(&actions, id).map(|(outcome, _)| outcome), Some(Outcome::NotRun(NotRunReason::NoServer)));
+    let mut entry = ProbedEntry::new(&THREE);
+    let call = Call { deadline: entry.now + 20 * MS, ..entry.call() };
+    let id = call.id;
+    let actions = entry.handle(DispatchEvent::Arrive(call));
+    assert_eq!(rejected(&actions, id).map(|(outcome, _)| outcome), Some(Outcome::NotRun(NotRunReason::Deadline)));
+    assert_eq!((entry.balancer.active(), entry.balancer.next_wake()), (0, None));
+}
+
+/// Guards against a new server that stays idle because the others suffice.
+#[test]
+fn a_new_server_gets_a_call_within_four_seconds() {
+    for data_centre in ["a", "b"] {
+        let mut entry = ProbedEntry::new(&THREE);
+        entry.pass(Duration::from_secs(1));
+        let joined = entry.now;
+        entry.add("new", data_centre, joined);
+        entry.reports.insert("new".into(), load(0, 100));
+        entry.announce();
+        let mut first = None;
+        while entry.now < joined + Duration::from_secs(4) && first.is_none() {
+            first = (&*entry.complete() == "new").then_some(entry.now);
+            entry.pass(200 * MS);
+        }
+        assert!(first.is_some(), "no call in 4 s for a server of {data_centre}");
+    }
+}
+
+/// Guards against state that is left behind for calls that end in any way.
+#[test]
+fn cancelled_calls_leave_nothing() {
+    let mut entry = ProbedEntry::new(&THREE);
+    let call = entry.call();
+    let id = call.id;
+    let probes = entry.handle(DispatchEvent::Arrive(call));
+    entry.handle(DispatchEvent::Cancel(id));
+    assert!(entry.answer_probes(probes).is_empty());
+    let (running, server) = entry.place();
+    assert_eq!(entry.balancer.active(), 1);
+    entry.handle(DispatchEvent::Cancel(running));
+    assert!(entry.end(running, &server, AttemptResult::CallerLeft).is_empty());
+    assert_eq!((entry.balancer.active(), entry.balancer.waiting(), entry.balancer.next_wake()), (0, 0, None));
+}
--- /dev/null
+++ b/crates/core/tests/probing_fleet.rs
@@ -0,0 +1,92 @@
+//! A whole fleet in virtual time: entries that choose on their own, with the traffic of Brno.
+
+#[path = "support/fleet/mod.rs"]
+#[allow(dead_code, unused_imports, unreachable_pub)]
+mod fleet;
+
+use {
+    fleet::{Fault, Fleet, FleetOptions, Workload},
+    hemlockford_core::text::Policy,
+    std::time::Duration,
+};
+
+const WARM_UP: Duration = Duration::from_secs(5);
+const RUN: Duration = Duration::from_secs(120);
+
+fn run(options: FleetOptions) -> Fleet {
+    println!("seed {}", options.seed);
+    let mut fleet = Fleet::new(options);
+    fleet.run_for(WARM_UP);
+    fleet.tallies.iter_mut().for_each(|tally| *tally = fleet::Tally::default());
+    fleet.run_for(RUN);
+    fleet
+}
+
+/// Guards against a policy that is no better than the simple ones where it matters.
+#[test]
+fn more_calls_are_in_time_than_with_least_in_flight_or_random() {
+    for load in [1.0, 1.6] {
+        let of = |policy| {
+            let workloads = Workload::brno(load);
+            run(FleetOptions { policy, workloads, ..FleetOptions::default() }).total().share()
+        };
+        let (probing, least, random) = (of(None), of(Some(Policy::LeastInFlight)), of(Some(Policy::Random)));
+        println!("load {load}: probing {probing:.3}, least in flight {least:.3}, random {random:.3}");
+        // Of what the better of them misses, at least half is made good.
+        assert!(1.0 - probing < 0.5 * (1.0 - least), "{probing} and {least}");
+        assert!(least > random);
+    }
+}
+
+/// Guards against faults that spread: one server of each service fails in its way.
+#[test]
+fn faulty_servers_cost_little() {
+    let healthy = run(FleetOptions::default()).total();
+    for fault in [Fault::FailsFast, Fault::ShedsAll, Fault::Misdirects] {
+        let mut fleet = Fleet::new(FleetOptions::default());
+        fleet.run_for(WARM_UP);
+        for faulty in [0, 22, 33] {
+            fleet.servers[faulty].fault = fault;
+        }
+        fleet.tallies.iter_mut().for_each(|tally| *tally = fleet::Tally::default());
+        let before: u64 = [0, 22, 33].iter().map(|server| fleet.servers[*server].reached).sum();
+        fleet.run_for(RUN);
+        let total = fleet.total();
+        let reached: u64 = [0, 22, 33].iter().map(|server| fleet.servers[*server].reached).sum::<u64>() - before;
+        println!("{fault:?}: {:.3} in time, {:.3} without it, {reached} calls", total.share(), healthy.share());
+        assert!(total.share() > healthy.share() - 0.03);
+        assert!((reached as f64) < 0.02 * total.calls as f64, "{reached} of {}", total.calls);
+    }
+}
+
+/// Guards against a new server that no entry uses, in any data centre and service.
+#[test]
+fn new_servers_get_calls_within_four_seconds() {
+    for workload in 0..3 {
+        for seed in 1..=5 {
+            let mut fleet = Fleet::new(FleetOptions { seed, ..FleetOptions::default() });
+            println!("seed {seed}");
+            fleet.run_for(WARM_UP);
+            let joined = fleet.now;
+            let server = fleet.add_server(workload, joined);
+            fleet.announce(workload);
+            fleet.run_for(Duration::from_secs(6));
+            let first = fleet.servers[server].first_reached.expect("a call for the new server");
+            assert!(first - joined < Duration::from_secs(4), "workload {workload}: {:?}", first - joined);
+        }
+    }
+}
+
+/// Guards against probes beyond what servers allow, and against a budget that is exceeded under overload.
+#[test]
+fn probes_and_extra_attempts_stay_within_their_bounds() {
+    let overload = 4.0;
+    let fleet = run(FleetOptions { workloads: Workload::brno(overload), ..FleetOptions::default() });
+    for (tally, workload) in fleet.tallies.iter().zip(&fleet.options.workloads) {
+        let probes = tally.probes as f64 / RUN.as_secs_f64() / workload.servers as f64;
+        assert!(probes <= 60.0, "{}: {probes} probes a second", workload.service);
+        let extra = tally.attempts.saturating_sub(tally.calls - tally.rejected) as f64;
+        let windows = RUN.as_secs_f64() / 10.0;
+        assert!(extra <= 0.2 * tally.calls as f64 + 64.0 * windows, "{}: {extra}", workload.service);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/probing_health.rs
@@ -0,0 +1,173 @@
+//! Servers that fail, as a fleet's entry sees them.
+
+#[path = "support/probed_entry.rs"]
+#[allow(dead_code, unreachable_pub)]
+mod probed_entry;
+
+use {
+    hemlockford_core::{
+        dispatch::{AttemptResult, DispatchEvent},
+        ids::ServerId,
+    },
+    probed_entry::{MS, ProbedEntry, load, sent},
+    std::time::Duration,
+};
+
+const FOUR: [(&str, &str); 4] = [("s1", "a"), ("s2", "a"), ("s3", "a"), ("s4", "a")];
+
+/// Sends calls for some time, of which those at the given servers end with a result; returns how many attempts
+/// each server got.
+fn run(entry: &mut ProbedEntry, time: Duration, bad: &[&str], result: AttemptResult) -> Vec<(ServerId, usize)> {
+    let mut counts: Vec<_> = entry.views.iter().map(|view| (view.id.clone(), 0)).collect();
+    let end = entry.now + time;
+    while entry.now < end {
+        let (call, mut server) = entry.place();
+        loop {
+            counts.iter_mut().filter(|(id, _)| *id == server).for_each(|(_, count)| *count += 1);
+            let ended = if bad.contains(&&*server) { result } else { AttemptResult::Complete };
+            let actions = entry.end(call, &server, ended);
+            match sent(&actions, call) {
+                Some(next) => server = next,
+                None => break,
+            }
+        }
+        entry.pass(75 * MS);
+    }
+    counts
+}
+
+fn share(counts: &[(ServerId, usize)], server: &str) -> f64 {
+    let all: usize = counts.iter().map(|(_, count)| count).sum();
+    let own: usize = counts.iter().filter(|(id, _)| **id == *server).map(|(_, count)| count).sum();
+    own as f64 / all as f64
+}
+
+/// Guards against a server that fails fast and therefore always seems idle: it would attract every call.
+#[test]
+fn a_server_that_fails_fast_loses_its_traffic() {
+    for result in [AttemptResult::ServerError, AttemptResult::RefusedBeforeWrite, AttemptResult::BadAnswer] {
+        let mut entry = ProbedEntry::new(&FOUR);
+        // The others are loaded, so that the failing one looks better in every report.
+        for server in ["s2", "s3", "s4"] {
+            entry.reports.insert(server.into(), load(1, 100));
+        }
+        let counts = run(&mut entry, Duration::from_secs(30), &["s1"], result);
+        assert!(share(&counts, "s1") < 0.03, "{result}: {counts:?}");
+        let counts = run(&mut entry, Duration::from_secs(30), &[], result);
+        assert!(share(&counts, "s1") > 0.1, "{result}: it works again: {counts:?}");
+    }
+}
+
+/// Guards against trusting the report of a server that rejects everything while it says that it is idle.
+#[test]
+fn a_server_that_sheds_all_loses_its_traffic() {
+    let mut entry = ProbedEntry::new(&FOUR);
+    for server in ["s2", "s3", "s4"] {
+        entry.reports.insert(server.into(), load(1, 100));
+    }
+    let counts = run(&mut entry, Duration::from_secs(30), &["s1"], AttemptResult::Shed);
+    assert!(share(&counts, "s1") < 0.03, "{counts:?}");
+}
+
+/// Guards against ejecting a server for being full, which its report shows anyway.
+#[test]
+fn a_shed_of_a_full_server_is_no_failure() {
+    let mut entry = ProbedEntry::new(&FOUR[..2]);
+    let (call, server) = entry.place();
+    entry.reports.insert(server.clone(), load(6, 100));
+    entry.end(call, &server, AttemptResult::Shed);
+    entry.reports.insert(server.clone(), load(0, 100));
+    for view in entry.views.clone().iter().filter(|view| view.id != server) {
+        entry.reports.insert(view.id.clone(), load(2, 100));
+    }
+    entry.pass(250 * MS);
+    assert_eq!(entry.complete(), server);
+}
+
+/// Guards against ejections that leave too few servers: at least half of the slots stay in use.
+#[test]
+fn half_of_the_slots_stay_in_use() {
+    let mut entry = ProbedEntry::new(&FOUR);
+    let all = ["s1", "s2", "s3", "s4"];
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..10 {
+        run(&mut entry, 500 * MS, &all, AttemptResult::ServerError);
+        let counts = run(&mut entry, 400 * MS, &all, AttemptResult::ServerError);
+        used.insert(counts.iter().filter(|(_, count)| *count > 0).count());
+    }
+    assert!(used.iter().all(|count| *count >= 2), "{used:?}");
+}
+
+/// Guards against ejections that stay when the servers that were to carry the load have left.
+#[test]
+fn ejected_servers_are_let_back_when_the_others_leave() {
+    let mut entry = ProbedEntry::new(&FOUR);
+    run(&mut entry, Duration::from_secs(5), &["s1", "s2"], AttemptResult::ServerError);
+    entry.views.retain(|view| ["s1", "s2"].contains(&&*view.id));
+    entry.announce();
+    let counts = run(&mut entry, Duration::from_secs(1), &[], AttemptResult::ServerError);
+    assert!(counts.iter().any(|(_, count)| *count > 5), "{counts:?}");
+}
+
+/// Guards against trials that go on as often after each failure, and against a server that is never tried.
+#[test]
+fn ejections_double() {
+    let mut entry = ProbedEntry::new(&FOUR);
+    let mut last = None;
+    let mut gaps = Vec::new();
+    let end = entry.now + Duration::from_secs(40);
+    while entry.now < end {
+        let (call, server) = entry.place();
+        if &*server == "s1" {
+            let now = entry.now;
+            gaps.extend(last.replace(now).map(|before| now - before));
+            entry.end(call, &server, AttemptResult::RefusedBeforeWrite);
+            let left = entry.handle(DispatchEvent::Cancel(call));
+            assert!(left.is_empty());
+        } else {
+            entry.end(call, &server, AttemptResult::Complete);
+        }
+        entry.pass(50 * MS);
+    }
+    assert!((4..=7).contains(&gaps.len()), "{gaps:?}");
+    for pair in gaps.windows(2).take(4) {
+        assert!(pair[1] > pair[0].mul_f64(1.5), "{gaps:?}");
+    }
+}
+
+/// Guards against a single failure that takes a server out for long.
+#[test]
+fn a_single_failure_is_forgiven_soon() {
+    let mut entry = ProbedEntry::new(&FOUR);
+    let (call, server) = entry.place();
+    entry.end(call, &server, AttemptResult::ServerError);
+    for (other, _) in FOUR.iter().filter(|(other, _)| **other != *server) {
+        entry.reports.insert((*other).into(), load(2, 100));
+    }
+    let counts = run(&mut entry, Duration::from_secs(5), &[], AttemptResult::Complete);
+    assert!(share(&counts, &server) > 0.7, "{counts:?}");
+}
+
+/// Guards against a timeout of a call that came with too little time counting against its server.
+#[test]
+fn a_short_deadline_is_no_fault_of_the_server() {
+    let mut entry = ProbedEntry::new(&FOUR[..2]);
+    for _ in 0..5 {
+        let (call, server) = entry.place();
+        let finish = hemlockford_core::dispatch::Finish {
+            call,
+            server: server.clone(),
+            result: AttemptResult::Timeout,
+            latency: 10 * MS,
+            report: None,
+            wants_decision: false,
+        };
+        entry.handle(DispatchEvent::Finish(finish));
+        let other = entry.views.iter().find(|view| view.id != server).map(|view| view.id.clone()).unwrap();
+        entry.reports.insert(other, load(2, 400));
+        entry.reports.insert(server.clone(), load(0, 100));
+        entry.pass(300 * MS);
+        assert_eq!(entry.complete(), server);
+        entry.pass(300 * MS);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/probing_queue.rs
@@ -0,0 +1,165 @@
+//! Calls that wait at a fleet's entry because every server is full.
+
+#[path = "support/probed_entry.rs"]
+#[allow(dead_code, unreachable_pub)]
+mod probed_entry;
+
+use {
+    hemlockford_core::{
+        dispatch::{AttemptResult, Call, CallTerms, DispatchAction, DispatchEvent},
+        ids::CallId,
+        outcome::{NotRunReason, Outcome},
+        probing::BalancerOptions,
+    },
+    probed_entry::{MS, ProbedEntry, load, rejected, sent},
+    std::time::Duration,
+};
+
+const TWO: [(&str, &str); 2] = [("s1", "a"), ("s2", "a")];
+/// Two slots and two more.
+const FULL: u32 = 4;
+/// Two slots and the queue of the server.
+const OVERFULL: u32 = 6;
+
+/// Makes the only entry of a fleet, which may probe a server each 17 ms.
+fn full(in_flight: u32) -> ProbedEntry {
+    let mut entry = ProbedEntry::new(&TWO);
+    entry.handle(DispatchEvent::Peers(vec!["entry".into()]));
+    for (server, _) in TWO {
+        entry.reports.insert(server.into(), load(in_flight, 100));
+    }
+    entry
+}
+
+fn waiting(entry: &mut ProbedEntry, priority: u32) -> CallId {
+    let call = entry.call();
+    let call = Call { terms: CallTerms { priority, ..call.terms }, ..call };
+    let id = call.id;
+    let actions = entry.arrive(call);
+    assert!(sent(&actions, id).is_none() && rejected(&actions, id).is_none());
+    id
+}
+
+/// Guards against calls that are sent to full servers at once, and against ones that wait for longer than an
+/// eighth of the objective.
+#[test]
+fn waits_an_eighth_and_then_uses_the_room_in_a_queue() {
+    let mut entry = full(FULL);
+    let id = waiting(&mut entry, 0);
+    assert_eq!(entry.balancer.waiting(), 1);
+    let actions = entry.pass(40 * MS);
+    assert_eq!(sent(&actions, id), None);
+    let actions = entry.pass(15 * MS);
+    assert!(sent(&actions, id).is_some(), "the servers would queue it");
+    assert_eq!(entry.balancer.waiting(), 0);
+}
+
+/// Guards against calls that are held although nothing has room, and a useless time to come back.
+#[test]
+fn rejects_what_no_server_would_queue() {
+    let mut entry = full(OVERFULL);
+    let id = waiting(&mut entry, 0);
+    let actions = entry.pass(60 * MS);
+    let (outcome, retry_after) = rejected(&actions, id).expect("a rejected call");
+    assert_eq!(outcome, Outcome::NotRun(NotRunReason::Overload));
+    assert!((20 * MS..=Duration::from_secs(1)).contains(&retry_after), "{retry_after:?}");
+    assert_eq!((entry.balancer.active(), entry.balancer.waiting()), (0, 0));
+}
+
+/// Guards against a wait that goes on after a slot became free at another entry's call, which only a probe
+/// shows.
+#[test]
+fn notices_room_while_calls_wait() {
+    let mut entry = full(OVERFULL);
+    let id = waiting(&mut entry, 0);
+    entry.reports.insert("s2".into(), load(1, 100));
+    let actions = entry.pass(49 * MS);
+    assert!(sent(&actions, id).is_some());
+}
+
+/// Guards against calls of low priority that are served before those of a higher one, and against an order
+/// of arrival where deadlines differ.
+#[test]
+fn serves_by_priority_and_then_by_deadline() {
+    let mut entry = full(OVERFULL);
+    let low = waiting(&mut entry, 2);
+    let late = waiting(&mut entry, 1);
+    let call = entry.call();
+    let terms = CallTerms { priority: 1, ..call.terms };
+    let call = Call { deadline: entry.now + 900 * MS, terms, ..call };
+    let soon = call.id;
+    entry.handle(DispatchEvent::Arrive(call));
+    let high = waiting(&mut entry, 0);
+    entry.reports.insert("s1".into(), load(0, 100));
+    let actions = entry.pass(40 * MS);
+    let order: Vec<_> = actions
+        .iter()
+        .filter_map(|action| match action {
+            DispatchAction::Send { call, .. } => Some(*call),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(order, [high, soon, late, low]);
+}
+
+/// Guards against a new call that overtakes waiting ones of higher priority.
+#[test]
+fn a_new_call_does_not_overtake() {
+    let mut entry = full(OVERFULL);
+    let high = waiting(&mut entry, 0);
+    // The next answer to a probe shows room for one call.
+    entry.reports.insert("s1".into(), load(FULL - 1, 100));
+    entry.pass(5 * MS);
+    let low = entry.call();
+    let low = Call { terms: CallTerms { priority: 3, ..low.terms }, ..low };
+    let id = low.id;
+    let mut actions = entry.arrive(low);
+    actions.extend(entry.pass(30 * MS));
+    assert!(sent(&actions, high).is_some());
+    assert!(sent(&actions, id).is_none());
+}
+
+/// Guards against a queue without bound, and a full one that keeps calls of high priority out.
+#[test]
+fn a_full_queue_rejects_the_lowest_priority() {
+    let options = BalancerOptions { data_centre: "a".into(), queue: 2, ..BalancerOptions::default() };
+    let mut entry = ProbedEntry::with(&TWO, options);
+    for (server, _) in TWO {
+        entry.reports.insert(server.into(), load(OVERFULL, 100));
+    }
+    waiting(&mut entry, 1);
+    let lowest = waiting(&mut entry, 2);
+    let call = entry.call();
+    let actions = entry.arrive(call);
+    assert_eq!(rejected(&actions, lowest).map(|(outcome, _)| outcome), Some(Outcome::NotRun(NotRunReason::Overload)));
+    let call = entry.call();
+    let call = Call { terms: CallTerms { priority: 5, ..call.terms }, ..call };
+    let id = call.id;
+    let actions = entry.arrive(call);
+    assert!(rejected(&actions, id).is_some());
+    assert_eq!(entry.balancer.waiting(), 2);
+}
+
+/// Guards against own calls that are not counted against the limit of two beyond the slots.
+#[test]
+fn own_calls_count_against_the_room() {
+    let mut entry = ProbedEntry::new(&TWO[..1]);
+    let mut running = Vec::new();
+    for _ in 0..FULL {
+        running.push(entry.place().0);
+    }
+    // The server's report would still show nothing if it lagged behind.
+    let id = waiting(&mut entry, 0);
+    let actions = entry.end(running[0], "s1", AttemptResult::Complete);
+    assert!(sent(&actions, id).is_some(), "the end of a call makes room");
+}
+
+/// Guards against waiting calls that are held after the last server has left.
+#[test]
+fn waiting_calls_are_rejected_when_the_servers_leave() {
+    let mut entry = full(OVERFULL);
+    let id = waiting(&mut entry, 0);
+    entry.views.clear();
+    let actions = entry.announce();
+    assert_eq!(rejected(&actions, id).map(|(outcome, _)| outcome), Some(Outcome::NotRun(NotRunReason::NoServer)));
+}
--- /dev/null
+++ b/crates/core/tests/support/fleet/chooser.rs
@@ -0,0 +1,64 @@
+//! What decides at an entry.
+
+use {
+    hemlockford_core::{
+        dispatch::{DispatchAction, DispatchEvent, DispatchOptions, Dispatcher},
+        probing::{Balancer, BalancerOptions},
+        text::{Policy, Text},
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time between two ticks of a dispatcher.
+const TICK: Duration = Duration::from_millis(5);
+
+/// What decides at an entry.
+#[derive(Debug)]
+pub enum Chooser {
+    Probing(Box<Balancer>),
+    Policy(Box<Dispatcher>),
+}
+
+impl Chooser {
+    /// Makes the balancer of a fleet, or a dispatcher with one of the baseline policies.
+    pub fn new(policy: Option<Policy>, data_centre: &str, services: &[&str], seed: u64, now: Instant) -> Self {
+        let rng = SmallRng::seed_from_u64(seed);
+        let sections = |policy: &str| {
+            let sections = services.iter().map(|name| format!("[service {name}]\n{policy}"));
+            let text = format!("[change]\nnumber = 1\n{}", sections.collect::<String>());
+            Arc::new(Text::parse(&text).expect("a text without faults"))
+        };
+        let (mut chooser, text) = match policy {
+            None => {
+                let options = BalancerOptions { data_centre: data_centre.into(), ..BalancerOptions::default() };
+                (Self::Probing(Box::new(Balancer::new(options, rng))), sections(""))
+            }
+            Some(policy) => {
+                let options = DispatchOptions { id: "entry".into(), ..DispatchOptions::default() };
+                let text = sections(&format!("policy = {policy}\nretry-budget = 20%\n"));
+                (Self::Policy(Box::new(Dispatcher::new(options, rng))), text)
+            }
+        };
+        chooser.handle(now, DispatchEvent::Configure(text), &mut Vec::new());
+        chooser
+    }
+
+    pub fn handle(&mut self, now: Instant, event: DispatchEvent, actions: &mut Vec<DispatchAction>) {
+        match self {
+            Self::Probing(balancer) => balancer.handle(now, event, actions),
+            Self::Policy(dispatcher) => dispatcher.handle(now, event, actions),
+        }
+    }
+
+    /// Returns when a tick is needed.
+    pub fn next_wake(&self, now: Instant) -> Option<Instant> {
+        match self {
+            Self::Probing(balancer) => balancer.next_wake(),
+            Self::Policy(dispatcher) => (dispatcher.waiting() > 0).then(|| now + TICK),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/support/fleet/workload.rs
@@ -0,0 +1,76 @@
+//! One service with its callers.
+
+use std::time::Duration;
+
+/// One service with its callers.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    pub service: &'static str,
+    pub servers: usize,
+    pub slots: u32,
+    /// Calls a second over all entries.
+    pub rate: f64,
+    /// Mean seconds of work at usual pace.
+    pub work: f64,
+    pub objective: Duration,
+    pub deadline: Duration,
+    pub idempotent: bool,
+    pub upload: bool,
+}
+
+impl Workload {
+    /// The three services of Brno, with their usual traffic times `load`.
+    pub fn brno(load: f64) -> Vec<Self> {
+        let ms = Duration::from_millis;
+        vec![
+            Self {
+                service: "catalogue",
+                servers: 22,
+                slots: 2,
+                rate: 61.0 * load,
+                work: 0.16,
+                objective: ms(400),
+                deadline: ms(1_200),
+                idempotent: true,
+                upload: false,
+            },
+            Self {
+                service: "orders",
+                servers: 11,
+                slots: 2,
+                rate: 24.0 * load,
+                work: 0.21,
+                objective: ms(500),
+                deadline: ms(1_500),
+                idempotent: false,
+                upload: false,
+            },
+            Self {
+                service: "intake",
+                servers: 6,
+                slots: 2,
+                rate: 7.0 * load,
+                work: 0.19,
+                objective: ms(600),
+                deadline: ms(1_500),
+                idempotent: false,
+                upload: true,
+            },
+        ]
+    }
+
+    /// The three services of Brno after its growth.
+    pub fn brno_grown(load: f64) -> Vec<Self> {
+        let sizes = [(199, 553.0, 400, 1_500), (101, 216.0, 500, 2_000), (26, 59.0, 1_000, 2_500)];
+        let grown = Self::brno(1.0).into_iter().zip(sizes);
+        grown
+            .map(|(workload, (servers, rate, objective, deadline))| Self {
+                servers,
+                rate: rate * load,
+                objective: Duration::from_millis(objective),
+                deadline: Duration::from_millis(deadline),
+                ..workload
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/support/probed_entry.rs
@@ -0,0 +1,194 @@
+//! One balancer whose servers answer probes as a test says.
+
+use {
+    hemlockford_core::{
+        collections::FastMap,
+        dispatch::{
+            AttemptResult, Call, CallTerms, DispatchAction, DispatchEvent, Finish, LoadReport, ServerState, ServerView,
+        },
+        ids::{CallId, ServerId},
+        outcome::Outcome,
+        probing::{Balancer, BalancerOptions},
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::time::{Duration, Instant},
+};
+
+pub const MS: Duration = Duration::from_millis(1);
+pub const SERVICE: &str = "catalogue";
+const PROBE_TIME: Duration = Duration::from_millis(2);
+const HOUR: Duration = Duration::from_secs(3_600);
+
+/// A load report with 2 slots.
+pub fn load(in_flight: u32, pace: u32) -> LoadReport {
+    LoadReport { in_flight, slots: 2, pace }
+}
+
+/// One balancer in the data centre `a`.
+pub struct ProbedEntry {
+    pub balancer: Balancer,
+    pub now: Instant,
+    pub views: Vec<ServerView>,
+    /// Answers to probes; a server without one does not answer.
+    pub reports: FastMap<ServerId, LoadReport>,
+    /// Servers probed so far.
+    pub probed: Vec<ServerId>,
+    last_call: CallId,
+}
+
+impl ProbedEntry {
+    /// Makes an entry with servers of 2 slots, given by name and data centre.
+    pub fn new(servers: &[(&str, &str)]) -> Self {
+        Self::with(servers, BalancerOptions { data_centre: "a".into(), ..BalancerOptions::default() })
+    }
+
+    pub fn with(servers: &[(&str, &str)], options: BalancerOptions) -> Self {
+        let now = Instant::now() + HOUR;
+        let mut entry = Self {
+            balancer: Balancer::new(options, SmallRng::seed_from_u64(3)),
+            now,
+            views: Vec::new(),
+            reports: FastMap::default(),
+            probed: Vec::new(),
+            last_call: 0,
+        };
+        for (id, data_centre) in servers {
+            entry.add(id, data_centre, now.checked_sub(60_000 * MS).unwrap_or(now));
+            entry.reports.insert((*id).into(), load(0, 100));
+        }
+        entry.announce();
+        entry
+    }
+
+    pub fn add(&mut self, id: &str, data_centre: &str, ready_since: Instant) {
+        self.views.push(ServerView {
+            id: id.into(),
+            address: ([127, 0, 0, 1], 9_000 + self.views.len() as u16).into(),
+            data_centre: data_centre.into(),
+            slots: 2,
+            connections: 250,
+            state: ServerState::Ready,
+            lease_end: self.now + HOUR,
+            ready_since,
+        });
+    }
+
+    pub fn announce(&mut self) -> Vec<DispatchAction> {
+        self.handle(DispatchEvent::Servers(SERVICE.into(), self.views.clone()))
+    }
+
+    /// A look-up with an objective of 400 ms.
+    pub fn call(&mut self) -> Call {
+        self.last_call += 1;
+        Call {
+            id: self.last_call,
+            service: SERVICE.into(),
+            customer: "kovar".into(),
+            idempotent: true,
+            replayable: true,
+            deadline: self.now + 1_200 * MS,
+            depth: 0,
+            retry_allowance: false,
+            upload: false,
+            terms: CallTerms { attempts: 3, priority: 0, objective: 400 * MS },
+        }
+    }
+
+    /// An order, which is not idempotent.
+    pub fn order(&mut self) -> Call {
+        Call { idempotent: false, replayable: false, ..self.call() }
+    }
+
+    /// An upload, which is not idempotent and whose body is not kept.
+    pub fn upload(&mut self) -> Call {
+        Call { upload: true, ..self.order() }
+    }
+
+    pub fn handle(&mut self, event: DispatchEvent) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    /// Answers probes until none is left; returns the other actions.
+    pub fn answer_probes(&mut self, actions: Vec<DispatchAction>) -> Vec<DispatchAction> {
+        let (mut probes, mut others): (Vec<_>, Vec<_>) =
+            actions.into_iter().partition(|action| matches!(action, DispatchAction::Probe { .. }));
+        while !probes.is_empty() {
+            self.now += PROBE_TIME;
+            for action in std::mem::take(&mut probes) {
+                let DispatchAction::Probe { probe, server, .. } = action else { continue };
+                let report = self.reports.get(&server).copied();
+                self.probed.push(server);
+                let event = DispatchEvent::Probed { probe, latency: PROBE_TIME, report, ok: report.is_some() };
+                for action in self.handle(event) {
+                    let is_probe = matches!(action, DispatchAction::Probe { .. });
+                    if is_probe { probes.push(action) } else { others.push(action) }
+                }
+            }
+        }
+        others
+    }
+
+    /// Lets a call arrive and answers the probes for it.
+    pub fn arrive(&mut self, call: Call) -> Vec<DispatchAction> {
+        let actions = self.handle(DispatchEvent::Arrive(call));
+        self.answer_probes(actions)
+    }
+
+    /// Sends a look-up; returns its number and its server.
+    pub fn place(&mut self) -> (CallId, ServerId) {
+        let call = self.call();
+        self.place_call(call)
+    }
+
+    pub fn place_call(&mut self, call: Call) -> (CallId, ServerId) {
+        let id = call.id;
+        let actions = self.arrive(call);
+        (id, sent(&actions, id).expect("a call that is sent"))
+    }
+
+    /// Ends an attempt; the server reports what it would answer to a probe.
+    pub fn end(&mut self, call: CallId, server: &str, result: AttemptResult) -> Vec<DispatchAction> {
+        let report = self.reports.get(server).copied();
+        let wants_decision = !matches!(result, AttemptResult::Complete | AttemptResult::CallerLeft);
+        let finish = Finish { call, server: server.into(), result, latency: 160 * MS, report, wants_decision };
+        let actions = self.handle(DispatchEvent::Finish(finish));
+        self.answer_probes(actions)
+    }
+
+    /// Sends a look-up and ends it at once; returns its server.
+    pub fn complete(&mut self) -> ServerId {
+        let (call, server) = self.place();
+        self.end(call, &server, AttemptResult::Complete);
+        server
+    }
+
+    /// Lets time pass, with the ticks that the balancer asks for.
+    pub fn pass(&mut self, time: Duration) -> Vec<DispatchAction> {
+        let (end, mut others) = (self.now + time, Vec::new());
+        while let Some(at) = self.balancer.next_wake().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            let actions = self.handle(DispatchEvent::Tick);
+            others.extend(self.answer_probes(actions));
+        }
+        self.now = self.now.max(end);
+        others
+    }
+}
+
+/// The server to which a call is sent.
+pub fn sent(actions: &[DispatchAction], id: CallId) -> Option<ServerId> {
+    actions.iter().find_map(|action| match action {
+        DispatchAction::Send { call, server, .. } if *call == id => Some(server.clone()),
+        _ => None,
+    })
+}
+
+/// The outcome with which a call is rejected, and when its caller may come back.
+pub fn rejected(actions: &[DispatchAction], id: CallId) -> Option<(Outcome, Duration)> {
+    actions.iter().find_map(|action| match action {
+        DispatchAction::Reject { call, outcome, retry_after } if *call == id => Some((*outcome, *retry_after)),
+        _ => None,
+    })
+}
