Find routes by host and prefix, and tell misdirected attempts apart

A request must find its route in a time that does not depend on the number of routes, so that the table looks up one hash per slash of the path, and none beyond the longest prefix of the host: a path of 64 KB of slashes costs no more.

A server that answers 421 did not run the request, and its address belongs to another server. The dispatcher handles such an attempt like a refused one, but as the body of an upload is spent, it is sent again only where a shed request would be.

--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -17,6 +17,9 @@
     /// The connection could not be opened, so nothing was written.
     #[display("refused-before-write")]
     RefusedBeforeWrite,
+    /// The address belongs to another server, which did not run the request.
+    #[display("misdirected")]
+    Misdirected,
     /// The connection broke after the first byte may have been written.
     #[display("broken-after-write")]
     BrokenAfterWrite,
--- a/crates/core/src/dispatch/retrying.rs
+++ b/crates/core/src/dispatch/retrying.rs
@@ -97,7 +97,7 @@
             _ => NotRunReason::Refused,
         };
         match result {
-            AttemptResult::Shed | AttemptResult::RefusedBeforeWrite => {}
+            AttemptResult::Shed | AttemptResult::RefusedBeforeWrite | AttemptResult::Misdirected => {}
             AttemptResult::Timeout => active.doubt = Some(UnknownReason::Timeout),
             AttemptResult::BadAnswer => active.doubt = Some(UnknownReason::BadAnswer),
             _ => active.doubt = Some(UnknownReason::ConnectionLost),
@@ -119,8 +119,8 @@
         let is_harmless = match result {
             // Nothing was written, so the whole request is still there.
             AttemptResult::RefusedBeforeWrite => true,
-            // The body of an upload went to the server that shed it.
-            AttemptResult::Shed => call.replayable || !call.upload,
+            // The body of an upload went to the server that did not run it.
+            AttemptResult::Shed | AttemptResult::Misdirected => call.replayable || !call.upload,
             _ => call.idempotent && call.replayable,
         };
         let Some(state) = self.services.get(&active.service) else { return false };
--- a/crates/core/src/retry/token.rs
+++ b/crates/core/src/retry/token.rs
@@ -27,7 +27,7 @@
 pub fn may_use_token(result: AttemptResult, was_passed_down: bool) -> bool {
     match result {
         AttemptResult::Complete | AttemptResult::CallerLeft => false,
-        AttemptResult::Shed | AttemptResult::RefusedBeforeWrite => true,
+        AttemptResult::Shed | AttemptResult::RefusedBeforeWrite | AttemptResult::Misdirected => true,
         AttemptResult::ServerError
         | AttemptResult::BrokenAfterWrite
         | AttemptResult::BadAnswer
--- a/crates/core/src/text/mod.rs
+++ b/crates/core/src/text/mod.rs
@@ -18,12 +18,14 @@
 mod policy;
 mod route;
 mod route_kind;
+mod route_table;
 mod service;
 mod target;
 
 pub use {
     claims::Claims, customer::Customer, fault::Fault, limits::Limits, measure::Measure, model::Text,
-    objective::Objective, policy::Policy, route::Route, route_kind::RouteKind, service::Service, target::Target,
+    objective::Objective, policy::Policy, route::Route, route_kind::RouteKind, route_table::RouteTable,
+    service::Service, target::Target,
 };
 
 /// Longest permitted chain of dependencies, counted in services.
--- /dev/null
+++ b/crates/core/src/text/route_table.rs
@@ -0,0 +1,87 @@
+//! Finds the route of a request.
+
+use {
+    super::{Route, Text},
+    crate::collections::FastMap,
+    std::borrow::Cow,
+};
+
+/// The routes of one text, found by host and path in a time that does not depend on their number.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    routes: Vec<Route>,
+    hosts: FastMap<Box<str>, HostRoutes>,
+}
+
+/// The routes of one host.
+#[derive(Clone, Debug, Default)]
+struct HostRoutes {
+    /// Positions of the routes by prefix.
+    prefixes: FastMap<Box<str>, usize>,
+    /// Bytes of the longest prefix. No longer part of a path is looked up, so that a path of many slashes costs
+    /// no more than that.
+    longest: usize,
+}
+
+impl RouteTable {
+    /// Makes the table of a text.
+    pub fn new(text: &Text) -> Self {
+        let mut hosts: FastMap<Box<str>, HostRoutes> = FastMap::default();
+        for (position, route) in text.routes.iter().enumerate() {
+            let host = hosts.entry(route.host.clone()).or_default();
+            host.prefixes.entry(route.prefix.clone()).or_insert(position);
+            host.longest = host.longest.max(route.prefix.len());
+        }
+        Self { routes: text.routes.clone(), hosts }
+    }
+
+    /// Returns the route with the longest prefix of the path among those of the host. The host may be in any case
+    /// and may have a port.
+    ///
+    /// ```
+    /// use {
+    ///     hemlockford_core::text::{Route, RouteKind, RouteTable, Text},
+    ///     std::time::Duration,
+    /// };
+    /// let route = |name: &str, prefix: &str| Route {
+    ///     name: name.into(),
+    ///     host: "shop.example".into(),
+    ///     prefix: prefix.into(),
+    ///     kind: RouteKind::Idempotent,
+    ///     timeout: Duration::from_secs(1),
+    ///     terms: Default::default(),
+    ///     targets: Vec::new(),
+    ///     is_split: false,
+    /// };
+    /// let routes = vec![route("all", "/"), route("kits", "/kits/")];
+    /// let table = RouteTable::new(&Text { routes, ..Text::default() });
+    /// let name = |host, path| table.find(host, path).map(|route| &*route.name);
+    /// assert_eq!(name("Shop.Example:8080", "/kits/7"), Some("kits"));
+    /// assert_eq!(name("shop.example", "/kits"), Some("all"));
+    /// assert_eq!(name("other.example", "/kits/7"), None);
+    /// ```
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = without_port(host);
+        let is_upper = |byte: u8| byte.is_ascii_uppercase();
+        let host = if host.bytes().any(is_upper) { Cow::Owned(host.to_ascii_lowercase()) } else { Cow::Borrowed(host) };
+        let routes = self.hosts.get(&*host)?;
+        let bytes = path.as_bytes();
+        let mut end = bytes.len().min(routes.longest);
+        // A slash is never a part of a longer character, so that each cut is on a boundary.
+        while let Some(slash) = bytes[..end].iter().rposition(|byte| *byte == b'/') {
+            if let Some(position) = routes.prefixes.get(&path[..=slash]) {
+                return self.routes.get(*position);
+            }
+            end = slash;
+        }
+        None
+    }
+}
+
+/// Removes the port of a host; colons within the brackets of an IPv6 address are no port.
+fn without_port(host: &str) -> &str {
+    match host.rfind(':') {
+        Some(colon) if host[colon + 1..].bytes().all(|byte| byte.is_ascii_digit()) => &host[..colon],
+        _ => host,
+    }
+}
