--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -36,6 +36,11 @@
         self.start.elapsed()
     }
 
+    /// Returns whether the end was reported.
+    pub(crate) fn is_reported(&self) -> bool {
+        self.is_reported
+    }
+
     /// Ends the attempt with a report that the owner passes on.
     pub(crate) fn end(&mut self, result: AttemptResult) -> Finish {
         self.is_reported = true;
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -28,21 +28,16 @@
 /// How far the sending of a request has come.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
-    /// The first write call has begun; from then on the server may have seen the request.
+    /// The kernel took a first byte; from then on the server may have seen the request.
     pub(crate) is_begun: Cell<bool>,
     /// The request was written whole.
     pub(crate) is_whole: Cell<bool>,
 }
 
 impl RequestBody {
-    /// Makes the body of a request; a small body is kept if `keep` is set.
+    /// Makes the body of a request, which can be sent again if it is kept.
     pub(crate) fn new(framing: Framing, keep: bool) -> Self {
-        let is_small = match framing {
-            Framing::Empty(_) => true,
-            Framing::Sized(length) => length <= KEPT_BODY_LIMIT as u64,
-            Framing::Chunked => false,
-        };
-        Self { framing, kept: Vec::new(), keep: keep && is_small, is_spent: false }
+        Self { framing, kept: Vec::new(), keep, is_spent: false }
     }
 
     pub(crate) fn framing(&self) -> Framing {
@@ -87,8 +82,7 @@
         let sent = counters.bytes.with_label_values(&["request"]);
         if !self.framing.is_empty() && self.kept.is_empty() && caller.is_idle() {
             // The body may take its time; the server gets the head at once and may answer early.
-            progress.is_begun.set(true);
-            if server.flush().await.is_err() {
+            if server.flush(&progress.is_begun).await.is_err() {
                 return caller.watch().await;
             }
         }
@@ -102,10 +96,9 @@
             if self.framing != Framing::Empty(None) && server.part(part).is_err() {
                 break;
             }
-            progress.is_begun.set(true);
             select! {
                 biased;
-                flushed = server.flush() => if flushed.is_err() {
+                flushed = server.flush(&progress.is_begun) => if flushed.is_err() {
                     // The server may have answered before it closed; its answer is still read.
                     break;
                 },
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -5,22 +5,23 @@
         attempt::Attempt,
         body::{Progress, RequestBody},
         caller::{CallerReader, CallerWriter, Gone},
-        claims::{Claim, ClaimDecision, Claimed, HeldClaim, PendingClaim},
+        claims::{Claim, Claimed, HeldClaim, PendingClaim},
         connection::Connection,
         digest::Digest,
-        exchange::{Ended, Exchange, Recorded},
+        exchange::{Ended, Exchange},
         gate::Decision,
-        headers,
-        reply::{RETRY_AFTER, Reply},
+        headers::{self, Outgoing},
+        kept::KeptAnswer,
         request::Parsed,
+        shared::Shared,
+        told::{self, Told, Unsent},
         waiting::Waiting,
-        worker::Shared,
     },
-    actix_http::{Method, RequestHead},
+    actix_http::{RequestHead, header::HeaderValue},
     actix_rt::time::sleep_until,
     hemlockford_core::{
         dispatch::{AttemptResult, Call},
-        outcome::{NotRunReason, Outcome, UnknownReason},
+        outcome::{NotRunReason, UnknownReason},
     },
     std::{
         net::SocketAddr,
@@ -48,25 +49,20 @@
     pub(crate) head: &'a RequestHead,
     pub(crate) peer: SocketAddr,
     pub(crate) start: Instant,
-    call: Call,
-    body: RequestBody,
-    key: Option<Box<str>>,
-    has_key: bool,
-    expects_continue: bool,
-    claim: Option<HeldClaim>,
+    pub(crate) call: Call,
+    pub(crate) body: RequestBody,
+    /// Id by which the server's answer is told from others.
+    pub(crate) id: Option<HeaderValue>,
+    pub(crate) key: Option<Box<str>>,
+    pub(crate) has_key: bool,
+    pub(crate) expects_continue: bool,
+    pub(crate) claim: Option<HeldClaim>,
     /// Time spent in attempts.
-    attempts: Duration,
+    pub(crate) attempts: Duration,
     /// Set once an attempt may have run the request; from then on *not run* is never told.
-    may_have_run: Option<UnknownReason>,
-}
-
-/// How a call ended.
-enum Told {
-    Answer(Recorded),
-    Outcome(Outcome, Duration),
-    Reply(Reply),
-    CutOff,
-    Gone(Gone),
+    pub(crate) may_have_run: Option<UnknownReason>,
+    /// The first server's error that was followed by a retry.
+    pub(crate) kept: Option<KeptAnswer>,
 }
 
 impl<'a> CallRun<'a> {
@@ -78,8 +74,8 @@
         start: Instant,
         parsed: Parsed,
     ) -> Self {
-        let Parsed { call, framing, key, expects_continue } = parsed;
-        let body = RequestBody::new(framing, call.idempotent);
+        let Parsed { call, framing, key, id, expects_continue } = parsed;
+        let body = RequestBody::new(framing, call.replayable);
         Self {
             shared,
             reader,
@@ -89,12 +85,14 @@
             start,
             call,
             body,
+            id,
             has_key: key.is_some(),
             key,
             expects_continue,
             claim: None,
             attempts: Duration::ZERO,
             may_have_run: None,
+            kept: None,
         }
     }
 
@@ -110,7 +108,7 @@
     /// Claims the idempotency key, before any server may see the request.
     async fn claim(&mut self) -> Result<(), Told> {
         let Some(key) = self.key.take() else { return Ok(()) };
-        let Some(claims) = &self.shared.claims else { return Err(not_run(NotRunReason::ClaimUnavailable)) };
+        let Some(claims) = &self.shared.claims else { return Err(self.told(NotRunReason::ClaimUnavailable)) };
         let deadline = self.call.deadline;
         let mut digest = Digest::new();
         digest.text(self.head.method.as_str());
@@ -119,7 +117,7 @@
         select! {
             biased;
             digested = self.body.digest(self.reader, &mut digest) => digested.map_err(Told::Gone)?,
-            () = sleep_until(deadline.into()) => return Err(not_run(NotRunReason::Deadline)),
+            () = sleep_until(deadline.into()) => return Err(self.told(NotRunReason::Deadline)),
         }
         let claim = Claim {
             service: self.call.service.clone(),
@@ -132,7 +130,7 @@
             biased;
             claimed = pending.decided() => claimed,
             gone = self.reader.watch() => return Err(Told::Gone(gone)),
-            () = sleep_until(deadline.into()) => return Err(not_run(NotRunReason::ClaimUnavailable)),
+            () = sleep_until(deadline.into()) => return Err(self.told(NotRunReason::ClaimUnavailable)),
         };
         match claimed {
             Claimed::Held(claim) => {
@@ -140,7 +138,7 @@
                 self.writer.outlive_caller();
                 Ok(())
             }
-            Claimed::Refused(refused) => Err(refuse(refused)),
+            Claimed::Refused(refused) => Err(told::refuse(refused, self.shared.options.retry_after)),
         }
     }
 
@@ -154,17 +152,26 @@
                 Err(told) => return told,
             };
             let mut ended = self.attempt(decision).await;
-            while let Ok(Ended::Again(decision)) = ended {
-                self.may_have_run = Some(UnknownReason::ConnectionLost);
+            while let Ok(Ended::Again(decision, failure)) = ended {
+                let reason = if decision.is_some() { UnknownReason::ConnectionLost } else { UnknownReason::Timeout };
+                self.may_have_run = Some(reason);
+                if self.shared.options.dialect.keeps_server_errors {
+                    self.kept.get_or_insert(failure);
+                }
+                let Some(decision) = decision else { return self.told(NotRunReason::Deadline) };
                 ended = self.attempt(decision).await;
             }
             match ended {
                 Ok(Ended::Whole(recorded)) => return Told::Answer(recorded),
                 Ok(Ended::CutOff) => return Told::CutOff,
                 Ok(Ended::Gone(gone)) => return Told::Gone(gone),
-                Ok(Ended::Expired | Ended::Again(_)) => {
+                Ok(Ended::Expired | Ended::Again(..)) => {
                     return self.told(NotRunReason::Deadline);
                 }
+                Ok(Ended::Lost) => {
+                    self.may_have_run = Some(UnknownReason::ConnectionLost);
+                    return self.told(NotRunReason::Refused);
+                }
                 Ok(Ended::Failed(_)) => {
                     return self.told(NotRunReason::Refused);
                 }
@@ -181,7 +188,7 @@
             decision = waiting.decided() => match decision {
                 Some(decision @ Decision::Send { .. }) => Ok(decision),
                 Some(Decision::Reject { outcome, retry_after }) => {
-                    Err(Told::Outcome(self.honest(outcome), retry_after))
+                    Err(self.end(outcome, retry_after))
                 }
                 None => Err(self.told(NotRunReason::ShuttingDown)),
             },
@@ -196,9 +203,10 @@
             return Ok(Ended::Expired);
         };
         let shared = self.shared;
-        let mut attempt = Attempt::new(shared.gate.clone(), shared.counters.clone(), self.call.id, server);
-        if !self.body.is_at_hand() {
-            // The body is gone in part; whatever was decided, the request cannot be sent again.
+        let mut attempt = Attempt::new(shared.gate.clone(), shared.counters.clone(), self.call.id, server.clone());
+        let is_repeat = self.may_have_run.is_some() && !self.call.idempotent;
+        if is_repeat || !self.body.is_at_hand() {
+            // Whatever was decided: the request must not run twice, or its body is gone in part.
             return Ok(Ended::Failed(AttemptResult::CallerLeft));
         }
         let mut connection = match self.connect(&mut attempt, address, fresh_connection).await? {
@@ -207,34 +215,36 @@
         };
         self.allow_body().await.map_err(Unsent::Told)?;
         let left = self.call.deadline.saturating_duration_since(Instant::now());
-        let head = headers::request_head(
-            self.head,
-            (self.peer, address),
+        let outgoing = Outgoing {
+            from: self.head,
+            caller: self.peer,
+            server: &server,
+            address,
+            id: self.id.as_ref(),
             left,
-            self.call.depth,
-            (pass_allowance, want_report),
-        );
+            depth: self.call.depth,
+            pass_allowance,
+            want_report,
+        };
+        let head = headers::request_head(&shared.options.dialect, &outgoing);
         if connection.writer.start(head, self.body.framing().size()).is_err() {
             return Err(self.failed(&mut attempt, AttemptResult::RefusedBeforeWrite));
         }
         if self.claim.as_ref().is_some_and(|claim| !claim.is_valid()) {
             return Err(Unsent::Told(self.told(NotRunReason::ClaimUnavailable)));
         }
-        if *shared.stop.borrow() {
-            self.writer.close_after();
-        }
         let once = self.once();
         let start = attempt.elapsed();
         let progress = Progress::default();
         let exchange = Exchange {
+            shared,
             call: &self.call,
             head: self.head,
+            id: self.id.as_ref(),
             body: &mut self.body,
             reader: self.reader,
             writer: self.writer,
             attempt: &mut attempt,
-            gate: &shared.gate,
-            counters: &shared.counters,
             progress: &progress,
             once,
             outlives_caller: self.claim.is_some(),
@@ -242,7 +252,7 @@
         let ended = exchange.run(&mut connection).await;
         self.attempts += attempt.elapsed() - start;
         if progress.is_begun.get() && matches!(ended, Ended::Gone(_) | Ended::Expired) {
-            let is_malformed = matches!(ended, Ended::Gone(Gone::Malformed));
+            let is_malformed = matches!(ended, Ended::Gone(Gone::Malformed | Gone::TooLarge));
             let reason = if is_malformed { UnknownReason::ConnectionLost } else { UnknownReason::Timeout };
             self.may_have_run = Some(reason);
         }
@@ -294,102 +304,4 @@
         }
         Ok(())
     }
-
-    /// Replaces *not run* by *unknown* when an earlier attempt may have run the request.
-    fn honest(&self, outcome: Outcome) -> Outcome {
-        match (outcome, self.may_have_run) {
-            (Outcome::NotRun(_), Some(reason)) => Outcome::Unknown(reason),
-            (outcome, _) => outcome,
-        }
-    }
-
-    /// Returns that the request did not run, or that it is unknown.
-    fn told(&self, reason: NotRunReason) -> Told {
-        Told::Outcome(self.honest(Outcome::NotRun(reason)), RETRY_AFTER)
-    }
-
-    async fn conclude(mut self, told: Told) -> Next {
-        let (outcome, next) = match told {
-            Told::Answer(recorded) => {
-                if let Some(claim) = self.claim.take() {
-                    claim.settle(recorded.status, recorded.content_type, recorded.body);
-                }
-                (Some(Outcome::Answered), if self.writer.keep_alive() { Next::Keep } else { Next::Close })
-            }
-            Told::Outcome(outcome, retry_after) => {
-                let mut reply = Reply::outcome(outcome, retry_after, "");
-                if matches!(outcome, Outcome::Unknown(_)) {
-                    reply.once = self.once();
-                }
-                (Some(outcome), self.reply(reply).await)
-            }
-            Told::Reply(reply) => (Some(reply.outcome), self.reply(reply).await),
-            Told::CutOff => (Some(Outcome::Unknown(UnknownReason::ConnectionLost)), Next::Cut),
-            Told::Gone(Gone::Left) => (None, Next::Cut),
-            Told::Gone(Gone::Slow | Gone::Malformed) if !self.writer.is_started() => {
-                let detail = "the request body was malformed or not sent in time";
-                let outcome = self.honest(Outcome::NotRun(NotRunReason::BadRequest));
-                self.writer.close_after();
-                (Some(outcome), self.reply(Reply::outcome(outcome, RETRY_AFTER, detail)).await)
-            }
-            Told::Gone(Gone::Slow | Gone::Malformed) => (None, Next::Cut),
-        };
-        if let Some(claim) = self.claim.take()
-            && matches!(outcome, None | Some(Outcome::NotRun(_)))
-            && self.may_have_run.is_none()
-        {
-            claim.release();
-        }
-        self.shared.record(&self.call, outcome, self.start.elapsed(), self.attempts);
-        next
-    }
-
-    /// Says how the request is kept from running twice, if it was sent.
-    fn once(&self) -> Option<&'static str> {
-        match (&self.claim, self.has_key || self.call.idempotent) {
-            (Some(_), _) => Some("claimed"),
-            (None, false) => Some("sent-once"),
-            (None, true) => None,
-        }
-    }
-
-    async fn reply(&mut self, reply: Reply) -> Next {
-        if *self.shared.stop.borrow() {
-            self.writer.close_after();
-        }
-        let is_head = self.head.method == Method::HEAD;
-        if reply.encode(self.writer, is_head).is_err() || self.writer.flush_soon().await.is_err() {
-            return Next::Cut;
-        }
-        if self.writer.keep_alive() { Next::Keep } else { Next::Close }
-    }
-}
-
-/// Why an attempt has no end of its own.
-enum Unsent {
-    /// The dispatcher has been asked what to do next.
-    Asked(Waiting),
-    /// The call has ended.
-    Told(Told),
-}
-
-fn not_run(reason: NotRunReason) -> Told {
-    Told::Outcome(Outcome::NotRun(reason), RETRY_AFTER)
-}
-
-/// Returns what a caller is told whose claim was not granted.
-fn refuse(refused: ClaimDecision) -> Told {
-    match refused {
-        ClaimDecision::Replay { status, content_type, body } => Told::Reply(Reply {
-            status,
-            outcome: Outcome::Answered,
-            retry_after: None,
-            once: Some(if body.is_some() { "replayed" } else { "replayed; body not recorded" }),
-            content_type,
-            body: body.unwrap_or_default(),
-        }),
-        ClaimDecision::InDoubt => Told::Outcome(Outcome::Unknown(UnknownReason::InDoubt), RETRY_AFTER),
-        ClaimDecision::KeyReused => not_run(NotRunReason::KeyReused),
-        ClaimDecision::Unavailable | ClaimDecision::Granted { .. } => not_run(NotRunReason::ClaimUnavailable),
-    }
 }
--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -1,15 +1,21 @@
 //! The caller's side of an accepted connection.
 
 use {
-    crate::options::{BUFFER_LIMIT, HEAD_LIMIT, ProxyOptions},
+    crate::{
+        framing::Framing,
+        options::{BUFFER_LIMIT, HEAD_LIMIT, ProxyOptions},
+        request::Refusal,
+    },
     actix_codec::{Decoder, Encoder},
     actix_http::{
         Request, Response, ServiceConfig,
         body::BodySize,
+        error::ParseError,
         h1::{Codec, Message, MessageType},
     },
     actix_rt::time::{sleep, timeout},
     bytes::{Bytes, BytesMut},
+    hemlockford_core::text::Limits,
     std::{cell::RefCell, io, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt, Interest},
@@ -36,13 +42,15 @@
     Slow,
     /// The caller's body is malformed.
     Malformed,
+    /// The caller's body is larger than the text allows.
+    TooLarge,
 }
 
 /// What arrived where a request head was due.
 pub(crate) enum Incoming {
     Request(Request),
     Closed,
-    Bad(&'static str),
+    Bad(Refusal),
 }
 
 type SharedCodec = Rc<RefCell<Codec>>;
@@ -54,6 +62,10 @@
     buf: BytesMut,
     options: Rc<ProxyOptions>,
     is_body_whole: bool,
+    /// Bytes of the current body that may still be read.
+    body_left: u64,
+    /// Length of the rest of the current body, if it was stated.
+    rest: Option<u64>,
 }
 
 /// Writes answers to one caller.
@@ -76,7 +88,15 @@
 pub(crate) fn split(io: TcpStream, config: ServiceConfig, options: Rc<ProxyOptions>) -> (CallerReader, CallerWriter) {
     let (read, write) = io.into_split();
     let codec = Rc::new(RefCell::new(Codec::new(config)));
-    let reader = CallerReader { half: read, codec: codec.clone(), buf: BytesMut::new(), options, is_body_whole: true };
+    let reader = CallerReader {
+        half: read,
+        codec: codec.clone(),
+        buf: BytesMut::new(),
+        options,
+        is_body_whole: true,
+        body_left: 0,
+        rest: None,
+    };
     let writer = CallerWriter {
         half: Some(write),
         codec,
@@ -108,26 +128,49 @@
         if self.buf.is_empty() { self.fill().await } else { Ok(()) }
     }
 
+    /// Returns whether more than `limit` bytes of the current body may have to be read before a next request.
+    pub(crate) fn is_rest_long(&self, limit: usize) -> bool {
+        !self.is_body_whole && self.rest.is_none_or(|rest| rest > limit as u64)
+    }
+
     /// Reads the head of a request, of which something has arrived.
-    pub(crate) async fn read_head(&mut self) -> Incoming {
-        let deadline = self.options.head_timeout;
-        timeout(deadline, self.head()).await.unwrap_or(Incoming::Bad("the request head was not sent in time"))
+    pub(crate) async fn read_head(&mut self, limits: &Limits) -> Incoming {
+        let status = (!self.options.dialect.product_headers).then_some(408);
+        let late = Incoming::Bad(Refusal::malformed(status, "the request head was not sent in time"));
+        let time = limits.header_timeout.min(self.options.head_timeout);
+        timeout(time, self.head(limits)).await.unwrap_or(late)
     }
 
-    async fn head(&mut self) -> Incoming {
+    async fn head(&mut self, limits: &Limits) -> Incoming {
+        let limit = usize::try_from(limits.header_bytes).unwrap_or(usize::MAX);
+        // The product's own interface answers a head beyond its own limit with 400.
+        let is_own_limit = self.options.dialect.product_headers && limit >= HEAD_LIMIT;
+        let status = (!is_own_limit).then_some(431);
+        let long = Incoming::Bad(Refusal::malformed(status, "the request head is too long"));
         loop {
+            let length = self.buf.len();
             let item = self.codec.borrow_mut().decode(&mut self.buf);
             match item {
+                Ok(Some(Message::Item(_))) if length - self.buf.len() > limit => return long,
                 Ok(Some(Message::Item(req))) => {
+                    self.body_left = limits.body_bytes;
+                    self.rest = match Framing::of_request(req.head()) {
+                        Ok(Framing::Sized(length)) => Some(length),
+                        _ => None,
+                    };
                     let kind = self.codec.borrow().message_type();
                     self.is_body_whole = matches!(kind, MessageType::None);
                     if matches!(kind, MessageType::Stream) {
-                        return Incoming::Bad("the connection cannot be turned into another protocol");
+                        let detail = "the connection cannot be turned into another protocol";
+                        return Incoming::Bad(Refusal::malformed(None, detail));
                     }
                     return Incoming::Request(req);
                 }
-                Ok(Some(Message::Chunk(_))) | Err(_) => return Incoming::Bad("the request is not valid HTTP/1.1"),
-                Ok(None) if self.buf.len() >= HEAD_LIMIT => return Incoming::Bad("the request head is too long"),
+                Err(ParseError::TooLarge) => return long,
+                Ok(Some(Message::Chunk(_))) | Err(_) => {
+                    return Incoming::Bad(Refusal::malformed(None, "the request is not valid HTTP/1.1"));
+                }
+                Ok(None) if self.buf.len() > limit || is_own_limit && self.buf.len() >= HEAD_LIMIT => return long,
                 Ok(None) => {}
             }
             if self.fill().await.is_err() {
@@ -153,7 +196,12 @@
     fn buffered_part(&mut self) -> Result<Option<Bytes>, Gone> {
         let item = self.codec.borrow_mut().decode(&mut self.buf);
         match item {
-            Ok(Some(Message::Chunk(Some(part)))) => Ok(Some(part)),
+            Ok(Some(Message::Chunk(Some(part)))) => {
+                let length = part.len() as u64;
+                self.rest = self.rest.map(|rest| rest.saturating_sub(length));
+                self.body_left = self.body_left.checked_sub(length).ok_or(Gone::TooLarge)?;
+                Ok(Some(part))
+            }
             Ok(Some(Message::Chunk(None))) => {
                 self.is_body_whole = true;
                 Ok(None)
@@ -228,7 +276,7 @@
         !self.must_close && !self.is_discarding && self.codec.borrow().keep_alive()
     }
 
-    /// Closes the connection after the current answer.
+    /// Closes the connection after the current answer; stated in its head, if that is not encoded yet.
     pub(crate) fn close_after(&mut self) {
         self.must_close = true;
     }
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -14,7 +14,12 @@
         header::{self, HeaderMap},
     },
     bytes::{Bytes, BytesMut},
-    std::{cell::RefCell, io, rc::Rc},
+    std::{
+        cell::{Cell, RefCell},
+        io,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
@@ -45,8 +50,14 @@
     codec: SharedCodec,
     buf: BytesMut,
     is_whole: bool,
-    /// Whether the server closes the connection after the answer.
+    /// Whether the connection ends after the answer.
     closes: bool,
+    /// Whether the body ends with the connection.
+    is_until_close: bool,
+    /// Whether the server has closed the connection in order.
+    is_closed: bool,
+    /// Time for which the server keeps an idle connection, as the last answer says.
+    keep_alive: Option<Duration>,
 }
 
 /// Writes the request.
@@ -66,6 +77,14 @@
     Bad,
 }
 
+/// How far the body of an answer was gathered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Gathered {
+    Whole,
+    Long,
+    Cut,
+}
+
 /// The next part of an answer.
 pub(crate) enum Part {
     Chunk(Bytes),
@@ -86,6 +105,9 @@
                 buf: BytesMut::new(),
                 is_whole: false,
                 closes: false,
+                is_until_close: false,
+                is_closed: false,
+                keep_alive: None,
             },
             writer: ServerWriter { half: write, codec, out: BytesMut::new(), is_whole: false },
             lease,
@@ -109,14 +131,19 @@
             && keep_alive
             && let Ok(io) = reader.half.reunite(writer.half)
         {
-            lease.put(io);
+            lease.put(io, reader.keep_alive);
         }
     }
 }
 
 impl ServerReader {
-    /// Reads the head of the answer; interim answers (1xx) are passed over.
-    pub(crate) async fn read_head(&mut self, method: &Method) -> Result<(ResponseHead, Framing), NoAnswer> {
+    /// Reads the head of the answer; interim answers (1xx) are passed over. `may_close` permits a body that ends
+    /// with the connection.
+    pub(crate) async fn read_head(
+        &mut self,
+        method: &Method,
+        may_close: bool,
+    ) -> Result<(ResponseHead, Framing), NoAnswer> {
         let mut interim = 0;
         loop {
             let item = match self.codec.borrow_mut().as_mut() {
@@ -132,10 +159,12 @@
                     continue;
                 }
                 Ok(Some(head)) => {
-                    let framing = Framing::of_answer(method, &head).ok_or(NoAnswer::Bad)?;
+                    let framing = Framing::of_answer(method, &head, may_close).ok_or(NoAnswer::Bad)?;
                     self.is_whole = framing.is_empty();
+                    self.is_until_close = framing == Framing::Close;
                     // The codec alone takes a connection of version 1.0 for one that stays.
-                    self.closes = head.version < Version::HTTP_11 || is_close(&head.headers);
+                    self.closes = self.is_until_close || head.version < Version::HTTP_11 || is_close(&head.headers);
+                    self.keep_alive = keep_alive(&head.headers);
                     return Ok((head, framing));
                 }
                 Ok(None) if self.buf.len() >= HEAD_LIMIT => return Err(NoAnswer::Bad),
@@ -153,6 +182,9 @@
         if self.is_whole {
             return Part::End;
         }
+        if self.is_until_close {
+            return self.part_until_close();
+        }
         let Some(codec) = self.codec.borrow_mut().take() else { return Part::Cut };
         let mut codec = codec.into_payload_codec();
         let item = codec.decode(&mut self.buf);
@@ -168,11 +200,46 @@
         }
     }
 
-    /// Reads more; returns whether the connection still stands.
+    fn part_until_close(&mut self) -> Part {
+        if !self.buf.is_empty() {
+            return Part::Chunk(self.buf.split().freeze());
+        }
+        self.is_whole = self.is_closed;
+        if self.is_whole { Part::End } else { Part::Pending }
+    }
+
+    /// Reads parts of the body until its end or until the parts have more than `limit` bytes. A call that is dropped
+    /// loses nothing of what it has read.
+    pub(crate) async fn gather(&mut self, parts: &mut Vec<Bytes>, limit: usize) -> Gathered {
+        loop {
+            match self.buffered_part() {
+                Part::Chunk(chunk) => parts.push(chunk),
+                Part::End => return Gathered::Whole,
+                Part::Cut => return Gathered::Cut,
+                Part::Pending if parts.iter().map(Bytes::len).sum::<usize>() > limit => return Gathered::Long,
+                Part::Pending if !self.fill().await => return Gathered::Cut,
+                Part::Pending => {}
+            }
+        }
+    }
+
+    /// Ends the connection after this answer.
+    pub(crate) fn close_after(&mut self) {
+        self.closes = true;
+    }
+
+    /// Reads more; returns whether more can be expected or the answer has come to its end.
     pub(crate) async fn fill(&mut self) -> bool {
         debug_assert!(self.buf.len() < HEAD_LIMIT.max(BUFFER_LIMIT), "only an unfinished item is held");
         self.buf.reserve(READ_SIZE);
-        matches!(self.half.read_buf(&mut self.buf).await, Ok(read) if read > 0)
+        match self.half.read_buf(&mut self.buf).await {
+            Ok(0) => {
+                self.is_closed = true;
+                self.is_until_close
+            }
+            Ok(_) => true,
+            Err(_) => false,
+        }
     }
 }
 
@@ -192,12 +259,13 @@
         self.is_whole = true;
     }
 
-    /// Writes what is encoded.
-    pub(crate) async fn flush(&mut self) -> io::Result<()> {
+    /// Writes what is encoded, and notes once a byte was taken.
+    pub(crate) async fn flush(&mut self, is_begun: &Cell<bool>) -> io::Result<()> {
         while !self.out.is_empty() {
             if self.half.write_buf(&mut self.out).await? == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
+            is_begun.set(true);
         }
         Ok(())
     }
@@ -216,3 +284,12 @@
         headers.get_all(header::CONNECTION).flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
     options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
 }
+
+/// Returns the time for which the server keeps an idle connection (`keep-alive: timeout=N`, in seconds).
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let parameters = headers.get(header::HeaderName::from_static("keep-alive"))?.to_str().ok()?.split(',');
+    let seconds = parameters.filter_map(|parameter| parameter.split_once('=')).find_map(|(name, value)| {
+        name.trim().eq_ignore_ascii_case("timeout").then(|| value.trim().trim_matches('"').parse::<u32>().ok())?
+    })?;
+    Some(Duration::from_secs(seconds.into()))
+}
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -6,21 +6,32 @@
         body::{Progress, RequestBody},
         caller::{CallerReader, CallerWriter, Gone},
         claims::SETTLED_BODY_LIMIT,
-        connection::{Connection, NoAnswer, Part, ServerReader},
+        connection::{Connection, Gathered, NoAnswer, Part, ServerReader},
         counters::ProxyCounters,
+        dialect::Belongs,
         framing::Framing,
-        gate::{Decision, Gate},
-        headers, reply,
+        gate::Decision,
+        kept::KeptAnswer,
+        options::{BUFFER_LIMIT, KEPT_BODY_LIMIT},
+        reply,
+        shared::Shared,
         waiting::Waiting,
     },
-    actix_http::{RequestHead, ResponseHead, StatusCode, header},
-    actix_rt::time::sleep_until,
+    actix_http::{
+        RequestHead, ResponseHead, StatusCode,
+        header::{self, HeaderValue},
+    },
+    actix_rt::time::{sleep_until, timeout},
     bytes::{Bytes, BytesMut},
-    hemlockford_core::dispatch::{AttemptResult, Call, LOAD_HEADER, LoadReport},
-    std::pin::pin,
+    hemlockford_core::dispatch::{AttemptResult, Call},
+    std::{pin::pin, time::Duration},
     tokio::select,
 };
 
+/// Time for which the body of a server's error is waited for once a retry is decided. Short bodies arrive with
+/// their head.
+const KEEP_TIME: Duration = Duration::from_millis(20);
+
 /// How an exchange ended for the caller.
 #[derive(Debug)]
 pub(crate) enum Ended {
@@ -32,8 +43,11 @@
     Gone(Gone),
     /// The caller was told nothing; the dispatcher has yet to be asked.
     Failed(AttemptResult),
-    /// The caller was told nothing, and the dispatcher has chosen another server.
-    Again(Decision),
+    /// The caller was told nothing of a server's error, and the dispatcher has chosen another server, unless the
+    /// deadline has passed.
+    Again(Option<Decision>, KeptAnswer),
+    /// The caller was told nothing, the answer was cut off, and the dispatcher is not to be asked any more.
+    Lost,
     /// The deadline passed before the caller was told anything.
     Expired,
 }
@@ -48,14 +62,14 @@
 
 /// One exchange.
 pub(crate) struct Exchange<'a> {
+    pub(crate) shared: &'a Shared,
     pub(crate) call: &'a Call,
     pub(crate) head: &'a RequestHead,
+    pub(crate) id: Option<&'a HeaderValue>,
     pub(crate) body: &'a mut RequestBody,
     pub(crate) reader: &'a mut CallerReader,
     pub(crate) writer: &'a mut CallerWriter,
     pub(crate) attempt: &'a mut Attempt,
-    pub(crate) gate: &'a Gate,
-    pub(crate) counters: &'a ProxyCounters,
     pub(crate) progress: &'a Progress,
     pub(crate) once: Option<&'static str>,
     /// Whether the exchange goes on without the caller once the request is written, as its outcome is
@@ -73,18 +87,22 @@
     /// Sends the request, whose head is encoded already, and passes the answer on.
     pub(crate) async fn run(self, connection: &mut Connection) -> Ended {
         let Connection { reader: server, writer: server_writer, .. } = connection;
-        let progress = self.progress;
-        let mut upload = pin!(self.body.send(self.reader, server_writer, progress, self.counters));
+        let (progress, counters) = (self.progress, &self.shared.counters);
+        let dialect = &self.shared.options.dialect;
+        // Whether the exchange goes on without its caller.
+        let outlives_caller = self.outlives_caller;
+        let goes_on = |gone| outlives_caller && progress.is_whole.get() && gone == Gone::Left;
+        let mut upload = pin!(self.body.send(self.reader, server_writer, progress, counters));
         let mut expiry = pin!(sleep_until(self.call.deadline.into()));
         let mut is_gone = false;
         let answer = {
-            let mut answer = pin!(server.read_head(&self.head.method));
+            let mut answer = pin!(server.read_head(&self.head.method, dialect.close_delimited));
             loop {
                 // The upload is polled first, so that the request is written before an answer is awaited.
                 select! {
                     biased;
                     gone = &mut upload, if !is_gone => {
-                        if !(self.outlives_caller && progress.is_whole.get() && gone == Gone::Left) {
+                        if !goes_on(gone) {
                             self.attempt.finish(AttemptResult::CallerLeft);
                             return Ended::Gone(gone);
                         }
@@ -100,43 +118,94 @@
                 }
             }
         };
-        let (head, framing) = match answer {
+        let (head, mut framing) = match answer {
+            // Whatever the server sent, it cannot have seen the request.
+            _ if !progress.is_begun.get() => return Ended::Failed(AttemptResult::RefusedBeforeWrite),
             Ok(answer) => answer,
-            Err(NoAnswer::Cut) if !progress.is_begun.get() => return Ended::Failed(AttemptResult::RefusedBeforeWrite),
             Err(NoAnswer::Cut) => return Ended::Failed(AttemptResult::BrokenAfterWrite),
             Err(NoAnswer::Bad) => return Ended::Failed(AttemptResult::BadAnswer),
         };
-        self.attempt.set_report(text(&head, LOAD_HEADER).and_then(LoadReport::parse));
-        if head.status == StatusCode::SERVICE_UNAVAILABLE && text(&head, headers::SHED.as_str()) == Some("1") {
+        let is_not_run = dialect.is_not_run(&head);
+        let belongs = dialect.belongs(&head, self.id);
+        if belongs != Belongs::Own {
+            // An answer to another request, after which nothing on this connection can be told apart.
+            server.close_after();
+            let is_shed = is_not_run && belongs == Belongs::Unnamed;
+            return Ended::Failed(if is_shed { AttemptResult::Shed } else { AttemptResult::BadAnswer });
+        }
+        self.attempt.set_report(dialect.load(&head));
+        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && dialect.expected_server.is_some();
+        if is_misdirected || is_not_run {
             // Takes a body that has arrived, so that the connection can be used again.
             while matches!(server.buffered_part(), Part::Chunk(_)) {}
-            return Ended::Failed(AttemptResult::Shed);
+            return Ended::Failed(if is_misdirected { AttemptResult::Misdirected } else { AttemptResult::Shed });
         }
         let is_error = head.status.is_server_error();
+        let mut parts = Vec::new();
         if is_error && self.call.idempotent && self.call.replayable {
             let finish = self.attempt.end(AttemptResult::ServerError);
-            let mut waiting = Waiting::new(self.gate.clone(), self.call.id, self.gate.fail(finish));
-            select! {
+            let gate = &self.shared.gate;
+            let mut waiting = Waiting::new(gate.clone(), self.call.id, gate.fail(finish));
+            let decision = select! {
                 biased;
                 gone = &mut upload, if !is_gone => return Ended::Gone(gone),
-                decision = waiting.decided() => if let Some(decision @ Decision::Send { .. }) = decision {
-                    return Ended::Again(decision);
-                },
-                () = &mut expiry => return Ended::Expired,
+                decision = waiting.decided() => Some(decision),
+                () = &mut expiry => None,
+            };
+            let time = match &decision {
+                Some(Some(Decision::Send { .. })) => Some(KEEP_TIME),
+                Some(_) => None,
+                // Only what has arrived is taken.
+                None => Some(Duration::ZERO),
+            };
+            if let Some(time) = time {
+                let gathered = timeout(time, server.gather(&mut parts, KEPT_BODY_LIMIT)).await;
+                let is_whole = matches!(gathered, Ok(Gathered::Whole));
+                return Ended::Again(decision.flatten(), KeptAnswer::new(head, framing, &parts, is_whole));
             }
         }
-        if reply::encode_head((&head, framing), self.once, self.head.version, self.writer).is_err() {
+        if framing == Framing::Close {
+            let gathered = loop {
+                select! {
+                    biased;
+                    gone = &mut upload, if !is_gone => {
+                        if !goes_on(gone) {
+                            self.attempt.finish(AttemptResult::CallerLeft);
+                            return Ended::Gone(gone);
+                        }
+                        is_gone = true;
+                    }
+                    gathered = server.gather(&mut parts, BUFFER_LIMIT) => break gathered,
+                    () = &mut expiry => {
+                        self.attempt.finish(AttemptResult::Timeout);
+                        return Ended::Expired;
+                    }
+                }
+            };
+            match gathered {
+                // The caller has seen nothing of it yet.
+                Gathered::Cut if self.attempt.is_reported() => return Ended::Lost,
+                Gathered::Cut => return Ended::Failed(AttemptResult::BrokenAfterWrite),
+                Gathered::Whole => framing = Framing::of_whole(&parts),
+                Gathered::Long => {}
+            }
+        }
+        if self.shared.is_stopping() {
+            self.writer.close_after();
+        }
+        let encoded = reply::encode_head(dialect, (&head, framing), self.once, self.head.version, self.writer);
+        if encoded.is_err() {
             self.attempt.finish(AttemptResult::BadAnswer);
             return Ended::CutOff;
         }
         let mut recorded = self.outlives_caller.then(BytesMut::new);
         let passed = {
-            let mut passed = pin!(pass_on(server, self.writer, framing, &mut recorded, self.counters));
+            let mut passed = pin!(pass_on(server, parts, self.writer, framing, &mut recorded, counters));
             loop {
                 select! {
                     biased;
                     gone = &mut upload, if !is_gone => {
-                        if !(self.outlives_caller && progress.is_whole.get() && gone == Gone::Left) {
+                        if !goes_on(gone) {
                             self.attempt.finish(AttemptResult::CallerLeft);
                             return Ended::Gone(gone);
                         }
@@ -174,18 +243,24 @@
     }
 }
 
-/// Passes a body on. A part is read only after the parts before it were written, so that a caller that
+/// Passes a body on, after the parts of it that were gathered. A part is read only after the parts before it were written, so that a caller that
 /// does not read holds the server back.
 async fn pass_on(
     server: &mut ServerReader,
+    gathered: Vec<Bytes>,
     writer: &mut CallerWriter,
     framing: Framing,
     recorded: &mut Option<BytesMut>,
     counters: &ProxyCounters,
 ) -> Passed {
     let passed = counters.bytes.with_label_values(&["answer"]);
+    let mut gathered = gathered.into_iter();
     loop {
-        let part = if framing.is_empty() { Part::End } else { server.buffered_part() };
+        let part = match gathered.next() {
+            Some(chunk) => Part::Chunk(chunk),
+            None if framing.is_empty() => Part::End,
+            None => server.buffered_part(),
+        };
         match part {
             Part::Chunk(chunk) => {
                 passed.inc_by(chunk.len() as u64);
--- a/crates/proxy/src/framing.rs
+++ b/crates/proxy/src/framing.rs
@@ -1,9 +1,12 @@
 //! How the end of a body is marked.
 
-use actix_http::{
-    Method, RequestHead, ResponseHead, StatusCode, Version,
-    body::BodySize,
-    header::{self, HeaderMap},
+use {
+    actix_http::{
+        Method, RequestHead, ResponseHead, StatusCode, Version,
+        body::BodySize,
+        header::{self, HeaderMap},
+    },
+    bytes::Bytes,
 };
 
 /// How the end of a body is marked.
@@ -15,11 +18,14 @@
     Sized(u64),
     /// The body consists of chunks.
     Chunked,
+    /// The body ends with the connection, which must be closed in order; answers only.
+    Close,
 }
 
 impl Framing {
-    /// Returns the framing of an answer, or `None` if its end cannot be told from a cut.
-    pub(crate) fn of_answer(method: &Method, head: &ResponseHead) -> Option<Self> {
+    /// Returns the framing of an answer, or `None` if its end cannot be told from a cut. `may_close` permits a body
+    /// that ends with the connection.
+    pub(crate) fn of_answer(method: &Method, head: &ResponseHead, may_close: bool) -> Option<Self> {
         let stated = Self::stated(&head.headers, head.version).ok()?;
         if head.status == StatusCode::NO_CONTENT {
             return Some(Self::Empty(None));
@@ -31,9 +37,10 @@
             };
             return Some(Self::Empty(length));
         }
-        match stated? {
-            Self::Sized(0) => Some(Self::Empty(Some(0))),
-            framing => Some(framing),
+        match stated {
+            None => may_close.then_some(Self::Close),
+            Some(Self::Sized(0)) => Some(Self::Empty(Some(0))),
+            framing => framing,
         }
     }
 
@@ -47,6 +54,14 @@
         })
     }
 
+    /// Returns the framing of a body that was read to its end.
+    pub(crate) fn of_whole(parts: &[Bytes]) -> Self {
+        match parts.iter().map(|part| part.len() as u64).sum() {
+            0 => Self::Empty(Some(0)),
+            length => Self::Sized(length),
+        }
+    }
+
     /// Returns whether there is no body.
     pub(crate) fn is_empty(self) -> bool {
         matches!(self, Self::Empty(_))
@@ -57,7 +72,7 @@
         match self {
             Self::Empty(None) => BodySize::None,
             Self::Empty(Some(length)) | Self::Sized(length) => BodySize::Sized(length),
-            Self::Chunked => BodySize::Stream,
+            Self::Chunked | Self::Close => BodySize::Stream,
         }
     }
 
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -1,12 +1,14 @@
 //! Translation of request and response heads.
 
 use {
+    crate::dialect::Dialect,
     actix_http::{
         RequestHead, ResponseHead,
         header::{self, HeaderMap, HeaderName, HeaderValue},
     },
     hemlockford_core::{
         dispatch::WANT_LOAD_HEADER,
+        ids::CallId,
         outcome::{OUTCOME_HEADER, Outcome},
     },
     std::{net::SocketAddr, time::Duration},
@@ -16,14 +18,10 @@
 const SYSTEM_PREFIX: &str = "hemlockford-";
 /// Names the customer on whose behalf a call is made.
 pub(crate) const CUSTOMER: HeaderName = HeaderName::from_static("hemlockford-customer");
-/// Milliseconds that are left for the whole answer.
-pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("hemlockford-deadline");
 /// Number of calls above this one in its chain.
 pub(crate) const DEPTH: HeaderName = HeaderName::from_static("hemlockford-depth");
 /// Present when the call brings a retry token.
 pub(crate) const ALLOWANCE: HeaderName = HeaderName::from_static("hemlockford-retry-allowance");
-/// Present with value 1 in an answer of a server that did not run the request because of its load.
-pub(crate) const SHED: HeaderName = HeaderName::from_static("hemlockford-shed");
 /// Says how a non-idempotent request is kept from running twice.
 pub(crate) const ONCE: HeaderName = HeaderName::from_static("hemlockford-once");
 /// Present with value 1 when the answer is asked for the server's load.
@@ -47,51 +45,80 @@
     header::UPGRADE,
 ];
 
+/// What a request to a server is made of.
+pub(crate) struct Outgoing<'a> {
+    pub(crate) from: &'a RequestHead,
+    pub(crate) caller: SocketAddr,
+    pub(crate) server: &'a str,
+    pub(crate) address: SocketAddr,
+    pub(crate) id: Option<&'a HeaderValue>,
+    pub(crate) left: Duration,
+    pub(crate) depth: u8,
+    pub(crate) pass_allowance: bool,
+    pub(crate) want_report: bool,
+}
+
 /// Makes the head of a request to a server.
-pub(crate) fn request_head(
-    from: &RequestHead,
-    (caller, server): (SocketAddr, SocketAddr),
-    left: Duration,
-    depth: u8,
-    (pass_allowance, want_report): (bool, bool),
-) -> RequestHead {
+pub(crate) fn request_head(dialect: &Dialect, outgoing: &Outgoing<'_>) -> RequestHead {
+    let Outgoing { from, address, left, .. } = outgoing;
     let mut head = RequestHead::default();
     head.method = from.method.clone();
     head.uri = from.uri.clone();
     head.headers = end_to_end(&from.headers);
     head.headers.remove(header::EXPECT);
-    let customer = head.headers.remove(CUSTOMER).next();
-    let system: Vec<_> = head.headers.keys().filter(|name| is_system(name)).cloned().collect();
-    for name in system {
-        head.headers.remove(name);
-    }
-    if let Some(customer) = customer {
-        head.headers.insert(CUSTOMER, customer);
+    if dialect.product_headers {
+        add_product_headers(&mut head.headers, outgoing);
     }
-    head.headers.insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
-    head.headers.insert(DEPTH, HeaderValue::from(u16::from(depth) + 1));
-    if pass_allowance {
-        head.headers.insert(ALLOWANCE, HeaderValue::from_static("1"));
+    head.headers.insert(dialect.deadline.clone(), HeaderValue::from(left.as_millis() as u64));
+    if let (Some(name), Some(id)) = (&dialect.request_id, outgoing.id) {
+        head.headers.insert(name.clone(), id.clone());
     }
-    if want_report {
-        head.headers.insert(WANT_LOAD, HeaderValue::from_static("1"));
+    if let (Some(name), Ok(server)) = (&dialect.expected_server, HeaderValue::from_str(outgoing.server)) {
+        head.headers.insert(name.clone(), server);
     }
     if !head.headers.contains_key(header::HOST) {
         // A caller of version 1.0 may leave it out, but the request goes on as version 1.1.
-        append(&mut head.headers, header::HOST, &server.to_string());
+        append(&mut head.headers, header::HOST, &address.to_string());
+    }
+    head
+}
+
+fn add_product_headers(headers: &mut HeaderMap, outgoing: &Outgoing<'_>) {
+    let Outgoing { caller, depth, pass_allowance, want_report, .. } = outgoing;
+    let customer = headers.remove(CUSTOMER).next();
+    let system: Vec<_> = headers.keys().filter(|name| is_system(name)).cloned().collect();
+    for name in system {
+        headers.remove(name);
+    }
+    if let Some(customer) = customer {
+        headers.insert(CUSTOMER, customer);
+    }
+    headers.insert(DEPTH, HeaderValue::from(u16::from(*depth) + 1));
+    if *pass_allowance {
+        headers.insert(ALLOWANCE, HeaderValue::from_static("1"));
+    }
+    if *want_report {
+        headers.insert(WANT_LOAD, HeaderValue::from_static("1"));
     }
     let ip = caller.ip();
     let node = if ip.is_ipv6() { format!("for=\"[{ip}]\";proto=http") } else { format!("for={ip};proto=http") };
-    append(&mut head.headers, header::FORWARDED, &node);
-    append(&mut head.headers, FORWARDED_FOR, &ip.to_string());
-    head
+    append(headers, header::FORWARDED, &node);
+    append(headers, FORWARDED_FOR, &ip.to_string());
+}
+
+/// Returns the id of a request: the caller's, or one that tells it from all others of this worker.
+pub(crate) fn request_id(dialect: &Dialect, from: &RequestHead, call: CallId) -> Option<HeaderValue> {
+    let name = dialect.request_id.as_ref()?;
+    Some(from.headers.get(name).cloned().unwrap_or_else(|| HeaderValue::from(call)))
 }
 
 /// Makes the headers of an answer for the caller. A server cannot speak for the system, so its own
 /// `hemlockford-` headers do not pass.
-pub(crate) fn answer_headers(from: &ResponseHead) -> HeaderMap {
+pub(crate) fn answer_headers(dialect: &Dialect, from: &ResponseHead) -> HeaderMap {
     let mut to = end_to_end(&from.headers);
-    to.retain(|name, _| !is_system(name));
+    if dialect.product_headers {
+        to.retain(|name, _| !is_system(name));
+    }
     to
 }
 
--- /dev/null
+++ b/crates/proxy/src/kept.rs
@@ -0,0 +1,31 @@
+//! A server's error that is kept while another server is tried.
+
+use {
+    crate::framing::Framing,
+    actix_http::ResponseHead,
+    bytes::{Bytes, BytesMut},
+};
+
+/// A server's error that is kept while another server is tried.
+#[derive(Debug)]
+pub(crate) struct KeptAnswer {
+    pub(crate) head: ResponseHead,
+    pub(crate) framing: Framing,
+    pub(crate) body: Bytes,
+}
+
+impl KeptAnswer {
+    /// Keeps an answer with the parts of its body. Without the whole body only the head is kept.
+    pub(crate) fn new(head: ResponseHead, framing: Framing, parts: &[Bytes], is_whole: bool) -> Self {
+        let mut body = BytesMut::new();
+        if is_whole {
+            parts.iter().for_each(|part| body.extend_from_slice(part));
+        }
+        let framing = match body.len() as u64 {
+            _ if framing.is_empty() => framing,
+            0 => Framing::Empty(Some(0)),
+            length => Framing::Sized(length),
+        };
+        Self { head, framing, body: body.freeze() }
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,27 +9,40 @@
 mod call;
 mod caller;
 mod claims;
+mod conclude;
 mod connection;
 mod counters;
+mod dialect;
 mod digest;
 mod exchange;
 mod framing;
 mod gate;
 mod handover;
 mod headers;
+mod kept;
+mod load_format;
 mod options;
 mod pool;
 mod reply;
 mod request;
+mod routing;
+mod selection;
 mod session;
+mod shared;
+mod split;
+mod told;
 mod waiting;
 mod worker;
 
 pub use {
+    actix_http::header::{HeaderName, HeaderValue},
     claims::{Claim, ClaimDecision, ClaimMessage, ClaimTicket, SETTLED_BODY_LIMIT},
     counters::{CallRecord, ProxyCounters},
+    dialect::Dialect,
     gate::{Decision, Gate, GateMessage},
     handover::Handover,
+    load_format::LoadFormat,
     options::{ConnectionBound, ProxyOptions},
+    selection::Selection,
     worker::Worker,
 };
--- a/crates/proxy/src/options.rs
+++ b/crates/proxy/src/options.rs
@@ -1,16 +1,21 @@
 //! Options of the HTTP path.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
+use {
+    crate::dialect::Dialect,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
     },
-    time::Duration,
+    tokio::sync::watch,
 };
 
 /// Bytes of a body that are held in one direction while the other side is not ready for them.
 pub(crate) const BUFFER_LIMIT: usize = 64 * 1_024;
-/// Greatest request body that is kept so that the call can be sent again, in bytes.
+/// Greatest request body that is kept so that the call can be sent again, and greatest server's error that is kept
+/// while another server is tried, in bytes.
 pub(crate) const KEPT_BODY_LIMIT: usize = 64 * 1_024;
 /// Greatest head of a request or an answer, in bytes.
 pub(crate) const HEAD_LIMIT: usize = 64 * 1_024;
@@ -53,14 +58,23 @@
 /// Options of the HTTP path.
 #[derive(Clone, Debug)]
 pub struct ProxyOptions {
-    /// Time within which a caller must send its request head.
+    /// Header names and rules of the interface.
+    pub dialect: Dialect,
+    /// Upper bound of the time within which a caller must send its request head, which the text sets.
     pub head_timeout: Duration,
     /// Time that may pass between two parts of a caller's body.
     pub body_idle: Duration,
-    /// Time for which an idle connection of a caller is kept.
+    /// Upper bound of the time for which an idle connection of a caller is kept, which the text sets.
     pub keep_alive: Duration,
     /// Time for which an idle connection of a caller may still bring a request after a stop.
     pub stop_grace: Duration,
+    /// Ends the serving of requests after the stop signal when it becomes true, or when its sender is gone. Without
+    /// it, requests are refused from the stop signal on.
+    pub serve_while_stopping: Option<watch::Receiver<bool>>,
+    /// When a caller may come back that was refused without the dispatcher.
+    pub retry_after: Duration,
+    /// Greatest request body that is kept so that the call can be sent again, in bytes.
+    pub kept_body: usize,
     /// Connections of callers that one worker serves at a time.
     pub callers: usize,
     /// Time within which a connection to a server must open.
@@ -73,6 +87,11 @@
     /// Age up to which an idle connection may carry a non-idempotent request. A server may close an
     /// idle connection just as a request is written, and then it is not known whether it ran.
     pub fresh_age: Duration,
+    /// The same for a connection whose server names the time for which it keeps idle connections, in a dialect that
+    /// asks for it; half of that time is the limit if it is less.
+    pub kept_age: Duration,
+    /// Interval at which idle connections are checked. Each check wakes the worker.
+    pub maintenance: Duration,
     /// Idle connections that are opened in advance to a server in use, as opening one costs about 1 ms.
     pub warm_per_server: usize,
     /// Bound on the connections to one server.
@@ -82,17 +101,46 @@
 impl Default for ProxyOptions {
     fn default() -> Self {
         Self {
-            head_timeout: Duration::from_secs(5),
+            dialect: Dialect::default(),
+            head_timeout: Duration::MAX,
             body_idle: Duration::from_secs(10),
-            keep_alive: Duration::from_secs(60),
+            keep_alive: Duration::MAX,
             stop_grace: Duration::from_millis(250),
+            serve_while_stopping: None,
+            retry_after: Duration::from_secs(1),
+            kept_body: KEPT_BODY_LIMIT,
             callers: 4_096,
             connect_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(30),
             rest: Duration::from_millis(1),
             fresh_age: Duration::from_millis(100),
+            kept_age: Duration::from_secs(2),
+            maintenance: Duration::from_millis(100),
             warm_per_server: 1,
             bound: Arc::new(ConnectionBound::new(250, 1, 1)),
         }
     }
 }
+
+impl ProxyOptions {
+    /// Returns the options of an entry of a fleet with the dialect of its platform.
+    ///
+    /// ```
+    /// use hemlockford_proxy::{Dialect, ProxyOptions};
+    /// assert_eq!(ProxyOptions::fleet(Dialect::default()).warm_per_server, 0);
+    /// ```
+    pub fn fleet(dialect: Dialect) -> Self {
+        Self {
+            dialect,
+            // A machine without power does not answer.
+            connect_timeout: Duration::from_millis(300),
+            // A new connection costs a sixtieth of a call's worth, whether it is used or not.
+            warm_per_server: 0,
+            maintenance: Duration::from_secs(1),
+            retry_after: Duration::from_millis(250),
+            // Uploads have up to 360 KB. One that a server rejected can be sent to another.
+            kept_body: 512 * 1_024,
+            ..Self::default()
+        }
+    }
+}
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -15,21 +15,26 @@
     tokio::{net::TcpStream, sync::Notify},
 };
 
-/// Interval at which idle connections are checked.
-pub(crate) const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Connections to one server.
 struct Server {
     /// Connections in an exchange or being opened.
     in_use: usize,
-    /// Idle connections with the time of their last use, the oldest first.
-    idle: Vec<(Instant, TcpStream)>,
+    /// Idle connections, the one that was used last at the end.
+    idle: Vec<Idle>,
     last_use: Instant,
     /// Cleared when a connection could not be opened, until the server is used again.
     is_reachable: bool,
     freed: Rc<Notify>,
 }
 
+/// A connection that waits for its next exchange.
+struct Idle {
+    since: Instant,
+    /// Time for which the server keeps it, if it says so.
+    keep_alive: Option<Duration>,
+    io: TcpStream,
+}
+
 /// What there is for a call among the idle connections.
 enum Taken {
     Connection(TcpStream),
@@ -78,7 +83,7 @@
     pub(crate) fn maintain(&self) {
         let mut wanted = Vec::new();
         self.servers.borrow_mut().retain(|address, server| {
-            server.idle.retain(|(since, io)| since.elapsed() < self.options.idle_timeout && is_open(io));
+            server.idle.retain(|idle| idle.since.elapsed() < self.max_age(idle, false) && is_open(&idle.io));
             let is_used = server.last_use.elapsed() < self.options.idle_timeout;
             let has_room = server.in_use + server.idle.len() < self.options.bound.per_worker();
             if is_used && server.is_reachable && has_room && server.idle.len() < self.options.warm_per_server {
@@ -91,7 +96,7 @@
             actix_rt::spawn(async move {
                 let opened = lease.pool.open(lease.address).await;
                 match opened {
-                    Ok(io) => lease.put(io),
+                    Ok(io) => lease.put(io, None),
                     Err(_) => lease.set_unreachable(),
                 }
             });
@@ -116,21 +121,20 @@
     }
 
     fn take(&self, address: SocketAddr, fresh: bool) -> Taken {
-        let ProxyOptions { rest, fresh_age, idle_timeout, bound, .. } = &*self.options;
-        let max_age = if fresh { fresh_age } else { idle_timeout };
+        let ProxyOptions { rest, bound, .. } = &*self.options;
         let mut servers = self.servers.borrow_mut();
         let Some(server) = servers.get_mut(&address) else { return Taken::Nothing };
-        let mut next = server.idle.partition_point(|(since, _)| since.elapsed() >= *rest);
-        while next > 0 && server.idle[next - 1].0.elapsed() <= *max_age {
+        let mut next = server.idle.partition_point(|idle| idle.since.elapsed() >= *rest);
+        while next > 0 && server.idle[next - 1].since.elapsed() <= self.max_age(&server.idle[next - 1], fresh) {
             next -= 1;
-            let (_, io) = server.idle.remove(next);
+            let Idle { io, .. } = server.idle.remove(next);
             if is_open(&io) {
                 return Taken::Connection(io);
             }
         }
         // Older ones stay for requests that may be repeated, if the bound allows.
         let excess = (server.in_use + server.idle.len()).saturating_sub(bound.per_worker());
-        let resting = server.idle.get(next).map(|(since, _)| rest.saturating_sub(since.elapsed()));
+        let resting = server.idle.get(next).map(|idle| rest.saturating_sub(idle.since.elapsed()));
         match resting {
             Some(left) if excess > next => Taken::Resting(left),
             _ => {
@@ -140,6 +144,18 @@
         }
     }
 
+    /// Returns the age up to which a connection may be used. `fresh` is set for requests that may not be repeated.
+    fn max_age(&self, idle: &Idle, fresh: bool) -> Duration {
+        let ProxyOptions { fresh_age, kept_age, idle_timeout, dialect, .. } = &*self.options;
+        match idle.keep_alive.filter(|_| dialect.keep_alive_reuse) {
+            Some(kept) if fresh => (kept / 2).min(*kept_age),
+            // A request that may be repeated comes closer to the server's close, as a failure only costs a retry.
+            Some(kept) => (kept * 3 / 4).min(*idle_timeout),
+            None if fresh => *fresh_age,
+            None => *idle_timeout,
+        }
+    }
+
     async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
         let io = timeout(self.options.connect_timeout, TcpStream::connect(address)).await??;
         io.set_nodelay(true)?;
@@ -156,12 +172,12 @@
 
 impl Lease {
     /// Keeps a connection for the next exchange.
-    pub(crate) fn put(self, io: TcpStream) {
+    pub(crate) fn put(self, io: TcpStream, keep_alive: Option<Duration>) {
         let bound = self.pool.options.bound.per_worker();
         if let Some(server) = self.pool.servers.borrow_mut().get_mut(&self.address)
             && server.in_use + server.idle.len() <= bound
         {
-            server.idle.push((Instant::now(), io));
+            server.idle.push(Idle { since: Instant::now(), keep_alive, io });
         }
     }
 
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -1,17 +1,12 @@
 //! What a request head says to the system.
 
 use {
-    crate::{framing::Framing, headers, options::KEPT_BODY_LIMIT},
+    crate::{framing::Framing, headers, options::ProxyOptions, routing::Routing},
     actix_http::{
         Method, RequestHead, Version,
-        header::{self, HeaderName},
-    },
-    hemlockford_core::{
-        dispatch::{Call, CallTerms},
-        ids::CallId,
-        outcome::NotRunReason,
-        text::Text,
+        header::{self, HeaderName, HeaderValue},
     },
+    hemlockford_core::{dispatch::Call, ids::CallId, outcome::NotRunReason, text::RouteKind},
     std::time::{Duration, Instant},
 };
 
@@ -28,6 +23,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Refusal {
     pub(crate) reason: NotRunReason,
+    /// Status in place of that of the reason.
+    pub(crate) status: Option<u16>,
     pub(crate) detail: &'static str,
 }
 
@@ -38,23 +35,76 @@
     pub(crate) framing: Framing,
     /// Key of a non-idempotent request.
     pub(crate) key: Option<Box<str>>,
+    /// Id by which the server's answer is told from others.
+    pub(crate) id: Option<HeaderValue>,
     pub(crate) expects_continue: bool,
 }
 
+/// What the headers of the product say.
+struct Product<'a> {
+    customer: &'a str,
+    depth: u8,
+    key: Option<&'a str>,
+}
+
 /// Reads a request head.
-pub(crate) fn parse(head: &RequestHead, text: &Text, id: CallId, now: Instant) -> Result<Parsed, Refusal> {
+pub(crate) fn parse(
+    head: &RequestHead,
+    routing: &Routing,
+    options: &ProxyOptions,
+    id: CallId,
+    now: Instant,
+) -> Result<Parsed, Refusal> {
+    let dialect = &options.dialect;
     let framing = Framing::of_request(head).map_err(bad)?;
     if head.method == Method::CONNECT {
         return Err(bad("CONNECT is not supported"));
     }
-    let path = head.uri.path();
-    let service = path.strip_prefix('/').unwrap_or(path).split('/').next().unwrap_or_default();
-    let unknown = Refusal { reason: NotRunReason::UnknownService, detail: "" };
-    let limit = text.services.get(service).ok_or(unknown)?.deadline;
-    let stated = one(head, &headers::DEADLINE, "hemlockford-deadline is not one number of milliseconds")?;
-    let stated =
-        stated.map(|text| number::<u32>(text).ok_or(bad("hemlockford-deadline is not a number of milliseconds")));
+    if !routing.is_known() {
+        return Err(Refusal::new(NotRunReason::ConfigurationNotCurrent));
+    }
+    let selected = routing.select(head, dialect).ok_or(Refusal::new(NotRunReason::UnknownService))?;
+    if matches!(framing, Framing::Sized(length) if length > routing.text().limits.body_bytes) {
+        return Err(Refusal::TOO_LARGE);
+    }
+    let stated = one(head, &dialect.deadline, "the deadline is not one number of milliseconds")?;
+    let stated = stated.map(|text| number::<u32>(text).ok_or(bad("the deadline is not a number of milliseconds")));
     let stated = stated.transpose()?.map(|left| Duration::from_millis(u64::from(left)));
+    if let Some(name) = &dialect.request_id {
+        one(head, name, "the request id is not one id")?;
+    }
+    let idempotent = match selected.kind {
+        Some(kind) => kind == RouteKind::Idempotent,
+        None => head.method.is_idempotent(),
+    };
+    let Product { customer, depth, key } = if dialect.product_headers {
+        product(head, idempotent)?
+    } else {
+        Product { customer: DEFAULT_CUSTOMER, depth: 0, key: None }
+    };
+    let is_small =
+        framing.is_empty() || matches!(framing, Framing::Sized(length) if length <= options.kept_body as u64);
+    let expects_continue = head.version == Version::HTTP_11
+        && head.headers.get(header::EXPECT).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+    let call = Call {
+        id,
+        service: selected.service,
+        customer: customer.into(),
+        idempotent,
+        // On a route, a request that a server did not run goes to another one whatever its kind.
+        replayable: is_small && (idempotent || selected.kind.is_some()),
+        deadline: now + stated.map_or(selected.timeout, |left| left.min(selected.timeout)),
+        depth,
+        retry_allowance: depth == 0 || head.headers.contains_key(headers::ALLOWANCE),
+        upload: selected.kind.map_or(!is_small, |kind| kind == RouteKind::Upload),
+        terms: selected.terms,
+    };
+    let id = headers::request_id(dialect, head, id);
+    Ok(Parsed { call, framing, key: key.map(Into::into), id, expects_continue })
+}
+
+/// Reads the headers of the product.
+fn product(head: &RequestHead, idempotent: bool) -> Result<Product<'_>, Refusal> {
     let depth = one(head, &headers::DEPTH, "hemlockford-depth is not one number")?;
     let depth = depth.map(|text| number(text).ok_or(bad("hemlockford-depth is not a number up to 24")));
     let depth: u8 = depth.transpose()?.unwrap_or_default();
@@ -66,31 +116,31 @@
     if customer.is_empty() || customer.len() > CUSTOMER_LIMIT || !customer.bytes().all(is_name) {
         return Err(bad("hemlockford-customer is not a name of at most 64 letters, digits, '-', '_' and '.'"));
     }
-    let idempotent = head.method.is_idempotent();
     let key = one(head, &headers::IDEMPOTENCY_KEY, "idempotency-key is not one key")?.filter(|_| !idempotent);
     if key.is_some_and(|key| key.is_empty() || key.len() > KEY_LIMIT) {
         return Err(bad("idempotency-key is not a key of 1 to 255 characters"));
     }
-    let is_small = framing.is_empty() || matches!(framing, Framing::Sized(length) if length <= KEPT_BODY_LIMIT as u64);
-    let expects_continue = head.version == Version::HTTP_11
-        && head.headers.get(header::EXPECT).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"));
-    let call = Call {
-        id,
-        service: service.into(),
-        customer: customer.into(),
-        idempotent,
-        replayable: idempotent && is_small,
-        deadline: now + stated.map_or(limit, |left| left.min(limit)),
-        depth,
-        retry_allowance: depth == 0 || head.headers.contains_key(headers::ALLOWANCE),
-        upload: !is_small,
-        terms: CallTerms::default(),
-    };
-    Ok(Parsed { call, framing, key: key.map(Into::into), expects_continue })
+    Ok(Product { customer, depth, key })
+}
+
+impl Refusal {
+    /// The body is larger than the text allows.
+    pub(crate) const TOO_LARGE: Self =
+        Self { reason: NotRunReason::BadRequest, status: Some(413), detail: "the request body is too large" };
+
+    /// Makes a refusal that the reason explains.
+    pub(crate) const fn new(reason: NotRunReason) -> Self {
+        Self { reason, status: None, detail: "" }
+    }
+
+    /// Makes the refusal of a malformed request.
+    pub(crate) const fn malformed(status: Option<u16>, detail: &'static str) -> Self {
+        Self { reason: NotRunReason::BadRequest, status, detail }
+    }
 }
 
 fn bad(detail: &'static str) -> Refusal {
-    Refusal { reason: NotRunReason::BadRequest, detail }
+    Refusal::malformed(None, detail)
 }
 
 /// Returns the value of a header that may occur once at most.
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -5,9 +5,9 @@
         call::{CallRun, Next},
         caller::{self, CallerReader, CallerWriter, Incoming},
         options::KEPT_BODY_LIMIT,
-        reply::{RETRY_AFTER, Reply},
+        reply::Reply,
         request::{self, Refusal},
-        worker::Shared,
+        shared::{Phase, Shared},
     },
     actix_http::{Method, Request},
     actix_rt::time::timeout,
@@ -17,7 +17,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::{net::TcpStream, select, sync::watch},
+    tokio::{net::TcpStream, select},
 };
 
 /// Time for which the rest of a body that nobody needs is read after its answer.
@@ -31,7 +31,6 @@
     reader: CallerReader,
     writer: CallerWriter,
     peer: SocketAddr,
-    stop: watch::Receiver<bool>,
     /// Set if every request on this connection is refused.
     refusal: Option<NotRunReason>,
 }
@@ -39,20 +38,17 @@
 impl Session {
     pub(crate) fn new(shared: Rc<Shared>, io: TcpStream, peer: SocketAddr, refusal: Option<NotRunReason>) -> Self {
         let (reader, writer) = caller::split(io, shared.config.clone(), shared.options.clone());
-        let stop = shared.stop.clone();
-        Self { shared, reader, writer, peer, stop, refusal }
+        Self { shared, reader, writer, peer, refusal }
     }
 
     /// Serves requests until the connection ends.
     pub(crate) async fn run(mut self) {
-        let mut patience = self.shared.options.head_timeout;
+        let mut patience = self.shared.limits().header_timeout.min(self.shared.options.head_timeout);
         while self.await_request(patience).await {
-            let next = match self.reader.read_head().await {
+            let next = match self.reader.read_head(&self.shared.limits()).await {
                 Incoming::Request(req) => self.serve(req).await,
                 Incoming::Closed => return,
-                Incoming::Bad(detail) => {
-                    self.refuse(Refusal { reason: NotRunReason::BadRequest, detail }, false, true).await
-                }
+                Incoming::Bad(refusal) => self.refuse(refusal, false, true).await,
             };
             match next {
                 Next::Keep => {}
@@ -65,7 +61,7 @@
                     return self.close().await;
                 }
             }
-            patience = self.shared.options.keep_alive;
+            patience = self.shared.limits().idle_timeout.min(self.shared.options.keep_alive);
         }
         self.close().await;
     }
@@ -73,14 +69,12 @@
     /// Waits until a request begins to arrive; returns whether one does.
     async fn await_request(&mut self, patience: Duration) -> bool {
         let grace = self.shared.options.stop_grace;
-        if *self.stop.borrow() {
-            return timeout(grace, self.reader.wait()).await.is_ok_and(|waited| waited.is_ok());
-        }
-        select! {
-            biased;
-            waited = timeout(patience, self.reader.wait()) => return waited.is_ok_and(|waited| waited.is_ok()),
-            // A sender that is gone means that the instance stops.
-            _ = self.stop.wait_for(|stop| *stop) => {}
+        if self.shared.phase() != Phase::Closing {
+            select! {
+                biased;
+                waited = timeout(patience, self.reader.wait()) => return waited.is_ok_and(|waited| waited.is_ok()),
+                () = self.shared.closing() => {}
+            }
         }
         // A request may be on its way; it is refused rather than met by a closed connection.
         timeout(grace, self.reader.wait()).await.is_ok_and(|waited| waited.is_ok())
@@ -90,14 +84,13 @@
         let start = Instant::now();
         self.writer.begin();
         let is_head = *req.method() == Method::HEAD;
-        let refusal = if *self.stop.borrow() { Some(NotRunReason::ShuttingDown) } else { self.refusal };
+        let is_closing = self.shared.phase() == Phase::Closing;
+        let refusal = if is_closing { Some(NotRunReason::ShuttingDown) } else { self.refusal };
         if let Some(reason) = refusal {
-            return self.refuse(Refusal { reason, detail: "" }, is_head, true).await;
+            return self.refuse(Refusal::new(reason), is_head, true).await;
         }
-        let parsed = {
-            let text = self.shared.text.borrow();
-            request::parse(req.head(), &text, self.shared.next_call(), start)
-        };
+        let (routing, id) = (self.shared.routing(), self.shared.next_call());
+        let parsed = request::parse(req.head(), &routing, &self.shared.options, id, start);
         match parsed {
             Ok(parsed) => {
                 let caller = (&mut self.reader, &mut self.writer);
@@ -114,11 +107,13 @@
     async fn refuse(&mut self, refusal: Refusal, is_head: bool, must_close: bool) -> Next {
         let outcome = Outcome::NotRun(refusal.reason);
         self.shared.count_refusal(outcome);
-        if must_close {
+        if must_close || self.shared.is_stopping() || self.reader.is_rest_long(KEPT_BODY_LIMIT) {
             self.writer.close_after();
         }
-        let reply = Reply::outcome(outcome, RETRY_AFTER, refusal.detail);
-        if reply.encode(&mut self.writer, is_head).is_err() || self.writer.flush_soon().await.is_err() {
+        let options = &self.shared.options;
+        let reply = Reply::outcome(outcome, refusal.status, options.retry_after, refusal.detail);
+        if reply.encode(&options.dialect, &mut self.writer, is_head).is_err() || self.writer.flush_soon().await.is_err()
+        {
             return Next::Cut;
         }
         if self.writer.keep_alive() { Next::Keep } else { Next::Close }
--- /dev/null
+++ b/crates/proxy/src/shared.rs
@@ -0,0 +1,112 @@
+//! What the sessions of one worker share.
+
+use {
+    crate::{
+        claims::ClaimMessage,
+        counters::{CallRecord, ProxyCounters},
+        gate::Gate,
+        options::ProxyOptions,
+        pool::Pool,
+        routing::Routing,
+    },
+    actix_http::ServiceConfig,
+    hemlockford_core::{
+        dispatch::Call,
+        ids::CallId,
+        outcome::Outcome,
+        text::{Limits, Text},
+    },
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::sync::{mpsc, watch},
+};
+
+/// How far a stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// There is no stop.
+    Serving,
+    /// Requests are served, and each connection is closed after its answer.
+    Draining,
+    /// New requests are refused.
+    Closing,
+}
+
+/// What the sessions of one worker share.
+pub(crate) struct Shared {
+    pub(crate) options: Rc<ProxyOptions>,
+    /// One for all connections, as each new one starts a clock task of its own.
+    pub(crate) config: ServiceConfig,
+    pub(crate) gate: Gate,
+    pub(crate) pool: Pool,
+    pub(crate) text: watch::Receiver<Arc<Text>>,
+    /// The newest text that a request has met.
+    pub(crate) routing: RefCell<Rc<Routing>>,
+    pub(crate) stop: watch::Receiver<bool>,
+    pub(crate) claims: Option<mpsc::UnboundedSender<ClaimMessage>>,
+    pub(crate) counters: ProxyCounters,
+    pub(crate) records: Option<mpsc::UnboundedSender<CallRecord>>,
+    pub(crate) next_call: Cell<CallId>,
+}
+
+impl Shared {
+    /// Returns how far a stop has come.
+    pub(crate) fn phase(&self) -> Phase {
+        match &self.options.serve_while_stopping {
+            _ if !*self.stop.borrow() => Phase::Serving,
+            Some(closing) if !*closing.borrow() && closing.has_changed().is_ok() => Phase::Draining,
+            _ => Phase::Closing,
+        }
+    }
+
+    /// Returns whether connections are closed after their answers.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.phase() != Phase::Serving
+    }
+
+    /// Waits until new requests are refused. A sender that is gone means that the instance stops.
+    pub(crate) async fn closing(&self) {
+        let _ = self.stop.clone().wait_for(|stop| *stop).await;
+        if let Some(closing) = &self.options.serve_while_stopping {
+            let _ = closing.clone().wait_for(|closing| *closing).await;
+        }
+    }
+
+    /// Returns the text in force, prepared once for all requests that meet it.
+    pub(crate) fn routing(&self) -> Rc<Routing> {
+        let text = self.text.borrow();
+        let mut routing = self.routing.borrow_mut();
+        if !Arc::ptr_eq(routing.text(), &text) {
+            *routing = Rc::new(Routing::new(text.clone()));
+        }
+        routing.clone()
+    }
+
+    /// Returns the limits in force.
+    pub(crate) fn limits(&self) -> Limits {
+        self.text.borrow().limits.clone()
+    }
+
+    pub(crate) fn next_call(&self) -> CallId {
+        self.next_call.replace(self.next_call.get() + 1)
+    }
+
+    pub(crate) fn record(&self, call: &Call, outcome: Option<Outcome>, latency: Duration, attempts: Duration) {
+        self.counters.record(&call.service, outcome, latency, attempts);
+        if let Some(records) = &self.records {
+            let record =
+                CallRecord { service: call.service.clone(), customer: call.customer.clone(), latency, outcome };
+            // The report may have stopped before the last call has.
+            let _ = records.send(record);
+        }
+    }
+
+    /// Counts a request that was refused before its service was known for certain.
+    pub(crate) fn count_refusal(&self, outcome: Outcome) {
+        self.counters.record("", Some(outcome), Duration::ZERO, Duration::ZERO);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/split.rs
@@ -0,0 +1,42 @@
+//! Shares of a route's requests among its services.
+
+use {hemlockford_core::text::Target, rand::RngExt, std::cell::RefCell};
+
+/// Most draws by which the first one is shifted.
+const SHIFT_LIMIT: u64 = 1_000;
+
+/// Draws the services of a route by weight, with the services of successive requests spread evenly (smooth
+/// weighted round robin).
+#[derive(Debug)]
+pub(crate) struct Split {
+    weights: Vec<i64>,
+    credits: RefCell<Vec<i64>>,
+}
+
+impl Split {
+    /// Makes a split that begins at a random place of its cycle. Many entries with few requests each would
+    /// otherwise all begin with the service of the greatest weight.
+    pub(crate) fn new(targets: &[Target]) -> Self {
+        let weights: Vec<i64> = targets.iter().map(|target| i64::from(target.weight)).collect();
+        let split = Self { credits: RefCell::new(vec![0; weights.len()]), weights };
+        let cycle = split.weights.iter().sum::<i64>().clamp(1, SHIFT_LIMIT as i64);
+        for _ in 0..rand::rng().random_range(0..cycle) {
+            split.draw();
+        }
+        split
+    }
+
+    /// Returns the position of the next service; 0 if no service has a weight.
+    pub(crate) fn draw(&self) -> usize {
+        let mut credits = self.credits.borrow_mut();
+        for (credit, weight) in credits.iter_mut().zip(&self.weights) {
+            *credit += weight;
+        }
+        let weighted = (0..credits.len()).filter(|position| self.weights[*position] > 0);
+        let Some(chosen) = weighted.max_by_key(|position| (credits[*position], std::cmp::Reverse(*position))) else {
+            return 0;
+        };
+        credits[chosen] -= self.weights.iter().sum::<i64>();
+        chosen
+    }
+}
--- a/crates/proxy/src/worker.rs
+++ b/crates/proxy/src/worker.rs
@@ -7,25 +7,34 @@
         gate::Gate,
         handover::{Handover, Share},
         options::ProxyOptions,
-        pool::{MAINTENANCE_INTERVAL, Pool},
+        pool::Pool,
+        routing::Routing,
         session::Session,
+        shared::Shared,
     },
     actix_http::{KeepAlive, ServiceConfig},
     actix_rt::time::{interval, sleep},
     error_stack::ResultExt,
+    futures_util::FutureExt,
     hemlockford_core::{
-        dispatch::Call,
         errors::{ErrorKind, Result},
-        ids::CallId,
-        outcome::{NotRunReason, Outcome},
+        outcome::NotRunReason,
         text::Text,
     },
-    std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        pin::pin,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         select,
         sync::{mpsc, watch},
         task::JoinSet,
+        time::MissedTickBehavior,
     },
 };
 
@@ -59,57 +68,23 @@
     pub records: Option<mpsc::UnboundedSender<CallRecord>>,
 }
 
-/// What the sessions of one worker share.
-pub(crate) struct Shared {
-    pub(crate) options: Rc<ProxyOptions>,
-    /// One for all connections, as each new one starts a clock task of its own.
-    pub(crate) config: ServiceConfig,
-    pub(crate) gate: Gate,
-    pub(crate) pool: Pool,
-    pub(crate) text: watch::Receiver<Arc<Text>>,
-    pub(crate) stop: watch::Receiver<bool>,
-    pub(crate) claims: Option<mpsc::UnboundedSender<ClaimMessage>>,
-    pub(crate) counters: ProxyCounters,
-    records: Option<mpsc::UnboundedSender<CallRecord>>,
-    next_call: Cell<CallId>,
-}
-
-impl Shared {
-    pub(crate) fn next_call(&self) -> CallId {
-        self.next_call.replace(self.next_call.get() + 1)
-    }
-
-    pub(crate) fn record(&self, call: &Call, outcome: Option<Outcome>, latency: Duration, attempts: Duration) {
-        self.counters.record(&call.service, outcome, latency, attempts);
-        if let Some(records) = &self.records {
-            let record =
-                CallRecord { service: call.service.clone(), customer: call.customer.clone(), latency, outcome };
-            // The report may have stopped before the last call has.
-            let _ = records.send(record);
-        }
-    }
-
-    /// Counts a request that was refused before its service was known for certain.
-    pub(crate) fn count_refusal(&self, outcome: Outcome) {
-        self.counters.record("", Some(outcome), Duration::ZERO, Duration::ZERO);
-    }
-}
-
 impl Worker {
-    /// Accepts callers until the stop signal; then refuses new requests, finishes the calls in progress,
-    /// and returns.
+    /// Accepts callers until the stop signal. With [`ProxyOptions::serve_while_stopping`] it then goes on to serve
+    /// and closes each connection after its answer (draining). Without it, or when that ends, it refuses new
+    /// requests, finishes the calls in progress, and returns (closing).
     pub async fn run(self, listener: std::net::TcpListener) -> Result<()> {
         let listener = TcpListener::from_std(listener).change_context(ErrorKind::Io)?;
         let options = Rc::new(self.options);
         let keep_alive = KeepAlive::Timeout(options.keep_alive);
         let config = ServiceConfig::new(keep_alive, options.head_timeout, Duration::ZERO, false, None);
-        let mut stop = self.stop.clone();
         let mut handover = self.handover;
+        let routing = Rc::new(Routing::new(self.text.borrow().clone()));
         let shared = Rc::new(Shared {
             pool: Pool::new(options.clone(), config.clone(), self.counters.clone()),
             options,
             config,
             gate: self.gate,
+            routing: RefCell::new(routing),
             text: self.text,
             stop: self.stop,
             claims: self.claims,
@@ -118,7 +93,9 @@
             next_call: Cell::new(self.number * CALLS_PER_WORKER),
         });
         let mut sessions = JoinSet::new();
-        let mut maintenance = interval(MAINTENANCE_INTERVAL);
+        let mut maintenance = interval(shared.options.maintenance);
+        maintenance.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut closing = pin!(shared.closing());
         let mut is_stopping = false;
         // Connections that come after the stop signal are answered for as long as earlier calls run.
         let mut late = JoinSet::new();
@@ -144,13 +121,17 @@
                 }
                 Some(_) = sessions.join_next() => {}
                 Some(_) = late.join_next() => {}
-                _ = stop.wait_for(|stop| *stop), if !is_stopping => is_stopping = true,
+                () = &mut closing, if !is_stopping => is_stopping = true,
                 _ = maintenance.tick() => shared.pool.maintain(),
             }
             if is_stopping && sessions.is_empty() {
                 break;
             }
         }
+        // Connections that the kernel has accepted would be reset with the listener.
+        while let Some(Ok((io, peer))) = listener.accept().now_or_never() {
+            serve(&shared, &mut late, io, peer, handover.keep());
+        }
         drop(listener);
         // A worker that has not seen the signal may have handed these over meanwhile.
         handover.received.close();
