--- /dev/null
+++ b/crates/core/src/fleet/log.rs
@@ -0,0 +1,53 @@
+//! State changes that are worth a log line.
+
+use {
+    crate::ids::{ChangeNumber, InstanceId, ServerId, Term},
+    derive_more::Display,
+};
+
+/// A state change that is worth a log line.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum FleetLog {
+    /// This replica leads the replicated log.
+    #[display("leading term {_0}")]
+    Leading(Term),
+    /// This replica follows.
+    #[display("following in term {_0}")]
+    Following(Term),
+    /// This replica is in contact with the leader and has applied what was committed.
+    #[display("current")]
+    Current,
+    /// This replica may present old state.
+    #[display("not current")]
+    NotCurrent,
+    /// The directory of this replica is complete.
+    #[display("directory settled")]
+    Settled,
+    /// The log holds a newer change.
+    #[display("change {_0} committed")]
+    Committed(ChangeNumber),
+    /// A departure was committed.
+    #[display("departure of server {_0} born {_1} committed")]
+    Departed(ServerId, u64),
+    /// A server was heard for the first time in this incarnation.
+    #[display("server {_0} born {_1} joined")]
+    Joined(ServerId, u64),
+    /// A server was removed after a silence.
+    #[display("server {_0} born {_1} is silent and was removed")]
+    Silent(ServerId, u64),
+    /// A server was removed because a later one announced its address.
+    #[display("server {_0} born {_1} was replaced at its address")]
+    Replaced(ServerId, u64),
+    /// The entry installed a change.
+    #[display("change {_0} installed")]
+    Installed(ChangeNumber),
+    /// A committed text cannot be parsed, for example because it was written by a newer version.
+    #[display("change {_0} cannot be read by this version")]
+    Unreadable(ChangeNumber),
+    /// The entry uses another replica.
+    #[display("using replica {_0}")]
+    Using(InstanceId),
+    /// The entry hears no current replica and keeps what it holds.
+    #[display("no current replica is heard")]
+    NoReplica,
+}
--- /dev/null
+++ b/crates/core/src/fleet/size.rs
@@ -0,0 +1,43 @@
+//! Sizes of messages.
+
+use {
+    super::FleetMessage,
+    crate::consensus::{Entry, MessageBody},
+    postcard::ser_flavors::Size,
+};
+
+/// Longest datagram. It passes every usual path without fragments.
+const DATAGRAM_BYTES: usize = 1_200;
+/// Kept for what the link adds: version, sender and incarnation.
+const ENVELOPE_BYTES: usize = 160;
+
+impl FleetMessage {
+    /// Whether the message fits one datagram of 1,200 bytes together with what the link adds.
+    ///
+    /// ```
+    /// use hemlockford_core::fleet::FleetMessage;
+    /// assert!(FleetMessage::Install { number: 1, text: "short".into() }.fits_datagram());
+    /// assert!(!FleetMessage::Install { number: 1, text: "x".repeat(1_200).into() }.fits_datagram());
+    /// ```
+    pub fn fits_datagram(&self) -> bool {
+        // Spares measuring the messages that carry a text or many parts.
+        let is_long = match self {
+            Self::Install { text, .. } => text.len() > DATAGRAM_BYTES,
+            Self::Servers(servers) => servers.usable.len() > DATAGRAM_BYTES / 8,
+            Self::Consensus(message) => match &message.body {
+                MessageBody::Append { entries, .. } => entries.iter().map(Entry::size).sum::<usize>() > DATAGRAM_BYTES,
+                MessageBody::SnapshotPiece { .. } => true,
+                _ => false,
+            },
+            Self::Greeting(greeting) => greeting.records.is_some(),
+            Self::Request { request: super::Request::Submit { text, .. }, .. }
+            | Self::Reply { reply: super::Reply::Current { text, .. }, .. } => text.len() > DATAGRAM_BYTES,
+            _ => false,
+        };
+        !is_long && self.size().is_some_and(|size| size + ENVELOPE_BYTES <= DATAGRAM_BYTES)
+    }
+
+    fn size(&self) -> Option<usize> {
+        postcard::serialize_with_flavor(self, Size::default()).ok()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod currency;
 pub mod dispatch;
 pub mod errors;
+pub mod fleet;
 pub mod health;
 pub mod ids;
 pub mod ledger;
