Keep departures of servers in the ledger

A departure has to bind entries after the replica that acknowledged it is gone, so it is a command of the replicated log. A submission can be looked up without a command, so that a repeated one needs no log entry.

--- a/crates/core/src/ledger/changes.rs
+++ b/crates/core/src/ledger/changes.rs
@@ -31,6 +31,15 @@
             }
             return SubmitOutcome::Accepted { digest };
         }
+        self.earlier(number, digest)
+    }
+
+    /// What a submission is answered whose number is not above the current one; none for a higher number.
+    pub(super) fn submitted(&self, number: ChangeNumber, digest: TextDigest) -> Option<SubmitOutcome> {
+        (number <= self.number).then(|| self.earlier(number, digest))
+    }
+
+    fn earlier(&self, number: ChangeNumber, digest: TextDigest) -> SubmitOutcome {
         match self.digests.get(&number) {
             Some(winner) if *winner == digest => SubmitOutcome::Accepted { digest },
             Some(winner) => SubmitOutcome::Conflict { winner: *winner },
--- a/crates/core/src/ledger/command.rs
+++ b/crates/core/src/ledger/command.rs
@@ -5,7 +5,7 @@
     crate::{
         consensus::COMMAND_BYTES,
         errors::{Result, corrupt, limit},
-        ids::ChangeNumber,
+        ids::{ChangeNumber, ServerId},
     },
     serde::{Deserialize, Serialize},
 };
@@ -66,6 +66,16 @@
         /// Time of the leader.
         at: u64,
     },
+    /// Records that an incarnation of a server takes no new work. Its time is the wall clock of a replica and
+    /// has no effect on claims.
+    Depart {
+        /// The server.
+        server: ServerId,
+        /// Time of its start in Unix milliseconds; none for every incarnation that started before `at`.
+        born: Option<u64>,
+        /// Wall clock in Unix milliseconds.
+        at: u64,
+    },
 }
 
 impl Command {
--- a/crates/core/src/ledger/machine.rs
+++ b/crates/core/src/ledger/machine.rs
@@ -1,16 +1,21 @@
 //! The replicated state machine.
 
 use {
-    super::{ClaimKey, Command, Holder, LedgerOutcome, TextDigest, changes::Changes, claims::Claims},
+    super::{
+        ClaimKey, Command, Holder, LedgerOutcome, SubmitOutcome, TextDigest, changes::Changes, claims::Claims,
+        departures::Departures,
+    },
     crate::{
         errors::{Result, corrupt},
-        ids::{ChangeNumber, LogIndex},
+        ids::{ChangeNumber, LogIndex, ServerId},
     },
     serde::{Deserialize, Serialize},
 };
 
 /// Version of the snapshot's encoding, its first byte.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
+/// Version before departures were added at the end.
+const VERSION_WITHOUT_DEPARTURES: u8 = 1;
 
 /// The replicated state machine.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +24,7 @@
     clock: u64,
     changes: Changes,
     claims: Claims,
+    departures: Departures,
 }
 
 impl Ledger {
@@ -57,6 +63,9 @@
                 self.advance(at);
                 LedgerOutcome::Release(self.claims.release(self.clock, &key, holder))
             }
+            Command::Depart { server, born, at } => {
+                LedgerOutcome::Departed(self.departures.add(server, born.unwrap_or(at)))
+            }
         }
     }
 
@@ -88,6 +97,11 @@
     pub fn restore(bytes: &[u8]) -> Result<Self> {
         match bytes.split_first() {
             Some((&VERSION, body)) => postcard::from_bytes(body).map_err(|e| corrupt(e.to_string())),
+            Some((&VERSION_WITHOUT_DEPARTURES, body)) => {
+                let (applied, clock, changes, claims) =
+                    postcard::from_bytes(body).map_err(|e| corrupt(e.to_string()))?;
+                Ok(Self { applied, clock, changes, claims, departures: Departures::default() })
+            }
             _ => Err(corrupt("snapshot of an unknown version")),
         }
     }
@@ -107,6 +121,40 @@
         self.changes.digest(number)
     }
 
+    /// Returns what a submission with a number that is not above the current one is answered; none for a
+    /// higher number, which has to be proposed.
+    ///
+    /// ```
+    /// use hemlockford_core::ledger::{Command, Ledger, SubmitOutcome, TextDigest};
+    /// let mut ledger = Ledger::default();
+    /// ledger.apply(1, Command::Submit { number: 4, text: "a".into() });
+    /// let digest = TextDigest::of(b"a");
+    /// assert_eq!(ledger.submitted(4, digest), Some(SubmitOutcome::Accepted { digest }));
+    /// assert_eq!(ledger.submitted(5, digest), None);
+    /// ```
+    pub fn submitted(&self, number: ChangeNumber, digest: TextDigest) -> Option<SubmitOutcome> {
+        self.changes.submitted(number, digest)
+    }
+
+    /// Returns the last departed incarnation of a server; earlier ones count as departed too.
+    ///
+    /// ```
+    /// use hemlockford_core::ledger::{Command, Ledger};
+    /// let mut ledger = Ledger::default();
+    /// ledger.apply(1, Command::Depart { server: "a-1".into(), born: Some(5), at: 9 });
+    /// assert_eq!(ledger.departed("a-1"), Some(5));
+    /// ledger.apply(2, Command::Depart { server: "a-1".into(), born: None, at: 9 });
+    /// assert_eq!(ledger.departed("a-1"), Some(9));
+    /// ```
+    pub fn departed(&self, server: &str) -> Option<u64> {
+        self.departures.get(server)
+    }
+
+    /// Returns the departures that are kept, the latest first.
+    pub fn departures(&self) -> Vec<(&ServerId, u64)> {
+        self.departures.latest()
+    }
+
     /// Returns the time of the last command, in milliseconds.
     pub fn clock(&self) -> u64 {
         self.clock
--- a/crates/core/src/ledger/mod.rs
+++ b/crates/core/src/ledger/mod.rs
@@ -1,4 +1,5 @@
-//! The replicated state machine: changes of the operators' text and claims of idempotency keys.
+//! The replicated state machine: changes of the operators' text, claims of idempotency keys and
+//! departures of servers.
 //!
 //! Commands are applied in the order of the replicated log and give the same result on every replica. Time
 //! comes only with the commands.
@@ -7,6 +8,7 @@
 mod claim;
 mod claims;
 mod command;
+mod departures;
 mod digest;
 mod machine;
 mod outcome;
@@ -17,6 +19,7 @@
     claim::{ClaimKey, Holder, MAX_BODY_BYTES, SettledOutcome},
     claims::{MAX_CLAIMS, MIN_RETENTION_MS},
     command::{Command, MAX_SUBMIT_BYTES},
+    departures::MAX_DEPARTURES,
     digest::TextDigest,
     machine::Ledger,
     outcome::{ClaimOutcome, LedgerOutcome, ReleaseOutcome, SettleOutcome, SubmitOutcome},
--- a/crates/core/src/ledger/outcome.rs
+++ b/crates/core/src/ledger/outcome.rs
@@ -23,6 +23,8 @@
     Settle(SettleOutcome),
     /// Result of `Release`.
     Release(ReleaseOutcome),
+    /// Result of `Depart`: the last incarnation of the server that is recorded as departed.
+    Departed(u64),
 }
 
 /// Result of submitting a change.
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -4,8 +4,8 @@
     hemlockford_core::{
         collections::FastMap,
         ledger::{
-            ClaimKey, ClaimOutcome, Command, HISTORY, Holder, Ledger, LedgerOutcome, MAX_BODY_BYTES, ReleaseOutcome,
-            SettleOutcome, SettledOutcome, SubmitOutcome, TextDigest,
+            ClaimKey, ClaimOutcome, Command, HISTORY, Holder, Ledger, LedgerOutcome, MAX_BODY_BYTES, MAX_DEPARTURES,
+            ReleaseOutcome, SettleOutcome, SettledOutcome, SubmitOutcome, TextDigest,
         },
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
@@ -141,3 +141,38 @@
     assert!(ledger.digest(11).is_some());
     assert!(ledger.snapshot().expect("snapshot").len() < 1 << 20);
 }
+
+/// Guards against a departed incarnation that is forgotten too early, or one that binds a later incarnation.
+#[test]
+fn departures_are_kept_in_the_order_of_their_last_record() {
+    let mut ledger = Ledger::default();
+    let depart =
+        |server: usize, born: u64| Command::Depart { server: format!("s{server}").into(), born: Some(born), at: 0 };
+    assert_eq!(ledger.apply(1, depart(0, 7)), LedgerOutcome::Departed(7));
+    assert_eq!(ledger.apply(2, depart(0, 5)), LedgerOutcome::Departed(7));
+    assert_eq!(ledger.clock(), 0);
+    for server in 1..MAX_DEPARTURES {
+        ledger.apply(2 + server as u64, depart(server, 1));
+    }
+    ledger.apply(10_000, depart(0, 8));
+    ledger.apply(10_001, depart(MAX_DEPARTURES, 1));
+    assert_eq!((ledger.departed("s0"), ledger.departed("s1"), ledger.departed("s2")), (Some(8), None, Some(1)));
+    let latest: Vec<_> = ledger.departures().into_iter().take(2).map(|(server, _)| &**server).collect();
+    assert_eq!(latest, [&*format!("s{MAX_DEPARTURES}"), "s0"]);
+    let copy = Ledger::restore(&ledger.snapshot().expect("snapshot")).expect("restore");
+    assert_eq!(copy, ledger);
+    assert!(ledger.snapshot().expect("snapshot").len() < 100 << 10);
+}
+
+/// Guards against a replica that cannot read the snapshot that an earlier version wrote.
+#[test]
+fn a_snapshot_without_departures_is_read() {
+    // Written by the version before departures: change 4 with the text "a".
+    let bytes = [
+        1, 1, 0, 4, 1, 97, 1, 4, 228, 146, 170, 242, 132, 238, 202, 200, 248, 222, 178, 212, 241, 173, 218, 229, 168,
+        164, 3, 0, 0, 0, 0, 0, 0,
+    ];
+    let mut ledger = Ledger::default();
+    ledger.apply(1, Command::Submit { number: 4, text: "a".into() });
+    assert_eq!(Ledger::restore(&bytes).expect("restore"), ledger);
+}
