--- /dev/null
+++ b/crates/core/src/fleet/bounds.rs
@@ -0,0 +1,60 @@
+//! Bounds on what is received.
+
+use {
+    super::{FleetMessage, MAX_NAME_BYTES, ReplicaName, Reply, Request},
+    crate::text::MAX_TEXT_BYTES,
+};
+
+/// Most replicas in one message.
+const MAX_REPLICAS: usize = 64;
+/// Most servers in one message: a whole directory of the shortest records.
+const MAX_SERVERS: usize = 16 * 1024;
+
+impl FleetMessage {
+    /// Whether every part of a received message has a permitted size.
+    pub(super) fn is_bounded(&self) -> bool {
+        let are_names = |names: &[ReplicaName]| {
+            names.len() <= MAX_REPLICAS && names.iter().all(|name| is_name(&name.id) && is_name(&name.data_centre))
+        };
+        match self {
+            Self::Poll(_) | Self::Consensus(_) => true,
+            Self::State(state) => are_names(&state.replicas) && is_name(&state.data_centre),
+            Self::Install { text, .. } => text.len() <= MAX_TEXT_BYTES,
+            Self::Servers(servers) => {
+                let usable = servers.usable.iter();
+                usable.len() <= MAX_SERVERS
+                    && servers.removed.len() <= MAX_SERVERS
+                    && servers.departed.len() <= MAX_SERVERS
+                    && usable.into_iter().all(|usable| is_name(&usable.server) && is_name(&usable.service))
+                    && servers.removed.iter().all(|server| is_name(server))
+                    && servers.departed.iter().all(|(server, _)| is_name(server))
+            }
+            Self::Ask(ask) => is_name(&ask.data_centre),
+            Self::Greeting(greeting) => {
+                are_names(&greeting.replicas)
+                    && is_name(&greeting.data_centre)
+                    && greeting.records.as_ref().is_none_or(|records| records.len() <= MAX_SERVERS)
+            }
+            // Each record is checked where it is taken.
+            Self::Records(records) => {
+                records.changed.len() <= MAX_SERVERS
+                    && records.renewed.len() <= MAX_SERVERS
+                    && records.renewed.iter().all(|renewal| is_name(&renewal.server))
+            }
+            Self::Want(servers) => servers.len() <= MAX_SERVERS && servers.iter().all(|server| is_name(server)),
+            Self::Request { request, .. } => match request {
+                Request::Submit { text, .. } => text.len() <= MAX_TEXT_BYTES,
+                Request::Depart { server, .. } => is_name(server),
+                Request::Read => true,
+            },
+            Self::Reply { reply, .. } => match reply {
+                Reply::Current { text, .. } => text.len() <= MAX_TEXT_BYTES,
+                _ => true,
+            },
+        }
+    }
+}
+
+fn is_name(name: &str) -> bool {
+    name.len() <= MAX_NAME_BYTES
+}
--- /dev/null
+++ b/crates/core/src/fleet/directory/floors.rs
@@ -0,0 +1,40 @@
+//! Announcements of servers that were removed.
+
+use {
+    crate::{collections::FastMap, ids::ServerId},
+    std::time::{Duration, Instant},
+};
+
+/// Time for which a removed server is remembered, longer than a message waits in any socket of a process that
+/// runs.
+const REMEMBERED: Duration = Duration::from_secs(600);
+/// Most removed servers that are remembered.
+const MAX_FLOORS: usize = 4_096;
+
+/// Last announcement of each server that was removed. Late copies of it and of earlier ones do not bring the
+/// server back.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Floors(FastMap<ServerId, ((u64, u64), Instant)>);
+
+impl Floors {
+    pub(super) fn add(&mut self, now: Instant, server: ServerId, order: (u64, u64)) {
+        if self.0.len() >= MAX_FLOORS {
+            self.0.retain(|_, (_, added)| now.saturating_duration_since(*added) < REMEMBERED);
+        }
+        if self.0.len() >= MAX_FLOORS {
+            let oldest = self.0.iter().min_by_key(|(_, (_, added))| *added).map(|(server, _)| server.clone());
+            if let Some(oldest) = oldest {
+                self.0.remove(&oldest);
+            }
+        }
+        self.0.insert(server, (order, now));
+    }
+
+    pub(super) fn covers(&self, server: &str, order: (u64, u64)) -> bool {
+        self.0.get(server).is_some_and(|(floor, _)| order <= *floor)
+    }
+
+    pub(super) fn remove(&mut self, server: &str) {
+        self.0.remove(server);
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/directory/held.rs
@@ -0,0 +1,113 @@
+//! A record as the directory holds it.
+
+use {
+    super::WARM_UP_TOLERANCE,
+    crate::{
+        fleet::{HeardRecord, Record, Renewal, UsableServer},
+        ids::InstanceId,
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Bytes of a record beside its names.
+const RECORD_OVERHEAD: usize = 64;
+
+/// A record as the directory holds it.
+#[derive(Clone, Debug)]
+pub(super) struct Held {
+    pub(super) record: Record,
+    /// Announcement that last changed the record.
+    pub(super) content: u64,
+    pub(super) heard_at: Instant,
+    /// Replica that heard it.
+    pub(super) heard_by: InstanceId,
+    pub(super) warm_until: Instant,
+    pub(super) is_departed: bool,
+}
+
+impl Held {
+    pub(super) fn is_usable(&self) -> bool {
+        !self.is_departed && !self.record.is_draining
+    }
+
+    /// Whether both say the same of one incarnation, but for the number of the announcement.
+    pub(super) fn is_same(&self, other: &Self, now: Instant) -> bool {
+        let (a, b) = (&self.record, &other.record);
+        a.born == b.born
+            && a.version == b.version
+            && a.is_draining == b.is_draining
+            && a.service == b.service
+            && a.address == b.address
+            && a.data_centre == b.data_centre
+            && a.slots == b.slots
+            && is_near(self.warm_until, other.warm_until, now)
+    }
+
+    /// Whether entries use both in the same way.
+    pub(super) fn is_same_for_entries(&self, other: &Self, now: Instant) -> bool {
+        let (a, b) = (&self.record, &other.record);
+        match (self.is_usable(), other.is_usable()) {
+            (false, false) => true,
+            (true, true) => {
+                a.born == b.born
+                    && a.service == b.service
+                    && a.address == b.address
+                    && a.data_centre == b.data_centre
+                    && a.slots == b.slots
+                    && is_near(self.warm_until, other.warm_until, now)
+            }
+            _ => false,
+        }
+    }
+
+    pub(super) fn usable(&self, now: Instant) -> UsableServer {
+        UsableServer {
+            server: self.record.server.clone(),
+            service: self.record.service.clone(),
+            address: self.record.address,
+            data_centre: self.record.data_centre.clone(),
+            slots: self.record.slots,
+            born: self.record.born,
+            warm_up_ms: millis(self.warm_until.saturating_duration_since(now)),
+        }
+    }
+
+    pub(super) fn heard(&self, now: Instant) -> HeardRecord {
+        let warm_up = self.warm_until.saturating_duration_since(self.heard_at);
+        HeardRecord {
+            record: Record { warm_up, ..self.record.clone() },
+            content: self.content,
+            by: self.heard_by.clone(),
+            age_ms: millis(now.saturating_duration_since(self.heard_at)),
+        }
+    }
+
+    pub(super) fn renewal(&self, now: Instant) -> Renewal {
+        Renewal {
+            server: self.record.server.clone(),
+            born: self.record.born,
+            sequence: self.record.sequence,
+            content: self.content,
+            age_ms: millis(now.saturating_duration_since(self.heard_at)),
+        }
+    }
+
+    pub(super) fn size(&self) -> usize {
+        let record = &self.record;
+        RECORD_OVERHEAD
+            + record.server.len()
+            + record.service.len()
+            + record.data_centre.len()
+            + record.version.len()
+            + self.heard_by.len()
+    }
+}
+
+fn is_near(a: Instant, b: Instant, now: Instant) -> bool {
+    let (a, b) = (a.max(now), b.max(now));
+    a.max(b) - a.min(b) <= WARM_UP_TOLERANCE
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -0,0 +1,315 @@
+//! The state machine of an entry's link to the replicas.
+
+use {
+    super::{EntryAction, EntryEvent, EntryOptions, Known, Polls, Search, View},
+    crate::{
+        fleet::{FleetLog, FleetMessage, HeldRevision, Poll, Servers, State},
+        ids::{ChangeNumber, Incarnation, InstanceId},
+        text::Text,
+    },
+    rand::{RngExt, rngs::SmallRng},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time without a current replica after which new servers are taken from one that is not current. A majority
+/// that runs would have been found by then, so no departure that the replica lacks has been acknowledged.
+const ADRIFT_AFTER: Duration = Duration::from_secs(3);
+/// Time between questions whether a replica that is preferred to the one in use is current.
+const PREFER_EVERY: Duration = Duration::from_secs(5);
+
+/// What is held of a replica's directory.
+#[derive(Clone, Debug)]
+struct Held {
+    replica: InstanceId,
+    revision: HeldRevision,
+}
+
+/// The part of an entry that finds a current replica, polls it and installs what it says.
+///
+/// ```
+/// use {
+///     hemlockford_core::fleet::{EntryAction, EntryEvent, EntryLink, EntryOptions, FleetMessage},
+///     rand::{SeedableRng, rngs::SmallRng},
+///     std::time::Instant,
+/// };
+/// let now = Instant::now();
+/// let options = EntryOptions { id: "e".into(), seeds: vec!["r".into()], ..Default::default() };
+/// let mut link = EntryLink::new(now, options, SmallRng::seed_from_u64(1));
+/// let mut actions = Vec::new();
+/// link.handle(now, EntryEvent::Tick, &mut actions);
+/// let is_poll = |action: &EntryAction| matches!(action, EntryAction::Send { message: FleetMessage::Poll(_), .. });
+/// assert!(actions.iter().any(is_poll));
+/// ```
+pub struct EntryLink {
+    options: EntryOptions,
+    known: Known,
+    polls: Polls,
+    view: View,
+    /// Replica in use.
+    replica: Option<InstanceId>,
+    /// First poll since the replica is in use; whole directories answer to this one or a later one.
+    used_from: u64,
+    /// When the last poll was sent that the replica in use answered as current.
+    current_at: Option<Instant>,
+    search: Option<Search>,
+    started: Instant,
+    next_poll: Instant,
+    next_prefer: Instant,
+    held: Option<Held>,
+    /// Last change that was received, readable or not.
+    change: ChangeNumber,
+    has_text: bool,
+    /// Change that the replica in use has named as current.
+    needed: Option<ChangeNumber>,
+    entries: u32,
+    is_ready: bool,
+}
+
+impl EntryLink {
+    /// Makes a link that knows the seeds only.
+    pub fn new(now: Instant, options: EntryOptions, mut rng: SmallRng) -> Self {
+        let known = Known::new(now, options.id.clone(), options.data_centre.clone(), options.seeds.clone());
+        // The incarnation keeps the numbers of two runs apart even with one seed.
+        let first = (rng.random::<u64>() >> 1) ^ (options.incarnation << 24);
+        Self {
+            known,
+            polls: Polls::new(first),
+            view: View::default(),
+            replica: None,
+            used_from: first,
+            current_at: None,
+            search: Some(Search::new(now)),
+            started: now,
+            next_poll: now,
+            next_prefer: now + PREFER_EVERY,
+            held: None,
+            change: 0,
+            has_text: false,
+            needed: None,
+            entries: 0,
+            is_ready: false,
+            options,
+        }
+    }
+
+    /// Takes one event at a time and adds what is to be done.
+    pub fn handle(&mut self, now: Instant, event: EntryEvent, out: &mut Vec<EntryAction>) {
+        match event {
+            EntryEvent::Tick => {}
+            EntryEvent::Receive { from, incarnation, message } => {
+                if message.is_bounded() && self.known.hear(now, &from, incarnation) {
+                    self.receive(now, from, incarnation, message, out);
+                }
+            }
+            EntryEvent::Seeds(seeds) => self.known.set_seeds(now, seeds),
+        }
+        self.tick(now, out);
+        for (service, views) in self.view.take_changed(now, self.options.slow_start) {
+            out.push(EntryAction::Servers(service, views));
+        }
+    }
+
+    /// Time at which a `Tick` is needed.
+    pub fn next_wake(&self) -> Option<Instant> {
+        let lost_at = self.current_at.map(|at| at + self.options.switch_after);
+        let search = match &self.search {
+            Some(search) => Some(search.next_wake()),
+            None => lost_at,
+        };
+        let poll = self.replica.as_ref().map(|_| self.next_poll);
+        [search, poll].into_iter().flatten().min()
+    }
+
+    /// The replica in use.
+    pub fn replica(&self) -> Option<&InstanceId> {
+        self.replica.as_ref()
+    }
+
+    /// Whether the replica in use answered as current a short time ago.
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.current_at.is_some_and(|at| now.saturating_duration_since(at) < self.options.switch_after)
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<EntryAction>) {
+        if self.search.is_none() && !self.is_current(now) {
+            out.push(EntryAction::Log(FleetLog::NoReplica));
+            self.search = Some(Search::new(now));
+        }
+        if let Some((name, asked_at)) = self.search.as_ref().and_then(|search| search.settled_for(now)) {
+            self.use_replica(now, name, asked_at, out);
+        }
+        if let Some(search) = &mut self.search {
+            let mut names = search.round(now, &self.known.preferred());
+            names.retain(|name| Some(name) != self.replica.as_ref());
+            for name in names {
+                self.poll(now, name, true, out);
+            }
+        } else if now >= self.next_prefer {
+            self.next_prefer = now + PREFER_EVERY;
+            self.ask_preferred(now, out);
+        }
+        if now >= self.next_poll
+            && let Some(replica) = self.replica.clone()
+        {
+            self.next_poll = now + self.options.poll;
+            self.poll(now, replica, false, out);
+        }
+    }
+
+    /// Asks the replica that is preferred to all others, if another one is in use.
+    fn ask_preferred(&mut self, now: Instant, out: &mut Vec<EntryAction>) {
+        let preferred = self.known.preferred().into_iter().next();
+        if let Some(name) = preferred.filter(|name| Some(name) != self.replica.as_ref()) {
+            self.poll(now, name, true, out);
+        }
+    }
+
+    fn poll(&mut self, now: Instant, to: InstanceId, is_probe: bool, out: &mut Vec<EntryAction>) {
+        let sequence = self.polls.send(now, to.clone());
+        let held = self.held.as_ref().filter(|held| held.replica == to).map(|held| held.revision);
+        let poll = Poll { sequence, change: self.change, held, is_probe };
+        out.push(EntryAction::Send { to, message: FleetMessage::Poll(poll) });
+    }
+
+    fn use_replica(&mut self, now: Instant, name: InstanceId, asked_at: Instant, out: &mut Vec<EntryAction>) {
+        self.search = None;
+        self.current_at = Some(asked_at);
+        if self.replica.as_ref() == Some(&name) {
+            return;
+        }
+        self.replica = Some(name.clone());
+        self.used_from = self.polls.next();
+        self.needed = None;
+        // The first poll asks for the directory at once.
+        self.next_poll = now;
+        out.push(EntryAction::Log(FleetLog::Using(name)));
+    }
+
+    fn receive(
+        &mut self,
+        now: Instant,
+        from: InstanceId,
+        incarnation: Incarnation,
+        message: FleetMessage,
+        out: &mut Vec<EntryAction>,
+    ) {
+        match message {
+            FleetMessage::State(state) => self.state(now, from, state, out),
+            // A committed change is the same from every replica.
+            FleetMessage::Install { number, text } => self.install(number, &text, out),
+            FleetMessage::Servers(servers) => self.servers(now, &from, incarnation, servers),
+            FleetMessage::Poll(_)
+            | FleetMessage::Consensus(_)
+            | FleetMessage::Ask(_)
+            | FleetMessage::Greeting(_)
+            | FleetMessage::Records(_)
+            | FleetMessage::Want(_)
+            | FleetMessage::Request { .. }
+            | FleetMessage::Reply { .. } => {}
+        }
+        self.check_ready(out);
+    }
+
+    fn state(&mut self, now: Instant, from: InstanceId, mut state: State, out: &mut Vec<EntryAction>) {
+        let Some(asked_at) = self.polls.sent_at(state.echo, &from) else { return };
+        let own = crate::fleet::ReplicaName { id: from.clone(), data_centre: std::mem::take(&mut state.data_centre) };
+        for name in std::mem::take(&mut state.replicas).into_iter().chain([own]) {
+            self.known.learn(now, name);
+        }
+        let is_fresh = now.saturating_duration_since(asked_at) < self.options.switch_after;
+        if !state.is_current || !is_fresh {
+            return;
+        }
+        if self.replica.as_ref() == Some(&from) {
+            self.current_at = self.current_at.max(Some(asked_at));
+            self.search = None;
+            self.needed = self.needed.max(Some(state.change));
+            if state.entries.max(1) != self.entries {
+                self.entries = state.entries.max(1);
+                out.push(EntryAction::Entries(self.entries));
+            }
+            return;
+        }
+        let is_preferred = self.replica.as_ref().is_none_or(|used| self.known.rank(&from) < self.known.rank(used));
+        match &mut self.search {
+            Some(_) if self.known.is_near(&from) => self.use_replica(now, from, asked_at, out),
+            Some(search) => search.found_far(now, self.known.rank(&from), from, asked_at),
+            None if is_preferred && state.is_settled => self.use_replica(now, from, asked_at, out),
+            None => {}
+        }
+    }
+
+    fn install(&mut self, number: ChangeNumber, text: &str, out: &mut Vec<EntryAction>) {
+        if number <= self.change {
+            return;
+        }
+        self.change = number;
+        match Text::parse(text) {
+            Ok(text) => {
+                self.has_text = true;
+                out.push(EntryAction::Text(Arc::new(text)));
+                out.push(EntryAction::Log(FleetLog::Installed(number)));
+            }
+            Err(_) => out.push(EntryAction::Log(FleetLog::Unreadable(number))),
+        }
+    }
+
+    fn servers(&mut self, now: Instant, from: &InstanceId, incarnation: Incarnation, servers: Servers) {
+        // A departure is committed, whoever tells of it.
+        for (server, born) in servers.departed {
+            self.view.depart(server, born);
+        }
+        let is_adrift = now.saturating_duration_since(self.current_at.unwrap_or(self.started)) >= ADRIFT_AFTER;
+        if self.replica.as_ref() != Some(from) || !servers.is_current && !is_adrift {
+            return;
+        }
+        let is_complete = servers.is_current && servers.is_settled;
+        let held = self.held.as_ref().filter(|held| held.replica == *from && held.revision.incarnation == incarnation);
+        let held = held.map(|held| held.revision);
+        let is_exact = match servers.from {
+            Some(from) => {
+                let Some(held) = held.filter(|held| held.revision == from && servers.to > from) else { return };
+                held.is_exact && (is_complete || servers.removed.is_empty())
+            }
+            None => {
+                let answers = servers.echo.filter(|echo| *echo >= self.used_from);
+                let Some(_) = answers.and_then(|echo| self.polls.sent_at(echo, from)) else { return };
+                // A copy that was overtaken says less than what is held.
+                let is_overtaken =
+                    |held: HeldRevision| held.revision > servers.to || held.revision == servers.to && held.is_exact;
+                if held.is_some_and(is_overtaken) {
+                    return;
+                }
+                if is_complete {
+                    self.view.retain(&servers.usable);
+                }
+                is_complete
+            }
+        };
+        if is_complete {
+            for server in &servers.removed {
+                self.view.remove(server);
+            }
+        }
+        for server in servers.usable {
+            self.view.add(now, server, is_complete);
+        }
+        let revision = HeldRevision { incarnation, revision: servers.to, is_exact };
+        self.held = Some(Held { replica: from.clone(), revision });
+    }
+
+    fn check_ready(&mut self, out: &mut Vec<EntryAction>) {
+        let is_held = self
+            .held
+            .as_ref()
+            .is_some_and(|held| held.revision.is_exact && Some(&held.replica) == self.replica.as_ref());
+        let is_newest = self.needed.is_some_and(|needed| self.change >= needed);
+        if !self.is_ready && self.has_text && is_held && is_newest {
+            self.is_ready = true;
+            out.push(EntryAction::Ready(true));
+        }
+    }
+}
--- a/crates/core/src/fleet/entry/mod.rs
+++ b/crates/core/src/fleet/entry/mod.rs
@@ -2,6 +2,13 @@
 
 mod action;
 mod event;
+mod known;
+mod machine;
 mod options;
+mod polls;
+mod search;
+mod view;
 
-pub use {action::EntryAction, event::EntryEvent, options::EntryOptions};
+use {known::Known, polls::Polls, search::Search, view::View};
+
+pub use {action::EntryAction, event::EntryEvent, machine::EntryLink, options::EntryOptions};
--- /dev/null
+++ b/crates/core/src/fleet/entry/polls.rs
@@ -0,0 +1,50 @@
+//! Polls whose answers may yet arrive.
+
+use {
+    crate::ids::InstanceId,
+    std::{collections::VecDeque, time::Instant},
+};
+
+/// Polls that are remembered. At one poll each 250 ms, an answer that took longer than this many is of no use.
+const MAX_POLLS: usize = 16;
+
+#[derive(Clone, Debug)]
+struct Sent {
+    sequence: u64,
+    to: InstanceId,
+    at: Instant,
+}
+
+/// Polls whose answers may yet arrive. What an answer says was true after its poll was sent.
+#[derive(Debug)]
+pub(super) struct Polls {
+    next: u64,
+    sent: VecDeque<Sent>,
+}
+
+impl Polls {
+    pub(super) fn new(first: u64) -> Self {
+        Self { next: first, sent: VecDeque::new() }
+    }
+
+    /// Notes a poll; returns its number.
+    pub(super) fn send(&mut self, now: Instant, to: InstanceId) -> u64 {
+        let sequence = self.next;
+        self.next += 1;
+        self.sent.push_back(Sent { sequence, to, at: now });
+        if self.sent.len() > MAX_POLLS {
+            self.sent.pop_front();
+        }
+        sequence
+    }
+
+    /// Number of the next poll.
+    pub(super) fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// When a poll was sent to a replica.
+    pub(super) fn sent_at(&self, sequence: u64, to: &InstanceId) -> Option<Instant> {
+        self.sent.iter().find(|sent| sent.sequence == sequence && sent.to == *to).map(|sent| sent.at)
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/entry/search.rs
@@ -0,0 +1,70 @@
+//! Search for a current replica.
+
+use {
+    crate::{collections::FastSet, ids::InstanceId},
+    std::time::{Duration, Instant},
+};
+
+/// Replicas that are asked at once.
+const AT_ONCE: usize = 3;
+/// Time between rounds of questions.
+const ROUND: Duration = Duration::from_millis(250);
+/// Time for which a current replica of another data centre waits for the answer of one of the own.
+const PREFER_NEAR: Duration = Duration::from_millis(50);
+
+/// Search for a current replica: a few are asked at once, round after round.
+#[derive(Debug)]
+pub(super) struct Search {
+    next_round: Instant,
+    /// Replicas that were asked in this pass over all that are known.
+    asked: FastSet<InstanceId>,
+    far: Option<Far>,
+}
+
+/// The preferred one of the current replicas of other data centres that were found.
+#[derive(Debug)]
+struct Far {
+    rank: (bool, u64),
+    name: InstanceId,
+    asked_at: Instant,
+    /// Until when it waits.
+    until: Instant,
+}
+
+impl Search {
+    pub(super) fn new(now: Instant) -> Self {
+        Self { next_round: now, asked: FastSet::default(), far: None }
+    }
+
+    /// Replicas to ask now, from all in the order of preference.
+    pub(super) fn round(&mut self, now: Instant, preferred: &[InstanceId]) -> Vec<InstanceId> {
+        if now < self.next_round {
+            return Vec::new();
+        }
+        self.next_round = now + ROUND;
+        if preferred.iter().all(|name| self.asked.contains(name)) {
+            self.asked.clear();
+        }
+        let mut names: Vec<_> = preferred.iter().filter(|name| !self.asked.contains(*name)).cloned().collect();
+        names.truncate(AT_ONCE);
+        self.asked.extend(names.iter().cloned());
+        names
+    }
+
+    /// Takes a current replica of another data centre; it waits for one of the own.
+    pub(super) fn found_far(&mut self, now: Instant, rank: (bool, u64), name: InstanceId, asked_at: Instant) {
+        if self.far.as_ref().is_none_or(|far| rank < far.rank) {
+            let until = self.far.as_ref().map_or(now + PREFER_NEAR, |far| far.until);
+            self.far = Some(Far { rank, name, asked_at, until });
+        }
+    }
+
+    /// The replica that has waited long enough, and when it was asked.
+    pub(super) fn settled_for(&self, now: Instant) -> Option<(InstanceId, Instant)> {
+        self.far.as_ref().filter(|far| now >= far.until).map(|far| (far.name.clone(), far.asked_at))
+    }
+
+    pub(super) fn next_wake(&self) -> Instant {
+        self.far.as_ref().map_or(self.next_round, |far| self.next_round.min(far.until))
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/entry/view.rs
@@ -0,0 +1,150 @@
+//! Servers that an entry uses.
+
+use {
+    crate::{
+        collections::{FastMap, FastSet},
+        dispatch::{ServerState, ServerView},
+        fleet::UsableServer,
+        ids::{ServerId, ServiceId},
+    },
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+};
+
+/// A lease that does not end: the directory decides when a server leaves.
+const UNENDING: Duration = Duration::from_secs(10 * 365 * 86_400);
+/// Departures that are remembered.
+const MAX_DEPARTED: usize = 4_096;
+/// Difference of two ends of a warm-up below which a server counts as the same.
+const WARM_UP_TOLERANCE: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Debug)]
+struct Used {
+    server: UsableServer,
+    warm_until: Instant,
+}
+
+/// Servers that an entry uses, and departures that it has heard of.
+#[derive(Debug, Default)]
+pub(super) struct View {
+    servers: FastMap<ServerId, Used>,
+    /// Last departed incarnation of each server. A replica that lags behind another one by some messages must
+    /// not bring a server back.
+    departed: FastMap<ServerId, u64>,
+    departed_order: VecDeque<ServerId>,
+    /// Services whose servers have changed since they were last told.
+    changed: FastSet<ServiceId>,
+}
+
+impl View {
+    /// Takes a committed departure.
+    pub(super) fn depart(&mut self, server: ServerId, born: u64) {
+        if self.servers.get(&server).is_some_and(|used| used.server.born <= born) {
+            self.remove(&server);
+        }
+        match self.departed.get_mut(&server) {
+            Some(held) => *held = born.max(*held),
+            None => {
+                self.departed_order.push_back(server.clone());
+                self.departed.insert(server, born);
+            }
+        }
+        if self.departed.len() > MAX_DEPARTED
+            && let Some(oldest) = self.departed_order.pop_front()
+        {
+            self.departed.remove(&oldest);
+        }
+    }
+
+    /// Takes a usable server. Unless what the replica says is complete, a later incarnation that is held stays.
+    pub(super) fn add(&mut self, now: Instant, server: UsableServer, is_complete: bool) {
+        if self.departed.get(&server.server).is_some_and(|born| server.born <= *born) {
+            return;
+        }
+        if !is_complete && self.servers.get(&server.server).is_some_and(|held| held.server.born > server.born) {
+            return;
+        }
+        let rival = self
+            .servers
+            .values()
+            .find(|held| held.server.address == server.address && held.server.server != server.server);
+        if let Some(rival) = rival.map(|held| (held.server.born, held.server.server.clone())) {
+            if !is_complete && rival > (server.born, server.server.clone()) {
+                return;
+            }
+            self.remove(&rival.1);
+        }
+        let warm_until = now + Duration::from_millis(u64::from(server.warm_up_ms));
+        let used = Used { server, warm_until };
+        match self.servers.get_mut(&used.server.server) {
+            Some(held) if held.is_same(&used, now) => {}
+            Some(held) => {
+                self.changed.insert(held.server.service.clone());
+                self.changed.insert(used.server.service.clone());
+                *held = used;
+            }
+            None => {
+                self.changed.insert(used.server.service.clone());
+                self.servers.insert(used.server.server.clone(), used);
+            }
+        }
+    }
+
+    pub(super) fn remove(&mut self, server: &ServerId) {
+        if let Some(used) = self.servers.remove(server) {
+            self.changed.insert(used.server.service);
+        }
+    }
+
+    /// Removes all servers but these.
+    pub(super) fn retain(&mut self, servers: &[UsableServer]) {
+        let named: FastSet<&ServerId> = servers.iter().map(|server| &server.server).collect();
+        let gone: Vec<_> = self.servers.keys().filter(|server| !named.contains(server)).cloned().collect();
+        for server in gone {
+            self.remove(&server);
+        }
+    }
+
+    /// Services whose servers have changed, with their servers.
+    pub(super) fn take_changed(&mut self, now: Instant, slow_start: Duration) -> Vec<(ServiceId, Vec<ServerView>)> {
+        let mut services: Vec<_> = std::mem::take(&mut self.changed).into_iter().collect();
+        services.sort_unstable();
+        let views = |service: &ServiceId| {
+            let used = self.servers.values().filter(|used| used.server.service == *service);
+            let mut views: Vec<_> = used.map(|used| used.view(now, slow_start)).collect();
+            views.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+            views
+        };
+        services.into_iter().map(|service| (service.clone(), views(&service))).collect()
+    }
+}
+
+impl Used {
+    fn is_same(&self, other: &Self, now: Instant) -> bool {
+        let (a, b) = (&self.server, &other.server);
+        let (warm_a, warm_b) = (self.warm_until.max(now), other.warm_until.max(now));
+        a.service == b.service
+            && a.address == b.address
+            && a.data_centre == b.data_centre
+            && a.slots == b.slots
+            && a.born == b.born
+            && warm_a.max(warm_b) - warm_a.min(warm_b) <= WARM_UP_TOLERANCE
+    }
+
+    fn view(&self, now: Instant, slow_start: Duration) -> ServerView {
+        ServerView {
+            id: self.server.server.clone(),
+            address: self.server.address,
+            data_centre: self.server.data_centre.clone(),
+            slots: self.server.slots,
+            // Not announced; the settings of the fleet bound the connections.
+            connections: u32::MAX,
+            state: ServerState::Ready,
+            lease_end: now + UNENDING,
+            // Slow start ends together with the warm-up.
+            ready_since: self.warm_until.checked_sub(slow_start).unwrap_or(now),
+        }
+    }
+}
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -163,6 +163,8 @@
 pub struct Greeting {
     /// Number of the question.
     pub echo: u64,
+    /// Time since the start of the sender, in milliseconds.
+    pub clock_ms: u64,
     /// Whether the sender leads with a confirmed round.
     pub is_leading: bool,
     /// Whether its directory is complete, or was until contact was lost a short time ago.
@@ -180,6 +182,9 @@
 /// What a replica heard from servers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Records {
+    /// Time since the start of the sender, in milliseconds. It shows a receiver that was frozen how long the
+    /// message waited.
+    pub clock_ms: u64,
     /// Live entries that poll the sender; none in messages between the batches.
     pub entries: Option<u32>,
     /// Last entry that the sender knows to be committed.
@@ -197,6 +202,8 @@
     pub record: Record,
     /// Announcement that last changed the record.
     pub content: u64,
+    /// Replica that heard it.
+    pub by: InstanceId,
     /// Time since it was heard, in milliseconds.
     pub age_ms: u32,
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -1,10 +1,12 @@
 //! Replicas and entries of a fleet, in which instances come and go.
 //!
-//! A replica owns the replicated log with the ledger and a directory of servers, which the replicas
-//! exchange. An entry polls one current replica and installs its text and servers. Entries never talk
+//! A [`Replica`] owns the replicated log with the ledger and a directory of servers, which the replicas
+//! exchange. An [`EntryLink`] polls one current replica and installs its text and servers. Entries never talk
 //! to each other. See section 6 of the design.
 
 mod answer;
+mod bounds;
+mod directory;
 mod entry;
 mod log;
 mod message;
@@ -12,14 +14,16 @@
 mod replica;
 mod size;
 
+use directory::{Directory, Heard};
+
 pub use {
     answer::ReplicaAnswer,
-    entry::{EntryAction, EntryEvent, EntryOptions},
+    entry::{EntryAction, EntryEvent, EntryLink, EntryOptions},
     log::FleetLog,
     message::{
         Ask, FleetMessage, Greeting, HeardRecord, HeldRevision, Poll, Records, Renewal, ReplicaName, Reply, Request,
         Servers, State, UsableServer,
     },
     record::{MAX_NAME_BYTES, Record},
-    replica::{ReplicaAction, ReplicaEvent, ReplicaOptions},
+    replica::{Replica, ReplicaAction, ReplicaEvent, ReplicaOptions},
 };
--- a/crates/core/src/fleet/record.rs
+++ b/crates/core/src/fleet/record.rs
@@ -61,4 +61,9 @@
             && self.data_centre.len() <= MAX_NAME_BYTES
             && self.version.len() <= MAX_NAME_BYTES
     }
+
+    /// Incarnation and number of the announcement; of two announcements of one server the higher one counts.
+    pub(super) fn order(&self) -> (u64, u64) {
+        (self.born, self.sequence)
+    }
 }
--- /dev/null
+++ b/crates/core/src/fleet/replica/contact.rs
@@ -0,0 +1,123 @@
+//! Whether this replica is current, and whether its directory is complete.
+
+use {
+    crate::ids::LogIndex,
+    std::time::{Duration, Instant},
+};
+
+/// Time between two events after which this process counts as frozen. What is in its sockets may be old.
+const FROZEN_AFTER: Duration = Duration::from_millis(400);
+/// Time within which every server announces itself to some replica: two announcements and their exchange.
+const SETTLED_AFTER: Duration = Duration::from_millis(3_500);
+/// Time after a loss of contact within which a complete directory of this replica helps others. It is that of
+/// two elections.
+const LATELY: Duration = Duration::from_secs(3);
+/// Time for which a follower may lag behind what the leader has committed.
+const LAG: Duration = Duration::from_millis(500);
+
+/// Contact with the leader since the last time that it was lost.
+///
+/// A replica that has lost contact, or was frozen, is current again only once a leader has answered a question
+/// that was asked since, and everything is applied that was committed when it answered. Messages that waited
+/// in a socket show nothing.
+#[derive(Clone, Debug)]
+pub(super) struct Contact {
+    last_run: Instant,
+    /// First number of the questions that count.
+    pub(super) asked_from: u64,
+    /// Last committed entry of the leader when it answered.
+    target: Option<LogIndex>,
+    current_since: Option<Instant>,
+    is_settled: bool,
+    /// Whether a complete directory was received since contact was lost.
+    has_whole: bool,
+    settled_until: Option<Instant>,
+    /// An entry that was committed and not applied here, and the time at which that was noticed.
+    lag: Option<(LogIndex, Instant)>,
+}
+
+impl Contact {
+    pub(super) fn new(now: Instant, asked_from: u64) -> Self {
+        Self {
+            last_run: now,
+            asked_from,
+            target: None,
+            current_since: None,
+            is_settled: false,
+            has_whole: false,
+            settled_until: None,
+            lag: None,
+        }
+    }
+
+    /// Notes that the process runs; returns whether it was frozen.
+    pub(super) fn run(&mut self, now: Instant) -> bool {
+        let was_frozen = now.saturating_duration_since(self.last_run) > FROZEN_AFTER;
+        self.last_run = now;
+        was_frozen
+    }
+
+    /// Contact is lost; questions from `asked_from` on count.
+    pub(super) fn lose(&mut self, now: Instant, was_frozen: bool, asked_from: u64) {
+        self.settled_until = match self.is_settled {
+            _ if was_frozen => None,
+            true => Some(now + LATELY),
+            false => self.settled_until,
+        };
+        self.asked_from = asked_from;
+        (self.target, self.current_since, self.lag) = (None, None, None);
+        (self.is_settled, self.has_whole) = (false, false);
+    }
+
+    /// The leader answered a question that counts.
+    pub(super) fn greeted_by_leader(&mut self, commit: LogIndex) {
+        self.target.get_or_insert(commit);
+    }
+
+    /// A complete directory was received in answer to a question that counts.
+    pub(super) fn received_whole(&mut self) {
+        self.has_whole = true;
+    }
+
+    /// The leader has committed an entry.
+    pub(super) fn committed(&mut self, now: Instant, commit: LogIndex, applied: LogIndex) {
+        if self.lag.is_none() && commit > applied {
+            self.lag = Some((commit, now));
+        }
+    }
+
+    /// Whether this replica may become, or stay, current.
+    pub(super) fn may_be_current(&mut self, now: Instant, leads: bool, applied: LogIndex) -> bool {
+        if self.lag.is_some_and(|(index, _)| index <= applied) {
+            self.lag = None;
+        }
+        let is_late = self.lag.is_some_and(|(_, since)| now.saturating_duration_since(since) > LAG);
+        // The rounds of a leader are confirmed by answers to its own messages.
+        leads || self.target.is_some_and(|target| applied >= target) && !is_late
+    }
+
+    pub(super) fn gain(&mut self, now: Instant) {
+        self.current_since = Some(now);
+    }
+
+    pub(super) fn is_current(&self) -> bool {
+        self.current_since.is_some()
+    }
+
+    pub(super) fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
+    /// Whether the directory is complete, or was until contact was lost a short time ago.
+    pub(super) fn is_or_was_settled(&self, now: Instant) -> bool {
+        self.is_settled || self.settled_until.is_some_and(|until| now < until)
+    }
+
+    /// Checks whether the directory has become complete; returns whether it has just become so.
+    pub(super) fn settle(&mut self, now: Instant) -> bool {
+        let is_due = self.current_since.is_some_and(|since| now.saturating_duration_since(since) >= SETTLED_AFTER);
+        let settles = !self.is_settled && (is_due || self.is_current() && self.has_whole);
+        self.is_settled |= settles;
+        settles
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/replica/leading.rs
@@ -0,0 +1,144 @@
+//! Requests: those of the own task, and those that this replica answers as the leader.
+
+use {
+    super::{Job, Origin, Replica, ReplicaAction, readers},
+    crate::{
+        consensus::{ConsensusEvent, ProposalResult},
+        fleet::{FleetMessage, ReplicaAnswer, Reply, Request},
+        ids::{LogIndex, ServerId},
+        ledger::{Command, LedgerOutcome, MAX_SUBMIT_BYTES, TextDigest},
+        text::{MAX_TEXT_BYTES, Text},
+    },
+    std::time::Instant,
+};
+
+impl Replica {
+    pub(super) fn submit(&mut self, now: Instant, id: u64, text: Box<str>, out: &mut Vec<ReplicaAction>) {
+        if text.len() > MAX_SUBMIT_BYTES.min(MAX_TEXT_BYTES) {
+            return self.answer(id, ReplicaAnswer::TooLong, out);
+        }
+        match Text::parse(&text) {
+            Ok(parsed) => self.request(now, id, Request::Submit { number: parsed.number, text }, out),
+            Err(faults) => self.answer(id, ReplicaAnswer::Invalid(faults), out),
+        }
+    }
+
+    /// Records a departure unless it is recorded.
+    pub(super) fn depart(
+        &mut self,
+        now: Instant,
+        id: u64,
+        server: ServerId,
+        born: Option<u64>,
+        wall_ms: u64,
+        out: &mut Vec<ReplicaAction>,
+    ) {
+        if born.is_some_and(|born| self.ledger.departed(&server).is_some_and(|departed| born <= departed)) {
+            return self.answer(id, ReplicaAnswer::Acknowledged, out);
+        }
+        self.request(now, id, Request::Depart { server, born, wall_ms }, out);
+    }
+
+    /// Has a request answered by the leader.
+    pub(super) fn request(&mut self, now: Instant, id: u64, request: Request, out: &mut Vec<ReplicaAction>) {
+        if !self.requests.add(id, request, now + self.options.request_timeout) {
+            self.answer(id, ReplicaAnswer::Unavailable, out);
+        }
+    }
+
+    /// Sends the requests that are due to the leader, and gives up those that have waited too long.
+    pub(super) fn send_requests(&mut self, now: Instant, out: &mut Vec<ReplicaAction>) {
+        for id in self.requests.expired(now) {
+            self.answer(id, ReplicaAnswer::Unavailable, out);
+        }
+        let Some(leader) = self.consensus.leader().cloned() else { return };
+        for (number, request) in self.requests.due(now, &leader) {
+            if leader == self.options.id {
+                let origin = Origin { from: leader.clone(), incarnation: self.options.incarnation, number };
+                self.serve(now, origin, request, out);
+            } else {
+                let message = FleetMessage::Request { number, request };
+                out.push(ReplicaAction::Send { to: leader.clone(), message });
+            }
+        }
+    }
+
+    /// Answers a request as the leader. Another replica does not answer, and the sender repeats the request
+    /// to the leader that it knows then.
+    pub(super) fn serve(&mut self, now: Instant, origin: Origin, request: Request, out: &mut Vec<ReplicaAction>) {
+        if !self.consensus.is_leader() || self.jobs.contains(&origin) {
+            return;
+        }
+        let (job, command) = match request {
+            Request::Submit { number, text } => {
+                let digest = TextDigest::of(text.as_bytes());
+                match self.ledger.submitted(number, digest) {
+                    Some(_) => (Job::LookUp(number, digest), None),
+                    None => (Job::Submit, Some(Command::Submit { number, text })),
+                }
+            }
+            Request::Depart { server, born, wall_ms } => {
+                let born = born.or_else(|| self.directory.incarnation(&server));
+                let departed = self.ledger.departed(&server);
+                if born.is_some_and(|born| departed.is_some_and(|departed| born <= departed)) {
+                    return self.reply(origin, Reply::Departed, out);
+                }
+                (Job::Depart, Some(Command::Depart { server, born, at: wall_ms }))
+            }
+            Request::Read => (Job::Read, None),
+        };
+        let command = match command.map(|command| command.encode()) {
+            Some(Ok(bytes)) => Some(bytes),
+            Some(Err(_)) => return self.reply(origin, Reply::TooLong, out),
+            None => None,
+        };
+        let id = self.jobs.add(origin, job);
+        let event = match command {
+            Some(bytes) => Some(ConsensusEvent::Propose { id, command: bytes.into() }),
+            None => readers::read(id),
+        };
+        if let Some(event) = event {
+            self.drive(now, event, out);
+        }
+    }
+
+    /// Takes the answer of consensus to a request.
+    pub(super) fn finish(&mut self, id: u64, result: ProposalResult, out: &mut Vec<ReplicaAction>) {
+        let Some((origin, job)) = self.jobs.take(id) else { return };
+        let reply = match result {
+            ProposalResult::Committed { index } => self.outcome(&job, index),
+            ProposalResult::TooLarge => Some(Reply::TooLong),
+            // The sender repeats the request.
+            ProposalResult::NotLeader { .. } | ProposalResult::Busy | ProposalResult::Unknown => None,
+        };
+        if let Some(reply) = reply {
+            self.reply(origin, reply, out);
+        }
+    }
+
+    fn outcome(&self, job: &Job, index: LogIndex) -> Option<Reply> {
+        match job {
+            Job::Submit => match self.outcomes.get(&index) {
+                Some(LedgerOutcome::Submit(outcome)) => Some(Reply::from(*outcome)),
+                _ => None,
+            },
+            Job::Depart => match self.outcomes.get(&index) {
+                Some(LedgerOutcome::Departed(_)) => Some(Reply::Departed),
+                _ => None,
+            },
+            // Entries up to the index are applied before consensus answers.
+            Job::LookUp(number, digest) => self.ledger.submitted(*number, *digest).map(Reply::from),
+            Job::Read => Some(Reply::Current { number: self.ledger.number(), text: self.ledger.text().into() }),
+        }
+    }
+
+    fn reply(&mut self, origin: Origin, reply: Reply, out: &mut Vec<ReplicaAction>) {
+        if origin.from != self.options.id {
+            let message = FleetMessage::Reply { number: origin.number, reply };
+            return out.push(ReplicaAction::Send { to: origin.from, message });
+        }
+        if let Some((id, answer)) = self.requests.replied(origin.number, reply) {
+            self.answer(id, answer, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/replica/log_driver.rs
@@ -0,0 +1,98 @@
+//! Driving consensus and applying what it commits.
+
+use {
+    super::{Replica, ReplicaAction},
+    crate::{
+        consensus::{ConsensusAction, ConsensusEvent, Write},
+        fleet::{FleetLog, FleetMessage},
+        ids::LogIndex,
+        ledger::{Command, Ledger},
+    },
+    std::time::Instant,
+};
+
+impl Replica {
+    /// Gives consensus an event and carries out what it asks for.
+    pub(super) fn drive(&mut self, now: Instant, event: ConsensusEvent, out: &mut Vec<ReplicaAction>) {
+        let (mut events, mut actions) = (vec![event], Vec::new());
+        while let Some(event) = events.pop() {
+            self.consensus.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action, &mut events, out);
+            }
+        }
+        self.outcomes.clear();
+    }
+
+    pub(super) fn carry_out(
+        &mut self,
+        action: ConsensusAction,
+        events: &mut Vec<ConsensusEvent>,
+        out: &mut Vec<ReplicaAction>,
+    ) {
+        if let Some((sequence, write)) = Write::of(&action) {
+            return out.push(ReplicaAction::Write { sequence, write });
+        }
+        match action {
+            ConsensusAction::Send { to, message } => {
+                out.push(ReplicaAction::Send { to, message: FleetMessage::Consensus(message) });
+            }
+            ConsensusAction::TakeSnapshot { index } => match self.ledger.snapshot() {
+                Ok(data) => events.push(ConsensusEvent::SnapshotTaken { index, data: data.into() }),
+                Err(_) => out.push(ReplicaAction::Broken("ledger cannot be encoded")),
+            },
+            ConsensusAction::RestoreSnapshot { snapshot } => match Ledger::restore(&snapshot.data) {
+                Ok(ledger) => self.restore(ledger, out),
+                Err(_) => out.push(ReplicaAction::Broken("snapshot of the ledger cannot be read")),
+            },
+            ConsensusAction::Apply { index, command } => self.apply(index, &command, out),
+            ConsensusAction::Answer { id, result } => self.finish(id, result, out),
+            ConsensusAction::BecomeLeader { term } => out.push(ReplicaAction::Log(FleetLog::Leading(term))),
+            ConsensusAction::BecomeFollower { term, .. } => {
+                self.jobs.clear();
+                out.push(ReplicaAction::Log(FleetLog::Following(term)));
+            }
+            ConsensusAction::Stopped => out.push(ReplicaAction::Stopped),
+            ConsensusAction::Broken(reason) => out.push(ReplicaAction::Broken(reason)),
+            ConsensusAction::SaveVote { .. }
+            | ConsensusAction::Append { .. }
+            | ConsensusAction::Truncate { .. }
+            | ConsensusAction::SaveSnapshot { .. } => {}
+        }
+    }
+
+    fn apply(&mut self, index: LogIndex, bytes: &[u8], out: &mut Vec<ReplicaAction>) {
+        let server = match Command::decode(bytes) {
+            Ok(Command::Depart { server, .. }) => Some(server),
+            _ => None,
+        };
+        let before = server.as_deref().and_then(|server| self.ledger.departed(server));
+        let outcome = self.ledger.apply_bytes(index, bytes);
+        self.outcomes.insert(index, outcome);
+        if let Some(server) = server
+            && let Some(born) = self.ledger.departed(&server)
+            && before < Some(born)
+        {
+            self.directory.depart(&server, born);
+            self.is_urgent = true;
+            out.push(ReplicaAction::Log(FleetLog::Departed(server, born)));
+        }
+        self.answer_applied(out);
+    }
+
+    fn restore(&mut self, ledger: Ledger, out: &mut Vec<ReplicaAction>) {
+        for (server, born) in ledger.departures() {
+            if self.ledger.departed(server) < Some(born) {
+                self.directory.depart(server, born);
+                self.is_urgent = true;
+            }
+        }
+        self.ledger = ledger;
+        self.answer_applied(out);
+    }
+
+    fn answer_applied(&mut self, out: &mut Vec<ReplicaAction>) {
+        let answers = self.requests.applied(&self.ledger);
+        out.extend(answers.into_iter().map(|(id, answer)| ReplicaAction::Answer { id, answer }));
+    }
+}
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -2,7 +2,30 @@
 //! poll it.
 
 mod action;
+mod contact;
 mod event;
+mod exchange;
+mod jobs;
+mod leading;
+mod log_driver;
+mod machine;
 mod options;
+mod peers;
+mod readers;
+mod requests;
+mod subscribers;
+mod sync;
 
-pub use {action::ReplicaAction, event::ReplicaEvent, options::ReplicaOptions};
+use {
+    contact::Contact,
+    jobs::{Job, Jobs, Origin},
+    peers::Peers,
+    readers::Readers,
+    requests::Requests,
+    subscribers::Subscribers,
+};
+
+pub use {action::ReplicaAction, event::ReplicaEvent, machine::Replica, options::ReplicaOptions};
+
+/// Most replicas that an entry is told of.
+const MAX_NAMES: usize = 8;
--- /dev/null
+++ b/crates/core/src/fleet/replica/peers.rs
@@ -0,0 +1,191 @@
+//! Other replicas that this one knows of.
+
+use {
+    crate::{
+        collections::{FastMap, FastSet},
+        fleet::ReplicaName,
+        ids::{DataCentreId, Incarnation, InstanceId},
+        membership::PeerClock,
+    },
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+};
+
+/// Most replicas that are remembered beside the seeds.
+const MAX_PEERS: usize = 32;
+/// Silence after which a replica that is not a seed is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
+/// Silence after which a replica is not named to others.
+const NAMED_FOR: Duration = Duration::from_secs(10);
+/// Time for which the entries that a replica counted are added up. Longer than an entry needs to find another
+/// replica, so that the sum is too high rather than too low in between.
+const COUNT_FOR: Duration = Duration::from_secs(5);
+/// Silence after which a replica is out of reach: three batches of renewals.
+const REACHED_WITHIN: Duration = Duration::from_millis(1_500);
+/// Time within which a replica that is reached again has told what it hears: two announcements and a batch.
+const TOLD_AFTER: Duration = Duration::from_millis(3_500);
+/// Questions to one replica whose answer may yet arrive.
+const MAX_ASKED: usize = 8;
+
+/// Another replica.
+#[derive(Clone, Debug)]
+struct Peer {
+    data_centre: DataCentreId,
+    incarnation: Incarnation,
+    clock: PeerClock,
+    heard_at: Option<Instant>,
+    /// Since when it is heard without a gap.
+    reached_since: Instant,
+    known_since: Instant,
+    entries: Option<(u32, Instant)>,
+    asked: VecDeque<(u64, Instant)>,
+}
+
+impl Peer {
+    fn new(now: Instant) -> Self {
+        Self {
+            data_centre: DataCentreId::default(),
+            incarnation: 0,
+            clock: PeerClock::new(now),
+            heard_at: None,
+            reached_since: now,
+            known_since: now,
+            entries: None,
+            asked: VecDeque::new(),
+        }
+    }
+
+    fn is_heard_within(&self, now: Instant, time: Duration) -> bool {
+        self.heard_at.is_some_and(|heard| now.saturating_duration_since(heard) < time)
+    }
+}
+
+/// Other replicas that this one knows of: the seeds, those that the log names, and those heard of.
+#[derive(Debug)]
+pub(super) struct Peers {
+    own: InstanceId,
+    peers: FastMap<InstanceId, Peer>,
+    /// Replicas that are never forgotten.
+    kept: FastSet<InstanceId>,
+}
+
+impl Peers {
+    pub(super) fn new(own: InstanceId) -> Self {
+        Self { own, peers: FastMap::default(), kept: FastSet::default() }
+    }
+
+    /// Sets the replicas that are never forgotten.
+    pub(super) fn keep(&mut self, now: Instant, names: impl IntoIterator<Item = InstanceId>) {
+        self.kept = names.into_iter().filter(|name| *name != self.own).collect();
+        for name in &self.kept {
+            self.peers.entry(name.clone()).or_insert_with(|| Peer::new(now));
+        }
+    }
+
+    /// Takes the name of a replica that another one knows.
+    pub(super) fn learn(&mut self, now: Instant, name: ReplicaName) {
+        if name.id == self.own || !self.peers.contains_key(&name.id) && self.peers.len() >= MAX_PEERS {
+            return;
+        }
+        let peer = self.peers.entry(name.id).or_insert_with(|| Peer::new(now));
+        if peer.data_centre.is_empty() {
+            peer.data_centre = name.data_centre;
+        }
+    }
+
+    /// Takes note of a message of a replica; returns whether it is of the last known incarnation.
+    pub(super) fn hear(&mut self, now: Instant, from: &InstanceId, incarnation: Incarnation) -> bool {
+        self.learn(now, ReplicaName { id: from.clone(), data_centre: DataCentreId::default() });
+        let Some(peer) = self.peers.get_mut(from) else { return false };
+        if incarnation < peer.incarnation {
+            return false;
+        }
+        if incarnation > peer.incarnation {
+            *peer = Peer { incarnation, data_centre: peer.data_centre.clone(), ..Peer::new(now) };
+        }
+        if !peer.is_heard_within(now, REACHED_WITHIN) {
+            peer.reached_since = now;
+        }
+        peer.heard_at = Some(now);
+        true
+    }
+
+    /// Whether what a replica hears from servers is known here. That holds for one that is forgotten.
+    pub(super) fn is_reached(&self, now: Instant, name: &InstanceId) -> bool {
+        self.peers.get(name).is_none_or(|peer| {
+            peer.is_heard_within(now, REACHED_WITHIN) && now.saturating_duration_since(peer.reached_since) >= TOLD_AFTER
+        })
+    }
+
+    pub(super) fn set_data_centre(&mut self, from: &InstanceId, data_centre: DataCentreId) {
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.data_centre = data_centre;
+        }
+    }
+
+    pub(super) fn set_entries(&mut self, now: Instant, from: &InstanceId, entries: u32) {
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.entries = Some((entries, now));
+        }
+    }
+
+    /// Notes that a question is sent.
+    pub(super) fn ask(&mut self, now: Instant, to: &InstanceId, number: u64) {
+        if let Some(peer) = self.peers.get_mut(to) {
+            peer.asked.push_back((number, now));
+            if peer.asked.len() > MAX_ASKED {
+                peer.asked.pop_front();
+            }
+        }
+    }
+
+    /// Takes an answer to a question; returns whether it was asked.
+    pub(super) fn answered(&mut self, now: Instant, from: &InstanceId, number: u64, clock_ms: u64) -> bool {
+        let Some(peer) = self.peers.get_mut(from) else { return false };
+        let Some(position) = peer.asked.iter().position(|(asked, _)| *asked == number) else { return false };
+        if let Some((_, asked_at)) = peer.asked.remove(position) {
+            peer.clock.calibrate(now, clock_ms, now.saturating_duration_since(asked_at));
+        }
+        true
+    }
+
+    /// Time since a message was sent; none while the clock of its sender is not known.
+    pub(super) fn age(&self, now: Instant, from: &InstanceId, clock_ms: u64) -> Option<Duration> {
+        self.peers.get(from)?.clock.age(now, clock_ms)
+    }
+
+    /// Whether messages of a replica can be dated.
+    pub(super) fn is_dated(&self, now: Instant, name: &InstanceId) -> bool {
+        self.age(now, name, 0).is_some()
+    }
+
+    pub(super) fn names(&self) -> impl Iterator<Item = &InstanceId> {
+        self.peers.keys()
+    }
+
+    /// Replicas heard a short time ago, for others to know.
+    pub(super) fn heard(&self, now: Instant) -> Vec<ReplicaName> {
+        let heard = self.peers.iter().filter(|(_, peer)| peer.is_heard_within(now, NAMED_FOR));
+        let mut heard: Vec<_> =
+            heard.map(|(id, peer)| ReplicaName { id: id.clone(), data_centre: peer.data_centre.clone() }).collect();
+        heard.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        heard
+    }
+
+    /// Sum of the entries that the others counted.
+    pub(super) fn entries(&self, now: Instant) -> u32 {
+        let is_recent = |(_, at): &(u32, Instant)| now.saturating_duration_since(*at) < COUNT_FOR;
+        let counts = self.peers.values().filter_map(|peer| peer.entries.filter(is_recent));
+        counts.fold(0, |sum, (entries, _)| sum.saturating_add(entries))
+    }
+
+    pub(super) fn forget_silent(&mut self, now: Instant) {
+        let kept = &self.kept;
+        self.peers.retain(|name, peer| {
+            let last = peer.heard_at.unwrap_or(peer.known_since);
+            kept.contains(name) || now.saturating_duration_since(last) < FORGOTTEN_AFTER
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/replica/sync.rs
@@ -0,0 +1,148 @@
+//! What entries are told.
+
+use {
+    super::{Replica, ReplicaAction},
+    crate::{
+        fleet::{FleetLog, FleetMessage, Poll, Servers, State},
+        ids::{Incarnation, InstanceId, ServerId},
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Time for which changes of the directory are collected before entries are told. Departures do not wait.
+const COLLECT: Duration = Duration::from_millis(50);
+/// Each such poll of an entry is answered with the names of other replicas.
+const NAMES_EVERY: u64 = 8;
+/// Departures that a directory which is not complete names, the latest ones. Entries keep the servers that
+/// such a directory lacks, but for these.
+const MAX_DEPARTED: usize = 1_024;
+
+impl Replica {
+    pub(super) fn polled(
+        &mut self,
+        now: Instant,
+        from: InstanceId,
+        incarnation: Incarnation,
+        poll: Poll,
+        out: &mut Vec<ReplicaAction>,
+    ) {
+        let (is_current, is_settled) = (self.is_current(), self.is_settled());
+        let (change, revision) = (self.ledger.number(), self.directory.revision());
+        let held = poll.held.filter(|held| held.incarnation == self.options.incarnation && held.revision <= revision);
+        let mut names_wanted = poll.is_probe || poll.sequence.is_multiple_of(NAMES_EVERY);
+        let (mut installs, mut takes_whole, mut is_subscribed) = (false, false, false);
+        if !poll.is_probe
+            && let Some((subscriber, is_new)) = self.subscribers.poll(now, &from, incarnation, &poll, held)
+        {
+            names_wanted |= is_new;
+            is_subscribed = true;
+            installs = subscriber.installs(now, change, self.ledger.text().len());
+            // What an entry holds beyond this directory is removed by a complete one only.
+            let needs_whole = match held {
+                Some(held) => !held.is_exact && is_settled || !self.directory.remembers(held.revision),
+                None => true,
+            };
+            takes_whole = needs_whole && is_current && subscriber.takes_whole(now);
+        }
+        let state = State {
+            echo: poll.sequence,
+            is_current,
+            is_settled,
+            change,
+            revision,
+            entries: self.entries(now),
+            data_centre: self.options.data_centre.clone(),
+            replicas: if names_wanted { self.names(now) } else { Vec::new() },
+        };
+        out.push(ReplicaAction::Send { to: from.clone(), message: FleetMessage::State(state) });
+        if !is_subscribed {
+            return;
+        }
+        if installs {
+            out.push(ReplicaAction::Send { to: from.clone(), message: self.install() });
+        }
+        let servers = match held {
+            _ if takes_whole => Some(self.whole(now, poll.sequence)),
+            Some(held) if held.revision < revision => self.delta(now, held.revision),
+            _ => None,
+        };
+        if let Some(servers) = servers {
+            self.send_servers(from, servers, out);
+        }
+    }
+
+    /// Tells entries of a new change, and of a change of the directory unless more may follow shortly.
+    pub(super) fn tell_entries(&mut self, now: Instant, out: &mut Vec<ReplicaAction>) {
+        let change = self.ledger.number();
+        if change > self.told_change {
+            self.told_change = change;
+            out.push(ReplicaAction::Log(FleetLog::Committed(change)));
+            let (message, length) = (self.install(), self.ledger.text().len());
+            for (to, subscriber) in self.subscribers.iter_mut() {
+                if subscriber.installs(now, change, length) {
+                    out.push(ReplicaAction::Send { to: to.clone(), message: message.clone() });
+                }
+            }
+        }
+        let revision = self.directory.revision();
+        let is_due = self.is_urgent || now.saturating_duration_since(self.told_at) >= COLLECT;
+        if revision == self.told_revision || !is_due {
+            return;
+        }
+        (self.told_revision, self.told_at, self.is_urgent) = (revision, now, false);
+        let behind =
+            self.subscribers.iter_mut().filter_map(|(to, subscriber)| Some((to.clone(), subscriber.revision?)));
+        let behind: Vec<_> = behind.filter(|(_, held)| *held < revision).collect();
+        let mut last: Option<(u64, Servers)> = None;
+        for (to, held) in behind {
+            let delta = match last.take() {
+                Some((from, delta)) if from == held => Some(delta),
+                _ => self.delta(now, held),
+            };
+            if let Some(delta) = delta {
+                last = Some((held, delta.clone()));
+                self.send_servers(to, delta, out);
+            }
+        }
+    }
+
+    fn send_servers(&mut self, to: InstanceId, servers: Servers, out: &mut Vec<ReplicaAction>) {
+        self.subscribers.told(&to, servers.to);
+        out.push(ReplicaAction::Send { to, message: FleetMessage::Servers(servers) });
+    }
+
+    fn install(&self) -> FleetMessage {
+        FleetMessage::Install { number: self.ledger.number(), text: self.ledger.text().into() }
+    }
+
+    fn whole(&self, now: Instant, echo: u64) -> Servers {
+        let is_settled = self.is_settled();
+        let departures = if is_settled { Vec::new() } else { self.ledger.departures() };
+        let departed = departures.into_iter().take(MAX_DEPARTED);
+        Servers {
+            from: None,
+            to: self.directory.revision(),
+            echo: Some(echo),
+            is_current: self.is_current(),
+            is_settled,
+            usable: self.directory.usable(now),
+            removed: Vec::new(),
+            departed: departed.map(|(server, born)| (server.clone(), born)).collect(),
+        }
+    }
+
+    fn delta(&self, now: Instant, from: u64) -> Option<Servers> {
+        let (usable, removed) = self.directory.changed(now, from)?;
+        let departed = |server: &ServerId| Some((server.clone(), self.ledger.departed(server)?));
+        Some(Servers {
+            from: Some(from),
+            to: self.directory.revision(),
+            echo: None,
+            is_current: self.is_current(),
+            is_settled: self.is_settled(),
+            departed: removed.iter().filter_map(departed).collect(),
+            usable,
+            removed,
+        })
+    }
+}
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -13,6 +13,8 @@
 mod peer;
 mod peer_clock;
 
+pub(crate) use peer_clock::PeerClock;
+
 pub use {
     action::MembershipAction,
     event::MembershipEvent,
--- a/crates/core/src/membership/peer_clock.rs
+++ b/crates/core/src/membership/peer_clock.rs
@@ -12,7 +12,7 @@
 
 /// Relation between the clock of a peer's process and the own clock.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct PeerClock {
+pub(crate) struct PeerClock {
     /// The own time at which the peer's clock was zero, at the least, in milliseconds since `base`.
     least_ms: Option<i64>,
     updated: Instant,
@@ -20,12 +20,12 @@
 }
 
 impl PeerClock {
-    pub(super) fn new(now: Instant) -> Self {
+    pub(crate) fn new(now: Instant) -> Self {
         Self { least_ms: None, updated: now, base: now }
     }
 
     /// Takes a message whose transit took at most `transit`.
-    pub(super) fn calibrate(&mut self, now: Instant, clock_ms: u64, transit: Duration) {
+    pub(crate) fn calibrate(&mut self, now: Instant, clock_ms: u64, transit: Duration) {
         if transit > MAX_TRANSIT {
             return;
         }
@@ -48,7 +48,7 @@
     }
 
     /// Returns the age of a message, or nothing before the clock is calibrated.
-    pub(super) fn age(&self, now: Instant, clock_ms: u64) -> Option<Duration> {
+    pub(crate) fn age(&self, now: Instant, clock_ms: u64) -> Option<Duration> {
         let excess = self.offset(now, clock_ms) - self.least_ms?;
         Some(Duration::from_millis(excess.max(0) as u64))
     }
--- /dev/null
+++ b/crates/core/tests/fleet_departures.rs
@@ -0,0 +1,93 @@
+//! Departures of servers: no connected entry holds a server 2 s after its departure was acknowledged.
+
+mod fleet_support;
+
+use {
+    fleet_support::{World, ms},
+    hemlockford_core::fleet::ReplicaAnswer,
+};
+
+const SEEDS: std::ops::Range<u64> = 0..25;
+
+/// What happens to the replica that acknowledged a departure, right after it did.
+#[derive(Clone, Copy, Debug)]
+enum Next {
+    Nothing,
+    Dies,
+    /// It is cut off from the other replicas and still reaches every entry.
+    IsCutFromReplicas,
+    /// It is cut off from all.
+    IsCutOff,
+    Freezes,
+}
+
+fn follow(world: &mut World, replica: usize, next: Next) {
+    let name = world.replicas[replica].name.clone();
+    match next {
+        Next::Nothing => {}
+        Next::Dies => world.kill_replica(replica),
+        Next::Freezes => world.freeze_replica(replica),
+        Next::IsCutFromReplicas => world.cut_replica(replica),
+        Next::IsCutOff => {
+            world.cut_replica(replica);
+            for index in 0..world.entries.len() {
+                let entry = world.entries[index].name.clone();
+                world.links.cut(&name, &entry);
+            }
+        }
+    }
+}
+
+fn drain(seed: u64, replica: usize, next: Next) -> World {
+    let mut world = World::settled(seed, 3, 6, 6);
+    world.drain(2, replica);
+    world.run_until(ms(4_000), |world| world.servers[2].acknowledged_at.is_some());
+    let by = world.servers[2].acknowledged_by.expect("acknowledged");
+    follow(&mut world, by, next);
+    world.run(ms(5_000));
+    world
+}
+
+/// Guards against entries that still send to a server that was told it may leave.
+#[test]
+fn a_draining_server_leaves_every_entry() {
+    for seed in SEEDS {
+        for replica in 0..3 {
+            let world = drain(seed, replica, Next::Nothing);
+            assert!(world.entries.iter().all(|entry| !entry.holds("s2") && entry.count() == 5), "seed {seed}");
+        }
+    }
+}
+
+/// Guards against a departure that is known only to a replica that dies, freezes or is cut off.
+#[test]
+fn a_departure_survives_the_replica_that_acknowledged_it() {
+    for seed in SEEDS {
+        for replica in 0..3 {
+            for next in [Next::Dies, Next::IsCutFromReplicas, Next::IsCutOff, Next::Freezes] {
+                let world = drain(seed, replica, next);
+                let late: Vec<_> = world.entries.iter().filter(|entry| entry.holds("s2")).collect();
+                assert!(late.is_empty(), "seed {seed}: {next:?} of r{replica}");
+            }
+        }
+    }
+}
+
+/// Guards against a deregistration that names no incarnation and binds none, or the next one as well.
+#[test]
+fn a_deregistration_binds_the_incarnation_that_is_known() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 4, 4);
+        world.servers[1].is_deregistered = true;
+        let id = world.deregister(seed as usize % 3, "s1", None);
+        world.run_until(ms(4_000), |world| world.answers.contains_key(&id));
+        assert_eq!(world.answers[&id].1, ReplicaAnswer::Acknowledged);
+        let born = world.servers[1].record.born;
+        world.departed("s1", born);
+        // The server goes on announcing itself as ready for a while.
+        world.run(ms(4_000));
+        assert!(world.entries.iter().all(|entry| !entry.holds("s1")), "seed {seed}");
+        world.restart_server(1, 9_001);
+        world.run_until(ms(4_000), World::are_entries_exact);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet_support/checks.rs
@@ -0,0 +1,144 @@
+//! What must hold after every step.
+
+use {
+    super::{World, ms},
+    hemlockford_core::{dispatch::ServerView, ids::ServiceId},
+    std::time::Duration,
+};
+
+/// Time within which a departure binds every connected entry.
+const DEPARTURE: Duration = Duration::from_secs(2);
+/// Time after which a machine that runs undisturbed counts as connected.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Time since its last acknowledged announcement for which no entry may drop a server.
+const KEPT: Duration = Duration::from_secs(3);
+
+/// What must hold after every step.
+#[derive(Debug, Default)]
+pub struct Checks {
+    /// Log lines with time and machine, to be printed by a test that fails.
+    pub logs: Vec<(Duration, Box<str>, String)>,
+    /// Departures that were acknowledged: server, incarnation, time.
+    pub departures: Vec<(Box<str>, u64, Duration)>,
+    /// Breaches that a test which breaks a rule on purpose counts instead of failing.
+    pub counts_breaches: bool,
+    pub breaches: Vec<String>,
+}
+
+impl Checks {
+    pub fn log(&mut self, now: Duration, machine: &str, line: String) {
+        self.logs.push((now, machine.into(), line));
+    }
+}
+
+impl World {
+    pub(super) fn breach(&mut self, what: String) {
+        if self.checks.counts_breaches {
+            return self.checks.breaches.push(what);
+        }
+        for (at, machine, line) in &self.checks.logs {
+            println!("{at:?} {machine}: {line}");
+        }
+        panic!("seed {} at {:?}: {what}", self.seed, self.now);
+    }
+
+    /// Notes that a departure was acknowledged.
+    pub fn departed(&mut self, server: &str, born: u64) {
+        self.checks.departures.push((server.into(), born, self.now));
+    }
+
+    pub(super) fn check(&mut self) {
+        let due: Vec<_> =
+            self.checks.departures.iter().filter(|(.., at)| self.now >= *at + DEPARTURE).cloned().collect();
+        for (server, born, at) in due {
+            let holds =
+                |entry: &&super::Entry| entry.view(&server).is_some_and(|view| self.born_of(view) == Some(born));
+            let late: Vec<_> = (0..self.entries.len())
+                .filter(|index| self.is_connected(*index) && holds(&&self.entries[*index]))
+                .collect();
+            for index in late {
+                let name = self.entries[index].name.clone();
+                self.breach(format!("{name} holds {server}, whose departure was acknowledged at {at:?}"));
+            }
+        }
+    }
+
+    /// Incarnation of the server that is meant by a view; incarnations of one id have different addresses.
+    fn born_of(&self, view: &ServerView) -> Option<u64> {
+        let is_meant =
+            |server: &&super::Server| server.record.server == view.id && server.record.address == view.address;
+        self.servers.iter().rev().find(is_meant).map(|server| server.record.born)
+    }
+
+    /// Whether an entry has run undisturbed and has a path to every running replica.
+    pub fn is_connected(&self, index: usize) -> bool {
+        let entry = &self.entries[index];
+        let is_cut = |replica: &super::ReplicaNode| {
+            let name = (entry.name.clone(), replica.name.clone());
+            replica.replica.is_some()
+                && !replica.is_cut_off
+                && (self.links.cuts.contains(&name) || self.links.cuts.contains(&(name.1, name.0)))
+        };
+        entry.link.is_some()
+            && !entry.is_frozen
+            && self.now >= entry.disturbed_at + CONTACT
+            && !self.replicas.iter().any(is_cut)
+    }
+
+    pub(super) fn set_servers(&mut self, index: usize, service: ServiceId, views: Vec<ServerView>) {
+        let before = self.entries[index].servers.insert(service.clone(), views).unwrap_or_default();
+        let name = self.entries[index].name.clone();
+        for view in before {
+            let is_dropped = !self.entries[index].holds(&view.id);
+            let is_live = self.servers.iter().any(|server| {
+                server.record.server == view.id
+                    && server.record.address == view.address
+                    && server.is_alive
+                    && !server.record.is_draining
+                    && !server.is_deregistered
+                    && self.now < server.heard_at + KEPT
+            });
+            if is_dropped && is_live {
+                self.breach(format!("{name} dropped {}, which is live", view.id));
+            }
+        }
+        self.entries[index].servers.retain(|_, views| !views.is_empty());
+    }
+
+    /// Whether every entry that runs is ready and holds exactly the servers that run and are not leaving.
+    pub fn are_entries_exact(&self) -> bool {
+        let live: Vec<_> = self
+            .servers
+            .iter()
+            .filter(|server| server.is_alive && !server.record.is_draining && !server.is_deregistered)
+            .collect();
+        let running = self.entries.iter().filter(|entry| entry.link.is_some() && !entry.is_frozen);
+        running.into_iter().all(|entry| {
+            entry.is_ready
+                && entry.count() == live.len()
+                && live.iter().all(|server| {
+                    entry.view(&server.record.server).is_some_and(|view| view.address == server.record.address)
+                })
+        })
+    }
+
+    /// Replica that leads, as it knows itself.
+    pub fn leader(&self) -> Option<usize> {
+        self.replicas.iter().position(|node| {
+            !node.is_frozen && node.replica.as_ref().is_some_and(|replica| replica.is_leader() && replica.is_current())
+        })
+    }
+
+    /// Starts with a change and some servers, and runs until every entry is ready with all of them.
+    pub fn settled(seed: u64, replicas: usize, entries: usize, servers: usize) -> Self {
+        let mut world = Self::new(seed, replicas, entries);
+        for index in 0..servers {
+            world.add_server(&format!("s{index}"), "catalogue", 8_000 + index as u16);
+        }
+        world.run_until(ms(6_000), |world| world.leader().is_some());
+        world.submit(0, &super::text(1));
+        world.run_until(ms(12_000), Self::are_entries_exact);
+        world.run(ms(6_000));
+        world
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet_support/disk.rs
@@ -0,0 +1,55 @@
+//! A data folder in memory.
+
+use {
+    hemlockford_core::consensus::{Entry, Recovered, Snapshot, Vote, Write},
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// What a folder holds after a crash, and the writes that are not durable yet.
+#[derive(Debug, Default)]
+pub struct Disk {
+    pub incarnation: u64,
+    vote: Vote,
+    snapshot: Option<Arc<Snapshot>>,
+    entries: Vec<Entry>,
+    pending: VecDeque<(u64, Write)>,
+}
+
+impl Disk {
+    pub fn new(incarnation: u64) -> Self {
+        Self { incarnation, ..Self::default() }
+    }
+
+    pub fn write(&mut self, sequence: u64, write: Write) {
+        self.pending.push_back((sequence, write));
+    }
+
+    pub fn sync(&mut self, up_to: u64) {
+        while let Some((_, write)) = self.pending.pop_front_if(|(sequence, _)| *sequence <= up_to) {
+            match write {
+                Write::Vote(vote) => self.vote = vote,
+                Write::Append(entries) => self.entries.extend(entries),
+                Write::Truncate(from) => self.entries.retain(|entry| entry.index < from),
+                Write::Snapshot(snapshot) => {
+                    let held = self.entries.iter().find(|entry| entry.index == snapshot.index);
+                    let is_covered = held.is_some_and(|entry| entry.term == snapshot.term);
+                    self.entries.retain(|entry| is_covered && entry.index > snapshot.index);
+                    self.snapshot = Some(snapshot);
+                }
+            }
+        }
+    }
+
+    pub fn crash(&mut self) {
+        self.pending.clear();
+    }
+
+    pub fn recovered(&self) -> Recovered {
+        Recovered {
+            incarnation: self.incarnation,
+            vote: self.vote.clone(),
+            snapshot: self.snapshot.clone(),
+            entries: self.entries.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet_support/node.rs
@@ -0,0 +1,65 @@
+//! Machines of the world.
+
+use {
+    super::disk::Disk,
+    hemlockford_core::{
+        collections::FastMap,
+        dispatch::ServerView,
+        fleet::{EntryEvent, EntryLink, Replica, ReplicaEvent},
+        ids::ServiceId,
+    },
+    std::time::Duration,
+};
+
+/// A machine with a replica.
+pub struct ReplicaNode {
+    pub name: Box<str>,
+    pub data_centre: Box<str>,
+    pub replica: Option<Replica>,
+    pub incarnation: u64,
+    pub disk: Disk,
+    pub is_frozen: bool,
+    /// Whether a test has cut it off from the majority, so that entries need no path to it.
+    pub is_cut_off: bool,
+    /// Events that wait while the process is frozen.
+    pub waiting: Vec<ReplicaEvent>,
+    /// Time of the scheduled wake-up.
+    pub wake_at: Option<Duration>,
+}
+
+/// A machine with an entry.
+pub struct Entry {
+    pub name: Box<str>,
+    pub data_centre: Box<str>,
+    pub link: Option<EntryLink>,
+    pub incarnation: u64,
+    pub is_frozen: bool,
+    pub waiting: Vec<EntryEvent>,
+    pub wake_at: Option<Duration>,
+    pub change: u64,
+    pub servers: FastMap<ServiceId, Vec<ServerView>>,
+    pub is_ready: bool,
+    pub ready_at: Option<Duration>,
+    pub entries: u32,
+    /// Times at which another replica came into use.
+    pub switches: Vec<Duration>,
+    /// Last time at which the machine was started, frozen, thawed, cut or healed.
+    pub disturbed_at: Duration,
+    pub sent: u64,
+    pub sent_bytes: u64,
+    pub received_bytes: u64,
+}
+
+impl Entry {
+    pub fn holds(&self, server: &str) -> bool {
+        self.view(server).is_some()
+    }
+
+    pub fn view(&self, server: &str) -> Option<&ServerView> {
+        self.servers.values().flatten().find(|view| &*view.id == server)
+    }
+
+    pub fn count(&self) -> usize {
+        self.servers.values().map(Vec::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet_support/server.rs
@@ -0,0 +1,60 @@
+//! Servers that announce themselves to one replica after another.
+
+use {
+    hemlockford_core::fleet::Record,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Time between announcements.
+pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// Time after which the next replica is called.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub record: Record,
+    pub is_alive: bool,
+    /// Replica that is called.
+    pub replica: usize,
+    /// Call that waits for its answer.
+    pub call: Option<u64>,
+    /// Number of the next scheduled announcement; earlier ones are void.
+    pub beat: u64,
+    /// When an announcement was acknowledged last.
+    pub heard_at: Duration,
+    /// Whether its departure was asked for without draining.
+    pub is_deregistered: bool,
+    /// When the departure was acknowledged.
+    pub acknowledged_at: Option<Duration>,
+    /// Replica that acknowledged it.
+    pub acknowledged_by: Option<usize>,
+}
+
+impl Server {
+    pub fn new(id: &str, service: &str, address: SocketAddr, data_centre: &str, born: u64) -> Self {
+        let record = Record {
+            server: id.into(),
+            service: service.into(),
+            address,
+            data_centre: data_centre.into(),
+            slots: 2,
+            version: "1".into(),
+            born,
+            sequence: 0,
+            warm_up: Duration::ZERO,
+            is_draining: false,
+        };
+        Self {
+            record,
+            is_alive: true,
+            replica: 0,
+            call: None,
+            beat: 0,
+            heard_at: Duration::ZERO,
+            is_deregistered: false,
+            acknowledged_at: None,
+            acknowledged_by: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet_support/world.rs
@@ -0,0 +1,536 @@
+//! The world: machines, links, time, and what operators and servers were answered.
+
+use {
+    super::{
+        Entry, Links, ReplicaNode, Server,
+        checks::Checks,
+        disk::Disk,
+        server::{CALL_TIMEOUT, HEARTBEAT},
+    },
+    hemlockford_core::{
+        collections::FastMap,
+        fleet::{
+            EntryAction, EntryEvent, EntryLink, EntryOptions, FleetMessage, Replica, ReplicaAction, ReplicaAnswer,
+            ReplicaEvent, ReplicaOptions,
+        },
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{
+        cmp::Reverse,
+        collections::BinaryHeap,
+        time::{Duration, Instant},
+    },
+};
+
+const FSYNC: Duration = Duration::from_millis(5);
+const WALL_MS: u64 = 1_700_000_000_000;
+/// Bytes that the link adds to a datagram at most.
+const ENVELOPE: usize = 160;
+
+pub fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+/// The text of a change.
+pub fn text(number: u64) -> String {
+    format!("[change]\nnumber = {number}\n[service catalogue]\n")
+}
+
+#[derive(Debug)]
+enum Step {
+    WakeReplica(usize),
+    WakeEntry(usize),
+    Arrive { to: Box<str>, from: Box<str>, incarnation: u64, message: FleetMessage },
+    Persisted { replica: usize, incarnation: u64, up_to: u64 },
+    Beat { server: usize, beat: u64 },
+    CallTimeout { server: usize, call: u64 },
+}
+
+struct Due(Duration, u64, Step);
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// What a call of a server was about.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    server: usize,
+    is_draining: bool,
+}
+
+pub struct World {
+    pub seed: u64,
+    pub base: Instant,
+    pub now: Duration,
+    pub rng: SmallRng,
+    pub links: Links,
+    pub replicas: Vec<ReplicaNode>,
+    pub entries: Vec<Entry>,
+    pub servers: Vec<Server>,
+    pub checks: Checks,
+    /// Answers by number of the request, with their time.
+    pub answers: FastMap<u64, (Duration, ReplicaAnswer)>,
+    /// Whether replicas start for the first time.
+    pub first_start: bool,
+    queue: BinaryHeap<Reverse<Due>>,
+    calls: FastMap<u64, Call>,
+    next: u64,
+}
+
+impl World {
+    /// Starts replicas and entries, spread over data centres.
+    pub fn new(seed: u64, replicas: usize, entries: usize) -> Self {
+        let mut world = Self {
+            seed,
+            base: Instant::now() + Duration::from_secs(1_000_000),
+            now: Duration::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+            links: Links::default(),
+            replicas: Vec::new(),
+            entries: Vec::new(),
+            servers: Vec::new(),
+            checks: Checks::default(),
+            answers: FastMap::default(),
+            first_start: true,
+            queue: BinaryHeap::new(),
+            calls: FastMap::default(),
+            next: 0,
+        };
+        for index in 0..replicas {
+            world.replicas.push(ReplicaNode {
+                name: format!("r{index}").into(),
+                data_centre: format!("d{}", index % 3).into(),
+                replica: None,
+                incarnation: 0,
+                disk: Disk::new(1),
+                is_frozen: false,
+                is_cut_off: false,
+                waiting: Vec::new(),
+                wake_at: None,
+            });
+            world.start_replica(index);
+        }
+        for _ in 0..entries {
+            world.add_entry();
+        }
+        world
+    }
+
+    fn at(&self) -> Instant {
+        self.base + self.now
+    }
+
+    fn schedule(&mut self, at: Duration, step: Step) {
+        self.next += 1;
+        self.queue.push(Reverse(Due(at, self.next, step)));
+    }
+
+    pub fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    pub fn wall_ms(&self) -> u64 {
+        WALL_MS + self.now.as_millis() as u64
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.queue.peek().is_some_and(|Reverse(Due(at, ..))| *at <= end) {
+            let Some(Reverse(Due(at, _, step))) = self.queue.pop() else { break };
+            self.now = at;
+            self.step(step);
+            self.check();
+        }
+        self.now = end;
+        self.check();
+    }
+
+    /// Runs until a condition holds after a step, at most for a time; returns the time that it took.
+    pub fn run_until(&mut self, limit: Duration, mut holds: impl FnMut(&Self) -> bool) -> Duration {
+        let begin = self.now;
+        while !holds(self) {
+            let Some(Reverse(Due(at, _, step))) = self.queue.pop() else { break };
+            self.now = at;
+            if at - begin > limit {
+                self.breach(format!("not within {limit:?}"));
+                break;
+            }
+            self.step(step);
+            self.check();
+        }
+        self.now - begin
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::WakeReplica(index) => {
+                let node = &mut self.replicas[index];
+                if node.wake_at == Some(self.now) {
+                    node.wake_at = None;
+                    if !node.is_frozen {
+                        self.replica_event(index, ReplicaEvent::Tick);
+                    }
+                }
+            }
+            Step::WakeEntry(index) => {
+                let node = &mut self.entries[index];
+                if node.wake_at == Some(self.now) {
+                    node.wake_at = None;
+                    if !node.is_frozen {
+                        self.entry_event(index, EntryEvent::Tick);
+                    }
+                }
+            }
+            Step::Arrive { to, from, incarnation, message } => {
+                if let Some(index) = self.replicas.iter().position(|node| node.name == to) {
+                    self.replica_event(index, ReplicaEvent::Receive { from, incarnation, message });
+                } else if let Some(index) = self.entries.iter().position(|node| node.name == to) {
+                    self.entries[index].received_bytes += size(&message) as u64;
+                    self.entry_event(index, EntryEvent::Receive { from, incarnation, message });
+                }
+            }
+            Step::Persisted { replica, incarnation, up_to } => {
+                let node = &mut self.replicas[replica];
+                if node.replica.is_some() && node.incarnation == incarnation {
+                    node.disk.sync(up_to);
+                    self.replica_event(replica, ReplicaEvent::Persisted { up_to });
+                }
+            }
+            Step::Beat { server, beat } => {
+                if self.servers[server].is_alive && self.servers[server].beat == beat {
+                    self.beat(server);
+                }
+            }
+            Step::CallTimeout { server, call } => {
+                if self.servers[server].is_alive && self.servers[server].call == Some(call) {
+                    self.servers[server].replica = (self.servers[server].replica + 1) % self.replicas.len();
+                    self.beat(server);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: &str, incarnation: u64, to: &str, message: FleetMessage) {
+        let is_datagram = message.fits_datagram();
+        let size = size(&message);
+        assert!(!is_datagram || size + ENVELOPE <= 1_200, "a datagram of {size} bytes: {message:?}");
+        self.links.messages += 1;
+        self.links.bytes += size as u64;
+        if let Some(entry) = self.entries.iter_mut().find(|entry| *entry.name == *from) {
+            entry.sent += 1;
+            entry.sent_bytes += size as u64;
+        }
+        for delay in self.links.carry(from, to, is_datagram, &mut self.rng) {
+            let message = message.clone();
+            let step = Step::Arrive { to: to.into(), from: from.into(), incarnation, message };
+            self.schedule(self.now + delay, step);
+        }
+    }
+
+    pub fn replica_event(&mut self, index: usize, event: ReplicaEvent) {
+        let at = self.at();
+        let node = &mut self.replicas[index];
+        if node.is_frozen {
+            return node.waiting.push(event);
+        }
+        let Some(replica) = &mut node.replica else { return };
+        let mut actions = Vec::new();
+        replica.handle(at, event, &mut actions);
+        self.carry_out(index, actions);
+    }
+
+    fn carry_out(&mut self, index: usize, actions: Vec<ReplicaAction>) {
+        let (name, incarnation) = (self.replicas[index].name.clone(), self.replicas[index].incarnation);
+        for action in actions {
+            match action {
+                ReplicaAction::Send { to, message } => self.send(&name, incarnation, &to, message),
+                ReplicaAction::Write { sequence, write } => {
+                    self.replicas[index].disk.write(sequence, write);
+                    let step = Step::Persisted { replica: index, incarnation, up_to: sequence };
+                    self.schedule(self.now + FSYNC, step);
+                }
+                ReplicaAction::Answer { id, answer } => self.answered(index, id, answer),
+                ReplicaAction::Log(log) => self.checks.log(self.now, &name, log.to_string()),
+                ReplicaAction::Stopped => {}
+                ReplicaAction::Broken(reason) => panic!("seed {}: {name} is broken: {reason}", self.seed),
+            }
+        }
+        let wake = self.replicas[index].replica.as_ref().and_then(Replica::next_wake);
+        let wake = wake.map(|wake| wake.saturating_duration_since(self.base).max(self.now));
+        if let Some(wake) = wake
+            && self.replicas[index].wake_at.is_none_or(|at| wake < at)
+        {
+            self.replicas[index].wake_at = Some(wake);
+            self.schedule(wake, Step::WakeReplica(index));
+        }
+    }
+
+    pub fn entry_event(&mut self, index: usize, event: EntryEvent) {
+        let at = self.at();
+        let node = &mut self.entries[index];
+        if node.is_frozen {
+            return node.waiting.push(event);
+        }
+        let Some(link) = &mut node.link else { return };
+        let mut actions = Vec::new();
+        link.handle(at, event, &mut actions);
+        let wake = link.next_wake().map(|wake| wake.saturating_duration_since(self.base).max(self.now));
+        let (name, incarnation) = (node.name.clone(), node.incarnation);
+        for action in actions {
+            match action {
+                EntryAction::Send { to, message } => self.send(&name, incarnation, &to, message),
+                EntryAction::Text(text) => {
+                    let held = std::mem::replace(&mut self.entries[index].change, text.number);
+                    assert!(held < text.number, "seed {}: {name} went back to change {}", self.seed, text.number);
+                }
+                EntryAction::Servers(service, views) => self.set_servers(index, service, views),
+                EntryAction::Entries(entries) => self.entries[index].entries = entries,
+                EntryAction::Ready(is_ready) => {
+                    self.entries[index].is_ready = is_ready;
+                    self.entries[index].ready_at = Some(self.now);
+                }
+                EntryAction::Log(log) => {
+                    let log = log.to_string();
+                    if log.starts_with("using") {
+                        self.entries[index].switches.push(self.now);
+                    }
+                    self.checks.log(self.now, &name, log);
+                }
+            }
+        }
+        if let Some(wake) = wake
+            && self.entries[index].wake_at.is_none_or(|at| wake < at)
+        {
+            self.entries[index].wake_at = Some(wake);
+            self.schedule(wake, Step::WakeEntry(index));
+        }
+    }
+
+    pub fn start_replica(&mut self, index: usize) {
+        let seeds = (0..self.replicas.len().max(3)).take(3).map(|seed| format!("r{seed}").into()).collect();
+        let rng = SmallRng::seed_from_u64(self.rng.random());
+        let at = self.at();
+        let first_start = self.first_start;
+        let node = &mut self.replicas[index];
+        node.incarnation += 1;
+        let options = ReplicaOptions {
+            id: node.name.clone(),
+            incarnation: node.incarnation,
+            data_centre: node.data_centre.clone(),
+            seeds,
+            first_start,
+            ..ReplicaOptions::default()
+        };
+        let mut actions = Vec::new();
+        node.replica = Some(Replica::new(at, options, node.disk.recovered(), rng, &mut actions));
+        (node.is_frozen, node.wake_at) = (false, None);
+        node.waiting.clear();
+        self.carry_out(index, actions);
+    }
+
+    pub fn kill_replica(&mut self, index: usize) {
+        let node = &mut self.replicas[index];
+        node.replica = None;
+        node.is_frozen = false;
+        node.waiting.clear();
+        node.disk.crash();
+    }
+
+    pub fn freeze_replica(&mut self, index: usize) {
+        self.replicas[index].is_frozen = true;
+    }
+
+    /// Thaws a replica. Its sockets and its disk are read before its timers.
+    pub fn thaw_replica(&mut self, index: usize) {
+        self.replicas[index].is_frozen = false;
+        for event in std::mem::take(&mut self.replicas[index].waiting) {
+            self.replica_event(index, event);
+        }
+        self.replica_event(index, ReplicaEvent::Tick);
+    }
+
+    pub fn add_entry(&mut self) -> usize {
+        let index = self.entries.len();
+        self.entries.push(Entry {
+            name: format!("e{index}").into(),
+            data_centre: format!("d{}", index % 3).into(),
+            link: None,
+            incarnation: 0,
+            is_frozen: false,
+            waiting: Vec::new(),
+            wake_at: None,
+            change: 0,
+            servers: FastMap::default(),
+            is_ready: false,
+            ready_at: None,
+            entries: 0,
+            switches: Vec::new(),
+            disturbed_at: self.now,
+            sent: 0,
+            sent_bytes: 0,
+            received_bytes: 0,
+        });
+        self.start_entry(index);
+        index
+    }
+
+    pub fn start_entry(&mut self, index: usize) {
+        let rng = SmallRng::seed_from_u64(self.rng.random());
+        let (at, now) = (self.at(), self.now);
+        let node = &mut self.entries[index];
+        node.incarnation += 1;
+        let options = EntryOptions {
+            id: node.name.clone(),
+            incarnation: node.incarnation,
+            data_centre: node.data_centre.clone(),
+            seeds: (0..3).map(|seed| format!("r{seed}").into()).collect(),
+            ..EntryOptions::default()
+        };
+        node.link = Some(EntryLink::new(at, options, rng));
+        (node.is_frozen, node.wake_at, node.change, node.is_ready) = (false, None, 0, false);
+        (node.disturbed_at, node.ready_at) = (now, None);
+        node.waiting.clear();
+        node.servers.clear();
+        node.switches.clear();
+        self.entry_event(index, EntryEvent::Tick);
+    }
+
+    pub fn freeze_entry(&mut self, index: usize) {
+        self.entries[index].is_frozen = true;
+    }
+
+    pub fn thaw_entry(&mut self, index: usize) {
+        (self.entries[index].is_frozen, self.entries[index].disturbed_at) = (false, self.now);
+        for event in std::mem::take(&mut self.entries[index].waiting) {
+            self.entry_event(index, event);
+        }
+        self.entry_event(index, EntryEvent::Tick);
+    }
+
+    /// Adds a server of a service that starts to announce itself.
+    pub fn add_server(&mut self, id: &str, service: &str, port: u16) -> usize {
+        let index = self.servers.len();
+        let address = format!("10.0.0.1:{port}").parse().expect("address");
+        let data_centre = format!("d{}", index % 3);
+        let born = self.wall_ms();
+        self.servers.push(Server::new(id, service, address, &data_centre, born));
+        self.servers[index].replica = index % self.replicas.len();
+        let begin = self.now + ms(self.rng.random_range(0..200));
+        self.schedule(begin, Step::Beat { server: index, beat: 0 });
+        index
+    }
+
+    /// A server announces itself now, and then at intervals.
+    pub fn beat(&mut self, index: usize) {
+        let call = self.number();
+        let wall_ms = self.wall_ms();
+        let server = &mut self.servers[index];
+        server.record.sequence += 1;
+        server.beat += 1;
+        server.call = Some(call);
+        let (record, replica, beat) = (server.record.clone(), server.replica, server.beat);
+        self.calls.insert(call, Call { server: index, is_draining: record.is_draining });
+        self.schedule(self.now + CALL_TIMEOUT, Step::CallTimeout { server: index, call });
+        self.schedule(self.now + HEARTBEAT, Step::Beat { server: index, beat });
+        if !self.links.cuts.contains(&(record.server.clone(), self.replicas[replica].name.clone())) {
+            self.replica_event(replica, ReplicaEvent::Announce { id: call, record, wall_ms });
+        }
+    }
+
+    /// A server reports draining at a replica.
+    pub fn drain(&mut self, index: usize, replica: usize) {
+        self.servers[index].record.is_draining = true;
+        self.servers[index].replica = replica;
+        self.beat(index);
+    }
+
+    /// A server starts again with its old id at another port.
+    pub fn restart_server(&mut self, index: usize, port: u16) {
+        let (wall_ms, now) = (self.wall_ms(), self.now);
+        let server = &mut self.servers[index];
+        server.record.born = wall_ms;
+        server.record.sequence = 0;
+        server.record.is_draining = false;
+        server.record.address.set_port(port);
+        server.beat += 1;
+        (server.is_alive, server.is_deregistered, server.call) = (true, false, None);
+        (server.acknowledged_at, server.acknowledged_by) = (None, None);
+        let beat = server.beat;
+        self.schedule(now, Step::Beat { server: index, beat });
+    }
+
+    /// Cuts a replica off from the other replicas.
+    pub fn cut_replica(&mut self, index: usize) {
+        self.replicas[index].is_cut_off = true;
+        let name = self.replicas[index].name.clone();
+        for other in self.replicas.iter().filter(|other| other.name != name) {
+            self.links.cut(&name, &other.name);
+        }
+    }
+
+    /// Heals all links.
+    pub fn heal(&mut self) {
+        self.links.heal();
+        for replica in &mut self.replicas {
+            replica.is_cut_off = false;
+        }
+    }
+
+    fn answered(&mut self, replica: usize, id: u64, answer: ReplicaAnswer) {
+        if let Some(call) = self.calls.remove(&id) {
+            let server = &mut self.servers[call.server];
+            if server.call == Some(id) && answer == ReplicaAnswer::Acknowledged {
+                server.call = None;
+                server.heard_at = self.now;
+            }
+            let is_first = server.acknowledged_at.is_none();
+            if call.is_draining && is_first && answer == ReplicaAnswer::Acknowledged {
+                (server.acknowledged_at, server.acknowledged_by) = (Some(self.now), Some(replica));
+                let (name, born) = (server.record.server.clone(), server.record.born);
+                self.departed(&name, born);
+            }
+        }
+        let earlier = self.answers.insert(id, (self.now, answer));
+        assert!(earlier.is_none(), "seed {}: request {id} was answered twice", self.seed);
+    }
+
+    pub fn submit(&mut self, replica: usize, text: &str) -> u64 {
+        let id = self.number();
+        self.replica_event(replica, ReplicaEvent::Submit { id, text: text.into() });
+        id
+    }
+
+    pub fn read(&mut self, replica: usize) -> u64 {
+        let id = self.number();
+        self.replica_event(replica, ReplicaEvent::Read { id });
+        id
+    }
+
+    pub fn deregister(&mut self, replica: usize, server: &str, born: Option<u64>) -> u64 {
+        let (id, wall_ms) = (self.number(), self.wall_ms());
+        self.replica_event(replica, ReplicaEvent::Depart { id, server: server.into(), born, wall_ms });
+        id
+    }
+}
+
+fn size(message: &FleetMessage) -> usize {
+    postcard::to_allocvec(message).expect("message").len()
+}
