--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -53,6 +53,8 @@
         server: ServerId,
         /// Where the server listens.
         address: SocketAddr,
+        /// Path on which the server answers probes.
+        path: Box<str>,
         /// Time after its begin at which the probe is cut off, so that it costs no more than was reserved.
         limit: Duration,
     },
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -270,6 +270,7 @@
             let state =
                 self.services.entry(key_of).or_insert_with(|| ServiceState::new(self.options.data_centre.clone()));
             state.budget.set_share(service.retry_budget);
+            state.health_path.clone_from(&service.health);
             let named = text.customers.keys().chain(service.shares.keys());
             let weights = named.map(|customer| (key(customer), text.weight(name, customer))).collect();
             if service.policy == Policy::Permits {
--- a/crates/core/src/dispatch/measuring.rs
+++ b/crates/core/src/dispatch/measuring.rs
@@ -195,7 +195,9 @@
             let refused = self.measure_counters().over_budget;
             match self.measuring.try_probe(now, (service, &view.id), busy_part) {
                 Some((probe, limit)) => {
-                    actions.push(DispatchAction::Probe { probe, server: view.id.clone(), address: view.address, limit })
+                    let path = self.services.get(&service).map(|state| state.health_path.clone()).unwrap_or_default();
+                    let (server, address) = (view.id.clone(), view.address);
+                    actions.push(DispatchAction::Probe { probe, server, address, path, limit });
                 }
                 // What has no room for this probe has none for the next.
                 None if self.measure_counters().over_budget > refused => return,
--- a/crates/core/src/dispatch/service.rs
+++ b/crates/core/src/dispatch/service.rs
@@ -27,6 +27,8 @@
     pub(super) call_time: CallTime,
     pub(super) health: Health,
     pub(super) budget: RetryBudget,
+    /// Path on which servers answer probes.
+    pub(super) health_path: Box<str>,
     in_flight: FastMap<CustomerId, u32>,
     uploads: u32,
     last_lookup: Option<Instant>,
@@ -41,6 +43,7 @@
             call_time: CallTime::default(),
             health: Health::new(HealthOptions { data_centre, ..HealthOptions::default() }),
             budget: RetryBudget::new(Service::default().retry_budget),
+            health_path: Service::default().health,
             in_flight: FastMap::default(),
             uploads: 0,
             last_lookup: None,
--- a/crates/core/src/probing/asking.rs
+++ b/crates/core/src/probing/asking.rs
@@ -6,6 +6,7 @@
         dispatch::{DispatchAction, LoadReport},
         ids::CallId,
         slots::Key,
+        text::Service,
     },
     rand::RngExt,
     std::time::{Duration, Instant},
@@ -95,6 +96,7 @@
         actions: &mut Vec<DispatchAction>,
     ) -> bool {
         let interval = self.probe_interval();
+        let path = self.health_paths.get(&service).cloned().unwrap_or_else(|| Service::default().health);
         let Some(state) = self.services.get_mut(&service) else { return false };
         let Some(server) = state.servers.get_mut(server) else { return false };
         if server.report.is_some_and(|report| report.age(now) < FRESH) {
@@ -116,6 +118,7 @@
             probe: self.last_probe,
             server: server.view.id.clone(),
             address: server.view.address,
+            path,
             limit: PROBE_LIMIT,
         });
         let running = RunningProbe {
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -37,6 +37,8 @@
     pub(super) options: BalancerOptions,
     pub(super) rng: SmallRng,
     pub(super) text: Option<Arc<Text>>,
+    /// Path on which the servers of a service answer probes.
+    pub(super) health_paths: FastMap<Key, Box<str>>,
     /// Live entries, this one included.
     pub(super) entries: usize,
     pub(super) services: FastMap<Key, ServiceState>,
@@ -65,6 +67,7 @@
             options,
             rng,
             text: None,
+            health_paths: FastMap::default(),
             services: FastMap::default(),
             calls: FastMap::default(),
             probes: BTreeMap::new(),
@@ -84,7 +87,11 @@
             DispatchEvent::Peers(peers) => self.entries = peers.len().max(1),
             // Entries of a fleet do not talk to each other.
             DispatchEvent::Peer { .. } => {}
-            DispatchEvent::Configure(text) => self.text = Some(text),
+            DispatchEvent::Configure(text) => {
+                let paths = text.services.iter().map(|(name, service)| (key(name), service.health.clone()));
+                self.health_paths = paths.collect();
+                self.text = Some(text);
+            }
             DispatchEvent::Probed { probe, latency: _, report, ok } => {
                 self.finish_probe(now, probe, report.filter(|_| ok), actions);
             }
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -153,8 +153,8 @@
                 self.decide(call, Decision::Reject { outcome, retry_after });
             }
             DispatchAction::Tell { to, message } => self.datagrams.send(&to, Wire::Slots(message)),
-            DispatchAction::Probe { probe, server: _, address, limit } => {
-                self.prober.start(Probe { number: probe, address, limit, decided: self.handled_at });
+            DispatchAction::Probe { probe, server: _, address, path, limit } => {
+                self.prober.start(Probe { number: probe, address, path, limit, decided: self.handled_at });
             }
         }
     }
--- a/crates/instance/src/fleet/admin.rs
+++ b/crates/instance/src/fleet/admin.rs
@@ -19,11 +19,7 @@
         text::MAX_TEXT_BYTES,
     },
     prometheus::{Registry, TextEncoder},
-    std::{
-        convert::Infallible,
-        rc::Rc,
-        time::Duration,
-    },
+    std::{convert::Infallible, rc::Rc, time::Duration},
     tokio::{
         net::TcpListener,
         sync::{mpsc, oneshot, watch},
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -19,18 +19,17 @@
     },
     actix_rt::{
         task::JoinHandle,
-        time::{sleep, sleep_until, timeout_at},
+        time::{sleep, timeout},
     },
     hemlockford_core::{
         collections::FastMap,
-        dispatch::DispatchEvent,
         errors::Result,
         fleet::{EntryLink, EntryOptions},
         ids::InstanceId,
         probing::{Balancer, BalancerOptions},
         text::Text,
     },
-    hemlockford_proxy::{ConnectionBound, Gate, Handover, ProxyCounters, ProxyOptions, Worker},
+    hemlockford_proxy::{Gate, Handover, ProxyCounters, ProxyOptions, Worker},
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
     slog::{Logger, info},
@@ -56,6 +55,7 @@
     seeds: mpsc::UnboundedSender<Vec<InstanceId>>,
     is_draining: watch::Sender<bool>,
     stop: watch::Sender<bool>,
+    close: watch::Sender<bool>,
     worker: JoinHandle<Result<()>>,
     failure: mpsc::UnboundedReceiver<Box<str>>,
     log: Logger,
@@ -87,6 +87,7 @@
         let (step_tx, step_rx) = watch::channel(false);
         let (drain_tx, drain_rx) = watch::channel(false);
         let (stop_tx, stop_rx) = watch::channel(false);
+        let (close_tx, close_rx) = watch::channel(false);
         let (failure_tx, failure_rx) = mpsc::unbounded_channel();
 
         let options = EntryOptions {
@@ -137,7 +138,7 @@
         let worker = Worker {
             number: 0,
             handover: Handover::among(1).remove(0),
-            options: ProxyOptions { dialect: (*dialect).clone(), ..ProxyOptions::fleet() },
+            options: ProxyOptions { serve_while_stopping: Some(close_rx), ..ProxyOptions::fleet((*dialect).clone()) },
             gate,
             text: text_rx,
             stop: stop_rx,
@@ -153,6 +154,7 @@
             seeds: seeds_tx,
             is_draining: drain_tx,
             stop: stop_tx,
+            close: close_tx,
             worker,
             failure: failure_rx,
             log: log.clone(),
@@ -178,11 +180,11 @@
         let end = Instant::now() + self.grace.saturating_sub(EXIT_MARGIN);
         info!(self.log, "shutting down: not ready");
         self.is_draining.send_replace(true);
-        self.stop.send_replace(Stop::Draining);
+        self.stop.send_replace(true);
         sleep(NOTICE).await;
         info!(self.log, "shutting down: no new calls");
-        self.stop.send_replace(Stop::Closing);
-        let _ = timeout_at(end.into(), self.worker).await;
+        self.close.send_replace(true);
+        let _ = timeout(end.saturating_duration_since(Instant::now()), self.worker).await;
     }
 }
 
--- a/crates/instance/src/fleet/network.rs
+++ b/crates/instance/src/fleet/network.rs
@@ -34,11 +34,8 @@
         counters: Counters,
         received: mpsc::UnboundedSender<(Envelope<FleetMessage>, usize)>,
     ) -> Result<Self> {
-        let options = NetOptions {
-            connect_timeout: CONNECT_TIMEOUT,
-            max_connections: MAX_CONNECTIONS,
-            ..NetOptions::default()
-        };
+        let options =
+            NetOptions { connect_timeout: CONNECT_TIMEOUT, max_connections: MAX_CONNECTIONS, ..NetOptions::default() };
         let socket = DatagramSocket::new(datagrams)?;
         actix_rt::spawn(StreamListener::new(listen, options.clone())?.run(received.clone()));
         actix_rt::spawn(receive(socket.clone(), received, counters.clone()));
@@ -50,7 +47,8 @@
         let is_small = message.fits_datagram();
         let envelope = Envelope { from: self.id.clone(), incarnation: self.incarnation, message };
         let Ok(address) = to.parse::<SocketAddr>() else { return };
-        let sent = if is_small { self.socket.send(address, &envelope) } else { self.links.send(to, &envelope) };
+        let sent =
+            if is_small { self.socket.send(address, &envelope) } else { self.links.send_on_demand(to, &envelope) };
         self.counters.count(if is_small { "udp" } else { "tcp" }, "sent", "fleet", sent.unwrap_or_default());
     }
 }
--- a/crates/instance/src/fleet/prober.rs
+++ b/crates/instance/src/fleet/prober.rs
@@ -73,7 +73,8 @@
             request = request.insert_header((HeaderName::clone(name), value));
         }
         let mut answer = request.send().await.ok()?;
-        let report = answer.headers().get(&dialect.load).and_then(|value| dialect.load_format.parse(value.to_str().ok()?));
+        let report =
+            answer.headers().get(&dialect.load).and_then(|value| dialect.load_format.parse(value.to_str().ok()?));
         let is_good = answer.status().is_success();
         // The connection is kept only if the body was read.
         answer.body().limit(4 * 1024).await.ok()?;
--- a/crates/instance/src/prober.rs
+++ b/crates/instance/src/prober.rs
@@ -12,9 +12,6 @@
     tokio::{select, sync::mpsc},
 };
 
-/// Path that servers answer cheaply.
-const PATH: &str = "/probe";
-
 /// Sends probes, each in a task of its own. Its number of probes at a time is bounded by the budget.
 pub(crate) struct Prober {
     client: awc::Client,
@@ -25,6 +22,8 @@
 pub(crate) struct Probe {
     pub(crate) number: u64,
     pub(crate) address: SocketAddr,
+    /// Path on which it answers.
+    pub(crate) path: Box<str>,
     /// Time after its begin at which it is cut off.
     pub(crate) limit: Duration,
     pub(crate) decided: Instant,
@@ -64,7 +63,7 @@
             return None;
         }
         let request = client
-            .get(format!("http://{}{PATH}", self.address))
+            .get(format!("http://{}{}", self.address, self.path))
             .insert_header((WANT_LOAD_HEADER, "1"))
             .insert_header(("hemlockford-deadline", self.limit.as_millis().to_string()))
             .no_decompress()
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 pub struct StreamLinks {
     links: FastMap<InstanceId, mpsc::Sender<Vec<u8>>>,
+    /// Options of links that are opened on demand; without them only the peers of the start are known.
+    on_demand: Option<NetOptions>,
 }
 
 impl StreamLinks {
@@ -40,7 +42,22 @@
             actix_rt::spawn(Link { address, rx, options: options.clone() }.run());
             (id, tx)
         };
-        Self { links: peers.into_iter().map(start).collect() }
+        Self { links: peers.into_iter().map(start).collect(), on_demand: None }
+    }
+
+    /// Makes links to peers whose names are their addresses.
+    pub fn on_demand(options: &NetOptions) -> Self {
+        Self { links: FastMap::default(), on_demand: Some(options.clone()) }
+    }
+
+    /// Sends to a peer whose name is its address.
+    pub fn send_on_demand<M: Serialize>(&mut self, to: &str, envelope: &Envelope<M>) -> Result<usize> {
+        if let (Some(options), false, Ok(address)) = (&self.on_demand, self.links.contains_key(to), to.parse()) {
+            let (tx, rx) = mpsc::channel(options.queue);
+            actix_rt::spawn(Link { address, rx, options: options.clone() }.run());
+            self.links.insert(to.into(), tx);
+        }
+        self.send(to, envelope)
     }
 
     /// Queues a message and returns its length in bytes, or 0 where the peer is unknown or its queue
