--- a/crates/core/src/consensus/apply.rs
+++ b/crates/core/src/consensus/apply.rs
@@ -14,8 +14,9 @@
             };
             let index = entry.index;
             self.applied_bytes += entry.size();
+            let size = if let Payload::Command(command) = &entry.payload { command.len() } else { 0 };
             match entry.payload.clone() {
-                Payload::Noop => {}
+                Payload::Noop | Payload::Remove(_) => {}
                 Payload::Admit(member) => {
                     if member.replica == self.options.replica && member.incarnation == self.incarnation {
                         self.remember_admission(actions);
@@ -26,6 +27,7 @@
             self.applied = index;
             if let Role::Leader(leader) = &mut self.role {
                 while let Some((index, id)) = leader.proposals.pop_front_if(|(held, _)| *held <= index) {
+                    leader.proposal_bytes = leader.proposal_bytes.saturating_sub(size);
                     actions.push(ConsensusAction::Answer { id, result: ProposalResult::Committed { index } });
                 }
             }
--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -27,7 +27,7 @@
     /// a leader that was frozen or cut off confirms nothing.
     pub(super) fn check_lease(&mut self, now: Instant, actions: &mut Vec<ConsensusAction>) {
         if let Role::Leader(leader) = &self.role
-            && self.options.replicas.len() > 1
+            && self.voter_count() > 1
             && now >= leader.confirmed_at + self.options.election_min
         {
             self.become_follower(now, None, actions);
@@ -57,9 +57,13 @@
         let old = mem::replace(&mut self.role, Role::Follower);
         if let Role::Leader(old) = old {
             self.reset_election(now);
+            self.contacts.replicas = old.told;
             for (_, id) in old.proposals {
                 actions.push(ConsensusAction::Answer { id, result: ProposalResult::Unknown });
             }
+            for (_, id) in old.reads {
+                actions.push(ConsensusAction::Answer { id, result: ProposalResult::NotLeader { leader: None } });
+            }
             if self.stopping {
                 actions.push(ConsensusAction::Stopped);
             }
@@ -104,7 +108,7 @@
         last_term: Term,
         actions: &mut Vec<ConsensusAction>,
     ) {
-        if !self.admitted {
+        if !self.may_vote() {
             return;
         }
         let granted = term > self.vote.term && !self.has_leader(now) && self.is_up_to_date((last_term, last_index));
@@ -158,7 +162,7 @@
         last: (Term, LogIndex),
         actions: &mut Vec<ConsensusAction>,
     ) {
-        if !self.admitted {
+        if !self.may_vote() {
             return;
         }
         let candidate = Member { replica: from.clone(), incarnation };
@@ -190,7 +194,11 @@
         let mut progress = FastMap::default();
         for other in self.others() {
             let incarnation = self.log.members.incarnation(&other).unwrap_or_default();
-            progress.insert(other, Progress::new(incarnation, next));
+            progress.insert(other, Progress::new(now, incarnation, next));
+        }
+        // The learners go on learning without having to look for the new leader.
+        for learner in self.contacts.replicas.iter().filter(|replica| **replica != self.options.replica) {
+            progress.entry(learner.clone()).or_insert_with(|| Progress::new(now, 0, next));
         }
         self.role = Role::Leader(Box::new(Leader {
             progress,
@@ -200,6 +208,10 @@
             confirmed_at: now,
             next_heartbeat: now,
             proposals: VecDeque::new(),
+            proposal_bytes: 0,
+            reads: VecDeque::new(),
+            heartbeats: 0,
+            told: Vec::new(),
             hand_over_until: None,
             hand_over_sent: false,
         }));
--- a/crates/core/src/consensus/entry.rs
+++ b/crates/core/src/consensus/entry.rs
@@ -30,6 +30,8 @@
     Admit(Member),
     /// A command of the replicated state machine, opaque to consensus.
     Command(Arc<[u8]>),
+    /// The named replica no longer votes and counts from here on.
+    Remove(Member),
 }
 
 impl Entry {
@@ -44,7 +46,7 @@
         ENTRY_OVERHEAD
             + match &self.payload {
                 Payload::Noop => 0,
-                Payload::Admit(member) => member.replica.len(),
+                Payload::Admit(member) | Payload::Remove(member) => member.replica.len(),
                 Payload::Command(command) => command.len(),
             }
     }
--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -31,6 +31,8 @@
         if !self.take_entries(entries, actions) {
             return;
         }
+        let agreed = if self.agreed.0 == self.vote.term { self.agreed.1.max(end) } else { end };
+        self.agreed = (self.vote.term, agreed);
         let commit = commit.min(end);
         if commit > self.commit {
             self.commit = commit;
@@ -40,6 +42,16 @@
         self.promise(from, MessageBody::Appended { round, index: end, conflict: false }, actions);
     }
 
+    /// Takes the news of a commit, as far as the log is known to be the same as the leader's.
+    pub(super) fn commit_told(&mut self, index: LogIndex, actions: &mut Vec<ConsensusAction>) {
+        let (term, agreed) = self.agreed;
+        let commit = index.min(agreed);
+        if term == self.vote.term && commit > self.commit {
+            self.commit = commit;
+            self.apply(actions);
+        }
+    }
+
     /// Answers a heartbeat round at once, with what is durable already, when entries are on their way to
     /// the disk. Otherwise slow disks of a majority would depose the leader. The term must be durable, or
     /// a crash could take this replica back to an earlier leader that replaces the entries answered for.
--- a/crates/core/src/consensus/formation.rs
+++ b/crates/core/src/consensus/formation.rs
@@ -43,6 +43,12 @@
         self.log.last_index() == 0 && !self.vote.admitted
     }
 
+    /// Whether the folder is one that a group may be formed with.
+    fn may_form(&self) -> bool {
+        let is_founder = self.options.replicas.contains(&self.options.replica);
+        self.is_empty() && is_founder && (self.options.may_found || self.vote.binding.is_some())
+    }
+
     fn is_proposer(&self) -> bool {
         self.options.replicas.first() == Some(&self.options.replica)
     }
@@ -50,7 +56,7 @@
     pub(super) fn tick_formation(&mut self, now: Instant, actions: &mut Vec<ConsensusAction>) {
         if now >= self.formation.next_hello {
             self.formation.next_hello = now + self.options.heartbeat * HELLO_HEARTBEATS;
-            for to in self.others() {
+            for to in self.hello_receivers(now) {
                 self.say_hello(to, actions);
             }
             self.request_form(actions);
@@ -58,8 +64,8 @@
         self.try_formation(now, actions);
     }
 
-    fn say_hello(&mut self, to: InstanceId, actions: &mut Vec<ConsensusAction>) {
-        let body = MessageBody::Hello { binding: self.vote.binding.clone(), empty: self.is_empty() };
+    pub(super) fn say_hello(&mut self, to: InstanceId, actions: &mut Vec<ConsensusAction>) {
+        let body = MessageBody::Hello { binding: self.vote.binding.clone(), empty: self.may_form() };
         self.promise(to, body, actions);
     }
 
@@ -80,25 +86,30 @@
             if let Some(binding) = binding.as_ref().filter(|held| Some(*held) == self.vote.binding.as_ref()) {
                 self.promise(from.clone(), MessageBody::Formed(binding.clone()), actions);
             }
-            if self.observe(&from, (incarnation, false), 0).is_some() {
+            if !self.options.is_dynamic && self.observe(&from, (incarnation, false), 0).is_some() {
                 self.send_entries(&from, true, actions);
             }
         }
-        self.formation.heard.insert(from, Heard { incarnation, binding, empty });
+        if self.options.is_dynamic {
+            self.greet(now, &from, incarnation, actions);
+        }
+        if self.options.replicas.contains(&from) {
+            self.formation.heard.insert(from, Heard { incarnation, binding, empty });
+        }
         self.try_formation(now, actions);
     }
 
     /// As the first replica of the settings: proposes a group once every other replica has said that
     /// its folder is empty, and forms it once every replica has agreed to the same proposal.
     pub(super) fn try_formation(&mut self, now: Instant, actions: &mut Vec<ConsensusAction>) {
-        if !self.is_proposer() || !self.is_empty() || !self.writes.is_idle() {
+        if !self.is_proposer() || !self.may_form() || !self.writes.is_idle() {
             return;
         }
         let mut members = vec![Member { replica: self.options.replica.clone(), incarnation: self.incarnation }];
         let own_ballot = self.vote.binding.as_ref().map_or(0, |binding| binding.ballot);
         let mut ballot = own_ballot;
         let (mut is_agreed, mut is_refused) = (true, false);
-        for other in self.others() {
+        for other in self.founders() {
             let Some(heard) = self.formation.heard.get(&other).filter(|heard| heard.empty) else { return };
             members.push(Member { replica: other, incarnation: heard.incarnation });
             let heard_ballot = heard.binding.as_ref().map_or(0, |binding| binding.ballot);
@@ -113,6 +124,8 @@
                     self.form(now, &binding, actions);
                 }
             }
+            // A new proposal is a new decision to form a group.
+            _ if !self.options.may_found => {}
             _ => {
                 self.vote.binding = Some(Binding { ballot: ballot + 1, members });
                 self.save_vote(Effect::Vote, actions);
@@ -122,11 +135,11 @@
     }
 
     fn request_form(&mut self, actions: &mut Vec<ConsensusAction>) {
-        if !self.is_proposer() || !self.is_empty() {
+        if !self.is_proposer() || !self.may_form() {
             return;
         }
         if let Some(binding) = self.vote.binding.clone() {
-            for to in self.others() {
+            for to in self.founders() {
                 if self.formation.heard.get(&to).is_none_or(|heard| heard.binding.as_ref() != Some(&binding)) {
                     self.promise(to, MessageBody::Form(binding.clone()), actions);
                 }
@@ -135,13 +148,13 @@
     }
 
     pub(super) fn form_requested(&mut self, from: &InstanceId, binding: &Binding, actions: &mut Vec<ConsensusAction>) {
-        if !self.is_empty() || self.options.replicas.first() != Some(from) {
+        if !self.may_form() || self.options.replicas.first() != Some(from) {
             return;
         }
         let is_named = binding.members.iter().map(|member| &member.replica).eq(&self.options.replicas);
         let own = Member { replica: self.options.replica.clone(), incarnation: self.incarnation };
         let is_newer = self.vote.binding.as_ref().is_none_or(|held| binding.ballot > held.ballot);
-        if is_named && binding.members.contains(&own) && is_newer {
+        if is_named && binding.members.contains(&own) && is_newer && self.options.may_found {
             self.vote.binding = Some(binding.clone());
             self.save_vote(Effect::Vote, actions);
         }
@@ -162,7 +175,7 @@
         if self.is_proposer() {
             // The others follow their proposer at once rather than after an election timeout.
             self.election_at = now + self.options.heartbeat;
-            for to in self.others() {
+            for to in self.founders() {
                 self.promise(to, MessageBody::Formed(binding.clone()), actions);
             }
         }
--- a/crates/core/src/consensus/log.rs
+++ b/crates/core/src/consensus/log.rs
@@ -13,6 +13,8 @@
     pub snapshot: Option<Arc<Snapshot>>,
     /// Admitted incarnations at the last entry, committed or not.
     pub members: Members,
+    /// Last entry that changed the members, if it is held; otherwise an entry that a snapshot covers.
+    pub change_index: LogIndex,
     base_index: LogIndex,
     base_term: Term,
     entries: VecDeque<Entry>,
@@ -79,8 +81,8 @@
     }
 
     pub fn append(&mut self, entry: Entry) {
-        if let Payload::Admit(member) = &entry.payload {
-            self.members.admit(member.clone());
+        if change(&mut self.members, &entry.payload) {
+            self.change_index = entry.index;
         }
         self.entries.push_back(entry);
     }
@@ -89,6 +91,8 @@
         let keep = from.saturating_sub(self.base_index + 1);
         self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
         self.members = self.members_at(self.last_index());
+        let is_change = |entry: &&Entry| matches!(entry.payload, Payload::Admit(_) | Payload::Remove(_));
+        self.change_index = self.entries.iter().rev().find(is_change).map_or(self.base_index, |entry| entry.index);
     }
 
     /// Admitted incarnations at an entry that is not older than the snapshot.
@@ -96,9 +100,7 @@
         let covered = self.snapshot_index();
         let mut members = self.snapshot.as_ref().map(|snapshot| snapshot.members.clone()).unwrap_or_default();
         for entry in self.entries.iter().filter(|entry| entry.index > covered && entry.index <= index) {
-            if let Payload::Admit(member) = &entry.payload {
-                members.admit(member.clone());
-            }
+            change(&mut members, &entry.payload);
         }
         members
     }
@@ -130,6 +132,17 @@
         self.base_index = snapshot.index;
         self.base_term = snapshot.term;
         self.members = snapshot.members.clone();
+        self.change_index = snapshot.index;
         self.snapshot = Some(snapshot);
     }
 }
+
+/// Applies an entry to the members; returns whether the entry is about them.
+fn change(members: &mut Members, payload: &Payload) -> bool {
+    match payload {
+        Payload::Admit(member) => members.admit(member.clone()),
+        Payload::Remove(member) => members.remove(&member.replica),
+        Payload::Noop | Payload::Command(_) => return false,
+    }
+    true
+}
--- a/crates/core/src/consensus/member.rs
+++ b/crates/core/src/consensus/member.rs
@@ -43,6 +43,29 @@
         }
     }
 
+    /// Removes a replica.
+    ///
+    /// ```
+    /// use hemlockford_core::consensus::{Member, Members};
+    /// let mut members = Members::default();
+    /// members.admit(Member { replica: "a".into(), incarnation: 1 });
+    /// members.remove("a");
+    /// assert!(members.is_empty());
+    /// ```
+    pub fn remove(&mut self, replica: &str) {
+        self.0.retain(|held| &*held.replica != replica);
+    }
+
+    /// How many replicas there are.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether there are no replicas.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// The replicas with their admitted incarnations.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.0.iter()
--- /dev/null
+++ b/crates/core/src/consensus/membership.rs
@@ -0,0 +1,102 @@
+//! Changes of the voters of a dynamic group, made by its leader.
+//!
+//! One change at a time, and only after an entry of the leader's term is committed. Then the majorities before and
+//! after each change share a replica, also when several leaders change the members one after the other.
+
+use {
+    super::{Consensus, ConsensusAction, Member, Payload, Progress, Role},
+    crate::ids::InstanceId,
+    std::time::{Duration, Instant},
+};
+
+/// Time after which a silent voter is replaced.
+const VOTER_SILENT: Duration = Duration::from_secs(1);
+/// Time within which a learner must have been heard to become a voter: its acknowledgement may be needed at once.
+const LEARNER_HEARD: Duration = Duration::from_millis(500);
+/// Time after which a silent learner is forgotten.
+const LEARNER_FORGOTTEN: Duration = Duration::from_secs(10);
+/// Entries by which a replica may be behind the end of the log and still count as caught up, so that
+/// steady proposals do not keep it from being admitted.
+const CAUGHT_UP_ENTRIES: u64 = 64;
+
+impl Consensus {
+    /// Admits a replica's new incarnation once it holds nearly everything; in a dynamic group, changes the members
+    /// if need be.
+    pub(super) fn admit_caught_up(&mut self, from: &InstanceId, actions: &mut Vec<ConsensusAction>) {
+        if self.options.is_dynamic {
+            return self.change_members(self.writes.now, actions);
+        }
+        let Role::Leader(leader) = &self.role else { return };
+        let Some(progress) = leader.progress.get(from) else { return };
+        let admitted = self.log.members.incarnation(from).unwrap_or_default();
+        if progress.incarnation > admitted && self.is_caught_up(progress) && leader.hand_over_until.is_none() {
+            let member = Member { replica: from.clone(), incarnation: progress.incarnation };
+            self.lead_entry(Payload::Admit(member), actions);
+        }
+    }
+
+    fn is_caught_up(&self, progress: &Progress) -> bool {
+        progress.matched > 0 && progress.matched + CAUGHT_UP_ENTRIES >= self.log.last_index()
+    }
+
+    /// Makes the next change of the members, if one is due.
+    pub(super) fn change_members(&mut self, now: Instant, actions: &mut Vec<ConsensusAction>) {
+        let is_ready = self.log.term(self.commit) == Some(self.vote.term) && self.log.change_index <= self.commit;
+        if self.options.is_dynamic
+            && is_ready
+            && let Some(payload) = self.next_change(now)
+        {
+            self.lead_entry(payload, actions);
+            // With fewer voters a majority may have everything already.
+            self.advance_commit(actions);
+        }
+    }
+
+    fn next_change(&self, now: Instant) -> Option<Payload> {
+        let Role::Leader(leader) = &self.role else { return None };
+        if leader.hand_over_until.is_some() {
+            return None;
+        }
+        let is_ready = |progress: &Progress| self.is_caught_up(progress) && now < progress.heard_at + LEARNER_HEARD;
+        let members = &self.log.members;
+        let silence = |member: &Member| match leader.progress.get(&member.replica) {
+            Some(progress) if progress.incarnation == member.incarnation => now - progress.heard_at,
+            Some(progress) => now - progress.since,
+            None => Duration::MAX,
+        };
+        for member in members.iter() {
+            if let Some(progress) = leader.progress.get(&member.replica)
+                && progress.incarnation > member.incarnation
+                && is_ready(progress)
+            {
+                let replica = member.replica.clone();
+                return Some(Payload::Admit(Member { replica, incarnation: progress.incarnation }));
+            }
+        }
+        let silent = members
+            .iter()
+            .filter(|member| member.replica != self.options.replica && silence(member) >= VOTER_SILENT)
+            .max_by_key(|member| silence(member));
+        if members.len() > self.options.voters {
+            return silent.cloned().map(Payload::Remove);
+        }
+        if members.len() == self.options.voters && silent.is_none() {
+            return None;
+        }
+        let learners = leader.progress.iter().filter(|(name, _)| members.incarnation(name).is_none());
+        let (replica, progress) = learners
+            .filter(|(_, progress)| progress.incarnation > 0 && is_ready(progress))
+            .max_by_key(|(name, progress)| (progress.matched, *name))?;
+        Some(Payload::Admit(Member { replica: replica.clone(), incarnation: progress.incarnation }))
+    }
+
+    /// Forgets learners that have been silent for long.
+    pub(super) fn forget_learners(&mut self, now: Instant) {
+        if let (true, Role::Leader(leader)) = (self.options.is_dynamic, &mut self.role) {
+            let members = &self.log.members;
+            leader.progress.retain(|name, progress| {
+                members.incarnation(name).is_some() || now < progress.heard_at + LEARNER_FORGOTTEN
+            });
+        }
+    }
+}
--- a/crates/core/src/consensus/message.rs
+++ b/crates/core/src/consensus/message.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Binding, Entry, Members},
-    crate::ids::{Incarnation, LogIndex, Term},
+    crate::ids::{Incarnation, InstanceId, LogIndex, Term},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -14,7 +14,7 @@
     pub term: Term,
     /// Incarnation of the sender's data folder.
     pub incarnation: Incarnation,
-    /// Whether the sender has applied its own `Admit`.
+    /// Whether the sender has applied its own `Admit`; in a dynamic group, whether it is a voter by its own log.
     pub admitted: bool,
     /// What the message says.
     pub body: MessageBody,
@@ -27,7 +27,7 @@
     Hello {
         /// Proposal to form a group that it has agreed to.
         binding: Option<Binding>,
-        /// Whether its folder holds neither log entries nor a snapshot.
+        /// Whether it may take part in forming a group: its folder holds neither log entries nor a snapshot.
         empty: bool,
     },
     /// Asks an empty replica to agree to forming a group.
@@ -113,4 +113,17 @@
     },
     /// The leader is stopping and asks the replica to stand for election at once.
     TimeoutNow,
+    /// In a dynamic group: the leader has committed entries that the receiver was sent before.
+    Commit {
+        /// Last entry that is committed.
+        index: LogIndex,
+    },
+    /// In a dynamic group: the replicas that the sender knows. The leader tells all replicas; another replica
+    /// answers a `Hello`.
+    Replicas {
+        /// The leader, if the sender knows one that may still act.
+        leader: Option<InstanceId>,
+        /// Voters and learners.
+        replicas: Vec<InstanceId>,
+    },
 }
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -1,10 +1,11 @@
-//! Replicated log among 1, 3 or 5 replicas.
+//! Replicated log among 1, 3 or 5 replicas, or among a dynamic group of voters and learners.
 //!
 //! Terms, pre-vote, check-quorum, append with pipelining, snapshots and catch-up, hand-over on a planned
 //! stop, and re-admission of a replica that lost its data folder. See docs/notes/consensus.md.
 
 mod action;
 mod apply;
+mod contacts;
 mod election;
 mod entry;
 mod event;
@@ -13,10 +14,13 @@
 mod hand_over;
 mod log;
 mod member;
+mod membership;
 mod message;
 mod options;
 mod progress;
 mod proposal;
+mod readers;
+mod reads;
 mod recovered;
 mod replica;
 mod replication;
@@ -28,6 +32,7 @@
 mod writes;
 
 use {
+    contacts::Contacts,
     formation::Formation,
     log::Log,
     progress::{Progress, Transfer},
--- a/crates/core/src/consensus/options.rs
+++ b/crates/core/src/consensus/options.rs
@@ -1,13 +1,17 @@
 //! Settings of a replica.
 
-use {crate::ids::InstanceId, std::time::Duration};
+use {
+    crate::{ids::InstanceId, text::MAX_TEXT_BYTES},
+    std::time::Duration,
+};
 
-/// Longest message between replicas, in bytes.
-pub const MESSAGE_BYTES: usize = 64 * 1024;
-/// Longest payload of a message: leaves 4 KB of `MESSAGE_BYTES` for the fields around it.
+/// Bytes of entries that are sent in one message, and of a piece of a snapshot. A longer entry has a message of
+/// its own.
 pub const PAYLOAD_BYTES: usize = 60 * 1024;
-/// Longest command, so that each entry fits into one message.
-pub const COMMAND_BYTES: usize = PAYLOAD_BYTES - 1024;
+/// Longest command: the longest operators' text with the fields around it.
+pub const COMMAND_BYTES: usize = MAX_TEXT_BYTES + 1024;
+/// Longest message between replicas, in bytes: leaves 4 KB for the fields around the longest command.
+pub const MESSAGE_BYTES: usize = COMMAND_BYTES + 4 * 1024;
 
 /// Settings of a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,7 +23,8 @@
     pub replicas: Vec<InstanceId>,
     /// Whether replicas may join and leave while the group runs; `replicas` then names the founders only.
     pub is_dynamic: bool,
-    /// Whether this replica may take part in forming a new group.
+    /// Whether this replica may take part in forming a new group. A proposal that the folder holds already was
+    /// agreed to when it might, and is completed.
     pub may_found: bool,
     /// Voters that a dynamic group aims at.
     pub voters: usize,
@@ -36,8 +41,12 @@
     pub snapshot_bytes: usize,
     /// Messages with entries that may be on the way to one replica.
     pub window_messages: usize,
-    /// Proposals that may wait to be committed.
+    /// Bytes of entries that may be on the way to one replica. One message may be on the way whatever its size.
+    pub window_bytes: usize,
+    /// Proposals that may wait to be committed, and reads that may wait to be confirmed.
     pub window_proposals: usize,
+    /// Bytes of the proposals that may wait to be committed. One proposal may wait whatever its size.
+    pub window_proposal_bytes: usize,
 }
 
 impl Default for ConsensusOptions {
@@ -54,7 +63,9 @@
             snapshot_entries: 256,
             snapshot_bytes: 4 * 1024 * 1024,
             window_messages: 8,
+            window_bytes: 1024 * 1024,
             window_proposals: 1_024,
+            window_proposal_bytes: 8 * 1024 * 1024,
         }
     }
 }
--- a/crates/core/src/consensus/progress.rs
+++ b/crates/core/src/consensus/progress.rs
@@ -3,7 +3,7 @@
 use {
     super::Snapshot,
     crate::ids::{Incarnation, LogIndex},
-    std::{collections::VecDeque, sync::Arc},
+    std::{collections::VecDeque, sync::Arc, time::Instant},
 };
 
 /// What a leader knows of another replica.
@@ -19,12 +19,16 @@
     pub next: LogIndex,
     /// Whether it is not known yet where the logs agree, so that no entries are sent ahead.
     pub probing: bool,
-    /// Last entry of each message with entries that has not been answered.
-    pub in_flight: VecDeque<LogIndex>,
+    /// Last entry of each message with entries that has not been answered, with the size of its entries.
+    pub in_flight: VecDeque<(LogIndex, usize)>,
     /// Last heartbeat round answered.
     pub round: u64,
     /// Snapshot on its way there.
     pub transfer: Option<Transfer>,
+    /// Since when this incarnation is known.
+    pub since: Instant,
+    /// When this incarnation was heard last; before that, since when it is known.
+    pub heard_at: Instant,
 }
 
 /// A snapshot on its way to a replica, one piece at a time.
@@ -39,7 +43,7 @@
 }
 
 impl Progress {
-    pub fn new(incarnation: Incarnation, next: LogIndex) -> Self {
+    pub fn new(now: Instant, incarnation: Incarnation, next: LogIndex) -> Self {
         Self {
             incarnation,
             admitted: false,
@@ -49,25 +53,34 @@
             in_flight: VecDeque::new(),
             round: 0,
             transfer: None,
+            since: now,
+            heard_at: now,
         }
     }
 
     /// Takes the sender's incarnation; returns whether the message is of the current one.
-    pub fn observe(&mut self, incarnation: Incarnation, admitted: bool) -> bool {
+    pub fn observe(&mut self, now: Instant, incarnation: Incarnation, admitted: bool) -> bool {
         if incarnation < self.incarnation {
             return false;
         }
         if incarnation > self.incarnation {
-            *self = Self::new(incarnation, self.next);
+            *self = Self::new(now, incarnation, self.next);
         }
+        self.heard_at = now;
         self.admitted |= admitted;
         true
     }
 
+    /// Whether one more message with entries may be on the way.
+    pub fn has_room(&self, messages: usize, bytes: usize, next: usize) -> bool {
+        let on_the_way: usize = self.in_flight.iter().map(|(_, size)| size).sum();
+        self.in_flight.is_empty() || self.in_flight.len() < messages && on_the_way + next <= bytes
+    }
+
     /// Notes that the log is durable there up to an entry.
     pub fn matched(&mut self, index: LogIndex) {
         self.matched = self.matched.max(index);
-        while self.in_flight.pop_front_if(|last| *last <= index).is_some() {}
+        while self.in_flight.pop_front_if(|(last, _)| *last <= index).is_some() {}
         self.next = if self.probing { self.matched + 1 } else { self.next.max(self.matched + 1) };
         self.probing = false;
         if self.transfer.as_ref().is_some_and(|transfer| transfer.snapshot.index <= self.matched) {
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        ConsensusAction, ConsensusEvent, ConsensusOptions, Effect, Formation, Held, Incoming, Log, Members, Message,
-        MessageBody, ProposalResult, Recovered, Role, Vote, Writes,
+        ConsensusAction, ConsensusEvent, ConsensusOptions, Contacts, Effect, Formation, Held, Incoming, Log, Message,
+        MessageBody, Recovered, Role, Vote, Writes,
     },
     crate::ids::{Incarnation, InstanceId, LogIndex, Term},
     rand::{RngExt, rngs::SmallRng},
@@ -52,7 +52,10 @@
     pub(super) election_at: Instant,
     /// Last heartbeat round answered ahead of the fsync, with its term.
     pub(super) answered_round: (Term, u64),
+    /// Last entry up to which the log is known to agree with that of the leader of a term.
+    pub(super) agreed: (Term, LogIndex),
     pub(super) formation: Formation,
+    pub(super) contacts: Contacts,
     pub(super) incoming: Option<Incoming>,
     pub(super) stopping: bool,
 }
@@ -72,7 +75,7 @@
             incarnation: recovered.incarnation,
             admitted: recovered.vote.admitted,
             vote: recovered.vote,
-            writes: Writes::new(log.last_index()),
+            writes: Writes::new(now, log.last_index()),
             log,
             commit,
             applied: commit,
@@ -83,7 +86,9 @@
             heard_leader: None,
             election_at: now,
             answered_round: (0, 0),
+            agreed: (0, 0),
             formation: Formation::new(now),
+            contacts: Contacts::default(),
             incoming: None,
             stopping: false,
             options,
@@ -99,34 +104,35 @@
 
     /// Takes one event at a time and adds what is to be done.
     pub fn handle(&mut self, now: Instant, event: ConsensusEvent, actions: &mut Vec<ConsensusAction>) {
+        self.writes.now = now;
         self.check_lease(now, actions);
         match event {
             ConsensusEvent::Tick => self.tick(now, actions),
             ConsensusEvent::Receive { from, message } => {
-                if from != self.options.replica && self.options.replicas.contains(&from) {
+                let is_known = self.options.is_dynamic || self.options.replicas.contains(&from);
+                if from != self.options.replica && is_known {
+                    self.contacts.heard(&from);
                     self.receive(now, from, message, actions);
                 }
             }
             ConsensusEvent::Propose { id, command } => self.propose(id, command, actions),
-            ConsensusEvent::Read { id } => {
-                let result = ProposalResult::NotLeader { leader: self.leader.clone() };
-                actions.push(ConsensusAction::Answer { id, result });
-            }
+            ConsensusEvent::Read { id } => self.read(id, actions),
             ConsensusEvent::Persisted { up_to } => self.persisted(now, up_to, actions),
             ConsensusEvent::SnapshotTaken { index, data } => self.snapshot_taken(index, data, actions),
             ConsensusEvent::Stop => self.stop(now, actions),
         }
+        self.serve_reads(now, actions);
     }
 
     fn tick(&mut self, now: Instant, actions: &mut Vec<ConsensusAction>) {
         if self.is_leader() {
             return self.heartbeat(now, actions);
         }
-        if !self.admitted {
-            return self.tick_formation(now, actions);
+        if self.options.is_dynamic || !self.admitted {
+            self.tick_formation(now, actions);
         }
         // A replica whose disk is slower than an election would only disturb the others' elections.
-        if now >= self.election_at && !self.stopping && self.writes.is_term_durable() {
+        if self.is_admitted() && now >= self.election_at && !self.stopping && self.writes.is_term_durable() {
             self.start_pre_vote(now, actions);
         }
     }
@@ -142,10 +148,13 @@
             MessageBody::PreVoteRequest { last_index, last_term } => {
                 return self.pre_vote_requested(now, from, term, *last_index, *last_term, actions);
             }
+            MessageBody::Replicas { leader, replicas } => {
+                return self.replicas_told(now, &from, term, leader.as_ref(), replicas, actions);
+            }
             // A candidate that cannot win must not depose a leader that others hear.
             MessageBody::VoteRequest { hand_over, .. } if !admitted || !hand_over && self.has_leader(now) => return,
             MessageBody::PreVote { granted: true } => {
-                if admitted && self.log.members.incarnation(&from) == Some(incarnation) {
+                if self.counts(&from, incarnation, admitted) {
                     self.pre_vote_granted(now, from, term, actions);
                 }
                 return;
@@ -163,7 +172,8 @@
             }
             return;
         }
-        let is_from_leader = matches!(body, MessageBody::Append { .. } | MessageBody::SnapshotPiece { .. });
+        let is_from_leader =
+            matches!(body, MessageBody::Append { .. } | MessageBody::SnapshotPiece { .. } | MessageBody::Commit { .. });
         if is_from_leader && !self.follow(now, &from, actions) {
             return;
         }
@@ -172,7 +182,7 @@
                 self.vote_requested(now, from, incarnation, (last_term, last_index), actions);
             }
             MessageBody::Vote { candidate, granted } => {
-                let counts = admitted && self.log.members.incarnation(&from) == Some(incarnation);
+                let counts = self.counts(&from, incarnation, admitted);
                 if granted && counts && candidate == self.incarnation {
                     self.vote_granted(now, from, actions);
                 }
@@ -190,9 +200,10 @@
             MessageBody::SnapshotReceived { round, index, offset } => {
                 self.piece_answered(&from, (incarnation, admitted), round, index, offset, actions);
             }
-            MessageBody::TimeoutNow if self.leader.as_ref() == Some(&from) && self.admitted && !self.stopping => {
+            MessageBody::TimeoutNow if self.leader.as_ref() == Some(&from) && self.is_admitted() && !self.stopping => {
                 self.campaign(now, true, actions);
             }
+            MessageBody::Commit { index } => self.commit_told(index, actions),
             _ => {}
         }
     }
@@ -236,7 +247,7 @@
     }
 
     pub(super) fn message(&self, body: MessageBody) -> Message {
-        Message { term: self.vote.term, incarnation: self.incarnation, admitted: self.admitted, body }
+        Message { term: self.vote.term, incarnation: self.incarnation, admitted: self.is_admitted(), body }
     }
 
     pub(super) fn save_vote(&mut self, effect: Effect, actions: &mut Vec<ConsensusAction>) {
@@ -244,55 +255,11 @@
         actions.push(ConsensusAction::SaveVote { sequence, vote: self.vote.clone() });
     }
 
-    pub(super) fn others(&self) -> Vec<InstanceId> {
-        self.options.replicas.iter().filter(|replica| **replica != self.options.replica).cloned().collect()
-    }
-
-    pub(super) fn majority(&self) -> usize {
-        self.options.replicas.len() / 2 + 1
-    }
-
     pub(super) fn reset_election(&mut self, now: Instant) {
         let min = u64::try_from(self.options.election_min.as_millis()).unwrap_or(u64::MAX);
         let max = u64::try_from(self.options.election_max.as_millis()).unwrap_or(u64::MAX);
         // A group of one has nobody to wait for.
-        let wait = if self.options.replicas.len() == 1 { 0 } else { self.rng.random_range(min..=max.max(min)) };
+        let wait = if self.voter_count() == 1 { 0 } else { self.rng.random_range(min..=max.max(min)) };
         self.election_at = now + Duration::from_millis(wait);
     }
-
-    /// Whether this replica leads. The task of a frozen process may see an old answer; the state
-    /// machine compares the lease at every event.
-    pub fn is_leader(&self) -> bool {
-        matches!(self.role, Role::Leader(_))
-    }
-
-    /// Whether this replica votes and counts.
-    pub fn is_admitted(&self) -> bool {
-        self.admitted
-    }
-
-    /// The leader of this term, if known.
-    pub fn leader(&self) -> Option<&InstanceId> {
-        self.leader.as_ref()
-    }
-
-    /// Highest term seen.
-    pub fn term(&self) -> Term {
-        self.vote.term
-    }
-
-    /// Last entry known to be committed.
-    pub fn commit_index(&self) -> LogIndex {
-        self.commit
-    }
-
-    /// Last entry of the log, committed or not.
-    pub fn last_index(&self) -> LogIndex {
-        self.log.last_index()
-    }
-
-    /// Incarnations admitted as of the last entry.
-    pub fn members(&self) -> &Members {
-        &self.log.members
-    }
 }
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -9,10 +9,6 @@
     std::{sync::Arc, time::Instant},
 };
 
-/// Entries by which a replica may be behind the end of the log and still count as caught up, so that
-/// steady proposals do not keep it from being admitted.
-const CAUGHT_UP_ENTRIES: u64 = 64;
-
 impl Consensus {
     pub(super) fn propose(&mut self, id: u64, command: Arc<[u8]>, actions: &mut Vec<ConsensusAction>) {
         let refused = match &mut self.role {
@@ -22,9 +18,13 @@
             Role::Leader(leader) => {
                 if command.len() > COMMAND_BYTES {
                     Some(ProposalResult::TooLarge)
-                } else if leader.proposals.len() >= self.options.window_proposals {
+                } else if leader.proposals.len() >= self.options.window_proposals
+                    || leader.proposal_bytes > 0
+                        && leader.proposal_bytes + command.len() > self.options.window_proposal_bytes
+                {
                     Some(ProposalResult::Busy)
                 } else {
+                    leader.proposal_bytes += command.len();
                     leader.proposals.push_back((self.log.last_index() + 1, id));
                     None
                 }
@@ -43,7 +43,7 @@
         self.log.append(entry.clone());
         let sequence = self.writes.issue(Effect::Log(entry.index));
         actions.push(ConsensusAction::Append { sequence, entries: vec![entry] });
-        for to in self.others() {
+        for to in self.receivers() {
             self.send_entries(&to, false, actions);
         }
     }
@@ -55,17 +55,21 @@
             leader.rounds.push_back((leader.round, now));
             leader.next_heartbeat = now + self.options.heartbeat;
             leader.hand_over_sent = false;
-            for to in self.others() {
+            for to in self.receivers() {
                 self.send_entries(&to, true, actions);
             }
             self.confirm_rounds();
+            self.forget_learners(now);
+            self.change_members(now, actions);
+            self.tell_replicas(actions);
         }
+        self.check_disk(now);
         self.try_hand_over(now, actions);
     }
 
     /// Sends the entries that the window allows; with `probe`, a message even if there are none.
     pub(super) fn send_entries(&mut self, to: &InstanceId, probe: bool, actions: &mut Vec<ConsensusAction>) {
-        let (term, incarnation, admitted) = (self.vote.term, self.incarnation, self.admitted);
+        let (term, incarnation, admitted) = (self.vote.term, self.incarnation, self.is_admitted());
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(progress) = leader.progress.get_mut(to) else { return };
         let (round, commit) = (leader.round, self.commit);
@@ -91,12 +95,16 @@
         }
         let mut is_sent = false;
         let mut prev_term = prev_term;
-        while progress.in_flight.len() < self.options.window_messages && progress.next <= self.log.last_index() {
+        while progress.next <= self.log.last_index() {
             let entries = self.log.slice(progress.next, PAYLOAD_BYTES);
             let Some(last) = entries.last() else { break };
             let (last_index, last_term) = (last.index, last.term);
+            let size = entries.iter().map(Entry::size).sum();
+            if !progress.has_room(self.options.window_messages, self.options.window_bytes, size) {
+                break;
+            }
             send(progress.next - 1, prev_term, entries);
-            progress.in_flight.push_back(last_index);
+            progress.in_flight.push_back((last_index, size));
             progress.next = last_index + 1;
             prev_term = last_term;
             is_sent = true;
@@ -142,37 +150,26 @@
         (incarnation, admitted): (Incarnation, bool),
         round: u64,
     ) -> Option<&mut Progress> {
+        let now = self.writes.now;
         let Role::Leader(leader) = &mut self.role else { return None };
         let progress = leader.progress.get_mut(from)?;
-        if !progress.observe(incarnation, admitted) {
+        if !progress.observe(now, incarnation, admitted) {
             return None;
         }
         progress.round = progress.round.max(round);
         Some(progress)
     }
 
-    /// Admits a replica's new incarnation once it holds nearly everything.
-    fn admit_caught_up(&mut self, from: &InstanceId, actions: &mut Vec<ConsensusAction>) {
-        let Role::Leader(leader) = &self.role else { return };
-        let Some(progress) = leader.progress.get(from) else { return };
-        let admitted = self.log.members.incarnation(from).unwrap_or_default();
-        let is_caught_up = progress.matched > 0 && progress.matched + CAUGHT_UP_ENTRIES >= self.log.last_index();
-        if progress.incarnation > admitted && is_caught_up && leader.hand_over_until.is_none() {
-            let member = super::Member { replica: from.clone(), incarnation: progress.incarnation };
-            self.lead_entry(Payload::Admit(member), actions);
-        }
-    }
-
     /// Replicas that vote and count, with what is known of them.
     pub(super) fn counted(&self) -> impl Iterator<Item = (&InstanceId, &Progress)> {
         let progress = match &self.role {
             Role::Leader(leader) => Some(&leader.progress),
             _ => None,
         };
-        self.options.replicas.iter().filter_map(move |replica| {
-            let progress = progress?.get(replica)?;
-            let is_counted = progress.admitted && self.log.members.incarnation(replica) == Some(progress.incarnation);
-            is_counted.then_some((replica, progress))
+        self.log.members.iter().filter_map(move |member| {
+            let progress = progress?.get(&member.replica)?;
+            let is_counted = self.counts(&member.replica, progress.incarnation, progress.admitted);
+            is_counted.then_some((&member.replica, progress))
         })
     }
 
@@ -203,6 +200,18 @@
         if index > self.commit && self.log.term(index) == Some(self.vote.term) {
             self.commit = index;
             self.apply(actions);
+            self.tell_commit(actions);
+        }
+    }
+
+    /// In a dynamic group, tells of a commit those that were sent the entries before it.
+    fn tell_commit(&self, actions: &mut Vec<ConsensusAction>) {
+        let Role::Leader(leader) = &self.role else { return };
+        for to in self.receivers().into_iter().filter(|_| self.options.is_dynamic) {
+            let progress = leader.progress.get(&to);
+            if progress.is_some_and(|progress| !progress.probing && progress.next > self.commit) {
+                self.send(to, MessageBody::Commit { index: self.commit }, actions);
+            }
         }
     }
 }
--- a/crates/core/src/consensus/role.rs
+++ b/crates/core/src/consensus/role.rs
@@ -39,6 +39,14 @@
     pub next_heartbeat: Instant,
     /// Proposals that wait to be committed: index of the entry and number of the proposal.
     pub proposals: VecDeque<(LogIndex, u64)>,
+    /// Bytes of these proposals.
+    pub proposal_bytes: usize,
+    /// Reads that wait: the round that has to be confirmed and the number of the read.
+    pub reads: VecDeque<(u64, u64)>,
+    /// Heartbeats sent, without rounds that were begun for reads.
+    pub heartbeats: u64,
+    /// Replicas that the others were told of.
+    pub told: Vec<InstanceId>,
     /// When a planned stop gives up handing over.
     pub hand_over_until: Option<Instant>,
     /// Whether a replica was asked to take over since the last heartbeat.
--- a/crates/core/src/consensus/writes.rs
+++ b/crates/core/src/consensus/writes.rs
@@ -3,7 +3,7 @@
 use {
     super::Message,
     crate::ids::{InstanceId, LogIndex, Term},
-    std::collections::VecDeque,
+    std::{collections::VecDeque, time::Instant},
 };
 
 /// Messages that may wait for writes. A disk that stands still holds back each answer to a heartbeat;
@@ -33,23 +33,30 @@
 }
 
 /// Writes that are not durable yet, and what waits for them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Writes {
     /// Last entry up to which the log is durable.
     pub durable_index: LogIndex,
+    /// Time of the event that is handled; writes are issued at this time.
+    pub now: Instant,
     issued: u64,
-    pending: VecDeque<(u64, Effect)>,
+    pending: VecDeque<(u64, Effect, Instant)>,
     held: VecDeque<(u64, Held)>,
 }
 
 impl Writes {
-    pub fn new(durable_index: LogIndex) -> Self {
-        Self { durable_index, ..Self::default() }
+    pub fn new(now: Instant, durable_index: LogIndex) -> Self {
+        Self { durable_index, now, issued: 0, pending: VecDeque::new(), held: VecDeque::new() }
+    }
+
+    /// When the oldest write that is not durable was issued.
+    pub fn oldest(&self) -> Option<Instant> {
+        self.pending.front().map(|(_, _, at)| *at)
     }
 
     pub fn issue(&mut self, effect: Effect) -> u64 {
         self.issued += 1;
-        self.pending.push_back((self.issued, effect));
+        self.pending.push_back((self.issued, effect, self.now));
         self.issued
     }
 
@@ -59,7 +66,7 @@
 
     /// Whether the term is durable.
     pub fn is_term_durable(&self) -> bool {
-        !self.pending.iter().any(|(_, effect)| matches!(effect, Effect::Vote | Effect::Admitted))
+        !self.pending.iter().any(|(_, effect, _)| matches!(effect, Effect::Vote | Effect::Admitted))
     }
 
     /// Keeps an action until all writes issued so far are durable; gives it back if they are.
@@ -76,7 +83,7 @@
     /// Notes that entries after `last` are no longer part of the log.
     pub fn cut(&mut self, last: LogIndex) {
         self.durable_index = self.durable_index.min(last);
-        for (_, effect) in &mut self.pending {
+        for (_, effect, _) in &mut self.pending {
             if let Effect::Log(index) = effect {
                 *index = (*index).min(last);
             }
@@ -87,7 +94,7 @@
     /// admitted, and what need not wait any longer.
     pub fn persisted(&mut self, up_to: u64) -> (bool, Vec<Held>) {
         let mut admitted = false;
-        while let Some((_, effect)) = self.pending.pop_front_if(|(sequence, _)| *sequence <= up_to) {
+        while let Some((_, effect, _)) = self.pending.pop_front_if(|(sequence, ..)| *sequence <= up_to) {
             match effect {
                 Effect::None | Effect::Vote => {}
                 Effect::Log(index) => self.durable_index = self.durable_index.max(index),
--- a/crates/core/src/ledger/command.rs
+++ b/crates/core/src/ledger/command.rs
@@ -6,6 +6,7 @@
         consensus::COMMAND_BYTES,
         errors::{Result, corrupt, limit},
         ids::ChangeNumber,
+        text::MAX_TEXT_BYTES,
     },
     serde::{Deserialize, Serialize},
 };
@@ -13,8 +14,8 @@
 /// Version of the encoding, the first byte of each command.
 const VERSION: u8 = 1;
 
-/// Longest text that can be submitted: a command must fit one message of the replicated log.
-pub const MAX_SUBMIT_BYTES: usize = COMMAND_BYTES - 64;
+/// Longest text that can be submitted. A command has room for the longest text.
+pub const MAX_SUBMIT_BYTES: usize = MAX_TEXT_BYTES;
 
 /// One command of the replicated state machine. `at` is the time of the leader in milliseconds; it
 /// continues from the time of the last command when leadership changes and never falls.
--- a/crates/scenario/src/fakes/checks.rs
+++ b/crates/scenario/src/fakes/checks.rs
@@ -31,6 +31,8 @@
     PromisedBeforeDurable(InstanceId),
     /// A leader committed up to an entry of an earlier term.
     CommittedEarlierTerm(LogIndex),
+    /// A read was answered without a command that was confirmed before it.
+    StaleRead(u64),
     /// The state machine found an invariant broken.
     Broken(&'static str),
     /// No progress within the bound after all faults ended.
@@ -199,13 +201,18 @@
 
 /// Whether what a message promises is durable.
 fn is_durable(node: &Node, to: &InstanceId, message: &Message) -> bool {
+    is_body_durable(node, to, message) && (!message.admitted || node.disk.durable.vote.admitted)
+}
+
+/// Whether what the body of a message promises is durable.
+pub(crate) fn is_body_durable(node: &Node, to: &InstanceId, message: &Message) -> bool {
     let image = &node.disk.durable;
     let voted_for = |replica: &InstanceId| {
         let held = image.vote.voted_for.as_ref();
         image.vote.term > message.term
             || image.vote.term == message.term && held.is_some_and(|member| member.replica == *replica)
     };
-    let is_body_durable = match &message.body {
+    match &message.body {
         MessageBody::Vote { granted: true, .. } => voted_for(to),
         MessageBody::VoteRequest { .. } => voted_for(&node.replica),
         MessageBody::Appended { index, conflict: false, .. } => {
@@ -218,6 +225,5 @@
             image.vote.binding.as_ref().is_some_and(|held| held == binding || held.ballot > binding.ballot)
         }
         _ => true,
-    };
-    is_body_durable && (!message.admitted || image.vote.admitted)
+    }
 }
--- a/crates/scenario/src/fakes/mod.rs
+++ b/crates/scenario/src/fakes/mod.rs
@@ -7,6 +7,7 @@
 mod net;
 mod node;
 
+pub(crate) use checks::is_body_durable;
 pub use {
     checks::{Checks, Violation},
     cluster::{Cluster, ClusterOptions, Step},
--- /dev/null
+++ b/crates/scenario/src/group/world.rs
@@ -0,0 +1,355 @@
+//! The replicas of a group, their disks and their links on a virtual clock.
+
+use {
+    super::{GroupChecks, GroupOptions, GroupReplica},
+    crate::fakes::{FakeDisk, FakeMachine, FakeNet, Node, Step, Violation},
+    hemlockford_core::{
+        consensus::{Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Message, Write},
+        ids::{InstanceId, LogIndex},
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{
+        collections::BTreeMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time between two ticks of a process.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two proposals.
+const PROPOSALS: Duration = Duration::from_millis(30);
+/// Numbers of reads begin here, so that they differ from those of proposals.
+const READS: u64 = 1 << 32;
+
+/// The replicas of a group, their disks and their links on a virtual clock.
+#[derive(Debug)]
+pub struct Group {
+    /// Every replica that was ever added.
+    pub replicas: Vec<GroupReplica>,
+    /// The links between them.
+    pub net: FakeNet,
+    /// What must hold.
+    pub checks: GroupChecks,
+    /// Time since the start.
+    pub now: Duration,
+    /// Settings, which may be changed on the way.
+    pub options: GroupOptions,
+    /// Messages kept back instead of delivered, while this is set.
+    pub held: Option<Vec<Step>>,
+    proposed: u64,
+    start: Instant,
+    rng: SmallRng,
+    queue: BTreeMap<(Duration, u64), Step>,
+    queued: u64,
+    incarnations: u64,
+}
+
+impl Group {
+    /// Makes a group without replicas.
+    pub fn new(options: GroupOptions) -> Self {
+        Self {
+            replicas: Vec::new(),
+            net: FakeNet::default(),
+            checks: GroupChecks::default(),
+            now: Duration::ZERO,
+            options,
+            held: None,
+            proposed: 0,
+            start: Instant::now(),
+            rng: SmallRng::seed_from_u64(options.seed),
+            queue: BTreeMap::new(),
+            queued: 0,
+            incarnations: 0,
+        }
+    }
+
+    /// Name of the replica with a number.
+    pub fn name(number: usize) -> InstanceId {
+        format!("10.0.0.{number}:7000").into()
+    }
+
+    /// Adds a replica with an empty folder and starts it; returns its number.
+    pub fn add(&mut self, seeds: &[usize], may_found: bool) -> usize {
+        let number = self.replicas.len();
+        self.incarnations += 1;
+        let node = Node::new(Self::name(number), self.incarnations);
+        let seeds = seeds.iter().map(|seed| Self::name(*seed)).collect();
+        self.replicas.push(GroupReplica { node, seeds, may_found, applied: 0 });
+        self.start(number);
+        number
+    }
+
+    /// Starts a process that is down.
+    pub fn start(&mut self, at: usize) {
+        let seed = self.rng.random();
+        let replica = &mut self.replicas[at];
+        if replica.node.consensus.is_some() {
+            return;
+        }
+        let options = ConsensusOptions {
+            replica: replica.node.replica.clone(),
+            replicas: replica.seeds.clone(),
+            is_dynamic: true,
+            may_found: replica.may_found,
+            voters: self.options.voters,
+            snapshot_entries: self.options.snapshot_entries,
+            ..Default::default()
+        };
+        let node = &mut replica.node;
+        node.run += 1;
+        node.is_syncing = false;
+        node.machine = FakeMachine::default();
+        replica.applied = 0;
+        let (run, now, mut actions) = (node.run, self.start + self.now, Vec::new());
+        let rng = SmallRng::seed_from_u64(seed);
+        node.consensus = Some(Consensus::new(now, options, node.disk.recover(), rng, &mut actions));
+        self.schedule(TICK, Step::Tick(at, run));
+        self.carry_out(at, actions);
+    }
+
+    /// Ends a process without notice. It stays down.
+    pub fn kill(&mut self, at: usize) {
+        let node = &mut self.replicas[at].node;
+        node.consensus = None;
+        node.disk.crash(0);
+        node.run += 1;
+    }
+
+    /// Ends a process, empties its folder and starts it.
+    pub fn lose_disk(&mut self, at: usize) {
+        self.kill(at);
+        self.incarnations += 1;
+        self.replicas[at].node.disk = FakeDisk::new(self.incarnations);
+        self.start(at);
+    }
+
+    /// Freezes a process; what is sent to it arrives when it wakes.
+    pub fn freeze(&mut self, at: usize, time: Duration) {
+        self.replicas[at].node.frozen_until = self.now + time;
+    }
+
+    /// Asks a process to stop as planned. It ends when it has handed over.
+    pub fn stop(&mut self, at: usize) {
+        self.handle(at, ConsensusEvent::Stop);
+    }
+
+    /// Cuts a replica off from all others in both directions.
+    pub fn isolate(&mut self, at: usize) {
+        for other in (0..self.replicas.len()).filter(|other| *other != at) {
+            self.net.cuts.extend([(at, other), (other, at)]);
+        }
+    }
+
+    /// Opens the links, wakes and starts every process, and ends the loss of messages.
+    pub fn heal(&mut self) {
+        self.net.cuts.clear();
+        self.options.loss = 0;
+        for at in 0..self.replicas.len() {
+            self.replicas[at].node.frozen_until = Duration::ZERO;
+            self.replicas[at].node.set_sync_time(None);
+            self.start(at);
+        }
+    }
+
+    /// Proposes a command to a replica; returns its number.
+    pub fn propose(&mut self, at: usize) -> u64 {
+        self.proposed += 1;
+        let id = self.proposed;
+        let mut command = id.to_le_bytes().to_vec();
+        command.resize(8 + self.options.padding, 0);
+        self.handle(at, ConsensusEvent::Propose { id, command: Arc::from(command) });
+        id
+    }
+
+    /// Reads at a replica; returns the number of the read.
+    pub fn read(&mut self, at: usize) -> u64 {
+        self.proposed += 1;
+        let id = READS + self.proposed;
+        self.checks.asked(id);
+        self.handle(at, ConsensusEvent::Read { id });
+        id
+    }
+
+    /// Runs until a time has passed; if the group is busy, with proposals to every replica that leads, and reads.
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.run_until((self.now + PROPOSALS).min(end));
+            let leads = |at: &usize| {
+                let node = &self.replicas[*at].node;
+                node.is_leader() && node.frozen_until <= self.now
+            };
+            let leaders: Vec<_> = (0..self.replicas.len()).filter(leads).collect();
+            if self.options.is_busy {
+                for at in leaders {
+                    self.read(at);
+                    self.propose(at);
+                }
+            }
+        }
+    }
+
+    /// Runs until something holds; returns whether it did within the bound.
+    pub fn run_while(&mut self, bound: Duration, is_done: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + bound;
+        while self.now < end && !is_done(self) {
+            self.run_for(PROPOSALS);
+        }
+        is_done(self)
+    }
+
+    fn run_until(&mut self, until: Duration) {
+        while let Some(((at, number), step)) = self.queue.pop_first() {
+            if at > until {
+                self.queue.insert((at, number), step);
+                break;
+            }
+            self.now = self.now.max(at);
+            let frozen_until = self.replicas[step.node()].node.frozen_until;
+            if frozen_until > self.now {
+                self.queue.insert((frozen_until, number), step);
+            } else {
+                self.run(step);
+            }
+        }
+        self.now = self.now.max(until);
+    }
+
+    fn schedule(&mut self, wait: Duration, step: Step) {
+        self.queued += 1;
+        self.queue.insert((self.now + wait, self.queued), step);
+    }
+
+    fn run(&mut self, step: Step) {
+        match step {
+            Step::Tick(at, run) if self.replicas[at].node.run == run && self.replicas[at].node.consensus.is_some() => {
+                self.schedule(TICK, Step::Tick(at, run));
+                self.handle(at, ConsensusEvent::Tick);
+            }
+            Step::Deliver(from, to, message) if self.net.is_open(from, to) => {
+                let from = Self::name(from);
+                self.handle(to, ConsensusEvent::Receive { from, message });
+            }
+            Step::Synced(at, run, up_to) if self.replicas[at].node.run == run => {
+                self.replicas[at].node.is_syncing = false;
+                self.replicas[at].node.disk.sync(up_to);
+                self.handle(at, ConsensusEvent::Persisted { up_to });
+            }
+            _ => {}
+        }
+    }
+
+    /// Delivers a message as if it had just been sent.
+    pub fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        self.handle(to, ConsensusEvent::Receive { from: Self::name(from), message });
+    }
+
+    /// The running replica that leads in the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let term = |at: &usize| self.replicas[*at].consensus().map(Consensus::term);
+        (0..self.replicas.len()).filter(|at| self.replicas[*at].node.is_leader()).max_by_key(term)
+    }
+
+    /// Numbers of the voters in the log of the leader.
+    pub fn voters(&self) -> Vec<usize> {
+        let leader = self.leader().and_then(|at| self.replicas[at].consensus());
+        let names: Vec<_> = leader.into_iter().flat_map(Consensus::voters).collect();
+        (0..self.replicas.len()).filter(|at| names.contains(&&self.replicas[*at].node.replica)).collect()
+    }
+
+    /// Whether every running replica has applied the same commands, with one leader and the voters aimed at.
+    pub fn is_settled(&self) -> bool {
+        let last = self.checks.applied.last_key_value().map_or(0, |(index, _)| *index);
+        let running = self.replicas.iter().filter(|replica| replica.node.consensus.is_some());
+        let are_voters_up = self.voters().iter().all(|at| self.replicas[*at].node.consensus.is_some());
+        self.leader().is_some()
+            && are_voters_up
+            && self.voters().len() == self.options.voters
+            && running.clone().all(|replica| replica.applied == last)
+    }
+
+    fn handle(&mut self, at: usize, event: ConsensusEvent) {
+        let (now, mut actions) = (self.start + self.now, Vec::new());
+        if let Some(consensus) = &mut self.replicas[at].node.consensus {
+            consensus.handle(now, event, &mut actions);
+        }
+        self.carry_out(at, actions);
+    }
+
+    fn carry_out(&mut self, at: usize, actions: Vec<ConsensusAction>) {
+        let is_stopped = actions.contains(&ConsensusAction::Stopped);
+        for action in &actions {
+            if let Some((sequence, write)) = Write::of(action) {
+                self.replicas[at].node.disk.write(sequence, write);
+            }
+        }
+        for action in actions {
+            self.carry_out_one(at, action);
+        }
+        let node = &mut self.replicas[at].node;
+        if let (Some(up_to), false) = (node.disk.pending(), node.is_syncing) {
+            node.is_syncing = true;
+            let (run, time) = (node.run, node.sync_time);
+            self.schedule(time, Step::Synced(at, run, up_to));
+        }
+        if is_stopped {
+            self.kill(at);
+        }
+    }
+
+    fn carry_out_one(&mut self, at: usize, action: ConsensusAction) {
+        let replica = &mut self.replicas[at];
+        let name = replica.node.replica.clone();
+        match action {
+            ConsensusAction::Send { to, message } => {
+                self.checks.sent(replica, &to, &message);
+                self.send(at, &to, message);
+            }
+            ConsensusAction::Apply { index, command } => {
+                let id = u64::from_le_bytes(command[..8].try_into().unwrap_or_default());
+                replica.node.machine.commands.push((index, id));
+                replica.applied = index;
+                self.checks.applied(&name, index, id);
+            }
+            ConsensusAction::RestoreSnapshot { snapshot } => {
+                replica.node.machine = FakeMachine::decode(&snapshot.data);
+                let commands = replica.node.machine.commands.clone();
+                replica.applied = commands.last().map_or(0, |(index, _)| *index);
+                if commands.iter().any(|(index, id)| self.checks.applied.get(index) != Some(id)) {
+                    self.checks.report(Violation::LogsDiffer(name, snapshot.index));
+                }
+            }
+            ConsensusAction::TakeSnapshot { index } => {
+                let data = replica.node.machine.encode(0);
+                self.handle(at, ConsensusEvent::SnapshotTaken { index, data });
+            }
+            ConsensusAction::Answer { id, result } if id > READS => {
+                self.checks.read(id, result, replica.applied);
+            }
+            ConsensusAction::Answer { id, result } => self.checks.answered(id, result),
+            ConsensusAction::BecomeLeader { term } => self.checks.led(&name, term),
+            ConsensusAction::Broken(what) => self.checks.report(Violation::Broken(what)),
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &InstanceId, message: Message) {
+        let Some(to) = self.replicas.iter().position(|replica| replica.node.replica == *to) else { return };
+        if self.rng.random_range(0..100) < self.options.loss {
+            return;
+        }
+        let step = Step::Deliver(from, to, message);
+        if let Some(held) = &mut self.held {
+            return held.push(step);
+        }
+        let jitter = u64::try_from(self.options.jitter.as_micros()).unwrap_or_default();
+        let jitter = Duration::from_micros(self.rng.random_range(0..=jitter));
+        self.schedule(FakeNet::LATENCY + jitter, step);
+    }
+
+    /// Last entry that a replica has applied.
+    pub fn applied(&self, at: usize) -> LogIndex {
+        self.replicas[at].applied
+    }
+}
