--- a/crates/core/src/consensus/options.rs
+++ b/crates/core/src/consensus/options.rs
@@ -65,7 +65,7 @@
             window_messages: 8,
             window_bytes: 1024 * 1024,
             window_proposals: 1_024,
-            window_proposal_bytes: 8 * 1024 * 1024,
+            window_proposal_bytes: 4 * 1024 * 1024,
         }
     }
 }
--- a/crates/net/src/frame.rs
+++ b/crates/net/src/frame.rs
@@ -16,6 +16,8 @@
 const VERSION: u8 = 1;
 /// Bytes in front of the body: version and checksum.
 const PREFIX_BYTES: usize = 5;
+/// Bytes in front of a frame on a stream: its length.
+pub(crate) const LENGTH_BYTES: usize = 4;
 /// Largest datagram, in bytes. It fits the smallest path MTU in common use (1,280 bytes) with its headers.
 pub const MAX_DATAGRAM_BYTES: usize = 1_232;
 /// Largest frame on a stream, in bytes: one operators' text and its envelope.
@@ -30,14 +32,28 @@
 /// assert_eq!(decode::<u32>(&bytes).unwrap(), envelope);
 /// ```
 pub fn encode<M: Serialize>(envelope: &Envelope<M>, max: usize) -> Result<Vec<u8>> {
-    let bytes = vec![0; PREFIX_BYTES];
-    let mut bytes = postcard::to_extend(envelope, bytes).map_err(|e| corrupt(e.to_string()))?;
-    if bytes.len() > max {
-        return Err(limit(format!("message of {} bytes is longer than {max}", bytes.len())));
+    encode_after(0, envelope, max)
+}
+
+/// Encodes a frame on a stream: a message with its length in front, so that both are written at once.
+pub(crate) fn encode_frame<M: Serialize>(envelope: &Envelope<M>) -> Result<Vec<u8>> {
+    let mut bytes = encode_after(LENGTH_BYTES, envelope, MAX_FRAME_BYTES)?;
+    // The length is bounded far below 4 GiB.
+    let length = (bytes.len() - LENGTH_BYTES) as u32;
+    bytes[..LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
+    Ok(bytes)
+}
+
+/// Encodes a message behind `head` bytes that are left free.
+fn encode_after<M: Serialize>(head: usize, envelope: &Envelope<M>, max: usize) -> Result<Vec<u8>> {
+    let body = head + PREFIX_BYTES;
+    let mut bytes = postcard::to_extend(envelope, vec![0; body]).map_err(|e| corrupt(e.to_string()))?;
+    if bytes.len() - head > max {
+        return Err(limit(format!("message of {} bytes is longer than {max}", bytes.len() - head)));
     }
-    let checksum = crc32fast::hash(&bytes[PREFIX_BYTES..]);
-    bytes[0] = VERSION;
-    bytes[1..PREFIX_BYTES].copy_from_slice(&checksum.to_le_bytes());
+    let checksum = crc32fast::hash(&bytes[body..]);
+    bytes[head] = VERSION;
+    bytes[head + 1..body].copy_from_slice(&checksum.to_le_bytes());
     Ok(bytes)
 }
 
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -213,6 +213,8 @@
     fn compact(&mut self) -> Result<()> {
         let data = self.disk.read(LOG).map_err(|error| self.fail("read", LOG, &error))?.unwrap_or_default();
         let replay = Replay::read(LOG, &data)?;
+        // Commands may be as long as a text, so the log is not held twice.
+        drop(data);
         let (index, term) = replay.covered();
         let mut buf = Vec::new();
         let bodies = [LogBody::Snapshot(index, term), LogBody::Vote(replay.vote)];
