--- a/crates/instance/src/fleet/network.rs
+++ b/crates/instance/src/fleet/network.rs
@@ -39,16 +39,16 @@
         let socket = DatagramSocket::new(datagrams)?;
         actix_rt::spawn(StreamListener::new(listen, options.clone())?.run(received.clone()));
         actix_rt::spawn(receive(socket.clone(), received, counters.clone()));
-        Ok(Self { id, incarnation, socket, links: StreamLinks::on_demand(&options), counters })
+        Ok(Self { id, incarnation, socket, links: StreamLinks::open_any(&options), counters })
     }
 
     /// Sends a message, in a datagram if it fits one. It may be lost either way.
-    pub(super) fn send(&mut self, to: &str, message: FleetMessage) {
+    pub(super) fn send(&self, to: &str, message: FleetMessage) {
         let is_small = message.fits_datagram();
         let envelope = Envelope { from: self.id.clone(), incarnation: self.incarnation, message };
         let Ok(address) = to.parse::<SocketAddr>() else { return };
         let sent =
-            if is_small { self.socket.send(address, &envelope) } else { self.links.send_on_demand(to, &envelope) };
+            if is_small { self.socket.send(address, &envelope) } else { self.links.send(to, &envelope) };
         self.counters.count(if is_small { "udp" } else { "tcp" }, "sent", "fleet", sent.unwrap_or_default());
     }
 }
