Make the test of many routes notice a quadratic step

A bound of 3 s in debug builds passed with a scan of all earlier routes added on purpose. The test now compares 1,250 with 10,000 routes and fails with that scan (24 times the time instead of about 10).

--- a/crates/core/tests/text_routes.rs
+++ b/crates/core/tests/text_routes.rs
@@ -187,35 +187,45 @@
     }
 }
 
-/// Guards against steps that grow with the square of the text: with them this takes many seconds. Release builds
-/// are held to the stated bound of 100 ms.
+/// Returns `count` routes by whether they are distinct, match the same requests with a bad kind, or have one name.
+fn routes(form: &str, count: usize) -> String {
+    let route = |number: usize| {
+        let (name, path, kind) = match form {
+            "distinct" => (number, number, "once"),
+            "equal" => (number, 0, "often"),
+            _ => (0, number, "once"),
+        };
+        let (host, service) = (number % 100, number % 60);
+        format!("[route r{name}]\nhost = h{host}.ex\nprefix = /p{path}/\nkind = {kind}\nservice = s{service}\n")
+    };
+    let services = (0..60).map(|number| format!("[service s{number}]\n"));
+    services.chain((0..count).map(route)).collect()
+}
+
+/// Guards against steps that grow with the square of the text: then 8 times the routes would take up to 64 times as
+/// long. Release builds are also held to the bound of 100 ms.
 #[test]
 fn ten_thousand_routes_parse_quickly() {
-    let bound = Duration::from_millis(if cfg!(debug_assertions) { 3_000 } else { 100 });
-    let route = |number: usize, prefix: usize, kind: &str| {
-        format!(
-            "[route r{number}]\nhost = h{}.ex\nprefix = /p{prefix}/\nkind = {kind}\nservice = s{}\n",
-            number % 100,
-            number % 60
-        )
-    };
-    let services: String = (0..60).map(|number| format!("[service s{number}]\n")).collect();
-    let distinct: String = (0..ROUTES).map(|number| route(number, number, "once")).collect();
-    let equal: String = (0..ROUTES).map(|number| route(number, 0, "often")).collect();
-    let twice: String = (0..ROUTES).map(|number| route(0, number, "once")).collect();
-    for (name, routes, faults) in
-        [("distinct", distinct, 0), ("equal", equal, 2 * ROUTES - 100), ("twice", twice, 5 * (ROUTES - 1))]
-    {
-        let source = format!("{services}{routes}");
-        assert!(source.len() < MAX_TEXT_BYTES);
-        let timed = || {
+    const ROUNDS: usize = 20;
+    let bound = if cfg!(debug_assertions) { Duration::MAX } else { Duration::from_millis(100) };
+    for (form, faults) in [("distinct", 0), ("equal", 2 * ROUTES - 100), ("twice", 5 * (ROUTES - 1))] {
+        let (few, many) = (routes(form, ROUTES / 8), routes(form, ROUTES));
+        assert!(many.len() < MAX_TEXT_BYTES);
+        assert_eq!(parse(&many).err().map_or(0, |faults| faults.len()), faults, "{form}");
+        let timed = |source: &str| {
             let start = Instant::now();
-            let result = parse(&source);
-            (start.elapsed(), result.err().map_or(0, |faults| faults.len()))
+            let is_refused = parse(source).is_err();
+            assert_eq!(is_refused, faults > 0, "{form}");
+            start.elapsed()
         };
-        let (time, found) = (0..5).map(|_| timed()).min().unwrap();
-        println!("{name}: {time:?}");
-        assert_eq!(found, faults, "{name}");
-        assert!(time < bound, "{name}: {time:?}");
+        // Other processes slow single rounds down; the shortest times count.
+        let mut shortest = (Duration::MAX, Duration::MAX);
+        let is_quick = (0..ROUNDS).any(|_| {
+            let quick = (0..4).map(|_| timed(&few)).min().unwrap();
+            shortest = (shortest.0.min(quick), shortest.1.min(timed(&many)));
+            shortest.1 < bound && shortest.1 < 16 * shortest.0
+        });
+        println!("{form}: {shortest:?}");
+        assert!(is_quick, "{form}: {shortest:?}");
     }
 }
