--- /dev/null
+++ b/crates/scenario/tests/large_commands.rs
@@ -0,0 +1,102 @@
+//! Commands that carry the longest text.
+
+mod group;
+
+use {
+    group::{SECOND, SETTLED, founded, settle},
+    hemlockford_core::{
+        consensus::{COMMAND_BYTES, ConsensusOptions, Entry, MessageBody, ProposalResult},
+        ledger::{Command, MAX_SUBMIT_BYTES},
+        text::MAX_TEXT_BYTES,
+    },
+    hemlockford_scenario::{
+        fakes::Step,
+        group::{Group, GroupOptions},
+    },
+};
+
+/// Bytes in front of the padding of a command.
+const NUMBER: usize = 8;
+
+fn options() -> GroupOptions {
+    GroupOptions { padding: COMMAND_BYTES - NUMBER, is_busy: false, ..GroupOptions::default() }
+}
+
+/// Bytes of the entries in the messages that are kept back, for one receiver.
+fn bytes_to(group: &Group, receiver: usize) -> (usize, usize) {
+    let (mut messages, mut bytes) = (0, 0);
+    for step in group.held.iter().flatten() {
+        if let Step::Deliver(_, to, message) = step
+            && let MessageBody::Append { entries, .. } = &message.body
+            && *to == receiver
+            && !entries.is_empty()
+        {
+            messages += 1;
+            bytes += entries.iter().map(Entry::size).sum::<usize>();
+        }
+    }
+    (messages, bytes)
+}
+
+/// Guards against a text that operators may submit and that the log does not take.
+#[test]
+fn longest_text_fits_a_command() {
+    let submit = |bytes| Command::Submit { number: u64::MAX, text: "x".repeat(bytes).into() }.encode();
+    assert_eq!(MAX_SUBMIT_BYTES, MAX_TEXT_BYTES);
+    assert!(submit(MAX_TEXT_BYTES).is_ok());
+    assert!(submit(COMMAND_BYTES).is_err());
+}
+
+/// Guards against large commands that are not confirmed, or that replicas far behind or new do not get.
+#[test]
+fn large_commands_reach_every_replica() {
+    let mut group = founded(3, options());
+    let behind = (group.leader().unwrap() + 1) % 3;
+    group.isolate(behind);
+    for _ in 0..10 {
+        let leader = group.leader().unwrap();
+        let id = group.propose(leader);
+        group.run_for(SECOND / 10);
+        assert!(matches!(group.checks.answers.get(&id), Some(ProposalResult::Committed { .. })));
+    }
+    group.net.cuts.clear();
+    let joined = group.add(&[0, 1, 2], false);
+    settle(&mut group, SETTLED);
+    for at in [behind, joined] {
+        assert!(group.applied(at) > 0 && group.replicas[at].node.machine.commands.len() == 10);
+    }
+}
+
+/// Guards against memory that grows with the commands on the way: to one replica, and in the log of the leader.
+#[test]
+fn window_of_large_commands_is_bounded() {
+    let mut group = founded(3, options());
+    let leader = group.leader().unwrap();
+    let others: Vec<_> = (0..3).filter(|at| *at != leader).collect();
+    group.held = Some(Vec::new());
+    let ids: Vec<_> = (0..20).map(|_| group.propose(leader)).collect();
+    let limits = ConsensusOptions::default();
+    for other in others {
+        let (messages, bytes) = bytes_to(&group, other);
+        assert!(messages == 1 || bytes <= limits.window_bytes, "{messages} messages with {bytes} bytes");
+    }
+    let refused = ids.iter().filter(|id| group.checks.answers.get(id) == Some(&ProposalResult::Busy)).count();
+    assert_eq!(20 - refused, limits.window_proposal_bytes / COMMAND_BYTES);
+    // Small commands are bounded by their number as before.
+    let held = group.held.take().unwrap();
+    for step in held {
+        if let Step::Deliver(from, to, message) = step {
+            group.deliver(from, to, message);
+        }
+    }
+    group.run_for(SECOND);
+    assert!(ids[..3].iter().all(|id| matches!(group.checks.answers.get(id), Some(ProposalResult::Committed { .. }))));
+    group.options.padding = 0;
+    group.held = Some(Vec::new());
+    for _ in 0..500 {
+        group.propose(leader);
+    }
+    let (messages, bytes) = bytes_to(&group, (leader + 1) % 3);
+    assert_eq!(messages, limits.window_messages);
+    assert!(bytes < limits.window_bytes);
+}
