Test the HTTP path of another interface against raw servers

Connections in the listener's queue were reset at the end of a stop, as the reactor had not seen them: the queue is now read from the socket itself.

--- a/crates/proxy/src/worker.rs
+++ b/crates/proxy/src/worker.rs
@@ -15,7 +15,6 @@
     actix_http::{KeepAlive, ServiceConfig},
     actix_rt::time::{interval, sleep},
     error_stack::ResultExt,
-    futures_util::FutureExt,
     hemlockford_core::{
         errors::{ErrorKind, Result},
         outcome::NotRunReason,
@@ -128,11 +127,14 @@
                 break;
             }
         }
-        // Connections that the kernel has accepted would be reset with the listener.
-        while let Some(Ok((io, peer))) = listener.accept().now_or_never() {
-            serve(&shared, &mut late, io, peer, handover.keep());
+        // Connections in the listener's queue would be reset with it. The reactor may not have seen them yet.
+        if let Ok(listener) = listener.into_std() {
+            while let Ok((io, peer)) = listener.accept() {
+                if let Ok(io) = io.set_nonblocking(true).and_then(|()| TcpStream::from_std(io)) {
+                    serve(&shared, &mut late, io, peer, handover.keep());
+                }
+            }
         }
-        drop(listener);
         // A worker that has not seen the signal may have handed these over meanwhile.
         handover.received.close();
         while let Ok((io, peer, share)) = handover.received.try_recv() {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A worker with a scripted dispatcher, raw servers and raw callers, all on loopback.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod platform;
+
 use {
     hemlockford_core::{
         dispatch::{AttemptResult, Call, Finish},
@@ -39,6 +41,7 @@
     pub pass_allowance: bool,
     pub want_report: bool,
     pub options: ProxyOptions,
+    pub text: Text,
     pub claims: Option<mpsc::UnboundedSender<ClaimMessage>>,
 }
 
@@ -49,6 +52,7 @@
             hold: false,
             pass_allowance: false,
             want_report: false,
+            text: Text::parse(TEXT).unwrap(),
             options: ProxyOptions { warm_per_server: 0, rest: Duration::ZERO, ..ProxyOptions::default() },
             claims: None,
         }
@@ -70,7 +74,7 @@
     pub worker: JoinHandle<()>,
     pub registry: prometheus::Registry,
     pub records: mpsc::UnboundedReceiver<CallRecord>,
-    _text: watch::Sender<Arc<Text>>,
+    pub text: watch::Sender<Arc<Text>>,
 }
 
 impl TestProxy {
@@ -79,7 +83,7 @@
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap();
         let (gate, messages) = Gate::new();
-        let (text_tx, text) = watch::channel(Arc::new(Text::parse(TEXT).unwrap()));
+        let (text_tx, text) = watch::channel(Arc::new(script.text.clone()));
         let (stop_tx, stop) = watch::channel(false);
         let (records_tx, records) = mpsc::unbounded_channel();
         let registry = prometheus::Registry::new();
@@ -97,7 +101,7 @@
         let log = Rc::new(RefCell::new(Log::default()));
         actix_rt::spawn(dispatch(script, messages, log.clone()));
         let worker = actix_rt::spawn(async move { worker.run(listener).await.unwrap() });
-        Self { address, log, stop: stop_tx, worker, registry, records, _text: text_tx }
+        Self { address, log, stop: stop_tx, worker, registry, records, text: text_tx }
     }
 
     pub async fn caller(&self) -> Caller {
--- /dev/null
+++ b/crates/proxy/tests/support/platform.rs
@@ -0,0 +1,90 @@
+//! A platform with header names and rules of its own, whose services are selected by routes.
+
+use {
+    super::{Answer, Caller, Script, Server, serve},
+    hemlockford_core::{
+        dispatch::CallTerms,
+        text::{Route, RouteKind, Target, Text},
+    },
+    hemlockford_proxy::{Dialect, HeaderName, LoadFormat, ProxyOptions, Selection},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+};
+
+pub const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+/// A request that may be repeated; the second one may not.
+pub const LOOK_UP: &str = "GET /look-up/a HTTP/1.1\r\nhost: shop.example\r\nx-id: 7\r\n\r\n";
+pub const ORDER: &str = "POST /order/a HTTP/1.1\r\nhost: shop.example\r\nx-id: 8\r\ncontent-length: 2\r\n\r\nhi";
+
+pub fn dialect() -> Dialect {
+    Dialect {
+        selection: Selection::Routes,
+        deadline: HeaderName::from_static("x-left"),
+        request_id: Some(HeaderName::from_static("x-id")),
+        echoes_request_id: true,
+        expected_server: Some(HeaderName::from_static("x-for")),
+        load: HeaderName::from_static("x-load"),
+        load_format: LoadFormat::List,
+        not_run: HeaderName::from_static("x-not-run"),
+        not_run_value: None,
+        fractional_retry_after: true,
+        product_headers: false,
+        keep_alive_reuse: true,
+        close_delimited: true,
+        keeps_server_errors: true,
+    }
+}
+
+pub fn route(prefix: &str, kind: RouteKind, targets: &[(&str, u32)]) -> Route {
+    let target = |(service, weight): &(&str, u32)| Target { service: (*service).into(), weight: *weight };
+    Route {
+        name: prefix.into(),
+        host: "shop.example".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Duration::from_secs(2),
+        terms: CallTerms::default(),
+        targets: targets.iter().map(target).collect(),
+        is_split: targets.len() > 1,
+    }
+}
+
+pub fn text() -> Text {
+    let routes = vec![
+        route("/look-up/", RouteKind::Idempotent, &[("catalogue", 1)]),
+        route("/order/", RouteKind::Once, &[("booking", 1)]),
+        route("/upload/", RouteKind::Upload, &[("intake", 1)]),
+    ];
+    Text { number: 1, routes, ..Text::default() }
+}
+
+/// A worker of the platform whose calls go to the servers, one after the other.
+pub fn script(servers: &[SocketAddr]) -> Script {
+    let options = ProxyOptions { rest: Duration::ZERO, ..ProxyOptions::fleet(dialect()) };
+    Script { servers: servers.to_vec(), options, text: text(), ..Script::to(servers[0]) }
+}
+
+/// Returns an answer with a further field.
+pub fn with(answer: &str, field: &str) -> String {
+    answer.replacen("\r\n", &format!("\r\n{field}\r\n"), 1)
+}
+
+/// Returns an answer that echoes the id of a request.
+pub fn echo(answer: &str, request: &Answer) -> String {
+    with(answer, &format!("x-id: {}", request.header("x-id").unwrap_or("missing")))
+}
+
+/// Starts a server that gives the same answer, with the id echoed, to every request, and records the requests.
+pub async fn echoing(answer: &'static str) -> (Server, Rc<RefCell<Vec<String>>>) {
+    let seen = Rc::new(RefCell::new(Vec::new()));
+    let requests = seen.clone();
+    let server = serve(move |mut io: Caller, _| {
+        let requests = requests.clone();
+        async move {
+            while let Some(request) = io.message(false).await {
+                requests.borrow_mut().push(format!("{}{}", request.head, String::from_utf8_lossy(&request.body)));
+                io.send(&echo(answer, &request)).await;
+            }
+        }
+    });
+    (server.await, seen)
+}
