--- a/crates/proxy/src/worker.rs
+++ b/crates/proxy/src/worker.rs
@@ -15,12 +15,12 @@
     actix_http::{KeepAlive, ServiceConfig},
     actix_rt::time::{interval, sleep},
     error_stack::ResultExt,
-    futures_util::FutureExt,
     hemlockford_core::{
         errors::{ErrorKind, Result},
         outcome::NotRunReason,
         text::Text,
     },
+    rand::{SeedableRng, rngs::SmallRng},
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
@@ -78,13 +78,15 @@
         let keep_alive = KeepAlive::Timeout(options.keep_alive);
         let config = ServiceConfig::new(keep_alive, options.head_timeout, Duration::ZERO, false, None);
         let mut handover = self.handover;
-        let routing = Rc::new(Routing::new(self.text.borrow().clone()));
+        let mut rng = SmallRng::seed_from_u64(options.seed ^ self.number);
+        let routing = Rc::new(Routing::new(self.text.borrow().clone(), &mut rng));
         let shared = Rc::new(Shared {
             pool: Pool::new(options.clone(), config.clone(), self.counters.clone()),
             options,
             config,
             gate: self.gate,
             routing: RefCell::new(routing),
+            rng: RefCell::new(rng),
             text: self.text,
             stop: self.stop,
             claims: self.claims,
@@ -128,11 +130,14 @@
                 break;
             }
         }
-        // Connections that the kernel has accepted would be reset with the listener.
-        while let Some(Ok((io, peer))) = listener.accept().now_or_never() {
-            serve(&shared, &mut late, io, peer, handover.keep());
+        // Connections in the listener's queue would be reset with it. The reactor may not have seen them yet.
+        if let Ok(listener) = listener.into_std() {
+            while let Ok((io, peer)) = listener.accept() {
+                if let Ok(io) = io.set_nonblocking(true).and_then(|()| TcpStream::from_std(io)) {
+                    serve(&shared, &mut late, io, peer, handover.keep());
+                }
+            }
         }
-        drop(listener);
         // A worker that has not seen the signal may have handed these over meanwhile.
         handover.received.close();
         while let Ok((io, peer, share)) = handover.received.try_recv() {
