--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -120,7 +120,9 @@
             None => lost_at,
         };
         let poll = self.replica.as_ref().map(|_| self.next_poll);
-        [search, poll].into_iter().flatten().min()
+        // Without a current replica nothing is removed.
+        let removal = self.view.next_removal().filter(|_| self.search.is_none());
+        [search, poll, removal].into_iter().flatten().min()
     }
 
     /// The replica in use.
@@ -137,6 +139,11 @@
         if self.search.is_none() && !self.is_current(now) {
             out.push(EntryAction::Log(FleetLog::NoReplica));
             self.search = Some(Search::new(now));
+            // The replica in use is asked once more together with the others, in case only polls were lost.
+            self.next_poll = now;
+        }
+        if self.search.is_none() {
+            self.view.remove_absent(now);
         }
         if let Some((name, asked_at)) = self.search.as_ref().and_then(|search| search.settled_for(now)) {
             self.use_replica(now, name, asked_at, out);
@@ -235,8 +242,10 @@
         }
         let is_preferred = self.replica.as_ref().is_none_or(|used| self.known.rank(&from) < self.known.rank(used));
         match &mut self.search {
-            Some(_) if self.known.is_near(&from) => self.use_replica(now, from, asked_at, out),
-            Some(search) => search.found_far(now, self.known.rank(&from), from, asked_at),
+            Some(_) if self.replica.is_none() && self.known.is_near(&from) => {
+                self.use_replica(now, from, asked_at, out);
+            }
+            Some(search) => search.found(now, self.known.rank(&from), from, asked_at),
             None if is_preferred && state.is_settled => self.use_replica(now, from, asked_at, out),
             None => {}
         }
@@ -284,7 +293,7 @@
                     return;
                 }
                 if is_complete {
-                    self.view.retain(&servers.usable);
+                    self.view.retain(now, &servers.usable);
                 }
                 is_complete
             }
--- a/crates/core/src/fleet/entry/search.rs
+++ b/crates/core/src/fleet/entry/search.rs
@@ -9,8 +9,8 @@
 const AT_ONCE: usize = 3;
 /// Time between rounds of questions.
 const ROUND: Duration = Duration::from_millis(250);
-/// Time for which a current replica of another data centre waits for the answer of one of the own.
-const PREFER_NEAR: Duration = Duration::from_millis(50);
+/// Time for which a replica that was found waits for the answer of the one in use, or of a preferred one.
+const PREFER_OTHERS: Duration = Duration::from_millis(50);
 
 /// Search for a current replica: a few are asked at once, round after round.
 #[derive(Debug)]
@@ -18,12 +18,12 @@
     next_round: Instant,
     /// Replicas that were asked in this pass over all that are known.
     asked: FastSet<InstanceId>,
-    far: Option<Far>,
+    found: Option<Found>,
 }
 
-/// The preferred one of the current replicas of other data centres that were found.
+/// The preferred one of the current replicas that were found.
 #[derive(Debug)]
-struct Far {
+struct Found {
     rank: (bool, u64),
     name: InstanceId,
     asked_at: Instant,
@@ -33,7 +33,7 @@
 
 impl Search {
     pub(super) fn new(now: Instant) -> Self {
-        Self { next_round: now, asked: FastSet::default(), far: None }
+        Self { next_round: now, asked: FastSet::default(), found: None }
     }
 
     /// Replicas to ask now, from all in the order of preference.
@@ -51,20 +51,20 @@
         names
     }
 
-    /// Takes a current replica of another data centre; it waits for one of the own.
-    pub(super) fn found_far(&mut self, now: Instant, rank: (bool, u64), name: InstanceId, asked_at: Instant) {
-        if self.far.as_ref().is_none_or(|far| rank < far.rank) {
-            let until = self.far.as_ref().map_or(now + PREFER_NEAR, |far| far.until);
-            self.far = Some(Far { rank, name, asked_at, until });
+    /// Takes a current replica.
+    pub(super) fn found(&mut self, now: Instant, rank: (bool, u64), name: InstanceId, asked_at: Instant) {
+        if self.found.as_ref().is_none_or(|found| rank < found.rank) {
+            let until = self.found.as_ref().map_or(now + PREFER_OTHERS, |found| found.until);
+            self.found = Some(Found { rank, name, asked_at, until });
         }
     }
 
     /// The replica that has waited long enough, and when it was asked.
     pub(super) fn settled_for(&self, now: Instant) -> Option<(InstanceId, Instant)> {
-        self.far.as_ref().filter(|far| now >= far.until).map(|far| (far.name.clone(), far.asked_at))
+        self.found.as_ref().filter(|found| now >= found.until).map(|found| (found.name.clone(), found.asked_at))
     }
 
     pub(super) fn next_wake(&self) -> Instant {
-        self.far.as_ref().map_or(self.next_round, |far| self.next_round.min(far.until))
+        self.found.as_ref().map_or(self.next_round, |found| self.next_round.min(found.until))
     }
 }
--- a/crates/core/src/fleet/entry/view.rs
+++ b/crates/core/src/fleet/entry/view.rs
@@ -17,6 +17,9 @@
 const UNENDING: Duration = Duration::from_secs(10 * 365 * 86_400);
 /// Departures that are remembered.
 const MAX_DEPARTED: usize = 4_096;
+/// Time for which a server is kept that the whole directory of another replica lacks. The replicas differ by a
+/// lost message until the next announcement of the server, which may take 1.5 s and a batch of renewals.
+const ABSENT_FOR: Duration = Duration::from_secs(2);
 /// Difference of two ends of a warm-up below which a server counts as the same.
 const WARM_UP_TOLERANCE: Duration = Duration::from_millis(500);
 
@@ -34,6 +37,8 @@
     /// not bring a server back.
     departed: FastMap<ServerId, u64>,
     departed_order: VecDeque<ServerId>,
+    /// Servers that a whole directory lacked, with the time at which they are removed.
+    absent: FastMap<ServerId, Instant>,
     /// Services whose servers have changed since they were last told.
     changed: FastSet<ServiceId>,
 }
@@ -76,6 +81,7 @@
             }
             self.remove(&rival.1);
         }
+        self.absent.remove(&server.server);
         let warm_until = now + Duration::from_millis(u64::from(server.warm_up_ms));
         let used = Used { server, warm_until };
         match self.servers.get_mut(&used.server.server) {
@@ -93,20 +99,34 @@
     }
 
     pub(super) fn remove(&mut self, server: &ServerId) {
+        self.absent.remove(server);
         if let Some(used) = self.servers.remove(server) {
             self.changed.insert(used.server.service);
         }
     }
 
-    /// Removes all servers but these.
-    pub(super) fn retain(&mut self, servers: &[UsableServer]) {
+    /// Notes which servers a whole directory lacks; they are removed unless they are told of again.
+    pub(super) fn retain(&mut self, now: Instant, servers: &[UsableServer]) {
         let named: FastSet<&ServerId> = servers.iter().map(|server| &server.server).collect();
         let gone: Vec<_> = self.servers.keys().filter(|server| !named.contains(server)).cloned().collect();
         for server in gone {
+            self.absent.entry(server).or_insert(now + ABSENT_FOR);
+        }
+    }
+
+    /// Removes the servers that were absent for long enough.
+    pub(super) fn remove_absent(&mut self, now: Instant) {
+        let due: Vec<_> = self.absent.iter().filter(|(_, at)| now >= **at).map(|(server, _)| server.clone()).collect();
+        for server in due {
             self.remove(&server);
         }
     }
 
+    /// When the next server is removed.
+    pub(super) fn next_removal(&self) -> Option<Instant> {
+        self.absent.values().min().copied()
+    }
+
     /// Services whose servers have changed, with their servers.
     pub(super) fn take_changed(&mut self, now: Instant, slow_start: Duration) -> Vec<(ServiceId, Vec<ServerView>)> {
         let mut services: Vec<_> = std::mem::take(&mut self.changed).into_iter().collect();
--- a/crates/core/src/fleet/replica/exchange.rs
+++ b/crates/core/src/fleet/replica/exchange.rs
@@ -38,13 +38,15 @@
             return self.answer(id, ReplicaAnswer::Invalid(Vec::new()), out);
         }
         let (server, born, is_draining) = (record.server.clone(), record.born, record.is_draining);
-        match self.hear(now, record, None, (self.options.id.clone(), now), out) {
+        let heard = self.hear(now, record, None, (self.options.id.clone(), now), out);
+        match heard {
             Heard::Full => return self.answer(id, ReplicaAnswer::Unavailable, out),
             Heard::Changed => self.tell_replicas(now, &server, None, out),
-            Heard::Renewed => {
-                self.renewed.insert(server.clone());
-            }
-            Heard::Old => {}
+            Heard::Renewed | Heard::Old => {}
+        }
+        // The renewal of a changed record lets a replica that missed the change ask for it.
+        if heard != Heard::Old {
+            self.renewed.insert(server.clone());
         }
         if is_draining {
             return self.depart(now, id, server, Some(born), wall_ms, out);
@@ -117,17 +119,14 @@
         }
         let mut missed = self.directory.silent(now, MISSED_AFTER);
         missed.truncate(MAX_WANTED);
+        let messages: Vec<_> = messages.into_iter().map(FleetMessage::Records).collect();
+        // A batch may have been lost, or the replica that heard a server has no path to this one.
+        let wanted = (!missed.is_empty()).then_some(FleetMessage::Want(missed));
         for to in self.peers.names() {
-            for message in &messages {
-                out.push(ReplicaAction::Send { to: to.clone(), message: FleetMessage::Records(message.clone()) });
+            for message in messages.iter().chain(&wanted) {
+                out.push(ReplicaAction::Send { to: to.clone(), message: message.clone() });
             }
         }
-        // Two replicas without a path to each other still learn what a third one heard.
-        if let Some(leader) = self.consensus.leader().filter(|leader| **leader != self.options.id)
-            && !missed.is_empty()
-        {
-            out.push(ReplicaAction::Send { to: leader.clone(), message: FleetMessage::Want(missed) });
-        }
     }
 
     /// Asks other replicas whether they lead, for their directory and their clock, as far as that is needed.
@@ -155,7 +154,7 @@
         }
     }
 
-    fn send_ask(&mut self, now: Instant, to: InstanceId, wants_records: bool, out: &mut Vec<ReplicaAction>) {
+    pub(super) fn send_ask(&mut self, now: Instant, to: InstanceId, wants_records: bool, out: &mut Vec<ReplicaAction>) {
         let number = self.next_ask;
         self.next_ask += 1;
         self.peers.ask(now, &to, number);
@@ -183,6 +182,7 @@
         if !self.peers.answered(now, &from, greeting.echo, greeting.clock_ms) {
             return;
         }
+        self.aware(&from, greeting.commit);
         self.peers.set_data_centre(&from, greeting.data_centre);
         for name in greeting.replicas {
             self.peers.learn(now, name);
@@ -210,6 +210,7 @@
             self.ask_all_at = self.ask_all_at.min(now + ASK_ALL);
             return;
         };
+        self.aware(&from, records.commit);
         if let Some(entries) = records.entries {
             self.peers.set_entries(now, &from, entries);
         }
--- a/crates/core/src/fleet/replica/leading.rs
+++ b/crates/core/src/fleet/replica/leading.rs
@@ -81,7 +81,7 @@
                 let born = born.or_else(|| self.directory.incarnation(&server));
                 let departed = self.ledger.departed(&server);
                 if born.is_some_and(|born| departed.is_some_and(|departed| born <= departed)) {
-                    return self.reply(origin, Reply::Departed, out);
+                    return self.confirm(now, origin, self.consensus.commit_index());
                 }
                 (Job::Depart, Some(Command::Depart { server, born, at: wall_ms }))
             }
@@ -103,9 +103,10 @@
     }
 
     /// Takes the answer of consensus to a request.
-    pub(super) fn finish(&mut self, id: u64, result: ProposalResult, out: &mut Vec<ReplicaAction>) {
+    pub(super) fn finish(&mut self, now: Instant, id: u64, result: ProposalResult, out: &mut Vec<ReplicaAction>) {
         let Some((origin, job)) = self.jobs.take(id) else { return };
         let reply = match result {
+            ProposalResult::Committed { index } if job == Job::Depart => return self.confirm(now, origin, index),
             ProposalResult::Committed { index } => self.outcome(&job, index),
             ProposalResult::TooLarge => Some(Reply::TooLong),
             // The sender repeats the request.
@@ -122,17 +123,14 @@
                 Some(LedgerOutcome::Submit(outcome)) => Some(Reply::from(*outcome)),
                 _ => None,
             },
-            Job::Depart => match self.outcomes.get(&index) {
-                Some(LedgerOutcome::Departed(_)) => Some(Reply::Departed),
-                _ => None,
-            },
+            Job::Depart => None,
             // Entries up to the index are applied before consensus answers.
             Job::LookUp(number, digest) => self.ledger.submitted(*number, *digest).map(Reply::from),
             Job::Read => Some(Reply::Current { number: self.ledger.number(), text: self.ledger.text().into() }),
         }
     }
 
-    fn reply(&mut self, origin: Origin, reply: Reply, out: &mut Vec<ReplicaAction>) {
+    pub(super) fn reply(&mut self, origin: Origin, reply: Reply, out: &mut Vec<ReplicaAction>) {
         if origin.from != self.options.id {
             let message = FleetMessage::Reply { number: origin.number, reply };
             return out.push(ReplicaAction::Send { to: origin.from, message });
--- a/crates/core/src/fleet/replica/log_driver.rs
+++ b/crates/core/src/fleet/replica/log_driver.rs
@@ -18,7 +18,7 @@
         while let Some(event) = events.pop() {
             self.consensus.handle(now, event, &mut actions);
             for action in actions.drain(..) {
-                self.carry_out(action, &mut events, out);
+                self.carry_out(now, action, &mut events, out);
             }
         }
         self.outcomes.clear();
@@ -26,6 +26,7 @@
 
     pub(super) fn carry_out(
         &mut self,
+        now: Instant,
         action: ConsensusAction,
         events: &mut Vec<ConsensusEvent>,
         out: &mut Vec<ReplicaAction>,
@@ -42,11 +43,11 @@
                 Err(_) => out.push(ReplicaAction::Broken("ledger cannot be encoded")),
             },
             ConsensusAction::RestoreSnapshot { snapshot } => match Ledger::restore(&snapshot.data) {
-                Ok(ledger) => self.restore(ledger, out),
+                Ok(ledger) => self.restore(now, ledger, out),
                 Err(_) => out.push(ReplicaAction::Broken("snapshot of the ledger cannot be read")),
             },
-            ConsensusAction::Apply { index, command } => self.apply(index, &command, out),
-            ConsensusAction::Answer { id, result } => self.finish(id, result, out),
+            ConsensusAction::Apply { index, command } => self.apply(now, index, &command, out),
+            ConsensusAction::Answer { id, result } => self.finish(now, id, result, out),
             ConsensusAction::BecomeLeader { term } => out.push(ReplicaAction::Log(FleetLog::Leading(term))),
             ConsensusAction::BecomeFollower { term, .. } => {
                 self.jobs.clear();
@@ -61,7 +62,7 @@
         }
     }
 
-    fn apply(&mut self, index: LogIndex, bytes: &[u8], out: &mut Vec<ReplicaAction>) {
+    fn apply(&mut self, now: Instant, index: LogIndex, bytes: &[u8], out: &mut Vec<ReplicaAction>) {
         let server = match Command::decode(bytes) {
             Ok(Command::Depart { server, .. }) => Some(server),
             _ => None,
@@ -75,18 +76,25 @@
         {
             self.directory.depart(&server, born);
             self.is_urgent = true;
+            self.recent.add(now, server.clone(), born);
             out.push(ReplicaAction::Log(FleetLog::Departed(server, born)));
         }
         self.answer_applied(out);
     }
 
-    fn restore(&mut self, ledger: Ledger, out: &mut Vec<ReplicaAction>) {
+    fn restore(&mut self, now: Instant, ledger: Ledger, out: &mut Vec<ReplicaAction>) {
+        let mut departures = Vec::new();
         for (server, born) in ledger.departures() {
             if self.ledger.departed(server) < Some(born) {
                 self.directory.depart(server, born);
                 self.is_urgent = true;
+                departures.push((server.clone(), born));
             }
         }
+        // The latest one is added last.
+        for (server, born) in departures.into_iter().rev() {
+            self.recent.add(now, server, born);
+        }
         self.ledger = ledger;
         self.answer_applied(out);
     }
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Contact, Jobs, Peers, Readers, ReplicaAction, ReplicaEvent, ReplicaOptions, Requests, Subscribers,
+        Confirming, Contact, Jobs, Peers, Readers, Recent, ReplicaAction, ReplicaEvent, ReplicaOptions, Requests,
+        Subscribers,
         readers::{is_from_leader, replicas},
     },
     crate::{
@@ -67,13 +68,15 @@
     pub(super) subscribers: Subscribers,
     pub(super) requests: Requests,
     pub(super) jobs: Jobs,
+    pub(super) confirming: Vec<Confirming>,
+    pub(super) recent: Recent,
     /// Number of the next question to another replica.
     pub(super) next_ask: u64,
     pub(super) ask_leader_at: Instant,
     pub(super) ask_all_at: Instant,
     /// Questions for a whole directory so far; each goes to another replica.
     pub(super) asked_whole: usize,
-    /// Servers that announced themselves here since the last batch, without a change.
+    /// Servers that announced themselves here since the last batch.
     pub(super) renewed: FastSet<ServerId>,
     /// Revision that entries were told of.
     pub(super) told_revision: u64,
@@ -122,6 +125,8 @@
             subscribers: Subscribers::default(),
             requests: Requests::new(first),
             jobs: Jobs::default(),
+            confirming: Vec::new(),
+            recent: Recent::default(),
             next_ask: first,
             ask_leader_at: now,
             ask_all_at: now,
@@ -138,7 +143,7 @@
         };
         replica.keep_peers(now);
         for action in startup {
-            replica.carry_out(action, &mut Vec::new(), out);
+            replica.carry_out(now, action, &mut Vec::new(), out);
         }
         replica
     }
@@ -180,6 +185,7 @@
         self.refresh(now, out);
         self.send_requests(now, out);
         self.ask(now, out);
+        self.check_confirming(now, out);
         if now >= self.next_batch {
             self.next_batch = now + BATCH;
             self.batch(now, out);
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -2,6 +2,7 @@
 //! poll it.
 
 mod action;
+mod confirming;
 mod contact;
 mod event;
 mod exchange;
@@ -12,15 +13,18 @@
 mod options;
 mod peers;
 mod readers;
+mod recent;
 mod requests;
 mod subscribers;
 mod sync;
 
 use {
+    confirming::Confirming,
     contact::Contact,
     jobs::{Job, Jobs, Origin},
     peers::Peers,
     readers::Readers,
+    recent::Recent,
     requests::Requests,
     subscribers::Subscribers,
 };
--- a/crates/core/src/fleet/replica/peers.rs
+++ b/crates/core/src/fleet/replica/peers.rs
@@ -165,6 +165,12 @@
         self.peers.keys()
     }
 
+    /// Replicas that are in reach.
+    pub(super) fn live(&self, now: Instant) -> impl Iterator<Item = InstanceId> {
+        let live = self.peers.iter().filter(move |(_, peer)| peer.is_heard_within(now, REACHED_WITHIN));
+        live.map(|(name, _)| name.clone())
+    }
+
     /// Replicas heard a short time ago, for others to know.
     pub(super) fn heard(&self, now: Instant) -> Vec<ReplicaName> {
         let heard = self.peers.iter().filter(|(_, peer)| peer.is_heard_within(now, NAMED_FOR));
--- a/crates/core/src/fleet/replica/requests.rs
+++ b/crates/core/src/fleet/replica/requests.rs
@@ -85,15 +85,13 @@
         Some((waiting.id, answer(change, reply)))
     }
 
-    /// Answers that the ledger of this replica gives by itself: what it has applied is committed.
+    /// Answers to submissions that the ledger of this replica gives by itself: what it has applied is committed.
+    /// A departure is answered by the leader only, which waits for the other replicas to learn of it.
     pub(super) fn applied(&mut self, ledger: &Ledger) -> Vec<(u64, ReplicaAnswer)> {
         let mut answers = Vec::new();
         self.waiting.retain(|_, waiting| {
             let reply = match &waiting.request {
                 Request::Submit { number, .. } => ledger.submitted(*number, waiting.digest).map(Reply::from),
-                Request::Depart { server, born: Some(born), .. } => {
-                    ledger.departed(server).filter(|departed| departed >= born).map(|_| Reply::Departed)
-                }
                 Request::Depart { .. } | Request::Read => None,
             };
             let change = match &waiting.request {
--- a/crates/core/src/fleet/replica/sync.rs
+++ b/crates/core/src/fleet/replica/sync.rs
@@ -13,9 +13,9 @@
 const COLLECT: Duration = Duration::from_millis(50);
 /// Each such poll of an entry is answered with the names of other replicas.
 const NAMES_EVERY: u64 = 8;
-/// Departures that a directory which is not complete names, the latest ones. Entries keep the servers that
-/// such a directory lacks, but for these.
-const MAX_DEPARTED: usize = 1_024;
+/// Departures that a whole directory names, the latest ones. Entries keep the servers that it lacks, but for
+/// these, for some time, or until a directory is complete.
+const MAX_DEPARTED: usize = 256;
 
 impl Replica {
     pub(super) fn polled(
@@ -56,6 +56,11 @@
         };
         out.push(ReplicaAction::Send { to: from.clone(), message: FleetMessage::State(state) });
         if !is_subscribed {
+            let departed = self.recent.get(now);
+            if !departed.is_empty() {
+                let message = FleetMessage::Servers(self.departures(departed));
+                out.push(ReplicaAction::Send { to: from, message });
+            }
             return;
         }
         if installs {
@@ -116,21 +121,34 @@
     }
 
     fn whole(&self, now: Instant, echo: u64) -> Servers {
-        let is_settled = self.is_settled();
-        let departures = if is_settled { Vec::new() } else { self.ledger.departures() };
-        let departed = departures.into_iter().take(MAX_DEPARTED);
+        let departed = self.ledger.departures().into_iter().take(MAX_DEPARTED);
         Servers {
             from: None,
             to: self.directory.revision(),
             echo: Some(echo),
             is_current: self.is_current(),
-            is_settled,
+            is_settled: self.is_settled(),
             usable: self.directory.usable(now),
             removed: Vec::new(),
             departed: departed.map(|(server, born)| (server.clone(), born)).collect(),
         }
     }
 
+    /// Departures without anything else.
+    fn departures(&self, departed: Vec<(ServerId, u64)>) -> Servers {
+        let revision = self.directory.revision();
+        Servers {
+            from: Some(revision),
+            to: revision,
+            echo: None,
+            is_current: self.is_current(),
+            is_settled: self.is_settled(),
+            usable: Vec::new(),
+            removed: Vec::new(),
+            departed,
+        }
+    }
+
     fn delta(&self, now: Instant, from: u64) -> Option<Servers> {
         let (usable, removed) = self.directory.changed(now, from)?;
         let departed = |server: &ServerId| Some((server.clone(), self.ledger.departed(server)?));
--- /dev/null
+++ b/crates/core/tests/fleet_changes.rs
@@ -0,0 +1,148 @@
+//! Changes and reads: no accepted change is lost or taken back, and no read is older than an accepted change.
+
+mod fleet_support;
+
+use {
+    fleet_support::{World, ms, text},
+    hemlockford_core::fleet::ReplicaAnswer,
+};
+
+const SEEDS: std::ops::Range<u64> = 0..25;
+
+fn is_accepted(world: &World, id: u64) -> bool {
+    matches!(world.answers.get(&id), Some((_, ReplicaAnswer::Accepted { .. })))
+}
+
+/// Guards against a change that an entry misses, also when the replica that accepted it is lost.
+#[test]
+fn a_change_reaches_every_entry() {
+    for seed in SEEDS {
+        for replica in 0..3 {
+            for is_killed in [false, true] {
+                let mut world = World::settled(seed, 3, 6, 3);
+                let id = world.submit(replica, &text(2));
+                world.run_until(ms(4_000), |world| world.answers.contains_key(&id));
+                assert!(is_accepted(&world, id), "seed {seed}: {:?}", world.answers[&id]);
+                if is_killed {
+                    world.kill_replica(replica);
+                }
+                // 2 s after the answer while the group is stable, and 5 s more while it is not.
+                let limit = if is_killed { ms(7_000) } else { ms(2_000) };
+                world.run_until(limit, |world| world.entries.iter().all(|entry| entry.change == 2));
+            }
+        }
+    }
+}
+
+/// Guards against a submission that is refused when it is repeated because its answer was lost.
+#[test]
+fn a_repeated_submission_is_never_refused() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 3, 3);
+        let mut submissions = Vec::new();
+        for number in 2..12 {
+            let leader = world.leader();
+            for _ in 0..4 {
+                for replica in 0..3 {
+                    let id = world.submit(replica, &text(number));
+                    submissions.push(id);
+                }
+                world.run(ms(20));
+            }
+            if let (Some(leader), 0) = (leader, number % 4) {
+                world.kill_replica(leader);
+                world.run(ms(2_000));
+                world.start_replica(leader);
+            }
+            world.run(ms(500));
+        }
+        // Repetitions of a change that was followed by others.
+        for number in 2..12 {
+            submissions.push(world.submit(number as usize % 3, &text(number)));
+        }
+        world.run(ms(6_000));
+        let mut accepted = 0;
+        for id in submissions {
+            match world.answers.get(&id) {
+                Some((_, ReplicaAnswer::Accepted { .. })) => accepted += 1,
+                // The process was killed, or the majority did not answer in time.
+                None | Some((_, ReplicaAnswer::Unavailable)) => {}
+                Some((at, answer)) => panic!("seed {seed}: {answer:?} at {at:?}"),
+            }
+        }
+        assert!(accepted > 60, "seed {seed}: {accepted} accepted");
+        world.run_until(ms(4_000), |world| world.entries.iter().all(|entry| entry.change == 11));
+    }
+}
+
+/// Guards against a submission that takes a number twice, or goes below the current one.
+#[test]
+fn other_submissions_are_told_what_holds() {
+    let mut world = World::settled(1, 3, 1, 1);
+    let first = world.submit(0, &text(5));
+    world.run(ms(500));
+    let other = world.submit(1, &format!("{}[customer kovar]\n", text(5)));
+    let lower = world.submit(2, &text(3));
+    let invalid = world.submit(2, "[change]\nnumber = 0\n");
+    let long = world.submit(2, &format!("{}{}", text(6), "# comment\n".repeat(1 << 18)));
+    world.run(ms(500));
+    assert!(is_accepted(&world, first));
+    assert!(matches!(world.answers[&other].1, ReplicaAnswer::Conflict { number: 5, .. }));
+    assert_eq!(world.answers[&lower].1, ReplicaAnswer::Superseded { current: 5 });
+    assert!(matches!(&world.answers[&invalid].1, ReplicaAnswer::Invalid(faults) if faults.len() == 1));
+    assert_eq!(world.answers[&long].1, ReplicaAnswer::TooLong);
+}
+
+/// Guards against a read that shows an older change than one that was accepted before it, from a replica that
+/// was cut off, frozen or restarted.
+#[test]
+fn a_read_is_never_older_than_an_accepted_change() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 1, 1);
+        let (mut accepted, mut reads, mut submitted) = (1, Vec::new(), Vec::new());
+        for round in 0..12_u64 {
+            let victim = (seed + round) as usize % 3;
+            match round % 4 {
+                0 => world.freeze_replica(victim),
+                1 => world.cut_replica(victim),
+                2 => world.kill_replica(victim),
+                _ => {}
+            }
+            for step in 0..10 {
+                let number = 2 + round * 10 + step;
+                let id = world.submit((victim + 1) % 3, &text(number));
+                submitted.push((number, id));
+                // A frozen replica reads its socket when it is thawed.
+                for replica in 0..3 {
+                    let id = world.read(replica);
+                    reads.push((id, accepted));
+                }
+                world.run(ms(250));
+                let done = submitted.iter().filter(|(_, id)| is_accepted(&world, *id));
+                accepted = done.map(|(number, _)| *number).max().unwrap_or(1).max(accepted);
+                if step == 7 {
+                    if world.replicas[victim].is_frozen {
+                        world.thaw_replica(victim);
+                    }
+                    world.heal();
+                    if world.replicas[victim].replica.is_none() {
+                        world.start_replica(victim);
+                    }
+                }
+            }
+        }
+        world.run(ms(5_000));
+        let mut answered = 0;
+        for (id, accepted) in &reads {
+            match world.answers.get(id) {
+                Some((at, ReplicaAnswer::Current { number, .. })) => {
+                    answered += 1;
+                    assert!(number >= accepted, "seed {seed}: {number} read at {at:?}, {accepted} was accepted");
+                }
+                Some((_, ReplicaAnswer::Unavailable)) | None => {}
+                Some((at, answer)) => panic!("seed {seed}: {answer:?} at {at:?}"),
+            }
+        }
+        assert!(answered > reads.len() / 2, "seed {seed}: {answered} of {} answered", reads.len());
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet_directory.rs
@@ -0,0 +1,139 @@
+//! What entries see of servers that restart, move, fall silent or warm up.
+
+mod fleet_support;
+
+use {
+    fleet_support::{World, ms},
+    hemlockford_core::fleet::ReplicaEvent,
+    std::time::Duration,
+};
+
+const SEEDS: std::ops::Range<u64> = 0..25;
+
+fn replay(world: &mut World, replica: usize, record: hemlockford_core::fleet::Record) {
+    let (id, wall_ms) = (world.number(), world.wall_ms());
+    world.replica_event(replica, ReplicaEvent::Announce { id, record, wall_ms });
+}
+
+/// Guards against a late announcement of a dead incarnation that brings it back, or displaces the server that
+/// has its id or its address now.
+#[test]
+fn late_announcements_of_dead_incarnations_change_nothing() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 4, 4);
+        let mut late = world.servers[0].record.clone();
+        late.sequence += 5;
+        // The id is used again at another address, and the address by another server.
+        let port = late.address.port();
+        world.restart_server(0, 9_000);
+        world.run(ms(100));
+        let successor = world.add_server("t0", "stock", port);
+        world.run_until(ms(4_000), World::are_entries_exact);
+        for replica in 0..3 {
+            late.sequence += 1;
+            replay(&mut world, replica, late.clone());
+            world.run(ms(200));
+            assert!(world.are_entries_exact(), "seed {seed}");
+        }
+        // A late report of draining binds the dead incarnation only.
+        late.is_draining = true;
+        late.sequence += 1;
+        replay(&mut world, 1, late);
+        world.run(ms(2_000));
+        assert!(world.are_entries_exact(), "seed {seed}");
+        assert_eq!(world.entries[0].view("t0").map(|view| view.address), Some(world.servers[successor].record.address));
+    }
+}
+
+/// Guards against an announcement of a departed incarnation that brings it back, also from a replica that
+/// restarted and holds no record of it.
+#[test]
+fn a_departed_incarnation_stays_out() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 4, 4);
+        world.drain(3, 1);
+        world.run_until(ms(4_000), |world| world.servers[3].acknowledged_at.is_some());
+        let mut late = world.servers[3].record.clone();
+        world.servers[3].is_alive = false;
+        late.is_draining = false;
+        for replica in 0..3 {
+            world.kill_replica(replica);
+            world.run(ms(100));
+            world.start_replica(replica);
+            world.run(ms(4_000));
+            late.sequence += 1;
+            replay(&mut world, replica, late.clone());
+            world.run(ms(1_000));
+            assert!(world.entries.iter().all(|entry| !entry.holds("s3")), "seed {seed}");
+        }
+        world.restart_server(3, 9_003);
+        world.run_until(ms(4_000), World::are_entries_exact);
+    }
+}
+
+/// Guards against a crashed server that stays, or one that is dropped after a single lost announcement.
+#[test]
+fn a_silent_server_leaves_after_a_while() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 4, 4);
+        world.servers[2].is_alive = false;
+        world.run(ms(4_000));
+        assert!(world.entries.iter().all(|entry| entry.holds("s2")), "seed {seed}");
+        world.run_until(ms(6_000), World::are_entries_exact);
+    }
+}
+
+/// Guards against entries that miss a change of slots or of the warm-up, or are told of every renewal.
+#[test]
+fn entries_learn_what_changes_and_nothing_else() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 3, 4);
+        let before: u64 = world.entries.iter().map(|entry| entry.updates).sum();
+        world.run(ms(20_000));
+        let after: u64 = world.entries.iter().map(|entry| entry.updates).sum();
+        assert_eq!(before, after, "seed {seed}: renewals were told to entries");
+        world.servers[1].record.slots = 7;
+        world.servers[1].record.warm_up = Duration::from_secs(3);
+        world.beat(1);
+        world.servers[1].record.warm_up = Duration::from_millis(1_500);
+        world.run(ms(1_000));
+        for entry in &world.entries {
+            let view = entry.view("s1").expect("server");
+            assert_eq!(view.slots, 7, "seed {seed}");
+            // Slow start of 4 s ends with the warm-up, 2 s from now.
+            let end = view.ready_since + Duration::from_secs(4);
+            let left = end.saturating_duration_since(world.base + world.now);
+            assert!((ms(1_900)..=ms(2_100)).contains(&left), "seed {seed}: {left:?}");
+        }
+    }
+}
+
+/// Guards against two servers at one address, where the earlier one is gone without a word.
+#[test]
+fn a_later_server_takes_an_address_over() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 3, 4);
+        world.servers[0].is_alive = false;
+        let port = world.servers[0].record.address.port();
+        world.add_server("t0", "stock", port);
+        world.run_until(ms(2_500), World::are_entries_exact);
+    }
+}
+
+/// Guards against traffic of an entry that grows with announcements of servers or with other entries.
+#[test]
+fn steady_traffic_of_an_entry_depends_on_its_polls_only() {
+    let rate = |entries: usize, servers: usize| {
+        let mut world = World::settled(3, 3, entries, servers);
+        world.links.loss = 0.0;
+        world.run(ms(2_000));
+        let before = (world.entries[0].sent_bytes, world.entries[0].received_bytes);
+        world.run(ms(20_000));
+        let entry = &world.entries[0];
+        ((entry.sent_bytes - before.0) / 20, (entry.received_bytes - before.1) / 20)
+    };
+    let (small, large) = (rate(2, 4), rate(40, 100));
+    println!("bytes/s sent and received: {small:?} with 2 entries and 4 servers, {large:?} with 40 and 100");
+    assert!(large.0 <= small.0 + 20 && large.1 <= small.1 + 40, "{small:?} {large:?}");
+    assert!(large.0 < 300 && large.1 < 500);
+}
--- a/crates/core/tests/fleet_support/checks.rs
+++ b/crates/core/tests/fleet_support/checks.rs
@@ -86,6 +86,8 @@
     }
 
     pub(super) fn set_servers(&mut self, index: usize, service: ServiceId, views: Vec<ServerView>) {
+        self.entries[index].updates += 1;
+        self.entries[index].seen.extend(views.iter().map(|view| view.id.clone()));
         let before = self.entries[index].servers.insert(service.clone(), views).unwrap_or_default();
         let name = self.entries[index].name.clone();
         for view in before {
@@ -97,6 +99,7 @@
                     && !server.record.is_draining
                     && !server.is_deregistered
                     && self.now < server.heard_at + KEPT
+                    && !self.replicas[server.replica].is_cut_off
             });
             if is_dropped && is_live {
                 self.breach(format!("{name} dropped {}, which is live", view.id));
--- /dev/null
+++ b/crates/core/tests/fleet_support/faults.rs
@@ -0,0 +1,145 @@
+//! Starting, stopping, freezing and cutting off machines.
+
+use {
+    super::{Entry, World},
+    hemlockford_core::{
+        collections::{FastMap, FastSet},
+        fleet::{EntryEvent, EntryLink, EntryOptions, Replica, ReplicaEvent, ReplicaOptions},
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+};
+
+impl World {
+    pub fn start_replica(&mut self, index: usize) {
+        let seeds = (0..self.replicas.len().max(3)).take(3).map(|seed| format!("r{seed}").into()).collect();
+        let rng = SmallRng::seed_from_u64(self.rng.random());
+        let at = self.at();
+        let first_start = self.first_start;
+        let node = &mut self.replicas[index];
+        node.incarnation += 1;
+        let options = ReplicaOptions {
+            id: node.name.clone(),
+            incarnation: node.incarnation,
+            data_centre: node.data_centre.clone(),
+            seeds,
+            first_start,
+            ..ReplicaOptions::default()
+        };
+        let mut actions = Vec::new();
+        node.replica = Some(Replica::new(at, options, node.disk.recovered(), rng, &mut actions));
+        (node.is_frozen, node.wake_at) = (false, None);
+        node.waiting.clear();
+        self.carry_out(index, actions);
+    }
+
+    pub fn kill_replica(&mut self, index: usize) {
+        let node = &mut self.replicas[index];
+        node.replica = None;
+        node.is_frozen = false;
+        node.waiting.clear();
+        node.disk.crash();
+    }
+
+    pub fn freeze_replica(&mut self, index: usize) {
+        self.replicas[index].is_frozen = true;
+    }
+
+    /// Thaws a replica. Its sockets and its disk are read before its timers.
+    pub fn thaw_replica(&mut self, index: usize) {
+        self.replicas[index].is_frozen = false;
+        for event in std::mem::take(&mut self.replicas[index].waiting) {
+            self.replica_event(index, event);
+        }
+        self.replica_event(index, ReplicaEvent::Tick);
+    }
+
+    pub fn add_entry(&mut self) -> usize {
+        let index = self.entries.len();
+        self.entries.push(Entry {
+            name: format!("e{index}").into(),
+            data_centre: format!("d{}", index % 3).into(),
+            link: None,
+            incarnation: 0,
+            is_frozen: false,
+            waiting: Vec::new(),
+            wake_at: None,
+            change: 0,
+            servers: FastMap::default(),
+            seen: FastSet::default(),
+            updates: 0,
+            is_ready: false,
+            ready_at: None,
+            entries: 0,
+            switches: Vec::new(),
+            disturbed_at: self.now,
+            sent: 0,
+            sent_bytes: 0,
+            received_bytes: 0,
+        });
+        self.start_entry(index);
+        index
+    }
+
+    pub fn start_entry(&mut self, index: usize) {
+        let rng = SmallRng::seed_from_u64(self.rng.random());
+        let (at, now) = (self.at(), self.now);
+        let node = &mut self.entries[index];
+        node.incarnation += 1;
+        let options = EntryOptions {
+            id: node.name.clone(),
+            incarnation: node.incarnation,
+            data_centre: node.data_centre.clone(),
+            seeds: (0..3).map(|seed| format!("r{seed}").into()).collect(),
+            ..EntryOptions::default()
+        };
+        node.link = Some(EntryLink::new(at, options, rng));
+        (node.is_frozen, node.wake_at, node.change, node.is_ready) = (false, None, 0, false);
+        (node.disturbed_at, node.ready_at) = (now, None);
+        node.waiting.clear();
+        node.servers.clear();
+        node.seen.clear();
+        node.switches.clear();
+        self.entry_event(index, EntryEvent::Tick);
+    }
+
+    pub fn freeze_entry(&mut self, index: usize) {
+        self.entries[index].is_frozen = true;
+    }
+
+    pub fn thaw_entry(&mut self, index: usize) {
+        (self.entries[index].is_frozen, self.entries[index].disturbed_at) = (false, self.now);
+        for event in std::mem::take(&mut self.entries[index].waiting) {
+            self.entry_event(index, event);
+        }
+        self.entry_event(index, EntryEvent::Tick);
+    }
+
+    /// Cuts a replica off from the other replicas.
+    pub fn cut_replica(&mut self, index: usize) {
+        self.replicas[index].is_cut_off = true;
+        let name = self.replicas[index].name.clone();
+        for other in self.replicas.iter().filter(|other| other.name != name) {
+            self.links.cut(&name, &other.name);
+        }
+    }
+
+    /// Heals all links, and starts and thaws all replicas.
+    pub fn repair(&mut self) {
+        self.heal();
+        for index in 0..self.replicas.len() {
+            if self.replicas[index].replica.is_none() {
+                self.start_replica(index);
+            } else if self.replicas[index].is_frozen {
+                self.thaw_replica(index);
+            }
+        }
+    }
+
+    /// Heals all links.
+    pub fn heal(&mut self) {
+        self.links.heal();
+        for replica in &mut self.replicas {
+            replica.is_cut_off = false;
+        }
+    }
+}
--- a/crates/core/tests/fleet_support/mod.rs
+++ b/crates/core/tests/fleet_support/mod.rs
@@ -5,8 +5,10 @@
 
 mod checks;
 mod disk;
+mod faults;
 mod links;
 mod node;
+mod requests;
 mod server;
 mod world;
 
--- a/crates/core/tests/fleet_support/node.rs
+++ b/crates/core/tests/fleet_support/node.rs
@@ -3,7 +3,7 @@
 use {
     super::disk::Disk,
     hemlockford_core::{
-        collections::FastMap,
+        collections::{FastMap, FastSet},
         dispatch::ServerView,
         fleet::{EntryEvent, EntryLink, Replica, ReplicaEvent},
         ids::ServiceId,
@@ -38,6 +38,10 @@
     pub wake_at: Option<Duration>,
     pub change: u64,
     pub servers: FastMap<ServiceId, Vec<ServerView>>,
+    /// Every server that was used since the start.
+    pub seen: FastSet<Box<str>>,
+    /// Times that servers were set.
+    pub updates: u64,
     pub is_ready: bool,
     pub ready_at: Option<Duration>,
     pub entries: u32,
--- /dev/null
+++ b/crates/core/tests/fleet_support/requests.rs
@@ -0,0 +1,104 @@
+//! Requests of servers and operators.
+
+use {
+    super::{
+        Server, World, ms,
+        server::{CALL_TIMEOUT, HEARTBEAT},
+        world::{Call, Step},
+    },
+    hemlockford_core::fleet::{ReplicaAnswer, ReplicaEvent},
+    rand::RngExt,
+};
+
+impl World {
+    /// Adds a server of a service that starts to announce itself.
+    pub fn add_server(&mut self, id: &str, service: &str, port: u16) -> usize {
+        let index = self.servers.len();
+        let address = format!("10.0.0.1:{port}").parse().expect("address");
+        let data_centre = format!("d{}", index % 3);
+        let born = self.wall_ms();
+        self.servers.push(Server::new(id, service, address, &data_centre, born));
+        self.servers[index].replica = index % self.replicas.len();
+        let begin = self.now + ms(self.rng.random_range(0..200));
+        self.schedule(begin, Step::Beat { server: index, beat: 0 });
+        index
+    }
+
+    /// A server announces itself now, and then at intervals.
+    pub fn beat(&mut self, index: usize) {
+        let call = self.number();
+        let wall_ms = self.wall_ms();
+        let server = &mut self.servers[index];
+        server.record.sequence += 1;
+        server.beat += 1;
+        server.call = Some(call);
+        let (record, replica, beat) = (server.record.clone(), server.replica, server.beat);
+        self.calls.insert(call, Call { server: index, born: record.born, is_draining: record.is_draining });
+        self.schedule(self.now + CALL_TIMEOUT, Step::CallTimeout { server: index, call });
+        self.schedule(self.now + HEARTBEAT, Step::Beat { server: index, beat });
+        if !self.links.cuts.contains(&(record.server.clone(), self.replicas[replica].name.clone())) {
+            self.replica_event(replica, ReplicaEvent::Announce { id: call, record, wall_ms });
+        }
+    }
+
+    /// A server reports draining at a replica.
+    pub fn drain(&mut self, index: usize, replica: usize) {
+        self.servers[index].record.is_draining = true;
+        self.servers[index].replica = replica;
+        self.beat(index);
+    }
+
+    /// A server starts again with its old id at another port.
+    pub fn restart_server(&mut self, index: usize, port: u16) {
+        let (wall_ms, now) = (self.wall_ms(), self.now);
+        let server = &mut self.servers[index];
+        server.record.born = wall_ms;
+        server.record.sequence = 0;
+        server.record.is_draining = false;
+        server.record.address.set_port(port);
+        server.beat += 1;
+        (server.is_alive, server.is_deregistered, server.call) = (true, false, None);
+        (server.acknowledged_at, server.acknowledged_by) = (None, None);
+        let beat = server.beat;
+        self.schedule(now, Step::Beat { server: index, beat });
+    }
+
+    pub(super) fn answered(&mut self, replica: usize, id: u64, answer: ReplicaAnswer) {
+        if let Some(call) = self.calls.remove(&id) {
+            let server = &mut self.servers[call.server];
+            if server.call == Some(id) && answer == ReplicaAnswer::Acknowledged {
+                server.call = None;
+                // What a replica hears that is cut off from the others is not known to the fleet.
+                if !self.replicas[replica].is_cut_off {
+                    server.heard_at = self.now;
+                }
+            }
+            let is_first = server.acknowledged_at.is_none() && server.record.born == call.born;
+            if call.is_draining && is_first && answer == ReplicaAnswer::Acknowledged {
+                (server.acknowledged_at, server.acknowledged_by) = (Some(self.now), Some(replica));
+                let (name, born) = (server.record.server.clone(), server.record.born);
+                self.departed(&name, born);
+            }
+        }
+        let earlier = self.answers.insert(id, (self.now, answer));
+        assert!(earlier.is_none(), "seed {}: request {id} was answered twice", self.seed);
+    }
+
+    pub fn submit(&mut self, replica: usize, text: &str) -> u64 {
+        let id = self.number();
+        self.replica_event(replica, ReplicaEvent::Submit { id, text: text.into() });
+        id
+    }
+
+    pub fn read(&mut self, replica: usize) -> u64 {
+        let id = self.number();
+        self.replica_event(replica, ReplicaEvent::Read { id });
+        id
+    }
+
+    pub fn deregister(&mut self, replica: usize, server: &str, born: Option<u64>) -> u64 {
+        let (id, wall_ms) = (self.number(), self.wall_ms());
+        self.replica_event(replica, ReplicaEvent::Depart { id, server: server.into(), born, wall_ms });
+        id
+    }
+}
--- a/crates/core/tests/fleet_support/server.rs
+++ b/crates/core/tests/fleet_support/server.rs
@@ -21,7 +21,7 @@
     pub call: Option<u64>,
     /// Number of the next scheduled announcement; earlier ones are void.
     pub beat: u64,
-    /// When an announcement was acknowledged last.
+    /// When an announcement was acknowledged last by a replica that has a path to the others.
     pub heard_at: Duration,
     /// Whether its departure was asked for without draining.
     pub is_deregistered: bool,
--- a/crates/core/tests/fleet_support/world.rs
+++ b/crates/core/tests/fleet_support/world.rs
@@ -1,20 +1,12 @@
 //! The world: machines, links, time, and what operators and servers were answered.
 
 use {
-    super::{
-        Entry, Links, ReplicaNode, Server,
-        checks::Checks,
-        disk::Disk,
-        server::{CALL_TIMEOUT, HEARTBEAT},
-    },
+    super::{Entry, Links, ReplicaNode, Server, checks::Checks, disk::Disk},
     hemlockford_core::{
         collections::FastMap,
-        fleet::{
-            EntryAction, EntryEvent, EntryLink, EntryOptions, FleetMessage, Replica, ReplicaAction, ReplicaAnswer,
-            ReplicaEvent, ReplicaOptions,
-        },
+        fleet::{EntryAction, EntryEvent, FleetMessage, Replica, ReplicaAction, ReplicaAnswer, ReplicaEvent},
     },
-    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    rand::{SeedableRng, rngs::SmallRng},
     std::{
         cmp::Reverse,
         collections::BinaryHeap,
@@ -36,8 +28,9 @@
     format!("[change]\nnumber = {number}\n[service catalogue]\n")
 }
 
+/// One thing that happens at a time.
 #[derive(Debug)]
-enum Step {
+pub enum Step {
     WakeReplica(usize),
     WakeEntry(usize),
     Arrive { to: Box<str>, from: Box<str>, incarnation: u64, message: FleetMessage },
@@ -70,9 +63,10 @@
 
 /// What a call of a server was about.
 #[derive(Clone, Copy, Debug)]
-struct Call {
-    server: usize,
-    is_draining: bool,
+pub struct Call {
+    pub server: usize,
+    pub born: u64,
+    pub is_draining: bool,
 }
 
 pub struct World {
@@ -90,7 +84,7 @@
     /// Whether replicas start for the first time.
     pub first_start: bool,
     queue: BinaryHeap<Reverse<Due>>,
-    calls: FastMap<u64, Call>,
+    pub calls: FastMap<u64, Call>,
     next: u64,
 }
 
@@ -133,11 +127,11 @@
         world
     }
 
-    fn at(&self) -> Instant {
+    pub(super) fn at(&self) -> Instant {
         self.base + self.now
     }
 
-    fn schedule(&mut self, at: Duration, step: Step) {
+    pub(super) fn schedule(&mut self, at: Duration, step: Step) {
         self.next += 1;
         self.queue.push(Reverse(Due(at, self.next, step)));
     }
@@ -257,7 +251,7 @@
         self.carry_out(index, actions);
     }
 
-    fn carry_out(&mut self, index: usize, actions: Vec<ReplicaAction>) {
+    pub(super) fn carry_out(&mut self, index: usize, actions: Vec<ReplicaAction>) {
         let (name, incarnation) = (self.replicas[index].name.clone(), self.replicas[index].incarnation);
         for action in actions {
             match action {
@@ -323,212 +317,6 @@
             self.schedule(wake, Step::WakeEntry(index));
         }
     }
-
-    pub fn start_replica(&mut self, index: usize) {
-        let seeds = (0..self.replicas.len().max(3)).take(3).map(|seed| format!("r{seed}").into()).collect();
-        let rng = SmallRng::seed_from_u64(self.rng.random());
-        let at = self.at();
-        let first_start = self.first_start;
-        let node = &mut self.replicas[index];
-        node.incarnation += 1;
-        let options = ReplicaOptions {
-            id: node.name.clone(),
-            incarnation: node.incarnation,
-            data_centre: node.data_centre.clone(),
-            seeds,
-            first_start,
-            ..ReplicaOptions::default()
-        };
-        let mut actions = Vec::new();
-        node.replica = Some(Replica::new(at, options, node.disk.recovered(), rng, &mut actions));
-        (node.is_frozen, node.wake_at) = (false, None);
-        node.waiting.clear();
-        self.carry_out(index, actions);
-    }
-
-    pub fn kill_replica(&mut self, index: usize) {
-        let node = &mut self.replicas[index];
-        node.replica = None;
-        node.is_frozen = false;
-        node.waiting.clear();
-        node.disk.crash();
-    }
-
-    pub fn freeze_replica(&mut self, index: usize) {
-        self.replicas[index].is_frozen = true;
-    }
-
-    /// Thaws a replica. Its sockets and its disk are read before its timers.
-    pub fn thaw_replica(&mut self, index: usize) {
-        self.replicas[index].is_frozen = false;
-        for event in std::mem::take(&mut self.replicas[index].waiting) {
-            self.replica_event(index, event);
-        }
-        self.replica_event(index, ReplicaEvent::Tick);
-    }
-
-    pub fn add_entry(&mut self) -> usize {
-        let index = self.entries.len();
-        self.entries.push(Entry {
-            name: format!("e{index}").into(),
-            data_centre: format!("d{}", index % 3).into(),
-            link: None,
-            incarnation: 0,
-            is_frozen: false,
-            waiting: Vec::new(),
-            wake_at: None,
-            change: 0,
-            servers: FastMap::default(),
-            is_ready: false,
-            ready_at: None,
-            entries: 0,
-            switches: Vec::new(),
-            disturbed_at: self.now,
-            sent: 0,
-            sent_bytes: 0,
-            received_bytes: 0,
-        });
-        self.start_entry(index);
-        index
-    }
-
-    pub fn start_entry(&mut self, index: usize) {
-        let rng = SmallRng::seed_from_u64(self.rng.random());
-        let (at, now) = (self.at(), self.now);
-        let node = &mut self.entries[index];
-        node.incarnation += 1;
-        let options = EntryOptions {
-            id: node.name.clone(),
-            incarnation: node.incarnation,
-            data_centre: node.data_centre.clone(),
-            seeds: (0..3).map(|seed| format!("r{seed}").into()).collect(),
-            ..EntryOptions::default()
-        };
-        node.link = Some(EntryLink::new(at, options, rng));
-        (node.is_frozen, node.wake_at, node.change, node.is_ready) = (false, None, 0, false);
-        (node.disturbed_at, node.ready_at) = (now, None);
-        node.waiting.clear();
-        node.servers.clear();
-        node.switches.clear();
-        self.entry_event(index, EntryEvent::Tick);
-    }
-
-    pub fn freeze_entry(&mut self, index: usize) {
-        self.entries[index].is_frozen = true;
-    }
-
-    pub fn thaw_entry(&mut self, index: usize) {
-        (self.entries[index].is_frozen, self.entries[index].disturbed_at) = (false, self.now);
-        for event in std::mem::take(&mut self.entries[index].waiting) {
-            self.entry_event(index, event);
-        }
-        self.entry_event(index, EntryEvent::Tick);
-    }
-
-    /// Adds a server of a service that starts to announce itself.
-    pub fn add_server(&mut self, id: &str, service: &str, port: u16) -> usize {
-        let index = self.servers.len();
-        let address = format!("10.0.0.1:{port}").parse().expect("address");
-        let data_centre = format!("d{}", index % 3);
-        let born = self.wall_ms();
-        self.servers.push(Server::new(id, service, address, &data_centre, born));
-        self.servers[index].replica = index % self.replicas.len();
-        let begin = self.now + ms(self.rng.random_range(0..200));
-        self.schedule(begin, Step::Beat { server: index, beat: 0 });
-        index
-    }
-
-    /// A server announces itself now, and then at intervals.
-    pub fn beat(&mut self, index: usize) {
-        let call = self.number();
-        let wall_ms = self.wall_ms();
-        let server = &mut self.servers[index];
-        server.record.sequence += 1;
-        server.beat += 1;
-        server.call = Some(call);
-        let (record, replica, beat) = (server.record.clone(), server.replica, server.beat);
-        self.calls.insert(call, Call { server: index, is_draining: record.is_draining });
-        self.schedule(self.now + CALL_TIMEOUT, Step::CallTimeout { server: index, call });
-        self.schedule(self.now + HEARTBEAT, Step::Beat { server: index, beat });
-        if !self.links.cuts.contains(&(record.server.clone(), self.replicas[replica].name.clone())) {
-            self.replica_event(replica, ReplicaEvent::Announce { id: call, record, wall_ms });
-        }
-    }
-
-    /// A server reports draining at a replica.
-    pub fn drain(&mut self, index: usize, replica: usize) {
-        self.servers[index].record.is_draining = true;
-        self.servers[index].replica = replica;
-        self.beat(index);
-    }
-
-    /// A server starts again with its old id at another port.
-    pub fn restart_server(&mut self, index: usize, port: u16) {
-        let (wall_ms, now) = (self.wall_ms(), self.now);
-        let server = &mut self.servers[index];
-        server.record.born = wall_ms;
-        server.record.sequence = 0;
-        server.record.is_draining = false;
-        server.record.address.set_port(port);
-        server.beat += 1;
-        (server.is_alive, server.is_deregistered, server.call) = (true, false, None);
-        (server.acknowledged_at, server.acknowledged_by) = (None, None);
-        let beat = server.beat;
-        self.schedule(now, Step::Beat { server: index, beat });
-    }
-
-    /// Cuts a replica off from the other replicas.
-    pub fn cut_replica(&mut self, index: usize) {
-        self.replicas[index].is_cut_off = true;
-        let name = self.replicas[index].name.clone();
-        for other in self.replicas.iter().filter(|other| other.name != name) {
-            self.links.cut(&name, &other.name);
-        }
-    }
-
-    /// Heals all links.
-    pub fn heal(&mut self) {
-        self.links.heal();
-        for replica in &mut self.replicas {
-            replica.is_cut_off = false;
-        }
-    }
-
-    fn answered(&mut self, replica: usize, id: u64, answer: ReplicaAnswer) {
-        if let Some(call) = self.calls.remove(&id) {
-            let server = &mut self.servers[call.server];
-            if server.call == Some(id) && answer == ReplicaAnswer::Acknowledged {
-                server.call = None;
-                server.heard_at = self.now;
-            }
-            let is_first = server.acknowledged_at.is_none();
-            if call.is_draining && is_first && answer == ReplicaAnswer::Acknowledged {
-                (server.acknowledged_at, server.acknowledged_by) = (Some(self.now), Some(replica));
-                let (name, born) = (server.record.server.clone(), server.record.born);
-                self.departed(&name, born);
-            }
-        }
-        let earlier = self.answers.insert(id, (self.now, answer));
-        assert!(earlier.is_none(), "seed {}: request {id} was answered twice", self.seed);
-    }
-
-    pub fn submit(&mut self, replica: usize, text: &str) -> u64 {
-        let id = self.number();
-        self.replica_event(replica, ReplicaEvent::Submit { id, text: text.into() });
-        id
-    }
-
-    pub fn read(&mut self, replica: usize) -> u64 {
-        let id = self.number();
-        self.replica_event(replica, ReplicaEvent::Read { id });
-        id
-    }
-
-    pub fn deregister(&mut self, replica: usize, server: &str, born: Option<u64>) -> u64 {
-        let (id, wall_ms) = (self.number(), self.wall_ms());
-        self.replica_event(replica, ReplicaEvent::Depart { id, server: server.into(), born, wall_ms });
-        id
-    }
 }
 
 fn size(message: &FleetMessage) -> usize {
