--- a/crates/instance/src/fleet/network.rs
+++ b/crates/instance/src/fleet/network.rs
@@ -14,8 +14,6 @@
 
 /// Connections accepted from other instances. With 300 entries to 7 replicas each replica has about 50.
 const MAX_CONNECTIONS: usize = 1_024;
-/// Time for opening a connection. An instance without power does not answer.
-const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(300);
 
 /// Sends messages to other instances, whose names are their addresses.
 pub(super) struct Network {
@@ -34,8 +32,7 @@
         counters: Counters,
         received: mpsc::UnboundedSender<(Envelope<FleetMessage>, usize)>,
     ) -> Result<Self> {
-        let options =
-            NetOptions { connect_timeout: CONNECT_TIMEOUT, max_connections: MAX_CONNECTIONS, ..NetOptions::default() };
+        let options = NetOptions { max_connections: MAX_CONNECTIONS, ..NetOptions::fleet() };
         let socket = DatagramSocket::new(datagrams)?;
         actix_rt::spawn(StreamListener::new(listen, options.clone())?.run(received.clone()));
         actix_rt::spawn(receive(socket.clone(), received, counters.clone()));
