Divide the slack of the retry budget by the entries of the last window

Entries now take the count of settled replicas only, and a lower count takes effect a window later. Ruled out by reading: restarted entries, whose own requests bound what they send.

--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -234,7 +234,8 @@
             self.current_at = self.current_at.max(Some(asked_at));
             self.search = None;
             self.needed = self.needed.max(Some(state.change));
-            if state.entries.max(1) != self.entries {
+            // A replica that has just started has not heard all entries yet.
+            if state.is_settled && state.entries.max(1) != self.entries {
                 self.entries = state.entries.max(1);
                 out.push(EntryAction::Entries(self.entries));
             }
--- a/crates/core/src/probing/asking.rs
+++ b/crates/core/src/probing/asking.rs
@@ -66,7 +66,7 @@
 
     /// Returns the most promising servers for a call, apart from those that are candidates already.
     fn select(&mut self, now: Instant, active: &ActiveCall, known: &[Key]) -> Vec<Key> {
-        let interval = self.probe_interval();
+        let interval = self.probe_interval(now);
         let Some(state) = self.services.get(&active.service) else { return Vec::new() };
         let sampled: Vec<_> = state.servers.sample(&mut self.rng).collect();
         let open = |server: &&Server| !active.tried.contains(&server.key) && !known.contains(&server.key);
@@ -101,7 +101,7 @@
         call: Option<CallId>,
         actions: &mut Vec<DispatchAction>,
     ) -> bool {
-        let interval = self.probe_interval();
+        let interval = self.probe_interval(now);
         let path = self.health_paths.get(&service).cloned().unwrap_or_else(|| Service::default().health);
         let Some(state) = self.services.get_mut(&service) else { return false };
         let Some(server) = state.servers.get_mut(server) else { return false };
@@ -145,9 +145,9 @@
     }
 
     /// Time between two probes of a server by this entry, at which all entries together keep to the rate.
-    fn probe_interval(&self) -> Duration {
+    fn probe_interval(&mut self, now: Instant) -> Duration {
         let rate = self.options.probe_rate.max(1);
-        let entries = self.entries as u32;
+        let entries = self.entries.get(now, self.options.window) as u32;
         match rate / entries {
             0 => Duration::from_secs(1) * entries / rate,
             own => Duration::from_secs(1) / own,
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -1,7 +1,7 @@
 //! The state machine that chooses a server for each call of a fleet's entry.
 
 use {
-    super::{ActiveCall, BalancerOptions, RunningProbe, ServiceState, Stage, service::LONGEST_RETRY_AFTER},
+    super::{ActiveCall, BalancerOptions, EntryCount, RunningProbe, ServiceState, Stage, service::LONGEST_RETRY_AFTER},
     crate::{
         collections::FastMap,
         dispatch::{Call, DispatchAction, DispatchEvent, ServerView},
@@ -40,7 +40,7 @@
     /// Path on which the servers of a service answer probes.
     pub(super) health_paths: FastMap<Key, Box<str>>,
     /// Live entries, this one included.
-    pub(super) entries: usize,
+    pub(super) entries: EntryCount,
     pub(super) services: FastMap<Key, ServiceState>,
     pub(super) calls: FastMap<CallId, ActiveCall>,
     pub(super) probes: BTreeMap<u64, RunningProbe>,
@@ -63,7 +63,7 @@
     /// ```
     pub fn new(options: BalancerOptions, rng: SmallRng) -> Self {
         Self {
-            entries: options.entries.max(1),
+            entries: EntryCount::assumed(options.entries),
             options,
             rng,
             text: None,
@@ -84,7 +84,7 @@
             DispatchEvent::Finish(finish) => self.finish(now, &finish, actions),
             DispatchEvent::Cancel(call) => self.cancel(now, call, actions),
             DispatchEvent::Servers(service, views) => self.set_servers(now, &service, views, actions),
-            DispatchEvent::Peers(peers) => self.entries = peers.len().max(1),
+            DispatchEvent::Peers(peers) => self.entries.name(now, peers.len()),
             // Entries of a fleet do not talk to each other.
             DispatchEvent::Peer { .. } => {}
             DispatchEvent::Configure(text) => {
@@ -213,10 +213,11 @@
         // Callers that were rejected together must not come back together.
         let jitter = self.rng.random_range(1.0..1.5);
         let objective = active.call.terms.objective;
+        let entries = self.entries.get(now, self.options.window);
         let state = self.services.get(&active.service);
         let retry_after = match reason {
             NotRunReason::UnknownService | NotRunReason::NoServer => None,
-            _ => state.map(|state| state.retry_after(now, objective, self.entries, jitter)),
+            _ => state.map(|state| state.retry_after(now, objective, entries, jitter)),
         };
         actions.push(DispatchAction::Reject {
             call: active.call.id,
--- /dev/null
+++ b/crates/core/src/probing/entry_count.rs
@@ -0,0 +1,43 @@
+//! The number of live entries by which the slack of the retry budget is divided.
+
+use std::time::{Duration, Instant};
+
+/// The highest number of live entries that was named within the last window.
+///
+/// A replica that has just started has heard few entries, and a share of the slack that was spent under a higher
+/// number still counts in the window.
+#[derive(Clone, Debug)]
+pub(super) struct EntryCount {
+    count: usize,
+    /// The highest number named since it fell below the count, and when it fell.
+    lower: Option<(usize, Instant)>,
+    is_named: bool,
+}
+
+impl EntryCount {
+    /// Makes a count that is assumed until the first number is named.
+    pub(super) fn assumed(count: usize) -> Self {
+        Self { count: count.max(1), lower: None, is_named: false }
+    }
+
+    /// Takes the number of live entries.
+    pub(super) fn name(&mut self, now: Instant, count: usize) {
+        let count = count.max(1);
+        if !self.is_named || count >= self.count {
+            *self = Self { count, lower: None, is_named: true };
+            return;
+        }
+        let (highest, since) = self.lower.unwrap_or((count, now));
+        self.lower = Some((highest.max(count), since));
+    }
+
+    /// Returns the number to divide by.
+    pub(super) fn get(&mut self, now: Instant, window: Duration) -> usize {
+        if let Some((highest, since)) = self.lower
+            && now.saturating_duration_since(since) >= window
+        {
+            (self.count, self.lower) = (highest, None);
+        }
+        self.count
+    }
+}
--- a/crates/core/src/probing/finishing.rs
+++ b/crates/core/src/probing/finishing.rs
@@ -74,7 +74,7 @@
     }
 
     fn has_budget(&mut self, now: Instant, active: &ActiveCall) -> bool {
-        let entries = self.entries;
+        let entries = self.entries.get(now, self.options.window);
         let state = self.services.get_mut(&active.service);
         state.is_some_and(|state| state.budget.may_spend(now, entries))
     }
--- a/crates/core/src/probing/mod.rs
+++ b/crates/core/src/probing/mod.rs
@@ -10,6 +10,7 @@
 mod cost;
 mod deciding;
 mod ejection;
+mod entry_count;
 mod finishing;
 mod options;
 mod probe;
@@ -26,6 +27,6 @@
 pub use {balancer::Balancer, options::BalancerOptions};
 
 use {
-    active::ActiveCall, cost::Cost, ejection::Ejection, probe::RunningProbe, queue::Queue, reported::Reported,
-    server::Server, servers::Servers, service::ServiceState, stage::Stage, usual::Usual,
+    active::ActiveCall, cost::Cost, ejection::Ejection, entry_count::EntryCount, probe::RunningProbe, queue::Queue,
+    reported::Reported, server::Server, servers::Servers, service::ServiceState, stage::Stage, usual::Usual,
 };
--- a/crates/core/src/probing/sending.rs
+++ b/crates/core/src/probing/sending.rs
@@ -16,11 +16,12 @@
         factor: f64,
         actions: &mut Vec<DispatchAction>,
     ) {
+        let entries = self.entries.get(now, self.options.window);
         let Some(state) = self.services.get_mut(&active.service) else {
             return self.give_up(now, &active, NotRunReason::NoServer, actions);
         };
         let is_extra = !active.tried.is_empty();
-        if is_extra && !state.budget.try_spend(now, self.entries) {
+        if is_extra && !state.budget.try_spend(now, entries) {
             return self.give_up(now, &active, active.refusal, actions);
         }
         let Some(chosen) = state.servers.get_mut(server) else {
--- a/crates/core/tests/probing_retry.rs
+++ b/crates/core/tests/probing_retry.rs
@@ -11,6 +11,7 @@
         probing::BalancerOptions,
     },
     probed_entry::{MS, ProbedEntry, load, rejected, sent},
+    std::time::Duration,
 };
 
 const SIX: [(&str, &str); 6] = [("s1", "a"), ("s2", "a"), ("s3", "a"), ("s4", "a"), ("s5", "b"), ("s6", "b")];
@@ -115,6 +116,34 @@
     assert!(extra >= 20, "{extra} extra attempts for 100 calls");
 }
 
+/// Guards against a larger part of the slack when a replica that has just started has heard few entries.
+#[test]
+fn fewer_entries_count_only_after_a_window() {
+    let window = Duration::from_secs(10);
+    let options =
+        BalancerOptions { data_centre: "a".into(), ratio: 0.0, slack: 100.0, window, ..BalancerOptions::default() };
+    let mut entry = ProbedEntry::with(&SIX, options);
+    let mut extra_after = |count: usize, pass: Duration| {
+        entry.handle(DispatchEvent::Peers(vec!["entry".into(); count]));
+        entry.pass(pass);
+        let mut extra = 0;
+        for _ in 0..80 {
+            let (call, server) = entry.place();
+            let mut actions = entry.end(call, &server, AttemptResult::Shed);
+            while let Some(server) = sent(&actions, call) {
+                extra += 1;
+                actions = entry.end(call, &server, AttemptResult::Shed);
+            }
+            entry.pass(MS);
+        }
+        extra
+    };
+    assert_eq!(extra_after(10, MS), 7);
+    assert_eq!(extra_after(1, Duration::from_secs(1)), 0, "the part of ten entries is spent");
+    let later = extra_after(1, 2 * window);
+    assert!(later > 30, "{later} extra attempts of a lone entry");
+}
+
 /// Guards against a retry that could not be answered in time.
 #[test]
 fn no_retry_without_time() {
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -138,7 +138,10 @@
         let worker = Worker {
             number: 0,
             handover: Handover::among(1).remove(0),
-            options: ProxyOptions { serve_while_stopping: Some(close_rx), ..ProxyOptions::fleet((*dialect).clone(), incarnation) },
+            options: ProxyOptions {
+                serve_while_stopping: Some(close_rx),
+                ..ProxyOptions::fleet((*dialect).clone(), incarnation)
+            },
             gate,
             text: text_rx,
             stop: stop_rx,
--- a/crates/instance/src/fleet/network.rs
+++ b/crates/instance/src/fleet/network.rs
@@ -44,8 +44,7 @@
         let is_small = message.fits_datagram();
         let envelope = Envelope { from: self.id.clone(), incarnation: self.incarnation, message };
         let Ok(address) = to.parse::<SocketAddr>() else { return };
-        let sent =
-            if is_small { self.socket.send(address, &envelope) } else { self.links.send(to, &envelope) };
+        let sent = if is_small { self.socket.send(address, &envelope) } else { self.links.send(to, &envelope) };
         self.counters.count(if is_small { "udp" } else { "tcp" }, "sent", "fleet", sent.unwrap_or_default());
     }
 }
