Keep crashed servers out of the directory of a thawed replica

A new test froze a replica, let a server crash elsewhere, and saw the replica name it to an entry after the thaw: the replica kept it because the one that had heard it last seemed out of reach. What is silent and not named by a complete directory is now removed, and an incomplete directory does not name silent servers.

--- a/crates/core/src/fleet/directory/held.rs
+++ b/crates/core/src/fleet/directory/held.rs
@@ -30,6 +30,10 @@
         !self.is_departed && !self.record.is_draining
     }
 
+    pub(super) fn is_heard_within(&self, now: Instant, time: Duration) -> bool {
+        now.saturating_duration_since(self.heard_at) < time
+    }
+
     /// Whether both say the same of one incarnation, but for the number of the announcement.
     pub(super) fn is_same(&self, other: &Self, now: Instant) -> bool {
         let (a, b) = (&self.record, &other.record);
--- a/crates/core/src/fleet/directory/machine.rs
+++ b/crates/core/src/fleet/directory/machine.rs
@@ -62,9 +62,10 @@
         self.records.values().map(|held| held.heard(now)).collect()
     }
 
-    /// Every usable server.
-    pub(in crate::fleet) fn usable(&self, now: Instant) -> Vec<UsableServer> {
-        self.records.values().filter(|held| held.is_usable()).map(|held| held.usable(now)).collect()
+    /// Every usable server that was heard within a time.
+    pub(in crate::fleet) fn usable(&self, now: Instant, within: Duration) -> Vec<UsableServer> {
+        let usable = self.records.values().filter(|held| held.is_usable() && held.is_heard_within(now, within));
+        usable.map(|held| held.usable(now)).collect()
     }
 
     /// Whether it is known what changed after a revision.
@@ -72,14 +73,21 @@
         self.revision.checked_sub(after).is_some_and(|behind| behind <= self.changes.len() as u64)
     }
 
-    /// What changed after a revision: servers that are usable now, and those that are not.
-    pub(in crate::fleet) fn changed(&self, now: Instant, after: u64) -> Option<(Vec<UsableServer>, Vec<ServerId>)> {
+    /// What changed after a revision: servers that are usable now, and those that are not. None if a usable one
+    /// was not heard within a time.
+    pub(in crate::fleet) fn changed(
+        &self,
+        now: Instant,
+        after: u64,
+        within: Duration,
+    ) -> Option<(Vec<UsableServer>, Vec<ServerId>)> {
         let behind = usize::try_from(self.revision.checked_sub(after)?).ok()?;
         let first = self.changes.len().checked_sub(behind)?;
         let (mut usable, mut removed, mut seen) = (Vec::new(), Vec::new(), FastSet::default());
         for server in self.changes.range(first..).filter(|server| seen.insert(*server)) {
             match self.records.get(server).filter(|held| held.is_usable()) {
-                Some(held) => usable.push(held.usable(now)),
+                Some(held) if held.is_heard_within(now, within) => usable.push(held.usable(now)),
+                Some(_) => return None,
                 None => removed.push(server.clone()),
             }
         }
@@ -182,21 +190,19 @@
         self.raise(server.clone());
     }
 
-    /// Removes servers that no replica has heard from for a time. A replica that is out of reach may still hear
-    /// the servers that it heard last, so these stay for longer.
+    /// Removes servers that no replica has heard from for a time, but for those that are kept. A kept one is
+    /// removed after a longer time.
     pub(in crate::fleet) fn remove_silent(
         &mut self,
         now: Instant,
         silence: Duration,
-        is_reachable: impl Fn(&InstanceId) -> bool,
+        is_kept: impl Fn(&ServerId, &InstanceId) -> bool,
         logs: &mut Vec<FleetLog>,
     ) {
         let mut silent = self.silent(now, silence);
         silent.retain(|server| {
             let held = self.records.get(server);
-            held.is_some_and(|held| {
-                is_reachable(&held.heard_by) || now.saturating_duration_since(held.heard_at) >= OUT_OF_REACH
-            })
+            held.is_some_and(|held| !is_kept(server, &held.heard_by) || !held.is_heard_within(now, OUT_OF_REACH))
         });
         for server in silent {
             if let Some(born) = self.incarnation(&server) {
@@ -208,7 +214,7 @@
 
     /// Servers that no replica has heard from for a time.
     pub(in crate::fleet) fn silent(&self, now: Instant, silence: Duration) -> Vec<ServerId> {
-        let silent = |held: &&Held| now.saturating_duration_since(held.heard_at) >= silence;
+        let silent = |held: &&Held| !held.is_heard_within(now, silence);
         self.records.values().filter(silent).map(|held| held.record.server.clone()).collect()
     }
 
--- a/crates/core/src/fleet/directory/mod.rs
+++ b/crates/core/src/fleet/directory/mod.rs
@@ -15,7 +15,7 @@
 /// Bytes of all records together, so that a whole directory fits one message.
 const DIRECTORY_BYTES: usize = 640 * 1024;
 /// Silence after which a server is removed although the replica that heard it last is out of reach.
-const OUT_OF_REACH: Duration = Duration::from_secs(60);
+pub(super) const OUT_OF_REACH: Duration = Duration::from_secs(60);
 /// Difference of two ends of a warm-up below which they count as the same. Announcements carry what remains,
 /// and their transit varies.
 const WARM_UP_TOLERANCE: Duration = Duration::from_millis(500);
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -14,7 +14,7 @@
 mod replica;
 mod size;
 
-use directory::{Directory, Heard};
+use directory::{Directory, Heard, OUT_OF_REACH};
 
 pub use {
     answer::ReplicaAnswer,
--- a/crates/core/src/fleet/replica/exchange.rs
+++ b/crates/core/src/fleet/replica/exchange.rs
@@ -3,9 +3,10 @@
 use {
     super::{Replica, ReplicaAction},
     crate::{
+        collections::FastSet,
         fleet::{
-            Ask, FleetMessage, Greeting, Heard, HeardRecord, MAX_NAME_BYTES, Record, Records, ReplicaAnswer,
-            ReplicaName,
+            Ask, FleetMessage, Greeting, Heard, HeardRecord, MAX_NAME_BYTES, OUT_OF_REACH, Record, Records,
+            ReplicaAnswer, ReplicaName,
         },
         ids::{InstanceId, ServerId},
     },
@@ -196,11 +197,17 @@
         }
         let Some(records) = greeting.records else { return };
         let Some(age) = self.peers.age(now, &from, greeting.clock_ms) else { return };
+        let named: FastSet<ServerId> = records.iter().map(|heard| heard.record.server.clone()).collect();
         for heard in records {
-            self.merge(now, age, heard, out);
+            self.merge(now, age, heard, OUT_OF_REACH, out);
         }
         if greeting.is_settled {
             self.contact.received_whole();
+            // While this replica was frozen or cut off the others have removed what is silent and not named.
+            let is_named = |server: &ServerId, _: &InstanceId| named.contains(server);
+            let mut logs = Vec::new();
+            self.directory.remove_silent(now, self.options.server_silence, is_named, &mut logs);
+            out.extend(logs.into_iter().map(ReplicaAction::Log));
         }
     }
 
@@ -219,7 +226,7 @@
         }
         for heard in records.changed {
             let server = heard.record.server.clone();
-            let is_changed = self.merge(now, age, heard, out) == Heard::Changed;
+            let is_changed = self.merge(now, age, heard, self.options.server_silence, out) == Heard::Changed;
             // Two replicas without a path to each other learn of each other's servers from the leader.
             if is_changed && self.consensus.is_leader() {
                 self.tell_replicas(now, &server, Some(&from), out);
@@ -237,11 +244,18 @@
         }
     }
 
-    /// Takes a record that another replica heard.
-    fn merge(&mut self, now: Instant, age: Duration, heard: HeardRecord, out: &mut Vec<ReplicaAction>) -> Heard {
+    /// Takes a record that another replica heard, unless it is too old: it was removed by the others in the
+    /// meantime, or is renewed soon.
+    fn merge(
+        &mut self,
+        now: Instant,
+        age: Duration,
+        heard: HeardRecord,
+        limit: Duration,
+        out: &mut Vec<ReplicaAction>,
+    ) -> Heard {
         let age = age + millis(heard.age_ms);
-        // What is this old was removed by the others in the meantime, or is renewed soon.
-        if age >= self.options.server_silence || !heard.record.is_valid() || heard.by.len() > MAX_NAME_BYTES {
+        if age >= limit || !heard.record.is_valid() || heard.by.len() > MAX_NAME_BYTES {
             return Heard::Old;
         }
         self.hear(now, heard.record, Some(heard.content), (heard.by, since(now, age)), out)
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -288,8 +288,9 @@
 
     fn remove_silent(&mut self, now: Instant, out: &mut Vec<ReplicaAction>) {
         let mut logs = Vec::new();
-        let is_reached = |name: &InstanceId| self.peers.is_reached(now, name);
-        self.directory.remove_silent(now, self.options.server_silence, is_reached, &mut logs);
+        // A replica that is out of reach may still hear the servers that it heard last.
+        let is_kept = |_: &ServerId, by: &InstanceId| !self.peers.is_reached(now, by);
+        self.directory.remove_silent(now, self.options.server_silence, is_kept, &mut logs);
         out.extend(logs.into_iter().map(ReplicaAction::Log));
     }
 
--- a/crates/core/src/fleet/replica/sync.rs
+++ b/crates/core/src/fleet/replica/sync.rs
@@ -128,12 +128,18 @@
             echo: Some(echo),
             is_current: self.is_current(),
             is_settled: self.is_settled(),
-            usable: self.directory.usable(now),
+            usable: self.directory.usable(now, self.told_within()),
             removed: Vec::new(),
             departed: departed.map(|(server, born)| (server.clone(), born)).collect(),
         }
     }
 
+    /// Silence of a server after which entries are not told of it. A directory that is not complete may be that
+    /// of a replica which was frozen, and has yet to learn which servers left.
+    fn told_within(&self) -> Duration {
+        if self.is_settled() { Duration::MAX } else { self.options.server_silence }
+    }
+
     /// Departures without anything else.
     fn departures(&self, departed: Vec<(ServerId, u64)>) -> Servers {
         let revision = self.directory.revision();
@@ -150,7 +156,7 @@
     }
 
     fn delta(&self, now: Instant, from: u64) -> Option<Servers> {
-        let (usable, removed) = self.directory.changed(now, from)?;
+        let (usable, removed) = self.directory.changed(now, from, self.told_within())?;
         let departed = |server: &ServerId| Some((server.clone(), self.ledger.departed(server)?));
         Some(Servers {
             from: Some(from),
--- a/crates/core/tests/fleet_departures.rs
+++ b/crates/core/tests/fleet_departures.rs
@@ -73,6 +73,26 @@
     }
 }
 
+/// Guards against entries that learn of a departure from the next leader only, when the one in use dies before
+/// they heard of it. An election may take longer than they have.
+#[test]
+fn entries_learn_of_a_departure_while_no_replica_leads() {
+    for seed in 0..60 {
+        let mut world = World::settled(seed, 3, 6, 6);
+        let leader = world.leader().expect("leader");
+        let name = world.replicas[leader].name.clone();
+        for index in 0..world.entries.len() {
+            let entry = world.entries[index].name.clone();
+            world.links.cuts.insert((name.clone(), entry));
+        }
+        world.drain(2, leader);
+        world.run_until(ms(1_000), |world| world.servers[2].acknowledged_at.is_some());
+        world.kill_replica(leader);
+        world.run(ms(5_000));
+        assert!(world.entries.iter().all(|entry| !entry.holds("s2")), "seed {seed}");
+    }
+}
+
 /// Guards against a deregistration that names no incarnation and binds none, or the next one as well.
 #[test]
 fn a_deregistration_binds_the_incarnation_that_is_known() {
--- a/crates/core/tests/fleet_directory.rs
+++ b/crates/core/tests/fleet_directory.rs
@@ -35,6 +35,15 @@
             world.run(ms(200));
             assert!(world.are_entries_exact(), "seed {seed}");
         }
+        // Nor does one of a server whose id is not used again.
+        world.servers[1].is_alive = false;
+        let mut late_other = world.servers[1].record.clone();
+        late_other.sequence += 5;
+        world.add_server("t1", "stock", late_other.address.port());
+        world.run_until(ms(4_000), World::are_entries_exact);
+        replay(&mut world, 2, late_other);
+        world.run(ms(1_000));
+        assert!(world.are_entries_exact(), "seed {seed}");
         // A late report of draining binds the dead incarnation only.
         late.is_draining = true;
         late.sequence += 1;
@@ -71,6 +80,28 @@
     }
 }
 
+/// Guards against a departure that is forgotten with the replicas' memory once many others followed it.
+#[test]
+fn a_departed_incarnation_stays_out_after_many_departures() {
+    let mut world = World::settled(1, 3, 2, 4);
+    world.drain(3, 1);
+    world.run_until(ms(4_000), |world| world.servers[3].acknowledged_at.is_some());
+    world.servers[3].is_alive = false;
+    for number in 0..300 {
+        world.deregister(number % 3, &format!("other{number}"), Some(1));
+        world.run(ms(20));
+    }
+    let mut late = world.servers[3].record.clone();
+    (late.is_draining, late.sequence) = (false, late.sequence + 1);
+    world.run(ms(7_000));
+    replay(&mut world, 0, late);
+    for entry in 0..2 {
+        world.start_entry(entry);
+    }
+    world.run(ms(3_000));
+    assert!(world.are_entries_exact() && world.entries.iter().all(|entry| !entry.seen.contains("s3")));
+}
+
 /// Guards against a crashed server that stays, or one that is dropped after a single lost announcement.
 #[test]
 fn a_silent_server_leaves_after_a_while() {
--- a/crates/core/tests/fleet_faults.rs
+++ b/crates/core/tests/fleet_faults.rs
@@ -143,6 +143,49 @@
     }
 }
 
+/// Guards against a thawed replica that takes the announcements in its sockets for new ones.
+#[test]
+fn a_thawed_replica_does_not_bring_crashed_servers_back() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 4, 6);
+        let victim = seed as usize % 3;
+        let entry = world.entries[0].name.clone();
+        for other in (0..3).filter(|other| *other != victim) {
+            let name = world.replicas[other].name.clone();
+            world.links.cut(&entry, &name);
+        }
+        world.run(ms(2_000));
+        // The server announces itself elsewhere while the replica is frozen, and crashes.
+        world.servers[5].replica = (victim + 1) % 3;
+        world.freeze_replica(victim);
+        world.run(ms(4_000));
+        world.servers[5].is_alive = false;
+        world.run(ms(12_000));
+        world.start_entry(0);
+        world.thaw_replica(victim);
+        world.run(ms(8_000));
+        let entry = &world.entries[0];
+        assert!(entry.is_ready, "seed {seed}: not ready");
+        assert!(!entry.seen.contains("s5"), "seed {seed}: a crashed server was used");
+    }
+}
+
+/// Guards against entries that drop servers whose announcements only a replica hears that is cut off. It goes on
+/// acknowledging them, so these servers do not turn to another replica.
+#[test]
+fn servers_of_a_replica_that_is_cut_off_stay() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 4, 6);
+        let victim = seed as usize % 3;
+        world.cut_replica(victim);
+        world.run(ms(20_000));
+        assert!(world.are_entries_exact(), "seed {seed}");
+        world.heal();
+        world.run(ms(8_000));
+        assert!(world.are_entries_exact(), "seed {seed}");
+    }
+}
+
 /// Guards against a frozen entry that takes old answers for news.
 #[test]
 fn a_thawed_entry_finds_the_newest_state() {
