Replay a late announcement after its server is forgotten

With addresses not compared the test passed, because entries themselves keep one server per address. It now fails when that rule is broken in the directory.

--- a/crates/core/tests/fleet_directory.rs
+++ b/crates/core/tests/fleet_directory.rs
@@ -41,6 +41,8 @@
         late_other.sequence += 5;
         world.add_server("t1", "stock", late_other.address.port());
         world.run_until(ms(4_000), World::are_entries_exact);
+        // By now the crashed server is forgotten.
+        world.run(ms(8_000));
         replay(&mut world, 2, late_other);
         world.run(ms(1_000));
         assert!(world.are_entries_exact(), "seed {seed}");
