--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -48,6 +48,10 @@
 /// Time that is left of the grace when the process ends.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Least part of the requests that are not repetitions by callers. An entry cannot tell these apart, and they do
+/// not raise the number of extra attempts that the platform permits.
+const FIRST_REQUESTS: f64 = 0.7;
+
 /// A running entry.
 pub struct FleetEntry {
     port: u16,
@@ -194,7 +198,7 @@
 fn balancer_options(settings: &Settings, fleet: &FleetSettings) -> BalancerOptions {
     BalancerOptions {
         data_centre: settings.data_centre.clone(),
-        ratio: fleet.retry_ratio,
+        ratio: fleet.retry_ratio * FIRST_REQUESTS,
         slack: fleet.retry_slack,
         window: fleet.retry_window,
         ..BalancerOptions::default()
