--- a/crates/proxy/tests/endings.rs
+++ b/crates/proxy/tests/endings.rs
@@ -223,10 +223,29 @@
     }
 }
 
-/// Guards against *may have run* for a request of which no byte was written because the server had reset the
-/// connection, and the reverse. Which of the two happens is up to chance; they must only be told apart.
+/// Guards against *may have run* for a request of which no byte was written. The caller has sent a part of a chunk,
+/// which the entry cannot pass on yet, when the server resets the connection.
 #[actix_rt::test]
 async fn a_reset_before_the_first_byte_is_not_run() {
+    let server = serve(|io: Caller, _| async move {
+        pause(50).await;
+        let _ = io.io.set_zero_linger();
+    })
+    .await;
+    let (working, seen) = echoing(OK).await;
+    let proxy = TestProxy::start(platform::script(&[server.address, working.address]));
+    let mut caller = proxy.caller().await;
+    caller.send("POST /order/a HTTP/1.1\r\nhost: shop.example\r\ntransfer-encoding: chunked\r\n\r\n2").await;
+    assert!(within(Duration::from_secs(1), || proxy.results() == [AttemptResult::RefusedBeforeWrite]).await);
+    caller.send("\r\nhi\r\n0\r\n\r\n").await;
+    assert_eq!(caller.answer().await.status, 200);
+    assert!(seen.borrow()[0].ends_with("hi"), "{:?}", seen.borrow());
+}
+
+/// Guards against an order that goes to a second server after a reset that may have followed its first byte. Whether
+/// the reset comes before or after that byte is up to chance; the answer must fit the result.
+#[actix_rt::test]
+async fn a_reset_on_a_new_connection_is_told_apart() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
--- a/crates/proxy/tests/limits.rs
+++ b/crates/proxy/tests/limits.rs
@@ -81,6 +81,14 @@
     let got = caller.answer().await;
     assert_eq!((got.status, got.header("connection")), (413, Some("close")));
     assert!(start.elapsed() < Duration::from_secs(1));
+    // A small body is read to its end, so that the connection can be kept; a long one is not.
+    let proxy = limited(Limits::default(), server.address);
+    for (length, connection) in [(60_000, None), (300_000, Some("close"))] {
+        let mut caller = proxy.caller().await;
+        caller.send(&sized(length).replace("/upload/", "/unknown/")).await;
+        let got = caller.answer().await;
+        assert_eq!((got.status, got.header("connection")), (404, connection), "{length}");
+    }
 }
 
 /// Guards against an answer to a rejected upload that waits for the rest of the body, or is lost in a reset when the
--- a/crates/proxy/tests/routes.rs
+++ b/crates/proxy/tests/routes.rs
@@ -5,6 +5,7 @@
 use {
     hemlockford_core::{
         dispatch::CallTerms,
+        outcome::NotRunReason,
         text::{RouteKind, Text},
     },
     std::{
@@ -204,3 +205,13 @@
         assert_eq!(&*proxy.log.borrow().calls.last().unwrap().service, service);
     }
 }
+
+/// Guards against 404 for a service of the text in force that the dispatcher has not heard of yet.
+#[actix_rt::test]
+async fn a_dispatcher_behind_the_text_makes_no_service_unknown() {
+    let mut script = platform::script(&[refusing()]);
+    script.servers.clear();
+    script.reason = NotRunReason::UnknownService;
+    let got = TestProxy::start(script).call(LOOK_UP).await;
+    assert_eq!((got.status, got.header("retry-after")), (503, Some("0.25")));
+}
--- a/crates/proxy/tests/stopping.rs
+++ b/crates/proxy/tests/stopping.rs
@@ -106,6 +106,8 @@
     pause(400).await;
     assert!(!proxy.worker.is_finished());
     drop(closing);
+    idle.send(LOOK_UP).await;
+    assert_eq!(idle.answer().await.status, 503, "requests are refused from then on");
     assert!(within(LIMIT, || proxy.worker.is_finished()).await);
 }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -36,6 +36,8 @@
 pub struct Script {
     /// The server of the first attempt, of the second, and so on; a failure after the last is rejected.
     pub servers: Vec<SocketAddr>,
+    /// Why a call is refused for which there is no server.
+    pub reason: NotRunReason,
     /// Whether calls are left to wait.
     pub hold: bool,
     pub pass_allowance: bool,
@@ -49,6 +51,7 @@
     pub fn to(server: SocketAddr) -> Self {
         Self {
             servers: vec![server],
+            reason: NotRunReason::NoServer,
             hold: false,
             pass_allowance: false,
             want_report: false,
@@ -142,7 +145,7 @@
                 want_report: script.want_report,
             },
             None => Decision::Reject {
-                outcome: finish.map_or(Outcome::NotRun(NotRunReason::NoServer), |finish| outcome(finish.result)),
+                outcome: finish.map_or(Outcome::NotRun(script.reason), |finish| outcome(finish.result)),
                 retry_after: Duration::from_secs(1),
             },
         }
