--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -197,8 +197,9 @@
         actions: &mut Vec<DispatchAction>,
     ) {
         let service = key(name);
+        let entries = self.entries.get(now, self.options.window);
         let state = self.services.entry(service).or_insert_with(|| ServiceState::new(&self.options));
-        state.servers.set(now, views, &self.options.data_centre, &mut self.rng);
+        state.servers.set(now, views, (&self.options.data_centre, entries), &mut self.rng);
         self.pump(now, service, actions);
     }
 
--- a/crates/core/src/probing/servers.rs
+++ b/crates/core/src/probing/servers.rs
@@ -14,12 +14,15 @@
 /// Part of the slots of a service that stays in use, whatever fails.
 const KEPT_PART: f64 = 0.5;
 /// A server that became ready this long ago has been given calls by other entries.
-const NEW: Duration = Duration::from_millis(3_500);
-/// When a new server gets its first call of an entry at the latest, in milliseconds: within 4 s, but rather
-/// when it is no longer cold. Each entry draws a time, so that they do not meet there.
-const DUE: std::ops::Range<u64> = 1_200..2_200;
+const NEW: Duration = Duration::from_millis(6_500);
+/// When a new server gets its first call of an entry at the latest, in milliseconds: when it is no longer cold, and
+/// early enough that it works within 8 s. Each entry draws a time, so that they do not meet there.
+const DUE: std::ops::Range<u64> = 3_200..5_000;
 /// Entries of other data centres come later, as a new server has mostly got calls then.
-const DUE_REMOTE: std::ops::Range<u64> = 2_200..3_000;
+const DUE_REMOTE: std::ops::Range<u64> = 5_000..6_000;
+/// Entries that give a new server such a call. If every entry did, 44 entries would send each of 60 new servers a call
+/// that may be late; with 3 on average, one server in 20 gets none and has to wait until it is chosen for itself.
+const INTRODUCERS: f64 = 3.0;
 /// Servers of other data centres that are looked at for one choice; the cost does not grow with their number.
 pub(super) const REMOTE_SAMPLE: usize = 4;
 
@@ -35,7 +38,13 @@
 impl Servers {
     /// Sets the servers. What is known of a server is kept unless its address or the time at which it became
     /// ready has changed.
-    pub(super) fn set(&mut self, now: Instant, views: Vec<ServerView>, data_centre: &str, rng: &mut SmallRng) {
+    pub(super) fn set(
+        &mut self,
+        now: Instant,
+        views: Vec<ServerView>,
+        (data_centre, entries): (&str, usize),
+        rng: &mut SmallRng,
+    ) {
         let mut known: FastMap<Key, Server> = self.all.drain(..).map(|server| (server.key, server)).collect();
         self.places.clear();
         for view in views {
@@ -57,7 +66,8 @@
                     let mut server = Server::new(now, id, view, is_remote);
                     let range = if is_remote { DUE_REMOTE } else { DUE };
                     let wait = Duration::from_millis(rng.random_range(range));
-                    let is_new = now < server.view.ready_since + NEW;
+                    let is_introducer = rng.random_bool((INTRODUCERS / entries as f64).min(1.0));
+                    let is_new = is_introducer && now < server.view.ready_since + NEW;
                     server.due = is_new.then(|| server.view.ready_since + wait);
                     server
                 }
