--- a/crates/core/src/probing/asking.rs
+++ b/crates/core/src/probing/asking.rs
@@ -70,7 +70,9 @@
         let Some(state) = self.services.get(&active.service) else { return Vec::new() };
         let sampled: Vec<_> = state.servers.sample(&mut self.rng).collect();
         let open = |server: &&Server| !active.tried.contains(&server.key) && !known.contains(&server.key);
-        let due = sampled.iter().copied().filter(open).find(|server| server.may_try(now, active));
+        let due = sampled.iter().copied().filter(open).filter(|server| server.may_try(now, active));
+        // The order of names is the same at every entry, and they must not meet at one server.
+        let due = due.min_by_key(|server| server.due);
         let mut scored: Vec<_> = sampled
             .iter()
             .copied()
--- a/crates/core/src/probing/servers.rs
+++ b/crates/core/src/probing/servers.rs
@@ -18,6 +18,8 @@
 /// When a new server gets its first call of an entry at the latest, in milliseconds: when it is no longer cold, and
 /// early enough that it works within 8 s. Each entry draws a time, so that they do not meet there.
 const DUE: std::ops::Range<u64> = 3_200..5_000;
+/// Time after the first servers within which all that run have announced themselves.
+const START: Duration = Duration::from_secs(4);
 /// Entries of other data centres come later, as a new server has mostly got calls then.
 const DUE_REMOTE: std::ops::Range<u64> = 5_000..6_000;
 /// Entries that give a new server such a call. If every entry did, 44 entries would send each of 60 new servers a call
@@ -33,6 +35,8 @@
     places: FastMap<Key, usize>,
     /// Number of servers in the own data centre.
     local: usize,
+    /// When the first servers became known. Those that announce themselves while the system starts are not new.
+    known_since: Option<Instant>,
 }
 
 impl Servers {
@@ -47,6 +51,8 @@
     ) {
         let mut known: FastMap<Key, Server> = self.all.drain(..).map(|server| (server.key, server)).collect();
         self.places.clear();
+        let known_since = *self.known_since.get_or_insert(now);
+        let has_started = now >= known_since + START;
         for view in views {
             let id = key(&view.id);
             if self.places.contains_key(&id) {
@@ -67,7 +73,7 @@
                     let range = if is_remote { DUE_REMOTE } else { DUE };
                     let wait = Duration::from_millis(rng.random_range(range));
                     let is_introducer = rng.random_bool((INTRODUCERS / entries as f64).min(1.0));
-                    let is_new = is_introducer && now < server.view.ready_since + NEW;
+                    let is_new = has_started && is_introducer && now < server.view.ready_since + NEW;
                     server.due = is_new.then(|| server.view.ready_since + wait);
                     server
                 }
