Keep the directory of servers in the data folder

A fleet that starts from its folders has no servers until they announce themselves again. The store keeps the directory in a file of its own. A torn, damaged, long or missing file reads as empty, and a failed save leaves the log usable, because the file only shortens a start.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -23,6 +23,9 @@
 const IDENTITY: &str = "identity";
 const LOG: &str = "log";
 const SNAPSHOT: &str = "snapshot";
+const DIRECTORY: &str = "directory";
+/// Longest directory that is kept or read. A longer one counts as none.
+const DIRECTORY_BYTES: usize = 1024 * 1024;
 /// Suffix of a file that is written to replace another one.
 const TEMPORARY: &str = ".new";
 
@@ -39,6 +42,8 @@
 pub struct Opened {
     /// The store.
     pub store: Store,
+    /// The directory that was saved last; empty if there is none or it is damaged.
+    pub directory: Vec<u8>,
     /// What consensus starts from, with the incarnation of the folder.
     pub recovered: Recovered,
     /// Incarnation of this process; it rises at each start.
@@ -117,13 +122,15 @@
         store.len = replay.len as u64;
         let identity = Identity::next(held, options.clock);
         store.replace(IDENTITY, &identity)?;
+        let directory = if held.is_some() { store.read_directory() } else { Vec::new() };
         let recovered = Recovered {
             incarnation: identity.folder,
             vote: replay.vote,
             snapshot: snapshot.map(Arc::new),
             entries: replay.entries,
         };
-        Ok(Opened { store, recovered, process: identity.process, is_new: held.is_none(), cut: cut as u64 })
+        let (process, is_new) = (identity.process, held.is_none());
+        Ok(Opened { store, directory, recovered, process, is_new, cut: cut as u64 })
     }
 
     /// Appends entries.
@@ -169,6 +176,46 @@
         self.check()
     }
 
+    /// Replaces the saved directory. After a failure the old one stays or none is there, and the log goes on: the
+    /// directory only shortens a start, and the log's own syncs report what fails there.
+    ///
+    /// ```
+    /// use hemlockford_store::{Store, StoreOptions};
+    /// let folder = tempfile::tempdir().unwrap();
+    /// let mut opened = Store::open(folder.path(), StoreOptions::default()).unwrap();
+    /// opened.store.save_directory(b"servers").unwrap();
+    /// drop(opened);
+    /// assert_eq!(Store::open(folder.path(), StoreOptions::default()).unwrap().directory, b"servers");
+    /// ```
+    pub fn save_directory(&mut self, directory: &[u8]) -> Result<()> {
+        self.check()?;
+        if directory.len() > DIRECTORY_BYTES {
+            return Err(errors::limit("the directory is too long to be saved"));
+        }
+        let mut buf = Vec::new();
+        record::encode(&directory, &mut buf)?;
+        let temporary = format!("{DIRECTORY}{TEMPORARY}");
+        let disk = &mut *self.disk;
+        // The rename is not synced: after a crash the old file is as good.
+        let saved = disk
+            .create(&temporary, &buf)
+            .and_then(|()| disk.sync(&temporary))
+            .and_then(|()| disk.rename(&temporary, DIRECTORY));
+        saved.map_err(|error| {
+            // A failure to remove it leaves a file that the next save replaces.
+            let _ = disk.remove(&temporary);
+            failed("save", DIRECTORY, &error)
+        })
+    }
+
+    fn read_directory(&self) -> Vec<u8> {
+        let data = self.disk.read(DIRECTORY).ok().flatten().unwrap_or_default();
+        match record::decode::<Vec<u8>>(&data) {
+            Some((directory, len)) if len == data.len() && directory.len() <= DIRECTORY_BYTES => directory,
+            _ => Vec::new(),
+        }
+    }
+
     /// Size of the log, in bytes.
     pub fn log_len(&self) -> u64 {
         self.len
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -156,6 +156,55 @@
     assert!(refusals > 300, "only {refusals} refusals");
 }
 
+/// Guards against a directory that is read although it is torn or damaged, that keeps a folder from being opened, or
+/// whose failed save touches the log.
+#[test]
+fn saved_directory_is_whole_or_empty() {
+    let disk = FakeDisk::default();
+    let mut opened = open(&disk);
+    opened.store.save_directory(b"old servers").unwrap();
+    opened.store.append(&[entry(1, 1)]).unwrap();
+    let intact = disk.bytes("directory");
+    for at in 0..intact.len() {
+        let mut flipped = intact.clone();
+        flipped[at] ^= 0x10;
+        for damaged in [flipped, intact[..at].to_vec()] {
+            disk.overwrite("directory", damaged);
+            let opened = open(&disk);
+            assert!(opened.directory.is_empty() && opened.recovered.entries == [entry(1, 1)], "byte {at}");
+        }
+    }
+    disk.overwrite("directory", intact);
+    // A crash at each operation of a save leaves the old or the new directory, and all of the log.
+    for operations in 0..4 {
+        for seed in 0..SEEDS {
+            let mut opened = open(&disk);
+            let before = opened.directory.clone();
+            disk.state().left = Some(operations);
+            let new = format!("{seed} servers").into_bytes();
+            let _ = opened.store.save_directory(&new);
+            disk.crash(seed);
+            let after = open(&disk);
+            assert!(after.directory == before || after.directory == new, "{operations} operations, seed {seed}");
+            assert_eq!(after.recovered.entries, [entry(1, 1)]);
+        }
+    }
+    let mut opened = open(&disk);
+    let before = opened.directory.clone();
+    let used = ["identity", "log", "directory"].iter().map(|file| disk.bytes(file).len()).sum::<usize>();
+    disk.state().capacity = Some(used + 100);
+    let error = opened.store.save_directory(&[1; 200]).unwrap_err();
+    assert_eq!(*error.current_context(), ErrorKind::Limit);
+    opened.store.append(&[entry(2, 1)]).unwrap();
+    disk.state().capacity = None;
+    disk.state().syncs_left = Some(0);
+    assert!(opened.store.save_directory(&[1; 200]).is_err(), "a failed sync");
+    assert!(opened.store.save_directory(&vec![1; 2 << 20]).is_err(), "too long");
+    opened.store.append(&[entry(3, 1)]).unwrap();
+    let after = open(&disk);
+    assert_eq!((after.directory, after.recovered.entries.len()), (before, 3));
+}
+
 /// Guards against damage before the tail that is skipped or cut off as if a crash had torn it.
 #[test]
 fn damage_is_reported_with_its_place() {
