--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -17,6 +17,9 @@
 /// Time without a current replica after which new servers are taken from one that is not current. A majority
 /// that runs would have been found by then, so no departure that the replica lacks has been acknowledged.
 const ADRIFT_AFTER: Duration = Duration::from_secs(3);
+/// Times after the start and after a loss of contact in which a current replica is searched for at short intervals.
+const FAST_AFTER_START: Duration = Duration::from_secs(3);
+const FAST_AFTER_LOSS: Duration = Duration::from_secs(1);
 /// Time between questions whether a replica that is preferred to the one in use is current.
 const PREFER_EVERY: Duration = Duration::from_secs(5);
 
@@ -81,7 +84,7 @@
             replica: None,
             used_from: first,
             current_at: None,
-            search: Some(Search::new(now)),
+            search: Some(Search::new(now, now + FAST_AFTER_START)),
             started: now,
             next_poll: now,
             next_prefer: now + PREFER_EVERY,
@@ -138,7 +141,7 @@
     fn tick(&mut self, now: Instant, out: &mut Vec<EntryAction>) {
         if self.search.is_none() && !self.is_current(now) {
             out.push(EntryAction::Log(FleetLog::NoReplica));
-            self.search = Some(Search::new(now));
+            self.search = Some(Search::new(now, (self.started + FAST_AFTER_START).max(now + FAST_AFTER_LOSS)));
             // The replica in use is asked once more together with the others, in case only polls were lost.
             self.next_poll = now;
         }
@@ -161,7 +164,8 @@
         if now >= self.next_poll
             && let Some(replica) = self.replica.clone()
         {
-            self.next_poll = now + self.options.poll;
+            let pause = self.search.as_ref().map(|search| search.pause(now));
+            self.next_poll = now + pause.map_or(self.options.poll, |pause| pause.min(self.options.poll));
             self.poll(now, replica, false, out);
         }
     }
--- a/crates/core/src/fleet/entry/polls.rs
+++ b/crates/core/src/fleet/entry/polls.rs
@@ -5,8 +5,8 @@
     std::{collections::VecDeque, time::Instant},
 };
 
-/// Polls that are remembered. At one poll each 250 ms, an answer that took longer than this many is of no use.
-const MAX_POLLS: usize = 16;
+/// Polls that are remembered. A search sends four each 50 ms, and an answer that takes longer than 600 ms is of no use.
+const MAX_POLLS: usize = 64;
 
 #[derive(Clone, Debug)]
 struct Sent {
--- a/crates/core/src/fleet/entry/search.rs
+++ b/crates/core/src/fleet/entry/search.rs
@@ -9,6 +9,8 @@
 const AT_ONCE: usize = 3;
 /// Time between rounds of questions.
 const ROUND: Duration = Duration::from_millis(250);
+/// Time between rounds at the begin of a search, when the replicas may be restarting together with this entry.
+const FAST_ROUND: Duration = Duration::from_millis(50);
 /// Time for which a replica that was found waits for the answer of the one in use, or of a preferred one.
 const PREFER_OTHERS: Duration = Duration::from_millis(50);
 
@@ -16,6 +18,7 @@
 #[derive(Debug)]
 pub(super) struct Search {
     next_round: Instant,
+    fast_until: Instant,
     /// Replicas that were asked in this pass over all that are known.
     asked: FastSet<InstanceId>,
     found: Option<Found>,
@@ -32,8 +35,13 @@
 }
 
 impl Search {
-    pub(super) fn new(now: Instant) -> Self {
-        Self { next_round: now, asked: FastSet::default(), found: None }
+    pub(super) fn new(now: Instant, fast_until: Instant) -> Self {
+        Self { next_round: now, fast_until, asked: FastSet::default(), found: None }
+    }
+
+    /// Time between two questions to a replica in one pass.
+    pub(super) fn pause(&self, now: Instant) -> Duration {
+        if now < self.fast_until { FAST_ROUND } else { ROUND }
     }
 
     /// Replicas to ask now, from all in the order of preference.
@@ -41,7 +49,7 @@
         if now < self.next_round {
             return Vec::new();
         }
-        self.next_round = now + ROUND;
+        self.next_round = now + self.pause(now);
         if preferred.iter().all(|name| self.asked.contains(name)) {
             self.asked.clear();
         }
