Restore the directory of servers at the start of a replica

A replica saves its directory when usable servers changed, at most once a second and behind writes of the log. At a start the records count as heard then. Departures in the log, later announcements and the directory of a replica that kept running win over them.

Two causes of late news are removed on the way. The first message of a replica discarded the questions that were sent to it before, so its clock stayed unknown and its records were dropped for 500 ms. And a lost record of a change was repaired only by three further messages in a row; it is now told again with the next batch.

--- a/crates/core/src/fleet/directory/held.rs
+++ b/crates/core/src/fleet/directory/held.rs
@@ -23,6 +23,8 @@
     pub(super) heard_by: InstanceId,
     pub(super) warm_until: Instant,
     pub(super) is_departed: bool,
+    /// Whether only the saved directory of an earlier run tells of it.
+    pub(super) is_restored: bool,
 }
 
 impl Held {
--- a/crates/core/src/fleet/directory/machine.rs
+++ b/crates/core/src/fleet/directory/machine.rs
@@ -30,7 +30,7 @@
 /// Servers that announced themselves to any replica, with revisions of what entries use of them.
 #[derive(Clone, Debug, Default)]
 pub(in crate::fleet) struct Directory {
-    records: FastMap<ServerId, Held>,
+    pub(super) records: FastMap<ServerId, Held>,
     addresses: FastMap<SocketAddr, ServerId>,
     floors: Floors,
     bytes: usize,
@@ -122,6 +122,7 @@
             heard_by,
             warm_until: heard_at + record.warm_up,
             is_departed: departed.is_some_and(|departed| record.born <= departed),
+            is_restored: false,
             record,
         };
         let bytes = self.bytes - before.map_or(0, Held::size) + held.size();
@@ -175,6 +176,7 @@
             return true;
         }
         held.record.sequence = renewal.sequence;
+        held.is_restored = false;
         if heard_at > held.heard_at {
             (held.heard_at, held.heard_by) = (heard_at, heard_by.clone());
         }
@@ -218,7 +220,7 @@
         self.records.values().filter(silent).map(|held| held.record.server.clone()).collect()
     }
 
-    fn remove(&mut self, now: Instant, server: &ServerId) {
+    pub(super) fn remove(&mut self, now: Instant, server: &ServerId) {
         let Some(held) = self.records.remove(server) else { return };
         self.bytes -= held.size();
         if self.addresses.get(&held.record.address) == Some(server) {
--- a/crates/core/src/fleet/directory/mod.rs
+++ b/crates/core/src/fleet/directory/mod.rs
@@ -3,6 +3,7 @@
 mod floors;
 mod held;
 mod machine;
+mod saved;
 
 use {floors::Floors, held::Held};
 
--- /dev/null
+++ b/crates/core/src/fleet/directory/saved.rs
@@ -0,0 +1,73 @@
+//! The directory as a file of the data folder holds it.
+
+use {
+    super::{Directory, Heard},
+    crate::{
+        collections::FastSet,
+        fleet::{HeardRecord, Record},
+        ids::{InstanceId, ServerId},
+    },
+    std::time::Instant,
+};
+
+/// Version of the format.
+const VERSION: u8 = 1;
+/// Longest saved directory. The numbers of a record take up to 90 bytes and count as 64, so this holds the longest
+/// directory.
+const MAX_SAVED_BYTES: usize = 1024 * 1024;
+
+impl Directory {
+    /// The records that have not departed, for the data folder.
+    pub(in crate::fleet) fn save(&self, now: Instant) -> Option<Vec<u8>> {
+        let records = self.records.values().filter(|held| !held.is_departed).map(|held| HeardRecord {
+            record: Record { warm_up: held.warm_until.saturating_duration_since(now), ..held.record.clone() },
+            content: held.content,
+            by: InstanceId::default(),
+            age_ms: 0,
+        });
+        let bytes = postcard::to_allocvec(&(VERSION, records.collect::<Vec<_>>())).ok()?;
+        (bytes.len() <= MAX_SAVED_BYTES).then_some(bytes)
+    }
+
+    /// Takes saved records as heard by this replica now, and returns their number. Bytes that cannot be read count
+    /// as no records.
+    pub(in crate::fleet) fn restore(
+        &mut self,
+        now: Instant,
+        saved: &[u8],
+        own: &InstanceId,
+        departed: impl Fn(&ServerId) -> Option<u64>,
+    ) -> usize {
+        if saved.len() > MAX_SAVED_BYTES {
+            return 0;
+        }
+        let Ok((VERSION, records)) = postcard::from_bytes::<(u8, Vec<HeardRecord>)>(saved) else { return 0 };
+        let mut count = 0;
+        for HeardRecord { record, content, .. } in records.into_iter().filter(|heard| heard.record.is_valid()) {
+            let server = record.server.clone();
+            let departed = departed(&server);
+            let heard = self.hear(now, record, Some(content), (own.clone(), now), departed, &mut Vec::new());
+            if heard == Heard::Changed
+                && let Some(held) = self.records.get_mut(&server)
+            {
+                held.is_restored = true;
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Removes the restored records that a complete directory does not name: the replicas that kept running have
+    /// removed them.
+    pub(in crate::fleet) fn confirm_restored(&mut self, now: Instant, named: &FastSet<ServerId>) {
+        let mut gone = Vec::new();
+        for (server, held) in &mut self.records {
+            if std::mem::take(&mut held.is_restored) && !named.contains(server) {
+                gone.push(server.clone());
+            }
+        }
+        for server in gone {
+            self.remove(now, &server);
+        }
+    }
+}
--- a/crates/core/src/fleet/log.rs
+++ b/crates/core/src/fleet/log.rs
@@ -20,6 +20,9 @@
     /// This replica may present old state.
     #[display("not current")]
     NotCurrent,
+    /// Records of an earlier run were read back.
+    #[display("{_0} servers read back from the saved directory")]
+    Restored(usize),
     /// The directory of this replica is complete.
     #[display("directory settled")]
     Settled,
--- a/crates/core/src/fleet/replica/action.rs
+++ b/crates/core/src/fleet/replica/action.rs
@@ -23,6 +23,8 @@
         /// The write.
         write: Write,
     },
+    /// Replace the saved directory. Losing it is allowed, and it must not delay or fail a `Write`.
+    SaveDirectory(Vec<u8>),
     /// Answer a request.
     Answer {
         /// Number that the request gave.
--- a/crates/core/src/fleet/replica/exchange.rs
+++ b/crates/core/src/fleet/replica/exchange.rs
@@ -14,7 +14,7 @@
 };
 
 /// Time between questions to the leader while this replica is not current.
-const ASK_LEADER: Duration = Duration::from_millis(150);
+const ASK_LEADER: Duration = Duration::from_millis(50);
 /// Time between questions to all replicas while the directory is not complete.
 const ASK_ALL: Duration = Duration::from_millis(500);
 /// Time between questions otherwise, by which the clocks of the others stay known.
@@ -42,7 +42,10 @@
         let heard = self.hear(now, record, None, (self.options.id.clone(), now), out);
         match heard {
             Heard::Full => return self.answer(id, ReplicaAnswer::Unavailable, out),
-            Heard::Changed => self.tell_replicas(now, &server, None, out),
+            Heard::Changed => {
+                self.tell_replicas(now, &server, None, out);
+                self.changed.insert(server.clone());
+            }
             Heard::Renewed | Heard::Old => {}
         }
         // The renewal of a changed record lets a replica that missed the change ask for it.
@@ -118,6 +121,11 @@
                 last.renewed.push(renewal);
             }
         }
+        // A renewal makes a replica that missed a change ask for it, and each of these messages may be lost as well.
+        // So a change is told twice.
+        for heard in std::mem::take(&mut self.changed).iter().filter_map(|server| self.directory.heard(now, server)) {
+            messages.push(self.records_message(now, None, vec![heard]));
+        }
         let mut missed = self.directory.silent(now, MISSED_AFTER);
         missed.truncate(MAX_WANTED);
         let messages: Vec<_> = messages.into_iter().map(FleetMessage::Records).collect();
@@ -208,6 +216,7 @@
             let mut logs = Vec::new();
             self.directory.remove_silent(now, self.options.server_silence, is_named, &mut logs);
             out.extend(logs.into_iter().map(ReplicaAction::Log));
+            self.directory.confirm_restored(now, &named);
         }
     }
 
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -20,7 +20,7 @@
 /// Time between wake-ups of a replica that leads or may stand for election.
 const VOTER_TICK: Duration = Duration::from_millis(50);
 /// Time between wake-ups of a replica that only learns. Less than half the gap at which it counts as frozen.
-const LEARNER_TICK: Duration = Duration::from_millis(150);
+const LEARNER_TICK: Duration = Duration::from_millis(125);
 /// Time between messages that renew what was heard from servers.
 const BATCH: Duration = Duration::from_millis(500);
 
@@ -78,6 +78,8 @@
     pub(super) asked_whole: usize,
     /// Servers that announced themselves here since the last batch.
     pub(super) renewed: FastSet<ServerId>,
+    /// Servers whose records changed by an announcement here since the last batch.
+    pub(super) changed: FastSet<ServerId>,
     /// Revision that entries were told of.
     pub(super) told_revision: u64,
     pub(super) told_at: Instant,
@@ -86,6 +88,10 @@
     pub(super) told_change: u64,
     next_tick: Instant,
     next_batch: Instant,
+    /// Revision of the directory that was saved last.
+    pub(super) saved_revision: u64,
+    /// Earliest time of the next save.
+    pub(super) save_after: Instant,
     is_stopping: bool,
 }
 
@@ -93,11 +99,12 @@
     /// Makes a replica from what its data folder held.
     pub fn new(
         now: Instant,
-        options: ReplicaOptions,
+        mut options: ReplicaOptions,
         recovered: Recovered,
         mut rng: SmallRng,
         out: &mut Vec<ReplicaAction>,
     ) -> Self {
+        let saved = std::mem::take(&mut options.directory);
         let mut founders = options.seeds.clone();
         founders.sort_unstable();
         founders.dedup();
@@ -132,12 +139,15 @@
             ask_all_at: now,
             asked_whole: 0,
             renewed: FastSet::default(),
+            changed: FastSet::default(),
             told_revision: 0,
             told_at: now,
             is_urgent: false,
             told_change: 0,
             next_tick: now,
             next_batch: now,
+            saved_revision: 0,
+            save_after: now,
             is_stopping: false,
             options,
         };
@@ -145,6 +155,7 @@
         for action in startup {
             replica.carry_out(now, action, &mut Vec::new(), out);
         }
+        replica.restore_directory(now, &saved, out);
         replica
     }
 
@@ -153,7 +164,7 @@
         if self.contact.run(now) {
             self.lose_contact(now, true, out);
         }
-        if now >= self.next_tick {
+        if self.next_wake().is_some_and(|at| now >= at) {
             self.next_tick = now + self.tick();
             self.drive(now, ConsensusEvent::Tick, out);
         }
@@ -191,11 +202,13 @@
             self.batch(now, out);
         }
         self.tell_entries(now, out);
+        self.save_directory(now, out);
     }
 
     /// Time at which a `Tick` is needed.
     pub fn next_wake(&self) -> Option<Instant> {
-        Some(self.next_tick)
+        let election = self.consensus.next_election();
+        Some(election.map_or(self.next_tick, |at| at.min(self.next_tick)))
     }
 
     /// Whether this replica is in contact with the leader and has applied what was committed.
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -15,6 +15,7 @@
 mod readers;
 mod recent;
 mod requests;
+mod saving;
 mod subscribers;
 mod sync;
 
--- a/crates/core/src/fleet/replica/peers.rs
+++ b/crates/core/src/fleet/replica/peers.rs
@@ -103,7 +103,9 @@
             return false;
         }
         if incarnation > peer.incarnation {
-            *peer = Peer { incarnation, data_centre: peer.data_centre.clone(), ..Peer::new(now) };
+            // The first message of a replica may overtake its answer to a question from before it.
+            let asked = if peer.incarnation == 0 { std::mem::take(&mut peer.asked) } else { VecDeque::new() };
+            *peer = Peer { incarnation, data_centre: peer.data_centre.clone(), asked, ..Peer::new(now) };
         }
         if !peer.is_heard_within(now, REACHED_WITHIN) {
             peer.reached_since = now;
--- a/crates/core/tests/fleet_support/disk.rs
+++ b/crates/core/tests/fleet_support/disk.rs
@@ -12,6 +12,10 @@
     vote: Vote,
     snapshot: Option<Arc<Snapshot>>,
     entries: Vec<Entry>,
+    /// The saved directory; a crash keeps the old or the new one.
+    pub directory: Vec<u8>,
+    /// Saves of the directory so far.
+    pub saves: usize,
     pending: VecDeque<(u64, Write)>,
 }
 
--- a/crates/core/tests/fleet_support/faults.rs
+++ b/crates/core/tests/fleet_support/faults.rs
@@ -23,6 +23,7 @@
             data_centre: node.data_centre.clone(),
             seeds,
             first_start,
+            directory: node.disk.directory.clone(),
             ..ReplicaOptions::default()
         };
         let mut actions = Vec::new();
--- a/crates/core/tests/fleet_support/world.rs
+++ b/crates/core/tests/fleet_support/world.rs
@@ -261,6 +261,10 @@
                     let step = Step::Persisted { replica: index, incarnation, up_to: sequence };
                     self.schedule(self.now + FSYNC, step);
                 }
+                ReplicaAction::SaveDirectory(directory) => {
+                    self.replicas[index].disk.directory = directory;
+                    self.replicas[index].disk.saves += 1;
+                }
                 ReplicaAction::Answer { id, answer } => self.answered(index, id, answer),
                 ReplicaAction::Log(log) => self.checks.log(self.now, &name, log.to_string()),
                 ReplicaAction::Stopped => {}
--- a/crates/instance/src/control/task.rs
+++ b/crates/instance/src/control/task.rs
@@ -142,7 +142,7 @@
             ControlAction::Stream { to, message } => parts.streams.send(&to, Wire::Control(message)),
             ControlAction::Write { sequence, write } => {
                 if let Some(storage) = &parts.storage {
-                    let _ = storage.send(StorageWrite { sequence, write });
+                    let _ = storage.send(StorageWrite::Log { sequence, write });
                 }
             }
             ControlAction::Install(text) => {
--- a/crates/instance/src/durable.rs
+++ b/crates/instance/src/durable.rs
@@ -17,12 +17,14 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) store: Option<Store>,
     pub(crate) recovered: Option<Recovered>,
+    /// The saved directory of servers; empty for none.
+    pub(crate) directory: Vec<u8>,
 }
 
 impl Durable {
     pub(crate) fn open(settings: &Settings, log: &Logger) -> Result<Self> {
         let Some(folder) = &settings.data else {
-            return Ok(Self { incarnation: wall_clock(), store: None, recovered: None });
+            return Ok(Self { incarnation: wall_clock(), store: None, recovered: None, directory: Vec::new() });
         };
         std::fs::create_dir_all(folder)
             .change_context(ErrorKind::Io)
@@ -32,6 +34,11 @@
         if opened.cut > 0 {
             warn!(log, "a torn tail of the log was cut off"; "bytes" => opened.cut);
         }
-        Ok(Self { incarnation: opened.process, store: Some(opened.store), recovered: Some(opened.recovered) })
+        Ok(Self {
+            incarnation: opened.process,
+            store: Some(opened.store),
+            recovered: Some(opened.recovered),
+            directory: opened.directory,
+        })
     }
 }
--- a/crates/instance/src/fleet/replica.rs
+++ b/crates/instance/src/fleet/replica.rs
@@ -58,7 +58,7 @@
         let admin_listener = bind(settings.admin)?;
         let sockets = bind_both(settings.listen)?;
         let listen = settings.listen;
-        let Durable { incarnation, store, recovered } = Durable::open(settings, log)?;
+        let Durable { incarnation, store, recovered, directory } = Durable::open(settings, log)?;
         let (Some(store), Some(recovered)) = (store, recovered) else {
             return Err(invalid_input("a replica needs a data folder"));
         };
@@ -91,6 +91,7 @@
             seeds: seeds(&fleet.seeds, listen.port()),
             first_start: fleet.first_start,
             voters: 2 * fleet.tolerate + 1,
+            directory,
             ..ReplicaOptions::default()
         };
         let mut actions = Vec::new();
--- a/crates/instance/src/fleet/replica_task.rs
+++ b/crates/instance/src/fleet/replica_task.rs
@@ -109,7 +109,10 @@
                 ReplicaAction::Send { to, message } => self.network.send(&to, message),
                 // Without the storage thread the folder has failed, and the process stops.
                 ReplicaAction::Write { sequence, write } => {
-                    let _ = self.storage.send(StorageWrite { sequence, write });
+                    let _ = self.storage.send(StorageWrite::Log { sequence, write });
+                }
+                ReplicaAction::SaveDirectory(directory) => {
+                    let _ = self.storage.send(StorageWrite::Directory(directory));
                 }
                 ReplicaAction::Answer { id, answer } => {
                     if let Some(reply) = self.asked.remove(&id) {
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -64,7 +64,7 @@
         let sockets = Sockets::bind(settings)?;
         let addresses = sockets.addresses(settings)?;
         let Sockets { callers, admin: admin_listener, listen, datagrams } = sockets;
-        let Durable { incarnation, store, recovered } = Durable::open(settings, log)?;
+        let Durable { incarnation, store, recovered, .. } = Durable::open(settings, log)?;
         let registry = Registry::new();
         let counters = Counters::register(&registry)?;
         let proxy_counters = ProxyCounters::register(&registry)?;
--- a/crates/instance/src/storage.rs
+++ b/crates/instance/src/storage.rs
@@ -6,7 +6,7 @@
     hemlockford_core::{consensus::Write, errors::ErrorKind},
     hemlockford_store::Store,
     prometheus::{Histogram, IntCounter},
-    slog::{Logger, error, info},
+    slog::{Logger, error, info, warn},
     std::{
         sync::mpsc::{Receiver, RecvTimeoutError},
         time::{Duration, Instant},
@@ -17,10 +17,22 @@
 /// Wait before a write is tried again after the disk was full.
 const FULL_DISK_RETRY: Duration = Duration::from_secs(1);
 
-/// One write with its sequence.
-pub(crate) struct StorageWrite {
-    pub(crate) sequence: u64,
-    pub(crate) write: Write,
+/// What is written to the data folder.
+pub(crate) enum StorageWrite {
+    /// A write of the log, which is reported once it is durable.
+    Log { sequence: u64, write: Write },
+    /// The directory of servers. It may be lost, and waits until no write of the log does.
+    Directory(Vec<u8>),
+}
+
+/// Writes that are to be carried out.
+#[derive(Default)]
+struct Pending {
+    log: Vec<Write>,
+    /// Sequence of the last write of the log.
+    up_to: u64,
+    /// The newest directory.
+    directory: Option<Vec<u8>>,
 }
 
 /// Carries out writes and reports them once they are durable.
@@ -37,24 +49,29 @@
 
 impl StorageTask {
     pub(crate) fn run(mut self) {
-        let mut pending = Vec::new();
-        let mut up_to = 0;
+        let mut pending = Pending::default();
         let mut is_full = false;
         loop {
-            if !self.collect(&mut pending, &mut up_to, is_full) {
+            if !self.collect(&mut pending, is_full) {
                 return;
             }
+            if pending.log.is_empty() {
+                self.save_directory(&mut pending);
+                continue;
+            }
             let start = Instant::now();
-            match self.store.write(&mut pending) {
+            match self.store.write(&mut pending.log) {
                 Ok(()) => {
                     self.seconds.observe(start.elapsed().as_secs_f64());
                     if std::mem::take(&mut is_full) {
                         info!(self.log, "data folder has room again");
                     }
-                    (self.persisted)(up_to);
+                    (self.persisted)(pending.up_to);
                 }
                 Err(report) if *report.current_context() == ErrorKind::Limit => {
                     self.full.inc();
+                    // The room is left to the log.
+                    pending.directory = None;
                     if !std::mem::replace(&mut is_full, true) {
                         error!(self.log, "data folder is full; nothing is confirmed");
                     }
@@ -68,18 +85,33 @@
         }
     }
 
+    /// Saves the directory if there is one. A failure does not touch the log and ends with the next save.
+    fn save_directory(&mut self, pending: &mut Pending) {
+        let Some(directory) = pending.directory.take() else { return };
+        if let Err(report) = self.store.save_directory(&directory) {
+            warn!(self.log, "directory of servers not saved"; "error" => %report);
+        }
+    }
+
     /// Waits for writes and takes all that are there, so that they share one fsync. Returns whether there
     /// is anything left to do.
-    fn collect(&self, pending: &mut Vec<Write>, up_to: &mut u64, is_full: bool) -> bool {
+    fn collect(&self, pending: &mut Pending, is_full: bool) -> bool {
         let first = match is_full {
             true => self.rx.recv_timeout(FULL_DISK_RETRY),
+            // A directory is saved only when no write of the log has arrived meanwhile.
+            false if pending.directory.is_some() => self.rx.recv_timeout(Duration::ZERO),
             false => self.rx.recv().map_err(|_| RecvTimeoutError::Disconnected),
         };
         match first {
             Ok(first) => {
                 for next in std::iter::once(first).chain(self.rx.try_iter()) {
-                    *up_to = next.sequence;
-                    pending.push(next.write);
+                    match next {
+                        StorageWrite::Log { sequence, write } => {
+                            pending.up_to = sequence;
+                            pending.log.push(write);
+                        }
+                        StorageWrite::Directory(directory) => pending.directory = Some(directory),
+                    }
                 }
                 true
             }
