Replace a lost incarnation of a dynamic group in two changes

A replica that lost its folder was admitted in place of its old incarnation in one step, and its own acknowledgement counted.

The leader now removes the old incarnation first, which a majority of the remaining voters commits, and then admits the new one as a learner. The next change follows as soon as the one before is committed.

A removal is sent to its subject only once it is committed. Such a replica does not stand for election, but its longer log made it refuse its vote to voters that may need it, so that a group of four could be without a leader after the loss of one.

--- a/crates/core/src/consensus/membership.rs
+++ b/crates/core/src/consensus/membership.rs
@@ -2,10 +2,14 @@
 //!
 //! One change at a time, and only after an entry of the leader's term is committed. Then the majorities before and
 //! after each change share a replica, also when several leaders change the members one after the other.
+//!
+//! A voter that lost its folder is replaced in two changes. Its old incarnation may have granted a vote that is still
+//! on its way, so the majority that removes it must not contain the new one: whoever wins by that vote otherwise
+//! has no replica in common with the majority that commits.
 
 use {
-    super::{Consensus, ConsensusAction, Member, Payload, Progress, Role},
-    crate::ids::InstanceId,
+    super::{Consensus, ConsensusAction, Entry, Member, Payload, Progress, Role},
+    crate::ids::{InstanceId, LogIndex},
     std::time::{Duration, Instant},
 };
 
@@ -69,8 +73,7 @@
                 && progress.incarnation > member.incarnation
                 && is_ready(progress)
             {
-                let replica = member.replica.clone();
-                return Some(Payload::Admit(Member { replica, incarnation: progress.incarnation }));
+                return Some(Payload::Remove(member.clone()));
             }
         }
         let silent = members
@@ -84,12 +87,42 @@
             return None;
         }
         let learners = leader.progress.iter().filter(|(name, _)| members.incarnation(name).is_none());
+        let removed = match self.log.get(self.log.change_index).map(|entry| &entry.payload) {
+            Some(Payload::Remove(member)) => Some(member),
+            _ => None,
+        };
+        // A replica that only lost its folder gets its place back.
+        let returns = |name: &InstanceId, progress: &Progress| {
+            removed.is_some_and(|member| member.replica == *name && progress.incarnation > member.incarnation)
+        };
         let (replica, progress) = learners
             .filter(|(_, progress)| progress.incarnation > 0 && is_ready(progress))
-            .max_by_key(|(name, progress)| (progress.matched, *name))?;
+            .max_by_key(|(name, progress)| (returns(name, progress), progress.matched, *name))?;
         Some(Payload::Admit(Member { replica: replica.clone(), incarnation: progress.incarnation }))
     }
 
+    /// Last entry that may be sent to a replica. A voter is sent its removal only once that is committed: a replica
+    /// whose log removes it does not stand for election, but with the longest log it would refuse its vote to the
+    /// other voters, who may need it until then.
+    pub(super) fn last_sendable(&self, to: &InstanceId) -> LogIndex {
+        let index = self.log.change_index;
+        match self.log.get(index) {
+            Some(Entry { payload: Payload::Remove(member), .. }) if index > self.commit && member.replica == *to => {
+                index - 1
+            }
+            _ => self.log.last_index(),
+        }
+    }
+
+    /// After a change of the members is committed: tells the replica that was removed, and makes the next change at
+    /// once, as the group may tolerate no loss in between.
+    pub(super) fn change_committed(&mut self, actions: &mut Vec<ConsensusAction>) {
+        for to in self.receivers() {
+            self.send_entries(&to, false, actions);
+        }
+        self.change_members(self.writes.now, actions);
+    }
+
     /// Forgets learners that have been silent for long.
     pub(super) fn forget_learners(&mut self, now: Instant) {
         if let (true, Role::Leader(leader)) = (self.options.is_dynamic, &mut self.role) {
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -70,6 +70,7 @@
     /// Sends the entries that the window allows; with `probe`, a message even if there are none.
     pub(super) fn send_entries(&mut self, to: &InstanceId, probe: bool, actions: &mut Vec<ConsensusAction>) {
         let (term, incarnation, admitted) = (self.vote.term, self.incarnation, self.is_admitted());
+        let last_sendable = self.last_sendable(to);
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(progress) = leader.progress.get_mut(to) else { return };
         let (round, commit) = (leader.round, self.commit);
@@ -95,8 +96,9 @@
         }
         let mut is_sent = false;
         let mut prev_term = prev_term;
-        while progress.next <= self.log.last_index() {
-            let entries = self.log.slice(progress.next, PAYLOAD_BYTES);
+        while progress.next <= last_sendable {
+            let mut entries = self.log.slice(progress.next, PAYLOAD_BYTES);
+            entries.retain(|entry| entry.index <= last_sendable);
             let Some(last) = entries.last() else { break };
             let (last_index, last_term) = (last.index, last.term);
             let size = entries.iter().map(Entry::size).sum();
@@ -198,9 +200,13 @@
         }
         let index = self.majority_value(self.writes.durable_index, |progress| progress.matched);
         if index > self.commit && self.log.term(index) == Some(self.vote.term) {
+            let is_change = self.options.is_dynamic && (self.commit + 1..=index).contains(&self.log.change_index);
             self.commit = index;
             self.apply(actions);
             self.tell_commit(actions);
+            if is_change {
+                self.change_committed(actions);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/scenario/tests/lost_voter.rs
@@ -0,0 +1,77 @@
+//! Voters of a dynamic group that lose their folders while messages of the old folder are still on their way.
+
+mod group;
+
+use {
+    group::{SECOND, founded, settle},
+    hemlockford_core::consensus::{Message, MessageBody, ProposalResult},
+    hemlockford_scenario::{
+        fakes::Step,
+        group::{Group, GroupOptions},
+    },
+    std::time::Duration,
+};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn cut(group: &mut Group, a: usize, b: usize) {
+    group.net.cuts.extend([(a, b), (b, a)]);
+}
+
+/// Runs with all messages kept back until one of the wanted kind is sent on a link; returns it. The others are lost.
+fn intercept(group: &mut Group, from: usize, to: usize, is_wanted: impl Fn(&MessageBody) -> bool) -> Message {
+    group.held = Some(Vec::new());
+    for _ in 0..20 {
+        group.run_for(MS);
+        for step in group.held.iter_mut().flat_map(std::mem::take) {
+            if let Step::Deliver(sender, receiver, message) = step
+                && (sender, receiver) == (from, to)
+                && is_wanted(&message.body)
+            {
+                group.held = None;
+                return message;
+            }
+        }
+    }
+    panic!("no such message from {from} to {to}");
+}
+
+/// Guards against two majorities without a common replica: the leader commits with the new folder of a replica,
+/// while a vote that its old folder granted elects another leader.
+#[test]
+fn vote_of_a_lost_folder_elects_no_second_majority() {
+    for seed in 0..20 {
+        let mut group = founded(3, GroupOptions { is_busy: false, seed, ..GroupOptions::default() });
+        let leader = group.leader().unwrap();
+        let term = |group: &Group, at: usize| group.replicas[at].consensus().unwrap().term();
+        let old_term = term(&group, leader);
+        // A fsync of a little more than 1 s makes the leader hand over, and then lead on.
+        group.replicas[leader].node.set_sync_time(Some(MS * 1_060));
+        group.propose(leader);
+        let is_asked = |group: &Group| (0..3).any(|at| term(group, at) > old_term);
+        while !is_asked(&group) {
+            group.run_for(MS);
+            assert!(group.now < SECOND * 20, "seed {seed}: no hand-over");
+        }
+        let candidate = (0..3).find(|at| term(&group, *at) > old_term).unwrap();
+        let voter = 3 - leader - candidate;
+        cut(&mut group, leader, candidate);
+        let request = intercept(&mut group, candidate, voter, |body| matches!(body, MessageBody::VoteRequest { .. }));
+        group.deliver(candidate, voter, request);
+        let granted = |body: &MessageBody| matches!(body, MessageBody::Vote { granted: true, .. });
+        let vote = intercept(&mut group, voter, candidate, granted);
+        cut(&mut group, voter, candidate);
+        group.replicas[leader].node.set_sync_time(None);
+        group.lose_disk(voter);
+        group.run_for(MS * 250);
+        let lost = group.propose(leader);
+        group.run_for(MS * 50);
+        group.deliver(voter, candidate, vote);
+        group.run_for(MS * 20);
+        assert!(group.replicas[candidate].node.is_leader(), "seed {seed}: the late vote was not needed");
+        let is_committed = matches!(group.checks.answers.get(&lost), Some(ProposalResult::Committed { .. }));
+        assert!(!is_committed, "seed {seed}: confirmed without a replica that the next leader hears of");
+        group.net.cuts.clear();
+        settle(&mut group, SECOND * 6);
+    }
+}
