Read the fleet's log by read index

The replica of a fleet proposed an empty command for each read and for each submission that was decided already, as consensus had no reads when it was written. It now uses Consensus::is_current, ConsensusEvent::Read and Consensus::replicas, and the stand-ins are gone. Reads and repeated submissions write nothing to the log.

--- a/crates/core/src/fleet/replica/leading.rs
+++ b/crates/core/src/fleet/replica/leading.rs
@@ -1,7 +1,7 @@
 //! Requests: those of the own task, and those that this replica answers as the leader.
 
 use {
-    super::{Job, Origin, Replica, ReplicaAction, readers},
+    super::{Job, Origin, Replica, ReplicaAction},
     crate::{
         consensus::{ConsensusEvent, ProposalResult},
         fleet::{FleetMessage, ReplicaAnswer, Reply, Request},
@@ -94,12 +94,10 @@
         };
         let id = self.jobs.add(origin, job);
         let event = match command {
-            Some(bytes) => Some(ConsensusEvent::Propose { id, command: bytes.into() }),
-            None => readers::read(id),
+            Some(bytes) => ConsensusEvent::Propose { id, command: bytes.into() },
+            None => ConsensusEvent::Read { id },
         };
-        if let Some(event) = event {
-            self.drive(now, event, out);
-        }
+        self.drive(now, event, out);
     }
 
     /// Takes the answer of consensus to a request.
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -2,9 +2,7 @@
 
 use {
     super::{
-        Confirming, Contact, Jobs, Peers, Readers, Recent, ReplicaAction, ReplicaEvent, ReplicaOptions, Requests,
-        Subscribers,
-        readers::{is_from_leader, replicas},
+        Confirming, Contact, Jobs, Peers, Recent, ReplicaAction, ReplicaEvent, ReplicaOptions, Requests, Subscribers,
     },
     crate::{
         collections::{FastMap, FastSet},
@@ -59,7 +57,6 @@
     pub(super) options: ReplicaOptions,
     pub(super) started: Instant,
     pub(super) consensus: Consensus,
-    pub(super) readers: Readers,
     pub(super) ledger: Ledger,
     pub(super) outcomes: FastMap<LogIndex, LedgerOutcome>,
     pub(super) directory: Directory,
@@ -116,7 +113,6 @@
         let mut replica = Self {
             started: now,
             consensus,
-            readers: Readers::default(),
             ledger: Ledger::default(),
             outcomes: FastMap::default(),
             directory: Directory::default(),
@@ -229,7 +225,7 @@
     }
 
     fn keep_peers(&mut self, now: Instant) {
-        let names = replicas(&self.consensus);
+        let names = self.consensus.replicas();
         self.peers.keep(now, self.options.seeds.iter().cloned().chain(names));
     }
 
@@ -252,9 +248,7 @@
         }
         match message {
             FleetMessage::Consensus(message) => {
-                let is_from_leader = is_from_leader(&message);
-                self.drive(now, ConsensusEvent::Receive { from: from.clone(), message }, out);
-                self.readers.received(now, &from, is_from_leader, &self.consensus);
+                self.drive(now, ConsensusEvent::Receive { from, message }, out);
             }
             FleetMessage::Ask(ask) => self.asked(now, from, ask, out),
             FleetMessage::Greeting(greeting) => self.greeted(now, from, greeting, out),
@@ -297,7 +291,7 @@
     /// Compares with consensus whether this replica is current.
     fn refresh(&mut self, now: Instant, out: &mut Vec<ReplicaAction>) {
         let leads = self.consensus.is_leader();
-        let is_heard = self.readers.is_current(now, &self.consensus);
+        let is_heard = self.consensus.is_current(now);
         let may_be = self.contact.may_be_current(now, leads, self.consensus.commit_index()) && is_heard;
         match (self.contact.is_current(), may_be) {
             (true, false) => self.lose_contact(now, false, out),
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -12,7 +12,6 @@
 mod machine;
 mod options;
 mod peers;
-mod readers;
 mod recent;
 mod requests;
 mod subscribers;
@@ -23,7 +22,6 @@
     contact::Contact,
     jobs::{Job, Jobs, Origin},
     peers::Peers,
-    readers::Readers,
     recent::Recent,
     requests::Requests,
     subscribers::Subscribers,
--- a/crates/core/tests/fleet_changes.rs
+++ b/crates/core/tests/fleet_changes.rs
@@ -75,6 +75,31 @@
     }
 }
 
+/// Guards against reads and repeated submissions that write to the log, and so cost a fsync of a majority each.
+#[test]
+fn reads_and_repetitions_write_nothing() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 1, 1);
+        let id = world.submit(0, &text(2));
+        world.run(ms(2_000));
+        assert!(is_accepted(&world, id), "seed {seed}");
+        let appended = |world: &World| world.replicas.iter().map(|node| node.disk.appended).collect::<Vec<_>>();
+        let before = appended(&world);
+        let mut ids = Vec::new();
+        for replica in (0..3).cycle().take(30) {
+            ids.push((world.submit(replica, &text(2)), true));
+            ids.push((world.read(replica), false));
+            world.run(ms(50));
+        }
+        world.run(ms(2_000));
+        for (id, is_submission) in ids {
+            let is_read = matches!(world.answers[&id].1, ReplicaAnswer::Current { number: 2, .. });
+            assert!(if is_submission { is_accepted(&world, id) } else { is_read }, "seed {seed}");
+        }
+        assert_eq!(appended(&world), before, "seed {seed}");
+    }
+}
+
 /// Guards against a submission that takes a number twice, or goes below the current one.
 #[test]
 fn other_submissions_are_told_what_holds() {
--- a/crates/core/tests/fleet_support/disk.rs
+++ b/crates/core/tests/fleet_support/disk.rs
@@ -13,6 +13,8 @@
     snapshot: Option<Arc<Snapshot>>,
     entries: Vec<Entry>,
     pending: VecDeque<(u64, Write)>,
+    /// Entries that were ever appended, durable or not.
+    pub appended: usize,
 }
 
 impl Disk {
@@ -21,6 +23,9 @@
     }
 
     pub fn write(&mut self, sequence: u64, write: Write) {
+        if let Write::Append(entries) = &write {
+            self.appended += entries.len();
+        }
         self.pending.push_back((sequence, write));
     }
 
