--- a/crates/scenario/tests/lost_voter.rs
+++ b/crates/scenario/tests/lost_voter.rs
@@ -75,3 +75,39 @@
         settle(&mut group, SECOND * 6);
     }
 }
+
+/// Guards against a group of four without a leader after the loss of one: a voter that holds its own removal, and
+/// with it the longest log, does not stand for election and refuses its vote.
+#[test]
+fn removed_voter_does_not_block_the_others() {
+    for seed in 0..20 {
+        let mut group = founded(3, GroupOptions { is_busy: false, seed, ..GroupOptions::default() });
+        let learner = group.add(&[0, 1, 2], false);
+        group.run_for(SECOND);
+        let leader = group.leader().unwrap();
+        let silent = (leader + 1) % 3;
+        let others = [3 - leader - silent, learner];
+        group.isolate(silent);
+        for (count, limit) in [(4, SECOND * 3), (3, SECOND)] {
+            let end = group.now + limit;
+            while group.voters().len() != count {
+                group.run_for(MS / 4);
+                assert!(group.now < end, "seed {seed}: {:?}", group.voters());
+            }
+        }
+        // The removal reaches nobody, unless the leader tells the replica that is removed.
+        group.net.cuts.clear();
+        for other in others {
+            group.net.cuts.insert((leader, other));
+        }
+        group.run_for(MS * 400);
+        group.kill(leader);
+        group.net.cuts.clear();
+        assert!(group.run_while(SECOND * 4, |group| group.leader().is_some()), "seed {seed}: no leader");
+        let next = group.leader().unwrap();
+        let id = group.propose(next);
+        group.run_for(SECOND);
+        assert!(matches!(group.checks.answers.get(&id), Some(ProposalResult::Committed { .. })), "seed {seed}");
+        assert_eq!(group.checks.violations, [], "seed {seed}");
+    }
+}
