Test a fleet whose replicas are lost and replaced

Learners, five voters, lost disks, replacement at other names in both orders, one live seed, all processes killed after an acknowledgement with one disk lost, a stuck disk at the leader, and two texts for one number. An operator submits and reads all the while; nothing accepted may be lost, read older or refused when repeated, and changes go on within 4 s of a stable group.

--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -209,6 +209,11 @@
         self.consensus.is_leader()
     }
 
+    /// The voters of the replicated log, as far as this replica knows.
+    pub fn voters(&self) -> impl Iterator<Item = &InstanceId> {
+        self.consensus.voters()
+    }
+
     /// The replicated state as far as it is applied here.
     pub fn ledger(&self) -> &Ledger {
         &self.ledger
--- /dev/null
+++ b/crates/core/tests/fleet_members.rs
@@ -0,0 +1,273 @@
+//! Replicas that are lost and replaced: nothing accepted is lost, and changes go on once the group is stable.
+
+mod fleet_support;
+
+use {
+    fleet_support::{World, ms, operator::Operator, text},
+    hemlockford_core::fleet::ReplicaAnswer,
+};
+
+const SEEDS: std::ops::Range<u64> = 0..12;
+/// Time without disturbance after which the group counts as stable.
+const QUIET: std::time::Duration = std::time::Duration::from_secs(3);
+
+/// Time within which a silent voter is replaced, also when that takes an election first.
+const REPLACED: std::time::Duration = std::time::Duration::from_secs(6);
+
+/// Guards against a fleet that stops for good once its founders are gone one after the other.
+#[test]
+fn learners_take_the_place_of_lost_voters() {
+    println!("seeds {SEEDS:?}");
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 6, 3, 4);
+        let mut operator = Operator::default();
+        for lost in 0..3 {
+            operator.run(&mut world, ms(500));
+            world.kill_replica(lost);
+            operator.run(&mut world, ms(500));
+            world.run(QUIET);
+            operator.change(&mut world);
+            assert!(world.has_voters(), "seed {seed}: {:?}", world.voters());
+        }
+        assert_eq!(world.voters(), [3, 4, 5], "seed {seed}");
+        operator.check(&mut world);
+        assert!(world.are_entries_exact(), "seed {seed}");
+    }
+}
+
+/// Guards against five voters that do not outlive the loss of two, a killed one and an emptied one.
+#[test]
+fn five_voters_outlive_two() {
+    println!("seeds {SEEDS:?}");
+    for seed in SEEDS {
+        let mut world = World::settled_with_voters(seed, 5, 7, 3, 4);
+        let mut operator = Operator::default();
+        for round in 0..3 {
+            let voters = world.voters();
+            assert_eq!(voters.len(), 5, "seed {seed}");
+            let leader = world.leader().expect("leader");
+            let other = voters[(seed as usize + round) % 5];
+            operator.run(&mut world, ms(500));
+            world.kill_replica(leader);
+            if other != leader {
+                world.lose_disk(other);
+            }
+            operator.run(&mut world, ms(300));
+            world.run(QUIET);
+            operator.change(&mut world);
+            world.start_replica(leader);
+            if other != leader {
+                world.start_replica(other);
+            }
+            world.run(ms(6_000));
+        }
+        operator.check(&mut world);
+        assert!(world.has_voters(), "seed {seed}: {:?}", world.voters());
+    }
+}
+
+/// Guards against a replica that comes back without its disk and is not a voter again, or takes changes back.
+#[test]
+fn a_lost_disk_is_made_up_for() {
+    println!("seeds {SEEDS:?}");
+    for seed in SEEDS {
+        for first_start in [true, false] {
+            let mut world = World::settled(seed, 3, 3, 4);
+            world.first_start = first_start;
+            let mut operator = Operator::default();
+            for round in 0..4 {
+                let lost = if round == 1 { world.leader().expect("leader") } else { (seed as usize + round) % 3 };
+                operator.run(&mut world, ms(400));
+                world.lose_disk(lost);
+                operator.run(&mut world, ms(100 + 400 * round as u64));
+                world.start_replica(lost);
+                operator.run(&mut world, ms(300));
+                world.run(QUIET);
+                operator.change(&mut world);
+                assert!(world.has_voters(), "seed {seed}: {:?}", world.voters());
+            }
+            operator.check(&mut world);
+            assert!(world.are_entries_exact(), "seed {seed}");
+        }
+    }
+}
+
+/// Guards against a machine that is replaced by one of another name and stays a voter, or whose successor does not
+/// become one, in either order.
+#[test]
+fn replicas_are_replaced_at_other_names() {
+    println!("seeds {SEEDS:?}");
+    for seed in SEEDS {
+        for is_new_first in [true, false] {
+            let mut world = World::settled(seed, 3, 3, 4);
+            world.first_start = false;
+            let mut operator = Operator::default();
+            for old in 0..3 {
+                if !is_new_first {
+                    world.kill_replica(old);
+                    operator.run(&mut world, ms(1_500));
+                }
+                let new = world.add_replica();
+                operator.run(&mut world, ms(1_500));
+                if is_new_first {
+                    world.kill_replica(old);
+                }
+                world.run(QUIET);
+                operator.change(&mut world);
+                world.run_until(REPLACED, |world| world.voters().contains(&new) && world.has_voters());
+                world.seeds[old] = world.replicas[new].name.clone();
+            }
+            operator.check(&mut world);
+            assert!(world.are_entries_exact(), "seed {seed}");
+        }
+    }
+}
+
+/// Guards against a fleet that cannot be found, or started again, by seeds that are gone but for one.
+#[test]
+fn one_live_seed_is_enough() {
+    println!("seeds {SEEDS:?}");
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 6, 3, 4);
+        let mut operator = Operator::default();
+        world.first_start = false;
+        for old in 0..3 {
+            world.kill_replica(old);
+            world.run(ms(4_000));
+        }
+        world.seeds = vec!["r0".into(), "r1".into(), "r4".into()];
+        let added = world.add_replica();
+        world.add_entry();
+        operator.run(&mut world, ms(300));
+        world.run(QUIET);
+        operator.change(&mut world);
+        operator.read(&mut world, added);
+        for replica in 3..=added {
+            world.kill_replica(replica);
+        }
+        world.run(ms(1_000));
+        for replica in 3..=added {
+            world.start_replica(replica);
+        }
+        world.run(QUIET);
+        operator.change(&mut world);
+        operator.check(&mut world);
+        assert!(world.are_entries_exact(), "seed {seed}");
+    }
+}
+
+/// Guards against a change that was just accepted and is lost when all replicas are killed and one loses its disk.
+#[test]
+fn an_accepted_change_outlives_all_processes_and_one_disk() {
+    println!("seeds {SEEDS:?}");
+    for seed in SEEDS {
+        for (voters, replicas) in [(3, 3), (3, 4), (5, 5)] {
+            for lost in 0..voters {
+                let mut world = World::settled_with_voters(seed, voters, replicas, 3, 4);
+                assert!(world.has_voters(), "seed {seed}: {:?}", world.voters());
+                world.first_start = seed % 2 == 0;
+                let mut operator = Operator::default();
+                operator.submit_until_accepted(&mut world);
+                for replica in 0..replicas {
+                    world.kill_replica(replica);
+                }
+                world.lose_disk(world.seed as usize % 2 * (replicas - voters) + lost);
+                world.run(ms(200));
+                for replica in 0..replicas {
+                    world.start_replica(replica);
+                }
+                world.run(QUIET);
+                operator.change(&mut world);
+                operator.check(&mut world);
+            }
+        }
+    }
+}
+
+/// Guards against a leader that goes on leading with a disk that is full or stuck for a time, or for good.
+#[test]
+fn a_stuck_disk_at_the_leader_stops_no_change() {
+    println!("seeds {SEEDS:?}");
+    for seed in SEEDS {
+        for time in [700, 1_500, 20_000] {
+            let mut world = World::settled(seed, 3 + seed as usize % 2, 3, 4);
+            let mut operator = Operator::default();
+            let leader = world.leader().expect("leader");
+            world.set_stuck(leader, true);
+            operator.run(&mut world, ms(300));
+            world.run(QUIET);
+            operator.change(&mut world);
+            world.run(ms(time));
+            world.set_stuck(leader, false);
+            operator.run(&mut world, ms(300));
+            world.run(QUIET);
+            operator.change(&mut world);
+            // The second time the process is killed with all that is not durable.
+            let leader = world.leader().expect("leader");
+            world.set_stuck(leader, true);
+            operator.run(&mut world, ms(time.min(2_000)));
+            world.kill_replica(leader);
+            world.set_stuck(leader, false);
+            world.start_replica(leader);
+            world.run(QUIET);
+            operator.change(&mut world);
+            operator.check(&mut world);
+        }
+    }
+}
+
+/// Guards against two operators who both get their text accepted under one number.
+#[test]
+fn one_number_is_given_once() {
+    println!("seeds {SEEDS:?}");
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 4, 3, 4);
+        let texts = |number| [text(number), format!("{}[customer kovar]\n", text(number))];
+        let mut submitted = Vec::new();
+        for number in 2..10 {
+            let leader = world.leader();
+            for replica in world.running() {
+                for (operator, text) in texts(number).into_iter().enumerate() {
+                    submitted.push((number, operator, world.submit((replica + operator) % 4, &text)));
+                }
+            }
+            world.run(ms(world.seed % 7));
+            if let (Some(leader), 1) = (leader, number % 3) {
+                world.kill_replica(leader);
+                world.run(ms(3_000));
+                world.start_replica(leader);
+            }
+            world.run(QUIET);
+            let read = world.read(number as usize % 4);
+            world.run(ms(1_000));
+            let mut winners: Vec<_> = submitted
+                .iter()
+                .filter(|(of, _, id)| {
+                    *of == number && matches!(world.answers.get(id), Some((_, ReplicaAnswer::Accepted { .. })))
+                })
+                .map(|(_, operator, _)| *operator)
+                .collect();
+            winners.dedup();
+            winners.sort_unstable();
+            winners.dedup();
+            assert!(winners.len() <= 1, "seed {seed}: both texts of {number} were accepted");
+            // Whoever got no answer repeats and is told who won.
+            let repeated: Vec<_> = texts(number).iter().map(|text| world.submit(number as usize % 4, text)).collect();
+            world.run(ms(4_000));
+            let is_accepted = |id: &u64| matches!(world.answers[id].1, ReplicaAnswer::Accepted { .. });
+            let now: Vec<_> = (0..2).filter(|operator| is_accepted(&repeated[*operator])).collect();
+            assert_eq!(now.len(), 1, "seed {seed}: change {number}: {repeated:?}");
+            assert!(winners.is_empty() || winners == now, "seed {seed}: change {number} was taken back");
+            let other = &world.answers[&repeated[1 - now[0]]].1;
+            assert!(matches!(other, ReplicaAnswer::Conflict { .. }), "seed {seed}: {other:?}");
+            if let Some(winner) = winners.first() {
+                let current = &world.answers[&read].1;
+                let expected = &texts(number)[*winner];
+                assert!(
+                    matches!(current, ReplicaAnswer::Current { text, .. } if **text == **expected),
+                    "seed {seed}: {current:?}"
+                );
+            }
+        }
+    }
+}
--- a/crates/core/tests/fleet_support/checks.rs
+++ b/crates/core/tests/fleet_support/checks.rs
@@ -134,7 +134,11 @@
 
     /// Starts with a change and some servers, and runs until every entry is ready with all of them.
     pub fn settled(seed: u64, replicas: usize, entries: usize, servers: usize) -> Self {
-        let mut world = Self::new(seed, replicas, entries);
+        Self::settled_with_voters(seed, 3, replicas, entries, servers)
+    }
+
+    pub fn settled_with_voters(seed: u64, voters: usize, replicas: usize, entries: usize, servers: usize) -> Self {
+        let mut world = Self::with_voters(seed, voters, replicas, entries);
         for index in 0..servers {
             world.add_server(&format!("s{index}"), "catalogue", 8_000 + index as u16);
         }
--- a/crates/core/tests/fleet_support/disk.rs
+++ b/crates/core/tests/fleet_support/disk.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Last write that is not durable.
+    pub fn pending(&self) -> Option<u64> {
+        self.pending.back().map(|(sequence, _)| *sequence)
+    }
+
     pub fn crash(&mut self) {
         self.pending.clear();
     }
--- a/crates/core/tests/fleet_support/faults.rs
+++ b/crates/core/tests/fleet_support/faults.rs
@@ -1,7 +1,7 @@
 //! Starting, stopping, freezing and cutting off machines.
 
 use {
-    super::{Entry, World},
+    super::{Entry, ReplicaNode, World, disk::Disk, world::Step},
     hemlockford_core::{
         collections::{FastMap, FastSet},
         fleet::{EntryEvent, EntryLink, EntryOptions, Replica, ReplicaEvent, ReplicaOptions},
@@ -10,8 +10,28 @@
 };
 
 impl World {
+    /// Adds a machine with a replica at a name of its own, and starts it.
+    pub fn add_replica(&mut self) -> usize {
+        let index = self.replicas.len();
+        self.folders += 1;
+        self.replicas.push(ReplicaNode {
+            name: format!("r{index}").into(),
+            data_centre: format!("d{}", index % 3).into(),
+            replica: None,
+            incarnation: 0,
+            disk: Disk::new(self.folders),
+            is_stuck: false,
+            is_frozen: false,
+            is_cut_off: false,
+            waiting: Vec::new(),
+            wake_at: None,
+        });
+        self.start_replica(index);
+        index
+    }
+
     pub fn start_replica(&mut self, index: usize) {
-        let seeds = (0..self.replicas.len().max(3)).take(3).map(|seed| format!("r{seed}").into()).collect();
+        let (seeds, voters) = (self.seeds.clone(), self.voters);
         let rng = SmallRng::seed_from_u64(self.rng.random());
         let at = self.at();
         let first_start = self.first_start;
@@ -23,6 +43,7 @@
             data_centre: node.data_centre.clone(),
             seeds,
             first_start,
+            voters,
             ..ReplicaOptions::default()
         };
         let mut actions = Vec::new();
@@ -40,6 +61,24 @@
         node.disk.crash();
     }
 
+    /// Ends the process and empties its folder.
+    pub fn lose_disk(&mut self, index: usize) {
+        self.kill_replica(index);
+        self.folders += 1;
+        self.replicas[index].disk = Disk::new(self.folders);
+        self.replicas[index].is_stuck = false;
+    }
+
+    /// Makes every write wait from now on, or lets those that wait become durable.
+    pub fn set_stuck(&mut self, index: usize, is_stuck: bool) {
+        let node = &mut self.replicas[index];
+        node.is_stuck = is_stuck;
+        if let (false, Some(up_to)) = (is_stuck, node.disk.pending()) {
+            let step = Step::Persisted { replica: index, incarnation: node.incarnation, up_to };
+            self.schedule(self.now, step);
+        }
+    }
+
     pub fn freeze_replica(&mut self, index: usize) {
         self.replicas[index].is_frozen = true;
     }
@@ -82,14 +121,14 @@
 
     pub fn start_entry(&mut self, index: usize) {
         let rng = SmallRng::seed_from_u64(self.rng.random());
-        let (at, now) = (self.at(), self.now);
+        let (at, now, seeds) = (self.at(), self.now, self.seeds.clone());
         let node = &mut self.entries[index];
         node.incarnation += 1;
         let options = EntryOptions {
             id: node.name.clone(),
             incarnation: node.incarnation,
             data_centre: node.data_centre.clone(),
-            seeds: (0..3).map(|seed| format!("r{seed}").into()).collect(),
+            seeds,
             ..EntryOptions::default()
         };
         node.link = Some(EntryLink::new(at, options, rng));
--- a/crates/core/tests/fleet_support/mod.rs
+++ b/crates/core/tests/fleet_support/mod.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod links;
 mod node;
+pub mod operator;
 mod requests;
 mod server;
 mod world;
--- a/crates/core/tests/fleet_support/node.rs
+++ b/crates/core/tests/fleet_support/node.rs
@@ -18,6 +18,8 @@
     pub replica: Option<Replica>,
     pub incarnation: u64,
     pub disk: Disk,
+    /// Whether no write becomes durable.
+    pub is_stuck: bool,
     pub is_frozen: bool,
     /// Whether a test has cut it off from the majority, so that entries need no path to it.
     pub is_cut_off: bool,
--- /dev/null
+++ b/crates/core/tests/fleet_support/operator.rs
@@ -0,0 +1,149 @@
+//! An operator who submits changes at any replica, and what must hold for the answers.
+
+use {
+    super::{World, ms, text},
+    hemlockford_core::fleet::ReplicaAnswer,
+    std::time::Duration,
+};
+
+/// Time within which a change is accepted, and in force at every entry, once the group is stable.
+const STABLE: Duration = Duration::from_secs(4);
+/// Time after which a change without an answer is submitted again, at another replica.
+const REPEAT: Duration = Duration::from_millis(1_000);
+
+/// An operator with what was submitted and read so far.
+#[derive(Default)]
+pub struct Operator {
+    submitted: Vec<(u64, u64)>,
+    /// Reads, with the newest change that was accepted before.
+    reads: Vec<(u64, u64)>,
+    number: u64,
+}
+
+impl World {
+    /// Replicas whose processes run.
+    pub fn running(&self) -> Vec<usize> {
+        let runs = |index: &usize| self.replicas[*index].replica.is_some() && !self.replicas[*index].is_frozen;
+        (0..self.replicas.len()).filter(runs).collect()
+    }
+
+    /// Voters as the leader knows them.
+    pub fn voters(&self) -> Vec<usize> {
+        let leader = self.leader().and_then(|index| self.replicas[index].replica.as_ref());
+        let names: Vec<_> = leader.into_iter().flat_map(|replica| replica.voters()).collect();
+        (0..self.replicas.len()).filter(|index| names.contains(&&self.replicas[*index].name)).collect()
+    }
+
+    /// Whether the group has the voters that it aims at, and all of them run.
+    pub fn has_voters(&self) -> bool {
+        let voters = self.voters();
+        voters.len() == self.voters && voters.iter().all(|voter| self.running().contains(voter))
+    }
+}
+
+impl Operator {
+    /// Submits the next change at a replica.
+    pub fn submit(&mut self, world: &mut World, replica: usize) {
+        self.number = self.number.max(1) + 1;
+        self.repeat(world, replica);
+    }
+
+    fn repeat(&mut self, world: &mut World, replica: usize) {
+        let id = world.submit(replica, &text(self.number));
+        self.submitted.push((self.number, id));
+    }
+
+    pub fn read(&mut self, world: &mut World, replica: usize) {
+        let floor = self.newest(world);
+        let id = world.read(replica);
+        self.reads.push((id, floor));
+    }
+
+    /// The newest change that was accepted.
+    pub fn newest(&self, world: &World) -> u64 {
+        let is_accepted = |id: &u64| matches!(world.answers.get(id), Some((_, ReplicaAnswer::Accepted { .. })));
+        self.submitted.iter().filter(|(_, id)| is_accepted(id)).map(|(number, _)| *number).max().unwrap_or(1)
+    }
+
+    /// Has the next change accepted at any replica that runs, and reads it at each, in the time for a stable group.
+    pub fn change(&mut self, world: &mut World) {
+        self.submit_until_accepted(world);
+        for replica in world.running() {
+            self.read(world, replica);
+        }
+        let newest = self.newest(world);
+        world.run_until(STABLE, |world| world.entries.iter().all(|entry| entry.change >= newest));
+    }
+
+    /// Has the next change accepted at any replica that runs.
+    pub fn submit_until_accepted(&mut self, world: &mut World) {
+        let (seed, begin) = (world.seed, world.now);
+        let running = world.running();
+        self.number = self.number.max(1) + 1;
+        for replica in running.iter().cycle() {
+            self.repeat(world, *replica);
+            let again = world.now + REPEAT;
+            while world.now < again && self.newest(world) < self.number {
+                world.run(ms(10));
+            }
+            if self.newest(world) == self.number {
+                return;
+            }
+            assert!(world.now < begin + STABLE, "seed {seed}: change {} took too long", self.number);
+        }
+    }
+
+    /// Has changes submitted and read at all running replicas for a time.
+    pub fn run(&mut self, world: &mut World, time: Duration) {
+        let end = world.now + time;
+        while world.now < end {
+            for replica in world.running() {
+                self.submit(world, replica);
+                self.read(world, replica);
+            }
+            world.run(ms(200));
+        }
+    }
+
+    /// Waits for the answers and checks them: nothing accepted is lost, read older or refused when it is repeated.
+    pub fn check(&mut self, world: &mut World) {
+        let seed = world.seed;
+        world.run(ms(4_000));
+        self.change(world);
+        let newest = self.newest(world);
+        let is_accepted = |world: &World, id: u64| matches!(world.answers[&id].1, ReplicaAnswer::Accepted { .. });
+        let mut accepted = Vec::new();
+        for (number, id) in &self.submitted {
+            match world.answers.get(id) {
+                Some((_, ReplicaAnswer::Accepted { .. })) => accepted.push(*number),
+                // A change that was overtaken by a later one, before any answer, is refused for good.
+                Some((_, ReplicaAnswer::Superseded { .. } | ReplicaAnswer::Unavailable)) | None => {}
+                Some((at, answer)) => panic!("seed {seed}: change {number}: {answer:?} at {at:?}"),
+            }
+        }
+        for (number, id) in &self.submitted {
+            let is_refused = matches!(world.answers.get(id), Some((_, ReplicaAnswer::Superseded { .. })));
+            assert!(!is_refused || !accepted.contains(number), "seed {seed}: change {number} was accepted and refused");
+        }
+        let running = world.running();
+        let repeated: Vec<_> = accepted
+            .into_iter()
+            .flat_map(|number| running.iter().map(move |replica| (number, *replica)))
+            .map(|(number, replica)| (number, world.submit(replica, &text(number))))
+            .collect();
+        world.run(ms(4_000));
+        for (number, id) in repeated {
+            assert!(is_accepted(world, id), "seed {seed}: repetition of {number}: {:?}", world.answers[&id]);
+        }
+        for (id, floor) in &self.reads {
+            match world.answers.get(id) {
+                Some((at, ReplicaAnswer::Current { number, .. })) => {
+                    assert!(number >= floor, "seed {seed}: {number} read at {at:?} after {floor} was accepted");
+                }
+                Some((_, ReplicaAnswer::Unavailable)) | None => {}
+                Some((at, answer)) => panic!("seed {seed}: {answer:?} at {at:?}"),
+            }
+        }
+        assert!(world.entries.iter().all(|entry| entry.change >= newest), "seed {seed}: an entry misses {newest}");
+    }
+}
--- a/crates/core/tests/fleet_support/world.rs
+++ b/crates/core/tests/fleet_support/world.rs
@@ -1,7 +1,7 @@
 //! The world: machines, links, time, and what operators and servers were answered.
 
 use {
-    super::{Entry, Links, ReplicaNode, Server, checks::Checks, disk::Disk},
+    super::{Entry, Links, ReplicaNode, Server, checks::Checks},
     hemlockford_core::{
         collections::FastMap,
         fleet::{EntryAction, EntryEvent, FleetMessage, Replica, ReplicaAction, ReplicaAnswer, ReplicaEvent},
@@ -83,14 +83,25 @@
     pub answers: FastMap<u64, (Duration, ReplicaAnswer)>,
     /// Whether replicas start for the first time.
     pub first_start: bool,
+    /// Voters that the group aims at.
+    pub voters: usize,
+    /// Seeds of machines that start.
+    pub seeds: Vec<Box<str>>,
+    /// Folders so far, which number their incarnations.
+    pub folders: u64,
     queue: BinaryHeap<Reverse<Due>>,
     pub calls: FastMap<u64, Call>,
     next: u64,
 }
 
 impl World {
-    /// Starts replicas and entries, spread over data centres.
+    /// Starts replicas and entries, spread over data centres, with three voters.
     pub fn new(seed: u64, replicas: usize, entries: usize) -> Self {
+        Self::with_voters(seed, 3, replicas, entries)
+    }
+
+    /// Starts replicas and entries, spread over data centres.
+    pub fn with_voters(seed: u64, voters: usize, replicas: usize, entries: usize) -> Self {
         let mut world = Self {
             seed,
             base: Instant::now() + Duration::from_secs(1_000_000),
@@ -103,23 +114,15 @@
             checks: Checks::default(),
             answers: FastMap::default(),
             first_start: true,
+            voters,
+            seeds: (0..3).map(|seed| format!("r{seed}").into()).collect(),
+            folders: 0,
             queue: BinaryHeap::new(),
             calls: FastMap::default(),
             next: 0,
         };
-        for index in 0..replicas {
-            world.replicas.push(ReplicaNode {
-                name: format!("r{index}").into(),
-                data_centre: format!("d{}", index % 3).into(),
-                replica: None,
-                incarnation: 0,
-                disk: Disk::new(1),
-                is_frozen: false,
-                is_cut_off: false,
-                waiting: Vec::new(),
-                wake_at: None,
-            });
-            world.start_replica(index);
+        for _ in 0..replicas {
+            world.add_replica();
         }
         for _ in 0..entries {
             world.add_entry();
@@ -203,7 +206,7 @@
             }
             Step::Persisted { replica, incarnation, up_to } => {
                 let node = &mut self.replicas[replica];
-                if node.replica.is_some() && node.incarnation == incarnation {
+                if node.replica.is_some() && node.incarnation == incarnation && !node.is_stuck {
                     node.disk.sync(up_to);
                     self.replica_event(replica, ReplicaEvent::Persisted { up_to });
                 }
@@ -258,8 +261,10 @@
                 ReplicaAction::Send { to, message } => self.send(&name, incarnation, &to, message),
                 ReplicaAction::Write { sequence, write } => {
                     self.replicas[index].disk.write(sequence, write);
-                    let step = Step::Persisted { replica: index, incarnation, up_to: sequence };
-                    self.schedule(self.now + FSYNC, step);
+                    if !self.replicas[index].is_stuck {
+                        let step = Step::Persisted { replica: index, incarnation, up_to: sequence };
+                        self.schedule(self.now + FSYNC, step);
+                    }
                 }
                 ReplicaAction::Answer { id, answer } => self.answered(index, id, answer),
                 ReplicaAction::Log(log) => self.checks.log(self.now, &name, log.to_string()),
