--- a/crates/core/tests/fleet_support/disk.rs
+++ b/crates/core/tests/fleet_support/disk.rs
@@ -17,6 +17,8 @@
     /// Saves of the directory so far.
     pub saves: usize,
     pending: VecDeque<(u64, Write)>,
+    /// Entries that were ever appended, durable or not.
+    pub appended: usize,
 }
 
 impl Disk {
@@ -25,6 +27,9 @@
     }
 
     pub fn write(&mut self, sequence: u64, write: Write) {
+        if let Write::Append(entries) = &write {
+            self.appended += entries.len();
+        }
         self.pending.push_back((sequence, write));
     }
 
@@ -44,6 +49,11 @@
         }
     }
 
+    /// Last write that is not durable.
+    pub fn pending(&self) -> Option<u64> {
+        self.pending.back().map(|(sequence, _)| *sequence)
+    }
+
     pub fn crash(&mut self) {
         self.pending.clear();
     }
