Read the settings of a fleet in any order of the sections

A replica whose section [fleet] came before [instance] was refused, because the check for the key data ran while the section was read; it now runs at the end. Values that the platform's template leaves out count as not given, also a duration of which only the unit is left, and data, workers and notice of [instance]. The address by which the instance of a fleet is named must have a port: without the key, the instance was named 127.0.0.1:0. A key that is missing is reported at the header of its section instead of line 0.

--- a/crates/instance/src/settings/fleet.rs
+++ b/crates/instance/src/settings/fleet.rs
@@ -12,6 +12,8 @@
 }
 
 /// Settings of an instance of a fleet, section `[fleet]`.
+///
+/// An empty value counts as not given, because the platform's template leaves out what it does not know.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetSettings {
     /// What the instance does.
--- a/crates/instance/src/settings/parse.rs
+++ b/crates/instance/src/settings/parse.rs
@@ -14,12 +14,14 @@
 pub(super) struct Parser<'a> {
     source: &'a str,
     settings: Settings,
+    /// Whether there is a section `[fleet]`, in which case the platform's template fills the file in.
+    is_fleet: bool,
     faults: Vec<Fault>,
 }
 
 impl<'a> Parser<'a> {
     pub(super) fn new(source: &'a str) -> Self {
-        Self { source, settings: Settings::default(), faults: Vec::new() }
+        Self { source, settings: Settings::default(), is_fleet: false, faults: Vec::new() }
     }
 
     pub(super) fn parse(mut self) -> Result<Settings, Vec<Fault>> {
@@ -38,6 +40,7 @@
     }
 
     fn read(&mut self, ini: &Ini) {
+        self.is_fleet = ini.section(Some("fleet")).is_some();
         for (section, properties) in ini.iter() {
             let Some(section) = section else {
                 for (key, _) in properties.iter() {
@@ -59,6 +62,7 @@
     fn read_instance(&mut self, section: &str, properties: &Properties) {
         for (key, value) in properties.iter() {
             match key {
+                "data" | "workers" | "notice" if self.is_fleet && value.is_empty() => {}
                 "id" => self.name(section, key, value, |settings, id| settings.id = id),
                 "data-centre" => self.name(section, key, value, |settings, id| settings.data_centre = id),
                 "callers" => self.settings.callers = self.address(section, key, value, self.settings.callers),
@@ -84,6 +88,9 @@
         let mut fleet = FleetSettings::default();
         for (key, value) in properties.iter() {
             match (key, value) {
+                // The platform's template leaves the value out, and then it must not stop the start.
+                (_, "") if key != "role" => {}
+                ("retry-window" | "grace", "s") => {}
                 ("role", "entry") => fleet.role = FleetRole::Entry,
                 ("role", "replica") => fleet.role = FleetRole::Replica,
                 ("role", _) => self.fault(section, key, "expected entry or replica"),
@@ -113,9 +120,6 @@
                 _ => {}
             }
         }
-        if fleet.role == FleetRole::Replica && self.settings.data.is_none() {
-            self.fault(section, "role", "a replica needs the key data in [instance] before this section");
-        }
         self.settings.fleet = Some(fleet);
     }
 
@@ -145,6 +149,14 @@
 
     /// Checks what concerns more than one section.
     fn check_whole(&mut self) {
+        let is_replica = self.settings.fleet.as_ref().is_some_and(|fleet| fleet.role == FleetRole::Replica);
+        if is_replica && self.settings.data.is_none() {
+            self.fault("fleet", "role", "a replica needs the key data in [instance]");
+        }
+        if self.is_fleet && self.settings.listen.port() == 0 && !self.has_fault("instance", "listen") {
+            let message = "expected an address with a port other than 0, by which the instance of a fleet is named";
+            self.fault("instance", "listen", message);
+        }
         let id = self.settings.id.clone();
         let mut by_address = FastMap::default();
         for peer in self.settings.peers.clone() {
@@ -218,8 +230,16 @@
         })
     }
 
+    fn has_fault(&self, section: &str, key: &str) -> bool {
+        self.faults.iter().any(|fault| &*fault.section == section && &*fault.key == key)
+    }
+
     fn fault(&mut self, section: &str, key: &str, message: &str) {
-        let line = line_of(self.source, section, key);
+        // What is missing is reported at the header of its section.
+        let line = match line_of(self.source, section, key) {
+            0 => line_of(self.source, section, ""),
+            line => line,
+        };
         self.faults.push(Fault { line, section: section.into(), key: key.into(), message: message.into() });
     }
 }
--- /dev/null
+++ b/crates/instance/tests/fleet_settings.rs
@@ -0,0 +1,91 @@
+//! Settings of an instance of a fleet.
+
+use {
+    hemlockford_instance::{FleetRole, FleetSettings, Settings},
+    std::time::Duration,
+};
+
+const INSTANCE: &str = "\
+[instance]
+id = c1
+data-centre = brno-1
+admin = 10.0.0.1:8081
+listen = 10.0.0.1:8082
+data = /var/lib/hemlockford
+";
+const FLEET: &str = "\
+[fleet]
+role = replica
+interface = other
+seeds = 10.0.0.1:8081, 10.0.0.2:8081
+first-start = true
+tolerate = 2
+retry-ratio = 0.25
+retry-slack = 62
+retry-window = 9s
+grace = 5s
+";
+
+/// Guards against a documented key that is not read, and against sections that must come in one order.
+#[test]
+fn every_key_is_read_in_either_order_of_the_sections() {
+    let expected = FleetSettings {
+        role: FleetRole::Replica,
+        interface: Some("other".into()),
+        seeds: vec!["10.0.0.1:8081".parse().unwrap(), "10.0.0.2:8081".parse().unwrap()],
+        first_start: true,
+        tolerate: 2,
+        retry_ratio: 0.25,
+        retry_slack: 62.0,
+        retry_window: Duration::from_secs(9),
+        grace: Duration::from_secs(5),
+    };
+    for source in [[INSTANCE, FLEET].concat(), [FLEET, INSTANCE].concat()] {
+        let settings = Settings::parse(&source).unwrap();
+        assert_eq!(settings.fleet.as_ref(), Some(&expected), "{source}");
+        assert_eq!(settings.data.as_deref(), Some("/var/lib/hemlockford".as_ref()));
+    }
+}
+
+/// Guards against a start that fails because the platform's template left a value out or states more than this
+/// version knows.
+#[test]
+fn values_left_out_and_unknown_keys_do_not_stop_a_start() {
+    let instance = INSTANCE.replace("data = /var/lib/hemlockford", "data =\nworkers =\nnotice =");
+    let keys = ["interface", "seeds", "first-start", "tolerate", "retry-ratio", "retry-slack", "retry-window", "grace"];
+    let empty: String = keys.iter().map(|key| format!("{key} =\n")).collect();
+    let units = empty.replace("retry-window =", "retry-window = s").replace("grace =", "grace = s");
+    for rest in ["", &empty, &units, "colour = red\nsizes =\n", "seeds = ,\n"] {
+        let settings = Settings::parse(&format!("{instance}[fleet]\nrole = entry\n{rest}")).expect(rest);
+        assert_eq!(settings.fleet, Some(FleetSettings::default()), "{rest}");
+        assert_eq!((settings.data, settings.workers), (None, Settings::default().workers));
+    }
+}
+
+/// Guards against a wrong setting that is taken, reported at another line, or joined by faults that are none.
+#[test]
+fn faults_have_their_lines() {
+    let cases = [
+        ("role = replica", "role = leader", 8, "role"),
+        ("role = replica", "role =", 8, "role"),
+        ("10.0.0.2:8081", "10.0.0.2", 10, "seeds"),
+        ("first-start = true", "first-start = yes", 11, "first-start"),
+        ("tolerate = 2", "tolerate = 5", 12, "tolerate"),
+        ("tolerate = 2", "tolerate = -1", 12, "tolerate"),
+        ("retry-ratio = 0.25", "retry-ratio = NaN", 13, "retry-ratio"),
+        ("retry-slack = 62", "retry-slack = -1", 14, "retry-slack"),
+        ("retry-window = 9s", "retry-window = 9", 15, "retry-window"),
+        ("grace = 5s", "grace = 5s\ngrace = 6s", 17, "grace"),
+        ("data = /var/lib/hemlockford", "", 8, "role"),
+        ("data = /var/lib/hemlockford", "data =", 8, "role"),
+        ("listen = 10.0.0.1:8082", "", 1, "listen"),
+        ("listen = 10.0.0.1:8082", "listen = 10.0.0.1:0", 5, "listen"),
+        ("listen = 10.0.0.1:8082", "listen = 10.0.0.1", 5, "listen"),
+    ];
+    for (good, bad, line, key) in cases {
+        let source = [INSTANCE, FLEET].concat().replace(good, bad);
+        let faults = Settings::parse(&source).expect_err(bad);
+        let found: Vec<_> = faults.iter().map(|fault| (fault.line, &*fault.key)).collect();
+        assert_eq!(found, [(line, key)], "{bad}: {faults:?}");
+    }
+}
