Take load reports without a pace

A list of three figures was dropped, so that a server which states no pace looked as if it reported nothing. Without the fourth figure the pace is 100; an empty or unreadable figure still makes the whole report unreadable.

--- a/crates/proxy/src/load_format.rs
+++ b/crates/proxy/src/load_format.rs
@@ -1,6 +1,6 @@
 //! Forms in which servers report their load.
 
-use hemlockford_core::dispatch::LoadReport;
+use hemlockford_core::dispatch::{LoadReport, USUAL_PACE};
 
 /// Form in which servers report their load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -8,7 +8,7 @@
     /// `in_flight/slots`.
     #[default]
     InFlight,
-    /// The list `running,waiting,slots,pace`.
+    /// The list `running,waiting,slots,pace`, where `,pace` may be missing and then is 100.
     List,
 }
 
@@ -19,7 +19,7 @@
     /// use {hemlockford_core::dispatch::LoadReport, hemlockford_proxy::LoadFormat};
     /// let report = LoadReport { in_flight: 3, slots: 2, pace: 150 };
     /// assert_eq!(LoadFormat::List.parse("2, 1, 2, 150"), Some(report));
-    /// assert_eq!(LoadFormat::List.parse("2,1,2"), None);
+    /// assert_eq!(LoadFormat::List.parse("2,1,2"), Some(LoadReport { pace: 100, ..report }));
     /// assert_eq!(LoadFormat::InFlight.parse("3/2").map(|report| report.slots), Some(2));
     /// ```
     pub fn parse(self, text: &str) -> Option<LoadReport> {
@@ -28,7 +28,8 @@
         }
         let mut numbers = text.split(',').map(|number| number.trim().parse::<u32>().ok());
         let mut next = || numbers.next().flatten();
-        let (running, waiting, slots, pace) = (next()?, next()?, next()?, next()?);
+        let (running, waiting, slots) = (next()?, next()?, next()?);
+        let pace = numbers.next().unwrap_or(Some(USUAL_PACE))?;
         let report = LoadReport { in_flight: running.saturating_add(waiting), slots, pace };
         numbers.next().is_none().then_some(report)
     }
