Let stand-in servers play the interface of a platform

Process tests of a fleet need servers that repeat the request id, answer 421 for another server, mark rejections, report load with a changing pace, bound their queue, close idle connections, answer a health path, and now and then send an answer twice or without a length. Requests that arrive are counted apart from those that run, so that a test sees also those that were rejected.

--- a/crates/hemlockford/src/command/tool.rs
+++ b/crates/hemlockford/src/command/tool.rs
@@ -68,6 +68,12 @@
         meta = "QUERY"
     )]
     pub(crate) mode: Vec<String>,
+    #[options(
+        help = "interface that the servers imitate, such as request-id=x-id&queue=4; may be repeated",
+        no_short,
+        meta = "QUERY"
+    )]
+    pub(crate) interface: Vec<String>,
     #[options(help = "admin address of an entry; may be repeated", meta = "ADDRESS")]
     pub(crate) entry: Vec<SocketAddr>,
     #[options(help = "address to listen on", default = "127.0.0.1", no_short)]
--- a/crates/hemlockford/src/emulate.rs
+++ b/crates/hemlockford/src/emulate.rs
@@ -9,7 +9,10 @@
         stop::{Stop, StopSignals},
     },
     hemlockford_core::errors::{Result, invalid_input},
-    hemlockford_tools::{EmulateOptions, Emulation, emulate::Behaviour},
+    hemlockford_tools::{
+        EmulateOptions, Emulation,
+        emulate::{Behaviour, ServerInterface},
+    },
     std::time::Duration,
 };
 
@@ -24,6 +27,10 @@
     for mode in &arguments.mode {
         behaviour.apply(mode).map_err(|e| invalid_input(format!("--mode: {e}")))?;
     }
+    let mut interface = ServerInterface::default();
+    for abilities in &arguments.interface {
+        interface.apply(abilities).map_err(|e| invalid_input(format!("--interface: {e}")))?;
+    }
     let linger = arguments.linger;
     let options = EmulateOptions {
         prefix: arguments.prefix.unwrap_or_else(|| arguments.service.clone()).into(),
@@ -38,6 +45,7 @@
         cold_time: arguments.cold_time,
         cold_factor: arguments.cold_factor,
         answer_bytes: arguments.answer_bytes,
+        interface,
         behaviour,
         entries: arguments.entry,
         bind: arguments.bind,
--- a/crates/tools/src/emulate/connection.rs
+++ b/crates/tools/src/emulate/connection.rs
@@ -11,6 +11,7 @@
     actix_codec::Framed,
     actix_http::{
         Request, ServiceConfig, StatusCode,
+        error::ParseError,
         h1::{Codec, Message, MessageType},
         header,
     },
@@ -46,16 +47,18 @@
 
 async fn exchange(server: &Rc<Server>, framed: &mut Framed<TcpStream, Codec>) {
     let mut early = None;
+    // An answer that is sent once more where the next one is expected.
+    let mut repeated: Option<Reply> = None;
     loop {
         let message = match early.take() {
             Some(message) => message,
-            None => match framed.next().await {
+            None => match next(server, framed).await {
                 Some(Ok(message)) => message,
                 Some(Err(_)) | None => return,
             },
         };
         let Message::Item(req) = message else { return };
-        let call = Call::new(&req);
+        let call = Call::new(&req, &server.options.interface);
         let Some(is_right) = read_upload(framed, &req, &call).await else { return };
         let reply = if is_right {
             let mut run = pin!(server.run(&call));
@@ -74,14 +77,28 @@
             }
         } else {
             server.executions.wrong_upload();
-            Reply::new(StatusCode::BAD_REQUEST, "upload is not that of the request\n")
+            server.reply(&call, StatusCode::BAD_REQUEST, "upload is not that of the request\n")
         };
+        if let Some(repeated) = repeated.take()
+            && !matches!(repeated.write(framed).await, Ok(true))
+        {
+            return;
+        }
+        repeated = reply.is_repeated.then(|| reply.clone());
         if !matches!(reply.write(framed).await, Ok(true)) {
             return;
         }
     }
 }
 
+/// Waits for the next request, on an idle connection no longer than the server keeps it.
+async fn next(server: &Server, framed: &mut Framed<TcpStream, Codec>) -> Option<Result<Message<Request>, ParseError>> {
+    match server.options.interface.keep_alive {
+        Some(limit) => actix_rt::time::timeout(limit, framed.next()).await.ok().flatten(),
+        None => framed.next().await,
+    }
+}
+
 /// Reads the body of a request and returns whether it is the one derived from the request, where the
 /// request carries an id; `None` when the caller left.
 async fn read_upload(framed: &mut Framed<TcpStream, Codec>, req: &Request, call: &Call) -> Option<bool> {
--- a/crates/tools/src/emulate/emulation.rs
+++ b/crates/tools/src/emulate/emulation.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        announcer, connection, control::Control, executions::Executions, options::EmulateOptions, server::Server,
-        shared::Shared,
+        announcer, connection, control::Control, executions::Executions, options::EmulateOptions, pace::Pace,
+        server::Server, shared::Shared,
     },
     crate::timer::PreciseTimer,
     actix_http::ServiceConfig,
@@ -85,6 +85,7 @@
                 for (number, listener, shared) in parts {
                     let seed = options.seed.wrapping_add(number as u64);
                     let server = Rc::new(Server {
+                        pace: RefCell::new(Pace::new(epoch)),
                         slots: Semaphore::new(options.slots as usize),
                         options: options.clone(),
                         shared,
--- a/crates/tools/src/emulate/mod.rs
+++ b/crates/tools/src/emulate/mod.rs
@@ -6,7 +6,9 @@
 mod control;
 mod emulation;
 mod executions;
+mod interface;
 mod options;
+mod pace;
 mod reply;
 mod server;
 mod service_time;
@@ -17,6 +19,7 @@
     behaviour::{Behaviour, Cut, Report},
     emulation::{Emulation, EmulationAddresses, ServerAddress},
     executions::{ExecutionReport, Executions},
+    interface::ServerInterface,
     options::EmulateOptions,
     service_time::ServiceTime,
     shared::ServerReport,
--- a/crates/tools/src/emulate/options.rs
+++ b/crates/tools/src/emulate/options.rs
@@ -1,7 +1,7 @@
 //! Options of stand-in servers.
 
 use {
-    super::{ServiceTime, behaviour::Behaviour},
+    super::{ServiceTime, behaviour::Behaviour, interface::ServerInterface},
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         time::Duration,
@@ -35,6 +35,8 @@
     pub cold_factor: f64,
     /// Bytes of an answer whose request does not ask for a length.
     pub answer_bytes: usize,
+    /// Interface that they imitate.
+    pub interface: ServerInterface,
     /// Behaviour at the start.
     pub behaviour: Behaviour,
     /// Admin addresses of the entries; an announcement goes to one of them, and to the next on failure.
@@ -62,6 +64,7 @@
             cold_time: Duration::ZERO,
             cold_factor: 5.0,
             answer_bytes: 1_000,
+            interface: ServerInterface::default(),
             behaviour: Behaviour::default(),
             entries: Vec::new(),
             bind: IpAddr::V4(Ipv4Addr::LOCALHOST),
--- a/crates/tools/src/emulate/server.rs
+++ b/crates/tools/src/emulate/server.rs
@@ -4,14 +4,16 @@
     super::{
         behaviour::{Behaviour, Report},
         executions::Executions,
+        interface::ServerInterface,
         options::EmulateOptions,
+        pace::Pace,
         reply::Reply,
         shared::Shared,
     },
     crate::{content::Content, headers, timer::PreciseTimer},
     actix_http::{Request, StatusCode, header::HeaderName},
-    hemlockford_core::dispatch::{LOAD_HEADER, WANT_LOAD_HEADER},
-    rand::rngs::SmallRng,
+    hemlockford_core::dispatch::{LOAD_HEADER, USUAL_PACE, WANT_LOAD_HEADER},
+    rand::{RngExt, rngs::SmallRng},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -23,6 +25,7 @@
 
 /// Path that answers the cost of a probe.
 const PROBE: &str = "/probe";
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Longest answer that a request may ask for.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
@@ -35,6 +38,7 @@
     pub(super) slots: Semaphore,
     pub(super) waiting: Cell<u32>,
     pub(super) rng: RefCell<SmallRng>,
+    pub(super) pace: RefCell<Pace>,
     /// Load that was last reported and when it was read, for reports that lag.
     pub(super) lagging: Cell<Option<(Instant, u32)>>,
 }
@@ -46,6 +50,10 @@
     is_idempotent: bool,
     answer_bytes: Option<usize>,
     wants_load: bool,
+    /// Value of the header that names the request, which is repeated in the answer.
+    id: Option<Box<str>>,
+    /// Server that the request is meant for.
+    expected_server: Option<Box<str>>,
     /// Time by which the caller needs the answer.
     deadline: Option<Instant>,
 }
@@ -63,12 +71,17 @@
 }
 
 impl Call {
-    pub(super) fn new(req: &Request) -> Self {
+    pub(super) fn new(req: &Request, interface: &ServerInterface) -> Self {
         let text = |name: &HeaderName| req.head().headers().get(name).and_then(|value| value.to_str().ok());
+        let named = |name: &Option<HeaderName>| name.as_ref().and_then(text).map(Into::into);
         let length = text(&headers::ANSWER_BYTES).and_then(|value| value.parse().ok());
-        let left = text(&headers::DEADLINE).and_then(|value| value.parse().ok()).map(Duration::from_millis);
+        let left = text(interface.deadline.as_ref().unwrap_or(&headers::DEADLINE))
+            .and_then(|value| value.parse().ok())
+            .map(Duration::from_millis);
         Self {
             path: req.path().into(),
+            id: named(&interface.request_id),
+            expected_server: named(&interface.expected_server),
             request: text(&headers::REQUEST).unwrap_or(req.path()).into(),
             is_idempotent: req.method().is_idempotent(),
             wants_load: req.head().headers().contains_key(WANT_LOAD_HEADER),
@@ -86,6 +99,18 @@
 impl Server {
     /// Runs one call; dropping the future cancels the call and frees its slot.
     pub(super) async fn run(self: &Rc<Self>, call: &Call) -> Reply {
+        let interface = &self.options.interface;
+        let is_health = interface.health.as_ref() == Some(&call.path);
+        self.shared.count(|counts| counts.arrived += u64::from(!is_health && &*call.path != PROBE));
+        if call.expected_server.as_ref().is_some_and(|expected| *expected != self.shared.name) {
+            self.shared.count(|counts| counts.misdirected += 1);
+            return self.reply(call, StatusCode::MISDIRECTED_REQUEST, "this is another server\n");
+        }
+        if is_health {
+            self.shared.count(|counts| counts.probes += 1);
+            self.timer.sleep_until(Instant::now() + self.options.probe_time).await;
+            return self.reply(call, StatusCode::OK, "ok\n");
+        }
         let _in_flight = InFlight::new(&self.shared);
         if &*call.path == PROBE {
             return self.probe(call).await;
@@ -104,7 +129,8 @@
                 .header(headers::EXECUTION, &number.to_string());
         }
         let is_busy = self.slots.available_permits() == 0;
-        if behaviour.shed.is_some_and(|bound| is_busy && self.waiting.get() >= bound) {
+        let bound = behaviour.shed.into_iter().chain(interface.queue).min();
+        if bound.is_some_and(|bound| is_busy && self.waiting.get() >= bound) {
             return self.shed(call);
         }
         let waiting = Waiting::new(&self.waiting);
@@ -115,7 +141,7 @@
         };
         drop(waiting);
         // A call whose deadline passed while it waited is not run any more.
-        let Ok(_slot) = slot else { return self.shed(call) };
+        let Ok(slot) = slot else { return self.shed(call) };
         let start = Instant::now();
         let number = self.executions.start(&call.request, call.is_idempotent);
         self.shared.count_start();
@@ -124,18 +150,50 @@
         if behaviour.hung {
             std::future::pending::<()>().await;
         }
-        let end = start + self.service_time(&behaviour, start);
-        self.timer.sleep_until(end).await;
+        let end = self.work(start, self.service_time(&behaviour, start)).await;
         self.executions.late(end.elapsed());
         execution.finish();
+        if interface.load.is_some() {
+            // The report is of the load that the next request will meet.
+            drop(slot);
+        }
         let length = call.answer_bytes.unwrap_or(self.options.answer_bytes);
         let body = Content::new(&call.path, &call.request, length).into_bytes();
         let mut reply = self.reply(call, StatusCode::OK, body).header(headers::EXECUTION, &number.to_string());
         reply.cut = behaviour.cut;
         reply.chunked = behaviour.chunked;
+        let is_whole = reply.cut.is_none();
+        let draw = |share: f64| is_whole && share > 0.0 && self.rng.borrow_mut().random_bool(share.min(1.0));
+        reply.close_delimited = draw(interface.without_length);
+        reply.is_repeated = draw(interface.second_answers);
         reply
     }
 
+    /// Does work of a usual length at the pace of the machine and returns when it was due to end.
+    async fn work(&self, start: Instant, mut left: Duration) -> Instant {
+        let mut now = start;
+        loop {
+            let (pace, period_end) = self.pace(now);
+            let factor = f64::from(pace) / f64::from(USUAL_PACE);
+            let end = now + left.mul_f64(factor);
+            if !self.options.interface.has_pace || end <= period_end {
+                self.timer.sleep_until(end).await;
+                return end;
+            }
+            self.timer.sleep_until(period_end).await;
+            left = left.saturating_sub((period_end - now).div_f64(factor));
+            now = period_end;
+        }
+    }
+
+    /// Returns the pace in percent and the end of its period.
+    fn pace(&self, now: Instant) -> (u32, Instant) {
+        match self.options.interface.has_pace {
+            true => self.pace.borrow_mut().at(now, &mut *self.rng.borrow_mut()),
+            false => (USUAL_PACE, now),
+        }
+    }
+
     /// Returns the load that the server reports now.
     pub(super) fn reported_load(&self) -> Option<u32> {
         let actual = self.shared.count(|counts| counts.in_flight);
@@ -156,7 +214,8 @@
     /// Refuses a call that was not run.
     fn shed(&self, call: &Call) -> Reply {
         self.shared.count(|counts| counts.shed += 1);
-        self.reply(call, StatusCode::SERVICE_UNAVAILABLE, "shed\n").header(headers::SHED, "1")
+        let mark = self.options.interface.not_run.clone().unwrap_or(headers::SHED);
+        self.reply(call, StatusCode::SERVICE_UNAVAILABLE, "shed\n").header(mark, "1")
     }
 
     async fn probe(&self, call: &Call) -> Reply {
@@ -166,8 +225,21 @@
         self.reply(call, StatusCode::OK, "ok\n")
     }
 
-    fn reply(&self, call: &Call, status: StatusCode, body: impl Into<bytes::Bytes>) -> Reply {
-        let reply = Reply::new(status, body);
+    pub(super) fn reply(&self, call: &Call, status: StatusCode, body: impl Into<bytes::Bytes>) -> Reply {
+        let interface = &self.options.interface;
+        let mut reply = Reply::new(status, body);
+        if let (Some(name), Some(id)) = (&interface.request_id, &call.id) {
+            reply = reply.header(name.clone(), id);
+        }
+        if let Some(limit) = interface.keep_alive {
+            reply = reply.header(KEEP_ALIVE, &format!("timeout={}", limit.as_secs()));
+        }
+        if let Some(name) = &interface.load {
+            return match self.load_list() {
+                Some(list) => reply.header(name.clone(), &list),
+                None => reply,
+            };
+        }
         match self.reported_load().filter(|_| call.wants_load) {
             Some(load) => {
                 self.shared.count(|counts| counts.reports += 1);
@@ -177,6 +249,21 @@
         }
     }
 
+    /// Returns the load as `running,waiting,slots,pace`.
+    fn load_list(&self) -> Option<String> {
+        let slots = self.options.slots;
+        let running = slots.saturating_sub(self.slots.available_permits() as u32);
+        let (running, waiting) = match self.shared.behaviour().report {
+            Report::Honest => (running, self.waiting.get()),
+            Report::Absent => return None,
+            Report::Fixed(_) | Report::LagMs(_) => {
+                let load = self.reported_load()?;
+                (load.min(slots), load.saturating_sub(slots))
+            }
+        };
+        Some(format!("{running},{waiting},{slots},{}", self.pace(Instant::now()).0))
+    }
+
     /// Draws the service time of a call that starts now, in a cold server as in a warm one.
     fn service_time(&self, behaviour: &Behaviour, now: Instant) -> Duration {
         let drawn = self.options.service_time.sample(&mut *self.rng.borrow_mut());
--- a/crates/tools/src/emulate/shared.rs
+++ b/crates/tools/src/emulate/shared.rs
@@ -37,10 +37,14 @@
 /// Counts of one server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub(super) struct Counts {
+    /// Requests that were read, apart from probes.
+    pub(super) arrived: u64,
     pub(super) started: u64,
     pub(super) finished: u64,
     pub(super) cancelled: u64,
     pub(super) shed: u64,
+    /// Requests that were meant for another server.
+    pub(super) misdirected: u64,
     pub(super) failed_fast: u64,
     pub(super) probes: u64,
     /// Answers that carried a load report.
