Set the gauges of an instance of a fleet

An instance of a fleet registered the same metrics as one of a roster, but the gauges stayed at 0: nobody could tell which replica leads, which change an entry has installed or how many servers it knows. They are now set from the events that are logged.

--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -69,16 +69,22 @@
                 EntryAction::Send { to, message } => self.network.send(&to, message),
                 EntryAction::Text(text) => {
                     info!(self.log, "text installed"; "number" => text.number);
+                    self.counters.change.set(text.number as i64);
                     // The balancer knows the services before any worker sends it calls to them.
                     self.tell(DispatchEvent::Configure(text.clone()));
                     self.text.send_replace(text);
                 }
-                EntryAction::Servers(service, servers) => self.tell(DispatchEvent::Servers(service, servers)),
+                EntryAction::Servers(service, servers) => {
+                    self.counters.servers.with_label_values(&[&service]).set(servers.len() as i64);
+                    self.tell(DispatchEvent::Servers(service, servers));
+                }
                 EntryAction::Entries(count) => {
+                    self.counters.live.set(i64::from(count));
                     self.tell(DispatchEvent::Peers(vec![InstanceId::default(); count as usize]));
                 }
                 EntryAction::Ready(is_ready) => {
                     info!(self.log, "readiness changed"; "ready" => is_ready);
+                    self.counters.ready.set(i64::from(is_ready));
                     self.is_in_step.send_replace(is_ready);
                 }
                 EntryAction::Log(entry) => info!(self.log, "{}", entry),
--- a/crates/instance/src/fleet/replica_task.rs
+++ b/crates/instance/src/fleet/replica_task.rs
@@ -6,7 +6,7 @@
     actix_rt::time::sleep_until,
     hemlockford_core::{
         collections::FastMap,
-        fleet::{FleetMessage, Replica, ReplicaAction, ReplicaAnswer, ReplicaEvent},
+        fleet::{FleetLog, FleetMessage, Replica, ReplicaAction, ReplicaAnswer, ReplicaEvent},
     },
     hemlockford_net::Envelope,
     slog::{Logger, info},
@@ -96,13 +96,27 @@
         let (id, wall_ms) = (self.last_ask, wall_clock() / MILLISECOND);
         self.asked.insert(id, reply);
         match ask {
-            Ask::Announce(record) => ReplicaEvent::Announce { id, record, wall_ms },
+            Ask::Announce(record) => {
+                self.counters.announcements.inc();
+                ReplicaEvent::Announce { id, record, wall_ms }
+            }
             Ask::Depart { server, born } => ReplicaEvent::Depart { id, server, born, wall_ms },
             Ask::Submit(text) => ReplicaEvent::Submit { id, text },
             Ask::Read => ReplicaEvent::Read { id },
         }
     }
 
+    fn count(&self, entry: &FleetLog) {
+        match entry {
+            FleetLog::Leading(_) => self.counters.leading.set(1),
+            FleetLog::Following(_) => self.counters.leading.set(0),
+            FleetLog::Current => self.counters.ready.set(1),
+            FleetLog::NotCurrent => self.counters.ready.set(0),
+            FleetLog::Committed(number) => self.counters.change.set(*number as i64),
+            _ => {}
+        }
+    }
+
     fn carry_out(&mut self, actions: &mut Vec<ReplicaAction>) {
         for action in actions.drain(..) {
             match action {
@@ -117,7 +131,10 @@
                         let _ = reply.send(answer);
                     }
                 }
-                ReplicaAction::Log(entry) => info!(self.log, "{}", entry),
+                ReplicaAction::Log(entry) => {
+                    self.count(&entry);
+                    info!(self.log, "{}", entry);
+                }
                 ReplicaAction::Stopped => drop(self.stopped.send(())),
                 ReplicaAction::Broken(what) => drop(self.failure.send(what.into())),
             }
