--- a/crates/hemlockford/tests/processes/main.rs
+++ b/crates/hemlockford/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod measuring;
 mod path;
+#[allow(dead_code)]
 mod process;
 mod relay;
 mod system;
--- a/crates/hemlockford/tests/processes/process.rs
+++ b/crates/hemlockford/tests/processes/process.rs
@@ -3,8 +3,9 @@
 use {
     serde_json::Value,
     std::{
+        fs::OpenOptions,
         io::{BufRead, BufReader, Read},
-        path::PathBuf,
+        path::{Path, PathBuf},
         process::{Child, ChildStdout, Command, Stdio},
         thread,
         time::{Duration, Instant},
@@ -43,11 +44,21 @@
 impl Process {
     /// Starts the binary.
     pub fn start(arguments: &[&str]) -> Self {
+        Self::start_with(arguments, Stdio::null())
+    }
+
+    /// Starts the binary and adds its log to a file.
+    pub fn start_logged(arguments: &[&str], log: &Path) -> Self {
+        let file = OpenOptions::new().create(true).append(true).open(log).expect("the log can be written");
+        Self::start_with(arguments, file.into())
+    }
+
+    fn start_with(arguments: &[&str], log: Stdio) -> Self {
         let mut child = Command::new(binary())
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(log)
             .spawn()
             .expect("the binary starts");
         let stdout = BufReader::new(child.stdout.take().expect("standard output is piped"));
@@ -72,6 +83,11 @@
         serde_json::from_str(&line).unwrap_or_else(|e| panic!("{e} in '{line}'"))
     }
 
+    /// Returns whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("the process can be waited for").is_none()
+    }
+
     /// Sends a signal by name, such as `TERM`.
     pub fn signal(&self, name: &str) {
         let id = self.id().to_string();
