Count the steps of parsing routes instead of timing them

The test of 10,000 routes compared times and held release builds to 100 ms, so that it depended on the load of the machine. The same property, growth in proportion to the text, is now tested by the number of lines read and of look-ups of lines and routes, which Text::parse_counted returns; the faults are counted as before. The count does not see a single look-up or a sort that becomes slow. The times are measured by examples/routes.rs, which prints the same figures.

--- a/crates/core/src/text/model.rs
+++ b/crates/core/src/text/model.rs
@@ -38,13 +38,26 @@
     /// assert_eq!(faults[0].line, 2);
     /// ```
     pub fn parse(source: &str) -> Result<Self, Vec<Fault>> {
+        Self::parse_counted(source).0
+    }
+
+    /// Does the same and also returns the number of lines read and of look-ups of lines and routes. It grows in
+    /// proportion to the text, which shows without a clock that no step compares each line with all others.
+    ///
+    /// ```
+    /// use hemlockford_core::text::Text;
+    /// let (text, steps) = Text::parse_counted("[change]\nnumber = 1\n");
+    /// assert!(text.is_ok() && steps >= 2);
+    /// ```
+    pub fn parse_counted(source: &str) -> (Result<Self, Vec<Fault>>, usize) {
         let mut parsed = parse::Parser::new(source).parse();
         check::check(&mut parsed);
+        let steps = parsed.locator.steps() + parsed.route_look_ups;
         if parsed.faults.is_empty() {
-            return Ok(parsed.text);
+            return (Ok(parsed.text), steps);
         }
         parsed.faults.sort_by(|a, b| (a.line, &a.section, &a.key).cmp(&(b.line, &b.section, &b.key)));
-        Err(parsed.faults)
+        (Err(parsed.faults), steps)
     }
 
     /// Writes the source of a text. Parsing it gives an equal text, if this one could come from a source: its
--- a/crates/core/src/text/parse.rs
+++ b/crates/core/src/text/parse.rs
@@ -16,6 +16,8 @@
     pub(super) text: Text,
     pub(super) faults: Vec<Fault>,
     pub(super) locator: Locator,
+    /// Look-ups of routes by host and prefix.
+    pub(super) route_look_ups: usize,
 }
 
 impl Parsed {
@@ -48,7 +50,7 @@
         let is_too_long = source.len() > MAX_TEXT_BYTES;
         let Lines { text, faults } = Lines::new(if is_too_long { "" } else { source });
         let locator = Locator::new(&text);
-        Self { source: text, is_too_long, parsed: Parsed { text: Text::default(), faults, locator } }
+        Self { source: text, is_too_long, parsed: Parsed { text: Text::default(), faults, locator, route_look_ups: 0 } }
     }
 
     pub(super) fn parse(mut self) -> Parsed {
--- a/crates/core/src/text/parse_route.rs
+++ b/crates/core/src/text/parse_route.rs
@@ -129,6 +129,7 @@
     /// Checks that no earlier route matches the same requests.
     fn check_unique(&mut self, section: &str, name: &str, host: &str, prefix: &str) {
         let first = self.names.entry((host.into(), prefix.into())).or_insert_with(|| name.into());
+        self.parsed.route_look_ups += 1;
         // A section that is given twice is a fault of its own.
         if **first != *name {
             self.parsed.fault(section, "prefix", format!("the same host and prefix as those of route '{first}'"));
--- a/crates/core/tests/text_routes.rs
+++ b/crates/core/tests/text_routes.rs
@@ -6,7 +6,7 @@
         text::{Fault, Limits, MAX_TEXT_BYTES, Route, RouteKind, Target, Text},
     },
     rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom},
-    std::time::{Duration, Instant},
+    std::time::Duration,
 };
 
 const ROUTES: usize = 10_000;
@@ -203,29 +203,16 @@
 }
 
 /// Guards against steps that grow with the square of the text: then 8 times the routes would take up to 64 times as
-/// long. Release builds are also held to the bound of 100 ms.
+/// many. `examples/routes.rs` measures the time.
 #[test]
-fn ten_thousand_routes_parse_quickly() {
-    const ROUNDS: usize = 20;
-    let bound = if cfg!(debug_assertions) { Duration::MAX } else { Duration::from_millis(100) };
+fn steps_of_ten_thousand_routes_grow_with_the_text() {
     for (form, faults) in [("distinct", 0), ("equal", 2 * ROUTES - 100), ("twice", 5 * (ROUTES - 1))] {
         let (few, many) = (routes(form, ROUTES / 8), routes(form, ROUTES));
         assert!(many.len() < MAX_TEXT_BYTES);
-        assert_eq!(parse(&many).err().map_or(0, |faults| faults.len()), faults, "{form}");
-        let timed = |source: &str| {
-            let start = Instant::now();
-            let is_refused = parse(source).is_err();
-            assert_eq!(is_refused, faults > 0, "{form}");
-            start.elapsed()
-        };
-        // Other processes slow single rounds down; the shortest times count.
-        let mut shortest = (Duration::MAX, Duration::MAX);
-        let is_quick = (0..ROUNDS).any(|_| {
-            let quick = (0..4).map(|_| timed(&few)).min().unwrap();
-            shortest = (shortest.0.min(quick), shortest.1.min(timed(&many)));
-            shortest.1 < bound && shortest.1 < 16 * shortest.0
-        });
-        println!("{form}: {shortest:?}");
-        assert!(is_quick, "{form}: {shortest:?}");
+        let counted = |source: &str| Text::parse_counted(&format!("[change]\nnumber = 1\n{source}"));
+        let ((_, few), (text, many)) = (counted(&few), counted(&many));
+        assert_eq!(text.err().map_or(0, |faults| faults.len()), faults, "{form}");
+        assert!(many >= 5 * ROUTES, "{form}: the lines are not counted: {many}");
+        assert!(many <= 9 * few, "{form}: {few} steps for {} routes, {many} for {ROUTES}", ROUTES / 8);
     }
 }
