--- a/crates/core/examples/probing/main.rs
+++ b/crates/core/examples/probing/main.rs
@@ -3,11 +3,16 @@
 //!
 //! Arguments: seconds of traffic (default a day), part of the name of the lines to run, `grown` or `today`,
 //! and `start` if the pace at its start is to hold for a whole call.
+//!
+//! With `overload` it plays days with bursts and lost servers instead, and prints what the calls of each
+//! situation are worth; a further number is the first seed.
 
 #[path = "../../tests/support/fleet/mod.rs"]
 #[allow(dead_code, unused_imports, unreachable_pub)]
 mod fleet;
 
+mod overload;
+
 use {
     fleet::{Fleet, FleetOptions, Workload},
     hemlockford_core::text::Policy,
@@ -26,6 +31,10 @@
     let only = arguments.get(1).cloned().unwrap_or_default();
     let is_grown = arguments.iter().any(|text| text == "grown");
     let pace_at_start = arguments.iter().any(|text| text == "start");
+    if only == "overload" {
+        let seed = arguments.get(2).and_then(|text| text.parse().ok()).unwrap_or(1);
+        return overload::compare(seed, seconds);
+    }
     println!(
         "policy,load,service,calls,in_time,late,rejected,unknown,p50_ms,p99_ms,worth,probes_per_call,\
          connections_per_call,remote,sheds,extra,wakes_per_call"
--- a/crates/core/tests/support/fleet/event.rs
+++ b/crates/core/tests/support/fleet/event.rs
@@ -1,15 +1,22 @@
 //! What happens in the fleet.
 
-use hemlockford_core::{
-    dispatch::{AttemptResult, LoadReport},
-    ids::CallId,
+use {
+    super::simulation::Record,
+    hemlockford_core::{
+        dispatch::{AttemptResult, LoadReport},
+        ids::CallId,
+    },
 };
 
 /// What happens in the fleet.
 #[derive(Clone, Debug)]
-pub enum Event {
+pub(super) enum Event {
     /// A client calls.
     Call { workload: usize },
+    /// A refused caller comes back.
+    Return { entry: usize, call: CallId, record: Record },
+    /// The deadline of a call.
+    Cut { call: CallId },
     /// A request is at a server.
     Reach { entry: usize, call: CallId, server: usize, work: f64 },
     /// A call at a server ends, unless something has changed since.
--- a/crates/core/tests/support/fleet/options.rs
+++ b/crates/core/tests/support/fleet/options.rs
@@ -22,6 +22,8 @@
     pub probe_time: (f64, f64),
     /// Mean time between two restarts of some server, if any.
     pub restart: Option<Duration>,
+    /// Whether a refused caller comes back once.
+    pub callers_return: bool,
 }
 
 impl Default for FleetOptions {
@@ -38,6 +40,7 @@
             pace_at_start: false,
             probe_time: (0.001, 0.006),
             restart: None,
+            callers_return: false,
         }
     }
 }
--- a/crates/core/tests/support/fleet/server.rs
+++ b/crates/core/tests/support/fleet/server.rs
@@ -57,6 +57,10 @@
     /// Calls that have reached the server.
     pub reached: u64,
     pub first_reached: Option<Instant>,
+    /// Whether the server has crashed.
+    pub is_down: bool,
+    /// Factor on the pace that lasts.
+    pub slowness: f64,
     pace_at_start: bool,
 }
 
@@ -73,6 +77,8 @@
             at: now,
             reached: 0,
             first_reached: None,
+            is_down: false,
+            slowness: 1.0,
             pace_at_start: options.pace_at_start,
         }
     }
@@ -111,6 +117,19 @@
         done
     }
 
+    /// Drops a call whose caller has left.
+    pub fn remove(&mut self, call: CallId) {
+        self.running.retain(|job| job.call != call);
+        self.queued.retain(|job| job.call != call);
+        self.start();
+    }
+
+    /// Drops all calls.
+    pub fn clear(&mut self) -> Vec<Job> {
+        self.version += 1;
+        self.running.drain(..).chain(self.queued.drain(..)).collect()
+    }
+
     /// Seconds until the next call ends.
     pub fn next_end(&self) -> Option<f64> {
         self.running.iter().map(|job| job.left.max(0.0) * self.factor(job)).min_by(f64::total_cmp)
--- a/crates/core/tests/support/fleet/simulation.rs
+++ b/crates/core/tests/support/fleet/simulation.rs
@@ -1,14 +1,11 @@
 //! The loop that drives a fleet.
 
 use {
-    super::{Chooser, FakeServer, Fault, FleetOptions, Tally, event::Event},
+    super::{CallEnd, Chooser, FakeServer, Fault, FleetOptions, Tally, event::Event},
     hemlockford_core::{
         collections::FastMap,
-        dispatch::{
-            AttemptResult, Call, CallTerms, DispatchAction, DispatchEvent, Finish, LoadReport, ServerState, ServerView,
-        },
+        dispatch::{AttemptResult, DispatchAction, DispatchEvent, ServerState, ServerView},
         ids::{CallId, InstanceId},
-        outcome::Outcome,
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{
@@ -25,13 +22,19 @@
 const DAY: Duration = Duration::from_secs(100_000);
 
 /// A call of a client.
-#[derive(Debug)]
-struct Record {
-    workload: usize,
-    arrived: Instant,
-    deadline: Instant,
-    sent: Instant,
-    work: f64,
+#[derive(Clone, Debug)]
+pub(super) struct Record {
+    pub(super) workload: usize,
+    pub(super) entry: usize,
+    /// When the caller first called, which counts for its objective.
+    pub(super) first: Instant,
+    pub(super) arrived: Instant,
+    pub(super) deadline: Instant,
+    pub(super) sent: Instant,
+    pub(super) work: f64,
+    pub(super) priority: u32,
+    /// Server at which the call runs.
+    pub(super) server: Option<usize>,
 }
 
 /// A fleet in virtual time.
@@ -40,18 +43,22 @@
     pub options: FleetOptions,
     pub servers: Vec<FakeServer>,
     pub tallies: Vec<Tally>,
+    /// Factor on the traffic.
+    pub load: f64,
+    /// What became of each call.
+    pub ends: Vec<CallEnd>,
     choosers: Vec<Chooser>,
     /// When the connections of an entry to a server were last used.
     idle: FastMap<(usize, usize), Vec<Instant>>,
-    records: FastMap<CallId, Record>,
+    pub(super) records: FastMap<CallId, Record>,
     names: FastMap<Box<str>, usize>,
     /// Server that is down, and until when.
     down: Option<(usize, Instant)>,
     events: BinaryHeap<Reverse<(Instant, u64)>>,
     bodies: FastMap<u64, Event>,
     woken: Vec<Option<Instant>>,
-    sequence: u64,
-    rng: SmallRng,
+    pub(super) sequence: u64,
+    pub(super) rng: SmallRng,
 }
 
 impl Fleet {
@@ -66,6 +73,8 @@
             now,
             servers: Vec::new(),
             tallies: vec![Tally::default(); options.workloads.len()],
+            load: 1.0,
+            ends: Vec::new(),
             choosers: choosers.collect(),
             idle: FastMap::default(),
             records: FastMap::default(),
@@ -147,26 +156,10 @@
 
     /// Sum over all services.
     pub fn total(&self) -> Tally {
-        let mut total = Tally::default();
-        for tally in &self.tallies {
-            total.calls += tally.calls;
-            total.in_time += tally.in_time;
-            total.late += tally.late;
-            total.rejected += tally.rejected;
-            total.unknown += tally.unknown;
-            total.attempts += tally.attempts;
-            total.sheds += tally.sheds;
-            total.probes += tally.probes;
-            total.connections += tally.connections;
-            total.remote += tally.remote;
-            total.remote_uploads += tally.remote_uploads;
-            total.wakes += tally.wakes;
-            total.latencies.extend(&tally.latencies);
-        }
-        total
+        Tally::sum(&self.tallies)
     }
 
-    fn after(&mut self, seconds: f64, event: Event) {
+    pub(super) fn after(&mut self, seconds: f64, event: Event) {
         self.sequence += 1;
         self.bodies.insert(self.sequence, event);
         self.events.push(Reverse((self.now + Duration::from_secs_f64(seconds), self.sequence)));
@@ -179,6 +172,8 @@
     fn take(&mut self, event: Event) {
         match event {
             Event::Call { workload } => self.call(workload),
+            Event::Return { entry, call, record } => self.come_back(entry, call, record),
+            Event::Cut { call } => self.cut(call),
             Event::Reach { entry, call, server, work } => self.reach(entry, call, server, work),
             Event::Done { server, version } => {
                 if self.servers[server].version == version {
@@ -188,7 +183,7 @@
             Event::Answer { entry, call, server, result, report } => self.answer(entry, call, server, result, report),
             Event::ProbeReach { entry, probe, server, way } => {
                 let server = &self.servers[server];
-                let report = server.is_ready().then(|| server.report());
+                let report = (server.is_ready() && !server.is_down).then(|| server.report());
                 self.after(way, Event::Probed { entry, probe, report });
             }
             Event::Probed { entry, probe, report } => {
@@ -215,6 +210,7 @@
     fn redraw(&mut self, server: usize) {
         let is_slow = self.rng.random_bool(self.options.slow_part);
         self.servers[server].pace = if is_slow { self.options.slow_pace } else { 1.0 };
+        self.servers[server].pace *= self.servers[server].slowness;
         let wait = self.gap(self.options.redraw.as_secs_f64());
         self.after(wait, Event::Redraw { server });
     }
@@ -240,7 +236,7 @@
 
     fn call(&mut self, workload: usize) {
         let (rate, work) = (self.options.workloads[workload].rate, self.options.workloads[workload].work);
-        let wait = self.gap(1.0 / rate);
+        let wait = self.gap(1.0 / (rate * self.load));
         self.after(wait, Event::Call { workload });
         let entry = self.rng.random_range(0..self.options.entries);
         // The sum of three draws has a coefficient of variation of 0.2.
@@ -248,31 +244,7 @@
         self.call_at(entry, workload, work * spread, 0);
     }
 
-    /// Makes a call at an entry; returns its number.
-    pub fn call_at(&mut self, entry: usize, workload: usize, work: f64, priority: u32) -> CallId {
-        self.sequence += 1;
-        let id = self.sequence;
-        let spec = &self.options.workloads[workload];
-        let deadline = self.now + spec.deadline;
-        let call = Call {
-            id,
-            service: spec.service.into(),
-            customer: "kovar".into(),
-            idempotent: spec.idempotent,
-            replayable: spec.idempotent,
-            deadline,
-            depth: 0,
-            retry_allowance: false,
-            upload: spec.upload,
-            terms: CallTerms { attempts: 3, priority, objective: spec.objective },
-        };
-        self.tallies[workload].calls += 1;
-        self.records.insert(id, Record { workload, arrived: self.now, deadline, sent: self.now, work });
-        self.tell(entry, DispatchEvent::Arrive(call));
-        id
-    }
-
-    fn tell(&mut self, entry: usize, event: DispatchEvent) {
+    pub(super) fn tell(&mut self, entry: usize, event: DispatchEvent) {
         let mut actions = Vec::new();
         self.choosers[entry].handle(self.now, event, &mut actions);
         for action in actions {
@@ -292,7 +264,7 @@
             DispatchAction::Send { call, server, fresh_connection, .. } => {
                 let server = self.names[&server];
                 let Some(record) = self.records.get_mut(&call) else { return };
-                record.sent = self.now;
+                (record.sent, record.server) = (self.now, Some(server));
                 let (work, workload) = (record.work, record.workload);
                 let is_remote = self.is_remote(entry, server);
                 let tally = &mut self.tallies[workload];
@@ -311,14 +283,7 @@
                 let way = way * if is_new { 3.0 } else { 1.0 };
                 self.after(way, Event::Reach { entry, call, server, work });
             }
-            DispatchAction::Reject { call, outcome, .. } => {
-                let Some(record) = self.records.remove(&call) else { return };
-                let tally = &mut self.tallies[record.workload];
-                match outcome {
-                    Outcome::NotRun(_) => tally.rejected += 1,
-                    _ => tally.unknown += 1,
-                }
-            }
+            DispatchAction::Reject { call, outcome, retry_after } => self.reject(call, outcome, retry_after),
             DispatchAction::Probe { probe, server, .. } => {
                 let server = self.names[&server];
                 self.tallies[self.servers[server].workload].probes += 1;
@@ -334,19 +299,27 @@
         entry % self.options.data_centres != server % self.options.data_centres
     }
 
+    pub(super) fn keep_connection(&mut self, entry: usize, server: usize) {
+        self.idle.entry((entry, server)).or_default().push(self.now);
+    }
+
     fn reach(&mut self, entry: usize, call: CallId, server: usize, work: f64) {
         let now = self.now;
+        if !self.records.contains_key(&call) {
+            return;
+        }
         self.settle(server);
         let target = &mut self.servers[server];
         target.reached += 1;
         target.first_reached.get_or_insert(now);
         let result = match target.fault {
+            _ if target.is_down => Some(AttemptResult::RefusedBeforeWrite),
             Fault::FailsFast => Some(AttemptResult::ServerError),
             Fault::ShedsAll => Some(AttemptResult::Shed),
             Fault::Misdirects => Some(AttemptResult::Misdirected),
             Fault::None => (!target.push(now, entry, call, work)).then_some(AttemptResult::Shed),
         };
-        let report = Some(target.report());
+        let report = (!target.is_down).then(|| target.report());
         if let Some(result) = result {
             self.after(0.001, Event::Answer { entry, call, server, result, report });
         }
@@ -354,7 +327,7 @@
     }
 
     /// Ends the calls that are done at a server and awaits the next.
-    fn settle(&mut self, server: usize) {
+    pub(super) fn settle(&mut self, server: usize) {
         let done = self.servers[server].advance(self.now);
         let report = Some(self.servers[server].report());
         for job in done {
@@ -367,43 +340,4 @@
             self.after(seconds + 1e-9, Event::Done { server, version });
         }
     }
-
-    fn answer(&mut self, entry: usize, call: CallId, server: usize, result: AttemptResult, report: Option<LoadReport>) {
-        let Some(record) = self.records.get(&call) else { return };
-        let tally = &mut self.tallies[record.workload];
-        let latency = self.now - record.sent;
-        let mut wants_decision = false;
-        let mut result = result;
-        match result {
-            AttemptResult::Complete => {
-                let total = self.now - record.arrived;
-                let is_in_time = total <= self.options.workloads[record.workload].objective;
-                if self.now > record.deadline {
-                    // A cut at the deadline would have come before; the difference does not matter here.
-                    tally.unknown += 1;
-                    result = AttemptResult::Timeout;
-                } else {
-                    tally.in_time += u64::from(is_in_time);
-                    tally.late += u64::from(!is_in_time);
-                    tally.latencies.push(total.as_secs_f32());
-                }
-            }
-            AttemptResult::Shed => {
-                tally.sheds += 1;
-                wants_decision = true;
-            }
-            _ => wants_decision = true,
-        }
-        // A server error of a call that is not repeated is passed on as it is.
-        if result == AttemptResult::ServerError && !self.options.workloads[record.workload].idempotent {
-            tally.unknown += 1;
-            wants_decision = false;
-        }
-        self.idle.entry((entry, server)).or_default().push(self.now);
-        if !wants_decision {
-            self.records.remove(&call);
-        }
-        let server = self.servers[server].view.id.clone();
-        self.tell(entry, DispatchEvent::Finish(Finish { call, server, result, latency, report, wants_decision }));
-    }
 }
--- a/crates/core/tests/support/fleet/tally.rs
+++ b/crates/core/tests/support/fleet/tally.rs
@@ -27,6 +27,27 @@
 }
 
 impl Tally {
+    /// Sum of all of them.
+    pub fn sum(tallies: &[Self]) -> Self {
+        let mut total = Self::default();
+        for tally in tallies {
+            total.calls += tally.calls;
+            total.in_time += tally.in_time;
+            total.late += tally.late;
+            total.rejected += tally.rejected;
+            total.unknown += tally.unknown;
+            total.attempts += tally.attempts;
+            total.sheds += tally.sheds;
+            total.probes += tally.probes;
+            total.connections += tally.connections;
+            total.remote += tally.remote;
+            total.remote_uploads += tally.remote_uploads;
+            total.wakes += tally.wakes;
+            total.latencies.extend(&tally.latencies);
+        }
+        total
+    }
+
     /// Share of all calls that were answered within the objective.
     pub fn share(&self) -> f64 {
         self.in_time as f64 / self.calls.max(1) as f64
--- a/crates/core/tests/support/fleet/workload.rs
+++ b/crates/core/tests/support/fleet/workload.rs
@@ -59,6 +59,23 @@
         ]
     }
 
+    /// The three services of Buenos Aires.
+    pub fn buenos_aires(load: f64) -> Vec<Self> {
+        let sizes = [(20, 249.0, 0.071, 200, 600), (10, 99.0, 0.092, 250, 800), (6, 32.0, 0.085, 300, 800)];
+        let sized = Self::brno(1.0).into_iter().zip(sizes);
+        sized
+            .map(|(workload, (servers, rate, work, objective, deadline))| Self {
+                servers,
+                slots: 4,
+                rate: rate * load,
+                work,
+                objective: Duration::from_millis(objective),
+                deadline: Duration::from_millis(deadline),
+                ..workload
+            })
+            .collect()
+    }
+
     /// The three services of Brno after its growth.
     pub fn brno_grown(load: f64) -> Vec<Self> {
         let sizes = [(199, 553.0, 400, 1_500), (101, 216.0, 500, 2_000), (26, 59.0, 1_000, 2_500)];
