--- a/crates/core/src/consensus/readers.rs
+++ b/crates/core/src/consensus/readers.rs
@@ -27,12 +27,14 @@
         }
     }
 
-    /// Whether this replica knows, as of the given time, what the group has committed up to a moment ago: it leads
-    /// and a majority has answered a round that was begun within the last 500 ms, or it follows and heard the leader
-    /// within that time.
+    /// Whether this replica knows, as of the given time, what the group has committed up to a moment ago: it leads,
+    /// an entry of its term is committed and a majority has answered a round that was begun within the last 500 ms,
+    /// or it follows and heard the leader within that time.
     pub fn is_current(&self, now: Instant) -> bool {
         match &self.role {
-            Role::Leader(leader) => leader.confirmed_round > 0 && now < leader.confirmed_at + CURRENT,
+            Role::Leader(leader) => {
+                self.has_committed_in_term() && leader.confirmed_round > 0 && now < leader.confirmed_at + CURRENT
+            }
             Role::Follower => self.leader.is_some() && self.heard_leader.is_some_and(|heard| now < heard + CURRENT),
             Role::PreCandidate(_) | Role::Candidate(_) => false,
         }
