Refuse announcements at a replica that is cut off

A replica without contact to the leader acknowledged ready announcements for ever, so its servers did not turn to a replica that the others hear. After 3 s without contact, counted from the start at first, it takes the record and answers Unavailable.

--- a/crates/core/src/fleet/replica/contact.rs
+++ b/crates/core/src/fleet/replica/contact.rs
@@ -15,6 +15,10 @@
 /// Time for which a follower may lag behind what the leader has committed.
 const LAG: Duration = Duration::from_millis(500);
 
+/// Time without contact after which announcements are refused. Longer than an election, and than the start of a whole
+/// fleet, during which no replica is current and servers have nobody else to turn to.
+const CUT_OFF_AFTER: Duration = Duration::from_secs(3);
+
 /// Contact with the leader since the last time that it was lost.
 ///
 /// A replica that has lost contact, or was frozen, is current again only once a leader has answered a question
@@ -28,6 +32,8 @@
     /// Last committed entry of the leader when it answered.
     target: Option<LogIndex>,
     current_since: Option<Instant>,
+    /// When contact was lost; before the first contact, when the process started.
+    lost_at: Instant,
     is_settled: bool,
     /// Whether a complete directory was received since contact was lost.
     has_whole: bool,
@@ -43,6 +49,7 @@
             asked_from,
             target: None,
             current_since: None,
+            lost_at: now,
             is_settled: false,
             has_whole: false,
             settled_until: None,
@@ -64,6 +71,10 @@
             true => Some(now + LATELY),
             false => self.settled_until,
         };
+        // A loss while there is no contact does not begin the time anew, unless the process was frozen.
+        if self.is_current() || was_frozen {
+            self.lost_at = now;
+        }
         self.asked_from = asked_from;
         (self.target, self.current_since, self.lag) = (None, None, None);
         (self.is_settled, self.has_whole) = (false, false);
@@ -104,6 +115,11 @@
         self.current_since.is_some()
     }
 
+    /// Whether servers are to announce themselves to another replica, as what is heard here reaches nobody.
+    pub(super) fn is_cut_off(&self, now: Instant) -> bool {
+        !self.is_current() && now.saturating_duration_since(self.lost_at) >= CUT_OFF_AFTER
+    }
+
     pub(super) fn is_settled(&self) -> bool {
         self.is_settled
     }
--- a/crates/core/src/fleet/replica/exchange.rs
+++ b/crates/core/src/fleet/replica/exchange.rs
@@ -52,7 +52,9 @@
         if is_draining {
             return self.depart(now, id, server, Some(born), wall_ms, out);
         }
-        self.answer(id, ReplicaAnswer::Acknowledged, out);
+        let is_cut_off = self.contact.is_cut_off(now);
+        let answer = if is_cut_off { ReplicaAnswer::Unavailable } else { ReplicaAnswer::Acknowledged };
+        self.answer(id, answer, out);
     }
 
     fn hear(
--- a/crates/core/tests/fleet_faults.rs
+++ b/crates/core/tests/fleet_faults.rs
@@ -170,8 +170,40 @@
     }
 }
 
-/// Guards against entries that drop servers whose announcements only a replica hears that is cut off. It goes on
-/// acknowledging them, so these servers do not turn to another replica.
+/// Guards against a replica that is cut off and acknowledges announcements for ever, so that its servers never turn to
+/// a replica that the others hear; and against a start at which every replica refuses servers.
+#[test]
+fn a_replica_that_is_cut_off_refuses_announcements() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 4, 6);
+        let victim = seed as usize % 3;
+        world.cut_replica(victim);
+        let cut_at = world.now;
+        // Contact is lost after 0.5 s, or that of a leader after 0.6 s; refused after 3 s; called again after 1.5 s;
+        // another one is called after 1 s.
+        let are_heard = |world: &World| world.servers.iter().all(|server| server.heard_at >= cut_at + ms(3_000));
+        world.run_until(ms(6_500), are_heard);
+        assert!(world.servers.iter().all(|server| server.replica != victim), "seed {seed}");
+        world.run(ms(3_000));
+        assert!(world.are_entries_exact(), "seed {seed}");
+
+        let mut world = World::new(seed, 3, 1);
+        (1..3).for_each(|replica| world.kill_replica(replica));
+        let server = world.add_server("s0", "catalogue", 8_000);
+        world.run(ms(2_900));
+        assert!(world.servers[server].heard_at >= ms(1_300), "seed {seed}: refused during the start");
+        let refused = world.number();
+        let (mut record, wall_ms) = (world.servers[server].record.clone(), world.wall_ms());
+        record.sequence += 100;
+        world.run(ms(200));
+        let event = hemlockford_core::fleet::ReplicaEvent::Announce { id: refused, record, wall_ms };
+        world.replica_event(0, event);
+        assert_eq!(world.answers[&refused].1, ReplicaAnswer::Unavailable, "seed {seed}");
+    }
+}
+
+/// Guards against entries that drop servers whose announcements only a replica hears that is cut off, while these
+/// servers have not turned to another replica.
 #[test]
 fn servers_of_a_replica_that_is_cut_off_stay() {
     for seed in SEEDS {
