Test rules of a dynamic group at one replica

Incarnations in votes and acknowledgements, the order of changes of the members, the majority after growth and in the middle of a replacement, reads, and replicas that may not found a group.

--- /dev/null
+++ b/crates/scenario/tests/member_rules.rs
@@ -0,0 +1,352 @@
+//! Rules of a dynamic group that random runs seldom depend on, each at one replica whose messages are made up.
+
+use {
+    hemlockford_core::consensus::{
+        Binding, Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Entry, Member, Members, Message,
+        MessageBody, Payload, ProposalResult, Recovered, Snapshot, Vote,
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const MS: Duration = Duration::from_millis(1);
+/// Last entry of the snapshot that replicas start from.
+const BASE: u64 = 8;
+
+fn member(name: &str) -> Member {
+    Member { replica: name.into(), incarnation: 10 }
+}
+
+/// The replica "a" with its clock and what it asked for.
+struct Replica {
+    consensus: Consensus,
+    now: Instant,
+    actions: Vec<ConsensusAction>,
+}
+
+impl Replica {
+    /// Starts from a snapshot with some voters, taken in term 1, and entries after it. The founders are a, b and c.
+    fn start(voters: &[&str], entries: &[Payload]) -> Self {
+        let mut members = Members::default();
+        voters.iter().for_each(|name| members.admit(member(name)));
+        let entry = |(index, payload): (u64, &Payload)| Entry { index, term: 1, payload: payload.clone() };
+        Self::recover(Recovered {
+            incarnation: 10,
+            vote: Vote { term: 1, admitted: true, ..Vote::default() },
+            snapshot: Some(Arc::new(Snapshot { index: BASE, term: 1, members, data: [].into() })),
+            entries: (BASE + 1..).zip(entries).map(entry).collect(),
+        })
+    }
+
+    fn recover(recovered: Recovered) -> Self {
+        Self::with(recovered, true)
+    }
+
+    fn with(recovered: Recovered, may_found: bool) -> Self {
+        let options = ConsensusOptions {
+            replica: "a".into(),
+            replicas: ["a", "b", "c"].map(Box::from).to_vec(),
+            is_dynamic: true,
+            may_found,
+            ..ConsensusOptions::default()
+        };
+        let (now, mut actions) = (Instant::now(), Vec::new());
+        let consensus = Consensus::new(now, options, recovered, SmallRng::seed_from_u64(1), &mut actions);
+        Self { consensus, now, actions }
+    }
+
+    fn handle(&mut self, event: ConsensusEvent) {
+        self.consensus.handle(self.now, event, &mut self.actions);
+    }
+
+    fn tick(&mut self, time: Duration) {
+        self.now += time;
+        self.handle(ConsensusEvent::Tick);
+        self.persist();
+    }
+
+    fn persist(&mut self) {
+        self.handle(ConsensusEvent::Persisted { up_to: u64::MAX });
+    }
+
+    fn receive(&mut self, from: &str, incarnation: u64, term: u64, body: MessageBody) {
+        let message = Message { term, incarnation, admitted: true, body };
+        self.handle(ConsensusEvent::Receive { from: from.into(), message });
+        self.persist();
+    }
+
+    fn pre_vote(&mut self, from: &str, incarnation: u64) {
+        self.receive(from, incarnation, 2, MessageBody::PreVote { granted: true });
+    }
+
+    fn vote(&mut self, from: &str, incarnation: u64) {
+        self.receive(from, incarnation, 2, MessageBody::Vote { candidate: 10, granted: true });
+    }
+
+    fn acknowledge(&mut self, from: &str, incarnation: u64, round: u64, index: u64) {
+        self.receive(from, incarnation, 2, MessageBody::Appended { round, index, conflict: false });
+    }
+
+    /// Leads in term 2 by the votes of some replicas.
+    fn lead(&mut self, voters: &[&str]) {
+        self.tick(ConsensusOptions::default().election_max);
+        voters.iter().for_each(|voter| self.pre_vote(voter, 10));
+        voters.iter().for_each(|voter| self.vote(voter, 10));
+        assert!(self.consensus.is_leader());
+    }
+
+    /// Names of the voters as of the last entry.
+    fn voters(&self) -> Vec<&str> {
+        self.consensus.voters().map(|name| &**name).collect()
+    }
+
+    /// Round of the last heartbeat.
+    fn round(&self) -> u64 {
+        let round = |action: &ConsensusAction| match action {
+            ConsensusAction::Send { message, .. } => match message.body {
+                MessageBody::Append { round, .. } => Some(round),
+                _ => None,
+            },
+            _ => None,
+        };
+        self.actions.iter().filter_map(round).max().unwrap()
+    }
+
+    fn answer(&self, wanted: u64) -> Option<&ProposalResult> {
+        self.actions.iter().find_map(|action| match action {
+            ConsensusAction::Answer { id, result } if *id == wanted => Some(result),
+            _ => None,
+        })
+    }
+
+    /// The last proposal to form a group that was agreed to.
+    fn agreed(&self) -> Option<Binding> {
+        self.actions.iter().rev().find_map(|action| match action {
+            ConsensusAction::SaveVote { vote, .. } => vote.binding.clone(),
+            _ => None,
+        })
+    }
+}
+
+/// Guards against a vote or an acknowledgement of an incarnation that is not the voter's.
+#[test]
+fn only_the_incarnation_in_the_log_counts() {
+    let mut replica = Replica::start(&["a", "b", "c"], &[]);
+    replica.tick(ConsensusOptions::default().election_max);
+    for incarnation in [9, 11] {
+        replica.pre_vote("b", incarnation);
+        assert_eq!(replica.consensus.term(), 1, "pre-vote of {incarnation}");
+    }
+    replica.pre_vote("b", 10);
+    assert_eq!(replica.consensus.term(), 2);
+    for incarnation in [9, 11] {
+        replica.vote("b", incarnation);
+        assert!(!replica.consensus.is_leader(), "vote of {incarnation}");
+    }
+    replica.vote("b", 10);
+    assert!(replica.consensus.is_leader());
+    replica.handle(ConsensusEvent::Read { id: 1 });
+    let round = replica.round();
+    replica.acknowledge("b", 9, round, BASE + 1);
+    assert_eq!((replica.consensus.commit_index(), replica.answer(1)), (BASE, None), "an older incarnation");
+    replica.acknowledge("b", 11, round, BASE + 1);
+    assert_eq!((replica.consensus.commit_index(), replica.answer(1)), (BASE, None), "a newer incarnation");
+    replica.acknowledge("b", 10, round, BASE + 1);
+    assert_eq!(replica.consensus.commit_index(), BASE, "an incarnation that is known to be lost");
+    replica.acknowledge("c", 10, round, BASE + 1);
+    assert_eq!(replica.consensus.commit_index(), BASE + 1);
+    // The read waits for a round that was begun after it.
+    let round = replica.round();
+    [9, 10, 11].into_iter().for_each(|incarnation| replica.acknowledge("b", incarnation, round, BASE + 1));
+    assert_eq!(replica.answer(1), None);
+    replica.acknowledge("c", 10, round, BASE + 1);
+    assert_eq!(replica.answer(1), Some(&ProposalResult::Committed { index: BASE + 1 }));
+}
+
+/// Guards against a change of the members before an entry of the leader's term is committed, against a second change
+/// before the first one is, and against a removal that is sent to its subject too early.
+#[test]
+fn changes_of_the_members_wait_for_the_one_before() {
+    let mut replica = Replica::start(&["a", "b", "c"], &[]);
+    replica.lead(&["b"]);
+    replica.receive("d", 10, 0, MessageBody::Hello { binding: None, empty: false });
+    // c is silent, and d has everything that is committed.
+    for _ in 0..12 {
+        replica.tick(MS * 150);
+        let round = replica.round();
+        replica.acknowledge("b", 10, round, BASE);
+        replica.acknowledge("d", 10, round, BASE);
+    }
+    assert_eq!(replica.voters(), ["a", "b", "c"], "before an entry of this term is committed");
+    let round = replica.round();
+    replica.acknowledge("b", 10, round, BASE + 1);
+    replica.tick(MS * 150);
+    assert_eq!((replica.voters(), replica.consensus.commit_index()), (vec!["a", "b", "c", "d"], BASE + 1));
+    let round = replica.round();
+    replica.acknowledge("b", 10, round, BASE + 2);
+    replica.tick(MS * 150);
+    assert_eq!(replica.voters(), ["a", "b", "c", "d"], "before the admission is committed by three of four");
+    replica.acknowledge("d", 10, round, BASE + 2);
+    assert_eq!((replica.voters(), replica.consensus.commit_index()), (vec!["a", "b", "d"], BASE + 2));
+    replica.receive("c", 10, 2, MessageBody::Appended { round, index: BASE + 2, conflict: false });
+    let is_told = |replica: &Replica, name: &str| {
+        let is_removal = |entry: &Entry| matches!(entry.payload, Payload::Remove(_));
+        replica.actions.iter().any(|action| {
+            matches!(action, ConsensusAction::Send { to, message } if **to == *name
+                && matches!(&message.body, MessageBody::Append { entries, .. } if entries.iter().any(is_removal)))
+        })
+    };
+    replica.acknowledge("d", 10, round, BASE + 2);
+    assert!(is_told(&replica, "d") && !is_told(&replica, "c"), "c must not know before the others have it");
+    replica.acknowledge("d", 10, round, BASE + 3);
+    assert_eq!(replica.consensus.commit_index(), BASE + 3);
+    assert!(is_told(&replica, "c"));
+}
+
+/// Guards against a majority that is taken from the founders once the group has grown.
+#[test]
+fn majority_is_that_of_the_voters_in_the_log() {
+    let mut replica = Replica::start(&["a", "b", "c", "d", "e"], &[]);
+    replica.tick(ConsensusOptions::default().election_max);
+    replica.pre_vote("b", 10);
+    assert_eq!(replica.consensus.term(), 1, "two of five would vote");
+    replica.pre_vote("d", 10);
+    replica.vote("d", 10);
+    assert!(!replica.consensus.is_leader(), "two of five voted");
+    replica.vote("e", 10);
+    assert!(replica.consensus.is_leader());
+    replica.handle(ConsensusEvent::Read { id: 1 });
+    let round = replica.round();
+    replica.acknowledge("b", 10, round, BASE + 1);
+    assert_eq!((replica.consensus.commit_index(), replica.answer(1)), (BASE, None), "two of five acknowledged");
+    replica.acknowledge("e", 10, round, BASE + 1);
+    assert_eq!(replica.consensus.commit_index(), BASE + 1);
+    let round = replica.round();
+    replica.acknowledge("b", 10, round, BASE + 1);
+    assert_eq!(replica.answer(1), None, "two of five confirmed the round");
+    replica.acknowledge("e", 10, round, BASE + 1);
+    assert!(replica.answer(1).is_some());
+    // Two of five are no majority to lead with.
+    for _ in 0..5 {
+        replica.tick(MS * 150);
+        let round = replica.round();
+        replica.acknowledge("b", 10, round, BASE + 1);
+    }
+    assert!(!replica.consensus.is_leader(), "leads with two of five");
+}
+
+/// Guards against an election in the middle of a replacement that is decided by the voters before it.
+#[test]
+fn replacement_that_is_not_committed_holds_in_an_election() {
+    let mut replica = Replica::start(&["a", "b", "c"], &[Payload::Admit(member("d"))]);
+    replica.tick(ConsensusOptions::default().election_max);
+    replica.pre_vote("b", 10);
+    assert_eq!(replica.consensus.term(), 1, "two of four would vote");
+    replica.pre_vote("d", 10);
+    replica.vote("b", 10);
+    assert!(!replica.consensus.is_leader(), "two of four voted");
+    replica.vote("d", 10);
+    assert!(replica.consensus.is_leader());
+    replica.acknowledge("b", 10, 1, BASE + 2);
+    assert_eq!(replica.consensus.commit_index(), BASE, "two of four acknowledged");
+    replica.acknowledge("d", 10, 1, BASE + 2);
+    assert_eq!(replica.consensus.commit_index(), BASE + 2);
+
+    let mut replica = Replica::start(&["a", "b", "c", "d"], &[Payload::Remove(member("c"))]);
+    replica.tick(ConsensusOptions::default().election_max);
+    replica.pre_vote("c", 10);
+    assert_eq!(replica.consensus.term(), 1, "a removed voter would vote");
+    replica.pre_vote("b", 10);
+    replica.vote("c", 10);
+    assert!(!replica.consensus.is_leader(), "a removed voter voted");
+    replica.vote("b", 10);
+    replica.acknowledge("c", 10, 1, BASE + 2);
+    assert_eq!(replica.consensus.commit_index(), BASE, "a removed voter acknowledged");
+    replica.acknowledge("b", 10, 1, BASE + 2);
+    assert_eq!(replica.consensus.commit_index(), BASE + 2);
+}
+
+/// Guards against a leader that answers a read by what a majority said before it: it may have been frozen since, and
+/// another one been elected. The same holds before an entry of its term is committed.
+#[test]
+fn read_needs_a_round_begun_after_it() {
+    let mut replica = Replica::start(&["a", "b", "c"], &[]);
+    replica.lead(&["b"]);
+    let first = replica.round();
+    replica.handle(ConsensusEvent::Read { id: 1 });
+    replica.acknowledge("b", 10, first, BASE + 1);
+    assert_eq!(replica.answer(1), None, "the round was begun before the read");
+    let second = replica.round();
+    replica.acknowledge("b", 10, second, BASE + 1);
+    assert_eq!(replica.answer(1), Some(&ProposalResult::Committed { index: BASE + 1 }));
+    // Frozen, with an answer to an earlier round in the socket.
+    replica.tick(MS * 150);
+    let round = replica.round();
+    replica.now += Duration::from_secs(5);
+    replica.handle(ConsensusEvent::Read { id: 2 });
+    replica.acknowledge("b", 10, round, BASE + 1);
+    assert!(!matches!(replica.answer(2), Some(ProposalResult::Committed { .. })), "answered after a freeze");
+    assert!(!replica.consensus.is_current(replica.now));
+
+    let mut replica = Replica::start(&["a", "b", "c"], &[Payload::Noop]);
+    replica.lead(&["b"]);
+    replica.handle(ConsensusEvent::Read { id: 3 });
+    let first = replica.round();
+    replica.acknowledge("b", 10, first, BASE);
+    let second = replica.round();
+    replica.acknowledge("b", 10, second, BASE);
+    assert_eq!(replica.answer(3), None, "what earlier leaders have committed is not known");
+    replica.acknowledge("b", 10, second, BASE + 2);
+    assert_eq!(replica.answer(3), Some(&ProposalResult::Committed { index: BASE + 2 }));
+}
+
+/// Guards against a folder that takes part in forming a second group: the system started before, so that only a
+/// proposal may be completed that was agreed to then.
+#[test]
+fn replica_that_may_not_found_agrees_to_nothing_new() {
+    let binding = |ballot, incarnation| {
+        let mut members = ["a", "b", "c"].map(member).to_vec();
+        members[2].incarnation = incarnation;
+        Binding { ballot, members }
+    };
+    let held = |may_found, held: Option<Binding>| {
+        let vote = Vote { binding: held, ..Vote::default() };
+        Replica::with(Recovered { incarnation: 10, vote, ..Recovered::default() }, may_found)
+    };
+    let hello = |replica: &mut Replica, from: &str, incarnation, binding: Option<Binding>| {
+        replica.receive(from, incarnation, 0, MessageBody::Hello { binding, empty: true });
+    };
+    for (may_found, before, ballot) in [(true, None, Some(1)), (false, None, None), (false, Some(1), None)] {
+        let mut replica = held(may_found, before.map(|ballot| binding(ballot, 10)));
+        hello(&mut replica, "b", 10, None);
+        hello(&mut replica, "c", 11, None);
+        let proposed = replica.agreed().map(|binding| binding.ballot);
+        assert_eq!(proposed, ballot, "{may_found}, {before:?}");
+        assert_eq!(replica.consensus.last_index(), 0);
+    }
+    let mut replica = held(false, Some(binding(1, 10)));
+    hello(&mut replica, "b", 10, Some(binding(1, 10)));
+    hello(&mut replica, "c", 10, Some(binding(1, 10)));
+    assert_eq!(replica.consensus.last_index(), 3, "a proposal that all agreed to before is completed");
+    // The same at a founder that does not propose.
+    for (may_found, before, expected) in [(true, Some(1), Some(2)), (false, None, None), (false, Some(1), None)] {
+        let vote = Vote { binding: before.map(|ballot| binding(ballot, 10)), ..Vote::default() };
+        let recovered = Recovered { incarnation: 10, vote, ..Recovered::default() };
+        let options = ConsensusOptions {
+            replica: "b".into(),
+            replicas: ["a", "b", "c"].map(Box::from).to_vec(),
+            is_dynamic: true,
+            may_found,
+            ..ConsensusOptions::default()
+        };
+        let mut replica = Replica::with(Recovered::default(), false);
+        replica.consensus =
+            Consensus::new(replica.now, options, recovered, SmallRng::seed_from_u64(1), &mut replica.actions);
+        replica.receive("a", 10, 0, MessageBody::Form(binding(2, 10)));
+        let agreed = replica.agreed().map(|binding| binding.ballot);
+        assert_eq!(agreed, expected, "{may_found}, {before:?}");
+    }
+}
