Check stops and promises of a dynamic group with slow disks

A group counts as settled only once each voter knows of its admission: a folder that was just lost had counted, so that a test could lose a majority. A replica that reports its stop while it leads is a violation.

--- a/crates/scenario/src/group/world.rs
+++ b/crates/scenario/src/group/world.rs
@@ -262,7 +262,8 @@
     pub fn is_settled(&self) -> bool {
         let last = self.checks.applied.last_key_value().map_or(0, |(index, _)| *index);
         let running = self.replicas.iter().filter(|replica| replica.node.consensus.is_some());
-        let are_voters_up = self.voters().iter().all(|at| self.replicas[*at].node.consensus.is_some());
+        // A replica that lost its folder is a voter in the log of the leader, but not yet in its own.
+        let are_voters_up = self.voters().iter().all(|at| self.replicas[*at].is_voter());
         self.leader().is_some()
             && are_voters_up
             && self.voters().len() == self.options.voters
@@ -294,6 +295,9 @@
             self.schedule(time, Step::Synced(at, run, up_to));
         }
         if is_stopped {
+            if self.replicas[at].node.is_leader() {
+                self.checks.report(Violation::Broken("stopped while leading"));
+            }
             self.kill(at);
         }
     }
--- a/crates/scenario/tests/lost_voter.rs
+++ b/crates/scenario/tests/lost_voter.rs
@@ -9,9 +9,12 @@
         fakes::Step,
         group::{Group, GroupOptions},
     },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::time::Duration,
 };
 
+/// Seeds of the runs with slow disks.
+const SEEDS: std::ops::Range<u64> = 0..40;
 const MS: Duration = Duration::from_millis(1);
 
 fn cut(group: &mut Group, a: usize, b: usize) {
@@ -111,3 +114,35 @@
         assert_eq!(group.checks.violations, [], "seed {seed}");
     }
 }
+
+/// Guards against a vote, an acknowledgement or a stop that is ahead of a slow disk, while folders are lost, voters
+/// are replaced and leaders hand over.
+#[test]
+fn promises_wait_for_slow_disks() {
+    println!("seeds {SEEDS:?}");
+    for seed in SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let jitter = MS * rng.random_range(0..30);
+        let mut group = founded(3, GroupOptions { jitter, snapshot_entries: 60, seed, ..GroupOptions::default() });
+        group.add(&[0, 1, 2], false);
+        settle(&mut group, SECOND * 6);
+        for round in 0..4 {
+            for replica in &mut group.replicas {
+                replica.node.set_sync_time(Some(MS * rng.random_range(1..120)));
+            }
+            let voters = group.voters();
+            let at = voters[rng.random_range(0..voters.len())];
+            match (round + seed) % 4 {
+                0 => group.stop(group.leader().unwrap()),
+                1 => group.kill(at),
+                _ => group.lose_disk(at),
+            }
+            group.run_for(MS * rng.random_range(50..1_500));
+            // A voter that comes back before it is removed would stay as a spare one.
+            let is_down = group.replicas.iter().any(|replica| replica.consensus().is_none());
+            group.run_for(if is_down { SECOND * 5 } else { Duration::ZERO });
+            group.heal();
+            settle(&mut group, SECOND * 10);
+        }
+    }
+}
