Hold calls at the entry while they can make their objective

Under overload, calls waited in servers' queues and used slots for answers that came too late, and the fourth of four slots lowered a server's throughput. A server is now full at the number of slots with which it gets through the most work. Calls that can still make their objective are served before those of their priority that cannot, and a call whose estimated wait is too long is rejected at once, before the rejection costs anything. Servers that an old report shows as full may be probed again, since nothing else would show that they are not.

--- a/crates/core/src/probing/active.rs
+++ b/crates/core/src/probing/active.rs
@@ -16,6 +16,8 @@
     pub(super) call: Call,
     pub(super) service: Key,
     pub(super) arrived: Instant,
+    /// Whether the call was found too late to make its objective.
+    pub(super) is_lapsed: bool,
     pub(super) stage: Stage,
     /// Servers to which the call was sent.
     pub(super) tried: Vec<Key>,
--- a/crates/core/src/probing/asking.rs
+++ b/crates/core/src/probing/asking.rs
@@ -75,7 +75,9 @@
             .iter()
             .copied()
             .filter(open)
-            .filter(|server| server.is_usable(now) && server.has_room(now, &state.usual))
+            .filter(|server| server.is_usable(now))
+            // An old report that a server is full is no reason not to ask it again.
+            .filter(|server| !server.is_fresh(now) || server.has_room(now, &state.usual))
             .map(|server| {
                 let loss = Cost::of(now, active, server, &state.usual).loss;
                 let unasked = if server.can_tell(now, interval) { 0.0 } else { UNASKED };
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -159,6 +159,7 @@
             call,
             service,
             arrived: now,
+            is_lapsed: false,
             stage: Stage::Waiting { until: now },
             tried: Vec::new(),
             doubt: None,
--- a/crates/core/src/probing/cost.rs
+++ b/crates/core/src/probing/cost.rs
@@ -25,9 +25,9 @@
 /// Time for which a connection that is not in use is assumed to stay open.
 const CONNECTION_KEPT: Duration = Duration::from_secs(4);
 /// A server with more than this part of its slots busy works slower.
-const BUSY: f64 = 0.8;
+pub(super) const BUSY: f64 = 0.8;
 /// Factor on the time of work at a busy server, less one.
-const BUSY_SLOWER: f64 = 0.7;
+pub(super) const BUSY_SLOWER: f64 = 0.7;
 /// Cost of slowing down each call that runs at a server already.
 const CROWDING: f64 = 0.05;
 /// A cold server works at half speed for this time.
--- a/crates/core/src/probing/options.rs
+++ b/crates/core/src/probing/options.rs
@@ -32,8 +32,8 @@
             probe_rate: 60,
             // One more than the larger of today's users has, so that the slack is not exceeded.
             entries: 8,
-            // A call waits for at most an eighth of its objective, 100 ms at most, so that a full queue stands
-            // for 2,000 calls/s at one entry, which is more than an entry of the grown fleets gets.
+            // Calls that would wait too long for their objective are rejected before the queue is full. The
+            // bound is for late calls, of which 200 in half a second are more than an entry gets.
             queue: 200,
         }
     }
--- a/crates/core/src/probing/queue.rs
+++ b/crates/core/src/probing/queue.rs
@@ -6,8 +6,9 @@
     std::{collections::BTreeSet, time::Instant},
 };
 
-/// Rank of a waiting call: its priority, then its deadline; the number tells equals apart.
-type Rank = (u32, Instant, CallId);
+/// Rank of a waiting call: its priority, then whether it is too late for its objective, then its deadline; the
+/// number tells equals apart.
+type Rank = (u32, bool, Instant, CallId);
 
 /// Calls of one service that wait for a server, in the order in which they are served.
 #[derive(Debug, Default)]
@@ -33,6 +34,11 @@
         self.calls.first().is_some_and(|first| *first < rank(active))
     }
 
+    /// Returns the number of calls that are served before this one.
+    pub(super) fn ahead(&self, active: &ActiveCall) -> usize {
+        self.calls.range(..rank(active)).count()
+    }
+
     /// Returns the call that is served last, if it ranks below this one.
     pub(super) fn last_below(&self, active: &ActiveCall) -> Option<CallId> {
         self.calls.last().filter(|last| **last > rank(active)).map(|(.., call)| *call)
@@ -44,5 +50,5 @@
 }
 
 fn rank(active: &ActiveCall) -> Rank {
-    (active.call.terms.priority, active.call.deadline, active.call.id)
+    (active.call.terms.priority, active.is_lapsed, active.call.deadline, active.call.id)
 }
--- a/crates/core/src/probing/queueing.rs
+++ b/crates/core/src/probing/queueing.rs
@@ -6,8 +6,14 @@
     std::time::{Duration, Instant},
 };
 
-/// Part of the objective for which a call waits at most.
-const WAIT_PART: u32 = 8;
+/// Factor on the usual work that a call needs to make its objective once it leaves the queue. Higher factors
+/// give up calls that could have made it, lower ones spend slots on late answers.
+const NEEDED: f64 = 1.5;
+/// Factor on the usual work that a late call needs before its deadline, as the slowest servers are left to it.
+const NEEDED_LATE: f64 = 3.0;
+/// Factor on the estimated wait in the queue above which a call is rejected at once. A call that is held and
+/// rejected later costs up to its worth, and slots become free unevenly.
+const WAIT_MARGIN: u32 = 2;
 /// Time between two rounds of probes for the calls that wait, within which about one slot of a service
 /// becomes free: 20 slots with calls of 200 ms.
 const REVIEW: Duration = Duration::from_millis(15);
@@ -15,7 +21,9 @@
 const REVIEWED: usize = 2;
 
 impl Balancer {
-    /// Makes a call wait. A full queue rejects the call that would be served last.
+    /// Makes a call wait, until it is too late for its objective, and then until it is too late for its deadline.
+    /// A full queue rejects the call that would be served last, and a call that could not make its objective
+    /// behind those that wait already is rejected at once.
     pub(super) fn enqueue(&mut self, now: Instant, mut active: ActiveCall, actions: &mut Vec<DispatchAction>) {
         let limit = self.text.as_ref().and_then(|text| text.services.get(&active.call.service));
         let limit = limit.map_or(self.options.queue, |service| service.queue);
@@ -28,9 +36,20 @@
                 None => return self.give_up(now, &active, NotRunReason::Overload, actions),
             }
         }
+        let entries = self.entries.get(now, self.options.window);
         let Some(state) = self.services.get_mut(&active.service) else { return };
         state.servers.keep_enough(now);
-        let until = now + active.call.terms.objective / WAIT_PART;
+        let objective = active.call.terms.objective;
+        let work = state.usual.work(objective);
+        let last_start =
+            |left: Duration, factor: f64| now + left.saturating_sub(Duration::from_secs_f64(work * factor));
+        let mut until = last_start(active.objective_left(now), NEEDED);
+        if active.is_lapsed || until <= now {
+            active.is_lapsed = true;
+            until = last_start(active.call.deadline.saturating_duration_since(now), NEEDED_LATE);
+        } else if now + state.wait(now, state.queue.ahead(&active) + 1, objective, entries) * WAIT_MARGIN > until {
+            return self.give_up(now, &active, NotRunReason::Overload, actions);
+        }
         let (call, service) = (active.call.id, active.service);
         active.stage = Stage::Waiting { until };
         state.queue.push(&active);
@@ -74,9 +93,14 @@
         }
     }
 
-    /// Ends the wait of a call: it goes to the least loaded server that would queue it, or is rejected.
+    /// Ends the wait of a call. One that cannot make its objective any more waits behind those that can; one
+    /// that waited for its deadline goes to the least loaded server that would queue it, or is rejected.
     pub(super) fn leave_queue(&mut self, now: Instant, call: CallId, actions: &mut Vec<DispatchAction>) {
-        let Some(active) = self.withdraw(call) else { return };
+        let Some(mut active) = self.withdraw(call) else { return };
+        if !active.is_lapsed {
+            active.is_lapsed = true;
+            return self.enqueue(now, active, actions);
+        }
         let Some(state) = self.services.get(&active.service) else { return };
         let left = active.call.deadline.saturating_duration_since(now).as_secs_f64();
         let open = state
--- a/crates/core/src/probing/server.rs
+++ b/crates/core/src/probing/server.rs
@@ -1,7 +1,10 @@
 //! What an entry knows of one server.
 
 use {
-    super::{Ejection, Reported, Usual},
+    super::{
+        Ejection, Reported, Usual,
+        cost::{BUSY, BUSY_SLOWER},
+    },
     crate::{
         dispatch::{LoadReport, ServerState, ServerView, USUAL_PACE},
         slots::Key,
@@ -9,9 +12,6 @@
     std::time::{Duration, Instant},
 };
 
-/// Calls beyond the slots that a server may have in flight. It queues 4, of which other entries may fill
-/// two at the same moment.
-const ROOM: u32 = 2;
 /// Calls beyond the slots that a server queues; it rejects what comes then.
 const QUEUE: u32 = 4;
 /// A report in an answer cannot count a call that was sent within both ways to the server.
@@ -108,9 +108,17 @@
         f64::from(self.own) + self.report.map_or(mean, |report| report.others(now, mean))
     }
 
+    /// Slots with which the server gets through the most work: it works slower while more of them are busy, by
+    /// which the fourth of four slots costs more than it gains.
+    pub(super) fn useful_slots(&self) -> u32 {
+        let slots = self.slots();
+        let quiet = ((BUSY * f64::from(slots)).floor() as u32).max(1);
+        if f64::from(slots) / (1.0 + BUSY_SLOWER) > f64::from(quiet) { slots } else { quiet }
+    }
+
     /// Returns whether the server may get one more call.
     pub(super) fn has_room(&self, now: Instant, usual: &Usual) -> bool {
-        self.load(now, usual).round() < f64::from(self.slots() + ROOM)
+        self.load(now, usual).round() < f64::from(self.useful_slots())
     }
 
     /// Returns whether the server would queue one more call rather than reject it.
--- a/crates/core/src/probing/service.rs
+++ b/crates/core/src/probing/service.rs
@@ -1,7 +1,7 @@
 //! What a balancer keeps for one service.
 
 use {
-    super::{BalancerOptions, Queue, Servers, Usual},
+    super::{BalancerOptions, Queue, Server, Servers, Usual},
     crate::retry::SlidingBudget,
     std::time::{Duration, Instant},
 };
@@ -11,6 +11,9 @@
 const LEAST_RETRY_AFTER: Duration = Duration::from_millis(20);
 pub(super) const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Bound of estimated waits; no call has as much time.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
 /// What a balancer keeps for one service.
 #[derive(Debug)]
 pub(super) struct ServiceState {
@@ -33,6 +36,18 @@
         }
     }
 
+    /// Estimates the time until as many waiting calls of this entry have started; the entries are taken to get
+    /// equal shares of the slots.
+    pub(super) fn wait(&self, now: Instant, calls: usize, objective: Duration, entries: usize) -> Duration {
+        let usable = self.servers.iter().filter(|server| server.is_usable(now));
+        let slots: u32 = usable.map(Server::useful_slots).sum();
+        if slots == 0 {
+            return LONGEST_WAIT;
+        }
+        let seconds = self.usual.work(objective) * self.usual.pace * (calls * entries) as f64 / f64::from(slots);
+        Duration::from_secs_f64(seconds.min(LONGEST_WAIT.as_secs_f64()))
+    }
+
     /// Estimates the time until a slot is free for a call that comes after those that wait. Other entries
     /// are taken to have as many waiting calls.
     pub(super) fn retry_after(&self, now: Instant, objective: Duration, entries: usize, jitter: f64) -> Duration {
