Let rejected callers come back sooner

Retry-After was the time until the whole backlog had a slot. The objective counts from the first attempt, so that most callers came back too late for it. A tenth of that time lets them find a shorter queue at another entry.

--- a/crates/core/src/probing/service.rs
+++ b/crates/core/src/probing/service.rs
@@ -11,6 +11,10 @@
 const LEAST_RETRY_AFTER: Duration = Duration::from_millis(20);
 pub(super) const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Part of the estimated time until a slot is free after which a rejected caller may come back. Its objective
+/// counts from its first attempt, so that after the whole time its answer would be late, whereas it may soon
+/// find a shorter queue at another entry.
+const RETURN_PART: f64 = 0.1;
 /// Bound of estimated waits; no call has as much time.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 
@@ -48,8 +52,8 @@
         Duration::from_secs_f64(seconds.min(LONGEST_WAIT.as_secs_f64()))
     }
 
-    /// Estimates the time until a slot is free for a call that comes after those that wait. Other entries
-    /// are taken to have as many waiting calls.
+    /// Returns a part of the estimated time until a slot is free for a call that comes after those that wait.
+    /// Other entries are taken to have as many waiting calls.
     pub(super) fn retry_after(&self, now: Instant, objective: Duration, entries: usize, jitter: f64) -> Duration {
         let (mut slots, mut load) = (0.0, 0.0);
         for server in self.servers.iter().filter(|server| server.is_usable(now)) {
@@ -61,7 +65,7 @@
         }
         let waiting = (self.queue.len() + 1) * entries;
         let ahead = (load + waiting as f64 - slots).max(0.0);
-        let seconds = self.usual.work(objective) * self.usual.pace * ahead / slots;
+        let seconds = RETURN_PART * self.usual.work(objective) * self.usual.pace * ahead / slots;
         Duration::from_secs_f64((seconds * jitter).min(LONGEST_RETRY_AFTER.as_secs_f64())).max(LEAST_RETRY_AFTER)
     }
 }
--- a/crates/core/tests/probing_queue.rs
+++ b/crates/core/tests/probing_queue.rs
@@ -95,7 +95,9 @@
     let call = Call { terms: CallTerms { priority: 1, ..call.terms }, ..call };
     let (id, begin) = (call.id, entry.now);
     let actions = entry.arrive(call);
-    assert_eq!(rejected(&actions, id).map(|(outcome, _)| outcome), Some(Outcome::NotRun(NotRunReason::Overload)));
+    let (outcome, retry_after) = rejected(&actions, id).expect("a rejected call");
+    assert_eq!(outcome, Outcome::NotRun(NotRunReason::Overload));
+    assert!(retry_after <= 100 * MS, "{retry_after:?}: the caller could not make its objective when it comes back");
     assert!(entry.now - begin <= 24 * MS, "an eighth of the objective costs nothing");
     waiting(&mut entry, 0);
     assert_eq!(entry.balancer.waiting(), 5);
