Bound the time of a late rejection from both sides in its test

The test let a call that no server would queue be rejected at any time up to 890 ms. It is held until 720 ms, so the test now checks that nothing is rejected by 700 ms and that the rejection has come by 730 ms.

--- a/crates/core/tests/probing_queue.rs
+++ b/crates/core/tests/probing_queue.rs
@@ -76,7 +76,8 @@
 fn rejects_what_no_server_would_queue() {
     let mut entry = full(&TWO, OVERFULL);
     let id = waiting(&mut entry, 0);
-    let actions = entry.pass(890 * MS);
+    assert!(rejected(&entry.pass(700 * MS), id).is_none());
+    let actions = entry.pass(30 * MS);
     let (outcome, retry_after) = rejected(&actions, id).expect("a rejected call");
     assert_eq!(outcome, Outcome::NotRun(NotRunReason::Overload));
     assert!((20 * MS..=Duration::from_secs(1)).contains(&retry_after), "{retry_after:?}");
