Test reads of a new leader, and what a leader counts of its own

Four rules were broken on purpose, and the tests of dynamic groups and of the fleet's changes did not notice: a read that the leader of a fleet answers without a round, its own vote and its own entries counted before they are durable, and a hello that offers to found a group although the replica may not. Each now fails a test. The matrix of fixed groups was not run with these breaks.

--- a/crates/core/tests/fleet_changes.rs
+++ b/crates/core/tests/fleet_changes.rs
@@ -75,6 +75,37 @@
     }
 }
 
+/// Guards against a new leader that answers a read before it knows what the lost one had committed.
+#[test]
+fn a_new_leader_reads_what_the_lost_one_accepted() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 1, 1);
+        let leader = world.leader().expect("leader");
+        let others: Vec<_> = (0..3).filter(|replica| *replica != leader).collect();
+        let id = world.submit(leader, &text(2));
+        // The entry is on its way; the news of its commit is lost.
+        for other in &others {
+            let link = (world.replicas[leader].name.clone(), world.replicas[*other].name.clone());
+            world.links.cuts.insert(link);
+        }
+        world.run_until(ms(500), |world| world.answers.contains_key(&id));
+        assert!(is_accepted(&world, id), "seed {seed}");
+        world.kill_replica(leader);
+        let mut reads = Vec::new();
+        for step in 0..600 {
+            reads.push(world.read(others[step % 2]));
+            world.run(ms(5));
+        }
+        world.run(ms(4_000));
+        let read = |id: &u64| match &world.answers[id].1 {
+            ReplicaAnswer::Current { number, .. } => Some(*number),
+            _ => None,
+        };
+        let read: Vec<_> = reads.iter().filter_map(read).collect();
+        assert!(!read.is_empty() && read.iter().all(|number| *number == 2), "seed {seed}: {read:?}");
+    }
+}
+
 /// Guards against reads and repeated submissions that write to the log, and so cost a fsync of a majority each.
 #[test]
 fn reads_and_repetitions_write_nothing() {
--- a/crates/scenario/tests/member_rules.rs
+++ b/crates/scenario/tests/member_rules.rs
@@ -206,6 +206,24 @@
     assert!(is_told(&replica, "c"));
 }
 
+/// Guards against a leader that counts its own vote or entry before it is durable.
+#[test]
+fn own_vote_and_entry_count_once_they_are_durable() {
+    let message = |body| Message { term: 2, incarnation: 10, admitted: true, body };
+    let from_b = |body| ConsensusEvent::Receive { from: "b".into(), message: message(body) };
+    let mut replica = Replica::start(&["a", "b", "c"], &[]);
+    replica.tick(ConsensusOptions::default().election_max);
+    replica.handle(from_b(MessageBody::PreVote { granted: true }));
+    replica.handle(from_b(MessageBody::Vote { candidate: 10, granted: true }));
+    assert!(!replica.consensus.is_leader());
+    replica.persist();
+    assert!(replica.consensus.is_leader());
+    replica.handle(from_b(MessageBody::Appended { round: 1, index: BASE + 1, conflict: false }));
+    assert_eq!(replica.consensus.commit_index(), BASE);
+    replica.persist();
+    assert_eq!(replica.consensus.commit_index(), BASE + 1);
+}
+
 /// Guards against a majority that is taken from the founders once the group has grown.
 #[test]
 fn majority_is_that_of_the_voters_in_the_log() {
@@ -348,5 +366,11 @@
         replica.receive("a", 10, 0, MessageBody::Form(binding(2, 10)));
         let agreed = replica.agreed().map(|binding| binding.ballot);
         assert_eq!(agreed, expected, "{may_found}, {before:?}");
+        replica.tick(MS * 50);
+        let offers = |action: &ConsensusAction| {
+            matches!(action, ConsensusAction::Send { message, .. }
+                if matches!(message.body, MessageBody::Hello { empty: true, .. }))
+        };
+        assert_eq!(replica.actions.iter().any(offers), may_found || before.is_some(), "{may_found}, {before:?}");
     }
 }
