Read times with fractions in the settings of a fleet

Cause: a bound that the platform writes as 6.0 stopped the start, because durations took whole numbers only. The test failed before.

--- a/crates/instance/src/settings/parse.rs
+++ b/crates/instance/src/settings/parse.rs
@@ -10,6 +10,10 @@
 /// Most lost data folders that a group can be asked to bear.
 const MAX_TOLERATED: usize = 4;
 
+/// Longest duration with a fraction that is read. A time that lies further ahead could not be represented on every
+/// platform.
+const LONGEST: Duration = Duration::from_secs(365 * 24 * 3_600);
+
 /// Reads settings and collects every fault.
 pub(super) struct Parser<'a> {
     source: &'a str,
@@ -209,7 +213,7 @@
     }
 
     fn duration(&mut self, section: &str, key: &str, value: &str) -> Duration {
-        parse_duration(value).unwrap_or_else(|| {
+        parse_duration(value).or_else(|| parse_seconds(value)).unwrap_or_else(|| {
             self.fault(section, key, "expected a duration such as 5s");
             Duration::ZERO
         })
@@ -244,6 +248,12 @@
     }
 }
 
+/// Parses seconds with a fraction, such as `0.25s`, which the platform may write.
+fn parse_seconds(value: &str) -> Option<Duration> {
+    let seconds: f64 = value.strip_suffix('s')?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok().filter(|duration| *duration <= LONGEST)
+}
+
 /// Returns the last line of a key, or of a section if the key is empty, which the INI library does not
 /// report; 0 if there is none.
 fn line_of(source: &str, section: &str, key: &str) -> usize {
--- a/crates/instance/tests/fleet_settings.rs
+++ b/crates/instance/tests/fleet_settings.rs
@@ -89,3 +89,17 @@
         assert_eq!(found, [(line, key)], "{bad}: {faults:?}");
     }
 }
+
+/// Guards against a start that stops because the platform writes a time with a fraction.
+#[test]
+fn times_may_have_fractions() {
+    for (value, grace) in [("6.0s", 6_000), ("0.25s", 250), ("6s", 6_000)] {
+        let source = [INSTANCE, FLEET].concat().replace("grace = 5s", &format!("grace = {value}"));
+        let settings = Settings::parse(&source).unwrap();
+        assert_eq!(settings.fleet.unwrap().grace, Duration::from_millis(grace), "{value}");
+    }
+    for value in ["-1.0s", "1.0.0s", "NaNs", "infs", "1e99s"] {
+        let source = [INSTANCE, FLEET].concat().replace("grace = 5s", &format!("grace = {value}"));
+        assert_eq!(&*Settings::parse(&source).unwrap_err()[0].key, "grace", "{value}");
+    }
+}
