--- a/crates/hemlockford/src/command/mod.rs
+++ b/crates/hemlockford/src/command/mod.rs
@@ -6,7 +6,10 @@
 use gumdrop::Options;
 pub(crate) use {
     operator::{CheckArguments, ReadArguments, RunArguments, SubmitArguments},
-    tool::{AddedArguments, Bench, BenchArguments, DemoArguments, EmulateArguments, LoadArguments, SlopesArguments},
+    tool::{
+        AddedArguments, Bench, BenchArguments, DemoArguments, EmulateArguments, JournalArguments, LoadArguments,
+        SlopesArguments,
+    },
 };
 
 /// Arguments of the program.
@@ -39,6 +42,8 @@
     Load(LoadArguments),
     #[options(help = "measure")]
     Bench(BenchArguments),
+    #[options(help = "report on the runs of the test bench")]
+    Journal(JournalArguments),
 }
 
 /// Text after the usage of the program.
--- a/crates/hemlockford/src/command/tool.rs
+++ b/crates/hemlockford/src/command/tool.rs
@@ -237,3 +237,22 @@
     #[options(help = "file that the result is written to as CSV", no_short, meta = "FILE")]
     pub(crate) csv: Option<PathBuf>,
 }
+
+#[derive(Debug, Options)]
+pub(crate) struct JournalArguments {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "folder with one JSON file for each run", default = "journal", no_short, meta = "FOLDER")]
+    pub(crate) dir: PathBuf,
+    #[options(help = "the only site to report on", no_short, meta = "NAME")]
+    pub(crate) site: Option<String>,
+    #[options(
+        help = "folder that takes the CSV files and the plots",
+        default = "docs/measurements",
+        no_short,
+        meta = "FOLDER"
+    )]
+    pub(crate) out: PathBuf,
+    #[options(help = "end with 1 if the score of a day fell", no_short)]
+    pub(crate) fail_on_regression: bool,
+}
--- a/crates/hemlockford/src/main.rs
+++ b/crates/hemlockford/src/main.rs
@@ -7,6 +7,7 @@
 mod emulate;
 mod exit;
 mod fleet;
+mod journal;
 mod load;
 mod local;
 mod log;
@@ -57,6 +58,7 @@
         Some(Command::Emulate(arguments)) => emulate::emulate(arguments),
         Some(Command::Load(arguments)) => load::load(arguments),
         Some(Command::Bench(arguments)) => bench::bench(arguments),
+        Some(Command::Journal(arguments)) => journal::report(arguments),
         None => {
             print_help(&arguments);
             return Exit::Failure.into();
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod emulate;
 mod headers;
 mod histogram;
+pub mod journal;
 pub mod load;
+mod plot;
 mod quantity;
 pub mod slopes;
 mod timer;
@@ -14,6 +16,7 @@
     compare::{AddedOptions, AddedRow, added},
     content::{Content, Verdict},
     emulate::{EmulateOptions, Emulation, ServiceTime},
+    journal::{JournalOptions, JournalReport, journal},
     load::{LoadOptions, LoadSummary, load},
     quantity::parse_time,
     slopes::{SlopesOptions, slopes},
--- a/crates/tools/src/slopes/plot.rs
+++ b/crates/tools/src/slopes/plot.rs
@@ -2,30 +2,17 @@
 
 use {
     super::Slope,
-    error_stack::ResultExt,
-    hemlockford_core::errors::{ErrorKind, Result},
+    crate::plot::{Area, COLOURS, Drawn, WIDTH, save},
+    hemlockford_core::errors::Result,
     plotters::{
-        prelude::{
-            ChartBuilder, Color, IntoDrawingArea, IntoLogRange, LineSeries, PathElement, RGBColor, SVGBackend,
-            SeriesLabelPosition,
-        },
+        prelude::{ChartBuilder, Color, IntoLogRange, LineSeries, PathElement, SeriesLabelPosition},
         style::{BLACK, WHITE},
     },
     std::{ops::Range, path::Path},
 };
 
-const WIDTH: u32 = 900;
 /// Height of the panel of one measured quantity.
 const PANEL: u32 = 340;
-/// Colours that are told apart also by readers who confuse red and green.
-const COLOURS: [RGBColor; 6] = [
-    RGBColor(0, 114, 178),
-    RGBColor(213, 94, 0),
-    RGBColor(0, 158, 115),
-    RGBColor(204, 121, 167),
-    RGBColor(86, 180, 233),
-    RGBColor(90, 90, 90),
-];
 /// Room on a logarithmic axis beyond the outermost values.
 const MARGIN: f64 = 1.25;
 /// Value that stands for zero on a logarithmic axis.
@@ -33,16 +20,12 @@
 
 /// Draws a slope with one panel for each measured quantity, both axes logarithmic.
 pub(super) fn plot(slope: &Slope, folder: &Path) -> Result<()> {
-    let path = folder.join(format!("{}.svg", slope.name));
-    let drawn = draw(slope, &path).map_err(|e| hemlockford_core::errors::io(e.to_string()));
-    drawn.change_context(ErrorKind::Io).attach_with(|| format!("cannot draw {}", path.display()))
+    let size = (WIDTH, PANEL * slope.measures.len() as u32);
+    save(&folder.join(format!("{}.svg", slope.name)), size, |root| draw(slope, root))
 }
 
-fn draw(slope: &Slope, path: &Path) -> std::result::Result<(), Box<dyn std::error::Error>> {
-    let panels = slope.measures.len() as u32;
-    let root = SVGBackend::new(path, (WIDTH, PANEL * panels)).into_drawing_area();
-    root.fill(&WHITE)?;
-    for (index, area) in root.split_evenly((panels as usize, 1)).into_iter().enumerate() {
+fn draw(slope: &Slope, root: &Area) -> Drawn {
+    for (index, area) in root.split_evenly((slope.measures.len(), 1)).into_iter().enumerate() {
         let caption = if index == 0 { slope.title } else { "" };
         let points = |line: &str| -> Vec<(f64, f64)> {
             let rows = slope.rows.iter().filter(|row| &*row.line == line);
@@ -85,7 +68,6 @@
             .border_style(BLACK.mix(0.3))
             .draw()?;
     }
-    root.present()?;
     Ok(())
 }
 
