--- a/crates/hemlockford/src/command/tool.rs
+++ b/crates/hemlockford/src/command/tool.rs
@@ -253,6 +253,8 @@
         meta = "FOLDER"
     )]
     pub(crate) out: PathBuf,
+    #[options(help = "count the kinds in the day files of this folder instead", no_short, meta = "FOLDER")]
+    pub(crate) days: Option<PathBuf>,
     #[options(help = "end with 1 if the score of a day fell", no_short)]
     pub(crate) fail_on_regression: bool,
 }
--- a/crates/tools/src/plot.rs
+++ b/crates/tools/src/plot.rs
@@ -56,7 +56,7 @@
 pub(crate) fn legend(area: &Area, items: &[(&str, RGBColor)]) -> Drawn {
     let style = text_style(13);
     let width = area.dim_in_pixel().0 as i32;
-    let (mut x, mut y) = (GAP, 2);
+    let (mut x, mut y) = (GAP, 6);
     for (name, colour) in items {
         let (text, _) = area.estimate_text_size(name, &style)?;
         let needed = SWATCH + 5 + (f64::from(text) * (1.0 + SPARE)) as i32;
