--- a/crates/hemlockford/src/journal.rs
+++ b/crates/hemlockford/src/journal.rs
@@ -28,8 +28,8 @@
     for comparison in &report.comparisons {
         println!("{comparison}");
     }
-    if report.comparisons.is_empty() {
-        println!("no site has two such runs");
+    for site in report.not_compared() {
+        println!("{site}: not compared, fewer than two such runs");
     }
     Ok(Exit::from_success(!(arguments.fail_on_regression && report.has_regression())))
 }
--- a/crates/hemlockford/tests/processes/commands.rs
+++ b/crates/hemlockford/tests/processes/commands.rs
@@ -150,3 +150,23 @@
     let text = run(&["report", "--from", &system.admin]).stdout;
     assert!(text.contains("catalogue") && text.contains("99.9% in 250ms"), "{text}");
 }
+
+/// Guards against `journal` failing on a regression without being asked to, and against passing one when asked.
+#[test]
+fn journal_fails_on_a_regression_only_when_asked() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let dir = folder.path().to_str().expect("a path");
+    let out = format!("{dir}/out");
+    let journal = |more: &[&str]| run(&[&["journal", "--dir", dir, "--out", &out], more].concat());
+    for (minute, score, code) in [(1, 0.9, 0), (2, 0.88, 0), (3, 0.8, 1)] {
+        let day = format!(r#"{{"name": "quiet-1", "score": {score}}}"#);
+        let start = format!(r#"{{"at": ["2026-01-01T00:0{minute}:00Z"], "cmd": "score", "site": "north""#);
+        let text = format!(r#"{start}, "score": {score}, "days": [{day}]}}"#);
+        std::fs::write(folder.path().join(format!("{minute}.json")), text).expect("a file");
+        assert_eq!(journal(&[]).code, 0, "minute {minute}");
+        assert_eq!(journal(&["--fail-on-regression"]).code, code, "minute {minute}");
+    }
+    std::fs::write(folder.path().join("4.json"), "{").expect("a file");
+    let ended = journal(&[]);
+    assert!(ended.code == 0 && ended.stdout.contains("quiet-1: 0.8800 to 0.8000 (-0.0800)"), "{ended:?}");
+}
