--- a/crates/tools/tests/journal.rs
+++ b/crates/tools/tests/journal.rs
@@ -22,7 +22,7 @@
 }
 
 fn run(at: &str, cmd: &str, site: &str, more: &str, days: &[String]) -> String {
-    let (score, days) = (if cmd == "score" { "0.5" } else { "null" }, days.join(","));
+    let (score, days) = (if cmd == "run" { "null" } else { "0.5" }, days.join(","));
     format!(
         r#"{{"v": 9, "at": ["2026-01-01T00:{at}Z", null], "cmd": "{cmd}", "site": "{site}", "head": "0123456789{at}",
         "score": {score}, "figures": null, "why": null{more}, "days": [{days}]}}"#
