--- a/crates/tools/tests/journal.rs
+++ b/crates/tools/tests/journal.rs
@@ -139,9 +139,31 @@
     let falls: Vec<_> = comparisons[0].falls.iter().map(|fall| &*fall.day).collect();
     assert_eq!(falls, ["above"]);
     assert_eq!(&*comparisons[0].before.1, "2026-01-01T00:02:00Z");
+    assert_eq!(comparisons[0].falls[0].spread, None, "runs of two commits are not runs of one");
     assert!(comparisons[0].to_string().contains("0.8801 to 0.8500 (-0.0301)"), "{}", comparisons[0]);
 }
 
+/// Guards against a spread that lacks a commit with several runs or mixes commits, sites or changed files.
+#[test]
+fn a_fall_is_told_with_the_spread_of_its_day() {
+    let scored = |site: &str, commit: u32, dirty: bool, score: f64| {
+        let more = format!(r#", "dirty": {dirty}"#);
+        run("01:00", "score", site, &more, &[day("quiet-1", score, "")]).replace("012345678901:00", &commit.to_string())
+    };
+    let runs = parse(&[
+        scored("north", 1, false, 0.7),
+        scored("north", 1, false, 0.9),
+        scored("north", 1, false, 0.8),
+        scored("north", 2, false, 0.3),
+        scored("north", 1, true, 0.1),
+        scored("south", 1, false, 0.1),
+        scored("north", 3, false, 0.25),
+        scored("north", 3, false, 0.2),
+    ]);
+    let spread = compare(&runs, NOISE)[0].falls[0].spread.expect("a spread");
+    assert!((spread - 0.2).abs() < 1e-9, "{spread}");
+}
+
 /// Guards against rules of one site or command being counted for another, and against a wrong first or last run.
 #[test]
 fn broken_rules_have_a_first_and_a_last_run() {
