Let calls wait for a server that answers in time

Cause: a call took the least bad server with room at once. With a quarter of the servers four times slower at any time, such a call was late, and its slot was taken when the server became quick again. A second call at a cold or slow server also made the first one late, which the cost did not count.

Ruled out: moving running calls to other servers. By arithmetic most calls that meet a slower pace still make their objective, and a move costs the work that is done.

Both new tests fail on the code before.

--- a/crates/core/src/probing/asking.rs
+++ b/crates/core/src/probing/asking.rs
@@ -37,6 +37,11 @@
 /// A loss that is above the least possible one by more than this is worth another round: three probes at a
 /// thousandth each, which find something better in most cases.
 const POOR: f64 = 0.05;
+/// A loss for time that is above the least possible one by more than this is worth waiting for another server: most
+/// answers would be late, whereas the pace of servers is drawn anew within 300 ms and slots become free all the time.
+const TOO_POOR: f64 = 0.8;
+/// Age up to which a report is a reason to wait; the pace is drawn anew in this time.
+const TOLD: Duration = Duration::from_millis(300);
 
 impl Balancer {
     /// Begins a round of probes for a call, or makes the choice if nothing has to be asked.
@@ -210,6 +215,12 @@
 }
 
 impl Server {
+    /// Returns whether the server itself said lately how it does. Nothing is known of one whose probes fail, and
+    /// waiting would not change that.
+    fn is_told(&self, now: Instant) -> bool {
+        self.silent == 0 && self.report.is_some_and(|report| report.age(now) < TOLD)
+    }
+
     fn is_fresh(&self, now: Instant) -> bool {
         self.report.is_some_and(|report| report.age(now) < FRESH)
     }
@@ -246,17 +257,24 @@
         self.least(now, active, servers)
     }
 
-    /// Returns the server that is expected to cost least and may get the call now.
+    /// Returns the server that is expected to cost least and may get the call now. A call that can still make its
+    /// objective rather waits than goes to a server where it most likely would not.
     pub(super) fn least<'a>(
         &self,
         now: Instant,
         active: &ActiveCall,
         servers: impl Iterator<Item = &'a Server>,
     ) -> Option<(Key, Cost)> {
+        let most = match active.is_lapsed {
+            true => f64::INFINITY,
+            false => Cost::least_loss(now, active, &self.usual) + TOO_POOR,
+        };
         servers
             .filter(|server| !active.tried.contains(&server.key))
             .filter(|server| server.is_usable(now) && server.has_room(now, &self.usual))
-            .map(|server| (server.key, Cost::of(now, active, server, &self.usual)))
+            .map(|server| (server, Cost::of(now, active, server, &self.usual)))
+            .filter(|(server, cost)| cost.delay <= most || !server.is_told(now))
+            .map(|(server, cost)| (server.key, cost))
             .min_by(|a, b| a.1.loss.total_cmp(&b.1.loss))
     }
 }
--- a/crates/core/src/probing/cost.rs
+++ b/crates/core/src/probing/cost.rs
@@ -28,8 +28,10 @@
 pub(super) const BUSY: f64 = 0.8;
 /// Factor on the time of work at a busy server, less one.
 pub(super) const BUSY_SLOWER: f64 = 0.7;
-/// Cost of slowing down each call that runs at a server already.
-const CROWDING: f64 = 0.05;
+/// Cost of one more call for each that runs at a server already, beside the chance that it makes them late.
+const CROWDING: f64 = 0.03;
+/// Part of a running call that is slowed down by a call that joins it.
+const JOINED_PART: f64 = 0.5;
 /// A cold server works at half speed for this time.
 const COLD: Duration = Duration::from_secs(3);
 const COLD_PACE: f64 = 2.0;
@@ -41,6 +43,8 @@
     pub(super) seconds: f64,
     /// Expected loss as a part of the call's worth.
     pub(super) loss: f64,
+    /// The part of it that is for time, that of the calls at the server included.
+    pub(super) delay: f64,
     /// Expected calls at the server, without this one.
     pub(super) load: f64,
     /// Expected factor on the work.
@@ -59,7 +63,7 @@
         let seconds = work * factor * (1.0 + queue) + way;
 
         let objective = active.call.terms.objective.as_secs_f64().max(1e-3);
-        let late = late(seconds, active.objective_left(now).as_secs_f64());
+        let own_late = late(seconds, active.objective_left(now).as_secs_f64());
         let bytes = match (server.is_remote, active.call.upload) {
             (false, _) => 0.0,
             (true, false) => REMOTE,
@@ -70,9 +74,14 @@
             && server.last_end.is_some_and(|at| now.saturating_duration_since(at) < CONNECTION_KEPT);
         let connection = if is_connected { 0.0 } else { CONNECTION };
         let failure = server.failure(now);
-        let answered = LATE * late + LATENCY * (seconds / objective).min(10.0);
-        let loss = failure + (1.0 - failure) * answered + CROWDING * load.min(slots) + bytes + connection;
-        Self { seconds, loss, load, factor }
+        let answered = LATE * own_late + LATENCY * (seconds / objective).min(10.0);
+        // The others are taken to be of the same route.
+        let alone = work * factor / busy_factor(load, slots);
+        let slowed = 1.0 + JOINED_PART * (busy_factor(load, slots) - 1.0);
+        let others_late = late(alone * slowed, objective) - late(alone, objective);
+        let crowding = (CROWDING + LATE * others_late) * load.min(slots);
+        let loss = failure + (1.0 - failure) * answered + crowding + bytes + connection;
+        Self { seconds, loss, delay: answered + crowding, load, factor }
     }
 
     /// Loss at an idle server of the own data centre with usual pace, the least that a probe can find.
--- a/crates/core/src/probing/queueing.rs
+++ b/crates/core/src/probing/queueing.rs
@@ -39,6 +39,7 @@
         let entries = self.entries.get(now, self.options.window);
         let Some(state) = self.services.get_mut(&active.service) else { return };
         state.servers.keep_enough(now);
+        let has_spare = state.has_spare(now, &active);
         let objective = active.call.terms.objective;
         let work = state.usual.work(objective);
         let last_start =
@@ -47,7 +48,9 @@
         if active.is_lapsed || until <= now {
             active.is_lapsed = true;
             until = last_start(active.call.deadline.saturating_duration_since(now), NEEDED_LATE);
-        } else if now + state.wait(now, state.queue.ahead(&active) + 1, objective, entries) * WAIT_MARGIN > until {
+        } else if !has_spare
+            && now + state.wait(now, state.queue.ahead(&active) + 1, objective, entries) * WAIT_MARGIN > until
+        {
             return self.give_up(now, &active, NotRunReason::Overload, actions);
         }
         let (call, service) = (active.call.id, active.service);
@@ -69,8 +72,12 @@
         if state.queue.len() == 0 {
             return;
         }
+        let mut is_timely_served = true;
         for call in state.queue.calls() {
             let Some(active) = self.calls.get(&call) else { continue };
+            if !is_timely_served && !active.is_lapsed && active.tried.is_empty() {
+                continue;
+            }
             let Some(state) = self.services.get(&service) else { return };
             if !state.has_other(now, active) {
                 let reason = active.refusal;
@@ -86,8 +93,10 @@
                         self.send(now, active, server, cost.factor, actions);
                     }
                 }
-                // What has no room for this call has none for the next, unless this one was there before.
-                None if active.tried.is_empty() => return,
+                // What has no room for this call has none for the next, unless this one was there before. A call that
+                // can make its objective leaves poor servers to those that cannot.
+                None if active.tried.is_empty() && active.is_lapsed => return,
+                None if active.tried.is_empty() => is_timely_served = false,
                 None => {}
             }
         }
--- a/crates/core/src/probing/service.rs
+++ b/crates/core/src/probing/service.rs
@@ -1,7 +1,7 @@
 //! What a balancer keeps for one service.
 
 use {
-    super::{BalancerOptions, Queue, Server, Servers, Usual},
+    super::{ActiveCall, BalancerOptions, Queue, Server, Servers, Usual},
     crate::retry::SlidingBudget,
     std::time::{Duration, Instant},
 };
@@ -15,6 +15,8 @@
 /// counts from its first attempt, so that after the whole time its answer would be late, whereas it may soon
 /// find a shorter queue at another entry.
 const RETURN_PART: f64 = 0.1;
+/// Mean calls per slot below which a service has room for all calls, however slow its servers are.
+const SPARE_LOAD: f64 = 0.3;
 /// Bound of estimated waits; no call has as much time.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 
@@ -40,6 +42,13 @@
         }
     }
 
+    /// Returns whether a call that waits does so for a better server rather than for room.
+    pub(super) fn has_spare(&self, now: Instant, active: &ActiveCall) -> bool {
+        let mut open = self.servers.iter().filter(|server| server.is_usable(now));
+        let has_room = open.any(|server| !active.tried.contains(&server.key) && server.has_room(now, &self.usual));
+        self.usual.load < SPARE_LOAD && has_room
+    }
+
     /// Estimates the time until as many waiting calls of this entry have started; the entries are taken to get
     /// equal shares of the slots.
     pub(super) fn wait(&self, now: Instant, calls: usize, objective: Duration, entries: usize) -> Duration {
--- a/crates/core/tests/probing_choice.rs
+++ b/crates/core/tests/probing_choice.rs
@@ -36,6 +36,15 @@
     assert_eq!(&*entry.place().1, "s3");
 }
 
+/// Guards against a call that makes the one that runs at its server late, where another server does as well.
+#[test]
+fn spares_a_call_that_would_become_late() {
+    let mut entry = ProbedEntry::new(&[("s1", "a"), ("s2", "a")]);
+    entry.reports.insert("s1".into(), load(1, 150));
+    entry.reports.insert("s2".into(), load(0, 280));
+    assert_eq!(&*entry.place().1, "s2");
+}
+
 /// Guards against two calls that arrive within one probe time meeting at the same server, since neither
 /// probe can show the other call.
 #[test]
--- a/crates/core/tests/probing_queue.rs
+++ b/crates/core/tests/probing_queue.rs
@@ -53,7 +53,7 @@
     let call = Call { terms: CallTerms { priority, ..call.terms }, ..call };
     let id = call.id;
     let actions = entry.arrive(call);
-    assert!(sent(&actions, id).is_none() && rejected(&actions, id).is_none());
+    assert!(sent(&actions, id).is_none() && rejected(&actions, id).is_none(), "{actions:?}");
     id
 }
 
@@ -71,6 +71,23 @@
     assert_eq!(entry.balancer.waiting(), 0);
 }
 
+/// Guards against calls that are sent to a server where they would be late, although another one may do better
+/// before they have to start, and against ones that wait for that until their deadline.
+#[test]
+fn waits_for_a_server_that_answers_in_time() {
+    let mut entry = full(&TWO, 0);
+    entry.reports.values_mut().for_each(|report| *report = load(0, 400));
+    let timely = waiting(&mut entry, 0);
+    entry.pass(60 * MS);
+    entry.reports.insert("s2".into(), load(0, 100));
+    assert_eq!(sent(&entry.pass(40 * MS), timely).as_deref(), Some("s2"));
+    entry.reports.insert("s2".into(), load(SLOTS, 400));
+    let late = waiting(&mut entry, 0);
+    // It needs 240 ms of its 400 ms objective.
+    assert!(sent(&entry.pass(150 * MS), late).is_none());
+    assert_eq!(sent(&entry.pass(40 * MS), late).as_deref(), Some("s1"));
+}
+
 /// Guards against calls that are held although nothing has room, and a useless time to come back.
 #[test]
 fn rejects_what_no_server_would_queue() {
