Keep a newer server that the entry's replica has missed

Cause: an entry learned of a later server at an address from one replica and turned to another one, nearer, that had missed it. The whole directory of that replica is settled, so View::add removed the later server at once in favour of the earlier one, while a server that the directory merely lacked was kept for 2 s. A later incarnation of one id was replaced by an earlier one in the same way, also by a change told alone, and a removal or a departure of the earlier incarnation took the later one along.

Now a settled replica that tells of an earlier server makes the later one absent, so that it is removed after the same 2 s unless it is told of. The earlier server is remembered and used once the later one is removed, departs or moves; the replica would not tell of it again.

Ruled out: the directory of the replicas (it kept the later server), and the order of messages of one replica.

--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -274,7 +274,7 @@
     fn servers(&mut self, now: Instant, from: &InstanceId, incarnation: Incarnation, servers: Servers) {
         // A departure is committed, whoever tells of it.
         for (server, born) in servers.departed {
-            self.view.depart(server, born);
+            self.view.depart(now, server, born);
         }
         let is_adrift = now.saturating_duration_since(self.current_at.unwrap_or(self.started)) >= ADRIFT_AFTER;
         if self.replica.as_ref() != Some(from) || !servers.is_current && !is_adrift {
@@ -305,7 +305,7 @@
         };
         if is_complete {
             for server in &servers.removed {
-                self.view.remove(server);
+                self.view.removed(now, server);
             }
         }
         for server in servers.usable {
--- a/crates/core/src/fleet/entry/view.rs
+++ b/crates/core/src/fleet/entry/view.rs
@@ -37,23 +37,23 @@
     /// not bring a server back.
     departed: FastMap<ServerId, u64>,
     departed_order: VecDeque<ServerId>,
-    /// Servers that a whole directory lacked, with the time at which they are removed.
+    /// Servers that a complete directory lacked, with the time at which they are removed.
     absent: FastMap<ServerId, Instant>,
+    /// Servers that a complete directory names with the id or the address of a later one that is held. The later one
+    /// may be news that the replica missed, so it is absent first; these follow once it is removed.
+    superseded: FastMap<ServerId, Used>,
     /// Services whose servers have changed since they were last told.
     changed: FastSet<ServiceId>,
 }
 
 impl View {
     /// Takes a committed departure.
-    pub(super) fn depart(&mut self, server: ServerId, born: u64) {
-        if self.servers.get(&server).is_some_and(|used| used.server.born <= born) {
-            self.remove(&server);
-        }
+    pub(super) fn depart(&mut self, now: Instant, server: ServerId, born: u64) {
         match self.departed.get_mut(&server) {
             Some(held) => *held = born.max(*held),
             None => {
                 self.departed_order.push_back(server.clone());
-                self.departed.insert(server, born);
+                self.departed.insert(server.clone(), born);
             }
         }
         if self.departed.len() > MAX_DEPARTED
@@ -61,29 +61,52 @@
         {
             self.departed.remove(&oldest);
         }
+        if self.servers.get(&server).is_some_and(|used| used.server.born <= born) {
+            self.remove(now, &server);
+        }
     }
 
-    /// Takes a usable server. Unless what the replica says is complete, a later incarnation that is held stays.
+    /// Takes a usable server. A later server with its id or its address stays; a complete directory makes the later
+    /// one absent.
     pub(super) fn add(&mut self, now: Instant, server: UsableServer, is_complete: bool) {
-        if self.departed.get(&server.server).is_some_and(|born| server.born <= *born) {
-            return;
+        let warm_until = now + Duration::from_millis(u64::from(server.warm_up_ms));
+        self.take(now, Used { server, warm_until }, is_complete);
+        self.take_superseded(now);
+    }
+
+    /// Takes the servers that no later one supersedes any more.
+    fn take_superseded(&mut self, now: Instant) {
+        for used in std::mem::take(&mut self.superseded).into_values() {
+            self.take(now, used, true);
         }
-        if !is_complete && self.servers.get(&server.server).is_some_and(|held| held.server.born > server.born) {
+    }
+
+    fn take(&mut self, now: Instant, used: Used, is_complete: bool) {
+        let server = &used.server;
+        if self.departed.get(&server.server).is_some_and(|born| server.born <= *born) {
             return;
         }
+        let held = self.servers.get(&server.server).filter(|held| held.server.born > server.born);
         let rival = self
             .servers
             .values()
             .find(|held| held.server.address == server.address && held.server.server != server.server);
-        if let Some(rival) = rival.map(|held| (held.server.born, held.server.server.clone())) {
-            if !is_complete && rival > (server.born, server.server.clone()) {
-                return;
+        let later_rival = rival.filter(|rival| rival.order() > used.order());
+        let later: Vec<_> = held.into_iter().chain(later_rival).map(|held| held.server.server.clone()).collect();
+        if !later.is_empty() {
+            if is_complete {
+                for later in later {
+                    self.absent.entry(later).or_insert(now + ABSENT_FOR);
+                }
+                self.superseded.insert(used.server.server.clone(), used);
             }
-            self.remove(&rival.1);
+            return;
         }
-        self.absent.remove(&server.server);
-        let warm_until = now + Duration::from_millis(u64::from(server.warm_up_ms));
-        let used = Used { server, warm_until };
+        if let Some(rival) = rival.map(|rival| rival.server.server.clone()) {
+            self.drop_server(&rival);
+        }
+        self.absent.remove(&used.server.server);
+        self.superseded.remove(&used.server.server);
         match self.servers.get_mut(&used.server.server) {
             Some(held) if held.is_same(&used, now) => {}
             Some(held) => {
@@ -98,15 +121,31 @@
         }
     }
 
-    pub(super) fn remove(&mut self, server: &ServerId) {
+    /// Takes a removal that a complete directory tells of. A server that this directory lacks stays until its time as
+    /// an absent one is over: what was removed is an earlier one of its id.
+    pub(super) fn removed(&mut self, now: Instant, server: &ServerId) {
+        self.superseded.remove(server);
+        if !self.absent.contains_key(server) {
+            self.remove(now, server);
+        }
+    }
+
+    /// Removes a server; those that it superseded follow.
+    fn remove(&mut self, now: Instant, server: &ServerId) {
+        self.drop_server(server);
+        self.take_superseded(now);
+    }
+
+    fn drop_server(&mut self, server: &ServerId) {
         self.absent.remove(server);
         if let Some(used) = self.servers.remove(server) {
             self.changed.insert(used.server.service);
         }
     }
 
-    /// Notes which servers a whole directory lacks; they are removed unless they are told of again.
+    /// Notes which servers a complete directory lacks; they are removed unless they are told of again.
     pub(super) fn retain(&mut self, now: Instant, servers: &[UsableServer]) {
+        self.superseded.clear();
         let named: FastSet<&ServerId> = servers.iter().map(|server| &server.server).collect();
         let gone: Vec<_> = self.servers.keys().filter(|server| !named.contains(server)).cloned().collect();
         for server in gone {
@@ -118,7 +157,7 @@
     pub(super) fn remove_absent(&mut self, now: Instant) {
         let due: Vec<_> = self.absent.iter().filter(|(_, at)| now >= **at).map(|(server, _)| server.clone()).collect();
         for server in due {
-            self.remove(&server);
+            self.remove(now, &server);
         }
     }
 
@@ -142,6 +181,11 @@
 }
 
 impl Used {
+    /// Of two servers at one address the one with the higher order is kept, as in the directory.
+    fn order(&self) -> (u64, &ServerId) {
+        (self.server.born, &self.server.server)
+    }
+
     fn is_same(&self, other: &Self, now: Instant) -> bool {
         let (a, b) = (&self.server, &other.server);
         let (warm_a, warm_b) = (self.warm_until.max(now), other.warm_until.max(now));
--- /dev/null
+++ b/crates/core/tests/fleet_entry.rs
@@ -0,0 +1,189 @@
+//! What an entry holds of servers that its replicas tell of differently.
+
+use {
+    hemlockford_core::{
+        collections::FastMap,
+        dispatch::ServerView,
+        fleet::{EntryAction, EntryEvent, EntryLink, EntryOptions, FleetMessage, Poll, Servers, State, UsableServer},
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::time::{Duration, Instant},
+};
+
+/// Time for which an entry keeps a server that a whole directory lacks.
+const ABSENT_FOR: Duration = Duration::from_secs(2);
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+fn server(id: &str, port: u16, born: u64) -> UsableServer {
+    UsableServer {
+        server: id.into(),
+        service: "a".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        data_centre: "north".into(),
+        slots: 2,
+        born,
+        warm_up_ms: 0,
+    }
+}
+
+/// What a settled replica tells: all of its directory, or what changed since the last revision.
+fn news(revision: u64, echo: Option<u64>, usable: &[UsableServer], removed: &[&str]) -> Servers {
+    Servers {
+        from: echo.is_none().then(|| revision - 1),
+        to: revision,
+        echo,
+        is_current: true,
+        is_settled: true,
+        usable: usable.to_vec(),
+        removed: removed.iter().map(|server| (*server).into()).collect(),
+        departed: Vec::new(),
+    }
+}
+
+/// An entry whose replicas `r0` and `r1` answer as the test tells.
+struct Bench {
+    now: Instant,
+    link: EntryLink,
+    polls: FastMap<Box<str>, Poll>,
+    views: Vec<ServerView>,
+}
+
+impl Bench {
+    /// Begins with the whole directory of `r0` and goes on with that of `r1`.
+    fn new(first: &[UsableServer], second: &[UsableServer]) -> Self {
+        let now = Instant::now();
+        let seeds = vec!["r0".into(), "r1".into()];
+        let options = EntryOptions { id: "e".into(), data_centre: "north".into(), seeds, ..EntryOptions::default() };
+        let link = EntryLink::new(now, options, SmallRng::seed_from_u64(1));
+        let mut bench = Self { now, link, polls: FastMap::default(), views: Vec::new() };
+        for (replica, usable) in [("r0", first), ("r1", second)] {
+            bench.run(replica, ms(2_000));
+            assert_eq!(bench.link.replica().map(|name| &**name), Some(replica));
+            let echo = bench.polls[replica].sequence;
+            bench.tell(replica, news(1, Some(echo), usable, &[]));
+        }
+        bench
+    }
+
+    fn event(&mut self, event: EntryEvent) {
+        let mut actions = Vec::new();
+        self.link.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                EntryAction::Send { to, message: FleetMessage::Poll(poll) } => {
+                    self.polls.insert(to, poll);
+                }
+                EntryAction::Servers(_, views) => self.views = views,
+                _ => {}
+            }
+        }
+    }
+
+    fn receive(&mut self, from: &str, message: FleetMessage) {
+        self.event(EntryEvent::Receive { from: from.into(), incarnation: 1, message });
+    }
+
+    fn tell(&mut self, from: &str, servers: Servers) {
+        self.receive(from, FleetMessage::Servers(servers));
+    }
+
+    /// Lets time pass while only one replica answers polls.
+    fn run(&mut self, replica: &str, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += ms(50);
+            self.event(EntryEvent::Tick);
+            let Some(echo) = self.polls.get(replica).map(|poll| poll.sequence) else { continue };
+            let state = State {
+                echo,
+                is_current: true,
+                is_settled: true,
+                change: 0,
+                revision: 1,
+                entries: 1,
+                data_centre: "south".into(),
+                replicas: Vec::new(),
+            };
+            self.receive(replica, FleetMessage::State(state));
+        }
+    }
+
+    fn held(&self) -> Vec<(&str, u16)> {
+        self.views.iter().map(|view| (&*view.id, view.address.port())).collect()
+    }
+}
+
+/// Older server that the second replica names, and the newer one with its address or its id.
+fn pairs() -> [(UsableServer, UsableServer); 2] {
+    [(server("s", 1, 10), server("t", 1, 20)), (server("s", 1, 10), server("s", 2, 20))]
+}
+
+/// Guards against a replica that missed a server, and makes an entry drop it for the one that had its address or its
+/// id before.
+#[test]
+fn a_newer_server_stays_until_the_replica_learns_of_it() {
+    for (older, newer) in pairs() {
+        let held = [(&*newer.server, newer.address.port())];
+        let mut bench = Bench::new(std::slice::from_ref(&newer), std::slice::from_ref(&older));
+        bench.run("r1", ABSENT_FOR - ms(200));
+        assert_eq!(bench.held(), held, "after the whole directory");
+        // What changes of the older one is told alone, and says nothing of the newer one.
+        bench.tell("r1", news(2, None, &[UsableServer { slots: 4, ..older.clone() }], &[]));
+        assert_eq!(bench.held(), held, "after a change of the older one");
+        let removed: &[&str] = if older.server == newer.server { &[] } else { &["s"] };
+        bench.tell("r1", news(3, None, std::slice::from_ref(&newer), removed));
+        bench.run("r1", ms(5_000));
+        assert_eq!(bench.held(), held, "after the replica told of the newer one");
+    }
+}
+
+/// Guards against a removal or a departure of an older incarnation that takes the newer one along, of which the
+/// replica does not know.
+#[test]
+fn the_removal_of_an_older_incarnation_spares_the_newer_one() {
+    for second in [&[server("s", 1, 10)][..], &[]] {
+        let mut bench = Bench::new(&[server("s", 2, 20)], second);
+        bench.tell("r1", Servers { departed: vec![("s".into(), 10)], ..news(2, None, &[], &["s"]) });
+        assert_eq!(bench.held(), [("s", 2)]);
+        bench.run("r1", ABSENT_FOR + ms(100));
+        assert_eq!(bench.held(), []);
+    }
+}
+
+/// Guards against a server with a wrong later time of its start, or one that is gone, which keeps its address or its
+/// id for longer than any other absent server, or leaves a gap behind.
+#[test]
+fn a_newer_server_that_the_replica_lacks_gives_way() {
+    for (older, newer) in pairs() {
+        let mut bench = Bench::new(std::slice::from_ref(&newer), std::slice::from_ref(&older));
+        // Changes do not begin the time anew.
+        bench.run("r1", ABSENT_FOR / 2);
+        bench.tell("r1", news(2, None, &[UsableServer { slots: 4, ..older.clone() }], &[]));
+        bench.run("r1", ABSENT_FOR / 2 + ms(100));
+        assert_eq!(bench.held(), [("s", 1)]);
+        assert_eq!(bench.views[0].slots, 4);
+    }
+}
+
+/// Guards against an address without a server after the newer one departed, and against an older one that comes back
+/// after it was removed.
+#[test]
+fn the_older_server_follows_a_departure_unless_it_is_gone_as_well() {
+    for (removed, held) in [(&[][..], &[("s", 1)][..]), (&["s"], &[])] {
+        let mut bench = Bench::new(&[server("t", 1, 20)], &[server("s", 1, 10)]);
+        bench.tell("r1", news(2, None, &[], removed));
+        bench.tell("r0", Servers { departed: vec![("t".into(), 20)], ..news(9, None, &[], &[]) });
+        assert_eq!(bench.held(), held);
+    }
+}
+
+/// Guards against an address without a server after the newer one moved to another address.
+#[test]
+fn the_older_server_follows_once_its_address_is_free() {
+    let mut bench = Bench::new(&[server("t", 1, 20)], &[server("s", 1, 10)]);
+    bench.tell("r1", news(2, None, &[server("t", 2, 30)], &[]));
+    assert_eq!(bench.held(), [("s", 1), ("t", 2)]);
+}
