Remove a spare voter although all voters are heard

Cause: a leader with more voters than the target removed silent ones only. A voter that came back after its replacement was admitted and before it was removed itself stayed as a fourth one, so that each commit waited for three.

Now a leader with too many voters for 1 s, all heard within 500 ms, removes the follower that is furthest behind, provided that all others have caught up. It is the same Remove as before: one at a time, after an entry of the leader's term and the change before are committed.

Tests: members (a voter returns during its replacement), member_rules (one at a time; not while one is silent or two are behind; never the leader) and member_faults, which let spare voters stay and now asks for the target exactly.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -214,6 +214,7 @@
             reads: VecDeque::new(),
             heartbeats: 0,
             told: Vec::new(),
+            spare_since: None,
             hand_over_until: None,
             hand_over_sent: false,
         }));
--- a/crates/core/src/consensus/membership.rs
+++ b/crates/core/src/consensus/membership.rs
@@ -15,8 +15,11 @@
 
 /// Time after which a silent voter is replaced.
 const VOTER_SILENT: Duration = Duration::from_secs(1);
-/// Time within which a learner must have been heard to become a voter: its acknowledgement may be needed at once.
-const LEARNER_HEARD: Duration = Duration::from_millis(500);
+/// Time after which a spare voter is removed although all are heard: long enough to notice a silent one, which goes first.
+const SPARE_FOR: Duration = VOTER_SILENT;
+/// Time within which a replica must have been heard if its acknowledgement may be needed at once: a learner that becomes
+/// a voter, and the voters that stay when a spare one is removed.
+const RECENTLY_HEARD: Duration = Duration::from_millis(500);
 /// Time after which a silent learner is forgotten.
 const LEARNER_FORGOTTEN: Duration = Duration::from_secs(10);
 /// Entries by which a replica may be behind the end of the log and still count as caught up, so that
@@ -45,6 +48,10 @@
 
     /// Makes the next change of the members, if one is due.
     pub(super) fn change_members(&mut self, now: Instant, actions: &mut Vec<ConsensusAction>) {
+        let is_spare = self.log.members.len() > self.options.voters;
+        if let Role::Leader(leader) = &mut self.role {
+            leader.spare_since = if is_spare { leader.spare_since.or(Some(now)) } else { None };
+        }
         let is_ready = self.log.term(self.commit) == Some(self.vote.term) && self.log.change_index <= self.commit;
         if self.options.is_dynamic
             && is_ready
@@ -61,7 +68,7 @@
         if leader.hand_over_until.is_some() {
             return None;
         }
-        let is_ready = |progress: &Progress| self.is_caught_up(progress) && now < progress.heard_at + LEARNER_HEARD;
+        let is_ready = |progress: &Progress| self.is_caught_up(progress) && now < progress.heard_at + RECENTLY_HEARD;
         let members = &self.log.members;
         let silence = |member: &Member| match leader.progress.get(&member.replica) {
             Some(progress) if progress.incarnation == member.incarnation => now - progress.heard_at,
@@ -81,7 +88,7 @@
             .filter(|member| member.replica != self.options.replica && silence(member) >= VOTER_SILENT)
             .max_by_key(|member| silence(member));
         if members.len() > self.options.voters {
-            return silent.cloned().map(Payload::Remove);
+            return silent.or_else(|| self.spare(now)).cloned().map(Payload::Remove);
         }
         if members.len() == self.options.voters && silent.is_none() {
             return None;
@@ -101,6 +108,20 @@
         Some(Payload::Admit(Member { replica: replica.clone(), incarnation: progress.incarnation }))
     }
 
+    /// The voter that is furthest behind, if there have been too many for some time and all others can do without it.
+    fn spare(&self, now: Instant) -> Option<&Member> {
+        let Role::Leader(leader) = &self.role else { return None };
+        let is_due = now >= leader.spare_since? + SPARE_FOR;
+        let heard = self.counted().filter(|(_, progress)| now < progress.heard_at + RECENTLY_HEARD);
+        let mut heard: Vec<_> = heard.map(|(name, progress)| (progress.matched, name, progress)).collect();
+        heard.sort_unstable_by_key(|(matched, name, _)| (*matched, *name));
+        let (_, spare, _) = heard.first()?;
+        let are_all_heard = heard.len() + 1 == self.log.members.len();
+        let are_caught_up = heard.iter().skip(1).all(|(.., progress)| self.is_caught_up(progress));
+        let mut members = self.log.members.iter();
+        members.find(|member| member.replica == **spare).filter(|_| is_due && are_all_heard && are_caught_up)
+    }
+
     /// Last entry that may be sent to a replica. A voter is sent its removal only once that is committed: a replica
     /// whose log removes it does not stand for election, but with the longest log it would refuse its vote to the
     /// other voters, who may need it until then.
--- a/crates/core/src/consensus/role.rs
+++ b/crates/core/src/consensus/role.rs
@@ -47,6 +47,8 @@
     pub heartbeats: u64,
     /// Replicas that the others were told of.
     pub told: Vec<InstanceId>,
+    /// Since when there are more voters than the target.
+    pub spare_since: Option<Instant>,
     /// When a planned stop gives up handing over.
     pub hand_over_until: Option<Instant>,
     /// Whether a replica was asked to take over since the last heartbeat.
--- a/crates/scenario/tests/member_faults.rs
+++ b/crates/scenario/tests/member_faults.rs
@@ -59,7 +59,7 @@
         );
         assert_eq!(group.checks.violations, [], "{ms} ms");
         group.net.cuts.clear();
-        settle_with_spare_voters(&mut group, 2, ms);
+        settle_after_faults(&mut group, ms);
     }
 }
 
@@ -81,7 +81,7 @@
         group.run_for(SECOND * 4);
         assert_eq!(group.checks.violations, [], "{ms} ms");
         group.net.cuts.clear();
-        settle_with_spare_voters(&mut group, 1, ms);
+        settle_after_faults(&mut group, ms);
     }
 }
 
@@ -126,19 +126,17 @@
             group.add(&[0, 1, 2], false);
         }
         group.heal();
-        settle_with_spare_voters(&mut group, 1, seed);
+        settle_after_faults(&mut group, seed);
     }
 }
 
-/// Voters that came back before they were removed stay, so that there may be more than the target.
-fn settle_with_spare_voters(group: &mut Group, spare: usize, seed: u64) {
+/// Voters that came back before they were removed leave as well, so that the target is reached.
+fn settle_after_faults(group: &mut Group, seed: u64) {
     group.run_for(SECOND * 3);
     group.options.is_busy = false;
     let is_settled = group.run_while(HEALED, |group| {
         let last = group.checks.applied.last_key_value().map_or(0, |(index, _)| *index);
-        let voters = group.voters().len();
-        (group.options.voters..=group.options.voters + spare).contains(&voters)
-            && group.replicas.iter().all(|replica| replica.applied == last)
+        group.voters().len() == group.options.voters && group.replicas.iter().all(|replica| replica.applied == last)
     });
     let applied: Vec<_> = (0..group.replicas.len()).map(|at| group.applied(at)).collect();
     assert!(is_settled, "seed {seed}: leader {:?}, voters {:?}, {applied:?}", group.leader(), group.voters());
--- a/crates/scenario/tests/member_rules.rs
+++ b/crates/scenario/tests/member_rules.rs
@@ -206,6 +206,54 @@
     assert!(is_told(&replica, "c"));
 }
 
+/// Guards against spare voters that stay, and against the removal of one that is needed: the leader, one of several at
+/// a time, or any while another voter is silent or far behind.
+#[test]
+fn spare_voters_are_removed_one_at_a_time() {
+    let others = ["b", "c", "d", "e"];
+    let run = |replica: &mut Replica, matched: [u64; 4], silent: &str, time: u32| {
+        for _ in 0..time / 100 {
+            replica.tick(MS * 100);
+            let round = replica.round();
+            for (name, index) in others.into_iter().zip(matched).filter(|(name, _)| *name != silent) {
+                replica.acknowledge(name, 10, round, index);
+            }
+        }
+    };
+    let entries = vec![Payload::Noop; 100];
+    let end = BASE + 100;
+    let start = || {
+        let mut replica = Replica::start(&["a", "b", "c", "d", "e"], &entries);
+        replica.lead(&["b", "c"]);
+        replica
+    };
+    let mut replica = start();
+    run(&mut replica, [end + 1; 4], "", 800);
+    assert_eq!(replica.voters().len(), 5, "too early");
+    run(&mut replica, [end + 1; 4], "", 400);
+    assert_eq!(replica.voters(), ["a", "c", "d", "e"], "one at a time");
+    run(&mut replica, [end + 1; 4], "", 3_000);
+    assert_eq!(replica.voters().len(), 4, "before the first removal is committed");
+    run(&mut replica, [end + 2; 4], "", 200);
+    run(&mut replica, [end + 3; 4], "", 2_000);
+    assert_eq!(replica.voters(), ["a", "c", "d"], "the target; the acknowledgement of e came last");
+
+    let mut replica = start();
+    run(&mut replica, [end + 1, end + 1, BASE + 1, end + 1], "", 1_200);
+    assert_eq!(replica.voters(), ["a", "b", "c", "e"], "the one that is behind");
+
+    let mut replica = start();
+    run(&mut replica, [end + 1, end + 1, BASE + 1, BASE + 1], "", 3_000);
+    assert_eq!(replica.voters().len(), 5, "two are behind");
+
+    let mut replica = start();
+    run(&mut replica, [end + 1; 4], "", 400);
+    run(&mut replica, [end + 1; 4], "b", 700);
+    assert_eq!(replica.voters().len(), 5, "b may be gone");
+    run(&mut replica, [end + 1; 4], "b", 400);
+    assert_eq!(replica.voters(), ["a", "c", "d", "e"], "the silent one goes first");
+}
+
 /// Guards against a leader that counts its own vote or entry before it is durable.
 #[test]
 fn own_vote_and_entry_count_once_they_are_durable() {
--- a/crates/scenario/tests/members.rs
+++ b/crates/scenario/tests/members.rs
@@ -21,6 +21,33 @@
     }
 }
 
+/// Guards against a voter that comes back while it is replaced and stays as a spare one, which costs a majority of three
+/// and an acknowledgement more.
+#[test]
+fn voter_that_comes_back_leaves_no_spare_one() {
+    for seed in 0..10 {
+        let mut group = founded(3, GroupOptions { seed, ..GroupOptions::default() });
+        let learner = group.add(&[0, 1, 2], false);
+        settle(&mut group, SETTLED);
+        let leader = group.leader().unwrap();
+        let silent = (leader + 1) % 3;
+        group.kill(silent);
+        while group.voters().len() < 4 {
+            group.run_for(SECOND / 4_000);
+            assert!(group.now < SECOND * 20, "seed {seed}: not replaced");
+        }
+        // The admission of the learner waits for the voter that comes back.
+        group.isolate(learner);
+        group.start(silent);
+        group.run_for(SECOND / 3);
+        group.net.cuts.clear();
+        group.run_for(SECOND / 10);
+        assert_eq!(group.voters(), [0, 1, 2, 3], "seed {seed}");
+        settle(&mut group, SETTLED);
+        assert!(group.voters().contains(&leader) && group.leader() == Some(leader), "seed {seed}");
+    }
+}
+
 /// Guards against a planned stop that loses proposals, and against a stopped voter that is not replaced.
 #[test]
 fn planned_replacement_loses_no_proposal() {
