Share the HTTP of both admin listeners and the waiting callers

fleet/admin.rs and admin.rs had their own server loop, body reader, metrics page and answers; fleet/balancer_task.rs and dispatcher.rs had their own table of waiting callers. They are now in http.rs and callers.rs.

One difference: the roster's listener pauses for 10 ms after a failed accept as that of a fleet did. Before, it tried again at once, which takes all of the processor while file descriptors are lacking.

Not shared: the loops of the tasks. The dispatcher has two tickers of the timer service, the balancer sleeps until its own next wake.

--- a/crates/instance/src/admin.rs
+++ b/crates/instance/src/admin.rs
@@ -1,39 +1,21 @@
 //! The admin listener: servers announce themselves, operators submit, the platform asks for health.
 
 use {
-    crate::control::ControlMessage,
-    actix_http::{
-        HttpService, Method, Request, Response, StatusCode,
-        body::BoxBody,
-        header::{CONTENT_TYPE, HeaderValue},
+    crate::{
+        control::ControlMessage,
+        http::{metrics, read_body, respond, serve, text},
     },
-    actix_service::{Service, ServiceFactory, fn_service},
-    error_stack::ResultExt,
-    futures_util::StreamExt,
+    actix_http::{Method, Request, Response, StatusCode, body::BoxBody},
     hemlockford_core::{
-        burn::BurnReport,
-        control::SubmitAnswer,
-        errors::{ErrorKind, Result, unavailable},
-        registry::Announcement,
-        text::MAX_TEXT_BYTES,
-    },
-    prometheus::{Registry, TextEncoder},
-    std::{
-        convert::Infallible,
-        rc::Rc,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
-    tokio::{
-        net::TcpListener,
-        sync::{Semaphore, mpsc, oneshot, watch},
+        burn::BurnReport, control::SubmitAnswer, errors::Result, registry::Announcement, text::MAX_TEXT_BYTES,
     },
+    prometheus::Registry,
+    std::time::Instant,
+    tokio::sync::{mpsc, oneshot, watch},
 };
 
 /// Connections served at a time. Each of 36 servers keeps one; the rest is for operators and the platform.
 const MAX_CONNECTIONS: usize = 2_500;
-/// Time within which a request head must arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Serves the admin listener.
 #[derive(Clone)]
@@ -49,27 +31,11 @@
 
 impl AdminTask {
     pub(crate) async fn run(self, listener: std::net::TcpListener) -> Result<()> {
-        let listener = TcpListener::from_std(listener).change_context(ErrorKind::Io)?;
-        let factory = HttpService::build().client_request_timeout(HEAD_TIMEOUT).h1(fn_service(move |req| {
+        let handle = move |req| {
             let admin = self.clone();
-            async move { Ok::<_, Infallible>(admin.handle(req).await) }
-        }));
-        let Ok(service) = factory.new_service(()).await else {
-            return Err(unavailable("HTTP service cannot be built"));
+            async move { admin.handle(req).await }
         };
-        let service = Rc::new(service);
-        let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-        loop {
-            let Ok(place) = places.clone().acquire_owned().await else { return Ok(()) };
-            let Ok((stream, peer)) = listener.accept().await else { continue };
-            let _ = stream.set_nodelay(true);
-            let service = service.clone();
-            actix_rt::spawn(async move {
-                // An error concerns this connection only.
-                let _ = service.call((stream, Some(peer))).await;
-                drop(place);
-            });
-        }
+        serve(listener, MAX_CONNECTIONS, handle).await
     }
 
     async fn handle(&self, mut req: Request) -> Response<BoxBody> {
@@ -80,7 +46,7 @@
             (Method::POST, "/submit") => self.submit(&mut req).await,
             (Method::GET, "/status") => self.status().await,
             (Method::GET, "/report") => self.report(req.uri().query() == Some("format=text")).await,
-            (Method::GET, "/metrics") => self.metrics(),
+            (Method::GET, "/metrics") => metrics(&self.registry),
             (Method::GET, "/live") => text(StatusCode::OK, "ok\n"),
             (Method::GET, "/ready") => self.ready(),
             _ => text(StatusCode::NOT_FOUND, "no such page\n"),
@@ -88,7 +54,9 @@
     }
 
     async fn announce(&self, req: &mut Request) -> Response<BoxBody> {
-        let Some(body) = read_body(req).await else { return text(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n") };
+        let Some(body) = read_body(req, MAX_TEXT_BYTES).await else {
+            return text(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n");
+        };
         match serde_json::from_slice(&body) {
             Ok(announcement) => self.take(announcement),
             Err(e) => text(StatusCode::BAD_REQUEST, &format!("{e}\n")),
@@ -104,7 +72,9 @@
     }
 
     async fn submit(&self, req: &mut Request) -> Response<BoxBody> {
-        let Some(body) = read_body(req).await else { return text(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n") };
+        let Some(body) = read_body(req, MAX_TEXT_BYTES).await else {
+            return text(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n");
+        };
         let Ok(source) = std::str::from_utf8(&body) else { return text(StatusCode::BAD_REQUEST, "not UTF-8\n") };
         let (reply, rx) = oneshot::channel();
         let _ = self.control.send(ControlMessage::Submit(source.into(), reply));
@@ -131,13 +101,6 @@
         }
     }
 
-    fn metrics(&self) -> Response<BoxBody> {
-        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
-            Ok(body) => text(StatusCode::OK, &body),
-            Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{e}\n")),
-        }
-    }
-
     fn ready(&self) -> Response<BoxBody> {
         if *self.is_draining.borrow() {
             return text(StatusCode::SERVICE_UNAVAILABLE, "shutting down\n");
@@ -180,30 +143,9 @@
     }
 }
 
-/// Reads a body of bounded size.
-async fn read_body(req: &mut Request) -> Option<Vec<u8>> {
-    let mut payload = req.take_payload();
-    let mut body = Vec::new();
-    while let Some(chunk) = payload.next().await {
-        body.extend_from_slice(&chunk.ok()?);
-        if body.len() > MAX_TEXT_BYTES {
-            return None;
-        }
-    }
-    Some(body)
-}
-
-fn text(status: StatusCode, body: &str) -> Response<BoxBody> {
-    Response::new(status).set_body(BoxBody::new(body.to_owned()))
-}
-
 fn json(value: &impl serde::Serialize) -> Response<BoxBody> {
     match serde_json::to_vec(value) {
-        Ok(body) => {
-            let mut response = Response::new(StatusCode::OK).set_body(BoxBody::new(body));
-            response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-            response
-        }
+        Ok(body) => respond(StatusCode::OK, "application/json", body.into()),
         Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{e}\n")),
     }
 }
--- /dev/null
+++ b/crates/instance/src/callers.rs
@@ -0,0 +1,42 @@
+//! Calls whose workers wait for a decision.
+
+use {
+    hemlockford_core::{collections::FastMap, dispatch::DispatchEvent, ids::CallId},
+    hemlockford_proxy::{Decision, GateMessage},
+    tokio::sync::oneshot,
+};
+
+/// Messages of workers that are taken in one turn, so that calls cannot keep peers or ticks waiting.
+pub(crate) const BATCH: usize = 64;
+
+/// Calls whose workers wait for a decision.
+#[derive(Debug, Default)]
+pub(crate) struct Callers(FastMap<CallId, oneshot::Sender<Decision>>);
+
+impl Callers {
+    /// Notes who waits, and returns what a worker's message means.
+    pub(crate) fn event(&mut self, message: GateMessage) -> DispatchEvent {
+        match message {
+            GateMessage::Arrive(call, reply) => {
+                self.0.insert(call.id, reply);
+                DispatchEvent::Arrive(call)
+            }
+            GateMessage::Failed(finish, reply) => {
+                self.0.insert(finish.call, reply);
+                DispatchEvent::Finish(finish)
+            }
+            GateMessage::Done(finish) => DispatchEvent::Finish(finish),
+            GateMessage::Cancel(call) => {
+                self.0.remove(&call);
+                DispatchEvent::Cancel(call)
+            }
+        }
+    }
+
+    pub(crate) fn decide(&mut self, call: CallId, decision: Decision) {
+        if let Some(reply) = self.0.remove(&call) {
+            // The worker may have dropped the call; it reports that by itself.
+            let _ = reply.send(decision);
+        }
+    }
+}
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -2,15 +2,14 @@
 
 use {
     crate::{
+        callers::{BATCH, Callers},
         counters::Counters,
         peers::DatagramSender,
         prober::{Probe, Prober},
         wire::Wire,
     },
     hemlockford_core::{
-        collections::FastMap,
         dispatch::{DispatchAction, DispatchEvent, Dispatcher},
-        ids::CallId,
         measure::MeasureCounters,
         outcome::{NotRunReason, Outcome},
         slots::SlotMessage,
@@ -18,7 +17,7 @@
     hemlockford_net::Timer,
     hemlockford_proxy::{Decision, GateMessage},
     std::time::{Duration, Instant},
-    tokio::sync::{mpsc, oneshot, watch},
+    tokio::sync::{mpsc, watch},
 };
 
 /// Time between two ticks while there is traffic. It bounds how late a call is given up, and how long a
@@ -31,16 +30,13 @@
 const IDLE_TICK: Duration = Duration::from_millis(50);
 /// Time after which a caller that was refused for an outdated configuration may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Messages that are taken before the actions of the first are carried out, so that calls cannot keep
-/// peers or ticks waiting.
-const BATCH: usize = 64;
 
 /// Carries events into the dispatcher and its actions out.
 pub(crate) struct DispatcherTask {
     pub(crate) dispatcher: Dispatcher,
     pub(crate) gate: mpsc::UnboundedReceiver<GateMessage>,
     pub(crate) control: mpsc::UnboundedReceiver<DispatchEvent>,
-    pub(crate) waiting: FastMap<CallId, oneshot::Sender<Decision>>,
+    pub(crate) callers: Callers,
     pub(crate) serve_until: watch::Receiver<Option<Instant>>,
     pub(crate) datagrams: DatagramSender,
     pub(crate) timer: Timer,
@@ -106,26 +102,15 @@
     }
 
     fn take(&mut self, message: GateMessage, actions: &mut Vec<DispatchAction>) {
-        let event = match message {
-            GateMessage::Arrive(call, reply) => {
-                if !self.may_serve() {
-                    // A worker that left needs no answer.
-                    let _ = reply.send(not_current());
-                    return;
-                }
-                self.waiting.insert(call.id, reply);
-                DispatchEvent::Arrive(call)
-            }
-            GateMessage::Failed(finish, reply) => {
-                self.waiting.insert(finish.call, reply);
-                DispatchEvent::Finish(finish)
-            }
-            GateMessage::Done(finish) => DispatchEvent::Finish(finish),
-            GateMessage::Cancel(call) => {
-                self.waiting.remove(&call);
-                DispatchEvent::Cancel(call)
+        let message = match message {
+            GateMessage::Arrive(_, reply) if !self.may_serve() => {
+                // A worker that left needs no answer.
+                let _ = reply.send(not_current());
+                return;
             }
+            message => message,
         };
+        let event = self.callers.event(message);
         self.handle(event, actions);
     }
 
@@ -145,12 +130,13 @@
             DispatchAction::Send { call, server, address, fresh_connection, pass_allowance, want_report } => {
                 if !self.may_serve() {
                     self.dispatcher.handle(Instant::now(), DispatchEvent::Cancel(call), more);
-                    return self.decide(call, not_current());
+                    return self.callers.decide(call, not_current());
                 }
-                self.decide(call, Decision::Send { server, address, fresh_connection, pass_allowance, want_report });
+                self.callers
+                    .decide(call, Decision::Send { server, address, fresh_connection, pass_allowance, want_report });
             }
             DispatchAction::Reject { call, outcome, retry_after } => {
-                self.decide(call, Decision::Reject { outcome, retry_after });
+                self.callers.decide(call, Decision::Reject { outcome, retry_after });
             }
             DispatchAction::Tell { to, message } => self.datagrams.send(&to, Wire::Slots(message)),
             DispatchAction::Probe { probe, server: _, address, path, limit } => {
@@ -165,13 +151,6 @@
         self.measured = counters;
     }
 
-    fn decide(&mut self, call: CallId, decision: Decision) {
-        if let Some(reply) = self.waiting.remove(&call) {
-            // The worker may have dropped the call; it reports that by itself.
-            let _ = reply.send(decision);
-        }
-    }
-
     /// Compares with the time of use, so that a process that was frozen does not serve an old text.
     fn may_serve(&self) -> bool {
         self.serve_until.borrow().is_some_and(|until| Instant::now() < until)
--- a/crates/instance/src/fleet/admin.rs
+++ b/crates/instance/src/fleet/admin.rs
@@ -2,32 +2,17 @@
 
 use {
     super::{
-        AdminReply, AdminRequest, Interface,
+        AdminRequest, Interface,
         replica_task::{Ask, ReplicaMessage},
     },
-    actix_http::{
-        HttpService, Request, Response, StatusCode,
-        body::BoxBody,
-        header::{CONTENT_TYPE, HeaderValue},
-    },
-    actix_service::{Service, ServiceFactory, fn_service},
-    error_stack::ResultExt,
-    futures_util::StreamExt,
-    hemlockford_core::{
-        errors::{ErrorKind, Result, unavailable},
-        fleet::ReplicaAnswer,
-        text::MAX_TEXT_BYTES,
-    },
-    prometheus::{Registry, TextEncoder},
-    std::{convert::Infallible, rc::Rc, time::Duration},
-    tokio::{
-        net::TcpListener,
-        sync::{mpsc, oneshot, watch},
-    },
+    crate::http::{metrics, read_body, respond, serve, text},
+    actix_http::{Request, Response, StatusCode, body::BoxBody},
+    hemlockford_core::{errors::Result, fleet::ReplicaAnswer, text::MAX_TEXT_BYTES},
+    prometheus::Registry,
+    std::rc::Rc,
+    tokio::sync::{Semaphore, mpsc, oneshot, watch},
 };
 
-/// Time within which a request head must arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Largest body that is read: a configuration of the platform is at most four times its text.
 const MAX_BODY_BYTES: usize = 4 * MAX_TEXT_BYTES;
 
@@ -56,40 +41,23 @@
 
 impl AdminTask {
     pub(super) async fn run(self, listener: std::net::TcpListener) -> Result<()> {
-        let listener = TcpListener::from_std(listener).change_context(ErrorKind::Io)?;
-        let factory = HttpService::build().client_request_timeout(HEAD_TIMEOUT).h1(fn_service(move |req| {
+        let handle = move |req| {
             let admin = self.clone();
-            async move { Ok::<_, Infallible>(admin.handle(req).await) }
-        }));
-        let Ok(service) = factory.new_service(()).await else {
-            return Err(unavailable("HTTP service cannot be built"));
+            async move { admin.handle(req).await }
         };
-        let service = Rc::new(service);
-        loop {
-            let Ok((stream, peer)) = listener.accept().await else {
-                // Mostly a lack of file descriptors.
-                actix_rt::time::sleep(Duration::from_millis(10)).await;
-                continue;
-            };
-            let _ = stream.set_nodelay(true);
-            let service = service.clone();
-            actix_rt::spawn(async move {
-                // An error concerns this connection only.
-                let _ = service.call((stream, Some(peer))).await;
-            });
-        }
+        serve(listener, Semaphore::MAX_PERMITS, handle).await
     }
 
     async fn handle(&self, mut req: Request) -> Response<BoxBody> {
         let method = req.method().clone();
         let path: Box<str> = req.path().into();
-        let Some(body) = read_body(&mut req).await else {
+        let Some(body) = read_body(&mut req, MAX_BODY_BYTES).await else {
             return text(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n");
         };
         match self.interface.read(&method, &path, &body) {
             Some(Ok(request)) => self.ask(request).await,
-            Some(Err(reply)) => respond(reply),
-            None if &*path == "/metrics" => self.metrics(),
+            Some(Err(reply)) => respond(reply.status, reply.content_type, reply.body),
+            None if &*path == "/metrics" => metrics(&self.registry),
             None if &*path == "/live" => text(StatusCode::OK, "ok\n"),
             None => text(StatusCode::NOT_FOUND, "no such page\n"),
         }
@@ -109,36 +77,7 @@
             // A closed channel drops the reply, which is answered below.
             let _ = replica.send(ReplicaMessage::Ask(ask, reply));
         }
-        respond(self.interface.reply(rx.await.unwrap_or(ReplicaAnswer::Unavailable)))
+        let reply = self.interface.reply(rx.await.unwrap_or(ReplicaAnswer::Unavailable));
+        respond(reply.status, reply.content_type, reply.body)
     }
-
-    fn metrics(&self) -> Response<BoxBody> {
-        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
-            Ok(body) => text(StatusCode::OK, &body),
-            Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{e}\n")),
-        }
-    }
-}
-
-/// Reads a body of bounded size.
-async fn read_body(req: &mut Request) -> Option<Vec<u8>> {
-    let mut payload = req.take_payload();
-    let mut body = Vec::new();
-    while let Some(chunk) = payload.next().await {
-        body.extend_from_slice(&chunk.ok()?);
-        if body.len() > MAX_BODY_BYTES {
-            return None;
-        }
-    }
-    Some(body)
-}
-
-fn text(status: StatusCode, body: &str) -> Response<BoxBody> {
-    Response::new(status).set_body(BoxBody::new(body.to_owned()))
-}
-
-fn respond(reply: AdminReply) -> Response<BoxBody> {
-    let mut response = Response::new(reply.status).set_body(BoxBody::new(reply.body));
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(reply.content_type));
-    response
 }
--- a/crates/instance/src/fleet/balancer_task.rs
+++ b/crates/instance/src/fleet/balancer_task.rs
@@ -1,26 +1,22 @@
 //! The task that owns the balancer.
 
 use {
-    crate::counters::Counters,
+    crate::{
+        callers::{BATCH, Callers},
+        counters::Counters,
+    },
     actix_rt::time::sleep_until,
     hemlockford_core::{
-        collections::FastMap,
         dispatch::{DispatchAction, DispatchEvent},
-        ids::CallId,
         probing::Balancer,
     },
     hemlockford_proxy::{Decision, GateMessage, Probe},
     std::time::{Duration, Instant},
-    tokio::{
-        select,
-        sync::{mpsc, oneshot},
-    },
+    tokio::{select, sync::mpsc},
 };
 
 /// Time until the next tick when the balancer names none.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
-/// Messages that are taken in one turn.
-const BATCH: usize = 64;
 
 /// Carries events into the balancer and its actions out.
 pub(super) struct BalancerTask {
@@ -31,7 +27,7 @@
     pub(super) probes: mpsc::UnboundedSender<Probe>,
     pub(super) ended: mpsc::UnboundedSender<DispatchEvent>,
     pub(super) probed: mpsc::UnboundedReceiver<DispatchEvent>,
-    pub(super) waiting: FastMap<CallId, oneshot::Sender<Decision>>,
+    pub(super) callers: Callers,
     pub(super) counters: Counters,
 }
 
@@ -63,21 +59,7 @@
     }
 
     fn take(&mut self, message: GateMessage, actions: &mut Vec<DispatchAction>) {
-        let event = match message {
-            GateMessage::Arrive(call, reply) => {
-                self.waiting.insert(call.id, reply);
-                DispatchEvent::Arrive(call)
-            }
-            GateMessage::Failed(finish, reply) => {
-                self.waiting.insert(finish.call, reply);
-                DispatchEvent::Finish(finish)
-            }
-            GateMessage::Done(finish) => DispatchEvent::Finish(finish),
-            GateMessage::Cancel(call) => {
-                self.waiting.remove(&call);
-                DispatchEvent::Cancel(call)
-            }
-        };
+        let event = self.callers.event(message);
         self.handle(event, actions);
     }
 
@@ -87,10 +69,10 @@
             match action {
                 DispatchAction::Send { call, server, address, fresh_connection, pass_allowance, want_report } => {
                     let decision = Decision::Send { server, address, fresh_connection, pass_allowance, want_report };
-                    self.decide(call, decision);
+                    self.callers.decide(call, decision);
                 }
                 DispatchAction::Reject { call, outcome, retry_after } => {
-                    self.decide(call, Decision::Reject { outcome, retry_after });
+                    self.callers.decide(call, Decision::Reject { outcome, retry_after });
                 }
                 DispatchAction::Probe { probe, server, address, limit, path } => {
                     let ended = self.ended.clone();
@@ -102,11 +84,4 @@
             }
         }
     }
-
-    fn decide(&mut self, call: CallId, decision: Decision) {
-        if let Some(reply) = self.waiting.remove(&call) {
-            // The worker may have dropped the call; it reports that by itself.
-            let _ = reply.send(decision);
-        }
-    }
 }
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -10,6 +10,7 @@
         replica::seeds,
     },
     crate::{
+        callers::Callers,
         clock::wall_clock,
         counters::Counters,
         guard::PanicGuard,
@@ -21,7 +22,6 @@
         time::{sleep, timeout},
     },
     hemlockford_core::{
-        collections::FastMap,
         errors::Result,
         fleet::{EntryLink, EntryOptions},
         ids::InstanceId,
@@ -125,7 +125,7 @@
             probes: probes_tx,
             ended: probed_tx,
             probed,
-            waiting: FastMap::default(),
+            callers: Callers::default(),
             counters,
         };
         let guard = PanicGuard { part: "the balancer", failure: failure_tx };
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -4,6 +4,7 @@
     crate::{
         addresses::Addresses,
         admin::AdminTask,
+        callers::Callers,
         clock::wall_clock,
         control::{ControlMessage, ControlThread, control_options},
         counters::Counters,
@@ -19,7 +20,6 @@
     actix_rt::Arbiter,
     error_stack::ResultExt,
     hemlockford_core::{
-        collections::FastMap,
         dispatch::{DispatchOptions, Dispatcher},
         errors::{ErrorKind, Result},
         ids::Incarnation,
@@ -148,7 +148,7 @@
                     dispatcher,
                     gate: gate_rx,
                     control: dispatch_rx,
-                    waiting: FastMap::default(),
+                    callers: Callers::default(),
                     serve_until: serve_rx,
                     datagrams,
                     timer,
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod addresses;
 mod admin;
+mod callers;
 mod clock;
 mod control;
 mod counters;
@@ -14,6 +15,7 @@
 mod durable;
 mod fleet;
 mod guard;
+mod http;
 mod instance;
 mod measure;
 mod peers;
