--- a/crates/core/src/consensus/contacts.rs
+++ b/crates/core/src/consensus/contacts.rs
@@ -24,16 +24,16 @@
 const REPLICAS_HEARTBEATS: u64 = 20;
 
 /// Replicas that this one has heard of.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Contacts {
     /// Voters and learners, as the leader told last.
     pub replicas: Vec<InstanceId>,
     /// Everyone heard from or told of, the most recent one last.
-    names: VecDeque<InstanceId>,
+    pub names: VecDeque<InstanceId>,
     /// Leaders that were named since the last hellos and got one at once.
-    asked: FastSet<InstanceId>,
+    pub asked: FastSet<InstanceId>,
     /// Where the next hellos begin.
-    next: usize,
+    pub next: usize,
 }
 
 impl Contacts {
--- a/crates/core/src/consensus/entry.rs
+++ b/crates/core/src/consensus/entry.rs
@@ -11,7 +11,7 @@
 const ENTRY_OVERHEAD: usize = 32;
 
 /// One entry of the replicated log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Entry {
     /// Position in the log.
     pub index: LogIndex,
@@ -22,7 +22,7 @@
 }
 
 /// What an entry carries.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Payload {
     /// Nothing; a new leader commits one in order to commit the entries of earlier terms.
     Noop,
--- a/crates/core/src/consensus/formation.rs
+++ b/crates/core/src/consensus/formation.rs
@@ -18,15 +18,15 @@
 const HELLO_HEARTBEATS: u32 = 2;
 
 /// What is known of replicas that are not admitted.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Formation {
-    heard: FastMap<InstanceId, Heard>,
-    next_hello: Instant,
+    pub heard: FastMap<InstanceId, Heard>,
+    pub next_hello: Instant,
 }
 
 /// What a replica said last.
-#[derive(Debug)]
-struct Heard {
+#[derive(Clone, Debug, Hash)]
+pub(super) struct Heard {
     incarnation: Incarnation,
     binding: Option<Binding>,
     empty: bool,
--- a/crates/core/src/consensus/log.rs
+++ b/crates/core/src/consensus/log.rs
@@ -7,7 +7,7 @@
 };
 
 /// The last snapshot, some entries before it and all entries after it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Hash)]
 pub(super) struct Log {
     /// The last snapshot.
     pub snapshot: Option<Arc<Snapshot>>,
--- a/crates/core/src/consensus/member.rs
+++ b/crates/core/src/consensus/member.rs
@@ -9,7 +9,7 @@
 ///
 /// The incarnation of a folder is chosen when the folder is first used, stays the same over restarts,
 /// and rises when the folder was lost.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Member {
     /// The replica.
     pub replica: InstanceId,
@@ -18,7 +18,7 @@
 }
 
 /// The admitted incarnation of each replica.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Members(Vec<Member>);
 
 impl Members {
--- a/crates/core/src/consensus/message.rs
+++ b/crates/core/src/consensus/message.rs
@@ -8,7 +8,7 @@
 };
 
 /// One message from a replica to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Message {
     /// Term of the sender; in a pre-vote request and its answer the term that the candidate would enter.
     pub term: Term,
@@ -21,7 +21,7 @@
 }
 
 /// What a message says.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum MessageBody {
     /// A replica that is not admitted tells of itself.
     Hello {
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -9,6 +9,7 @@
 mod election;
 mod entry;
 mod event;
+mod fingerprint;
 mod follower;
 mod formation;
 mod hand_over;
--- a/crates/core/src/consensus/progress.rs
+++ b/crates/core/src/consensus/progress.rs
@@ -7,7 +7,7 @@
 };
 
 /// What a leader knows of another replica.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Progress {
     /// Highest incarnation heard from; replies of lower ones are stale.
     pub incarnation: Incarnation,
@@ -32,7 +32,7 @@
 }
 
 /// A snapshot on its way to a replica, one piece at a time.
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) struct Transfer {
     /// The snapshot.
     pub snapshot: Arc<Snapshot>,
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -38,7 +38,7 @@
 /// }
 /// assert!(actions.contains(&ConsensusAction::BecomeLeader { term: 1 }));
 /// ```
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Consensus {
     pub(super) options: ConsensusOptions,
     pub(super) rng: SmallRng,
--- a/crates/core/src/consensus/role.rs
+++ b/crates/core/src/consensus/role.rs
@@ -10,7 +10,7 @@
 };
 
 /// Role of a replica in its term.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) enum Role {
     /// Follows a leader, or waits for one.
     Follower,
@@ -23,7 +23,7 @@
 }
 
 /// State of a leader.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Leader {
     /// What is known of the other replicas.
     pub progress: FastMap<InstanceId, Progress>,
--- a/crates/core/src/consensus/snapshot.rs
+++ b/crates/core/src/consensus/snapshot.rs
@@ -8,7 +8,7 @@
 };
 
 /// State of the replicated state machine at one index, in place of the log up to there.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Snapshot {
     /// Last entry that the snapshot covers.
     pub index: LogIndex,
--- a/crates/core/src/consensus/transfer.rs
+++ b/crates/core/src/consensus/transfer.rs
@@ -9,7 +9,7 @@
 };
 
 /// A snapshot of which some pieces have arrived.
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) struct Incoming {
     pub index: LogIndex,
     pub term: Term,
--- a/crates/core/src/consensus/vote.rs
+++ b/crates/core/src/consensus/vote.rs
@@ -7,7 +7,7 @@
 };
 
 /// What a replica has promised, apart from log entries; it is durable before any message that relies on it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Vote {
     /// Highest term that the replica has seen.
     pub term: Term,
@@ -22,7 +22,7 @@
 
 /// A proposal to form a new group. It takes effect only when every replica named has agreed to it, so
 /// one replica that is not empty prevents a second group.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Binding {
     /// Number of the proposal. A replica agrees only to a number above the one it agreed to before.
     pub ballot: u64,
--- a/crates/core/src/consensus/writes.rs
+++ b/crates/core/src/consensus/writes.rs
@@ -11,7 +11,7 @@
 const HELD_LIMIT: usize = 1_024;
 
 /// What a write makes true once it is durable.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) enum Effect {
     /// Nothing that consensus acts on by itself.
     None,
@@ -24,7 +24,7 @@
 }
 
 /// What is done once all writes issued before it are durable.
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) enum Held {
     /// Send a message that promises something.
     Send(InstanceId, Message),
@@ -33,15 +33,15 @@
 }
 
 /// Writes that are not durable yet, and what waits for them.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Writes {
     /// Last entry up to which the log is durable.
     pub durable_index: LogIndex,
     /// Time of the event that is handled; writes are issued at this time.
     pub now: Instant,
-    issued: u64,
-    pending: VecDeque<(u64, Effect, Instant)>,
-    held: VecDeque<(u64, Held)>,
+    pub issued: u64,
+    pub pending: VecDeque<(u64, Effect, Instant)>,
+    pub held: VecDeque<(u64, Held)>,
 }
 
 impl Writes {
