--- a/crates/scenario/src/model/choice.rs
+++ b/crates/scenario/src/model/choice.rs
@@ -40,8 +40,8 @@
     CrashLost,
     /// The process ends after they became durable, before it knows.
     CrashKept,
-    /// The process ends after they became durable and the first of its messages left.
-    CrashSending,
+    /// The process ends after they became durable and this many of its messages left.
+    CrashSending(usize),
 }
 
 /// One step of a path.
--- a/crates/scenario/src/model/describe.rs
+++ b/crates/scenario/src/model/describe.rs
@@ -36,7 +36,9 @@
             After::Pending => format!("{text}; its writes stay pending"),
             After::CrashLost => format!("{text}; crash before the writes are durable"),
             After::CrashKept => format!("{text}; crash after the writes are durable"),
-            After::CrashSending => format!("{text}; crash after the writes are durable and one message left"),
+            After::CrashSending(count) => {
+                format!("{text}; crash after the writes are durable and {count} messages left")
+            }
         }
     }
 }
