--- a/crates/scenario/src/model/actions.rs
+++ b/crates/scenario/src/model/actions.rs
@@ -8,6 +8,7 @@
     },
     crate::fakes::{Lie, Violation, is_body_durable},
     hemlockford_core::{
+        collections::FastHasher,
         consensus::{
             ConsensusAction, ConsensusEvent, Entry, Member, Message, MessageBody, Payload, ProposalResult, Write,
         },
@@ -15,7 +16,7 @@
         ledger::{Command, Ledger, LedgerOutcome, SubmitOutcome},
     },
     std::{
-        hash::{DefaultHasher, Hash, Hasher},
+        hash::{Hash, Hasher},
         sync::Arc,
     },
 };
@@ -24,9 +25,8 @@
     pub(super) fn handle(&mut self, at: usize, event: ConsensusEvent, after: After) {
         let was_pending = self.is_pending(at);
         let now = self.start + self.replicas[at].clock;
-        let replica = Arc::make_mut(&mut self.replicas[at]);
-        let Some(consensus) = &mut replica.node.consensus else { return };
         let (mut actions, queued) = (Vec::new(), self.queue.len());
+        let Some(consensus) = &mut self.replica_mut(at).node.consensus else { return };
         consensus.handle(now, event, &mut actions);
         self.carry_out(at, actions);
         (self.wrote, self.sent) = (self.is_pending(at), self.queue.len().saturating_sub(queued));
@@ -40,21 +40,19 @@
                 self.crash(at, usize::MAX);
             }
         }
-        Arc::make_mut(&mut self.replicas[at]).update_digest(self.start);
     }
 
     /// Makes all writes durable, also those that follow from it.
     pub(super) fn sync(&mut self, at: usize) {
         while let Some(up_to) = self.replicas[at].node.disk.pending() {
             let now = self.start + self.replicas[at].clock;
-            let replica = Arc::make_mut(&mut self.replicas[at]);
+            let replica = self.replica_mut(at);
             replica.node.disk.sync(up_to);
             let Some(consensus) = &mut replica.node.consensus else { return };
             let mut actions = Vec::new();
             consensus.handle(now, ConsensusEvent::Persisted { up_to }, &mut actions);
             self.carry_out(at, actions);
         }
-        Arc::make_mut(&mut self.replicas[at]).update_digest(self.start);
     }
 
     pub(super) fn carry_out(&mut self, at: usize, actions: Vec<ConsensusAction>) {
@@ -63,7 +61,7 @@
                 if let Write::Append(entries) = &mut write {
                     self.rewrite(entries);
                 }
-                Arc::make_mut(&mut self.replicas[at]).node.disk.write(sequence, write);
+                self.replica_mut(at).node.disk.write(sequence, write);
             }
         }
         self.history.committed(Arc::make_mut(&mut self.replicas[at]));
@@ -80,7 +78,7 @@
         match action {
             ConsensusAction::Send { to, message } => self.send(at, &to, message),
             ConsensusAction::Apply { index, command } => {
-                let replica = Arc::make_mut(&mut self.replicas[at]);
+                let replica = self.replica_mut(at);
                 let outcome = replica.ledger.apply_bytes(index, &command);
                 if let (Ok(Command::Submit { number, .. }), LedgerOutcome::Submit(SubmitOutcome::Accepted { digest })) =
                     (Command::decode(&command), outcome)
@@ -89,7 +87,7 @@
                 }
             }
             ConsensusAction::RestoreSnapshot { snapshot } => {
-                Arc::make_mut(&mut self.replicas[at]).ledger = Ledger::restore(&snapshot.data).unwrap_or_default();
+                self.replica_mut(at).ledger = Ledger::restore(&snapshot.data).unwrap_or_default();
             }
             ConsensusAction::TakeSnapshot { index } => {
                 let data = self.replicas[at].ledger.snapshot().unwrap_or_default().into();
@@ -154,7 +152,7 @@
     /// Messages to a process that is down are lost.
     fn enqueue(&mut self, from: usize, to: usize, message: Message) {
         if self.consensus(to).is_some() && from != to && self.net.is_open(from, to) {
-            let mut hasher = DefaultHasher::new();
+            let mut hasher = FastHasher::default();
             (from, to, &message).hash(&mut hasher);
             self.queue.push(Arc::new(Envelope { from, to, message, digest: hasher.finish() }));
         }
--- a/crates/scenario/src/model/history.rs
+++ b/crates/scenario/src/model/history.rs
@@ -4,13 +4,14 @@
     super::ModelReplica,
     crate::fakes::Violation,
     hemlockford_core::{
+        collections::FastHasher,
         consensus::Entry,
         ids::{ChangeNumber, LogIndex, Term},
         ledger::TextDigest,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
-        hash::{DefaultHasher, Hash, Hasher},
+        hash::{Hash, Hasher},
     },
 };
 
@@ -41,7 +42,7 @@
 }
 
 fn digest(entry: &Entry) -> u64 {
-    let mut hasher = DefaultHasher::new();
+    let mut hasher = FastHasher::default();
     entry.hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/scenario/src/model/replica.rs
+++ b/crates/scenario/src/model/replica.rs
@@ -3,12 +3,13 @@
 use {
     crate::fakes::{Lie, Node},
     hemlockford_core::{
+        collections::FastHasher,
         consensus::{Consensus, Entry},
         ids::LogIndex,
         ledger::Ledger,
     },
     std::{
-        hash::{DefaultHasher, Hash, Hasher},
+        hash::{Hash, Hasher},
         time::{Duration, Instant},
     },
 };
@@ -24,8 +25,8 @@
     pub clock: Duration,
     /// Last committed entry that was checked.
     pub checked: LogIndex,
-    /// Hash of all this.
-    pub digest: u64,
+    /// Hash of all this; none after a change.
+    pub digest: Option<u64>,
 }
 
 impl ModelReplica {
@@ -33,7 +34,7 @@
     pub fn new(name: &str, incarnation: u64, lie: Lie) -> Self {
         let mut node = Node::new(name.into(), incarnation);
         node.disk.lie = lie;
-        Self { node, ledger: Ledger::default(), clock: Duration::ZERO, checked: 0, digest: 0 }
+        Self { node, ledger: Ledger::default(), clock: Duration::ZERO, checked: 0, digest: None }
     }
 
     /// The running state machine.
@@ -63,12 +64,12 @@
 
     /// Computes the hash anew.
     pub fn update_digest(&mut self, start: Instant) {
-        let mut hasher = DefaultHasher::new();
+        let mut hasher = FastHasher::default();
         self.node.disk.hash(&mut hasher);
         self.checked.hash(&mut hasher);
         if let Some(consensus) = &self.node.consensus {
             consensus.fingerprint(start + self.clock, &mut hasher);
         }
-        self.digest = hasher.finish();
+        self.digest = Some(hasher.finish());
     }
 }
--- a/crates/scenario/src/model/start.rs
+++ b/crates/scenario/src/model/start.rs
@@ -54,6 +54,7 @@
             Start::LateVote => world.hold_vote(),
         }
         world.net = Arc::new(net);
+        world.update_digests();
         world
     }
 
@@ -129,7 +130,7 @@
             ..Default::default()
         };
         let start = self.start;
-        let replica = Arc::make_mut(&mut self.replicas[at]);
+        let replica = self.replica_mut(at);
         replica.ledger = Ledger::default();
         replica.checked = 0;
         let mut actions = Vec::new();
--- a/crates/scenario/src/model/steps.rs
+++ b/crates/scenario/src/model/steps.rs
@@ -90,6 +90,7 @@
         let mut next = self.clone();
         next.pay(choice);
         next.apply(choice);
+        next.update_digests();
         next
     }
 
@@ -164,9 +165,8 @@
 
     /// Ends a process. Messages that are on their way to it are lost.
     pub(super) fn crash(&mut self, at: usize, survivors: usize) {
-        let replica = Arc::make_mut(&mut self.replicas[at]);
+        let replica = self.replica_mut(at);
         replica.crash(survivors);
-        replica.update_digest(self.start);
         self.queue.retain(|envelope| envelope.to != at);
     }
 
@@ -180,9 +180,8 @@
         let wait = if leads { HEARTBEAT } else { election.map_or(ELECTION, |at| (at - now).max(ELECTION)) };
         for other in 0..NAMES.len() {
             if other == at || !leads && self.consensus(other).is_some() && !self.leads(other) {
-                let replica = Arc::make_mut(&mut self.replicas[other]);
+                let replica = self.replica_mut(other);
                 replica.clock += wait;
-                replica.update_digest(start);
             }
         }
         self.handle(at, ConsensusEvent::Tick, after);
--- a/crates/scenario/src/model/world.rs
+++ b/crates/scenario/src/model/world.rs
@@ -3,9 +3,12 @@
 use {
     super::{Bounds, History, ModelOptions, ModelReplica},
     crate::fakes::FakeNet,
-    hemlockford_core::consensus::{Consensus, Message},
+    hemlockford_core::{
+        collections::FastHasher,
+        consensus::{Consensus, Message},
+    },
     std::{
-        hash::{DefaultHasher, Hash, Hasher},
+        hash::{Hash, Hasher},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -59,6 +62,19 @@
         self.replicas[at].consensus()
     }
 
+    pub(super) fn replica_mut(&mut self, at: usize) -> &mut ModelReplica {
+        let replica = Arc::make_mut(&mut self.replicas[at]);
+        replica.digest = None;
+        replica
+    }
+
+    /// Hashes the replicas that have changed.
+    pub(super) fn update_digests(&mut self) {
+        for replica in self.replicas.iter_mut().filter(|replica| replica.digest.is_none()) {
+            Arc::make_mut(replica).update_digest(self.start);
+        }
+    }
+
     pub(super) fn leads(&self, at: usize) -> bool {
         self.replicas[at].node.is_leader()
     }
@@ -90,7 +106,7 @@
 
     /// Hash of all that decides what may follow.
     pub fn fingerprint(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
+        let mut hasher = FastHasher::default();
         self.replicas.iter().for_each(|replica| replica.digest.hash(&mut hasher));
         self.queue.iter().for_each(|envelope| envelope.digest.hash(&mut hasher));
         (self.queue.len(), self.delayed, self.left, self.proposed, &self.history).hash(&mut hasher);
