--- a/crates/scenario/examples/model.rs
+++ b/crates/scenario/examples/model.rs
@@ -50,8 +50,8 @@
     progress: bool,
     #[options(
         no_short,
-        help = "rule broken on purpose: fsync, votes, vote-twice, incarnation, acknowledgement, one-change, read, \
-                removal, founding"
+        help = "rule broken on purpose: fsync, votes, vote-twice, incarnation, acknowledgement, one-change, number, \
+                read, removal, founding"
     )]
     broken: Option<String>,
 }
@@ -66,6 +66,7 @@
         Some("incarnation") => BrokenRule::Incarnation,
         Some("acknowledgement") => BrokenRule::Net(Forgery::Acknowledgement),
         Some("one-change") => BrokenRule::OneChange,
+        Some("number") => BrokenRule::Number,
         Some("read") => BrokenRule::Read,
         Some("removal") => BrokenRule::Removal,
         Some("founding") => BrokenRule::Founding,
--- a/crates/scenario/src/model/actions.rs
+++ b/crates/scenario/src/model/actions.rs
@@ -78,7 +78,11 @@
         match action {
             ConsensusAction::Send { to, message } => self.send(at, &to, message),
             ConsensusAction::Apply { index, command } => {
+                let is_forgetful = self.options.broken == BrokenRule::Number;
                 let replica = self.replica_mut(at);
+                if is_forgetful {
+                    replica.ledger = Ledger::default();
+                }
                 let outcome = replica.ledger.apply_bytes(index, &command);
                 if let (Ok(Command::Submit { number, .. }), LedgerOutcome::Submit(SubmitOutcome::Accepted { digest })) =
                     (Command::decode(&command), outcome)
--- a/crates/scenario/src/model/history.rs
+++ b/crates/scenario/src/model/history.rs
@@ -64,6 +64,11 @@
         self.lost.extend(entries.iter().map(|entry| (at, entry.index, entry.term)));
     }
 
+    /// Whether a folder was lost.
+    pub fn has_lost(&self) -> bool {
+        !self.lost.is_empty()
+    }
+
     /// Whether a folder that was lost held an entry.
     pub fn held(&self, at: usize, index: LogIndex, term: Term) -> bool {
         self.lost.contains(&(at, index, term))
--- a/crates/scenario/src/model/options.rs
+++ b/crates/scenario/src/model/options.rs
@@ -17,6 +17,8 @@
     Net(Forgery),
     /// A new folder has the incarnation of the one that was lost.
     Incarnation,
+    /// A change is accepted whatever content holds its number.
+    Number,
     /// A leader answers a read without a heartbeat round that a majority has confirmed.
     Read,
     /// The entry that removes a voter reaches that voter before it is committed.
@@ -47,17 +49,17 @@
     Empty,
     /// The same as `Settled` with messages to one voter held back.
     Silent,
-    /// A group with a leader that has not heard from one voter yet, while a vote of that voter for the other one, in a
-    /// later term, is held back.
+    /// A group with a leader that has not heard from one voter yet. That voter has just lost its folder, and a vote of
+    /// the lost folder for the other voter, in a later term, is held back.
     LateVote,
 }
 
 /// Settings of a search.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct ModelOptions {
     /// State that the search begins with.
     pub start: Start,
-    /// Voters that the group aims at; 0 stands for the founders.
+    /// Voters that the group aims at.
     pub voters: usize,
     /// Whom the replacement is told of.
     pub seeds: Seeds,
@@ -68,3 +70,16 @@
     /// Bounds of the search.
     pub bounds: Bounds,
 }
+
+impl Default for ModelOptions {
+    fn default() -> Self {
+        Self {
+            start: Start::default(),
+            voters: 3,
+            seeds: Seeds::default(),
+            broken: BrokenRule::default(),
+            check_progress: false,
+            bounds: Bounds::default(),
+        }
+    }
+}
--- a/crates/scenario/src/model/progress.rs
+++ b/crates/scenario/src/model/progress.rs
@@ -10,7 +10,7 @@
     pub fn is_blocked(&self) -> bool {
         let all = 0..self.replicas.len();
         let down = all.clone().filter(|at| self.consensus(*at).is_none()).count();
-        if down != 1 || !self.is_quiet() || self.is_delayed() || self.left.losses < self.options.bounds.losses {
+        if down != 1 || !self.is_quiet() || self.is_delayed() || self.history.has_lost() {
             return false;
         }
         let mut world = self.clone();
--- a/crates/scenario/src/model/start.rs
+++ b/crates/scenario/src/model/start.rs
@@ -70,7 +70,7 @@
                     self.net.cuts.contains(&(at, 0))
                         || self.consensus(at).is_some_and(|replica| replica.commit_index() == leader.last_index())
                 };
-                leader.voters().count() == self.voters() && (0..known).all(follows)
+                leader.voters().count() == self.options.voters && (0..known).all(follows)
             });
             if is_settled {
                 return;
@@ -82,7 +82,8 @@
         }
     }
 
-    /// Runs until the vote of c for b is on its way and is held back, while a leads and has not heard from c.
+    /// Runs until the vote of c for b is on its way and is held back, while a leads and has not heard from c. Then c
+    /// loses its folder.
     fn hold_vote(&mut self) {
         let mut net = FakeNet::default();
         net.cuts.insert((2, 0));
@@ -106,10 +107,8 @@
                 self.apply(Choice { event: Event::Deliver(position), after: After::Durable });
             }
         }
-    }
-
-    fn voters(&self) -> usize {
-        if self.options.voters == 0 { FOUNDERS } else { self.options.voters }
+        self.net = Arc::default();
+        self.apply(Choice { event: Event::LoseDisk(2), after: After::Durable });
     }
 
     pub(super) fn start(&mut self, at: usize, after: After) {
@@ -123,7 +122,7 @@
             replicas: seeds,
             is_dynamic: true,
             may_found: at < FOUNDERS || self.options.broken == BrokenRule::Founding,
-            voters: self.voters(),
+            voters: self.options.voters,
             election_min: ELECTION,
             election_max: ELECTION,
             heartbeat: HEARTBEAT,
