--- a/crates/scenario/examples/model.rs
+++ b/crates/scenario/examples/model.rs
@@ -40,6 +40,8 @@
     slow: u32,
     #[options(no_short, help = "planned stops")]
     stops: u32,
+    #[options(no_short, help = "entries between two snapshots", default = "256")]
+    snapshot: usize,
     #[options(no_short, help = "voters aimed at", default = "3")]
     voters: usize,
     #[options(no_short, help = "begin: settled, empty, silent or late-vote", default = "settled")]
@@ -88,6 +90,7 @@
     let options = ModelOptions {
         start,
         voters: args.voters,
+        snapshot_entries: args.snapshot,
         seeds: if args.gone { Seeds::Gone } else { Seeds::Founders },
         broken,
         check_progress: args.progress,
--- a/crates/scenario/src/model/actions.rs
+++ b/crates/scenario/src/model/actions.rs
@@ -91,7 +91,11 @@
                 }
             }
             ConsensusAction::RestoreSnapshot { snapshot } => {
-                self.replica_mut(at).ledger = Ledger::restore(&snapshot.data).unwrap_or_default();
+                let ledger = Ledger::restore(&snapshot.data).unwrap_or_default();
+                if let Some(digest) = ledger.digest(ledger.number()) {
+                    self.history.accepted(ledger.number(), digest);
+                }
+                self.replica_mut(at).ledger = ledger;
             }
             ConsensusAction::TakeSnapshot { index } => {
                 let data = self.replicas[at].ledger.snapshot().unwrap_or_default().into();
--- a/crates/scenario/src/model/options.rs
+++ b/crates/scenario/src/model/options.rs
@@ -61,6 +61,8 @@
     pub start: Start,
     /// Voters that the group aims at.
     pub voters: usize,
+    /// Entries after the last snapshot that cause a new one.
+    pub snapshot_entries: usize,
     /// Whom the replacement is told of.
     pub seeds: Seeds,
     /// Rule broken on purpose.
@@ -76,6 +78,7 @@
         Self {
             start: Start::default(),
             voters: 3,
+            snapshot_entries: 256,
             seeds: Seeds::default(),
             broken: BrokenRule::default(),
             check_progress: false,
--- a/crates/scenario/src/model/replica.rs
+++ b/crates/scenario/src/model/replica.rs
@@ -55,6 +55,11 @@
         entries.get(usize::try_from(index.checked_sub(first)?).ok()?)
     }
 
+    /// Whether a snapshot stands for an entry.
+    pub fn covers(&self, index: LogIndex) -> bool {
+        self.node.disk.cached.snapshot.as_ref().is_some_and(|snapshot| snapshot.index >= index)
+    }
+
     /// Whether a crash leaves an entry.
     pub fn holds(&self, index: LogIndex, term: u64) -> bool {
         let image = &self.node.disk.durable;
--- a/crates/scenario/src/model/start.rs
+++ b/crates/scenario/src/model/start.rs
@@ -126,6 +126,7 @@
             election_min: ELECTION,
             election_max: ELECTION,
             heartbeat: HEARTBEAT,
+            snapshot_entries: self.options.snapshot_entries,
             ..Default::default()
         };
         let start = self.start;
