--- a/crates/scenario/src/model/history.rs
+++ b/crates/scenario/src/model/history.rs
@@ -93,10 +93,14 @@
     }
 
     /// Takes what a replica has committed since it was looked at last. Two groups would commit different entries at
-    /// one index.
+    /// one index. The entries that form a group count with the first entry after them: a founder may lose its folder
+    /// before it has told anyone of the group, which then has committed nothing.
     pub fn committed(&mut self, replica: &mut ModelReplica) {
         let Some(consensus) = replica.consensus() else { return };
         let (commit, term) = (consensus.commit_index(), consensus.term());
+        if replica.entry(commit).is_some_and(|entry| entry.term == 0) {
+            return;
+        }
         for index in replica.checked + 1..=commit {
             let Some(entry) = replica.entry(index) else { continue };
             let entry = digest(entry);
