--- a/crates/scenario/src/model/report.rs
+++ b/crates/scenario/src/model/report.rs
@@ -20,7 +20,7 @@
     pub transitions: usize,
     /// Longest path.
     pub depth: u32,
-    /// Whether every state within the bounds on single kinds of steps was reached, whatever the bound on all steps.
+    /// Whether the search ended because every state was explored, rather than at the bound on steps or states.
     pub is_complete: bool,
     /// Rules that did not hold at the end of the trace.
     pub violations: Vec<Violation>,
--- a/crates/scenario/src/model/start.rs
+++ b/crates/scenario/src/model/start.rs
@@ -5,7 +5,7 @@
         After, BrokenRule, Choice, Event, History, ModelOptions, ModelReplica, Seeds, Start, World,
         world::{ELECTION, Envelope, FOUNDERS, HEARTBEAT, NAMES},
     },
-    crate::fakes::{FakeNet, Lie},
+    crate::fakes::{FakeNet, Lie, Violation},
     hemlockford_core::{
         consensus::{Consensus, ConsensusEvent, ConsensusOptions, MessageBody},
         ids::InstanceId,
@@ -80,6 +80,7 @@
                 leader.filter(|_| turn % 2 == 0).unwrap_or(if leader.is_some() { FOUNDERS } else { turn % FOUNDERS });
             self.elapse(next, After::Durable);
         }
+        self.history.report(Violation::NoProgress);
     }
 
     /// Runs until the vote of c for b is on its way and is held back, while a leads and has not heard from c. Then c
--- a/crates/scenario/tests/model.rs
+++ b/crates/scenario/tests/model.rs
@@ -72,8 +72,12 @@
 #[test]
 fn lost_folder() {
     holds(ModelOptions { start: Start::LateVote, bounds: LATE_VOTE, ..ModelOptions::default() });
-    let bounds = Bounds { changes: 2, timers: 1, losses: 1, ..FREE };
-    holds(ModelOptions { bounds, ..ModelOptions::default() });
+    for bounds in [
+        Bounds { changes: 2, timers: 1, losses: 1, ..FREE },
+        Bounds { steps: 24, changes: 2, timers: 1, crashes: 1, losses: 1, ..FREE },
+    ] {
+        holds(ModelOptions { bounds, ..ModelOptions::default() });
+    }
 }
 
 /// Guards against a group without a leader, or two groups, when a silent voter is replaced.
