--- a/crates/scenario/src/model/mod.rs
+++ b/crates/scenario/src/model/mod.rs
@@ -4,8 +4,8 @@
 //! timer fires, who crashes before or after its writes are durable, loses its folder, starts or hands over. States
 //! with equal fingerprints are explored once. What the bounds leave out is listed in docs/notes/consensus.md.
 //!
-//! The search is written here because the package registry in use does not serve the model checker `stateright`; the
-//! state machine itself is cloneable and hashable and would fit it.
+//! The search is written here because the model checker `stateright` could not be had from the package registry; it
+//! asks for states that can be cloned and hashed, as replicas can.
 
 mod actions;
 mod bounds;
