Answer requests that cross the close of an idle connection on a stop

Cause: when an instance refuses new requests, an idle caller connection waits 250 ms for a request and was then closed with a bare end of file. A request that the caller wrote just before or after that got no answer, so that its caller could not tell whether it ran. On a busy machine the callers and the worker run tens to hundreds of ms late, which makes the case common.

The instance now sends a bodiless 408 "not run; shutting-down" with "connection: close" ahead of the close (RFC 9110, section 15.5.9), serves nothing that arrives later on the connection, and reads and drops it for up to 1 s, so that a reset does not overtake the answer. A longer grace would only make the case rarer. A stop takes up to 1 s longer if a caller keeps an idle connection open after that.

The load generator counted a 408 that it read together with the answer before it as a repeated answer. It now decodes what has arrived. Any other answer there is still a fault.

--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         call::{CallRun, Next},
-        caller::{self, CallerReader, Incoming},
+        caller::{self, CallerReader, Gone, Incoming},
         caller_writer::CallerWriter,
         options::KEPT_BODY_LIMIT,
         reply::Reply,
@@ -12,6 +12,7 @@
     },
     actix_http::{Method, Request},
     actix_rt::time::timeout,
+    bytes::Bytes,
     hemlockford_core::outcome::{NotRunReason, Outcome},
     std::{
         net::SocketAddr,
@@ -23,9 +24,21 @@
 
 /// Time for which the rest of a body that nobody needs is read after its answer.
 const DRAIN_TIME: Duration = Duration::from_millis(250);
-/// Time given to a caller to read its answer and close, when its body was not read to the end.
+/// Time given to a caller to read its answer and close, when its body was not read to the end or a request may be on
+/// its way. Closing earlier would reset the connection, and the reset can overtake the answer.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
+/// How the wait for a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Waited {
+    /// A request begins to arrive.
+    Request,
+    /// The caller has closed the connection, or has kept it idle for too long.
+    Ended,
+    /// No request arrived within the grace of a stop.
+    Stopped,
+}
+
 /// One caller's connection.
 pub(crate) struct Session {
     shared: Rc<Shared>,
@@ -45,7 +58,12 @@
     /// Serves requests until the connection ends.
     pub(crate) async fn run(mut self) {
         let mut patience = self.shared.limits().header_timeout.min(self.shared.options.head_timeout);
-        while self.await_request(patience).await {
+        loop {
+            match self.await_request(patience).await {
+                Waited::Request => {}
+                Waited::Ended => return self.close().await,
+                Waited::Stopped => return self.close_idle().await,
+            }
             let next = match self.reader.read_head(&self.shared.limits()).await {
                 Incoming::Request(req) => self.serve(req).await,
                 Incoming::Closed => return,
@@ -64,21 +82,21 @@
             }
             patience = self.shared.limits().idle_timeout.min(self.shared.options.keep_alive);
         }
-        self.close().await;
     }
 
-    /// Waits until a request begins to arrive; returns whether one does.
-    async fn await_request(&mut self, patience: Duration) -> bool {
+    /// Waits until a request begins to arrive.
+    async fn await_request(&mut self, patience: Duration) -> Waited {
+        let arrived = |waited: Result<(), Gone>| if waited.is_ok() { Waited::Request } else { Waited::Ended };
         let grace = self.shared.options.stop_grace;
         if self.shared.phase() != Phase::Closing {
             select! {
                 biased;
-                waited = timeout(patience, self.reader.wait()) => return waited.is_ok_and(|waited| waited.is_ok()),
+                waited = timeout(patience, self.reader.wait()) => return waited.map_or(Waited::Ended, arrived),
                 () = self.shared.closing() => {}
             }
         }
         // A request may be on its way; it is refused rather than met by a closed connection.
-        timeout(grace, self.reader.wait()).await.is_ok_and(|waited| waited.is_ok())
+        timeout(grace, self.reader.wait()).await.map_or(Waited::Stopped, arrived)
     }
 
     async fn serve(&mut self, req: Request) -> Next {
@@ -122,6 +140,27 @@
         if self.writer.keep_alive() { Next::Keep } else { Next::Close }
     }
 
+    /// Closes an idle connection of an instance that stops. A request may cross the close, and its caller could not
+    /// tell from a bare end of file whether it ran. The answer sent ahead (RFC 9110, section 15.5.9) says that it did
+    /// not, and no later request on this connection is served. It has no body, which suits any method.
+    async fn close_idle(&mut self) {
+        self.writer.close_after();
+        let options = &self.shared.options;
+        let reply = Reply {
+            status: 408,
+            outcome: Outcome::NotRun(NotRunReason::ShuttingDown),
+            retry_after: Some(options.retry_after),
+            once: None,
+            content_type: None,
+            body: Bytes::new(),
+        };
+        if reply.encode(&options.dialect, &mut self.writer, false).is_err() || self.writer.flush_soon().await.is_err() {
+            return;
+        }
+        self.writer.shutdown().await;
+        let _ = timeout(LINGER_TIME, self.reader.linger()).await;
+    }
+
     async fn close(&mut self) {
         self.writer.shutdown().await;
         if !self.reader.is_body_whole() || !self.reader.is_idle() {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -312,6 +312,19 @@
         String::from_utf8_lossy(&self.buf).into_owned()
     }
 
+    /// Reads the end of an idle connection of an instance that stops: one bodiless answer for a request that crosses
+    /// the close, and an orderly close after it.
+    pub async fn idle_end(&mut self, is_bodiless: bool) -> Answer {
+        let got = self.message(is_bodiless).await.expect("an answer ahead of the close");
+        let fields = ["connection", "content-length"].map(|name| got.header(name));
+        assert_eq!((got.status, fields), (408, [Some("close"), Some("0")]), "{}", got.head);
+        assert!(got.header("retry-after").is_some(), "{}", got.head);
+        let mut end = Vec::new();
+        assert_eq!(self.io.read_to_end(&mut end).await.expect("an orderly close"), 0, "{end:?} follows");
+        assert!(self.buf.is_empty(), "{:?} follows", self.buf);
+        got
+    }
+
     async fn fill(&mut self) -> Option<()> {
         match self.io.read_buf(&mut self.buf).await {
             Ok(0) | Err(_) => None,
--- a/crates/tools/src/load/call.rs
+++ b/crates/tools/src/load/call.rs
@@ -107,7 +107,7 @@
     }
 
     async fn take(&self, worker: &Worker) -> Result<Connection, CallOutcome> {
-        while let Some(connection) = worker.take(self.target) {
+        while let Some(mut connection) = worker.take(self.target) {
             match connection.idle() {
                 Idle::Open => return Ok(connection),
                 Idle::Closed => {}
--- a/crates/tools/src/load/connection.rs
+++ b/crates/tools/src/load/connection.rs
@@ -3,12 +3,13 @@
 use {
     actix_codec::Framed,
     actix_http::{
-        RequestHead, RequestHeadType, ResponseHead,
+        RequestHead, RequestHeadType, ResponseHead, StatusCode,
         body::BodySize,
+        error::ParseError,
         h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     },
     bytes::Bytes,
-    futures_util::{SinkExt, StreamExt},
+    futures_util::{FutureExt, SinkExt, StreamExt},
     std::{io, net::SocketAddr},
     tokio::net::TcpStream,
 };
@@ -42,15 +43,16 @@
         Ok(Self { framed: Framed::new(io, ClientCodec::default()) })
     }
 
-    pub(super) fn idle(&self) -> Idle {
-        let mut buf = [0; 16];
-        match self.framed.io_ref().try_read(&mut buf) {
-            _ if !self.framed.is_read_buf_empty() => Idle::Unasked,
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Idle::Open,
-            Ok(0) | Err(_) => Idle::Closed,
+    /// Looks at what has arrived since the last answer, or together with it.
+    pub(super) fn idle(&mut self) -> Idle {
+        let item = self.framed.next().now_or_never();
+        match item {
             // A server may end an idle connection with a request timeout (RFC 9110, section 15.5.9).
-            Ok(length) if buf[..length].starts_with(b"HTTP/1.1 408") => Idle::Closed,
-            Ok(_) => Idle::Unasked,
+            Some(Some(Ok(head))) if head.status == StatusCode::REQUEST_TIMEOUT => Idle::Closed,
+            _ if !self.framed.is_read_buf_empty() => Idle::Unasked,
+            None => Idle::Open,
+            Some(None | Some(Err(ParseError::Io(_)))) => Idle::Closed,
+            Some(Some(_)) => Idle::Unasked,
         }
     }
 
--- a/crates/tools/tests/checks.rs
+++ b/crates/tools/tests/checks.rs
@@ -95,6 +95,25 @@
     assert!(cut.is_clean() && none.is_clean());
 }
 
+/// Guards against a request timeout on an idle connection that is taken for a second answer when it is read together
+/// with the answer before it, and against a second answer that is overlooked there.
+#[test]
+fn a_request_timeout_behind_an_answer_is_no_second_answer() {
+    let followed = |status: &'static str| {
+        let answer = move |content: Vec<u8>| {
+            let mut answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n".to_vec();
+            answer.extend(content);
+            answer.extend(format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n").into_bytes());
+            answer
+        };
+        run(server(answer), LoadOptions::default())
+    };
+    let timeouts = followed("408 Request Timeout");
+    assert!(timeouts.is_clean() && timeouts.total.good() == timeouts.planned, "{timeouts}");
+    let repeated = followed("200 OK");
+    assert!(repeated.total.faults.contains_key(&FaultKind::Repeated), "{repeated}");
+}
+
 fn emulation() -> Emulation {
     let options = EmulateOptions {
         servers: 1,
