--- a/crates/core/src/consensus/fingerprint.rs
+++ b/crates/core/src/consensus/fingerprint.rs
@@ -78,6 +78,7 @@
         since(now, self.confirmed_at).hash(hasher);
         since(now, self.next_heartbeat).hash(hasher);
         self.hand_over_until.map(|at| since(now, at)).hash(hasher);
+        self.spare_since.map(|at| since(now, at)).hash(hasher);
         self.heartbeats.hash(hasher);
         for (name, progress) in sorted(self.progress.iter()) {
             name.hash(hasher);
