Fuzz the decoders of messages, and bound the warm-up of a server

The new crate `hemlockford-fuzz` makes inputs from a fixed seed (random bytes; valid encodings with bits flipped, bytes cut, inserted, repeated or spliced, lengths raised), counts what a decoder holds at a time, and compares the time of a parser on two lengths.

--- a/crates/core/src/fleet/directory/machine.rs
+++ b/crates/core/src/fleet/directory/machine.rs
@@ -14,6 +14,10 @@
     },
 };
 
+/// Longest warm-up of a server. What a heartbeat states is not bounded, and a longer time than the clock can hold
+/// would stop the replica.
+const LONGEST_WARM_UP: Duration = Duration::from_secs(24 * 3_600);
+
 /// What an announcement did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::fleet) enum Heard {
@@ -120,7 +124,7 @@
             content: content.unwrap_or(record.sequence),
             heard_at,
             heard_by,
-            warm_until: heard_at + record.warm_up,
+            warm_until: heard_at + record.warm_up.min(LONGEST_WARM_UP),
             is_departed: departed.is_some_and(|departed| record.born <= departed),
             is_restored: false,
             record,
--- /dev/null
+++ b/crates/core/tests/decoders.rs
@@ -0,0 +1,160 @@
+//! Decoders of messages, commands and saved state, and the parser of the text, over inputs that are damaged or made
+//! up. Guards against panics, memory that an announced length reserves, and values that change on their way.
+
+use {
+    hemlockford_core::{
+        consensus::{Entry, Members, Message, Recovered, Snapshot, Vote},
+        control::PeerMessage,
+        fleet::{FleetMessage, HeardRecord, Replica, ReplicaEvent, ReplicaOptions},
+        ids::InstanceId,
+        ledger::{Command, Ledger},
+        slots::{SlotMessage, Slots},
+        text::Text,
+    },
+    hemlockford_fuzz::{Fuzz, SEED, check_growth, check_postcard, postcards},
+    rand::{SeedableRng, rngs::SmallRng},
+    std::time::{Duration, Instant},
+};
+
+/// Bytes that a decoded message holds at most for each of its own. The largest element of a list, a record of a
+/// server, takes some 200 bytes, and a list reserves twice what it needs while it grows.
+const MESSAGE_BYTES: u64 = 512;
+/// The same for the text: each line becomes a key, a value and the place of both.
+const TEXT_BYTES: u64 = 2_048;
+
+const TEXTS: [&str; 3] = [
+    "[change]\nnumber = 7\n\n[customer kovar]\nweight = 3\n\n[service stock]\ndeadline = 100ms\n\n[service catalogue]\n\
+        depends = stock\ndeadline = 800ms\nobjective = 99.9% in 250ms\npolicy = permits\nretry-budget = 10%\n\
+        queue = 200\nshare.kovar = 3\nhealth = /h\nconnections = 260\n",
+    "[change]\nnumber = 8\n[service a]\n[service b]\n[route look-ups]\nhost = fit.example\nprefix = /slots/\n\
+        kind = idempotent\ntimeout = 1200ms\nobjective = 400ms\npriority = 1\nattempts = 2\nsplit = a:90, b:10\n",
+    "; a comment\n[change]\nnumber = 18446744073709551615\n[measure]\nserver-share = 0.5%\nentry-share = 0.5%\n\
+        bytes = 21000\n[claims]\nretention = 15m\n[limits]\nheader-bytes = 16384\nbody-bytes = 67108864\n\
+        header-timeout = 3s\nidle-timeout = 15s\n",
+];
+
+#[test]
+fn messages_are_decoded_safely() {
+    check_postcard::<SlotMessage>("SlotMessage", 2, MESSAGE_BYTES, 4_000);
+    check_postcard::<PeerMessage>("PeerMessage", 8, MESSAGE_BYTES, 4_000);
+    check_postcard::<Message>("consensus::Message", 1, MESSAGE_BYTES, 4_000);
+    check_postcard::<FleetMessage>("FleetMessage", 11, MESSAGE_BYTES, 4_000);
+}
+
+#[test]
+fn saved_state_is_decoded_safely() {
+    check_postcard::<Entry>("consensus::Entry", 1, MESSAGE_BYTES, 2_000);
+    check_postcard::<Vote>("consensus::Vote", 1, MESSAGE_BYTES, 2_000);
+    check_postcard::<Members>("consensus::Members", 1, MESSAGE_BYTES, 2_000);
+    check_postcard::<Snapshot>("consensus::Snapshot", 1, MESSAGE_BYTES, 2_000);
+    check_postcard::<(u8, Vec<HeardRecord>)>("directory", 1, MESSAGE_BYTES, 2_000);
+}
+
+#[test]
+fn commands_are_decoded_safely() {
+    let valid: Vec<_> = postcards::<Command>().into_iter().map(|command| [vec![1], command].concat()).collect();
+    let decode = |input: &[u8]| Command::decode(input).ok();
+    Fuzz::new("Command", MESSAGE_BYTES).run(&valid, 4_000, decode, |_, command| {
+        // A log that is applied again must give the same state.
+        assert_eq!(Command::decode(&command.encode().expect("encoded")).expect("decoded"), command);
+        Ledger::default().apply(1, command);
+    });
+}
+
+/// A snapshot that is damaged within its checksum is an error or a state that can be worked with.
+#[test]
+fn snapshots_are_restored_safely() {
+    let mut ledger = Ledger::default();
+    for (index, command) in (1..).zip(postcards::<Command>()) {
+        ledger.apply(index, postcard::from_bytes(&command).expect("decoded"));
+    }
+    let valid = [ledger.snapshot().expect("encoded"), Ledger::default().snapshot().expect("encoded")];
+    let decode = |input: &[u8]| Ledger::restore(input).ok();
+    Fuzz::new("Ledger", MESSAGE_BYTES).run(&valid, 2_000, decode, |_, mut ledger| {
+        let again = Ledger::restore(&ledger.snapshot().expect("encoded")).expect("restored");
+        assert_eq!(again, ledger);
+        ledger.apply(u64::MAX, Command::Noop { at: u64::MAX });
+    });
+}
+
+/// A text that is accepted is written so that it is read as the same, as the platform adapter relies on that.
+#[test]
+fn texts_are_parsed_safely() {
+    let valid = TEXTS.map(|text| text.as_bytes().to_vec());
+    let parse = |input: &[u8]| Some(Text::parse(std::str::from_utf8(input).ok()?).ok()?);
+    Fuzz::new("Text", TEXT_BYTES).run(&valid, 6_000, parse, |_, text| {
+        assert_eq!(Text::parse(&text.write()), Ok(text));
+    });
+}
+
+#[test]
+fn texts_are_parsed_in_time_proportional_to_their_length() {
+    let parse = |input: &[u8]| drop(Text::parse(std::str::from_utf8(input).expect("text")));
+    let repeat = |line: &'static str| move |bytes: usize| line.repeat(bytes / line.len()).into_bytes();
+    check_growth("sections", 4_000, repeat("[service a]\n"), parse);
+    check_growth("keys", 4_000, repeat("key = value\n"), parse);
+    check_growth("brackets", 4_000, repeat("["), parse);
+    check_growth("list", 4_000, |bytes| [b"[service a]\ndepends = ", &*b"a, ".repeat(bytes / 3)].concat(), parse);
+    let services =
+        |bytes| (0..bytes / 20).map(|number| format!("[service {number}]\n")).collect::<String>().into_bytes();
+    check_growth("services", 4_000, services, parse);
+}
+
+/// A replica starts whatever its saved directory holds, and takes the time at which a server is warm from it.
+#[test]
+fn saved_directories_are_restored_safely() {
+    let now = Instant::now();
+    let decode = |input: &[u8]| {
+        let (id, seeds) = (InstanceId::from("10.0.0.1:1"), vec!["10.0.0.1:1".into()]);
+        let options = ReplicaOptions { id, seeds, directory: input.to_vec(), ..ReplicaOptions::default() };
+        let mut out = Vec::new();
+        let mut replica = Replica::new(now, options, Recovered::default(), SmallRng::seed_from_u64(SEED), &mut out);
+        replica.handle(now + Duration::from_secs(4), ReplicaEvent::Tick, &mut out);
+        Some(())
+    };
+    let valid = postcards::<(u8, Vec<HeardRecord>)>();
+    let mut valid: Vec<_> = valid.into_iter().map(|saved| [&[1], &saved[1..]].concat()).collect();
+    // The longest warm-up that a heartbeat can state.
+    let mut saved = valid.iter().filter_map(|saved| postcard::from_bytes::<(u8, Vec<HeardRecord>)>(saved).ok());
+    let mut longest = saved.find(|saved| saved.1.iter().any(|heard| heard.record.is_valid())).expect("a record");
+    longest.1.iter_mut().for_each(|heard| heard.record.warm_up = Duration::MAX);
+    valid.push(postcard::to_stdvec(&longest).expect("encoded"));
+    // A replica holds some 20 KB besides.
+    Fuzz::new("saved directory", 2 * MESSAGE_BYTES + 64 * 1024).run(&valid, 500, decode, |_, ()| ());
+}
+
+/// The values of a message of a peer are taken as they are, whatever they say.
+#[test]
+fn messages_of_a_fleet_are_handled_safely() {
+    let valid = postcards::<FleetMessage>();
+    let (mut now, mut out) = (Instant::now(), Vec::new());
+    let (id, seeds) = (InstanceId::from("10.0.0.1:1"), vec!["10.0.0.1:1".into(), "10.0.0.2:1".into()]);
+    let options = ReplicaOptions { id, seeds, ..ReplicaOptions::default() };
+    let mut replica = Replica::new(now, options, Recovered::default(), SmallRng::seed_from_u64(SEED), &mut out);
+    let decode = |input: &[u8]| postcard::from_bytes::<FleetMessage>(input).ok();
+    Fuzz::new("FleetMessage at a replica", MESSAGE_BYTES).run(&valid, 4_000, decode, |_, message| {
+        now += Duration::from_millis(1);
+        let from = "10.0.0.2:1".into();
+        replica.handle(now, ReplicaEvent::Receive { from, incarnation: 1, message }, &mut out);
+        replica.handle(now, ReplicaEvent::Tick, &mut out);
+        out.clear();
+    });
+}
+
+#[test]
+fn slot_messages_are_handled_safely() {
+    let valid = postcards::<SlotMessage>();
+    let mut now = Instant::now();
+    let mut slots = Slots::new("a".into(), 1, 2, SmallRng::seed_from_u64(SEED));
+    slots.set_peers(now, vec!["b".into()]);
+    // Keys that the messages name.
+    (0..16).for_each(|service| slots.set_servers(now, service, (0..4).map(|server| (server, 2)).collect()));
+    let decode = |input: &[u8]| postcard::from_bytes::<SlotMessage>(input).ok();
+    Fuzz::new("SlotMessage at an entry", MESSAGE_BYTES).run(&valid, 4_000, decode, |_, message| {
+        now += Duration::from_millis(1);
+        slots.wake(now);
+        slots.receive(now, &"b".into(), &message);
+        slots.tick(now);
+        slots.flush(now, &|_| Vec::new(), &mut Vec::new());
+    });
+}
