Refuse interim answers that state a body

A server's 1xx answer with a length made the decoder of the HTTP library run into its debug assertion, which ended the caller's connection without an answer; in release builds the bytes were taken for the next head. It is now a bad answer. answers_of_servers_are_read_safely failed before with that panic. Requests, answers and load reports are fuzzed over loopback connections.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -10,7 +10,7 @@
     actix_http::{
         Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Version,
         body::BodySize,
-        h1::{ClientCodec, Message},
+        h1::{ClientCodec, Message, MessageType},
         header::{self, HeaderMap},
     },
     bytes::{Bytes, BytesMut},
@@ -163,7 +163,11 @@
             match item {
                 Ok(Some(head)) if head.status.is_informational() => {
                     interim += 1;
-                    if head.status == StatusCode::SWITCHING_PROTOCOLS || interim > INTERIM_LIMIT {
+                    // An interim answer has no body. One that states a length may mean the bytes of the next head.
+                    let codec = self.codec.borrow();
+                    let has_body =
+                        codec.as_ref().is_some_and(|codec| !matches!(codec.message_type(), MessageType::None));
+                    if head.status == StatusCode::SWITCHING_PROTOCOLS || has_body || interim > INTERIM_LIMIT {
                         return Err(NoAnswer::Bad);
                     }
                     continue;
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -56,6 +56,7 @@
         "HTTP/1.1 200 OK\r\n\r\nuntil the end",
         "HTTP/1.0 200 OK\r\n\r\nuntil the end",
         "garbage that is no head\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\ncontent-length: 2\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
         "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nabc",
         "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
--- /dev/null
+++ b/crates/proxy/tests/decoders.rs
@@ -0,0 +1,174 @@
+//! Heads and bodies of HTTP messages that are damaged or made up, from servers and from callers. Guards against
+//! panics, connections that neither end nor go on, and a cut answer that reaches a caller as a whole one.
+
+mod support;
+
+use {
+    futures_util::future::join_all,
+    hemlockford_fuzz::{Fuzz, Mutator, SEED},
+    hemlockford_proxy::{LoadFormat, ProxyOptions},
+    std::{
+        cell::RefCell,
+        panic,
+        rc::Rc,
+        sync::{
+            Once,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    support::{Caller, Script, TestProxy, answering, serve},
+    tokio::io::AsyncWriteExt,
+};
+
+/// Connections at a time.
+const AT_ONCE: usize = 20;
+/// Time in which each connection must have ended, far beyond the timeouts of the worker.
+const WAIT: Duration = Duration::from_secs(10);
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+const ANSWERS: [&str; 4] = [
+    "HTTP/1.1 200 OK\r\ncontent-length: 12\r\nhemlockford-load: 1/2\r\n\r\nhello, world",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n7;x=y\r\n, world\r\n0\r\nx: y\r\n\r\n",
+    "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\ncontent-length: 0\r\nhemlockford-load: 9/2\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 404 Not Found\r\ncontent-length: 2\r\nconnection: close\r\n\r\nno",
+];
+const REQUESTS: [&str; 4] = [
+    "GET /catalogue/a?b=c HTTP/1.1\r\nhost: x\r\nhemlockford-customer: kovar\r\nhemlockford-deadline: 500\r\n\r\n",
+    "POST /booking/a HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\nhemlockford-depth: 2\r\n\r\nhello",
+    "PUT /booking/a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n",
+    "POST /booking/a HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\nhi",
+];
+
+static PANICS: AtomicUsize = AtomicUsize::new(0);
+
+/// Counts the panics of all tasks, as one in a spawned task does not end a test.
+fn count_panics() {
+    static ONCE: Once = Once::new();
+    ONCE.call_once(|| {
+        let show = panic::take_hook();
+        panic::set_hook(Box::new(move |info| {
+            PANICS.fetch_add(1, Ordering::Relaxed);
+            show(info);
+        }));
+    });
+}
+
+fn options() -> ProxyOptions {
+    let short = Duration::from_millis(200);
+    ProxyOptions { head_timeout: short, body_idle: short, keep_alive: short, ..ProxyOptions::default() }
+}
+
+fn inputs(valid: &[&str], count: usize) -> Vec<Vec<u8>> {
+    println!("seed {SEED}");
+    let mut mutator = Mutator::new(SEED);
+    let input = |number: usize| match number % 10 {
+        0 => mutator.random(),
+        1 | 2 => {
+            let valid = valid[mutator.below(valid.len())].as_bytes();
+            valid[..mutator.below(valid.len())].to_vec()
+        }
+        _ => {
+            let (input, other) = (valid[mutator.below(valid.len())], valid[mutator.below(valid.len())]);
+            mutator.mutate(input.as_bytes(), other.as_bytes())
+        }
+    };
+    (0..count).map(input).collect()
+}
+
+/// Returns what came until the connection ended.
+async fn exchange(mut caller: Caller, request: &[u8]) -> String {
+    // The worker may refuse the request before it has read all.
+    let _ = caller.io.write_all(request).await;
+    actix_rt::time::timeout(WAIT, caller.rest()).await.expect("the connection ends")
+}
+
+/// Returns whether an answer has the end that its head announces.
+fn is_whole(answer: &str) -> bool {
+    let Some((head, body)) = answer.split_once("\r\n\r\n") else { return false };
+    let head = head.to_ascii_lowercase();
+    match head.split("content-length: ").nth(1).and_then(|rest| rest.split("\r\n").next()) {
+        Some(length) => length.parse() == Ok(body.len()),
+        None => head.contains("chunked") && body.ends_with("0\r\n\r\n"),
+    }
+}
+
+#[actix_rt::test]
+async fn answers_of_servers_are_read_safely() {
+    count_panics();
+    let answers = Rc::new(inputs(&ANSWERS, 600));
+    let given = answers.clone();
+    let server = serve(move |mut io, _| {
+        let given = given.clone();
+        async move {
+            let Some(request) = io.message(false).await else { return };
+            let number = request.head.split([' ', '/']).nth(3).and_then(|number| number.parse::<usize>().ok());
+            let answer = number.and_then(|number| given.get(number)).map_or(OK.as_bytes(), |answer| answer);
+            let _ = io.io.write_all(answer).await;
+        }
+    })
+    .await;
+    // A GET may meet a connection that the server has closed, and is then sent again.
+    let script = Script { options: options(), servers: vec![server.address; 3], ..Script::to(server.address) };
+    let proxy = TestProxy::start(script);
+    let (mut whole, mut passed) = (0, 0);
+    for first in (0..answers.len()).step_by(AT_ONCE) {
+        let calls = (first..first + AT_ONCE).map(|number| {
+            let request = format!("GET /catalogue/{number} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+            let caller = proxy.caller();
+            async move { (number, exchange(caller.await, request.as_bytes()).await) }
+        });
+        for (number, answer) in join_all(calls).await {
+            let given = &answers[number];
+            let is_passed = answer.starts_with("HTTP/1.1 200") && is_whole(&answer);
+            let is_cut = ANSWERS.iter().any(|valid| valid.len() > given.len() && valid.as_bytes().starts_with(given));
+            assert!(!(is_passed && is_cut), "{:?} gave {answer:?}", given.escape_ascii().to_string());
+            whole += usize::from(is_whole(&answer));
+            passed += usize::from(is_passed);
+        }
+        // A POST takes a new connection; the server has closed those of the answers before.
+        let sound = "POST /catalogue/x HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+        let answer = proxy.call(sound).await;
+        assert_eq!(answer.body, b"ok", "{} after the answers from {first} on", answer.head);
+    }
+    println!("{} answers of servers: callers got {whole} whole answers, {passed} of them 200", answers.len());
+    assert!(passed > 0 && whole > passed);
+    assert_eq!(PANICS.load(Ordering::Relaxed), 0, "panics");
+}
+
+#[actix_rt::test]
+async fn requests_of_callers_are_read_safely() {
+    count_panics();
+    let (server, seen) = answering(OK).await;
+    let proxy = TestProxy::start(Script { options: options(), ..Script::to(server.address) });
+    let requests = inputs(&REQUESTS, 600);
+    let statuses = RefCell::new(std::collections::BTreeMap::<String, usize>::new());
+    for batch in requests.chunks(AT_ONCE) {
+        let calls = batch.iter().map(|request| {
+            let (caller, statuses) = (proxy.caller(), &statuses);
+            async move {
+                let answer = exchange(caller.await, request).await;
+                let status = answer.split(' ').nth(1).unwrap_or("none").to_owned();
+                *statuses.borrow_mut().entry(status).or_default() += 1;
+            }
+        });
+        join_all(calls).await;
+        assert_eq!(proxy.call("GET /catalogue/x HTTP/1.1\r\nhost: x\r\n\r\n").await.body, b"ok");
+    }
+    println!(
+        "{} requests: first statuses {:?}, {} reached the server",
+        requests.len(),
+        statuses.borrow(),
+        seen.borrow().len()
+    );
+    assert_eq!(PANICS.load(Ordering::Relaxed), 0, "panics");
+}
+
+#[test]
+fn load_reports_are_read_safely() {
+    for (name, format, valid) in
+        [("load", LoadFormat::InFlight, ["3/2", "0/0"]), ("load list", LoadFormat::List, ["2,1,2,150", "2, 1, 2"])]
+    {
+        let read = |input: &[u8]| format.parse(std::str::from_utf8(input).ok()?);
+        Fuzz::new(name, 16).run(&valid.map(Vec::from), 4_000, read, |_, _| ());
+    }
+}
