Bound the search for records behind damage in the log

The place up to which the log was durable is looked at before the checksum, and the bytes that are checksummed are bounded; a log beyond that is refused.

--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -54,12 +54,28 @@
 /// Reads the record at the start of a buffer; returns it with its whole length. `None` if the bytes are
 /// no intact record.
 pub(crate) fn decode<T: DeserializeOwned>(buf: &[u8]) -> Option<(T, usize)> {
-    let number = |at: usize| Some(u32::from_le_bytes(buf.get(at..at + 4)?.try_into().ok()?));
-    let len = usize::try_from(number(0)?).ok()?;
-    let content = buf.get(HEAD..HEAD.checked_add(len)?)?;
-    let (version, body) = content.split_first()?;
-    if *version != VERSION || crc32fast::hash(content) != number(4)? {
+    let content = content(buf)?;
+    if crc32fast::hash(content) != number(buf, 4)? {
         return None;
     }
-    Some((postcard::from_bytes(body).ok()?, HEAD + len))
+    Some((postcard::from_bytes(&content[1..]).ok()?, HEAD + content.len()))
+}
+
+/// Reads without the checksum up to where the log was durable when the record at the start of a buffer was written,
+/// and the length that the checksum covers. `None` if the bytes cannot be a record.
+pub(crate) fn peek(buf: &[u8]) -> Option<(u64, usize)> {
+    let content = content(buf)?;
+    let (durable, _) = postcard::take_from_bytes(&content[1..]).ok()?;
+    Some((durable, content.len()))
+}
+
+/// Version and body of the record at the start of a buffer.
+fn content(buf: &[u8]) -> Option<&[u8]> {
+    let len = usize::try_from(number(buf, 0)?).ok()?;
+    let content = buf.get(HEAD..HEAD.checked_add(len)?)?;
+    (content.first() == Some(&VERSION)).then_some(content)
+}
+
+fn number(buf: &[u8], at: usize) -> Option<u32> {
+    Some(u32::from_le_bytes(buf.get(at..at + 4)?.try_into().ok()?))
 }
--- a/crates/store/src/replay.rs
+++ b/crates/store/src/replay.rs
@@ -9,6 +9,11 @@
     },
 };
 
+/// Bytes that the search for intact records behind damage may checksum for each byte of the log. Bytes that look like
+/// overlapping records would otherwise take a time that grows with the square of the log. What a crash tears does not
+/// come near this.
+const SEARCH_FACTOR: usize = 16;
+
 /// What the log says in the end.
 #[derive(Debug, Default)]
 pub(crate) struct Replay {
@@ -79,10 +84,20 @@
     /// this place was durable already.
     fn check_tail(&self, file: &str, data: &[u8]) -> Result<()> {
         let damaged = self.len;
+        let mut left = SEARCH_FACTOR * data.len();
         for offset in damaged + 1..data.len() {
-            if let Some((LogRecord { durable, .. }, _)) = record::decode::<LogRecord>(&data[offset..])
-                && durable > damaged as u64
-            {
+            // A record is written behind what was durable before, which rules out nearly all other bytes.
+            let Some((durable, len)) = record::peek(&data[offset..]) else { continue };
+            if durable <= damaged as u64 || durable > offset as u64 {
+                continue;
+            }
+            if len > left {
+                return Err(corrupt(format!(
+                    "{file}: the record at offset {damaged} is damaged, and too much behind it looks like records"
+                )));
+            }
+            left -= len;
+            if record::decode::<LogRecord>(&data[offset..]).is_some() {
                 return Err(corrupt(format!(
                     "{file}: the record at offset {damaged} is damaged, but the one at offset {offset} is intact"
                 )));
