Let an entry probe a server three times in a row at the same mean rate

Cause: in a fleet of 36 entries the rate of 60 probes of a server in a second gave each entry one in a second, as the quotient was rounded down from 1.67, and no two in a row. An entry that has more than one call in this time for the 7 servers of a small service in its data centre decided on old reports.

Ruled out: load (the servers of uploads were about a quarter busy, worked out from rate and work).

--- a/crates/core/src/probing/asking.rs
+++ b/crates/core/src/probing/asking.rs
@@ -20,6 +20,9 @@
 const MAX_ROUNDS: u32 = 2;
 /// A choice is made at the latest this long after its round was begun; probes take 1 to 6 ms.
 const ROUND: Duration = Duration::from_millis(12);
+/// Probes of one server by one entry that may follow each other without the time between them. In a fleet of 36 entries
+/// this time is 0.6 s, within which an entry has more than one call for the few servers of a small service.
+const PROBE_BURST: u32 = 3;
 /// Longest time of a probe; what comes later than a round still tells the next call something.
 const PROBE_LIMIT: Duration = Duration::from_millis(50);
 /// A probe whose end was not reported in this time is forgotten.
@@ -123,11 +126,11 @@
             running.calls.extend(call);
             return true;
         }
-        if server.probed.is_some_and(|at| now.saturating_duration_since(at) < interval) {
+        if !server.may_probe(now, interval) {
             return false;
         }
         self.last_probe += 1;
-        server.probed = Some(now);
+        server.probed_until = Some(server.probed_until.map_or(now, |until| until.max(now)) + interval);
         server.probe = Some(self.last_probe);
         actions.push(DispatchAction::Probe {
             probe: self.last_probe,
@@ -153,14 +156,10 @@
         true
     }
 
-    /// Time between two probes of a server by this entry, at which all entries together keep to the rate.
+    /// Mean time between two probes of a server by this entry, at which all entries together keep to the rate.
     fn probe_interval(&mut self, now: Instant) -> Duration {
-        let rate = self.options.probe_rate.max(1);
         let entries = self.entries.get(now, self.options.window) as u32;
-        match rate / entries {
-            0 => Duration::from_secs(1) * entries / rate,
-            own => Duration::from_secs(1) / own,
-        }
+        Duration::from_secs(1) * entries / self.options.probe_rate.max(1)
     }
 
     /// Takes the end of a probe; without a report it failed.
@@ -227,8 +226,12 @@
 
     /// Returns whether the load of the server is known or can be asked for now.
     fn can_tell(&self, now: Instant, interval: Duration) -> bool {
-        let is_rested = self.probed.is_none_or(|at| now.saturating_duration_since(at) >= interval);
-        self.is_fresh(now) || self.probe.is_some() || is_rested
+        self.is_fresh(now) || self.probe.is_some() || self.may_probe(now, interval)
+    }
+
+    /// Returns whether the mean time between probes allows another one.
+    fn may_probe(&self, now: Instant, interval: Duration) -> bool {
+        self.probed_until.is_none_or(|until| now + interval * (PROBE_BURST - 1) >= until)
     }
 }
 
--- a/crates/core/src/probing/server.rs
+++ b/crates/core/src/probing/server.rs
@@ -42,8 +42,8 @@
     pub(super) last_sent: Option<Instant>,
     pub(super) last_end: Option<Instant>,
     pub(super) report: Option<Reported>,
-    /// When the last probe was sent.
-    pub(super) probed: Option<Instant>,
+    /// When the mean time between probes has passed after all that were sent.
+    pub(super) probed_until: Option<Instant>,
     /// Number of the probe that is under way.
     pub(super) probe: Option<u64>,
     /// Probes in a row that failed or were late.
@@ -69,7 +69,7 @@
             last_sent: None,
             last_end: None,
             report: None,
-            probed: None,
+            probed_until: None,
             probe: None,
             silent: 0,
             ejection: Ejection::default(),
--- a/crates/core/tests/probing_choice.rs
+++ b/crates/core/tests/probing_choice.rs
@@ -150,6 +150,26 @@
     assert_eq!(&*entry.place().1, "far", "a look-up that is clearly faster there");
 }
 
+/// Guards against a mean rate that is rounded down, and against an entry of a large fleet that knows nothing of the few
+/// servers of a small service, because it probed them a moment ago. Together the entries keep to 60 probes a second.
+#[test]
+fn an_entry_of_many_may_probe_a_server_in_a_row() {
+    let mut entry = ProbedEntry::new(&THREE[..1]);
+    entry.handle(DispatchEvent::Peers((0..44).map(|number| format!("entry-{number}").into()).collect()));
+    for _ in 0..3 {
+        entry.complete();
+        entry.pass(10 * MS);
+    }
+    assert_eq!(entry.probed.len(), 3);
+    for _ in 0..1_000 {
+        entry.pass(10 * MS);
+        entry.complete();
+    }
+    // 10 s and the probes take at most 15 s; each entry has 60 / 44 probes a second.
+    let count = entry.probed.len();
+    assert!((14..=3 + 21).contains(&count), "{count} probes");
+}
+
 /// Guards against calls held for a service that has no servers, and against a wrong reason.
 #[test]
 fn rejects_at_once_without_servers_or_time() {
