--- a/crates/scenario/src/model/mod.rs
+++ b/crates/scenario/src/model/mod.rs
@@ -4,8 +4,8 @@
 //! timer fires, who crashes before or after its writes are durable, loses its folder, starts or hands over. States
 //! with equal fingerprints are explored once. What the bounds leave out is listed in docs/notes/consensus.md.
 //!
-//! The search is written here because the model checker `stateright` could not be had from the package registry; it
-//! asks for states that can be cloned and hashed, as replicas can.
+//! The search is part of this crate because the model checker `stateright`, which suits states that can be cloned and
+//! hashed, was not available from the package registry.
 
 mod actions;
 mod bounds;
--- a/crates/scenario/src/model/steps.rs
+++ b/crates/scenario/src/model/steps.rs
@@ -88,13 +88,13 @@
     /// The state that a step leads to.
     pub fn step(&self, choice: Choice) -> Self {
         let mut next = self.clone();
-        next.pay(choice);
+        next.spend(choice);
         next.apply(choice);
         next.update_digests();
         next
     }
 
-    fn pay(&mut self, Choice { event, after }: Choice) {
+    fn spend(&mut self, Choice { event, after }: Choice) {
         let (head, is_quiet) = (self.head(), self.is_quiet());
         let left = &mut self.left;
         match event {
