--- a/crates/core/src/slots/mod.rs
+++ b/crates/core/src/slots/mod.rs
@@ -15,6 +15,7 @@
 mod member;
 mod message;
 mod outbox;
+mod roles;
 mod server_permits;
 mod service;
 mod slot_pool;
--- /dev/null
+++ b/crates/core/src/slots/roles.rs
@@ -0,0 +1,106 @@
+//! Coordinators of services, and what an entry reports to a new one.
+
+use {
+    super::{Key, ServiceSlots, Slots, key},
+    crate::ids::InstanceId,
+    std::time::{Duration, Instant},
+};
+
+impl Slots {
+    /// Chooses the coordinator of a service and takes the role if it is this instance.
+    pub(super) fn assign(&mut self, now: Instant, service: Key) {
+        let chosen = self.live.iter().max_by_key(|id| (key::rank(service, key(id)), (*id).clone())).cloned();
+        let Some(chosen) = chosen else { return };
+        let Some(slots) = self.services.get_mut(&service) else { return };
+        if chosen != self.me {
+            if slots.coordinator.is_active {
+                slots.coordinator.stop();
+                self.touched.insert(service);
+            }
+        } else if !slots.coordinator.is_active {
+            slots.coordinator.is_active = true;
+            self.counters.roles += 1;
+            self.start_role(now, service);
+        }
+        if self.services[&service].holder.coordinator.as_ref() != Some(&chosen) {
+            self.attach(now, service, chosen, None);
+        }
+    }
+
+    pub(super) fn start_role(&mut self, now: Instant, service: Key) {
+        let is_settled = self.live.len() >= self.roster || self.started.is_some_and(|at| now >= at + super::COLLECT);
+        let Some(slots) = self.services.get_mut(&service) else { return };
+        if slots.coordinator.is_active {
+            slots.coordinator.start(now, is_settled);
+            for link in self.links.values_mut() {
+                let next = link.next();
+                link.grants.forget(service, next);
+            }
+        }
+    }
+
+    /// Reports all that is held to a coordinator that knows nothing of it. The permits may be used until the
+    /// lease of the coordinator that granted them ends, which is `lease_end` if it may have been renewed since
+    /// it lapsed.
+    pub(super) fn attach(&mut self, now: Instant, service: Key, to: InstanceId, lease_end: Option<Instant>) {
+        let Some(slots) = self.services.get_mut(&service) else { return };
+        let holder = &mut slots.holder;
+        let previous = holder.coordinator.replace(to.clone());
+        if let Some(link) = previous.and_then(|id| self.links.get_mut(&id)) {
+            if holder.is_adopted {
+                holder.previous_end = lease_end.or(link.lease_end());
+            }
+            let next = link.next();
+            link.holdings.forget(service, next);
+        }
+        if holder.previous_end.is_none_or(|end| now >= end) {
+            // Permits whose lease has ended may be with another entry by now.
+            holder.drop_granted();
+        }
+        holder.is_adopted = false;
+        // A service that is forgotten and comes back must not start again at a number that its coordinator
+        // takes for an old one, so all services share one count.
+        self.attach += 1;
+        holder.attach = self.attach;
+        holder.forget_versions();
+        let held = holder.held();
+        let link = self.links.entry(to).or_default();
+        let next = link.next();
+        for server in held {
+            link.holdings.mark(service, server, next);
+        }
+        link.reports.insert(service);
+        link.ask(now, Duration::ZERO);
+    }
+
+    pub(super) fn report_until_adopted(&mut self, now: Instant, service: Key) {
+        let Some(slots) = self.services.get(&service) else { return };
+        let Some(coordinator) = slots.holder.coordinator.clone().filter(|_| !slots.holder.is_adopted) else { return };
+        let link = self.links.entry(coordinator).or_default();
+        if link.is_repeat_due(now) {
+            link.reports.insert(service);
+            link.ask(now, Duration::ZERO);
+        }
+    }
+
+    /// Takes back every permit of an entry that was silent for its whole lease.
+    pub(super) fn revoke(&mut self, id: &InstanceId) {
+        self.counters.revoked += 1;
+        if let Some(link) = self.links.get_mut(id) {
+            link.revoke();
+        }
+        for (service, slots) in &mut self.services {
+            slots.coordinator.reset(id);
+            if slots.coordinator.is_active {
+                self.touched.insert(*service);
+            }
+        }
+    }
+
+    pub(super) fn has_claims(&self, id: &InstanceId) -> bool {
+        let has_claims = |slots: &ServiceSlots| {
+            slots.coordinator.members.get(id).is_some_and(|member| !member.allotments.is_empty())
+        };
+        self.services.values().any(has_claims)
+    }
+}
