Exclude servers that ask in their answers for no further calls

Cause: nothing read Server-Leaving, and nothing read Retry-After of a server. A leaving server got calls from every entry until the control plane had spread its heartbeat or departure, and a server that turned calls away was tried again as soon as its load report allowed it.

Both decision machines now exclude such a server, from the first answer on, for calls, retries and probes. The notice binds id, address and incarnation, so that neither an older heartbeat nor a record that is removed and added again takes it back, and the next incarnation is free of it. A service whose servers all want no calls is refused at once, with the earliest end as the time to come back.

Ruled out: a shorter path through the control plane, which still leaves the time between answer and update; reading the notice from the record of an attempt, which probes do not have.

Not done: other entries learn of a notice only through their own answers or the server's heartbeat.

--- a/crates/core/examples/choice.rs
+++ b/crates/core/examples/choice.rs
@@ -40,6 +40,7 @@
 fn view(name: String, now: Instant) -> ServerView {
     ServerView {
         id: name.into(),
+        incarnation: 1,
         address: ([127, 0, 0, 1], 9_000).into(),
         data_centre: "".into(),
         slots: 2,
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -1,7 +1,10 @@
 //! The state machine that chooses a server for each call.
 
 use {
-    super::{ActiveCall, Call, DispatchAction, DispatchEvent, DispatchOptions, Measurement, ServerView, ServiceState},
+    super::{
+        ActiveCall, Call, DispatchAction, DispatchEvent, DispatchOptions, Measurement, ServerNotice, ServerView,
+        ServiceState,
+    },
     crate::{
         collections::{FastMap, FastSet},
         config::{BalancingPolicy, Configuration},
@@ -14,6 +17,7 @@
     std::{
         cmp::Reverse,
         collections::{BTreeMap, BTreeSet, BinaryHeap},
+        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -96,6 +100,9 @@
             DispatchEvent::ProbeFinished { probe, latency, report, ok } => {
                 self.finish_probe(now, probe, latency, report, ok);
             }
+            DispatchEvent::Notice { server, address, notice } => {
+                self.record_notice(now, name_hash(&server), address, notice, actions);
+            }
             DispatchEvent::Tick => {
                 self.slots.tick(now);
                 self.reject_expired(now, actions);
@@ -144,7 +151,7 @@
         state.record_arrival(now, call.upload);
         let has_retry_token =
             call.retry_allowance || call.depth == 0 && has_dependencies && state.retry_budget.try_issue(now);
-        let is_served = !state.servers.ready().is_empty();
+        let is_served = !state.servers.ready().is_empty() && state.servers.pause_end(now).is_none();
         let active = ActiveCall {
             call,
             service,
@@ -256,6 +263,29 @@
         }
     }
 
+    /// Excludes a server that asked for no further calls. If no other server is left, waiting calls are rejected.
+    fn record_notice(
+        &mut self,
+        now: Instant,
+        server: NameHash,
+        address: SocketAddr,
+        notice: ServerNotice,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let services: Vec<_> = self.services.keys().copied().collect();
+        for service in services {
+            let Some(state) = self.services.get_mut(&service) else { continue };
+            if !state.servers.record_notice(now, server, address, notice) {
+                continue;
+            }
+            let is_served = !state.servers.ready().is_empty() && state.servers.pause_end(now).is_none();
+            self.update_open_servers(now, service);
+            if !is_served {
+                self.reject_waiting(now, service, NotRunReason::NoServer, actions);
+            }
+        }
+    }
+
     /// Passes the servers that are open for new calls to the slot sharing.
     pub(super) fn update_open_servers(&mut self, now: Instant, service: NameHash) {
         if self.permit_services.contains(&service)
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -1,13 +1,13 @@
 //! Events that the dispatcher processes.
 
 use {
-    super::{Call, FinishedAttempt, LoadReport, ServerView},
+    super::{Call, FinishedAttempt, LoadReport, ServerNotice, ServerView},
     crate::{
         config::Configuration,
-        ids::{CallId, InstanceId, ServiceId},
+        ids::{CallId, InstanceId, ServerId, ServiceId},
         slots::SlotMessage,
     },
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// One event for the dispatcher.
@@ -43,6 +43,15 @@
         /// Whether the server answered in time.
         ok: bool,
     },
+    /// A server asked in an answer for no further calls.
+    Notice {
+        /// The server.
+        server: ServerId,
+        /// Address from which it answered.
+        address: SocketAddr,
+        /// What it asked for.
+        notice: ServerNotice,
+    },
     /// Time has passed.
     Tick,
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -7,15 +7,16 @@
 mod call_options;
 mod dispatcher;
 mod event;
+mod exclusions;
 mod finished_attempt;
 mod load;
 mod measurement;
 mod options;
 mod retrying;
 mod server;
+mod server_notice;
 mod servers;
 mod service;
-
 mod waiting;
 
 pub use {
@@ -29,6 +30,9 @@
     load::{LOAD_HEADER, LoadReport, NOMINAL_PACE, WANT_LOAD_HEADER},
     options::DispatchOptions,
     server::{ServerState, ServerView},
+    server_notice::{MAX_SERVER_PAUSE, ServerNotice},
 };
 
+pub(crate) use exclusions::{Exclusion, Exclusions};
+
 use {active::ActiveCall, measurement::Measurement, servers::Servers, service::ServiceState};
--- a/crates/core/src/dispatch/retrying.rs
+++ b/crates/core/src/dispatch/retrying.rs
@@ -107,9 +107,10 @@
         }
         let policy =
             self.config.services.get(&active.call.service).map_or(BalancingPolicy::Permits, |service| service.policy);
+        let is_paused = self.services.get(&active.service).is_some_and(|state| state.servers.pause_end(now).is_some());
         match self.choose(now, &active, policy) {
             Some(server) => self.send(now, active, server, actions),
-            None if policy == BalancingPolicy::Permits => self.queue_retry(now, active),
+            None if policy == BalancingPolicy::Permits && !is_paused => self.queue_retry(now, active),
             None => self.reject(now, &active, reason, actions),
         }
     }
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -1,7 +1,7 @@
 //! A server as the registry knows it.
 
 use {
-    crate::ids::{DataCentreId, ServerId},
+    crate::ids::{DataCentreId, Incarnation, ServerId},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Instant},
 };
@@ -25,6 +25,8 @@
 pub struct ServerView {
     /// Identifier of the server.
     pub id: ServerId,
+    /// Incarnation, which increases with every start of the server.
+    pub incarnation: Incarnation,
     /// Address on which it listens.
     pub address: SocketAddr,
     /// Data centre in which it runs.
--- a/crates/core/src/dispatch/servers.rs
+++ b/crates/core/src/dispatch/servers.rs
@@ -1,14 +1,14 @@
 //! The servers of one service, indexed for choosing one.
 
 use {
-    super::{ServerState, ServerView},
+    super::{Exclusions, ServerNotice, ServerState, ServerView},
     crate::{
         collections::FastMap,
         health::{Eligibility, HealthMonitor},
         slots::{NameHash, name_hash},
     },
     rand::{RngExt, rngs::SmallRng},
-    std::{collections::BTreeSet, time::Instant},
+    std::{collections::BTreeSet, net::SocketAddr, time::Instant},
 };
 
 /// Servers considered for one choice, so that its cost does not depend on the number of servers.
@@ -25,6 +25,7 @@
     loads: FastMap<NameHash, (u32, u32)>,
     /// Servers that are ejected, without those that are due for a trial.
     pub(super) ejected: BTreeSet<NameHash>,
+    exclusions: Exclusions,
 }
 
 impl Servers {
@@ -36,9 +37,7 @@
         for view in views {
             self.views.entry(name_hash(&view.id)).or_insert(view);
         }
-        let ready = self.views.iter().filter(|(_, view)| view.state == ServerState::Ready);
-        self.ready = ready.map(|(hash, _)| *hash).collect();
-        self.ready.sort_unstable();
+        self.update_ready();
         self.by_load.clear();
         let views = &self.views;
         self.loads.retain(|hash, load| load.0 > 0 || views.contains_key(hash));
@@ -49,6 +48,28 @@
         self.ejected.retain(|hash| views.contains_key(hash));
     }
 
+    /// Records a notice of a server. Returns whether the server is one of this service.
+    pub(super) fn record_notice(
+        &mut self,
+        now: Instant,
+        server: NameHash,
+        address: SocketAddr,
+        notice: ServerNotice,
+    ) -> bool {
+        let Some(view) = self.views.get(&server).filter(|view| view.address == address) else { return false };
+        self.exclusions.record(now, view, notice);
+        self.update_ready();
+        true
+    }
+
+    /// Updates the list of ready servers. A server that said that it is leaving is not ready, even if the registry
+    /// does not know it yet.
+    fn update_ready(&mut self) {
+        let is_ready = |view: &ServerView| view.state == ServerState::Ready && !self.exclusions.of(view).is_leaving;
+        self.ready = self.views.iter().filter(|(_, view)| is_ready(view)).map(|(hash, _)| *hash).collect();
+        self.ready.sort_unstable();
+    }
+
     pub(super) fn view(&self, server: NameHash) -> Option<&ServerView> {
         self.views.get(&server)
     }
@@ -70,7 +91,18 @@
 
     /// Returns whether a server may get a new call; its lease is checked at the time of use.
     pub(super) fn is_usable(&self, now: Instant, server: NameHash) -> bool {
-        self.views.get(&server).is_some_and(|view| view.state == ServerState::Ready && now < view.lease_end)
+        self.views.get(&server).is_some_and(|view| {
+            view.state == ServerState::Ready && now < view.lease_end && !self.exclusions.of(view).applies(now)
+        })
+    }
+
+    /// Returns when the first server that asked for a pause takes calls again, if no other server is usable.
+    pub(super) fn pause_end(&self, now: Instant) -> Option<Instant> {
+        if self.ready.iter().any(|server| self.is_usable(now, *server)) {
+            return None;
+        }
+        let paused = self.ready.iter().filter_map(|server| self.views.get(server)).filter(|view| now < view.lease_end);
+        paused.filter_map(|view| self.exclusions.of(view).paused_until.filter(|until| now < *until)).min()
     }
 
     /// Counts a call that starts or ends at a server.
@@ -105,7 +137,7 @@
             // has no particular order.
             let server = free[(start + step) % free.len()];
             let Some(view) = self.views.get(&server).filter(|view| now < view.lease_end) else { continue };
-            if tried.contains(&server) || view.state != ServerState::Ready {
+            if tried.contains(&server) || view.state != ServerState::Ready || self.exclusions.of(view).applies(now) {
                 continue;
             }
             match health.eligibility(now, &view.id) {
--- a/crates/core/src/dispatch/waiting.rs
+++ b/crates/core/src/dispatch/waiting.rs
@@ -255,6 +255,9 @@
     /// factor keeps callers that were rejected together from coming back together.
     fn retry_after(&mut self, now: Instant, call: &Call, reason: NotRunReason) -> Duration {
         let service = name_hash(&call.service);
+        if let Some(end) = self.services.get(&service).and_then(|state| state.servers.pause_end(now)) {
+            return end.saturating_duration_since(now).max(RETRY_AFTER_RANGE.0);
+        }
         let wait = match (reason, self.services.get(&service)) {
             (NotRunReason::QueueFull | NotRunReason::Deadline | NotRunReason::Overload, Some(state)) => {
                 let weight = f64::from(self.config.customer_weight(&call.service, &call.customer));
--- a/crates/core/src/fleet/entry/server_set.rs
+++ b/crates/core/src/fleet/entry/server_set.rs
@@ -204,6 +204,7 @@
     fn view(&self, now: Instant, slow_start: Duration) -> ServerView {
         ServerView {
             id: self.server.server.clone(),
+            incarnation: self.server.incarnation,
             address: self.server.address,
             data_centre: self.server.data_centre.clone(),
             slots: self.server.slots,
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -1,11 +1,14 @@
 //! The state machine that chooses a server for each call at an entry of a fleet.
 
 use {
-    super::{ActiveCall, BalancerOptions, EntryCount, RunningProbe, ServiceState, Stage, service::MAX_RETRY_AFTER},
+    super::{
+        ActiveCall, BalancerOptions, EntryCount, RunningProbe, ServiceState, Stage,
+        service::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
+    },
     crate::{
         collections::FastMap,
         config::Configuration,
-        dispatch::{Call, DispatchAction, DispatchEvent, ServerView},
+        dispatch::{Call, DispatchAction, DispatchEvent, ServerNotice, ServerView},
         ids::{CallId, ServiceId},
         outcome::NotRunReason,
         slots::{NameHash, name_hash},
@@ -14,6 +17,7 @@
     std::{
         cmp::Reverse,
         collections::{BTreeMap, BinaryHeap},
+        net::SocketAddr,
         sync::Arc,
         time::Instant,
     },
@@ -96,6 +100,9 @@
             DispatchEvent::ProbeFinished { probe, latency: _, report, ok } => {
                 self.finish_probe(now, probe, report.filter(|_| ok), actions);
             }
+            DispatchEvent::Notice { server, address, notice } => {
+                self.record_notice(now, name_hash(&server), address, notice, actions);
+            }
             DispatchEvent::Tick => {}
         }
         self.run_timers(now, actions);
@@ -205,6 +212,24 @@
         self.dispatch_waiting(now, service, actions);
     }
 
+    /// Excludes a server that asked for no further calls. Waiting calls for which no other server is left are rejected.
+    fn record_notice(
+        &mut self,
+        now: Instant,
+        server: NameHash,
+        address: SocketAddr,
+        notice: ServerNotice,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let services: Vec<_> = self.services.keys().copied().collect();
+        for service in services {
+            let Some(state) = self.services.get_mut(&service) else { continue };
+            if state.servers.record_notice(now, server, address, notice) {
+                self.dispatch_waiting(now, service, actions);
+            }
+        }
+    }
+
     /// Rejects a call without a further attempt.
     pub(super) fn reject(
         &mut self,
@@ -218,9 +243,11 @@
         let objective = active.call.options.objective;
         let entries = self.entries.get(now, self.options.retry_window);
         let state = self.services.get(&active.service);
-        let retry_after = match reason {
-            NotRunReason::UnknownService | NotRunReason::NoServer => None,
-            _ => state.map(|state| state.retry_after(now, objective, entries, jitter)),
+        let pause_end = state.and_then(|state| state.servers.pause_end(now));
+        let retry_after = match (pause_end, reason) {
+            (Some(end), _) => Some(end.saturating_duration_since(now).max(MIN_RETRY_AFTER)),
+            (None, NotRunReason::UnknownService | NotRunReason::NoServer) => None,
+            (None, _) => state.map(|state| state.retry_after(now, objective, entries, jitter)),
         };
         actions.push(DispatchAction::Reject {
             call: active.call.id,
--- a/crates/core/src/probing/server.rs
+++ b/crates/core/src/probing/server.rs
@@ -6,7 +6,7 @@
         cost::{BUSY_SLOWDOWN, BUSY_THRESHOLD},
     },
     crate::{
-        dispatch::{LoadReport, NOMINAL_PACE, ServerState, ServerView},
+        dispatch::{Exclusion, LoadReport, NOMINAL_PACE, ServerState, ServerView},
         slots::NameHash,
     },
     std::time::{Duration, Instant},
@@ -50,6 +50,8 @@
     pub(super) failed_probes: u32,
     pub(super) ejection: Ejection,
     pub(super) is_misdirected: bool,
+    /// What the server asked for in its answers.
+    pub(super) exclusion: Exclusion,
     /// When this entry sends a new server its first call even if other servers seem better.
     pub(super) introduction_due: Option<Instant>,
     consecutive_sheds: u32,
@@ -74,6 +76,7 @@
             failed_probes: 0,
             ejection: Ejection::default(),
             is_misdirected: false,
+            exclusion: Exclusion::default(),
             introduction_due: None,
             consecutive_sheds: 0,
             failure_rate: 0.0,
@@ -85,12 +88,23 @@
         self.view.slots.max(1)
     }
 
-    /// Returns whether the announced state and the lease allow new calls; the lease is checked at the time of
-    /// use.
+    /// Returns whether the announced state, the lease and the server's own answers allow new calls; they are checked
+    /// at the time of use.
     pub(super) fn is_available(&self, now: Instant) -> bool {
+        self.is_ready(now) && !self.exclusion.applies(now)
+    }
+
+    /// Returns whether the announced state and the lease allow new calls.
+    fn is_ready(&self, now: Instant) -> bool {
         self.view.state == ServerState::Ready && now < self.view.lease_end && !self.is_misdirected
     }
 
+    /// Returns when a server that asked for a pause takes calls again.
+    pub(super) fn pause_end(&self, now: Instant) -> Option<Instant> {
+        let is_paused = self.is_ready(now) && !self.exclusion.is_leaving;
+        self.exclusion.paused_until.filter(|until| is_paused && now < *until)
+    }
+
     /// Returns whether the server may get calls other than a trial.
     pub(super) fn is_usable(&self, now: Instant) -> bool {
         self.is_available(now) && !self.ejection.is_ejected()
--- a/crates/core/src/probing/servers.rs
+++ b/crates/core/src/probing/servers.rs
@@ -4,11 +4,14 @@
     super::Server,
     crate::{
         collections::FastMap,
-        dispatch::ServerView,
+        dispatch::{Exclusions, ServerNotice, ServerView},
         slots::{NameHash, name_hash},
     },
     rand::{RngExt, rngs::SmallRng},
-    std::time::{Duration, Instant},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
 /// Minimum share of a service's slots that is kept in use, regardless of failures.
@@ -41,6 +44,7 @@
     /// When the first servers became known. Servers that announce themselves while the system starts do not
     /// count as new.
     first_known_at: Option<Instant>,
+    exclusions: Exclusions,
 }
 
 impl Servers {
@@ -67,7 +71,7 @@
             let same = known
                 .remove(&id)
                 .filter(|old| old.view.address == view.address && old.view.ready_since == view.ready_since);
-            let server = match same {
+            let mut server = match same {
                 Some(mut old) => {
                     old.view = view;
                     old.is_remote = is_remote;
@@ -84,6 +88,7 @@
                 }
             };
             self.positions.insert(id, 0);
+            server.exclusion = self.exclusions.of(&server.view);
             self.all.push(server);
         }
         self.all.sort_unstable_by(|a, b| (a.is_remote, &a.view.id).cmp(&(b.is_remote, &b.view.id)));
@@ -92,6 +97,31 @@
         self.restore_capacity(now);
     }
 
+    /// Records a notice of a server. Returns whether the server is one of this service.
+    pub(super) fn record_notice(
+        &mut self,
+        now: Instant,
+        server: NameHash,
+        address: SocketAddr,
+        notice: ServerNotice,
+    ) -> bool {
+        let Some(position) = self.positions.get(&server).copied() else { return false };
+        let server = &mut self.all[position];
+        if server.view.address != address {
+            return false;
+        }
+        self.exclusions.record(now, &server.view, notice);
+        server.exclusion = self.exclusions.of(&server.view);
+        self.restore_capacity(now);
+        true
+    }
+
+    /// Returns when the first server that asked for a pause takes calls again, if no server takes calls now.
+    pub(super) fn pause_end(&self, now: Instant) -> Option<Instant> {
+        let is_served = self.all.iter().any(|server| server.is_available(now));
+        if is_served { None } else { self.all.iter().filter_map(|server| server.pause_end(now)).min() }
+    }
+
     pub(super) fn get(&self, server: NameHash) -> Option<&Server> {
         self.all.get(*self.positions.get(&server)?)
     }
--- a/crates/core/src/probing/service.rs
+++ b/crates/core/src/probing/service.rs
@@ -8,7 +8,7 @@
 
 /// Range of the Retry-After time. A caller waits for at most a third of its time left, which is 0.4 s with
 /// the shortest deadline.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 pub(super) const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Share of the estimated time until a slot is free after which a rejected caller may try again. The
--- a/crates/core/src/registry/registered_server.rs
+++ b/crates/core/src/registry/registered_server.rs
@@ -150,6 +150,7 @@
         let at = |ms: i64| base + Duration::from_millis(ms.max(0) as u64);
         ServerView {
             id: self.announcement.server.clone(),
+            incarnation: self.announcement.incarnation,
             address: self.announcement.address,
             data_centre: self.announcement.data_centre.clone(),
             slots: self.announcement.slots,
--- a/crates/core/tests/dispatcher.rs
+++ b/crates/core/tests/dispatcher.rs
@@ -5,7 +5,7 @@
         config::{BalancingPolicy, Configuration},
         dispatch::{
             AttemptResult, Call, CallOptions, DispatchAction, DispatchEvent, DispatchOptions, Dispatcher,
-            FinishedAttempt, LoadReport, NOMINAL_PACE, ServerState, ServerView,
+            FinishedAttempt, LoadReport, NOMINAL_PACE, ServerNotice, ServerState, ServerView,
         },
         ids::{CallId, ServerId},
         outcome::{NotRunReason, Outcome, UnknownReason},
@@ -48,6 +48,7 @@
     fn view(&self, service: &str, number: usize) -> ServerView {
         ServerView {
             id: format!("{service}-{number}").into(),
+            incarnation: 1,
             address: ([127, 0, 0, 1], 9_000).into(),
             data_centre: "".into(),
             slots: 2,
@@ -69,6 +70,11 @@
         self.handle(DispatchEvent::Tick)
     }
 
+    fn notify(&mut self, number: usize, notice: ServerNotice) -> Vec<DispatchAction> {
+        let view = self.view("catalogue", number);
+        self.handle(DispatchEvent::Notice { server: view.id, address: view.address, notice })
+    }
+
     fn call(&self, id: CallId) -> Call {
         Call {
             id,
@@ -303,3 +309,30 @@
         "a requested report has no effect, so the test proves nothing"
     );
 }
+
+/// Guards against calls to a server that said that it is leaving or asked for a pause, and against calls that are held
+/// although no other server is left.
+#[test]
+fn a_server_that_asks_for_no_calls_gets_none() {
+    let policies = [BalancingPolicy::Permits, BalancingPolicy::Random, BalancingPolicy::LeastInFlight];
+    for policy in policies {
+        for notice in [ServerNotice::Leaving, ServerNotice::Pause(Duration::from_secs(2))] {
+            let mut test = TestDispatcher::new(policy, 2, 100);
+            test.notify(0, notice);
+            for id in 1..9 {
+                let server = test.arrive(test.call(id)).expect("the other server takes calls");
+                assert_eq!(&*server, "catalogue-1", "{policy} {notice:?}");
+                test.end(id, &server, AttemptResult::Complete, false);
+            }
+            test.notify(1, notice);
+            let actions = test.handle(DispatchEvent::Arrive(test.call(9)));
+            assert_eq!(outcome(&actions), Some(Outcome::NotRun(NotRunReason::NoServer)), "{policy} {notice:?}");
+            test.tick(Duration::from_secs(2));
+            for _ in 0..400 {
+                test.tick(MS);
+            }
+            let is_back = test.arrive(test.call(10)).is_some();
+            assert_eq!(is_back, notice != ServerNotice::Leaving, "{policy} {notice:?}");
+        }
+    }
+}
--- a/crates/core/tests/support/entries.rs
+++ b/crates/core/tests/support/entries.rs
@@ -40,6 +40,7 @@
     pub fn view(&self, server: usize) -> ServerView {
         ServerView {
             id: self.servers[server].id.clone(),
+            incarnation: 1,
             address: ([127, 0, 0, 1], 9_000 + server as u16).into(),
             data_centre: "".into(),
             slots: self.servers[server].slots as u32,
--- a/crates/core/tests/support/fleet/simulation.rs
+++ b/crates/core/tests/support/fleet/simulation.rs
@@ -117,6 +117,7 @@
         self.server_numbers.insert(id.clone(), number);
         let view = ServerView {
             id,
+            incarnation: 1,
             address: ([127, 0, 0, 1], 10_000 + number as u16).into(),
             data_centre: format!("dc-{}", number % self.options.data_centres).into(),
             slots: self.options.workloads[workload].slots,
--- a/crates/core/tests/support/test_entry.rs
+++ b/crates/core/tests/support/test_entry.rs
@@ -64,6 +64,7 @@
     pub fn add_server(&mut self, id: &str, data_centre: &str, ready_since: Instant) {
         self.views.push(ServerView {
             id: id.into(),
+            incarnation: 1,
             address: ([127, 0, 0, 1], 9_000 + self.views.len() as u16).into(),
             data_centre: data_centre.into(),
             slots: 2,
--- a/crates/instance/src/pending_decisions.rs
+++ b/crates/instance/src/pending_decisions.rs
@@ -31,6 +31,7 @@
                 self.0.remove(&call);
                 DispatchEvent::Cancel(call)
             }
+            DispatcherMessage::Notice { server, address, notice } => DispatchEvent::Notice { server, address, notice },
         }
     }
 
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,12 +1,15 @@
 //! An attempt to send a call to a server, whose result is always reported to the dispatcher.
 
 use {
-    crate::{counters::ProxyCounters, dispatcher::DispatcherHandle},
+    crate::{counters::ProxyCounters, dispatcher::DispatcherHandle, shared::Shared},
     hemlockford_core::{
-        dispatch::{AttemptResult, FinishedAttempt, LoadReport},
+        dispatch::{AttemptResult, FinishedAttempt, LoadReport, ServerNotice},
         ids::{CallId, ServerId},
     },
-    std::time::{Duration, Instant},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
 /// An attempt to send a call to a server. Reports `CallerLeft` when it is dropped before another result is reported.
@@ -16,14 +19,21 @@
     counters: ProxyCounters,
     call: CallId,
     server: ServerId,
+    address: SocketAddr,
     start: Instant,
     report: Option<LoadReport>,
     is_reported: bool,
 }
 
 impl Attempt {
-    pub(crate) fn new(dispatcher: DispatcherHandle, counters: ProxyCounters, call: CallId, server: ServerId) -> Self {
-        Self { dispatcher, counters, call, server, start: Instant::now(), report: None, is_reported: false }
+    pub(crate) fn new(shared: &Shared, call: CallId, server: ServerId, address: SocketAddr) -> Self {
+        let (dispatcher, counters) = (shared.dispatcher.clone(), shared.counters.clone());
+        Self { dispatcher, counters, call, server, address, start: Instant::now(), report: None, is_reported: false }
+    }
+
+    /// Reports that the server asked for no further calls.
+    pub(crate) fn report_notice(&self, notice: ServerNotice) {
+        self.dispatcher.server_noticed(self.server.clone(), self.address, notice);
     }
 
     /// Stores the load that the server reported.
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -209,8 +209,7 @@
             return Ok(ExchangeEnd::DeadlineExceeded);
         };
         let shared = self.shared;
-        let mut attempt =
-            Attempt::new(shared.dispatcher.clone(), shared.counters.clone(), self.call.id, server.clone());
+        let mut attempt = Attempt::new(shared, self.call.id, server.clone(), address);
         let would_repeat = self.may_have_run.is_some() && !self.call.idempotent;
         if would_repeat || !self.body.is_available() {
             // Regardless of the decision, the request must not run twice, and a body that was partly consumed cannot
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -3,10 +3,11 @@
 use {
     crate::{load_format::LoadFormat, service_selection::ServiceSelection},
     actix_http::{
-        ResponseHead,
-        header::{HeaderName, HeaderValue},
+        ResponseHead, StatusCode,
+        header::{self, HeaderName, HeaderValue},
     },
-    hemlockford_core::dispatch::{LOAD_HEADER, LoadReport},
+    hemlockford_core::dispatch::{LOAD_HEADER, LoadReport, MAX_SERVER_PAUSE, ServerNotice},
+    std::time::Duration,
 };
 
 /// Header names and rules of the HTTP interface to callers and servers. The default is the product's own interface.
@@ -30,6 +31,8 @@
     pub not_run_header: HeaderName,
     /// Required value of the not-run header; `None` accepts any value.
     pub not_run_value: Option<HeaderValue>,
+    /// Response header by which a server states, with value 1, that it is leaving.
+    pub leaving_header: HeaderName,
     /// Whether `retry-after` may have fractions of a second.
     pub fractional_retry_after: bool,
     /// Whether the product's own `hemlockford-` headers, `forwarded` and `x-forwarded-for` are read and written.
@@ -57,6 +60,7 @@
             load_format: LoadFormat::InFlight,
             not_run_header: HeaderName::from_static("hemlockford-shed"),
             not_run_value: Some(HeaderValue::from_static("1")),
+            leaving_header: HeaderName::from_static("hemlockford-leaving"),
             fractional_retry_after: false,
             product_headers: true,
             keep_alive_reuse: false,
@@ -91,6 +95,13 @@
         self.load_format.parse(head.headers.get(&self.load_header)?.to_str().ok()?)
     }
 
+    /// Returns what a server asks for in a response, apart from the response itself.
+    pub(crate) fn server_notices(&self, head: &ResponseHead) -> impl Iterator<Item = ServerNotice> {
+        let is_leaving = head.headers.get(&self.leaving_header).is_some_and(|value| value.as_bytes() == b"1");
+        let pause = (head.status == StatusCode::SERVICE_UNAVAILABLE).then(|| retry_after(head)).flatten();
+        is_leaving.then_some(ServerNotice::Leaving).into_iter().chain(pause.map(ServerNotice::Pause))
+    }
+
     /// Compares the request id of a response with the one that was sent.
     pub(crate) fn match_request_id(&self, head: &ResponseHead, id: Option<&HeaderValue>) -> RequestIdMatch {
         let (true, Some(name), Some(id)) = (self.echoes_request_id, &self.request_id_header, id) else {
@@ -104,3 +115,10 @@
         }
     }
 }
+
+/// Returns the seconds of `retry-after`, with or without a fraction. A date, and a value that is not a positive number,
+/// is ignored: servers are not required to have a correct clock.
+fn retry_after(head: &ResponseHead) -> Option<Duration> {
+    let seconds: f64 = head.headers.get(header::RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    (seconds > 0.0).then(|| Duration::from_secs_f64(seconds.min(MAX_SERVER_PAUSE.as_secs_f64())))
+}
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use {
     hemlockford_core::{
-        dispatch::{Call, FinishedAttempt},
+        dispatch::{Call, FinishedAttempt, ServerNotice},
         ids::{CallId, ServerId},
         outcome::Outcome,
     },
@@ -47,6 +47,15 @@
     /// The call no longer waits for a decision. If a `Send` was decided in the meantime and could not be delivered,
     /// the server has not seen the call and its slot is free.
     Cancel(CallId),
+    /// A server asked in an answer for no further calls.
+    Notice {
+        /// The server.
+        server: ServerId,
+        /// Address from which it answered.
+        address: SocketAddr,
+        /// What it asked for.
+        notice: ServerNotice,
+    },
 }
 
 /// Handle through which the HTTP workers reach the dispatcher's task.
@@ -90,6 +99,12 @@
         self.send(DispatcherMessage::Cancel(call));
     }
 
+    /// Reports that a server asked for no further calls. It must precede the report of the attempt's end, after which
+    /// the dispatcher may choose the server again.
+    pub fn server_noticed(&self, server: ServerId, address: SocketAddr, notice: ServerNotice) {
+        self.send(DispatcherMessage::Notice { server, address, notice });
+    }
+
     fn ask(&self, message: impl FnOnce(oneshot::Sender<Decision>) -> DispatcherMessage) -> oneshot::Receiver<Decision> {
         let (reply, rx) = oneshot::channel();
         self.send(message(reply));
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -25,7 +25,7 @@
     },
     actix_rt::time::{sleep_until, timeout},
     bytes::{Bytes, BytesMut},
-    hemlockford_core::dispatch::{AttemptResult, Call},
+    hemlockford_core::dispatch::{AttemptResult, Call, ServerNotice},
     std::{pin::pin, time::Duration},
     tokio::select,
 };
@@ -128,6 +128,12 @@
             Err(ResponseError::ConnectionLost) => return ExchangeEnd::Failed(AttemptResult::BrokenAfterWrite),
             Err(ResponseError::Invalid) => return ExchangeEnd::Failed(AttemptResult::BadAnswer),
         };
+        for notice in dialect.server_notices(&head) {
+            self.attempt.report_notice(notice);
+            if notice == ServerNotice::Leaving {
+                server.close_after();
+            }
+        }
         let is_not_run = dialect.is_marked_not_run(&head);
         let id_match = dialect.match_request_id(&head, self.id);
         if id_match != RequestIdMatch::Match {
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -12,7 +12,7 @@
     },
     actix_rt::time::timeout,
     hemlockford_core::{
-        dispatch::{DispatchEvent, LoadReport},
+        dispatch::{DispatchEvent, LoadReport, ServerNotice},
         ids::ServerId,
     },
     std::{
@@ -64,6 +64,13 @@
         connection.writer.flush(&Cell::new(false)).await.ok()?;
         connection.writer.finish();
         let (head, _) = connection.reader.read_head(&Method::GET, false).await.ok()?;
+        for notice in dialect.server_notices(&head) {
+            let (server, address) = (self.server.clone(), self.address);
+            let _ = self.events.send(DispatchEvent::Notice { server, address, notice });
+            if notice == ServerNotice::Leaving {
+                connection.reader.close_after();
+            }
+        }
         // A response with a request id is a late response to an earlier call.
         let is_late_response = dialect.request_id_header.as_ref().is_some_and(|name| head.headers.contains_key(name));
         if is_late_response
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -6,8 +6,8 @@
 use {
     hemlockford_core::{
         config::Configuration,
-        dispatch::{AttemptResult, Call, FinishedAttempt},
-        ids::CallId,
+        dispatch::{AttemptResult, Call, FinishedAttempt, ServerNotice},
+        ids::{CallId, ServerId},
         outcome::{NotRunReason, Outcome, UnknownReason},
     },
     hemlockford_proxy::{
@@ -70,6 +70,7 @@
     pub calls: Vec<Call>,
     pub results: Vec<AttemptResult>,
     pub cancelled: Vec<CallId>,
+    pub notices: Vec<(ServerId, SocketAddr, ServerNotice)>,
 }
 
 pub struct TestProxy {
@@ -175,6 +176,9 @@
             }
             DispatcherMessage::AttemptFinished(finish) => log.borrow_mut().results.push(finish.result),
             DispatcherMessage::Cancel(call) => log.borrow_mut().cancelled.push(call),
+            DispatcherMessage::Notice { server, address, notice } => {
+                log.borrow_mut().notices.push((server, address, notice));
+            }
         }
     }
 }
--- a/crates/proxy/tests/support/platform.rs
+++ b/crates/proxy/tests/support/platform.rs
@@ -26,6 +26,7 @@
         load_format: LoadFormat::List,
         not_run_header: HeaderName::from_static("x-not-run"),
         not_run_value: None,
+        leaving_header: HeaderName::from_static("x-leaving"),
         fractional_retry_after: true,
         product_headers: false,
         keep_alive_reuse: true,
--- a/crates/tools/src/slopes/dispatcher_group.rs
+++ b/crates/tools/src/slopes/dispatcher_group.rs
@@ -194,6 +194,7 @@
         let indexes = (0..self.options.servers).filter(|index| index % self.options.services == service);
         let view = |index: usize| ServerView {
             id: format!("server-{index:04}").into(),
+            incarnation: 1,
             address: ([10, 20, (index / 250) as u8, (index % 250) as u8 + 1], 8_080).into(),
             data_centre: "brno-1".into(),
             slots: SLOTS_PER_SERVER as u32,
--- a/crates/tools/src/slopes/memory.rs
+++ b/crates/tools/src/slopes/memory.rs
@@ -133,6 +133,7 @@
     let announcement = announcement(index, 58);
     ServerView {
         id: announcement.server,
+        incarnation: announcement.incarnation,
         address: announcement.address,
         data_centre: announcement.data_centre,
         slots: announcement.slots,
