Handle the idempotent requests of one connection concurrently

Cause: a session served one request after the other. A caller that sends look-ups before it has the earlier responses waited for the slowest of them, and the deadlines of those behind ran out in the buffer.

Ruled out: a task for each request (two more tasks and a copy of each response for every connection); one shared codec (it encodes a response by the request decoded last).

--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -2,12 +2,8 @@
 
 use {
     crate::{
-        caller::{CallerError, CallerReader},
-        connection::ServerWriter,
-        counters::ProxyCounters,
-        digest::Digest,
-        framing::Framing,
-        options::BUFFERED_BODY_LIMIT,
+        caller::CallerError, connection::ServerWriter, counters::ProxyCounters, digest::Digest, framing::Framing,
+        options::BUFFERED_BODY_LIMIT, request_source::RequestSource,
     },
     bytes::Bytes,
     std::cell::Cell,
@@ -50,7 +46,11 @@
     }
 
     /// Reads a small body in full and adds it to a digest. Of a large body only the declared length is added.
-    pub(crate) async fn digest(&mut self, caller: &mut CallerReader, digest: &mut Digest) -> Result<(), CallerError> {
+    pub(crate) async fn digest(
+        &mut self,
+        caller: &mut RequestSource<'_>,
+        digest: &mut Digest,
+    ) -> Result<(), CallerError> {
         if let Framing::Sized(length) = self.framing
             && length > BUFFERED_BODY_LIMIT as u64
         {
@@ -74,7 +74,7 @@
     /// Sends an encoded head and the body, then waits until the caller disconnects.
     pub(crate) async fn send(
         &mut self,
-        caller: &mut CallerReader,
+        caller: &mut RequestSource<'_>,
         server: &mut ServerWriter,
         progress: &Progress,
         counters: &ProxyCounters,
@@ -113,7 +113,7 @@
         caller.wait_for_disconnect().await
     }
 
-    async fn part(&mut self, index: usize, caller: &mut CallerReader) -> Result<Option<Bytes>, CallerError> {
+    async fn part(&mut self, index: usize, caller: &mut RequestSource<'_>) -> Result<Option<Bytes>, CallerError> {
         if let Some(part) = self.buffered.get(index) {
             return Ok(Some(part.clone()));
         }
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -5,7 +5,7 @@
         attempt::Attempt,
         body::{Progress, RequestBody},
         call_end::{self, CallEnd, NextStep},
-        caller::{CallerError, CallerReader},
+        caller::CallerError,
         caller_writer::CallerWriter,
         claims::{Claim, Claimed, HeldClaim, PendingClaim},
         connection::Connection,
@@ -15,6 +15,7 @@
         headers::{self, OutgoingRequest},
         pending_decision::PendingDecision,
         request::ParsedRequest,
+        request_source::RequestSource,
         saved_response::SavedResponse,
         shared::Shared,
     },
@@ -45,7 +46,7 @@
 /// A call in progress.
 pub(crate) struct CallHandler<'a> {
     pub(crate) shared: &'a Shared,
-    pub(crate) reader: &'a mut CallerReader,
+    pub(crate) reader: RequestSource<'a>,
     pub(crate) writer: &'a mut CallerWriter,
     pub(crate) head: &'a RequestHead,
     pub(crate) peer: SocketAddr,
@@ -69,7 +70,7 @@
 impl<'a> CallHandler<'a> {
     pub(crate) fn new(
         shared: &'a Shared,
-        (reader, writer): (&'a mut CallerReader, &'a mut CallerWriter),
+        (reader, writer): (RequestSource<'a>, &'a mut CallerWriter),
         head: &'a RequestHead,
         peer: SocketAddr,
         start: Instant,
@@ -117,7 +118,7 @@
         self.send_continue().await?;
         select! {
             biased;
-            digested = self.body.digest(self.reader, &mut digest) => digested.map_err(CallEnd::CallerFailed)?,
+            digested = self.body.digest(&mut self.reader, &mut digest) => digested.map_err(CallEnd::CallerFailed)?,
             () = sleep_until(deadline.into()) => return Err(self.not_run(NotRunReason::Deadline)),
         }
         let claim = Claim {
@@ -164,6 +165,10 @@
             }
             match ended {
                 Ok(ExchangeEnd::Complete(recorded)) => return CallEnd::Answered(recorded),
+                Ok(ExchangeEnd::Truncated) if self.writer.discard_unwritten() => {
+                    self.may_have_run = Some(UnknownReason::ConnectionLost);
+                    return self.not_run(NotRunReason::Refused);
+                }
                 Ok(ExchangeEnd::Truncated) => return CallEnd::Truncated,
                 Ok(ExchangeEnd::CallerFailed(error)) => return CallEnd::CallerFailed(error),
                 Ok(ExchangeEnd::DeadlineExceeded | ExchangeEnd::Retry(..)) => {
@@ -249,7 +254,7 @@
             head: self.head,
             id: self.id.as_ref(),
             body: &mut self.body,
-            reader: self.reader,
+            reader: &mut self.reader,
             writer: self.writer,
             attempt: &mut attempt,
             progress: &progress,
--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -6,6 +6,7 @@
         framing::Framing,
         options::{BUFFER_LIMIT, HEAD_LIMIT, ProxyOptions},
         request::Refusal,
+        request_sequence::RequestSequence,
     },
     actix_codec::Decoder,
     actix_http::{
@@ -17,9 +18,9 @@
     bytes::{Bytes, BytesMut},
     hemlockford_core::config::Limits,
     std::{
-        cell::{Cell, RefCell},
+        cell::RefCell,
         rc::Rc,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         io::{AsyncReadExt, Interest},
@@ -57,34 +58,40 @@
 /// Reads the requests of one caller. Holds at most [`BUFFER_LIMIT`] bytes that were read ahead.
 pub(crate) struct CallerReader {
     half: OwnedReadHalf,
+    config: ServiceConfig,
+    /// Codec of the current request and its response. Each request has its own, because the encoding of a response
+    /// depends on its request.
     codec: SharedCodec,
     buf: BytesMut,
+    /// When the first bytes of the next head arrived.
+    head_began_at: Option<Instant>,
     options: Rc<ProxyOptions>,
     is_body_complete: bool,
     /// Bytes of the current body that may still be read.
     body_allowance: u64,
     /// Remaining length of the current body, if it was declared.
     remaining_length: Option<u64>,
-    /// Whether data of the next request has arrived; shared with the writer.
-    has_next: Rc<Cell<bool>>,
+    sequence: Rc<RequestSequence>,
 }
 
 /// Splits an accepted connection into reader and writer.
 pub(crate) fn split(io: TcpStream, config: ServiceConfig, options: Rc<ProxyOptions>) -> (CallerReader, CallerWriter) {
     let (read, write) = io.into_split();
-    let codec = Rc::new(RefCell::new(Codec::new(config)));
-    let has_next = Rc::new(Cell::new(false));
+    let codec = Rc::new(RefCell::new(Codec::new(config.clone())));
+    let sequence = Rc::<RequestSequence>::default();
     let reader = CallerReader {
         half: read,
+        config,
         codec: codec.clone(),
         buf: BytesMut::new(),
+        head_began_at: None,
         options,
         is_body_complete: true,
         body_allowance: 0,
         remaining_length: None,
-        has_next: has_next.clone(),
+        sequence: sequence.clone(),
     };
-    let writer = CallerWriter::new(write, codec, has_next);
+    let writer = CallerWriter::new(write, codec, sequence);
     (reader, writer)
 }
 
@@ -99,6 +106,16 @@
         self.is_body_complete
     }
 
+    /// Returns the codec of the current request, which also encodes its response.
+    pub(crate) fn codec(&self) -> SharedCodec {
+        self.codec.clone()
+    }
+
+    /// Returns the progress of the requests on this connection.
+    pub(crate) fn sequence(&self) -> &Rc<RequestSequence> {
+        &self.sequence
+    }
+
     /// Waits until data of a next request has arrived.
     pub(crate) async fn wait(&mut self) -> Result<(), CallerError> {
         if self.buf.is_empty() { self.fill().await } else { Ok(()) }
@@ -109,11 +126,26 @@
         !self.is_body_complete && self.remaining_length.is_none_or(|remaining_length| remaining_length > limit as u64)
     }
 
+    /// Reads the head of the next request while earlier ones are being handled. Unless `may_read` is set, data is only
+    /// buffered up to the limit until the caller disconnects. The future may be dropped and created again without
+    /// losing data or time.
+    pub(crate) async fn read_behind(&mut self, limits: &Limits, may_read: bool) -> Incoming {
+        if !may_read {
+            self.wait_for_disconnect().await;
+            return Incoming::Closed;
+        }
+        if self.wait().await.is_err() {
+            return Incoming::Closed;
+        }
+        self.read_head(limits).await
+    }
+
     /// Reads the head of a request whose first bytes have arrived.
     pub(crate) async fn read_head(&mut self, limits: &Limits) -> Incoming {
         let status = (!self.options.dialect.product_headers).then_some(408);
         let too_late = Incoming::Invalid(Refusal::malformed(status, "the request head was not sent in time"));
-        let time = limits.header_timeout.min(self.options.head_timeout);
+        let began_at = *self.head_began_at.get_or_insert_with(Instant::now);
+        let time = limits.header_timeout.min(self.options.head_timeout).saturating_sub(began_at.elapsed());
         timeout(time, self.decode_head(limits)).await.unwrap_or(too_late)
     }
 
@@ -123,6 +155,7 @@
         let is_own_limit = self.options.dialect.product_headers && limit >= HEAD_LIMIT;
         let status = (!is_own_limit).then_some(431);
         let too_long = Incoming::Invalid(Refusal::malformed(status, "the request head is too long"));
+        self.codec = Rc::new(RefCell::new(Codec::new(self.config.clone())));
         loop {
             let length = self.buf.len();
             let item = self.codec.borrow_mut().decode(&mut self.buf);
@@ -136,6 +169,8 @@
                     };
                     let kind = self.codec.borrow().message_type();
                     self.is_body_complete = matches!(kind, MessageType::None);
+                    self.head_began_at = None;
+                    self.sequence.count_request();
                     self.update_has_next();
                     if matches!(kind, MessageType::Stream) {
                         let detail = "the connection cannot be turned into another protocol";
@@ -242,6 +277,6 @@
     }
 
     fn update_has_next(&self) {
-        self.has_next.set(self.is_body_complete && !self.buf.is_empty());
+        self.sequence.set_has_next(self.is_body_complete && !self.buf.is_empty());
     }
 }
--- a/crates/proxy/src/caller_writer.rs
+++ b/crates/proxy/src/caller_writer.rs
@@ -1,22 +1,30 @@
 //! Responses written to an accepted connection.
 
 use {
-    crate::{caller::SharedCodec, options::BUFFER_LIMIT},
+    crate::{caller::SharedCodec, options::BUFFER_LIMIT, request_sequence::RequestSequence},
     actix_codec::Encoder,
     actix_http::{Response, body::BodySize, h1::Message},
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
-    std::{cell::Cell, io, rc::Rc, time::Duration},
-    tokio::{io::AsyncWriteExt, net::tcp::OwnedWriteHalf},
+    std::{io, rc::Rc, time::Duration},
+    tokio::{io::AsyncWriteExt, net::tcp::OwnedWriteHalf, sync::oneshot},
 };
 
 /// Time within which a caller must accept a short response; most of them fit into the socket's buffer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The sending half of a connection, which the writers of pipelined responses hand on in the order of the requests.
+enum WriteHalf {
+    Held(OwnedWriteHalf),
+    /// The writer of the response before this one holds it.
+    Awaited(oneshot::Receiver<OwnedWriteHalf>),
+    /// It was handed on, or lost together with the connection.
+    Gone,
+}
+
 /// Writes the responses to one caller.
 pub(crate) struct CallerWriter {
-    /// Present until the writer is dropped.
-    half: Option<OwnedWriteHalf>,
+    half: WriteHalf,
     codec: SharedCodec,
     out: BytesMut,
     must_close: bool,
@@ -27,14 +35,30 @@
     continues_without_caller: bool,
     is_discarding: bool,
     is_blocked: bool,
-    /// Whether data of the next request has arrived.
-    has_next: Rc<Cell<bool>>,
+    sequence: Rc<RequestSequence>,
+    /// Number of the request that is answered.
+    request: u64,
 }
 
 impl CallerWriter {
-    pub(crate) fn new(half: OwnedWriteHalf, codec: SharedCodec, has_next: Rc<Cell<bool>>) -> Self {
+    pub(crate) fn new(half: OwnedWriteHalf, codec: SharedCodec, sequence: Rc<RequestSequence>) -> Self {
+        Self::with_half(WriteHalf::Held(half), codec, sequence)
+    }
+
+    /// Creates the writer of a pipelined response. It encodes the response immediately and writes it when it receives
+    /// the sending half.
+    pub(crate) fn pipelined(
+        half: oneshot::Receiver<OwnedWriteHalf>,
+        codec: SharedCodec,
+        sequence: Rc<RequestSequence>,
+    ) -> Self {
+        Self::with_half(WriteHalf::Awaited(half), codec, sequence)
+    }
+
+    fn with_half(half: WriteHalf, codec: SharedCodec, sequence: Rc<RequestSequence>) -> Self {
         Self {
-            half: Some(half),
+            half,
+            request: sequence.last_request(),
             codec,
             out: BytesMut::new(),
             must_close: false,
@@ -44,10 +68,66 @@
             continues_without_caller: false,
             is_discarding: false,
             is_blocked: false,
-            has_next,
+            sequence,
+        }
+    }
+
+    /// Takes the sending half away, so that the writers of pipelined responses can use it.
+    pub(crate) fn take_half(&mut self) -> Option<OwnedWriteHalf> {
+        match std::mem::replace(&mut self.half, WriteHalf::Gone) {
+            WriteHalf::Held(half) => Some(half),
+            WriteHalf::Awaited(_) | WriteHalf::Gone => None,
         }
     }
 
+    /// Returns the sending half after pipelined responses.
+    pub(crate) fn set_half(&mut self, half: OwnedWriteHalf) {
+        self.half = WriteHalf::Held(half);
+    }
+
+    /// Waits until the responses before this one are written. Returns the sending half unless the connection has
+    /// ended.
+    async fn acquire_half(&mut self) -> io::Result<&mut OwnedWriteHalf> {
+        if let WriteHalf::Awaited(rx) = &mut self.half {
+            // Waiting for the responses before this one is no fault of the server either.
+            self.is_blocked = true;
+            let received = rx.await;
+            self.is_blocked = false;
+            self.half = received.map_or(WriteHalf::Gone, WriteHalf::Held);
+        }
+        match &mut self.half {
+            WriteHalf::Held(half) => Ok(half),
+            WriteHalf::Awaited(_) | WriteHalf::Gone => Err(io::ErrorKind::NotConnected.into()),
+        }
+    }
+
+    /// Waits until the responses before this one are written, and hands the sending half on.
+    pub(crate) async fn finish(mut self) -> Option<OwnedWriteHalf> {
+        self.acquire_half().await.ok()?;
+        self.take_half()
+    }
+
+    /// Returns whether the responses before this one are not written yet, so that nothing of this one is.
+    pub(crate) fn is_awaiting_turn(&mut self) -> bool {
+        if let WriteHalf::Awaited(rx) = &mut self.half
+            && let Ok(half) = rx.try_recv()
+        {
+            self.half = WriteHalf::Held(half);
+        }
+        matches!(self.half, WriteHalf::Awaited(_))
+    }
+
+    /// Discards an incomplete response of which nothing was written, so that another one can replace it. Returns
+    /// whether that was possible.
+    pub(crate) fn discard_unwritten(&mut self) -> bool {
+        let is_unwritten = self.is_awaiting_turn();
+        if is_unwritten {
+            self.out.clear();
+            (self.has_started, self.must_reset, self.is_close_delimited) = (false, false, false);
+        }
+        is_unwritten
+    }
+
     /// Lets the response be read to its end even if the caller is no longer there to receive it.
     pub(crate) fn continue_without_caller(&mut self) {
         self.continues_without_caller = true;
@@ -66,11 +146,14 @@
     /// Closes the connection after the current response. The head announces this if it is not encoded yet.
     pub(crate) fn close_after(&mut self) {
         self.must_close = true;
+        self.sequence.close();
     }
 
     /// Closes the connection after the current response, unless a next request has arrived, which is served first.
     pub(crate) fn close_after_last(&mut self) {
-        self.must_close |= !self.has_next.get();
+        if !self.sequence.is_followed(self.request) {
+            self.close_after();
+        }
     }
 
     /// Encodes `100 Continue`, which lets the caller send its body.
@@ -78,8 +161,10 @@
         self.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
     }
 
-    /// Resets the state for the responses to a new request.
-    pub(crate) fn begin(&mut self) {
+    /// Resets the state for the responses to a new request, whose codec is given.
+    pub(crate) fn begin(&mut self, codec: SharedCodec) {
+        self.codec = codec;
+        self.request = self.sequence.last_request();
         self.has_started = false;
         self.continues_without_caller = false;
     }
@@ -128,8 +213,9 @@
 
     /// Writes the encoded data.
     pub(crate) async fn flush(&mut self) -> io::Result<()> {
+        self.acquire_half().await?;
         while !self.out.is_empty() && !self.is_discarding {
-            let Some(half) = &mut self.half else { return Err(io::ErrorKind::NotConnected.into()) };
+            let WriteHalf::Held(half) = &mut self.half else { return Err(io::ErrorKind::NotConnected.into()) };
             self.is_blocked = true;
             let written = half.write_buf(&mut self.out).await;
             self.is_blocked = false;
@@ -144,15 +230,17 @@
         Ok(())
     }
 
-    /// Writes the encoded data; fails if the caller does not read it within [`WRITE_TIMEOUT`].
+    /// Writes the encoded data; fails if the caller does not read it within [`WRITE_TIMEOUT`] after the responses
+    /// before it.
     pub(crate) async fn flush_with_timeout(&mut self) -> io::Result<()> {
+        self.acquire_half().await?;
         timeout(WRITE_TIMEOUT, self.flush()).await?
     }
 
     /// Closes the sending half.
     pub(crate) async fn shutdown(&mut self) {
         // The connection is being closed, so a failure has no further consequence.
-        if let Some(half) = &mut self.half {
+        if let WriteHalf::Held(half) = &mut self.half {
             let _ = half.shutdown().await;
         }
     }
@@ -167,7 +255,7 @@
 impl Drop for CallerWriter {
     fn drop(&mut self) {
         if self.must_reset
-            && let Some(half) = self.half.take()
+            && let Some(half) = self.take_half()
         {
             let _ = half.as_ref().set_zero_linger();
             // Dropping the half would close the connection gracefully first.
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -5,7 +5,7 @@
     crate::{
         attempt::Attempt,
         body::{Progress, RequestBody},
-        caller::{CallerError, CallerReader},
+        caller::CallerError,
         caller_writer::CallerWriter,
         claims::RECORDED_BODY_LIMIT,
         connection::{BufferedBody, Connection, Part, ResponseError, ServerReader},
@@ -16,6 +16,7 @@
         options::{BUFFER_LIMIT, BUFFERED_BODY_LIMIT},
         pending_decision::PendingDecision,
         reply,
+        request_source::RequestSource,
         saved_response::SavedResponse,
         shared::Shared,
     },
@@ -64,13 +65,13 @@
 }
 
 /// One exchange.
-pub(crate) struct Exchange<'a> {
+pub(crate) struct Exchange<'a, 'b> {
     pub(crate) shared: &'a Shared,
     pub(crate) call: &'a Call,
     pub(crate) head: &'a RequestHead,
     pub(crate) id: Option<&'a HeaderValue>,
     pub(crate) body: &'a mut RequestBody,
-    pub(crate) reader: &'a mut CallerReader,
+    pub(crate) reader: &'a mut RequestSource<'b>,
     pub(crate) writer: &'a mut CallerWriter,
     pub(crate) attempt: &'a mut Attempt,
     pub(crate) progress: &'a Progress,
@@ -86,7 +87,7 @@
     CallerDisconnected,
 }
 
-impl Exchange<'_> {
+impl Exchange<'_, '_> {
     /// Sends the request, whose head is encoded already, and forwards the response.
     pub(crate) async fn run(self, connection: &mut Connection) -> ExchangeEnd {
         let Connection { reader: server, writer: server_writer, .. } = connection;
@@ -296,7 +297,9 @@
                 if !framing.is_empty() && writer.encode_part(None).is_err() {
                     return Forwarded::Truncated;
                 }
-                return if writer.flush().await.is_ok() { Forwarded::Complete } else { Forwarded::CallerDisconnected };
+                // A complete response that waits behind others is not subject to the deadline any more.
+                let is_delivered = writer.is_awaiting_turn() || writer.flush().await.is_ok();
+                return if is_delivered { Forwarded::Complete } else { Forwarded::CallerDisconnected };
             }
             Part::Truncated => return Forwarded::Truncated,
             Part::Pending => {
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -40,6 +40,13 @@
     pub(crate) expects_continue: bool,
 }
 
+impl ParsedRequest {
+    /// Returns whether the request has no body and may be repeated.
+    pub(crate) fn is_repeatable_without_body(&self) -> bool {
+        self.call.idempotent && self.framing.is_empty() && self.key.is_none() && !self.expects_continue
+    }
+}
+
 /// Values of the product's own headers.
 struct ProductHeaders<'a> {
     customer: &'a str,
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -1,4 +1,5 @@
-//! A session: the requests on one caller's connection, served one after the other.
+//! A session: the requests on one caller's connection. Idempotent requests without a body are handled concurrently, and
+//! all others one after the other.
 
 use {
     crate::{
@@ -6,11 +7,13 @@
         caller::{self, CallerError, CallerReader, Incoming},
         caller_writer::CallerWriter,
         options::BUFFERED_BODY_LIMIT,
+        pipeline::{Pipeline, PipelinedRequest},
         reply::Reply,
-        request::{self, Refusal},
+        request::{self, ParsedRequest, Refusal},
+        request_source::RequestSource,
         shared::{Phase, Shared},
     },
-    actix_http::{Method, Request},
+    actix_http::{Method, Request, Version},
     actix_rt::time::timeout,
     bytes::Bytes,
     hemlockford_core::outcome::{NotRunReason, Outcome},
@@ -39,6 +42,20 @@
     Stopped,
 }
 
+/// A request whose head was read, or the reason why there is none.
+enum NextRequest {
+    /// It is answered before another one is read.
+    Exclusive {
+        request: Request,
+        parsed: Result<ParsedRequest, Refusal>,
+        start: Instant,
+    },
+    /// It may be handled together with those behind it.
+    Pipelined(PipelinedRequest),
+    Closed,
+    Invalid(Refusal),
+}
+
 /// One caller's connection.
 pub(crate) struct Session {
     shared: Rc<Shared>,
@@ -58,23 +75,38 @@
     /// Serves requests until the connection ends.
     pub(crate) async fn run(mut self) {
         let mut idle_limit = self.shared.limits().header_timeout.min(self.shared.options.head_timeout);
+        // A request that was read while those before it were being handled.
+        let mut next = None;
         loop {
-            match self.await_request(idle_limit).await {
-                WaitResult::Request => {}
-                WaitResult::Closed => return self.close().await,
-                WaitResult::Stopped => return self.close_idle().await,
-            }
-            let next = match self.reader.read_head(&self.shared.limits()).await {
-                Incoming::Request(req) => self.serve(req).await,
-                Incoming::Closed => return,
-                Incoming::Invalid(refusal) => self.refuse(refusal, false, true).await,
+            let request = match next.take() {
+                Some(request) => request,
+                None => {
+                    match self.await_request(idle_limit).await {
+                        WaitResult::Request => {}
+                        WaitResult::Closed => return self.close().await,
+                        WaitResult::Stopped => return self.close_idle().await,
+                    }
+                    let incoming = self.reader.read_head(&self.shared.limits()).await;
+                    self.classify(incoming)
+                }
+            };
+            let action = match request {
+                NextRequest::Exclusive { request, parsed, start } => self.serve(request, parsed, start).await,
+                NextRequest::Pipelined(first) => {
+                    let action;
+                    (action, next) = self.serve_pipelined(first).await;
+                    action
+                }
+                NextRequest::Closed => return,
+                NextRequest::Invalid(refusal) => self.refuse(refusal, false, true).await,
             };
-            match next {
+            match action {
                 ConnectionAction::KeepOpen => {}
                 ConnectionAction::Close => return self.close().await,
                 ConnectionAction::Reset => return self.writer.reset(),
             }
-            if !self.reader.is_body_complete() {
+            // The body of a request that was read already is still needed.
+            if next.is_none() && !self.reader.is_body_complete() {
                 let _ = timeout(DRAIN_TIMEOUT, self.reader.drain(BUFFERED_BODY_LIMIT)).await;
                 if !self.reader.is_body_complete() {
                     return self.close().await;
@@ -100,20 +132,79 @@
         timeout(grace, self.reader.wait()).await.map_or(WaitResult::Stopped, arrived)
     }
 
-    async fn serve(&mut self, req: Request) -> ConnectionAction {
+    /// Parses a request and determines whether it may be handled together with those behind it. That is not the case
+    /// for a request that may not be repeated, as it must be known to be unread if a response before it closes the
+    /// connection.
+    fn classify(&self, incoming: Incoming) -> NextRequest {
+        let request = match incoming {
+            Incoming::Request(request) => request,
+            Incoming::Closed => return NextRequest::Closed,
+            Incoming::Invalid(refusal) => return NextRequest::Invalid(refusal),
+        };
         let start = Instant::now();
-        self.writer.begin();
+        if let Some(reason) = self.refuses_all() {
+            return NextRequest::Exclusive { request, parsed: Err(Refusal::new(reason)), start };
+        }
+        let (routing, id) = (self.shared.routing(), self.shared.next_call_id());
+        let parsed = request::parse(request.head(), &routing, &self.shared.options, id, start);
+        match parsed {
+            Ok(parsed) if parsed.is_repeatable_without_body() && request.head().version == Version::HTTP_11 => {
+                let codec = self.reader.codec();
+                NextRequest::Pipelined(PipelinedRequest { request, parsed, codec, start })
+            }
+            parsed => NextRequest::Exclusive { request, parsed, start },
+        }
+    }
+
+    /// Handles a request together with those of the same kind behind it. Returns the request that ends the series, if
+    /// it was read already.
+    async fn serve_pipelined(&mut self, first: PipelinedRequest) -> (ConnectionAction, Option<NextRequest>) {
+        let Some(half) = self.writer.take_half() else { return (ConnectionAction::Reset, None) };
+        let mut pipeline = Pipeline::new(self.shared.clone(), self.reader.sequence().clone(), self.peer, half);
+        pipeline.start(first);
+        let (mut action, mut next) = (ConnectionAction::KeepOpen, None);
+        while !pipeline.is_empty() && action == ConnectionAction::KeepOpen {
+            let may_read = next.is_none() && pipeline.may_read();
+            let limits = self.shared.limits();
+            let incoming = select! {
+                biased;
+                finished = pipeline.finish_first() => {
+                    action = finished;
+                    continue;
+                }
+                incoming = self.reader.read_behind(&limits, may_read) => incoming,
+            };
+            match self.classify(incoming) {
+                NextRequest::Pipelined(request) => pipeline.start(request),
+                NextRequest::Closed => action = ConnectionAction::Reset,
+                other => next = Some(other),
+            }
+        }
+        if action != ConnectionAction::KeepOpen {
+            pipeline.cancel().await;
+        }
+        match pipeline.into_half() {
+            Some(half) => self.writer.set_half(half),
+            None => action = ConnectionAction::Reset,
+        }
+        (action, next)
+    }
+
+    async fn serve(
+        &mut self,
+        req: Request,
+        parsed: Result<ParsedRequest, Refusal>,
+        start: Instant,
+    ) -> ConnectionAction {
+        self.writer.begin(self.reader.codec());
         let is_head = *req.method() == Method::HEAD;
-        let is_closing = self.shared.phase() == Phase::Closing;
-        let refusal = if is_closing { Some(NotRunReason::ShuttingDown) } else { self.refusal };
-        if let Some(reason) = refusal {
+        // The request may have waited behind others.
+        if let Some(reason) = self.refuses_all() {
             return self.refuse(Refusal::new(reason), is_head, true).await;
         }
-        let (routing, id) = (self.shared.routing(), self.shared.next_call_id());
-        let parsed = request::parse(req.head(), &routing, &self.shared.options, id, start);
         match parsed {
             Ok(parsed) => {
-                let caller = (&mut self.reader, &mut self.writer);
+                let caller = (RequestSource::Connection(&mut self.reader), &mut self.writer);
                 CallHandler::new(&self.shared, caller, req.head(), self.peer, start, parsed).run().await
             }
             // After a malformed head the start of the next request is uncertain.
@@ -124,6 +215,12 @@
         }
     }
 
+    /// Returns why every request is refused now, if that is the case.
+    fn refuses_all(&self) -> Option<NotRunReason> {
+        let is_closing = self.shared.phase() == Phase::Closing;
+        if is_closing { Some(NotRunReason::ShuttingDown) } else { self.refusal }
+    }
+
     async fn refuse(&mut self, refusal: Refusal, is_head: bool, must_close: bool) -> ConnectionAction {
         let outcome = Outcome::NotRun(refusal.reason);
         self.shared.count_refusal(outcome);
