Tell entries beyond a replica's capacity that it is not current

Cause: a replica serves 1,024 entries and answered the polls of further ones as current, without ever sending them a configuration or servers. Such an entry stayed with it and never became ready. It now is told that the replica is not current and uses another one.

--- a/crates/core/src/fleet/replica/entry_updates.rs
+++ b/crates/core/src/fleet/replica/entry_updates.rs
@@ -26,7 +26,8 @@
         poll: Poll,
         out: &mut Vec<ReplicaAction>,
     ) {
-        let (is_current, is_complete) = (self.is_current(), self.is_directory_complete());
+        let is_current = self.is_current() && !self.subscribers.is_full_for(&from);
+        let is_complete = is_current && self.is_directory_complete();
         let (change, revision) = (self.ledger.change_number(), self.directory.revision());
         let known =
             poll.known.filter(|known| known.incarnation == self.options.incarnation && known.revision <= revision);
--- a/crates/core/src/fleet/replica/subscribers.rs
+++ b/crates/core/src/fleet/replica/subscribers.rs
@@ -11,7 +11,8 @@
 
 /// Time without a poll after which an entry no longer counts as live.
 const SUBSCRIBER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum number of subscribers. Polls of further entries are answered without changes or directory updates.
+/// Maximum number of subscribers. Further entries are told that the replica is not current, so that they use another
+/// one.
 const MAX_SUBSCRIBERS: usize = 1_024;
 /// Minimum time between two copies of a configuration or a full directory to one entry.
 const MIN_RESEND_INTERVAL: Duration = Duration::from_millis(500);
@@ -103,6 +104,11 @@
         Some((subscriber, is_new))
     }
 
+    /// Returns whether there is no room for this entry.
+    pub(super) fn is_full_for(&self, entry: &InstanceId) -> bool {
+        self.0.len() >= MAX_SUBSCRIBERS && !self.0.contains_key(entry)
+    }
+
     pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = (&InstanceId, &mut Subscriber)> {
         self.0.iter_mut()
     }
