Divide the servers' connections among the live entries of a fleet

Cause: the limit on connections to one server was 250 in every entry of a fleet, whatever the configuration says and however many entries there are; ConnectionLimit::set_entries was never called. An entry now divides the lowest connections of all services by the number of live entries. The pool's own tests cover the limit; no test starts processes for it.

--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -22,13 +22,13 @@
         time::{sleep, timeout},
     },
     hemlockford_core::{
-        config::Configuration,
+        config::{Configuration, Service},
         errors::Result,
         fleet::{EntryLink, EntryOptions},
         ids::InstanceId,
         probing::{Balancer, BalancerOptions},
     },
-    hemlockford_proxy::{DispatcherHandle, ProxyCounters, ProxyOptions, Worker, WorkerBalancer},
+    hemlockford_proxy::{ConnectionLimit, DispatcherHandle, ProxyCounters, ProxyOptions, Worker, WorkerBalancer},
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
     slog::{Logger, info},
@@ -81,6 +81,7 @@
         let counters = Counters::register(&registry)?;
         let proxy_counters = ProxyCounters::register(&registry)?;
         let dialect = Rc::new(interface.dialect());
+        let connection_limit = Arc::new(ConnectionLimit::new(Service::default().max_connections as usize, 1, 1));
 
         let (dispatcher, dispatcher_rx) = DispatcherHandle::new();
         let (events_tx, events_rx) = mpsc::unbounded_channel();
@@ -108,6 +109,7 @@
             balancer: events_tx,
             config: config_tx,
             is_link_ready: ready_tx,
+            connection_limit: connection_limit.clone(),
             counters: counters.clone(),
             log: log.clone(),
         };
@@ -145,6 +147,7 @@
             balancer: WorkerBalancer::for_workers(1).remove(0),
             options: ProxyOptions {
                 serve_while_stopping: Some(close_rx),
+                connection_limit,
                 ..ProxyOptions::fleet((*dialect).clone(), incarnation)
             },
             dispatcher,
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -11,6 +11,7 @@
         ids::InstanceId,
     },
     hemlockford_net::Envelope,
+    hemlockford_proxy::ConnectionLimit,
     slog::{Logger, info},
     std::{
         sync::Arc,
@@ -34,6 +35,8 @@
     pub(super) balancer: mpsc::UnboundedSender<DispatchEvent>,
     pub(super) config: watch::Sender<Arc<Configuration>>,
     pub(super) is_link_ready: watch::Sender<bool>,
+    /// The servers' connections, which all entries share.
+    pub(super) connection_limit: Arc<ConnectionLimit>,
     pub(super) counters: Counters,
     pub(super) log: Logger,
 }
@@ -70,6 +73,10 @@
                 EntryAction::Configure(config) => {
                     info!(self.log, "configuration installed"; "number" => config.number);
                     self.counters.change_number.set(config.number as i64);
+                    // A pool does not know the service of a server, so that the lowest limit counts.
+                    if let Some(connections) = config.services.values().map(|service| service.max_connections).min() {
+                        self.connection_limit.set_connections(connections as usize);
+                    }
                     // The balancer must know the services before the worker sends it calls for them.
                     self.send_to_balancer(DispatchEvent::Configure(config.clone()));
                     self.config.send_replace(config);
@@ -80,6 +87,7 @@
                 }
                 EntryAction::LiveEntries(count) => {
                     self.counters.live_instances.set(i64::from(count));
+                    self.connection_limit.set_entries(count as usize);
                     self.send_to_balancer(DispatchEvent::Peers(vec![InstanceId::default(); count as usize]));
                 }
                 EntryAction::Ready(is_ready) => {
--- a/crates/proxy/src/options.rs
+++ b/crates/proxy/src/options.rs
@@ -26,7 +26,7 @@
 /// entries.
 #[derive(Debug)]
 pub struct ConnectionLimit {
-    connections: usize,
+    connections: AtomicUsize,
     workers: usize,
     entries: AtomicUsize,
 }
@@ -41,9 +41,15 @@
     /// assert_eq!(limit.per_worker(), 8);
     /// limit.set_entries(6);
     /// assert_eq!(limit.per_worker(), 10);
+    /// limit.set_connections(960);
+    /// assert_eq!(limit.per_worker(), 40);
     /// ```
     pub fn new(connections: usize, entries: usize, workers: usize) -> Self {
-        Self { connections, workers: workers.max(1), entries: AtomicUsize::new(entries.max(1)) }
+        Self {
+            connections: AtomicUsize::new(connections),
+            workers: workers.max(1),
+            entries: AtomicUsize::new(entries.max(1)),
+        }
     }
 
     /// Sets the number of entries that share the servers.
@@ -51,9 +57,14 @@
         self.entries.store(entries.max(1), Ordering::Relaxed);
     }
 
+    /// Sets the number of connections that each server accepts in total.
+    pub fn set_connections(&self, connections: usize) {
+        self.connections.store(connections, Ordering::Relaxed);
+    }
+
     /// Returns the number of connections that one worker may have to one server, at least one.
     pub fn per_worker(&self) -> usize {
-        (self.connections / (self.entries.load(Ordering::Relaxed) * self.workers)).max(1)
+        (self.connections.load(Ordering::Relaxed) / (self.entries.load(Ordering::Relaxed) * self.workers)).max(1)
     }
 }
 
