--- a/crates/core/src/control/incoming_requests.rs
+++ b/crates/core/src/control/incoming_requests.rs
@@ -114,6 +114,8 @@
                 replies.push((pending.origin.clone(), reply));
                 return false;
             }
+            // No reply is sent after the timeout: the instance that forwarded the submission has the same timeout and
+            // answers its operator with "unknown" itself.
             now < pending.until
         });
         let needs_heartbeats =
--- a/crates/core/src/probing/server.rs
+++ b/crates/core/src/probing/server.rs
@@ -46,7 +46,8 @@
     pub(super) probed_until: Option<Instant>,
     /// Identifier of the running probe.
     pub(super) running_probe: Option<u64>,
-    /// Consecutive probes that failed or were late.
+    /// Consecutive probes that failed, plus one if the last answered one was late. An answer ends the series even if it
+    /// is late, because its report shows the load; only that the server is slow is remembered.
     pub(super) failed_probes: u32,
     pub(super) ejection: Ejection,
     pub(super) is_misdirected: bool,
--- a/crates/hemlockford/src/command/tool.rs
+++ b/crates/hemlockford/src/command/tool.rs
@@ -275,7 +275,11 @@
         meta = "FOLDER"
     )]
     pub(crate) out: PathBuf,
-    #[options(help = "count the kinds of days in the day files of this folder instead", no_short, meta = "FOLDER")]
+    #[options(
+        help = "count the kinds of disruptions in the day files of this folder instead",
+        no_short,
+        meta = "FOLDER"
+    )]
     pub(crate) days: Option<PathBuf>,
     #[options(help = "exit with code 1 if the score of a day fell", no_short)]
     pub(crate) fail_on_regression: bool,
--- a/crates/tools/src/load/worker.rs
+++ b/crates/tools/src/load/worker.rs
@@ -76,11 +76,12 @@
         let limit = worker.options.max_in_flight / worker.options.threads;
         while let Some(due) = due.recv().await {
             let lateness = due.intended_start.elapsed();
-            if due.arrival.at >= worker.options.warm_up {
+            let is_counted = due.arrival.at >= worker.options.warm_up;
+            if is_counted {
                 worker.result.borrow_mut().summary.lateness.saturating_record(lateness.as_micros() as u64);
             }
             if worker.in_flight.get() >= limit {
-                worker.result.borrow_mut().summary.total.unsent += 1;
+                worker.result.borrow_mut().summary.total.unsent += u64::from(is_counted);
                 continue;
             }
             actix_rt::spawn(InFlightGuard::new(worker.clone()).run_call(due));
--- a/crates/tools/src/slopes/datagrams.rs
+++ b/crates/tools/src/slopes/datagrams.rs
@@ -14,6 +14,8 @@
 const BURST_COUNT: usize = 2_000;
 /// Number of datagrams sent before they are received; few enough that none is dropped from a full buffer.
 const BURST_LENGTH: usize = 16;
+/// Time within which a datagram over loopback arrives unless it was dropped.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time to send and receive a datagram over loopback, by its size.
 pub(super) fn datagram() -> Result<Slope> {
@@ -25,6 +27,8 @@
     );
     let from = UdpSocket::bind("127.0.0.1:0").change_context(ErrorKind::Io)?;
     let to = UdpSocket::bind("127.0.0.1:0").change_context(ErrorKind::Io)?;
+    // A lost datagram ends the measurement with an error instead of blocking it.
+    to.set_read_timeout(Some(RECEIVE_TIMEOUT)).change_context(ErrorKind::Io)?;
     let address = to.local_addr().change_context(ErrorKind::Io)?;
     for bytes in [60, 150, 600, 1_200] {
         let data = vec![7; bytes];
