Emulate servers that hang when full, say they leave, name a time to come back, or answer without end

Modes hang-when-full, says-leaving, shed with retry-after, and endless for the head or the body, with tests of each. No code of the entries changes.

Not done: pipelined calls of the load tool.

--- a/crates/core/tests/probing_health.rs
+++ b/crates/core/tests/probing_health.rs
@@ -175,3 +175,20 @@
         entry.advance(300 * MS);
     }
 }
+
+/// Guards against a server that is taken for down, or keeps its place for ever, because it did not answer one call that
+/// it could not queue.
+#[test]
+fn a_server_that_left_one_call_without_an_answer_stays_in_use() {
+    let mut entry = TestEntry::new(&FOUR);
+    for (other, _) in &FOUR[1..] {
+        entry.reports.insert((*other).into(), load(1, 150));
+    }
+    let (call, server) = entry.send_lookup();
+    assert_eq!(&*server, "s1");
+    let actions = entry.finish(call, &server, AttemptResult::Timeout);
+    assert!(sent(&actions, call).is_none_or(|next| *next != *server), "the same server is not tried again");
+    entry.advance(1_500 * MS);
+    let counts = run(&mut entry, Duration::from_secs(5), &[], AttemptResult::Complete);
+    assert!(share(&counts, "s1") > 0.5, "its place is free and it is the best server: {counts:?}");
+}
--- a/crates/tools/src/emulate/behaviour.rs
+++ b/crates/tools/src/emulate/behaviour.rs
@@ -13,8 +13,16 @@
     pub fail_fast: bool,
     /// Number of waiting calls at which further calls are rejected.
     pub shed: Option<u32>,
+    /// Seconds after which the server wants further calls, stated in its rejections.
+    pub retry_after: Option<f64>,
+    /// Number of waiting calls at which further calls, and all later ones on their connections, are never answered.
+    pub hang_when_full: Option<u32>,
+    /// Whether every answer states that the server is leaving.
+    pub says_leaving: bool,
     /// Where answers are truncated.
     pub cut: Option<Truncation>,
+    /// Which part of an answer has no end.
+    pub endless: Option<EndlessPart>,
     /// Whether answers use chunked encoding instead of a content length.
     pub chunked: bool,
     /// Whether calls are accepted but never answered.
@@ -39,6 +47,16 @@
     Head,
 }
 
+/// The part of an answer that has no end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EndlessPart {
+    /// A header of the answer.
+    Head,
+    /// The body, in chunks.
+    Body,
+}
+
 /// How a server reports its number of active calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -60,7 +78,11 @@
             factor: 1.0,
             fail_fast: false,
             shed: None,
+            retry_after: None,
+            hang_when_full: None,
+            says_leaving: false,
             cut: None,
+            endless: None,
             chunked: false,
             hung: false,
             silent: false,
@@ -101,7 +123,23 @@
                 self.factor = factor;
             }
             "fail-fast" => self.fail_fast = true,
-            "shed" => self.shed = Some(number("bound", value("bound").unwrap_or("0"))?),
+            "shed" => {
+                let retry_after = value("retry-after").map(|seconds| number("retry-after", seconds)).transpose()?;
+                if retry_after.is_some_and(|seconds: f64| !(0.0..=1e6).contains(&seconds)) {
+                    return Err("retry-after: expected a number of seconds from 0 to 1000000".into());
+                }
+                self.shed = Some(number("bound", value("bound").unwrap_or("0"))?);
+                self.retry_after = retry_after;
+            }
+            "hang-when-full" => self.hang_when_full = Some(number("bound", value("bound").unwrap_or("0"))?),
+            "says-leaving" => self.says_leaving = true,
+            "endless" => {
+                self.endless = Some(match value("part").unwrap_or("body") {
+                    "head" => EndlessPart::Head,
+                    "body" => EndlessPart::Body,
+                    other => return Err(format!("part: '{other}' is none of head, body")),
+                });
+            }
             "cut" => {
                 self.cut = Some(match value("body").unwrap_or("length") {
                     "length" => Truncation::Length,
@@ -125,7 +163,7 @@
             other => {
                 return Err(format!(
                     "mode '{other}' is none of normal, starting, ready, draining, leaving, straggler, fail-fast, \
-                     shed, cut, chunked, hung, silent, report, crash, restart"
+                     shed, hang-when-full, says-leaving, cut, endless, chunked, hung, silent, report, crash, restart"
                 ));
             }
         }
--- a/crates/tools/src/emulate/interface.rs
+++ b/crates/tools/src/emulate/interface.rs
@@ -17,6 +17,8 @@
     pub deadline_header: Option<HeaderName>,
     /// Response header of a rejection, which guarantees that the request was not and will not be executed.
     pub not_run_header: Option<HeaderName>,
+    /// Response header by which a server states that it is leaving.
+    pub leaving_header: Option<HeaderName>,
     /// Response header of every answer, with the load as `running,waiting,slots,pace`.
     pub load_header: Option<HeaderName>,
     /// Whether the pace at which calls run changes every 300 ms.
@@ -52,6 +54,7 @@
                 "expected-server" => self.expected_server_header = Some(parse(key, value)?),
                 "deadline" => self.deadline_header = Some(parse(key, value)?),
                 "not-run" => self.not_run_header = Some(parse(key, value)?),
+                "leaving" => self.leaving_header = Some(parse(key, value)?),
                 "load" => self.load_header = Some(parse(key, value)?),
                 "pace" if value.is_empty() => self.varies_pace = true,
                 "queue" => self.queue_limit = Some(parse(key, value)?),
@@ -62,8 +65,8 @@
                 "pace" | "health" => return Err(format!("{key}: invalid value '{value}'")),
                 _ => {
                     return Err(format!(
-                        "unknown feature '{key}'; expected one of request-id, expected-server, deadline, not-run, load, \
-                         pace, queue, keep-alive, health, second-answers, without-length"
+                        "unknown feature '{key}'; expected one of request-id, expected-server, deadline, not-run, \
+                         leaving, load, pace, queue, keep-alive, health, second-answers, without-length"
                     ));
                 }
             }
--- a/crates/tools/src/emulate/reply.rs
+++ b/crates/tools/src/emulate/reply.rs
@@ -1,7 +1,7 @@
 //! Answers of a stand-in server, complete or truncated.
 
 use {
-    super::behaviour::Truncation,
+    super::behaviour::{EndlessPart, Truncation},
     actix_codec::Framed,
     actix_http::{
         ConnectionType, Response, StatusCode,
@@ -12,9 +12,12 @@
     bytes::Bytes,
     futures_util::SinkExt,
     std::io,
-    tokio::net::TcpStream,
+    tokio::{io::AsyncWriteExt, net::TcpStream},
 };
 
+/// Repetitions of the endless part of an answer in one write.
+const ENDLESS_WRITE_LENGTH: usize = 1_024;
+
 /// An answer of a stand-in server.
 #[derive(Clone)]
 pub(super) struct Reply {
@@ -22,6 +25,7 @@
     headers: Vec<(HeaderName, HeaderValue)>,
     body: Bytes,
     pub(super) truncation: Option<Truncation>,
+    pub(super) endless: Option<EndlessPart>,
     pub(super) chunked: bool,
     /// Whether the body is delimited by the end of the connection instead of a content length.
     pub(super) close_delimited: bool,
@@ -36,6 +40,7 @@
             headers: Vec::new(),
             body: body.into(),
             truncation: None,
+            endless: None,
             chunked: false,
             close_delimited: false,
             is_duplicated: false,
@@ -65,6 +70,9 @@
         if self.truncation == Some(Truncation::Head) {
             return Ok(false);
         }
+        if let Some(part) = self.endless {
+            return self.write_without_end(part, framed).await;
+        }
         let has_no_length = self.chunked || self.truncation == Some(Truncation::Chunked) || self.close_delimited;
         let size = if has_no_length { BodySize::Stream } else { BodySize::Sized(self.body.len() as u64) };
         framed.feed(Message::Item((self.head(), size))).await?;
@@ -79,4 +87,21 @@
         framed.send(Message::Chunk(None)).await?;
         Ok(framed.codec_ref().keep_alive() && !self.close_delimited)
     }
+
+    /// Writes an answer one part of which has no end, until the caller closes the connection.
+    async fn write_without_end(self, part: EndlessPart, framed: &mut Framed<TcpStream, Codec>) -> io::Result<bool> {
+        let (begin, repeated) = match part {
+            EndlessPart::Head => (format!("HTTP/1.1 {}\r\nendless: ", self.status), "x"),
+            EndlessPart::Body => {
+                framed.feed(Message::Item((self.head(), BodySize::Stream))).await?;
+                framed.flush().await?;
+                (String::new(), "1\r\nx\r\n")
+            }
+        };
+        let repeated = repeated.repeat(ENDLESS_WRITE_LENGTH);
+        framed.io_mut().write_all(begin.as_bytes()).await?;
+        loop {
+            framed.io_mut().write_all(repeated.as_bytes()).await?;
+        }
+    }
 }
--- a/crates/tools/src/emulate/server.rs
+++ b/crates/tools/src/emulate/server.rs
@@ -11,7 +11,10 @@
         shared_state::SharedState,
     },
     crate::{content::Content, headers, timer::PreciseTimer},
-    actix_http::{Request, StatusCode, header::HeaderName},
+    actix_http::{
+        Request, StatusCode,
+        header::{self, HeaderName},
+    },
     hemlockford_core::dispatch::{LOAD_HEADER, NOMINAL_PACE, WANT_LOAD_HEADER},
     rand::{RngExt, rngs::SmallRng},
     std::{
@@ -130,6 +133,11 @@
                 .header(headers::EXECUTION, &number.to_string());
         }
         let is_busy = self.slots.available_permits() == 0;
+        if behaviour.hang_when_full.is_some_and(|limit| is_busy && self.waiting.get() >= limit) {
+            // The caller closes the connection in the end, which drops the call.
+            self.shared.count(|counts| counts.shed += 1);
+            std::future::pending::<()>().await;
+        }
         let queue_limit = behaviour.shed.into_iter().chain(interface.queue_limit).min();
         if queue_limit.is_some_and(|limit| is_busy && self.waiting.get() >= limit) {
             return self.reject(call);
@@ -162,8 +170,9 @@
         let body = Content::new(&call.path, &call.tracking_id, length).into_bytes();
         let mut reply = self.reply(call, StatusCode::OK, body).header(headers::EXECUTION, &number.to_string());
         reply.truncation = behaviour.cut;
+        reply.endless = behaviour.endless;
         reply.chunked = behaviour.chunked;
-        let is_complete = reply.truncation.is_none();
+        let is_complete = reply.truncation.is_none() && reply.endless.is_none();
         let sample = |share: f64| is_complete && share > 0.0 && self.rng.borrow_mut().random_bool(share.min(1.0));
         reply.close_delimited = sample(interface.close_delimited_share);
         reply.is_duplicated = sample(interface.duplicate_answer_share);
@@ -216,8 +225,12 @@
     /// Rejects a call without running it.
     fn reject(&self, call: &Call) -> Reply {
         self.shared.count(|counts| counts.shed += 1);
-        let header = self.options.interface.not_run_header.clone().unwrap_or(headers::SHED);
-        self.reply(call, StatusCode::SERVICE_UNAVAILABLE, "shed\n").header(header, "1")
+        let not_run = self.options.interface.not_run_header.clone().unwrap_or(headers::SHED);
+        let reply = self.reply(call, StatusCode::SERVICE_UNAVAILABLE, "shed\n").header(not_run, "1");
+        match self.shared.behaviour().retry_after {
+            Some(seconds) => reply.header(header::RETRY_AFTER, &seconds.to_string()),
+            None => reply,
+        }
     }
 
     async fn run_probe(&self, call: &Call) -> Reply {
@@ -233,6 +246,9 @@
         if let (Some(name), Some(id)) = (&interface.request_id_header, &call.request_id) {
             reply = reply.header(name.clone(), id);
         }
+        if self.shared.behaviour().says_leaving {
+            reply = reply.header(interface.leaving_header.clone().unwrap_or(headers::LEAVING), "1");
+        }
         if let Some(limit) = interface.idle_timeout {
             reply = reply.header(KEEP_ALIVE, &format!("timeout={}", limit.as_secs()));
         }
--- a/crates/tools/src/headers.rs
+++ b/crates/tools/src/headers.rs
@@ -10,6 +10,8 @@
 pub(crate) const EXECUTION: HeaderName = HeaderName::from_static("load-execution");
 /// Marks a request that a server rejected because of its load, without running it.
 pub(crate) const SHED: HeaderName = HeaderName::from_static("hemlockford-shed");
+/// Value 1: the server is leaving and takes no further calls.
+pub(crate) const LEAVING: HeaderName = HeaderName::from_static("hemlockford-leaving");
 /// Customer on whose behalf a call is made.
 pub(crate) const CUSTOMER: HeaderName = HeaderName::from_static("hemlockford-customer");
 /// Milliseconds that remain until the complete answer is due.
--- a/crates/tools/tests/emulate.rs
+++ b/crates/tools/tests/emulate.rs
@@ -197,3 +197,50 @@
         .expect("an announcement after the restart");
     assert!(restarted.sequence == 1 && restarted.incarnation > first.incarnation);
 }
+
+/// Guards against a server that answers, or queues, a call which it should leave without an answer.
+#[test]
+fn a_server_that_hangs_when_full_never_answers() {
+    let emulation = start(one_server());
+    let address = emulation.addresses().servers[0].address;
+    apply_mode(&emulation, "mode=hung");
+    apply_mode(&emulation, "mode=hang-when-full&bound=0");
+    let held = send(address, "GET", "/held", "");
+    wait_for_count(&emulation, "started", 1);
+    let mut silent = send(address, "GET", "/silent", "");
+    wait_for_count(&emulation, "shed", 1);
+    apply_mode(&emulation, "mode=normal");
+    drop(held);
+    assert!(exchange(address, "GET", "/a").starts_with("HTTP/1.1 200"), "other connections are served");
+    silent.write_all(b"GET /later HTTP/1.1\r\nhost: a\r\n\r\n").expect("sent");
+    silent.set_read_timeout(Some(Duration::from_millis(100))).expect("a timeout");
+    let read = silent.read(&mut [0; 64]);
+    assert!(read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock), "no answer to either call");
+}
+
+/// Guards against modes without effect: a statement of leaving, a time to come back, and answers without end.
+#[test]
+fn notices_and_endless_answers_take_effect() {
+    let emulation = start(one_server());
+    let address = emulation.addresses().servers[0].address;
+    apply_mode(&emulation, "mode=says-leaving");
+    assert!(exchange(address, "GET", "/a").contains("hemlockford-leaving: 1"));
+    apply_mode(&emulation, "mode=normal");
+    assert!(!exchange(address, "GET", "/a").contains("hemlockford-leaving"));
+    apply_mode(&emulation, "mode=shed&bound=0&retry-after=0.5");
+    apply_mode(&emulation, "mode=hung");
+    let held = send(address, "GET", "/held", "");
+    wait_for_count(&emulation, "started", 3);
+    let shed = exchange(address, "GET", "/a");
+    assert!(shed.starts_with("HTTP/1.1 503") && shed.contains("retry-after: 0.5"), "{shed}");
+    drop(held);
+    for (part, begin) in [("head", "HTTP/1.1 200 OK\r\nendless: xxx"), ("body", "HTTP/1.1 200 OK\r\n")] {
+        apply_mode(&emulation, "mode=normal");
+        apply_mode(&emulation, &format!("mode=endless&part={part}"));
+        let mut stream = send(address, "GET", "/a", "");
+        let mut answer = vec![0; 1 << 20];
+        stream.read_exact(&mut answer).expect("a megabyte and more");
+        assert!(answer.starts_with(begin.as_bytes()), "{part}");
+        assert!(part == "body" || !answer.windows(4).any(|end| end == b"\r\n\r\n"), "the head has no end");
+    }
+}
