Report servers that say they are leaving to the replicas

Cause: an entry that saw the notice in an answer kept it to itself; the others learned of it from their own answers or from the server's announcement, which may come seconds late.

An entry names such servers, with their incarnations, in its polls; a current replica has the departure recorded, once a second at most for each server.

Ruled out: telling the other entries directly, as entries do not know each other.

--- a/crates/core/src/fleet/bounds.rs
+++ b/crates/core/src/fleet/bounds.rs
@@ -5,6 +5,8 @@
     crate::config::MAX_CONFIG_BYTES,
 };
 
+/// Maximum number of leaving servers in one poll.
+pub(super) const MAX_LEAVING: usize = 16;
 /// Maximum number of replicas in one message.
 const MAX_REPLICAS: usize = 64;
 /// Maximum number of servers in one message: a full directory of records of minimum length.
@@ -17,7 +19,10 @@
             names.len() <= MAX_REPLICAS && names.iter().all(|name| is_name(&name.id) && is_name(&name.data_centre))
         };
         match self {
-            Self::Poll(_) | Self::Consensus(_) => true,
+            Self::Poll(poll) => {
+                poll.leaving.len() <= MAX_LEAVING && poll.leaving.iter().all(|(server, _)| is_name(server))
+            }
+            Self::Consensus(_) => true,
             Self::PollResponse(response) => are_names(&response.replicas) && is_name(&response.data_centre),
             Self::Install(update) => update.size() <= MAX_CONFIG_BYTES,
             Self::Servers(servers) => {
--- a/crates/core/src/fleet/entry/event.rs
+++ b/crates/core/src/fleet/entry/event.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     fleet::FleetMessage,
-    ids::{Incarnation, InstanceId},
+    ids::{Incarnation, InstanceId, ServerId},
 };
 
 /// An input event of an entry's link.
@@ -19,6 +19,8 @@
         /// The message.
         message: FleetMessage,
     },
+    /// A server told this entry in an answer that it is leaving.
+    ServerLeaving(ServerId),
     /// The seeds in the settings have changed.
     Seeds(Vec<InstanceId>),
 }
--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -111,6 +111,7 @@
                     self.receive(now, from, incarnation, message, out);
                 }
             }
+            EntryEvent::ServerLeaving(server) => self.servers.report_leaving(server),
             EntryEvent::Seeds(seeds) => self.known.set_seeds(now, seeds),
         }
         self.tick(now, out);
@@ -189,7 +190,8 @@
     fn poll(&mut self, now: Instant, to: InstanceId, is_probe: bool, out: &mut Vec<EntryAction>) {
         let sequence = self.polls.record(now, to.clone());
         let known = self.synced.as_ref().filter(|synced| synced.replica == to).map(|synced| synced.revision);
-        let poll = Poll { sequence, change: self.change, known, is_probe };
+        let leaving = if is_probe { Vec::new() } else { self.servers.leaving() };
+        let poll = Poll { sequence, change: self.change, known, is_probe, leaving };
         out.push(EntryAction::Send { to, message: FleetMessage::Poll(poll) });
     }
 
--- a/crates/core/src/fleet/entry/server_set.rs
+++ b/crates/core/src/fleet/entry/server_set.rs
@@ -4,7 +4,7 @@
     crate::{
         collections::{FastMap, FastSet},
         dispatch::{ServerState, ServerView},
-        fleet::UsableServer,
+        fleet::{UsableServer, bounds::MAX_LEAVING},
         ids::{ServerId, ServiceId},
     },
     std::{
@@ -41,6 +41,8 @@
     /// Servers in a complete directory whose id or address is used by a newer server in this set. The replica may not
     /// have learned of the newer one yet, so that one is first marked as absent; these are added once it is removed.
     superseded: FastMap<ServerId, ActiveServer>,
+    /// Servers that told this entry that they are leaving, until the replicas remove them.
+    leaving: Vec<(ServerId, u64)>,
     /// Services whose servers have changed since the last call of `take_changed`.
     changed: FastSet<ServiceId>,
 }
@@ -65,6 +67,25 @@
         }
     }
 
+    /// Records that a server told this entry that it is leaving, so that the replicas and the other entries learn of it
+    /// even if its own announcement is delayed.
+    pub(super) fn report_leaving(&mut self, server: ServerId) {
+        let Some(active) = self.servers.get(&server) else { return };
+        let leaving = (server, active.server.incarnation);
+        if self.leaving.len() < MAX_LEAVING && !self.leaving.contains(&leaving) {
+            self.leaving.push(leaving);
+        }
+    }
+
+    /// Returns the servers that told this entry that they are leaving and that the replicas have not removed yet.
+    pub(super) fn leaving(&mut self) -> Vec<(ServerId, u64)> {
+        let servers = &self.servers;
+        self.leaving.retain(|(server, incarnation)| {
+            servers.get(server).is_some_and(|active| active.server.incarnation == *incarnation)
+        });
+        self.leaving.clone()
+    }
+
     /// Adds a usable server. A newer server with the same id or address stays, but is marked as absent if the directory
     /// is complete.
     pub(super) fn add(&mut self, now: Instant, server: UsableServer, is_complete: bool) {
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -59,6 +59,8 @@
     pub known: Option<DirectoryRevision>,
     /// Whether the entry only checks if the replica is current, and needs no updates.
     pub is_probe: bool,
+    /// Servers, with their incarnations, that told the entry in an answer that they are leaving.
+    pub leaving: Vec<(ServerId, u64)>,
 }
 
 /// Revision of a replica's directory that an entry has received.
--- a/crates/core/src/fleet/replica/entry_updates.rs
+++ b/crates/core/src/fleet/replica/entry_updates.rs
@@ -50,6 +50,9 @@
             };
             should_send_full = needs_full && is_current && subscriber.should_send_full(now);
         }
+        if is_current {
+            self.depart_leaving(now, poll.leaving, out);
+        }
         let response = PollResponse {
             echo: poll.sequence,
             is_current,
--- a/crates/core/src/fleet/replica/log_driver.rs
+++ b/crates/core/src/fleet/replica/log_driver.rs
@@ -101,6 +101,8 @@
 
     fn answer_applied(&mut self, out: &mut Vec<ReplicaAction>) {
         let answers = self.requests.answer_from_ledger(&self.ledger);
-        out.extend(answers.into_iter().map(|(id, answer)| ReplicaAction::Answer { id, answer }));
+        for (id, answer) in answers {
+            self.answer(id, answer, out);
+        }
     }
 }
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -20,6 +20,8 @@
 const VOTER_TICK: Duration = Duration::from_millis(50);
 /// Interval between ticks of a learner. It is less than half of `FREEZE_THRESHOLD`.
 const LEARNER_TICK: Duration = Duration::from_millis(125);
+/// Id of requests of the replica itself, whose answers nobody waits for.
+pub(super) const INTERNAL_REQUEST: u64 = u64::MAX;
 /// Interval between batches of renewals sent to the other replicas.
 const BATCH_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -85,6 +87,8 @@
     pub(super) publish_immediately: bool,
     pub(super) published_change: u64,
     pub(super) recent_configs: RecentConfigs,
+    /// Servers that entries reported as leaving, with the time of the request to record that.
+    pub(super) reported_leaving: FastMap<ServerId, Instant>,
     next_tick: Instant,
     next_batch: Instant,
     /// Directory revision that was saved last.
@@ -143,6 +147,7 @@
             publish_immediately: false,
             published_change: 0,
             recent_configs: RecentConfigs::default(),
+            reported_leaving: FastMap::default(),
             next_tick: now,
             next_batch: now,
             saved_revision: 0,
@@ -281,7 +286,7 @@
             }
             FleetMessage::Reply { number, reply } => {
                 if let Some((id, answer)) = self.requests.record_reply(number, reply) {
-                    out.push(ReplicaAction::Answer { id, answer });
+                    self.answer(id, answer, out);
                 }
             }
             FleetMessage::Poll(_)
@@ -338,6 +343,8 @@
     }
 
     pub(super) fn answer(&self, id: u64, answer: ReplicaAnswer, out: &mut Vec<ReplicaAction>) {
-        out.push(ReplicaAction::Answer { id, answer });
+        if id != INTERNAL_REQUEST {
+            out.push(ReplicaAction::Answer { id, answer });
+        }
     }
 }
--- a/crates/core/src/fleet/replica/request_handling.rs
+++ b/crates/core/src/fleet/replica/request_handling.rs
@@ -1,7 +1,7 @@
 //! Handling of requests from this replica's task, and of requests that it processes as the leader.
 
 use {
-    super::{Operation, Origin, Replica, ReplicaAction},
+    super::{Operation, Origin, Replica, ReplicaAction, machine::INTERNAL_REQUEST},
     crate::{
         config::{Configuration, MAX_CONFIG_BYTES},
         consensus::{ConsensusEvent, ProposalResult},
@@ -9,9 +9,12 @@
         ids::{LogIndex, ServerId},
         ledger::{Command, ContentDigest, LedgerOutcome, MAX_SUBMIT_BYTES},
     },
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
+/// Time after which a departure that entries still report is requested again.
+const LEAVING_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Replica {
     pub(super) fn submit(&mut self, now: Instant, id: u64, text: Box<str>, out: &mut Vec<ReplicaAction>) {
         if text.len() > MAX_SUBMIT_BYTES.min(MAX_CONFIG_BYTES) {
@@ -41,6 +44,19 @@
         self.enqueue_request(now, id, Request::Depart { server, incarnation, wall_ms }, out);
     }
 
+    /// Requests the recording of departures that entries learned of from the servers' own answers.
+    pub(super) fn depart_leaving(&mut self, now: Instant, leaving: Vec<(ServerId, u64)>, out: &mut Vec<ReplicaAction>) {
+        self.reported_leaving.retain(|_, at| now.saturating_duration_since(*at) < LEAVING_REPORT_INTERVAL);
+        for (server, incarnation) in leaving {
+            // A later incarnation is not leaving, and many entries report the same server.
+            if self.directory.incarnation(&server) == Some(incarnation)
+                && self.reported_leaving.insert(server.clone(), now).is_none()
+            {
+                self.depart(now, INTERNAL_REQUEST, server, Some(incarnation), 0, out);
+            }
+        }
+    }
+
     /// Queues a request for the leader.
     pub(super) fn enqueue_request(&mut self, now: Instant, id: u64, request: Request, out: &mut Vec<ReplicaAction>) {
         if !self.requests.add(id, request, now + self.options.request_timeout) {
--- a/crates/instance/src/fleet/balancer_task.rs
+++ b/crates/instance/src/fleet/balancer_task.rs
@@ -7,7 +7,8 @@
     },
     actix_rt::time::sleep_until,
     hemlockford_core::{
-        dispatch::{DispatchAction, DispatchEvent},
+        dispatch::{DispatchAction, DispatchEvent, ServerNotice},
+        ids::ServerId,
         probing::Balancer,
     },
     hemlockford_proxy::{Decision, DispatcherMessage, Probe},
@@ -28,6 +29,8 @@
     pub(super) probe_events_tx: mpsc::UnboundedSender<DispatchEvent>,
     pub(super) probe_events: mpsc::UnboundedReceiver<DispatchEvent>,
     pub(super) pending: PendingDecisions,
+    /// Channel to the entry task for servers that said that they are leaving.
+    pub(super) leaving: mpsc::UnboundedSender<ServerId>,
     pub(super) counters: Counters,
 }
 
@@ -64,6 +67,10 @@
     }
 
     fn handle(&mut self, event: DispatchEvent, actions: &mut Vec<DispatchAction>) {
+        if let DispatchEvent::Notice { server, notice: ServerNotice::Leaving, .. } = &event {
+            // Without a receiver the process is stopping.
+            let _ = self.leaving.send(server.clone());
+        }
         self.balancer.handle(Instant::now(), event, actions);
         for action in std::mem::take(actions) {
             match action {
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -87,6 +87,7 @@
         let (events_tx, events_rx) = mpsc::unbounded_channel();
         let (received_tx, received_rx) = mpsc::unbounded_channel();
         let (seeds_tx, seeds_rx) = mpsc::unbounded_channel();
+        let (leaving_tx, leaving_rx) = mpsc::unbounded_channel();
         let (config_tx, config_rx) = watch::channel(Arc::<Configuration>::default());
         let (ready_tx, ready_rx) = watch::channel(false);
         let (drain_tx, drain_rx) = watch::channel(false);
@@ -106,6 +107,7 @@
             network: Network::start(sockets, (id, incarnation), counters.clone(), received_tx)?,
             received: received_rx,
             seeds: seeds_rx,
+            leaving: leaving_rx,
             balancer: events_tx,
             config: config_tx,
             is_link_ready: ready_tx,
@@ -128,6 +130,7 @@
             probe_events_tx,
             probe_events,
             pending: PendingDecisions::default(),
+            leaving: leaving_tx,
             counters,
         };
         let guard = PanicGuard { task: "the balancer task", failure: failure_tx };
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -8,7 +8,7 @@
         config::Configuration,
         dispatch::DispatchEvent,
         fleet::{EntryAction, EntryEvent, EntryLink, FleetMessage},
-        ids::InstanceId,
+        ids::{InstanceId, ServerId},
     },
     hemlockford_net::Envelope,
     hemlockford_proxy::ConnectionLimit,
@@ -32,6 +32,8 @@
     pub(super) network: Network,
     pub(super) received: mpsc::UnboundedReceiver<(Envelope<FleetMessage>, usize)>,
     pub(super) seeds: mpsc::UnboundedReceiver<Vec<InstanceId>>,
+    /// Servers that said in an answer that they are leaving.
+    pub(super) leaving: mpsc::UnboundedReceiver<ServerId>,
     pub(super) balancer: mpsc::UnboundedSender<DispatchEvent>,
     pub(super) config: watch::Sender<Arc<Configuration>>,
     pub(super) is_link_ready: watch::Sender<bool>,
@@ -59,6 +61,7 @@
                     Some(seeds) => EntryEvent::Seeds(seeds),
                     None => return,
                 },
+                Some(server) = self.leaving.recv() => EntryEvent::ServerLeaving(server),
                 () = sleep_until(wake.into()) => EntryEvent::Tick,
             };
             self.link.handle(Instant::now(), event, &mut actions);
