Tie answers to requests by an id where servers repeat it

Cause: on the product's own interface nothing tied an answer to its request. A second copy of an answer that came more than 1 ms after the first, on a connection in use again, reached the next caller (P2 of docs/promises.md; reported by operators of similar systems).

Requests now carry hemlockford-request-id, the number of the call. A server may repeat it; an answer with another id ends the connection and is never passed on. Callers do not choose the id.

Ruled out: a longer rest of connections (45 ms cover one delayed acknowledgement only and cost connections); requiring the id (servers of today do not send it).

Also tests that a server's departure outlives restarts of entries and replicas when only an entry was told, and that a server that is silent for 1.5 s while it works keeps its call.

--- a/crates/core/tests/fleet_leaving.rs
+++ b/crates/core/tests/fleet_leaving.rs
@@ -52,3 +52,37 @@
         assert!(world.entries.iter().all(|entry| entry.holds(&server)), "seed {seed}");
     }
 }
+
+/// Guards against a server that is in use again after restarts because only the process that restarted knew that it is
+/// leaving: the entry that was told, the replicas that recorded it, or all of them.
+#[test]
+fn restarts_do_not_bring_a_leaving_server_back() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 3, 3);
+        let server = world.servers[0].record.server.clone();
+        world.checks.collect_violations = true;
+        let is_held = |world: &World| world.entries.iter().any(|entry| entry.holds(&server));
+        world.entry_event(0, EntryEvent::ServerLeaving(server.clone()));
+        world.run_until(ms(2_000), |world| !is_held(world));
+        for entry in 0..3 {
+            world.start_entry(entry);
+        }
+        world.run(ms(3_000));
+        assert!(!is_held(&world), "seed {seed}: after a restart of the entries");
+        for replica in 0..3 {
+            world.kill_replica(replica);
+        }
+        for replica in 0..3 {
+            world.start_replica(replica);
+        }
+        for entry in 0..3 {
+            world.start_entry(entry);
+        }
+        for _ in 0..100 {
+            world.run(ms(100));
+            assert!(!is_held(&world), "seed {seed}: after a restart of all processes");
+        }
+        let others = world.entries.iter().filter(|entry| entry.count() == 2).count();
+        assert_eq!(others, 3, "seed {seed}: the other servers are in use");
+    }
+}
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -1,7 +1,7 @@
 //! Header names and rules of the HTTP interface to callers and servers.
 
 use {
-    crate::{load_format::LoadFormat, service_selection::ServiceSelection},
+    crate::{load_format::LoadFormat, request_id_echo::RequestIdEcho, service_selection::ServiceSelection},
     actix_http::{
         ResponseHead, StatusCode,
         header::{self, HeaderName, HeaderValue},
@@ -19,8 +19,8 @@
     pub deadline_header: HeaderName,
     /// Header with the request id. A request without one is assigned an id.
     pub request_id_header: Option<HeaderName>,
-    /// Whether servers repeat the request id in their responses. A response without it belongs to another request.
-    pub echoes_request_id: bool,
+    /// Which servers repeat the request id in their responses.
+    pub request_id_echo: RequestIdEcho,
     /// Request header with the id of the server that the request is intended for.
     pub expected_server_header: Option<HeaderName>,
     /// Response header in which servers report their load.
@@ -53,8 +53,8 @@
         Self {
             selection: ServiceSelection::PathSegment,
             deadline_header: HeaderName::from_static("hemlockford-deadline"),
-            request_id_header: None,
-            echoes_request_id: false,
+            request_id_header: Some(HeaderName::from_static("hemlockford-request-id")),
+            request_id_echo: RequestIdEcho::Optional,
             expected_server_header: None,
             load_header: HeaderName::from_static(LOAD_HEADER),
             load_format: LoadFormat::InFlight,
@@ -104,11 +104,10 @@
 
     /// Compares the request id of a response with the one that was sent.
     pub(crate) fn match_request_id(&self, head: &ResponseHead, id: Option<&HeaderValue>) -> RequestIdMatch {
-        let (true, Some(name), Some(id)) = (self.echoes_request_id, &self.request_id_header, id) else {
-            return RequestIdMatch::Match;
-        };
+        let (Some(name), Some(id)) = (&self.request_id_header, id) else { return RequestIdMatch::Match };
         let mut echoes = head.headers.get_all(name);
         match echoes.next() {
+            None if self.request_id_echo == RequestIdEcho::Optional => RequestIdMatch::Match,
             None => RequestIdMatch::Missing,
             Some(echo) if echo == id && echoes.all(|other| other == id) => RequestIdMatch::Match,
             Some(_) => RequestIdMatch::Mismatch,
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -106,9 +106,13 @@
     append(headers, FORWARDED_FOR, &ip.to_string());
 }
 
-/// Returns the id of a request: the caller's, or one that is unique among the requests of this worker.
+/// Returns the id of a request: the one that the platform's caller chose, or one that is unique among the requests of
+/// this worker.
 pub(crate) fn request_id(dialect: &Dialect, from: &RequestHead, call: CallId) -> Option<HeaderValue> {
     let name = dialect.request_id_header.as_ref()?;
+    if dialect.product_headers {
+        return Some(HeaderValue::from(call));
+    }
     Some(from.headers.get(name).cloned().unwrap_or_else(|| HeaderValue::from(call)))
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -28,6 +28,7 @@
 mod probe;
 mod reply;
 mod request;
+mod request_id_echo;
 mod request_sequence;
 mod request_source;
 mod routing;
@@ -48,6 +49,7 @@
     load_format::LoadFormat,
     options::{ConnectionLimit, ProxyOptions},
     probe::Probe,
+    request_id_echo::RequestIdEcho,
     service_selection::ServiceSelection,
     worker::Worker,
     worker_balancer::WorkerBalancer,
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -78,7 +78,7 @@
     let remaining = remaining
         .map(|text| parse_digits::<u32>(text).ok_or(bad_request("the deadline is not a number of milliseconds")));
     let remaining = remaining.transpose()?.map(|left| Duration::from_millis(u64::from(left)));
-    if let Some(name) = &dialect.request_id_header {
+    if let Some(name) = dialect.request_id_header.as_ref().filter(|_| !dialect.product_headers) {
         single_value(head, name, "the request id is not one id")?;
     }
     let idempotent = match selected.kind {
--- a/crates/proxy/tests/silent_servers.rs
+++ b/crates/proxy/tests/silent_servers.rs
@@ -70,3 +70,24 @@
     drop(caller);
     assert!(eventually(LIMIT, || proxy.results() == [AttemptResult::CallerLeft]).await);
 }
+
+/// Guards against a call that is given up, or sent to another server, because its server is silent for some seconds
+/// while it works.
+#[actix_rt::test]
+async fn a_server_that_is_only_slow_to_answer_keeps_its_call() {
+    for request in [LOOK_UP, ORDER] {
+        let server = serve(|mut io: Caller, _| async move {
+            while let Some(request) = io.message(false).await {
+                sleep_ms(1_500).await;
+                io.send(&echo(OK, &request)).await;
+            }
+        })
+        .await;
+        let (other, seen) = platform::echoing_server(OK).await;
+        let proxy = TestProxy::start(platform::script(&[server.address, other.address]));
+        let got = proxy.call(&with(request, "x-left: 1900")).await;
+        assert_eq!(got.status, 200, "{}", got.head);
+        assert!(seen.borrow().is_empty(), "it was sent to one server only");
+        assert_eq!(proxy.results(), [AttemptResult::Complete]);
+    }
+}
--- a/crates/proxy/tests/support/platform.rs
+++ b/crates/proxy/tests/support/platform.rs
@@ -6,7 +6,7 @@
         config::{Configuration, Route, RouteKind, RouteTarget},
         dispatch::CallOptions,
     },
-    hemlockford_proxy::{Dialect, HeaderName, LoadFormat, ProxyOptions, ServiceSelection},
+    hemlockford_proxy::{Dialect, HeaderName, LoadFormat, ProxyOptions, RequestIdEcho, ServiceSelection},
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
 };
 
@@ -20,7 +20,7 @@
         selection: ServiceSelection::Routes,
         deadline_header: HeaderName::from_static("x-left"),
         request_id_header: Some(HeaderName::from_static("x-id")),
-        echoes_request_id: true,
+        request_id_echo: RequestIdEcho::Required,
         expected_server_header: Some(HeaderName::from_static("x-for")),
         load_header: HeaderName::from_static("x-load"),
         load_format: LoadFormat::List,
