Log why settings cannot be reloaded

Cause: a settings file that was changed to an invalid one, or read while it was being written, was ignored without a word, so that a fleet could run on different settings unnoticed. The faults are now logged, once for each error, and so is that the file is valid again.

--- a/crates/hemlockford/src/fleet.rs
+++ b/crates/hemlockford/src/fleet.rs
@@ -9,7 +9,7 @@
     hemlockford_core::errors::{Result, invalid_input, unavailable},
     hemlockford_instance::{FleetEntry, FleetReplica, FleetRole, FleetSettings, PlatformInterface, Settings},
     hemlockford_platform::{NAME, TazneInterface},
-    slog::{Logger, error, info},
+    slog::{Logger, error, info, warn},
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::select,
 };
@@ -58,16 +58,17 @@
     }
 }
 
-/// Runs an instance until a signal stops it. `reload` reads the settings again and returns `None` if that fails.
+/// Runs an instance until a signal stops it. `reload` reads the settings again, or returns what is wrong with them.
 pub(crate) async fn run(
     settings: &Settings,
     fleet: &FleetSettings,
     mut signals: SignalReceiver,
-    reload: impl Fn() -> Option<Settings>,
+    reload: impl Fn() -> std::result::Result<Settings, Box<str>>,
     log: &Logger,
 ) -> Result<Exit> {
     let mut instance = FleetInstance::start(settings, fleet, log)?;
     let mut seeds = fleet.seeds.clone();
+    let mut reload_error = None;
     loop {
         select! {
             request = signals.next_request() => match request {
@@ -85,8 +86,10 @@
                 return Err(unavailable(failure));
             }
         }
+        let reloaded = reload();
+        log_reload(log, &reloaded, &mut reload_error);
         // Only changes of the seeds take effect here; for other settings the platform restarts the process.
-        if let Some(new_seeds) = reload().and_then(|settings| settings.fleet).map(|fleet| fleet.seeds)
+        if let Some(new_seeds) = reloaded.ok().and_then(|settings| settings.fleet).map(|fleet| fleet.seeds)
             && new_seeds != seeds
         {
             info!(log, "seeds changed"; "count" => new_seeds.len());
@@ -97,3 +100,16 @@
     info!(log, "instance stopped");
     Ok(Exit::Ok)
 }
+
+/// Logs that settings cannot be reloaded, once for each error, and that they can be again.
+fn log_reload(log: &Logger, reloaded: &std::result::Result<Settings, Box<str>>, last_error: &mut Option<Box<str>>) {
+    let error = reloaded.as_ref().err();
+    if last_error.as_ref() == error {
+        return;
+    }
+    match error {
+        Some(error) => warn!(log, "settings not reloaded, the previous ones stay in force"; "error" => &**error),
+        None => info!(log, "settings can be reloaded again"),
+    }
+    *last_error = error.cloned();
+}
--- a/crates/hemlockford/src/run.rs
+++ b/crates/hemlockford/src/run.rs
@@ -55,9 +55,13 @@
     })
 }
 
-/// Reads the settings again. Returns `None` if they cannot be read or are invalid.
-fn reload(path: &Path) -> Option<Settings> {
-    Settings::parse(&std::fs::read_to_string(path).ok()?).ok()
+/// Reads the settings again. Returns what is wrong with them if they cannot be read or are invalid.
+fn reload(path: &Path) -> std::result::Result<Settings, Box<str>> {
+    let source = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
+    Settings::parse(&source).map_err(|errors| {
+        let errors: Vec<_> = errors.iter().map(ToString::to_string).collect();
+        errors.join("; ").into()
+    })
 }
 
 /// Prints a value as one line of JSON, from which scripts read addresses and results.
