Forward short responses of idempotent calls when they are complete

Cause: a response that a server cuts off after its head ended the caller's connection. With pipelined requests that also took the responses behind it along, which sound servers had answered (LOST).

A response of up to 64 KB with a length, to a call that may be repeated, is now forwarded when it is complete. One that is cut off is retried like a lost connection, within the budget, or told as unknown.

Ruled out: the same for chunked responses, which may be streams that callers read as they arrive; they still end the connection.

The check that a cut response resets the caller's connection now expects 502 unknown, without any byte of the cut body, for the one case with a length; the chunked cases expect the reset as before.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -174,7 +174,11 @@
                 return ExchangeEnd::Retry(decision.flatten(), SavedResponse::new(head, framing, &parts, is_complete));
             }
         }
-        if framing == Framing::UntilClose {
+        // A short response that can still be replaced is forwarded when it is complete, so that a truncated one can be
+        // retried instead of ending the connection together with the responses behind it.
+        let is_replaceable = self.call.idempotent && self.call.replayable && !self.attempt.is_reported();
+        let is_short = matches!(framing, Framing::Sized(length) if length <= BUFFER_LIMIT as u64);
+        if framing == Framing::UntilClose || is_replaceable && is_short {
             let buffered = loop {
                 select! {
                     biased;
@@ -196,8 +200,8 @@
                 // Nothing of it was sent to the caller yet.
                 BufferedBody::Truncated if self.attempt.is_reported() => return ExchangeEnd::ResponseLost,
                 BufferedBody::Truncated => return ExchangeEnd::Failed(AttemptResult::BrokenAfterWrite),
-                BufferedBody::Complete => framing = Framing::of_complete(&parts),
-                BufferedBody::TooLong => {}
+                BufferedBody::Complete if framing == Framing::UntilClose => framing = Framing::of_complete(&parts),
+                BufferedBody::Complete | BufferedBody::TooLong => {}
             }
         }
         if self.shared.is_stopping() {
--- a/crates/proxy/tests/responses.rs
+++ b/crates/proxy/tests/responses.rs
@@ -30,6 +30,14 @@
             let proxy = TestProxy::start(Script::to(server.address));
             let mut caller = proxy.caller().await;
             caller.send(&GET.replace("1.1", version)).await;
+            if response.contains("content-length: 100\r\n") {
+                // A short response is forwarded when it is complete, so that nothing of this one was.
+                let got = caller.response().await;
+                assert_eq!((got.status, got.outcome()), (502, "unknown; connection-lost"), "{version}");
+                assert!(!String::from_utf8_lossy(&got.body).contains("hello"));
+                assert_eq!(proxy.results(), [AttemptResult::BrokenAfterWrite]);
+                continue;
+            }
             // An HTTP/1.0 caller treats the end of the connection as the end of the response.
             let mut buf = [0; 1_024];
             let end = loop {
