Report an empty settings file when settings are reloaded

Cause: an empty file is valid for an instance without a fleet, so that a fleet's instance took it for valid settings.

--- a/crates/hemlockford/src/run.rs
+++ b/crates/hemlockford/src/run.rs
@@ -55,13 +55,18 @@
     })
 }
 
-/// Reads the settings again. Returns what is wrong with them if they cannot be read or are invalid.
+/// Reads the settings of a fleet's instance again. Returns what is wrong with them if they cannot be read or are invalid.
+/// An empty file, as it is while it is being written, is valid for an instance without a fleet only.
 fn reload(path: &Path) -> std::result::Result<Settings, Box<str>> {
     let source = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
-    Settings::parse(&source).map_err(|errors| {
+    let settings = Settings::parse(&source).map_err(|errors| {
         let errors: Vec<_> = errors.iter().map(ToString::to_string).collect();
-        errors.join("; ").into()
-    })
+        errors.join("; ")
+    })?;
+    if settings.fleet.is_none() {
+        return Err("there is no section [fleet]".into());
+    }
+    Ok(settings)
 }
 
 /// Prints a value as one line of JSON, from which scripts read addresses and results.
