--- a/crates/hemlockford/src/command/tool.rs
+++ b/crates/hemlockford/src/command/tool.rs
@@ -151,6 +151,8 @@
     pub(crate) calls: u64,
     #[options(help = "maximum number of calls in flight; further calls are not sent", default = "10000", no_short)]
     pub(crate) in_flight: usize,
+    #[options(help = "maximum number of GET calls on one connection without an answer", default = "1", no_short)]
+    pub(crate) pipeline: usize,
     #[options(help = "number of sending threads", default = "2", no_short)]
     pub(crate) threads: usize,
     #[options(help = "random seed of the arrival times", default = "1", no_short)]
--- a/crates/hemlockford/src/load.rs
+++ b/crates/hemlockford/src/load.rs
@@ -37,6 +37,7 @@
         duration: arguments.time,
         max_calls: arguments.calls,
         max_in_flight: arguments.in_flight,
+        pipeline: arguments.pipeline,
         threads: arguments.threads,
         seed: arguments.seed,
         control: arguments.control,
--- a/crates/hemlockford/tests/processes/path.rs
+++ b/crates/hemlockford/tests/processes/path.rs
@@ -17,6 +17,7 @@
     let servers = entry.start_servers_and_wait(&["--servers", "4", "--service-time", "exponential:2ms"]);
     for options in [
         &["--method", "get=3", "--method", "post=1", "--method", "put=1"][..],
+        &["--pipeline", "8", "--method", "get=4", "--method", "post=1"],
         &["--method", "post", "--chunked", "--upload-bytes", "100000", "--answer-bytes", "300000"],
     ] {
         let mut arguments = vec!["--rate", "200", "--time", "1s", "--arrivals", "poisson", "--seed", "7"];
--- a/crates/tools/src/load/call.rs
+++ b/crates/tools/src/load/call.rs
@@ -5,6 +5,7 @@
         connection::{BodyEnd, Connection, IdleState},
         outcome::{CallOutcome, FaultKind},
         pacer::DueCall,
+        pipeline::{Answer, MissingAnswer, PipelinedConnection},
         worker::Worker,
     },
     crate::{
@@ -17,7 +18,7 @@
         header::{self, HeaderName, HeaderValue},
     },
     bytes::Bytes,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, rc::Rc},
 };
 
 /// Name of the response header with the outcome of a call.
@@ -82,6 +83,9 @@
 
     /// Sends the call and reads its answer.
     pub(super) async fn run(self, worker: &Worker) -> CallOutcome {
+        if worker.options.pipeline > 1 && self.method == Method::GET {
+            return self.run_pipelined(worker).await;
+        }
         let mut connection = match self.connect(worker).await {
             Ok(connection) => connection,
             Err(outcome) => return outcome,
@@ -106,10 +110,34 @@
         }
         let executions = text(&head, &headers::EXECUTION).and_then(|value| value.parse().ok()).unwrap_or(1);
         match expected_content.status() {
-            ContentStatus::Mismatched if is_checked => CallOutcome::Fault(FaultKind::Wrong),
-            ContentStatus::Incomplete if is_checked => CallOutcome::Fault(FaultKind::Partial),
             _ if executions > 1_u32 && !method.is_idempotent() => CallOutcome::Fault(FaultKind::Repeated),
-            _ => classify(&head),
+            status => outcome(&head, status, is_checked),
+        }
+    }
+
+    /// Sends the call on a connection with others in progress and reads its answer.
+    async fn run_pipelined(self, worker: &Worker) -> CallOutcome {
+        let Self { target, head, mut expected_content, .. } = self;
+        let connection = match worker.pipelined(target) {
+            Some(connection) => connection,
+            None => match PipelinedConnection::open(target).await {
+                Ok(connection) => {
+                    let connection = Rc::new(connection);
+                    worker.add_pipelined(target, connection.clone());
+                    connection
+                }
+                Err(_) => return CallOutcome::NotRun("no-connection".into()),
+            },
+        };
+        let Ok(answer) = connection.send(head) else { return CallOutcome::Unknown("broken-request".into()) };
+        match answer.await {
+            Ok(Ok(Answer { head, body })) => {
+                let is_checked = head.status.is_success();
+                body.iter().filter(|_| is_checked).for_each(|part| expected_content.compare(part));
+                outcome(&head, expected_content.status(), is_checked)
+            }
+            Ok(Err(MissingAnswer::Unread)) => CallOutcome::NotRun("unread".into()),
+            Ok(Err(MissingAnswer::Lost)) | Err(_) => CallOutcome::Unknown("no-answer".into()),
         }
     }
 
@@ -126,6 +154,15 @@
     }
 }
 
+/// Derives the outcome of a call from a complete answer.
+fn outcome(head: &ResponseHead, content: ContentStatus, is_checked: bool) -> CallOutcome {
+    match content {
+        ContentStatus::Mismatched if is_checked => CallOutcome::Fault(FaultKind::Wrong),
+        ContentStatus::Incomplete if is_checked => CallOutcome::Fault(FaultKind::Partial),
+        _ => classify(head),
+    }
+}
+
 /// Derives the outcome of a call from the head of a complete answer.
 fn classify(head: &ResponseHead) -> CallOutcome {
     if head.headers.contains_key(headers::SHED) {
--- a/crates/tools/src/load/mod.rs
+++ b/crates/tools/src/load/mod.rs
@@ -9,6 +9,7 @@
 mod options;
 mod outcome;
 mod pacer;
+mod pipeline;
 mod run;
 mod schedule;
 mod summary;
--- a/crates/tools/src/load/options.rs
+++ b/crates/tools/src/load/options.rs
@@ -69,6 +69,8 @@
     pub max_calls: u64,
     /// Maximum number of calls in flight. A call that is due at this limit is not sent and counts as unsent.
     pub max_in_flight: usize,
+    /// Maximum number of GET calls on one connection without an answer; with 1 each call has a connection of its own.
+    pub pipeline: usize,
     /// Number of threads that send calls. One more thread keeps the arrival times.
     pub threads: usize,
     /// Seed of the random arrival times and methods.
@@ -97,6 +99,7 @@
             duration: Duration::from_secs(5),
             max_calls: 10_000_000,
             max_in_flight: 10_000,
+            pipeline: 1,
             threads: 2,
             seed: 1,
             control: None,
--- a/crates/tools/src/load/run.rs
+++ b/crates/tools/src/load/run.rs
@@ -75,6 +75,7 @@
             options.methods.iter().all(|share| share.weight == 0),
             "at least one method must have a weight greater than zero",
         ),
+        (options.pipeline == 0, "the number of calls on one connection must be greater than zero"),
         (options.threads == 0, "the number of threads must be greater than zero"),
         (
             options.max_in_flight < options.threads,
--- a/crates/tools/src/load/worker.rs
+++ b/crates/tools/src/load/worker.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         call::Call, connection::Connection, options::LoadOptions, outcome::CallOutcome, pacer::DueCall,
-        summary::LoadSummary,
+        pipeline::PipelinedConnection, summary::LoadSummary,
     },
     actix_http::Method,
     hemlockford_core::collections::FastMap,
@@ -26,6 +26,7 @@
     pub(super) methods: Vec<Method>,
     run_id: Box<str>,
     idle: RefCell<FastMap<SocketAddr, Vec<Connection>>>,
+    pipelined: RefCell<FastMap<SocketAddr, Vec<Rc<PipelinedConnection>>>>,
     in_flight: Cell<usize>,
     result: RefCell<WorkerResult>,
 }
@@ -65,6 +66,7 @@
             methods,
             run_id,
             idle: RefCell::default(),
+            pipelined: RefCell::default(),
             in_flight: Cell::new(0),
             result: RefCell::new(WorkerResult { summary, reported_not_run: Vec::new() }),
         }
@@ -90,6 +92,7 @@
             actix_rt::time::sleep(Duration::from_millis(1)).await;
         }
         worker.idle.borrow_mut().clear();
+        worker.pipelined.borrow_mut().clear();
         worker.result.replace(WorkerResult { summary: LoadSummary::new(0), reported_not_run: Vec::new() })
     }
 
@@ -98,6 +101,19 @@
         self.idle.borrow_mut().get_mut(&address)?.pop()
     }
 
+    /// Returns a connection that can carry another pipelined request, and forgets those that have ended.
+    pub(super) fn pipelined(&self, address: SocketAddr) -> Option<Rc<PipelinedConnection>> {
+        let mut pipelined = self.pipelined.borrow_mut();
+        let connections = pipelined.get_mut(&address)?;
+        connections.retain(|connection| connection.has_room(usize::MAX));
+        connections.iter().find(|connection| connection.has_room(self.options.pipeline)).cloned()
+    }
+
+    /// Makes a connection available to further pipelined requests.
+    pub(super) fn add_pipelined(&self, address: SocketAddr, connection: Rc<PipelinedConnection>) {
+        self.pipelined.borrow_mut().entry(address).or_default().push(connection);
+    }
+
     /// Makes a connection available to further calls.
     pub(super) fn release(&self, address: SocketAddr, connection: Connection) {
         self.idle.borrow_mut().entry(address).or_default().push(connection);
