--- a/crates/core/src/fleet/config_update.rs
+++ b/crates/core/src/fleet/config_update.rs
@@ -6,8 +6,7 @@
     serde::{Deserialize, Serialize},
 };
 
-/// Compression level. Level 1 takes a third of the time of the default level for a text that is a fifth longer, and a
-/// replica has little processor time.
+/// Compression level, the fastest one, as a replica has little processor time.
 const COMPRESSION_LEVEL: u8 = 1;
 /// Maximum size of the steps before compression, in bytes: a text of maximum length, with the overhead of its steps.
 const MAX_STEP_BYTES: usize = MAX_CONFIG_BYTES + 64 * 1_024;
