Log changes that do not reach an entry, and count silent connections

The logs could not tell an entry that has not heard of a change from one that was sent it in vain. An entry now logs a change that its replica has named for a second, and hemlockford_peer_link_timeouts_total counts the connections between instances that were closed because a message was not acknowledged in time. The new test fails without the log line; no decision changes.

--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -21,6 +21,9 @@
 const FAST_SEARCH_AFTER_START: Duration = Duration::from_secs(3);
 /// Time after a loss of contact during which a current replica is searched for at short intervals.
 const FAST_SEARCH_AFTER_LOSS: Duration = Duration::from_secs(1);
+/// Time after which a change that the replica has named and that has not arrived is logged. It is half of the time
+/// within which a change must be in force.
+const OVERDUE_AFTER: Duration = Duration::from_secs(1);
 /// Interval between probes of a replica that is preferred over the one in use.
 const PREFERRED_PROBE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -31,6 +34,14 @@
     revision: DirectoryRevision,
 }
 
+/// A change that a replica has named and that has not arrived.
+#[derive(Clone, Debug)]
+struct MissingChange {
+    number: ChangeNumber,
+    named_at: Instant,
+    is_logged: bool,
+}
+
 /// Finds a current replica, polls it, and installs its configuration and servers in the entry.
 ///
 /// ```
@@ -70,6 +81,7 @@
     has_config: bool,
     /// Newest change reported by the replica in use.
     required_change: Option<ChangeNumber>,
+    missing_change: Option<MissingChange>,
     entries: u32,
     is_ready: bool,
 }
@@ -96,6 +108,7 @@
             text: "".into(),
             has_config: false,
             required_change: None,
+            missing_change: None,
             entries: 0,
             is_ready: false,
             options,
@@ -255,6 +268,7 @@
             self.last_current_at = self.last_current_at.max(Some(polled_at));
             self.search = None;
             self.required_change = self.required_change.max(Some(response.change));
+            self.check_overdue(now, response.change, out);
             // A replica that has just started has not been polled by all entries yet.
             if response.is_complete && response.entries.max(1) != self.entries {
                 self.entries = response.entries.max(1);
@@ -273,6 +287,19 @@
         }
     }
 
+    /// Logs once that a change which the replica has named does not arrive.
+    fn check_overdue(&mut self, now: Instant, number: ChangeNumber, out: &mut Vec<EntryAction>) {
+        if number <= self.change {
+            self.missing_change = None;
+            return;
+        }
+        let missing = self.missing_change.get_or_insert(MissingChange { number, named_at: now, is_logged: false });
+        if !missing.is_logged && now.saturating_duration_since(missing.named_at) >= OVERDUE_AFTER {
+            missing.is_logged = true;
+            out.push(EntryAction::Log(FleetLogEvent::ChangeOverdue(missing.number)));
+        }
+    }
+
     fn install(&mut self, now: Instant, update: &ConfigUpdate, out: &mut Vec<EntryAction>) {
         let number = update.number;
         if number <= self.change {
@@ -288,6 +315,7 @@
             return out.push(EntryAction::Log(FleetLogEvent::ChangeUnreadable(number)));
         };
         (self.change, self.text) = (number, text);
+        self.missing_change = self.missing_change.take().filter(|missing| missing.number > number);
         match Configuration::parse(&self.text) {
             Ok(config) => {
                 self.has_config = true;
--- a/crates/core/src/fleet/log_event.rs
+++ b/crates/core/src/fleet/log_event.rs
@@ -44,6 +44,9 @@
     /// The entry installed a change.
     #[display("change {_0} installed")]
     ChangeInstalled(ChangeNumber),
+    /// The replica in use has named a change for a second, and it has not arrived.
+    #[display("change {_0} was named by the replica but has not arrived")]
+    ChangeOverdue(ChangeNumber),
     /// A committed configuration cannot be parsed, for example because it was written by a newer version.
     #[display("change {_0} cannot be read by this version")]
     ChangeUnreadable(ChangeNumber),
--- a/crates/core/tests/fleet_entry.rs
+++ b/crates/core/tests/fleet_entry.rs
@@ -52,6 +52,9 @@
     link: EntryLink,
     polls: FastMap<Box<str>, Poll>,
     views: Vec<ServerView>,
+    /// Newest change that the replicas name in their answers.
+    change: u64,
+    logs: Vec<String>,
 }
 
 impl Harness {
@@ -61,7 +64,7 @@
         let seeds = vec!["r0".into(), "r1".into()];
         let options = EntryOptions { id: "e".into(), data_centre: "north".into(), seeds, ..EntryOptions::default() };
         let link = EntryLink::new(now, options, SmallRng::seed_from_u64(1));
-        let mut harness = Self { now, link, polls: FastMap::default(), views: Vec::new() };
+        let mut harness = Self { now, link, polls: FastMap::default(), views: Vec::new(), change: 0, logs: Vec::new() };
         for (replica, usable) in [("r0", first), ("r1", second)] {
             harness.run(replica, ms(2_000));
             assert_eq!(harness.link.replica().map(|name| &**name), Some(replica));
@@ -80,6 +83,7 @@
                     self.polls.insert(to, poll);
                 }
                 EntryAction::ServersChanged(_, views) => self.views = views,
+                EntryAction::Log(log) => self.logs.push(log.to_string()),
                 _ => {}
             }
         }
@@ -104,7 +108,7 @@
                 echo,
                 is_current: true,
                 is_complete: true,
-                change: 0,
+                change: self.change,
                 revision: 1,
                 entries: 1,
                 data_centre: "south".into(),
@@ -190,3 +194,15 @@
     harness.deliver("r1", servers_update(2, None, &[server("t", 2, 30)], &[]));
     assert_eq!(harness.held(), [("s", 1), ("t", 2)]);
 }
+
+/// Guards against a change that does not reach an entry, of which the logs of the entry say nothing.
+#[test]
+fn a_change_that_does_not_arrive_is_logged_once() {
+    let mut harness = Harness::new(&[], &[]);
+    harness.change = 7;
+    harness.run("r1", ms(900));
+    assert!(!harness.logs.iter().any(|log| log.contains("has not arrived")));
+    harness.run("r1", ms(3_000));
+    let overdue: Vec<_> = harness.logs.iter().filter(|log| log.contains("has not arrived")).collect();
+    assert_eq!(overdue, ["change 7 was named by the replica but has not arrived"]);
+}
--- a/crates/instance/src/counters.rs
+++ b/crates/instance/src/counters.rs
@@ -17,6 +17,7 @@
     pub(crate) peer_bytes: IntCounterVec,
     pub(crate) malformed_datagrams: IntCounter,
     pub(crate) unknown_senders: IntCounter,
+    pub(crate) link_timeouts: IntCounter,
     pub(crate) announcements: IntCounter,
     pub(crate) submits: IntCounterVec,
     pub(crate) claims: IntCounterVec,
@@ -64,6 +65,10 @@
             peer_bytes: vec("hemlockford_peer_bytes_total", "Bytes of them.", &["transport", "direction", "kind"])?,
             malformed_datagrams: counter("hemlockford_peer_malformed_total", "Malformed datagrams from the network.")?,
             unknown_senders: counter("hemlockford_peer_unknown_total", "Messages from unknown instances.")?,
+            link_timeouts: counter(
+                "hemlockford_peer_link_timeouts_total",
+                "Connections to other instances closed because a message was not acknowledged in time.",
+            )?,
             announcements: counter("hemlockford_announcements_total", "Announcements of servers.")?,
             submits: vec("hemlockford_submits_total", "Submitted texts by result.", &["result"])?,
             claims: vec("hemlockford_claims_total", "Claims of idempotency keys by result.", &["result"])?,
--- a/crates/instance/src/fleet/network.rs
+++ b/crates/instance/src/fleet/network.rs
@@ -45,6 +45,7 @@
         let envelope = Envelope { from: self.id.clone(), incarnation: self.incarnation, message };
         let Ok(address) = to.parse::<SocketAddr>() else { return };
         let sent = if is_small { self.socket.send(address, &envelope) } else { self.links.send(to, &envelope) };
+        self.counters.link_timeouts.inc_by(self.links.take_timeouts());
         self.counters.count_message(if is_small { "udp" } else { "tcp" }, "sent", "fleet", sent.unwrap_or_default());
     }
 }
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -46,6 +46,8 @@
     pub(crate) rx: mpsc::Receiver<Vec<u8>>,
     pub(crate) options: NetOptions,
     pub(crate) queued: QueuedBytes,
+    /// Number of connections of all links that were closed because a frame was not acknowledged in time.
+    pub(crate) timeouts: Rc<Cell<u64>>,
 }
 
 /// An open connection.
@@ -102,7 +104,10 @@
                         connection = None;
                     }
                 }
-                Event::TimedOut => connection = None,
+                Event::TimedOut => {
+                    self.timeouts.set(self.timeouts.get() + 1);
+                    connection = None;
+                }
             }
         }
     }
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -29,6 +29,7 @@
     allows_any_address: bool,
     options: NetOptions,
     queued: Rc<Cell<usize>>,
+    timeouts: Rc<Cell<u64>>,
 }
 
 /// Sender of a link.
@@ -39,10 +40,11 @@
 }
 
 impl LinkHandle {
-    fn open(address: SocketAddr, options: &NetOptions, total: &Rc<Cell<usize>>) -> Self {
-        let (tx, rx) = mpsc::channel(options.max_queued_messages);
-        let queued = QueuedBytes { total: total.clone(), ..QueuedBytes::default() };
-        actix_rt::spawn(Link { address, rx, options: options.clone(), queued: queued.clone() }.run());
+    fn open(address: SocketAddr, links: &StreamLinks) -> Self {
+        let (tx, rx) = mpsc::channel(links.options.max_queued_messages);
+        let queued = QueuedBytes { total: links.queued.clone(), ..QueuedBytes::default() };
+        let (options, timeouts) = (links.options.clone(), links.timeouts.clone());
+        actix_rt::spawn(Link { address, rx, options, queued: queued.clone(), timeouts }.run());
         Self { tx, queued }
     }
 }
@@ -52,7 +54,7 @@
     /// is a message to send.
     pub fn start(peers: impl IntoIterator<Item = (InstanceId, SocketAddr)>, options: &NetOptions) -> Self {
         let links = Self { allows_any_address: false, ..Self::on_demand(options) };
-        let open = |(id, address)| (id, LinkHandle::open(address, options, &links.queued));
+        let open = |(id, address)| (id, LinkHandle::open(address, &links));
         *links.links.borrow_mut() = peers.into_iter().map(open).collect();
         links
     }
@@ -61,8 +63,13 @@
     /// started on the current thread with the first message, and ends when it has been idle for
     /// `NetOptions::idle_timeout`.
     pub fn on_demand(options: &NetOptions) -> Self {
-        let (links, queued) = (RefCell::default(), Rc::default());
-        Self { links, allows_any_address: true, options: options.clone(), queued }
+        Self {
+            links: RefCell::default(),
+            allows_any_address: true,
+            options: options.clone(),
+            queued: Rc::default(),
+            timeouts: Rc::default(),
+        }
     }
 
     /// Queues a message and returns its length in bytes, or 0 if the peer is unknown or a queue limit is exceeded.
@@ -100,11 +107,21 @@
         if links.len() >= self.options.max_links {
             return None;
         }
-        let link = LinkHandle::open(address, &self.options, &self.queued);
+        let link = LinkHandle::open(address, self);
         links.insert(to.into(), link.clone());
         Some(link)
     }
 
+    /// Returns the number of connections closed since the last call because a frame was not acknowledged in time.
+    ///
+    /// ```
+    /// use hemlockford_net::{NetOptions, StreamLinks};
+    /// assert_eq!(StreamLinks::on_demand(&NetOptions::fleet()).take_timeouts(), 0);
+    /// ```
+    pub fn take_timeouts(&self) -> u64 {
+        self.timeouts.take()
+    }
+
     /// Returns the number of links whose tasks are running.
     pub fn len(&self) -> usize {
         self.links.borrow().values().filter(|link| !link.tx.is_closed()).count()
