--- a/crates/core/tests/config_updates.rs
+++ b/crates/core/tests/config_updates.rs
@@ -3,37 +3,19 @@
 mod fleet_support;
 
 use {
-    fleet_support::{World, ms},
+    fleet_support::{World, ms, texts::large_text},
     hemlockford_core::{
         config::{Configuration, MAX_CONFIG_BYTES},
         fleet::ConfigUpdate,
     },
     hemlockford_fuzz::{Mutator, SEED},
     rand::{RngExt, SeedableRng, rngs::SmallRng},
-    std::fmt::Write,
 };
 
 const SEEDS: std::ops::Range<u64> = 0..3;
 /// Routes of a large configuration.
 const ROUTES: usize = 1_400;
 
-/// Returns a configuration text with many routes, of which one differs with the number of the change.
-fn large_text(number: u64, routes: usize) -> String {
-    let mut text = format!("[change]\nnumber = {number}\n\n[service catalogue]\n");
-    for route in 0..routes {
-        let attempts = if route as u64 == number { 3 } else { 2 };
-        let prefix = (route as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        write!(
-            text,
-            "\n[route r-{route}]\nhost = h{:x}.example\nprefix = /{prefix:x}/\nkind = idempotent\nattempts = {attempts}\n\
-             timeout = 600ms\nservice = catalogue\n",
-            prefix % 9
-        )
-        .unwrap();
-    }
-    text
-}
-
 /// Guards against an update that builds another text, whatever was inserted, removed, moved or repeated.
 #[test]
 fn an_update_builds_the_new_text() {
--- /dev/null
+++ b/crates/core/tests/fleet_silent.rs
@@ -0,0 +1,38 @@
+//! Connections between instances that go silent without a reset.
+
+mod fleet_support;
+
+use {
+    fleet_support::{World, ms, texts::large_text},
+    hemlockford_core::fleet::ReplicaAnswer,
+    std::time::Duration,
+};
+
+const SEEDS: std::ops::Range<u64> = 0..20;
+/// Time without faults after which a change must be in force in time again.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Time limit from the acceptance of a change until it is in force on every entry.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
+/// Routes of a text that is too long for a datagram.
+const ROUTES: usize = 60;
+
+/// Guards against a change that is late because it is sent on one silent connection after another.
+#[test]
+fn a_change_is_in_force_in_time_after_connections_went_silent() {
+    for (seed, share) in SEEDS.flat_map(|seed| [(seed, 1.0), (seed, 0.5)]) {
+        for replica in 0..3 {
+            let mut world = World::settled(seed, 3, 6, 3);
+            println!("{:.0}% of the connections go silent", share * 100.0);
+            world.links.loss = 0.0;
+            world.submit(replica, &large_text(2, ROUTES));
+            world.run_until(ms(2_000), |world| world.entries.iter().all(|entry| entry.change == 2));
+            world.run(ms(2_000));
+            world.links.streams.silence(share, &mut world.rng);
+            world.run(CONTACT);
+            let id = world.submit(replica, &large_text(3, 2 * ROUTES));
+            world.run_until(ms(4_000), |world| world.answers.contains_key(&id));
+            assert!(matches!(world.answers[&id].1, ReplicaAnswer::Accepted { .. }), "seed {seed}");
+            world.run_until(IN_FORCE_WITHIN, |world| world.entries.iter().all(|entry| entry.change == 3));
+        }
+    }
+}
--- a/crates/core/tests/fleet_support/links.rs
+++ b/crates/core/tests/fleet_support/links.rs
@@ -1,6 +1,7 @@
 //! Network links that lose, duplicate, delay and reorder messages.
 
 use {
+    super::Streams,
     hemlockford_core::collections::FastSet,
     rand::{RngExt, rngs::SmallRng},
     std::time::Duration,
@@ -18,6 +19,7 @@
     pub delay: Duration,
     /// Maximum additional random delay, which reorders messages.
     pub jitter: Duration,
+    pub streams: Streams,
     pub messages: u64,
     pub bytes: u64,
 }
@@ -30,6 +32,7 @@
             duplicate: 0.05,
             delay: Duration::from_millis(1),
             jitter: Duration::from_millis(10),
+            streams: Streams::default(),
             messages: 0,
             bytes: 0,
         }
@@ -37,8 +40,19 @@
 }
 
 impl Links {
-    /// Returns the delays after which the copies of a message arrive. Streams lose messages only if the link is cut.
-    pub fn carry(&self, from: &str, to: &str, is_datagram: bool, rng: &mut SmallRng) -> Vec<Duration> {
+    /// Returns the delays after which the copies of a message arrive. Streams lose messages only if the link is cut or
+    /// the connection has gone silent.
+    pub fn carry(
+        &mut self,
+        now: Duration,
+        from: &str,
+        to: &str,
+        is_datagram: bool,
+        rng: &mut SmallRng,
+    ) -> Vec<Duration> {
+        if !is_datagram && !self.streams.deliver(now, from, to) {
+            return Vec::new();
+        }
         if self.cuts.contains(&(from.into(), to.into())) || is_datagram && rng.random_bool(self.loss) {
             return Vec::new();
         }
--- a/crates/core/tests/fleet_support/mod.rs
+++ b/crates/core/tests/fleet_support/mod.rs
@@ -11,11 +11,15 @@
 pub mod operator;
 mod requests;
 mod server;
+mod streams;
+pub mod texts;
 mod world;
 
 pub use {
     links::Links,
     node::{Entry, ReplicaNode},
     server::Server,
-    world::{World, ms, text},
+    streams::Streams,
+    texts::text,
+    world::{World, ms},
 };
--- a/crates/core/tests/fleet_support/world.rs
+++ b/crates/core/tests/fleet_support/world.rs
@@ -23,11 +23,6 @@
     Duration::from_millis(time)
 }
 
-/// Returns the configuration text of a change.
-pub fn text(number: u64) -> String {
-    format!("[change]\nnumber = {number}\n[service catalogue]\n")
-}
-
 /// A scheduled event of the simulation.
 #[derive(Debug)]
 pub enum Step {
@@ -236,7 +231,7 @@
             entry.sent += 1;
             entry.sent_bytes += size as u64;
         }
-        for delay in self.links.carry(from, to, is_datagram, &mut self.rng) {
+        for delay in self.links.carry(self.now, from, to, is_datagram, &mut self.rng) {
             let message = message.clone();
             let step = Step::Arrive { to: to.into(), from: from.into(), incarnation, message };
             self.schedule(self.now + delay, step);
