Close idle connections between instances after a second

Cause: a connection that goes silent without a reset is noticed only when a message on it has not been acknowledged for 1 s, and idle connections were kept for 30 s. A change passes two of them, from the leader to a replica and from there to the entries, and both wait: 2.1 to 2.6 s by the timeouts. The class of fault: failures that are detected on use only, whose delays add up along a path to more than the bound of the whole path.

The new test of the links failed before (the message went to the silent connection).

Why this works: a connection without unacknowledged frames is closed after 1 s, and one with them 1 s after the oldest, so that no connection that has gone silent is used 2 s later; machines count as in touch after 3 s. Opening one costs a round trip. A connection whose large frame is on its way is not idle; without that the shorter time would have cut such frames.

Ruled out: keep-alive messages on open connections (44 connections of a replica would cost a message a second each), and a shorter timeout for acknowledgements (a link with a queue of half a second would look silent).

--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -74,7 +74,7 @@
         loop {
             let event = match self.next_event(&mut connection, last_used).await {
                 // A frame may have arrived at the same time.
-                Event::TimedOut if self.is_idle(last_used) => match self.rx.try_recv() {
+                Event::TimedOut if self.is_idle(&connection, last_used) => match self.rx.try_recv() {
                     Ok(frame) => Event::Frame(Some(frame)),
                     Err(_) => return,
                 },
@@ -97,6 +97,7 @@
                 }
                 Event::Frame(None) => return,
                 Event::Acknowledged(count) => {
+                    last_used = Instant::now();
                     connection = connection.filter(|_| count > 0);
                     if let Some(open) = &mut connection
                         && !open.unacknowledged.acknowledge(count)
@@ -120,7 +121,8 @@
                 () = sleep_until(idle_at) => Event::TimedOut,
             };
         };
-        let timeout_at = unacknowledged.deadline().into_iter().chain(idle_at).min();
+        // A connection with unacknowledged frames is in use.
+        let timeout_at = unacknowledged.deadline().or(idle_at);
         // Unacknowledged frames may still take memory in the send buffer of the operating system.
         let has_room = unacknowledged.bytes() < MAX_FRAME_BYTES;
         let mut acks = [0; MAX_ACKS_PER_READ];
@@ -133,8 +135,9 @@
         }
     }
 
-    fn is_idle(&self, last_used: Instant) -> bool {
-        self.options.idle_timeout.is_some_and(|idle| Instant::now() >= last_used + idle)
+    fn is_idle(&self, connection: &Option<Connection>, last_used: Instant) -> bool {
+        let is_in_use = connection.as_ref().is_some_and(|open| open.unacknowledged.deadline().is_some());
+        !is_in_use && self.options.idle_timeout.is_some_and(|idle| Instant::now() >= last_used + idle)
     }
 
     async fn connect(&self) -> Option<Connection> {
--- a/crates/net/src/options.rs
+++ b/crates/net/src/options.rs
@@ -14,7 +14,8 @@
     /// take longer to arrive. `None` disables acknowledgements. All instances of a system must agree on whether frames
     /// are acknowledged.
     pub ack_timeout: Option<Duration>,
-    /// Time after which an idle connection is closed; `None` for never.
+    /// Time after which a connection without unacknowledged frames is closed if nothing is sent; `None` for never. A
+    /// connection that has gone silent is used for at most this time and the timeout for an acknowledgement.
     pub idle_timeout: Option<Duration>,
     /// Minimum delay between two connection attempts.
     pub backoff_min: Duration,
@@ -62,7 +63,9 @@
         Self {
             connect_timeout: Duration::from_millis(300),
             ack_timeout: Some(Duration::from_secs(1)),
-            idle_timeout: Some(Duration::from_secs(30)),
+            // Together with `ack_timeout` below 3 s, the time after which machines whose connections have gone silent
+            // must again put a change in force in time. A change passes several links, whose delays would add up.
+            idle_timeout: Some(Duration::from_secs(1)),
             ..Self::default()
         }
     }
--- a/crates/net/tests/links.rs
+++ b/crates/net/tests/links.rs
@@ -92,6 +92,22 @@
     assert!(frame.windows(5).any(|part| part == b"again"));
 }
 
+/// Guards against a message that is delayed because it is the first one on a connection that went silent while idle.
+#[actix_rt::test]
+async fn a_message_does_not_wait_for_a_connection_that_went_silent_while_idle() {
+    let (listener, address) = bind();
+    let links = StreamLinks::on_demand(&NetOptions::fleet());
+    links.send(&address, &envelope("before")).unwrap();
+    let mut silent = accept(&listener).await;
+    assert!(read_frame(&mut silent).await.is_some());
+    silent.write_all(&[1]).await.unwrap();
+    actix_rt::time::sleep(Duration::from_secs(3)).await;
+    links.send(&address, &envelope("after")).unwrap();
+    let mut next = actix_rt::time::timeout(Duration::from_millis(500), listener.accept()).await;
+    let (stream, _) = next.as_mut().expect("the message was sent on the old connection").as_mut().unwrap();
+    assert!(read_frame(stream).await.is_some());
+}
+
 /// Guards against closing connections whose frames are acknowledged, and against loss of their messages.
 #[actix_rt::test]
 async fn an_acknowledged_connection_stays_open() {
