Resend a lost configuration update while changes follow each other

What callers would see: requests answered by an older version for as long as changes follow each other within half a second, if one datagram with an update was lost.

Cause: each change is sent as an edit of the one before, and an entry that misses one cannot apply the next. It asks again at once, but the replica sends nothing within 500 ms of its last update, and each new change starts this time anew.

Now a poll that shows that the last update cannot be applied is answered with one that can, at most every 500 ms.

Ruled out: editing each change from the one that the entry has confirmed; the entry may have installed a later one, whose confirmation is on its way.

--- a/crates/core/src/fleet/replica/subscribers.rs
+++ b/crates/core/src/fleet/replica/subscribers.rs
@@ -17,6 +17,16 @@
 /// Minimum time between two copies of a configuration or a full directory to one entry.
 const MIN_RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The update that an entry was last sent.
+#[derive(Clone, Copy, Debug)]
+struct SentUpdate {
+    number: ChangeNumber,
+    /// Change that the entry must have to apply it.
+    base: ChangeNumber,
+    /// Time before which it is not resent.
+    resend_at: Instant,
+}
+
 /// An entry that polls this replica.
 #[derive(Clone, Debug)]
 pub(super) struct Subscriber {
@@ -27,26 +37,34 @@
     pub(super) revision: Option<u64>,
     /// Change that the entry has installed.
     change: ChangeNumber,
-    /// Change that was last sent, and the time before which it is not resent.
-    last_sent_change: (ChangeNumber, Instant),
+    last_sent: SentUpdate,
+    /// Time before which no further update replaces one that the entry cannot apply.
+    next_repair_at: Instant,
     next_full_at: Instant,
 }
 
 impl Subscriber {
     /// Returns the change that the entry has installed if no message was lost.
     pub(super) fn expected_change(&self) -> ChangeNumber {
-        self.change.max(self.last_sent_change.0)
+        self.change.max(self.last_sent.number)
     }
 
     /// Returns whether an update is to be sent now, and if so records that it was sent.
     pub(super) fn should_install(&mut self, now: Instant, update: &ConfigUpdate) -> bool {
-        let (sent, after) = self.last_sent_change;
-        if update.number <= self.change || update.number <= sent && now < after {
+        // An update was lost, and those sent after it are based on it. Waiting for `resend_at` would hold the entry up
+        // for as long as changes follow each other.
+        let is_repair = self.change < self.last_sent.base && update.base <= self.change && now >= self.next_repair_at;
+        let is_sent = update.number <= self.last_sent.number && now < self.last_sent.resend_at;
+        if update.number <= self.change || is_sent && !is_repair {
             return false;
         }
         // Adds the transmission time: 2 us per byte, as on a link with 4 Mbit/s.
         let transmission = Duration::from_micros(2 * update.size() as u64);
-        self.last_sent_change = (update.number, now + MIN_RESEND_INTERVAL + transmission);
+        let resend_at = now + MIN_RESEND_INTERVAL + transmission;
+        self.last_sent = SentUpdate { number: update.number, base: update.base, resend_at };
+        if is_repair {
+            self.next_repair_at = resend_at;
+        }
         true
     }
 
@@ -89,7 +107,8 @@
                 polled_at: now,
                 revision: None,
                 change: poll.change,
-                last_sent_change: (0, now),
+                last_sent: SentUpdate { number: 0, base: 0, resend_at: now },
+                next_repair_at: now,
                 next_full_at: now,
             };
             self.0.insert(from.clone(), subscriber);
--- a/crates/core/tests/config_updates.rs
+++ b/crates/core/tests/config_updates.rs
@@ -6,7 +6,7 @@
     fleet_support::{World, ms, texts::large_text},
     hemlockford_core::{
         config::{Configuration, MAX_CONFIG_BYTES},
-        fleet::ConfigUpdate,
+        fleet::{ConfigUpdate, ReplicaAnswer},
     },
     hemlockford_fuzz::{Mutator, SEED},
     rand::{RngExt, SeedableRng, rngs::SmallRng},
@@ -136,3 +136,35 @@
         world.run_until(ms(8_000), |world| world.entries.iter().all(|entry| entry.change == 20));
     }
 }
+
+/// Guards against an entry that stays behind for as long as changes follow each other, because one update was lost.
+#[test]
+fn a_lost_update_does_not_hold_up_an_entry_until_changes_stop() {
+    for seed in 0..10 {
+        let mut world = World::settled(seed, 3, 3, 1);
+        world.links.loss = 0.0;
+        for entry in 0..3 {
+            let name = world.entries[entry].name.clone();
+            let first = 2 + 20 * entry as u64;
+            let mut accepted = Vec::new();
+            for number in first..first + 12 {
+                let id = world.submit(0, &large_text(number, 50));
+                if number == first {
+                    // Nothing arrives at the entry while the first update is sent.
+                    let replicas: Vec<_> = world.replicas.iter().map(|node| node.name.clone()).collect();
+                    world.links.cuts.extend(replicas.into_iter().map(|replica| (replica, name.clone())));
+                }
+                world.run(ms(100));
+                world.heal();
+                world.run(ms(230));
+                accepted.push((number, id));
+                let due = accepted.iter().filter(|(_, id)| {
+                    matches!(world.answers.get(id), Some((at, ReplicaAnswer::Accepted { .. })) if *at + ms(2_000) <= world.now)
+                });
+                let due = due.map(|(number, _)| *number).max().unwrap_or(0);
+                let held = world.entries[entry].change;
+                assert!(held >= due, "seed {seed}: {name} has change {held}, and change {due} is 2 s old");
+            }
+        }
+    }
+}
