Count the time of suspension in leases and ages

What callers would see: after a machine with a replica was suspended, servers that announce themselves there are missing at the entries although they serve.

Cause: the steady clock does not count a suspension. A replica that wakes does not see that it was frozen, and its messages look as old to the others as it was suspended, because the estimate of its clock never moves back. The same holds for the leases of a roster: an entry that wakes would serve an old configuration for up to 2 s more, and a claim would permit a send later than 10 s after its proposal.

Leases, ages and their timers now use BootClock (CLOCK_BOOTTIME, read through rustix). Dispatchers and the HTTP path keep the steady clock; the times of servers are converted.

--- a/crates/instance/src/admin.rs
+++ b/crates/instance/src/admin.rs
@@ -10,6 +10,7 @@
     hemlockford_core::{
         burn::BurnReport, config::MAX_CONFIG_BYTES, control::SubmitAnswer, errors::Result, registry::Announcement,
     },
+    hemlockford_net::BootClock,
     prometheus::Registry,
     std::time::Instant,
     tokio::sync::{mpsc, oneshot, watch},
@@ -109,7 +110,7 @@
         if *self.is_draining.borrow() {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "shutting down\n");
         }
-        if self.serve_until.borrow().is_none_or(|until| Instant::now() >= until) {
+        if self.serve_until.borrow().is_none_or(|until| BootClock::now() >= until) {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "configuration not current\n");
         }
         if !*self.are_servers_known.borrow() {
--- a/crates/instance/src/control/control_task.rs
+++ b/crates/instance/src/control/control_task.rs
@@ -3,6 +3,7 @@
 use {
     super::{ControlMessage, Status, pending_claims::PendingClaims},
     crate::{
+        clock::to_steady,
         counters::Counters,
         instance_message::InstanceMessage,
         peers::{DatagramSender, StreamSender},
@@ -16,7 +17,7 @@
         ids::{DataCentreId, InstanceId},
         registry::SERVER_LEASE,
     },
-    hemlockford_net::Timer,
+    hemlockford_net::{BootClock, Timer},
     hemlockford_proxy::ClaimMessage,
     slog::{Logger, info, warn},
     std::{
@@ -83,7 +84,7 @@
                     Some(message) => self.message_event(message),
                     None => return,
                 },
-                Some(message) = self.parts.claims.recv() => self.pending_claims.handle_message(Instant::now(), message),
+                Some(message) = self.parts.claims.recv() => self.pending_claims.handle_message(BootClock::now(), message),
                 Some(_) = tick.recv() => Some(ControlEvent::Tick),
             };
             if let Some(event) = event {
@@ -109,7 +110,7 @@
             ControlMessage::Persisted(up_to) => ControlEvent::Persisted { up_to },
             ControlMessage::Status(reply) => {
                 let ControlParts { control, id, data_centre, peers, .. } = &self.parts;
-                let _ = reply.send(Status::new(Instant::now(), control, (id, data_centre), peers));
+                let _ = reply.send(Status::new(BootClock::now(), control, (id, data_centre), peers));
                 return None;
             }
             ControlMessage::Drain => ControlEvent::Drain,
@@ -124,7 +125,7 @@
         let mut follow_up = Some(event);
         while let Some(event) = follow_up.take() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.parts.control.handle(Instant::now(), event, &mut actions);
+            self.parts.control.handle(BootClock::now(), event, &mut actions);
             for action in actions.drain(..) {
                 follow_up = self.execute(action).or(follow_up);
             }
@@ -153,7 +154,7 @@
             ControlAction::Answer(answer) => return self.answer(answer),
             ControlAction::ServersChanged(service, views) => {
                 parts.counters.servers.with_label_values(&[&service]).set(views.len() as i64);
-                let _ = parts.dispatcher.send(DispatchEvent::Servers(service, views));
+                let _ = parts.dispatcher.send(DispatchEvent::Servers(service, to_steady(views)));
             }
             ControlAction::LivePeers(live) => {
                 parts.counters.live_instances.set(live.len() as i64);
@@ -185,7 +186,7 @@
         if *parts.are_servers_known.borrow() {
             return;
         }
-        let now = Instant::now();
+        let now = BootClock::now();
         let (membership, digest) = (parts.control.membership(), parts.control.registry().digest(now));
         let mut peers = parts.peers.iter().filter(|peer| membership.is_live(now, peer));
         let is_known = peers.any(|peer| membership.status(peer).is_some_and(|status| status.digest == digest));
@@ -216,7 +217,7 @@
         let ControlParts { counters, log, .. } = &self.parts;
         match entry {
             ControlLogEvent::Ready => {
-                self.serving_since = Some(Instant::now());
+                self.serving_since = Some(BootClock::now());
                 counters.ready.set(1);
             }
             ControlLogEvent::NotReady(_) => {
--- a/crates/instance/src/control/control_thread.rs
+++ b/crates/instance/src/control/control_thread.rs
@@ -20,7 +20,7 @@
         errors::Result,
         ids::{DataCentreId, Incarnation},
     },
-    hemlockford_net::{DatagramSocket, NetOptions, StreamLinks, StreamListener, Timer},
+    hemlockford_net::{BootClock, DatagramSocket, NetOptions, StreamLinks, StreamListener, Timer},
     hemlockford_proxy::ClaimMessage,
     rand::rngs::SmallRng,
     slog::Logger,
@@ -97,7 +97,7 @@
         actix_rt::spawn(admin.run(listener));
         let guard = PanicGuard { task: "the control task", failure: self.failure.clone() };
         let task = ControlTask::new(ControlParts {
-            control: Control::new(self.options, self.recovered, Instant::now(), self.rng),
+            control: Control::new(self.options, self.recovered, BootClock::now(), self.rng),
             id,
             data_centre: self.data_centre,
             peers,
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -14,7 +14,7 @@
         outcome::{NotRunReason, Outcome},
         slots::SlotMessage,
     },
-    hemlockford_net::Timer,
+    hemlockford_net::{BootClock, Timer},
     hemlockford_proxy::{Decision, DispatcherMessage},
     std::time::{Duration, Instant},
     tokio::sync::{mpsc, watch},
@@ -155,7 +155,7 @@
     /// Checks the expiry at the time of use, so that a process that was suspended does not serve an outdated
     /// configuration.
     fn may_serve(&self) -> bool {
-        self.serve_until.borrow().is_some_and(|until| Instant::now() < until)
+        self.serve_until.borrow().is_some_and(|until| BootClock::now() < until)
     }
 }
 
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -28,6 +28,7 @@
         ids::InstanceId,
         probing::{Balancer, BalancerOptions},
     },
+    hemlockford_net::BootClock,
     hemlockford_proxy::{ConnectionLimit, DispatcherHandle, ProxyCounters, ProxyOptions, Worker, WorkerBalancer},
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
@@ -103,7 +104,7 @@
             ..EntryOptions::default()
         };
         let task = EntryTask {
-            link: EntryLink::new(Instant::now(), options, SmallRng::seed_from_u64(incarnation)),
+            link: EntryLink::new(BootClock::now(), options, SmallRng::seed_from_u64(incarnation)),
             network: Network::start(sockets, (id, incarnation), counters.clone(), received_tx)?,
             received: received_rx,
             seeds: seeds_rx,
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -2,7 +2,7 @@
 
 use {
     super::network::Network,
-    crate::counters::Counters,
+    crate::{clock::to_steady, counters::Counters},
     actix_rt::time::sleep_until,
     hemlockford_core::{
         config::Configuration,
@@ -10,13 +10,10 @@
         fleet::{EntryAction, EntryEvent, EntryLink, FleetMessage},
         ids::{InstanceId, ServerId},
     },
-    hemlockford_net::Envelope,
+    hemlockford_net::{BootClock, Envelope},
     hemlockford_proxy::ConnectionLimit,
     slog::{Logger, info},
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
     tokio::{
         select,
         sync::{mpsc, watch},
@@ -46,10 +43,10 @@
 impl EntryTask {
     pub(super) async fn run(mut self) {
         let mut actions = Vec::new();
-        self.link.handle(Instant::now(), EntryEvent::Tick, &mut actions);
+        self.link.handle(BootClock::now(), EntryEvent::Tick, &mut actions);
         self.execute(&mut actions);
         loop {
-            let wake = self.link.next_wake().unwrap_or_else(|| Instant::now() + MAX_TICK_INTERVAL);
+            let wake = self.link.next_wake().unwrap_or_else(|| BootClock::now() + MAX_TICK_INTERVAL);
             let event = select! {
                 biased;
                 Some((envelope, bytes)) = self.received.recv() => {
@@ -62,9 +59,9 @@
                     None => return,
                 },
                 Some(server) = self.leaving.recv() => EntryEvent::ServerLeaving(server),
-                () = sleep_until(wake.into()) => EntryEvent::Tick,
+                () = sleep_until(BootClock::to_steady(wake).into()) => EntryEvent::Tick,
             };
-            self.link.handle(Instant::now(), event, &mut actions);
+            self.link.handle(BootClock::now(), event, &mut actions);
             self.execute(&mut actions);
         }
     }
@@ -86,7 +83,7 @@
                 }
                 EntryAction::ServersChanged(service, servers) => {
                     self.counters.servers.with_label_values(&[&service]).set(servers.len() as i64);
-                    self.send_to_balancer(DispatchEvent::Servers(service, servers));
+                    self.send_to_balancer(DispatchEvent::Servers(service, to_steady(servers)));
                 }
                 EntryAction::LiveEntries(count) => {
                     self.counters.live_instances.set(i64::from(count));
--- a/crates/instance/src/fleet/replica.rs
+++ b/crates/instance/src/fleet/replica.rs
@@ -23,15 +23,11 @@
         fleet::{Replica, ReplicaOptions},
         ids::InstanceId,
     },
+    hemlockford_net::BootClock,
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
     slog::{Logger, info, warn},
-    std::{
-        net::SocketAddr,
-        rc::Rc,
-        sync::mpsc as blocking,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, rc::Rc, sync::mpsc as blocking, time::Duration},
     tokio::sync::{mpsc, watch},
 };
 
@@ -96,7 +92,7 @@
         };
         let mut actions = Vec::new();
         let rng = SmallRng::seed_from_u64(wall_clock_ns());
-        let replica = Replica::new(Instant::now(), options, recovered, rng, &mut actions);
+        let replica = Replica::new(BootClock::now(), options, recovered, rng, &mut actions);
         let task = ReplicaTask {
             replica,
             network: Network::start(sockets, (id, incarnation), counters.clone(), received_tx)?,
--- a/crates/instance/src/fleet/replica_task.rs
+++ b/crates/instance/src/fleet/replica_task.rs
@@ -8,12 +8,9 @@
         collections::FastMap,
         fleet::{FleetLogEvent, FleetMessage, Replica, ReplicaAction, ReplicaAnswer, ReplicaEvent},
     },
-    hemlockford_net::Envelope,
+    hemlockford_net::{BootClock, Envelope},
     slog::{Logger, info},
-    std::{
-        sync::mpsc as blocking,
-        time::{Duration, Instant},
-    },
+    std::{sync::mpsc as blocking, time::Duration},
     tokio::{
         select,
         sync::{mpsc, oneshot},
@@ -65,7 +62,7 @@
     pub(super) async fn run(mut self, mut actions: Vec<ReplicaAction>) {
         self.execute(&mut actions);
         loop {
-            let wake = self.replica.next_wake().unwrap_or_else(|| Instant::now() + MAX_TICK_INTERVAL);
+            let wake = self.replica.next_wake().unwrap_or_else(|| BootClock::now() + MAX_TICK_INTERVAL);
             let event = select! {
                 biased;
                 Some(up_to) = self.persisted.recv() => ReplicaEvent::Persisted { up_to },
@@ -78,9 +75,9 @@
                     Some(message) => self.message_event(message),
                     None => return,
                 },
-                () = sleep_until(wake.into()) => ReplicaEvent::Tick,
+                () = sleep_until(BootClock::to_steady(wake).into()) => ReplicaEvent::Tick,
             };
-            self.replica.handle(Instant::now(), event, &mut actions);
+            self.replica.handle(BootClock::now(), event, &mut actions);
             self.execute(&mut actions);
         }
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,4 +1,4 @@
-//! Transports for messages between instances, and the timer service.
+//! Transports for messages between instances, the timer service, and the clock of leases.
 //!
 //! Messages consist of a version byte, a checksum and a body encoded with `postcard`. Small messages are sent in UDP
 //! datagrams. Large or ordered messages are sent over TCP, with one connection per direction between two instances. If
@@ -6,6 +6,7 @@
 //! messages; the state machines that use them retransmit if necessary.
 
 mod backoff;
+mod boot_clock;
 mod datagram;
 mod envelope;
 mod frame;
@@ -17,6 +18,7 @@
 mod unacknowledged_frames;
 
 pub use {
+    boot_clock::BootClock,
     datagram::DatagramSocket,
     envelope::Envelope,
     frame::{MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, decode, encode},
--- a/crates/proxy/src/claims.rs
+++ b/crates/proxy/src/claims.rs
@@ -3,6 +3,7 @@
 use {
     bytes::Bytes,
     hemlockford_core::ids::{CustomerId, ServiceId},
+    hemlockford_net::BootClock,
     std::time::{Duration, Instant},
     tokio::sync::{mpsc, oneshot},
 };
@@ -89,7 +90,7 @@
 impl HeldClaim {
     /// Returns whether the claim still permits sending the request.
     pub(crate) fn is_valid(&self) -> bool {
-        self.proposed_at.elapsed() < CLAIM_VALIDITY
+        BootClock::now().saturating_duration_since(self.proposed_at) < CLAIM_VALIDITY
     }
 
     pub(crate) fn settle(self, status: u16, content_type: Option<Box<str>>, body: Option<Bytes>) {
@@ -120,7 +121,7 @@
 impl PendingClaim {
     pub(crate) fn request(tx: &mpsc::UnboundedSender<ClaimMessage>, claim: Claim) -> Self {
         let (reply, rx) = oneshot::channel();
-        let proposed_at = Instant::now();
+        let proposed_at = BootClock::now();
         // A failure to send drops `reply`, which the receiver treats as unavailable.
         let _ = tx.send(ClaimMessage::Claim(claim, reply));
         Self { tx: tx.clone(), rx: Some(rx), proposed_at }
