Read the rate of calls that servers name in their answers

Workers now report the rate, and its end, as notices to the decision machines, which do not act on it yet; hemlockford_server_notices_total counts notices by kind, so that a server in need shows in the metrics.

An answer without the header ends a limit only if its request was sent after the last answer that named it. Unreadable and negative values neither name nor end a limit; 0 means no calls.

--- a/crates/core/src/dispatch/exclusions.rs
+++ b/crates/core/src/dispatch/exclusions.rs
@@ -54,6 +54,7 @@
             (*incarnation, *exclusion) = (view.incarnation, Exclusion::default());
         }
         match notice {
+            ServerNotice::Limit(_) => {}
             ServerNotice::Leaving => exclusion.is_leaving = true,
             // An answer that was sent before a longer pause does not end it.
             ServerNotice::Pause(time) => {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod call;
 mod call_options;
+mod call_rate;
 mod dispatcher;
 mod event;
 mod exclusions;
@@ -24,6 +25,7 @@
     attempt::AttemptResult,
     call::Call,
     call_options::CallOptions,
+    call_rate::CallRate,
     dispatcher::Dispatcher,
     event::DispatchEvent,
     finished_attempt::FinishedAttempt,
--- a/crates/instance/src/fleet/balancer_task.rs
+++ b/crates/instance/src/fleet/balancer_task.rs
@@ -67,9 +67,12 @@
     }
 
     fn handle(&mut self, event: DispatchEvent, actions: &mut Vec<DispatchAction>) {
-        if let DispatchEvent::Notice { server, notice: ServerNotice::Leaving, .. } = &event {
-            // Without a receiver the process is stopping.
-            let _ = self.leaving.send(server.clone());
+        if let DispatchEvent::Notice { server, notice, .. } = &event {
+            self.counters.server_notices.with_label_values(&[notice_label(*notice)]).inc();
+            if *notice == ServerNotice::Leaving {
+                // Without a receiver the process is stopping.
+                let _ = self.leaving.send(server.clone());
+            }
         }
         self.balancer.handle(Instant::now(), event, actions);
         for action in std::mem::take(actions) {
@@ -92,3 +95,12 @@
         }
     }
 }
+
+fn notice_label(notice: ServerNotice) -> &'static str {
+    match notice {
+        ServerNotice::Leaving => "leaving",
+        ServerNotice::Pause(_) => "pause",
+        ServerNotice::Limit(Some(_)) => "limit",
+        ServerNotice::Limit(None) => "limit-ended",
+    }
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,7 +1,11 @@
 //! An attempt to send a call to a server, whose result is always reported to the dispatcher.
 
 use {
-    crate::{counters::ProxyCounters, dispatcher::DispatcherHandle, shared::Shared},
+    crate::{
+        counters::ProxyCounters, dialect::RequestIdMatch, dispatcher::DispatcherHandle, named_limits::ResponseTo,
+        shared::Shared,
+    },
+    actix_http::ResponseHead,
     hemlockford_core::{
         dispatch::{AttemptResult, FinishedAttempt, LoadReport, ServerNotice},
         ids::{CallId, ServerId},
@@ -41,6 +45,18 @@
         self.report = report;
     }
 
+    /// Reports the rate of calls that the server names in a response, or no longer names. A response to another request
+    /// may be older than a limit, and does not end it.
+    pub(crate) fn report_limit(&self, shared: &Shared, head: &ResponseHead, id_match: RequestIdMatch) {
+        let dialect = &shared.options.dialect;
+        if id_match != RequestIdMatch::Match && dialect.server_limit(head) == Some(None) {
+            return;
+        }
+        let request = (ResponseTo::Call, self.start);
+        let notice = shared.pool.limit_notice(dialect, head, self.address, request);
+        notice.into_iter().for_each(|notice| self.report_notice(notice));
+    }
+
     /// Returns the time since the start of the attempt.
     pub(crate) fn elapsed(&self) -> Duration {
         self.start.elapsed()
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -6,7 +6,7 @@
         ResponseHead, StatusCode,
         header::{self, HeaderName, HeaderValue},
     },
-    hemlockford_core::dispatch::{LOAD_HEADER, LoadReport, MAX_SERVER_PAUSE, ServerNotice},
+    hemlockford_core::dispatch::{CallRate, LOAD_HEADER, LoadReport, MAX_SERVER_PAUSE, ServerNotice},
     std::time::Duration,
 };
 
@@ -33,6 +33,8 @@
     pub not_run_value: Option<HeaderValue>,
     /// Response header by which a server states, with value 1, that it is leaving.
     pub leaving_header: HeaderName,
+    /// Response header in which a server states, in calls per second, the rate that it takes from all entries together.
+    pub limit_header: Option<HeaderName>,
     /// Whether `retry-after` may have fractions of a second.
     pub fractional_retry_after: bool,
     /// Whether the product's own `hemlockford-` headers, `forwarded` and `x-forwarded-for` are read and written.
@@ -61,6 +63,7 @@
             not_run_header: HeaderName::from_static("hemlockford-shed"),
             not_run_value: Some(HeaderValue::from_static("1")),
             leaving_header: HeaderName::from_static("hemlockford-leaving"),
+            limit_header: None,
             fractional_retry_after: false,
             product_headers: true,
             keep_alive_reuse: false,
@@ -102,6 +105,13 @@
         is_leaving.then_some(ServerNotice::Leaving).into_iter().chain(pause.map(ServerNotice::Pause))
     }
 
+    /// Returns the rate of calls that a server names in a response, if any, or `None` if the value is unreadable, which
+    /// neither names a limit nor ends one.
+    pub(crate) fn server_limit(&self, head: &ResponseHead) -> Option<Option<CallRate>> {
+        let Some(value) = self.limit_header.as_ref().and_then(|name| head.headers.get(name)) else { return Some(None) };
+        CallRate::from_per_second(value.to_str().ok()?.trim().parse().ok()?).map(Some)
+    }
+
     /// Compares the request id of a response with the one that was sent.
     pub(crate) fn match_request_id(&self, head: &ResponseHead, id: Option<&HeaderValue>) -> RequestIdMatch {
         let (Some(name), Some(id)) = (&self.request_id_header, id) else { return RequestIdMatch::Match };
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -137,6 +137,7 @@
         }
         let is_not_run = dialect.is_marked_not_run(&head);
         let id_match = dialect.match_request_id(&head, self.id);
+        self.attempt.report_limit(self.shared, &head, id_match);
         if id_match != RequestIdMatch::Match {
             // The response belongs to another request. Later responses on this connection cannot be matched either.
             server.close_after();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 mod framing;
 mod headers;
 mod load_format;
+mod named_limits;
 mod options;
 mod pending_decision;
 mod pipeline;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -1,10 +1,16 @@
 //! Pool of the connections of one worker to the servers.
 
 use {
-    crate::{connection::Connection, counters::ProxyCounters, options::ProxyOptions},
-    actix_http::ServiceConfig,
+    crate::{
+        connection::Connection,
+        counters::ProxyCounters,
+        dialect::Dialect,
+        named_limits::{NamedLimits, ResponseTo},
+        options::ProxyOptions,
+    },
+    actix_http::{ResponseHead, ServiceConfig},
     actix_rt::time::{sleep, timeout},
-    hemlockford_core::collections::FastMap,
+    hemlockford_core::{collections::FastMap, dispatch::ServerNotice},
     std::{
         cell::RefCell,
         io,
@@ -50,6 +56,7 @@
     config: ServiceConfig,
     counters: ProxyCounters,
     servers: Rc<RefCell<FastMap<SocketAddr, Server>>>,
+    named_limits: Rc<RefCell<NamedLimits>>,
 }
 
 /// Permit for one connection to a server. Dropping it frees the place.
@@ -60,7 +67,7 @@
 
 impl Pool {
     pub(crate) fn new(options: Rc<ProxyOptions>, config: ServiceConfig, counters: ProxyCounters) -> Self {
-        Self { options, config, counters, servers: Rc::default() }
+        Self { options, config, counters, servers: Rc::default(), named_limits: Rc::default() }
     }
 
     /// Takes an idle connection that is recent enough and that the server has not closed, or opens a new one.
@@ -79,6 +86,19 @@
         Ok(Connection::new(io, self.config.clone(), permit))
     }
 
+    /// Returns the notice to report about the rate of calls that a server names, or no longer names, in a response to a
+    /// request that was sent at this time.
+    pub(crate) fn limit_notice(
+        &self,
+        dialect: &Dialect,
+        head: &ResponseHead,
+        server: SocketAddr,
+        request: (ResponseTo, Instant),
+    ) -> Option<ServerNotice> {
+        let limit = dialect.server_limit(head)?;
+        self.named_limits.borrow_mut().record(Instant::now(), server, request, limit)
+    }
+
     /// Drops idle connections that are too old or closed, and opens spare ones.
     pub(crate) fn maintain(&self) {
         let mut spare_permits = Vec::new();
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -4,7 +4,7 @@
 //! it saves opening another one.
 
 use {
-    crate::{connection::BufferedBody, dialect::Dialect, pool::Pool},
+    crate::{connection::BufferedBody, dialect::Dialect, named_limits::ResponseTo, pool::Pool},
     actix_http::{
         Method, RequestHead, Uri,
         body::BodySize,
@@ -59,12 +59,14 @@
 
     /// Returns the load report of a successful response.
     async fn exchange(&self, pool: &Pool, dialect: &Dialect) -> Option<Option<LoadReport>> {
+        let begin = Instant::now();
         let mut connection = pool.acquire(self.address, false).await.ok()?;
         connection.writer.encode_head(self.head(dialect)?, BodySize::None).ok()?;
         connection.writer.flush(&Cell::new(false)).await.ok()?;
         connection.writer.finish();
         let (head, _) = connection.reader.read_head(&Method::GET, false).await.ok()?;
-        for notice in dialect.server_notices(&head) {
+        let limit = pool.limit_notice(dialect, &head, self.address, (ResponseTo::Probe, begin));
+        for notice in dialect.server_notices(&head).chain(limit) {
             let (server, address) = (self.server.clone(), self.address);
             let _ = self.events.send(DispatchEvent::Notice { server, address, notice });
             if notice == ServerNotice::Leaving {
--- a/crates/proxy/tests/server_notices.rs
+++ b/crates/proxy/tests/server_notices.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use {
-    hemlockford_core::dispatch::{DispatchEvent, MAX_SERVER_PAUSE, ServerNotice},
+    hemlockford_core::dispatch::{CallRate, DispatchEvent, MAX_SERVER_PAUSE, ServerNotice},
     hemlockford_proxy::Probe,
-    std::time::Duration,
+    std::{cell::Cell, rc::Rc, time::Duration},
     support::{
         Caller, TestProxy, fixed_response_server,
         platform::{self, LOOK_UP, OK, ORDER, echo, with},
@@ -112,3 +112,42 @@
     }
     assert!(matches!(rx.recv().await, Some(DispatchEvent::ProbeFinished { ok: false, .. })));
 }
+
+/// Guards against a limit that is missed or misread, or is ended by an unreadable value.
+#[actix_rt::test]
+async fn a_response_names_the_rate_that_its_server_takes() {
+    for (value, calls) in [("1", Some(1.0)), ("1.7", Some(1.7)), ("0", Some(0.0)), ("1e30", Some(1e6))] {
+        let expected: Vec<_> =
+            calls.map(|calls| ServerNotice::Limit(CallRate::from_per_second(calls))).into_iter().collect();
+        for response in [OK, BUSY] {
+            assert_eq!(notices(with(response, &format!("x-limit: {value}"))).await, expected, "{value}");
+        }
+    }
+    for value in ["-1", "NaN", "few", ""] {
+        assert_eq!(notices(with(OK, &format!("x-limit: {value}"))).await, [], "{value}");
+    }
+}
+
+/// Guards against a limit that is kept when the server no longer names it, or that an unreadable value ends.
+#[actix_rt::test]
+async fn a_response_without_the_limit_ends_it() {
+    let responses = ["x-limit: 2", "x-limit: 1.5", "x-limit: few", "x-other: 1", "x-other: 1"].map(|it| with(OK, it));
+    let answered = Rc::new(Cell::new(0));
+    let server = serve(move |mut io: Caller, _| {
+        let (responses, answered) = (responses.clone(), answered.clone());
+        async move {
+            while let Some(request) = io.message(false).await {
+                io.send(&echo(&responses[answered.get()], &request)).await;
+                answered.set(answered.get() + 1);
+            }
+        }
+    })
+    .await;
+    let proxy = TestProxy::start(platform::script(&[server.address]));
+    for _ in 0..5 {
+        proxy.call(ORDER).await;
+    }
+    let limits: Vec<_> = proxy.log.borrow().notices.iter().map(|(.., notice)| *notice).collect();
+    let limit = |calls| ServerNotice::Limit(CallRate::from_per_second(calls));
+    assert_eq!(limits, [limit(2.0), limit(1.5), ServerNotice::Limit(None)]);
+}
--- a/crates/proxy/tests/support/platform.rs
+++ b/crates/proxy/tests/support/platform.rs
@@ -27,6 +27,7 @@
         not_run_header: HeaderName::from_static("x-not-run"),
         not_run_value: None,
         leaving_header: HeaderName::from_static("x-leaving"),
+        limit_header: Some(HeaderName::from_static("x-limit")),
         fractional_retry_after: true,
         product_headers: false,
         keep_alive_reuse: true,
