Reproduce calls beyond the limit that a server names

The simulated fleet lets a server name a limit in its answers, to calls only or to probes as well, and counts as the users' rule does: calls of entries that were told half a second before, from 3 s after the first answer, at most one and a half times the limit, + 5, in any 4 s.

--- a/crates/core/tests/support/fleet/callers.rs
+++ b/crates/core/tests/support/fleet/callers.rs
@@ -164,6 +164,9 @@
         if !wants_decision {
             self.records.remove(&call);
         }
+        if !matches!(result, AttemptResult::BrokenAfterWrite | AttemptResult::RefusedBeforeWrite) {
+            self.name_limit(entry, server);
+        }
         let server = self.servers[server].view.id.clone();
         self.handle_event(
             entry,
--- a/crates/core/tests/support/fleet/event.rs
+++ b/crates/core/tests/support/fleet/event.rs
@@ -26,7 +26,7 @@
     /// A probe has arrived at a server.
     ProbeArrived { entry: usize, probe: u64, server: usize, delay: f64 },
     /// The answer to a probe has arrived at its entry.
-    ProbeAnswered { entry: usize, probe: u64, report: Option<LoadReport> },
+    ProbeAnswered { entry: usize, probe: u64, server: usize, report: Option<LoadReport> },
     /// The speed of a server changes.
     SpeedChange { server: usize },
     /// A timer of an entry has expired.
--- a/crates/core/tests/support/fleet/mod.rs
+++ b/crates/core/tests/support/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod entry_balancer;
 mod event;
+mod named_limit;
 mod options;
 mod outages;
 mod server;
@@ -16,6 +17,7 @@
     call_result::{CallResult, ResultKind},
     call_stats::CallStats,
     entry_balancer::EntryBalancer,
+    named_limit::NamedLimit,
     options::FleetOptions,
     server::{Fault, SimulatedServer},
     simulation::Fleet,
--- a/crates/core/tests/support/fleet/server.rs
+++ b/crates/core/tests/support/fleet/server.rs
@@ -1,7 +1,7 @@
 //! A simulated server of a fleet.
 
 use {
-    super::FleetOptions,
+    super::{FleetOptions, NamedLimit},
     hemlockford_core::{
         dispatch::{LoadReport, ServerState, ServerView},
         ids::CallId,
@@ -57,6 +57,8 @@
     /// Calls that have arrived at the server.
     pub received_calls: u64,
     pub first_call_at: Option<Instant>,
+    /// Rate of calls that the server names in its answers.
+    pub limit: Option<NamedLimit>,
     /// Whether the server has crashed.
     pub has_crashed: bool,
     /// Permanent factor on the slowdown.
@@ -77,6 +79,7 @@
             updated_at: now,
             received_calls: 0,
             first_call_at: None,
+            limit: None,
             has_crashed: false,
             slowness: 1.0,
             fixed_speed_per_call: options.fixed_speed_per_call,
--- a/crates/core/tests/support/fleet/simulation.rs
+++ b/crates/core/tests/support/fleet/simulation.rs
@@ -184,12 +184,18 @@
             Event::AnswerArrived { entry, call, server, result, report } => {
                 self.deliver_answer(entry, call, server, result, report)
             }
-            Event::ProbeArrived { entry, probe, server, delay } => {
-                let server = &self.servers[server];
+            Event::ProbeArrived { entry, probe, server: number, delay } => {
+                let server = &mut self.servers[number];
+                if let Some(limit) = &mut server.limit {
+                    limit.probes += 1;
+                }
                 let report = (server.is_ready() && !server.has_crashed).then(|| server.report());
-                self.schedule(delay, Event::ProbeAnswered { entry, probe, report });
+                self.schedule(delay, Event::ProbeAnswered { entry, probe, server: number, report });
             }
-            Event::ProbeAnswered { entry, probe, report } => {
+            Event::ProbeAnswered { entry, probe, server, report } => {
+                if report.is_some() && self.servers[server].limit.as_ref().is_some_and(|it| it.is_named_to_probes) {
+                    self.name_limit(entry, server);
+                }
                 let event = DispatchEvent::ProbeFinished {
                     probe,
                     latency: Duration::from_millis(3),
@@ -302,6 +308,15 @@
         }
     }
 
+    /// Informs an entry of the rate that a server names in an answer.
+    pub(super) fn name_limit(&mut self, entry: usize, server: usize) {
+        let target = &mut self.servers[server];
+        let Some(limit) = &mut target.limit else { return };
+        let notice = limit.name_to(self.now, entry);
+        let (server, address) = (target.view.id.clone(), target.view.address);
+        self.handle_event(entry, DispatchEvent::Notice { server, address, notice });
+    }
+
     fn is_remote(&self, entry: usize, server: usize) -> bool {
         entry % self.options.data_centres != server % self.options.data_centres
     }
@@ -319,6 +334,9 @@
         let target = &mut self.servers[server];
         target.received_calls += 1;
         target.first_call_at.get_or_insert(now);
+        if let Some(limit) = &mut target.limit {
+            limit.record_call(now, entry);
+        }
         let result = match target.fault {
             _ if target.has_crashed => Some(AttemptResult::RefusedBeforeWrite),
             Fault::FailsFast => Some(AttemptResult::ServerError),
