Divide the limits that servers name among a few entries

Cause: the header was unknown, and a limit that holds over all entries together needs their number; each entry sees only its own calls. The class of fault: a bound on a sum that each member applies to its own part.

An entry that has been told sends the server calls from a token bucket that is empty at first and holds one. The limit is divided among as many entries as it has calls a second, and two more, chosen by their positions in the fleet and the name of the server; the others send none. In any 4 s the sum is at most 4 x limit + users, 5 x limit + 2, below the users' bound of 6 x limit + 5 for every limit and every number of entries. Replicas tell an entry its position with each answer to a poll. Calls beyond the limits of all servers are rejected at once with the time of the next.

The end of a limit shows in answers to calls, and in probes, 5 a second of all entries together; where probes are not told, an entry tests a limit with a call after a minute at the earliest.

Ruled out: equal parts for all entries (with 119 entries and buckets of one call, 119 calls may come at once; with a limit of 1, each would have a call every two minutes); choosing the entries at random (with 3 on average, more than the bound allows in 18 of 100 fleets, worked out); tokens granted by the replicas (a message for each call).

--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -23,6 +23,8 @@
     Servers(ServiceId, Vec<ServerView>),
     /// The live entries have changed; contains all of them.
     Peers(Vec<InstanceId>),
+    /// The index of this entry among the live entries of a fleet, in an order on which all of them agree.
+    Position(usize),
     /// A message from another entry.
     PeerMessage {
         /// Entry that sent the message.
--- a/crates/core/src/dispatch/exclusions.rs
+++ b/crates/core/src/dispatch/exclusions.rs
@@ -54,6 +54,7 @@
             (*incarnation, *exclusion) = (view.incarnation, Exclusion::default());
         }
         match notice {
+            // Only the balancer of a fleet divides a limit among the entries.
             ServerNotice::Limit(_) => {}
             ServerNotice::Leaving => exclusion.is_leaving = true,
             // An answer that was sent before a longer pause does not end it.
--- a/crates/core/src/fleet/entry/action.rs
+++ b/crates/core/src/fleet/entry/action.rs
@@ -26,6 +26,8 @@
     ServersChanged(ServiceId, Vec<ServerView>),
     /// Set the number of live entries in the fleet, at least 1.
     LiveEntries(u32),
+    /// Set the index of this entry among the live entries.
+    Position(u32),
     /// Whether the entry has the configuration and servers that it needs to serve. It never becomes unready again.
     Ready(bool),
     /// Log a state change.
--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -83,6 +83,7 @@
     required_change: Option<ChangeNumber>,
     missing_change: Option<MissingChange>,
     entries: u32,
+    position: Option<u32>,
     is_ready: bool,
 }
 
@@ -110,6 +111,7 @@
             required_change: None,
             missing_change: None,
             entries: 0,
+            position: None,
             is_ready: false,
             options,
         }
@@ -274,6 +276,10 @@
                 self.entries = response.entries.max(1);
                 out.push(EntryAction::LiveEntries(self.entries));
             }
+            if response.is_complete && self.position != Some(response.position) {
+                self.position = Some(response.position);
+                out.push(EntryAction::Position(response.position));
+            }
             return;
         }
         let is_preferred = self.replica.as_ref().is_none_or(|used| self.known.rank(&from) < self.known.rank(used));
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -98,6 +98,8 @@
     pub revision: u64,
     /// Number of live entries in the fleet.
     pub entries: u32,
+    /// Index of the entry among them: those of one replica after those of another, in the order of names.
+    pub position: u32,
     /// Data centre of the replica.
     pub data_centre: DataCentreId,
     /// Other replicas.
--- a/crates/core/src/fleet/replica/entry_updates.rs
+++ b/crates/core/src/fleet/replica/entry_updates.rs
@@ -60,6 +60,7 @@
             change,
             revision,
             entries: self.entries(now),
+            position: self.position(now, &from),
             data_centre: self.options.data_centre.clone(),
             replicas: if include_names { self.replica_names(now) } else { Vec::new() },
         };
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -245,6 +245,11 @@
         self.subscribers.live_count(now).saturating_add(self.peers.entries(now)).max(1)
     }
 
+    /// Returns the index of an entry among the live entries of the fleet.
+    pub(super) fn position(&self, now: Instant, entry: &InstanceId) -> u32 {
+        self.subscribers.position(now, entry).saturating_add(self.peers.entries_before(now, &self.options.id))
+    }
+
     fn tick_interval(&self) -> Duration {
         let is_learner = !self.consensus.is_admitted() && self.consensus.leader().is_some();
         if is_learner { LEARNER_TICK } else { VOTER_TICK }
--- a/crates/core/src/fleet/replica/peers.rs
+++ b/crates/core/src/fleet/replica/peers.rs
@@ -188,8 +188,18 @@
 
     /// Returns the sum of the entry counts of the other replicas.
     pub(super) fn entries(&self, now: Instant) -> u32 {
+        self.sum_entries(now, |_| true)
+    }
+
+    /// Returns the sum of the entry counts of the replicas with lower names than this one.
+    pub(super) fn entries_before(&self, now: Instant, own: &InstanceId) -> u32 {
+        self.sum_entries(now, |name| name < own)
+    }
+
+    fn sum_entries(&self, now: Instant, is_counted: impl Fn(&InstanceId) -> bool) -> u32 {
         let is_recent = |(_, at): &(u32, Instant)| now.saturating_duration_since(*at) < ENTRY_COUNT_LIFETIME;
-        let counts = self.peers.values().filter_map(|peer| peer.entries.filter(is_recent));
+        let counted = self.peers.iter().filter(|(name, _)| is_counted(name));
+        let counts = counted.filter_map(|(_, peer)| peer.entries.filter(is_recent));
         counts.fold(0, |sum, (entries, _)| sum.saturating_add(entries))
     }
 
--- a/crates/core/src/fleet/replica/subscribers.rs
+++ b/crates/core/src/fleet/replica/subscribers.rs
@@ -145,6 +145,12 @@
         u32::try_from(live).unwrap_or(u32::MAX)
     }
 
+    /// Returns the index of an entry among the live ones, in the order of names.
+    pub(super) fn position(&self, now: Instant, entry: &InstanceId) -> u32 {
+        let before = self.0.iter().filter(|(name, subscriber)| *name < entry && subscriber.is_live(now)).count();
+        u32::try_from(before).unwrap_or(u32::MAX)
+    }
+
     pub(super) fn remove_inactive(&mut self, now: Instant) {
         self.0.retain(|_, subscriber| subscriber.is_live(now));
     }
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ActiveCall, BalancerOptions, EntryCount, RunningProbe, ServiceState, Stage,
+        ActiveCall, BalancerOptions, EntryCount, FleetPosition, RunningProbe, ServiceState, Stage,
         service::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
     },
     crate::{
@@ -45,6 +45,8 @@
     pub(super) health_paths: FastMap<NameHash, Box<str>>,
     /// Number of live entries, including this one.
     pub(super) entries: EntryCount,
+    /// Index of this entry among the live ones.
+    pub(super) index: usize,
     pub(super) services: FastMap<NameHash, ServiceState>,
     pub(super) calls: FastMap<CallId, ActiveCall>,
     pub(super) probes: BTreeMap<u64, RunningProbe>,
@@ -68,6 +70,7 @@
     pub fn new(options: BalancerOptions, rng: SmallRng) -> Self {
         Self {
             entries: EntryCount::assumed(options.assumed_entries),
+            index: 0,
             options,
             rng,
             config: None,
@@ -88,7 +91,14 @@
             DispatchEvent::AttemptFinished(finish) => self.finish(now, &finish, actions),
             DispatchEvent::Cancel(call) => self.cancel(now, call, actions),
             DispatchEvent::Servers(service, views) => self.set_servers(now, &service, views, actions),
-            DispatchEvent::Peers(peers) => self.entries.update(now, peers.len()),
+            DispatchEvent::Peers(peers) => {
+                self.entries.update(now, peers.len());
+                self.divide_limits(now);
+            }
+            DispatchEvent::Position(index) => {
+                self.index = index;
+                self.divide_limits(now);
+            }
             // Entries of a fleet do not exchange messages.
             DispatchEvent::PeerMessage { .. } => {}
             DispatchEvent::Configure(config) => {
@@ -212,7 +222,17 @@
         self.dispatch_waiting(now, service, actions);
     }
 
-    /// Excludes a server that asked for no further calls. Waiting calls for which no other server is left are rejected.
+    pub(super) fn position(&mut self, now: Instant) -> FleetPosition {
+        FleetPosition { entries: self.entries.get(now, self.options.retry_window), index: self.index }
+    }
+
+    /// Determines this entry's parts of the limits that servers have named.
+    fn divide_limits(&mut self, now: Instant) {
+        let position = self.position(now);
+        self.services.values_mut().for_each(|state| state.servers.divide_limits(now, position));
+    }
+
+    /// Excludes a server that asked for no further calls, or for fewer than this entry would send. Waiting calls for which no other server is left are rejected.
     fn record_notice(
         &mut self,
         now: Instant,
@@ -221,10 +241,11 @@
         notice: ServerNotice,
         actions: &mut Vec<DispatchAction>,
     ) {
+        let position = self.position(now);
         let services: Vec<_> = self.services.keys().copied().collect();
         for service in services {
             let Some(state) = self.services.get_mut(&service) else { continue };
-            if state.servers.record_notice(now, server, address, notice) {
+            if state.servers.record_notice(now, (server, address), notice, position, &mut self.rng) {
                 self.dispatch_waiting(now, service, actions);
             }
         }
--- a/crates/core/src/probing/mod.rs
+++ b/crates/core/src/probing/mod.rs
@@ -11,6 +11,7 @@
 mod cost;
 mod ejection;
 mod entry_count;
+mod fleet_position;
 mod load_sample;
 mod options;
 mod probe_round;
@@ -19,6 +20,7 @@
 mod selection;
 mod sending;
 mod server;
+mod server_limit;
 mod servers;
 mod service;
 mod stage;
@@ -28,6 +30,6 @@
 
 use {
     active::ActiveCall, baseline::Baseline, cost::Cost, ejection::Ejection, entry_count::EntryCount,
-    load_sample::LoadSample, queue::Queue, running_probe::RunningProbe, server::Server, servers::Servers,
-    service::ServiceState, stage::Stage,
+    fleet_position::FleetPosition, load_sample::LoadSample, queue::Queue, running_probe::RunningProbe, server::Server,
+    server_limit::ServerLimit, servers::Servers, service::ServiceState, stage::Stage,
 };
--- a/crates/core/src/probing/probe_round.rs
+++ b/crates/core/src/probing/probe_round.rs
@@ -60,6 +60,7 @@
         rounds: u32,
         actions: &mut Vec<DispatchAction>,
     ) {
+        self.check_limit(now, active.service, actions);
         let added = self.select_candidates(now, &active, &candidates);
         let mut pending_probes = 0;
         for server in added {
@@ -77,6 +78,20 @@
         self.set_timer(until, Timer::Call(call));
     }
 
+    /// Probes a server for which it is due to learn whether its limit still holds. Entries that may not send it calls
+    /// would not learn that otherwise.
+    fn check_limit(&mut self, now: Instant, service: NameHash, actions: &mut Vec<DispatchAction>) {
+        let position = self.position(now);
+        let Some(state) = self.services.get_mut(&service) else { return };
+        let due = state.servers.iter().find(|server| server.is_limit_check_due(now)).map(|server| server.name_hash);
+        let Some(due) = due.and_then(|server| state.servers.get_mut(server)) else { return };
+        let server = due.name_hash;
+        if let Some(limit) = &mut due.limit {
+            limit.postpone_check(now, position, &mut self.rng);
+        }
+        self.probe_server(now, service, server, None, actions);
+    }
+
     /// Returns the most promising servers for a call, apart from the current candidates.
     fn select_candidates(&mut self, now: Instant, active: &ActiveCall, known: &[NameHash]) -> Vec<NameHash> {
         let interval = self.probe_interval(now);
--- a/crates/core/src/probing/sending.rs
+++ b/crates/core/src/probing/sending.rs
@@ -1,7 +1,7 @@
 //! Sending of a call to the chosen server.
 
 use {
-    super::{ActiveCall, Balancer, Stage},
+    super::{ActiveCall, Balancer, FleetPosition, Stage},
     crate::{dispatch::DispatchAction, outcome::NotRunReason, slots::NameHash},
     std::time::Instant,
 };
@@ -28,6 +28,9 @@
             return self.reject(now, &active, NotRunReason::NoServer, actions);
         };
         chosen.start_call(now);
+        if let Some(limit) = &mut chosen.limit {
+            limit.record_call(now, FleetPosition { entries, index: self.index }, &mut self.rng);
+        }
         actions.push(DispatchAction::Send {
             call: active.call.id,
             server: chosen.view.id.clone(),
--- a/crates/core/src/probing/server.rs
+++ b/crates/core/src/probing/server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Baseline, Ejection, LoadSample,
+        Baseline, Ejection, LoadSample, ServerLimit,
         cost::{BUSY_SLOWDOWN, BUSY_THRESHOLD},
     },
     crate::{
@@ -53,6 +53,8 @@
     pub(super) is_misdirected: bool,
     /// What the server asked for in its answers.
     pub(super) exclusion: Exclusion,
+    /// Limit on the rate of calls that the server has named.
+    pub(super) limit: Option<ServerLimit>,
     /// When this entry sends a new server its first call even if other servers seem better.
     pub(super) introduction_due: Option<Instant>,
     consecutive_sheds: u32,
@@ -78,6 +80,7 @@
             ejection: Ejection::default(),
             is_misdirected: false,
             exclusion: Exclusion::default(),
+            limit: None,
             introduction_due: None,
             consecutive_sheds: 0,
             failure_rate: 0.0,
@@ -92,18 +95,35 @@
     /// Returns whether the announced state, the lease and the server's own answers allow new calls; they are checked
     /// at the time of use.
     pub(super) fn is_available(&self, now: Instant) -> bool {
+        self.is_open(now) && self.limit.as_ref().is_none_or(|limit| limit.may_call(now))
+    }
+
+    /// Returns whether the server takes calls, possibly not from this entry now because of the limit that it named.
+    fn is_open(&self, now: Instant) -> bool {
         self.is_ready(now) && !self.exclusion.applies(now)
     }
 
+    /// Returns whether a probe is due that shows whether the limit of the server still holds.
+    pub(super) fn is_limit_check_due(&self, now: Instant) -> bool {
+        self.limit.as_ref().is_some_and(|limit| limit.is_check_due(now)) && self.is_open(now)
+    }
+
     /// Returns whether the announced state and the lease allow new calls.
     fn is_ready(&self, now: Instant) -> bool {
         self.view.state == ServerState::Ready && now < self.view.lease_end && !self.is_misdirected
     }
 
-    /// Returns when a server that asked for a pause takes calls again.
+    /// Returns when a server that asked for a pause or named a limit takes a call of this entry again.
     pub(super) fn pause_end(&self, now: Instant) -> Option<Instant> {
-        let is_paused = self.is_ready(now) && !self.exclusion.is_leaving;
-        self.exclusion.paused_until.filter(|until| is_paused && now < *until)
+        if !self.is_ready(now) || self.exclusion.is_leaving {
+            return None;
+        }
+        let pause = self.exclusion.paused_until.filter(|until| now < *until);
+        let limit = self.limit.as_ref().filter(|limit| !limit.may_call(now));
+        match limit {
+            Some(limit) => Some(limit.next_call_at(now)?.max(pause.unwrap_or(now))),
+            None => pause,
+        }
     }
 
     /// Returns whether the server may get calls other than a trial.
--- a/crates/core/src/probing/servers.rs
+++ b/crates/core/src/probing/servers.rs
@@ -1,10 +1,11 @@
 //! The servers of one service, with those of the own data centre first.
 
 use {
-    super::Server,
+    super::{FleetPosition, Server, ServerLimit},
     crate::{
         collections::FastMap,
         dispatch::{Exclusions, ServerNotice, ServerView},
+        ids::Incarnation,
         slots::{NameHash, name_hash},
     },
     rand::{RngExt, rngs::SmallRng},
@@ -34,6 +35,9 @@
 /// Servers of other data centres considered for one choice, so that its cost does not grow with their number.
 pub(super) const REMOTE_SAMPLE_SIZE: usize = 4;
 
+/// Maximum number of removed servers whose limits are remembered.
+const MAX_REMOVED_LIMITS: usize = 1_024;
+
 /// The servers of one service, with those of the own data centre first.
 #[derive(Debug, Default)]
 pub(super) struct Servers {
@@ -45,6 +49,8 @@
     /// count as new.
     first_known_at: Option<Instant>,
     exclusions: Exclusions,
+    /// Limits named by servers that the control plane has removed, which it may add again.
+    removed_limits: FastMap<NameHash, (Incarnation, ServerLimit)>,
 }
 
 impl Servers {
@@ -68,9 +74,12 @@
                 continue;
             }
             let is_remote = *view.data_centre != *data_centre;
-            let same = known
-                .remove(&id)
-                .filter(|old| old.view.address == view.address && old.view.ready_since == view.ready_since);
+            let old = known.remove(&id);
+            let limit = match &old {
+                Some(old) => old.limit.clone().filter(|_| old.view.incarnation == view.incarnation),
+                None => self.removed_limits.remove(&id).filter(|(it, _)| *it == view.incarnation).map(|(_, it)| it),
+            };
+            let same = old.filter(|old| old.view.address == view.address && old.view.ready_since == view.ready_since);
             let mut server = match same {
                 Some(mut old) => {
                     old.view = view;
@@ -89,8 +98,14 @@
             };
             self.positions.insert(id, 0);
             server.exclusion = self.exclusions.of(&server.view);
+            server.limit = limit;
             self.all.push(server);
         }
+        if self.removed_limits.len() + known.len() > MAX_REMOVED_LIMITS {
+            self.removed_limits.clear();
+        }
+        let removed = known.into_iter().filter_map(|(id, server)| Some((id, (server.view.incarnation, server.limit?))));
+        self.removed_limits.extend(removed);
         self.all.sort_unstable_by(|a, b| (a.is_remote, &a.view.id).cmp(&(b.is_remote, &b.view.id)));
         self.positions = self.all.iter().enumerate().map(|(position, server)| (server.name_hash, position)).collect();
         self.local_count = self.all.iter().filter(|server| !server.is_remote).count();
@@ -101,22 +116,41 @@
     pub(super) fn record_notice(
         &mut self,
         now: Instant,
-        server: NameHash,
-        address: SocketAddr,
+        (server, address): (NameHash, SocketAddr),
         notice: ServerNotice,
+        position: FleetPosition,
+        rng: &mut SmallRng,
     ) -> bool {
-        let Some(position) = self.positions.get(&server).copied() else { return false };
-        let server = &mut self.all[position];
+        let Some(at) = self.positions.get(&server).copied() else { return false };
+        let server = &mut self.all[at];
         if server.view.address != address {
             return false;
         }
-        self.exclusions.record(now, &server.view, notice);
-        server.exclusion = self.exclusions.of(&server.view);
+        match notice {
+            ServerNotice::Limit(None) => server.limit = None,
+            ServerNotice::Limit(Some(rate)) => {
+                let limit = server.limit.get_or_insert_with(|| ServerLimit::new(now, rate));
+                limit.record(now, rate, server.name_hash, position, rng);
+            }
+            ServerNotice::Leaving | ServerNotice::Pause(_) => {
+                self.exclusions.record(now, &server.view, notice);
+                server.exclusion = self.exclusions.of(&server.view);
+            }
+        }
         self.restore_capacity(now);
         true
     }
 
-    /// Returns when the first server that asked for a pause takes calls again, if no server takes calls now.
+    /// Determines this entry's parts of the limits that servers have named.
+    pub(super) fn divide_limits(&mut self, now: Instant, position: FleetPosition) {
+        for server in &mut self.all {
+            if let Some(limit) = &mut server.limit {
+                limit.divide(now, server.name_hash, position);
+            }
+        }
+    }
+
+    /// Returns when the first server that asked for a pause or named a limit takes calls again, if none does now.
     pub(super) fn pause_end(&self, now: Instant) -> Option<Instant> {
         let is_served = self.all.iter().any(|server| server.is_available(now));
         if is_served { None } else { self.all.iter().filter_map(|server| server.pause_end(now)).min() }
--- a/crates/core/tests/fleet_entry.rs
+++ b/crates/core/tests/fleet_entry.rs
@@ -111,6 +111,7 @@
                 change: self.change,
                 revision: 1,
                 entries: 1,
+                position: 0,
                 data_centre: "south".into(),
                 replicas: Vec::new(),
             };
--- a/crates/core/tests/fleet_support/faults.rs
+++ b/crates/core/tests/fleet_support/faults.rs
@@ -110,6 +110,7 @@
             is_ready: false,
             ready_at: None,
             entries: 0,
+            position: None,
             switches: Vec::new(),
             disturbed_at: self.now,
             sent: 0,
--- a/crates/core/tests/fleet_support/node.rs
+++ b/crates/core/tests/fleet_support/node.rs
@@ -47,6 +47,7 @@
     pub is_ready: bool,
     pub ready_at: Option<Duration>,
     pub entries: u32,
+    pub position: Option<u32>,
     /// Times at which the entry switched to another replica.
     pub switches: Vec<Duration>,
     /// Last time at which the machine was started or thawed.
--- a/crates/core/tests/support/fleet/simulation.rs
+++ b/crates/core/tests/support/fleet/simulation.rs
@@ -104,6 +104,7 @@
         let peers: Vec<InstanceId> = (0..self.options.entries).map(|entry| format!("entry-{entry}").into()).collect();
         for entry in 0..self.options.entries {
             self.handle_event(entry, DispatchEvent::Peers(peers.clone()));
+            self.handle_event(entry, DispatchEvent::Position(entry));
         }
         if let Some(restart) = self.options.restart_interval {
             self.schedule(restart.as_secs_f64(), Event::Restart);
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -90,6 +90,7 @@
                     self.connection_limit.set_entries(count as usize);
                     self.send_to_balancer(DispatchEvent::Peers(vec![InstanceId::default(); count as usize]));
                 }
+                EntryAction::Position(index) => self.send_to_balancer(DispatchEvent::Position(index as usize)),
                 EntryAction::Ready(is_ready) => {
                     info!(self.log, "readiness changed"; "ready" => is_ready);
                     self.counters.ready.set(i64::from(is_ready));
