Keep the ports of refused addresses bound in the tests of the HTTP path

Cause: the address that should refuse connections was a port that had been released, and a listener of a test that runs at the same time got it; the answer was that test's, in another run the proxy's own.

No check has changed.

--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -231,9 +231,14 @@
     (server.await, seen)
 }
 
-/// Returns an address that refuses connections.
+/// Returns an address that refuses connections. Its port stays bound until the process ends, so that no listener of a
+/// test that runs at the same time gets it.
 pub fn refused_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let address = socket.local_addr().unwrap();
+    std::mem::forget(socket);
+    address
 }
 
 /// One side of a raw connection.
