Let a replica whose clock was set back take a later incarnation

What operators would see: after a replica lost its disk while its clock was set back, or after it had run with a clock set ahead, it never comes back, and with the next loss of a replica no change is accepted.

Cause: incarnations come from the time of day, so that the one after the loss of a disk may be lower than one before. The others then take its messages for late ones of an earlier process, for ever. The class of fault: an order that relies on a clock which may be set.

A replica that drops such a message now answers with the latest incarnation that it knows, and so does one to which the voters' incarnation says the same. The replica, if it is no voter yet, gives its folder a later one and restarts once. A voter is never renumbered, as it must keep what it promised under its incarnation; its process incarnations rise with its folder's.

--- a/crates/core/src/consensus/queries.rs
+++ b/crates/core/src/consensus/queries.rs
@@ -54,6 +54,11 @@
         may_stand.then_some(self.election_at)
     }
 
+    /// The incarnation of a voter's data folder.
+    pub fn voter_incarnation(&self, replica: &str) -> Option<Incarnation> {
+        self.log.members.incarnation(replica)
+    }
+
     /// The leader of this term, if known.
     pub fn leader(&self) -> Option<&InstanceId> {
         self.leader.as_ref()
--- a/crates/core/src/fleet/bounds.rs
+++ b/crates/core/src/fleet/bounds.rs
@@ -22,7 +22,7 @@
             Self::Poll(poll) => {
                 poll.leaving.len() <= MAX_LEAVING && poll.leaving.iter().all(|(server, _)| is_name(server))
             }
-            Self::Consensus(_) => true,
+            Self::Consensus(_) | Self::Outdated(_) => true,
             Self::PollResponse(response) => are_names(&response.replicas) && is_name(&response.data_centre),
             Self::Install(update) => update.size() <= MAX_CONFIG_BYTES,
             Self::Servers(servers) => {
--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -244,7 +244,8 @@
             | FleetMessage::Records(_)
             | FleetMessage::RecordRequest(_)
             | FleetMessage::Request { .. }
-            | FleetMessage::Reply { .. } => {}
+            | FleetMessage::Reply { .. }
+            | FleetMessage::Outdated(_) => {}
         }
         self.check_ready(out);
     }
--- a/crates/core/src/fleet/log_event.rs
+++ b/crates/core/src/fleet/log_event.rs
@@ -1,7 +1,7 @@
 //! State changes to be logged.
 
 use {
-    crate::ids::{ChangeNumber, InstanceId, ServerId, Term},
+    crate::ids::{ChangeNumber, Incarnation, InstanceId, ServerId, Term},
     derive_more::Display,
 };
 
@@ -23,6 +23,9 @@
     /// Records of an earlier run were restored.
     #[display("{_0} servers restored from the saved directory")]
     DirectoryRestored(usize),
+    /// Another replica knows a later incarnation of this replica than its own.
+    #[display("incarnation {_0} of this replica is known to others; taking a later one")]
+    Renumbered(Incarnation),
     /// The directory of this replica is complete.
     #[display("directory is complete")]
     DirectoryComplete,
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -46,6 +46,8 @@
         /// The answer.
         reply: Reply,
     },
+    /// The receiver has a lower incarnation than an earlier process under its name, the latest of which is this one.
+    Outdated(Incarnation),
 }
 
 /// Requests updates from a replica; sent by an entry.
--- a/crates/core/src/fleet/replica/action.rs
+++ b/crates/core/src/fleet/replica/action.rs
@@ -3,7 +3,7 @@
 use crate::{
     consensus::Write,
     fleet::{FleetLogEvent, FleetMessage, ReplicaAnswer},
-    ids::InstanceId,
+    ids::{Incarnation, InstanceId},
 };
 
 /// An action for the task of a replica. Actions are executed in order.
@@ -26,6 +26,8 @@
     },
     /// Replace the saved directory. It may be lost, and it must not delay a `Write` or make one fail.
     SaveDirectory(Vec<u8>),
+    /// Give the data folder a later incarnation than this one and restart the process.
+    Renumber(Incarnation),
     /// Answer a request.
     Answer {
         /// Number of the request.
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -96,6 +96,7 @@
     /// Earliest time of the next save.
     pub(super) next_save_at: Instant,
     is_stopping: bool,
+    is_renumbered: bool,
 }
 
 impl Replica {
@@ -153,6 +154,7 @@
             saved_revision: 0,
             next_save_at: now,
             is_stopping: false,
+            is_renumbered: false,
             options,
         };
         replica.pin_peers(now);
@@ -272,13 +274,24 @@
             return self.handle_poll(now, from, incarnation, poll, out);
         }
         // The sender of a message that is meant for entries is not recorded as a peer.
-        if matches!(message, FleetMessage::PollResponse(_) | FleetMessage::Install(_) | FleetMessage::Servers(_))
-            || !self.peers.record_message(now, &from, incarnation)
-        {
+        if matches!(message, FleetMessage::PollResponse(_) | FleetMessage::Install(_) | FleetMessage::Servers(_)) {
             return;
         }
+        if let FleetMessage::Outdated(latest) = message {
+            return self.check_renumber(latest, out);
+        }
+        if !self.peers.record_message(now, &from, incarnation) {
+            let latest = self.peers.incarnation(&from);
+            return out.push(ReplicaAction::Send { to: from, message: FleetMessage::Outdated(latest) });
+        }
         match message {
             FleetMessage::Consensus(message) => {
+                // This replica may have restarted and not know the earlier processes of the sender.
+                if let Some(latest) = self.consensus.voter_incarnation(&from)
+                    && message.incarnation < latest
+                {
+                    return out.push(ReplicaAction::Send { to: from, message: FleetMessage::Outdated(latest) });
+                }
                 self.drive(now, ConsensusEvent::Receive { from, message }, out);
             }
             FleetMessage::StatusRequest(request) => self.handle_status_request(now, from, request, out),
@@ -297,7 +310,19 @@
             FleetMessage::Poll(_)
             | FleetMessage::PollResponse(_)
             | FleetMessage::Install(_)
-            | FleetMessage::Servers(_) => {}
+            | FleetMessage::Servers(_)
+            | FleetMessage::Outdated(_) => {}
+        }
+    }
+
+    /// Takes a later incarnation if an earlier process under this name had a higher one. Incarnations come from the time
+    /// of day, so that one may be lower after the loss of the data folder if the clock was set back. The others ignore
+    /// this replica then. A voter is never renumbered: it has promised under its incarnation what it must keep.
+    fn check_renumber(&mut self, latest: Incarnation, out: &mut Vec<ReplicaAction>) {
+        if latest > self.options.incarnation && !self.consensus.is_admitted() && !self.is_renumbered {
+            self.is_renumbered = true;
+            out.push(ReplicaAction::Log(FleetLogEvent::Renumbered(latest)));
+            out.push(ReplicaAction::Renumber(latest));
         }
     }
 
--- a/crates/core/src/fleet/replica/peers.rs
+++ b/crates/core/src/fleet/replica/peers.rs
@@ -125,6 +125,11 @@
         })
     }
 
+    /// Returns the latest known incarnation of a replica, 0 if it is unknown.
+    pub(super) fn incarnation(&self, name: &InstanceId) -> Incarnation {
+        self.peers.get(name).map_or(0, |peer| peer.incarnation)
+    }
+
     pub(super) fn set_data_centre(&mut self, from: &InstanceId, data_centre: DataCentreId) {
         if let Some(peer) = self.peers.get_mut(from) {
             peer.data_centre = data_centre;
--- a/crates/core/tests/fleet_support/world.rs
+++ b/crates/core/tests/fleet_support/world.rs
@@ -15,6 +15,7 @@
 };
 
 const FSYNC_DELAY: Duration = Duration::from_millis(5);
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 const WALL_MS: u64 = 1_700_000_000_000;
 /// Maximum size of the envelope that the transport adds to a datagram.
 const ENVELOPE_BYTES: usize = 160;
@@ -29,6 +30,7 @@
     WakeReplica(usize),
     WakeEntry(usize),
     Arrive { to: Box<str>, from: Box<str>, incarnation: u64, message: FleetMessage },
+    RestartReplica(usize),
     Persisted { replica: usize, incarnation: u64, up_to: u64 },
     Announce { server: usize, announcement: u64 },
     CallTimeout { server: usize, call: u64 },
@@ -200,6 +202,10 @@
                     self.entry_event(index, EntryEvent::Receive { from, incarnation, message });
                 }
             }
+            Step::RestartReplica(index) => {
+                self.kill_replica(index);
+                self.start_replica(index);
+            }
             Step::Persisted { replica, incarnation, up_to } => {
                 let node = &mut self.replicas[replica];
                 if node.replica.is_some() && node.incarnation == incarnation && !node.is_stuck {
@@ -266,6 +272,11 @@
                     self.replicas[index].disk.directory = directory;
                     self.replicas[index].disk.saves += 1;
                 }
+                ReplicaAction::Renumber(latest) => {
+                    let node = &mut self.replicas[index];
+                    (node.disk.incarnation, node.incarnation) = (latest + 1, latest + 1);
+                    self.schedule(self.now + RESTART_DELAY, Step::RestartReplica(index));
+                }
                 ReplicaAction::Answer { id, answer } => self.answered(index, id, answer),
                 ReplicaAction::Log(log) => self.checks.log(self.now, &name, log.to_string()),
                 ReplicaAction::Stopped => {}
--- a/crates/instance/src/fleet/replica_task.rs
+++ b/crates/instance/src/fleet/replica_task.rs
@@ -124,6 +124,9 @@
                 ReplicaAction::SaveDirectory(directory) => {
                     let _ = self.storage.send(StorageWrite::Directory(directory));
                 }
+                ReplicaAction::Renumber(latest) => {
+                    let _ = self.storage.send(StorageWrite::Renumber(latest));
+                }
                 ReplicaAction::Answer { id, answer } => {
                     if let Some(reply) = self.pending.remove(&id) {
                         // The client may have disconnected.
--- a/crates/instance/src/storage.rs
+++ b/crates/instance/src/storage.rs
@@ -3,7 +3,7 @@
 //! It runs on a thread of its own, because an fsync blocks for milliseconds and must not delay heartbeats.
 
 use {
-    hemlockford_core::{consensus::Write, errors::ErrorKind},
+    hemlockford_core::{consensus::Write, errors::ErrorKind, ids::Incarnation},
     hemlockford_store::Store,
     prometheus::{Histogram, IntCounter},
     slog::{Logger, error, info, warn},
@@ -21,6 +21,8 @@
 pub(crate) enum StorageWrite {
     /// A write to the log, which is reported once it is durable.
     Log { sequence: u64, write: Write },
+    /// Later incarnations than this one for the folder and the next process. The process stops afterwards.
+    Renumber(Incarnation),
     /// The directory of servers. It has lower priority than writes to the log and may be lost.
     Directory(Vec<u8>),
 }
@@ -33,6 +35,7 @@
     up_to: u64,
     /// The latest directory; an older one that was not saved yet is replaced.
     directory: Option<Vec<u8>>,
+    renumber: Option<Incarnation>,
 }
 
 /// Executes writes and reports them once they are durable.
@@ -55,6 +58,14 @@
             if !self.collect(&mut pending, is_full) {
                 return;
             }
+            if let Some(latest) = pending.renumber {
+                let reason = match self.store.renumber(latest) {
+                    Ok(()) => "the data folder has a later incarnation; the process must restart".into(),
+                    Err(report) => format!("data folder failed: {report:?}"),
+                };
+                let _ = self.failure.send(reason.into());
+                return;
+            }
             if pending.log.is_empty() {
                 self.save_directory(&mut pending);
                 continue;
@@ -110,6 +121,7 @@
                             pending.up_to = sequence;
                             pending.log.push(write);
                         }
+                        StorageWrite::Renumber(latest) => pending.renumber = Some(latest),
                         StorageWrite::Directory(directory) => pending.directory = Some(directory),
                     }
                 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -132,6 +132,22 @@
         Ok(Opened { store, directory, recovered, process_incarnation, is_new, truncated_bytes: truncated_bytes as u64 })
     }
 
+    /// Gives the folder and the next process later incarnations than this one.
+    ///
+    /// ```
+    /// use hemlockford_store::{Store, StoreOptions};
+    /// let folder = tempfile::tempdir().unwrap();
+    /// let mut opened = Store::open(folder.path(), StoreOptions { wall_clock_ns: 5 }).unwrap();
+    /// opened.store.renumber(20).unwrap();
+    /// drop(opened);
+    /// let opened = Store::open(folder.path(), StoreOptions { wall_clock_ns: 9 }).unwrap();
+    /// assert!(opened.recovered.incarnation > 20 && opened.process_incarnation > 20);
+    /// ```
+    pub fn renumber(&mut self, latest: Incarnation) -> Result<()> {
+        let later = latest.saturating_add(1);
+        self.replace(IDENTITY_FILE, &Identity { folder_incarnation: later, process_incarnation: later })
+    }
+
     /// Appends entries.
     pub fn append(&mut self, entries: &[Entry]) -> Result<()> {
         self.write(&mut vec![Write::Append(entries.to_vec())])
