Take the tokens of entries that no longer share a limit

Found on reading the division of limits: an entry whose part ends kept up to one token. While positions change often, as when many entries restart, each former user could have sent one call more, beyond the margin of small limits.

--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -222,6 +222,7 @@
         self.dispatch_waiting(now, service, actions);
     }
 
+    /// Returns the position of this entry, with the highest number of live entries reported lately.
     pub(super) fn position(&mut self, now: Instant) -> FleetPosition {
         FleetPosition { entries: self.entries.get(now, self.options.retry_window), index: self.index }
     }
@@ -232,7 +233,8 @@
         self.services.values_mut().for_each(|state| state.servers.divide_limits(now, position));
     }
 
-    /// Excludes a server that asked for no further calls, or for fewer than this entry would send. Waiting calls for which no other server is left are rejected.
+    /// Excludes a server that asked for no further calls, or for fewer than this entry would send. Waiting calls for
+    /// which no other server is left are rejected.
     fn record_notice(
         &mut self,
         now: Instant,
--- a/crates/core/src/probing/server_limit.rs
+++ b/crates/core/src/probing/server_limit.rs
@@ -67,6 +67,10 @@
         let users = (rate as usize).saturating_add(ADDITIONAL_USERS).min(position.entries);
         let is_user = position.rotated_by(server) < users;
         self.share = if is_user { rate / users as f64 } else { 0.0 };
+        if !is_user {
+            // Otherwise each entry that was a user could send one call more while positions change.
+            self.tokens = 0.0;
+        }
     }
 
     /// Returns whether this entry may send a call now.
--- a/crates/core/tests/probing_limits.rs
+++ b/crates/core/tests/probing_limits.rs
@@ -69,6 +69,20 @@
     }
 }
 
+/// Guards against calls beyond the limit while entries come and go, so that others than before may send calls.
+#[test]
+fn a_limit_holds_while_positions_change() {
+    for entries in [7, 42] {
+        let mut fleet = play(1, entries, NamedLimit::new(1.0, true));
+        for places in 1..30 {
+            fleet.shift_positions(places);
+            fleet.run_for(Duration::from_millis(400 * (1 + places as u64 % 5)));
+        }
+        let (worst, allowed) = fleet.servers[LIMITED].limit.as_ref().expect("the limit").worst_window();
+        assert!(worst as f64 <= allowed, "{entries} entries: {worst} calls in 4 s, {allowed} allowed");
+    }
+}
+
 /// Guards against many probes of a server in need by the entries that may not send it calls.
 #[test]
 fn a_limited_server_gets_few_probes() {
--- a/crates/core/tests/support/fleet/simulation.rs
+++ b/crates/core/tests/support/fleet/simulation.rs
@@ -142,6 +142,13 @@
         }
     }
 
+    /// Moves the positions of the entries by a number of places.
+    pub fn shift_positions(&mut self, places: usize) {
+        for entry in 0..self.options.entries {
+            self.handle_event(entry, DispatchEvent::Position((entry + places) % self.options.entries));
+        }
+    }
+
     pub fn run_for(&mut self, time: Duration) {
         let end = self.now + time;
         while let Some(Reverse((at, _))) = self.events.peek()
