Quarantine requests under which several servers ended

Callers of katalog got 502 while a request that crashes the servers that run it took down 51 servers: each entry blamed only the server, and sent the same request to up to max_attempts servers whenever it came again, at any entry.

Cause: nothing outlived the call that a crash ended. Ruled out by reading: missing ejections (the servers come back with new ids, so ejections cannot help), and retries beyond max_attempts (there were none).

When a connection is lost after the request was written, the entry opens another one; if it is refused, the server has ended, and the fingerprint of the request (method, target, caller, body) is recorded. Entries exchange this through the replicas as a union of records, without a majority. After two such servers the request is not retried; after three it is rejected with 503, not run, and the rest of the quarantine as Retry-After. An answer of a server clears it. A quarantine lasts a minute, doubles with each further crash, and ends with a trial by one entry. A line is logged for each crash with target and caller, and for each quarantine; hemlockford_server_crashes_total and hemlockford_quarantined_requests count.

Calls that meet no crash determine no fingerprint.

Fingerprints are BLAKE3 digests, so that a caller cannot imitate another one's request. Entries of a roster do not exchange them.

--- a/crates/core/examples/choice.rs
+++ b/crates/core/examples/choice.rs
@@ -102,6 +102,7 @@
             depth: 0,
             retry_allowance: false,
             upload: false,
+            fingerprint: None,
             options: CallOptions::default(),
         };
         dispatcher.handle(now, DispatchEvent::Arrive(call), &mut actions);
--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::{
+        collections::FastSet,
         ids::{CallId, InstanceId, ServerId},
         outcome::Outcome,
+        quarantine::{RequestDigest, SuspectRecord},
         slots::SlotMessage,
     },
     std::{net::SocketAddr, time::Duration},
@@ -36,6 +38,10 @@
         /// Time after which the caller may try again.
         retry_after: Duration,
     },
+    /// Tell the other entries about a request under which servers ended.
+    ReportSuspect(SuspectRecord),
+    /// Determine the fingerprints of requests with these heads, and only of those.
+    SetSuspectHeads(FastSet<RequestDigest>),
     /// Send a message to another entry.
     SendMessage {
         /// Entry that receives the message.
--- a/crates/core/src/dispatch/call.rs
+++ b/crates/core/src/dispatch/call.rs
@@ -2,7 +2,10 @@
 
 use {
     super::CallOptions,
-    crate::ids::{CallId, CustomerId, ServiceId},
+    crate::{
+        ids::{CallId, CustomerId, ServiceId},
+        quarantine::RequestFingerprint,
+    },
     std::time::Instant,
 };
 
@@ -27,6 +30,8 @@
     pub retry_allowance: bool,
     /// Whether the request carries a large body.
     pub upload: bool,
+    /// Fingerprint of the request, if one like it is suspected of crashing servers.
+    pub fingerprint: Option<RequestFingerprint>,
     /// Options of the call's route.
     pub options: CallOptions,
 }
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -5,6 +5,7 @@
     crate::{
         config::Configuration,
         ids::{CallId, InstanceId, ServerId, ServiceId},
+        quarantine::{RequestFingerprint, SuspectRecord},
         slots::SlotMessage,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -54,6 +55,17 @@
         /// What it asked for.
         notice: ServerNotice,
     },
+    /// A server ended while it ran a call. It precedes the end of the attempt.
+    Crash {
+        /// The call.
+        call: CallId,
+        /// The server.
+        server: ServerId,
+        /// The request.
+        request: RequestFingerprint,
+    },
+    /// Other entries learned something about requests under which servers ended.
+    Suspects(Vec<SuspectRecord>),
     /// Time has passed.
     Tick,
 }
--- a/crates/core/src/fleet/bounds.rs
+++ b/crates/core/src/fleet/bounds.rs
@@ -2,13 +2,15 @@
 
 use {
     super::{FleetMessage, MAX_NAME_BYTES, ReplicaName, Reply, Request},
-    crate::config::MAX_CONFIG_BYTES,
+    crate::{config::MAX_CONFIG_BYTES, quarantine::MAX_RECORDS},
 };
 
 /// Maximum number of leaving servers in one poll.
 pub(super) const MAX_LEAVING: usize = 16;
 /// Maximum number of replicas in one message.
 const MAX_REPLICAS: usize = 64;
+/// Maximum number of crashes of one suspected request in a message.
+const MAX_CRASHES: usize = 16;
 /// Maximum number of servers in one message: a full directory of records of minimum length.
 const MAX_SERVERS: usize = 16 * 1024;
 
@@ -40,6 +42,10 @@
                     && is_name(&response.data_centre)
                     && response.records.as_ref().is_none_or(|records| records.len() <= MAX_SERVERS)
             }
+            Self::Suspects(suspects) => {
+                suspects.records.len() <= MAX_RECORDS
+                    && suspects.records.iter().all(|record| record.crashes.len() <= MAX_CRASHES)
+            }
             // Each record is validated when it is applied.
             Self::Records(records) => {
                 records.changed.len() <= MAX_SERVERS
--- a/crates/core/src/fleet/entry/action.rs
+++ b/crates/core/src/fleet/entry/action.rs
@@ -6,6 +6,7 @@
         dispatch::ServerView,
         fleet::{FleetLogEvent, FleetMessage},
         ids::{InstanceId, ServiceId},
+        quarantine::SuspectRecord,
     },
     std::sync::Arc,
 };
@@ -30,6 +31,8 @@
     Position(u32),
     /// Whether the entry has the configuration and servers that it needs to serve. It never becomes unready again.
     Ready(bool),
+    /// News of requests under which servers ended.
+    Suspects(Vec<SuspectRecord>),
     /// Log a state change.
     Log(FleetLogEvent),
 }
--- a/crates/core/src/fleet/entry/event.rs
+++ b/crates/core/src/fleet/entry/event.rs
@@ -3,6 +3,7 @@
 use crate::{
     fleet::FleetMessage,
     ids::{Incarnation, InstanceId, ServerId},
+    quarantine::SuspectRecord,
 };
 
 /// An input event of an entry's link.
@@ -21,6 +22,8 @@
     },
     /// A server told this entry in an answer that it is leaving.
     ServerLeaving(ServerId),
+    /// This entry learned something about a request under which servers ended.
+    Suspect(SuspectRecord),
     /// The seeds in the settings have changed.
     Seeds(Vec<InstanceId>),
 }
--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -6,6 +6,7 @@
         config::Configuration,
         fleet::{ConfigUpdate, DirectoryRevision, FleetLogEvent, FleetMessage, Poll, PollResponse, Servers},
         ids::{ChangeNumber, Incarnation, InstanceId},
+        quarantine::SuspectTable,
     },
     rand::{RngExt, rngs::SmallRng},
     std::{
@@ -84,6 +85,8 @@
     missing_change: Option<MissingChange>,
     entries: u32,
     position: Option<u32>,
+    /// Requests under which servers ended, as far as this entry knows.
+    pub(super) suspects: SuspectTable,
     is_ready: bool,
 }
 
@@ -112,6 +115,7 @@
             missing_change: None,
             entries: 0,
             position: None,
+            suspects: SuspectTable::default(),
             is_ready: false,
             options,
         }
@@ -127,6 +131,7 @@
                 }
             }
             EntryEvent::ServerLeaving(server) => self.servers.report_leaving(server),
+            EntryEvent::Suspect(record) => self.report_suspect(now, record, out),
             EntryEvent::Seeds(seeds) => self.known.set_seeds(now, seeds),
         }
         self.tick(now, out);
@@ -206,7 +211,7 @@
         let sequence = self.polls.record(now, to.clone());
         let known = self.synced.as_ref().filter(|synced| synced.replica == to).map(|synced| synced.revision);
         let leaving = if is_probe { Vec::new() } else { self.servers.leaving() };
-        let poll = Poll { sequence, change: self.change, known, is_probe, leaving };
+        let poll = Poll { sequence, change: self.change, known, is_probe, leaving, suspects: self.suspects.digest() };
         out.push(EntryAction::Send { to, message: FleetMessage::Poll(poll) });
     }
 
@@ -237,6 +242,7 @@
             // A committed change is the same on every replica, so the sender does not matter.
             FleetMessage::Install(update) => self.install(now, &update, out),
             FleetMessage::Servers(servers) => self.handle_servers(now, &from, incarnation, servers),
+            FleetMessage::Suspects(suspects) => self.handle_suspects(now, from, suspects, out),
             FleetMessage::Poll(_)
             | FleetMessage::Consensus(_)
             | FleetMessage::StatusRequest(_)
--- a/crates/core/src/fleet/entry/mod.rs
+++ b/crates/core/src/fleet/entry/mod.rs
@@ -8,6 +8,7 @@
 mod search;
 mod sent_polls;
 mod server_set;
+mod suspects;
 
 use {known_replicas::KnownReplicas, search::ReplicaSearch, sent_polls::SentPolls, server_set::ServerSet};
 
--- a/crates/core/src/fleet/log_event.rs
+++ b/crates/core/src/fleet/log_event.rs
@@ -1,7 +1,10 @@
 //! State changes to be logged.
 
 use {
-    crate::ids::{ChangeNumber, Incarnation, InstanceId, ServerId, Term},
+    crate::{
+        ids::{ChangeNumber, Incarnation, InstanceId, ServerId, Term},
+        quarantine::RequestFingerprint,
+    },
     derive_more::Display,
 };
 
@@ -53,6 +56,9 @@
     /// A committed configuration cannot be parsed, for example because it was written by a newer version.
     #[display("change {_0} cannot be read by this version")]
     ChangeUnreadable(ChangeNumber),
+    /// Several servers ended while they ran a request, which is not sent to any server for some time.
+    #[display("request {_0} is quarantined")]
+    RequestQuarantined(RequestFingerprint),
     /// The entry switched to another replica.
     #[display("using replica {_0}")]
     ReplicaSelected(InstanceId),
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -6,6 +6,7 @@
         consensus::Message,
         ids::{ChangeNumber, DataCentreId, Incarnation, InstanceId, LogIndex, ServerId, ServiceId},
         ledger::ContentDigest,
+        quarantine::SuspectRecord,
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -48,6 +49,8 @@
     },
     /// The receiver has a lower incarnation than an earlier process under its name, the latest of which is this one.
     Outdated(Incarnation),
+    /// Requests under which servers ended.
+    Suspects(Suspects),
 }
 
 /// Requests updates from a replica; sent by an entry.
@@ -63,6 +66,8 @@
     pub is_probe: bool,
     /// Servers, with their incarnations, that told the entry in an answer that they are leaving.
     pub leaving: Vec<(ServerId, u64)>,
+    /// Digest of the suspected requests that the entry knows.
+    pub suspects: u64,
 }
 
 /// Revision of a replica's directory that an entry has received.
@@ -190,12 +195,23 @@
     pub entries: Option<u32>,
     /// Index of the last log entry that the sender knows to be committed.
     pub commit_index: LogIndex,
+    /// Digest of the suspected requests that the sender knows.
+    pub suspects: u64,
     /// New and changed records.
     pub changed: Vec<ReceivedRecord>,
     /// Servers that announced themselves again without changes.
     pub renewed: Vec<Renewal>,
 }
 
+/// Requests under which servers ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspects {
+    /// Digest of all suspected requests that the sender knows, if these are all; `None` if they are only news.
+    pub digest: Option<u64>,
+    /// The requests.
+    pub records: Vec<SuspectRecord>,
+}
+
 /// A server record with the time since it was received.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReceivedRecord {
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -25,7 +25,7 @@
     log_event::FleetLogEvent,
     message::{
         DirectoryRevision, FleetMessage, Poll, PollResponse, ReceivedRecord, Records, Renewal, ReplicaName, Reply,
-        Request, Servers, StatusRequest, StatusResponse, UsableServer,
+        Request, Servers, StatusRequest, StatusResponse, Suspects, UsableServer,
     },
     record::{MAX_NAME_BYTES, ServerRecord},
     replica::{Replica, ReplicaAction, ReplicaEvent, ReplicaOptions},
--- a/crates/core/src/fleet/replica/entry_updates.rs
+++ b/crates/core/src/fleet/replica/entry_updates.rs
@@ -50,6 +50,9 @@
             };
             should_send_full = needs_full && is_current && subscriber.should_send_full(now);
         }
+        if !poll.is_probe {
+            self.compare_suspects(now, from.clone(), poll.suspects, out);
+        }
         if is_current {
             self.depart_leaving(now, poll.leaving, out);
         }
--- a/crates/core/src/fleet/replica/exchange.rs
+++ b/crates/core/src/fleet/replica/exchange.rs
@@ -96,6 +96,7 @@
             clock_ms: self.clock_ms(now),
             entries,
             commit_index: self.consensus.commit_index(),
+            suspects: self.suspects.digest(),
             changed,
             renewed: Vec::new(),
         }
@@ -259,6 +260,7 @@
         };
         self.record_peer_commit(&from, records.commit_index);
         if let Some(entries) = records.entries {
+            self.compare_suspects(now, from.clone(), records.suspects, out);
             self.peers.set_entries(now, &from, entries);
         }
         if self.consensus.leader() == Some(&from) {
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -11,6 +11,7 @@
         fleet::{Directory, FleetLogEvent, FleetMessage, ReplicaAnswer, Request},
         ids::{Incarnation, InstanceId, LogIndex, ServerId},
         ledger::{Ledger, LedgerOutcome},
+        quarantine::SuspectTable,
     },
     rand::{RngExt, rngs::SmallRng},
     std::time::{Duration, Instant},
@@ -89,6 +90,8 @@
     pub(super) recent_configs: RecentConfigs,
     /// Servers that entries reported as leaving, with the time of the request to record that.
     pub(super) reported_leaving: FastMap<ServerId, Instant>,
+    /// Requests under which servers ended, as far as this replica knows.
+    pub(super) suspects: SuspectTable,
     next_tick: Instant,
     next_batch: Instant,
     /// Directory revision that was saved last.
@@ -149,6 +152,7 @@
             published_change: 0,
             recent_configs: RecentConfigs::default(),
             reported_leaving: FastMap::default(),
+            suspects: SuspectTable::default(),
             next_tick: now,
             next_batch: now,
             saved_revision: 0,
@@ -273,6 +277,10 @@
         if let FleetMessage::Poll(poll) = message {
             return self.handle_poll(now, from, incarnation, poll, out);
         }
+        // Suspects come from entries too, which are not recorded as peers.
+        if let FleetMessage::Suspects(suspects) = message {
+            return self.handle_suspects(now, &from, suspects, out);
+        }
         // The sender of a message that is meant for entries is not recorded as a peer.
         if matches!(message, FleetMessage::PollResponse(_) | FleetMessage::Install(_) | FleetMessage::Servers(_)) {
             return;
@@ -311,6 +319,7 @@
             | FleetMessage::PollResponse(_)
             | FleetMessage::Install(_)
             | FleetMessage::Servers(_)
+            | FleetMessage::Suspects(_)
             | FleetMessage::Outdated(_) => {}
         }
     }
@@ -330,6 +339,7 @@
         self.pin_peers(now);
         self.peers.remove_inactive(now);
         self.subscribers.remove_inactive(now);
+        self.suspects.remove_expired(now);
         self.send_batch(now, out);
         if self.is_directory_complete() {
             self.remove_timed_out(now, out);
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -17,6 +17,7 @@
 mod recent_departures;
 mod request_handling;
 mod subscribers;
+mod suspects;
 
 use {
     leader_contact::LeaderContact,
--- a/crates/core/src/fleet/replica/subscribers.rs
+++ b/crates/core/src/fleet/replica/subscribers.rs
@@ -132,6 +132,11 @@
         self.0.iter_mut()
     }
 
+    /// Returns the names of the entries.
+    pub(super) fn names(&self) -> impl Iterator<Item = &InstanceId> {
+        self.0.keys()
+    }
+
     /// Records that an entry was sent the changes up to a revision.
     pub(super) fn set_revision(&mut self, name: &InstanceId, revision: u64) {
         if let Some(subscriber) = self.0.get_mut(name) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod membership;
 pub mod outcome;
 pub mod probing;
+pub mod quarantine;
 pub mod registry;
 pub mod retry;
 pub mod slots;
--- a/crates/core/src/outcome/not_run.rs
+++ b/crates/core/src/outcome/not_run.rs
@@ -35,6 +35,9 @@
     /// The instance cannot show that its configuration is current.
     #[display("configuration-not-current")]
     ConfigurationNotCurrent,
+    /// Several servers ended while they ran the same request.
+    #[display("quarantined")]
+    Quarantined,
     /// The request itself is malformed.
     #[display("bad-request")]
     BadRequest,
@@ -54,7 +57,8 @@
             | Self::Refused
             | Self::ClaimUnavailable
             | Self::ShuttingDown
-            | Self::ConfigurationNotCurrent => 503,
+            | Self::ConfigurationNotCurrent
+            | Self::Quarantined => 503,
         }
     }
 }
--- a/crates/core/src/probing/attempt_end.rs
+++ b/crates/core/src/probing/attempt_end.rs
@@ -25,6 +25,7 @@
         if let Some(state) = self.services.get_mut(&service) {
             state.observe(now, &active, (server, since, work_factor), finish);
         }
+        self.observe_suspect(now, &active, finish.result, actions);
         let is_final = matches!(finish.result, AttemptResult::Complete | AttemptResult::CallerLeft);
         if finish.wants_decision && !is_final {
             self.retry_or_reject(now, active, finish.result, actions);
@@ -64,8 +65,11 @@
             AttemptResult::BadAnswer => active.unknown_reason = Some(UnknownReason::BadAnswer),
             _ => active.unknown_reason = Some(UnknownReason::ConnectionLost),
         }
-        let may_retry =
-            may_retry(&active, result) && self.has_time(now, &active) && self.has_retry_budget(now, &active);
+        let has_run = active.unknown_reason.is_some();
+        let may_retry = may_retry(&active, result)
+            && !(has_run && self.is_suspected(now, &active))
+            && self.has_time(now, &active)
+            && self.has_retry_budget(now, &active);
         if may_retry {
             self.start_round(now, active, Vec::new(), 0, actions);
         } else {
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -11,6 +11,7 @@
         dispatch::{Call, DispatchAction, DispatchEvent, ServerNotice, ServerView},
         ids::{CallId, ServiceId},
         outcome::NotRunReason,
+        quarantine::SuspectTable,
         slots::{NameHash, name_hash},
     },
     rand::{RngExt, rngs::SmallRng},
@@ -53,6 +54,8 @@
     pub(super) last_probe: u64,
     timers: BinaryHeap<Reverse<(Instant, Timer)>>,
     pub(super) waiting: usize,
+    /// Requests under which servers ended, as far as this entry knows.
+    pub(super) suspects: SuspectTable,
 }
 
 impl Balancer {
@@ -81,6 +84,7 @@
             last_probe: 0,
             timers: BinaryHeap::new(),
             waiting: 0,
+            suspects: SuspectTable::default(),
         }
     }
 
@@ -113,8 +117,11 @@
             DispatchEvent::Notice { server, address, notice } => {
                 self.record_notice(now, name_hash(&server), address, notice, actions);
             }
+            DispatchEvent::Crash { call, server, request } => self.record_crash(now, call, &server, request, actions),
+            DispatchEvent::Suspects(records) => self.merge_suspects(now, &records, actions),
             DispatchEvent::Tick => {}
         }
+        self.remove_expired_suspects(now, actions);
         self.run_timers(now, actions);
     }
 
@@ -128,6 +135,11 @@
         self.calls.len()
     }
 
+    /// Returns the number of requests that are not sent to servers because several ended under them.
+    pub fn quarantined(&self, now: Instant) -> usize {
+        self.suspects.quarantined(now)
+    }
+
     /// Returns the time at which a [`DispatchEvent::Tick`] is needed if no other event comes first.
     pub fn next_wake(&self) -> Option<Instant> {
         self.timers.peek().map(|Reverse((at, _))| *at)
@@ -191,6 +203,10 @@
             return self.reject(now, &active, NotRunReason::NoServer, actions);
         };
         state.retry_budget.record_request(now);
+        if self.quarantine_wait(now, &active).is_some() {
+            return self.reject(now, &active, NotRunReason::Quarantined, actions);
+        }
+        let Some(state) = self.services.get(&service) else { return };
         if !state.servers.iter().any(|server| server.is_available(now)) {
             return self.reject(now, &active, NotRunReason::NoServer, actions);
         }
@@ -265,9 +281,11 @@
         let jitter = self.rng.random_range(1.0..1.5);
         let objective = active.call.options.objective;
         let entries = self.entries.get(now, self.options.retry_window);
+        let quarantine_wait = self.quarantine_wait(now, active).filter(|_| reason == NotRunReason::Quarantined);
         let state = self.services.get(&active.service);
         let pause_end = state.and_then(|state| state.servers.pause_end(now));
         let retry_after = match (pause_end, reason) {
+            (_, NotRunReason::Quarantined) => quarantine_wait,
             (Some(end), _) => Some(end.saturating_duration_since(now).max(MIN_RETRY_AFTER)),
             (None, NotRunReason::UnknownService | NotRunReason::NoServer) => None,
             (None, _) => state.map(|state| state.retry_after(now, objective, entries, jitter)),
--- a/crates/core/src/probing/mod.rs
+++ b/crates/core/src/probing/mod.rs
@@ -24,6 +24,7 @@
 mod servers;
 mod service;
 mod stage;
+mod suspects;
 mod waiting;
 
 pub use {balancer::Balancer, options::BalancerOptions};
--- a/crates/core/src/probing/sending.rs
+++ b/crates/core/src/probing/sending.rs
@@ -16,6 +16,9 @@
         work_factor: f64,
         actions: &mut Vec<DispatchAction>,
     ) {
+        if self.quarantine_wait(now, &active).is_some() {
+            return self.reject(now, &active, NotRunReason::Quarantined, actions);
+        }
         let entries = self.entries.get(now, self.options.retry_window);
         let Some(state) = self.services.get_mut(&active.service) else {
             return self.reject(now, &active, NotRunReason::NoServer, actions);
@@ -41,6 +44,7 @@
         });
         active.tried.push(server);
         active.stage = Stage::Running { server, since: chosen.known_since, work_factor };
+        self.begin_suspect_trial(now, &active);
         self.calls.insert(active.call.id, active);
     }
 }
--- a/crates/core/tests/dispatcher.rs
+++ b/crates/core/tests/dispatcher.rs
@@ -86,6 +86,7 @@
             depth: 0,
             retry_allowance: true,
             upload: false,
+            fingerprint: None,
             options: CallOptions::default(),
         }
     }
--- a/crates/core/tests/fleet_support/faults.rs
+++ b/crates/core/tests/fleet_support/faults.rs
@@ -111,6 +111,7 @@
             ready_at: None,
             entries: 0,
             position: None,
+            suspects: Vec::new(),
             switches: Vec::new(),
             disturbed_at: self.now,
             sent: 0,
--- a/crates/core/tests/fleet_support/node.rs
+++ b/crates/core/tests/fleet_support/node.rs
@@ -7,6 +7,7 @@
         dispatch::ServerView,
         fleet::{EntryEvent, EntryLink, Replica, ReplicaEvent},
         ids::ServiceId,
+        quarantine::SuspectRecord,
     },
     std::time::Duration,
 };
@@ -48,6 +49,8 @@
     pub ready_at: Option<Duration>,
     pub entries: u32,
     pub position: Option<u32>,
+    /// News of suspected requests that the entry received.
+    pub suspects: Vec<SuspectRecord>,
     /// Times at which the entry switched to another replica.
     pub switches: Vec<Duration>,
     /// Last time at which the machine was started or thawed.
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -273,6 +273,7 @@
             depth: 0,
             retry_allowance: false,
             upload,
+            fingerprint: None,
             options: CallOptions::default(),
         };
         self.handle(entry, DispatchEvent::Arrive(call));
@@ -342,6 +343,7 @@
             }
             DispatchAction::SendMessage { to, message } => self.send_message(entry, &to, message),
             DispatchAction::Probe { .. } => self.probe(entry, &action),
+            DispatchAction::ReportSuspect(_) | DispatchAction::SetSuspectHeads(_) => {}
         }
     }
 
--- a/crates/core/tests/support/fleet/callers.rs
+++ b/crates/core/tests/support/fleet/callers.rs
@@ -51,6 +51,7 @@
             depth: 0,
             retry_allowance: false,
             upload: spec.upload,
+            fingerprint: None,
             options: CallOptions { attempts: 3, priority: record.priority, objective: spec.objective },
         };
         self.records.insert(id, record);
--- a/crates/core/tests/support/fleet/simulation.rs
+++ b/crates/core/tests/support/fleet/simulation.rs
@@ -312,7 +312,9 @@
                 let delay = self.rng.random_range(min..max) / 2.0;
                 self.schedule(delay, Event::ProbeArrived { entry, probe, server, delay });
             }
-            DispatchAction::SendMessage { .. } => {}
+            DispatchAction::SendMessage { .. }
+            | DispatchAction::ReportSuspect(_)
+            | DispatchAction::SetSuspectHeads(_) => {}
         }
     }
 
--- a/crates/core/tests/support/test_entry.rs
+++ b/crates/core/tests/support/test_entry.rs
@@ -92,6 +92,7 @@
             depth: 0,
             retry_allowance: false,
             upload: false,
+            fingerprint: None,
             options: CallOptions { attempts: 3, priority: 0, objective: 400 * MS },
         }
     }
--- a/crates/instance/src/counters.rs
+++ b/crates/instance/src/counters.rs
@@ -19,6 +19,8 @@
     pub(crate) unknown_senders: IntCounter,
     pub(crate) link_timeouts: IntCounter,
     pub(crate) server_notices: IntCounterVec,
+    pub(crate) server_crashes: IntCounter,
+    pub(crate) quarantined: IntGauge,
     pub(crate) announcements: IntCounter,
     pub(crate) submits: IntCounterVec,
     pub(crate) claims: IntCounterVec,
@@ -75,6 +77,14 @@
                 "Answers in which servers asked for no or fewer calls, by kind.",
                 &["kind"],
             )?,
+            server_crashes: counter(
+                "hemlockford_server_crashes_total",
+                "Servers that ended while they ran a request of this entry.",
+            )?,
+            quarantined: gauge(
+                "hemlockford_quarantined_requests",
+                "Requests that are not sent to servers because several ended under them.",
+            )?,
             announcements: counter("hemlockford_announcements_total", "Announcements of servers.")?,
             submits: vec("hemlockford_submits_total", "Submitted texts by result.", &["result"])?,
             claims: vec("hemlockford_claims_total", "Claims of idempotency keys by result.", &["result"])?,
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -143,6 +143,8 @@
             DispatchAction::Probe { probe, server: _, address, path, limit } => {
                 self.prober.start(Probe { number: probe, address, path, limit, decided_at: self.handled_at });
             }
+            // The entries of a roster do not exchange suspected requests.
+            DispatchAction::ReportSuspect(_) | DispatchAction::SetSuspectHeads(_) => {}
         }
     }
 
--- /dev/null
+++ b/crates/instance/src/fleet/balancer_report.rs
@@ -0,0 +1,18 @@
+//! What the balancer's task tells the entry's task.
+
+use hemlockford_core::{ids::ServerId, quarantine::SuspectRecord};
+
+/// What the balancer's task tells the entry's task.
+#[derive(Debug)]
+pub(super) enum BalancerReport {
+    /// A server said that it is leaving.
+    Leaving(ServerId),
+    /// A server ended while it ran a request.
+    Crash {
+        server: ServerId,
+        /// Method, target and caller of the request.
+        request: Box<str>,
+    },
+    /// News of a request under which servers ended.
+    Suspect(SuspectRecord),
+}
--- a/crates/instance/src/fleet/balancer_task.rs
+++ b/crates/instance/src/fleet/balancer_task.rs
@@ -1,19 +1,27 @@
 //! Task that runs the balancer of an entry.
 
 use {
+    super::balancer_report::BalancerReport,
     crate::{
         counters::Counters,
         pending_decisions::{MAX_BATCH, PendingDecisions},
     },
     actix_rt::time::sleep_until,
     hemlockford_core::{
+        collections::FastSet,
         dispatch::{DispatchAction, DispatchEvent, ServerNotice},
-        ids::ServerId,
         probing::Balancer,
+        quarantine::RequestDigest,
     },
     hemlockford_proxy::{Decision, DispatcherMessage, Probe},
-    std::time::{Duration, Instant},
-    tokio::{select, sync::mpsc},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        select,
+        sync::{mpsc, watch},
+    },
 };
 
 /// Time until the next tick if the balancer has no timer.
@@ -29,8 +37,10 @@
     pub(super) probe_events_tx: mpsc::UnboundedSender<DispatchEvent>,
     pub(super) probe_events: mpsc::UnboundedReceiver<DispatchEvent>,
     pub(super) pending: PendingDecisions,
-    /// Channel to the entry task for servers that said that they are leaving.
-    pub(super) leaving: mpsc::UnboundedSender<ServerId>,
+    /// Channel to the entry's task.
+    pub(super) reports: mpsc::UnboundedSender<BalancerReport>,
+    /// Heads of the requests that the worker must identify.
+    pub(super) suspect_heads: watch::Sender<Arc<FastSet<RequestDigest>>>,
     pub(super) counters: Counters,
 }
 
@@ -50,7 +60,10 @@
                     Some(message) => self.handle_message(message, &mut actions),
                     None => return,
                 },
-                () = sleep_until(wake.into()) => self.handle(DispatchEvent::Tick, &mut actions),
+                () = sleep_until(wake.into()) => {
+                    self.handle(DispatchEvent::Tick, &mut actions);
+                    self.count_quarantined();
+                }
             }
             for _ in 0..MAX_BATCH {
                 let Ok(message) = self.messages.try_recv() else { break };
@@ -62,6 +75,10 @@
     }
 
     fn handle_message(&mut self, message: DispatcherMessage, actions: &mut Vec<DispatchAction>) {
+        if let DispatcherMessage::Crash { server, description, .. } = &message {
+            self.counters.server_crashes.inc();
+            self.report(BalancerReport::Crash { server: server.clone(), request: description.clone() });
+        }
         let event = self.pending.register(message);
         self.handle(event, actions);
     }
@@ -70,8 +87,7 @@
         if let DispatchEvent::Notice { server, notice, .. } = &event {
             self.counters.server_notices.with_label_values(&[notice_label(*notice)]).inc();
             if *notice == ServerNotice::Leaving {
-                // Without a receiver the process is stopping.
-                let _ = self.leaving.send(server.clone());
+                self.report(BalancerReport::Leaving(server.clone()));
             }
         }
         self.balancer.handle(Instant::now(), event, actions);
@@ -89,11 +105,25 @@
                     // Without a receiver the process is stopping.
                     let _ = self.probes.send(Probe { number: probe, server, address, limit, path, events });
                 }
+                DispatchAction::ReportSuspect(record) => self.report(BalancerReport::Suspect(record)),
+                DispatchAction::SetSuspectHeads(heads) => {
+                    self.suspect_heads.send_replace(Arc::new(heads));
+                    self.count_quarantined();
+                }
                 // Entries of a fleet do not communicate with each other.
                 DispatchAction::SendMessage { .. } => {}
             }
         }
     }
+
+    fn count_quarantined(&self) {
+        self.counters.quarantined.set(self.balancer.quarantined(Instant::now()) as i64);
+    }
+
+    fn report(&self, report: BalancerReport) {
+        // Without a receiver the process is stopping.
+        let _ = self.reports.send(report);
+    }
 }
 
 fn notice_label(notice: ServerNotice) -> &'static str {
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -88,7 +88,8 @@
         let (events_tx, events_rx) = mpsc::unbounded_channel();
         let (received_tx, received_rx) = mpsc::unbounded_channel();
         let (seeds_tx, seeds_rx) = mpsc::unbounded_channel();
-        let (leaving_tx, leaving_rx) = mpsc::unbounded_channel();
+        let (reports_tx, reports_rx) = mpsc::unbounded_channel();
+        let (suspect_heads_tx, suspect_heads) = watch::channel(Arc::default());
         let (config_tx, config_rx) = watch::channel(Arc::<Configuration>::default());
         let (ready_tx, ready_rx) = watch::channel(false);
         let (drain_tx, drain_rx) = watch::channel(false);
@@ -108,7 +109,7 @@
             network: Network::start(sockets, (id, incarnation), counters.clone(), received_tx)?,
             received: received_rx,
             seeds: seeds_rx,
-            leaving: leaving_rx,
+            reports: reports_rx,
             balancer: events_tx,
             config: config_tx,
             is_link_ready: ready_tx,
@@ -131,7 +132,8 @@
             probe_events_tx,
             probe_events,
             pending: PendingDecisions::default(),
-            leaving: leaving_tx,
+            reports: reports_tx,
+            suspect_heads: suspect_heads_tx,
             counters,
         };
         let guard = PanicGuard { task: "the balancer task", failure: failure_tx };
@@ -151,6 +153,7 @@
             balancer: WorkerBalancer::for_workers(1).remove(0),
             options: ProxyOptions {
                 serve_while_stopping: Some(close_rx),
+                suspect_heads: Some(suspect_heads),
                 connection_limit,
                 ..ProxyOptions::fleet((*dialect).clone(), incarnation)
             },
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -1,14 +1,14 @@
 //! Task that runs the link of an entry to the replicas.
 
 use {
-    super::network::Network,
+    super::{balancer_report::BalancerReport, network::Network},
     crate::{clock::to_steady, counters::Counters},
     actix_rt::time::sleep_until,
     hemlockford_core::{
         config::Configuration,
         dispatch::DispatchEvent,
         fleet::{EntryAction, EntryEvent, EntryLink, FleetMessage},
-        ids::{InstanceId, ServerId},
+        ids::InstanceId,
     },
     hemlockford_net::{BootClock, Envelope},
     hemlockford_proxy::ConnectionLimit,
@@ -29,8 +29,7 @@
     pub(super) network: Network,
     pub(super) received: mpsc::UnboundedReceiver<(Envelope<FleetMessage>, usize)>,
     pub(super) seeds: mpsc::UnboundedReceiver<Vec<InstanceId>>,
-    /// Servers that said in an answer that they are leaving.
-    pub(super) leaving: mpsc::UnboundedReceiver<ServerId>,
+    pub(super) reports: mpsc::UnboundedReceiver<BalancerReport>,
     pub(super) balancer: mpsc::UnboundedSender<DispatchEvent>,
     pub(super) config: watch::Sender<Arc<Configuration>>,
     pub(super) is_link_ready: watch::Sender<bool>,
@@ -58,7 +57,14 @@
                     Some(seeds) => EntryEvent::Seeds(seeds),
                     None => return,
                 },
-                Some(server) = self.leaving.recv() => EntryEvent::ServerLeaving(server),
+                Some(report) = self.reports.recv() => match report {
+                    BalancerReport::Leaving(server) => EntryEvent::ServerLeaving(server),
+                    BalancerReport::Suspect(record) => EntryEvent::Suspect(record),
+                    BalancerReport::Crash { server, request } => {
+                        info!(self.log, "server {} ended while it ran a request", server; "request" => %request);
+                        continue;
+                    }
+                },
                 () = sleep_until(BootClock::to_steady(wake).into()) => EntryEvent::Tick,
             };
             self.link.handle(BootClock::now(), event, &mut actions);
@@ -96,6 +102,7 @@
                     self.counters.ready.set(i64::from(is_ready));
                     self.is_link_ready.send_replace(is_ready);
                 }
+                EntryAction::Suspects(records) => self.send_to_balancer(DispatchEvent::Suspects(records)),
                 EntryAction::Log(entry) => info!(self.log, "{}", entry),
             }
         }
--- a/crates/instance/src/fleet/mod.rs
+++ b/crates/instance/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! additional thread for fsync.
 
 mod admin;
+mod balancer_report;
 mod balancer_task;
 mod entry;
 mod entry_task;
--- a/crates/instance/src/pending_decisions.rs
+++ b/crates/instance/src/pending_decisions.rs
@@ -31,6 +31,7 @@
                 self.0.remove(&call);
                 DispatchEvent::Cancel(call)
             }
+            DispatcherMessage::Crash { call, server, request, .. } => DispatchEvent::Crash { call, server, request },
             DispatcherMessage::Notice { server, address, notice } => DispatchEvent::Notice { server, address, notice },
         }
     }
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
-        caller::CallerError, connection::ServerWriter, counters::ProxyCounters, digest::Digest, framing::Framing,
-        options::BUFFERED_BODY_LIMIT, request_source::RequestSource,
+        caller::CallerError, connection::ServerWriter, counters::ProxyCounters, digest::Digest,
+        fingerprint::BodyDigest, framing::Framing, options::BUFFERED_BODY_LIMIT, request_source::RequestSource,
     },
     bytes::Bytes,
+    hemlockford_core::quarantine::RequestDigest,
     std::cell::Cell,
     tokio::select,
 };
@@ -19,6 +20,10 @@
     buffers_parts: bool,
     /// Whether a part was sent that is not buffered, so that the body cannot be sent again.
     is_consumed: bool,
+    /// Digest of all parts so far, if a part was sent that is not buffered.
+    sent_digest: Option<BodyDigest>,
+    /// Bytes of the body that count for its fingerprint.
+    fingerprint_limit: usize,
 }
 
 /// Progress of sending a request.
@@ -32,8 +37,8 @@
 
 impl RequestBody {
     /// Creates the body of a request. It can be sent again if its parts are buffered.
-    pub(crate) fn new(framing: Framing, buffers_parts: bool) -> Self {
-        Self { framing, buffered: Vec::new(), buffers_parts, is_consumed: false }
+    pub(crate) fn new(framing: Framing, buffers_parts: bool, fingerprint_limit: usize) -> Self {
+        Self { framing, buffered: Vec::new(), buffers_parts, is_consumed: false, sent_digest: None, fingerprint_limit }
     }
 
     pub(crate) fn framing(&self) -> Framing {
@@ -71,6 +76,30 @@
         Ok(())
     }
 
+    /// Reads the part of the body that counts for the fingerprint of the request, and returns its digest. What was not
+    /// sent yet stays available.
+    pub(crate) async fn fingerprint(&mut self, caller: &mut RequestSource<'_>) -> Result<RequestDigest, CallerError> {
+        let mut digest = self.sent_digest.take().unwrap_or_else(|| self.buffered_digest());
+        while !self.framing.is_empty() && !digest.is_complete() {
+            let Some(part) = caller.read_part().await? else { break };
+            digest.add(&part);
+            if !self.is_consumed {
+                self.buffered.push(part);
+            }
+        }
+        let value = digest.value();
+        if self.is_consumed {
+            self.sent_digest = Some(digest);
+        }
+        Ok(value)
+    }
+
+    fn buffered_digest(&self) -> BodyDigest {
+        let mut digest = BodyDigest::new(self.fingerprint_limit);
+        self.buffered.iter().for_each(|part| digest.add(part));
+        digest
+    }
+
     /// Sends an encoded head and the body, then waits until the caller disconnects.
     pub(crate) async fn send(
         &mut self,
@@ -120,7 +149,12 @@
         let part = caller.read_part().await?;
         match &part {
             Some(part) if self.buffers_parts => self.buffered.push(part.clone()),
-            Some(_) => self.is_consumed = true,
+            Some(part) => {
+                self.is_consumed = true;
+                let mut digest = self.sent_digest.take().unwrap_or_else(|| self.buffered_digest());
+                digest.add(part);
+                self.sent_digest = Some(digest);
+            }
             None => {}
         }
         Ok(part)
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -77,7 +77,7 @@
         parsed: ParsedRequest,
     ) -> Self {
         let ParsedRequest { call, framing, key, id, expects_continue } = parsed;
-        let body = RequestBody::new(framing, call.replayable);
+        let body = RequestBody::new(framing, call.replayable, shared.options.max_replayable_body);
         Self {
             shared,
             reader,
@@ -145,6 +145,9 @@
     }
 
     async fn dispatch(&mut self) -> CallEnd {
+        if let Err(end) = self.identify_suspect().await {
+            return end;
+        }
         let dispatcher = self.shared.dispatcher.clone();
         let decision = dispatcher.call_arrived(self.call.clone());
         let mut pending = PendingDecision::new(dispatcher, self.call.id, decision);
@@ -271,7 +274,12 @@
         }
         connection.release();
         match ended {
-            ExchangeEnd::Failed(result) => Err(self.report_failure(&mut attempt, result)),
+            ExchangeEnd::Failed(result) => {
+                if result == AttemptResult::BrokenAfterWrite {
+                    self.check_crash(&server, address).await;
+                }
+                Err(self.report_failure(&mut attempt, result))
+            }
             ended => Ok(ended),
         }
     }
@@ -309,7 +317,7 @@
     }
 
     /// Sends `100 Continue` to a caller that waits for it before it sends its body.
-    async fn send_continue(&mut self) -> Result<(), CallEnd> {
+    pub(crate) async fn send_continue(&mut self) -> Result<(), CallEnd> {
         let is_expected = std::mem::take(&mut self.expects_continue) && !self.body.framing().is_empty();
         if is_expected && self.reader.is_idle() {
             self.writer.encode_continue();
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -5,6 +5,7 @@
         dispatch::{Call, FinishedAttempt, ServerNotice},
         ids::{CallId, ServerId},
         outcome::Outcome,
+        quarantine::RequestFingerprint,
     },
     std::{net::SocketAddr, time::Duration},
     tokio::sync::{mpsc, oneshot},
@@ -47,6 +48,17 @@
     /// The call no longer waits for a decision. If a `Send` was decided in the meantime and could not be delivered,
     /// the server has not seen the call and its slot is free.
     Cancel(CallId),
+    /// A server ended while it ran a call.
+    Crash {
+        /// The call.
+        call: CallId,
+        /// The server.
+        server: ServerId,
+        /// The request.
+        request: RequestFingerprint,
+        /// Method, target and caller of the request, for the log.
+        description: Box<str>,
+    },
     /// A server asked in an answer for no further calls.
     Notice {
         /// The server.
@@ -105,6 +117,12 @@
         self.send(DispatcherMessage::Notice { server, address, notice });
     }
 
+    /// Reports that a server ended while it ran a call. It must precede the report of the attempt's end, upon which the
+    /// dispatcher decides whether the call is sent to another server.
+    pub fn server_crashed(&self, call: CallId, server: ServerId, request: RequestFingerprint, description: Box<str>) {
+        self.send(DispatcherMessage::Crash { call, server, request, description });
+    }
+
     fn ask(&self, message: impl FnOnce(oneshot::Sender<Decision>) -> DispatcherMessage) -> oneshot::Receiver<Decision> {
         let (reply, rx) = oneshot::channel();
         self.send(message(reply));
--- /dev/null
+++ b/crates/proxy/src/fingerprint.rs
@@ -0,0 +1,72 @@
+//! Fingerprints by which requests that crash servers are recognized when they come again.
+//!
+//! BLAKE3 resists collisions, so that a caller cannot make its requests look like those of another one, and needs no
+//! key that the entries would have to share.
+
+use {
+    crate::headers,
+    actix_http::{
+        RequestHead,
+        header::{self, HeaderName},
+    },
+    blake3::Hasher,
+    hemlockford_core::quarantine::RequestDigest,
+    std::net::IpAddr,
+};
+
+/// Headers that tell callers behind one address apart.
+const CALLER_HEADERS: [HeaderName; 3] = [headers::CUSTOMER, header::AUTHORIZATION, header::COOKIE];
+
+/// Returns the digest of the method, the target and the caller of a request.
+pub(crate) fn head_digest(head: &RequestHead, caller: IpAddr) -> RequestDigest {
+    let mut hasher = Hasher::new();
+    add(&mut hasher, head.method.as_str().as_bytes());
+    add(&mut hasher, head.uri.to_string().as_bytes());
+    add(&mut hasher, caller.to_string().as_bytes());
+    for name in [header::HOST].iter().chain(&CALLER_HEADERS) {
+        // The number of values marks where those of the next header begin.
+        hasher.update(&head.headers.get_all(name).count().to_le_bytes());
+        head.headers.get_all(name).for_each(|value| add(&mut hasher, value.as_bytes()));
+    }
+    truncate(&hasher)
+}
+
+/// Adds bytes with their length, so that the boundaries between consecutive parts affect the digest.
+fn add(hasher: &mut Hasher, bytes: &[u8]) {
+    hasher.update(&bytes.len().to_le_bytes());
+    hasher.update(bytes);
+}
+
+fn truncate(hasher: &Hasher) -> RequestDigest {
+    let mut bytes = [0; size_of::<RequestDigest>()];
+    hasher.finalize_xof().fill(&mut bytes);
+    RequestDigest::from_le_bytes(bytes)
+}
+
+/// Digest of a body, or of its first part if it is longer than the limit.
+#[derive(Debug)]
+pub(crate) struct BodyDigest {
+    hasher: Hasher,
+    left: usize,
+}
+
+impl BodyDigest {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self { hasher: Hasher::new(), left: limit }
+    }
+
+    pub(crate) fn add(&mut self, part: &[u8]) {
+        let counted = part.len().min(self.left);
+        self.hasher.update(&part[..counted]);
+        self.left -= counted;
+    }
+
+    /// Returns whether further parts do not count.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.left == 0
+    }
+
+    pub(crate) fn value(&self) -> RequestDigest {
+        truncate(&self.hasher)
+    }
+}
--- a/crates/proxy/src/options.rs
+++ b/crates/proxy/src/options.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::dialect::Dialect,
+    hemlockford_core::{collections::FastSet, quarantine::RequestDigest},
     std::{
         sync::{
             Arc,
@@ -86,6 +87,8 @@
     /// Ends the serving of requests after the stop signal when it becomes true or its sender is dropped. Without it,
     /// requests are refused from the stop signal on.
     pub serve_while_stopping: Option<watch::Receiver<bool>>,
+    /// Heads of the requests that are suspected of crashing servers. Without it, such requests are not recognized.
+    pub suspect_heads: Option<watch::Receiver<Arc<FastSet<RequestDigest>>>>,
     /// Time after which a caller may retry a request that was refused without asking the dispatcher.
     pub retry_after: Duration,
     /// Maximum size of a request body that is buffered so that it can be sent again, in bytes.
@@ -125,6 +128,7 @@
             caller_idle_timeout: Duration::MAX,
             stop_grace: Duration::from_millis(250),
             serve_while_stopping: None,
+            suspect_heads: None,
             retry_after: Duration::from_secs(1),
             max_replayable_body: BUFFERED_BODY_LIMIT,
             max_callers: 4_096,
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -21,6 +21,9 @@
     tokio::{net::TcpStream, sync::Notify},
 };
 
+/// Maximum time for finding out whether a server runs, many round trips.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Connections to one server.
 struct Server {
     /// Connections that are in use or being opened.
@@ -41,6 +44,17 @@
     io: TcpStream,
 }
 
+/// Result of opening a connection in order to find out whether a server runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reachability {
+    /// It accepted the connection.
+    Accepted,
+    /// Nothing listens on its address.
+    Refused,
+    /// The connection could not be opened in time, or for another reason.
+    Unknown,
+}
+
 /// Result of looking for an idle connection.
 enum TakeResult {
     Connection(TcpStream),
@@ -86,6 +100,19 @@
         Ok(Connection::new(io, self.config.clone(), permit))
     }
 
+    /// Opens a connection to find out whether a server runs. It is kept for the next request.
+    pub(crate) async fn check(&self, address: SocketAddr) -> Reachability {
+        let Ok(permit) = timeout(CHECK_TIMEOUT, self.permit(address)).await else { return Reachability::Unknown };
+        match timeout(CHECK_TIMEOUT, self.open(address)).await {
+            Ok(Ok(io)) => {
+                permit.return_idle(io, None, Duration::ZERO);
+                Reachability::Accepted
+            }
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Reachability::Refused,
+            Ok(Err(_)) | Err(_) => Reachability::Unknown,
+        }
+    }
+
     /// Returns the notice to report about the rate of calls that a server names, or no longer names, in a response to a
     /// request that was sent at this time.
     pub(crate) fn limit_notice(
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -106,6 +106,7 @@
         depth,
         retry_allowance: depth == 0 || head.headers.contains_key(headers::RETRY_ALLOWANCE),
         upload: selected.kind.map_or(!is_replayable_size, |kind| kind == RouteKind::Upload),
+        fingerprint: None,
         options: selected.terms,
     };
     let id = headers::request_id(dialect, head, id);
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -9,6 +9,7 @@
         dispatch::{AttemptResult, Call, FinishedAttempt, ServerNotice},
         ids::{CallId, ServerId},
         outcome::{NotRunReason, Outcome, UnknownReason},
+        quarantine::RequestFingerprint,
     },
     hemlockford_proxy::{
         CallRecord, ClaimMessage, Decision, DispatcherHandle, DispatcherMessage, Probe, ProxyCounters, ProxyOptions,
@@ -71,6 +72,8 @@
     pub results: Vec<AttemptResult>,
     pub cancelled: Vec<CallId>,
     pub notices: Vec<(ServerId, SocketAddr, ServerNotice)>,
+    /// Fingerprints of requests under which a server ended.
+    pub crashes: Vec<RequestFingerprint>,
 }
 
 pub struct TestProxy {
@@ -176,6 +179,7 @@
             }
             DispatcherMessage::AttemptFinished(finish) => log.borrow_mut().results.push(finish.result),
             DispatcherMessage::Cancel(call) => log.borrow_mut().cancelled.push(call),
+            DispatcherMessage::Crash { request, .. } => log.borrow_mut().crashes.push(request),
             DispatcherMessage::Notice { server, address, notice } => {
                 log.borrow_mut().notices.push((server, address, notice));
             }
--- a/crates/tools/src/slopes/dispatcher_group.rs
+++ b/crates/tools/src/slopes/dispatcher_group.rs
@@ -158,6 +158,7 @@
             depth: 0,
             retry_allowance: false,
             upload: false,
+            fingerprint: None,
             options: CallOptions::default(),
         };
         self.handle(entry, DispatchEvent::Arrive(call))
@@ -182,7 +183,10 @@
                         self.events.push(NETWORK_DELAY, Event::Deliver { to, from: entry, encoded });
                     }
                 }
-                DispatchAction::Reject { .. } | DispatchAction::Probe { .. } => {}
+                DispatchAction::Reject { .. }
+                | DispatchAction::Probe { .. }
+                | DispatchAction::ReportSuspect(_)
+                | DispatchAction::SetSuspectHeads(_) => {}
             }
         }
         Ok(())
--- a/crates/tools/src/slopes/memory.rs
+++ b/crates/tools/src/slopes/memory.rs
@@ -121,6 +121,7 @@
             depth: 0,
             retry_allowance: false,
             upload: false,
+            fingerprint: None,
             options: CallOptions::default(),
         };
         dispatcher.handle(now, DispatchEvent::Arrive(call), &mut actions);
