Recognize a crashing request whatever address it comes from

The fingerprint no longer contains the address, so that a popular request of many callers counts as one. Three crashes within a second may be one failure of several servers: the quarantine then lasts a second until a trial, and a run that was answered meanwhile clears the request. Crashes at different times lead to a minute or as long as they have gone on. Entries take turns of a second at the trial.

After: process test, core and proxy tests pass (trial of one entry, popular requests, records in any order).

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -92,7 +92,10 @@
             DispatchEvent::Servers(service, servers) => self.set_servers(now, &service, servers, actions),
             DispatchEvent::Peers(peers) => self.slots.set_peers(now, peers),
             // The entries of a roster know each other by name, and do not exchange suspected requests.
-            DispatchEvent::Position(_) | DispatchEvent::Crash { .. } | DispatchEvent::Suspects(_) => {}
+            DispatchEvent::Position(_)
+            | DispatchEvent::Crash { .. }
+            | DispatchEvent::Answered(_)
+            | DispatchEvent::Suspects(_) => {}
             DispatchEvent::PeerMessage { from, message } => {
                 self.slots.receive(now, &from, &message);
                 self.apply_shares(now);
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -64,6 +64,8 @@
         /// The request.
         request: RequestFingerprint,
     },
+    /// A server answered a request that was not suspected yet when it arrived.
+    Answered(RequestFingerprint),
     /// Other entries learned something about requests under which servers ended.
     Suspects(Vec<SuspectRecord>),
     /// Time has passed.
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -118,6 +118,7 @@
                 self.record_notice(now, name_hash(&server), address, notice, actions);
             }
             DispatchEvent::Crash { call, server, request } => self.record_crash(now, call, &server, request, actions),
+            DispatchEvent::Answered(request) => self.clear_suspect(now, request, actions),
             DispatchEvent::Suspects(records) => self.merge_suspects(now, &records, actions),
             DispatchEvent::Tick => {}
         }
--- a/crates/core/src/probing/suspects.rs
+++ b/crates/core/src/probing/suspects.rs
@@ -1,7 +1,7 @@
 //! Requests that are not sent to servers because they crash them.
 
 use {
-    super::{ActiveCall, Balancer, service::MAX_RETRY_AFTER},
+    super::{ActiveCall, Balancer},
     crate::{
         dispatch::{AttemptResult, DispatchAction},
         ids::{CallId, ServerId},
@@ -11,6 +11,9 @@
     std::time::{Duration, Instant},
 };
 
+/// Time for which one entry may make a trial before it is the turn of the next one.
+const TRIAL_TURN: Duration = Duration::from_secs(1);
+
 impl Balancer {
     /// Records that a server ended while it ran a call.
     pub(super) fn record_crash(
@@ -57,9 +60,19 @@
         if !matches!(result, AttemptResult::Complete | AttemptResult::ServerError) {
             return;
         }
-        if let Some(request) = active.call.fingerprint
-            && let Some(record) = self.suspects.record_success(now, request)
-        {
+        if let Some(request) = active.call.fingerprint {
+            self.clear_suspect(now, request, actions);
+        }
+    }
+
+    /// Records that a server answered a request.
+    pub(super) fn clear_suspect(
+        &mut self,
+        now: Instant,
+        request: RequestFingerprint,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        if let Some(record) = self.suspects.record_success(now, request) {
             self.publish_suspects(Some(record), actions);
         }
     }
@@ -76,10 +89,12 @@
         match self.suspects.standing(now, &request) {
             Standing::Clear | Standing::Suspected => None,
             Standing::Quarantined(until) => Some(until.saturating_duration_since(now)),
-            // Only one entry makes the trial, so that the request does not crash one server for each of them.
-            Standing::TrialDue => {
-                let is_responsible = self.position(now).rotated_by(request.head as NameHash) == 0;
-                (!is_responsible).then_some(MAX_RETRY_AFTER)
+            // Only one entry at a time may make the trial, so that the request does not crash one server for each of
+            // them. They take turns, because the request may not come to each.
+            Standing::TrialDue { since } => {
+                let turn = now.saturating_duration_since(since).as_secs();
+                let is_responsible = self.position(now).rotated_by(turn.wrapping_add(request.head as NameHash)) == 0;
+                (!is_responsible).then_some(TRIAL_TURN)
             }
         }
     }
@@ -87,7 +102,7 @@
     /// Records that a call is sent to a server, which is the trial of its request if one is due.
     pub(super) fn begin_suspect_trial(&mut self, now: Instant, active: &ActiveCall) {
         if let Some(request) = active.call.fingerprint
-            && self.suspects.standing(now, &request) == Standing::TrialDue
+            && matches!(self.suspects.standing(now, &request), Standing::TrialDue { .. })
         {
             self.suspects.begin_trial(now, &request);
         }
--- a/crates/core/src/quarantine/record.rs
+++ b/crates/core/src/quarantine/record.rs
@@ -14,4 +14,6 @@
     pub crashes: Vec<Crash>,
     /// Time since the last of them became known, in milliseconds.
     pub age_ms: u32,
+    /// Time from the first of them to the last, in milliseconds.
+    pub span_ms: u32,
 }
--- a/crates/core/src/quarantine/standing.rs
+++ b/crates/core/src/quarantine/standing.rs
@@ -12,5 +12,8 @@
     /// It is not sent to any server until this time.
     Quarantined(Instant),
     /// Its quarantine has ended, and one run shows whether it still crashes servers.
-    TrialDue,
+    TrialDue {
+        /// End of the quarantine.
+        since: Instant,
+    },
 }
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -14,8 +14,12 @@
 const QUARANTINE_CRASHES: usize = 3;
 /// Crashes from which on a request is not sent to a second server.
 const SUSPECT_CRASHES: usize = 2;
-/// Duration of a quarantine after the third crash; each further crash doubles it.
-const INITIAL_QUARANTINE: Duration = Duration::from_secs(60);
+/// Time from the first crash to the last one within which all may have one other cause, such as a failure of several
+/// servers at once. It is also the time after which a trial shows whether that was so.
+const SIMULTANEOUS_WITHIN: Duration = Duration::from_secs(1);
+/// Range of the quarantine of a request that crashed servers at different times. It lasts as long as the request has
+/// been crashing servers, so that each trial that fails about doubles it.
+const MIN_QUARANTINE: Duration = Duration::from_secs(60);
 const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
 /// Time for which crashes count, and for which they are remembered after a quarantine.
 const MEMORY: Duration = Duration::from_secs(600);
@@ -29,20 +33,22 @@
 pub(super) struct Suspect {
     /// Runs of servers that ended, and whether the request was found not to be the cause.
     crashes: BTreeMap<RunId, bool>,
+    first_crash: Instant,
     last_crash: Instant,
     trial_until: Option<Instant>,
 }
 
 impl Suspect {
     pub(super) fn new(now: Instant) -> Self {
-        Self { crashes: BTreeMap::new(), last_crash: now, trial_until: None }
+        Self { crashes: BTreeMap::new(), first_crash: now, last_crash: now, trial_until: None }
     }
 
     /// Records a crash; returns whether that is news.
-    pub(super) fn record(&mut self, at: Instant, crash: Crash) -> bool {
+    pub(super) fn record(&mut self, (first, last): (Instant, Instant), crash: Crash) -> bool {
         let Some(is_refuted) = self.crashes.get_mut(&crash.run) else {
+            self.first_crash = if self.count() == 0 { first } else { self.first_crash.min(first) };
+            self.last_crash = self.last_crash.max(last);
             self.crashes.insert(crash.run, crash.is_refuted);
-            self.last_crash = self.last_crash.max(at);
             self.trial_until = None;
             if self.crashes.len() > MAX_CRASHES {
                 self.crashes.pop_last();
@@ -77,7 +83,7 @@
         match now < until {
             true => Standing::Quarantined(until),
             false if self.is_expired(now) => Standing::Clear,
-            false => Standing::TrialDue,
+            false => Standing::TrialDue { since: until },
         }
     }
 
@@ -100,7 +106,8 @@
     }
 
     pub(super) fn to_record(&self, now: Instant, request: RequestFingerprint) -> SuspectRecord {
-        let age = now.saturating_duration_since(self.last_crash).as_millis();
+        let age = now.saturating_duration_since(self.last_crash);
+        let span = self.last_crash.saturating_duration_since(self.first_crash);
         SuspectRecord {
             request,
             crashes: self
@@ -108,13 +115,14 @@
                 .iter()
                 .map(|(run, is_refuted)| Crash { run: *run, is_refuted: *is_refuted })
                 .collect(),
-            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            span_ms: u32::try_from(span.as_millis()).unwrap_or(u32::MAX),
         }
     }
 
     fn quarantine_end(&self) -> Instant {
-        let doublings = self.count().saturating_sub(QUARANTINE_CRASHES) as u32;
-        let time = INITIAL_QUARANTINE.saturating_mul(1_u32.checked_shl(doublings).unwrap_or(u32::MAX));
-        self.last_crash + time.min(MAX_QUARANTINE)
+        let span = self.last_crash.saturating_duration_since(self.first_crash);
+        let is_simultaneous = span < SIMULTANEOUS_WITHIN;
+        self.last_crash + if is_simultaneous { SIMULTANEOUS_WITHIN } else { span.clamp(MIN_QUARANTINE, MAX_QUARANTINE) }
     }
 }
--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -46,7 +46,7 @@
     /// Records that a server ended while it ran a request. Returns the record to tell other instances, or `None` if
     /// the crash was known.
     pub fn record_crash(&mut self, now: Instant, request: RequestFingerprint, run: RunId) -> Option<SuspectRecord> {
-        let record = SuspectRecord { request, crashes: vec![Crash { run, is_refuted: false }], age_ms: 0 };
+        let record = SuspectRecord { request, crashes: vec![Crash { run, is_refuted: false }], age_ms: 0, span_ms: 0 };
         self.merge(now, &record).then(|| self.suspects.get(&request).map(|suspect| suspect.to_record(now, request)))?
     }
 
@@ -63,10 +63,11 @@
     pub fn merge(&mut self, now: Instant, record: &SuspectRecord) -> bool {
         self.remove_expired(now);
         let age = Duration::from_millis(u64::from(record.age_ms));
-        let at = now.checked_sub(age).unwrap_or(now);
-        let mut received = Suspect::new(at);
+        let last = now.checked_sub(age).unwrap_or(now);
+        let first = last.checked_sub(Duration::from_millis(u64::from(record.span_ms))).unwrap_or(last);
+        let mut received = Suspect::new(last);
         for crash in &record.crashes {
-            received.record(at, *crash);
+            received.record((first, last), *crash);
         }
         if record.crashes.is_empty() || received.is_expired(now) {
             return false;
@@ -74,10 +75,10 @@
         if !self.suspects.contains_key(&record.request) {
             self.make_room();
         }
-        let suspect = self.suspects.entry(record.request).or_insert_with(|| Suspect::new(at));
+        let suspect = self.suspects.entry(record.request).or_insert_with(|| Suspect::new(last));
         let mut is_news = false;
         for crash in &record.crashes {
-            is_news |= suspect.record(at, *crash);
+            is_news |= suspect.record((first, last), *crash);
         }
         if is_news {
             self.digest.set(None);
--- a/crates/instance/src/pending_decisions.rs
+++ b/crates/instance/src/pending_decisions.rs
@@ -32,6 +32,7 @@
                 DispatchEvent::Cancel(call)
             }
             DispatcherMessage::Crash { call, server, request, .. } => DispatchEvent::Crash { call, server, request },
+            DispatcherMessage::Answered(request) => DispatchEvent::Answered(request),
             DispatcherMessage::Notice { server, address, notice } => DispatchEvent::Notice { server, address, notice },
         }
     }
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -167,7 +167,10 @@
                 ended = self.attempt(decision).await;
             }
             match ended {
-                Ok(ExchangeEnd::Complete(recorded)) => return CallEnd::Answered(recorded),
+                Ok(ExchangeEnd::Complete(recorded)) => {
+                    self.report_answered_suspect();
+                    return CallEnd::Answered(recorded);
+                }
                 Ok(ExchangeEnd::Truncated) if self.writer.discard_unwritten() => {
                     self.may_have_run = Some(UnknownReason::ConnectionLost);
                     return self.not_run(NotRunReason::Refused);
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -59,6 +59,8 @@
         /// Method, target and caller of the request, for the log.
         description: Box<str>,
     },
+    /// A server answered a request that was not suspected yet when it arrived.
+    Answered(RequestFingerprint),
     /// A server asked in an answer for no further calls.
     Notice {
         /// The server.
@@ -123,6 +125,11 @@
         self.send(DispatcherMessage::Crash { call, server, request, description });
     }
 
+    /// Reports that a server answered a request that was not suspected yet when it arrived.
+    pub fn request_answered(&self, request: RequestFingerprint) {
+        self.send(DispatcherMessage::Answered(request));
+    }
+
     fn ask(&self, message: impl FnOnce(oneshot::Sender<Decision>) -> DispatcherMessage) -> oneshot::Receiver<Decision> {
         let (reply, rx) = oneshot::channel();
         self.send(message(reply));
--- a/crates/proxy/src/fingerprint.rs
+++ b/crates/proxy/src/fingerprint.rs
@@ -11,18 +11,16 @@
     },
     blake3::Hasher,
     hemlockford_core::quarantine::RequestDigest,
-    std::net::IpAddr,
 };
 
-/// Headers that tell callers behind one address apart.
+/// Headers that tell callers apart. Their addresses do not: one caller may use several, and several may share one.
 const CALLER_HEADERS: [HeaderName; 3] = [headers::CUSTOMER, header::AUTHORIZATION, header::COOKIE];
 
 /// Returns the digest of the method, the target and the caller of a request.
-pub(crate) fn head_digest(head: &RequestHead, caller: IpAddr) -> RequestDigest {
+pub(crate) fn head_digest(head: &RequestHead) -> RequestDigest {
     let mut hasher = Hasher::new();
     add(&mut hasher, head.method.as_str().as_bytes());
     add(&mut hasher, head.uri.to_string().as_bytes());
-    add(&mut hasher, caller.to_string().as_bytes());
     for name in [header::HOST].iter().chain(&CALLER_HEADERS) {
         // The number of values marks where those of the next header begin.
         hasher.update(&head.headers.get_all(name).count().to_le_bytes());
--- a/crates/proxy/tests/crash_check.rs
+++ b/crates/proxy/tests/crash_check.rs
@@ -112,3 +112,25 @@
     assert_eq!(proxy.call(&post("/booking/a", "", "kit=1")).await.status, 200);
     assert_eq!(proxy.log.borrow().calls[0].fingerprint, None);
 }
+
+/// Guards against a popular request that is not cleared because its other runs began before it was suspected.
+#[actix_rt::test]
+async fn an_answer_is_reported_if_the_request_became_suspected_meanwhile() {
+    let request = "GET /catalogue/a HTTP/1.1\r\nhost: x\r\n\r\n";
+    let known = fingerprint(request).await.expect("a crash");
+    let (heads, suspect_heads) = watch::channel(Arc::default());
+    let options = ProxyOptions { suspect_heads: Some(suspect_heads), ..options(FastSet::default()) };
+    let heads = std::rc::Rc::new(heads);
+    let server = serve(move |mut io, _| {
+        let heads = heads.clone();
+        async move {
+            io.message(false).await;
+            heads.send_replace(Arc::new(FastSet::from_iter([known.head])));
+            io.send(OK).await;
+        }
+    })
+    .await;
+    let proxy = TestProxy::start(Script { options, ..Script::to(server.address) });
+    assert_eq!(proxy.call(request).await.status, 200);
+    assert_eq!(proxy.log.borrow().answered, [known]);
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -74,6 +74,8 @@
     pub notices: Vec<(ServerId, SocketAddr, ServerNotice)>,
     /// Fingerprints of requests under which a server ended.
     pub crashes: Vec<RequestFingerprint>,
+    /// Fingerprints of requests that became suspected while servers ran them and were answered.
+    pub answered: Vec<RequestFingerprint>,
 }
 
 pub struct TestProxy {
@@ -180,6 +182,7 @@
             DispatcherMessage::AttemptFinished(finish) => log.borrow_mut().results.push(finish.result),
             DispatcherMessage::Cancel(call) => log.borrow_mut().cancelled.push(call),
             DispatcherMessage::Crash { request, .. } => log.borrow_mut().crashes.push(request),
+            DispatcherMessage::Answered(request) => log.borrow_mut().answered.push(request),
             DispatcherMessage::Notice { server, address, notice } => {
                 log.borrow_mut().notices.push((server, address, notice));
             }
