Reproduce an entry that loses the path to all servers

Callers of entries that were cut off from all servers got 503 while the other entries served everyone. Three hypotheses: the entry stays in the balancer and has no other path (1); readiness alone would not help, as the platform uses all entries of a data centre when fewer than half are ready, and open connections stay (2); calls hang on open connections until their deadline (3). Logs of the entries show none of them: no line and no metric says that an entry reaches no server.

The simulation cuts entries off from all servers in the three ways of the report: connections hang, are reset, or stay in use while new ones are refused.

--- a/crates/core/tests/support/fleet/call_result.rs
+++ b/crates/core/tests/support/fleet/call_result.rs
@@ -19,6 +19,8 @@
 pub struct CallResult {
     /// When the caller made its first attempt.
     pub first_attempt_at: Instant,
+    /// Entry at which it arrived.
+    pub entry: usize,
     pub workload: usize,
     pub kind: ResultKind,
 }
--- a/crates/core/tests/support/fleet/callers.rs
+++ b/crates/core/tests/support/fleet/callers.rs
@@ -68,6 +68,7 @@
             if cost > 0.0 {
                 self.results.push(CallResult {
                     first_attempt_at: record.first_attempt_at,
+                    entry: record.entry,
                     workload: record.workload,
                     kind: ResultKind::HoldCost(cost),
                 });
@@ -99,7 +100,12 @@
     }
 
     fn record_result(&mut self, record: &Record, kind: ResultKind) {
-        self.results.push(CallResult { first_attempt_at: record.first_attempt_at, workload: record.workload, kind });
+        self.results.push(CallResult {
+            first_attempt_at: record.first_attempt_at,
+            entry: record.entry,
+            workload: record.workload,
+            kind,
+        });
     }
 
     fn record_failure(&mut self, record: &Record) {
@@ -147,12 +153,12 @@
                 stats.late += u64::from(!is_in_time);
                 stats.latencies.push((self.now - first_attempt_at).as_secs_f32());
                 let kind = if is_in_time { ResultKind::InTime } else { ResultKind::Late };
-                self.results.push(CallResult { first_attempt_at, workload, kind });
+                self.results.push(CallResult { first_attempt_at, entry, workload, kind });
             }
             // The server error of a call that cannot be repeated is passed on.
             AttemptResult::ServerError if !spec.idempotent => {
                 stats.unknown += 1;
-                self.results.push(CallResult { first_attempt_at, workload, kind: ResultKind::Failed });
+                self.results.push(CallResult { first_attempt_at, entry, workload, kind: ResultKind::Failed });
             }
             _ => {
                 stats.sheds += u64::from(result == AttemptResult::Shed);
--- a/crates/core/tests/support/fleet/mod.rs
+++ b/crates/core/tests/support/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod call_result;
 mod call_stats;
 mod callers;
+mod cut;
 mod entry_balancer;
 mod event;
 mod named_limit;
@@ -16,6 +17,7 @@
 pub use {
     call_result::{CallResult, ResultKind},
     call_stats::CallStats,
+    cut::Cut,
     entry_balancer::EntryBalancer,
     named_limit::NamedLimit,
     options::FleetOptions,
--- a/crates/core/tests/support/fleet/simulation.rs
+++ b/crates/core/tests/support/fleet/simulation.rs
@@ -1,7 +1,7 @@
 //! The event loop of a simulated fleet.
 
 use {
-    super::{CallResult, CallStats, EntryBalancer, Fault, FleetOptions, SimulatedServer, event::Event},
+    super::{CallResult, CallStats, Cut, EntryBalancer, Fault, FleetOptions, SimulatedServer, event::Event},
     hemlockford_core::{
         collections::FastMap,
         dispatch::{AttemptResult, DispatchAction, DispatchEvent, ServerState, ServerView},
@@ -47,6 +47,8 @@
     pub load: f64,
     /// Results of all calls.
     pub results: Vec<CallResult>,
+    /// How each entry has lost the path to all servers, if it has.
+    pub cuts: Vec<Option<Cut>>,
     balancers: Vec<EntryBalancer>,
     /// When the idle connections between an entry and a server were last used.
     idle_connections: FastMap<(usize, usize), Vec<Instant>>,
@@ -75,6 +77,7 @@
             stats_by_service: vec![CallStats::default(); options.workloads.len()],
             load: 1.0,
             results: Vec::new(),
+            cuts: vec![None; options.entries],
             balancers: balancers.collect(),
             idle_connections: FastMap::default(),
             records: FastMap::default(),
@@ -300,6 +303,9 @@
                 idle_connections.retain(|at| self.now < *at + KEEP_ALIVE);
                 let is_new = idle_connections.pop_if(|at| self.now < *at + kept).is_none();
                 stats.connections += u64::from(is_new);
+                if self.fail_without_path(entry, call, server, is_new) {
+                    return;
+                }
                 let delay = if is_remote { 0.0009 } else { 0.0003 };
                 let delay = delay * if is_new { 3.0 } else { 1.0 };
                 self.schedule(delay, Event::RequestArrived { entry, call, server, work });
@@ -308,6 +314,9 @@
             DispatchAction::Probe { probe, server, .. } => {
                 let server = self.server_numbers[&server];
                 self.stats_by_service[self.servers[server].workload].probes += 1;
+                if self.fail_probe_without_path(entry, probe, server) {
+                    return;
+                }
                 let (min, max) = self.options.probe_time_range;
                 let delay = self.rng.random_range(min..max) / 2.0;
                 self.schedule(delay, Event::ProbeArrived { entry, probe, server, delay });
@@ -331,6 +340,11 @@
         entry % self.options.data_centres != server % self.options.data_centres
     }
 
+    pub(super) fn has_idle_connection(&self, entry: usize, server: usize) -> bool {
+        let idle = self.idle_connections.get(&(entry, server));
+        idle.is_some_and(|idle| idle.iter().any(|at| self.now < *at + KEEP_ALIVE))
+    }
+
     pub(super) fn keep_connection(&mut self, entry: usize, server: usize) {
         self.idle_connections.entry((entry, server)).or_default().push(self.now);
     }
