--- a/crates/core/examples/choice.rs
+++ b/crates/core/examples/choice.rs
@@ -103,6 +103,7 @@
             retry_allowance: false,
             upload: false,
             fingerprint: None,
+            relayed: false,
             options: CallOptions::default(),
         };
         dispatcher.handle(now, DispatchEvent::Arrive(call), &mut actions);
--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -42,6 +42,28 @@
     ReportSuspect(SuspectRecord),
     /// Determine the fingerprints of requests with these heads, and only of those.
     SetSuspectHeads(FastSet<RequestDigest>),
+    /// Pass a call on to another entry, because this one has lost the path to the servers.
+    Relay {
+        /// The call.
+        call: CallId,
+        /// The other entry.
+        entry: InstanceId,
+        /// Its address for relayed calls.
+        address: SocketAddr,
+        /// Maximum number of servers to which it may send the call.
+        attempts: u32,
+        /// Whether the call may only use a connection that is new or was used a moment ago.
+        fresh_connection: bool,
+    },
+    /// Open a new connection to a server and close it, to find out whether there is a path to it.
+    CheckPath {
+        /// The server.
+        server: ServerId,
+        /// Its address.
+        address: SocketAddr,
+        /// Time after which the check has failed.
+        limit: Duration,
+    },
     /// Send a message to another entry.
     SendMessage {
         /// Entry that receives the message.
--- a/crates/core/src/dispatch/call.rs
+++ b/crates/core/src/dispatch/call.rs
@@ -32,6 +32,8 @@
     pub upload: bool,
     /// Fingerprint of the request, if one like it is suspected of crashing servers.
     pub fingerprint: Option<RequestFingerprint>,
+    /// Whether another entry, which has lost the path to the servers, has passed the call on.
+    pub relayed: bool,
     /// Options of the call's route.
     pub options: CallOptions,
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -91,8 +91,11 @@
             DispatchEvent::Cancel(call) => self.cancel(now, call, actions),
             DispatchEvent::Servers(service, servers) => self.set_servers(now, &service, servers, actions),
             DispatchEvent::Peers(peers) => self.slots.set_peers(now, peers),
-            // The entries of a roster know each other by name, and do not exchange suspected requests.
+            // The entries of a roster know each other by name. They neither exchange suspected requests nor relay calls.
             DispatchEvent::Position(_)
+            | DispatchEvent::Connection { .. }
+            | DispatchEvent::PathChecked { .. }
+            | DispatchEvent::Relays(_)
             | DispatchEvent::Crash { .. }
             | DispatchEvent::Answered(_)
             | DispatchEvent::Suspects(_) => {}
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -1,7 +1,7 @@
 //! Events that the dispatcher processes.
 
 use {
-    super::{Call, FinishedAttempt, LoadReport, ServerNotice, ServerView},
+    super::{Call, FinishedAttempt, LoadReport, RelayAddress, ServerNotice, ServerView},
     crate::{
         config::Configuration,
         ids::{CallId, InstanceId, ServerId, ServiceId},
@@ -55,6 +55,22 @@
         /// What it asked for.
         notice: ServerNotice,
     },
+    /// A new connection to a server was opened for a call, or could not be opened.
+    Connection {
+        /// The server.
+        server: ServerId,
+        /// Whether it is open.
+        is_open: bool,
+    },
+    /// The end of a check that was requested by [`CheckPath`](super::DispatchAction::CheckPath).
+    PathChecked {
+        /// The server.
+        server: ServerId,
+        /// Whether a connection could be opened.
+        is_open: bool,
+    },
+    /// Some entries that take calls from this one if it loses the path to the servers.
+    Relays(Vec<RelayAddress>),
     /// A server ended while it ran a call. It precedes the end of the attempt.
     Crash {
         /// The call.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod load;
 mod measurement;
 mod options;
+mod relay_address;
 mod retrying;
 mod server;
 mod server_notice;
@@ -31,6 +32,7 @@
     finished_attempt::FinishedAttempt,
     load::{LOAD_HEADER, LoadReport, NOMINAL_PACE, WANT_LOAD_HEADER},
     options::DispatchOptions,
+    relay_address::RelayAddress,
     server::{ServerState, ServerView},
     server_notice::{MAX_SERVER_PAUSE, ServerNotice},
 };
--- a/crates/core/src/fleet/bounds.rs
+++ b/crates/core/src/fleet/bounds.rs
@@ -2,13 +2,15 @@
 
 use {
     super::{FleetMessage, MAX_NAME_BYTES, ReplicaName, Reply, Request},
-    crate::{config::MAX_CONFIG_BYTES, quarantine::MAX_RECORDS},
+    crate::{config::MAX_CONFIG_BYTES, dispatch::RelayAddress, quarantine::MAX_RECORDS},
 };
 
 /// Maximum number of leaving servers in one poll.
 pub(super) const MAX_LEAVING: usize = 16;
 /// Maximum number of replicas in one message.
 const MAX_REPLICAS: usize = 64;
+/// Maximum number of entries that take relayed calls in a message.
+const MAX_RELAYS: usize = 16;
 /// Maximum number of crashes of one suspected request in a message.
 const MAX_CRASHES: usize = 16;
 /// Maximum number of servers in one message: a full directory of records of minimum length.
@@ -25,7 +27,9 @@
                 poll.leaving.len() <= MAX_LEAVING && poll.leaving.iter().all(|(server, _)| is_name(server))
             }
             Self::Consensus(_) | Self::Outdated(_) => true,
-            Self::PollResponse(response) => are_names(&response.replicas) && is_name(&response.data_centre),
+            Self::PollResponse(response) => {
+                are_names(&response.replicas) && is_name(&response.data_centre) && are_relays(&response.relays)
+            }
             Self::Install(update) => update.size() <= MAX_CONFIG_BYTES,
             Self::Servers(servers) => {
                 let usable = servers.usable.iter();
@@ -51,6 +55,7 @@
                 records.changed.len() <= MAX_SERVERS
                     && records.renewed.len() <= MAX_SERVERS
                     && records.renewed.iter().all(|renewal| is_name(&renewal.server))
+                    && are_relays(&records.relays)
             }
             Self::RecordRequest(servers) => {
                 servers.len() <= MAX_SERVERS && servers.iter().all(|server| is_name(server))
@@ -68,6 +73,10 @@
     }
 }
 
+fn are_relays(relays: &[RelayAddress]) -> bool {
+    relays.len() <= MAX_RELAYS && relays.iter().all(|relay| is_name(&relay.entry))
+}
+
 fn is_name(name: &str) -> bool {
     name.len() <= MAX_NAME_BYTES
 }
--- a/crates/core/src/fleet/entry/action.rs
+++ b/crates/core/src/fleet/entry/action.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         config::Configuration,
-        dispatch::ServerView,
+        dispatch::{RelayAddress, ServerView},
         fleet::{FleetLogEvent, FleetMessage},
         ids::{InstanceId, ServiceId},
         quarantine::SuspectRecord,
@@ -31,6 +31,8 @@
     Position(u32),
     /// Whether the entry has the configuration and servers that it needs to serve. It never becomes unready again.
     Ready(bool),
+    /// Some entries that take calls from this one.
+    Relays(Vec<RelayAddress>),
     /// News of requests under which servers ended.
     Suspects(Vec<SuspectRecord>),
     /// Log a state change.
--- a/crates/core/src/fleet/entry/event.rs
+++ b/crates/core/src/fleet/entry/event.rs
@@ -24,6 +24,8 @@
     ServerLeaving(ServerId),
     /// This entry learned something about a request under which servers ended.
     Suspect(SuspectRecord),
+    /// This entry is stopping and takes no more calls from other entries.
+    Stopping,
     /// The seeds in the settings have changed.
     Seeds(Vec<InstanceId>),
 }
--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -131,6 +131,7 @@
                 }
             }
             EntryEvent::ServerLeaving(server) => self.servers.report_leaving(server),
+            EntryEvent::Stopping => self.options.relay = None,
             EntryEvent::Suspect(record) => self.report_suspect(now, record, out),
             EntryEvent::Seeds(seeds) => self.known.set_seeds(now, seeds),
         }
@@ -211,7 +212,15 @@
         let sequence = self.polls.record(now, to.clone());
         let known = self.synced.as_ref().filter(|synced| synced.replica == to).map(|synced| synced.revision);
         let leaving = if is_probe { Vec::new() } else { self.servers.leaving() };
-        let poll = Poll { sequence, change: self.change, known, is_probe, leaving, suspects: self.suspects.digest() };
+        let poll = Poll {
+            sequence,
+            change: self.change,
+            known,
+            is_probe,
+            leaving,
+            suspects: self.suspects.digest(),
+            relay: self.options.relay,
+        };
         out.push(EntryAction::Send { to, message: FleetMessage::Poll(poll) });
     }
 
@@ -269,6 +278,11 @@
         for name in std::mem::take(&mut response.replicas).into_iter().chain([own]) {
             self.known.learn(now, name);
         }
+        let mut relays = std::mem::take(&mut response.relays);
+        relays.retain(|relay| relay.entry != self.options.id);
+        if !relays.is_empty() {
+            out.push(EntryAction::Relays(relays));
+        }
         let is_fresh = now.saturating_duration_since(polled_at) < self.options.switch_after;
         if !response.is_current || !is_fresh {
             return;
--- a/crates/core/src/fleet/entry/options.rs
+++ b/crates/core/src/fleet/entry/options.rs
@@ -5,7 +5,7 @@
         health::HealthOptions,
         ids::{DataCentreId, Incarnation, InstanceId},
     },
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Options of an [`EntryLink`](super::EntryLink).
@@ -19,6 +19,8 @@
     pub data_centre: DataCentreId,
     /// Replicas named in the settings.
     pub seeds: Vec<InstanceId>,
+    /// Address at which this entry takes calls from other entries, if it does.
+    pub relay: Option<SocketAddr>,
     /// Interval between polls.
     pub poll_interval: Duration,
     /// Time without an answer from a current replica after which another replica is searched for.
@@ -34,6 +36,7 @@
             incarnation: 1,
             data_centre: DataCentreId::default(),
             seeds: Vec::new(),
+            relay: None,
             poll_interval: Duration::from_millis(250),
             switch_after: Duration::from_millis(600),
             slow_start: HealthOptions::default().slow_start,
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -4,6 +4,7 @@
     super::{ConfigUpdate, ServerRecord},
     crate::{
         consensus::Message,
+        dispatch::RelayAddress,
         ids::{ChangeNumber, DataCentreId, Incarnation, InstanceId, LogIndex, ServerId, ServiceId},
         ledger::ContentDigest,
         quarantine::SuspectRecord,
@@ -68,6 +69,8 @@
     pub leaving: Vec<(ServerId, u64)>,
     /// Digest of the suspected requests that the entry knows.
     pub suspects: u64,
+    /// Address at which the entry takes calls from other entries, if it does.
+    pub relay: Option<SocketAddr>,
 }
 
 /// Revision of a replica's directory that an entry has received.
@@ -111,6 +114,8 @@
     pub data_centre: DataCentreId,
     /// Other replicas.
     pub replicas: Vec<ReplicaName>,
+    /// Some entries that take calls from other entries.
+    pub relays: Vec<RelayAddress>,
 }
 
 /// Usable servers for an entry: the full directory, or the changes since a revision.
@@ -197,6 +202,8 @@
     pub commit_index: LogIndex,
     /// Digest of the suspected requests that the sender knows.
     pub suspects: u64,
+    /// Some entries that take calls from other entries and poll the sender.
+    pub relays: Vec<RelayAddress>,
     /// New and changed records.
     pub changed: Vec<ReceivedRecord>,
     /// Servers that announced themselves again without changes.
--- a/crates/core/src/fleet/replica/entry_updates.rs
+++ b/crates/core/src/fleet/replica/entry_updates.rs
@@ -51,6 +51,7 @@
             should_send_full = needs_full && is_current && subscriber.should_send_full(now);
         }
         if !poll.is_probe {
+            self.relays.record(now, &from, poll.relay, true);
             self.compare_suspects(now, from.clone(), poll.suspects, out);
         }
         if is_current {
@@ -66,6 +67,7 @@
             position: self.position(now, &from),
             data_centre: self.options.data_centre.clone(),
             replicas: if include_names { self.replica_names(now) } else { Vec::new() },
+            relays: if include_names { self.relays.sample(poll.sequence / REPLICA_NAMES_INTERVAL) } else { Vec::new() },
         };
         out.push(ReplicaAction::Send { to: from.clone(), message: FleetMessage::PollResponse(response) });
         if !is_subscribed {
--- a/crates/core/src/fleet/replica/exchange.rs
+++ b/crates/core/src/fleet/replica/exchange.rs
@@ -97,6 +97,7 @@
             entries,
             commit_index: self.consensus.commit_index(),
             suspects: self.suspects.digest(),
+            relays: Vec::new(),
             changed,
             renewed: Vec::new(),
         }
@@ -110,7 +111,10 @@
     /// entries that poll this replica.
     pub(super) fn send_batch(&mut self, now: Instant, out: &mut Vec<ReplicaAction>) {
         let entries = Some(self.subscribers.live_count(now));
-        let mut messages = vec![self.records_message(now, entries, Vec::new())];
+        let mut first = self.records_message(now, entries, Vec::new());
+        first.relays = self.relays.own_sample(self.next_batch_number);
+        self.next_batch_number += 1;
+        let mut messages = vec![first];
         let mut bytes = 0;
         let renewed = std::mem::take(&mut self.renewed);
         for renewal in renewed.iter().filter_map(|server| self.directory.renewal(now, server)) {
@@ -259,6 +263,9 @@
             return;
         };
         self.record_peer_commit(&from, records.commit_index);
+        for relay in records.relays {
+            self.relays.record(now, &relay.entry, Some(relay.address), false);
+        }
         if let Some(entries) = records.entries {
             self.compare_suspects(now, from.clone(), records.suspects, out);
             self.peers.set_entries(now, &from, entries);
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        LeaderContact, Operations, Peers, PendingDeparture, PendingRequests, RecentConfigs, RecentDepartures,
+        LeaderContact, Operations, Peers, PendingDeparture, PendingRequests, RecentConfigs, RecentDepartures, Relays,
         ReplicaAction, ReplicaEvent, ReplicaOptions, Subscribers,
     },
     crate::{
@@ -90,6 +90,10 @@
     pub(super) recent_configs: RecentConfigs,
     /// Servers that entries reported as leaving, with the time of the request to record that.
     pub(super) reported_leaving: FastMap<ServerId, Instant>,
+    /// Entries that take calls from other entries.
+    pub(super) relays: Relays,
+    /// Number of the next batch, by which the entries in it are chosen.
+    pub(super) next_batch_number: u64,
     /// Requests under which servers ended, as far as this replica knows.
     pub(super) suspects: SuspectTable,
     next_tick: Instant,
@@ -152,6 +156,8 @@
             published_change: 0,
             recent_configs: RecentConfigs::default(),
             reported_leaving: FastMap::default(),
+            relays: Relays::default(),
+            next_batch_number: 0,
             suspects: SuspectTable::default(),
             next_tick: now,
             next_batch: now,
@@ -339,6 +345,7 @@
         self.pin_peers(now);
         self.peers.remove_inactive(now);
         self.subscribers.remove_inactive(now);
+        self.relays.remove_inactive(now);
         self.suspects.remove_expired(now);
         self.send_batch(now, out);
         if self.is_directory_complete() {
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -15,6 +15,7 @@
 mod persistence;
 mod recent_configs;
 mod recent_departures;
+mod relays;
 mod request_handling;
 mod subscribers;
 mod suspects;
@@ -27,6 +28,7 @@
     pending_requests::PendingRequests,
     recent_configs::RecentConfigs,
     recent_departures::RecentDepartures,
+    relays::Relays,
     subscribers::Subscribers,
 };
 
--- a/crates/core/src/probing/active.rs
+++ b/crates/core/src/probing/active.rs
@@ -21,6 +21,8 @@
     pub(super) stage: Stage,
     /// Servers to which the call was sent.
     pub(super) tried: Vec<NameHash>,
+    /// Entries to which the call was passed on.
+    pub(super) relays: Vec<NameHash>,
     /// Why it is unknown whether an earlier attempt ran, if one may have.
     pub(super) unknown_reason: Option<UnknownReason>,
     /// Reason to report if the call is rejected after its last attempt did not run.
--- a/crates/core/src/probing/attempt_end.rs
+++ b/crates/core/src/probing/attempt_end.rs
@@ -16,6 +16,14 @@
     pub(super) fn finish(&mut self, now: Instant, finish: &FinishedAttempt, actions: &mut Vec<DispatchAction>) {
         let server = name_hash(&finish.server);
         let Some(active) = self.calls.get(&finish.call) else { return };
+        if let Stage::Relayed { entry } = active.stage {
+            if entry == server
+                && let Some(active) = self.calls.remove(&finish.call)
+            {
+                self.finish_relay(now, active, entry, finish, actions);
+            }
+            return;
+        }
         let Stage::Running { server: running, since, work_factor } = active.stage else { return };
         if running != server {
             return;
@@ -37,6 +45,9 @@
     pub(super) fn cancel(&mut self, now: Instant, call: CallId, actions: &mut Vec<DispatchAction>) {
         let Some(active) = self.remove_call(call) else { return };
         // The caller may have disconnected while the decision was being delivered.
+        if let Stage::Relayed { entry } = active.stage {
+            self.relays.finish(now, entry, active.service, true);
+        }
         if let Stage::Running { server, since, .. } = active.stage
             && let Some(state) = self.services.get_mut(&active.service)
             && let Some(server) = state.servers.get_unchanged(server, since)
@@ -70,6 +81,11 @@
             && !(has_run && self.is_suspected(now, &active))
             && self.has_time(now, &active)
             && self.has_retry_budget(now, &active);
+        let active = match may_retry || result == AttemptResult::RefusedBeforeWrite {
+            true => self.try_relay(now, active, actions),
+            false => Some(active),
+        };
+        let Some(active) = active else { return };
         if may_retry {
             self.start_round(now, active, Vec::new(), 0, actions);
         } else {
@@ -109,6 +125,13 @@
     ) {
         let Some(server) = self.servers.get_unchanged(id, since) else { return };
         server.end_call(now);
+        let has_answered = matches!(
+            finish.result,
+            AttemptResult::Complete | AttemptResult::ServerError | AttemptResult::Shed | AttemptResult::Misdirected
+        );
+        if has_answered {
+            self.path.record_answer();
+        }
         if let Some(report) = finish.report {
             server.record_report(now, report);
         }
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ActiveCall, BalancerOptions, EntryCount, FleetPosition, RunningProbe, ServiceState, Stage,
+        ActiveCall, BalancerOptions, EntryCount, FleetPosition, Relays, RunningProbe, ServiceState, Stage,
         service::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
     },
     crate::{
@@ -54,6 +54,8 @@
     pub(super) last_probe: u64,
     timers: BinaryHeap<Reverse<(Instant, Timer)>>,
     pub(super) waiting: usize,
+    /// Entries to which this one passes calls on if it has lost the path to the servers.
+    pub(super) relays: Relays,
     /// Requests under which servers ended, as far as this entry knows.
     pub(super) suspects: SuspectTable,
 }
@@ -84,6 +86,7 @@
             last_probe: 0,
             timers: BinaryHeap::new(),
             waiting: 0,
+            relays: Relays::default(),
             suspects: SuspectTable::default(),
         }
     }
@@ -117,6 +120,11 @@
             DispatchEvent::Notice { server, address, notice } => {
                 self.record_notice(now, name_hash(&server), address, notice, actions);
             }
+            DispatchEvent::Connection { server, is_open } => self.record_connection(now, &server, is_open, actions),
+            DispatchEvent::PathChecked { server, is_open } => {
+                self.finish_path_check(now, &server, is_open, actions);
+            }
+            DispatchEvent::Relays(addresses) => self.relays.update(now, addresses),
             DispatchEvent::Crash { call, server, request } => self.record_crash(now, call, &server, request, actions),
             DispatchEvent::Answered(request) => self.clear_suspect(now, request, actions),
             DispatchEvent::Suspects(records) => self.merge_suspects(now, &records, actions),
@@ -170,7 +178,7 @@
         match timer {
             Timer::Call(call) => self.calls.get(&call).is_some_and(|active| match &active.stage {
                 Stage::Probing { until, .. } | Stage::Waiting { until } => *until == at,
-                Stage::Running { .. } => false,
+                Stage::Running { .. } | Stage::Relayed { .. } => false,
             }),
             Timer::Service(service) => self.services.get(&service).is_some_and(|state| state.next_review == Some(at)),
         }
@@ -180,7 +188,7 @@
         match self.calls.get(&call).map(|active| &active.stage) {
             Some(Stage::Probing { .. }) => self.finish_round(now, call, true, actions),
             Some(Stage::Waiting { .. }) => self.on_wait_expired(now, call, actions),
-            Some(Stage::Running { .. }) | None => {}
+            Some(Stage::Running { .. } | Stage::Relayed { .. }) | None => {}
         }
     }
 
@@ -193,6 +201,7 @@
             missed_objective: false,
             stage: Stage::Waiting { until: now },
             tried: Vec::new(),
+            relays: Vec::new(),
             unknown_reason: None,
             rejection_reason: NotRunReason::NoServer,
         };
@@ -203,7 +212,10 @@
         let Some(state) = self.services.get_mut(&service) else {
             return self.reject(now, &active, NotRunReason::NoServer, actions);
         };
-        state.retry_budget.record_request(now);
+        // The entry that passed it on has counted it.
+        if !active.call.relayed {
+            state.retry_budget.record_request(now);
+        }
         if self.quarantine_wait(now, &active).is_some() {
             return self.reject(now, &active, NotRunReason::Quarantined, actions);
         }
@@ -214,7 +226,13 @@
         if !self.has_time(now, &active) {
             return self.reject(now, &active, NotRunReason::Deadline, actions);
         }
-        self.start_round(now, active, Vec::new(), 0, actions);
+        self.check_path(now, service, actions);
+        if active.call.relayed && self.is_path_lost(service) {
+            return self.reject(now, &active, NotRunReason::NoServer, actions);
+        }
+        if let Some(active) = self.try_relay(now, active, actions) {
+            self.start_round(now, active, Vec::new(), 0, actions);
+        }
     }
 
     /// Returns whether a call may still be answered by its deadline.
--- a/crates/core/src/probing/mod.rs
+++ b/crates/core/src/probing/mod.rs
@@ -14,8 +14,11 @@
 mod fleet_position;
 mod load_sample;
 mod options;
+mod path_monitor;
 mod probe_round;
 mod queue;
+mod relaying;
+mod relays;
 mod running_probe;
 mod selection;
 mod sending;
@@ -31,6 +34,7 @@
 
 use {
     active::ActiveCall, baseline::Baseline, cost::Cost, ejection::Ejection, entry_count::EntryCount,
-    fleet_position::FleetPosition, load_sample::LoadSample, queue::Queue, running_probe::RunningProbe, server::Server,
-    server_limit::ServerLimit, servers::Servers, service::ServiceState, stage::Stage,
+    fleet_position::FleetPosition, load_sample::LoadSample, path_monitor::PathMonitor, queue::Queue, relays::Relays,
+    running_probe::RunningProbe, server::Server, server_limit::ServerLimit, servers::Servers, service::ServiceState,
+    stage::Stage,
 };
--- a/crates/core/src/probing/probe_round.rs
+++ b/crates/core/src/probing/probe_round.rs
@@ -196,6 +196,7 @@
         if let Some(state) = self.services.get_mut(&running.service) {
             state.record_probe(now, &running, probe, report);
         }
+        self.check_path(now, running.service, actions);
         for call in running.calls {
             let Some(active) = self.calls.get_mut(&call) else { continue };
             if let Stage::Probing { candidates, pending_probes, .. } = &mut active.stage
@@ -264,6 +265,10 @@
             server.running_probe = None;
         }
         let is_late = now.saturating_duration_since(running.started_at) > ROUND_DURATION;
+        match report {
+            Some(_) => self.path.record_answer(),
+            None => self.path.record_silence(running.server),
+        }
         match report {
             Some(report) => {
                 let own_calls = server.record_probe(now, report, running.sent_calls);
--- a/crates/core/src/probing/service.rs
+++ b/crates/core/src/probing/service.rs
@@ -1,7 +1,7 @@
 //! State of a balancer for one service.
 
 use {
-    super::{ActiveCall, BalancerOptions, Baseline, Queue, Server, Servers},
+    super::{ActiveCall, BalancerOptions, Baseline, PathMonitor, Queue, Server, Servers},
     crate::retry::SlidingBudget,
     std::time::{Duration, Instant},
 };
@@ -27,6 +27,7 @@
     pub(super) queue: Queue,
     pub(super) retry_budget: SlidingBudget,
     pub(super) baseline: Baseline,
+    pub(super) path: PathMonitor,
     /// When servers are probed next for the waiting calls, if there are any.
     pub(super) next_review: Option<Instant>,
 }
@@ -38,6 +39,7 @@
             queue: Queue::default(),
             retry_budget: SlidingBudget::new(options.retry_ratio, options.retry_slack, options.retry_window),
             baseline: Baseline::new(),
+            path: PathMonitor::default(),
             next_review: None,
         }
     }
--- a/crates/core/src/probing/stage.rs
+++ b/crates/core/src/probing/stage.rs
@@ -21,6 +21,11 @@
         /// Latest time at which the call leaves the queue.
         until: Instant,
     },
+    /// Passed on to another entry.
+    Relayed {
+        /// The other entry.
+        entry: NameHash,
+    },
     /// Running at a server.
     Running {
         /// The server.
--- a/crates/core/tests/dispatcher.rs
+++ b/crates/core/tests/dispatcher.rs
@@ -87,6 +87,7 @@
             retry_allowance: true,
             upload: false,
             fingerprint: None,
+            relayed: false,
             options: CallOptions::default(),
         }
     }
--- a/crates/core/tests/fleet_entry.rs
+++ b/crates/core/tests/fleet_entry.rs
@@ -114,6 +114,7 @@
                 position: 0,
                 data_centre: "south".into(),
                 replicas: Vec::new(),
+                relays: Vec::new(),
             };
             self.receive(replica, FleetMessage::PollResponse(state));
         }
--- a/crates/core/tests/fleet_limits.rs
+++ b/crates/core/tests/fleet_limits.rs
@@ -14,7 +14,8 @@
 
 /// Polls a replica and returns its answer.
 fn poll(replica: &mut Replica, now: Instant, entry: usize, sequence: u64) -> PollResponse {
-    let poll = Poll { sequence, change: 0, known: None, is_probe: false, leaving: Vec::new(), suspects: 0 };
+    let poll =
+        Poll { sequence, change: 0, known: None, is_probe: false, leaving: Vec::new(), suspects: 0, relay: None };
     let from = format!("10.0.{}.{}:7000", entry / 250, entry % 250).into();
     let event = ReplicaEvent::Receive { from, incarnation: 1, message: FleetMessage::Poll(poll) };
     let mut actions = Vec::new();
--- a/crates/core/tests/fleet_support/faults.rs
+++ b/crates/core/tests/fleet_support/faults.rs
@@ -112,6 +112,7 @@
             entries: 0,
             position: None,
             suspects: Vec::new(),
+            relays: Vec::new(),
             switches: Vec::new(),
             disturbed_at: self.now,
             sent: 0,
@@ -132,6 +133,7 @@
             incarnation: node.incarnation,
             data_centre: node.data_centre.clone(),
             seeds,
+            relay: Some(([10, 0, 0, 1], 9_000 + index as u16).into()),
             ..EntryOptions::default()
         };
         node.link = Some(EntryLink::new(at, options, rng));
--- a/crates/core/tests/fleet_support/node.rs
+++ b/crates/core/tests/fleet_support/node.rs
@@ -4,7 +4,7 @@
     super::disk::Disk,
     hemlockford_core::{
         collections::{FastMap, FastSet},
-        dispatch::ServerView,
+        dispatch::{RelayAddress, ServerView},
         fleet::{EntryEvent, EntryLink, Replica, ReplicaEvent},
         ids::ServiceId,
         quarantine::SuspectRecord,
@@ -49,6 +49,8 @@
     pub ready_at: Option<Duration>,
     pub entries: u32,
     pub position: Option<u32>,
+    /// Entries that take calls from this one, as they were named.
+    pub relays: Vec<RelayAddress>,
     /// News of suspected requests that the entry received.
     pub suspects: Vec<SuspectRecord>,
     /// Times at which the entry switched to another replica.
--- a/crates/core/tests/fleet_support/world.rs
+++ b/crates/core/tests/fleet_support/world.rs
@@ -315,6 +315,7 @@
                 }
                 EntryAction::ServersChanged(service, views) => self.set_servers(index, service, views),
                 EntryAction::LiveEntries(entries) => self.entries[index].entries = entries,
+                EntryAction::Relays(relays) => self.entries[index].relays.extend(relays),
                 EntryAction::Suspects(records) => self.entries[index].suspects.extend(records),
                 EntryAction::Position(position) => self.entries[index].position = Some(position),
                 EntryAction::Ready(is_ready) => {
--- a/crates/core/tests/probing_cut.rs
+++ b/crates/core/tests/probing_cut.rs
@@ -24,7 +24,8 @@
 
 /// Cuts some entries off from all servers and checks the calls that arrive at them.
 fn check(entries: usize, cut: Cut, is_cut: impl Fn(usize) -> bool) {
-    let workloads = Workload::brno(entries as f64 / 7.0);
+    let mut workloads = Workload::brno(entries as f64 / 7.0);
+    workloads.iter_mut().for_each(|workload| workload.servers = workload.servers * entries / 7);
     let mut fleet = Fleet::new(FleetOptions { entries, workloads, ..FleetOptions::default() });
     fleet.run_for(WARM_UP);
     (0..entries).filter(|entry| is_cut(*entry)).for_each(|entry| fleet.cuts[entry] = Some(cut));
@@ -50,3 +51,23 @@
         check(42, cut, |entry| entry % 3 == 0);
     }
 }
+
+/// Guards against calls that are passed on although their entry reaches servers, and against calls that go back and
+/// forth between entries when all servers of a service are gone.
+#[test]
+fn entries_do_not_pass_calls_on_because_servers_have_crashed() {
+    let run = |crashed: std::ops::Range<usize>| {
+        let mut fleet = Fleet::new(FleetOptions::default());
+        fleet.run_for(WARM_UP);
+        crashed.for_each(|server| fleet.crash(server));
+        let before = fleet.stats_by_service[0].calls;
+        fleet.run_for(CUT);
+        (fleet.relays_sent, fleet.stats_by_service[0].calls - before)
+    };
+    assert_eq!(run(0..0).0, 0);
+    let (relayed, calls) = run(0..14);
+    assert!(relayed * 50 <= calls, "14 of 22 servers crashed: {relayed} of {calls} calls were passed on");
+    // An entry that could not serve a call is avoided for two seconds.
+    let (relayed, calls) = run(0..22);
+    assert!(relayed <= calls, "all servers crashed: {relayed} relays of {calls} calls");
+}
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -274,6 +274,7 @@
             retry_allowance: false,
             upload,
             fingerprint: None,
+            relayed: false,
             options: CallOptions::default(),
         };
         self.handle(entry, DispatchEvent::Arrive(call));
@@ -343,7 +344,10 @@
             }
             DispatchAction::SendMessage { to, message } => self.send_message(entry, &to, message),
             DispatchAction::Probe { .. } => self.probe(entry, &action),
-            DispatchAction::ReportSuspect(_) | DispatchAction::SetSuspectHeads(_) => {}
+            DispatchAction::ReportSuspect(_)
+            | DispatchAction::SetSuspectHeads(_)
+            | DispatchAction::Relay { .. }
+            | DispatchAction::CheckPath { .. } => {}
         }
     }
 
--- a/crates/core/tests/support/fleet/callers.rs
+++ b/crates/core/tests/support/fleet/callers.rs
@@ -40,8 +40,21 @@
     }
 
     fn arrive(&mut self, entry: usize, id: CallId, record: Record) {
+        let call = self.call_of(id, &record);
+        self.records.insert(id, record);
+        self.handle_event(entry, DispatchEvent::Arrive(call));
+    }
+
+    pub(super) fn arrive_relayed(&mut self, entry: usize, id: CallId, record: Record, attempts: u32) {
+        let call = self.call_of(id, &record);
+        let call = Call { relayed: true, options: CallOptions { attempts, ..call.options }, ..call };
+        self.records.insert(id, Record { entry, server: None, ..record });
+        self.handle_event(entry, DispatchEvent::Arrive(call));
+    }
+
+    fn call_of(&self, id: CallId, record: &Record) -> Call {
         let spec = &self.options.workloads[record.workload];
-        let call = Call {
+        Call {
             id,
             service: spec.service.into(),
             customer: "kovar".into(),
@@ -52,14 +65,16 @@
             retry_allowance: false,
             upload: spec.upload,
             fingerprint: None,
+            relayed: false,
             options: CallOptions { attempts: 3, priority: record.priority, objective: spec.objective },
-        };
-        self.records.insert(id, record);
-        self.handle_event(entry, DispatchEvent::Arrive(call));
+        }
     }
 
     /// Processes the rejection of a call by its entry.
     pub(super) fn reject(&mut self, call: CallId, outcome: Outcome, retry_after: Duration) {
+        if self.return_relay_outcome(call, outcome) {
+            return;
+        }
         let Some(record) = self.records.remove(&call) else { return };
         let is_first = record.arrived == record.first_attempt_at;
         if self.options.callers_retry && is_first && matches!(outcome, Outcome::NotRun(_)) {
@@ -116,7 +131,10 @@
     /// Ends a call at its deadline; the server stops the call because its connection is closed.
     pub(super) fn time_out(&mut self, call: CallId) {
         let Some(record) = self.records.remove(&call) else { return };
-        self.record_failure(&record);
+        // A relayed call ends together with the one that was passed on.
+        if self.relayed.remove(&call).is_none() {
+            self.record_failure(&record);
+        }
         let Some(server) = record.server else {
             return self.handle_event(record.entry, DispatchEvent::Cancel(call));
         };
@@ -143,10 +161,14 @@
         record.server = None;
         let (workload, first_attempt_at) = (record.workload, record.first_attempt_at);
         let latency = self.now - record.sent;
+        if let Some(server) = self.failed_connections.remove(&call) {
+            self.handle_event(entry, DispatchEvent::Connection { server, is_open: false });
+        }
         let spec = &self.options.workloads[workload];
         let stats = &mut self.stats_by_service[workload];
         let mut wants_decision = false;
         match result {
+            AttemptResult::Complete if self.relayed.contains_key(&call) => {}
             AttemptResult::Complete => {
                 let is_in_time = self.now - first_attempt_at <= spec.objective;
                 stats.in_time += u64::from(is_in_time);
@@ -168,7 +190,7 @@
         if !matches!(result, AttemptResult::BrokenAfterWrite | AttemptResult::RefusedBeforeWrite) {
             self.keep_connection(entry, server);
         }
-        if !wants_decision {
+        if !wants_decision && !self.return_relay(call, result) {
             self.records.remove(&call);
         }
         if !matches!(result, AttemptResult::BrokenAfterWrite | AttemptResult::RefusedBeforeWrite) {
--- a/crates/core/tests/support/fleet/cut.rs
+++ b/crates/core/tests/support/fleet/cut.rs
@@ -33,6 +33,8 @@
             Some(Cut::Reset | Cut::RefuseNew) => REFUSED_AFTER,
         };
         let result = AttemptResult::RefusedBeforeWrite;
+        let server_id = self.servers[server].view.id.clone();
+        self.failed_connections.insert(call, server_id);
         self.schedule(delay, Event::AnswerArrived { entry, call, server, result, report: None });
         true
     }
--- a/crates/core/tests/support/fleet/event.rs
+++ b/crates/core/tests/support/fleet/event.rs
@@ -27,6 +27,12 @@
     ProbeArrived { entry: usize, probe: u64, server: usize, delay: f64 },
     /// The answer to a probe has arrived at its entry.
     ProbeAnswered { entry: usize, probe: u64, server: usize, report: Option<LoadReport> },
+    /// A check of the path to a server has ended.
+    PathChecked { entry: usize, server: usize, is_open: bool },
+    /// A call that another entry has passed on arrives.
+    Relayed { from: usize, to: usize, call: CallId, attempts: u32 },
+    /// The result of a call that was passed on arrives at the entry that passed it on.
+    RelayEnded { from: usize, to: usize, call: CallId, result: AttemptResult },
     /// The speed of a server changes.
     SpeedChange { server: usize },
     /// A timer of an entry has expired.
--- a/crates/core/tests/support/fleet/mod.rs
+++ b/crates/core/tests/support/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod named_limit;
 mod options;
 mod outages;
+mod relay;
 mod server;
 mod simulation;
 mod workload;
--- a/crates/core/tests/support/fleet/simulation.rs
+++ b/crates/core/tests/support/fleet/simulation.rs
@@ -5,7 +5,7 @@
     hemlockford_core::{
         collections::FastMap,
         dispatch::{AttemptResult, DispatchAction, DispatchEvent, ServerState, ServerView},
-        ids::{CallId, InstanceId},
+        ids::{CallId, InstanceId, ServerId},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{
@@ -49,6 +49,12 @@
     pub results: Vec<CallResult>,
     /// How each entry has lost the path to all servers, if it has.
     pub cuts: Vec<Option<Cut>>,
+    /// Number of calls that entries have passed on to others.
+    pub relays_sent: u64,
+    /// Relayed calls, with the entry that passed them on and their numbers there.
+    pub(super) relayed: FastMap<CallId, (usize, CallId)>,
+    /// Calls for which no connection can be opened, with their servers.
+    pub(super) failed_connections: FastMap<CallId, ServerId>,
     balancers: Vec<EntryBalancer>,
     /// When the idle connections between an entry and a server were last used.
     idle_connections: FastMap<(usize, usize), Vec<Instant>>,
@@ -78,6 +84,9 @@
             load: 1.0,
             results: Vec::new(),
             cuts: vec![None; options.entries],
+            relays_sent: 0,
+            relayed: FastMap::default(),
+            failed_connections: FastMap::default(),
             balancers: balancers.collect(),
             idle_connections: FastMap::default(),
             records: FastMap::default(),
@@ -108,6 +117,7 @@
         for entry in 0..self.options.entries {
             self.handle_event(entry, DispatchEvent::Peers(peers.clone()));
             self.handle_event(entry, DispatchEvent::Position(entry));
+            self.name_relays(entry);
         }
         if let Some(restart) = self.options.restart_interval {
             self.schedule(restart.as_secs_f64(), Event::Restart);
@@ -215,6 +225,12 @@
                 };
                 self.handle_event(entry, event);
             }
+            Event::PathChecked { entry, server, is_open } => {
+                let server = self.servers[server].view.id.clone();
+                self.handle_event(entry, DispatchEvent::PathChecked { server, is_open });
+            }
+            Event::Relayed { from, to, call, attempts } => self.receive_relay(from, to, call, attempts),
+            Event::RelayEnded { from, to, call, result } => self.end_relay(from, to, call, result),
             Event::SpeedChange { server } => {
                 self.update_server(server);
                 self.change_speed(server);
@@ -309,6 +325,10 @@
                 let delay = if is_remote { 0.0009 } else { 0.0003 };
                 let delay = delay * if is_new { 3.0 } else { 1.0 };
                 self.schedule(delay, Event::RequestArrived { entry, call, server, work });
+                if is_new && !self.servers[server].has_crashed {
+                    let server = self.servers[server].view.id.clone();
+                    self.handle_event(entry, DispatchEvent::Connection { server, is_open: true });
+                }
             }
             DispatchAction::Reject { call, outcome, retry_after } => self.reject(call, outcome, retry_after),
             DispatchAction::Probe { probe, server, .. } => {
@@ -321,6 +341,15 @@
                 let delay = self.rng.random_range(min..max) / 2.0;
                 self.schedule(delay, Event::ProbeArrived { entry, probe, server, delay });
             }
+            DispatchAction::CheckPath { server, limit, .. } => {
+                let server = self.server_numbers[&server];
+                let is_open = self.cuts[entry].is_none() && !self.servers[server].has_crashed;
+                let delay = if self.cuts[entry] == Some(Cut::Hang) { limit.as_secs_f64() } else { 0.002 };
+                self.schedule(delay, Event::PathChecked { entry, server, is_open });
+            }
+            DispatchAction::Relay { call, address, attempts, .. } => {
+                self.send_relay(entry, call, address.port(), attempts);
+            }
             DispatchAction::SendMessage { .. }
             | DispatchAction::ReportSuspect(_)
             | DispatchAction::SetSuspectHeads(_) => {}
--- a/crates/core/tests/support/test_entry.rs
+++ b/crates/core/tests/support/test_entry.rs
@@ -93,6 +93,7 @@
             retry_allowance: false,
             upload: false,
             fingerprint: None,
+            relayed: false,
             options: CallOptions { attempts: 3, priority: 0, objective: 400 * MS },
         }
     }
--- a/crates/instance/src/counters.rs
+++ b/crates/instance/src/counters.rs
@@ -20,6 +20,8 @@
     pub(crate) link_timeouts: IntCounter,
     pub(crate) server_notices: IntCounterVec,
     pub(crate) server_crashes: IntCounter,
+    pub(crate) relayed_calls: IntCounter,
+    pub(crate) lost_paths: IntGauge,
     pub(crate) quarantined: IntGauge,
     pub(crate) announcements: IntCounter,
     pub(crate) submits: IntCounterVec,
@@ -81,6 +83,11 @@
                 "hemlockford_server_crashes_total",
                 "Servers that ended while they ran a request of this entry.",
             )?,
+            relayed_calls: counter(
+                "hemlockford_relayed_calls_total",
+                "Calls passed on to another entry because the path to the servers was lost.",
+            )?,
+            lost_paths: gauge("hemlockford_lost_paths", "Services to whose servers this entry has lost the path.")?,
             quarantined: gauge(
                 "hemlockford_quarantined_requests",
                 "Requests that are not sent to servers because several ended under them.",
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -143,8 +143,11 @@
             DispatchAction::Probe { probe, server: _, address, path, limit } => {
                 self.prober.start(Probe { number: probe, address, path, limit, decided_at: self.handled_at });
             }
-            // The entries of a roster do not exchange suspected requests.
-            DispatchAction::ReportSuspect(_) | DispatchAction::SetSuspectHeads(_) => {}
+            // The entries of a roster neither exchange suspected requests nor relay calls.
+            DispatchAction::ReportSuspect(_)
+            | DispatchAction::SetSuspectHeads(_)
+            | DispatchAction::Relay { .. }
+            | DispatchAction::CheckPath { .. } => {}
         }
     }
 
--- a/crates/instance/src/fleet/balancer_report.rs
+++ b/crates/instance/src/fleet/balancer_report.rs
@@ -13,6 +13,8 @@
         /// Method, target and caller of the request.
         request: Box<str>,
     },
+    /// Number of services to whose servers this entry has lost the path.
+    LostPaths(usize),
     /// News of a request under which servers ended.
     Suspect(SuspectRecord),
 }
--- a/crates/instance/src/fleet/balancer_task.rs
+++ b/crates/instance/src/fleet/balancer_task.rs
@@ -1,7 +1,7 @@
 //! Task that runs the balancer of an entry.
 
 use {
-    super::balancer_report::BalancerReport,
+    super::{balancer_report::BalancerReport, path_check::check_path},
     crate::{
         counters::Counters,
         pending_decisions::{MAX_BATCH, PendingDecisions},
@@ -37,6 +37,8 @@
     pub(super) probe_events_tx: mpsc::UnboundedSender<DispatchEvent>,
     pub(super) probe_events: mpsc::UnboundedReceiver<DispatchEvent>,
     pub(super) pending: PendingDecisions,
+    /// Number of services to whose servers this entry has lost the path.
+    pub(super) lost_paths: usize,
     /// Channel to the entry's task.
     pub(super) reports: mpsc::UnboundedSender<BalancerReport>,
     /// Heads of the requests that the worker must identify.
@@ -91,6 +93,12 @@
             }
         }
         self.balancer.handle(Instant::now(), event, actions);
+        let lost_paths = self.balancer.lost_paths();
+        if lost_paths != self.lost_paths {
+            self.lost_paths = lost_paths;
+            self.counters.lost_paths.set(lost_paths as i64);
+            self.report(BalancerReport::LostPaths(lost_paths));
+        }
         for action in std::mem::take(actions) {
             match action {
                 DispatchAction::Send { call, server, address, fresh_connection, pass_allowance, want_report } => {
@@ -105,6 +113,13 @@
                     // Without a receiver the process is stopping.
                     let _ = self.probes.send(Probe { number: probe, server, address, limit, path, events });
                 }
+                DispatchAction::Relay { call, entry, address, attempts, fresh_connection } => {
+                    self.counters.relayed_calls.inc();
+                    self.pending.decide(call, Decision::Relay { entry, address, attempts, fresh_connection });
+                }
+                DispatchAction::CheckPath { server, address, limit } => {
+                    actix_rt::spawn(check_path(server, address, limit, self.probe_events_tx.clone()));
+                }
                 DispatchAction::ReportSuspect(record) => self.report(BalancerReport::Suspect(record)),
                 DispatchAction::SetSuspectHeads(heads) => {
                     self.suspect_heads.send_replace(Arc::new(heads));
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -74,6 +74,7 @@
         log: &Logger,
     ) -> Result<Self> {
         let callers = bind(settings.callers)?;
+        let relays = settings.relay.map(bind).transpose()?;
         let admin_listener = bind(settings.admin)?;
         let sockets = bind_tcp_and_udp(settings.listen)?;
         let listen = settings.listen;
@@ -102,6 +103,7 @@
             incarnation,
             data_centre: settings.data_centre.clone(),
             seeds: seed_ids(&fleet.seeds, listen.port()),
+            relay: settings.relay,
             ..EntryOptions::default()
         };
         let task = EntryTask {
@@ -109,6 +111,8 @@
             network: Network::start(sockets, (id, incarnation), counters.clone(), received_tx)?,
             received: received_rx,
             seeds: seeds_rx,
+            stop: stop_rx.clone(),
+            is_stopping: false,
             reports: reports_rx,
             balancer: events_tx,
             config: config_tx,
@@ -132,6 +136,7 @@
             probe_events_tx,
             probe_events,
             pending: PendingDecisions::default(),
+            lost_paths: 0,
             reports: reports_tx,
             suspect_heads: suspect_heads_tx,
             counters,
@@ -165,7 +170,7 @@
             counters: proxy_counters,
             records: None,
         };
-        let worker = actix_rt::spawn(worker.run(callers));
+        let worker = actix_rt::spawn(worker.run_with_relays(callers, relays));
         info!(log, "entry started"; "callers" => %settings.callers, "listen" => %listen);
         Ok(Self {
             port: listen.port(),
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -29,6 +29,8 @@
     pub(super) network: Network,
     pub(super) received: mpsc::UnboundedReceiver<(Envelope<FleetMessage>, usize)>,
     pub(super) seeds: mpsc::UnboundedReceiver<Vec<InstanceId>>,
+    pub(super) stop: watch::Receiver<bool>,
+    pub(super) is_stopping: bool,
     pub(super) reports: mpsc::UnboundedReceiver<BalancerReport>,
     pub(super) balancer: mpsc::UnboundedSender<DispatchEvent>,
     pub(super) config: watch::Sender<Arc<Configuration>>,
@@ -53,6 +55,10 @@
                     let Envelope { from, incarnation, message } = envelope;
                     EntryEvent::Receive { from, incarnation, message }
                 }
+                _ = self.stop.changed(), if !self.is_stopping => {
+                    self.is_stopping = true;
+                    EntryEvent::Stopping
+                }
                 seeds = self.seeds.recv() => match seeds {
                     Some(seeds) => EntryEvent::Seeds(seeds),
                     None => return,
@@ -60,6 +66,15 @@
                 Some(report) = self.reports.recv() => match report {
                     BalancerReport::Leaving(server) => EntryEvent::ServerLeaving(server),
                     BalancerReport::Suspect(record) => EntryEvent::Suspect(record),
+                    BalancerReport::LostPaths(0) => {
+                        info!(self.log, "the servers of all services can be reached");
+                        continue;
+                    }
+                    BalancerReport::LostPaths(services) => {
+                        info!(self.log, "lost the path to the servers; passing calls on to other entries";
+                            "services" => services);
+                        continue;
+                    }
                     BalancerReport::Crash { server, request } => {
                         info!(self.log, "server {} ended while it ran a request", server; "request" => %request);
                         continue;
@@ -102,6 +117,7 @@
                     self.counters.ready.set(i64::from(is_ready));
                     self.is_link_ready.send_replace(is_ready);
                 }
+                EntryAction::Relays(relays) => self.send_to_balancer(DispatchEvent::Relays(relays)),
                 EntryAction::Suspects(records) => self.send_to_balancer(DispatchEvent::Suspects(records)),
                 EntryAction::Log(entry) => info!(self.log, "{}", entry),
             }
--- a/crates/instance/src/fleet/mod.rs
+++ b/crates/instance/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod entry_task;
 mod interface;
 mod network;
+mod path_check;
 mod replica;
 mod replica_task;
 
--- a/crates/instance/src/pending_decisions.rs
+++ b/crates/instance/src/pending_decisions.rs
@@ -32,6 +32,7 @@
                 DispatchEvent::Cancel(call)
             }
             DispatcherMessage::Crash { call, server, request, .. } => DispatchEvent::Crash { call, server, request },
+            DispatcherMessage::Connection { server, is_open } => DispatchEvent::Connection { server, is_open },
             DispatcherMessage::Answered(request) => DispatchEvent::Answered(request),
             DispatcherMessage::Notice { server, address, notice } => DispatchEvent::Notice { server, address, notice },
         }
--- a/crates/instance/src/settings/mod.rs
+++ b/crates/instance/src/settings/mod.rs
@@ -39,6 +39,9 @@
     pub admin: SocketAddr,
     /// Address for other instances, over UDP and TCP.
     pub listen: SocketAddr,
+    /// Listener for calls that other entries pass on because they have lost the path to the servers. Without it, they
+    /// pass none on to this entry.
+    pub relay: Option<SocketAddr>,
     /// Number of threads that serve callers.
     pub workers: usize,
     /// Data folder. An instance that has one is a control replica.
@@ -60,6 +63,7 @@
             callers: any_port,
             admin: any_port,
             listen: any_port,
+            relay: None,
             workers: DEFAULT_WORKERS,
             data_folder: None,
             shutdown_notice: DEFAULT_SHUTDOWN_NOTICE,
--- a/crates/instance/src/settings/parse.rs
+++ b/crates/instance/src/settings/parse.rs
@@ -73,12 +73,17 @@
     fn read_instance(&mut self, section: &str, properties: &Properties) {
         for (key, value) in properties.iter() {
             match key {
-                "data" | "workers" | "notice" if self.is_fleet && value.is_empty() => {}
+                "data" | "workers" | "notice" | "relay" if self.is_fleet && value.is_empty() => {}
                 "id" => self.name(section, key, value, |settings, id| settings.id = id),
                 "data-centre" => self.name(section, key, value, |settings, id| settings.data_centre = id),
                 "callers" => self.settings.callers = self.address(section, key, value, self.settings.callers),
                 "admin" => self.settings.admin = self.address(section, key, value, self.settings.admin),
                 "listen" => self.settings.listen = self.address(section, key, value, self.settings.listen),
+                "relay" if !self.is_fleet => self.error(section, key, "only an entry of a fleet takes relayed calls"),
+                "relay" => {
+                    let any = SocketAddr::from(([0, 0, 0, 0], 0));
+                    self.settings.relay = Some(self.address(section, key, value, any));
+                }
                 "workers" => match value.parse() {
                     Ok(workers) if (1..=MAX_WORKERS).contains(&workers) => self.settings.workers = workers,
                     Ok(_) | Err(_) => self.error(section, key, &format!("expected a number from 1 to {MAX_WORKERS}")),
@@ -89,7 +94,7 @@
                 _ => self.error(
                     section,
                     key,
-                    "unknown key; expected id, data-centre, callers, admin, listen, workers, data or notice",
+                    "unknown key; expected id, data-centre, callers, admin, listen, relay, workers, data or notice",
                 ),
             }
         }
@@ -181,8 +186,12 @@
                 self.error(&section, "address", &format!("the same address is used by [peer {other}]"));
             }
         }
-        let listeners =
-            [("callers", self.settings.callers), ("admin", self.settings.admin), ("listen", self.settings.listen)];
+        let mut listeners =
+            vec![("callers", self.settings.callers), ("admin", self.settings.admin), ("listen", self.settings.listen)];
+        listeners.extend(self.settings.relay.map(|relay| ("relay", relay)));
+        if self.settings.relay.is_some_and(|relay| relay.port() == 0) && !self.has_error("instance", "relay") {
+            self.error("instance", "relay", "expected a port other than 0, because other entries connect to it");
+        }
         for (index, (key, address)) in listeners.iter().enumerate() {
             if address.port() != 0
                 && let Some((other, _)) = listeners[..index].iter().find(|(_, other)| other == address)
--- a/crates/instance/tests/fleet_settings.rs
+++ b/crates/instance/tests/fleet_settings.rs
@@ -82,6 +82,9 @@
         ("listen = 10.0.0.1:8082", "", 1, "listen"),
         ("listen = 10.0.0.1:8082", "listen = 10.0.0.1:0", 5, "listen"),
         ("listen = 10.0.0.1:8082", "listen = 10.0.0.1", 5, "listen"),
+        ("id = c1", "id = c1\nrelay = 10.0.0.1", 3, "relay"),
+        ("id = c1", "id = c1\nrelay = 10.0.0.1:0", 3, "relay"),
+        ("id = c1", "id = c1\nrelay = 10.0.0.1:8082", 3, "relay"),
     ];
     for (good, bad, line, key) in cases {
         let source = [INSTANCE, FLEET].concat().replace(good, bad);
@@ -91,6 +94,19 @@
     }
 }
 
+/// Guards against an entry that does not take relayed calls although its settings say so.
+#[test]
+fn the_listener_for_relayed_calls_is_optional() {
+    let relay = |line: &str| {
+        let source = [INSTANCE, FLEET].concat().replace("id = c1", &format!("id = c1\n{line}"));
+        Settings::parse(&source).expect(line).relay
+    };
+    assert_eq!((relay(""), relay("relay =")), (None, None));
+    assert_eq!(relay("relay = 10.0.0.1:8090"), Some("10.0.0.1:8090".parse().unwrap()));
+    let errors = Settings::parse("[instance]\nrelay = 127.0.0.1:8090\n").unwrap_err();
+    assert_eq!((errors.len(), &*errors[0].key), (1, "relay"));
+}
+
 /// Guards against a failed start because the platform writes durations with fractions.
 #[test]
 fn durations_may_have_fractions() {
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         attempt::Attempt,
+        attempt_route::AttemptRoute,
         body::{Progress, RequestBody},
         call_end::{self, CallEnd, NextStep},
         caller::CallerError,
@@ -198,7 +199,7 @@
         select! {
             biased;
             decision = pending.wait() => match decision {
-                Some(decision @ Decision::Send { .. }) => Ok(decision),
+                Some(decision @ (Decision::Send { .. } | Decision::Relay { .. })) => Ok(decision),
                 // The dispatcher has not received the configuration, or a newer one, yet. The service exists, so the
                 // caller is told to retry.
                 Some(Decision::Reject { outcome: Outcome::NotRun(NotRunReason::UnknownService), .. }) => {
@@ -216,18 +217,16 @@
 
     /// Makes one attempt. If it fails, the dispatcher is asked what to do next.
     async fn attempt(&mut self, decision: Decision) -> Result<ExchangeEnd, NextStep> {
-        let Decision::Send { server, address, fresh_connection, pass_allowance, want_report } = decision else {
-            return Ok(ExchangeEnd::DeadlineExceeded);
-        };
-        let shared = self.shared;
-        let mut attempt = Attempt::new(shared, self.call.id, server.clone(), address);
+        let Some(route) = AttemptRoute::of(decision) else { return Ok(ExchangeEnd::DeadlineExceeded) };
+        let (shared, address) = (self.shared, route.address);
+        let mut attempt = Attempt::new(shared, self.call.id, route.target.clone(), address);
         let would_repeat = self.may_have_run.is_some() && !self.call.idempotent;
         if would_repeat || !self.body.is_available() {
             // Regardless of the decision, the request must not run twice, and a body that was partly consumed cannot
             // be sent.
             return Ok(ExchangeEnd::Failed(AttemptResult::CallerLeft));
         }
-        let mut connection = match self.connect(&mut attempt, address, fresh_connection).await? {
+        let mut connection = match self.connect(&mut attempt, &route).await? {
             Some(connection) => connection,
             None => return Err(self.report_failure(&mut attempt, AttemptResult::RefusedBeforeWrite)),
         };
@@ -236,13 +235,14 @@
         let outgoing = OutgoingRequest {
             from: self.head,
             caller: self.peer,
-            server: &server,
+            server: &route.target,
             address,
             id: self.id.as_ref(),
             remaining,
             depth: self.call.depth,
-            pass_allowance,
-            want_report,
+            pass_allowance: route.pass_allowance,
+            want_report: route.want_report,
+            relay_attempts: route.relay_attempts,
         };
         let head = headers::request_head(&shared.options.dialect, &outgoing);
         if connection.writer.encode_head(head, self.body.framing().size()).is_err() {
@@ -266,6 +266,7 @@
             progress: &progress,
             repeat_protection,
             continues_without_caller: self.claim.is_some(),
+            is_relay: route.is_relay(),
         };
         let ended = exchange.run(&mut connection).await;
         self.attempt_time += attempt.elapsed() - start;
@@ -278,8 +279,8 @@
         connection.release();
         match ended {
             ExchangeEnd::Failed(result) => {
-                if result == AttemptResult::BrokenAfterWrite {
-                    self.check_crash(&server, address).await;
+                if result == AttemptResult::BrokenAfterWrite && !route.is_relay() {
+                    self.check_crash(&route.target, address).await;
                 }
                 Err(self.report_failure(&mut attempt, result))
             }
@@ -288,15 +289,16 @@
     }
 
     /// Opens or reuses a connection. `None` means that the server refused it.
-    async fn connect(
-        &mut self,
-        attempt: &mut Attempt,
-        address: SocketAddr,
-        fresh: bool,
-    ) -> Result<Option<Connection>, NextStep> {
+    async fn connect(&mut self, attempt: &mut Attempt, route: &AttemptRoute) -> Result<Option<Connection>, NextStep> {
+        let is_fresh = route.fresh_connection || !self.call.idempotent;
         select! {
             biased;
-            opened = self.shared.pool.acquire(address, fresh || !self.call.idempotent) => Ok(opened.ok()),
+            opened = self.shared.pool.acquire(route.address, is_fresh) => {
+                if !route.is_relay() && opened.as_ref().map_or(true, |connection| connection.is_new) {
+                    self.shared.dispatcher.connection_attempted(route.target.clone(), opened.is_ok());
+                }
+                Ok(opened.ok())
+            }
             error = self.reader.wait_for_disconnect() => {
                 attempt.finish(AttemptResult::CallerLeft);
                 Err(NextStep::EndCall(CallEnd::CallerFailed(error)))
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -41,6 +41,8 @@
 pub(crate) struct Connection {
     pub(crate) reader: ServerReader,
     pub(crate) writer: ServerWriter,
+    /// Whether it was opened for this exchange.
+    pub(crate) is_new: bool,
     permit: ConnectionPermit,
 }
 
@@ -95,7 +97,7 @@
 }
 
 impl Connection {
-    pub(crate) fn new(io: TcpStream, config: ServiceConfig, permit: ConnectionPermit) -> Self {
+    pub(crate) fn new(io: TcpStream, is_new: bool, config: ServiceConfig, permit: ConnectionPermit) -> Self {
         let (read, write) = io.into_split();
         let codec = Rc::new(RefCell::new(Some(ClientCodec::new(config))));
         Self {
@@ -110,6 +112,7 @@
                 keep_alive: None,
             },
             writer: ServerWriter { half: write, codec, out: BytesMut::new(), is_complete: false },
+            is_new,
             permit,
         }
     }
@@ -128,7 +131,7 @@
     }
 
     fn release_after(self, elapsed_delay: Duration) {
-        let Self { reader, writer, permit } = self;
+        let Self { reader, writer, permit, is_new: _ } = self;
         // Surplus bytes after the response would be read as the response to the next request.
         let keep_alive = reader.codec.borrow().as_ref().is_some_and(ClientCodec::keep_alive);
         if !reader.is_complete || !writer.is_complete {
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -40,6 +40,8 @@
     /// Whether the product's own `hemlockford-` headers, `forwarded` and `x-forwarded-for` are read and written.
     /// Otherwise headers pass unchanged, apart from those that concern one connection only.
     pub product_headers: bool,
+    /// Whether responses of the entry itself state the outcome of the request, as on the product's own interface.
+    pub states_outcome: bool,
     /// Whether servers declare how long they keep an idle connection (`keep-alive: timeout=N`), which then limits its
     /// reuse.
     pub keep_alive_reuse: bool,
@@ -66,6 +68,7 @@
             limit_header: None,
             fractional_retry_after: false,
             product_headers: true,
+            states_outcome: true,
             keep_alive_reuse: false,
             close_delimited: false,
             keeps_server_errors: false,
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use {
     hemlockford_core::{
         dispatch::{Call, FinishedAttempt, ServerNotice},
-        ids::{CallId, ServerId},
+        ids::{CallId, InstanceId, ServerId},
         outcome::Outcome,
         quarantine::RequestFingerprint,
     },
@@ -27,6 +27,17 @@
         /// Whether the request asks for a load report in the response.
         want_report: bool,
     },
+    /// Pass the call on to another entry.
+    Relay {
+        /// The other entry.
+        entry: InstanceId,
+        /// Its address for relayed calls.
+        address: SocketAddr,
+        /// Maximum number of servers to which it may send the call.
+        attempts: u32,
+        /// Whether the call needs a connection that is new or was used very recently.
+        fresh_connection: bool,
+    },
     /// Send the caller a final response.
     Reject {
         /// Outcome that is sent to the caller.
@@ -59,6 +70,13 @@
         /// Method, target and caller of the request, for the log.
         description: Box<str>,
     },
+    /// A new connection to a server was opened for a call, or could not be opened.
+    Connection {
+        /// The server.
+        server: ServerId,
+        /// Whether it is open.
+        is_open: bool,
+    },
     /// A server answered a request that was not suspected yet when it arrived.
     Answered(RequestFingerprint),
     /// A server asked in an answer for no further calls.
@@ -125,6 +143,11 @@
         self.send(DispatcherMessage::Crash { call, server, request, description });
     }
 
+    /// Reports that a new connection to a server was opened for a call, or could not be opened.
+    pub fn connection_attempted(&self, server: ServerId, is_open: bool) {
+        self.send(DispatcherMessage::Connection { server, is_open });
+    }
+
     /// Reports that a server answered a request that was not suspected yet when it arrived.
     pub fn request_answered(&self, request: RequestFingerprint) {
         self.send(DispatcherMessage::Answered(request));
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -13,6 +13,7 @@
         dialect::RequestIdMatch,
         dispatcher::Decision,
         framing::Framing,
+        headers,
         options::{BUFFER_LIMIT, BUFFERED_BODY_LIMIT},
         pending_decision::PendingDecision,
         reply,
@@ -26,7 +27,10 @@
     },
     actix_rt::time::{sleep_until, timeout},
     bytes::{Bytes, BytesMut},
-    hemlockford_core::dispatch::{AttemptResult, Call, ServerNotice},
+    hemlockford_core::{
+        dispatch::{AttemptResult, Call, ServerNotice},
+        outcome::NotRunReason,
+    },
     std::{pin::pin, time::Duration},
     tokio::select,
 };
@@ -79,6 +83,8 @@
     /// Whether the exchange continues without the caller once the request is written, because its outcome is recorded
     /// for a repeated request.
     pub(crate) continues_without_caller: bool,
+    /// Whether the request goes to another entry, which makes the attempts at servers.
+    pub(crate) is_relay: bool,
 }
 
 enum Forwarded {
@@ -122,30 +128,49 @@
                 }
             }
         };
-        let (head, mut framing) = match response {
+        let (mut head, mut framing) = match response {
             // Whatever the server sent, it cannot have seen the request.
             _ if !progress.has_started.get() => return ExchangeEnd::Failed(AttemptResult::RefusedBeforeWrite),
             Ok(response) => response,
             Err(ResponseError::ConnectionLost) => return ExchangeEnd::Failed(AttemptResult::BrokenAfterWrite),
             Err(ResponseError::Invalid) => return ExchangeEnd::Failed(AttemptResult::BadAnswer),
         };
-        for notice in dialect.server_notices(&head) {
+        if self.is_relay
+            && let Some(outcome) = head.headers.remove(headers::OUTCOME).next()
+            && let Some(result) = result_of_relay(&outcome)
+        {
+            while matches!(server.buffered_part(), Part::Chunk(_)) {}
+            return ExchangeEnd::Failed(result);
+        }
+        for notice in dialect.server_notices(&head).filter(|_| !self.is_relay) {
             self.attempt.report_notice(notice);
             if notice == ServerNotice::Leaving {
                 server.close_after();
             }
         }
-        let is_not_run = dialect.is_marked_not_run(&head);
+        let is_not_run = dialect.is_marked_not_run(&head) && !self.is_relay;
         let id_match = dialect.match_request_id(&head, self.id);
-        self.attempt.report_limit(self.shared, &head, id_match);
-        if id_match != RequestIdMatch::Match {
+        if !self.is_relay {
+            self.attempt.report_limit(self.shared, &head, id_match);
+        }
+        // An entry's own response has no id.
+        let is_mismatch = match id_match {
+            RequestIdMatch::Match => false,
+            RequestIdMatch::Mismatch => true,
+            RequestIdMatch::Missing => !self.is_relay,
+        };
+        if is_mismatch {
             // The response belongs to another request. Later responses on this connection cannot be matched either.
             server.close_after();
             let is_shed = is_not_run && id_match == RequestIdMatch::Missing;
             return ExchangeEnd::Failed(if is_shed { AttemptResult::Shed } else { AttemptResult::BadAnswer });
         }
-        self.attempt.set_load_report(dialect.load_report(&head));
-        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && dialect.expected_server_header.is_some();
+        if !self.is_relay {
+            self.attempt.set_load_report(dialect.load_report(&head));
+        }
+        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST
+            && dialect.expected_server_header.is_some()
+            && !self.is_relay;
         if is_misdirected || is_not_run {
             // Consumes a body that has arrived, so that the connection can be reused.
             while matches!(server.buffered_part(), Part::Chunk(_)) {}
@@ -153,7 +178,8 @@
         }
         let is_error = head.status.is_server_error();
         let mut parts = Vec::new();
-        if is_error && self.call.idempotent && self.call.replayable {
+        // Another entry has made all attempts.
+        if is_error && self.call.idempotent && self.call.replayable && !self.is_relay {
             let finish = self.attempt.end(AttemptResult::ServerError);
             let dispatcher = &self.shared.dispatcher;
             let mut pending = PendingDecision::new(dispatcher.clone(), self.call.id, dispatcher.attempt_failed(finish));
@@ -319,6 +345,14 @@
     }
 }
 
+/// Returns the result of a call that another entry did not run, from the outcome that it states. Any other response of
+/// the entry is final, as it has made all attempts.
+fn result_of_relay(outcome: &HeaderValue) -> Option<AttemptResult> {
+    let reason = outcome.to_str().ok()?.strip_prefix("not-run; ")?;
+    let has_no_server = *reason == NotRunReason::NoServer.to_string();
+    Some(if has_no_server { AttemptResult::Misdirected } else { AttemptResult::Shed })
+}
+
 fn header_text<'a>(head: &'a ResponseHead, name: &str) -> Option<&'a str> {
     head.headers.get(name)?.to_str().ok()
 }
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -26,6 +26,8 @@
 pub(crate) const ONCE: HeaderName = HeaderName::from_static("hemlockford-once");
 /// Present with value 1 if the response should report the server's load.
 const WANT_LOAD: HeaderName = HeaderName::from_static(WANT_LOAD_HEADER);
+/// Present in a call that another entry has passed on, with the number of servers to which it may be sent.
+pub(crate) const RELAY: HeaderName = HeaderName::from_static("hemlockford-relay");
 /// Outcome of the request.
 pub(crate) const OUTCOME: HeaderName = HeaderName::from_static(OUTCOME_HEADER);
 /// Idempotency key of a claim.
@@ -56,6 +58,8 @@
     pub(crate) depth: u8,
     pub(crate) pass_allowance: bool,
     pub(crate) want_report: bool,
+    /// Number of servers to which another entry may send the call, if the request goes to an entry.
+    pub(crate) relay_attempts: Option<u32>,
 }
 
 /// Builds the head of a request to a server.
@@ -73,8 +77,11 @@
     if let (Some(name), Some(id)) = (&dialect.request_id_header, outgoing.id) {
         head.headers.insert(name.clone(), id.clone());
     }
-    if let (Some(name), Ok(server)) = (&dialect.expected_server_header, HeaderValue::from_str(outgoing.server)) {
-        head.headers.insert(name.clone(), server);
+    head.headers.remove(RELAY);
+    match (outgoing.relay_attempts, &dialect.expected_server_header, HeaderValue::from_str(outgoing.server)) {
+        (Some(attempts), ..) => drop(head.headers.insert(RELAY, HeaderValue::from(attempts))),
+        (None, Some(name), Ok(server)) => drop(head.headers.insert(name.clone(), server)),
+        (None, None, _) | (None, _, Err(_)) => {}
     }
     if !head.headers.contains_key(header::HOST) {
         // An HTTP/1.0 caller may omit it, but the request is forwarded as HTTP/1.1.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 //! recorded in `docs/notes/http.md`.
 
 mod attempt;
+mod attempt_route;
 mod body;
 mod call;
 mod call_end;
--- a/crates/proxy/src/options.rs
+++ b/crates/proxy/src/options.rs
@@ -87,6 +87,8 @@
     /// Ends the serving of requests after the stop signal when it becomes true or its sender is dropped. Without it,
     /// requests are refused from the stop signal on.
     pub serve_while_stopping: Option<watch::Receiver<bool>>,
+    /// Whether the callers are other entries, which have lost the path to the servers.
+    pub is_relay: bool,
     /// Heads of the requests that are suspected of crashing servers. Without it, such requests are not recognized.
     pub suspect_heads: Option<watch::Receiver<Arc<FastSet<RequestDigest>>>>,
     /// Time after which a caller may retry a request that was refused without asking the dispatcher.
@@ -128,6 +130,7 @@
             caller_idle_timeout: Duration::MAX,
             stop_grace: Duration::from_millis(250),
             serve_while_stopping: None,
+            is_relay: false,
             suspect_heads: None,
             retry_after: Duration::from_secs(1),
             max_replayable_body: BUFFERED_BODY_LIMIT,
@@ -146,6 +149,17 @@
 }
 
 impl ProxyOptions {
+    /// Returns the options for calls that other entries pass on to this one.
+    ///
+    /// ```
+    /// use hemlockford_proxy::ProxyOptions;
+    /// assert!(ProxyOptions::default().for_relays().is_relay);
+    /// ```
+    pub fn for_relays(&self) -> Self {
+        let dialect = Dialect { states_outcome: true, ..self.dialect.clone() };
+        Self { dialect, is_relay: true, ..self.clone() }
+    }
+
     /// Returns the options of an entry of a fleet, with the dialect of its platform and its own seed.
     ///
     /// ```
--- a/crates/proxy/src/pending_decision.rs
+++ b/crates/proxy/src/pending_decision.rs
@@ -38,14 +38,16 @@
         rx.close();
         match rx.try_recv() {
             // If a server was chosen in the meantime, its slot is returned.
-            Ok(Decision::Send { server, .. }) => self.dispatcher.attempt_finished(FinishedAttempt {
-                call: self.call,
-                server,
-                result: AttemptResult::CallerLeft,
-                latency: Duration::ZERO,
-                report: None,
-                wants_decision: false,
-            }),
+            Ok(Decision::Send { server, .. } | Decision::Relay { entry: server, .. }) => {
+                self.dispatcher.attempt_finished(FinishedAttempt {
+                    call: self.call,
+                    server,
+                    result: AttemptResult::CallerLeft,
+                    latency: Duration::ZERO,
+                    report: None,
+                    wants_decision: false,
+                })
+            }
             Ok(Decision::Reject { .. }) => {}
             Err(_) => self.dispatcher.cancel(self.call),
         }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -87,17 +87,17 @@
     /// Takes an idle connection that is recent enough and that the server has not closed, or opens a new one.
     pub(crate) async fn acquire(&self, address: SocketAddr, fresh: bool) -> io::Result<Connection> {
         let permit = self.permit(address).await;
-        let io = loop {
+        let (io, is_new) = loop {
             match self.take(address, fresh) {
                 TakeResult::Connection(io) => {
                     self.counters.reused.inc();
-                    break io;
+                    break (io, false);
                 }
                 TakeResult::Wait(left) => sleep(left).await,
-                TakeResult::Unavailable => break self.open(address).await?,
+                TakeResult::Unavailable => break (self.open(address).await?, true),
             }
         };
-        Ok(Connection::new(io, self.config.clone(), permit))
+        Ok(Connection::new(io, is_new, self.config.clone(), permit))
     }
 
     /// Opens a connection to find out whether a server runs. It is kept for the next request.
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -49,11 +49,11 @@
         if let Some(retry_after) = self.retry_after {
             fields.insert(header::RETRY_AFTER, retry_after_value(dialect, retry_after));
         }
-        if dialect.product_headers {
+        if dialect.states_outcome {
             fields.insert(headers::OUTCOME, headers::outcome_value(self.outcome));
-            if let Some(repeat_protection) = self.repeat_protection {
-                fields.insert(headers::ONCE, HeaderValue::from_static(repeat_protection));
-            }
+        }
+        if let Some(repeat_protection) = self.repeat_protection.filter(|_| dialect.product_headers) {
+            fields.insert(headers::ONCE, HeaderValue::from_static(repeat_protection));
         }
         if let Some(value) = self.content_type.and_then(|text| HeaderValue::from_str(&text).ok()) {
             fields.insert(header::CONTENT_TYPE, value);
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -94,6 +94,12 @@
         framing.is_empty() || matches!(framing, Framing::Sized(length) if length <= options.max_replayable_body as u64);
     let expects_continue = head.version == Version::HTTP_11
         && head.headers.get(header::EXPECT).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+    let mut terms = selected.terms;
+    if options.is_relay {
+        let attempts = single_value(head, &headers::RELAY, "hemlockford-relay is not one number")?;
+        let attempts = attempts.and_then(parse_digits).ok_or(bad_request("hemlockford-relay is not a number"))?;
+        terms.attempts = terms.attempts.min(attempts);
+    }
     let call = Call {
         id,
         service: selected.service,
@@ -107,7 +113,8 @@
         retry_allowance: depth == 0 || head.headers.contains_key(headers::RETRY_ALLOWANCE),
         upload: selected.kind.map_or(!is_replayable_size, |kind| kind == RouteKind::Upload),
         fingerprint: None,
-        options: selected.terms,
+        relayed: options.is_relay,
+        options: terms,
     };
     let id = headers::request_id(dialect, head, id);
     Ok(ParsedRequest { call, framing, key: key.map(Into::into), id, expects_continue })
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -56,6 +56,24 @@
 }
 
 impl Shared {
+    /// Returns the state for calls that other entries pass on. It uses the same connections to servers.
+    pub(crate) fn for_relays(&self, first_call_id: CallId) -> Self {
+        Self {
+            options: Rc::new(self.options.for_relays()),
+            http_config: self.http_config.clone(),
+            dispatcher: self.dispatcher.clone(),
+            pool: self.pool.clone(),
+            config: self.config.clone(),
+            routing: self.routing.clone(),
+            rng: self.rng.clone(),
+            stop: self.stop.clone(),
+            claims: self.claims.clone(),
+            counters: self.counters.clone(),
+            records: self.records.clone(),
+            next_call_id: Cell::new(first_call_id),
+        }
+    }
+
     /// Returns the phase of a stop.
     pub(crate) fn phase(&self) -> Phase {
         match &self.options.serve_while_stopping {
--- a/crates/proxy/src/worker.rs
+++ b/crates/proxy/src/worker.rs
@@ -41,6 +41,8 @@
 
 /// Offset between the first call ids of two consecutive workers.
 const CALLS_PER_WORKER: u64 = 1 << 48;
+/// Number in place of a worker's from which the ids of relayed calls are counted, above all numbers of workers.
+const RELAY_CALLS: u64 = 1 << 10;
 /// Number of connections above the limit that get a refusal; further ones wait in the queue of the listener.
 const MAX_REFUSED_CALLERS: usize = 64;
 /// Delay after a failure to accept, which is usually caused by a lack of file descriptors.
@@ -76,7 +78,17 @@
     /// and closes each connection after its response (draining). Without it, or when draining ends, it refuses new
     /// requests, finishes the calls in progress, and returns (closing).
     pub async fn run(self, listener: std::net::TcpListener) -> Result<()> {
+        self.run_with_relays(listener, None).await
+    }
+
+    /// Does the same, and also takes calls that other entries pass on from another listener.
+    pub async fn run_with_relays(
+        self,
+        listener: std::net::TcpListener,
+        relays: Option<std::net::TcpListener>,
+    ) -> Result<()> {
         let listener = TcpListener::from_std(listener).change_context(ErrorKind::Io)?;
+        let relays = relays.map(TcpListener::from_std).transpose().change_context(ErrorKind::Io)?;
         let options = Rc::new(self.options);
         let keep_alive = KeepAlive::Timeout(options.caller_idle_timeout);
         let http_config = ServiceConfig::new(keep_alive, options.head_timeout, Duration::ZERO, false, None);
@@ -98,6 +110,7 @@
             records: self.records,
             next_call_id: Cell::new(self.number * CALLS_PER_WORKER),
         });
+        let relay_shared = Rc::new(shared.for_relays(RELAY_CALLS * CALLS_PER_WORKER));
         let mut sessions = JoinSet::new();
         let mut pool_check = interval(shared.options.pool_check_interval);
         pool_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -120,6 +133,10 @@
                         serve(&shared, if is_stopping { &mut late_sessions } else { &mut sessions }, io, peer, count);
                     }
                 }
+                Some((io, peer)) = accept_relay(&relays), if sessions.len() + late_sessions.len() < limit => {
+                    let sessions = if is_stopping { &mut late_sessions } else { &mut sessions };
+                    serve(&relay_shared, sessions, io, peer, balancer.count_own());
+                }
                 Some((io, peer, count)) = balancer.received.recv() => {
                     if let Ok(io) = TcpStream::from_std(io) {
                         serve(&shared, if is_stopping { &mut late_sessions } else { &mut sessions }, io, peer, count);
@@ -158,6 +175,14 @@
     }
 }
 
+/// Accepts a connection of another entry; never returns if there is no listener.
+async fn accept_relay(listener: &Option<TcpListener>) -> Option<(TcpStream, SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await.ok(),
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits for the next probe; never returns if there is no channel.
 async fn next_probe(probes: &mut Option<mpsc::UnboundedReceiver<Probe>>) -> Option<Probe> {
     match probes {
--- /dev/null
+++ b/crates/proxy/tests/relays.rs
@@ -0,0 +1,125 @@
+//! Calls that one entry passes on to another.
+
+mod support;
+
+use {
+    hemlockford_core::{dispatch::AttemptResult, outcome::NotRunReason},
+    std::time::Duration,
+    support::{
+        Caller, Script, TestProxy, eventually,
+        platform::{self, LOOK_UP, OK, ORDER, echo, echoing_server},
+        refused_address, serve,
+    },
+    tokio::io::AsyncReadExt,
+};
+
+/// Starts an entry that passes all calls on to another one.
+fn passing_on(to: &TestProxy) -> TestProxy {
+    TestProxy::start(Script { relay_attempts: Some(2), ..platform::script(&[to.relay_address]) })
+}
+
+/// Guards against a relayed request that reaches the server changed, or more than once, and against internal headers
+/// that leave the fleet.
+#[actix_rt::test]
+async fn a_relayed_request_is_served_like_any_other() {
+    let (server, seen) = echoing_server(OK).await;
+    let other = TestProxy::start(platform::script(&[server.address]));
+    let entry = passing_on(&other);
+    for request in [LOOK_UP, ORDER] {
+        let got = entry.call(request).await;
+        assert_eq!((got.status, got.body.as_slice()), (200, b"ok".as_slice()), "{}", got.head);
+        assert!(got.header("x-id").is_some() && !got.head.contains("hemlockford"), "{}", got.head);
+    }
+    let seen = seen.borrow();
+    assert_eq!(seen.len(), 2);
+    assert!(seen.iter().all(|request| !request.contains("hemlockford") && request.contains("x-for: server-1")));
+    assert!(seen[1].contains("POST /order/a") && seen[1].contains("x-id: 8") && seen[1].ends_with("hi"), "{}", seen[1]);
+    let calls = &other.log.borrow().calls;
+    assert!(calls.iter().all(|call| call.relayed && call.options.attempts == 2));
+    assert_eq!(entry.results(), [AttemptResult::Complete, AttemptResult::Complete]);
+    assert!(!entry.log.borrow().calls[0].relayed);
+}
+
+/// Guards against "not run" of another entry that is taken for the answer of a server, and against one entry's missing
+/// path that is taken for overload.
+#[actix_rt::test]
+async fn the_reason_of_the_other_entry_is_known() {
+    for (reason, result) in [
+        (NotRunReason::NoServer, AttemptResult::Misdirected),
+        (NotRunReason::Overload, AttemptResult::Shed),
+        (NotRunReason::Quarantined, AttemptResult::Shed),
+    ] {
+        for request in [LOOK_UP, ORDER] {
+            let other =
+                TestProxy::start(Script { servers: Vec::new(), reason, ..platform::script(&[refused_address()]) });
+            let entry = passing_on(&other);
+            let got = entry.call(request).await;
+            assert_eq!(entry.results(), [result], "{reason}");
+            assert!(!got.head.contains("hemlockford"), "{}", got.head);
+        }
+    }
+}
+
+/// Guards against a second run of a request whose answer was lost behind another entry, and against "not run" for it.
+#[actix_rt::test]
+async fn an_unknown_outcome_behind_the_other_entry_is_final() {
+    let server = serve(|mut io: Caller, _| async move {
+        io.message(false).await;
+    })
+    .await;
+    for request in [LOOK_UP, ORDER] {
+        let other = TestProxy::start(platform::script(&[server.address]));
+        let entry = TestProxy::start(Script {
+            relay_attempts: Some(2),
+            ..platform::script(&[other.relay_address, other.relay_address])
+        });
+        let before = server.connections.get();
+        let got = entry.call(request).await;
+        assert_eq!(got.status, 502, "{}", got.head);
+        assert_eq!(server.connections.get() - before, 1);
+        assert_eq!(entry.results(), [AttemptResult::ServerError]);
+    }
+}
+
+/// Guards against work for a caller that has left, which only the other entry can cancel.
+#[actix_rt::test]
+async fn a_caller_that_leaves_cancels_the_call_behind_the_other_entry() {
+    let (cancelled, is_cancelled) = (std::rc::Rc::new(std::cell::Cell::new(0)), 1);
+    let count = cancelled.clone();
+    let server = serve(move |mut io: Caller, _| {
+        let count = count.clone();
+        async move {
+            io.message(false).await;
+            if matches!(io.io.read(&mut [0]).await, Ok(0) | Err(_)) {
+                count.set(count.get() + 1);
+            }
+        }
+    })
+    .await;
+    let other = TestProxy::start(platform::script(&[server.address]));
+    let entry = passing_on(&other);
+    let mut caller = entry.caller().await;
+    caller.send(LOOK_UP).await;
+    assert!(eventually(Duration::from_secs(1), || server.connections.get() == 1).await);
+    drop(caller);
+    assert!(eventually(Duration::from_secs(1), || cancelled.get() == is_cancelled).await);
+}
+
+/// Guards against a relayed call that a planned stop of the other entry cuts off.
+#[actix_rt::test]
+async fn a_planned_stop_of_the_other_entry_finishes_relayed_calls() {
+    let server = serve(|mut io: Caller, _| async move {
+        while let Some(request) = io.message(false).await {
+            support::sleep_ms(150).await;
+            io.send(&echo(OK, &request)).await;
+        }
+    })
+    .await;
+    let other = TestProxy::start(platform::script(&[server.address]));
+    let entry = passing_on(&other);
+    let mut caller = entry.caller().await;
+    caller.send(ORDER).await;
+    assert!(eventually(Duration::from_secs(1), || server.connections.get() == 1).await);
+    other.stop.send_replace(true);
+    assert_eq!(caller.response().await.status, 200);
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -39,6 +39,8 @@
     /// The server of the first attempt, of the second, and so on. A call whose attempt at the last one fails is
     /// rejected.
     pub servers: Vec<SocketAddr>,
+    /// Number of servers to which the targets, which are entries then, may send a call.
+    pub relay_attempts: Option<u32>,
     /// Reason for rejecting a call for which there is no server.
     pub reason: NotRunReason,
     /// Whether calls never get a decision.
@@ -54,6 +56,7 @@
     pub fn to(server: SocketAddr) -> Self {
         Self {
             servers: vec![server],
+            relay_attempts: None,
             reason: NotRunReason::NoServer,
             holds_calls: false,
             pass_allowance: false,
@@ -72,6 +75,8 @@
     pub results: Vec<AttemptResult>,
     pub cancelled: Vec<CallId>,
     pub notices: Vec<(ServerId, SocketAddr, ServerNotice)>,
+    /// Whether each new connection could be opened.
+    pub connections: Vec<bool>,
     /// Fingerprints of requests under which a server ended.
     pub crashes: Vec<RequestFingerprint>,
     /// Fingerprints of requests that became suspected while servers ran them and were answered.
@@ -80,6 +85,8 @@
 
 pub struct TestProxy {
     pub address: SocketAddr,
+    /// Listener for calls that other entries pass on.
+    pub relay_address: SocketAddr,
     pub log: Rc<RefCell<DispatcherLog>>,
     pub stop: watch::Sender<bool>,
     pub worker: JoinHandle<()>,
@@ -94,6 +101,9 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap();
+        let relays = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        relays.set_nonblocking(true).unwrap();
+        let relay_address = relays.local_addr().unwrap();
         let (dispatcher, messages) = DispatcherHandle::new();
         let (config_tx, config) = watch::channel(Arc::new(script.config.clone()));
         let (probes, probes_rx) = mpsc::unbounded_channel();
@@ -114,8 +124,8 @@
         };
         let log = Rc::new(RefCell::new(DispatcherLog::default()));
         actix_rt::spawn(dispatch(script, messages, log.clone()));
-        let worker = actix_rt::spawn(async move { worker.run(listener).await.unwrap() });
-        Self { address, log, stop: stop_tx, worker, registry, records, config: config_tx, probes }
+        let worker = actix_rt::spawn(async move { worker.run_with_relays(listener, Some(relays)).await.unwrap() });
+        Self { address, relay_address, log, stop: stop_tx, worker, registry, records, config: config_tx, probes }
     }
 
     pub async fn caller(&self) -> Caller {
@@ -152,6 +162,12 @@
         let attempt = attempts.entry(call).or_default();
         *attempt += 1;
         match script.servers.get(*attempt - 1) {
+            Some(address) if script.relay_attempts.is_some() => Decision::Relay {
+                entry: format!("entry-{attempt}").into(),
+                address: *address,
+                attempts: script.relay_attempts.unwrap_or_default(),
+                fresh_connection: !idempotent,
+            },
             Some(address) => Decision::Send {
                 server: format!("server-{attempt}").into(),
                 address: *address,
@@ -182,6 +198,7 @@
             DispatcherMessage::AttemptFinished(finish) => log.borrow_mut().results.push(finish.result),
             DispatcherMessage::Cancel(call) => log.borrow_mut().cancelled.push(call),
             DispatcherMessage::Crash { request, .. } => log.borrow_mut().crashes.push(request),
+            DispatcherMessage::Connection { is_open, .. } => log.borrow_mut().connections.push(is_open),
             DispatcherMessage::Answered(request) => log.borrow_mut().answered.push(request),
             DispatcherMessage::Notice { server, address, notice } => {
                 log.borrow_mut().notices.push((server, address, notice));
--- a/crates/proxy/tests/support/platform.rs
+++ b/crates/proxy/tests/support/platform.rs
@@ -30,6 +30,7 @@
         limit_header: Some(HeaderName::from_static("x-limit")),
         fractional_retry_after: true,
         product_headers: false,
+        states_outcome: false,
         keep_alive_reuse: true,
         close_delimited: true,
         keeps_server_errors: true,
--- a/crates/tools/src/slopes/dispatcher_group.rs
+++ b/crates/tools/src/slopes/dispatcher_group.rs
@@ -159,6 +159,7 @@
             retry_allowance: false,
             upload: false,
             fingerprint: None,
+            relayed: false,
             options: CallOptions::default(),
         };
         self.handle(entry, DispatchEvent::Arrive(call))
@@ -185,6 +186,8 @@
                 }
                 DispatchAction::Reject { .. }
                 | DispatchAction::Probe { .. }
+                | DispatchAction::Relay { .. }
+                | DispatchAction::CheckPath { .. }
                 | DispatchAction::ReportSuspect(_)
                 | DispatchAction::SetSuspectHeads(_) => {}
             }
--- a/crates/tools/src/slopes/memory.rs
+++ b/crates/tools/src/slopes/memory.rs
@@ -122,6 +122,7 @@
             retry_allowance: false,
             upload: false,
             fingerprint: None,
+            relayed: false,
             options: CallOptions::default(),
         };
         dispatcher.handle(now, DispatchEvent::Arrive(call), &mut actions);
