Try another entry when one cannot take a relayed call, and describe relays and quarantine

An entry that is stopping, or has no configuration or an older one, is avoided like one without a path; until now the call was rejected. The available servers of a service are counted only if some have failed, so that an arrival does not cost more with more servers.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! An entry is an instance that accepts calls and forwards them to servers. A [`Replica`] owns the replicated log with
 //! the ledger, and a directory of servers that the replicas synchronize with each other. An [`EntryLink`] polls one
-//! current replica and installs its configuration and servers. Entries do not communicate with each other. See section
+//! current replica and installs its configuration and servers. Entries do not send each other messages, only calls that they pass on. See section
 //! 6 of the design.
 
 mod answer;
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -106,7 +106,7 @@
                 self.index = index;
                 self.divide_limits(now);
             }
-            // Entries of a fleet do not exchange messages.
+            // Entries of a fleet do not send each other messages.
             DispatchEvent::PeerMessage { .. } => {}
             DispatchEvent::Configure(config) => {
                 let paths =
--- a/crates/core/src/probing/mod.rs
+++ b/crates/core/src/probing/mod.rs
@@ -1,6 +1,7 @@
 //! Choice of a server at an entry of a fleet, by probing when a call arrives.
 //!
-//! [`Balancer`] replaces the dispatcher in a fleet, with the same events and actions. Entries share no state.
+//! [`Balancer`] replaces the dispatcher in a fleet, with the same events and actions. Entries share no state but
+//! the requests that crash servers, and pass calls on to each other if they lose the path to the servers.
 //! An entry knows a server by its last load report and by its own calls since then. Therefore it probes a few
 //! promising servers before it sends a call, and chooses the one with the lowest expected cost.
 
--- a/crates/core/src/probing/path_monitor.rs
+++ b/crates/core/src/probing/path_monitor.rs
@@ -78,11 +78,14 @@
         true
     }
 
-    /// Returns the number of servers to which connections are to be opened now.
-    pub(super) fn due_checks(&mut self, now: Instant, servers: usize) -> usize {
-        if self.next_check.is_some_and(|at| now < at) {
+    /// Returns the number of servers to which connections are to be opened now. The available servers are counted only
+    /// if some have failed.
+    pub(super) fn due_checks(&mut self, now: Instant, count_servers: impl FnOnce() -> usize) -> usize {
+        let has_failed = self.is_lost() || !self.refused.is_empty() || !self.silent.is_empty();
+        if !has_failed || self.next_check.is_some_and(|at| now < at) {
             return 0;
         }
+        let servers = count_servers();
         let needed = MIN_FAILED.min(servers).max(1);
         let checks = match self.path {
             Path::Usable if self.refused.len() >= needed || self.silent.len() >= needed => CHECKED_SERVERS.min(servers),
--- a/crates/core/src/probing/relaying.rs
+++ b/crates/core/src/probing/relaying.rs
@@ -63,8 +63,8 @@
     /// Opens connections to some servers if the path to them is in doubt or lost.
     pub(super) fn check_path(&mut self, now: Instant, service: NameHash, actions: &mut Vec<DispatchAction>) {
         let Some(state) = self.services.get_mut(&service) else { return };
-        let available = state.servers.iter().filter(|server| server.is_available(now)).count();
-        let due = state.path.due_checks(now, available);
+        let servers = &state.servers;
+        let due = state.path.due_checks(now, || servers.iter().filter(|server| server.is_available(now)).count());
         if due == 0 {
             return;
         }
--- a/crates/instance/src/fleet/balancer_task.rs
+++ b/crates/instance/src/fleet/balancer_task.rs
@@ -125,7 +125,7 @@
                     self.suspect_heads.send_replace(Arc::new(heads));
                     self.count_quarantined();
                 }
-                // Entries of a fleet do not communicate with each other.
+                // Entries of a fleet do not send each other messages.
                 DispatchAction::SendMessage { .. } => {}
             }
         }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -349,8 +349,15 @@
 /// the entry is final, as it has made all attempts.
 fn result_of_relay(outcome: &HeaderValue) -> Option<AttemptResult> {
     let reason = outcome.to_str().ok()?.strip_prefix("not-run; ")?;
-    let has_no_server = *reason == NotRunReason::NoServer.to_string();
-    Some(if has_no_server { AttemptResult::Misdirected } else { AttemptResult::Shed })
+    // Yet another entry may serve the call.
+    let is_entry_unable = [
+        NotRunReason::NoServer,
+        NotRunReason::ShuttingDown,
+        NotRunReason::ConfigurationNotCurrent,
+        NotRunReason::UnknownService,
+    ];
+    let is_entry_unable = is_entry_unable.iter().any(|unable| *reason == unable.to_string());
+    Some(if is_entry_unable { AttemptResult::Misdirected } else { AttemptResult::Shed })
 }
 
 fn header_text<'a>(head: &'a ResponseHead, name: &str) -> Option<&'a str> {
--- a/crates/proxy/tests/relays.rs
+++ b/crates/proxy/tests/relays.rs
@@ -46,6 +46,7 @@
 async fn the_reason_of_the_other_entry_is_known() {
     for (reason, result) in [
         (NotRunReason::NoServer, AttemptResult::Misdirected),
+        (NotRunReason::ShuttingDown, AttemptResult::Misdirected),
         (NotRunReason::Overload, AttemptResult::Shed),
         (NotRunReason::Quarantined, AttemptResult::Shed),
     ] {
