Do not clear a suspected request because of another entry's error

An entry that had passed a call on took any complete response for the answer of a server. The 502 with which the other entry reports that a server ended under the call then cleared the request that it had just recorded. Found by reading. The test fails without the change.

--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -64,6 +64,8 @@
     pub(crate) attempt_time: Duration,
     /// Set once an attempt may have run the request; from then on the caller is never told that it did not run.
     pub(crate) may_have_run: Option<UnknownReason>,
+    /// Whether the last attempt went to another entry, whose own response may look like that of a server.
+    pub(crate) was_relayed: bool,
     /// The first error response of a server that was followed by a retry.
     pub(crate) saved_error: Option<SavedResponse>,
 }
@@ -95,6 +97,7 @@
             claim: None,
             attempt_time: Duration::ZERO,
             may_have_run: None,
+            was_relayed: false,
             saved_error: None,
         }
     }
@@ -219,6 +222,7 @@
     async fn attempt(&mut self, decision: Decision) -> Result<ExchangeEnd, NextStep> {
         let Some(route) = AttemptRoute::of(decision) else { return Ok(ExchangeEnd::DeadlineExceeded) };
         let (shared, address) = (self.shared, route.address);
+        self.was_relayed = route.is_relay();
         let mut attempt = Attempt::new(shared, self.call.id, route.target.clone(), address);
         let would_repeat = self.may_have_run.is_some() && !self.call.idempotent;
         if would_repeat || !self.body.is_available() {
--- a/crates/proxy/src/crash_check.rs
+++ b/crates/proxy/src/crash_check.rs
@@ -51,7 +51,8 @@
     /// under several runs of a popular request, and its other runs show that it is not the cause. Requests with a body
     /// are left out, as the rest of the body may not have arrived.
     pub(crate) fn report_answered_suspect(&mut self) {
-        if self.call.fingerprint.is_none()
+        if !self.was_relayed
+            && self.call.fingerprint.is_none()
             && self.body.framing().is_empty()
             && let Some(head) = self.suspected_head()
         {
--- a/crates/proxy/tests/relays.rs
+++ b/crates/proxy/tests/relays.rs
@@ -3,14 +3,15 @@
 mod support;
 
 use {
-    hemlockford_core::{dispatch::AttemptResult, outcome::NotRunReason},
-    std::time::Duration,
+    hemlockford_core::{collections::FastSet, dispatch::AttemptResult, outcome::NotRunReason},
+    hemlockford_proxy::ProxyOptions,
+    std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
     support::{
         Caller, Script, TestProxy, eventually,
         platform::{self, LOOK_UP, OK, ORDER, echo, echoing_server},
         refused_address, serve,
     },
-    tokio::io::AsyncReadExt,
+    tokio::{io::AsyncReadExt, net::TcpListener, sync::watch},
 };
 
 /// Starts an entry that passes all calls on to another one.
@@ -82,10 +83,40 @@
     }
 }
 
+/// Guards against a crashing request that is cleared because another entry answers it with an error of its own.
+#[actix_rt::test]
+async fn an_error_of_the_other_entry_does_not_clear_a_suspected_request() {
+    let (heads, suspect_heads) = watch::channel(Arc::<FastSet<u128>>::default());
+    let heads = Rc::new(heads);
+    let with_heads = |script: Script| Script {
+        options: ProxyOptions { suspect_heads: Some(suspect_heads.clone()), ..script.options },
+        ..script
+    };
+    let mut known = FastSet::default();
+    // The first call shows the fingerprint. The second is suspected from the moment at which the server has read it.
+    for _ in 0..2 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (heads, suspected) = (heads.clone(), known.clone());
+        actix_rt::spawn(async move {
+            let (mut io, _) = listener.accept().await.unwrap();
+            let _ = io.read(&mut [0; 4_096]).await;
+            heads.send_replace(Arc::new(suspected));
+            drop(listener);
+        });
+        let other = TestProxy::start(with_heads(platform::script(&[address])));
+        let script = Script { relay_attempts: Some(2), ..platform::script(&[other.relay_address]) };
+        let entry = TestProxy::start(with_heads(script));
+        assert_eq!(entry.call(LOOK_UP).await.status, 502);
+        known.insert(other.log.borrow().crashes[0].head);
+        assert!(entry.log.borrow().answered.is_empty());
+    }
+}
+
 /// Guards against work for a caller that has left, which only the other entry can cancel.
 #[actix_rt::test]
 async fn a_caller_that_leaves_cancels_the_call_behind_the_other_entry() {
-    let (cancelled, is_cancelled) = (std::rc::Rc::new(std::cell::Cell::new(0)), 1);
+    let (cancelled, is_cancelled) = (Rc::new(Cell::new(0)), 1);
     let count = cancelled.clone();
     let server = serve(move |mut io: Caller, _| {
         let count = count.clone();
