Check a server that joins while the path to the servers is lost

If all servers of a service had ended, the path counted as lost, and calls went to other entries or were rejected for up to a quarter of a second and the next arrival after a new server had joined. Its connection is now opened at once. The test fails without the change, as no check is made.

--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -254,6 +254,11 @@
         let entries = self.entries.get(now, self.options.retry_window);
         let state = self.services.entry(service).or_insert_with(|| ServiceState::new(&self.options));
         state.servers.replace(now, views, (&self.options.data_centre, entries), &mut self.rng);
+        if state.path.is_lost() {
+            // If all servers have ended, the path is back with the first one that joins.
+            state.path.hasten_check();
+            self.check_path(now, service, actions);
+        }
         self.dispatch_waiting(now, service, actions);
     }
 
--- a/crates/core/src/probing/path_monitor.rs
+++ b/crates/core/src/probing/path_monitor.rs
@@ -78,6 +78,11 @@
         true
     }
 
+    /// Makes the next check due, because a server has joined.
+    pub(super) fn hasten_check(&mut self) {
+        self.next_check = None;
+    }
+
     /// Returns the number of servers to which connections are to be opened now. The available servers are counted only
     /// if some have failed.
     pub(super) fn due_checks(&mut self, now: Instant, count_servers: impl FnOnce() -> usize) -> usize {
--- a/crates/core/tests/probing_relays.rs
+++ b/crates/core/tests/probing_relays.rs
@@ -185,6 +185,19 @@
     }
 }
 
+/// Guards against calls that are still passed on, or rejected, when all servers have ended and a new one has joined.
+#[test]
+fn a_server_that_joins_is_checked_at_once() {
+    let mut entry = cut_entry(3);
+    entry.add_server("s6", "a", entry.now);
+    let actions = entry.announce();
+    let is_check =
+        |action: &DispatchAction| matches!(action, DispatchAction::CheckPath { server, .. } if **server == *"s6");
+    assert!(actions.iter().any(is_check), "{actions:?}");
+    entry.handle(DispatchEvent::PathChecked { server: "s6".into(), is_open: true });
+    assert_eq!(entry.balancer.lost_paths(), 0);
+}
+
 /// Guards against an entry without other entries that rejects calls which open connections to servers could carry.
 #[test]
 fn without_other_entries_calls_are_sent_to_servers() {
