Hash request bodies only where crashing requests are recognized

Cause: the digest of bodies that are not buffered (chunked, or above 512 KB) was determined in a roster too, where nobody asks for it, and in the build of the tests it takes more time than the uploads leave.

--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -80,7 +80,9 @@
         parsed: ParsedRequest,
     ) -> Self {
         let ParsedRequest { call, framing, key, id, expects_continue } = parsed;
-        let body = RequestBody::new(framing, call.replayable, shared.options.max_replayable_body);
+        let is_recognized = shared.options.suspect_heads.is_some();
+        let fingerprint_limit = if is_recognized { shared.options.max_replayable_body } else { 0 };
+        let body = RequestBody::new(framing, call.replayable, fingerprint_limit);
         Self {
             shared,
             reader,
