--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -1,7 +1,7 @@
 //! State machine of an entry's link to the replicas.
 
 use {
-    super::{EntryAction, EntryEvent, EntryOptions, KnownReplicas, ReplicaSearch, SentPolls, ServerSet},
+    super::{EntryAction, EntryEvent, EntryOptions, KnownReplicas, MissingChange, ReplicaSearch, SentPolls, ServerSet},
     crate::{
         config::Configuration,
         fleet::{ConfigUpdate, DirectoryRevision, FleetLogEvent, FleetMessage, Poll, PollResponse, Servers},
@@ -22,9 +22,6 @@
 const FAST_SEARCH_AFTER_START: Duration = Duration::from_secs(3);
 /// Time after a loss of contact during which a current replica is searched for at short intervals.
 const FAST_SEARCH_AFTER_LOSS: Duration = Duration::from_secs(1);
-/// Time after which a change that the replica has named and that has not arrived is logged. It is half of the time
-/// within which a change must be in force.
-const OVERDUE_AFTER: Duration = Duration::from_secs(1);
 /// Interval between probes of a replica that is preferred over the one in use.
 const PREFERRED_PROBE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -35,14 +32,6 @@
     revision: DirectoryRevision,
 }
 
-/// A change that a replica has named and that has not arrived.
-#[derive(Clone, Debug)]
-struct MissingChange {
-    number: ChangeNumber,
-    named_at: Instant,
-    is_logged: bool,
-}
-
 /// Finds a current replica, polls it, and installs its configuration and servers in the entry.
 ///
 /// ```
@@ -60,7 +49,7 @@
 /// assert!(actions.iter().any(is_poll));
 /// ```
 pub struct EntryLink {
-    options: EntryOptions,
+    pub(super) options: EntryOptions,
     known: KnownReplicas,
     polls: SentPolls,
     servers: ServerSet,
@@ -278,11 +267,7 @@
         for name in std::mem::take(&mut response.replicas).into_iter().chain([own]) {
             self.known.learn(now, name);
         }
-        let mut relays = std::mem::take(&mut response.relays);
-        relays.retain(|relay| relay.entry != self.options.id);
-        if !relays.is_empty() {
-            out.push(EntryAction::Relays(relays));
-        }
+        self.pass_on_relays(std::mem::take(&mut response.relays), out);
         let is_fresh = now.saturating_duration_since(polled_at) < self.options.switch_after;
         if !response.is_current || !is_fresh {
             return;
@@ -320,10 +305,9 @@
             self.missing_change = None;
             return;
         }
-        let missing = self.missing_change.get_or_insert(MissingChange { number, named_at: now, is_logged: false });
-        if !missing.is_logged && now.saturating_duration_since(missing.named_at) >= OVERDUE_AFTER {
-            missing.is_logged = true;
-            out.push(EntryAction::Log(FleetLogEvent::ChangeOverdue(missing.number)));
+        let missing = self.missing_change.get_or_insert_with(|| MissingChange::new(now, number));
+        if let Some(overdue) = missing.take_overdue(now) {
+            out.push(EntryAction::Log(FleetLogEvent::ChangeOverdue(overdue)));
         }
     }
 
@@ -342,7 +326,7 @@
             return out.push(EntryAction::Log(FleetLogEvent::ChangeUnreadable(number)));
         };
         (self.change, self.text) = (number, text);
-        self.missing_change = self.missing_change.take().filter(|missing| missing.number > number);
+        self.missing_change = self.missing_change.take().filter(|missing| missing.number() > number);
         match Configuration::parse(&self.text) {
             Ok(config) => {
                 self.has_config = true;
--- a/crates/core/src/fleet/entry/mod.rs
+++ b/crates/core/src/fleet/entry/mod.rs
@@ -4,12 +4,17 @@
 mod event;
 mod known_replicas;
 mod machine;
+mod missing_change;
 mod options;
+mod relays;
 mod search;
 mod sent_polls;
 mod server_set;
 mod suspects;
 
-use {known_replicas::KnownReplicas, search::ReplicaSearch, sent_polls::SentPolls, server_set::ServerSet};
+use {
+    known_replicas::KnownReplicas, missing_change::MissingChange, search::ReplicaSearch, sent_polls::SentPolls,
+    server_set::ServerSet,
+};
 
 pub use {action::EntryAction, event::EntryEvent, machine::EntryLink, options::EntryOptions};
--- a/crates/core/tests/support/fleet/mod.rs
+++ b/crates/core/tests/support/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod outages;
 mod relay;
 mod server;
+mod serving;
 mod simulation;
 mod workload;
 
--- a/crates/core/tests/support/fleet/named_limit.rs
+++ b/crates/core/tests/support/fleet/named_limit.rs
@@ -1,9 +1,10 @@
 //! Rate of calls that a server names in its answers.
 
 use {
+    super::Fleet,
     hemlockford_core::{
         collections::FastMap,
-        dispatch::{CallRate, ServerNotice},
+        dispatch::{CallRate, DispatchEvent, ServerNotice},
     },
     std::time::{Duration, Instant},
 };
@@ -71,3 +72,14 @@
         (worst, 1.5 * self.calls_per_second * WINDOW.as_secs_f64() + 5.0)
     }
 }
+
+impl Fleet {
+    /// Informs an entry of the rate that a server names in an answer.
+    pub(super) fn name_limit(&mut self, entry: usize, server: usize) {
+        let target = &mut self.servers[server];
+        let Some(limit) = &mut target.limit else { return };
+        let notice = limit.name_to(self.now, entry);
+        let (server, address) = (target.view.id.clone(), target.view.address);
+        self.handle_event(entry, DispatchEvent::Notice { server, address, notice });
+    }
+}
