--- a/crates/core/tests/fleet_silent.rs
+++ b/crates/core/tests/fleet_silent.rs
@@ -36,3 +36,22 @@
         }
     }
 }
+
+/// Guards against a server that is used after its departure was acknowledged, because that is sent on silent connections.
+#[test]
+fn a_departure_binds_in_time_after_connections_went_silent() {
+    for (seed, share) in SEEDS.flat_map(|seed| [(seed, 1.0), (seed, 0.7)]) {
+        let mut world = World::settled(seed, 3, 6, 3);
+        world.links.loss = 0.0;
+        // A text that is sent over a connection opens one between all instances.
+        world.submit(0, &large_text(2, ROUTES));
+        world.run_until(ms(2_000), |world| world.entries.iter().all(|entry| entry.change == 2));
+        world.links.streams.silence(share, &mut world.rng);
+        world.run(CONTACT);
+        world.submit(1, &large_text(3, 2 * ROUTES));
+        world.drain(0, seed as usize % 3);
+        world.run_until(ms(4_000), |world| world.servers[0].acknowledged_at.is_some());
+        let server = world.servers[0].record.server.clone();
+        world.run_until(IN_FORCE_WITHIN, |world| world.entries.iter().all(|entry| !entry.holds(&server)));
+    }
+}
