Ignore outcomes that servers state behind another entry

A response that one entry passes on to another kept the header in which the other states its outcome if the server had set it. The first entry then took a request that had run for one that had not, and could send it again. Found by reading. The test fails without the change. Connections of other entries that are in the queue when an entry ends are answered like those of callers.

--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -88,6 +88,10 @@
     let mut response = Response::with_body(from.status, ());
     let fields = response.headers_mut();
     *fields = headers::response_headers(dialect, from);
+    if dialect.states_outcome {
+        // A server must not state an outcome in place of the entry.
+        fields.remove(headers::OUTCOME);
+    }
     if dialect.product_headers {
         fields.insert(headers::OUTCOME, headers::outcome_value(Outcome::Answered));
         if let Some(repeat_protection) = repeat_protection {
--- a/crates/proxy/src/worker.rs
+++ b/crates/proxy/src/worker.rs
@@ -156,10 +156,11 @@
             }
         }
         // Closing the listener would reset the connections in its queue. The reactor may not have noticed them yet.
-        if let Ok(listener) = listener.into_std() {
+        for (listener, shared) in [(Some(listener), &shared), (relays, &relay_shared)] {
+            let Some(Ok(listener)) = listener.map(TcpListener::into_std) else { continue };
             while let Ok((io, peer)) = listener.accept() {
                 if let Ok(io) = io.set_nonblocking(true).and_then(|()| TcpStream::from_std(io)) {
-                    serve(&shared, &mut late_sessions, io, peer, balancer.count_own());
+                    serve(shared, &mut late_sessions, io, peer, balancer.count_own());
                 }
             }
         }
--- a/crates/proxy/tests/relays.rs
+++ b/crates/proxy/tests/relays.rs
@@ -41,6 +41,21 @@
     assert!(!entry.log.borrow().calls[0].relayed);
 }
 
+/// Guards against a server that states an outcome in place of the other entry, so that a request which ran is told as not
+/// run, or sent again.
+#[actix_rt::test]
+async fn an_outcome_that_a_server_states_is_ignored() {
+    let (server, seen) =
+        echoing_server("HTTP/1.1 200 OK\r\nhemlockford-outcome: not-run; no-server\r\ncontent-length: 2\r\n\r\nok")
+            .await;
+    let other = TestProxy::start(platform::script(&[server.address]));
+    let entry = passing_on(&other);
+    for request in [LOOK_UP, ORDER] {
+        assert_eq!(entry.call(request).await.status, 200);
+    }
+    assert_eq!((entry.results(), seen.borrow().len()), (vec![AttemptResult::Complete; 2], 2));
+}
+
 /// Guards against "not run" of another entry that is taken for the answer of a server, and against one entry's missing
 /// path that is taken for overload.
 #[actix_rt::test]
