Drop items out of bounds instead of the messages that carry them

Cause: the departure was committed without a check of its name, and a reader dropped every message with a name over 128 bytes. Each full directory then carried the name, so that no entry became ready. Ruled out: the log, the election and the servers, which were whole, elected and announced.

A name that no record can have is acknowledged and not recorded, as no instance uses such a server. Readers drop the item and count it; the first of each kind and sender is logged. What an earlier version recorded is not sent, so that entries of that version do not drop the message either. Kin: names in the settings are limited, a status names at most as many replicas as its reader takes, a refused announcement names the field, its size and the limit.

--- a/crates/core/src/fleet/answer.rs
+++ b/crates/core/src/fleet/answer.rs
@@ -1,11 +1,14 @@
 //! Answers to requests that a replica received from its task.
 
-use crate::{config::ConfigError, ids::ChangeNumber, ledger::ContentDigest};
+use {
+    super::NameLengthError,
+    crate::{config::ConfigError, ids::ChangeNumber, ledger::ContentDigest},
+};
 
 /// Result of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReplicaAnswer {
-    /// The announcement was accepted, or the departure is committed.
+    /// The announcement was accepted, or the departure is committed, or it concerns a server that no machine can use.
     Acknowledged,
     /// The change is committed.
     Accepted {
@@ -26,8 +29,10 @@
         /// The current number.
         current: ChangeNumber,
     },
-    /// The configuration or the announcement is invalid. For an announcement the list is empty.
+    /// The configuration is invalid.
     Invalid(Vec<ConfigError>),
+    /// A name in the announcement has no permitted length.
+    InvalidAnnouncement(NameLengthError),
     /// The configuration is longer than [`MAX_SUBMIT_BYTES`](crate::ledger::MAX_SUBMIT_BYTES).
     TooLong,
     /// The newest change.
--- a/crates/core/src/fleet/bounds.rs
+++ b/crates/core/src/fleet/bounds.rs
@@ -1,14 +1,17 @@
 //! Size limits of received messages.
+//!
+//! A list item that exceeds a limit is dropped, not the message that carries it. Otherwise a single item in the state of
+//! the sender would make the receiver ignore every message with that state.
 
 use {
-    super::{FleetMessage, MAX_NAME_BYTES, ReplicaName, Reply, Request},
+    super::{BoundedPart, FleetMessage, MAX_NAME_BYTES, OutOfBounds, ReplicaName, Reply, Request},
     crate::{config::MAX_CONFIG_BYTES, dispatch::RelayAddress, quarantine::MAX_RECORDS},
 };
 
 /// Maximum number of leaving servers in one poll.
 pub(super) const MAX_LEAVING: usize = 16;
 /// Maximum number of replicas in one message.
-const MAX_REPLICAS: usize = 64;
+pub(super) const MAX_REPLICAS: usize = 64;
 /// Maximum number of entries that take relayed calls in a message.
 const MAX_RELAYS: usize = 16;
 /// Maximum number of crashes of one suspected request in a message.
@@ -16,67 +19,138 @@
 /// Maximum number of servers in one message: a full directory of records of minimum length.
 const MAX_SERVERS: usize = 16 * 1024;
 
-impl FleetMessage {
-    /// Returns whether every part of a received message is within its size limit.
-    pub(super) fn is_bounded(&self) -> bool {
-        let are_names = |names: &[ReplicaName]| {
-            names.len() <= MAX_REPLICAS && names.iter().all(|name| is_name(&name.id) && is_name(&name.data_centre))
-        };
-        match self {
-            Self::Poll(poll) => {
-                poll.leaving.len() <= MAX_LEAVING && poll.leaving.iter().all(|(server, _)| is_name(server))
+/// Limits one received message.
+#[derive(Debug, Default)]
+pub(super) struct Bounds {
+    /// The first part that exceeded a limit.
+    pub(super) first: Option<OutOfBounds>,
+    /// Number of parts that exceeded a limit.
+    pub(super) count: usize,
+    must_drop: bool,
+}
+
+impl Bounds {
+    /// Removes the parts of a message that exceed a limit. Returns `None` if the message must be dropped.
+    pub(super) fn apply(&mut self, mut message: FleetMessage) -> Option<FleetMessage> {
+        self.limit(&mut message);
+        if self.must_drop
+            && let Some(first) = &mut self.first
+        {
+            first.is_message_dropped = true;
+        }
+        (!self.must_drop).then_some(message)
+    }
+
+    fn limit(&mut self, message: &mut FleetMessage) {
+        match message {
+            FleetMessage::Poll(poll) => {
+                self.retain(&mut poll.leaving, MAX_LEAVING, |(server, _)| server_name(server));
             }
-            Self::Consensus(_) | Self::Outdated(_) => true,
-            Self::PollResponse(response) => {
-                are_names(&response.replicas) && is_name(&response.data_centre) && are_relays(&response.relays)
+            FleetMessage::Consensus(_) | FleetMessage::Outdated(_) => {}
+            FleetMessage::PollResponse(response) => {
+                self.replicas(&mut response.replicas);
+                self.data_centre(&mut response.data_centre);
+                self.relays(&mut response.relays);
             }
-            Self::Install(update) => update.size() <= MAX_CONFIG_BYTES,
-            Self::Servers(servers) => {
-                let usable = servers.usable.iter();
-                usable.len() <= MAX_SERVERS
-                    && servers.removed.len() <= MAX_SERVERS
-                    && servers.departed.len() <= MAX_SERVERS
-                    && usable.into_iter().all(|usable| is_name(&usable.server) && is_name(&usable.service))
-                    && servers.removed.iter().all(|server| is_name(server))
-                    && servers.departed.iter().all(|(server, _)| is_name(server))
+            FleetMessage::Install(update) => self.require(BoundedPart::Configuration, update.size(), MAX_CONFIG_BYTES),
+            FleetMessage::Servers(servers) => {
+                // A part of a list must not be taken for all of it.
+                for length in [servers.usable.len(), servers.removed.len(), servers.departed.len()] {
+                    self.require(BoundedPart::List, length, MAX_SERVERS);
+                }
+                self.retain(&mut servers.usable, MAX_SERVERS, |usable| {
+                    server_name(&usable.server).or_else(|| name(BoundedPart::ServiceName, &usable.service))
+                });
+                self.retain(&mut servers.removed, MAX_SERVERS, |server| server_name(server));
+                self.retain(&mut servers.departed, MAX_SERVERS, |(server, _)| server_name(server));
             }
-            Self::StatusRequest(request) => is_name(&request.data_centre),
-            Self::StatusResponse(response) => {
-                are_names(&response.replicas)
-                    && is_name(&response.data_centre)
-                    && response.records.as_ref().is_none_or(|records| records.len() <= MAX_SERVERS)
+            FleetMessage::StatusRequest(request) => self.data_centre(&mut request.data_centre),
+            FleetMessage::StatusResponse(response) => {
+                self.replicas(&mut response.replicas);
+                self.data_centre(&mut response.data_centre);
+                let records = response.records.as_ref().map_or(0, Vec::len);
+                self.require(BoundedPart::List, records, MAX_SERVERS);
             }
-            Self::Suspects(suspects) => {
-                suspects.records.len() <= MAX_RECORDS
-                    && suspects.records.iter().all(|record| record.crashes.len() <= MAX_CRASHES)
+            FleetMessage::Suspects(suspects) => {
+                self.retain(&mut suspects.records, MAX_RECORDS, |record| {
+                    out_of_bounds(BoundedPart::List, record.crashes.len(), MAX_CRASHES)
+                });
             }
             // Each record is validated when it is applied.
-            Self::Records(records) => {
-                records.changed.len() <= MAX_SERVERS
-                    && records.renewed.len() <= MAX_SERVERS
-                    && records.renewed.iter().all(|renewal| is_name(&renewal.server))
-                    && are_relays(&records.relays)
-            }
-            Self::RecordRequest(servers) => {
-                servers.len() <= MAX_SERVERS && servers.iter().all(|server| is_name(server))
+            FleetMessage::Records(records) => {
+                self.require(BoundedPart::List, records.changed.len(), MAX_SERVERS);
+                self.retain(&mut records.renewed, MAX_SERVERS, |renewal| server_name(&renewal.server));
+                self.relays(&mut records.relays);
             }
-            Self::Request { request, .. } => match request {
-                Request::Submit { text, .. } => text.len() <= MAX_CONFIG_BYTES,
-                Request::Depart { server, .. } => is_name(server),
-                Request::Read => true,
-            },
-            Self::Reply { reply, .. } => match reply {
-                Reply::Current { text, .. } => text.len() <= MAX_CONFIG_BYTES,
-                _ => true,
+            FleetMessage::RecordRequest(servers) => self.retain(servers, MAX_SERVERS, |server| server_name(server)),
+            FleetMessage::Request { request, .. } => match request {
+                Request::Submit { text, .. } => self.require(BoundedPart::Configuration, text.len(), MAX_CONFIG_BYTES),
+                Request::Depart { server, .. } => self.require(BoundedPart::ServerName, server.len(), MAX_NAME_BYTES),
+                Request::Read => {}
             },
+            FleetMessage::Reply { reply, .. } => {
+                if let Reply::Current { text, .. } = reply {
+                    self.require(BoundedPart::Configuration, text.len(), MAX_CONFIG_BYTES);
+                }
+            }
+        }
+    }
+
+    fn replicas(&mut self, names: &mut Vec<ReplicaName>) {
+        self.retain(names, MAX_REPLICAS, |replica| {
+            name(BoundedPart::InstanceName, &replica.id)
+                .or_else(|| name(BoundedPart::DataCentreName, &replica.data_centre))
+        });
+    }
+
+    fn relays(&mut self, relays: &mut Vec<RelayAddress>) {
+        self.retain(relays, MAX_RELAYS, |relay| name(BoundedPart::InstanceName, &relay.entry));
+    }
+
+    fn data_centre(&mut self, data_centre: &mut Box<str>) {
+        if let Some(found) = name(BoundedPart::DataCentreName, data_centre) {
+            self.record(found);
+            *data_centre = Box::default();
         }
     }
+
+    /// Removes the items of a list that exceed a limit, and those beyond the maximum number.
+    fn retain<T>(&mut self, items: &mut Vec<T>, max: usize, check: impl Fn(&T) -> Option<OutOfBounds>) {
+        if let Some(found) = out_of_bounds(BoundedPart::List, items.len(), max) {
+            self.record(found);
+            items.truncate(max);
+        }
+        items.retain(|item| match check(item) {
+            Some(found) => {
+                self.record(found);
+                false
+            }
+            None => true,
+        });
+    }
+
+    /// Drops the message if a part exceeds its limit.
+    fn require(&mut self, part: BoundedPart, size: usize, limit: usize) {
+        if let Some(found) = out_of_bounds(part, size, limit) {
+            self.record(found);
+            self.must_drop = true;
+        }
+    }
+
+    fn record(&mut self, found: OutOfBounds) {
+        self.first.get_or_insert(found);
+        self.count += 1;
+    }
+}
+
+fn server_name(server: &str) -> Option<OutOfBounds> {
+    name(BoundedPart::ServerName, server)
 }
 
-fn are_relays(relays: &[RelayAddress]) -> bool {
-    relays.len() <= MAX_RELAYS && relays.iter().all(|relay| is_name(&relay.entry))
+fn name(part: BoundedPart, name: &str) -> Option<OutOfBounds> {
+    out_of_bounds(part, name.len(), MAX_NAME_BYTES)
 }
 
-fn is_name(name: &str) -> bool {
-    name.len() <= MAX_NAME_BYTES
+fn out_of_bounds(part: BoundedPart, size: usize, limit: usize) -> Option<OutOfBounds> {
+    (size > limit).then_some(OutOfBounds { part, size, limit, is_message_dropped: false })
 }
--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -4,7 +4,9 @@
     super::{EntryAction, EntryEvent, EntryOptions, KnownReplicas, MissingChange, ReplicaSearch, SentPolls, ServerSet},
     crate::{
         config::Configuration,
-        fleet::{ConfigUpdate, DirectoryRevision, FleetLogEvent, FleetMessage, Poll, PollResponse, Servers},
+        fleet::{
+            ConfigUpdate, DirectoryRevision, FleetLogEvent, FleetMessage, Poll, PollResponse, Servers, bounds::Bounds,
+        },
         ids::{ChangeNumber, Incarnation, InstanceId},
         quarantine::SuspectTable,
     },
@@ -115,7 +117,15 @@
         match event {
             EntryEvent::Tick => {}
             EntryEvent::Receive { from, incarnation, message } => {
-                if message.is_bounded() && self.known.record_message(now, &from, incarnation) {
+                let mut bounds = Bounds::default();
+                let message = bounds.apply(message);
+                if let Some(first) = bounds.first {
+                    let event = FleetLogEvent::OutOfBounds { from: from.clone(), first, count: bounds.count };
+                    out.push(EntryAction::Log(event));
+                }
+                if let Some(message) = message
+                    && self.known.record_message(now, &from, incarnation)
+                {
                     self.receive(now, from, incarnation, message, out);
                 }
             }
--- a/crates/core/src/fleet/log_event.rs
+++ b/crates/core/src/fleet/log_event.rs
@@ -1,6 +1,7 @@
 //! State changes to be logged.
 
 use {
+    super::{NameLengthError, OutOfBounds},
     crate::{
         ids::{ChangeNumber, Incarnation, InstanceId, ServerId, Term},
         quarantine::RequestFingerprint,
@@ -56,6 +57,22 @@
     /// A committed configuration cannot be parsed, for example because it was written by a newer version.
     #[display("change {_0} cannot be read by this version")]
     ChangeUnreadable(ChangeNumber),
+    /// Parts of a message from an instance exceeded a limit and were dropped.
+    #[display("message from {from}: {first} ({count} such parts)")]
+    OutOfBounds {
+        /// The sender.
+        from: InstanceId,
+        /// The first of the parts.
+        first: OutOfBounds,
+        /// Number of parts.
+        count: usize,
+    },
+    /// A call names a server that cannot be in use, as its name exceeds the limit of a record.
+    #[display("departure of a server whose name has {_0} bytes; no record can have it")]
+    DepartureIgnored(usize),
+    /// An announcement was refused.
+    #[display("announcement refused: {_0}")]
+    AnnouncementRefused(NameLengthError),
     /// Several servers ended while they ran a request, which is not sent to any server for some time.
     #[display("request {_0} is quarantined")]
     RequestQuarantined(RequestFingerprint),
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! An entry is an instance that accepts calls and forwards them to servers. A [`Replica`] owns the replicated log with
 //! the ledger, and a directory of servers that the replicas synchronize with each other. An [`EntryLink`] polls one
-//! current replica and installs its configuration and servers. Entries do not send each other messages, only calls that they pass on. See section
-//! 6 of the design.
+//! current replica and installs its configuration and servers. Entries do not send each other messages, only
+//! calls that they pass on. See section 6 of the design.
 
 mod answer;
 mod bounds;
@@ -12,6 +12,7 @@
 mod entry;
 mod log_event;
 mod message;
+mod out_of_bounds;
 mod record;
 mod replica;
 mod size;
@@ -27,6 +28,7 @@
         DirectoryRevision, FleetMessage, Poll, PollResponse, ReceivedRecord, Records, Renewal, ReplicaName, Reply,
         Request, Servers, StatusRequest, StatusResponse, Suspects, UsableServer,
     },
-    record::{MAX_NAME_BYTES, ServerRecord},
+    out_of_bounds::{BoundedPart, OutOfBounds},
+    record::{MAX_NAME_BYTES, NameLengthError, ServerRecord},
     replica::{Replica, ReplicaAction, ReplicaEvent, ReplicaOptions},
 };
--- a/crates/core/src/fleet/record.rs
+++ b/crates/core/src/fleet/record.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::ids::{DataCentreId, ServerId, ServiceId},
+    derive_more::Display,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
 };
@@ -9,6 +10,18 @@
 /// Maximum length of a name in a record, in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
 
+/// A name in a record that has no permitted length.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("the {field} has {bytes} bytes; {} to {MAX_NAME_BYTES} are permitted", u8::from(*is_required))]
+pub struct NameLengthError {
+    /// The field that holds the name.
+    pub field: &'static str,
+    /// Length of the name.
+    pub bytes: usize,
+    /// Whether the name must not be empty.
+    pub is_required: bool,
+}
+
 /// Record of a server as announced by itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerRecord {
@@ -35,7 +48,7 @@
 }
 
 impl ServerRecord {
-    /// Returns whether every name has a permitted length.
+    /// Checks that every name has a permitted length.
     ///
     /// ```
     /// use {hemlockford_core::fleet::ServerRecord, std::time::Duration};
@@ -51,15 +64,28 @@
     ///     warm_up: Duration::ZERO,
     ///     is_draining: false,
     /// };
-    /// assert!(record.is_valid());
-    /// assert!(!ServerRecord { server: "".into(), ..record }.is_valid());
+    /// assert!(record.check().is_ok() && record.is_valid());
+    /// let error = ServerRecord { server: "a".repeat(130).into(), ..record }.check().unwrap_err();
+    /// assert_eq!(error.to_string(), "the server id has 130 bytes; 1 to 128 are permitted");
     /// ```
+    pub fn check(&self) -> Result<(), NameLengthError> {
+        let names: [(&str, &str, bool); 4] = [
+            ("server id", &self.server, true),
+            ("service", &self.service, true),
+            ("data centre", &self.data_centre, false),
+            ("version", &self.version, false),
+        ];
+        for (field, name, is_required) in names {
+            if name.len() > MAX_NAME_BYTES || is_required && name.is_empty() {
+                return Err(NameLengthError { field, bytes: name.len(), is_required });
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether every name has a permitted length.
     pub fn is_valid(&self) -> bool {
-        let is_name = |name: &str| (1..=MAX_NAME_BYTES).contains(&name.len());
-        is_name(&self.server)
-            && is_name(&self.service)
-            && self.data_centre.len() <= MAX_NAME_BYTES
-            && self.version.len() <= MAX_NAME_BYTES
+        self.check().is_ok()
     }
 
     /// Returns incarnation and sequence number. Of two announcements of one server the one with the higher pair is
@@ -68,3 +94,8 @@
         (self.incarnation, self.sequence)
     }
 }
+
+/// Returns whether a record can have this server name. No machine uses a server with another one.
+pub(super) fn is_server_name(name: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&name.len())
+}
--- a/crates/core/src/fleet/replica/entry_updates.rs
+++ b/crates/core/src/fleet/replica/entry_updates.rs
@@ -3,7 +3,7 @@
 use {
     super::{Replica, ReplicaAction},
     crate::{
-        fleet::{FleetLogEvent, FleetMessage, Poll, PollResponse, Servers},
+        fleet::{FleetLogEvent, FleetMessage, Poll, PollResponse, Servers, record::is_server_name},
         ids::{Incarnation, InstanceId, ServerId},
     },
     std::time::{Duration, Instant},
@@ -134,7 +134,8 @@
     }
 
     fn full_update(&self, now: Instant, echo: u64) -> Servers {
-        let departed = self.ledger.departures().into_iter().take(MAX_DEPARTED);
+        let departures = self.ledger.departures().into_iter();
+        let departed = departures.filter(|(server, _)| is_server_name(server)).take(MAX_DEPARTED);
         Servers {
             from: None,
             to: self.directory.revision(),
--- a/crates/core/src/fleet/replica/exchange.rs
+++ b/crates/core/src/fleet/replica/exchange.rs
@@ -5,8 +5,8 @@
     crate::{
         collections::FastSet,
         fleet::{
-            AnnouncementOutcome, FleetMessage, MAX_NAME_BYTES, MAX_SERVER_SILENCE, ReceivedRecord, Records,
-            ReplicaAnswer, ReplicaName, ServerRecord, StatusRequest, StatusResponse,
+            AnnouncementOutcome, FleetLogEvent, FleetMessage, MAX_NAME_BYTES, MAX_SERVER_SILENCE, ReceivedRecord,
+            Records, ReplicaAnswer, ReplicaName, ServerRecord, StatusRequest, StatusResponse, bounds::MAX_REPLICAS,
         },
         ids::{InstanceId, ServerId},
     },
@@ -36,8 +36,9 @@
         wall_ms: u64,
         out: &mut Vec<ReplicaAction>,
     ) {
-        if !record.is_valid() {
-            return self.answer(id, ReplicaAnswer::Invalid(Vec::new()), out);
+        if let Err(error) = record.check() {
+            out.push(ReplicaAction::Log(FleetLogEvent::AnnouncementRefused(error)));
+            return self.answer(id, ReplicaAnswer::InvalidAnnouncement(error), out);
         }
         let (server, incarnation, is_draining) = (record.server.clone(), record.incarnation, record.is_draining);
         let outcome = self.apply_record(now, record, None, (self.options.id.clone(), now), out);
@@ -198,6 +199,8 @@
     ) {
         self.peers.set_data_centre(&from, request.data_centre);
         let is_complete = self.contact.is_or_was_complete(now);
+        let mut replicas = self.peers.recently_heard(now);
+        replicas.truncate(MAX_REPLICAS);
         let response = StatusResponse {
             echo: request.number,
             clock_ms: self.clock_ms(now),
@@ -205,7 +208,7 @@
             is_complete,
             commit_index: self.consensus.commit_index(),
             data_centre: self.options.data_centre.clone(),
-            replicas: self.peers.recently_heard(now),
+            replicas,
             records: (request.include_records && is_complete).then(|| self.directory.all_records(now)),
         };
         out.push(ReplicaAction::Send { to: from, message: FleetMessage::StatusResponse(response) });
--- a/crates/core/src/fleet/replica/log_driver.rs
+++ b/crates/core/src/fleet/replica/log_driver.rs
@@ -4,7 +4,7 @@
     super::{Replica, ReplicaAction},
     crate::{
         consensus::{ConsensusAction, ConsensusEvent, Write},
-        fleet::{FleetLogEvent, FleetMessage},
+        fleet::{FleetLogEvent, FleetMessage, record::is_server_name},
         ids::LogIndex,
         ledger::{Command, Ledger},
     },
@@ -70,7 +70,9 @@
         let previous = server.as_deref().and_then(|server| self.ledger.departed_incarnation(server));
         let outcome = self.ledger.apply_bytes(index, bytes);
         self.ledger_outcomes.insert(index, outcome);
-        if let Some(server) = server
+        // Earlier versions recorded the departure of any name. Instances that run one drop a message which contains a
+        // name that no record can have.
+        if let Some(server) = server.filter(|server| is_server_name(server))
             && let Some(incarnation) = self.ledger.departed_incarnation(&server)
             && previous < Some(incarnation)
         {
@@ -85,7 +87,7 @@
     fn restore(&mut self, now: Instant, ledger: Ledger, out: &mut Vec<ReplicaAction>) {
         let mut departures = Vec::new();
         for (server, incarnation) in ledger.departures() {
-            if self.ledger.departed_incarnation(server) < Some(incarnation) {
+            if self.ledger.departed_incarnation(server) < Some(incarnation) && is_server_name(server) {
                 self.directory.mark_departed(server, incarnation);
                 self.publish_immediately = true;
                 departures.push((server.clone(), incarnation));
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -8,7 +8,7 @@
     crate::{
         collections::{FastMap, FastSet},
         consensus::{Consensus, ConsensusEvent, ConsensusOptions, Recovered},
-        fleet::{Directory, FleetLogEvent, FleetMessage, ReplicaAnswer, Request},
+        fleet::{Directory, FleetLogEvent, FleetMessage, ReplicaAnswer, Request, bounds::Bounds},
         ids::{Incarnation, InstanceId, LogIndex, ServerId},
         ledger::{Ledger, LedgerOutcome},
         quarantine::SuspectTable,
@@ -188,8 +188,16 @@
         match event {
             ReplicaEvent::Tick => {}
             ReplicaEvent::Receive { from, incarnation, message } => {
-                if message.is_bounded() && from != self.options.id {
-                    self.receive(now, from, incarnation, message, out);
+                if from != self.options.id {
+                    let mut bounds = Bounds::default();
+                    let message = bounds.apply(message);
+                    if let Some(first) = bounds.first {
+                        let event = FleetLogEvent::OutOfBounds { from: from.clone(), first, count: bounds.count };
+                        out.push(ReplicaAction::Log(event));
+                    }
+                    if let Some(message) = message {
+                        self.receive(now, from, incarnation, message, out);
+                    }
                 }
             }
             ReplicaEvent::Announce { id, record, wall_ms } => self.announce(now, id, record, wall_ms, out),
--- a/crates/core/src/fleet/replica/request_handling.rs
+++ b/crates/core/src/fleet/replica/request_handling.rs
@@ -5,7 +5,7 @@
     crate::{
         config::{Configuration, MAX_CONFIG_BYTES},
         consensus::{ConsensusEvent, ProposalResult},
-        fleet::{FleetMessage, ReplicaAnswer, Reply, Request},
+        fleet::{FleetLogEvent, FleetMessage, ReplicaAnswer, Reply, Request, record::is_server_name},
         ids::{LogIndex, ServerId},
         ledger::{Command, ContentDigest, LedgerOutcome, MAX_SUBMIT_BYTES},
     },
@@ -26,7 +26,8 @@
         }
     }
 
-    /// Requests the recording of a departure unless it is already recorded.
+    /// Requests the recording of a departure unless it is already recorded. A name that no record can have is not
+    /// recorded, because no machine uses such a server.
     pub(super) fn depart(
         &mut self,
         now: Instant,
@@ -36,6 +37,10 @@
         wall_ms: u64,
         out: &mut Vec<ReplicaAction>,
     ) {
+        if !is_server_name(&server) {
+            out.push(ReplicaAction::Log(FleetLogEvent::DepartureIgnored(server.len())));
+            return self.answer(id, ReplicaAnswer::Acknowledged, out);
+        }
         if incarnation.is_some_and(|incarnation| {
             self.ledger.departed_incarnation(&server).is_some_and(|departed| incarnation <= departed)
         }) {
--- a/crates/core/tests/fleet_support/disk.rs
+++ b/crates/core/tests/fleet_support/disk.rs
@@ -1,7 +1,10 @@
 //! In-memory data folder.
 
 use {
-    hemlockford_core::consensus::{Entry, HardState, Recovered, Snapshot, Write},
+    hemlockford_core::{
+        consensus::{Entry, HardState, Payload, Recovered, Snapshot, Write},
+        ledger::Command,
+    },
     std::{collections::VecDeque, sync::Arc},
 };
 
@@ -58,6 +61,16 @@
         self.pending.clear();
     }
 
+    /// Replaces the commands in the log, as if another version had written them.
+    pub fn edit_commands(&mut self, edit: impl Fn(Command) -> Command) {
+        for entry in &mut self.entries {
+            if let Payload::Command(bytes) = &entry.payload {
+                let command = edit(Command::decode(bytes).unwrap());
+                entry.payload = Payload::Command(command.encode().unwrap().into());
+            }
+        }
+    }
+
     pub fn recovered(&self) -> Recovered {
         Recovered {
             incarnation: self.incarnation,
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -5,6 +5,7 @@
         PlatformInterface,
         admin::{AdminTask, Readiness},
         balancer_task::BalancerTask,
+        drop_log::DropLog,
         entry_task::EntryTask,
         network::Network,
         replica::seed_ids,
@@ -120,6 +121,7 @@
             connection_limit: connection_limit.clone(),
             counters: counters.clone(),
             log: log.clone(),
+            drop_log: DropLog::default(),
         };
         let guard = PanicGuard { task: "the entry task", failure: failure_tx.clone() };
         actix_rt::spawn(async move {
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -1,7 +1,7 @@
 //! Task that runs the link of an entry to the replicas.
 
 use {
-    super::{balancer_report::BalancerReport, network::Network},
+    super::{balancer_report::BalancerReport, drop_log::DropLog, network::Network},
     crate::{clock::to_steady, counters::Counters},
     actix_rt::time::sleep_until,
     hemlockford_core::{
@@ -39,6 +39,7 @@
     pub(super) connection_limit: Arc<ConnectionLimit>,
     pub(super) counters: Counters,
     pub(super) log: Logger,
+    pub(super) drop_log: DropLog,
 }
 
 impl EntryTask {
@@ -119,7 +120,10 @@
                 }
                 EntryAction::Relays(relays) => self.send_to_balancer(DispatchEvent::Relays(relays)),
                 EntryAction::Suspects(records) => self.send_to_balancer(DispatchEvent::Suspects(records)),
-                EntryAction::Log(entry) => info!(self.log, "{}", entry),
+                EntryAction::Log(entry) if self.drop_log.record(&entry, &self.counters) => {
+                    info!(self.log, "{}", entry);
+                }
+                EntryAction::Log(_) => {}
             }
         }
     }
--- a/crates/instance/src/fleet/mod.rs
+++ b/crates/instance/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod balancer_report;
 mod balancer_task;
+mod drop_log;
 mod entry;
 mod entry_task;
 mod interface;
--- a/crates/instance/src/fleet/replica.rs
+++ b/crates/instance/src/fleet/replica.rs
@@ -4,6 +4,7 @@
     super::{
         PlatformInterface,
         admin::{AdminTask, Readiness},
+        drop_log::DropLog,
         network::Network,
         replica_task::{ReplicaMessage, ReplicaTask},
     },
@@ -104,6 +105,7 @@
             failure: failure_tx.clone(),
             counters,
             log: log.clone(),
+            drop_log: DropLog::default(),
             pending: FastMap::default(),
             last_request: 0,
         };
--- a/crates/instance/src/fleet/replica_task.rs
+++ b/crates/instance/src/fleet/replica_task.rs
@@ -1,7 +1,7 @@
 //! Task that runs the state machine of a replica.
 
 use {
-    super::network::Network,
+    super::{drop_log::DropLog, network::Network},
     crate::{clock::wall_clock_ns, counters::Counters, storage::StorageWrite},
     actix_rt::time::sleep_until,
     hemlockford_core::{
@@ -53,6 +53,7 @@
     pub(super) failure: mpsc::UnboundedSender<Box<str>>,
     pub(super) counters: Counters,
     pub(super) log: Logger,
+    pub(super) drop_log: DropLog,
     pub(super) pending: FastMap<u64, oneshot::Sender<ReplicaAnswer>>,
     pub(super) last_request: u64,
 }
@@ -135,7 +136,9 @@
                 }
                 ReplicaAction::Log(entry) => {
                     self.update_metrics(&entry);
-                    info!(self.log, "{}", entry);
+                    if self.drop_log.record(&entry, &self.counters) {
+                        info!(self.log, "{}", entry);
+                    }
                 }
                 ReplicaAction::Stopped => drop(self.stopped.send(())),
                 ReplicaAction::InvariantViolated(what) => drop(self.failure.send(what.into())),
--- a/crates/instance/src/settings/parse.rs
+++ b/crates/instance/src/settings/parse.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{FleetRole, FleetSettings, MAX_WORKERS, Peer, Settings, line_index::LineIndex},
-    hemlockford_core::{collections::FastMap, config::ConfigError, units::parse_duration},
+    hemlockford_core::{collections::FastMap, config::ConfigError, fleet::MAX_NAME_BYTES, units::parse_duration},
     ini::{Ini, Properties},
     std::{net::SocketAddr, str::FromStr, time::Duration},
 };
@@ -225,6 +225,10 @@
         if value.is_empty() || value.contains(char::is_whitespace) {
             return self.error(section, key, "expected a name without spaces");
         }
+        if value.len() > MAX_NAME_BYTES {
+            let message = format!("the name has {} bytes; at most {MAX_NAME_BYTES} are permitted", value.len());
+            return self.error(section, key, &message);
+        }
         set(&mut self.settings, value.into());
     }
 
--- a/crates/instance/tests/fleet_settings.rs
+++ b/crates/instance/tests/fleet_settings.rs
@@ -120,3 +120,13 @@
         assert_eq!(&*Settings::parse(&source).unwrap_err()[0].key, "grace", "{value}");
     }
 }
+
+/// Guards against an instance that starts with a name which the messages of the fleet cannot carry.
+#[test]
+fn names_that_exceed_the_limit_of_messages_are_refused() {
+    let with_name =
+        |length: usize| Settings::parse(&format!("{}{FLEET}", INSTANCE.replace("brno-1", &"z".repeat(length))));
+    assert!(with_name(128).is_ok());
+    let errors = with_name(129).unwrap_err();
+    assert_eq!(&*errors[0].message, "the name has 129 bytes; at most 128 are permitted");
+}
