Bound the number of slots of an announced server

A heartbeat may state any number of slots up to 4,294,967,295, and another writer may send it. Choosing a server adds up slots and adds the queue to them: the sum overflows, so that a build with overflow checks ends, and another one takes the server for full.

Ruled out: the load report, whose numbers are bounded where it is parsed, and the roster, whose announcements have at most 65,536 slots.

--- a/crates/core/src/probing/server.rs
+++ b/crates/core/src/probing/server.rs
@@ -12,6 +12,8 @@
     std::time::{Duration, Instant},
 };
 
+/// Maximum number of slots that is believed. A server announces any number; the slots of all servers are added up.
+const MAX_SLOTS: u32 = 1 << 16;
 /// Calls that a server queues in addition to its slots before it rejects calls.
 const QUEUE_LENGTH: u32 = 4;
 /// A report in an answer does not include a call that was sent less than a round trip before.
@@ -89,7 +91,7 @@
     }
 
     pub(super) fn slots(&self) -> u32 {
-        self.view.slots.max(1)
+        self.view.slots.clamp(1, MAX_SLOTS)
     }
 
     /// Returns whether the announced state, the lease and the server's own answers allow new calls; they are checked
--- a/crates/core/tests/probing_choice.rs
+++ b/crates/core/tests/probing_choice.rs
@@ -27,6 +27,24 @@
     }
 }
 
+/// Guards against a number of slots in an announcement that overflows when the queue is added to it.
+#[test]
+fn any_number_of_slots_is_used() {
+    for slots in [0, 1, 1_000_000_000, u32::MAX - 1, u32::MAX] {
+        let mut entry = TestEntry::new(&THREE);
+        entry.views.iter_mut().for_each(|view| view.slots = slots);
+        entry.announce();
+        for _ in 0..5 {
+            entry.complete();
+            entry.advance(200 * MS);
+        }
+        // A rejection without a report counts as a full queue.
+        let (call, server) = entry.send_lookup();
+        entry.reports.clear();
+        entry.finish(call, &server, AttemptResult::Shed);
+    }
+}
+
 /// Guards against a choice by speed alone.
 #[test]
 fn prefers_the_idle_server_at_equal_speed() {
