Refuse records with an impossible start time

An entry of another writer with a start time of 2^64 - 1 ms under the id or the address of a running server shut that server out: the highest incarnation counts, its own heartbeats were stale for as long as the record and its tombstone last, 10 minutes. A departure with such a start time would bind all later starts of the server.

Start times after the year 2248 are refused with an answer that names the field; a departure with one binds the incarnation that is known. Ruled out: a comparison with the time of day, which may step by hours.

--- a/crates/core/src/fleet/answer.rs
+++ b/crates/core/src/fleet/answer.rs
@@ -1,7 +1,7 @@
 //! Answers to requests that a replica received from its task.
 
 use {
-    super::NameLengthError,
+    super::RecordError,
     crate::{config::ConfigError, ids::ChangeNumber, ledger::ContentDigest},
 };
 
@@ -31,8 +31,8 @@
     },
     /// The configuration is invalid.
     Invalid(Vec<ConfigError>),
-    /// A name in the announcement has no permitted length.
-    InvalidAnnouncement(NameLengthError),
+    /// The announcement is invalid.
+    InvalidAnnouncement(RecordError),
     /// The configuration is longer than [`MAX_SUBMIT_BYTES`](crate::ledger::MAX_SUBMIT_BYTES).
     TooLong,
     /// The newest change.
--- a/crates/core/src/fleet/bounds.rs
+++ b/crates/core/src/fleet/bounds.rs
@@ -4,8 +4,8 @@
 //! the sender would make the receiver ignore every message with that state.
 
 use {
-    super::{BoundedPart, FleetMessage, MAX_NAME_BYTES, OutOfBounds, ReplicaName, Reply, Request},
-    crate::{config::MAX_CONFIG_BYTES, dispatch::RelayAddress, quarantine::MAX_RECORDS},
+    super::{BoundedPart, FleetLogEvent, FleetMessage, MAX_NAME_BYTES, OutOfBounds, ReplicaName, Reply, Request},
+    crate::{config::MAX_CONFIG_BYTES, dispatch::RelayAddress, ids::InstanceId, quarantine::MAX_RECORDS},
 };
 
 /// Maximum number of leaving servers in one poll.
@@ -23,22 +23,24 @@
 #[derive(Debug, Default)]
 pub(super) struct Bounds {
     /// The first part that exceeded a limit.
-    pub(super) first: Option<OutOfBounds>,
+    first: Option<OutOfBounds>,
     /// Number of parts that exceeded a limit.
-    pub(super) count: usize,
+    count: usize,
     must_drop: bool,
 }
 
 impl Bounds {
-    /// Removes the parts of a message that exceed a limit. Returns `None` if the message must be dropped.
-    pub(super) fn apply(&mut self, mut message: FleetMessage) -> Option<FleetMessage> {
-        self.limit(&mut message);
-        if self.must_drop
-            && let Some(first) = &mut self.first
-        {
-            first.is_message_dropped = true;
-        }
-        (!self.must_drop).then_some(message)
+    /// Removes the parts of a message that exceed a limit. Returns no message if it must be dropped, and the event to
+    /// log if there was such a part.
+    pub(super) fn apply(from: &InstanceId, mut message: FleetMessage) -> (Option<FleetMessage>, Option<FleetLogEvent>) {
+        let mut bounds = Self::default();
+        bounds.limit(&mut message);
+        let event = bounds.first.map(|first| FleetLogEvent::OutOfBounds {
+            from: from.clone(),
+            first: OutOfBounds { is_message_dropped: bounds.must_drop, ..first },
+            count: bounds.count,
+        });
+        ((!bounds.must_drop).then_some(message), event)
     }
 
     fn limit(&mut self, message: &mut FleetMessage) {
--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -117,12 +117,8 @@
         match event {
             EntryEvent::Tick => {}
             EntryEvent::Receive { from, incarnation, message } => {
-                let mut bounds = Bounds::default();
-                let message = bounds.apply(message);
-                if let Some(first) = bounds.first {
-                    let event = FleetLogEvent::OutOfBounds { from: from.clone(), first, count: bounds.count };
-                    out.push(EntryAction::Log(event));
-                }
+                let (message, event) = Bounds::apply(&from, message);
+                out.extend(event.map(EntryAction::Log));
                 if let Some(message) = message
                     && self.known.record_message(now, &from, incarnation)
                 {
--- a/crates/core/src/fleet/log_event.rs
+++ b/crates/core/src/fleet/log_event.rs
@@ -1,7 +1,7 @@
 //! State changes to be logged.
 
 use {
-    super::{NameLengthError, OutOfBounds},
+    super::{OutOfBounds, RecordError},
     crate::{
         ids::{ChangeNumber, Incarnation, InstanceId, ServerId, Term},
         quarantine::RequestFingerprint,
@@ -72,7 +72,7 @@
     DepartureIgnored(usize),
     /// An announcement was refused.
     #[display("announcement refused: {_0}")]
-    AnnouncementRefused(NameLengthError),
+    AnnouncementRefused(RecordError),
     /// Several servers ended while they ran a request, which is not sent to any server for some time.
     #[display("request {_0} is quarantined")]
     RequestQuarantined(RequestFingerprint),
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -29,6 +29,6 @@
         Request, Servers, StatusRequest, StatusResponse, Suspects, UsableServer,
     },
     out_of_bounds::{BoundedPart, OutOfBounds},
-    record::{MAX_NAME_BYTES, NameLengthError, ServerRecord},
+    record::{MAX_INCARNATION, MAX_NAME_BYTES, RecordError, ServerRecord},
     replica::{Replica, ReplicaAction, ReplicaEvent, ReplicaOptions},
 };
--- a/crates/core/src/fleet/record.rs
+++ b/crates/core/src/fleet/record.rs
@@ -10,16 +10,40 @@
 /// Maximum length of a name in a record, in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
 
-/// A name in a record that has no permitted length.
+/// Latest start time of a server, in Unix milliseconds: the year 2248. A record with a later one would supersede every
+/// start of the server, as the highest incarnation counts.
+pub const MAX_INCARNATION: u64 = 1 << 43;
+
+/// Why a record is invalid.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-#[display("the {field} has {bytes} bytes; {} to {MAX_NAME_BYTES} are permitted", u8::from(*is_required))]
-pub struct NameLengthError {
-    /// The field that holds the name.
-    pub field: &'static str,
-    /// Length of the name.
-    pub bytes: usize,
-    /// Whether the name must not be empty.
-    pub is_required: bool,
+pub enum RecordError {
+    /// A name has no permitted length.
+    #[display("the {field} has {bytes} bytes; {} to {MAX_NAME_BYTES} are permitted", u8::from(*is_required))]
+    NameLength {
+        /// The field that holds the name.
+        field: &'static str,
+        /// Length of the name.
+        bytes: usize,
+        /// Whether the name must not be empty.
+        is_required: bool,
+    },
+    /// The start time is later than [`MAX_INCARNATION`].
+    #[display("the start time {_0} ms is later than {MAX_INCARNATION} ms")]
+    StartTime(u64),
+}
+
+impl RecordError {
+    /// Returns the name of the invalid field.
+    ///
+    /// ```
+    /// assert_eq!(hemlockford_core::fleet::RecordError::StartTime(u64::MAX).field(), "start time");
+    /// ```
+    pub fn field(&self) -> &'static str {
+        match self {
+            Self::NameLength { field, .. } => field,
+            Self::StartTime(_) => "start time",
+        }
+    }
 }
 
 /// Record of a server as announced by itself.
@@ -48,7 +72,7 @@
 }
 
 impl ServerRecord {
-    /// Checks that every name has a permitted length.
+    /// Checks that every name has a permitted length and that the start time is possible.
     ///
     /// ```
     /// use {hemlockford_core::fleet::ServerRecord, std::time::Duration};
@@ -68,7 +92,7 @@
     /// let error = ServerRecord { server: "a".repeat(130).into(), ..record }.check().unwrap_err();
     /// assert_eq!(error.to_string(), "the server id has 130 bytes; 1 to 128 are permitted");
     /// ```
-    pub fn check(&self) -> Result<(), NameLengthError> {
+    pub fn check(&self) -> Result<(), RecordError> {
         let names: [(&str, &str, bool); 4] = [
             ("server id", &self.server, true),
             ("service", &self.service, true),
@@ -77,13 +101,16 @@
         ];
         for (field, name, is_required) in names {
             if name.len() > MAX_NAME_BYTES || is_required && name.is_empty() {
-                return Err(NameLengthError { field, bytes: name.len(), is_required });
+                return Err(RecordError::NameLength { field, bytes: name.len(), is_required });
             }
         }
+        if self.incarnation > MAX_INCARNATION {
+            return Err(RecordError::StartTime(self.incarnation));
+        }
         Ok(())
     }
 
-    /// Returns whether every name has a permitted length.
+    /// Returns whether [`check`](Self::check) finds no error.
     pub fn is_valid(&self) -> bool {
         self.check().is_ok()
     }
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -8,7 +8,7 @@
     crate::{
         collections::{FastMap, FastSet},
         consensus::{Consensus, ConsensusEvent, ConsensusOptions, Recovered},
-        fleet::{Directory, FleetLogEvent, FleetMessage, ReplicaAnswer, Request, bounds::Bounds},
+        fleet::{Directory, FleetLogEvent, FleetMessage, MAX_INCARNATION, ReplicaAnswer, Request, bounds::Bounds},
         ids::{Incarnation, InstanceId, LogIndex, ServerId},
         ledger::{Ledger, LedgerOutcome},
         quarantine::SuspectTable,
@@ -189,12 +189,8 @@
             ReplicaEvent::Tick => {}
             ReplicaEvent::Receive { from, incarnation, message } => {
                 if from != self.options.id {
-                    let mut bounds = Bounds::default();
-                    let message = bounds.apply(message);
-                    if let Some(first) = bounds.first {
-                        let event = FleetLogEvent::OutOfBounds { from: from.clone(), first, count: bounds.count };
-                        out.push(ReplicaAction::Log(event));
-                    }
+                    let (message, event) = Bounds::apply(&from, message);
+                    out.extend(event.map(ReplicaAction::Log));
                     if let Some(message) = message {
                         self.receive(now, from, incarnation, message, out);
                     }
@@ -202,7 +198,9 @@
             }
             ReplicaEvent::Announce { id, record, wall_ms } => self.announce(now, id, record, wall_ms, out),
             ReplicaEvent::Depart { id, server, incarnation, wall_ms } => {
-                let incarnation = incarnation.or_else(|| self.directory.incarnation(&server));
+                // A departure binds all earlier incarnations too.
+                let stated = incarnation.filter(|incarnation| *incarnation <= MAX_INCARNATION);
+                let incarnation = stated.or_else(|| self.directory.incarnation(&server));
                 self.depart(now, id, server, incarnation, wall_ms, out);
             }
             ReplicaEvent::Submit { id, text } => self.submit(now, id, text, out),
--- a/crates/core/tests/fleet_directory.rs
+++ b/crates/core/tests/fleet_directory.rs
@@ -4,7 +4,7 @@
 
 use {
     fleet_support::{World, ms},
-    hemlockford_core::fleet::ReplicaEvent,
+    hemlockford_core::fleet::{ReplicaAnswer, ReplicaEvent, ServerRecord},
     std::time::Duration,
 };
 
@@ -170,3 +170,30 @@
     assert!(large.0 <= small.0 + 20 && large.1 <= small.1 + 40, "{small:?} {large:?}");
     assert!(large.0 < 300 && large.1 < 500);
 }
+
+/// Guards against one entry of another writer, with a start time that no clock shows, which shuts out the server whose
+/// id or address it names, and against a departure that holds for all later starts of a server.
+#[test]
+fn impossible_start_times_shut_out_no_server() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 4, 4);
+        for incarnation in [u64::MAX, 1 << 60, 1 << 44] {
+            for (server, sequence) in [("s0", u64::MAX), ("other", 1)] {
+                let record =
+                    ServerRecord { server: server.into(), incarnation, sequence, ..world.servers[0].record.clone() };
+                let (id, wall_ms) = (world.next_id(), world.wall_ms());
+                world.replica_event(seed as usize % 3, ReplicaEvent::Announce { id, record, wall_ms });
+                assert_ne!(world.answers[&id].1, ReplicaAnswer::Acknowledged, "seed {seed}");
+                world.run(ms(500));
+                assert!(world.are_entries_exact(), "seed {seed}");
+            }
+        }
+        world.servers[1].is_deregistered = true;
+        let id = world.deregister(seed as usize % 3, "s1", Some(u64::MAX));
+        world.run_until(ms(4_000), |world| world.answers.contains_key(&id));
+        world.run(ms(2_000));
+        assert!(world.entries.iter().all(|entry| !entry.holds("s1")), "seed {seed}");
+        world.restart_server(1, 9_001);
+        world.run_until(ms(4_000), World::are_entries_exact);
+    }
+}
--- a/crates/instance/src/fleet/drop_log.rs
+++ b/crates/instance/src/fleet/drop_log.rs
@@ -34,7 +34,7 @@
                 (Cause::Message(from.clone(), first.part), first.part.to_string(), *count)
             }
             FleetLogEvent::AnnouncementRefused(error) => {
-                (Cause::Announcement(error.field), format!("announced-{}", error.field.replace(' ', "-")), 1)
+                (Cause::Announcement(error.field()), format!("announced-{}", error.field().replace(' ', "-")), 1)
             }
             FleetLogEvent::DepartureIgnored(_) => (Cause::Departure, "departed-server-id".to_owned(), 1),
             _ => return true,
