Believe a rejection without the request id only on a new connection

Cause: a response without the id counted as the rejection of the request if it had the not-run header. Ruled out: copies with an id, which are told apart; the retry policy. On a connection that was used before such a response belongs to another request, so that the call may have run. A connection on which a check was rejected waits for the reuse delay.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -96,6 +96,7 @@
 impl Exchange<'_, '_> {
     /// Sends the request, whose head is encoded already, and forwards the response.
     pub(crate) async fn run(self, connection: &mut Connection) -> ExchangeEnd {
+        let is_first_exchange = connection.is_new;
         let Connection { reader: server, writer: server_writer, .. } = connection;
         let (progress, counters) = (self.progress, &self.shared.counters);
         let dialect = &self.shared.options.dialect;
@@ -162,7 +163,9 @@
         if is_mismatch {
             // The response belongs to another request. Later responses on this connection cannot be matched either.
             server.close_after();
-            let is_shed = is_not_run && id_match == RequestIdMatch::Missing;
+            // On a connection that was used before, a rejection without an id may be that of a health check, which has
+            // none, while the server runs this request.
+            let is_shed = is_not_run && id_match == RequestIdMatch::Missing && is_first_exchange;
             return ExchangeEnd::Failed(if is_shed { AttemptResult::Shed } else { AttemptResult::BadAnswer });
         }
         if !self.is_relay {
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -80,8 +80,13 @@
         {
             return None;
         }
+        if !head.status.is_success() {
+            // A second copy of a rejection, which has no id either, may follow.
+            connection.release();
+            return None;
+        }
         connection.release_without_delay();
-        head.status.is_success().then(|| dialect.load_report(&head))
+        Some(dialect.load_report(&head))
     }
 
     fn head(&self, dialect: &Dialect) -> Option<RequestHead> {
--- a/crates/proxy/tests/second_copies.rs
+++ b/crates/proxy/tests/second_copies.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use {
-    std::time::Duration,
+    hemlockford_core::dispatch::AttemptResult,
+    std::{cell::Cell, rc::Rc, time::Duration},
     support::{Caller, Message, Script, Server, TestProxy, platform, serve, sleep_ms},
 };
 
@@ -180,3 +181,42 @@
         }
     }
 }
+
+/// Guards against the late second copy of a rejected health check, which has no id, that is taken for the rejection of a
+/// request which runs: it would run at a second server as well, or its caller would be told that it did not run.
+#[actix_rt::test]
+async fn a_rejection_without_the_id_rejects_no_request() {
+    for moment in [Moment::BeforeNext, Moment::AroundNext] {
+        for status in ["503 Busy", "429 Slow down", "421 Misdirected"] {
+            let rejection = format!("HTTP/1.1 {status}\r\nx-not-run: 1\r\ncontent-length: 2\r\n\r\nno");
+            let ran = Rc::new(Cell::new(0));
+            let runs = ran.clone();
+            let copying = serve(move |mut io: Caller, _| {
+                let (rejection, runs) = (rejection.clone(), runs.clone());
+                async move {
+                    let mut number = 0;
+                    while let Some(request) = io.message(false).await {
+                        runs.set(runs.get() + 1);
+                        let response = platform::echo(platform::OK, &request);
+                        // The first answer leaves the connection in the pool.
+                        let copy = if number == 0 { "" } else { &*rejection };
+                        let begin = if matches!(moment, Moment::AroundNext) { copy.len() / 2 } else { 0 };
+                        let (begin, rest) = copy.split_at(begin);
+                        io.send(begin).await;
+                        sleep_ms(5).await;
+                        io.send(&format!("{rest}{response}")).await;
+                        number += 1;
+                    }
+                }
+            })
+            .await;
+            let (other, seen) = platform::echoing_server(platform::OK).await;
+            let proxy = TestProxy::start(platform::script(&[copying.address, other.address]));
+            assert_eq!(proxy.call(platform::ORDER).await.status, 200);
+            let got = proxy.call(platform::ORDER).await;
+            assert_eq!(got.status, 502, "{moment:?} {status}: it ran, but its answer is lost: {}", got.head);
+            assert_eq!((ran.get(), seen.borrow().len()), (2, 0), "{moment:?} {status}");
+            assert_eq!(proxy.results()[..2], [AttemptResult::Complete, AttemptResult::BadAnswer]);
+        }
+    }
+}
