--- a/crates/store/src/replay.rs
+++ b/crates/store/src/replay.rs
@@ -22,13 +22,21 @@
     pub entries: Vec<Entry>,
     /// Total length of the intact records.
     pub intact_len: usize,
+    /// Last entry that a snapshot named by the log covers.
     snapshot_position: (LogIndex, Term),
+    /// Last entry that the snapshot in the folder covers.
+    stored: (LogIndex, Term),
+    /// Whether the log does not name the snapshot in the folder.
+    pub is_snapshot_unnamed: bool,
+    /// Whether entries follow a snapshot that the log does not name.
+    pub has_gap: bool,
 }
 
 impl Replay {
-    /// Replays a log. A torn tail is ignored; corruption before the tail is an error.
-    pub fn read(file: &str, data: &[u8]) -> Result<Self> {
-        let mut replay = Self::default();
+    /// Replays a log. A torn tail is ignored; corruption before the tail is an error. `stored` is the last entry that the
+    /// snapshot in the folder covers.
+    pub fn read(file: &str, data: &[u8], stored: (LogIndex, Term)) -> Result<Self> {
+        let mut replay = Self { stored, ..Self::default() };
         while replay.intact_len < data.len() {
             let Some((LogRecord { body, .. }, len)) = record::decode::<LogRecord>(&data[replay.intact_len..]) else {
                 replay.check_tail(file, data)?;
@@ -40,6 +48,10 @@
             }
             replay.intact_len += len;
         }
+        if replay.snapshot_position.0 < stored.0 {
+            replay.is_snapshot_unnamed = true;
+            replay.apply_snapshot(stored.0, stored.1);
+        }
         Ok(replay)
     }
 
@@ -47,7 +59,7 @@
         match body {
             LogBody::HardState(hard_state) => self.hard_state = hard_state,
             LogBody::Entry(entry) => {
-                if entry.index != self.last_index() + 1 {
+                if entry.index != self.last_index() + 1 && !self.skip_to(entry.index) {
                     return false;
                 }
                 self.entries.push(entry);
@@ -63,12 +75,29 @@
         true
     }
 
+    /// Prepares for an entry that does not follow the last one. Up to version 1210964, a process that was killed between
+    /// replacing the snapshot and naming it in the log appended the next entries without naming it. Returns whether the
+    /// snapshot in the folder covers all entries before this one.
+    fn skip_to(&mut self, index: LogIndex) -> bool {
+        let (covered, term) = self.stored;
+        if self.snapshot_position.0 >= covered || index > covered + 1 {
+            return false;
+        }
+        self.has_gap = true;
+        if index == covered + 1 {
+            self.apply_snapshot(covered, term);
+        } else {
+            self.entries.retain(|entry| entry.index < index);
+        }
+        true
+    }
+
     fn last_index(&self) -> LogIndex {
         self.entries.last().map_or(self.snapshot_position.0, |entry| entry.index)
     }
 
     /// Removes the entries that a snapshot covers.
-    pub fn apply_snapshot(&mut self, index: LogIndex, term: Term) {
+    fn apply_snapshot(&mut self, index: LogIndex, term: Term) {
         let is_held = self.entries.iter().any(|entry| (entry.index, entry.term) == (index, term));
         self.entries.retain(|entry| is_held && entry.index > index);
         self.snapshot_position = (index, term);
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -10,7 +10,7 @@
     hemlockford_core::{
         consensus::{Entry, HardState, Recovered, Snapshot, Write},
         errors::{self, ErrorKind, Result, corrupt},
-        ids::{Incarnation, LogIndex},
+        ids::{Incarnation, LogIndex, Term},
     },
     serde::{Serialize, de::DeserializeOwned},
     std::{
@@ -101,13 +101,9 @@
             _ => {}
         }
         let data = log.unwrap_or_default();
-        let mut replay = Replay::read(LOG_FILE, &data)?;
-        if let Some(snapshot) = &snapshot
-            && replay.snapshot_position().0 < snapshot.index
-        {
-            replay.apply_snapshot(snapshot.index, snapshot.term);
-        }
-        if replay.snapshot_position().0 > snapshot.as_ref().map_or(0, |snapshot| snapshot.index) {
+        let stored = snapshot.as_ref().map_or((0, 0), |snapshot| (snapshot.index, snapshot.term));
+        let replay = Replay::read(LOG_FILE, &data, stored)?;
+        if replay.snapshot_position().0 > stored.0 {
             return Err(corrupt(format!("{SNAPSHOT_FILE} is older than {LOG_FILE}")));
         }
         let truncated_bytes = data.len() - replay.intact_len;
@@ -119,6 +115,14 @@
             store.run_or_fail(|disk| disk.truncate(LOG_FILE, len).and_then(|()| disk.sync(LOG_FILE)), LOG_FILE)?;
         }
         store.len = replay.intact_len as u64;
+        if replay.is_snapshot_unnamed {
+            // The process ended before the log named the snapshot. No entry may be appended before it does. The name of
+            // the snapshot's file may not be durable yet, and a log must not name a snapshot that a loss of power undoes.
+            store.run_or_fail(|disk| disk.sync_folder(), SNAPSHOT_FILE)?;
+            store.name_snapshot(stored)?;
+        } else if replay.has_gap {
+            store.compact(stored)?;
+        }
         let identity = Identity::next(saved_identity, options.wall_clock_ns);
         store.replace(IDENTITY_FILE, &identity)?;
         let directory = if saved_identity.is_some() { store.read_directory() } else { Vec::new() };
@@ -181,10 +185,7 @@
             writes.drain(..records);
             if let Some(Write::Snapshot(snapshot)) = writes.first() {
                 self.replace(SNAPSHOT_FILE, &**snapshot)?;
-                let mut buf = Vec::new();
-                self.encode(LogBody::Snapshot(snapshot.index, snapshot.term), &mut buf)?;
-                self.flush(buf)?;
-                self.compact()?;
+                self.name_snapshot((snapshot.index, snapshot.term))?;
                 writes.remove(0);
             }
         }
@@ -270,12 +271,20 @@
         Ok(())
     }
 
+    /// Names the snapshot in the folder in the log, and removes the entries that it covers.
+    fn name_snapshot(&mut self, (index, term): (LogIndex, Term)) -> Result<()> {
+        let mut buf = Vec::new();
+        self.encode(LogBody::Snapshot(index, term), &mut buf)?;
+        self.flush(buf)?;
+        self.compact((index, term))
+    }
+
     /// Rewrites the log without the entries that the snapshot covers. If the disk is full, the old log is kept, which
     /// is equivalent.
-    fn compact(&mut self) -> Result<()> {
+    fn compact(&mut self, stored: (LogIndex, Term)) -> Result<()> {
         let data =
             self.disk.read(LOG_FILE).map_err(|error| self.mark_failed("read", LOG_FILE, &error))?.unwrap_or_default();
-        let replay = Replay::read(LOG_FILE, &data)?;
+        let replay = Replay::read(LOG_FILE, &data, stored)?;
         // Commands may be large, so the log is not kept in memory twice.
         drop(data);
         let (index, term) = replay.snapshot_position();
