Hold short responses in chunks until they are complete

Cause: a part of the broken answer was forwarded already, so that only a reset can end it, and the reset takes the answers behind it along. Answers with a length of up to 64 KB were held until they are complete, those in chunks were not. Ruled out: the order of answers and the retries. Answers in chunks are held now, unless nothing follows and they take over 100 ms (streams). No request behind an answer that is being forwarded incompletely is sent to a server.

--- a/crates/proxy/src/caller_writer.rs
+++ b/crates/proxy/src/caller_writer.rs
@@ -107,6 +107,16 @@
         self.take_half()
     }
 
+    /// Returns whether another request of the caller was read or has begun to arrive.
+    pub(crate) fn is_followed(&self) -> bool {
+        self.sequence.is_followed(self.request)
+    }
+
+    /// Sets whether this response is being forwarded although its end has not arrived.
+    pub(crate) fn set_streaming(&self, is_streaming: bool) {
+        self.sequence.set_streaming(is_streaming);
+    }
+
     /// Returns whether the responses before this one are not written yet, so that nothing of this one is.
     pub(crate) fn is_awaiting_turn(&mut self) -> bool {
         if let WriteHalf::Awaited(rx) = &mut self.half
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -25,7 +25,7 @@
         RequestHead, ResponseHead, StatusCode,
         header::{self, HeaderValue},
     },
-    actix_rt::time::{sleep_until, timeout},
+    actix_rt::time::{sleep, sleep_until, timeout},
     bytes::{Bytes, BytesMut},
     hemlockford_core::{
         dispatch::{AttemptResult, Call, ServerNotice},
@@ -39,6 +39,10 @@
 /// head.
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Time for which a chunked response that no request follows is held until it is complete. Servers that write a short
+/// response in several parts do so within milliseconds.
+const MAX_STREAM_HOLD: Duration = Duration::from_millis(100);
+
 /// Result of an exchange for the caller.
 #[derive(Debug)]
 pub(crate) enum ExchangeEnd {
@@ -204,12 +208,21 @@
                 return ExchangeEnd::Retry(decision.flatten(), SavedResponse::new(head, framing, &parts, is_complete));
             }
         }
-        // A short response that can still be replaced is forwarded when it is complete, so that a truncated one can be
-        // retried instead of ending the connection together with the responses behind it.
-        let is_replaceable = self.call.idempotent && self.call.replayable && !self.attempt.is_reported();
-        let is_short = matches!(framing, Framing::Sized(length) if length <= BUFFER_LIMIT as u64);
-        if framing == Framing::UntilClose || is_replaceable && is_short {
+        // A short response to a call that may be repeated is forwarded when it is complete, so that a truncated one can
+        // be replaced instead of ending the connection together with the responses behind it. Only a chunked response
+        // that nothing follows is forwarded after a while, as it may be a stream of events.
+        let is_replaceable = self.call.idempotent && self.call.replayable;
+        let may_be_short = match framing {
+            Framing::Sized(length) => length <= BUFFER_LIMIT as u64,
+            Framing::Chunked => progress.is_complete.get(),
+            Framing::UntilClose => true,
+            Framing::Empty(_) => false,
+        };
+        let mut is_whole = framing.is_empty();
+        if framing == Framing::UntilClose || is_replaceable && may_be_short {
+            let mut hold = pin!(sleep(MAX_STREAM_HOLD));
             let buffered = loop {
+                let may_stream = framing == Framing::Chunked && !self.writer.is_followed();
                 select! {
                     biased;
                     error = &mut upload, if !caller_left => {
@@ -220,6 +233,7 @@
                         caller_left = true;
                     }
                     buffered = server.buffer_body(&mut parts, BUFFER_LIMIT) => break buffered,
+                    () = &mut hold, if may_stream => break BufferedBody::TooLong,
                     () = &mut deadline => {
                         self.attempt.finish(AttemptResult::Timeout);
                         return ExchangeEnd::DeadlineExceeded;
@@ -230,8 +244,13 @@
                 // Nothing of it was sent to the caller yet.
                 BufferedBody::Truncated if self.attempt.is_reported() => return ExchangeEnd::ResponseLost,
                 BufferedBody::Truncated => return ExchangeEnd::Failed(AttemptResult::BrokenAfterWrite),
-                BufferedBody::Complete if framing == Framing::UntilClose => framing = Framing::of_complete(&parts),
-                BufferedBody::Complete | BufferedBody::TooLong => {}
+                BufferedBody::Complete => {
+                    is_whole = true;
+                    if framing == Framing::UntilClose {
+                        framing = Framing::of_complete(&parts);
+                    }
+                }
+                BufferedBody::TooLong => {}
             }
         }
         if self.shared.is_stopping() {
@@ -249,6 +268,9 @@
             return ExchangeEnd::Truncated;
         }
         let mut recorded = self.continues_without_caller.then(BytesMut::new);
+        if !is_whole {
+            self.writer.set_streaming(true);
+        }
         let forwarded = {
             let mut forwarded = pin!(forward_body(server, parts, self.writer, framing, &mut recorded, counters));
             loop {
@@ -266,6 +288,9 @@
                 }
             }
         };
+        if !is_whole {
+            self.writer.set_streaming(false);
+        }
         match forwarded {
             Some(Forwarded::Complete) => {
                 self.attempt.finish(if is_error { AttemptResult::ServerError } else { AttemptResult::Complete });
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -80,7 +80,13 @@
 
     /// Returns whether another request may be read.
     pub(crate) fn may_read(&self) -> bool {
-        self.calls.len() < MAX_PIPELINED && !self.sequence.is_closing()
+        self.calls.len() < MAX_PIPELINED && !self.sequence.is_closing() && self.may_start()
+    }
+
+    /// Returns whether a request that was read may be sent to a server before the responses to those before it are
+    /// written.
+    pub(crate) fn may_start(&self) -> bool {
+        !self.sequence.is_streaming()
     }
 
     /// Starts the handling of a request.
--- a/crates/proxy/src/request_sequence.rs
+++ b/crates/proxy/src/request_sequence.rs
@@ -11,6 +11,8 @@
     has_next: Cell<bool>,
     /// Whether a response announces the close, after which no request is read.
     is_closing: Cell<bool>,
+    /// Whether a response is being forwarded whose end has not arrived.
+    is_streaming: Cell<bool>,
 }
 
 impl RequestSequence {
@@ -33,6 +35,16 @@
         self.read.get() > request || self.has_next.get()
     }
 
+    /// Sets whether a response is being forwarded whose end has not arrived. If it is truncated, the connection must be
+    /// reset, so that a request behind it is not sent to a server meanwhile.
+    pub(crate) fn set_streaming(&self, is_streaming: bool) {
+        self.is_streaming.set(is_streaming);
+    }
+
+    pub(crate) fn is_streaming(&self) -> bool {
+        self.is_streaming.get()
+    }
+
     pub(crate) fn close(&self) {
         self.is_closing.set(true);
     }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -175,7 +175,7 @@
                 incoming = self.reader.read_behind(&limits, may_read) => incoming,
             };
             match self.classify(incoming) {
-                NextRequest::Pipelined(request) => pipeline.start(request),
+                NextRequest::Pipelined(request) if pipeline.may_start() => pipeline.start(request),
                 NextRequest::Closed => action = ConnectionAction::Reset,
                 other => next = Some(other),
             }
