Keep servers of configured services from being replaced by unknown ones

Heartbeats of another writer with a service that no configuration names, for ids or addresses of running servers, took these out of use for as long as they went on: calls got 503.

Cause: the directory kept the record with the later start whatever its service. Ruled out: the entries and the liveness of the servers. A record of a service that the configuration names is now only replaced by another such one.

--- a/crates/core/src/config/configuration.rs
+++ b/crates/core/src/config/configuration.rs
@@ -28,6 +28,21 @@
 }
 
 impl Configuration {
+    /// Returns the names of the services in a text that was checked before, without parsing the rest.
+    ///
+    /// ```
+    /// use hemlockford_core::config::Configuration;
+    /// let text = "[change]\nnumber = 7\n[service b]\ndeadline = 2s\n [ service  a ] \n[route service]\n";
+    /// assert_eq!(Configuration::service_names(text).collect::<Vec<_>>(), ["b", "a"]);
+    /// ```
+    pub fn service_names(text: &str) -> impl Iterator<Item = &str> {
+        text.lines().filter_map(|line| {
+            let header = line.trim().strip_prefix('[')?.strip_suffix(']')?;
+            let mut words = header.split_whitespace();
+            (words.next() == Some("service")).then(|| words.next())?
+        })
+    }
+
     /// Parses and checks a configuration; returns all errors if there are any.
     ///
     /// ```
--- a/crates/core/src/fleet/directory/machine.rs
+++ b/crates/core/src/fleet/directory/machine.rs
@@ -5,7 +5,7 @@
     crate::{
         collections::{FastMap, FastSet},
         fleet::{FleetLogEvent, ReceivedRecord, Renewal, ServerRecord, UsableServer},
-        ids::{InstanceId, ServerId},
+        ids::{InstanceId, ServerId, ServiceId},
     },
     std::{
         collections::VecDeque,
@@ -36,6 +36,8 @@
 pub(in crate::fleet) struct Directory {
     pub(super) records: FastMap<ServerId, StoredRecord>,
     addresses: FastMap<SocketAddr, ServerId>,
+    /// Services that the configuration names.
+    services: FastSet<ServiceId>,
     tombstones: Tombstones,
     bytes: usize,
     revision: u64,
@@ -48,6 +50,16 @@
         self.revision
     }
 
+    /// Sets the services that the configuration names. A record of another service comes from another writer, or from a
+    /// server that starts before its service is configured.
+    pub(in crate::fleet) fn set_services<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
+        self.services = names.map(ServiceId::from).collect();
+    }
+
+    fn is_configured(&self, record: &ServerRecord) -> bool {
+        self.services.contains(&record.service)
+    }
+
     /// Returns the incarnation of a server.
     pub(in crate::fleet) fn incarnation(&self, server: &str) -> Option<u64> {
         self.records.get(server).map(|stored| stored.record.incarnation)
@@ -112,14 +124,24 @@
     ) -> AnnouncementOutcome {
         let server = record.server.clone();
         let previous = self.records.get(&server);
-        let is_stale = previous
-            .map_or(self.tombstones.covers(&server, record.order()), |stored| stored.record.order() >= record.order());
-        if is_stale {
+        let conflicting = self.addresses.get(&record.address).filter(|conflicting| **conflicting != server).cloned();
+        let holder = conflicting.as_ref().and_then(|conflicting| self.records.get(conflicting));
+        let conflicting_incarnation = holder.map(|holder| holder.record.incarnation);
+        // A record of a service that the configuration names is never replaced by one of another service, and replaces
+        // such a one whatever its incarnation.
+        let is_configured = self.is_configured(&record);
+        let yields_to = |stored: &StoredRecord| !is_configured && self.is_configured(&stored.record);
+        let supersedes = |stored: &StoredRecord| is_configured && !self.is_configured(&stored.record);
+        if previous.is_some_and(yields_to) || holder.is_some_and(yields_to) {
+            logs.push(FleetLogEvent::UnknownService(server, record.service));
             return AnnouncementOutcome::Stale;
         }
-        let conflicting = self.addresses.get(&record.address).filter(|conflicting| **conflicting != server).cloned();
-        let conflicting_incarnation = conflicting.as_ref().and_then(|conflicting| self.incarnation(conflicting));
-        if (conflicting_incarnation, conflicting.as_ref()) > (Some(record.incarnation), Some(&server)) {
+        let is_stale = match previous {
+            Some(stored) => !supersedes(stored) && stored.record.order() >= record.order(),
+            None => self.tombstones.covers(&server, record.order()),
+        };
+        let is_older = (conflicting_incarnation, conflicting.as_ref()) > (Some(record.incarnation), Some(&server));
+        if is_stale || is_older && !holder.is_some_and(supersedes) {
             return AnnouncementOutcome::Stale;
         }
         let mut stored = StoredRecord {
@@ -240,7 +262,10 @@
         if self.addresses.get(&stored.record.address) == Some(server) {
             self.addresses.remove(&stored.record.address);
         }
-        self.tombstones.add(now, server.clone(), stored.record.order());
+        // The order of another writer's record must not count against the server that has the name.
+        if self.services.is_empty() || self.is_configured(&stored.record) {
+            self.tombstones.add(now, server.clone(), stored.record.order());
+        }
         if stored.is_usable() {
             self.record_change(server.clone());
         }
--- a/crates/core/src/fleet/log_event.rs
+++ b/crates/core/src/fleet/log_event.rs
@@ -3,7 +3,7 @@
 use {
     super::{OutOfBounds, RecordError},
     crate::{
-        ids::{ChangeNumber, Incarnation, InstanceId, ServerId, Term},
+        ids::{ChangeNumber, Incarnation, InstanceId, ServerId, ServiceId, Term},
         quarantine::RequestFingerprint,
     },
     derive_more::Display,
@@ -73,6 +73,10 @@
     /// An announcement was refused.
     #[display("announcement refused: {_0}")]
     AnnouncementRefused(RecordError),
+    /// An announcement with a service that the configuration does not name was ignored, because it concerns the id or the
+    /// address of a server of a service that it names.
+    #[display("announcement of server {_0} with the unknown service {_1} ignored")]
+    UnknownService(ServerId, ServiceId),
     /// Several servers ended while they ran a request, which is not sent to any server for some time.
     #[display("request {_0} is quarantined")]
     RequestQuarantined(RequestFingerprint),
--- a/crates/core/src/fleet/replica/log_driver.rs
+++ b/crates/core/src/fleet/replica/log_driver.rs
@@ -3,6 +3,7 @@
 use {
     super::{Replica, ReplicaAction},
     crate::{
+        config::Configuration,
         consensus::{ConsensusAction, ConsensusEvent, Write},
         fleet::{FleetLogEvent, FleetMessage, record::is_server_name},
         ids::LogIndex,
@@ -67,9 +68,13 @@
             Ok(Command::Depart { server, .. }) => Some(server),
             _ => None,
         };
+        let change = self.ledger.change_number();
         let previous = server.as_deref().and_then(|server| self.ledger.departed_incarnation(server));
         let outcome = self.ledger.apply_bytes(index, bytes);
         self.ledger_outcomes.insert(index, outcome);
+        if self.ledger.change_number() > change {
+            self.directory.set_services(Configuration::service_names(self.ledger.config_text()));
+        }
         // Earlier versions recorded the departure of any name. Instances that run one drop a message which contains a
         // name that no record can have.
         if let Some(server) = server.filter(|server| is_server_name(server))
@@ -98,6 +103,7 @@
             self.recent_departures.add(now, server, incarnation);
         }
         self.ledger = ledger;
+        self.directory.set_services(Configuration::service_names(self.ledger.config_text()));
         self.answer_applied(out);
     }
 
--- a/crates/instance/src/fleet/drop_log.rs
+++ b/crates/instance/src/fleet/drop_log.rs
@@ -18,6 +18,7 @@
 enum Cause {
     Message(InstanceId, BoundedPart),
     Announcement(&'static str),
+    UnknownService,
     Departure,
 }
 
@@ -36,6 +37,7 @@
             FleetLogEvent::AnnouncementRefused(error) => {
                 (Cause::Announcement(error.field()), format!("announced-{}", error.field().replace(' ', "-")), 1)
             }
+            FleetLogEvent::UnknownService(..) => (Cause::UnknownService, "announced-unknown-service".to_owned(), 1),
             FleetLogEvent::DepartureIgnored(_) => (Cause::Departure, "departed-server-id".to_owned(), 1),
             _ => return true,
         };
