Bound the time for writing the log when a process ends

A process whose log pipe nobody reads served on, but did not end after SIGTERM and had to be killed: dropping the logger waits until all queued records are written. It waits for 1 s now; error messages before the end have the same limit.

a_log_that_nobody_reads_does_not_hold_up_the_stop fails before (not ended after 30 s). A reader that has ended did no harm before either, which the second test keeps.

--- a/crates/hemlockford/src/log.rs
+++ b/crates/hemlockford/src/log.rs
@@ -4,12 +4,22 @@
     slog::{Drain, Logger, o},
     slog_async::Async,
     slog_term::{FullFormat, TermDecorator},
-    std::{io::stderr, str::FromStr},
+    std::{
+        io::{Write, stderr},
+        str::FromStr,
+        sync::mpsc,
+        thread,
+        time::Duration,
+    },
 };
 
 /// Number of records that can wait for the writing thread. The library drops and counts the records beyond it.
 const QUEUE_CAPACITY: usize = 1_024;
 
+/// Maximum time for what was logged to be written when the process ends. The reader of the log may have stopped reading,
+/// and the platform kills a process that does not end in time.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Format of the log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum LogFormat {
@@ -32,7 +42,8 @@
     }
 }
 
-/// Creates a logger that writes to standard error. Dropping it waits until all queued records have been written.
+/// Creates a logger that writes to standard error. Dropping it waits until all queued records have been written, without
+/// a limit; see [`close`].
 pub(crate) fn logger(format: LogFormat) -> Logger {
     let drain = match format {
         LogFormat::Term => {
@@ -43,3 +54,26 @@
     };
     Logger::root(drain.fuse(), o!())
 }
+
+/// Waits until all queued records have been written, or the time for it is over.
+pub(crate) fn close(log: Logger) {
+    run_with_timeout(move || drop(log));
+}
+
+/// Writes a line to standard error, unless nobody reads it.
+pub(crate) fn print_error(line: String) {
+    run_with_timeout(move || {
+        // There is nowhere else to report that it cannot be written.
+        let _ = writeln!(stderr(), "{line}");
+    });
+}
+
+fn run_with_timeout(write: impl FnOnce() + Send + 'static) {
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        write();
+        let _ = tx.send(());
+    });
+    // A thread that is still writing ends with the process.
+    let _ = rx.recv_timeout(FLUSH_TIMEOUT);
+}
--- a/crates/hemlockford/src/main.rs
+++ b/crates/hemlockford/src/main.rs
@@ -67,7 +67,7 @@
     match result {
         Ok(exit) => exit.into(),
         Err(report) => {
-            eprintln!("hemlockford: {report:?}");
+            log::print_error(format!("hemlockford: {report:?}"));
             Exit::Failure.into()
         }
     }
--- a/crates/hemlockford/src/run.rs
+++ b/crates/hemlockford/src/run.rs
@@ -6,23 +6,29 @@
         command::RunArguments,
         exit::Exit,
         fleet,
-        log::logger,
+        log::{close, logger, print_error},
         signals::{SignalReceiver, StopMode},
     },
     error_stack::ResultExt,
     hemlockford_core::errors::{ErrorKind, Result, unavailable},
     hemlockford_instance::{Instance, Settings},
-    slog::{error, info},
+    slog::{Logger, error, info},
     std::path::Path,
 };
 
 pub(crate) fn run(arguments: &RunArguments) -> Result<Exit> {
     let log = logger(arguments.log);
+    let result = run_instance(arguments, &log);
+    close(log);
+    result
+}
+
+fn run_instance(arguments: &RunArguments, log: &Logger) -> Result<Exit> {
     let settings = match Settings::parse(&read_file(&arguments.settings)?) {
         Ok(settings) => settings,
         Err(errors) => {
             for error in &errors {
-                eprintln!("{error}");
+                print_error(error.to_string());
             }
             error!(log, "settings refused"; "faults" => errors.len());
             return Ok(Exit::Refused);
@@ -32,9 +38,9 @@
         let mut signals = SignalReceiver::install()?;
         if let Some(fleet) = &settings.fleet {
             let reload = || reload(&arguments.settings);
-            return fleet::run(&settings, fleet, signals, reload, &log).await;
+            return fleet::run(&settings, fleet, signals, reload, log).await;
         }
-        let mut instance = Instance::start(&settings, &log)?;
+        let mut instance = Instance::start(&settings, log)?;
         let addresses = instance.addresses();
         print_json_line(addresses)?;
         info!(log, "instance started"; "id" => &*addresses.id, "callers" => %addresses.callers,
--- a/crates/hemlockford/tests/processes/main.rs
+++ b/crates/hemlockford/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod faults;
+mod logging;
 mod measuring;
 mod path;
 #[allow(dead_code)]
--- a/crates/hemlockford/tests/processes/process.rs
+++ b/crates/hemlockford/tests/processes/process.rs
@@ -54,7 +54,8 @@
         Self::start_with_stderr(arguments, file.into())
     }
 
-    fn start_with_stderr(arguments: &[&str], stderr: Stdio) -> Self {
+    /// Starts the binary with another destination of its log.
+    pub fn start_with_stderr(arguments: &[&str], stderr: Stdio) -> Self {
         let mut child = Command::new(binary_path())
             .args(arguments)
             .stdin(Stdio::null())
