Hold the encodings of the former version as data

Messages between instances and stored forms changed in place with nearly every release, under one unchanged version byte, so that instances of two versions could not read each other (upgrades). Nothing noticed it.

A field that is added, moved or removed fails the test that names it.

--- /dev/null
+++ b/crates/core/tests/former_version.rs
@@ -0,0 +1,111 @@
+//! Messages and stored state of the version before, 1210964, whose instances run beside those of this one during an
+//! upgrade.
+//!
+//! `data/shapes-1210964.txt` and `data/encodings-1210964.txt` were written by that version. They stay as long as instances
+//! of it may run; the next released version adds its own.
+
+use {
+    hemlockford_core::{
+        consensus::{Entry, HardState, Snapshot},
+        fleet::{FleetMessage, ReceivedRecord},
+        ledger::{Command, Ledger},
+    },
+    hemlockford_fuzz::{shape, valid_encodings},
+    serde::{Serialize, de::DeserializeOwned},
+    std::collections::BTreeMap,
+};
+
+const SHAPES: &str = include_str!("data/shapes-1210964.txt");
+const ENCODINGS: &str = include_str!("data/encodings-1210964.txt");
+
+/// Returns the shape of a type as lines that begin with its name.
+fn lines_of<T: DeserializeOwned>(name: &str) -> Vec<String> {
+    shape::<T>().into_iter().map(|line| format!("{name}: {line}")).collect()
+}
+
+fn shapes() -> Vec<String> {
+    [
+        lines_of::<FleetMessage>("message"),
+        lines_of::<Command>("command"),
+        lines_of::<Ledger>("ledger"),
+        lines_of::<Entry>("entry"),
+        lines_of::<HardState>("hard state"),
+        lines_of::<Snapshot>("snapshot"),
+        lines_of::<(u8, Vec<ReceivedRecord>)>("directory"),
+    ]
+    .concat()
+}
+
+fn encodings_of<T: Serialize + DeserializeOwned>(name: &str) -> Vec<String> {
+    let hex = |bytes: Vec<u8>| bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
+    valid_encodings::<T>().into_iter().map(|encoding| format!("{name}: {}", hex(encoding))).collect()
+}
+
+fn encodings() -> Vec<String> {
+    [
+        encodings_of::<FleetMessage>("message"),
+        encodings_of::<Command>("command"),
+        encodings_of::<Ledger>("ledger"),
+        encodings_of::<Entry>("entry"),
+        encodings_of::<HardState>("hard state"),
+        encodings_of::<Snapshot>("snapshot"),
+        encodings_of::<(u8, Vec<ReceivedRecord>)>("directory"),
+    ]
+    .concat()
+}
+
+/// Returns whether an encoding is read completely and written again as it was.
+fn is_kept<T: Serialize + DeserializeOwned>(bytes: &[u8]) -> bool {
+    let read = postcard::take_from_bytes::<T>(bytes);
+    read.is_ok_and(|(value, rest)| rest.is_empty() && postcard::to_stdvec(&value).is_ok_and(|written| written == bytes))
+}
+
+/// Guards against a field or variant that is added, moved, removed or changed in place, so that instances of the former
+/// version cannot read what this one writes, or read it as something else.
+#[test]
+fn shapes_are_those_of_the_former_version() {
+    let former: Vec<_> = SHAPES.lines().collect();
+    let (current, former_names) = (shapes(), former.iter().map(|line| line.split('=').next()));
+    let former_by_name: BTreeMap<_, _> = former_names.zip(&former).collect();
+    for line in &current {
+        let former = former_by_name.get(&line.split('=').next());
+        assert_eq!(Some(&line.as_str()), former.copied(), "the former version reads something else");
+    }
+    assert_eq!(current.len(), former.len(), "the former version has parts that are missing");
+}
+
+/// Guards against encodings of the former version that are not read, or are written in another way.
+#[test]
+fn encodings_of_the_former_version_are_kept() {
+    let mut count = 0;
+    for line in ENCODINGS.lines() {
+        let (name, hex) = line.split_once(": ").expect("a name");
+        let bytes: Vec<u8> =
+            (0..hex.len()).step_by(2).map(|at| u8::from_str_radix(&hex[at..at + 2], 16).expect("a byte")).collect();
+        let is_kept = match name {
+            "message" => is_kept::<FleetMessage>(&bytes),
+            "command" => is_kept::<Command>(&bytes) && Command::decode(&[&[1], &bytes[..]].concat()).is_ok(),
+            "ledger" => is_kept::<Ledger>(&bytes) && Ledger::restore(&[&[2], &bytes[..]].concat()).is_ok(),
+            "entry" => is_kept::<Entry>(&bytes),
+            "hard state" => is_kept::<HardState>(&bytes),
+            "snapshot" => is_kept::<Snapshot>(&bytes),
+            "directory" => is_kept::<(u8, Vec<ReceivedRecord>)>(&bytes),
+            _ => false,
+        };
+        assert!(is_kept, "{line}");
+        count += 1;
+    }
+    assert!(count > 100, "{count}");
+}
+
+/// Writes the files for the next released version, in the directory that FORMER_VERSION_DATA names.
+#[test]
+fn current_encodings_can_be_written() {
+    let (shapes, encodings) = (shapes().join("\n"), encodings().join("\n"));
+    assert!(!shapes.is_empty() && !encodings.is_empty());
+    if let Some(folder) = std::env::var_os("FORMER_VERSION_DATA") {
+        let folder = std::path::Path::new(&folder);
+        std::fs::write(folder.join("shapes.txt"), shapes).expect("written");
+        std::fs::write(folder.join("encodings.txt"), encodings).expect("written");
+    }
+}
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -5,10 +5,12 @@
 mod linear_time;
 mod mutator;
 mod postcard_decoder;
+mod shape;
 
 pub use {
     fuzzer::{Fuzzer, SEED},
     linear_time::check_linear_time,
     mutator::Mutator,
     postcard_decoder::{check_postcard_decoder, valid_encodings},
+    shape::shape,
 };
