Skip messages that arrived intact and cannot be read

A message of a kind that only another version knows closed its connection, together with the messages behind it, and again on the next connection. Nothing was logged or counted.

A frame of this version with a right checksum whose body cannot be read is skipped, counted (hemlockford_peer_unreadable_total) and logged once for each instance. Damaged frames still close the connection.

an_unreadable_message_is_skipped does not compile before, as nothing reports such a frame; the reader returned at the first one.

--- a/crates/instance/src/counters.rs
+++ b/crates/instance/src/counters.rs
@@ -17,6 +17,7 @@
     pub(crate) peer_bytes: IntCounterVec,
     pub(crate) malformed_datagrams: IntCounter,
     pub(crate) unknown_senders: IntCounter,
+    pub(crate) unreadable_messages: IntCounter,
     pub(crate) out_of_bounds: IntCounterVec,
     pub(crate) link_timeouts: IntCounter,
     pub(crate) server_notices: IntCounterVec,
@@ -71,6 +72,10 @@
             peer_bytes: vec("hemlockford_peer_bytes_total", "Bytes of them.", &["transport", "direction", "kind"])?,
             malformed_datagrams: counter("hemlockford_peer_malformed_total", "Malformed datagrams from the network.")?,
             unknown_senders: counter("hemlockford_peer_unknown_total", "Messages from unknown instances.")?,
+            unreadable_messages: counter(
+                "hemlockford_peer_unreadable_total",
+                "Messages from other instances that arrived intact, could not be read and were skipped.",
+            )?,
             out_of_bounds: vec(
                 "hemlockford_out_of_bounds_total",
                 "Parts of messages and calls that were dropped or refused because they exceed a limit, by part.",
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -110,7 +110,7 @@
         };
         let task = EntryTask {
             link: EntryLink::new(BootClock::now(), options, SmallRng::seed_from_u64(incarnation)),
-            network: Network::start(sockets, (id, incarnation), counters.clone(), received_tx)?,
+            network: Network::start(sockets, (id, incarnation), counters.clone(), received_tx, log.clone())?,
             received: received_rx,
             seeds: seeds_rx,
             stop: stop_rx.clone(),
--- a/crates/instance/src/fleet/network.rs
+++ b/crates/instance/src/fleet/network.rs
@@ -3,11 +3,13 @@
 use {
     crate::counters::Counters,
     hemlockford_core::{
+        collections::FastSet,
         errors::{ErrorKind, Result},
         fleet::FleetMessage,
         ids::{Incarnation, InstanceId},
     },
-    hemlockford_net::{DatagramSocket, Envelope, NetOptions, StreamLinks, StreamListener},
+    hemlockford_net::{DatagramSocket, Envelope, NetOptions, StreamLinks, StreamListener, UnreadableFrame},
+    slog::{Logger, warn},
     std::net::{SocketAddr, TcpListener, UdpSocket},
     tokio::sync::mpsc,
 };
@@ -15,6 +17,9 @@
 /// Maximum number of connections from other instances. With 300 entries and 7 replicas, each replica has about 50.
 const MAX_CONNECTIONS: usize = 1_024;
 
+/// Maximum number of instances whose first unreadable message is logged.
+const MAX_LOGGED_PEERS: usize = 256;
+
 /// Sends messages to other instances. The name of an instance is its address.
 pub(super) struct Network {
     id: InstanceId,
@@ -31,10 +36,14 @@
         (id, incarnation): (InstanceId, Incarnation),
         counters: Counters,
         received: mpsc::UnboundedSender<(Envelope<FleetMessage>, usize)>,
+        log: Logger,
     ) -> Result<Self> {
         let options = NetOptions { max_connections: MAX_CONNECTIONS, ..NetOptions::fleet() };
         let socket = DatagramSocket::new(datagrams)?;
-        actix_rt::spawn(StreamListener::new(listen, options.clone())?.run(received.clone()));
+        let (unreadable_tx, unreadable_rx) = mpsc::unbounded_channel();
+        let listener = StreamListener::new(listen, options.clone())?.with_unreadable(unreadable_tx);
+        actix_rt::spawn(listener.run(received.clone()));
+        actix_rt::spawn(report_unreadable(unreadable_rx, counters.clone(), log));
         actix_rt::spawn(receive(socket.clone(), received, counters.clone()));
         Ok(Self { id, incarnation, socket, links: StreamLinks::on_demand(&options), counters })
     }
@@ -50,6 +59,18 @@
     }
 }
 
+/// Counts the messages that cannot be read, and logs the first one from each instance.
+async fn report_unreadable(mut unreadable: mpsc::UnboundedReceiver<UnreadableFrame>, counters: Counters, log: Logger) {
+    let mut logged = FastSet::default();
+    while let Some(UnreadableFrame { peer, bytes, reason }) = unreadable.recv().await {
+        counters.unreadable_messages.inc();
+        if logged.len() < MAX_LOGGED_PEERS && logged.insert(peer.ip()) {
+            warn!(log, "message from another instance cannot be read and is skipped; is its version another one?";
+                "peer" => %peer, "bytes" => bytes, "reason" => &*reason);
+        }
+    }
+}
+
 async fn receive(
     socket: DatagramSocket,
     received: mpsc::UnboundedSender<(Envelope<FleetMessage>, usize)>,
--- a/crates/instance/src/fleet/replica.rs
+++ b/crates/instance/src/fleet/replica.rs
@@ -101,7 +101,7 @@
         let replica = Replica::new(BootClock::now(), options, recovered, rng, &mut actions);
         let task = ReplicaTask {
             replica,
-            network: Network::start(sockets, (id, incarnation), counters.clone(), received_tx)?,
+            network: Network::start(sockets, (id, incarnation), counters.clone(), received_tx, log.clone())?,
             received: received_rx,
             messages: messages_rx,
             persisted: persisted_rx,
--- a/crates/net/src/frame.rs
+++ b/crates/net/src/frame.rs
@@ -57,8 +57,12 @@
     Ok(bytes)
 }
 
-/// Decodes a message. Any input other than exactly one complete message of this version is an error.
-pub fn decode<M: DeserializeOwned>(bytes: &[u8]) -> Result<Envelope<M>> {
+/// Returns whether a message of this version arrived as it was sent, whether or not it can be read.
+pub(crate) fn is_intact(bytes: &[u8]) -> bool {
+    body(bytes).is_ok()
+}
+
+fn body(bytes: &[u8]) -> Result<&[u8]> {
     let Some((header, body)) = bytes.split_at_checked(HEADER_BYTES) else {
         return Err(corrupt("message is shorter than its header"));
     };
@@ -68,6 +72,12 @@
     if header[1..] != crc32fast::hash(body).to_le_bytes() {
         return Err(corrupt("message has an invalid checksum"));
     }
+    Ok(body)
+}
+
+/// Decodes a message. Any input other than exactly one complete message of this version is an error.
+pub fn decode<M: DeserializeOwned>(bytes: &[u8]) -> Result<Envelope<M>> {
+    let body = body(bytes)?;
     let (envelope, rest) = postcard::take_from_bytes(body).map_err(|e| corrupt(e.to_string()))?;
     if !rest.is_empty() {
         return Err(corrupt("message is followed by extra bytes"));
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,6 +16,7 @@
 mod stream;
 mod timer;
 mod unacknowledged_frames;
+mod unreadable_frame;
 
 pub use {
     boot_clock::BootClock,
@@ -26,4 +27,5 @@
     options::NetOptions,
     stream::StreamLinks,
     timer::{Timer, TimerTask},
+    unreadable_frame::UnreadableFrame,
 };
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -5,9 +5,10 @@
         envelope::Envelope,
         frame::{self, LENGTH_BYTES, MAX_FRAME_BYTES},
         options::NetOptions,
+        unreadable_frame::UnreadableFrame,
     },
     bytes::{Buf, BytesMut},
-    error_stack::ResultExt,
+    error_stack::{Report, ResultExt},
     hemlockford_core::errors::{ErrorKind, Result, limit, unavailable},
     serde::de::DeserializeOwned,
     std::{cell::Cell, rc::Rc, time::Duration},
@@ -34,29 +35,43 @@
 pub struct StreamListener {
     listener: TcpListener,
     options: NetOptions,
+    unreadable: Option<mpsc::UnboundedSender<UnreadableFrame>>,
 }
 
 impl StreamListener {
     /// Creates the listener from a bound standard listener.
     pub fn new(listener: std::net::TcpListener, options: NetOptions) -> Result<Self> {
         listener.set_nonblocking(true).change_context(ErrorKind::Io)?;
-        Ok(Self { listener: TcpListener::from_std(listener).change_context(ErrorKind::Io)?, options })
+        let listener = TcpListener::from_std(listener).change_context(ErrorKind::Io)?;
+        Ok(Self { listener, options, unreadable: None })
+    }
+
+    /// Reports the frames that are skipped because their messages cannot be read.
+    pub fn with_unreadable(self, tx: mpsc::UnboundedSender<UnreadableFrame>) -> Self {
+        Self { unreadable: Some(tx), ..self }
     }
 
     /// Forwards each message with its length in bytes until the receiver is dropped. A connection is closed when it
-    /// sends malformed data.
+    /// sends malformed data. A frame that arrived intact and cannot be read is skipped, because the sender would send
+    /// others of its kind on the next connection, which would all be closed with what follows them.
     pub async fn run<M: DeserializeOwned + 'static>(self, tx: mpsc::UnboundedSender<(Envelope<M>, usize)>) {
         let open = Rc::new(Cell::new(0_usize));
         while !tx.is_closed() {
-            let Ok((stream, _)) = self.listener.accept().await else { continue };
+            let Ok((stream, peer)) = self.listener.accept().await else { continue };
             if open.get() >= self.options.max_connections {
                 continue;
             }
             open.set(open.get() + 1);
             let (open, tx, options) = (open.clone(), tx.clone(), self.options.clone());
+            let unreadable = self.unreadable.clone();
+            let report = move |bytes, reason: &Report<ErrorKind>| {
+                let frame = UnreadableFrame { peer, bytes, reason: format!("{reason:?}").into() };
+                // Without a receiver nobody wants the report.
+                let _ = unreadable.as_ref().map(|tx| tx.send(frame));
+            };
             actix_rt::spawn(async move {
                 // The error is ignored, because the peer reconnects if necessary.
-                let _ = read_frames(stream, tx, options).await;
+                let _ = read_frames(stream, tx, options, report).await;
                 open.set(open.get() - 1);
             });
         }
@@ -67,14 +82,21 @@
     mut stream: TcpStream,
     tx: mpsc::UnboundedSender<(Envelope<M>, usize)>,
     options: NetOptions,
+    report_unreadable: impl Fn(usize, &Report<ErrorKind>),
 ) -> Result<()> {
     let mut buf = BytesMut::new();
     loop {
         let mut frames = 0;
         while let Some(length) = complete_frame(&buf)? {
-            let message = frame::decode(&buf[LENGTH_BYTES..LENGTH_BYTES + length])?;
-            if tx.send((message, length)).is_err() {
-                return Ok(());
+            let bytes = &buf[LENGTH_BYTES..LENGTH_BYTES + length];
+            match frame::decode(bytes) {
+                Ok(message) => {
+                    if tx.send((message, length)).is_err() {
+                        return Ok(());
+                    }
+                }
+                Err(reason) if frame::is_intact(bytes) => report_unreadable(length, &reason),
+                Err(reason) => return Err(reason),
             }
             buf.advance(LENGTH_BYTES + length);
             frames += 1;
--- a/crates/net/tests/transport.rs
+++ b/crates/net/tests/transport.rs
@@ -12,7 +12,7 @@
         net::{TcpListener, TcpStream, UdpSocket},
         time::Duration,
     },
-    tokio::sync::mpsc,
+    tokio::{io::AsyncWriteExt, sync::mpsc},
 };
 
 const SEED: u64 = 11;
@@ -141,3 +141,43 @@
     assert!(rx.try_recv().is_err());
     actix_rt::time::timeout(WAIT, rx.recv()).await.unwrap().unwrap();
 }
+
+/// Guards against a message of an unknown kind, such as another version sends, that closes its connection again and again
+/// together with the messages behind it, and against one that is skipped without a trace.
+#[actix_rt::test]
+async fn an_unreadable_message_is_skipped() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tx, mut rx) = mpsc::unbounded_channel::<(Envelope<Option<u32>>, usize)>();
+    let (unreadable_tx, mut unreadable) = mpsc::unbounded_channel();
+    let listener = StreamListener::new(listener, NetOptions::default()).unwrap().with_unreadable(unreadable_tx);
+    actix_rt::spawn(listener.run(tx));
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    for number in 0..3_u32 {
+        // Variant 7 of an enum with two variants, and a message with a field too many.
+        for unknown in [vec![7, 1], vec![1, 5, 9]] {
+            let unknown = Envelope { from: "e1".into(), incarnation: 1, message: Raw(unknown) };
+            let known = Envelope { from: "e1".into(), incarnation: 1, message: Some(number) };
+            for frame in [encode(&unknown, MAX_FRAME_BYTES).unwrap(), encode(&known, MAX_FRAME_BYTES).unwrap()] {
+                stream.write_all(&(frame.len() as u32).to_le_bytes()).await.unwrap();
+                stream.write_all(&frame).await.unwrap();
+            }
+            let (received, _) = rx.recv().await.expect("the connection stays open");
+            assert_eq!(received.message, Some(number));
+            let report = unreadable.recv().await.expect("a report");
+            assert_eq!(report.peer, stream.local_addr().unwrap());
+        }
+    }
+}
+
+/// Bytes that are encoded as they are.
+struct Raw(Vec<u8>);
+
+impl serde::Serialize for Raw {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        use serde::ser::SerializeTuple;
+        let mut tuple = serializer.serialize_tuple(self.0.len())?;
+        self.0.iter().try_for_each(|byte| tuple.serialize_element(byte))?;
+        tuple.end()
+    }
+}
