Stop a replica at a command that it cannot read

After a return to the former version this would lose what was acknowledged.

The replica now reports a violated invariant and stops before it answers anything more; the message names what to do. The ledger does not advance past such a command. a_replica_stops_at_a_command_that_it_cannot_read fails before (no violation).

--- a/crates/core/src/control/replica.rs
+++ b/crates/core/src/control/replica.rs
@@ -8,7 +8,7 @@
             Consensus, ConsensusAction, ConsensusEvent, ConsensusOptions, Message, ProposalResult, Recovered, Write,
         },
         ids::{InstanceId, LogIndex, Term},
-        ledger::{Command, Ledger, LedgerOutcome},
+        ledger::{Command, Ledger, LedgerOutcome, UNREADABLE_COMMAND},
     },
     rand::rngs::SmallRng,
     std::{
@@ -162,6 +162,9 @@
             ConsensusAction::Apply { index, command } => {
                 let number = self.ledger.change_number();
                 let outcome = self.ledger.apply_bytes(index, &command);
+                if outcome == LedgerOutcome::Malformed {
+                    return out.push(ReplicaAction::InvariantViolated(UNREADABLE_COMMAND));
+                }
                 self.outcomes.insert(index, outcome);
                 if self.ledger.change_number() != number {
                     out.push(ReplicaAction::Changed);
--- a/crates/core/src/fleet/replica/log_driver.rs
+++ b/crates/core/src/fleet/replica/log_driver.rs
@@ -7,7 +7,7 @@
         consensus::{ConsensusAction, ConsensusEvent, Write},
         fleet::{FleetLogEvent, FleetMessage, record::is_server_name},
         ids::LogIndex,
-        ledger::{Command, Ledger},
+        ledger::{Command, Ledger, LedgerOutcome, UNREADABLE_COMMAND},
     },
     std::time::Instant,
 };
@@ -71,6 +71,9 @@
         let change = self.ledger.change_number();
         let previous = server.as_deref().and_then(|server| self.ledger.departed_incarnation(server));
         let outcome = self.ledger.apply_bytes(index, bytes);
+        if outcome == LedgerOutcome::Malformed {
+            return out.push(ReplicaAction::InvariantViolated(UNREADABLE_COMMAND));
+        }
         self.ledger_outcomes.insert(index, outcome);
         if self.ledger.change_number() > change {
             self.directory.set_services(Configuration::service_names(self.ledger.config_text()));
--- a/crates/core/src/ledger/machine.rs
+++ b/crates/core/src/ledger/machine.rs
@@ -69,14 +69,12 @@
         }
     }
 
-    /// Applies an encoded command.
+    /// Applies an encoded command. After [`LedgerOutcome::Malformed`] the caller must not go on.
     pub fn apply_bytes(&mut self, index: LogIndex, command: &[u8]) -> LedgerOutcome {
         match Command::decode(command) {
             Ok(command) => self.apply(index, command),
-            Err(_) => {
-                self.applied = self.applied.max(index);
-                LedgerOutcome::Malformed
-            }
+            // The state stays as it is, so that it is not taken for one with this command.
+            Err(_) => LedgerOutcome::Malformed,
         }
     }
 
--- a/crates/core/src/ledger/mod.rs
+++ b/crates/core/src/ledger/mod.rs
@@ -13,6 +13,10 @@
 mod outcome;
 mod releases;
 
+/// Reason for which a replica stops at a command that it cannot read. Only a later version can have proposed it.
+pub const UNREADABLE_COMMAND: &str =
+    "a command in the log cannot be read by this version; start a later version on this data folder";
+
 pub use {
     changes::MAX_CHANGE_DIGESTS,
     claim::{ClaimKey, Holder, MAX_RECORDED_BODY_BYTES, SettledOutcome},
--- a/crates/core/tests/fleet_changes.rs
+++ b/crates/core/tests/fleet_changes.rs
@@ -5,7 +5,7 @@
 
 use {
     fleet_support::{World, ms, text},
-    hemlockford_core::fleet::ReplicaAnswer,
+    hemlockford_core::{fleet::ReplicaAnswer, ledger::Command},
 };
 
 const SEEDS: std::ops::Range<u64> = 0..25;
@@ -207,3 +207,25 @@
         assert!(answered > reads.len() / 2, "seed {seed}: {answered} of {} answered", reads.len());
     }
 }
+
+/// Guards against a replica that goes on as if it had applied a command which only a later version can read, and then
+/// answers reads and snapshots without it.
+#[test]
+fn a_replica_stops_at_a_command_that_it_cannot_read() {
+    let mut world = World::settled(1, 3, 2, 2);
+    let id = world.submit(0, &text(2));
+    world.run(ms(2_000));
+    assert!(is_accepted(&world, id));
+    for replica in 0..3 {
+        world.kill_replica(replica);
+        // An unknown kind of command, in the encoding that is known.
+        world.replicas[replica]
+            .disk
+            .replace_commands(|command| matches!(command, Command::Submit { number: 2, .. }).then(|| vec![1, 99, 0]));
+        world.start_replica(replica);
+    }
+    world.checks.collect_violations = true;
+    world.run(ms(5_000));
+    let is_named = |violation: &String| violation.contains("a command in the log cannot be read by this version");
+    assert!(world.checks.violations.iter().any(is_named), "{:?}", world.checks.violations);
+}
--- a/crates/core/tests/fleet_support/disk.rs
+++ b/crates/core/tests/fleet_support/disk.rs
@@ -63,10 +63,16 @@
 
     /// Replaces the commands in the log, as if another version had written them.
     pub fn edit_commands(&mut self, edit: impl Fn(Command) -> Command) {
+        self.replace_commands(|command| Some(edit(command).encode().unwrap()));
+    }
+
+    /// Replaces the encodings of some commands in the log.
+    pub fn replace_commands(&mut self, replace: impl Fn(Command) -> Option<Vec<u8>>) {
         for entry in &mut self.entries {
-            if let Payload::Command(bytes) = &entry.payload {
-                let command = edit(Command::decode(bytes).unwrap());
-                entry.payload = Payload::Command(command.encode().unwrap().into());
+            if let Payload::Command(bytes) = &entry.payload
+                && let Some(other) = replace(Command::decode(bytes).unwrap())
+            {
+                entry.payload = Payload::Command(other.into());
             }
         }
     }
--- a/crates/core/tests/fleet_support/world.rs
+++ b/crates/core/tests/fleet_support/world.rs
@@ -281,7 +281,10 @@
                 ReplicaAction::Log(log) => self.checks.log(self.now, &name, log.to_string()),
                 ReplicaAction::Stopped => {}
                 ReplicaAction::InvariantViolated(reason) => {
-                    panic!("seed {}: {name} violated an invariant: {reason}", self.seed)
+                    // The process ends.
+                    self.kill_replica(index);
+                    self.report_violation(format!("{name} violated an invariant: {reason}"));
+                    return;
                 }
             }
         }
--- a/crates/instance/src/fleet/replica_task.rs
+++ b/crates/instance/src/fleet/replica_task.rs
@@ -60,9 +60,12 @@
 }
 
 impl ReplicaTask {
-    /// Runs until the process ends. First executes the actions returned by the creation of the state machine.
+    /// Runs until the process ends or an invariant is violated. First executes the actions returned by the creation of the
+    /// state machine.
     pub(super) async fn run(mut self, mut actions: Vec<ReplicaAction>) {
-        self.execute(&mut actions);
+        if !self.execute(&mut actions) {
+            return;
+        }
         loop {
             let wake = self.replica.next_wake().unwrap_or_else(|| BootClock::now() + MAX_TICK_INTERVAL);
             let event = select! {
@@ -80,7 +83,9 @@
                 () = sleep_until(BootClock::to_steady(wake).into()) => ReplicaEvent::Tick,
             };
             self.replica.handle(BootClock::now(), event, &mut actions);
-            self.execute(&mut actions);
+            if !self.execute(&mut actions) {
+                return;
+            }
         }
     }
 
@@ -115,7 +120,8 @@
         }
     }
 
-    fn execute(&mut self, actions: &mut Vec<ReplicaAction>) {
+    /// Executes actions. Returns `false` if an invariant is violated, after which nothing more may be answered.
+    fn execute(&mut self, actions: &mut Vec<ReplicaAction>) -> bool {
         for action in actions.drain(..) {
             match action {
                 ReplicaAction::Send { to, message } => self.network.send(&to, message),
@@ -142,8 +148,13 @@
                     }
                 }
                 ReplicaAction::Stopped => drop(self.stopped.send(())),
-                ReplicaAction::InvariantViolated(what) => drop(self.failure.send(what.into())),
+                ReplicaAction::InvariantViolated(what) => {
+                    // Without a receiver the process is stopping.
+                    let _ = self.failure.send(what.into());
+                    return false;
+                }
             }
         }
+        true
     }
 }
