Tell the version of a process, and describe upgrades

During an upgrade nothing told which version a process runs. The metric hemlockford_build_info and the log line of the start do now.

--- a/crates/core/src/ledger/command.rs
+++ b/crates/core/src/ledger/command.rs
@@ -12,7 +12,7 @@
 };
 
 /// Version of the encoding, stored in the first byte of each command.
-const COMMAND_VERSION: u8 = 1;
+pub const COMMAND_VERSION: u8 = 1;
 
 /// Maximum size of a submitted configuration, in bytes. The largest configuration fits into a command.
 pub const MAX_SUBMIT_BYTES: usize = MAX_CONFIG_BYTES;
--- a/crates/core/src/ledger/mod.rs
+++ b/crates/core/src/ledger/mod.rs
@@ -21,7 +21,7 @@
     changes::MAX_CHANGE_DIGESTS,
     claim::{ClaimKey, Holder, MAX_RECORDED_BODY_BYTES, SettledOutcome},
     claims::{MAX_CLAIMS, MIN_RETENTION_MS},
-    command::{Command, MAX_SUBMIT_BYTES},
+    command::{COMMAND_VERSION, Command, MAX_SUBMIT_BYTES},
     departures::MAX_DEPARTURES,
     digest::ContentDigest,
     machine::Ledger,
--- a/crates/hemlockford/tests/processes/logging.rs
+++ b/crates/hemlockford/tests/processes/logging.rs
@@ -1,7 +1,7 @@
 //! Processes whose log nobody reads.
 
 use {
-    crate::process::Process,
+    crate::{process::Process, system::TestEntry},
     std::{
         io::{PipeWriter, Read, Write, pipe},
         net::TcpStream,
@@ -50,3 +50,12 @@
     let (reader, writer) = pipe().expect("a pipe");
     run_with_log(writer, || drop(reader));
 }
+
+/// Guards against processes of several versions that cannot be told apart during an upgrade.
+#[test]
+fn the_version_is_a_metric() {
+    let entry = TestEntry::start();
+    let version = env!("CARGO_PKG_VERSION");
+    let name = format!("hemlockford_build_info{{commands=\"1\",messages=\"1\",version=\"{version}\"}}");
+    assert_eq!(entry.metric(&name), 1.0);
+}
--- a/crates/instance/src/counters.rs
+++ b/crates/instance/src/counters.rs
@@ -3,10 +3,16 @@
 use {
     crate::measure_metrics::MeasureMetrics,
     error_stack::ResultExt,
-    hemlockford_core::errors::{ErrorKind, Result},
+    hemlockford_core::{
+        errors::{ErrorKind, Result},
+        ledger::COMMAND_VERSION,
+    },
+    hemlockford_net::MESSAGE_VERSION,
     prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry},
 };
 
+/// Version of the program.
+pub(crate) const PROGRAM_VERSION: &str = env!("CARGO_PKG_VERSION");
 /// Upper bounds of the histogram buckets for write times, in seconds.
 const STORAGE_SECONDS_BUCKETS: [f64; 9] = [0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 1.0];
 
@@ -58,6 +64,12 @@
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone())).map(|()| gauge)
         };
+        let build =
+            Opts::new("hemlockford_build_info", "Version of the program, and versions of what it writes; always 1.");
+        let build = IntGaugeVec::new(build, &["version", "messages", "commands"])?;
+        registry.register(Box::new(build.clone()))?;
+        let (messages, commands) = (MESSAGE_VERSION.to_string(), COMMAND_VERSION.to_string());
+        build.with_label_values(&[PROGRAM_VERSION, &messages, &commands]).set(1);
         let servers = IntGaugeVec::new(Opts::new("hemlockford_servers", "Known servers by service."), &["service"])?;
         registry.register(Box::new(servers.clone()))?;
         let options = HistogramOpts::new("hemlockford_storage_seconds", "Time until writes were durable.");
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -13,7 +13,7 @@
     },
     crate::{
         clock::wall_clock_ns,
-        counters::Counters,
+        counters::{Counters, PROGRAM_VERSION},
         panic_guard::PanicGuard,
         pending_decisions::PendingDecisions,
         settings::{FleetSettings, Settings},
@@ -30,7 +30,7 @@
         ids::InstanceId,
         probing::{Balancer, BalancerOptions},
     },
-    hemlockford_net::BootClock,
+    hemlockford_net::{BootClock, MESSAGE_VERSION},
     hemlockford_proxy::{ConnectionLimit, DispatcherHandle, ProxyCounters, ProxyOptions, Worker, WorkerBalancer},
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
@@ -174,7 +174,8 @@
             records: None,
         };
         let worker = actix_rt::spawn(worker.run_with_relays(callers, relays));
-        info!(log, "entry started"; "callers" => %settings.callers, "listen" => %listen);
+        info!(log, "entry started"; "callers" => %settings.callers, "listen" => %listen, "version" => PROGRAM_VERSION,
+            "messages" => MESSAGE_VERSION);
         Ok(Self {
             port: listen.port(),
             grace_period: fleet.grace_period,
--- a/crates/instance/src/fleet/replica.rs
+++ b/crates/instance/src/fleet/replica.rs
@@ -11,7 +11,7 @@
     },
     crate::{
         clock::wall_clock_ns,
-        counters::Counters,
+        counters::{Counters, PROGRAM_VERSION},
         durable_state::DurableState,
         panic_guard::PanicGuard,
         settings::{FleetSettings, Settings},
@@ -25,7 +25,7 @@
         fleet::{Replica, ReplicaOptions},
         ids::InstanceId,
     },
-    hemlockford_net::BootClock,
+    hemlockford_net::{BootClock, MESSAGE_VERSION},
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
     slog::{Logger, info, warn},
@@ -129,7 +129,8 @@
             registry,
         };
         actix_rt::spawn(admin.run(admin_listener));
-        info!(log, "replica started"; "admin" => %settings.admin, "listen" => %listen);
+        info!(log, "replica started"; "admin" => %settings.admin, "listen" => %listen, "version" => PROGRAM_VERSION,
+            "messages" => MESSAGE_VERSION);
         Ok(Self {
             port: listen.port(),
             messages: messages_tx,
--- a/crates/net/src/frame.rs
+++ b/crates/net/src/frame.rs
@@ -12,8 +12,8 @@
     serde::{Serialize, de::DeserializeOwned},
 };
 
-/// Version of the wire format.
-const VERSION: u8 = 1;
+/// Version of the messages between instances.
+pub const MESSAGE_VERSION: u8 = 1;
 /// Length of the version and checksum before the body, in bytes.
 const HEADER_BYTES: usize = 5;
 /// Length of the length prefix of a frame on a stream, in bytes.
@@ -52,7 +52,7 @@
         return Err(limit(format!("message of {} bytes is longer than {max}", bytes.len() - offset)));
     }
     let checksum = crc32fast::hash(&bytes[body..]);
-    bytes[offset] = VERSION;
+    bytes[offset] = MESSAGE_VERSION;
     bytes[offset + 1..body].copy_from_slice(&checksum.to_le_bytes());
     Ok(bytes)
 }
@@ -66,8 +66,8 @@
     let Some((header, body)) = bytes.split_at_checked(HEADER_BYTES) else {
         return Err(corrupt("message is shorter than its header"));
     };
-    if header[0] != VERSION {
-        return Err(corrupt(format!("message has version {} instead of {VERSION}", header[0])));
+    if header[0] != MESSAGE_VERSION {
+        return Err(corrupt(format!("message has version {} instead of {MESSAGE_VERSION}", header[0])));
     }
     if header[1..] != crc32fast::hash(body).to_le_bytes() {
         return Err(corrupt("message has an invalid checksum"));
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -22,7 +22,7 @@
     boot_clock::BootClock,
     datagram::DatagramSocket,
     envelope::Envelope,
-    frame::{MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, decode, encode},
+    frame::{MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, MESSAGE_VERSION, decode, encode},
     listener::StreamListener,
     options::NetOptions,
     stream::StreamLinks,
