Name limits in refusals, and log datagrams that cannot be read

A refused configuration or body did not tell the operator the limit, and a malformed datagram was counted but its sender not named. Answers name the limit in bytes; the first 16 datagrams that cannot be read are logged with sender, length and reason.

--- a/crates/instance/src/fleet/admin.rs
+++ b/crates/instance/src/fleet/admin.rs
@@ -52,7 +52,8 @@
         let method = req.method().clone();
         let path: Box<str> = req.path().into();
         let Some(body) = read_body(&mut req, MAX_BODY_BYTES).await else {
-            return text_response(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n");
+            let message = format!("the body is longer than {MAX_BODY_BYTES} bytes\n");
+            return text_response(StatusCode::PAYLOAD_TOO_LARGE, &message);
         };
         match self.translator.parse_request(method, path.clone(), body).await {
             Some(Ok(request)) => self.handle_request(request).await,
--- a/crates/instance/src/fleet/network.rs
+++ b/crates/instance/src/fleet/network.rs
@@ -20,6 +20,9 @@
 /// Maximum number of instances whose first unreadable message is logged.
 const MAX_LOGGED_PEERS: usize = 256;
 
+/// Maximum number of malformed datagrams that are logged; all are counted.
+const MAX_LOGGED_DATAGRAMS: usize = 16;
+
 /// Sends messages to other instances. The name of an instance is its address.
 pub(super) struct Network {
     id: InstanceId,
@@ -43,8 +46,8 @@
         let (unreadable_tx, unreadable_rx) = mpsc::unbounded_channel();
         let listener = StreamListener::new(listen, options.clone())?.with_unreadable(unreadable_tx);
         actix_rt::spawn(listener.run(received.clone()));
-        actix_rt::spawn(report_unreadable(unreadable_rx, counters.clone(), log));
-        actix_rt::spawn(receive(socket.clone(), received, counters.clone()));
+        actix_rt::spawn(report_unreadable(unreadable_rx, counters.clone(), log.clone()));
+        actix_rt::spawn(receive(socket.clone(), received, counters.clone(), log));
         Ok(Self { id, incarnation, socket, links: StreamLinks::on_demand(&options), counters })
     }
 
@@ -75,12 +78,20 @@
     socket: DatagramSocket,
     received: mpsc::UnboundedSender<(Envelope<FleetMessage>, usize)>,
     counters: Counters,
+    log: Logger,
 ) {
+    let mut logged = 0;
     while !received.is_closed() {
         match socket.receive().await {
             // Without a receiver the process is stopping.
             Ok(message) => drop(received.send(message)),
-            Err(report) if *report.current_context() == ErrorKind::Corrupt => counters.malformed_datagrams.inc(),
+            Err(report) if *report.current_context() == ErrorKind::Corrupt => {
+                counters.malformed_datagrams.inc();
+                if logged < MAX_LOGGED_DATAGRAMS {
+                    logged += 1;
+                    warn!(log, "datagram cannot be read and is dropped"; "reason" => format!("{report:?}"));
+                }
+            }
             // The socket reports here that an earlier datagram went to an instance that is down; it remains usable.
             Err(_) => actix_rt::task::yield_now().await,
         }
--- a/crates/net/src/datagram.rs
+++ b/crates/net/src/datagram.rs
@@ -37,7 +37,9 @@
     /// malformed datagram.
     pub async fn receive<M: DeserializeOwned>(&self) -> Result<(Envelope<M>, usize)> {
         let mut buf = [0; MAX_DATAGRAM_BYTES + 1];
-        let (length, _) = self.socket.recv_from(&mut buf).await.change_context(ErrorKind::Io)?;
-        Ok((frame::decode(&buf[..length])?, length))
+        let (length, peer) = self.socket.recv_from(&mut buf).await.change_context(ErrorKind::Io)?;
+        let message =
+            frame::decode(&buf[..length]).attach_with(|| format!("datagram of {length} bytes from {peer}"))?;
+        Ok((message, length))
     }
 }
