Read customers with API keys, large responses and warm-up of servers

A configuration with tenants, routes of the kind download or warm-up columns was refused with 400, so that nothing was in force and entries answered 503 to every request.

Keys occur in no error message: the deserializer's text for a row of tenants is replaced, since it may quote a key.

--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{MAX_DEPENDENCY_DEPTH, dependency_graph::DependencyGraph, parse::ParseState},
-    crate::{collections::FastSet, ids::ServiceId},
+    crate::{
+        collections::{FastMap, FastSet},
+        ids::ServiceId,
+    },
     std::time::Duration,
 };
 
@@ -11,6 +14,7 @@
     check_number(parsed);
     check_names(parsed);
     check_shares(parsed);
+    check_keys(parsed);
     let acyclic = check_depth(parsed);
     check_deadlines(parsed, &acyclic);
 }
@@ -52,6 +56,26 @@
     }
 }
 
+/// Checks that each API key belongs to one customer. The messages name the customers and not the key.
+fn check_keys(parsed: &mut ParseState) {
+    let mut customers: Vec<_> = parsed.config.customers.iter().collect();
+    customers.sort_unstable_by_key(|(name, _)| *name);
+    let mut owners = FastMap::default();
+    let mut errors = Vec::new();
+    for (name, customer) in customers {
+        for key in customer.keys.iter().flatten() {
+            match owners.insert(key, name) {
+                Some(other) if other == name => errors.push((name.clone(), "a key is listed twice".into())),
+                Some(other) => errors.push((name.clone(), format!("a key also belongs to customer '{other}'"))),
+                None => {}
+            }
+        }
+    }
+    for (name, message) in errors {
+        parsed.error(&format!("customer {name}"), "keys", message);
+    }
+}
+
 /// Checks for dependency cycles and for chains that are too deep. Returns the services that are neither part of a cycle
 /// nor depend on one.
 fn check_depth(parsed: &mut ParseState) -> FastSet<ServiceId> {
--- a/crates/core/src/config/configuration.rs
+++ b/crates/core/src/config/configuration.rs
@@ -97,6 +97,17 @@
         share.copied().or(own).unwrap_or(Customer::default().weight)
     }
 
+    /// Returns whether requests must carry the API key of a customer, except on anonymous routes.
+    ///
+    /// ```
+    /// use hemlockford_core::config::Configuration;
+    /// let config = Configuration::parse("[change]\nnumber = 1\n[customer a]\nkeys = k1 k2\n").unwrap();
+    /// assert!(config.requires_keys());
+    /// ```
+    pub fn requires_keys(&self) -> bool {
+        self.customers.values().any(|customer| customer.keys.is_some())
+    }
+
     /// Returns whether any service depends on this one.
     pub fn is_dependency(&self, service: &str) -> bool {
         self.services.values().any(|other| other.dependencies.iter().any(|name| &**name == service))
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -3,6 +3,7 @@
 //! The configuration is written by the operators in INI format. It is parsed and checked as a whole; all errors are
 //! reported together, each with its section, key and line.
 
+mod api_key;
 mod balancing_policy;
 mod check;
 mod checked_config;
@@ -23,12 +24,14 @@
 mod route_table;
 mod route_target;
 mod service;
+mod warm_up;
 mod write;
 
 pub use {
-    balancing_policy::BalancingPolicy, checked_config::CheckedConfig, claims::ClaimsConfig, config_error::ConfigError,
-    configuration::Configuration, customer::Customer, limits::Limits, measure::MeasureConfig, objective::Objective,
-    route::Route, route_kind::RouteKind, route_table::RouteTable, route_target::RouteTarget, service::Service,
+    api_key::ApiKey, balancing_policy::BalancingPolicy, checked_config::CheckedConfig, claims::ClaimsConfig,
+    config_error::ConfigError, configuration::Configuration, customer::Customer, limits::Limits,
+    measure::MeasureConfig, objective::Objective, route::Route, route_kind::RouteKind, route_table::RouteTable,
+    route_target::RouteTarget, service::Service, warm_up::WarmUp,
 };
 
 /// Maximum number of services in a chain of dependencies.
--- a/crates/core/src/config/parse.rs
+++ b/crates/core/src/config/parse.rs
@@ -2,12 +2,12 @@
 
 use {
     super::{
-        BalancingPolicy, ConfigError, Configuration, Customer, MAX_CONFIG_BYTES, Objective, Service,
+        ApiKey, BalancingPolicy, ConfigError, Configuration, Customer, MAX_CONFIG_BYTES, Objective, Service, WarmUp,
         line_index::LineIndex,
         normalized_source::NormalizedSource,
         parse_route::{RouteParser, is_dotted_name, is_path},
     },
-    crate::units::{Share, parse_duration},
+    crate::units::{Decimal, Share, parse_duration},
     ini::{Ini, ParseOption, Properties},
 };
 
@@ -195,6 +195,24 @@
                     let value = value.parse().ok().filter(|weight| *weight > 0);
                     self.parsed.set((section, key), &mut customer.weight, value, "a whole number above 0");
                 }
+                "keys" => {
+                    // The message must not contain the keys.
+                    let keys = value.split_whitespace().map(ApiKey::parse).collect::<Option<_>>().map(Some);
+                    let expected = "keys of 1 to 256 letters, digits and -._~+/=, separated by spaces";
+                    self.parsed.set((section, key), &mut customer.keys, keys, expected);
+                }
+                "priority" => {
+                    let value = value.parse().ok().map(Some);
+                    self.parsed.set((section, key), &mut customer.priority, value, "a whole number");
+                }
+                "rate" => {
+                    let value = Decimal::parse(value).map(Some);
+                    self.parsed.set((section, key), &mut customer.rate, value, "a number of calls a second up to 1e9");
+                }
+                "burst" => {
+                    let value = Decimal::parse(value).map(Some);
+                    self.parsed.set((section, key), &mut customer.burst, value, "a number of calls up to 1e9");
+                }
                 _ => self.parsed.error(section, key, "unknown key"),
             }
         }
@@ -240,6 +258,14 @@
                 let value = value.parse().ok().filter(|connections| *connections > 0);
                 parsed.set(location, &mut service.max_connections, value, "a whole number above 0");
             }
+            "warm-up" => {
+                let warm_up = service.warm_up.get_or_insert_with(WarmUp::default);
+                parsed.set(location, &mut warm_up.duration, parse_duration(value), "a duration such as 3s");
+            }
+            "warm-up-rate" => {
+                let warm_up = service.warm_up.get_or_insert_with(WarmUp::default);
+                parsed.set(location, &mut warm_up.rate, Decimal::parse(value), "a number of calls a second up to 1e9");
+            }
             key => match key.strip_prefix("share.") {
                 Some(customer) => match value.parse() {
                     Ok(share) => {
--- a/crates/core/src/config/parse_route.rs
+++ b/crates/core/src/config/parse_route.rs
@@ -15,8 +15,8 @@
     std::time::Duration,
 };
 
-const ROUTE_KEYS: [&str; 9] =
-    ["host", "prefix", "kind", "timeout", "objective", "priority", "attempts", "service", "split"];
+const ROUTE_KEYS: [&str; 10] =
+    ["host", "prefix", "kind", "timeout", "objective", "priority", "attempts", "anonymous", "service", "split"];
 
 /// Parser of route sections. It is used after all service sections have been parsed.
 pub(super) struct RouteParser<'a> {
@@ -38,16 +38,18 @@
         let location = (section, properties);
         let host = self.required(location, "host", parse_host, "a host without a port");
         let prefix = self.required(location, "prefix", parse_prefix, "a path that begins and ends with /");
-        let kind = self.required(location, "kind", RouteKind::parse, "one of idempotent, once, upload");
+        let kind = self.required(location, "kind", RouteKind::parse, "one of idempotent, download, once, upload");
         let targets = self.parse_targets(section, properties);
         let mut timeout = default_timeout(targets.as_deref().unwrap_or_default(), &self.parsed.config.services);
         let options = self.parse_options(section, properties, &mut timeout);
+        let is_anonymous = self.parse_anonymous(section, properties);
         if let (Some(host), Some(prefix)) = (&host, &prefix) {
             self.check_unique(section, name, host, prefix);
         }
         if let (Some(host), Some(prefix), Some(kind), Some(targets)) = (host, prefix, kind, targets) {
             let is_split = properties.contains_key("split");
-            let route = Route { name: name.into(), host, prefix, kind, timeout, options, targets, is_split };
+            let name = name.into();
+            let route = Route { name, host, prefix, kind, timeout, options, targets, is_anonymous, is_split };
             self.parsed.config.routes.push(route);
         }
     }
@@ -98,6 +100,17 @@
         options
     }
 
+    fn parse_anonymous(&mut self, section: &str, properties: &Properties) -> bool {
+        match properties.get("anonymous") {
+            None | Some("no") => false,
+            Some("yes") => true,
+            Some(_) => {
+                self.parsed.error(section, "anonymous", "expected yes or no");
+                false
+            }
+        }
+    }
+
     fn parse_targets(&mut self, section: &str, properties: &Properties) -> Option<Vec<RouteTarget>> {
         let (key, targets) = match (properties.get("service"), properties.get("split")) {
             (Some(service), None) => ("service", vec![RouteTarget { service: service.into(), weight: 1 }]),
--- a/crates/core/src/config/route.rs
+++ b/crates/core/src/config/route.rs
@@ -33,6 +33,8 @@
     pub options: CallOptions,
     /// Services between which requests are split by weight; at least one.
     pub targets: Vec<RouteTarget>,
+    /// Whether requests need no API key, if the configuration has customers with keys.
+    pub is_anonymous: bool,
     /// Whether the source specifies the targets with the `split` key, even if there is only one.
     pub is_split: bool,
 }
--- a/crates/core/src/config/route_kind.rs
+++ b/crates/core/src/config/route_kind.rs
@@ -8,6 +8,9 @@
     /// Requests may be executed more than once.
     #[display("idempotent")]
     Idempotent,
+    /// Requests have a large response and may be executed more than once.
+    #[display("download")]
+    Download,
     /// Requests are executed at most once.
     #[display("once")]
     Once,
@@ -18,7 +21,20 @@
 
 impl RouteKind {
     /// All kinds, in the order of the documentation.
-    pub const ALL: [Self; 3] = [Self::Idempotent, Self::Once, Self::Upload];
+    pub const ALL: [Self; 4] = [Self::Idempotent, Self::Download, Self::Once, Self::Upload];
+
+    /// Returns whether requests may be executed more than once.
+    ///
+    /// ```
+    /// use hemlockford_core::config::RouteKind;
+    /// assert!(RouteKind::Download.is_idempotent());
+    /// ```
+    pub fn is_idempotent(self) -> bool {
+        match self {
+            Self::Idempotent | Self::Download => true,
+            Self::Once | Self::Upload => false,
+        }
+    }
 
     /// Parses the name of a kind in the configuration.
     ///
--- a/crates/core/src/config/route_table.rs
+++ b/crates/core/src/config/route_table.rs
@@ -51,6 +51,7 @@
     ///     timeout: Duration::from_secs(1),
     ///     options: Default::default(),
     ///     targets: Vec::new(),
+    ///     is_anonymous: false,
     ///     is_split: false,
     /// };
     /// let routes = vec![route("all", "/"), route("kits", "/kits/")];
--- a/crates/core/src/config/service.rs
+++ b/crates/core/src/config/service.rs
@@ -1,7 +1,7 @@
 //! Configuration of a service.
 
 use {
-    super::{BalancingPolicy, Objective},
+    super::{BalancingPolicy, Objective, WarmUp},
     crate::{
         collections::FastMap,
         ids::{CustomerId, ServiceId},
@@ -37,6 +37,8 @@
     pub health_path: Box<str>,
     /// Maximum number of connections to a server from all entries together.
     pub max_connections: u32,
+    /// Warm-up of its servers, if it is specified.
+    pub warm_up: Option<WarmUp>,
     /// Weights of customers at this service, which override the weights of the customers.
     pub customer_weights: FastMap<CustomerId, u32>,
 }
@@ -52,6 +54,7 @@
             queue_limit: DEFAULT_QUEUE_LIMIT,
             health_path: DEFAULT_HEALTH_PATH.into(),
             max_connections: DEFAULT_MAX_CONNECTIONS,
+            warm_up: None,
             customer_weights: FastMap::default(),
         }
     }
--- a/crates/core/src/config/write.rs
+++ b/crates/core/src/config/write.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ClaimsConfig, Configuration, Customer, Limits, MeasureConfig, Route, Service,
+        ApiKey, ClaimsConfig, Configuration, Customer, Limits, MeasureConfig, Route, Service,
         route::{DEFAULT_ATTEMPTS, DEFAULT_OBJECTIVE, DEFAULT_PRIORITY, default_timeout},
     },
     crate::{collections::FastMap, units::format_duration},
@@ -57,8 +57,20 @@
         }
     }
 
+    fn optional<T: Display>(&mut self, key: &str, value: Option<T>) {
+        if let Some(value) = value {
+            self.line(key, value);
+        }
+    }
+
     fn customer(&mut self, customer: &Customer) {
         self.value("weight", customer.weight, Customer::default().weight);
+        if let Some(keys) = &customer.keys {
+            self.line("keys", keys.iter().map(ApiKey::as_str).collect::<Vec<_>>().join(" "));
+        }
+        self.optional("priority", customer.priority);
+        self.optional("rate", customer.rate);
+        self.optional("burst", customer.burst);
     }
 
     fn service(&mut self, service: &Service) {
@@ -73,6 +85,10 @@
         self.value("queue", service.queue_limit, default.queue_limit);
         self.value("health", &service.health_path, &default.health_path);
         self.value("connections", service.max_connections, default.max_connections);
+        if let Some(warm_up) = service.warm_up {
+            self.line("warm-up", format_duration(warm_up.duration));
+            self.line("warm-up-rate", warm_up.rate);
+        }
         for (customer, share) in by_name(&service.customer_weights) {
             self.line(format_args!("share.{customer}"), share);
         }
@@ -87,6 +103,9 @@
         self.value("objective", format_duration(route.options.objective), format_duration(DEFAULT_OBJECTIVE));
         self.value("priority", route.options.priority, DEFAULT_PRIORITY);
         self.value("attempts", route.options.attempts, DEFAULT_ATTEMPTS);
+        if route.is_anonymous {
+            self.line("anonymous", "yes");
+        }
         match &route.targets[..] {
             [target] if !route.is_split => self.line("service", &target.service),
             targets => {
--- a/crates/core/src/units/mod.rs
+++ b/crates/core/src/units/mod.rs
@@ -1,8 +1,9 @@
 //! Parsing and formatting of quantities with units, as used in the configuration and the settings.
 
+mod decimal;
 mod share;
 
-pub use share::Share;
+pub use {decimal::Decimal, share::Share};
 
 use std::time::Duration;
 
--- a/crates/core/tests/config_routes.rs
+++ b/crates/core/tests/config_routes.rs
@@ -40,6 +40,7 @@
         timeout: Duration::from_secs_f64(0.0123),
         options: CallOptions { attempts: 5, priority: 3, objective: Duration::from_millis(400) },
         targets: vec![target("slow", 90), target("fast_v1.2", 10)],
+        is_anonymous: false,
         is_split: true,
     };
     assert_eq!(config.routes[0], expected);
@@ -51,6 +52,7 @@
         timeout: Duration::from_millis(150),
         options: CallOptions { attempts: 2, priority: 0, objective: Duration::from_millis(250) },
         targets: vec![target("fast_v1.2", 1)],
+        is_anonymous: false,
         is_split: false,
     };
     assert_eq!(config.routes[1], expected);
--- a/crates/core/tests/config_write.rs
+++ b/crates/core/tests/config_write.rs
@@ -4,11 +4,11 @@
     hemlockford_core::{
         collections::FastMap,
         config::{
-            BalancingPolicy, ClaimsConfig, Configuration, Customer, Limits, MAX_CONFIG_BYTES, MeasureConfig, Objective,
-            Route, RouteKind, RouteTarget, Service,
+            ApiKey, BalancingPolicy, ClaimsConfig, Configuration, Customer, Limits, MAX_CONFIG_BYTES, MeasureConfig,
+            Objective, Route, RouteKind, RouteTarget, Service, WarmUp,
         },
         dispatch::CallOptions,
-        units::{Share, format_duration, parse_duration},
+        units::{Decimal, Share, format_duration, parse_duration},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::time::Duration,
@@ -55,10 +55,28 @@
         queue_limit: rng.random_range(1..usize::MAX),
         health_path: format!("/{}?a=1", word(PATH, 0, rng)).into(),
         max_connections: rng.random_range(1..=u32::MAX),
+        warm_up: rng.random_bool(0.5).then(|| WarmUp { duration: duration(YEAR, rng), rate: decimal(rng) }),
         customer_weights,
     }
 }
 
+fn decimal(rng: &mut SmallRng) -> Decimal {
+    let scale = [1e-6, 1e-3, 1.0, 1e6][rng.random_range(0..4)];
+    Decimal::new(f64::from(rng.random_range(0..1_000)) * scale).unwrap()
+}
+
+fn customer(name: &str, rng: &mut SmallRng) -> Customer {
+    let keys = (0..rng.random_range(0..4)).map(|number| ApiKey::parse(&format!("{name}.{number}+/=~")).unwrap());
+    let keys = keys.collect();
+    Customer {
+        weight: rng.random_range(1..=u32::MAX),
+        keys: rng.random_bool(0.5).then_some(keys),
+        priority: rng.random_bool(0.5).then(|| rng.random()),
+        rate: rng.random_bool(0.5).then(|| decimal(rng)),
+        burst: rng.random_bool(0.5).then(|| decimal(rng)),
+    }
+}
+
 fn route(number: usize, services: &[Box<str>], rng: &mut SmallRng) -> Route {
     let is_split = rng.random_bool(0.5);
     let count = if is_split { rng.random_range(1..=services.len()) } else { 1 };
@@ -72,7 +90,7 @@
         name: word(DOTTED, number, rng),
         host: word(DOTTED, 0, rng),
         prefix: format!("/{}/", word(PATH, number, rng)).into(),
-        kind: RouteKind::ALL[rng.random_range(0..3)],
+        kind: RouteKind::ALL[rng.random_range(0..4)],
         timeout: duration(Duration::from_secs(600), rng),
         options: CallOptions {
             attempts: rng.random_range(1..=u32::MAX),
@@ -80,6 +98,7 @@
             objective: duration(Duration::from_secs(9_999), rng),
         },
         targets,
+        is_anonymous: rng.random_bool(0.2),
         is_split,
     }
 }
@@ -89,7 +108,7 @@
     let services: Vec<_> = (0..rng.random_range(1..6)).map(|number| word(DOTTED, number, rng)).collect();
     let mut config = Configuration { number: rng.random_range(1..=u64::MAX), ..Configuration::default() };
     for name in &customers {
-        config.customers.insert(name.clone(), Customer { weight: rng.random_range(1..=u32::MAX) });
+        config.customers.insert(name.clone(), customer(name, rng));
     }
     for (number, name) in services.iter().enumerate() {
         let mut service = service(&customers, rng);
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -82,7 +82,7 @@
         single_value(head, name, "the request id is not one id")?;
     }
     let idempotent = match selected.kind {
-        Some(kind) => kind == RouteKind::Idempotent,
+        Some(kind) => kind.is_idempotent(),
         None => head.method.is_idempotent(),
     };
     let ProductHeaders { customer, depth, key } = if dialect.product_headers {
--- a/crates/proxy/tests/support/platform.rs
+++ b/crates/proxy/tests/support/platform.rs
@@ -47,6 +47,7 @@
         timeout: Duration::from_secs(2),
         options: CallOptions::default(),
         targets: targets.iter().map(target).collect(),
+        is_anonymous: false,
         is_split: targets.len() > 1,
     }
 }
