Authenticate requests by the API keys of customers

If the configuration has customers with keys, a request needs a key in the credential header of the dialect, except on an anonymous route; the server receives the customer's name instead. A call that waited is authenticated again against the newest configuration when a server is chosen for it. A relayed call keeps its key on the hop, and the other entry authenticates it too.

A key whose customer has changed while the call waited gets 503 instead of another customer's name, because the call was admitted as one of the former customer.

--- a/crates/core/src/outcome/not_run.rs
+++ b/crates/core/src/outcome/not_run.rs
@@ -38,6 +38,9 @@
     /// Several servers ended while they ran the same request.
     #[display("quarantined")]
     Quarantined,
+    /// The request has no API key although it needs one, or one that no customer holds.
+    #[display("unknown-key")]
+    UnknownKey,
     /// The request itself is malformed.
     #[display("bad-request")]
     BadRequest,
@@ -49,6 +52,7 @@
         match self {
             Self::UnknownService => 404,
             Self::BadRequest => 400,
+            Self::UnknownKey => 401,
             Self::KeyReused => 422,
             Self::QueueFull
             | Self::Deadline
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -10,6 +10,7 @@
         caller_writer::CallerWriter,
         claims::{Claim, Claimed, HeldClaim, PendingClaim},
         connection::Connection,
+        credentials::{Identity, UnknownKey},
         digest::Digest,
         dispatcher::Decision,
         exchange::{Exchange, ExchangeEnd},
@@ -17,6 +18,7 @@
         pending_decision::PendingDecision,
         request::ParsedRequest,
         request_source::RequestSource,
+        routing::Routing,
         saved_response::SavedResponse,
         shared::Shared,
     },
@@ -28,6 +30,7 @@
     },
     std::{
         net::SocketAddr,
+        rc::Rc,
         time::{Duration, Instant},
     },
     tokio::select,
@@ -53,6 +56,9 @@
     pub(crate) peer: SocketAddr,
     pub(crate) start: Instant,
     pub(crate) call: Call,
+    pub(crate) identity: Identity,
+    /// Routing by which the request was last authenticated.
+    pub(crate) routing: Rc<Routing>,
     pub(crate) body: RequestBody,
     /// Request id by which the server's response is matched to the request.
     pub(crate) id: Option<HeaderValue>,
@@ -79,7 +85,7 @@
         start: Instant,
         parsed: ParsedRequest,
     ) -> Self {
-        let ParsedRequest { call, framing, key, id, expects_continue } = parsed;
+        let ParsedRequest { call, identity, routing, framing, key, id, expects_continue } = parsed;
         let is_recognized = shared.options.suspect_heads.is_some();
         let fingerprint_limit = if is_recognized { shared.options.max_replayable_body } else { 0 };
         let body = RequestBody::new(framing, call.replayable, fingerprint_limit);
@@ -91,6 +97,8 @@
             peer,
             start,
             call,
+            identity,
+            routing,
             body,
             id,
             has_key: key.is_some(),
@@ -146,7 +154,10 @@
                 self.writer.continue_without_caller();
                 Ok(())
             }
-            Claimed::Refused(refused) => Err(call_end::of_refused_claim(refused, self.shared.options.retry_after)),
+            Claimed::Refused(refused) => match self.authenticate_again() {
+                Ok(()) => Err(call_end::of_refused_claim(refused, self.shared.options.retry_after)),
+                Err(reason) => Err(self.not_run(reason)),
+            },
         }
     }
 
@@ -232,11 +243,14 @@
             // be sent.
             return Ok(ExchangeEnd::Failed(AttemptResult::CallerLeft));
         }
+        self.authenticate_again().map_err(|reason| NextStep::EndCall(self.not_run(reason)))?;
         let mut connection = match self.connect(&mut attempt, &route).await? {
             Some(connection) => connection,
             None => return Err(self.report_failure(&mut attempt, AttemptResult::RefusedBeforeWrite)),
         };
         self.send_continue().await.map_err(NextStep::EndCall)?;
+        // Waiting for a connection may take long, too.
+        self.authenticate_again().map_err(|reason| NextStep::EndCall(self.not_run(reason)))?;
         let remaining = self.call.deadline.saturating_duration_since(Instant::now());
         let outgoing = OutgoingRequest {
             from: self.head,
@@ -244,6 +258,7 @@
             server: &route.target,
             address,
             id: self.id.as_ref(),
+            identity: &self.identity,
             remaining,
             depth: self.call.depth,
             pass_allowance: route.pass_allowance,
@@ -294,6 +309,23 @@
         }
     }
 
+    /// Authenticates the request again if the configuration has changed since it was authenticated. A call may have waited
+    /// for a server while the key was removed.
+    fn authenticate_again(&mut self) -> Result<(), NotRunReason> {
+        let routing = self.shared.routing();
+        if Rc::ptr_eq(&routing, &self.routing) {
+            return Ok(());
+        }
+        let dialect = &self.shared.options.dialect;
+        let identity = routing.authenticate(self.head, dialect).map_err(|UnknownKey| NotRunReason::UnknownKey)?;
+        if !identity.is_same_customer(&self.identity) {
+            // The call was admitted as one of another customer. A repeated request is admitted by the new rules.
+            return Err(NotRunReason::ConfigurationNotCurrent);
+        }
+        (self.identity, self.routing) = (identity, routing);
+        Ok(())
+    }
+
     /// Opens or reuses a connection. `None` means that the server refused it.
     async fn connect(&mut self, attempt: &mut Attempt, route: &AttemptRoute) -> Result<Option<Connection>, NextStep> {
         let is_fresh = route.fresh_connection || !self.call.idempotent;
--- a/crates/proxy/src/crash_check.rs
+++ b/crates/proxy/src/crash_check.rs
@@ -43,7 +43,7 @@
         if suspects.borrow().is_empty() {
             return None;
         }
-        let head = fingerprint::head_digest(self.head);
+        let head = fingerprint::head_digest(self.head, &self.identity);
         suspects.borrow().contains(&head).then_some(head)
     }
 
@@ -69,7 +69,7 @@
             return;
         }
         let Ok(Ok(body)) = timeout(BODY_TIMEOUT, self.body.fingerprint(&mut self.reader)).await else { return };
-        let head = fingerprint::head_digest(self.head);
+        let head = fingerprint::head_digest(self.head, &self.identity);
         let request = RequestFingerprint { head, body };
         self.call.fingerprint = Some(request);
         let host = self.head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -1,7 +1,7 @@
 //! Header names and rules of the HTTP interface to callers and servers.
 
 use {
-    crate::{load_format::LoadFormat, request_id_echo::RequestIdEcho, service_selection::ServiceSelection},
+    crate::{headers, load_format::LoadFormat, request_id_echo::RequestIdEcho, service_selection::ServiceSelection},
     actix_http::{
         ResponseHead, StatusCode,
         header::{self, HeaderName, HeaderValue},
@@ -17,6 +17,12 @@
     pub selection: ServiceSelection,
     /// Request header with the time left for the complete response, in milliseconds.
     pub deadline_header: HeaderName,
+    /// Request header with the API key of a customer. Without it, requests have no keys. It is not passed on to servers if
+    /// the configuration has customers with keys, and is not looked at otherwise.
+    pub credential_header: Option<HeaderName>,
+    /// Request header that states the name of the customer whose key the request has. The entry replaces one that the
+    /// caller sent if the configuration has customers with keys.
+    pub customer_header: Option<HeaderName>,
     /// Header with the request id. A request without one is assigned an id.
     pub request_id_header: Option<HeaderName>,
     /// Which servers repeat the request id in their responses.
@@ -57,6 +63,8 @@
         Self {
             selection: ServiceSelection::PathSegment,
             deadline_header: HeaderName::from_static("hemlockford-deadline"),
+            credential_header: Some(HeaderName::from_static("hemlockford-credential")),
+            customer_header: Some(headers::CUSTOMER),
             request_id_header: Some(HeaderName::from_static("hemlockford-request-id")),
             request_id_echo: RequestIdEcho::Optional,
             expected_server_header: None,
--- a/crates/proxy/src/fingerprint.rs
+++ b/crates/proxy/src/fingerprint.rs
@@ -4,7 +4,7 @@
 //! key that the entries would have to share.
 
 use {
-    crate::headers,
+    crate::{credentials::Identity, headers},
     actix_http::{
         RequestHead,
         header::{self, HeaderName},
@@ -16,8 +16,8 @@
 /// Headers that tell callers apart. Their addresses do not: one caller may use several, and several may share one.
 const CALLER_HEADERS: [HeaderName; 3] = [headers::CUSTOMER, header::AUTHORIZATION, header::COOKIE];
 
-/// Returns the digest of the method, the target and the caller of a request.
-pub(crate) fn head_digest(head: &RequestHead) -> RequestDigest {
+/// Returns the digest of the method, the target and the caller of a request, with the customer whose key it has.
+pub(crate) fn head_digest(head: &RequestHead, identity: &Identity) -> RequestDigest {
     let mut hasher = Hasher::new();
     add(&mut hasher, head.method.as_str().as_bytes());
     add(&mut hasher, head.uri.to_string().as_bytes());
@@ -26,6 +26,9 @@
         hasher.update(&head.headers.get_all(name).count().to_le_bytes());
         head.headers.get_all(name).for_each(|value| add(&mut hasher, value.as_bytes()));
     }
+    if let Some(holder) = identity.holder() {
+        add(&mut hasher, holder.customer.as_bytes());
+    }
     truncate(&hasher)
 }
 
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -1,7 +1,7 @@
 //! Translation of request and response heads.
 
 use {
-    crate::dialect::Dialect,
+    crate::{credentials::Identity, dialect::Dialect},
     actix_http::{
         RequestHead, ResponseHead,
         header::{self, HeaderMap, HeaderName, HeaderValue},
@@ -54,6 +54,7 @@
     pub(crate) server: &'a str,
     pub(crate) address: SocketAddr,
     pub(crate) id: Option<&'a HeaderValue>,
+    pub(crate) identity: &'a Identity,
     pub(crate) remaining: Duration,
     pub(crate) depth: u8,
     pub(crate) pass_allowance: bool,
@@ -77,6 +78,7 @@
     if let (Some(name), Some(id)) = (&dialect.request_id_header, outgoing.id) {
         head.headers.insert(name.clone(), id.clone());
     }
+    set_identity(dialect, &mut head.headers, outgoing);
     head.headers.remove(RELAY);
     match (outgoing.relay_attempts, &dialect.expected_server_header, HeaderValue::from_str(outgoing.server)) {
         (Some(attempts), ..) => drop(head.headers.insert(RELAY, HeaderValue::from(attempts))),
@@ -90,6 +92,26 @@
     head
 }
 
+/// States the customer to a server in place of the key. Another entry receives the key itself, as it authenticates the
+/// request against its own configuration.
+fn set_identity(dialect: &Dialect, headers: &mut HeaderMap, outgoing: &OutgoingRequest<'_>) {
+    if *outgoing.identity == Identity::Unchecked {
+        return;
+    }
+    for name in dialect.credential_header.iter().chain(&dialect.customer_header) {
+        headers.remove(name);
+    }
+    let (name, value) = if outgoing.relay_attempts.is_some() {
+        let name = dialect.credential_header.as_ref();
+        (name, name.and_then(|name| outgoing.from.headers.get(name)))
+    } else {
+        (dialect.customer_header.as_ref(), outgoing.identity.holder().map(|holder| &holder.header_value))
+    };
+    if let (Some(name), Some(value)) = (name, value) {
+        headers.insert(name.clone(), value.clone());
+    }
+}
+
 fn add_product_headers(headers: &mut HeaderMap, outgoing: &OutgoingRequest<'_>) {
     let OutgoingRequest { caller, depth, pass_allowance, want_report, .. } = outgoing;
     let customer = headers.remove(CUSTOMER).next();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 mod connection;
 mod counters;
 mod crash_check;
+mod credentials;
 mod dialect;
 mod digest;
 mod dispatcher;
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -49,6 +49,10 @@
         if let Some(retry_after) = self.retry_after {
             fields.insert(header::RETRY_AFTER, retry_after_value(dialect, retry_after));
         }
+        if status == StatusCode::UNAUTHORIZED {
+            // RFC 9110, section 15.5.2, requires a challenge.
+            fields.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("ApiKey"));
+        }
         if dialect.states_outcome {
             fields.insert(headers::OUTCOME, headers::outcome_value(self.outcome));
         }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -1,17 +1,29 @@
 //! Parsing and validation of request heads.
 
 use {
-    crate::{framing::Framing, headers, options::ProxyOptions, routing::Routing},
+    crate::{
+        credentials::Identity,
+        framing::Framing,
+        headers,
+        options::ProxyOptions,
+        routing::{Routing, SelectionError},
+    },
     actix_http::{
         Method, RequestHead, Version,
         header::{self, HeaderName, HeaderValue},
     },
     hemlockford_core::{config::RouteKind, dispatch::Call, ids::CallId, outcome::NotRunReason},
-    std::time::{Duration, Instant},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Customer of calls that do not name one.
 const DEFAULT_CUSTOMER: &str = "default";
+/// Customer of calls without a key on anonymous routes. No customer of a configuration can have this name, so that such
+/// calls use no customer's share.
+const ANONYMOUS_CUSTOMER: &str = "(anonymous)";
 /// Maximum depth of a chain of calls; longer chains are treated as loops.
 const MAX_DEPTH: u8 = 24;
 /// Maximum length of a customer's name, in bytes.
@@ -32,6 +44,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ParsedRequest {
     pub(crate) call: Call,
+    pub(crate) identity: Identity,
+    /// Routing by which the request was authenticated.
+    pub(crate) routing: Rc<Routing>,
     pub(crate) framing: Framing,
     /// Idempotency key of a non-idempotent request.
     pub(crate) key: Option<Box<str>>,
@@ -57,7 +72,7 @@
 /// Parses a request head.
 pub(crate) fn parse(
     head: &RequestHead,
-    routing: &Routing,
+    routing: &Rc<Routing>,
     options: &ProxyOptions,
     id: CallId,
     now: Instant,
@@ -70,7 +85,10 @@
     if !routing.is_known() {
         return Err(Refusal::new(NotRunReason::ConfigurationNotCurrent));
     }
-    let selected = routing.select(head, dialect).ok_or(Refusal::new(NotRunReason::UnknownService))?;
+    let selected = routing.select(head, dialect).map_err(|error| match error {
+        SelectionError::UnknownKey => Refusal::new(NotRunReason::UnknownKey),
+        SelectionError::UnknownService => Refusal::new(NotRunReason::UnknownService),
+    })?;
     if matches!(framing, Framing::Sized(length) if length > routing.config().limits.body_bytes) {
         return Err(Refusal::TOO_LARGE);
     }
@@ -90,6 +108,11 @@
     } else {
         ProductHeaders { customer: DEFAULT_CUSTOMER, depth: 0, key: None }
     };
+    let customer = match &selected.identity {
+        Identity::Unchecked => customer,
+        Identity::Anonymous => ANONYMOUS_CUSTOMER,
+        Identity::Customer(holder) => &holder.customer,
+    };
     let is_replayable_size =
         framing.is_empty() || matches!(framing, Framing::Sized(length) if length <= options.max_replayable_body as u64);
     let expects_continue = head.version == Version::HTTP_11
@@ -117,7 +140,15 @@
         options: terms,
     };
     let id = headers::request_id(dialect, head, id);
-    Ok(ParsedRequest { call, framing, key: key.map(Into::into), id, expects_continue })
+    Ok(ParsedRequest {
+        call,
+        identity: selected.identity,
+        routing: routing.clone(),
+        framing,
+        key: key.map(Into::into),
+        id,
+        expects_continue,
+    })
 }
 
 /// Parses the product's own headers.
--- a/crates/proxy/src/routing.rs
+++ b/crates/proxy/src/routing.rs
@@ -1,11 +1,16 @@
 //! Selection of the service of a request and of the options of its call.
 
 use {
-    crate::{dialect::Dialect, service_selection::ServiceSelection, split::WeightedSplit},
+    crate::{
+        credentials::{Credentials, Identity, UnknownKey},
+        dialect::Dialect,
+        service_selection::ServiceSelection,
+        split::WeightedSplit,
+    },
     actix_http::{RequestHead, header},
     hemlockford_core::{
         collections::FastMap,
-        config::{Configuration, RouteKind, RouteTable},
+        config::{Configuration, Route, RouteKind, RouteTable},
         dispatch::CallOptions,
         ids::ServiceId,
     },
@@ -22,6 +27,14 @@
     pub(crate) terms: CallOptions,
     /// Kind of the route, if the service was selected by a route.
     pub(crate) kind: Option<RouteKind>,
+    pub(crate) identity: Identity,
+}
+
+/// Why no service is selected for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SelectionError {
+    UnknownKey,
+    UnknownService,
 }
 
 /// A configuration, prepared for selecting services.
@@ -29,6 +42,8 @@
 pub(crate) struct Routing {
     config: Arc<Configuration>,
     table: RouteTable,
+    /// The keys of customers, if requests need keys.
+    credentials: Option<Credentials>,
     /// Weighted splits by the name of the route.
     splits: FastMap<Box<str>, WeightedSplit>,
 }
@@ -36,9 +51,10 @@
 impl Routing {
     pub(crate) fn new(config: Arc<Configuration>, rng: &mut SmallRng) -> Self {
         let table = RouteTable::new(&config);
+        let credentials = Credentials::new(&config);
         let splits = config.routes.iter().filter(|route| route.targets.len() > 1);
         let splits = splits.map(|route| (route.name.clone(), WeightedSplit::new(&route.targets, rng))).collect();
-        Self { config, table, splits }
+        Self { config, table, credentials, splits }
     }
 
     pub(crate) fn config(&self) -> &Arc<Configuration> {
@@ -50,28 +66,51 @@
         self.config.number > 0
     }
 
-    /// Selects the service of a request.
-    pub(crate) fn select(&self, head: &RequestHead, dialect: &Dialect) -> Option<SelectedService> {
-        if dialect.selection == ServiceSelection::PathSegment && self.config.routes.is_empty() {
+    /// Determines on whose behalf a request is made.
+    pub(crate) fn authenticate(&self, head: &RequestHead, dialect: &Dialect) -> Result<Identity, UnknownKey> {
+        let Some(credentials) = &self.credentials else { return Ok(Identity::Unchecked) };
+        let is_anonymous = !self.selects_by_path(dialect) && self.route(head).is_some_and(|route| route.is_anonymous);
+        credentials.authenticate(&head.headers, dialect.credential_header.as_ref(), is_anonymous)
+    }
+
+    /// Selects the service of a request. A request without a valid key does not learn which services exist, and does not
+    /// count in the split of a route.
+    pub(crate) fn select(&self, head: &RequestHead, dialect: &Dialect) -> Result<SelectedService, SelectionError> {
+        let identity = self.authenticate(head, dialect).map_err(|UnknownKey| SelectionError::UnknownKey)?;
+        let mut selected = self.select_for(identity, head, dialect).ok_or(SelectionError::UnknownService)?;
+        if let Some(priority) = selected.identity.holder().and_then(|holder| holder.priority) {
+            selected.terms.priority = priority;
+        }
+        Ok(selected)
+    }
+
+    fn select_for(&self, identity: Identity, head: &RequestHead, dialect: &Dialect) -> Option<SelectedService> {
+        if self.selects_by_path(dialect) {
             let path = head.uri.path();
             let service = path.strip_prefix('/').unwrap_or(path).split('/').next().unwrap_or_default();
             let timeout = self.config.services.get(service)?.deadline;
-            return Some(SelectedService {
-                service: service.into(),
-                timeout,
-                terms: CallOptions::default(),
-                kind: None,
-            });
+            let terms = CallOptions::default();
+            return Some(SelectedService { service: service.into(), timeout, terms, kind: None, identity });
         }
-        let host_header = || head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-        let host = head.uri.host().or_else(host_header);
-        let route = self.table.find(host.unwrap_or_default().trim(), head.uri.path())?;
+        let route = self.route(head)?;
         let position = self.splits.get(&route.name).map_or(0, WeightedSplit::next_position);
         Some(SelectedService {
             service: route.targets.get(position)?.service.clone(),
             timeout: route.timeout,
             terms: route.options,
             kind: Some(route.kind),
+            identity,
         })
     }
+
+    fn selects_by_path(&self, dialect: &Dialect) -> bool {
+        dialect.selection == ServiceSelection::PathSegment && self.config.routes.is_empty()
+    }
+
+    /// Returns the route of a request.
+    fn route(&self, head: &RequestHead) -> Option<&Route> {
+        let host_header = || head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+        let host = head.uri.host().or_else(host_header);
+        self.table.find(host.unwrap_or_default().trim(), head.uri.path())
+    }
 }
--- a/crates/proxy/tests/support/platform.rs
+++ b/crates/proxy/tests/support/platform.rs
@@ -19,6 +19,8 @@
     Dialect {
         selection: ServiceSelection::Routes,
         deadline_header: HeaderName::from_static("x-left"),
+        credential_header: Some(HeaderName::from_static("x-key")),
+        customer_header: Some(HeaderName::from_static("x-customer")),
         request_id_header: Some(HeaderName::from_static("x-id")),
         request_id_echo: RequestIdEcho::Required,
         expected_server_header: Some(HeaderName::from_static("x-for")),
