Rank calls by the priorities of customer and route, and serve anonymous routes whatever the key

The priority of a customer decides first, and that of the route between equally ranked customers: if it replaced the route's, look-ups and downloads of customers with the same priority would have the same rank.

An unknown key on an anonymous route no longer gets 401, since the route needs no key.

--- a/crates/proxy/src/credentials.rs
+++ b/crates/proxy/src/credentials.rs
@@ -76,8 +76,8 @@
         Some(Self { holders: holders.collect() })
     }
 
-    /// Determines on whose behalf a request is made. An unknown key is refused on an anonymous route too, as it shows
-    /// that the sender expects to be served as a customer.
+    /// Determines on whose behalf a request is made. An anonymous route needs no key, so that one which is unknown or was
+    /// removed is no reason to refuse the request.
     pub(crate) fn authenticate(
         &self,
         headers: &HeaderMap,
@@ -85,14 +85,15 @@
         is_anonymous: bool,
     ) -> Result<Identity, UnknownKey> {
         let mut values = name.into_iter().flat_map(|name| headers.get_all(name));
-        match (values.next(), values.next()) {
-            (None, _) if is_anonymous => Ok(Identity::Anonymous),
-            (Some(key), None) => {
-                let holder = self.holders.get(&blake3::hash(key.as_bytes()));
-                holder.map(|holder| Identity::Customer(holder.clone())).ok_or(UnknownKey)
-            }
+        let holder = match (values.next(), values.next()) {
+            (Some(key), None) => self.holders.get(&blake3::hash(key.as_bytes())),
             // One of several keys would be chosen arbitrarily.
-            (None, _) | (Some(_), Some(_)) => Err(UnknownKey),
+            (None, _) | (Some(_), Some(_)) => None,
+        };
+        match holder {
+            Some(holder) => Ok(Identity::Customer(holder.clone())),
+            None if is_anonymous => Ok(Identity::Anonymous),
+            None => Err(UnknownKey),
         }
     }
 }
--- a/crates/proxy/src/routing.rs
+++ b/crates/proxy/src/routing.rs
@@ -18,6 +18,9 @@
     std::{sync::Arc, time::Duration},
 };
 
+/// Highest priority that is told apart from lower ones when the priorities of customer and route are combined.
+const MAX_RANKED_PRIORITY: u32 = u16::MAX as u32;
+
 /// Service and options that the configuration assigns to a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct SelectedService {
@@ -37,6 +40,13 @@
     UnknownService,
 }
 
+/// Returns the rank of a call of a customer: the priority of the customer decides, and that of the route between calls of
+/// equally ranked customers.
+fn rank(customer: u32, route: u32) -> u32 {
+    let clamp = |priority: u32| priority.min(MAX_RANKED_PRIORITY);
+    clamp(customer) << u16::BITS | clamp(route)
+}
+
 /// A configuration, prepared for selecting services.
 #[derive(Debug)]
 pub(crate) struct Routing {
@@ -79,7 +89,7 @@
         let identity = self.authenticate(head, dialect).map_err(|UnknownKey| SelectionError::UnknownKey)?;
         let mut selected = self.select_for(identity, head, dialect).ok_or(SelectionError::UnknownService)?;
         if let Some(priority) = selected.identity.holder().and_then(|holder| holder.priority) {
-            selected.terms.priority = priority;
+            selected.terms.priority = rank(priority, selected.terms.priority);
         }
         Ok(selected)
     }
