Estimate work by objective, and keep a slot free for urgent calls

Cause: one mean of work for all calls of a service. Where look-ups of 200 ms that are due in 500 ms share servers with downloads of 400 ms that are due in 4 s, the mean (and the first guess, 0.4 of the objective of whichever call came first) made every look-up that had to wait look late. It then took slow servers, or was refused. And a burst of downloads took every useful slot.

Now the work is estimated for each objective, the first answers count in full, waits in queues use the mean of all calls, and a call whose time left is more than five times its work leaves one slot of a server free while calls of a kind with less than half of its objective arrive.

Ruled out: the retry budget and the hanging servers, whose windows (seconds 13 to 21) are not those of the late look-ups.

--- a/crates/core/src/probing/attempt_end.rs
+++ b/crates/core/src/probing/attempt_end.rs
@@ -139,7 +139,7 @@
         let is_failure = match finish.result {
             AttemptResult::Complete => {
                 server.record_success(now);
-                self.baseline.observe(finish.latency.as_secs_f64(), work_factor, objective);
+                self.baseline.work.observe(finish.latency.as_secs_f64(), work_factor, objective);
                 if server.ejection.is_on_trial() {
                     server.pass_trial();
                     self.servers.reinstate(id);
@@ -154,7 +154,7 @@
             }
             AttemptResult::Shed => server.record_shed(now, finish.report),
             // A deadline that left too little time for the work is no fault of the server.
-            AttemptResult::Timeout if finish.latency.as_secs_f64() < self.baseline.work(objective) => false,
+            AttemptResult::Timeout if finish.latency.as_secs_f64() < self.baseline.work.of(objective) => false,
             AttemptResult::Timeout
             | AttemptResult::ServerError
             | AttemptResult::RefusedBeforeWrite
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -216,6 +216,7 @@
         if !active.call.relayed {
             state.retry_budget.record_request(now);
         }
+        state.baseline.work.record_arrival(now, active.call.options.objective);
         if self.quarantine_wait(now, &active).is_some() {
             return self.reject(now, &active, NotRunReason::Quarantined, actions);
         }
@@ -238,7 +239,7 @@
     /// Returns whether a call may still be answered by its deadline.
     pub(super) fn has_time(&self, now: Instant, active: &ActiveCall) -> bool {
         let Some(state) = self.services.get(&active.service) else { return false };
-        let work = state.baseline.work(active.call.options.objective);
+        let work = state.baseline.work.of(active.call.options.objective);
         let left = active.call.deadline.saturating_duration_since(now).as_secs_f64();
         left >= MIN_WORK_SHARE * work
     }
--- a/crates/core/src/probing/cost.rs
+++ b/crates/core/src/probing/cost.rs
@@ -61,7 +61,7 @@
         let is_cold = now < server.view.ready_since + COLD_PERIOD;
         let work_factor =
             server.slowdown(now, baseline) * busy_factor(load, slots) * if is_cold { COLD_SLOWDOWN } else { 1.0 };
-        let work = baseline.work(active.call.options.objective);
+        let work = baseline.work.of(active.call.options.objective);
         let queue = (load + 1.0 - slots).max(0.0) / slots;
         let round_trip = if server.is_remote { REMOTE_ROUND_TRIP } else { 0.0 };
         let seconds = work * work_factor * (1.0 + queue) + round_trip;
@@ -92,7 +92,7 @@
     /// can find.
     pub(super) fn minimum_loss(now: Instant, active: &ActiveCall, baseline: &Baseline) -> f64 {
         let objective = active.call.options.objective;
-        let seconds = baseline.work(objective);
+        let seconds = baseline.work.of(objective);
         LATE_COST * late_probability(seconds, active.time_to_objective(now).as_secs_f64())
             + LATENCY_COST * seconds / objective.as_secs_f64().max(1e-3)
     }
--- a/crates/core/src/probing/mod.rs
+++ b/crates/core/src/probing/mod.rs
@@ -13,6 +13,7 @@
 mod ejection;
 mod entry_count;
 mod fleet_position;
+mod headroom;
 mod load_sample;
 mod options;
 mod path_monitor;
@@ -30,6 +31,7 @@
 mod stage;
 mod suspects;
 mod waiting;
+mod work_estimate;
 
 pub use {balancer::Balancer, options::BalancerOptions};
 
@@ -37,5 +39,5 @@
     active::ActiveCall, baseline::Baseline, cost::Cost, ejection::Ejection, entry_count::EntryCount,
     fleet_position::FleetPosition, load_sample::LoadSample, path_monitor::PathMonitor, queue::Queue, relays::Relays,
     running_probe::RunningProbe, server::Server, server_limit::ServerLimit, servers::Servers, service::ServiceState,
-    stage::Stage,
+    stage::Stage, work_estimate::WorkEstimate,
 };
--- a/crates/core/src/probing/probe_round.rs
+++ b/crates/core/src/probing/probe_round.rs
@@ -306,7 +306,7 @@
         };
         servers
             .filter(|server| !active.tried.contains(&server.name_hash))
-            .filter(|server| server.is_usable(now) && server.has_room(now, &self.baseline))
+            .filter(|server| server.is_usable(now) && server.has_room_for(now, active, &self.baseline))
             .map(|server| (server, Cost::estimate(now, active, server, &self.baseline)))
             .filter(|(server, cost)| cost.delay <= max_delay || !server.has_recent_report(now))
             .map(|(server, cost)| (server.name_hash, cost))
--- a/crates/core/src/probing/selection.rs
+++ b/crates/core/src/probing/selection.rs
@@ -64,7 +64,7 @@
         let servers = candidates.iter().filter_map(|server| self.servers.get(*server));
         servers
             .filter(|server| !active.tried.contains(&server.name_hash))
-            .filter(|server| server.accepts_trial(now, active) && server.has_room(now, &self.baseline))
+            .filter(|server| server.accepts_trial(now, active) && server.has_room_for(now, active, &self.baseline))
             .map(|server| (server, Cost::estimate(now, active, server, &self.baseline)))
             .find(|(server, cost)| {
                 cost.seconds <= MAX_TRIAL_TIME_SHARE * active.time_to_objective(now).as_secs_f64()
--- a/crates/core/src/probing/service.rs
+++ b/crates/core/src/probing/service.rs
@@ -61,7 +61,7 @@
             return MAX_WAIT;
         }
         let seconds =
-            self.baseline.work(objective) * self.baseline.slowdown * (calls * entries) as f64 / f64::from(slots);
+            self.baseline.work.mean(objective) * self.baseline.slowdown * (calls * entries) as f64 / f64::from(slots);
         Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
     }
 
@@ -78,7 +78,7 @@
         }
         let waiting = (self.queue.len() + 1) * entries;
         let ahead = (load + waiting as f64 - slots).max(0.0);
-        let seconds = RETRY_AFTER_SHARE * self.baseline.work(objective) * self.baseline.slowdown * ahead / slots;
+        let seconds = RETRY_AFTER_SHARE * self.baseline.work.mean(objective) * self.baseline.slowdown * ahead / slots;
         Duration::from_secs_f64((seconds * jitter).min(MAX_RETRY_AFTER.as_secs_f64())).max(MIN_RETRY_AFTER)
     }
 }
--- a/crates/core/src/probing/waiting.rs
+++ b/crates/core/src/probing/waiting.rs
@@ -1,7 +1,7 @@
 //! Calls that wait until a server has room.
 
 use {
-    super::{ActiveCall, Balancer, Cost, Stage, balancer::Timer},
+    super::{ActiveCall, Balancer, Cost, Stage, balancer::Timer, headroom::leaves_headroom},
     crate::{dispatch::DispatchAction, ids::CallId, outcome::NotRunReason, slots::NameHash},
     std::time::{Duration, Instant},
 };
@@ -42,7 +42,7 @@
         state.servers.restore_capacity(now);
         let has_spare_capacity = state.has_spare_capacity(now, &active);
         let objective = active.call.options.objective;
-        let work = state.baseline.work(objective);
+        let work = state.baseline.work.of(objective);
         let last_start =
             |left: Duration, work_factor: f64| now + left.saturating_sub(Duration::from_secs_f64(work * work_factor));
         let mut until = last_start(active.time_to_objective(now), REQUIRED_WORK_FACTOR);
@@ -96,8 +96,9 @@
                     }
                 }
                 // If no server has room for this call, there is none for the next one, unless servers were
-                // excluded that this call has tried. A call that can meet its objective leaves poor servers
+                // excluded that this call has tried, or slots are kept free of it. A call that can meet its objective leaves poor servers
                 // to calls that cannot.
+                None if leaves_headroom(now, active, &state.baseline.work) => {}
                 None if active.tried.is_empty() && active.missed_objective => return,
                 None if active.tried.is_empty() => may_serve_timely = false,
                 None => {}
