--- a/crates/store/src/data_folder.rs
+++ b/crates/store/src/data_folder.rs
@@ -10,12 +10,15 @@
     std::{
         fs::{self, File, OpenOptions, TryLockError},
         io::{ErrorKind as IoErrorKind, Read, Result, Write},
+        os::unix::fs::{OpenOptionsExt, PermissionsExt},
         path::{Path, PathBuf},
     },
 };
 
 /// File that is locked to keep a second process from using the folder.
 const LOCK_FILE: &str = "lock";
+/// Mode of all files: the log and the snapshot contain API keys of customers.
+const FILE_MODE: u32 = 0o600;
 
 /// The data folder in the file system, locked against other processes while this value exists.
 #[derive(Debug)]
@@ -39,10 +42,13 @@
     pub fn open(path: &Path) -> errors::Result<Self> {
         let message = |operation| format!("cannot {operation} the data folder {}", path.display());
         fs::create_dir_all(path).change_context(ErrorKind::Io).attach_with(|| message("create"))?;
-        let lock = OpenOptions::new().create(true).append(true).open(path.join(LOCK_FILE));
+        let lock = OpenOptions::new().create(true).append(true).mode(FILE_MODE).open(path.join(LOCK_FILE));
         let lock = lock.change_context(ErrorKind::Io).attach_with(|| message("open"))?;
         match lock.try_lock() {
-            Ok(()) => Ok(Self { path: path.into(), append_handles: FastMap::default(), _lock: lock }),
+            Ok(()) => {
+                restrict_files(path).change_context(ErrorKind::Io).attach_with(|| message("set the modes in"))?;
+                Ok(Self { path: path.into(), append_handles: FastMap::default(), _lock: lock })
+            }
             Err(TryLockError::WouldBlock) => {
                 Err(errors::unavailable(format!("the data folder {} is in use by another process", path.display())))
             }
@@ -71,7 +77,9 @@
 
     fn create(&mut self, file: &str, data: &[u8]) -> Result<()> {
         self.append_handles.remove(file);
-        File::create(self.path.join(file))?.write_all(data)
+        let mut options = OpenOptions::new();
+        options.write(true).create(true).truncate(true).mode(FILE_MODE);
+        options.open(self.path.join(file))?.write_all(data)
     }
 
     fn append(&mut self, file: &str, data: &[u8]) -> Result<()> {
@@ -101,3 +109,20 @@
         File::open(&self.path)?.sync_all()
     }
 }
+
+/// Sets the mode of the files that are there. Former versions created files that all users could read.
+fn restrict_files(folder: &Path) -> Result<()> {
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        let metadata = entry.metadata()?;
+        if !metadata.is_file() || metadata.permissions().mode() & 0o777 == FILE_MODE {
+            continue;
+        }
+        match fs::set_permissions(entry.path(), fs::Permissions::from_mode(FILE_MODE)) {
+            // A file of another user is not one of the store.
+            Err(error) if error.kind() == IoErrorKind::PermissionDenied => {}
+            result => result?,
+        }
+    }
+    Ok(())
+}
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -275,3 +275,35 @@
     std::fs::remove_file(folder.path().join("log")).unwrap();
     assert_eq!(*open(60).unwrap_err().current_context(), ErrorKind::Corrupt);
 }
+
+/// Guards against API keys in files that other users of the machine can read, also in those that a former version has
+/// written.
+#[test]
+fn files_are_readable_by_their_owner_only() {
+    use std::{fs, os::unix::fs::PermissionsExt};
+    let folder = tempfile::tempdir().unwrap();
+    let write_all = || {
+        let mut opened = Store::open(folder.path(), StoreOptions { wall_clock_ns: 100 }).unwrap();
+        for mut writes in batches() {
+            opened.store.write(&mut writes).unwrap();
+        }
+        opened.store.save_directory(b"servers").unwrap();
+    };
+    let modes = || {
+        let files = fs::read_dir(folder.path()).unwrap().map(Result::unwrap);
+        let mode = |file: fs::DirEntry| (file.file_name(), file.metadata().unwrap().permissions().mode() & 0o7777);
+        files.map(mode).collect::<Vec<_>>()
+    };
+    write_all();
+    let created = modes();
+    assert_eq!(created.len(), 5, "lock, identity, log, snapshot and directory: {created:?}");
+    assert!(created.iter().all(|(_, mode)| *mode == 0o600), "{created:?}");
+    for name in ["lock", "identity", "log", "snapshot", "directory", "log.new", "snapshot.new"] {
+        let path = folder.path().join(name);
+        let file = fs::OpenOptions::new().create(true).append(true).open(path).unwrap();
+        file.set_permissions(fs::Permissions::from_mode(0o644)).unwrap();
+    }
+    Store::open(folder.path(), StoreOptions { wall_clock_ns: 100 }).unwrap();
+    let opened = modes();
+    assert!(opened.len() >= 5 && opened.iter().all(|(_, mode)| *mode == 0o600), "{opened:?}");
+}
