--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -1,6 +1,7 @@
 //! Counters of the HTTP path, and the record of each finished call.
 
 use {
+    crate::customer_refusals::CustomerRefusals,
     error_stack::ResultExt,
     hemlockford_core::{
         errors::{ErrorKind, Result},
@@ -33,6 +34,8 @@
 #[derive(Clone, Debug)]
 pub struct ProxyCounters {
     pub(crate) calls: IntCounterVec,
+    /// Calls of customers with keys that were not run.
+    pub(crate) refusals: CustomerRefusals,
     pub(crate) attempts: IntCounterVec,
     pub(crate) opened: IntCounter,
     pub(crate) reused: IntCounter,
@@ -68,6 +71,11 @@
         };
         Ok(Self {
             calls: vec("hemlockford_calls_total", "Calls by service and outcome.", &["service", "outcome"])?,
+            refusals: CustomerRefusals::new(vec(
+                "hemlockford_customer_refusals_total",
+                "Calls not run, by customer and reason, if customers have keys.",
+                &["customer", "reason"],
+            )?),
             attempts: vec("hemlockford_attempts_total", "Attempts at servers by result.", &["result"])?,
             opened: counter("hemlockford_connections_opened_total", "Connections opened to servers.")?,
             reused: counter("hemlockford_connections_reused_total", "Requests sent on a pooled connection.")?,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 mod counters;
 mod crash_check;
 mod credentials;
+mod customer_refusals;
 mod dialect;
 mod digest;
 mod dispatcher;
--- a/crates/proxy/src/routing.rs
+++ b/crates/proxy/src/routing.rs
@@ -73,6 +73,11 @@
         credentials.authenticate(&head.headers, dialect.credential_header.as_ref(), is_anonymous)
     }
 
+    /// Returns whether requests need a key, except on anonymous routes.
+    pub(crate) fn requires_keys(&self) -> bool {
+        self.credentials.is_some()
+    }
+
     /// Selects the service of a request. A request without a valid key does not learn which services exist, and does not
     /// count in the split of a route.
     pub(crate) fn select(&self, head: &RequestHead, dialect: &Dialect) -> Result<SelectedService, SelectionError> {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -117,6 +117,11 @@
 
     pub(crate) fn record(&self, call: &Call, outcome: Option<Outcome>, latency: Duration, attempts: Duration) {
         self.counters.record(&call.service, outcome, latency, attempts);
+        if let Some(Outcome::NotRun(reason)) = outcome
+            && self.routing.borrow().requires_keys()
+        {
+            self.counters.refusals.record(&call.customer, reason);
+        }
         if let Some(records) = &self.records {
             let record =
                 CallRecord { service: call.service.clone(), customer: call.customer.clone(), latency, outcome };
--- a/crates/proxy/tests/credentials.rs
+++ b/crates/proxy/tests/credentials.rs
@@ -316,6 +316,38 @@
     assert_eq!(caller.response().await.status, 401);
 }
 
+/// Guards against refusals that cannot be told apart by customer, and against a label for each of any number of customers.
+#[actix_rt::test]
+async fn refused_calls_are_counted_by_customer() {
+    let mut script = Script { servers: Vec::new(), ..script(&[support::refused_address()]) };
+    for number in 0..200 {
+        let keys = Some([ApiKey::parse(&format!("key-{number}")).unwrap()].into());
+        script.config.customers.insert(format!("c{number}").into(), Customer { keys, ..Customer::default() });
+    }
+    let proxy = TestProxy::start(script);
+    let refusals = || {
+        let families = proxy.registry.gather();
+        let family = families.into_iter().find(|family| family.name() == "hemlockford_customer_refusals_total");
+        family.map_or(Vec::new(), |mut family| family.take_metric())
+    };
+    for fields in ["x-key: k1\r\n", "x-key: k2\r\n", ""] {
+        assert_eq!(proxy.call(&open(fields)).await.status, 503);
+    }
+    let labels = |metric: &prometheus::proto::Metric| {
+        let labels: Vec<_> = metric.get_label().iter().map(|label| label.value().to_owned()).collect();
+        (labels.join(" "), metric.get_counter().get_value())
+    };
+    let mut counted: Vec<_> = refusals().iter().map(labels).collect();
+    counted.sort_by(|a, b| a.0.cmp(&b.0));
+    assert_eq!(counted, [("(anonymous) no-server".into(), 1.0), ("kovar no-server".into(), 2.0)]);
+    for number in 0..200 {
+        assert_eq!(proxy.call(&look_up(&format!("x-key: key-{number}\r\n"))).await.status, 503);
+    }
+    let counted: Vec<_> = refusals().iter().map(labels).collect();
+    assert_eq!(counted.len(), 129, "customers with a label of their own, and all others");
+    assert!(counted.iter().any(|(labels, count)| labels == "(other) no-server" && *count == 74.0), "{counted:?}");
+}
+
 /// Guards against headers that are changed, and requests that are refused, although no customer has keys.
 #[actix_rt::test]
 async fn without_customers_with_keys_headers_pass_unchanged() {
