Hide configuration texts and commands in Debug output

A panic, an assertion or a log line that shows a message, a command or a stored entry could print the API keys in it.

--- a/crates/core/src/config/checked_config.rs
+++ b/crates/core/src/config/checked_config.rs
@@ -3,6 +3,7 @@
 use {
     super::{ConfigError, Configuration},
     crate::ids::ChangeNumber,
+    derive_more::Debug,
 };
 
 /// The text of a configuration that was parsed without errors. Parsing a long one takes many times as long as any step
@@ -10,6 +11,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CheckedConfig {
     number: ChangeNumber,
+    #[debug("{} bytes", text.len())]
     text: Box<str>,
 }
 
--- a/crates/core/src/consensus/action.rs
+++ b/crates/core/src/consensus/action.rs
@@ -3,6 +3,7 @@
 use {
     super::{Entry, HardState, Message, ProposalResult, Snapshot},
     crate::ids::{InstanceId, LogIndex, Term},
+    derive_more::Debug,
     std::sync::Arc,
 };
 
@@ -63,6 +64,7 @@
         /// Index of its entry. Indexes increase, with gaps where entries carry no command.
         index: LogIndex,
         /// The command.
+        #[debug("{} bytes", command.len())]
         command: Arc<[u8]>,
     },
     /// Answer a proposal or a read. The answer to a proposal follows the `Apply` of its command.
--- a/crates/core/src/consensus/entry.rs
+++ b/crates/core/src/consensus/entry.rs
@@ -3,6 +3,7 @@
 use {
     super::Member,
     crate::ids::{LogIndex, Term},
+    derive_more::Debug,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -29,7 +30,7 @@
     /// Makes the given incarnation of a replica a voter.
     Admit(Member),
     /// A command for the replicated state machine, opaque to consensus.
-    Command(Arc<[u8]>),
+    Command(#[debug("{} bytes", _0.len())] Arc<[u8]>),
     /// Removes the given replica from the voters.
     Remove(Member),
 }
--- a/crates/core/src/consensus/event.rs
+++ b/crates/core/src/consensus/event.rs
@@ -3,6 +3,7 @@
 use {
     super::Message,
     crate::ids::{InstanceId, LogIndex},
+    derive_more::Debug,
     std::sync::Arc,
 };
 
@@ -23,6 +24,7 @@
         /// Identifier that the answer repeats, unique within one run of the process.
         id: u64,
         /// The command.
+        #[debug("{} bytes", command.len())]
         command: Arc<[u8]>,
     },
     /// Read the last committed state. The read is answered once a majority has confirmed that this replica was the
@@ -41,6 +43,7 @@
         /// Last entry that the data covers.
         index: LogIndex,
         /// The data.
+        #[debug("{} bytes", data.len())]
         data: Arc<[u8]>,
     },
     /// The process is about to stop as planned: transfer leadership and stop standing for election.
--- a/crates/core/src/consensus/message.rs
+++ b/crates/core/src/consensus/message.rs
@@ -3,6 +3,7 @@
 use {
     super::{Entry, GroupProposal, Members},
     crate::ids::{Incarnation, InstanceId, LogIndex, Term},
+    derive_more::Debug,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -103,6 +104,7 @@
         /// Offset of this piece in the data.
         offset: u64,
         /// Data of the piece.
+        #[debug("{} bytes", piece.len())]
         piece: Arc<[u8]>,
     },
     /// Response to `SnapshotPiece`.
--- a/crates/core/src/consensus/snapshot.rs
+++ b/crates/core/src/consensus/snapshot.rs
@@ -3,6 +3,7 @@
 use {
     super::Members,
     crate::ids::{LogIndex, Term},
+    derive_more::Debug,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -17,5 +18,6 @@
     /// Members as of that entry.
     pub members: Members,
     /// Data of the state machine, opaque to consensus.
+    #[debug("{} bytes", data.len())]
     pub data: Arc<[u8]>,
 }
--- a/crates/core/src/consensus/snapshot_transfer.rs
+++ b/crates/core/src/consensus/snapshot_transfer.rs
@@ -6,6 +6,7 @@
         WriteEffect,
     },
     crate::ids::{Incarnation, InstanceId, LogIndex, Term},
+    derive_more::Debug,
     std::sync::Arc,
 };
 
@@ -16,6 +17,7 @@
     pub term: Term,
     pub members: Members,
     pub total: u64,
+    #[debug("{} bytes", data.len())]
     pub data: Vec<u8>,
 }
 
--- a/crates/core/src/control/event.rs
+++ b/crates/core/src/control/event.rs
@@ -7,6 +7,7 @@
         ledger::{ClaimKey, ContentDigest, Holder, SettledOutcome},
         registry::Announcement,
     },
+    derive_more::Debug,
     std::time::Instant,
 };
 
@@ -27,6 +28,7 @@
         /// Identifier that the answer repeats, unique within one run of the process.
         request: u64,
         /// Source text of the configuration.
+        #[debug("{} bytes", text.len())]
         text: Box<str>,
     },
     /// A request with an idempotency key is to be sent.
--- a/crates/core/src/control/message.rs
+++ b/crates/core/src/control/message.rs
@@ -8,6 +8,7 @@
         membership::Heartbeat,
         registry::Record,
     },
+    derive_more::Debug,
     serde::{Deserialize, Serialize},
 };
 
@@ -60,6 +61,7 @@
         /// Number of the change.
         number: ChangeNumber,
         /// Source text of the configuration.
+        #[debug("{} bytes", text.len())]
         text: Box<str>,
     },
     /// Asks for a committed change.
--- a/crates/core/src/control/request.rs
+++ b/crates/core/src/control/request.rs
@@ -5,6 +5,7 @@
         ids::{ChangeNumber, Incarnation, InstanceId},
         ledger::{ClaimKey, ContentDigest, Holder, LedgerOutcome, SettledOutcome},
     },
+    derive_more::Debug,
     serde::{Deserialize, Serialize},
 };
 
@@ -28,6 +29,7 @@
         /// Number of the change.
         number: ChangeNumber,
         /// Source text of the configuration.
+        #[debug("{} bytes", text.len())]
         text: Box<str>,
     },
     /// Claims a key.
--- a/crates/core/src/fleet/answer.rs
+++ b/crates/core/src/fleet/answer.rs
@@ -7,6 +7,7 @@
         ids::ChangeNumber,
         ledger::{ContentDigest, MAX_SUBMIT_BYTES},
     },
+    derive_more::Debug,
 };
 
 /// Result of a request.
@@ -44,6 +45,7 @@
         /// Number of the change.
         number: ChangeNumber,
         /// Configuration text.
+        #[debug("{} bytes", text.len())]
         text: Box<str>,
     },
     /// No change has been accepted yet.
--- a/crates/core/src/fleet/config_update.rs
+++ b/crates/core/src/fleet/config_update.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{collections::FastMap, config::MAX_CONFIG_BYTES, ids::ChangeNumber},
+    derive_more::Debug,
     miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit},
     serde::{Deserialize, Serialize},
 };
@@ -22,7 +23,7 @@
         count: u32,
     },
     /// Inserts new lines.
-    Insert(Box<str>),
+    Insert(#[debug("{} bytes", _0.len())] Box<str>),
 }
 
 /// An update of the configuration text that an entry has to a newer one. Its size depends on what has changed, so that
@@ -34,6 +35,7 @@
     /// Number of the change whose text is updated; 0 for the empty text.
     pub base: ChangeNumber,
     /// Compressed steps.
+    #[debug("{} bytes", steps.len())]
     steps: Box<[u8]>,
     /// Checksum (CRC-32) of the new text.
     checksum: u32,
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -9,6 +9,7 @@
         ledger::ContentDigest,
         quarantine::SuspectRecord,
     },
+    derive_more::Debug,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -256,6 +257,7 @@
         /// Number of the change.
         number: ChangeNumber,
         /// Configuration text.
+        #[debug("{} bytes", text.len())]
         text: Box<str>,
     },
     /// Records that an incarnation of a server no longer accepts requests.
@@ -290,6 +292,7 @@
         /// Number of the change.
         number: ChangeNumber,
         /// Configuration text.
+        #[debug("{} bytes", text.len())]
         text: Box<str>,
     },
 }
--- a/crates/core/src/fleet/replica/recent_configs.rs
+++ b/crates/core/src/fleet/replica/recent_configs.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{collections::FastMap, fleet::ConfigUpdate, ids::ChangeNumber},
+    derive_more::Debug,
     std::{collections::VecDeque, sync::Arc},
 };
 
@@ -15,6 +16,7 @@
 #[derive(Debug, Default)]
 pub(super) struct RecentConfigs {
     /// The newest text and those before it, oldest first.
+    #[debug("{} texts", texts.len())]
     texts: VecDeque<(ChangeNumber, Arc<str>)>,
     updates: FastMap<ChangeNumber, ConfigUpdate>,
 }
--- a/crates/core/src/ledger/changes.rs
+++ b/crates/core/src/ledger/changes.rs
@@ -3,6 +3,7 @@
 use {
     super::{ContentDigest, SubmitOutcome},
     crate::ids::ChangeNumber,
+    derive_more::Debug,
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
@@ -15,6 +16,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Changes {
     pub(super) number: ChangeNumber,
+    #[debug("{} bytes", text.len())]
     pub(super) text: Box<str>,
     digests: BTreeMap<ChangeNumber, ContentDigest>,
 }
--- a/crates/core/src/ledger/command.rs
+++ b/crates/core/src/ledger/command.rs
@@ -8,6 +8,7 @@
         errors::{Result, corrupt, limit},
         ids::{ChangeNumber, ServerId},
     },
+    derive_more::Debug,
     serde::{Deserialize, Serialize},
 };
 
@@ -32,6 +33,7 @@
         /// Number of the change.
         number: ChangeNumber,
         /// The validated configuration.
+        #[debug("{} bytes", text.len())]
         text: Box<str>,
     },
     /// Claims an idempotency key for one attempt.
--- a/crates/instance/src/fleet/interface.rs
+++ b/crates/instance/src/fleet/interface.rs
@@ -3,6 +3,7 @@
 use {
     actix_http::{Method, StatusCode},
     bytes::Bytes,
+    derive_more::Debug,
     hemlockford_core::{
         fleet::{ReplicaAnswer, ServerRecord},
         ids::ServerId,
@@ -39,7 +40,7 @@
         incarnation: Option<u64>,
     },
     /// An operator submits a configuration.
-    Submit(Box<str>),
+    Submit(#[debug("{} bytes", _0.len())] Box<str>),
     /// An operator reads the current configuration.
     Read,
 }
@@ -52,5 +53,6 @@
     /// Content type of the body.
     pub content_type: &'static str,
     /// Body.
+    #[debug("{} bytes", body.len())]
     pub body: Bytes,
 }
