--- a/crates/core/tests/fleet_support/faults.rs
+++ b/crates/core/tests/fleet_support/faults.rs
@@ -111,6 +111,7 @@
             ready_at: None,
             entries: 0,
             position: None,
+            customers: FastMap::default(),
             suspects: Vec::new(),
             relays: Vec::new(),
             switches: Vec::new(),
@@ -138,6 +139,7 @@
         };
         node.link = Some(EntryLink::new(at, options, rng));
         (node.is_frozen, node.wake_at, node.change, node.is_ready) = (false, None, 0, false);
+        node.customers.clear();
         (node.disturbed_at, node.ready_at) = (now, None);
         node.waiting.clear();
         node.servers.clear();
--- a/crates/core/tests/fleet_support/node.rs
+++ b/crates/core/tests/fleet_support/node.rs
@@ -4,9 +4,10 @@
     super::disk::Disk,
     hemlockford_core::{
         collections::{FastMap, FastSet},
+        config::Customer,
         dispatch::{RelayAddress, ServerView},
         fleet::{EntryEvent, EntryLink, Replica, ReplicaEvent},
-        ids::ServiceId,
+        ids::{CustomerId, ServiceId},
         quarantine::SuspectRecord,
     },
     std::time::Duration,
@@ -40,6 +41,8 @@
     pub waiting: Vec<EntryEvent>,
     pub wake_at: Option<Duration>,
     pub change: u64,
+    /// Customers of that change.
+    pub customers: FastMap<CustomerId, Customer>,
     pub servers: FastMap<ServiceId, Vec<ServerView>>,
     /// All servers used since the start.
     pub seen: FastSet<Box<str>>,
--- a/crates/core/tests/fleet_support/world.rs
+++ b/crates/core/tests/fleet_support/world.rs
@@ -312,9 +312,10 @@
         for action in actions {
             match action {
                 EntryAction::Send { to, message } => self.send(&name, incarnation, &to, message),
-                EntryAction::Configure(text) => {
-                    let held = std::mem::replace(&mut self.entries[index].change, text.number);
-                    assert!(held < text.number, "seed {}: {name} reverted to change {}", self.seed, text.number);
+                EntryAction::Configure(config) => {
+                    let held = std::mem::replace(&mut self.entries[index].change, config.number);
+                    assert!(held < config.number, "seed {}: {name} reverted to change {}", self.seed, config.number);
+                    self.entries[index].customers = config.customers.clone();
                 }
                 EntryAction::ServersChanged(service, views) => self.set_servers(index, service, views),
                 EntryAction::LiveEntries(entries) => self.entries[index].entries = entries,
