--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -12,6 +12,7 @@
 mod configuration;
 mod customer;
 mod dependency_graph;
+mod level;
 mod limits;
 mod line_index;
 mod measure;
@@ -28,10 +29,23 @@
 mod write;
 
 pub use {
-    api_key::ApiKey, balancing_policy::BalancingPolicy, checked_config::CheckedConfig, claims::ClaimsConfig,
-    config_error::ConfigError, configuration::Configuration, customer::Customer, limits::Limits,
-    measure::MeasureConfig, objective::Objective, route::Route, route_kind::RouteKind, route_table::RouteTable,
-    route_target::RouteTarget, service::Service, warm_up::WarmUp,
+    api_key::ApiKey,
+    balancing_policy::BalancingPolicy,
+    checked_config::CheckedConfig,
+    claims::ClaimsConfig,
+    config_error::ConfigError,
+    configuration::Configuration,
+    customer::Customer,
+    level::{FORMER_LEVEL, LEVEL, required_level},
+    limits::Limits,
+    measure::MeasureConfig,
+    objective::Objective,
+    route::Route,
+    route_kind::RouteKind,
+    route_table::RouteTable,
+    route_target::RouteTarget,
+    service::Service,
+    warm_up::WarmUp,
 };
 
 /// Maximum number of services in a chain of dependencies.
--- a/crates/core/src/fleet/answer.rs
+++ b/crates/core/src/fleet/answer.rs
@@ -12,7 +12,7 @@
 /// Result of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReplicaAnswer {
-    /// The announcement was accepted, or the departure is committed, or it concerns a server that no machine can use.
+    /// The announcement was accepted, or the departure or the order for a data centre is committed, or it concerns a server that no machine can use.
     Acknowledged,
     /// The change is committed.
     Accepted {
@@ -48,6 +48,8 @@
     },
     /// No change has been accepted yet.
     NoChange,
+    /// The data centre of an order is not one of those in the settings, or its name has no permitted length.
+    UnknownDataCentre,
     /// The result is not known in time. A change or departure may still be committed later.
     Unavailable,
 }
--- a/crates/core/src/fleet/bounds.rs
+++ b/crates/core/src/fleet/bounds.rs
@@ -48,7 +48,7 @@
             FleetMessage::Poll(poll) => {
                 self.retain(&mut poll.leaving, MAX_LEAVING, |(server, _)| server_name(server));
             }
-            FleetMessage::Consensus(_) | FleetMessage::Outdated(_) => {}
+            FleetMessage::Consensus(_) | FleetMessage::Outdated(_) | FleetMessage::Capabilities { .. } => {}
             FleetMessage::PollResponse(response) => {
                 self.replicas(&mut response.replicas);
                 self.data_centre(&mut response.data_centre);
@@ -89,6 +89,9 @@
                 Request::Submit { text, .. } => self.require(BoundedPart::Configuration, text.len(), MAX_CONFIG_BYTES),
                 Request::Depart { server, .. } => self.require(BoundedPart::ServerName, server.len(), MAX_NAME_BYTES),
                 Request::Read => {}
+                Request::Evacuate { data_centre, .. } => {
+                    self.require(BoundedPart::DataCentreName, data_centre.len(), MAX_NAME_BYTES);
+                }
             },
             FleetMessage::Reply { reply, .. } => {
                 if let Reply::Current { text, .. } = reply {
--- a/crates/core/src/fleet/directory/machine.rs
+++ b/crates/core/src/fleet/directory/machine.rs
@@ -5,7 +5,7 @@
     crate::{
         collections::{FastMap, FastSet},
         fleet::{FleetLogEvent, ReceivedRecord, Renewal, ServerRecord, UsableServer},
-        ids::{InstanceId, ServerId, ServiceId},
+        ids::{DataCentreId, InstanceId, ServerId, ServiceId},
     },
     std::{
         collections::VecDeque,
@@ -38,6 +38,8 @@
     addresses: FastMap<SocketAddr, ServerId>,
     /// Services that the configuration names.
     services: FastSet<ServiceId>,
+    /// Data centres whose servers entries do not use.
+    evacuated: FastSet<DataCentreId>,
     tombstones: Tombstones,
     bytes: usize,
     revision: u64,
@@ -150,6 +152,7 @@
             received_by,
             warm_until: received_at + record.warm_up.min(MAX_WARM_UP),
             is_departed: departed.is_some_and(|departed| record.incarnation <= departed),
+            is_evacuated: self.evacuated.contains(&record.data_centre),
             is_restored: false,
             record,
         };
@@ -226,6 +229,25 @@
         self.record_change(server.clone());
     }
 
+    /// Sets whether entries use the servers of a data centre. Their records are kept and renewed meanwhile, so that
+    /// entries get all of them back at once.
+    pub(in crate::fleet) fn set_evacuated(&mut self, data_centre: &DataCentreId, is_evacuated: bool) {
+        match is_evacuated {
+            true => drop(self.evacuated.insert(data_centre.clone())),
+            false => drop(self.evacuated.remove(data_centre)),
+        }
+        let mut changed = Vec::new();
+        for (server, stored) in self.records.iter_mut().filter(|(_, stored)| stored.record.data_centre == *data_centre)
+        {
+            let was_usable = stored.is_usable();
+            stored.is_evacuated = is_evacuated;
+            if stored.is_usable() != was_usable {
+                changed.push(server.clone());
+            }
+        }
+        changed.into_iter().for_each(|server| self.record_change(server));
+    }
+
     /// Removes servers that have not announced themselves to any replica within `timeout`. Those for which `is_kept`
     /// holds are removed only after [`MAX_SERVER_SILENCE`].
     pub(in crate::fleet) fn remove_timed_out(
--- a/crates/core/src/fleet/directory/stored_record.rs
+++ b/crates/core/src/fleet/directory/stored_record.rs
@@ -23,13 +23,15 @@
     pub(super) received_by: InstanceId,
     pub(super) warm_until: Instant,
     pub(super) is_departed: bool,
+    /// Whether its data centre is evacuated.
+    pub(super) is_evacuated: bool,
     /// Whether the record comes from the saved directory of an earlier run and has not been confirmed since.
     pub(super) is_restored: bool,
 }
 
 impl StoredRecord {
     pub(super) fn is_usable(&self) -> bool {
-        !self.is_departed && !self.record.is_draining
+        !self.is_departed && !self.is_evacuated && !self.record.is_draining
     }
 
     pub(super) fn is_received_within(&self, now: Instant, time: Duration) -> bool {
--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -1,9 +1,12 @@
 //! State machine of an entry's link to the replicas.
 
 use {
-    super::{EntryAction, EntryEvent, EntryOptions, KnownReplicas, MissingChange, ReplicaSearch, SentPolls, ServerSet},
+    super::{
+        EntryAction, EntryEvent, EntryOptions, KnownReplicas, MissingChange, ReplicaSearch, SentPolls, ServerSet,
+        Statements,
+    },
     crate::{
-        config::Configuration,
+        config::{Configuration, LEVEL},
         fleet::{
             ConfigUpdate, DirectoryRevision, FleetLogEvent, FleetMessage, Poll, PollResponse, Servers, bounds::Bounds,
         },
@@ -59,6 +62,8 @@
     replica: Option<InstanceId>,
     /// First poll sent to the replica in use. Full directories are only accepted in answer to this or a later poll.
     min_poll: u64,
+    /// Statements of what this entry reads to the replica in use.
+    statements: Statements,
     /// Send time of the last poll that the replica in use answered as current.
     last_current_at: Option<Instant>,
     search: Option<ReplicaSearch>,
@@ -93,6 +98,7 @@
             servers: ServerSet::default(),
             replica: None,
             min_poll: first,
+            statements: Statements::default(),
             last_current_at: None,
             search: Some(ReplicaSearch::new(now, now + FAST_SEARCH_AFTER_START)),
             started: now,
@@ -216,6 +222,10 @@
             suspects: self.suspects.digest(),
             relay: self.options.relay,
         };
+        if !is_probe && self.statements.is_due() {
+            let message = FleetMessage::Capabilities { level: LEVEL };
+            out.push(EntryAction::Send { to: to.clone(), message });
+        }
         out.push(EntryAction::Send { to, message: FleetMessage::Poll(poll) });
     }
 
@@ -227,6 +237,7 @@
         }
         self.replica = Some(name.clone());
         self.min_poll = self.polls.next_sequence();
+        self.statements = Statements::default();
         self.required_change = None;
         // The first poll is sent immediately to request the directory.
         self.next_poll = now;
@@ -241,6 +252,9 @@
         message: FleetMessage,
         out: &mut Vec<EntryAction>,
     ) {
+        if self.replica.as_ref() == Some(&from) {
+            self.statements.record_incarnation(incarnation);
+        }
         match message {
             FleetMessage::PollResponse(response) => self.handle_poll_response(now, from, response, out),
             // A committed change is the same on every replica, so the sender does not matter.
@@ -255,7 +269,8 @@
             | FleetMessage::RecordRequest(_)
             | FleetMessage::Request { .. }
             | FleetMessage::Reply { .. }
-            | FleetMessage::Outdated(_) => {}
+            | FleetMessage::Outdated(_)
+            | FleetMessage::Capabilities { .. } => {}
         }
         self.check_ready(out);
     }
--- a/crates/core/src/fleet/entry/mod.rs
+++ b/crates/core/src/fleet/entry/mod.rs
@@ -10,11 +10,12 @@
 mod search;
 mod sent_polls;
 mod server_set;
+mod statements;
 mod suspects;
 
 use {
     known_replicas::KnownReplicas, missing_change::MissingChange, search::ReplicaSearch, sent_polls::SentPolls,
-    server_set::ServerSet,
+    server_set::ServerSet, statements::Statements,
 };
 
 pub use {action::EntryAction, event::EntryEvent, machine::EntryLink, options::EntryOptions};
--- a/crates/core/src/fleet/log_event.rs
+++ b/crates/core/src/fleet/log_event.rs
@@ -3,7 +3,7 @@
 use {
     super::{OutOfBounds, RecordError},
     crate::{
-        ids::{ChangeNumber, Incarnation, InstanceId, ServerId, ServiceId, Term},
+        ids::{ChangeNumber, DataCentreId, Incarnation, InstanceId, ServerId, ServiceId, Term},
         quarantine::RequestFingerprint,
     },
     derive_more::Display,
@@ -86,4 +86,31 @@
     /// The entry has no contact with a current replica and keeps its present configuration and servers.
     #[display("no contact with a current replica")]
     NoCurrentReplica,
+    /// The evacuation of a data centre is committed.
+    #[display("evacuation of data centre {_0} began")]
+    EvacuationStarted(DataCentreId),
+    /// The end of the evacuation of a data centre is committed.
+    #[display("evacuation of data centre {_0} ended")]
+    EvacuationEnded(DataCentreId),
+    /// An order for a data centre was not carried out.
+    #[display("order to {} the evacuation of data centre {data_centre} not carried out: {reason}", if *is_active { "begin" } else { "end" })]
+    EvacuationRefused {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Whether the order is to evacuate it.
+        is_active: bool,
+        /// Why it was not carried out.
+        reason: &'static str,
+    },
+    /// A request waits because instances do not state that they read what it would put into the log.
+    #[display("requests wait for instances that do not state level {level}: {instances}")]
+    CapabilitiesMissing {
+        /// The level that they need.
+        level: u32,
+        /// The instances, separated by commas. A replica is named for the entries that poll it too.
+        instances: Box<str>,
+    },
+    /// The request of an operator that waited for instances is no longer held back.
+    #[display("all instances state the level that the requests need")]
+    CapabilitiesComplete,
 }
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -52,6 +52,12 @@
     Outdated(Incarnation),
     /// Requests under which servers ended.
     Suspects(Suspects),
+    /// States which configurations and commands the sender reads; an instance that does not send it reads those of
+    /// level 1.
+    Capabilities {
+        /// Level of an entry, or the lowest level of a replica and the entries that poll it.
+        level: u32,
+    },
 }
 
 /// Requests updates from a replica; sent by an entry.
@@ -270,6 +276,18 @@
     },
     /// Asks for the newest change.
     Read,
+    /// Orders that the servers of a data centre get no calls, or withdraws such an order.
+    Evacuate {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Whether its servers get no calls.
+        is_active: bool,
+        /// Index of the last order for the data centre that the sender had applied when it received this one. The order
+        /// is not carried out if a later one was recorded: it may be a late copy.
+        known: LogIndex,
+        /// Wall clock time at the first receiver, in Unix milliseconds.
+        wall_ms: u64,
+    },
 }
 
 /// Answer of the leader to a forwarded request.
@@ -292,4 +310,8 @@
         /// Configuration text.
         text: Box<str>,
     },
+    /// The order to evacuate a data centre, or its withdrawal, is committed.
+    Evacuated,
+    /// The request was not carried out and may be sent again.
+    Unavailable,
 }
--- a/crates/core/src/fleet/replica/entry_updates.rs
+++ b/crates/core/src/fleet/replica/entry_updates.rs
@@ -33,10 +33,12 @@
             poll.known.filter(|known| known.incarnation == self.options.incarnation && known.revision <= revision);
         let mut include_names = poll.is_probe || poll.sequence.is_multiple_of(REPLICA_NAMES_INTERVAL);
         let (mut install, mut should_send_full, mut is_subscribed) = (None, false, false);
+        let mut is_new_subscriber = false;
         if !poll.is_probe
             && let Some((subscriber, is_new)) = self.subscribers.record_poll(now, &from, incarnation, &poll, known)
         {
             include_names |= is_new;
+            is_new_subscriber = is_new;
             is_subscribed = true;
             if poll.change < change {
                 self.recent_configs.record(change, self.ledger.config_text());
@@ -50,6 +52,9 @@
             };
             should_send_full = needs_full && is_current && subscriber.should_send_full(now);
         }
+        if is_new_subscriber {
+            self.announce_level(now, false, out);
+        }
         if !poll.is_probe {
             self.relays.record(now, &from, poll.relay, true);
             self.compare_suspects(now, from.clone(), poll.suspects, out);
--- a/crates/core/src/fleet/replica/event.rs
+++ b/crates/core/src/fleet/replica/event.rs
@@ -3,7 +3,7 @@
 use crate::{
     config::CheckedConfig,
     fleet::{FleetMessage, ServerRecord},
-    ids::{Incarnation, InstanceId, ServerId},
+    ids::{DataCentreId, Incarnation, InstanceId, ServerId},
 };
 
 /// An input event of a replica. Each `id` is unique within one run of the process and is answered exactly once.
@@ -53,6 +53,19 @@
         /// Number that the answer repeats.
         id: u64,
     },
+    /// An operator orders that the servers of a data centre get no calls, or withdraws such an order.
+    Evacuate {
+        /// Number that the answer repeats.
+        id: u64,
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Whether its servers get no calls.
+        is_active: bool,
+        /// Wall clock in Unix milliseconds.
+        wall_ms: u64,
+    },
+    /// The data centres in the settings have changed.
+    DataCentres(Vec<DataCentreId>),
     /// The seeds in the settings have changed.
     Seeds(Vec<InstanceId>),
     /// Every write up to this sequence number is durable.
--- a/crates/core/src/fleet/replica/exchange.rs
+++ b/crates/core/src/fleet/replica/exchange.rs
@@ -187,7 +187,9 @@
         self.next_status_request += 1;
         self.peers.record_request(now, &to, number);
         let request = StatusRequest { number, include_records, data_centre: self.options.data_centre.clone() };
-        out.push(ReplicaAction::Send { to, message: FleetMessage::StatusRequest(request) });
+        out.push(ReplicaAction::Send { to: to.clone(), message: FleetMessage::StatusRequest(request) });
+        let message = FleetMessage::Capabilities { level: self.own_level(now) };
+        out.push(ReplicaAction::Send { to, message });
     }
 
     pub(super) fn handle_status_request(
@@ -211,7 +213,10 @@
             replicas,
             records: (request.include_records && is_complete).then(|| self.directory.all_records(now)),
         };
-        out.push(ReplicaAction::Send { to: from, message: FleetMessage::StatusResponse(response) });
+        out.push(ReplicaAction::Send { to: from.clone(), message: FleetMessage::StatusResponse(response) });
+        // The leader asks again those whose statement it lacks.
+        let message = FleetMessage::Capabilities { level: self.own_level(now) };
+        out.push(ReplicaAction::Send { to: from, message });
     }
 
     pub(super) fn handle_status_response(
--- a/crates/core/src/fleet/replica/log_driver.rs
+++ b/crates/core/src/fleet/replica/log_driver.rs
@@ -1,7 +1,7 @@
 //! Drives consensus and applies committed entries.
 
 use {
-    super::{Replica, ReplicaAction},
+    super::{Replica, ReplicaAction, evacuations::evacuated},
     crate::{
         config::Configuration,
         consensus::{ConsensusAction, ConsensusEvent, Write},
@@ -69,6 +69,7 @@
             _ => None,
         };
         let change = self.ledger.change_number();
+        let evacuated_before = evacuated(&self.ledger);
         let previous = server.as_deref().and_then(|server| self.ledger.departed_incarnation(server));
         let outcome = self.ledger.apply_bytes(index, bytes);
         if outcome == LedgerOutcome::Malformed {
@@ -78,6 +79,7 @@
         if self.ledger.change_number() > change {
             self.directory.set_services(Configuration::service_names(self.ledger.config_text()));
         }
+        self.apply_evacuations(&evacuated_before, out);
         // Earlier versions recorded the departure of any name. Instances that run one drop a message which contains a
         // name that no record can have.
         if let Some(server) = server.filter(|server| is_server_name(server))
@@ -105,7 +107,9 @@
         for (server, incarnation) in departures.into_iter().rev() {
             self.recent_departures.add(now, server, incarnation);
         }
+        let evacuated_before = evacuated(&self.ledger);
         self.ledger = ledger;
+        self.apply_evacuations(&evacuated_before, out);
         self.directory.set_services(Configuration::service_names(self.ledger.config_text()));
         self.answer_applied(out);
     }
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        LeaderContact, Operations, Peers, PendingDeparture, PendingRequests, RecentConfigs, RecentDepartures, Relays,
-        ReplicaAction, ReplicaEvent, ReplicaOptions, Subscribers,
+        Capabilities, LeaderContact, Operations, Peers, PendingDeparture, PendingRequests, RecentConfigs,
+        RecentDepartures, Relays, ReplicaAction, ReplicaEvent, ReplicaOptions, Subscribers,
     },
     crate::{
         collections::{FastMap, FastSet},
@@ -97,6 +97,8 @@
     pub(super) next_batch_number: u64,
     /// Requests under which servers ended, as far as this replica knows.
     pub(super) suspects: SuspectTable,
+    /// What the other instances read.
+    pub(super) capabilities: Capabilities,
     next_tick: Instant,
     next_batch: Instant,
     /// Directory revision that was saved last.
@@ -160,6 +162,7 @@
             relays: Relays::default(),
             next_batch_number: 0,
             suspects: SuspectTable::default(),
+            capabilities: Capabilities::default(),
             next_tick: now,
             next_batch: now,
             saved_revision: 0,
@@ -205,6 +208,10 @@
                 self.depart(now, id, server, incarnation, wall_ms, out);
             }
             ReplicaEvent::Submit { id, config } => self.submit(now, id, config, out),
+            ReplicaEvent::Evacuate { id, data_centre, is_active, wall_ms } => {
+                self.evacuate(now, id, (data_centre, is_active), wall_ms, out);
+            }
+            ReplicaEvent::DataCentres(data_centres) => self.options.data_centres = data_centres,
             ReplicaEvent::Read { id } => self.enqueue_request(now, id, Request::Read, out),
             ReplicaEvent::Seeds(seeds) => {
                 self.options.seeds = seeds;
@@ -290,7 +297,11 @@
         if let FleetMessage::Poll(poll) = message {
             return self.handle_poll(now, from, incarnation, poll, out);
         }
-        // Suspects come from entries too, which are not recorded as peers.
+        // Capabilities and suspects come from entries too, which are not recorded as peers.
+        if let FleetMessage::Capabilities { level } = message {
+            self.capabilities.record(now, from, incarnation, level);
+            return self.announce_level(now, false, out);
+        }
         if let FleetMessage::Suspects(suspects) = message {
             return self.handle_suspects(now, &from, suspects, out);
         }
@@ -333,7 +344,8 @@
             | FleetMessage::Install(_)
             | FleetMessage::Servers(_)
             | FleetMessage::Suspects(_)
-            | FleetMessage::Outdated(_) => {}
+            | FleetMessage::Outdated(_)
+            | FleetMessage::Capabilities { .. } => {}
         }
     }
 
@@ -354,6 +366,8 @@
         self.subscribers.remove_inactive(now);
         self.relays.remove_inactive(now);
         self.suspects.remove_expired(now);
+        self.remove_inactive_statements(now);
+        self.announce_level(now, true, out);
         self.send_batch(now, out);
         if self.is_directory_complete() {
             self.remove_timed_out(now, out);
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -1,7 +1,9 @@
 //! Replica of a fleet: the replicated log with the ledger, the directory of servers, and the entries that poll it.
 
 mod action;
+mod capabilities;
 mod entry_updates;
+mod evacuations;
 mod event;
 mod exchange;
 mod leader_contact;
@@ -21,6 +23,7 @@
 mod suspects;
 
 use {
+    capabilities::Capabilities,
     leader_contact::LeaderContact,
     operations::{Operation, Operations, Origin},
     peers::Peers,
--- a/crates/core/src/fleet/replica/operations.rs
+++ b/crates/core/src/fleet/replica/operations.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     collections::{FastMap, FastSet},
-    ids::{ChangeNumber, Incarnation, InstanceId},
+    ids::{ChangeNumber, DataCentreId, Incarnation, InstanceId},
     ledger::ContentDigest,
 };
 
@@ -25,6 +25,10 @@
     Depart,
     /// Read the newest change.
     Read,
+    /// Propose an order for a data centre.
+    Evacuate(DataCentreId),
+    /// Look up whether a data centre is in the ordered state.
+    LookUpEvacuation(DataCentreId, bool),
 }
 
 /// Requests that this replica processes as the leader.
@@ -49,6 +53,12 @@
         self.next
     }
 
+    /// Returns whether an order for a data centre is proposed and its outcome not yet known.
+    pub(super) fn is_ordered(&self, data_centre: &str) -> bool {
+        let mut operations = self.operations.values();
+        operations.any(|(_, operation)| matches!(operation, Operation::Evacuate(other) if **other == *data_centre))
+    }
+
     pub(super) fn take(&mut self, id: u64) -> Option<(Origin, Operation)> {
         let (origin, operation) = self.operations.remove(&id)?;
         self.origins.remove(&origin);
--- a/crates/core/src/fleet/replica/options.rs
+++ b/crates/core/src/fleet/replica/options.rs
@@ -19,6 +19,8 @@
     pub data_centre: DataCentreId,
     /// Replicas named in the settings. At the first start they form the initial group.
     pub seeds: Vec<InstanceId>,
+    /// Data centres for which orders are accepted; empty for any.
+    pub data_centres: Vec<DataCentreId>,
     /// Whether the fleet is started for the first time.
     pub first_start: bool,
     /// Target number of voters.
@@ -41,6 +43,7 @@
             incarnation: 1,
             data_centre: DataCentreId::default(),
             seeds: Vec::new(),
+            data_centres: Vec::new(),
             first_start: false,
             voters: 3,
             // A follower misses three heartbeats before it starts an election.
--- a/crates/core/src/fleet/replica/peers.rs
+++ b/crates/core/src/fleet/replica/peers.rs
@@ -172,6 +172,15 @@
         self.age(now, name, 0).is_some()
     }
 
+    pub(super) fn contains(&self, name: &InstanceId) -> bool {
+        self.peers.contains_key(name)
+    }
+
+    /// Returns the replicas of which any message came. Those that stay silent are removed after a time.
+    pub(super) fn heard(&self) -> impl Iterator<Item = &InstanceId> {
+        self.peers.iter().filter(|(_, peer)| peer.last_heard_at.is_some()).map(|(name, _)| name)
+    }
+
     pub(super) fn names(&self) -> impl Iterator<Item = &InstanceId> {
         self.peers.keys()
     }
--- a/crates/core/src/fleet/replica/pending_departures.rs
+++ b/crates/core/src/fleet/replica/pending_departures.rs
@@ -15,13 +15,14 @@
 /// Interval between status requests to a replica that has not confirmed yet.
 const CONFIRM_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A departure that is committed but not yet known to every replica.
+/// A departure that is committed but not yet known to every replica, or an evacuation.
 ///
 /// A follower that does not learn of the commit before the leader dies could inform its entries only after the next
 /// election. This may take longer than the 2 s within which entries must learn of a departure.
 #[derive(Clone, Debug)]
 pub(super) struct PendingDeparture {
     origin: Origin,
+    reply: Reply,
     index: LogIndex,
     /// Replicas that have not confirmed that they know of it.
     unaware_peers: FastSet<InstanceId>,
@@ -30,11 +31,12 @@
 }
 
 impl Replica {
-    /// Answers a departure once all reachable replicas know of it.
-    pub(super) fn confirm_departure(&mut self, now: Instant, origin: Origin, index: LogIndex) {
+    /// Answers a departure, or an order to evacuate a data centre, once all reachable replicas know of it.
+    pub(super) fn confirm_departure(&mut self, now: Instant, origin: Origin, reply: Reply, index: LogIndex) {
         let unaware_peers = self.peers.live(now).collect();
         self.pending_departures.push(PendingDeparture {
             origin,
+            reply,
             index,
             unaware_peers,
             deadline: now + CONFIRM_TIMEOUT,
@@ -56,7 +58,7 @@
             |departure: &mut PendingDeparture| departure.unaware_peers.is_empty() || now >= departure.deadline;
         let done: Vec<_> = self.pending_departures.extract_if(.., is_done).collect();
         for departure in done {
-            self.reply(departure.origin, Reply::Departed, out);
+            self.reply(departure.origin, departure.reply, out);
         }
         let mut unaware_peers = FastSet::default();
         for departure in self.pending_departures.iter_mut().filter(|departure| now >= departure.retry_at) {
--- a/crates/core/src/fleet/replica/pending_requests.rs
+++ b/crates/core/src/fleet/replica/pending_requests.rs
@@ -80,7 +80,7 @@
         let pending = self.pending.remove(&number)?;
         let change = match &pending.request {
             Request::Submit { number, .. } => *number,
-            Request::Depart { .. } | Request::Read => 0,
+            Request::Depart { .. } | Request::Read | Request::Evacuate { .. } => 0,
         };
         Some((pending.id, answer(change, reply)))
     }
@@ -92,11 +92,11 @@
         self.pending.retain(|_, pending| {
             let reply = match &pending.request {
                 Request::Submit { number, .. } => ledger.resubmission_outcome(*number, pending.digest).map(Reply::from),
-                Request::Depart { .. } | Request::Read => None,
+                Request::Depart { .. } | Request::Read | Request::Evacuate { .. } => None,
             };
             let change = match &pending.request {
                 Request::Submit { number, .. } => *number,
-                Request::Depart { .. } | Request::Read => 0,
+                Request::Depart { .. } | Request::Read | Request::Evacuate { .. } => 0,
             };
             let is_pending = reply.is_none();
             answers.extend(reply.map(|reply| (pending.id, answer(change, reply))));
@@ -114,13 +114,14 @@
 
 fn answer(change: ChangeNumber, reply: Reply) -> ReplicaAnswer {
     match reply {
-        Reply::Departed => ReplicaAnswer::Acknowledged,
+        Reply::Departed | Reply::Evacuated => ReplicaAnswer::Acknowledged,
         Reply::Accepted(digest) => ReplicaAnswer::Accepted { number: change, digest },
         Reply::Conflict(winner) => ReplicaAnswer::Conflict { number: change, winner },
         Reply::Superseded(current) => ReplicaAnswer::Superseded { current },
         Reply::TooLong => ReplicaAnswer::TooLong,
         Reply::Current { number: 0, .. } => ReplicaAnswer::NoChange,
         Reply::Current { number, text } => ReplicaAnswer::Current { number, text },
+        Reply::Unavailable => ReplicaAnswer::Unavailable,
     }
 }
 
--- a/crates/core/src/fleet/replica/request_handling.rs
+++ b/crates/core/src/fleet/replica/request_handling.rs
@@ -1,9 +1,9 @@
 //! Handling of requests from this replica's task, and of requests that it processes as the leader.
 
 use {
-    super::{Operation, Origin, Replica, ReplicaAction, machine::INTERNAL_REQUEST},
+    super::{Operation, Origin, Replica, ReplicaAction, evacuations::OrderCheck, machine::INTERNAL_REQUEST},
     crate::{
-        config::CheckedConfig,
+        config::{CheckedConfig, required_level},
         consensus::{ConsensusEvent, ProposalResult},
         fleet::{FleetLogEvent, FleetMessage, ReplicaAnswer, Reply, Request, record::is_server_name},
         ids::{LogIndex, ServerId},
@@ -92,6 +92,8 @@
                 let digest = ContentDigest::of(text.as_bytes());
                 match self.ledger.resubmission_outcome(number, digest) {
                     Some(_) => (Operation::LookUp(number, digest), None),
+                    // The sender repeats the request until its time is over.
+                    None if !self.may_propose(now, required_level(&text), out) => return,
                     None => (Operation::Submit, Some(Command::Submit { number, text })),
                 }
             }
@@ -99,11 +101,20 @@
                 let incarnation = incarnation.or_else(|| self.directory.incarnation(&server));
                 let departed = self.ledger.departed_incarnation(&server);
                 if incarnation.is_some_and(|incarnation| departed.is_some_and(|departed| incarnation <= departed)) {
-                    return self.confirm_departure(now, origin, self.consensus.commit_index());
+                    return self.confirm_departure(now, origin, Reply::Departed, self.consensus.commit_index());
                 }
                 (Operation::Depart, Some(Command::Depart { server, incarnation, at: wall_ms }))
             }
             Request::Read => (Operation::Read, None),
+            Request::Evacuate { data_centre, is_active, known, wall_ms } => {
+                let order = Command::Evacuate { data_centre: data_centre.clone(), is_active, at: wall_ms };
+                match self.check_order(now, &data_centre, is_active, known, out) {
+                    OrderCheck::Recorded => (Operation::LookUpEvacuation(data_centre, is_active), None),
+                    OrderCheck::Propose => (Operation::Evacuate(data_centre), Some(order)),
+                    OrderCheck::Wait => return,
+                    OrderCheck::Refuse => return self.reply(origin, Reply::Unavailable, out),
+                }
+            }
         };
         let command = match command.map(|command| command.encode()) {
             Some(Ok(bytes)) => Some(bytes),
@@ -129,7 +140,10 @@
         let Some((origin, operation)) = self.operations.take(id) else { return };
         let reply = match result {
             ProposalResult::Committed { index } if operation == Operation::Depart => {
-                return self.confirm_departure(now, origin, index);
+                return self.confirm_departure(now, origin, Reply::Departed, index);
+            }
+            ProposalResult::Committed { index } if self.is_order_recorded(&operation, index) => {
+                return self.confirm_departure(now, origin, Reply::Evacuated, index);
             }
             ProposalResult::Committed { index } => self.outcome(&operation, index),
             ProposalResult::TooLarge => Some(Reply::TooLong),
@@ -148,6 +162,10 @@
                 _ => None,
             },
             Operation::Depart => None,
+            Operation::Evacuate(_) => Some(Reply::Unavailable),
+            Operation::LookUpEvacuation(data_centre, is_active) => {
+                (self.ledger.is_evacuated(data_centre) == *is_active).then_some(Reply::Evacuated)
+            }
             // Entries up to the index are applied before consensus answers.
             Operation::LookUp(number, digest) => self.ledger.resubmission_outcome(*number, *digest).map(Reply::from),
             Operation::Read => {
--- a/crates/core/src/fleet/replica/subscribers.rs
+++ b/crates/core/src/fleet/replica/subscribers.rs
@@ -132,6 +132,16 @@
         self.0.iter_mut()
     }
 
+    pub(super) fn contains(&self, name: &InstanceId) -> bool {
+        self.0.contains_key(name)
+    }
+
+    /// Returns the live entries with their incarnations.
+    pub(super) fn live(&self, now: Instant) -> impl Iterator<Item = (&InstanceId, Incarnation)> {
+        let live = self.0.iter().filter(move |(_, subscriber)| subscriber.is_live(now));
+        live.map(|(name, subscriber)| (name, subscriber.incarnation))
+    }
+
     /// Returns the names of the entries.
     pub(super) fn names(&self) -> impl Iterator<Item = &InstanceId> {
         self.0.keys()
--- a/crates/core/src/ledger/command.rs
+++ b/crates/core/src/ledger/command.rs
@@ -6,7 +6,7 @@
         config::MAX_CONFIG_BYTES,
         consensus::MAX_COMMAND_BYTES,
         errors::{Result, corrupt, limit},
-        ids::{ChangeNumber, ServerId},
+        ids::{ChangeNumber, DataCentreId, ServerId},
     },
     serde::{Deserialize, Serialize},
 };
@@ -77,6 +77,16 @@
         /// Wall-clock time in Unix milliseconds.
         at: u64,
     },
+    /// Records whether the servers of a data centre get calls. Its time is the wall clock of a replica and does not
+    /// affect claims.
+    Evacuate {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Whether its servers get no calls from now on.
+        is_active: bool,
+        /// Wall-clock time in Unix milliseconds.
+        at: u64,
+    },
 }
 
 impl Command {
--- a/crates/core/src/ledger/machine.rs
+++ b/crates/core/src/ledger/machine.rs
@@ -2,18 +2,21 @@
 
 use {
     super::{
-        ClaimKey, Command, ContentDigest, Holder, LedgerOutcome, SubmitOutcome, changes::Changes, claims::Claims,
-        departures::Departures,
+        ClaimKey, Command, ContentDigest, Evacuation, Holder, LedgerOutcome, SubmitOutcome, changes::Changes,
+        claims::Claims, departures::Departures, evacuations::Evacuations,
     },
     crate::{
         errors::{Result, corrupt},
-        ids::{ChangeNumber, LogIndex, ServerId},
+        ids::{ChangeNumber, DataCentreId, LogIndex, ServerId},
     },
     serde::{Deserialize, Serialize},
 };
 
-/// Version of the snapshot encoding, stored in the first byte.
-const SNAPSHOT_VERSION: u8 = 2;
+/// Version of the snapshot encoding, stored in the first byte. The evacuations follow the rest of the state.
+const SNAPSHOT_VERSION: u8 = 3;
+/// Version without evacuations. It is written until the first one is recorded, so that the former version of the program
+/// can read the snapshot.
+const VERSION_WITHOUT_EVACUATIONS: u8 = 2;
 /// Version without departures, which were appended later.
 const VERSION_WITHOUT_DEPARTURES: u8 = 1;
 
@@ -25,6 +28,9 @@
     changes: Changes,
     claims: Claims,
     departures: Departures,
+    /// Encoded after the rest, and only if there are any.
+    #[serde(skip)]
+    evacuations: Evacuations,
 }
 
 impl Ledger {
@@ -66,6 +72,9 @@
             Command::Depart { server, incarnation, at } => {
                 LedgerOutcome::Departed(self.departures.record(server, incarnation.unwrap_or(at)))
             }
+            Command::Evacuate { data_centre, is_active, at } => {
+                LedgerOutcome::Evacuated(self.evacuations.record(index, data_centre, is_active, at))
+            }
         }
     }
 
@@ -88,17 +97,29 @@
     /// assert!(Ledger::restore(&[0]).is_err());
     /// ```
     pub fn snapshot(&self) -> Result<Vec<u8>> {
-        postcard::to_extend(self, vec![SNAPSHOT_VERSION]).map_err(|e| corrupt(e.to_string()))
+        let snapshot = if self.evacuations.is_empty() {
+            postcard::to_extend(self, vec![VERSION_WITHOUT_EVACUATIONS])
+        } else {
+            postcard::to_extend(&(self, &self.evacuations), vec![SNAPSHOT_VERSION])
+        };
+        snapshot.map_err(|e| corrupt(e.to_string()))
     }
 
     /// Restores the state from a snapshot.
     pub fn restore(bytes: &[u8]) -> Result<Self> {
         match bytes.split_first() {
-            Some((&SNAPSHOT_VERSION, body)) => postcard::from_bytes(body).map_err(|e| corrupt(e.to_string())),
+            Some((&SNAPSHOT_VERSION, body)) => {
+                let (ledger, evacuations) =
+                    postcard::from_bytes::<(Self, _)>(body).map_err(|e| corrupt(e.to_string()))?;
+                Ok(Self { evacuations, ..ledger })
+            }
+            Some((&VERSION_WITHOUT_EVACUATIONS, body)) => {
+                postcard::from_bytes(body).map_err(|e| corrupt(e.to_string()))
+            }
             Some((&VERSION_WITHOUT_DEPARTURES, body)) => {
                 let (applied, clock, changes, claims) =
                     postcard::from_bytes(body).map_err(|e| corrupt(e.to_string()))?;
-                Ok(Self { applied, clock, changes, claims, departures: Departures::default() })
+                Ok(Self { applied, clock, changes, claims, ..Self::default() })
             }
             _ => Err(corrupt("unknown snapshot version")),
         }
@@ -153,6 +174,48 @@
         self.departures.latest()
     }
 
+    /// Returns the last order for a data centre.
+    ///
+    /// ```
+    /// use hemlockford_core::ledger::{Command, Evacuation, Ledger};
+    /// let mut ledger = Ledger::default();
+    /// ledger.apply(3, Command::Evacuate { data_centre: "north".into(), is_active: true, at: 9 });
+    /// assert_eq!(ledger.evacuation("north"), Some(Evacuation { is_active: true, index: 3, at: 9 }));
+    /// assert_eq!(ledger.evacuation("south"), None);
+    /// ```
+    pub fn evacuation(&self, data_centre: &str) -> Option<Evacuation> {
+        self.evacuations.get(data_centre)
+    }
+
+    /// Returns whether the servers of a data centre get no calls.
+    ///
+    /// ```
+    /// use hemlockford_core::ledger::{Command, Ledger};
+    /// let mut ledger = Ledger::default();
+    /// ledger.apply(1, Command::Evacuate { data_centre: "north".into(), is_active: true, at: 9 });
+    /// assert!(ledger.is_evacuated("north"));
+    /// ledger.apply(2, Command::Evacuate { data_centre: "north".into(), is_active: false, at: 9 });
+    /// assert!(!ledger.is_evacuated("north"));
+    /// ```
+    pub fn is_evacuated(&self, data_centre: &str) -> bool {
+        self.evacuation(data_centre).is_some_and(|evacuation| evacuation.is_active)
+    }
+
+    /// Returns the evacuated data centres, by name.
+    pub fn evacuated(&self) -> impl Iterator<Item = &DataCentreId> {
+        self.evacuations.active()
+    }
+
+    /// Returns whether an order for a data centre was ever recorded.
+    pub fn has_evacuations(&self) -> bool {
+        !self.evacuations.is_empty()
+    }
+
+    /// Returns whether the evacuation of a data centre can be recorded; only a limited number can be evacuated.
+    pub fn can_evacuate(&self, data_centre: &str) -> bool {
+        self.evacuations.has_room_for(data_centre)
+    }
+
     /// Returns the ledger time of the last command, in milliseconds.
     pub fn clock(&self) -> u64 {
         self.clock
--- a/crates/core/src/ledger/mod.rs
+++ b/crates/core/src/ledger/mod.rs
@@ -1,4 +1,5 @@
-//! The replicated state machine: configuration changes, claims of idempotency keys and departures of servers.
+//! The replicated state machine: configuration changes, claims of idempotency keys, departures of servers and
+//! evacuations of data centres.
 //!
 //! Commands are applied in log order and have the same result on every replica. The time advances only through
 //! commands.
@@ -9,6 +10,7 @@
 mod command;
 mod departures;
 mod digest;
+mod evacuations;
 mod machine;
 mod outcome;
 mod releases;
@@ -24,6 +26,7 @@
     command::{COMMAND_VERSION, Command, MAX_SUBMIT_BYTES},
     departures::MAX_DEPARTURES,
     digest::ContentDigest,
+    evacuations::{Evacuation, MAX_EVACUATIONS},
     machine::Ledger,
     outcome::{ClaimOutcome, LedgerOutcome, ReleaseOutcome, SettleOutcome, SubmitOutcome},
 };
--- a/crates/core/src/ledger/outcome.rs
+++ b/crates/core/src/ledger/outcome.rs
@@ -25,6 +25,9 @@
     Release(ReleaseOutcome),
     /// Result of `Depart`: the last incarnation of the server that is recorded as departed.
     Departed(u64),
+    /// Result of `Evacuate`: whether the data centre is in the ordered state. It is not if an evacuation begins while
+    /// the maximum number of data centres is evacuated.
+    Evacuated(bool),
 }
 
 /// Result of submitting a change.
--- a/crates/core/tests/fleet_support/requests.rs
+++ b/crates/core/tests/fleet_support/requests.rs
@@ -94,6 +94,15 @@
         id
     }
 
+    /// Orders that the servers of a data centre get no calls, or withdraws such an order.
+    pub fn evacuate(&mut self, replica: usize, data_centre: &str, is_active: bool) -> u64 {
+        let (id, wall_ms) = (self.next_id(), self.wall_ms());
+        self.checks.ordered.insert(data_centre.into());
+        let event = ReplicaEvent::Evacuate { id, data_centre: data_centre.into(), is_active, wall_ms };
+        self.replica_event(replica, event);
+        id
+    }
+
     pub fn read(&mut self, replica: usize) -> u64 {
         let id = self.next_id();
         self.replica_event(replica, ReplicaEvent::Read { id });
--- a/crates/hemlockford/src/fleet.rs
+++ b/crates/hemlockford/src/fleet.rs
@@ -6,7 +6,10 @@
         signals::{SignalReceiver, SignalRequest, StopMode},
     },
     actix_rt::time::sleep,
-    hemlockford_core::errors::{Result, invalid_input, unavailable},
+    hemlockford_core::{
+        errors::{Result, invalid_input, unavailable},
+        ids::DataCentreId,
+    },
     hemlockford_instance::{FleetEntry, FleetReplica, FleetRole, FleetSettings, PlatformInterface, Settings},
     hemlockford_platform::{NAME, TazneInterface},
     slog::{Logger, error, info, warn},
@@ -43,6 +46,14 @@
         }
     }
 
+    /// Replaces the data centres for which a replica accepts orders.
+    fn set_data_centres(&self, data_centres: &[DataCentreId]) {
+        match self {
+            Self::Entry(_) => {}
+            Self::Replica(replica) => replica.set_data_centres(data_centres.to_vec()),
+        }
+    }
+
     async fn wait_for_failure(&mut self) -> Box<str> {
         match self {
             Self::Entry(entry) => entry.wait_for_failure().await,
@@ -67,7 +78,7 @@
     log: &Logger,
 ) -> Result<Exit> {
     let mut instance = FleetInstance::start(settings, fleet, log)?;
-    let mut seeds = fleet.seeds.clone();
+    let (mut seeds, mut data_centres) = (fleet.seeds.clone(), fleet.data_centres.clone());
     let mut reload_error = None;
     loop {
         select! {
@@ -88,13 +99,18 @@
         }
         let reloaded = reload();
         log_reload(log, &reloaded, &mut reload_error);
-        // Only changes of the seeds take effect here; for other settings the platform restarts the process.
-        if let Some(new_seeds) = reloaded.ok().and_then(|settings| settings.fleet).map(|fleet| fleet.seeds)
-            && new_seeds != seeds
-        {
-            info!(log, "seeds changed"; "count" => new_seeds.len());
-            instance.set_seeds(&new_seeds);
-            seeds = new_seeds;
+        // Only changes of the seeds and the data centres take effect here; for other settings the platform restarts the
+        // process.
+        let Some(fleet) = reloaded.ok().and_then(|settings| settings.fleet) else { continue };
+        if fleet.seeds != seeds {
+            info!(log, "seeds changed"; "count" => fleet.seeds.len());
+            instance.set_seeds(&fleet.seeds);
+            seeds = fleet.seeds;
+        }
+        if fleet.data_centres != data_centres {
+            info!(log, "data centres changed"; "count" => fleet.data_centres.len());
+            instance.set_data_centres(&fleet.data_centres);
+            data_centres = fleet.data_centres;
         }
     }
     info!(log, "instance stopped");
--- a/crates/instance/src/counters.rs
+++ b/crates/instance/src/counters.rs
@@ -41,6 +41,7 @@
     pub(crate) leading: IntGauge,
     pub(crate) live_instances: IntGauge,
     pub(crate) servers: IntGaugeVec,
+    pub(crate) evacuated: IntGaugeVec,
     pub(crate) waiting_calls: IntGauge,
     pub(crate) active_calls: IntGauge,
     pub(crate) measure: MeasureMetrics,
@@ -72,6 +73,9 @@
         build.with_label_values(&[PROGRAM_VERSION, &messages, &commands]).set(1);
         let servers = IntGaugeVec::new(Opts::new("hemlockford_servers", "Known servers by service."), &["service"])?;
         registry.register(Box::new(servers.clone()))?;
+        let evacuated = "Whether the servers of a data centre get no calls, for those of which an order was applied.";
+        let evacuated = IntGaugeVec::new(Opts::new("hemlockford_evacuated", evacuated), &["data_centre"])?;
+        registry.register(Box::new(evacuated.clone()))?;
         let options = HistogramOpts::new("hemlockford_storage_seconds", "Time until writes were durable.");
         let storage_seconds = Histogram::with_opts(options.buckets(STORAGE_SECONDS_BUCKETS.to_vec()))?;
         registry.register(Box::new(storage_seconds.clone()))?;
@@ -125,6 +129,7 @@
             leading: gauge("hemlockford_leading", "Whether the instance leads the replicated log.")?,
             live_instances: gauge("hemlockford_live_instances", "Live instances, this one included.")?,
             servers,
+            evacuated,
             waiting_calls: gauge("hemlockford_waiting_calls", "Calls that wait for a server.")?,
             active_calls: gauge("hemlockford_active_calls", "Calls that wait or run.")?,
             measure: MeasureMetrics::register(registry)?,
--- a/crates/instance/src/fleet/admin.rs
+++ b/crates/instance/src/fleet/admin.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         AdminRequest,
+        replica_status::ReplicaStatus,
         replica_task::{ReplicaMessage, ReplicaRequest},
         translator::Translator,
     },
@@ -10,6 +11,7 @@
     actix_http::{Request, Response, StatusCode, body::BoxBody},
     hemlockford_core::{config::MAX_CONFIG_BYTES, errors::Result, fleet::ReplicaAnswer},
     prometheus::Registry,
+    serde_json::json,
     tokio::sync::{Semaphore, mpsc, oneshot, watch},
 };
 
@@ -37,6 +39,8 @@
     pub(super) replica: Option<mpsc::UnboundedSender<ReplicaMessage>>,
     pub(super) readiness: Readiness,
     pub(super) registry: Registry,
+    /// State of the replica; `None` for an entry.
+    pub(super) status: Option<watch::Receiver<ReplicaStatus>>,
 }
 
 impl AdminTask {
@@ -59,6 +63,7 @@
             Some(Ok(request)) => self.handle_request(request).await,
             Some(Err(reply)) => response(reply.status, reply.content_type, reply.body),
             None if &*path == "/metrics" => metrics_response(&self.registry),
+            None if &*path == "/status" && self.status.is_some() => self.status_response(),
             None if &*path == "/live" => text_response(StatusCode::OK, "ok\n"),
             None => text_response(StatusCode::NOT_FOUND, "no such page\n"),
         }
@@ -75,6 +80,7 @@
                 Err(answer) => return self.respond(answer).await,
             },
             AdminRequest::Read => ReplicaRequest::Read,
+            AdminRequest::Evacuate { data_centre, is_active } => ReplicaRequest::Evacuate { data_centre, is_active },
         };
         let (reply, rx) = oneshot::channel();
         if let Some(replica) = &self.replica {
@@ -84,6 +90,17 @@
         self.respond(rx.await.unwrap_or(ReplicaAnswer::Unavailable)).await
     }
 
+    fn status_response(&self) -> Response<BoxBody> {
+        let status = self.status.as_ref().map(|status| status.borrow().clone()).unwrap_or_default();
+        let status = json!({
+            "leading": status.is_leading,
+            "current": status.is_current,
+            "change": status.change,
+            "evacuated": status.evacuated,
+        });
+        response(StatusCode::OK, "application/json", status.to_string().into())
+    }
+
     async fn respond(&self, answer: ReplicaAnswer) -> Response<BoxBody> {
         let reply = self.translator.build_reply(answer).await;
         response(reply.status, reply.content_type, reply.body)
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -154,6 +154,7 @@
             replica: None,
             readiness: Readiness { is_link_ready: ready_rx, is_draining: drain_rx },
             registry,
+            status: None,
         };
         actix_rt::spawn(admin.run(admin_listener));
         let worker = Worker {
--- a/crates/instance/src/fleet/interface.rs
+++ b/crates/instance/src/fleet/interface.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     hemlockford_core::{
         fleet::{ReplicaAnswer, ServerRecord},
-        ids::ServerId,
+        ids::{DataCentreId, ServerId},
     },
     hemlockford_proxy::Dialect,
 };
@@ -42,6 +42,13 @@
     Submit(Box<str>),
     /// An operator reads the current configuration.
     Read,
+    /// An operator orders that the servers of a data centre get no calls, or withdraws such an order.
+    Evacuate {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Whether its servers get no calls.
+        is_active: bool,
+    },
 }
 
 /// A response of the admin listener.
--- a/crates/instance/src/fleet/mod.rs
+++ b/crates/instance/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod network;
 mod path_check;
 mod replica;
+mod replica_status;
 mod replica_task;
 mod translator;
 
--- a/crates/instance/src/fleet/replica.rs
+++ b/crates/instance/src/fleet/replica.rs
@@ -6,6 +6,7 @@
         admin::{AdminTask, Readiness},
         drop_log::DropLog,
         network::Network,
+        replica_status::ReplicaStatus,
         replica_task::{ReplicaMessage, ReplicaTask},
         translator::Translator,
     },
@@ -23,7 +24,7 @@
         collections::FastMap,
         errors::{Result, invalid_input},
         fleet::{Replica, ReplicaOptions},
-        ids::InstanceId,
+        ids::{DataCentreId, InstanceId},
     },
     hemlockford_net::{BootClock, MESSAGE_VERSION},
     prometheus::Registry,
@@ -71,6 +72,7 @@
         let (persisted_tx, persisted_rx) = mpsc::unbounded_channel();
         let (stopped_tx, stopped_rx) = mpsc::unbounded_channel();
         let (failure_tx, failure_rx) = mpsc::unbounded_channel();
+        let (status_tx, status_rx) = watch::channel(ReplicaStatus::default());
         let (storage_tx, storage_rx) = blocking::channel();
         let storage = StorageTask {
             store,
@@ -91,6 +93,7 @@
             incarnation,
             data_centre: settings.data_centre.clone(),
             seeds: seed_ids(&fleet.seeds, listen.port()),
+            data_centres: fleet.data_centres.clone(),
             first_start: fleet.first_start,
             voters: 2 * fleet.tolerated_losses + 1,
             directory,
@@ -113,6 +116,7 @@
             drop_log: DropLog::default(),
             pending: FastMap::default(),
             last_request: 0,
+            status: status_tx,
         };
         let guard = PanicGuard { task: "the replica task", failure: failure_tx };
         actix_rt::spawn(async move {
@@ -127,6 +131,7 @@
             replica: Some(messages_tx.clone()),
             readiness,
             registry,
+            status: Some(status_rx),
         };
         actix_rt::spawn(admin.run(admin_listener));
         info!(log, "replica started"; "admin" => %settings.admin, "listen" => %listen, "version" => PROGRAM_VERSION,
@@ -145,6 +150,11 @@
         let _ = self.messages.send(ReplicaMessage::Seeds(seed_ids(addresses, self.port)));
     }
 
+    /// Replaces the data centres for which orders are accepted, after a change of the settings.
+    pub fn set_data_centres(&self, data_centres: Vec<DataCentreId>) {
+        let _ = self.messages.send(ReplicaMessage::DataCentres(data_centres));
+    }
+
     /// Waits until a task panics, an invariant is violated or the data folder fails, and returns the cause.
     pub async fn wait_for_failure(&mut self) -> Box<str> {
         match self.failure.recv().await {
--- a/crates/instance/src/fleet/replica_task.rs
+++ b/crates/instance/src/fleet/replica_task.rs
@@ -1,7 +1,7 @@
 //! Task that runs the state machine of a replica.
 
 use {
-    super::{drop_log::DropLog, network::Network},
+    super::{drop_log::DropLog, network::Network, replica_status::ReplicaStatus},
     crate::{clock::wall_clock_ns, counters::Counters, storage::StorageWrite},
     actix_rt::time::sleep_until,
     hemlockford_core::{
@@ -14,7 +14,7 @@
     std::{sync::mpsc as blocking, time::Duration},
     tokio::{
         select,
-        sync::{mpsc, oneshot},
+        sync::{mpsc, oneshot, watch},
     },
 };
 
@@ -29,6 +29,8 @@
     Request(ReplicaRequest, oneshot::Sender<ReplicaAnswer>),
     /// The seeds in the settings have changed.
     Seeds(Vec<Box<str>>),
+    /// The data centres in the settings have changed.
+    DataCentres(Vec<Box<str>>),
     /// The process is stopping as planned.
     Stop,
 }
@@ -40,6 +42,7 @@
     Depart { server: Box<str>, incarnation: Option<u64> },
     Submit(CheckedConfig),
     Read,
+    Evacuate { data_centre: Box<str>, is_active: bool },
 }
 
 /// Passes events to the state machine and executes its actions.
@@ -57,6 +60,7 @@
     pub(super) drop_log: DropLog,
     pub(super) pending: FastMap<u64, oneshot::Sender<ReplicaAnswer>>,
     pub(super) last_request: u64,
+    pub(super) status: watch::Sender<ReplicaStatus>,
 }
 
 impl ReplicaTask {
@@ -93,6 +97,7 @@
         let (request, reply) = match message {
             ReplicaMessage::Request(request, reply) => (request, reply),
             ReplicaMessage::Seeds(seeds) => return ReplicaEvent::Seeds(seeds),
+            ReplicaMessage::DataCentres(data_centres) => return ReplicaEvent::DataCentres(data_centres),
             ReplicaMessage::Stop => return ReplicaEvent::Stop,
         };
         self.last_request += 1;
@@ -106,6 +111,9 @@
             ReplicaRequest::Depart { server, incarnation } => ReplicaEvent::Depart { id, server, incarnation, wall_ms },
             ReplicaRequest::Submit(config) => ReplicaEvent::Submit { id, config },
             ReplicaRequest::Read => ReplicaEvent::Read { id },
+            ReplicaRequest::Evacuate { data_centre, is_active } => {
+                ReplicaEvent::Evacuate { id, data_centre, is_active, wall_ms }
+            }
         }
     }
 
@@ -115,6 +123,12 @@
             FleetLogEvent::BecameFollower(_) => self.counters.leading.set(0),
             FleetLogEvent::Current => self.counters.ready.set(1),
             FleetLogEvent::NotCurrent => self.counters.ready.set(0),
+            FleetLogEvent::EvacuationStarted(data_centre) => {
+                self.counters.evacuated.with_label_values(&[data_centre]).set(1);
+            }
+            FleetLogEvent::EvacuationEnded(data_centre) => {
+                self.counters.evacuated.with_label_values(&[data_centre]).set(0);
+            }
             FleetLogEvent::ChangeCommitted(number) => self.counters.change_number.set(*number as i64),
             _ => {}
         }
@@ -122,6 +136,12 @@
 
     /// Executes actions. Returns `false` if an invariant is violated, after which nothing more may be answered.
     fn execute(&mut self, actions: &mut Vec<ReplicaAction>) -> bool {
+        let status = ReplicaStatus::of(&self.replica);
+        self.status.send_if_modified(|last| {
+            let is_modified = *last != status;
+            *last = status;
+            is_modified
+        });
         for action in actions.drain(..) {
             match action {
                 ReplicaAction::Send { to, message } => self.network.send(&to, message),
--- a/crates/instance/src/settings/fleet.rs
+++ b/crates/instance/src/settings/fleet.rs
@@ -1,6 +1,9 @@
 //! Settings of an instance of a fleet.
 
-use std::{net::SocketAddr, time::Duration};
+use {
+    hemlockford_core::ids::DataCentreId,
+    std::{net::SocketAddr, time::Duration},
+};
 
 /// Role of an instance of a fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +25,8 @@
     pub interface: Option<Box<str>>,
     /// Admin addresses of some replicas, which may be down or may no longer exist.
     pub seeds: Vec<SocketAddr>,
+    /// Data centres for which an order to evacuate is accepted; empty for any.
+    pub data_centres: Vec<DataCentreId>,
     /// Whether the whole fleet starts for the first time, with empty data folders.
     pub first_start: bool,
     /// Number of simultaneously lost data folders that the group must tolerate.
@@ -42,6 +47,7 @@
             role: FleetRole::Entry,
             interface: None,
             seeds: Vec::new(),
+            data_centres: Vec::new(),
             first_start: false,
             tolerated_losses: 1,
             retry_ratio: 0.1,
--- a/crates/instance/src/settings/parse.rs
+++ b/crates/instance/src/settings/parse.rs
@@ -119,6 +119,10 @@
                         }
                     }
                 }
+                ("data-centres", _) => {
+                    let names = value.split(',').map(str::trim).filter(|name| !name.is_empty());
+                    fleet.data_centres = names.map(Into::into).collect();
+                }
                 ("first-start", "true") => fleet.first_start = true,
                 ("first-start", "false") => fleet.first_start = false,
                 ("first-start", _) => self.error(section, key, "expected true or false"),
