--- a/crates/core/tests/fleet_evacuation_sequences.rs
+++ b/crates/core/tests/fleet_evacuation_sequences.rs
@@ -62,38 +62,59 @@
     }
 }
 
-fn fault(world: &mut World, rng: &mut SmallRng) {
-    world.first_start = false;
-    let replica = rng.random_range(0..world.replicas.len());
-    match rng.random_range(0..6) {
-        0 => {
-            world.kill_replica(replica);
-            world.run(ms(rng.random_range(0..1_500)));
-            world.start_replica(replica);
-        }
-        1 => {
-            world.freeze_replica(replica);
-            world.run(ms(rng.random_range(0..3_000)));
-            world.thaw_replica(replica);
-        }
-        2 => {
-            world.isolate_replica(replica);
-            world.run(ms(rng.random_range(0..3_000)));
-            world.heal();
-        }
-        3 => {
-            (0..world.replicas.len()).for_each(|replica| world.kill_replica(replica));
-            world.run(ms(500));
-            (0..world.replicas.len()).for_each(|replica| world.start_replica(replica));
-        }
-        4 => {
-            let entry = rng.random_range(0..world.entries.len());
-            world.start_entry(entry);
+/// A fault that lasts while orders are given.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    Killed(usize),
+    Frozen(usize),
+    Isolated,
+}
+
+impl Fault {
+    fn begin(world: &mut World, rng: &mut SmallRng) -> Self {
+        world.first_start = false;
+        let replica = rng.random_range(0..world.replicas.len());
+        match rng.random_range(0..7) {
+            0 => {
+                world.kill_replica(replica);
+                Self::Killed(replica)
+            }
+            1 => {
+                world.freeze_replica(replica);
+                Self::Frozen(replica)
+            }
+            2 => {
+                world.isolate_replica(replica);
+                Self::Isolated
+            }
+            3 => {
+                (0..world.replicas.len()).for_each(|replica| world.kill_replica(replica));
+                world.run(ms(500));
+                (0..world.replicas.len()).for_each(|replica| world.start_replica(replica));
+                Self::None
+            }
+            4 => {
+                let entry = rng.random_range(0..world.entries.len());
+                world.start_entry(entry);
+                Self::None
+            }
+            5 => {
+                let server = rng.random_range(0..world.servers.len());
+                let port = 10_000 + (world.now.as_millis() % 50_000) as u16;
+                world.restart_server(server, port);
+                Self::None
+            }
+            _ => Self::None,
         }
-        _ => {
-            let server = rng.random_range(0..world.servers.len());
-            let port = 10_000 + (world.now.as_millis() % 50_000) as u16;
-            world.restart_server(server, port);
+    }
+
+    fn end(self, world: &mut World) {
+        match self {
+            Self::None => {}
+            Self::Killed(replica) => world.start_replica(replica),
+            Self::Frozen(replica) => world.thaw_replica(replica),
+            Self::Isolated => world.heal(),
         }
     }
 }
@@ -110,12 +131,15 @@
         world.checks.ordered.extend(DATA_CENTRES.map(Into::into));
         let mut orders = Orders::default();
         for _ in 0..12 {
-            if rng.random_bool(0.6) {
-                fault(&mut world, &mut rng);
-            }
+            let fault = Fault::begin(&mut world, &mut rng);
             let data_centre = DATA_CENTRES[rng.random_range(0..DATA_CENTRES.len())];
+            // Opposite orders follow each other while copies of the first may still wait somewhere.
             let is_active = rng.random_bool(0.5);
-            orders.give(&mut world, &mut rng, data_centre, is_active);
+            for turn in 0..rng.random_range(1..4) {
+                orders.give(&mut world, &mut rng, data_centre, is_active ^ (turn % 2 == 1));
+            }
+            world.run(ms(rng.random_range(0..2_000)));
+            fault.end(&mut world);
             for _ in 0..rng.random_range(0..10) {
                 world.run(ms(500));
                 orders.check(&world);
