--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -6,6 +6,7 @@
         ids::{CallId, InstanceId, ServerId},
         outcome::Outcome,
         quarantine::{RequestDigest, SuspectRecord},
+        quota::HolderAction,
         slots::SlotMessage,
     },
     std::{net::SocketAddr, time::Duration},
@@ -42,6 +43,8 @@
     ReportSuspect(SuspectRecord),
     /// Determine the fingerprints of requests with these heads, and only of those.
     SetSuspectHeads(FastSet<RequestDigest>),
+    /// Ask for credit of customers with a limit, or log the state of the contact with the leader that lends it.
+    Credit(HolderAction),
     /// Pass a call on to another entry, because this one has lost the path to the servers.
     Relay {
         /// The call.
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -6,6 +6,7 @@
         config::Configuration,
         ids::{CallId, InstanceId, ServerId, ServiceId},
         quarantine::{RequestFingerprint, SuspectRecord},
+        quota::CreditResponse,
         slots::SlotMessage,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -84,6 +85,13 @@
     Answered(RequestFingerprint),
     /// Other entries learned something about requests under which servers ended.
     Suspects(Vec<SuspectRecord>),
+    /// A replica answered a request for credit.
+    Credit {
+        /// The replica.
+        from: InstanceId,
+        /// The answer.
+        response: CreditResponse,
+    },
     /// Time has passed.
     Tick,
 }
--- a/crates/core/src/fleet/bounds.rs
+++ b/crates/core/src/fleet/bounds.rs
@@ -5,7 +5,10 @@
 
 use {
     super::{BoundedPart, FleetLogEvent, FleetMessage, MAX_NAME_BYTES, OutOfBounds, ReplicaName, Reply, Request},
-    crate::{config::MAX_CONFIG_BYTES, dispatch::RelayAddress, ids::InstanceId, quarantine::MAX_RECORDS},
+    crate::{
+        config::MAX_CONFIG_BYTES, dispatch::RelayAddress, ids::InstanceId, quarantine::MAX_RECORDS,
+        quota::MAX_LISTED_CUSTOMERS,
+    },
 };
 
 /// Maximum number of leaving servers in one poll.
@@ -78,6 +81,13 @@
                     out_of_bounds(BoundedPart::List, record.crashes.len(), MAX_CRASHES)
                 });
             }
+            FleetMessage::CreditRequest(request) => {
+                self.retain(&mut request.customers, MAX_LISTED_CUSTOMERS, |_| None);
+            }
+            FleetMessage::CreditResponse(response) => {
+                self.leader(&mut response.leader);
+                self.retain(&mut response.customers, MAX_LISTED_CUSTOMERS, |_| None);
+            }
             // Each record is validated when it is applied.
             FleetMessage::Records(records) => {
                 self.require(BoundedPart::List, records.changed.len(), MAX_SERVERS);
@@ -109,6 +119,13 @@
         self.retain(relays, MAX_RELAYS, |relay| name(BoundedPart::InstanceName, &relay.entry));
     }
 
+    fn leader(&mut self, leader: &mut Option<InstanceId>) {
+        if let Some(found) = leader.as_deref().and_then(|leader| name(BoundedPart::InstanceName, leader)) {
+            self.record(found);
+            *leader = None;
+        }
+    }
+
     fn data_centre(&mut self, data_centre: &mut Box<str>) {
         if let Some(found) = name(BoundedPart::DataCentreName, data_centre) {
             self.record(found);
--- a/crates/core/src/fleet/entry/action.rs
+++ b/crates/core/src/fleet/entry/action.rs
@@ -7,6 +7,7 @@
         fleet::{FleetLogEvent, FleetMessage},
         ids::{InstanceId, ServiceId},
         quarantine::SuspectRecord,
+        quota::CreditResponse,
     },
     std::sync::Arc,
 };
@@ -35,6 +36,13 @@
     Relays(Vec<RelayAddress>),
     /// News of requests under which servers ended.
     Suspects(Vec<SuspectRecord>),
+    /// A replica answered a request for credit.
+    Credit {
+        /// The replica.
+        from: InstanceId,
+        /// The answer.
+        response: CreditResponse,
+    },
     /// Log a state change.
     Log(FleetLogEvent),
 }
--- a/crates/core/src/fleet/entry/event.rs
+++ b/crates/core/src/fleet/entry/event.rs
@@ -4,6 +4,7 @@
     fleet::FleetMessage,
     ids::{Incarnation, InstanceId, ServerId},
     quarantine::SuspectRecord,
+    quota::CreditRequest,
 };
 
 /// An input event of an entry's link.
@@ -24,6 +25,8 @@
     ServerLeaving(ServerId),
     /// This entry learned something about a request under which servers ended.
     Suspect(SuspectRecord),
+    /// This entry needs credit for calls of customers with a limit.
+    Credit(CreditRequest),
     /// This entry is stopping and takes no more calls from other entries.
     Stopping,
     /// The seeds in the settings have changed.
--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -1,7 +1,10 @@
 //! State machine of an entry's link to the replicas.
 
 use {
-    super::{EntryAction, EntryEvent, EntryOptions, KnownReplicas, MissingChange, ReplicaSearch, SentPolls, ServerSet},
+    super::{
+        CreditRoute, EntryAction, EntryEvent, EntryOptions, KnownReplicas, MissingChange, ReplicaSearch, SentPolls,
+        ServerSet,
+    },
     crate::{
         config::Configuration,
         fleet::{
@@ -78,6 +81,7 @@
     position: Option<u32>,
     /// Requests under which servers ended, as far as this entry knows.
     pub(super) suspects: SuspectTable,
+    pub(super) credit_route: CreditRoute,
     is_ready: bool,
 }
 
@@ -107,6 +111,7 @@
             entries: 0,
             position: None,
             suspects: SuspectTable::default(),
+            credit_route: CreditRoute::default(),
             is_ready: false,
             options,
         }
@@ -128,6 +133,7 @@
             EntryEvent::ServerLeaving(server) => self.servers.report_leaving(server),
             EntryEvent::Stopping => self.options.relay = None,
             EntryEvent::Suspect(record) => self.report_suspect(now, record, out),
+            EntryEvent::Credit(request) => self.request_credit(now, request, out),
             EntryEvent::Seeds(seeds) => self.known.set_seeds(now, seeds),
         }
         self.tick(now, out);
@@ -247,6 +253,7 @@
             FleetMessage::Install(update) => self.install(now, &update, out),
             FleetMessage::Servers(servers) => self.handle_servers(now, &from, incarnation, servers),
             FleetMessage::Suspects(suspects) => self.handle_suspects(now, from, suspects, out),
+            FleetMessage::CreditResponse(response) => self.handle_credit(from, response, out),
             FleetMessage::Poll(_)
             | FleetMessage::Consensus(_)
             | FleetMessage::StatusRequest(_)
@@ -255,7 +262,8 @@
             | FleetMessage::RecordRequest(_)
             | FleetMessage::Request { .. }
             | FleetMessage::Reply { .. }
-            | FleetMessage::Outdated(_) => {}
+            | FleetMessage::Outdated(_)
+            | FleetMessage::CreditRequest(_) => {}
         }
         self.check_ready(out);
     }
--- a/crates/core/src/fleet/entry/mod.rs
+++ b/crates/core/src/fleet/entry/mod.rs
@@ -1,6 +1,8 @@
 //! Link of an entry to the replicas: finds a current replica, polls it, and installs its configuration and servers.
 
 mod action;
+mod credit;
+mod credit_route;
 mod event;
 mod known_replicas;
 mod machine;
@@ -13,8 +15,8 @@
 mod suspects;
 
 use {
-    known_replicas::KnownReplicas, missing_change::MissingChange, search::ReplicaSearch, sent_polls::SentPolls,
-    server_set::ServerSet,
+    credit_route::CreditRoute, known_replicas::KnownReplicas, missing_change::MissingChange, search::ReplicaSearch,
+    sent_polls::SentPolls, server_set::ServerSet,
 };
 
 pub use {action::EntryAction, event::EntryEvent, machine::EntryLink, options::EntryOptions};
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -8,6 +8,7 @@
         ids::{ChangeNumber, DataCentreId, Incarnation, InstanceId, LogIndex, ServerId, ServiceId},
         ledger::ContentDigest,
         quarantine::SuspectRecord,
+        quota::{CreditRequest, CreditResponse},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -52,6 +53,10 @@
     Outdated(Incarnation),
     /// Requests under which servers ended.
     Suspects(Suspects),
+    /// Requests credit for calls of customers with a limit; sent by an entry to the leader.
+    CreditRequest(CreditRequest),
+    /// Answer to `CreditRequest`.
+    CreditResponse(CreditResponse),
 }
 
 /// Requests updates from a replica; sent by an entry.
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        LeaderContact, Operations, Peers, PendingDeparture, PendingRequests, RecentConfigs, RecentDepartures, Relays,
-        ReplicaAction, ReplicaEvent, ReplicaOptions, Subscribers,
+        LeaderContact, LeaderCredit, Operations, Peers, PendingDeparture, PendingRequests, RecentConfigs,
+        RecentDepartures, Relays, ReplicaAction, ReplicaEvent, ReplicaOptions, Subscribers,
     },
     crate::{
         collections::{FastMap, FastSet},
@@ -97,6 +97,7 @@
     pub(super) next_batch_number: u64,
     /// Requests under which servers ended, as far as this replica knows.
     pub(super) suspects: SuspectTable,
+    pub(super) credit: LeaderCredit,
     next_tick: Instant,
     next_batch: Instant,
     /// Directory revision that was saved last.
@@ -130,6 +131,7 @@
         };
         // The incarnation makes the numbers of two runs differ even if they use the same random seed.
         let first_number = (rng.random::<u64>() >> 1) ^ (options.incarnation << 24);
+        let credit = LeaderCredit::new(rng.random(), options.quota);
         let mut startup_actions = Vec::new();
         let consensus = Consensus::new(now, settings, recovered, rng, &mut startup_actions);
         let mut replica = Self {
@@ -160,6 +162,7 @@
             relays: Relays::default(),
             next_batch_number: 0,
             suspects: SuspectTable::default(),
+            credit,
             next_tick: now,
             next_batch: now,
             saved_revision: 0,
@@ -226,6 +229,7 @@
         }
         self.publish_to_entries(now, out);
         self.save_directory(now, out);
+        self.update_credit(now);
     }
 
     /// Returns the time of the next required `Tick`.
@@ -294,8 +298,17 @@
         if let FleetMessage::Suspects(suspects) = message {
             return self.handle_suspects(now, &from, suspects, out);
         }
+        if let FleetMessage::CreditRequest(request) = message {
+            return self.handle_credit_request(now, from, incarnation, &request, out);
+        }
         // The sender of a message that is meant for entries is not recorded as a peer.
-        if matches!(message, FleetMessage::PollResponse(_) | FleetMessage::Install(_) | FleetMessage::Servers(_)) {
+        if matches!(
+            message,
+            FleetMessage::PollResponse(_)
+                | FleetMessage::Install(_)
+                | FleetMessage::Servers(_)
+                | FleetMessage::CreditResponse(_)
+        ) {
             return;
         }
         if let FleetMessage::Outdated(latest) = message {
@@ -333,6 +346,8 @@
             | FleetMessage::Install(_)
             | FleetMessage::Servers(_)
             | FleetMessage::Suspects(_)
+            | FleetMessage::CreditRequest(_)
+            | FleetMessage::CreditResponse(_)
             | FleetMessage::Outdated(_) => {}
         }
     }
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -1,10 +1,12 @@
 //! Replica of a fleet: the replicated log with the ledger, the directory of servers, and the entries that poll it.
 
 mod action;
+mod credit;
 mod entry_updates;
 mod event;
 mod exchange;
 mod leader_contact;
+mod leader_credit;
 mod log_driver;
 mod machine;
 mod operations;
@@ -22,6 +24,7 @@
 
 use {
     leader_contact::LeaderContact,
+    leader_credit::LeaderCredit,
     operations::{Operation, Operations, Origin},
     peers::Peers,
     pending_departures::PendingDeparture,
--- a/crates/core/src/fleet/replica/options.rs
+++ b/crates/core/src/fleet/replica/options.rs
@@ -4,12 +4,13 @@
     crate::{
         consensus::ConsensusOptions,
         ids::{DataCentreId, Incarnation, InstanceId},
+        quota::QuotaTolerance,
     },
     std::time::Duration,
 };
 
 /// Options of a [`Replica`](super::Replica).
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ReplicaOptions {
     /// Id of this replica.
     pub id: InstanceId,
@@ -32,6 +33,8 @@
     pub server_timeout: Duration,
     /// Directory saved by an earlier run; empty for none.
     pub directory: Vec<u8>,
+    /// Tolerance of the customers' limits.
+    pub quota: QuotaTolerance,
 }
 
 impl Default for ReplicaOptions {
@@ -53,6 +56,7 @@
             request_timeout: Duration::from_millis(3_500),
             server_timeout: Duration::from_secs(6),
             directory: Vec::new(),
+            quota: QuotaTolerance::default(),
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod outcome;
 pub mod probing;
 pub mod quarantine;
+pub mod quota;
 pub mod registry;
 pub mod retry;
 pub mod slots;
--- a/crates/core/src/outcome/not_run.rs
+++ b/crates/core/src/outcome/not_run.rs
@@ -38,6 +38,9 @@
     /// Several servers ended while they ran the same request.
     #[display("quarantined")]
     Quarantined,
+    /// The customer exceeds its rate over all entries.
+    #[display("quota")]
+    Quota,
     /// The request itself is malformed.
     #[display("bad-request")]
     BadRequest,
@@ -50,6 +53,7 @@
             Self::UnknownService => 404,
             Self::BadRequest => 400,
             Self::KeyReused => 422,
+            Self::Quota => 429,
             Self::QueueFull
             | Self::Deadline
             | Self::Overload
--- a/crates/core/src/probing/active.rs
+++ b/crates/core/src/probing/active.rs
@@ -5,6 +5,7 @@
     crate::{
         dispatch::Call,
         outcome::{NotRunReason, Outcome, UnknownReason},
+        quota::CreditTicket,
         slots::NameHash,
     },
     std::time::{Duration, Instant},
@@ -27,6 +28,10 @@
     pub(super) unknown_reason: Option<UnknownReason>,
     /// Reason to report if the call is rejected after its last attempt did not run.
     pub(super) rejection_reason: NotRunReason,
+    /// Credit that was taken for the next attempt.
+    pub(super) credit: Option<CreditTicket>,
+    /// Credit that was spent on the last attempt.
+    pub(super) spent_credit: Option<CreditTicket>,
 }
 
 impl ActiveCall {
--- a/crates/core/src/probing/attempt_end.rs
+++ b/crates/core/src/probing/attempt_end.rs
@@ -44,6 +44,7 @@
     /// Cancels a call in whatever state it is.
     pub(super) fn cancel(&mut self, now: Instant, call: CallId, actions: &mut Vec<DispatchAction>) {
         let Some(active) = self.remove_call(call) else { return };
+        self.credit.give_back(now, active.credit);
         // The caller may have disconnected while the decision was being delivered.
         if let Stage::Relayed { entry } = active.stage {
             self.relays.finish(now, entry, active.service, true);
@@ -66,6 +67,11 @@
         result: AttemptResult,
         actions: &mut Vec<DispatchAction>,
     ) {
+        let did_not_run =
+            matches!(result, AttemptResult::Shed | AttemptResult::RefusedBeforeWrite | AttemptResult::Misdirected);
+        if did_not_run {
+            self.restore_credit(now, &mut active);
+        }
         active.rejection_reason = match result {
             AttemptResult::Shed => NotRunReason::Overload,
             _ => NotRunReason::Refused,
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ActiveCall, BalancerOptions, EntryCount, FleetPosition, Relays, RunningProbe, ServiceState, Stage,
+        ActiveCall, BalancerOptions, CreditQueue, EntryCount, FleetPosition, Relays, RunningProbe, ServiceState, Stage,
         service::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
     },
     crate::{
@@ -58,6 +58,8 @@
     pub(super) relays: Relays,
     /// Requests under which servers ended, as far as this entry knows.
     pub(super) suspects: SuspectTable,
+    /// Credit of customers with a limit.
+    pub(super) credit: CreditQueue,
 }
 
 impl Balancer {
@@ -72,8 +74,9 @@
     /// let balancer = Balancer::new(options, SmallRng::seed_from_u64(1));
     /// assert_eq!(balancer.next_wake(), None);
     /// ```
-    pub fn new(options: BalancerOptions, rng: SmallRng) -> Self {
+    pub fn new(options: BalancerOptions, mut rng: SmallRng) -> Self {
         Self {
+            credit: CreditQueue::new(options.quota, &mut rng),
             entries: EntryCount::assumed(options.assumed_entries),
             index: 0,
             options,
@@ -100,10 +103,12 @@
             DispatchEvent::Servers(service, views) => self.set_servers(now, &service, views, actions),
             DispatchEvent::Peers(peers) => {
                 self.entries.update(now, peers.len());
+                self.credit.set_entries(now, peers.len());
                 self.divide_limits(now);
             }
             DispatchEvent::Position(index) => {
                 self.index = index;
+                self.credit.set_index(index);
                 self.divide_limits(now);
             }
             // Entries of a fleet do not send each other messages.
@@ -112,6 +117,7 @@
                 let paths =
                     config.services.iter().map(|(name, service)| (name_hash(name), service.health_path.clone()));
                 self.health_paths = paths.collect();
+                self.set_limits(now, &config, actions);
                 self.config = Some(config);
             }
             DispatchEvent::ProbeFinished { probe, latency: _, report, ok } => {
@@ -128,10 +134,12 @@
             DispatchEvent::Crash { call, server, request } => self.record_crash(now, call, &server, request, actions),
             DispatchEvent::Answered(request) => self.clear_suspect(now, request, actions),
             DispatchEvent::Suspects(records) => self.merge_suspects(now, &records, actions),
+            DispatchEvent::Credit { from, response } => self.receive_credit(now, &from, &response, actions),
             DispatchEvent::Tick => {}
         }
         self.remove_expired_suspects(now, actions);
         self.run_timers(now, actions);
+        self.credit.request(now, actions);
     }
 
     /// Returns the number of calls in queues.
@@ -151,7 +159,8 @@
 
     /// Returns the time at which a [`DispatchEvent::Tick`] is needed if no other event comes first.
     pub fn next_wake(&self) -> Option<Instant> {
-        self.timers.peek().map(|Reverse((at, _))| *at)
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        [timer, self.credit.next_wake()].into_iter().flatten().min()
     }
 
     pub(super) fn set_timer(&mut self, at: Instant, timer: Timer) {
@@ -177,7 +186,9 @@
     fn is_timer_valid(&self, at: Instant, timer: Timer) -> bool {
         match timer {
             Timer::Call(call) => self.calls.get(&call).is_some_and(|active| match &active.stage {
-                Stage::Probing { until, .. } | Stage::Waiting { until } => *until == at,
+                Stage::AwaitingCredit { until } | Stage::Probing { until, .. } | Stage::Waiting { until } => {
+                    *until == at
+                }
                 Stage::Running { .. } | Stage::Relayed { .. } => false,
             }),
             Timer::Service(service) => self.services.get(&service).is_some_and(|state| state.next_review == Some(at)),
@@ -186,6 +197,7 @@
 
     fn on_call_timer(&mut self, now: Instant, call: CallId, actions: &mut Vec<DispatchAction>) {
         match self.calls.get(&call).map(|active| &active.stage) {
+            Some(Stage::AwaitingCredit { .. }) => self.on_credit_timeout(now, call, actions),
             Some(Stage::Probing { .. }) => self.finish_round(now, call, true, actions),
             Some(Stage::Waiting { .. }) => self.on_wait_expired(now, call, actions),
             Some(Stage::Running { .. } | Stage::Relayed { .. }) | None => {}
@@ -204,6 +216,8 @@
             relays: Vec::new(),
             unknown_reason: None,
             rejection_reason: NotRunReason::NoServer,
+            credit: None,
+            spent_credit: None,
         };
         let is_known = self.config.as_ref().is_none_or(|config| config.services.contains_key(&active.call.service));
         if !is_known {
@@ -231,7 +245,7 @@
             return self.reject(now, &active, NotRunReason::NoServer, actions);
         }
         if let Some(active) = self.try_relay(now, active, actions) {
-            self.start_round(now, active, Vec::new(), 0, actions);
+            self.admit(now, active, actions);
         }
     }
 
@@ -301,6 +315,7 @@
         reason: NotRunReason,
         actions: &mut Vec<DispatchAction>,
     ) {
+        self.credit.give_back(now, active.credit);
         // The random factor keeps callers that were rejected together from coming back together.
         let jitter = self.rng.random_range(1.0..1.5);
         let objective = active.call.options.objective;
--- a/crates/core/src/probing/mod.rs
+++ b/crates/core/src/probing/mod.rs
@@ -10,6 +10,8 @@
 mod balancer;
 mod baseline;
 mod cost;
+mod credit;
+mod credit_queue;
 mod ejection;
 mod entry_count;
 mod fleet_position;
@@ -34,8 +36,8 @@
 pub use {balancer::Balancer, options::BalancerOptions};
 
 use {
-    active::ActiveCall, baseline::Baseline, cost::Cost, ejection::Ejection, entry_count::EntryCount,
-    fleet_position::FleetPosition, load_sample::LoadSample, path_monitor::PathMonitor, queue::Queue, relays::Relays,
-    running_probe::RunningProbe, server::Server, server_limit::ServerLimit, servers::Servers, service::ServiceState,
-    stage::Stage,
+    active::ActiveCall, baseline::Baseline, cost::Cost, credit_queue::CreditQueue, ejection::Ejection,
+    entry_count::EntryCount, fleet_position::FleetPosition, load_sample::LoadSample, path_monitor::PathMonitor,
+    queue::Queue, relays::Relays, running_probe::RunningProbe, server::Server, server_limit::ServerLimit,
+    servers::Servers, service::ServiceState, stage::Stage,
 };
--- a/crates/core/src/probing/options.rs
+++ b/crates/core/src/probing/options.rs
@@ -1,6 +1,9 @@
 //! Options of a balancer.
 
-use {crate::ids::DataCentreId, std::time::Duration};
+use {
+    crate::{ids::DataCentreId, quota::QuotaTolerance},
+    std::time::Duration,
+};
 
 /// Options of a balancer.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,6 +22,8 @@
     pub assumed_entries: usize,
     /// Calls of one service that may wait at this entry.
     pub queue_limit: usize,
+    /// Tolerance of the customers' limits.
+    pub quota: QuotaTolerance,
 }
 
 impl Default for BalancerOptions {
@@ -35,6 +40,7 @@
             // Calls that would wait too long for their objective are rejected before the queue is full. This
             // bound is for late calls; an entry gets fewer than 200 of them in half a second.
             queue_limit: 200,
+            quota: QuotaTolerance::default(),
         }
     }
 }
--- a/crates/core/src/probing/relaying.rs
+++ b/crates/core/src/probing/relaying.rs
@@ -117,6 +117,8 @@
             attempts,
             fresh_connection: !active.call.idempotent,
         });
+        // The other entry takes credit for the call itself.
+        self.credit.give_back(now, active.credit.take());
         active.relays.push(entry);
         active.stage = Stage::Relayed { entry };
         self.calls.insert(active.call.id, active);
--- a/crates/core/src/probing/sending.rs
+++ b/crates/core/src/probing/sending.rs
@@ -24,10 +24,19 @@
             return self.reject(now, &active, NotRunReason::NoServer, actions);
         };
         let is_extra = !active.tried.is_empty();
-        if is_extra && !state.retry_budget.try_spend(now, entries) {
+        if is_extra && !state.retry_budget.may_spend(now, entries) {
             return self.reject(now, &active, active.rejection_reason, actions);
         }
+        if !self.spend_credit(now, &mut active) {
+            let reason = if is_extra { active.rejection_reason } else { NotRunReason::Quota };
+            return self.reject(now, &active, reason, actions);
+        }
+        let Some(state) = self.services.get_mut(&active.service) else { return };
+        if is_extra {
+            state.retry_budget.try_spend(now, entries);
+        }
         let Some(chosen) = state.servers.get_mut(server) else {
+            self.restore_credit(now, &mut active);
             return self.reject(now, &active, NotRunReason::NoServer, actions);
         };
         chosen.start_call(now);
--- a/crates/core/src/probing/stage.rs
+++ b/crates/core/src/probing/stage.rs
@@ -5,6 +5,11 @@
 /// The stage of a call on its way to a server.
 #[derive(Clone, Debug)]
 pub(super) enum Stage {
+    /// Waiting for credit of its customer.
+    AwaitingCredit {
+        /// Latest time of the admission.
+        until: Instant,
+    },
     /// Waiting for the answers to probes.
     Probing {
         /// Servers to choose from.
--- a/crates/core/src/probing/waiting.rs
+++ b/crates/core/src/probing/waiting.rs
@@ -155,6 +155,9 @@
     /// Removes a call, and takes it out of the queue if it is waiting.
     pub(super) fn remove_call(&mut self, call: CallId) -> Option<ActiveCall> {
         let active = self.calls.remove(&call)?;
+        if matches!(active.stage, Stage::AwaitingCredit { .. }) {
+            self.credit.stop_waiting(&active);
+        }
         if matches!(active.stage, Stage::Waiting { .. }) {
             self.waiting -= 1;
             if let Some(state) = self.services.get_mut(&active.service) {
--- a/crates/core/tests/fleet_support/faults.rs
+++ b/crates/core/tests/fleet_support/faults.rs
@@ -112,6 +112,7 @@
             entries: 0,
             position: None,
             suspects: Vec::new(),
+            credit: Vec::new(),
             relays: Vec::new(),
             switches: Vec::new(),
             disturbed_at: self.now,
--- a/crates/core/tests/fleet_support/node.rs
+++ b/crates/core/tests/fleet_support/node.rs
@@ -6,8 +6,9 @@
         collections::{FastMap, FastSet},
         dispatch::{RelayAddress, ServerView},
         fleet::{EntryEvent, EntryLink, Replica, ReplicaEvent},
-        ids::ServiceId,
+        ids::{InstanceId, ServiceId},
         quarantine::SuspectRecord,
+        quota::CreditResponse,
     },
     std::time::Duration,
 };
@@ -53,6 +54,8 @@
     pub relays: Vec<RelayAddress>,
     /// News of suspected requests that the entry received.
     pub suspects: Vec<SuspectRecord>,
+    /// Answers to its requests for credit.
+    pub credit: Vec<(InstanceId, CreditResponse)>,
     /// Times at which the entry switched to another replica.
     pub switches: Vec<Duration>,
     /// Last time at which the machine was started or thawed.
--- a/crates/core/tests/fleet_support/world.rs
+++ b/crates/core/tests/fleet_support/world.rs
@@ -320,6 +320,7 @@
                 EntryAction::LiveEntries(entries) => self.entries[index].entries = entries,
                 EntryAction::Relays(relays) => self.entries[index].relays.extend(relays),
                 EntryAction::Suspects(records) => self.entries[index].suspects.extend(records),
+                EntryAction::Credit { from, response } => self.entries[index].credit.push((from, response)),
                 EntryAction::Position(position) => self.entries[index].position = Some(position),
                 EntryAction::Ready(is_ready) => {
                     self.entries[index].is_ready = is_ready;
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -346,6 +346,7 @@
             DispatchAction::Probe { .. } => self.probe(entry, &action),
             DispatchAction::ReportSuspect(_)
             | DispatchAction::SetSuspectHeads(_)
+            | DispatchAction::Credit(_)
             | DispatchAction::Relay { .. }
             | DispatchAction::CheckPath { .. } => {}
         }
--- a/crates/core/tests/support/fleet/simulation.rs
+++ b/crates/core/tests/support/fleet/simulation.rs
@@ -351,6 +351,7 @@
                 self.send_relay(entry, call, address.port(), attempts);
             }
             DispatchAction::SendMessage { .. }
+            | DispatchAction::Credit(_)
             | DispatchAction::ReportSuspect(_)
             | DispatchAction::SetSuspectHeads(_) => {}
         }
--- a/crates/instance/src/counters.rs
+++ b/crates/instance/src/counters.rs
@@ -1,7 +1,7 @@
 //! Metrics of the control plane and of the dispatcher.
 
 use {
-    crate::measure_metrics::MeasureMetrics,
+    crate::{measure_metrics::MeasureMetrics, quota_metrics::QuotaMetrics},
     error_stack::ResultExt,
     hemlockford_core::{
         errors::{ErrorKind, Result},
@@ -44,6 +44,7 @@
     pub(crate) waiting_calls: IntGauge,
     pub(crate) active_calls: IntGauge,
     pub(crate) measure: MeasureMetrics,
+    pub(crate) quota: QuotaMetrics,
 }
 
 impl Counters {
@@ -128,6 +129,7 @@
             waiting_calls: gauge("hemlockford_waiting_calls", "Calls that wait for a server.")?,
             active_calls: gauge("hemlockford_active_calls", "Calls that wait or run.")?,
             measure: MeasureMetrics::register(registry)?,
+            quota: QuotaMetrics::register(registry)?,
         })
     }
 
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -146,6 +146,7 @@
             // The entries of a roster neither exchange suspected requests nor relay calls.
             DispatchAction::ReportSuspect(_)
             | DispatchAction::SetSuspectHeads(_)
+            | DispatchAction::Credit(_)
             | DispatchAction::Relay { .. }
             | DispatchAction::CheckPath { .. } => {}
         }
--- a/crates/instance/src/fleet/balancer_report.rs
+++ b/crates/instance/src/fleet/balancer_report.rs
@@ -1,6 +1,6 @@
 //! What the balancer's task tells the entry's task.
 
-use hemlockford_core::{ids::ServerId, quarantine::SuspectRecord};
+use hemlockford_core::{ids::ServerId, quarantine::SuspectRecord, quota::CreditRequest};
 
 /// What the balancer's task tells the entry's task.
 #[derive(Debug)]
@@ -15,6 +15,10 @@
     },
     /// Number of services to whose servers this entry has lost the path.
     LostPaths(usize),
+    /// Request for credit of customers with a limit.
+    Credit(CreditRequest),
+    /// Whether a leader lends credit to this entry.
+    CreditContact(bool),
     /// News of a request under which servers ended.
     Suspect(SuspectRecord),
 }
--- a/crates/instance/src/fleet/balancer_task.rs
+++ b/crates/instance/src/fleet/balancer_task.rs
@@ -12,7 +12,9 @@
         dispatch::{DispatchAction, DispatchEvent, ServerNotice},
         probing::Balancer,
         quarantine::RequestDigest,
+        quota::HolderAction,
     },
+    hemlockford_net::BootClock,
     hemlockford_proxy::{Decision, DispatcherMessage, Probe},
     std::{
         sync::Arc,
@@ -73,6 +75,7 @@
             }
             self.counters.waiting_calls.set(self.balancer.waiting() as i64);
             self.counters.active_calls.set(self.balancer.active() as i64);
+            self.counters.quota.count_calls(self.balancer.credit_statistics());
         }
     }
 
@@ -92,6 +95,11 @@
                 self.report(BalancerReport::Leaving(server.clone()));
             }
         }
+        if self.balancer.has_limits() {
+            // Leases run while the machine is suspended.
+            let boot = BootClock::now();
+            self.balancer.set_suspended(boot.saturating_duration_since(BootClock::to_steady(boot)));
+        }
         self.balancer.handle(Instant::now(), event, actions);
         let lost_paths = self.balancer.lost_paths();
         if lost_paths != self.lost_paths {
@@ -120,6 +128,11 @@
                 DispatchAction::CheckPath { server, address, limit } => {
                     actix_rt::spawn(check_path(server, address, limit, self.probe_events_tx.clone()));
                 }
+                DispatchAction::Credit(action) => self.report(match action {
+                    HolderAction::Request(request) => BalancerReport::Credit(request),
+                    HolderAction::CutOff => BalancerReport::CreditContact(false),
+                    HolderAction::Connected => BalancerReport::CreditContact(true),
+                }),
                 DispatchAction::ReportSuspect(record) => self.report(BalancerReport::Suspect(record)),
                 DispatchAction::SetSuspectHeads(heads) => {
                     self.suspect_heads.send_replace(Arc::new(heads));
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -222,6 +222,7 @@
         retry_ratio: fleet.retry_ratio * MIN_FIRST_ATTEMPT_SHARE,
         retry_slack: fleet.retry_slack,
         retry_window: fleet.retry_window,
+        quota: fleet.quota(),
         ..BalancerOptions::default()
     }
 }
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -67,6 +67,15 @@
                 Some(report) = self.reports.recv() => match report {
                     BalancerReport::Leaving(server) => EntryEvent::ServerLeaving(server),
                     BalancerReport::Suspect(record) => EntryEvent::Suspect(record),
+                    BalancerReport::Credit(request) => EntryEvent::Credit(request),
+                    BalancerReport::CreditContact(true) => {
+                        info!(self.log, "a leader lends credit for customers' calls again");
+                        continue;
+                    }
+                    BalancerReport::CreditContact(false) => {
+                        info!(self.log, "cut off from credit for customers' calls; using this entry's own part");
+                        continue;
+                    }
                     BalancerReport::LostPaths(0) => {
                         info!(self.log, "the servers of all services can be reached");
                         continue;
@@ -119,6 +128,9 @@
                     self.is_link_ready.send_replace(is_ready);
                 }
                 EntryAction::Relays(relays) => self.send_to_balancer(DispatchEvent::Relays(relays)),
+                EntryAction::Credit { from, response } => {
+                    self.send_to_balancer(DispatchEvent::Credit { from, response });
+                }
                 EntryAction::Suspects(records) => self.send_to_balancer(DispatchEvent::Suspects(records)),
                 EntryAction::Log(entry) if self.drop_log.record(&entry, &self.counters) => {
                     info!(self.log, "{}", entry);
--- a/crates/instance/src/fleet/replica.rs
+++ b/crates/instance/src/fleet/replica.rs
@@ -94,6 +94,7 @@
             first_start: fleet.first_start,
             voters: 2 * fleet.tolerated_losses + 1,
             directory,
+            quota: fleet.quota(),
             ..ReplicaOptions::default()
         };
         let mut actions = Vec::new();
--- a/crates/instance/src/fleet/replica_task.rs
+++ b/crates/instance/src/fleet/replica_task.rs
@@ -83,6 +83,7 @@
                 () = sleep_until(BootClock::to_steady(wake).into()) => ReplicaEvent::Tick,
             };
             self.replica.handle(BootClock::now(), event, &mut actions);
+            self.counters.quota.update_credits(BootClock::now(), self.replica.credits());
             if !self.execute(&mut actions) {
                 return;
             }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod pending_decisions;
 mod prober;
+mod quota_metrics;
 mod report;
 mod settings;
 mod sockets;
--- a/crates/instance/src/settings/fleet.rs
+++ b/crates/instance/src/settings/fleet.rs
@@ -1,6 +1,9 @@
 //! Settings of an instance of a fleet.
 
-use std::{net::SocketAddr, time::Duration};
+use {
+    hemlockford_core::quota::QuotaTolerance,
+    std::{net::SocketAddr, time::Duration},
+};
 
 /// Role of an instance of a fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +35,12 @@
     pub retry_slack: f64,
     /// Length of the sliding window in which extra attempts are counted.
     pub retry_window: Duration,
+    /// Length of the sliding window in which calls of a customer with a limit are counted.
+    pub quota_window: Duration,
+    /// Part of a customer's limit by which its calls may exceed it, over all entries.
+    pub quota_overage: f64,
+    /// Number of calls by which they may exceed it in addition.
+    pub quota_slack: f64,
     /// Time from SIGTERM until the platform kills the process.
     pub grace_period: Duration,
 }
@@ -47,7 +56,17 @@
             retry_ratio: 0.1,
             retry_slack: 10.0,
             retry_window: Duration::from_secs(10),
+            quota_window: QuotaTolerance::default().window,
+            quota_overage: QuotaTolerance::default().overage,
+            quota_slack: QuotaTolerance::default().slack,
             grace_period: Duration::from_secs(6),
         }
     }
 }
+
+impl FleetSettings {
+    /// Returns the tolerance of the customers' limits.
+    pub(crate) fn quota(&self) -> QuotaTolerance {
+        QuotaTolerance { window: self.quota_window, overage: self.quota_overage, slack: self.quota_slack }
+    }
+}
--- a/crates/instance/src/settings/parse.rs
+++ b/crates/instance/src/settings/parse.rs
@@ -106,7 +106,7 @@
             match (key, value) {
                 // The platform's template leaves unknown values empty, which must not prevent the start.
                 (_, "") if key != "role" => {}
-                ("retry-window" | "grace", "s") => {}
+                ("retry-window" | "quota-window" | "grace", "s") => {}
                 ("role", "entry") => fleet.role = FleetRole::Entry,
                 ("role", "replica") => fleet.role = FleetRole::Replica,
                 ("role", _) => self.error(section, key, "expected entry or replica"),
@@ -131,6 +131,9 @@
                 ("retry-ratio", _) => fleet.retry_ratio = self.non_negative(section, key, value),
                 ("retry-slack", _) => fleet.retry_slack = self.non_negative(section, key, value),
                 ("retry-window", _) => fleet.retry_window = self.duration(section, key, value),
+                ("quota-window", _) => fleet.quota_window = self.duration(section, key, value),
+                ("quota-overage", _) => fleet.quota_overage = self.non_negative(section, key, value),
+                ("quota-slack", _) => fleet.quota_slack = self.non_negative(section, key, value),
                 ("grace", _) => fleet.grace_period = self.duration(section, key, value),
                 // The platform generates the file and may use keys that this version does not know.
                 _ => {}
--- a/crates/instance/tests/fleet_settings.rs
+++ b/crates/instance/tests/fleet_settings.rs
@@ -24,6 +24,9 @@
 retry-slack = 62
 retry-window = 9s
 grace = 5s
+quota-window = 4s
+quota-overage = 0.2
+quota-slack = 11
 ";
 
 /// Guards against documented keys that are ignored, and against a dependence on the order of the sections.
@@ -38,6 +41,9 @@
         retry_ratio: 0.25,
         retry_slack: 62.0,
         retry_window: Duration::from_secs(9),
+        quota_window: Duration::from_secs(4),
+        quota_overage: 0.2,
+        quota_slack: 11.0,
         grace_period: Duration::from_secs(5),
     };
     for source in [[INSTANCE, FLEET].concat(), [FLEET, INSTANCE].concat()] {
@@ -53,8 +59,9 @@
 fn empty_values_and_unknown_keys_are_accepted() {
     let instance = INSTANCE.replace("data = /var/lib/hemlockford", "data =\nworkers =\nnotice =");
     let keys = ["interface", "seeds", "first-start", "tolerate", "retry-ratio", "retry-slack", "retry-window", "grace"];
-    let empty: String = keys.iter().map(|key| format!("{key} =\n")).collect();
-    let units = empty.replace("retry-window =", "retry-window = s").replace("grace =", "grace = s");
+    let keys = keys.into_iter().chain(["quota-window", "quota-overage", "quota-slack"]);
+    let empty: String = keys.map(|key| format!("{key} =\n")).collect();
+    let units = empty.replace("-window =", "-window = s").replace("grace =", "grace = s");
     for rest in ["", &empty, &units, "colour = red\nsizes =\n", "seeds = ,\n"] {
         let settings = Settings::parse(&format!("{instance}[fleet]\nrole = entry\n{rest}")).expect(rest);
         assert_eq!(settings.fleet, Some(FleetSettings::default()), "{rest}");
@@ -77,6 +84,9 @@
         ("retry-slack = 62", "retry-slack = -1", 14, "retry-slack"),
         ("retry-window = 9s", "retry-window = 9", 15, "retry-window"),
         ("grace = 5s", "grace = 5s\ngrace = 6s", 17, "grace"),
+        ("quota-window = 4s", "quota-window = 4", 17, "quota-window"),
+        ("quota-overage = 0.2", "quota-overage = inf", 18, "quota-overage"),
+        ("quota-slack = 11", "quota-slack = -1", 19, "quota-slack"),
         ("data = /var/lib/hemlockford", "", 8, "role"),
         ("data = /var/lib/hemlockford", "data =", 8, "role"),
         ("listen = 10.0.0.1:8082", "", 1, "listen"),
--- a/crates/tools/src/slopes/dispatcher_group.rs
+++ b/crates/tools/src/slopes/dispatcher_group.rs
@@ -186,6 +186,7 @@
                 }
                 DispatchAction::Reject { .. }
                 | DispatchAction::Probe { .. }
+                | DispatchAction::Credit(_)
                 | DispatchAction::Relay { .. }
                 | DispatchAction::CheckPath { .. }
                 | DispatchAction::ReportSuspect(_)
