--- a/crates/core/src/fleet/replica/credit.rs
+++ b/crates/core/src/fleet/replica/credit.rs
@@ -30,13 +30,12 @@
         out: &mut Vec<ReplicaAction>,
     ) {
         self.update_credit(now);
-        let live = self.entries(now);
         let response = match &mut self.credit.pool {
-            Some(pool) => pool.handle(now, &from, incarnation, live, request),
+            Some(pool) => pool.handle(now, &from, incarnation, request),
             None => {
                 let leader = self.consensus.leader().filter(|leader| **leader != self.options.id).cloned();
                 let (echo, customers) = (request.number, Vec::new());
-                Some(CreditResponse { echo, leader, session: 0, entries: live, customers })
+                Some(CreditResponse { echo, leader, session: 0, entries: 0, customers })
             }
         };
         if let Some(response) = response {
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -103,7 +103,6 @@
             DispatchEvent::Servers(service, views) => self.set_servers(now, &service, views, actions),
             DispatchEvent::Peers(peers) => {
                 self.entries.update(now, peers.len());
-                self.credit.set_entries(now, peers.len());
                 self.divide_limits(now);
             }
             DispatchEvent::Position(index) => {
--- a/crates/core/src/probing/credit_queue.rs
+++ b/crates/core/src/probing/credit_queue.rs
@@ -48,10 +48,6 @@
         self.holder.configure(now + self.suspended, config);
     }
 
-    pub(super) fn set_entries(&mut self, now: Instant, entries: usize) {
-        self.holder.set_entries(now + self.suspended, u32::try_from(entries).unwrap_or(u32::MAX));
-    }
-
     pub(super) fn set_index(&mut self, index: usize) {
         self.holder.set_index(index);
     }
--- a/crates/core/src/quota/holder.rs
+++ b/crates/core/src/quota/holder.rs
@@ -3,8 +3,7 @@
 use {
     super::{
         ANSWER_TIMEOUT, Acknowledgement, Admission, CreditRequest, CreditResponse, CreditStatistics, CreditTicket,
-        HeldCredit, MAX_LISTED_CUSTOMERS, OWN_PART_UNTIL, OwnPart, PeakCount, QuotaLimit, QuotaTolerance, RefusalCause,
-        Session,
+        HeldCredit, MAX_LISTED_CUSTOMERS, OwnPart, QuotaLimit, QuotaTolerance, RefusalCause, Session,
     },
     crate::{collections::FastMap, config::Configuration, ids::InstanceId, slots::NameHash},
     rand::{RngExt, rngs::SmallRng},
@@ -23,8 +22,12 @@
 const SLOW_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of requests without an answer after which they become less frequent.
 const MANY_UNANSWERED: u32 = 100;
-/// Minimum interval between requests for waiting calls.
+/// Minimum interval between requests for waiting calls. It doubles with each request that is not answered.
 const MIN_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum number of times that it doubles.
+const MAX_DOUBLINGS: u32 = 4;
+/// Number of requests without an answer after which they are no longer repeated because calls wait.
+const MAX_REPEATED: u32 = 3;
 /// Minimum interval between requests for waiting calls after an answer that lent nothing for them.
 const MIN_INTERVAL_SHORT: Duration = Duration::from_millis(20);
 /// Time after which an entry that got no answer may expect credit.
@@ -76,8 +79,6 @@
     sent: VecDeque<(u64, Instant)>,
     unanswered: u32,
     session: Option<Session>,
-    /// Highest number of live entries.
-    entries: PeakCount,
     /// Number of entries that the leader has named.
     divisor: u32,
     /// Index of this entry among them.
@@ -103,7 +104,6 @@
             sent: VecDeque::new(),
             unanswered: 0,
             session: None,
-            entries: PeakCount::new(OWN_PART_UNTIL),
             divisor: 1,
             index: 0,
             is_cut_off: false,
@@ -130,11 +130,6 @@
         }
     }
 
-    /// Records the number of live entries.
-    pub fn set_entries(&mut self, now: Instant, entries: u32) {
-        self.entries.record(now, entries);
-    }
-
     /// Records the index of this entry among the live ones.
     pub fn set_index(&mut self, index: usize) {
         self.index = index;
@@ -243,8 +238,9 @@
 
     /// Returns the time of the next required [`tick`](Self::tick).
     pub fn next_wake(&self) -> Option<Instant> {
+        let doubled = MIN_INTERVAL * (1 << self.unanswered.min(MAX_DOUBLINGS));
         let urgent = match (self.is_urgent, self.sent.back()) {
-            (true, Some((_, last))) => Some(*last + self.urgent_interval),
+            (true, Some((_, last))) => Some(*last + doubled.max(self.urgent_interval)),
             _ => None,
         };
         [self.next_request, urgent.filter(|_| self.has_limits())].into_iter().flatten().min()
@@ -263,8 +259,8 @@
 
     fn request(&mut self, now: Instant) -> CreditRequest {
         self.number += 1;
-        self.is_urgent = false;
         self.unanswered = self.unanswered.saturating_add(1);
+        self.is_urgent = self.unanswered <= MAX_REPEATED && self.customers.values().any(HeldCredit::lacks_credit);
         while self.sent.front().is_some_and(|(_, at)| now.saturating_duration_since(*at) >= ANSWER_TIMEOUT) {
             self.sent.pop_front();
         }
@@ -286,7 +282,9 @@
         let acknowledged = self.session.as_ref().filter(|session| !session.is_over);
         let acknowledged =
             acknowledged.map(|session| Acknowledgement { session: session.id, number: session.answered });
-        CreditRequest { number: self.number, acknowledged, entries: self.entries.get(now), customers }
+        let is_recent = |session: &&Session| !session.is_outdated(now);
+        let entries = self.session.as_ref().filter(is_recent).map_or(0, |_| self.divisor);
+        CreditRequest { number: self.number, acknowledged, entries, customers }
     }
 
     /// Processes an answer. Returns the customers that it concerns.
@@ -345,7 +343,7 @@
         }
         let lacks = self.customers.values().any(HeldCredit::lacks_credit);
         self.urgent_interval = if lacks { MIN_INTERVAL_SHORT } else { MIN_INTERVAL };
-        self.is_urgent |= lacks;
+        self.is_urgent = lacks;
         response.customers.iter().map(|grant| grant.customer).collect()
     }
 
@@ -356,9 +354,8 @@
         if held.own.is_none()
             && let Some(session) = self.session.as_ref().filter(|session| session.is_cut_off(now))
         {
-            let entries = self.divisor.max(self.entries.get(now));
             let allowance = limit.allowance(self.tolerance);
-            held.cut_off(OwnPart::new(session.cut_off_at(), limit, allowance, (entries, self.index)));
+            held.cut_off(OwnPart::new(session.cut_off_at(), limit, allowance, (self.divisor, self.index)));
         }
         if let Some(session) = &self.session
             && !session.may_use_own_part(now)
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -14,7 +14,6 @@
 mod holder;
 mod limit;
 mod own_part;
-mod peak_count;
 mod pool;
 mod pool_customer;
 mod pool_entry;
@@ -27,8 +26,8 @@
 mod tolerance;
 
 use {
-    demand::Demand, held_credit::HeldCredit, own_part::OwnPart, peak_count::PeakCount, pool_customer::PoolCustomer,
-    pool_entry::PoolEntry, refusals::Refusals, session::Session,
+    demand::Demand, held_credit::HeldCredit, own_part::OwnPart, pool_customer::PoolCustomer, pool_entry::PoolEntry,
+    refusals::Refusals, session::Session,
 };
 
 pub use {
--- a/crates/core/src/quota/pool.rs
+++ b/crates/core/src/quota/pool.rs
@@ -2,8 +2,7 @@
 
 use {
     super::{
-        CreditGrant, CreditRequest, CreditResponse, OWN_PART_UNTIL, PeakCount, PoolCustomer, PoolEntry, QuotaLimit,
-        QuotaTolerance,
+        CreditGrant, CreditRequest, CreditResponse, OWN_PART_UNTIL, PoolCustomer, PoolEntry, QuotaLimit, QuotaTolerance,
     },
     crate::{
         collections::FastMap,
@@ -19,9 +18,9 @@
 /// Longest time between two calls for which the buckets are filled. A leader that was frozen for longer does not know
 /// which entries were connected, and another one may have led.
 const MAX_FILL: Duration = Duration::from_millis(100);
-/// Time for which a number of live entries counts that an entry has stated. Each entry remembers the highest number for
-/// [`OWN_PART_UNTIL`] itself.
-const STATED_FOR: Duration = Duration::from_secs(1);
+/// Time after the beginning of a pool in which entries that it does not know may use their own parts, because a former
+/// leader has answered them: [`OWN_PART_UNTIL`], and the time in which the former leader learns that it was replaced.
+const FORMER_PARTS_UNTIL: Duration = Duration::from_secs(12);
 /// Maximum number of entries.
 const MAX_ENTRIES: usize = 4_096;
 /// Maximum credit that is lent at once for a customer that has no limit at the leader.
@@ -41,8 +40,8 @@
 /// let config = Configuration::parse("[change]\nnumber = 1\n[customer a]\nrate = 5\n").unwrap();
 /// let mut pool = CreditPool::new(now, 1, QuotaTolerance::default());
 /// pool.configure(now, &config);
-/// let request = CreditRequest { number: 1, acknowledged: None, entries: 1, customers: Vec::new() };
-/// let response = pool.handle(now, &"entry".into(), 1, 1, &request).unwrap();
+/// let request = CreditRequest { number: 1, acknowledged: None, entries: 0, customers: Vec::new() };
+/// let response = pool.handle(now, &"entry".into(), 1, &request).unwrap();
 /// assert_eq!((response.echo, response.entries), (1, 1));
 /// ```
 #[derive(Debug)]
@@ -52,10 +51,9 @@
     customers: FastMap<NameHash, PoolCustomer>,
     entries: FastMap<InstanceId, PoolEntry>,
     last_id: u32,
-    /// Number of live entries that this replica has known.
-    live: PeakCount,
-    /// Number of live entries that entries have stated.
-    stated: PeakCount,
+    began: Instant,
+    /// Highest number of entries among which a former leader divided the rates, as entries state it.
+    former_divisor: u32,
     /// Number of entries among which the rates are divided.
     divisor: u32,
     /// Part of the rates that belongs to the connected entries.
@@ -75,8 +73,8 @@
             customers: FastMap::default(),
             entries: FastMap::default(),
             last_id: 0,
-            live: PeakCount::new(OWN_PART_UNTIL),
-            stated: PeakCount::new(STATED_FOR),
+            began: now,
+            former_divisor: 0,
             divisor: 1,
             share: 0.0,
             filled: 0.0,
@@ -107,19 +105,18 @@
         self.customers.is_empty()
     }
 
-    /// Processes a request, and returns the answer unless the request is repeated or overtaken. `live` is the number of
-    /// live entries known to this replica.
+    /// Processes a request, and returns the answer unless the request is repeated or overtaken.
     pub fn handle(
         &mut self,
         now: Instant,
         from: &InstanceId,
         incarnation: Incarnation,
-        live: u32,
         request: &CreditRequest,
     ) -> Option<CreditResponse> {
         self.advance(now);
-        self.live.record(now, live.min(MAX_ENTRIES as u32));
-        self.stated.record(now, request.entries.min(MAX_ENTRIES as u32));
+        if now.saturating_duration_since(self.began) < FORMER_PARTS_UNTIL {
+            self.former_divisor = self.former_divisor.max(request.entries.min(MAX_ENTRIES as u32));
+        }
         let (id, is_connected, acknowledged) = self.record_request(now, from, incarnation, request)?;
         self.review(now);
         let numbers = (request.number, acknowledged);
@@ -201,8 +198,10 @@
         self.next_review = now + REVIEW_INTERVAL;
         self.entries.retain(|_, entry| now.saturating_duration_since(entry.seen_at) < OWN_PART_UNTIL);
         let connected = self.entries.values().filter(|entry| entry.is_connected(now)).count();
-        let known = self.live.get(now).max(self.stated.get(now));
-        self.divisor = known.max(self.entries.len() as u32).max(1);
+        if now.saturating_duration_since(self.began) >= FORMER_PARTS_UNTIL {
+            self.former_divisor = 0;
+        }
+        self.divisor = self.former_divisor.max(self.entries.len() as u32).max(1);
         // An entry that is not connected may use the part that it was told, even if there are more entries now.
         let others = self.entries.values().filter(|entry| !entry.is_connected(now));
         let reserved: f64 = others.map(|entry| entry.part).sum();
--- a/crates/core/src/quota/pool_customer.rs
+++ b/crates/core/src/quota/pool_customer.rs
@@ -20,6 +20,8 @@
 /// Credit that is kept for entries with waiting calls, and its maximum part of the allowance.
 const RESERVE: f64 = 4.0;
 const RESERVE_SHARE: f64 = 0.25;
+/// Ratio of the demand to the rate above which calls are refused without a wait for credit.
+const EXCESS: f64 = 1.15;
 /// Time constant with which the demand of all entries is smoothed before it is compared with the rate. The demand of a
 /// small customer varies by a third at random.
 const DEMAND_MEMORY: Duration = Duration::from_millis(1_500);
@@ -33,6 +35,10 @@
     held: u32,
     /// When that credit expires at the latest, and the demand is forgotten.
     until: Instant,
+    /// Credit that it has spent lately, which it may give back if the calls did not run.
+    spent: f64,
+    /// When the entry last stated its demand.
+    stated_at: Instant,
     /// Credit in answers that the entry has not acknowledged: number of the request, amount, and latest expiry.
     unconfirmed: Vec<(u64, u32, Instant)>,
 }
@@ -144,7 +150,7 @@
             None => (0.0, 0.0),
         };
         let unused = f64::from(demand.queued);
-        let is_over = self.usual_demand > self.limit.rate * share;
+        let is_over = self.usual_demand > EXCESS * self.limit.rate * share;
         // With less than one call for each entry, those that ask first get one.
         let target = wanted.min(self.water_level.max(1.0)).floor() + unused;
         let waiting = f64::from(demand.waiting);
@@ -172,7 +178,7 @@
 
     /// Records what an entry states.
     fn record(&mut self, now: Instant, entry: u32, acknowledged: Option<u64>, demand: &CreditDemand) {
-        let empty = Holding { demand: 0.0, held: 0, until: now, unconfirmed: Vec::new() };
+        let empty = Holding { demand: 0.0, held: 0, until: now, spent: 0.0, stated_at: now, unconfirmed: Vec::new() };
         let holding = self.holdings.entry(entry).or_insert(empty);
         let before = holding.total(now);
         holding.unconfirmed.retain(|(number, _, until)| now < *until && acknowledged.is_none_or(|last| *number > last));
@@ -182,8 +188,12 @@
         holding.demand = f64::from(demand.demand) / 10.0;
         holding.until = now + LEASE.max(DEMAND_TIMEOUT);
         let after = holding.total(now);
+        let elapsed = now.saturating_duration_since(holding.stated_at);
+        holding.stated_at = now;
+        let spent = holding.spent * (-elapsed.as_secs_f64() / LEASE.as_secs_f64()).exp() + before - after;
         // Only credit that this leader has lent can be given back to it.
-        let returned = f64::from(demand.returned).min((before - after).max(0.0));
+        let returned = f64::from(demand.returned).min(spent.max(0.0));
+        holding.spent = (spent - returned).max(0.0);
         self.outstanding = (self.outstanding + after - before).max(0.0);
         self.level += returned;
         self.lent -= returned;
--- a/crates/core/src/quota/refusals.rs
+++ b/crates/core/src/quota/refusals.rs
@@ -34,7 +34,8 @@
         let wait = due.saturating_duration_since(now);
         if wait <= MAX_RETRY_AFTER {
             self.reserved_until = due;
-            return wait.max(MIN_RETRY_AFTER).mul_f64(rng.random_range(SPREAD));
+            let spread = wait.max(MIN_RETRY_AFTER).mul_f64(rng.random_range(SPREAD));
+            return spread.min(MAX_RETRY_AFTER);
         }
         // More calls were refused than there will be credit for within the longest time.
         MAX_RETRY_AFTER.mul_f64(rng.random_range(0.5..1.0))
--- a/crates/core/src/quota/request.rs
+++ b/crates/core/src/quota/request.rs
@@ -12,7 +12,7 @@
     pub number: u64,
     /// Last answer that the entry received from a leader.
     pub acknowledged: Option<Acknowledgement>,
-    /// Highest number of live entries that the entry has known recently.
+    /// Number of entries among which the rates were divided according to the last answer, or 0 if there was none lately.
     pub entries: u32,
     /// Customers with traffic or credit at the entry.
     pub customers: Vec<CreditDemand>,
--- a/crates/core/src/quota/session.rs
+++ b/crates/core/src/quota/session.rs
@@ -31,7 +31,12 @@
 
     /// Returns whether the entry may use its own part of the rates.
     pub(super) fn may_use_own_part(&self, now: Instant) -> bool {
-        self.is_cut_off(now) && now < self.answered_sent_at + OWN_PART_UNTIL
+        self.is_cut_off(now) && !self.is_outdated(now)
+    }
+
+    /// Returns whether the leader may have forgotten this entry.
+    pub(super) fn is_outdated(&self, now: Instant) -> bool {
+        now >= self.answered_sent_at + OWN_PART_UNTIL
     }
 
     /// Returns whether the leader no longer uses the part of this entry, so that another one may.
--- a/crates/core/tests/quota_support/mod.rs
+++ b/crates/core/tests/quota_support/mod.rs
@@ -1,6 +1,7 @@
 //! Simulation of the pools of leaders and the holders of entries, without a network.
 
 pub mod checks;
+pub mod faults;
 pub mod network;
 pub mod node;
 pub mod traffic;
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -34,7 +34,7 @@
             status,
             outcome,
             // A response that declares the request invalid must not invite a retry.
-            retry_after: matches!(status, 409 | 502..=504).then_some(retry_after),
+            retry_after: matches!(status, 409 | 429 | 502..=504).then_some(retry_after),
             repeat_protection: None,
             content_type: Some("text/plain".into()),
             body: body.into(),
