--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        EntryAction, EntryEvent, EntryOptions, KnownReplicas, MissingChange, ReplicaSearch, SentPolls, ServerSet,
-        Statements,
+        CreditRoute, EntryAction, EntryEvent, EntryOptions, KnownReplicas, MissingChange, ReplicaSearch, SentPolls,
+        ServerSet, Statements,
     },
     crate::{
         config::{Configuration, LEVEL},
@@ -83,6 +83,7 @@
     position: Option<u32>,
     /// Requests under which servers ended, as far as this entry knows.
     pub(super) suspects: SuspectTable,
+    pub(super) credit_route: CreditRoute,
     is_ready: bool,
 }
 
@@ -113,6 +114,7 @@
             entries: 0,
             position: None,
             suspects: SuspectTable::default(),
+            credit_route: CreditRoute::default(),
             is_ready: false,
             options,
         }
@@ -134,6 +136,7 @@
             EntryEvent::ServerLeaving(server) => self.servers.report_leaving(server),
             EntryEvent::Stopping => self.options.relay = None,
             EntryEvent::Suspect(record) => self.report_suspect(now, record, out),
+            EntryEvent::Credit(request) => self.request_credit(now, request, out),
             EntryEvent::Seeds(seeds) => self.known.set_seeds(now, seeds),
         }
         self.tick(now, out);
@@ -261,6 +264,7 @@
             FleetMessage::Install(update) => self.install(now, &update, out),
             FleetMessage::Servers(servers) => self.handle_servers(now, &from, incarnation, servers),
             FleetMessage::Suspects(suspects) => self.handle_suspects(now, from, suspects, out),
+            FleetMessage::CreditResponse(response) => self.handle_credit(from, response, out),
             FleetMessage::Poll(_)
             | FleetMessage::Consensus(_)
             | FleetMessage::StatusRequest(_)
@@ -270,6 +274,7 @@
             | FleetMessage::Request { .. }
             | FleetMessage::Reply { .. }
             | FleetMessage::Outdated(_)
+            | FleetMessage::CreditRequest(_)
             | FleetMessage::Capabilities { .. } => {}
         }
         self.check_ready(out);
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -8,6 +8,7 @@
         ids::{ChangeNumber, DataCentreId, Incarnation, InstanceId, LogIndex, ServerId, ServiceId},
         ledger::ContentDigest,
         quarantine::SuspectRecord,
+        quota::{CreditRequest, CreditResponse},
     },
     derive_more::Debug,
     serde::{Deserialize, Serialize},
@@ -53,6 +54,10 @@
     Outdated(Incarnation),
     /// Requests under which servers ended.
     Suspects(Suspects),
+    /// Requests credit for calls of customers with a limit; sent by an entry to the leader.
+    CreditRequest(CreditRequest),
+    /// Answer to `CreditRequest`.
+    CreditResponse(CreditResponse),
     /// States which configurations and commands the sender reads; an instance that does not send it reads those of
     /// level 1.
     Capabilities {
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -2,11 +2,13 @@
 
 mod action;
 mod capabilities;
+mod credit;
 mod entry_updates;
 mod evacuations;
 mod event;
 mod exchange;
 mod leader_contact;
+mod leader_credit;
 mod log_driver;
 mod machine;
 mod operations;
@@ -25,6 +27,7 @@
 use {
     capabilities::Capabilities,
     leader_contact::LeaderContact,
+    leader_credit::LeaderCredit,
     operations::{Operation, Operations, Origin},
     peers::Peers,
     pending_departures::PendingDeparture,
--- a/crates/core/src/outcome/not_run.rs
+++ b/crates/core/src/outcome/not_run.rs
@@ -41,6 +41,9 @@
     /// The request has no API key although it needs one, or one that no customer holds.
     #[display("unknown-key")]
     UnknownKey,
+    /// The customer exceeds its rate over all entries.
+    #[display("quota")]
+    Quota,
     /// The request itself is malformed.
     #[display("bad-request")]
     BadRequest,
@@ -54,6 +57,7 @@
             Self::BadRequest => 400,
             Self::UnknownKey => 401,
             Self::KeyReused => 422,
+            Self::Quota => 429,
             Self::QueueFull
             | Self::Deadline
             | Self::Overload
--- a/crates/core/tests/fleet_support/faults.rs
+++ b/crates/core/tests/fleet_support/faults.rs
@@ -113,6 +113,7 @@
             position: None,
             customers: FastMap::default(),
             suspects: Vec::new(),
+            credit: Vec::new(),
             relays: Vec::new(),
             switches: Vec::new(),
             disturbed_at: self.now,
--- a/crates/core/tests/fleet_support/node.rs
+++ b/crates/core/tests/fleet_support/node.rs
@@ -7,8 +7,9 @@
         config::Customer,
         dispatch::{RelayAddress, ServerView},
         fleet::{EntryEvent, EntryLink, Replica, ReplicaEvent},
-        ids::{CustomerId, ServiceId},
+        ids::{CustomerId, InstanceId, ServiceId},
         quarantine::SuspectRecord,
+        quota::CreditResponse,
     },
     std::time::Duration,
 };
@@ -56,6 +57,8 @@
     pub relays: Vec<RelayAddress>,
     /// News of suspected requests that the entry received.
     pub suspects: Vec<SuspectRecord>,
+    /// Answers to its requests for credit.
+    pub credit: Vec<(InstanceId, CreditResponse)>,
     /// Times at which the entry switched to another replica.
     pub switches: Vec<Duration>,
     /// Last time at which the machine was started or thawed.
