--- a/crates/core/examples/choice.rs
+++ b/crates/core/examples/choice.rs
@@ -47,6 +47,7 @@
         connections: 250,
         state: ServerState::Ready,
         lease_end: now + Duration::from_secs(86_400),
+        warm_at: now,
         ready_since: now.checked_sub(Duration::from_secs(60)).unwrap_or(now),
     }
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -105,7 +105,7 @@
                 self.dispatch_all_waiting(now, actions);
             }
             DispatchEvent::Configure(config) => self.configure(now, config, actions),
-            DispatchEvent::ProbeFinished { probe, latency, report, ok } => {
+            DispatchEvent::ProbeFinished { probe, latency, report, warm_up: _, ok } => {
                 self.finish_probe(now, probe, latency, report, ok);
             }
             DispatchEvent::Notice { server, address, notice } => {
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -43,6 +43,8 @@
         latency: Duration,
         /// Load that the server reported.
         report: Option<LoadReport>,
+        /// How long the server stays cold, if it stated that.
+        warm_up: Option<Duration>,
         /// Whether the server answered in time.
         ok: bool,
     },
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -41,4 +41,6 @@
     pub lease_end: Instant,
     /// Time at which it was first seen ready in this incarnation, from which slow start counts.
     pub ready_since: Instant,
+    /// Time from which it is warm, as far as it has announced that.
+    pub warm_at: Instant,
 }
--- a/crates/core/src/fleet/entry/server_set.rs
+++ b/crates/core/src/fleet/entry/server_set.rs
@@ -234,6 +234,7 @@
             state: ServerState::Ready,
             lease_end: now + UNLIMITED_LEASE,
             // Slow start ends together with the warm-up.
+            warm_at: self.warm_until,
             ready_since: self.warm_until.checked_sub(slow_start).unwrap_or(now),
         }
     }
--- a/crates/core/src/probing/attempt_end.rs
+++ b/crates/core/src/probing/attempt_end.rs
@@ -30,8 +30,12 @@
         }
         let Some(active) = self.calls.remove(&finish.call) else { return };
         let service = active.service;
+        let position = self.position(now);
         if let Some(state) = self.services.get_mut(&service) {
             state.observe(now, &active, (server, since, work_factor), finish);
+            if finish.result == AttemptResult::RefusedBeforeWrite {
+                state.servers.assume_cold(now, server, since, position);
+            }
         }
         self.observe_suspect(now, &active, finish.result, actions);
         let is_final = matches!(finish.result, AttemptResult::Complete | AttemptResult::CallerLeft);
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ActiveCall, BalancerOptions, EntryCount, FleetPosition, Relays, RunningProbe, ServiceState, Stage,
+        ActiveCall, BalancerOptions, EntryCount, FleetPosition, Relays, RunningProbe, ServiceState, Stage, WarmUpRule,
         service::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
     },
     crate::{
@@ -46,8 +46,8 @@
     pub(super) health_paths: FastMap<NameHash, Box<str>>,
     /// Number of live entries, including this one.
     pub(super) entries: EntryCount,
-    /// Index of this entry among the live ones.
-    pub(super) index: usize,
+    /// Index of this entry among the live ones, once a replica has stated it.
+    pub(super) index: Option<usize>,
     pub(super) services: FastMap<NameHash, ServiceState>,
     pub(super) calls: FastMap<CallId, ActiveCall>,
     pub(super) probes: BTreeMap<u64, RunningProbe>,
@@ -75,7 +75,7 @@
     pub fn new(options: BalancerOptions, rng: SmallRng) -> Self {
         Self {
             entries: EntryCount::assumed(options.assumed_entries),
-            index: 0,
+            index: None,
             options,
             rng,
             config: None,
@@ -103,7 +103,7 @@
                 self.divide_limits(now);
             }
             DispatchEvent::Position(index) => {
-                self.index = index;
+                self.index = Some(index);
                 self.divide_limits(now);
             }
             // Entries of a fleet do not send each other messages.
@@ -113,9 +113,10 @@
                     config.services.iter().map(|(name, service)| (name_hash(name), service.health_path.clone()));
                 self.health_paths = paths.collect();
                 self.config = Some(config);
+                self.set_warm_up_rules(now);
             }
-            DispatchEvent::ProbeFinished { probe, latency: _, report, ok } => {
-                self.finish_probe(now, probe, report.filter(|_| ok), actions);
+            DispatchEvent::ProbeFinished { probe, latency: _, report, warm_up, ok } => {
+                self.finish_probe(now, probe, (report.filter(|_| ok), warm_up), actions);
             }
             DispatchEvent::Notice { server, address, notice } => {
                 self.record_notice(now, name_hash(&server), address, notice, actions);
@@ -209,9 +210,11 @@
         if !is_known {
             return self.reject(now, &active, NotRunReason::UnknownService, actions);
         }
+        let entries = self.entries.get(now, self.options.retry_window);
         let Some(state) = self.services.get_mut(&service) else {
             return self.reject(now, &active, NotRunReason::NoServer, actions);
         };
+        state.baseline.record_arrival(now, entries, state.servers.len());
         // The entry that passed it on has counted it.
         if !active.call.relayed {
             state.retry_budget.record_request(now);
@@ -251,9 +254,11 @@
         actions: &mut Vec<DispatchAction>,
     ) {
         let service = name_hash(name);
-        let entries = self.entries.get(now, self.options.retry_window);
+        let position = self.position(now);
+        let rule = self.warm_up_rule(name);
         let state = self.services.entry(service).or_insert_with(|| ServiceState::new(&self.options));
-        state.servers.replace(now, views, (&self.options.data_centre, entries), &mut self.rng);
+        state.servers.set_warm_up_rule(now, rule, position);
+        state.servers.replace(now, views, (&self.options.data_centre, position), &mut self.rng);
         if state.path.is_lost() {
             // If all servers have ended, the path is back with the first one that joins.
             state.path.hasten_check();
@@ -264,7 +269,11 @@
 
     /// Returns the position of this entry, with the highest number of live entries reported lately.
     pub(super) fn position(&mut self, now: Instant) -> FleetPosition {
-        FleetPosition { entries: self.entries.get(now, self.options.retry_window), index: self.index }
+        FleetPosition {
+            entries: self.entries.get(now, self.options.retry_window),
+            index: self.index.unwrap_or(0),
+            is_known: self.index.is_some(),
+        }
     }
 
     /// Determines this entry's parts of the limits that servers have named.
@@ -273,6 +282,23 @@
         self.services.values_mut().for_each(|state| state.servers.divide_limits(now, position));
     }
 
+    fn warm_up_rule(&self, service: &str) -> Option<WarmUpRule> {
+        let service = self.config.as_ref()?.services.get(service)?;
+        WarmUpRule::new(service.warm_up, &self.options)
+    }
+
+    /// Applies the configured limits of cold servers.
+    fn set_warm_up_rules(&mut self, now: Instant) {
+        let Some(config) = self.config.clone() else { return };
+        let position = self.position(now);
+        for name in config.services.keys() {
+            let rule = self.warm_up_rule(name);
+            if let Some(state) = self.services.get_mut(&name_hash(name)) {
+                state.servers.set_warm_up_rule(now, rule, position);
+            }
+        }
+    }
+
     /// Excludes a server that asked for no further calls, or for fewer than this entry would send. Waiting calls for
     /// which no other server is left are rejected.
     fn record_notice(
--- a/crates/core/src/probing/baseline.rs
+++ b/crates/core/src/probing/baseline.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::dispatch::{LoadReport, NOMINAL_PACE},
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 /// Work assumed before the first answer, as a share of the objective. It is 0.32 to 0.42 for all routes of
@@ -17,6 +17,8 @@
 const SMOOTHING: f64 = 0.02;
 /// Smoothing factor of the mean work; an entry sees a few answers a second.
 const WORK_SMOOTHING: f64 = 0.05;
+/// Time in which the weight of an arrival decays, in seconds.
+const ARRIVAL_DECAY_TIME: f64 = 5.0;
 
 /// Mean work, slowdown and load at the servers of one service.
 #[derive(Clone, Copy, Debug)]
@@ -27,11 +29,23 @@
     pub(super) slowdown: f64,
     /// Mean calls of other entries per slot.
     pub(super) load: f64,
+    /// Calls per second that arrive at this entry, and when that was determined.
+    arrivals: f64,
+    arrivals_at: Option<Instant>,
+    /// Servers per entry.
+    servers_per_entry: f64,
 }
 
 impl Baseline {
     pub(super) fn new() -> Self {
-        Self { work: None, slowdown: INITIAL_SLOWDOWN, load: INITIAL_LOAD }
+        Self {
+            work: None,
+            slowdown: INITIAL_SLOWDOWN,
+            load: INITIAL_LOAD,
+            arrivals: 0.0,
+            arrivals_at: None,
+            servers_per_entry: 1.0,
+        }
     }
 
     /// Returns the seconds of work at nominal speed for a call with this objective.
@@ -39,6 +53,22 @@
         self.work.unwrap_or(INITIAL_WORK * objective.as_secs_f64())
     }
 
+    /// Returns the calls per second of all entries at a server with as many slots, according to the load of the servers
+    /// or the calls of this entry. Neither is exact: work is learnt slowly, and entries get unequal traffic.
+    pub(super) fn calls_per_second(&self, slots: u32) -> f64 {
+        let by_load = self.work.map_or(f64::INFINITY, |work| self.load * f64::from(slots) / (work * self.slowdown));
+        by_load.max(self.arrivals / self.servers_per_entry)
+    }
+
+    /// Records the arrival of a call.
+    pub(super) fn record_arrival(&mut self, now: Instant, entries: usize, servers: usize) {
+        let elapsed = self.arrivals_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let kept = (-elapsed.as_secs_f64() / ARRIVAL_DECAY_TIME).exp();
+        self.arrivals = self.arrivals * kept + 1.0 / ARRIVAL_DECAY_TIME;
+        self.arrivals_at = Some(now);
+        self.servers_per_entry = servers.max(1) as f64 / entries.max(1) as f64;
+    }
+
     /// Records the time of a complete answer and the work factor that was expected of the server.
     pub(super) fn observe(&mut self, seconds: f64, work_factor: f64, objective: Duration) {
         let work = self.work(objective);
--- a/crates/core/src/probing/cost.rs
+++ b/crates/core/src/probing/cost.rs
@@ -58,7 +58,7 @@
     pub(super) fn estimate(now: Instant, active: &ActiveCall, server: &Server, baseline: &Baseline) -> Self {
         let slots = f64::from(server.slots());
         let load = server.load(now, baseline);
-        let is_cold = now < server.view.ready_since + COLD_PERIOD;
+        let is_cold = now < server.view.ready_since + COLD_PERIOD || server.is_cold(now);
         let work_factor =
             server.slowdown(now, baseline) * busy_factor(load, slots) * if is_cold { COLD_SLOWDOWN } else { 1.0 };
         let work = baseline.work(active.call.options.objective);
--- a/crates/core/src/probing/fleet_position.rs
+++ b/crates/core/src/probing/fleet_position.rs
@@ -9,6 +9,8 @@
     pub(super) entries: usize,
     /// Index of this entry among them.
     pub(super) index: usize,
+    /// Whether a replica has stated the index.
+    pub(super) is_known: bool,
 }
 
 impl FleetPosition {
--- a/crates/core/src/probing/mod.rs
+++ b/crates/core/src/probing/mod.rs
@@ -30,12 +30,31 @@
 mod stage;
 mod suspects;
 mod waiting;
+mod warm_up;
+mod warm_up_report;
 
-pub use {balancer::Balancer, options::BalancerOptions};
+pub use {
+    balancer::Balancer,
+    options::BalancerOptions,
+    warm_up_report::{ColdServer, WarmUpReport},
+};
 
 use {
-    active::ActiveCall, baseline::Baseline, cost::Cost, ejection::Ejection, entry_count::EntryCount,
-    fleet_position::FleetPosition, load_sample::LoadSample, path_monitor::PathMonitor, queue::Queue, relays::Relays,
-    running_probe::RunningProbe, server::Server, server_limit::ServerLimit, servers::Servers, service::ServiceState,
+    active::ActiveCall,
+    baseline::Baseline,
+    cost::Cost,
+    ejection::Ejection,
+    entry_count::EntryCount,
+    fleet_position::FleetPosition,
+    load_sample::LoadSample,
+    path_monitor::PathMonitor,
+    queue::Queue,
+    relays::Relays,
+    running_probe::RunningProbe,
+    server::Server,
+    server_limit::ServerLimit,
+    servers::Servers,
+    service::ServiceState,
     stage::Stage,
+    warm_up::{WarmUp, WarmUpRule},
 };
--- a/crates/core/src/probing/options.rs
+++ b/crates/core/src/probing/options.rs
@@ -19,6 +19,10 @@
     pub assumed_entries: usize,
     /// Calls of one service that may wait at this entry.
     pub queue_limit: usize,
+    /// Factor on the rate that a cold server tolerates, up to which calls may reach it in a second.
+    pub warm_up_overage: f64,
+    /// Calls that may reach a cold server in a second beyond that.
+    pub warm_up_slack: f64,
 }
 
 impl Default for BalancerOptions {
@@ -35,6 +39,8 @@
             // Calls that would wait too long for their objective are rejected before the queue is full. This
             // bound is for late calls; an entry gets fewer than 200 of them in half a second.
             queue_limit: 200,
+            warm_up_overage: 1.5,
+            warm_up_slack: 8.0,
         }
     }
 }
--- a/crates/core/src/probing/probe_round.rs
+++ b/crates/core/src/probing/probe_round.rs
@@ -1,7 +1,7 @@
 //! Rounds of probes before the choice of a server.
 
 use {
-    super::{ActiveCall, Balancer, Cost, RunningProbe, Server, ServiceState, Stage, balancer::Timer},
+    super::{ActiveCall, Balancer, Cost, RunningProbe, Server, ServiceState, Stage, WarmUp, balancer::Timer},
     crate::{
         config::Service,
         dispatch::{DispatchAction, LoadReport},
@@ -86,9 +86,8 @@
         let due = state.servers.iter().find(|server| server.is_limit_check_due(now)).map(|server| server.name_hash);
         let Some(due) = due.and_then(|server| state.servers.get_mut(server)) else { return };
         let server = due.name_hash;
-        if let Some(limit) = &mut due.limit {
-            limit.postpone_check(now, position, &mut self.rng);
-        }
+        let limits = due.limit.iter_mut().chain(due.warm_up.as_mut().map(WarmUp::limit_mut));
+        limits.for_each(|limit| limit.postpone_check(now, position, &mut self.rng));
         self.probe_server(now, service, server, None, actions);
     }
 
@@ -98,7 +97,12 @@
         let Some(state) = self.services.get(&active.service) else { return Vec::new() };
         let sampled: Vec<_> = state.servers.sample(&mut self.rng).collect();
         let open = |server: &&Server| !active.tried.contains(&server.name_hash) && !known.contains(&server.name_hash);
-        let due = sampled.iter().copied().filter(open).filter(|server| server.accepts_trial(now, active));
+        let due = sampled
+            .iter()
+            .copied()
+            .chain(state.servers.joined())
+            .filter(open)
+            .filter(|server| server.accepts_trial(now, active));
         // The earliest due time decides, because all entries have the same order of names and must not choose
         // the same server.
         let due = due.min_by_key(|server| server.introduction_due);
@@ -184,16 +188,19 @@
         Duration::from_secs(1) * entries / self.options.probe_rate.max(1)
     }
 
-    /// Processes the end of a probe; one without a report has failed.
+    /// Processes the end of a probe; one without a report has failed. A report may come with the time for which the
+    /// server stays cold.
     pub(super) fn finish_probe(
         &mut self,
         now: Instant,
         probe: u64,
-        report: Option<LoadReport>,
+        (report, warm_up): (Option<LoadReport>, Option<Duration>),
         actions: &mut Vec<DispatchAction>,
     ) {
         let Some(running) = self.probes.remove(&probe) else { return };
+        let position = self.position(now);
         if let Some(state) = self.services.get_mut(&running.service) {
+            state.servers.record_health(now, &running, report.map(|_| warm_up), position);
             state.record_probe(now, &running, probe, report);
         }
         self.check_path(now, running.service, actions);
@@ -264,6 +271,7 @@
         if server.running_probe == Some(probe) {
             server.running_probe = None;
         }
+        server.last_probe_end = Some(now);
         let is_late = now.saturating_duration_since(running.started_at) > ROUND_DURATION;
         match report {
             Some(_) => self.path.record_answer(),
--- a/crates/core/src/probing/sending.rs
+++ b/crates/core/src/probing/sending.rs
@@ -1,7 +1,7 @@
 //! Sending of a call to the chosen server.
 
 use {
-    super::{ActiveCall, Balancer, FleetPosition, Stage},
+    super::{ActiveCall, Balancer, Stage},
     crate::{dispatch::DispatchAction, outcome::NotRunReason, slots::NameHash},
     std::time::Instant,
 };
@@ -19,12 +19,12 @@
         if self.quarantine_wait(now, &active).is_some() {
             return self.reject(now, &active, NotRunReason::Quarantined, actions);
         }
-        let entries = self.entries.get(now, self.options.retry_window);
+        let position = self.position(now);
         let Some(state) = self.services.get_mut(&active.service) else {
             return self.reject(now, &active, NotRunReason::NoServer, actions);
         };
         let is_extra = !active.tried.is_empty();
-        if is_extra && !state.retry_budget.try_spend(now, entries) {
+        if is_extra && !state.retry_budget.try_spend(now, position.entries) {
             return self.reject(now, &active, active.rejection_reason, actions);
         }
         let Some(chosen) = state.servers.get_mut(server) else {
@@ -32,7 +32,7 @@
         };
         chosen.start_call(now);
         if let Some(limit) = &mut chosen.limit {
-            limit.record_call(now, FleetPosition { entries, index: self.index }, &mut self.rng);
+            limit.record_call(now, position, &mut self.rng);
         }
         actions.push(DispatchAction::Send {
             call: active.call.id,
--- a/crates/core/src/probing/server.rs
+++ b/crates/core/src/probing/server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Baseline, Ejection, LoadSample, ServerLimit,
+        Baseline, Ejection, LoadSample, ServerLimit, WarmUp,
         cost::{BUSY_SLOWDOWN, BUSY_THRESHOLD},
     },
     crate::{
@@ -28,6 +28,13 @@
 const MAX_FAILED_PROBES: u32 = 4;
 /// Consecutive rejections after which a server is ejected, whatever load it reports.
 const MAX_CONSECUTIVE_SHEDS: u32 = 3;
+/// Time after a probe in which a server that may become cold gets calls. Calls follow their probes within 12 ms, and
+/// waiting ones after some more.
+const PROBE_AGE: Duration = Duration::from_millis(100);
+/// Time without a health response after which a server may have become cold unnoticed.
+const SILENT_AFTER: Duration = Duration::from_millis(500);
+/// Time in which a waiting call uses the slot of one that has ended.
+const FREED_SLOT_AGE: Duration = Duration::from_millis(5);
 
 /// State of one server as an entry knows it.
 #[derive(Clone, Debug)]
@@ -46,6 +53,8 @@
     pub(super) load_sample: Option<LoadSample>,
     /// End of the probe intervals of all probes sent so far.
     pub(super) probed_until: Option<Instant>,
+    /// When the last probe was answered or failed.
+    pub(super) last_probe_end: Option<Instant>,
     /// Identifier of the running probe.
     pub(super) running_probe: Option<u64>,
     /// Consecutive probes that failed, plus one if the last answered one was late. An answer ends the series even if it
@@ -57,6 +66,8 @@
     pub(super) exclusion: Exclusion,
     /// Limit on the rate of calls that the server has named.
     pub(super) limit: Option<ServerLimit>,
+    /// Whether the server is cold, if its service limits the calls to cold servers.
+    pub(super) warm_up: Option<WarmUp>,
     /// When this entry sends a new server its first call even if other servers seem better.
     pub(super) introduction_due: Option<Instant>,
     consecutive_sheds: u32,
@@ -77,12 +88,14 @@
             last_end: None,
             load_sample: None,
             probed_until: None,
+            last_probe_end: None,
             running_probe: None,
             failed_probes: 0,
             ejection: Ejection::default(),
             is_misdirected: false,
             exclusion: Exclusion::default(),
             limit: None,
+            warm_up: None,
             introduction_due: None,
             consecutive_sheds: 0,
             failure_rate: 0.0,
@@ -97,7 +110,9 @@
     /// Returns whether the announced state, the lease and the server's own answers allow new calls; they are checked
     /// at the time of use.
     pub(super) fn is_available(&self, now: Instant) -> bool {
-        self.is_open(now) && self.limit.as_ref().is_none_or(|limit| limit.may_call(now))
+        self.is_open(now)
+            && self.limit.as_ref().is_none_or(|limit| limit.may_call(now))
+            && self.warm_up.as_ref().is_none_or(|warm_up| warm_up.may_call(now))
     }
 
     /// Returns whether the server takes calls, possibly not from this entry now because of the limit that it named.
@@ -105,9 +120,11 @@
         self.is_ready(now) && !self.exclusion.applies(now)
     }
 
-    /// Returns whether a probe is due that shows whether the limit of the server still holds.
+    /// Returns whether a probe is due that shows whether the limit of the server still holds, or whether it is cold.
     pub(super) fn is_limit_check_due(&self, now: Instant) -> bool {
-        self.limit.as_ref().is_some_and(|limit| limit.is_check_due(now)) && self.is_open(now)
+        let is_due = self.limit.as_ref().is_some_and(|limit| limit.is_check_due(now))
+            || self.warm_up.as_ref().is_some_and(|warm_up| warm_up.is_check_due(now));
+        is_due && self.is_open(now)
     }
 
     /// Returns whether the announced state and the lease allow new calls.
@@ -115,12 +132,14 @@
         self.view.state == ServerState::Ready && now < self.view.lease_end && !self.is_misdirected
     }
 
-    /// Returns when a server that asked for a pause or named a limit takes a call of this entry again.
+    /// Returns when a server that asked for a pause, named a limit or is cold takes a call of this entry again.
     pub(super) fn pause_end(&self, now: Instant) -> Option<Instant> {
         if !self.is_ready(now) || self.exclusion.is_leaving {
             return None;
         }
         let pause = self.exclusion.paused_until.filter(|until| now < *until);
+        let warm_up = self.warm_up.as_ref().filter(|warm_up| !warm_up.may_call(now));
+        let pause = pause.max(warm_up.map(|warm_up| warm_up.next_call_at(now)));
         let limit = self.limit.as_ref().filter(|limit| !limit.may_call(now));
         match limit {
             Some(limit) => Some(limit.next_call_at(now)?.max(pause.unwrap_or(now))),
@@ -155,12 +174,35 @@
 
     /// Returns whether the server may get one more call.
     pub(super) fn has_room(&self, now: Instant, baseline: &Baseline) -> bool {
-        self.load(now, baseline).round() < f64::from(self.useful_slots())
+        self.is_warmth_known(now, baseline) && self.load(now, baseline).round() < f64::from(self.useful_slots())
     }
 
     /// Returns whether the server would queue one more call rather than reject it.
     pub(super) fn has_queue_room(&self, now: Instant, baseline: &Baseline) -> bool {
-        self.load(now, baseline).round() < f64::from(self.slots() + QUEUE_LENGTH)
+        self.is_warmth_known(now, baseline) && self.load(now, baseline).round() < f64::from(self.slots() + QUEUE_LENGTH)
+    }
+
+    /// Returns whether this entry may send a call although the server may have become cold since it was last probed;
+    /// only health responses state that. If the usual rate of calls is no danger to a cold server, one call at a time is
+    /// sent without a recent probe. Otherwise calls follow probes, and a slot that became free is used once more.
+    fn is_warmth_known(&self, now: Instant, baseline: &Baseline) -> bool {
+        let Some(warm_up) = &self.warm_up else { return true };
+        let age = |at: Option<Instant>| at.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+        let probe_age = age(self.last_probe_end);
+        let is_alone = self.in_flight == 0;
+        if probe_age <= PROBE_AGE {
+            return self.failed_probes == 0 || is_alone;
+        }
+        let has_answered = probe_age <= SILENT_AFTER && self.failed_probes == 0;
+        match warm_up.tolerates(baseline.calls_per_second(self.slots())) {
+            true => has_answered || is_alone,
+            false => has_answered && age(self.last_end) <= FREED_SLOT_AGE,
+        }
+    }
+
+    /// Returns whether the server is cold and tolerates few calls.
+    pub(super) fn is_cold(&self, now: Instant) -> bool {
+        self.warm_up.as_ref().is_some_and(|warm_up| warm_up.is_cold(now))
     }
 
     /// Returns the expected factor by which work takes longer than at nominal speed.
@@ -184,6 +226,9 @@
         self.in_flight += 1;
         self.sent_calls = self.sent_calls.wrapping_add(1);
         self.last_sent = Some(now);
+        if let Some(warm_up) = &mut self.warm_up {
+            warm_up.record_call(now);
+        }
         self.introduction_due = None;
     }
 
--- a/crates/core/src/probing/server_limit.rs
+++ b/crates/core/src/probing/server_limit.rs
@@ -1,4 +1,4 @@
-//! Limit that a server has named on the rate of calls from all entries together.
+//! Limit on the rate of calls to a server from all entries together, which it has named or which holds while it is cold.
 
 use {
     super::FleetPosition,
@@ -24,24 +24,40 @@
 
 /// A server's limit on the rate of calls, and the part of it that this entry may use.
 ///
-/// A few entries divide the limit among them, chosen by their positions in the fleet and the name of the server, so
+/// The server has named it, or it is cold. A few entries divide the limit among them, chosen by their positions in the fleet and the name of the server, so
 /// that the sum does not grow with the number of entries. The others send no calls. A part is a token bucket that holds
 /// one call and is empty at first, because calls were sent without a limit before.
 #[derive(Clone, Debug)]
 pub(super) struct ServerLimit {
     rate: CallRate,
+    /// Entries that may send calls.
+    max_users: usize,
     /// Calls per second that this entry may send.
     share: f64,
     tokens: f64,
     updated_at: Instant,
     next_check_at: Instant,
-    /// When a call is sent regardless, to learn whether the limit still holds.
-    test_at: Instant,
+    /// When a call is sent regardless, to learn whether the limit still holds; never to a cold server.
+    test_at: Option<Instant>,
 }
 
 impl ServerLimit {
     pub(super) fn new(now: Instant, rate: CallRate) -> Self {
-        Self { rate, share: 0.0, tokens: 0.0, updated_at: now, next_check_at: now, test_at: now + TEST_AFTER }
+        let test_at = Some(now + TEST_AFTER);
+        Self {
+            rate,
+            max_users: named_users(rate),
+            share: 0.0,
+            tokens: 0.0,
+            updated_at: now,
+            next_check_at: now,
+            test_at,
+        }
+    }
+
+    /// Creates the limit of a cold server. An entry that does not know its position sends none.
+    pub(super) fn of_cold_server(now: Instant, rate: CallRate, max_users: usize, tokens: f64) -> Self {
+        Self { rate, max_users, share: 0.0, tokens, updated_at: now, next_check_at: now, test_at: None }
     }
 
     /// Records an answer that names the limit.
@@ -54,6 +70,7 @@
         rng: &mut SmallRng,
     ) {
         self.rate = rate;
+        self.max_users = named_users(rate);
         self.divide(now, server, position);
         self.postpone_check(now, position, rng);
         self.postpone_test(now, position, rng);
@@ -64,8 +81,9 @@
         self.tokens = self.tokens(now);
         self.updated_at = now;
         let rate = self.rate.per_second();
-        let users = (rate as usize).saturating_add(ADDITIONAL_USERS).min(position.entries);
-        let is_user = position.rotated_by(server) < users;
+        let users = self.max_users.min(position.entries);
+        let may_use = position.is_known || self.test_at.is_some();
+        let is_user = may_use && position.rotated_by(server) < users;
         self.share = if is_user { rate / users as f64 } else { 0.0 };
         if !is_user {
             // Otherwise each entry that was a user could send one call more while positions change.
@@ -75,7 +93,7 @@
 
     /// Returns whether this entry may send a call now.
     pub(super) fn may_call(&self, now: Instant) -> bool {
-        self.tokens(now) >= 1.0 || now >= self.test_at
+        self.tokens(now) >= 1.0 || self.is_test_due(now)
     }
 
     /// Returns when this entry may send a call, if it may send any.
@@ -87,13 +105,29 @@
 
     /// Records a call to the server.
     pub(super) fn record_call(&mut self, now: Instant, position: FleetPosition, rng: &mut SmallRng) {
-        self.tokens = (self.tokens(now) - 1.0).max(0.0);
-        self.updated_at = now;
-        if now >= self.test_at {
+        let is_test = self.is_test_due(now);
+        self.take_token(now);
+        if is_test {
             self.postpone_test(now, position, rng);
         }
     }
 
+    /// Takes the token of a call.
+    pub(super) fn take_token(&mut self, now: Instant) {
+        self.set_tokens((self.tokens(now) - 1.0).max(0.0));
+        self.updated_at = now;
+    }
+
+    /// Sets the tokens of an entry that may send calls.
+    pub(super) fn set_tokens(&mut self, tokens: f64) {
+        self.tokens = if self.share > 0.0 { tokens } else { 0.0 };
+    }
+
+    /// Returns the calls per second that this entry may send.
+    pub(super) fn share(&self) -> f64 {
+        self.share
+    }
+
     /// Returns whether a probe is due that shows whether the limit still holds.
     pub(super) fn is_check_due(&self, now: Instant) -> bool {
         now >= self.next_check_at
@@ -110,7 +144,11 @@
     fn postpone_test(&mut self, now: Instant, position: FleetPosition, rng: &mut SmallRng) {
         let rate = self.rate.per_second().max(MIN_TEST_RATE);
         let spread = Duration::from_secs_f64(position.entries as f64 / (TEST_SHARE * rate));
-        self.test_at = now + TEST_AFTER + spread.mul_f64(rng.random_range(0.0..1.0));
+        self.test_at = Some(now + TEST_AFTER + spread.mul_f64(rng.random_range(0.0..1.0)));
+    }
+
+    fn is_test_due(&self, now: Instant) -> bool {
+        self.test_at.is_some_and(|at| now >= at)
     }
 
     fn tokens(&self, now: Instant) -> f64 {
@@ -118,3 +156,8 @@
         (self.tokens + self.share * elapsed).min(1.0)
     }
 }
+
+/// Returns the number of entries among which a limit that a server has named is divided.
+fn named_users(rate: CallRate) -> usize {
+    (rate.per_second() as usize).saturating_add(ADDITIONAL_USERS)
+}
--- a/crates/core/src/probing/servers.rs
+++ b/crates/core/src/probing/servers.rs
@@ -1,7 +1,7 @@
 //! The servers of one service, with those of the own data centre first.
 
 use {
-    super::{FleetPosition, Server, ServerLimit},
+    super::{FleetPosition, RunningProbe, Server, ServerLimit, WarmUp, WarmUpRule},
     crate::{
         collections::FastMap,
         dispatch::{Exclusions, ServerNotice, ServerView},
@@ -35,6 +35,14 @@
 /// Servers of other data centres considered for one choice, so that its cost does not grow with their number.
 pub(super) const REMOTE_SAMPLE_SIZE: usize = 4;
 
+/// Age at which an entry that may send calls to a cold server that joined sends it a first call, in milliseconds. Such
+/// a server must get calls soon although it is cold, and it is slow anyway.
+const COLD_INTRODUCTION_MS: std::ops::Range<u64> = 200..1_200;
+/// The same for entries of other data centres.
+const REMOTE_COLD_INTRODUCTION_MS: std::ops::Range<u64> = 1_000..2_000;
+/// Time after which a server that was removed and is added again counts as one that has joined. A partition removes
+/// servers for some seconds, an evacuation for longer.
+const REMEMBERED_FOR: Duration = Duration::from_secs(15);
 /// Maximum number of removed servers whose limits are remembered.
 const MAX_REMOVED_LIMITS: usize = 1_024;
 
@@ -49,8 +57,23 @@
     /// count as new.
     first_known_at: Option<Instant>,
     exclusions: Exclusions,
-    /// Limits named by servers that the control plane has removed, which it may add again.
-    removed_limits: FastMap<NameHash, (Incarnation, ServerLimit)>,
+    /// Limits of servers that the control plane has removed, which it may add again.
+    removed: FastMap<NameHash, RemovedServer>,
+    /// How the servers warm up, if that limits the calls to them.
+    warm_up_rule: Option<WarmUpRule>,
+    /// Whether a health response has stated how long its server stays cold.
+    is_warm_up_stated: bool,
+    /// Cold servers to which this entry is to send a first call.
+    joined: Vec<NameHash>,
+}
+
+/// What is remembered of a server that the control plane has removed.
+#[derive(Debug)]
+struct RemovedServer {
+    removed_at: Instant,
+    incarnation: Incarnation,
+    limit: Option<ServerLimit>,
+    warm_up: Option<WarmUp>,
 }
 
 impl Servers {
@@ -60,12 +83,13 @@
         &mut self,
         now: Instant,
         views: Vec<ServerView>,
-        (data_centre, entries): (&str, usize),
+        (data_centre, position): (&str, FleetPosition),
         rng: &mut SmallRng,
     ) {
         let mut known: FastMap<NameHash, Server> =
             self.all.drain(..).map(|server| (server.name_hash, server)).collect();
         self.positions.clear();
+        self.joined.clear();
         let first_known_at = *self.first_known_at.get_or_insert(now);
         let has_started = now >= first_known_at + STARTUP_PERIOD;
         for view in views {
@@ -75,10 +99,14 @@
             }
             let is_remote = *view.data_centre != *data_centre;
             let old = known.remove(&id);
-            let limit = match &old {
-                Some(old) => old.limit.clone().filter(|_| old.view.incarnation == view.incarnation),
-                None => self.removed_limits.remove(&id).filter(|(it, _)| *it == view.incarnation).map(|(_, it)| it),
+            let known_limits = match &old {
+                Some(old) => Some(RemovedServer::of(now, old)),
+                None => self.removed.remove(&id),
             };
+            let known_limits = known_limits.filter(|known| known.incarnation == view.incarnation);
+            let is_remembered = known_limits.as_ref().is_some_and(|known| known.is_recent(now));
+            let has_joined = has_started && !is_remembered;
+            let (limit, warm_up) = known_limits.map_or((None, None), |known| (known.limit, known.warm_up));
             let same = old.filter(|old| old.view.address == view.address && old.view.ready_since == view.ready_since);
             let mut server = match same {
                 Some(mut old) => {
@@ -90,7 +118,7 @@
                     let mut server = Server::new(now, id, view, is_remote);
                     let range = if is_remote { REMOTE_INTRODUCTION_MS } else { INTRODUCTION_MS };
                     let wait = Duration::from_millis(rng.random_range(range));
-                    let is_introducer = rng.random_bool((INTRODUCING_ENTRIES / entries as f64).min(1.0));
+                    let is_introducer = rng.random_bool((INTRODUCING_ENTRIES / position.entries as f64).min(1.0));
                     let is_new = has_started && is_introducer && now < server.view.ready_since + NEW_SERVER_AGE;
                     server.introduction_due = is_new.then(|| server.view.ready_since + wait);
                     server
@@ -99,13 +127,15 @@
             self.positions.insert(id, 0);
             server.exclusion = self.exclusions.of(&server.view);
             server.limit = limit;
+            server.warm_up = warm_up;
+            self.warm_up_server(now, &mut server, has_joined, position, rng);
             self.all.push(server);
         }
-        if self.removed_limits.len() + known.len() > MAX_REMOVED_LIMITS {
-            self.removed_limits.clear();
+        if self.removed.len() + known.len() > MAX_REMOVED_LIMITS {
+            self.removed.clear();
         }
-        let removed = known.into_iter().filter_map(|(id, server)| Some((id, (server.view.incarnation, server.limit?))));
-        self.removed_limits.extend(removed);
+        let removed = known.into_iter().filter(|(_, server)| server.limit.is_some() || server.warm_up.is_some());
+        self.removed.extend(removed.map(|(id, server)| (id, RemovedServer::of(now, &server))));
         self.all.sort_unstable_by(|a, b| (a.is_remote, &a.view.id).cmp(&(b.is_remote, &b.view.id)));
         self.positions = self.all.iter().enumerate().map(|(position, server)| (server.name_hash, position)).collect();
         self.local_count = self.all.iter().filter(|server| !server.is_remote).count();
@@ -141,16 +171,108 @@
         true
     }
 
-    /// Determines this entry's parts of the limits that servers have named.
+    /// Determines this entry's parts of the limits of the servers.
     pub(super) fn divide_limits(&mut self, now: Instant, position: FleetPosition) {
         for server in &mut self.all {
-            if let Some(limit) = &mut server.limit {
-                limit.divide(now, server.name_hash, position);
+            let limits = server.limit.iter_mut().chain(server.warm_up.as_mut().map(WarmUp::limit_mut));
+            limits.for_each(|limit| limit.divide(now, server.name_hash, position));
+        }
+    }
+
+    /// Sets how the servers warm up.
+    pub(super) fn set_warm_up_rule(&mut self, now: Instant, rule: Option<WarmUpRule>, position: FleetPosition) {
+        if self.warm_up_rule == rule {
+            return;
+        }
+        self.warm_up_rule = rule;
+        for server in &mut self.all {
+            let (id, warm_at) = (server.name_hash, server.view.warm_at);
+            match (rule, &mut server.warm_up) {
+                (Some(rule), Some(warm_up)) => warm_up.set_rule(now, rule, id, position),
+                (Some(rule), None) => {
+                    server.warm_up.insert(WarmUp::new(now, rule)).announce(now, warm_at, id, position);
+                }
+                (None, warm_up) => *warm_up = None,
             }
         }
     }
 
-    /// Returns when the first server that asked for a pause or named a limit takes calls again, if none does now.
+    /// Determines whether a server whose record has changed is cold. One that has joined counts as cold until it states
+    /// otherwise.
+    fn warm_up_server(
+        &mut self,
+        now: Instant,
+        server: &mut Server,
+        has_joined: bool,
+        position: FleetPosition,
+        rng: &mut SmallRng,
+    ) {
+        let Some(rule) = self.warm_up_rule else { return server.warm_up = None };
+        let (id, warm_at, is_remote) = (server.name_hash, server.view.warm_at, server.is_remote);
+        let warm_up = server.warm_up.get_or_insert_with(|| WarmUp::new(now, rule));
+        warm_up.set_rule(now, rule, id, position);
+        warm_up.announce(now, warm_at, id, position);
+        if !has_joined {
+            return;
+        }
+        if !warm_up.is_cold(now) {
+            warm_up.assume(now, id, position);
+        }
+        if warm_up.share() > 0.0 {
+            warm_up.grant(rng.random_range(0.0..=1.0));
+            let range = if is_remote { REMOTE_COLD_INTRODUCTION_MS } else { COLD_INTRODUCTION_MS };
+            server.introduction_due = Some(now + Duration::from_millis(rng.random_range(range)));
+            self.joined.push(id);
+        } else {
+            server.introduction_due = None;
+        }
+    }
+
+    /// Records a health response with the time for which its server stays cold, or a failed probe.
+    pub(super) fn record_health(
+        &mut self,
+        now: Instant,
+        probe: &RunningProbe,
+        response: Option<Option<Duration>>,
+        position: FleetPosition,
+    ) {
+        self.is_warm_up_stated |= response.flatten().is_some();
+        let is_stated = self.is_warm_up_stated;
+        let Some(server) = self.get_unchanged(probe.server, probe.known_since) else { return };
+        let (is_ejected, id) = (server.ejection.is_ejected(), server.name_hash);
+        let Some(warm_up) = &mut server.warm_up else { return };
+        match response {
+            Some(left) => warm_up.record_health(now, left, is_stated, id, position),
+            // The server may start at any time after this.
+            None if is_ejected && warm_up.is_assumed_cold(now) => warm_up.assume(now, id, position),
+            None => {}
+        }
+    }
+
+    /// Records that a server refused a connection, so that it may start anew.
+    pub(super) fn assume_cold(&mut self, now: Instant, server: NameHash, since: Instant, position: FleetPosition) {
+        if let Some(server) = self.get_unchanged(server, since)
+            && let Some(warm_up) = &mut server.warm_up
+        {
+            warm_up.assume(now, server.name_hash, position);
+        }
+    }
+
+    /// Returns the cold servers to which this entry is to send a first call.
+    pub(super) fn joined(&self) -> impl Iterator<Item = &Server> {
+        self.joined.iter().filter_map(|server| self.get(*server)).filter(|server| server.introduction_due.is_some())
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.all.iter_mut()
+    }
+
+    /// Returns when the first server that asked for a pause, named a limit or is cold takes calls again, if none does
+    /// now.
     pub(super) fn pause_end(&self, now: Instant) -> Option<Instant> {
         let is_served = self.all.iter().any(|server| server.is_available(now));
         if is_served { None } else { self.all.iter().filter_map(|server| server.pause_end(now)).min() }
@@ -218,3 +340,19 @@
         f64::from(usable) >= MIN_ACTIVE_SHARE * f64::from(all)
     }
 }
+
+impl RemovedServer {
+    fn of(now: Instant, server: &Server) -> Self {
+        Self {
+            removed_at: now,
+            incarnation: server.view.incarnation,
+            limit: server.limit.clone(),
+            warm_up: server.warm_up.clone(),
+        }
+    }
+
+    /// Returns whether the server cannot have become cold for lack of calls since it was removed.
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.removed_at) < REMEMBERED_FOR
+    }
+}
--- a/crates/core/src/registry/registered_server.rs
+++ b/crates/core/src/registry/registered_server.rs
@@ -158,6 +158,7 @@
             state: self.announcement.state,
             lease_end: at(self.lease_end_ms()),
             ready_since: at(self.ready_since_ms),
+            warm_at: at(self.ready_since_ms),
         }
     }
 
--- a/crates/core/tests/dispatcher.rs
+++ b/crates/core/tests/dispatcher.rs
@@ -55,6 +55,7 @@
             connections: 250,
             state: ServerState::Ready,
             lease_end: self.now + Duration::from_secs(3_600),
+            warm_at: self.now,
             ready_since: self.now.checked_sub(Duration::from_secs(60)).unwrap_or(self.now),
         }
     }
--- a/crates/core/tests/support/entries.rs
+++ b/crates/core/tests/support/entries.rs
@@ -47,6 +47,7 @@
             connections: 250,
             state: ServerState::Ready,
             lease_end: self.base + FAR_FUTURE,
+            warm_at: self.base,
             ready_since: self.base.checked_sub(Duration::from_secs(60)).unwrap_or(self.base),
         }
     }
--- a/crates/core/tests/support/fleet/cut.rs
+++ b/crates/core/tests/support/fleet/cut.rs
@@ -47,7 +47,7 @@
             Some(Cut::Hang) => PROBE_TIMEOUT,
             Some(Cut::Reset | Cut::RefuseNew) => REFUSED_AFTER,
         };
-        self.schedule(delay, Event::ProbeAnswered { entry, probe, server, report: None });
+        self.schedule(delay, Event::ProbeAnswered { entry, probe, server, report: None, warm_up: None });
         true
     }
 }
--- a/crates/core/tests/support/fleet/entry_balancer.rs
+++ b/crates/core/tests/support/fleet/entry_balancer.rs
@@ -25,7 +25,13 @@
 
 impl EntryBalancer {
     /// Creates the balancer of a fleet, or a dispatcher with one of the baseline policies.
-    pub fn new(policy: Option<BalancingPolicy>, data_centre: &str, services: &[&str], seed: u64, now: Instant) -> Self {
+    pub fn new(
+        policy: Option<BalancingPolicy>,
+        data_centre: &str,
+        (services, keys): (&[&str], &str),
+        seed: u64,
+        now: Instant,
+    ) -> Self {
         let rng = SmallRng::seed_from_u64(seed);
         let sections = |policy: &str| {
             let sections = services.iter().map(|name| format!("[service {name}]\n{policy}"));
@@ -35,7 +41,7 @@
         let (mut entry_balancer, config) = match policy {
             None => {
                 let options = BalancerOptions { data_centre: data_centre.into(), ..BalancerOptions::default() };
-                (Self::Probing(Box::new(Balancer::new(options, rng))), sections(""))
+                (Self::Probing(Box::new(Balancer::new(options, rng))), sections(keys))
             }
             Some(policy) => {
                 let options = DispatchOptions { id: "entry".into(), ..DispatchOptions::default() };
--- a/crates/core/tests/support/fleet/event.rs
+++ b/crates/core/tests/support/fleet/event.rs
@@ -6,6 +6,7 @@
         dispatch::{AttemptResult, LoadReport},
         ids::CallId,
     },
+    std::time::Duration,
 };
 
 /// Events of the simulation.
@@ -26,7 +27,7 @@
     /// A probe has arrived at a server.
     ProbeArrived { entry: usize, probe: u64, server: usize, delay: f64 },
     /// The answer to a probe has arrived at its entry.
-    ProbeAnswered { entry: usize, probe: u64, server: usize, report: Option<LoadReport> },
+    ProbeAnswered { entry: usize, probe: u64, server: usize, report: Option<LoadReport>, warm_up: Option<Duration> },
     /// A check of the path to a server has ended.
     PathChecked { entry: usize, server: usize, is_open: bool },
     /// A call that another entry has passed on arrives.
--- a/crates/core/tests/support/fleet/mod.rs
+++ b/crates/core/tests/support/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod call_result;
 mod call_stats;
 mod callers;
+mod cold_period;
 mod cut;
 mod entry_balancer;
 mod event;
@@ -19,6 +20,7 @@
 pub use {
     call_result::{CallResult, ResultKind},
     call_stats::CallStats,
+    cold_period::ColdPeriod,
     cut::Cut,
     entry_balancer::EntryBalancer,
     named_limit::NamedLimit,
--- a/crates/core/tests/support/fleet/options.rs
+++ b/crates/core/tests/support/fleet/options.rs
@@ -25,6 +25,8 @@
     pub restart_interval: Option<Duration>,
     /// Whether a rejected caller tries again once.
     pub callers_retry: bool,
+    /// Further keys of the services in the configuration.
+    pub service_keys: String,
 }
 
 impl Default for FleetOptions {
@@ -42,6 +44,7 @@
             probe_time_range: (0.001, 0.006),
             restart_interval: None,
             callers_retry: false,
+            service_keys: String::new(),
         }
     }
 }
--- a/crates/core/tests/support/fleet/server.rs
+++ b/crates/core/tests/support/fleet/server.rs
@@ -1,7 +1,7 @@
 //! A simulated server of a fleet.
 
 use {
-    super::{FleetOptions, NamedLimit},
+    super::{ColdPeriod, FleetOptions, NamedLimit},
     hemlockford_core::{
         dispatch::{LoadReport, ServerState, ServerView},
         ids::CallId,
@@ -59,6 +59,8 @@
     pub first_call_at: Option<Instant>,
     /// Rate of calls that the server names in its answers.
     pub limit: Option<NamedLimit>,
+    /// The period in which the server is cold and counts its calls.
+    pub cold: Option<ColdPeriod>,
     /// Whether the server has crashed.
     pub has_crashed: bool,
     /// Permanent factor on the slowdown.
@@ -80,6 +82,7 @@
             received_calls: 0,
             first_call_at: None,
             limit: None,
+            cold: None,
             has_crashed: false,
             slowness: 1.0,
             fixed_speed_per_call: options.fixed_speed_per_call,
--- a/crates/core/tests/support/fleet/serving.rs
+++ b/crates/core/tests/support/fleet/serving.rs
@@ -18,6 +18,11 @@
         if let Some(limit) = &mut target.limit {
             limit.record_call(now, entry);
         }
+        if let Some(cold) = &mut target.cold
+            && target.fault != Fault::Misdirects
+        {
+            cold.record_call(now);
+        }
         let result = match target.fault {
             _ if target.has_crashed => Some(AttemptResult::RefusedBeforeWrite),
             Fault::FailsFast => Some(AttemptResult::ServerError),
--- a/crates/core/tests/support/fleet/simulation.rs
+++ b/crates/core/tests/support/fleet/simulation.rs
@@ -73,9 +73,10 @@
     pub fn new(options: FleetOptions) -> Self {
         let now = Instant::now() + Duration::from_secs(100);
         let names: Vec<_> = options.workloads.iter().map(|workload| workload.service).collect();
+        let seed = |entry| options.seed * 1_000 + entry as u64;
         let balancers = (0..options.entries).map(|entry| {
             let data_centre = format!("dc-{}", entry % options.data_centres);
-            EntryBalancer::new(options.policy, &data_centre, &names, options.seed * 1_000 + entry as u64, now)
+            EntryBalancer::new(options.policy, &data_centre, (&names, &options.service_keys), seed(entry), now)
         });
         let mut fleet = Self {
             now,
@@ -139,6 +140,7 @@
             state: ServerState::Ready,
             lease_end: self.now + LEASE,
             ready_since,
+            warm_at: ready_since,
         };
         self.servers.push(SimulatedServer::new(workload, view, self.now, &self.options));
         self.change_speed(number);
@@ -147,9 +149,14 @@
 
     /// Sends the servers of a service to every entry.
     pub fn announce(&mut self, workload: usize) {
+        self.announce_to(workload, |_| true);
+    }
+
+    /// Sends the servers of a service to some entries; the others keep outdated records.
+    pub fn announce_to(&mut self, workload: usize, is_told: impl Fn(usize) -> bool) {
         let views = self.servers.iter().filter(|server| server.workload == workload && server.is_ready());
         let views: Vec<_> = views.map(|server| server.view.clone()).collect();
-        for entry in 0..self.options.entries {
+        for entry in (0..self.options.entries).filter(|entry| is_told(*entry)) {
             let service = self.options.workloads[workload].service.into();
             self.handle_event(entry, DispatchEvent::Servers(service, views.clone()));
         }
@@ -211,9 +218,10 @@
                     limit.probes += 1;
                 }
                 let report = (server.is_ready() && !server.has_crashed).then(|| server.report());
-                self.schedule(delay, Event::ProbeAnswered { entry, probe, server: number, report });
+                let warm_up = server.cold.as_ref().and_then(|cold| cold.stated(self.now));
+                self.schedule(delay, Event::ProbeAnswered { entry, probe, server: number, report, warm_up });
             }
-            Event::ProbeAnswered { entry, probe, server, report } => {
+            Event::ProbeAnswered { entry, probe, server, report, warm_up } => {
                 if report.is_some() && self.servers[server].limit.as_ref().is_some_and(|it| it.is_named_to_probes) {
                     self.name_limit(entry, server);
                 }
@@ -221,6 +229,7 @@
                     probe,
                     latency: Duration::from_millis(3),
                     report,
+                    warm_up,
                     ok: report.is_some(),
                 };
                 self.handle_event(entry, event);
--- a/crates/core/tests/support/probes.rs
+++ b/crates/core/tests/support/probes.rs
@@ -65,7 +65,8 @@
         self.budget_uses.push(BudgetUse { begin: probe.begin, end: self.now, cost });
         if self.start_counts[probe.entry] == probe.starts {
             let latency = self.now - probe.begin;
-            let event = DispatchEvent::ProbeFinished { probe: probe.number, latency, report: Some(report), ok };
+            let event =
+                DispatchEvent::ProbeFinished { probe: probe.number, latency, report: Some(report), warm_up: None, ok };
             self.handle(probe.entry, event);
         }
         true
--- a/crates/core/tests/support/test_entry.rs
+++ b/crates/core/tests/support/test_entry.rs
@@ -72,6 +72,7 @@
             state: ServerState::Ready,
             lease_end: self.now + HOUR,
             ready_since,
+            warm_at: ready_since,
         });
     }
 
@@ -124,7 +125,13 @@
                 let DispatchAction::Probe { probe, server, .. } = action else { continue };
                 let report = self.reports.get(&server).copied();
                 self.probed.push(server);
-                let event = DispatchEvent::ProbeFinished { probe, latency: PROBE_TIME, report, ok: report.is_some() };
+                let event = DispatchEvent::ProbeFinished {
+                    probe,
+                    latency: PROBE_TIME,
+                    report,
+                    warm_up: None,
+                    ok: report.is_some(),
+                };
                 for action in self.handle(event) {
                     let is_probe = matches!(action, DispatchAction::Probe { .. });
                     if is_probe { probes.push(action) } else { others.push(action) }
--- a/crates/instance/src/clock.rs
+++ b/crates/instance/src/clock.rs
@@ -17,6 +17,7 @@
     for view in &mut views {
         view.lease_end = BootClock::to_steady(view.lease_end);
         view.ready_since = BootClock::to_steady(view.ready_since);
+        view.warm_at = BootClock::to_steady(view.warm_at);
     }
     views
 }
--- a/crates/instance/src/counters.rs
+++ b/crates/instance/src/counters.rs
@@ -8,7 +8,7 @@
         ledger::COMMAND_VERSION,
     },
     hemlockford_net::MESSAGE_VERSION,
-    prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry},
+    prometheus::{Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry},
 };
 
 /// Version of the program.
@@ -31,6 +31,9 @@
     pub(crate) relayed_calls: IntCounter,
     pub(crate) lost_paths: IntGauge,
     pub(crate) quarantined: IntGauge,
+    pub(crate) cold_servers: IntGauge,
+    pub(crate) cold_call_rate: Gauge,
+    pub(crate) cold_calls: IntCounter,
     pub(crate) announcements: IntCounter,
     pub(crate) submits: IntCounterVec,
     pub(crate) claims: IntCounterVec,
@@ -72,6 +75,11 @@
         build.with_label_values(&[PROGRAM_VERSION, &messages, &commands]).set(1);
         let servers = IntGaugeVec::new(Opts::new("hemlockford_servers", "Known servers by service."), &["service"])?;
         registry.register(Box::new(servers.clone()))?;
+        let cold_call_rate = Gauge::new(
+            "hemlockford_cold_call_rate",
+            "Calls per second that this entry may send to the cold servers together.",
+        )?;
+        registry.register(Box::new(cold_call_rate.clone()))?;
         let options = HistogramOpts::new("hemlockford_storage_seconds", "Time until writes were durable.");
         let storage_seconds = Histogram::with_opts(options.buckets(STORAGE_SECONDS_BUCKETS.to_vec()))?;
         registry.register(Box::new(storage_seconds.clone()))?;
@@ -115,6 +123,12 @@
                 "hemlockford_quarantined_requests",
                 "Requests that are not sent to servers because several ended under them.",
             )?,
+            cold_servers: gauge("hemlockford_cold_servers", "Servers that are cold and tolerate few calls.")?,
+            cold_call_rate,
+            cold_calls: counter(
+                "hemlockford_cold_calls_total",
+                "Calls that this entry has sent to servers while they were cold; counted when a server is warm.",
+            )?,
             announcements: counter("hemlockford_announcements_total", "Announcements of servers.")?,
             submits: vec("hemlockford_submits_total", "Submitted texts by result.", &["result"])?,
             claims: vec("hemlockford_claims_total", "Claims of idempotency keys by result.", &["result"])?,
--- a/crates/instance/src/fleet/balancer_report.rs
+++ b/crates/instance/src/fleet/balancer_report.rs
@@ -1,6 +1,6 @@
 //! What the balancer's task tells the entry's task.
 
-use hemlockford_core::{ids::ServerId, quarantine::SuspectRecord};
+use hemlockford_core::{ids::ServerId, probing::ColdServer, quarantine::SuspectRecord};
 
 /// What the balancer's task tells the entry's task.
 #[derive(Debug)]
@@ -15,6 +15,8 @@
     },
     /// Number of services to whose servers this entry has lost the path.
     LostPaths(usize),
+    /// A server that tolerates few calls became cold or warm.
+    ColdServer(ColdServer),
     /// News of a request under which servers ended.
     Suspect(SuspectRecord),
 }
--- a/crates/instance/src/fleet/balancer_task.rs
+++ b/crates/instance/src/fleet/balancer_task.rs
@@ -10,7 +10,7 @@
     hemlockford_core::{
         collections::FastSet,
         dispatch::{DispatchAction, DispatchEvent, ServerNotice},
-        probing::Balancer,
+        probing::{Balancer, ColdServer},
         quarantine::RequestDigest,
     },
     hemlockford_proxy::{Decision, DispatcherMessage, Probe},
@@ -27,6 +27,9 @@
 /// Time until the next tick if the balancer has no timer.
 const MAX_TICK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval between reports on cold servers.
+const WARM_UP_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Passes events to the balancer and executes its actions.
 pub(super) struct BalancerTask {
     pub(super) balancer: Balancer,
@@ -39,6 +42,8 @@
     pub(super) pending: PendingDecisions,
     /// Number of services to whose servers this entry has lost the path.
     pub(super) lost_paths: usize,
+    /// When the cold servers are reported next.
+    pub(super) next_warm_up_report: Instant,
     /// Channel to the entry's task.
     pub(super) reports: mpsc::UnboundedSender<BalancerReport>,
     /// Heads of the requests that the worker must identify.
@@ -71,6 +76,7 @@
                 let Ok(message) = self.messages.try_recv() else { break };
                 self.handle_message(message, &mut actions);
             }
+            self.report_warm_up(Instant::now());
             self.counters.waiting_calls.set(self.balancer.waiting() as i64);
             self.counters.active_calls.set(self.balancer.active() as i64);
         }
@@ -131,6 +137,23 @@
         }
     }
 
+    /// Updates the metrics of cold servers and reports changes, once per interval.
+    fn report_warm_up(&mut self, now: Instant) {
+        if now < self.next_warm_up_report {
+            return;
+        }
+        self.next_warm_up_report = now + WARM_UP_REPORT_INTERVAL;
+        let report = self.balancer.report_warm_up(now);
+        self.counters.cold_servers.set(report.servers as i64);
+        self.counters.cold_call_rate.set(report.rate);
+        for change in report.changes {
+            if let ColdServer::Warm { calls, .. } = &change {
+                self.counters.cold_calls.inc_by(*calls);
+            }
+            self.report(BalancerReport::ColdServer(change));
+        }
+    }
+
     fn count_quarantined(&self) {
         self.counters.quarantined.set(self.balancer.quarantined(Instant::now()) as i64);
     }
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -140,6 +140,7 @@
             probe_events,
             pending: PendingDecisions::default(),
             lost_paths: 0,
+            next_warm_up_report: Instant::now(),
             reports: reports_tx,
             suspect_heads: suspect_heads_tx,
             counters,
@@ -222,6 +223,8 @@
         retry_ratio: fleet.retry_ratio * MIN_FIRST_ATTEMPT_SHARE,
         retry_slack: fleet.retry_slack,
         retry_window: fleet.retry_window,
+        warm_up_overage: fleet.warm_up_overage,
+        warm_up_slack: fleet.warm_up_slack,
         ..BalancerOptions::default()
     }
 }
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -9,6 +9,7 @@
         dispatch::DispatchEvent,
         fleet::{EntryAction, EntryEvent, EntryLink, FleetMessage},
         ids::InstanceId,
+        probing::ColdServer,
     },
     hemlockford_net::{BootClock, Envelope},
     hemlockford_proxy::ConnectionLimit,
@@ -76,6 +77,14 @@
                             "services" => services);
                         continue;
                     }
+                    BalancerReport::ColdServer(ColdServer::Cold { server, left, rate }) => {
+                        info!(self.log, "server {} is cold", server; "left" => ?left, "calls_per_second" => rate);
+                        continue;
+                    }
+                    BalancerReport::ColdServer(ColdServer::Warm { server, calls }) => {
+                        info!(self.log, "server {} is warm", server; "calls_while_cold" => calls);
+                        continue;
+                    }
                     BalancerReport::Crash { server, request } => {
                         info!(self.log, "server {} ended while it ran a request", server; "request" => %request);
                         continue;
--- a/crates/instance/src/prober.rs
+++ b/crates/instance/src/prober.rs
@@ -48,6 +48,7 @@
                 probe: probe.number,
                 latency,
                 report: answer.flatten(),
+                warm_up: None,
                 ok: ok && latency <= probe.limit,
             });
         });
--- a/crates/instance/src/settings/fleet.rs
+++ b/crates/instance/src/settings/fleet.rs
@@ -32,6 +32,10 @@
     pub retry_slack: f64,
     /// Length of the sliding window in which extra attempts are counted.
     pub retry_window: Duration,
+    /// Factor on the rate that a cold server tolerates, up to which calls may reach it in a second.
+    pub warm_up_overage: f64,
+    /// Calls that may reach a cold server in a second beyond that, over all entries.
+    pub warm_up_slack: f64,
     /// Time from SIGTERM until the platform kills the process.
     pub grace_period: Duration,
 }
@@ -47,6 +51,8 @@
             retry_ratio: 0.1,
             retry_slack: 10.0,
             retry_window: Duration::from_secs(10),
+            warm_up_overage: 1.5,
+            warm_up_slack: 8.0,
             grace_period: Duration::from_secs(6),
         }
     }
--- a/crates/instance/src/settings/parse.rs
+++ b/crates/instance/src/settings/parse.rs
@@ -131,6 +131,8 @@
                 ("retry-ratio", _) => fleet.retry_ratio = self.non_negative(section, key, value),
                 ("retry-slack", _) => fleet.retry_slack = self.non_negative(section, key, value),
                 ("retry-window", _) => fleet.retry_window = self.duration(section, key, value),
+                ("warm-up-overage", _) => fleet.warm_up_overage = self.non_negative(section, key, value),
+                ("warm-up-slack", _) => fleet.warm_up_slack = self.non_negative(section, key, value),
                 ("grace", _) => fleet.grace_period = self.duration(section, key, value),
                 // The platform generates the file and may use keys that this version does not know.
                 _ => {}
--- a/crates/instance/tests/fleet_settings.rs
+++ b/crates/instance/tests/fleet_settings.rs
@@ -24,6 +24,8 @@
 retry-slack = 62
 retry-window = 9s
 grace = 5s
+warm-up-overage = 1.25
+warm-up-slack = 6
 ";
 
 /// Guards against documented keys that are ignored, and against a dependence on the order of the sections.
@@ -39,6 +41,8 @@
         retry_slack: 62.0,
         retry_window: Duration::from_secs(9),
         grace_period: Duration::from_secs(5),
+        warm_up_overage: 1.25,
+        warm_up_slack: 6.0,
     };
     for source in [[INSTANCE, FLEET].concat(), [FLEET, INSTANCE].concat()] {
         let settings = Settings::parse(&source).unwrap();
@@ -52,7 +56,18 @@
 #[test]
 fn empty_values_and_unknown_keys_are_accepted() {
     let instance = INSTANCE.replace("data = /var/lib/hemlockford", "data =\nworkers =\nnotice =");
-    let keys = ["interface", "seeds", "first-start", "tolerate", "retry-ratio", "retry-slack", "retry-window", "grace"];
+    let keys = [
+        "interface",
+        "seeds",
+        "first-start",
+        "tolerate",
+        "retry-ratio",
+        "retry-slack",
+        "retry-window",
+        "grace",
+        "warm-up-overage",
+        "warm-up-slack",
+    ];
     let empty: String = keys.iter().map(|key| format!("{key} =\n")).collect();
     let units = empty.replace("retry-window =", "retry-window = s").replace("grace =", "grace = s");
     for rest in ["", &empty, &units, "colour = red\nsizes =\n", "seeds = ,\n"] {
@@ -75,6 +90,7 @@
         ("tolerate = 2", "tolerate = -1", 12, "tolerate"),
         ("retry-ratio = 0.25", "retry-ratio = NaN", 13, "retry-ratio"),
         ("retry-slack = 62", "retry-slack = -1", 14, "retry-slack"),
+        ("warm-up-slack = 6", "warm-up-slack = few", 18, "warm-up-slack"),
         ("retry-window = 9s", "retry-window = 9", 15, "retry-window"),
         ("grace = 5s", "grace = 5s\ngrace = 6s", 17, "grace"),
         ("data = /var/lib/hemlockford", "", 8, "role"),
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -35,6 +35,8 @@
     pub leaving_header: HeaderName,
     /// Response header in which a server states, in calls per second, the rate that it takes from all entries together.
     pub limit_header: Option<HeaderName>,
+    /// Header of health responses in which a server states, in milliseconds, how long it stays cold.
+    pub warm_up_header: Option<HeaderName>,
     /// Whether `retry-after` may have fractions of a second.
     pub fractional_retry_after: bool,
     /// Whether the product's own `hemlockford-` headers, `forwarded` and `x-forwarded-for` are read and written.
@@ -66,6 +68,7 @@
             not_run_value: Some(HeaderValue::from_static("1")),
             leaving_header: HeaderName::from_static("hemlockford-leaving"),
             limit_header: None,
+            warm_up_header: None,
             fractional_retry_after: false,
             product_headers: true,
             states_outcome: true,
@@ -115,6 +118,13 @@
         CallRate::from_per_second(value.to_str().ok()?.trim().parse().ok()?).map(Some)
     }
 
+    /// Returns how long a server stays cold according to a health response. An unreadable value states nothing.
+    pub(crate) fn warm_up_left(&self, head: &ResponseHead) -> Option<Duration> {
+        let value = head.headers.get(self.warm_up_header.as_ref()?)?;
+        let ms: f64 = value.to_str().ok()?.trim().parse().ok()?;
+        (ms >= 0.0).then(|| Duration::from_secs_f64((ms / 1e3).min(MAX_SERVER_PAUSE.as_secs_f64())))
+    }
+
     /// Compares the request id of a response with the one that was sent.
     pub(crate) fn match_request_id(&self, head: &ResponseHead, id: Option<&HeaderValue>) -> RequestIdMatch {
         let (Some(name), Some(id)) = (&self.request_id_header, id) else { return RequestIdMatch::Match };
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -43,6 +43,14 @@
     pub events: mpsc::UnboundedSender<DispatchEvent>,
 }
 
+/// What a server states in a successful response to a probe.
+#[derive(Clone, Copy, Debug)]
+struct ProbeAnswer {
+    report: Option<LoadReport>,
+    /// How long it stays cold.
+    warm_up: Option<Duration>,
+}
+
 impl Probe {
     /// Sends the probe and reports the result.
     pub(crate) async fn run(self, pool: Pool, dialect: &Dialect) {
@@ -52,13 +60,14 @@
         let _ = self.events.send(DispatchEvent::ProbeFinished {
             probe: self.number,
             latency: begin.elapsed(),
-            report: answer.flatten(),
+            report: answer.and_then(|answer| answer.report),
+            warm_up: answer.and_then(|answer| answer.warm_up),
             ok: answer.is_some(),
         });
     }
 
-    /// Returns the load report of a successful response.
-    async fn exchange(&self, pool: &Pool, dialect: &Dialect) -> Option<Option<LoadReport>> {
+    /// Returns what a successful response states.
+    async fn exchange(&self, pool: &Pool, dialect: &Dialect) -> Option<ProbeAnswer> {
         let begin = Instant::now();
         let mut connection = pool.acquire(self.address, false).await.ok()?;
         connection.writer.encode_head(self.head(dialect)?, BodySize::None).ok()?;
@@ -86,7 +95,7 @@
             return None;
         }
         connection.release_without_delay();
-        Some(dialect.load_report(&head))
+        Some(ProbeAnswer { report: dialect.load_report(&head), warm_up: dialect.warm_up_left(&head) })
     }
 
     fn head(&self, dialect: &Dialect) -> Option<RequestHead> {
--- a/crates/proxy/tests/support/platform.rs
+++ b/crates/proxy/tests/support/platform.rs
@@ -28,6 +28,7 @@
         not_run_value: None,
         leaving_header: HeaderName::from_static("x-leaving"),
         limit_header: Some(HeaderName::from_static("x-limit")),
+        warm_up_header: Some(HeaderName::from_static("x-cold")),
         fractional_retry_after: true,
         product_headers: false,
         states_outcome: false,
--- a/crates/tools/src/slopes/dispatcher_group.rs
+++ b/crates/tools/src/slopes/dispatcher_group.rs
@@ -209,6 +209,7 @@
             state: ServerState::Ready,
             lease_end: now + LEASE_DURATION,
             ready_since: now.checked_sub(READY_TIME).unwrap_or(now),
+            warm_at: now,
         };
         indexes.map(view).collect()
     }
--- a/crates/tools/src/slopes/memory.rs
+++ b/crates/tools/src/slopes/memory.rs
@@ -143,6 +143,7 @@
         state: ServerState::Ready,
         lease_end: now + Duration::from_secs(60),
         ready_since: now,
+        warm_at: now,
     }
 }
 
