Send second copies of slow calls

A call that may be repeated and is slower than its kind usually is gets a second copy at another server, within a share of the entry's requests and the budget of extra attempts. The first answer goes to the caller, the other copy is cancelled. Off unless hedge-share is set.

--- a/crates/core/src/dispatch/action.rs
+++ b/crates/core/src/dispatch/action.rs
@@ -29,6 +29,15 @@
         /// Whether the request asks for a load report in the answer; unrequested reports are ignored.
         want_report: bool,
     },
+    /// Send a second copy of a call that is running to another server.
+    Hedge {
+        /// The call.
+        call: CallId,
+        /// The server of the copy.
+        server: ServerId,
+        /// Address of the server.
+        address: SocketAddr,
+    },
     /// Send the final answer to a caller.
     Reject {
         /// The call.
--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -32,4 +32,7 @@
     /// The caller disconnected before the answer was complete.
     #[display("caller-left")]
     CallerLeft,
+    /// Another copy of the call was answered first.
+    #[display("superseded")]
+    Superseded,
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -98,7 +98,8 @@
             | DispatchEvent::Relays(_)
             | DispatchEvent::Crash { .. }
             | DispatchEvent::Answered(_)
-            | DispatchEvent::Suspects(_) => {}
+            | DispatchEvent::Suspects(_)
+            | DispatchEvent::AcceptsCopy(_) => {}
             DispatchEvent::PeerMessage { from, message } => {
                 self.slots.receive(now, &from, &message);
                 self.apply_shares(now);
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -86,6 +86,8 @@
     Answered(RequestFingerprint),
     /// Other entries learned something about requests under which servers ended.
     Suspects(Vec<SuspectRecord>),
+    /// The worker that runs a call can run a second copy of it.
+    AcceptsCopy(CallId),
     /// Time has passed.
     Tick,
 }
--- a/crates/core/src/health/monitor.rs
+++ b/crates/core/src/health/monitor.rs
@@ -137,7 +137,7 @@
         if let Some(report) = report {
             estimate.set_report(now, report);
         }
-        if result == AttemptResult::CallerLeft {
+        if matches!(result, AttemptResult::CallerLeft | AttemptResult::Superseded) {
             estimate.ejection.cancel_trial();
         } else {
             self.exclude_from_totals(&estimate);
--- a/crates/core/src/probing/attempt_end.rs
+++ b/crates/core/src/probing/attempt_end.rs
@@ -1,7 +1,7 @@
 //! The end of attempts, and retries of failed ones.
 
 use {
-    super::{ActiveCall, Balancer, ServiceState, Stage},
+    super::{ActiveCall, Balancer, RunningAttempt, ServiceState, Stage},
     crate::{
         dispatch::{AttemptResult, DispatchAction, FinishedAttempt},
         ids::CallId,
@@ -24,22 +24,37 @@
             }
             return;
         }
-        let Stage::Running { server: running, since, work_factor } = active.stage else { return };
-        if running != server {
-            return;
-        }
-        let Some(active) = self.calls.remove(&finish.call) else { return };
+        let Stage::Running { first, copy, .. } = active.stage else { return };
+        let (attempt, mut other) = match copy {
+            _ if first.server == server => (first, copy),
+            Some(copy) if copy.server == server => (copy, Some(first)),
+            _ => return,
+        };
+        let Some(mut active) = self.calls.remove(&finish.call) else { return };
         let service = active.service;
+        if finish.wants_decision
+            && let Some(other) = other.take()
+        {
+            self.end_attempt(now, service, other);
+        }
+        if attempt.is_copy && finish.result == AttemptResult::Complete {
+            self.hedge_counts.won += 1;
+        }
         let position = self.position(now);
         if let Some(state) = self.services.get_mut(&service) {
-            state.observe(now, &active, (server, since, work_factor), finish);
+            state.observe(now, &active, attempt, finish);
             if finish.result == AttemptResult::RefusedBeforeWrite {
-                state.servers.assume_cold(now, server, since, position);
+                state.servers.assume_cold(now, server, attempt.since, position);
             }
         }
         self.observe_suspect(now, &active, finish.result, actions);
-        let is_final = matches!(finish.result, AttemptResult::Complete | AttemptResult::CallerLeft);
-        if finish.wants_decision && !is_final {
+        let is_final =
+            matches!(finish.result, AttemptResult::Complete | AttemptResult::CallerLeft | AttemptResult::Superseded);
+        if let Some(first) = other {
+            // The worker decides what the end of one copy means for the call.
+            active.stage = Stage::Running { first, copy: None, hedge: None };
+            self.calls.insert(finish.call, active);
+        } else if finish.wants_decision && !is_final {
             self.retry_or_reject(now, active, finish.result, actions);
         }
         self.dispatch_waiting(now, service, actions);
@@ -52,14 +67,20 @@
         if let Stage::Relayed { entry } = active.stage {
             self.relays.finish(now, entry, active.service, true);
         }
-        if let Stage::Running { server, since, .. } = active.stage
-            && let Some(state) = self.services.get_mut(&active.service)
-            && let Some(server) = state.servers.get_unchanged(server, since)
+        if let Stage::Running { first, copy, .. } = active.stage {
+            std::iter::once(first).chain(copy).for_each(|attempt| self.end_attempt(now, active.service, attempt));
+        }
+        self.dispatch_waiting(now, active.service, actions);
+    }
+
+    /// Gives back the slot of an attempt of which nothing more is learnt.
+    fn end_attempt(&mut self, now: Instant, service: NameHash, attempt: RunningAttempt) {
+        if let Some(state) = self.services.get_mut(&service)
+            && let Some(server) = state.servers.get_unchanged(attempt.server, attempt.since)
         {
             server.end_call(now);
             server.ejection.cancel_trial();
         }
-        self.dispatch_waiting(now, active.service, actions);
     }
 
     /// Sends a call whose attempt failed to another server, or rejects it.
@@ -120,14 +141,9 @@
 
 impl ServiceState {
     /// Updates the state of the server from the end of an attempt.
-    fn observe(
-        &mut self,
-        now: Instant,
-        active: &ActiveCall,
-        (id, since, work_factor): (NameHash, Instant, f64),
-        finish: &FinishedAttempt,
-    ) {
-        let Some(server) = self.servers.get_unchanged(id, since) else { return };
+    fn observe(&mut self, now: Instant, active: &ActiveCall, attempt: RunningAttempt, finish: &FinishedAttempt) {
+        let id = attempt.server;
+        let Some(server) = self.servers.get_unchanged(id, attempt.since) else { return };
         server.end_call(now);
         let has_answered = matches!(
             finish.result,
@@ -143,7 +159,10 @@
         let is_failure = match finish.result {
             AttemptResult::Complete => {
                 server.record_success(now);
-                self.baseline.observe(finish.latency.as_secs_f64(), work_factor, objective);
+                self.baseline.observe(finish.latency.as_secs_f64(), attempt.work_factor, objective);
+                if let Some(hedging) = &mut self.hedging {
+                    hedging.record_answer(objective, finish.latency, attempt.work_factor);
+                }
                 if server.ejection.is_on_trial() {
                     server.pass_trial();
                     self.servers.reinstate(id);
@@ -151,6 +170,12 @@
                 return;
             }
             AttemptResult::CallerLeft => return server.ejection.cancel_trial(),
+            AttemptResult::Superseded => {
+                if let Some(hedging) = &mut self.hedging {
+                    hedging.record_cancelled(objective, finish.latency, attempt.work_factor);
+                }
+                return server.ejection.cancel_trial();
+            }
             AttemptResult::Misdirected => {
                 server.is_misdirected = true;
                 server.ejection.reinstate();
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        ActiveCall, BalancerOptions, EntryCount, FleetPosition, Relays, RunningProbe, ServiceState, Stage, WarmUpRule,
+        ActiveCall, BalancerOptions, EntryCount, FleetPosition, HedgeCounts, Relays, RunningProbe, ServiceState, Stage,
+        WarmUpRule,
         service::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
     },
     crate::{
@@ -58,6 +59,8 @@
     pub(super) relays: Relays,
     /// Requests under which servers ended, as far as this entry knows.
     pub(super) suspects: SuspectTable,
+    /// Second copies that were sent and refused so far.
+    pub(super) hedge_counts: HedgeCounts,
 }
 
 impl Balancer {
@@ -88,6 +91,7 @@
             waiting: 0,
             relays: Relays::default(),
             suspects: SuspectTable::default(),
+            hedge_counts: HedgeCounts::default(),
         }
     }
 
@@ -129,6 +133,7 @@
             DispatchEvent::Crash { call, server, request } => self.record_crash(now, call, &server, request, actions),
             DispatchEvent::Answered(request) => self.clear_suspect(now, request, actions),
             DispatchEvent::Suspects(records) => self.merge_suspects(now, &records, actions),
+            DispatchEvent::AcceptsCopy(call) => self.schedule_copy(now, call),
             DispatchEvent::Tick => {}
         }
         self.remove_expired_suspects(now, actions);
@@ -179,7 +184,8 @@
         match timer {
             Timer::Call(call) => self.calls.get(&call).is_some_and(|active| match &active.stage {
                 Stage::Probing { until, .. } | Stage::Waiting { until } => *until == at,
-                Stage::Running { .. } | Stage::Relayed { .. } => false,
+                Stage::Running { hedge, .. } => hedge.is_some_and(|hedge| hedge.at() == at),
+                Stage::Relayed { .. } => false,
             }),
             Timer::Service(service) => self.services.get(&service).is_some_and(|state| state.next_review == Some(at)),
         }
@@ -189,7 +195,8 @@
         match self.calls.get(&call).map(|active| &active.stage) {
             Some(Stage::Probing { .. }) => self.finish_round(now, call, true, actions),
             Some(Stage::Waiting { .. }) => self.on_wait_expired(now, call, actions),
-            Some(Stage::Running { .. } | Stage::Relayed { .. }) | None => {}
+            Some(Stage::Running { .. }) => self.on_hedge_timer(now, call, actions),
+            Some(Stage::Relayed { .. }) | None => {}
         }
     }
 
@@ -218,6 +225,9 @@
         // The entry that passed it on has counted it.
         if !active.call.relayed {
             state.retry_budget.record_request(now);
+            if let Some(hedging) = &mut state.hedging {
+                hedging.record_request(now);
+            }
         }
         if self.quarantine_wait(now, &active).is_some() {
             return self.reject(now, &active, NotRunReason::Quarantined, actions);
--- a/crates/core/src/probing/mod.rs
+++ b/crates/core/src/probing/mod.rs
@@ -13,6 +13,9 @@
 mod ejection;
 mod entry_count;
 mod fleet_position;
+mod hedge_counts;
+mod hedging;
+mod hedging_calls;
 mod load_sample;
 mod options;
 mod path_monitor;
@@ -35,6 +38,8 @@
 
 pub use {
     balancer::Balancer,
+    hedge_counts::HedgeCounts,
+    hedging::{HedgeCase, HedgeRefusal, Hedging},
     options::BalancerOptions,
     warm_up_report::{ColdServer, WarmUpReport},
 };
@@ -55,6 +60,6 @@
     server_limit::ServerLimit,
     servers::Servers,
     service::ServiceState,
-    stage::Stage,
+    stage::{HedgeTimer, RunningAttempt, Stage},
     warm_up::{WarmUp, WarmUpRule},
 };
--- a/crates/core/src/probing/options.rs
+++ b/crates/core/src/probing/options.rs
@@ -23,6 +23,8 @@
     pub warm_up_overage: f64,
     /// Calls that may reach a cold server in a second beyond that.
     pub warm_up_slack: f64,
+    /// Second copies of slow calls per request, over all entries together; 0 for none.
+    pub hedge_share: f64,
 }
 
 impl Default for BalancerOptions {
@@ -41,6 +43,7 @@
             queue_limit: 200,
             warm_up_overage: 1.5,
             warm_up_slack: 8.0,
+            hedge_share: 0.0,
         }
     }
 }
--- a/crates/core/src/probing/relaying.rs
+++ b/crates/core/src/probing/relaying.rs
@@ -140,7 +140,8 @@
             | AttemptResult::Shed
             | AttemptResult::BrokenAfterWrite
             | AttemptResult::BadAnswer
-            | AttemptResult::CallerLeft => true,
+            | AttemptResult::CallerLeft
+            | AttemptResult::Superseded => true,
         };
         self.relays.finish(now, entry, active.service, could_serve);
         if !finish.wants_decision {
--- a/crates/core/src/probing/sending.rs
+++ b/crates/core/src/probing/sending.rs
@@ -1,7 +1,7 @@
 //! Sending of a call to the chosen server.
 
 use {
-    super::{ActiveCall, Balancer, Stage},
+    super::{ActiveCall, Balancer, RunningAttempt, Stage},
     crate::{dispatch::DispatchAction, outcome::NotRunReason, slots::NameHash},
     std::time::Instant,
 };
@@ -43,7 +43,8 @@
             want_report: false,
         });
         active.tried.push(server);
-        active.stage = Stage::Running { server, since: chosen.known_since, work_factor };
+        let first = RunningAttempt { server, since: chosen.known_since, work_factor, sent_at: now, is_copy: false };
+        active.stage = Stage::Running { first, copy: None, hedge: None };
         self.begin_suspect_trial(now, &active);
         self.calls.insert(active.call.id, active);
     }
--- a/crates/core/src/probing/service.rs
+++ b/crates/core/src/probing/service.rs
@@ -1,7 +1,7 @@
 //! State of a balancer for one service.
 
 use {
-    super::{ActiveCall, BalancerOptions, Baseline, PathMonitor, Queue, Server, Servers},
+    super::{ActiveCall, BalancerOptions, Baseline, Hedging, PathMonitor, Queue, Server, Servers},
     crate::retry::SlidingBudget,
     std::time::{Duration, Instant},
 };
@@ -28,6 +28,8 @@
     pub(super) retry_budget: SlidingBudget,
     pub(super) baseline: Baseline,
     pub(super) path: PathMonitor,
+    /// Decides on second copies, if there are any.
+    pub(super) hedging: Option<Hedging>,
     /// When servers are probed next for the waiting calls, if there are any.
     pub(super) next_review: Option<Instant>,
 }
@@ -40,6 +42,7 @@
             retry_budget: SlidingBudget::new(options.retry_ratio, options.retry_slack, options.retry_window),
             baseline: Baseline::new(),
             path: PathMonitor::default(),
+            hedging: Hedging::new(options.hedge_share, options.retry_window),
             next_review: None,
         }
     }
--- a/crates/core/src/retry/token.rs
+++ b/crates/core/src/retry/token.rs
@@ -26,7 +26,7 @@
 /// ```
 pub fn may_use_token(result: AttemptResult, token_forwarded: bool) -> bool {
     match result {
-        AttemptResult::Complete | AttemptResult::CallerLeft => false,
+        AttemptResult::Complete | AttemptResult::CallerLeft | AttemptResult::Superseded => false,
         AttemptResult::Shed | AttemptResult::RefusedBeforeWrite | AttemptResult::Misdirected => true,
         AttemptResult::ServerError
         | AttemptResult::BrokenAfterWrite
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -347,6 +347,7 @@
             DispatchAction::ReportSuspect(_)
             | DispatchAction::SetSuspectHeads(_)
             | DispatchAction::Relay { .. }
+            | DispatchAction::Hedge { .. }
             | DispatchAction::CheckPath { .. } => {}
         }
     }
--- a/crates/core/tests/support/fleet/simulation.rs
+++ b/crates/core/tests/support/fleet/simulation.rs
@@ -360,6 +360,7 @@
                 self.send_relay(entry, call, address.port(), attempts);
             }
             DispatchAction::SendMessage { .. }
+            | DispatchAction::Hedge { .. }
             | DispatchAction::ReportSuspect(_)
             | DispatchAction::SetSuspectHeads(_) => {}
         }
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -147,6 +147,7 @@
             DispatchAction::ReportSuspect(_)
             | DispatchAction::SetSuspectHeads(_)
             | DispatchAction::Relay { .. }
+            | DispatchAction::Hedge { .. }
             | DispatchAction::CheckPath { .. } => {}
         }
     }
--- a/crates/instance/src/fleet/balancer_task.rs
+++ b/crates/instance/src/fleet/balancer_task.rs
@@ -9,11 +9,11 @@
     actix_rt::time::sleep_until,
     hemlockford_core::{
         collections::FastSet,
-        dispatch::{DispatchAction, DispatchEvent, ServerNotice},
-        probing::{Balancer, ColdServer},
+        dispatch::{AttemptResult, DispatchAction, DispatchEvent, FinishedAttempt, ServerNotice},
+        probing::{Balancer, ColdServer, HedgeCounts},
         quarantine::RequestDigest,
     },
-    hemlockford_proxy::{Decision, DispatcherMessage, Probe},
+    hemlockford_proxy::{CopyTarget, Decision, DispatcherMessage, Probe},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -44,6 +44,8 @@
     pub(super) lost_paths: usize,
     /// When the cold servers are reported next.
     pub(super) next_warm_up_report: Instant,
+    /// Second copies that the metrics include.
+    pub(super) hedge_counts: HedgeCounts,
     /// Channel to the entry's task.
     pub(super) reports: mpsc::UnboundedSender<BalancerReport>,
     /// Heads of the requests that the worker must identify.
@@ -77,6 +79,7 @@
                 self.handle_message(message, &mut actions);
             }
             self.report_warm_up(Instant::now());
+            self.count_copies();
             self.counters.waiting_calls.set(self.balancer.waiting() as i64);
             self.counters.active_calls.set(self.balancer.active() as i64);
         }
@@ -105,6 +108,7 @@
             self.counters.lost_paths.set(lost_paths as i64);
             self.report(BalancerReport::LostPaths(lost_paths));
         }
+        let mut lost_copies = Vec::new();
         for action in std::mem::take(actions) {
             match action {
                 DispatchAction::Send { call, server, address, fresh_connection, pass_allowance, want_report } => {
@@ -131,10 +135,36 @@
                     self.suspect_heads.send_replace(Arc::new(heads));
                     self.count_quarantined();
                 }
+                DispatchAction::Hedge { call, server, address } => {
+                    if !self.pending.start_copy(call, CopyTarget { server: server.clone(), address }) {
+                        lost_copies.push((call, server));
+                    }
+                }
                 // Entries of a fleet do not send each other messages.
                 DispatchAction::SendMessage { .. } => {}
             }
         }
+        // The first attempt has ended meanwhile.
+        for (call, server) in lost_copies {
+            let (result, latency) = (AttemptResult::Superseded, Duration::ZERO);
+            let finish = FinishedAttempt { call, server, result, latency, report: None, wants_decision: false };
+            self.handle(DispatchEvent::AttemptFinished(finish), actions);
+        }
+    }
+
+    /// Adds the second copies since the last call to the metrics.
+    fn count_copies(&mut self) {
+        let counts = self.balancer.hedge_counts();
+        if *counts == self.hedge_counts {
+            return;
+        }
+        self.counters.copies_sent.inc_by(counts.sent - self.hedge_counts.sent);
+        self.counters.copies_won.inc_by(counts.won - self.hedge_counts.won);
+        for (reason, count) in &counts.refused {
+            let before = self.hedge_counts.refused.get(reason).copied().unwrap_or(0);
+            self.counters.copies_refused.with_label_values(&[&reason.to_string()]).inc_by(count - before);
+        }
+        self.hedge_counts = counts.clone();
     }
 
     /// Updates the metrics of cold servers and reports changes, once per interval.
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -28,7 +28,7 @@
         errors::Result,
         fleet::{EntryLink, EntryOptions},
         ids::InstanceId,
-        probing::{Balancer, BalancerOptions},
+        probing::{Balancer, BalancerOptions, HedgeCounts},
     },
     hemlockford_net::{BootClock, MESSAGE_VERSION},
     hemlockford_proxy::{ConnectionLimit, DispatcherHandle, ProxyCounters, ProxyOptions, Worker, WorkerBalancer},
@@ -141,6 +141,7 @@
             pending: PendingDecisions::default(),
             lost_paths: 0,
             next_warm_up_report: Instant::now(),
+            hedge_counts: HedgeCounts::default(),
             reports: reports_tx,
             suspect_heads: suspect_heads_tx,
             counters,
@@ -164,6 +165,7 @@
                 serve_while_stopping: Some(close_rx),
                 suspect_heads: Some(suspect_heads),
                 connection_limit,
+                runs_copies: fleet.hedge_share > 0.0,
                 ..ProxyOptions::fleet((*dialect).clone(), incarnation)
             },
             dispatcher,
@@ -225,6 +227,7 @@
         retry_window: fleet.retry_window,
         warm_up_overage: fleet.warm_up_overage,
         warm_up_slack: fleet.warm_up_slack,
+        hedge_share: fleet.hedge_share,
         ..BalancerOptions::default()
     }
 }
--- a/crates/instance/src/settings/fleet.rs
+++ b/crates/instance/src/settings/fleet.rs
@@ -36,6 +36,8 @@
     pub warm_up_overage: f64,
     /// Calls that may reach a cold server in a second beyond that, over all entries.
     pub warm_up_slack: f64,
+    /// Second copies of slow calls per request, over all entries; 0 for none.
+    pub hedge_share: f64,
     /// Time from SIGTERM until the platform kills the process.
     pub grace_period: Duration,
 }
@@ -53,6 +55,7 @@
             retry_window: Duration::from_secs(10),
             warm_up_overage: 1.5,
             warm_up_slack: 8.0,
+            hedge_share: 0.0,
             grace_period: Duration::from_secs(6),
         }
     }
--- a/crates/instance/src/settings/parse.rs
+++ b/crates/instance/src/settings/parse.rs
@@ -10,6 +10,9 @@
 /// Maximum number of lost data folders that a group can be required to tolerate.
 const MAX_TOLERATED_LOSSES: usize = 4;
 
+/// Maximum number of second copies per request.
+const MAX_HEDGE_SHARE: f64 = 1.0;
+
 /// Maximum duration that is accepted with a fraction. A point in time further in the future could not be represented on
 /// every platform.
 const MAX_FRACTIONAL_DURATION: Duration = Duration::from_secs(365 * 24 * 3_600);
@@ -133,6 +136,10 @@
                 ("retry-window", _) => fleet.retry_window = self.duration(section, key, value),
                 ("warm-up-overage", _) => fleet.warm_up_overage = self.non_negative(section, key, value),
                 ("warm-up-slack", _) => fleet.warm_up_slack = self.non_negative(section, key, value),
+                ("hedge-share", _) => match value.parse() {
+                    Ok(share) if (0.0..=MAX_HEDGE_SHARE).contains(&share) => fleet.hedge_share = share,
+                    Ok(_) | Err(_) => self.error(section, key, "expected a number from 0 to 1"),
+                },
                 ("grace", _) => fleet.grace_period = self.duration(section, key, value),
                 // The platform generates the file and may use keys that this version does not know.
                 _ => {}
--- a/crates/instance/tests/fleet_settings.rs
+++ b/crates/instance/tests/fleet_settings.rs
@@ -26,6 +26,7 @@
 grace = 5s
 warm-up-overage = 1.25
 warm-up-slack = 6
+hedge-share = 0.05
 ";
 
 /// Guards against documented keys that are ignored, and against a dependence on the order of the sections.
@@ -43,6 +44,7 @@
         grace_period: Duration::from_secs(5),
         warm_up_overage: 1.25,
         warm_up_slack: 6.0,
+        hedge_share: 0.05,
     };
     for source in [[INSTANCE, FLEET].concat(), [FLEET, INSTANCE].concat()] {
         let settings = Settings::parse(&source).unwrap();
@@ -67,6 +69,7 @@
         "grace",
         "warm-up-overage",
         "warm-up-slack",
+        "hedge-share",
     ];
     let empty: String = keys.iter().map(|key| format!("{key} =\n")).collect();
     let units = empty.replace("retry-window =", "retry-window = s").replace("grace =", "grace = s");
@@ -90,6 +93,9 @@
         ("tolerate = 2", "tolerate = -1", 12, "tolerate"),
         ("retry-ratio = 0.25", "retry-ratio = NaN", 13, "retry-ratio"),
         ("retry-slack = 62", "retry-slack = -1", 14, "retry-slack"),
+        ("hedge-share = 0.05", "hedge-share = 2", 19, "hedge-share"),
+        ("hedge-share = 0.05", "hedge-share = -1", 19, "hedge-share"),
+        ("hedge-share = 0.05", "hedge-share = nan", 19, "hedge-share"),
         ("warm-up-slack = 6", "warm-up-slack = few", 18, "warm-up-slack"),
         ("retry-window = 9s", "retry-window = 9", 15, "retry-window"),
         ("grace = 5s", "grace = 5s\ngrace = 6s", 17, "grace"),
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -16,7 +16,7 @@
     },
 };
 
-/// An attempt to send a call to a server. Reports `CallerLeft` when it is dropped before another result is reported.
+/// An attempt to send a call to a server. Reports `CallerLeft`, or `Superseded` for a second copy, when it is dropped before another result is reported.
 #[derive(Debug)]
 pub(crate) struct Attempt {
     dispatcher: DispatcherHandle,
@@ -27,12 +27,39 @@
     start: Instant,
     report: Option<LoadReport>,
     is_reported: bool,
+    /// What is reported if the attempt is dropped before its end.
+    result_if_dropped: AttemptResult,
 }
 
 impl Attempt {
     pub(crate) fn new(shared: &Shared, call: CallId, server: ServerId, address: SocketAddr) -> Self {
         let (dispatcher, counters) = (shared.dispatcher.clone(), shared.counters.clone());
-        Self { dispatcher, counters, call, server, address, start: Instant::now(), report: None, is_reported: false }
+        Self {
+            dispatcher,
+            counters,
+            call,
+            server,
+            address,
+            start: Instant::now(),
+            report: None,
+            is_reported: false,
+            result_if_dropped: AttemptResult::CallerLeft,
+        }
+    }
+
+    /// Creates the attempt of a second copy, which is cancelled when the first one is answered.
+    pub(crate) fn of_copy(shared: &Shared, call: CallId, server: ServerId, address: SocketAddr) -> Self {
+        let mut attempt = Self::new(shared, call, server, address);
+        attempt.result_if_dropped = AttemptResult::Superseded;
+        attempt
+    }
+
+    pub(crate) fn server(&self) -> &ServerId {
+        &self.server
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Reports that the server asked for no further calls.
@@ -93,6 +120,6 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.finish(AttemptResult::CallerLeft);
+        self.finish(self.result_if_dropped);
     }
 }
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -10,6 +10,7 @@
         caller_writer::CallerWriter,
         claims::{Claim, Claimed, HeldClaim, PendingClaim},
         connection::Connection,
+        copy_call::{CopyRace, CopyRequest},
         digest::Digest,
         dispatcher::Decision,
         exchange::{Exchange, ExchangeEnd},
@@ -260,6 +261,15 @@
         let repeat_protection = self.repeat_protection();
         let start = attempt.elapsed();
         let progress = Progress::default();
+        let mut failed = Vec::new();
+        let may_run_copy = shared.options.runs_copies
+            && self.call.idempotent
+            && self.call.replayable
+            && self.body.framing().is_empty()
+            && self.claim.is_none()
+            && !route.is_relay()
+            && !shared.options.is_relay;
+        let request = CopyRequest { shared, call: &self.call, head: self.head, peer: self.peer, id: self.id.as_ref() };
         let exchange = Exchange {
             shared,
             call: &self.call,
@@ -270,6 +280,8 @@
             writer: self.writer,
             attempt: &mut attempt,
             progress: &progress,
+            race: may_run_copy.then(|| CopyRace::offer(request)),
+            failed: &mut failed,
             repeat_protection,
             continues_without_caller: self.claim.is_some(),
             is_relay: route.is_relay(),
@@ -283,10 +295,18 @@
             self.may_have_run = Some(reason);
         }
         connection.release();
+        for (server, address, result) in failed {
+            self.record_failure(result);
+            // A request that was answered is not under suspicion.
+            if result == AttemptResult::BrokenAfterWrite && matches!(ended, ExchangeEnd::Failed(_)) {
+                self.check_crash(&server, address).await;
+            }
+        }
         match ended {
             ExchangeEnd::Failed(result) => {
                 if result == AttemptResult::BrokenAfterWrite && !route.is_relay() {
-                    self.check_crash(&route.target, address).await;
+                    let (server, address) = (attempt.server().clone(), attempt.address());
+                    self.check_crash(&server, address).await;
                 }
                 Err(self.report_failure(&mut attempt, result))
             }
@@ -318,13 +338,20 @@
 
     /// Records whether a failed attempt may have run the request, and asks for another decision.
     fn report_failure(&mut self, attempt: &mut Attempt, result: AttemptResult) -> NextStep {
+        self.record_failure(result);
+        let decision = self.shared.dispatcher.attempt_failed(attempt.end(result));
+        NextStep::AwaitDecision(PendingDecision::new(self.shared.dispatcher.clone(), self.call.id, decision))
+    }
+
+    /// Records whether a failed attempt may have run the request.
+    fn record_failure(&mut self, result: AttemptResult) {
         match result {
-            AttemptResult::BrokenAfterWrite => self.may_have_run = Some(UnknownReason::ConnectionLost),
+            AttemptResult::BrokenAfterWrite | AttemptResult::ServerError => {
+                self.may_have_run = Some(UnknownReason::ConnectionLost);
+            }
             AttemptResult::BadAnswer => self.may_have_run = Some(UnknownReason::BadAnswer),
             _ => {}
         }
-        let decision = self.shared.dispatcher.attempt_failed(attempt.end(result));
-        NextStep::AwaitDecision(PendingDecision::new(self.shared.dispatcher.clone(), self.call.id, decision))
     }
 
     /// Sends `100 Continue` to a caller that waits for it before it sends its body.
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -47,6 +47,15 @@
     },
 }
 
+/// The server to which a second copy of a running call is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CopyTarget {
+    /// The server.
+    pub server: ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
 /// A message from an HTTP worker to the dispatcher's task.
 #[derive(Debug)]
 pub enum DispatcherMessage {
@@ -54,6 +63,9 @@
     Arrive(Call, oneshot::Sender<Decision>),
     /// An attempt failed; the call waits for another decision.
     AttemptFailed(FinishedAttempt, oneshot::Sender<Decision>),
+    /// A second copy of the call can run beside the attempt that was decided last. The reply is dropped if there is
+    /// none.
+    OfferCopy(CallId, oneshot::Sender<CopyTarget>),
     /// An attempt ended and the call needs no further decision.
     AttemptFinished(FinishedAttempt),
     /// The call no longer waits for a decision. If a `Send` was decided in the meantime and could not be delivered,
@@ -121,6 +133,13 @@
         self.ask(|reply| DispatcherMessage::AttemptFailed(attempt, reply))
     }
 
+    /// Offers to run a second copy of a call; the receiver yields the server if the dispatcher decides on one.
+    pub fn offer_copy(&self, call: CallId) -> oneshot::Receiver<CopyTarget> {
+        let (reply, rx) = oneshot::channel();
+        self.send(DispatcherMessage::OfferCopy(call, reply));
+        rx
+    }
+
     /// Reports the end of an attempt that needs no further decision.
     pub fn attempt_finished(&self, attempt: FinishedAttempt) {
         self.send(DispatcherMessage::AttemptFinished(attempt));
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -9,6 +9,7 @@
         caller_writer::CallerWriter,
         claims::RECORDED_BODY_LIMIT,
         connection::{BufferedBody, Connection, Part, ResponseError, ServerReader},
+        copy_call::{CopyAnswer, CopyEnd, CopyRace},
         counters::ProxyCounters,
         dialect::RequestIdMatch,
         dispatcher::Decision,
@@ -25,13 +26,19 @@
         RequestHead, ResponseHead, StatusCode,
         header::{self, HeaderValue},
     },
-    actix_rt::time::{sleep, sleep_until, timeout},
+    actix_rt::time::{Sleep, sleep, sleep_until, timeout},
     bytes::{Bytes, BytesMut},
     hemlockford_core::{
         dispatch::{AttemptResult, Call, ServerNotice},
+        ids::ServerId,
         outcome::NotRunReason,
     },
-    std::{pin::pin, time::Duration},
+    std::{
+        future::Future,
+        net::SocketAddr,
+        pin::{Pin, pin},
+        time::Duration,
+    },
     tokio::select,
 };
 
@@ -41,7 +48,7 @@
 
 /// Time for which a chunked response that no request follows is held until it is complete. Servers that write a short
 /// response in several parts do so within milliseconds.
-const MAX_STREAM_HOLD: Duration = Duration::from_millis(100);
+pub(crate) const MAX_STREAM_HOLD: Duration = Duration::from_millis(100);
 
 /// Result of an exchange for the caller.
 #[derive(Debug)]
@@ -89,6 +96,23 @@
     pub(crate) continues_without_caller: bool,
     /// Whether the request goes to another entry, which makes the attempts at servers.
     pub(crate) is_relay: bool,
+    /// A second copy that may run at the same time.
+    pub(crate) race: Option<CopyRace<'a>>,
+    /// Attempts that failed while the other copy ran, and were reported.
+    pub(crate) failed: &'a mut Vec<(ServerId, SocketAddr, AttemptResult)>,
+}
+
+/// The response that is forwarded.
+enum Answer {
+    First(ResponseHead, Framing, Vec<Bytes>, bool),
+    Copy(Box<CopyAnswer>),
+}
+
+/// What came first while only the copy runs.
+enum CopyWait {
+    Ended(CopyEnd),
+    CallerFailed(CallerError),
+    DeadlineExceeded,
 }
 
 enum Forwarded {
@@ -99,7 +123,7 @@
 
 impl Exchange<'_, '_> {
     /// Sends the request, whose head is encoded already, and forwards the response.
-    pub(crate) async fn run(self, connection: &mut Connection) -> ExchangeEnd {
+    pub(crate) async fn run(mut self, connection: &mut Connection) -> ExchangeEnd {
         let is_first_exchange = connection.is_new;
         let Connection { reader: server, writer: server_writer, .. } = connection;
         let (progress, counters) = (self.progress, &self.shared.counters);
@@ -110,6 +134,7 @@
         let mut upload = pin!(self.body.send(self.reader, server_writer, progress, counters));
         let mut deadline = pin!(sleep_until(self.call.deadline.into()));
         let mut caller_left = false;
+        let mut answer_of_copy = None;
         let response = {
             let mut response = pin!(server.read_head(&self.head.method, dialect.close_delimited));
             loop {
@@ -123,136 +148,214 @@
                         }
                         caller_left = true;
                     }
-                    response = &mut response => break response,
+                    response = &mut response => break Some(response),
+                    end = CopyRace::next(&mut self.race) => match end {
+                        CopyEnd::Answered(answer) => {
+                            answer_of_copy = Some(answer);
+                            break None;
+                        }
+                        CopyEnd::Failed(attempt, result) => report_failed(*attempt, result, self.failed),
+                    },
                     () = &mut deadline => {
                         let has_started = progress.has_started.get();
                         let result = if has_started { AttemptResult::Timeout } else { AttemptResult::CallerLeft };
                         self.attempt.finish(result);
+                        // The copy may run although the first attempt does not.
+                        if self.race.as_ref().is_some_and(CopyRace::is_running) {
+                            progress.has_started.set(true);
+                        }
                         return ExchangeEnd::DeadlineExceeded;
                     }
                 }
             }
         };
-        let (mut head, mut framing) = match response {
+        // `None` stands for the answer of the copy.
+        let received = match response {
+            None => None,
             // Whatever the server sent, it cannot have seen the request.
-            _ if !progress.has_started.get() => return ExchangeEnd::Failed(AttemptResult::RefusedBeforeWrite),
-            Ok(response) => response,
-            Err(ResponseError::ConnectionLost) => return ExchangeEnd::Failed(AttemptResult::BrokenAfterWrite),
-            Err(ResponseError::Invalid) => return ExchangeEnd::Failed(AttemptResult::BadAnswer),
+            Some(_) if !progress.has_started.get() => Some(Err(AttemptResult::RefusedBeforeWrite)),
+            Some(Ok(response)) => Some(Ok(response)),
+            Some(Err(ResponseError::ConnectionLost)) => Some(Err(AttemptResult::BrokenAfterWrite)),
+            Some(Err(ResponseError::Invalid)) => Some(Err(AttemptResult::BadAnswer)),
         };
-        if self.is_relay
-            && let Some(outcome) = head.headers.remove(headers::OUTCOME).next()
-            && let Some(result) = result_of_relay(&outcome)
-        {
-            while matches!(server.buffered_part(), Part::Chunk(_)) {}
-            return ExchangeEnd::Failed(result);
-        }
-        for notice in dialect.server_notices(&head).filter(|_| !self.is_relay) {
-            self.attempt.report_notice(notice);
-            if notice == ServerNotice::Leaving {
-                server.close_after();
+        let received = match received {
+            Some(Ok((mut head, framing))) if self.is_relay => {
+                let outcome = head.headers.remove(headers::OUTCOME).next();
+                if let Some(result) = outcome.as_ref().and_then(result_of_relay) {
+                    while matches!(server.buffered_part(), Part::Chunk(_)) {}
+                    return ExchangeEnd::Failed(result);
+                }
+                // An entry's own response has no id.
+                match dialect.match_request_id(&head, self.id) {
+                    RequestIdMatch::Mismatch => {
+                        server.close_after();
+                        return ExchangeEnd::Failed(AttemptResult::BadAnswer);
+                    }
+                    RequestIdMatch::Match | RequestIdMatch::Missing => Some(Ok((head, framing))),
+                }
             }
-        }
-        let is_not_run = dialect.is_marked_not_run(&head) && !self.is_relay;
-        let id_match = dialect.match_request_id(&head, self.id);
-        if !self.is_relay {
-            self.attempt.report_limit(self.shared, &head, id_match);
-        }
-        // An entry's own response has no id.
-        let is_mismatch = match id_match {
-            RequestIdMatch::Match => false,
-            RequestIdMatch::Mismatch => true,
-            RequestIdMatch::Missing => !self.is_relay,
+            Some(Ok((head, framing))) => {
+                let checked = check_response(self.shared, server, self.attempt, &head, self.id, is_first_exchange);
+                Some(checked.map(|()| (head, framing)))
+            }
+            other => other,
         };
-        if is_mismatch {
-            // The response belongs to another request. Later responses on this connection cannot be matched either.
-            server.close_after();
-            // On a connection that was used before, a rejection without an id may be that of a health check, which has
-            // none, while the server runs this request.
-            let is_shed = is_not_run && id_match == RequestIdMatch::Missing && is_first_exchange;
-            return ExchangeEnd::Failed(if is_shed { AttemptResult::Shed } else { AttemptResult::BadAnswer });
-        }
-        if !self.is_relay {
-            self.attempt.set_load_report(dialect.load_report(&head));
-        }
-        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST
-            && dialect.expected_server_header.is_some()
-            && !self.is_relay;
-        if is_misdirected || is_not_run {
-            // Consumes a body that has arrived, so that the connection can be reused.
-            while matches!(server.buffered_part(), Part::Chunk(_)) {}
-            return ExchangeEnd::Failed(if is_misdirected { AttemptResult::Misdirected } else { AttemptResult::Shed });
-        }
-        let is_error = head.status.is_server_error();
-        let mut parts = Vec::new();
-        // Another entry has made all attempts.
-        if is_error && self.call.idempotent && self.call.replayable && !self.is_relay {
-            let finish = self.attempt.end(AttemptResult::ServerError);
-            let dispatcher = &self.shared.dispatcher;
-            let mut pending = PendingDecision::new(dispatcher.clone(), self.call.id, dispatcher.attempt_failed(finish));
-            let decision = select! {
-                biased;
-                error = &mut upload, if !caller_left => return ExchangeEnd::CallerFailed(error),
-                decision = pending.wait() => Some(decision),
-                () = &mut deadline => None,
-            };
-            let time = match &decision {
-                Some(Some(Decision::Send { .. })) => Some(ERROR_BODY_TIMEOUT),
-                Some(_) => None,
-                // Only data that has arrived is taken.
-                None => Some(Duration::ZERO),
-            };
-            if let Some(time) = time {
-                let buffered = timeout(time, server.buffer_body(&mut parts, BUFFERED_BODY_LIMIT)).await;
-                let is_complete = matches!(buffered, Ok(BufferedBody::Complete));
-                return ExchangeEnd::Retry(decision.flatten(), SavedResponse::new(head, framing, &parts, is_complete));
+        let (mut parts, mut is_whole) = (Vec::new(), false);
+        let received = match received {
+            Some(Ok((head, framing))) => {
+                let is_error = head.status.is_server_error();
+                // Another entry has made all attempts.
+                if is_error && self.call.idempotent && self.call.replayable && !self.is_relay {
+                    let mut result = AttemptResult::ServerError;
+                    if CopyRace::withdraw_offer(&mut self.race) {
+                        report_end(self.attempt, result, self.failed);
+                        progress.has_started.set(true);
+                        match wait_for_copy(&mut self.race, upload.as_mut(), deadline.as_mut()).await {
+                            CopyWait::Ended(CopyEnd::Answered(answer)) => answer_of_copy = Some(answer),
+                            CopyWait::Ended(CopyEnd::Failed(attempt, copy_result)) => {
+                                (*self.attempt, result) = (*attempt, copy_result);
+                            }
+                            CopyWait::CallerFailed(error) => return ExchangeEnd::CallerFailed(error),
+                            CopyWait::DeadlineExceeded => {}
+                        }
+                    }
+                    if answer_of_copy.is_none() {
+                        let decision = if self.attempt.is_reported() {
+                            None
+                        } else {
+                            let finish = self.attempt.end(result);
+                            let dispatcher = &self.shared.dispatcher;
+                            let decision = dispatcher.attempt_failed(finish);
+                            let mut pending = PendingDecision::new(dispatcher.clone(), self.call.id, decision);
+                            select! {
+                                biased;
+                                error = &mut upload, if !caller_left => return ExchangeEnd::CallerFailed(error),
+                                decision = pending.wait() => Some(decision),
+                                () = &mut deadline => None,
+                            }
+                        };
+                        let time = match &decision {
+                            Some(Some(Decision::Send { .. })) => Some(ERROR_BODY_TIMEOUT),
+                            Some(_) => None,
+                            // Only data that has arrived is taken.
+                            None => Some(Duration::ZERO),
+                        };
+                        if let Some(time) = time {
+                            let buffered = timeout(time, server.buffer_body(&mut parts, BUFFERED_BODY_LIMIT)).await;
+                            let is_complete = matches!(buffered, Ok(BufferedBody::Complete));
+                            let saved = SavedResponse::new(head, framing, &parts, is_complete);
+                            return ExchangeEnd::Retry(decision.flatten(), saved);
+                        }
+                    }
+                }
+                if answer_of_copy.is_some() { None } else { Some(Ok((head, framing))) }
             }
-        }
+            other => other,
+        };
         // A short response to a call that may be repeated is forwarded when it is complete, so that a truncated one can
         // be replaced instead of ending the connection together with the responses behind it. Only a chunked response
         // that nothing follows is forwarded after a while, as it may be a stream of events.
-        let is_replaceable = self.call.idempotent && self.call.replayable;
-        let may_be_short = match framing {
-            Framing::Sized(length) => length <= BUFFER_LIMIT as u64,
-            Framing::Chunked => progress.is_complete.get(),
-            Framing::UntilClose => true,
-            Framing::Empty(_) => false,
-        };
-        let mut is_whole = framing.is_empty();
-        if framing == Framing::UntilClose || is_replaceable && may_be_short {
-            let mut hold = pin!(sleep(MAX_STREAM_HOLD));
-            let buffered = loop {
-                let may_stream = framing == Framing::Chunked && !self.writer.is_followed();
-                select! {
-                    biased;
-                    error = &mut upload, if !caller_left => {
-                        if !may_continue(error) {
-                            self.attempt.finish(AttemptResult::CallerLeft);
-                            return ExchangeEnd::CallerFailed(error);
+        let received = match received {
+            Some(Ok((head, mut framing))) => {
+                let is_replaceable = self.call.idempotent && self.call.replayable;
+                let may_be_short = match framing {
+                    Framing::Sized(length) => length <= BUFFER_LIMIT as u64,
+                    Framing::Chunked => progress.is_complete.get(),
+                    Framing::UntilClose => true,
+                    Framing::Empty(_) => false,
+                };
+                is_whole = framing.is_empty();
+                let mut failure = None;
+                if framing == Framing::UntilClose || is_replaceable && may_be_short {
+                    let mut hold = pin!(sleep(MAX_STREAM_HOLD));
+                    let buffered = loop {
+                        let may_stream = framing == Framing::Chunked && !self.writer.is_followed();
+                        select! {
+                            biased;
+                            error = &mut upload, if !caller_left => {
+                                if !may_continue(error) {
+                                    self.attempt.finish(AttemptResult::CallerLeft);
+                                    return ExchangeEnd::CallerFailed(error);
+                                }
+                                caller_left = true;
+                            }
+                            buffered = server.buffer_body(&mut parts, BUFFER_LIMIT) => break Some(buffered),
+                            end = CopyRace::next(&mut self.race) => match end {
+                                CopyEnd::Answered(answer) => {
+                                    answer_of_copy = Some(answer);
+                                    break None;
+                                }
+                                CopyEnd::Failed(attempt, result) => report_failed(*attempt, result, self.failed),
+                            },
+                            () = &mut hold, if may_stream => break Some(BufferedBody::TooLong),
+                            () = &mut deadline => {
+                                self.attempt.finish(AttemptResult::Timeout);
+                                return ExchangeEnd::DeadlineExceeded;
+                            }
                         }
-                        caller_left = true;
-                    }
-                    buffered = server.buffer_body(&mut parts, BUFFER_LIMIT) => break buffered,
-                    () = &mut hold, if may_stream => break BufferedBody::TooLong,
-                    () = &mut deadline => {
-                        self.attempt.finish(AttemptResult::Timeout);
-                        return ExchangeEnd::DeadlineExceeded;
+                    };
+                    match buffered {
+                        // Nothing of it was sent to the caller yet.
+                        Some(BufferedBody::Truncated) if self.attempt.is_reported() => {
+                            return ExchangeEnd::ResponseLost;
+                        }
+                        Some(BufferedBody::Truncated) => failure = Some(AttemptResult::BrokenAfterWrite),
+                        Some(BufferedBody::Complete) => {
+                            is_whole = true;
+                            if framing == Framing::UntilClose {
+                                framing = Framing::of_complete(&parts);
+                            }
+                        }
+                        Some(BufferedBody::TooLong) | None => {}
                     }
                 }
-            };
-            match buffered {
-                // Nothing of it was sent to the caller yet.
-                BufferedBody::Truncated if self.attempt.is_reported() => return ExchangeEnd::ResponseLost,
-                BufferedBody::Truncated => return ExchangeEnd::Failed(AttemptResult::BrokenAfterWrite),
-                BufferedBody::Complete => {
-                    is_whole = true;
-                    if framing == Framing::UntilClose {
-                        framing = Framing::of_complete(&parts);
+                match (failure, &answer_of_copy) {
+                    (Some(result), _) => Some(Err(result)),
+                    (None, Some(_)) => None,
+                    (None, None) => Some(Ok((head, framing))),
+                }
+            }
+            other => other,
+        };
+        // The copy is not needed once the first attempt is answered, and may answer the call if that failed.
+        let answer = match received {
+            Some(Ok((head, framing))) => Answer::First(head, framing, parts, is_whole),
+            Some(Err(result)) => {
+                if !CopyRace::withdraw_offer(&mut self.race) {
+                    return ExchangeEnd::Failed(result);
+                }
+                report_end(self.attempt, result, self.failed);
+                progress.has_started.set(true);
+                match wait_for_copy(&mut self.race, upload.as_mut(), deadline.as_mut()).await {
+                    CopyWait::Ended(CopyEnd::Answered(answer)) => Answer::Copy(answer),
+                    CopyWait::Ended(CopyEnd::Failed(attempt, result)) => {
+                        *self.attempt = *attempt;
+                        return ExchangeEnd::Failed(result);
                     }
+                    CopyWait::CallerFailed(error) => return ExchangeEnd::CallerFailed(error),
+                    CopyWait::DeadlineExceeded => return ExchangeEnd::DeadlineExceeded,
                 }
-                BufferedBody::TooLong => {}
             }
-        }
+            None => match answer_of_copy {
+                Some(answer) => Answer::Copy(answer),
+                None => return ExchangeEnd::ResponseLost,
+            },
+        };
+        // Dropping the race cancels the copy before anything is sent to the caller.
+        self.race = None;
+        let mut connection_of_copy;
+        let (server, head, framing, parts, is_whole) = match answer {
+            Answer::First(head, framing, parts, is_whole) => (server, head, framing, parts, is_whole),
+            Answer::Copy(answer) => {
+                let CopyAnswer { attempt, connection, head, framing, parts, is_whole } = *answer;
+                self.attempt.finish(AttemptResult::Superseded);
+                *self.attempt = attempt;
+                connection_of_copy = connection;
+                let Some(connection) = connection_of_copy.get_mut() else { return ExchangeEnd::ResponseLost };
+                (&mut connection.reader, head, framing, parts, is_whole)
+            }
+        };
+        let is_error = head.status.is_server_error();
         if self.shared.is_stopping() {
             self.writer.close_after_last();
         }
@@ -318,6 +421,69 @@
     }
 }
 
+/// Checks whether the head of a server's response belongs to the request and the server has run it, and reports what
+/// else the server states.
+pub(crate) fn check_response(
+    shared: &Shared,
+    server: &mut ServerReader,
+    attempt: &mut Attempt,
+    head: &ResponseHead,
+    id: Option<&HeaderValue>,
+    is_first_exchange: bool,
+) -> Result<(), AttemptResult> {
+    let dialect = &shared.options.dialect;
+    for notice in dialect.server_notices(head) {
+        attempt.report_notice(notice);
+        if notice == ServerNotice::Leaving {
+            server.close_after();
+        }
+    }
+    let is_not_run = dialect.is_marked_not_run(head);
+    let id_match = dialect.match_request_id(head, id);
+    attempt.report_limit(shared, head, id_match);
+    if id_match != RequestIdMatch::Match {
+        // The response belongs to another request. Later responses on this connection cannot be matched either.
+        server.close_after();
+        // On a connection that was used before, a rejection without an id may be that of a health check, which has
+        // none, while the server runs this request.
+        let is_shed = is_not_run && id_match == RequestIdMatch::Missing && is_first_exchange;
+        return Err(if is_shed { AttemptResult::Shed } else { AttemptResult::BadAnswer });
+    }
+    attempt.set_load_report(dialect.load_report(head));
+    let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && dialect.expected_server_header.is_some();
+    if is_misdirected || is_not_run {
+        // Consumes a body that has arrived, so that the connection can be reused.
+        while matches!(server.buffered_part(), Part::Chunk(_)) {}
+        return Err(if is_misdirected { AttemptResult::Misdirected } else { AttemptResult::Shed });
+    }
+    Ok(())
+}
+
+/// Reports an attempt that failed while another copy of the call may still be answered.
+fn report_end(attempt: &mut Attempt, result: AttemptResult, failed: &mut Vec<(ServerId, SocketAddr, AttemptResult)>) {
+    failed.push((attempt.server().clone(), attempt.address(), result));
+    attempt.finish(result);
+}
+
+/// Reports a copy that failed while the first attempt runs.
+fn report_failed(mut attempt: Attempt, result: AttemptResult, failed: &mut Vec<(ServerId, SocketAddr, AttemptResult)>) {
+    report_end(&mut attempt, result, failed);
+}
+
+/// Waits for the copy after the first attempt has failed.
+async fn wait_for_copy(
+    race: &mut Option<CopyRace<'_>>,
+    mut upload: Pin<&mut impl Future<Output = CallerError>>,
+    mut deadline: Pin<&mut Sleep>,
+) -> CopyWait {
+    select! {
+        biased;
+        error = &mut upload => CopyWait::CallerFailed(error),
+        end = CopyRace::next(race) => CopyWait::Ended(end),
+        () = &mut deadline => CopyWait::DeadlineExceeded,
+    }
+}
+
 /// Forwards a body, starting with the parts that are buffered already. A part is read only after the parts before it
 /// were written, so that a caller that does not read slows down the server.
 async fn forward_body(
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,8 @@
 mod claims;
 mod conclude;
 mod connection;
+mod copy_call;
+mod copy_offer;
 mod counters;
 mod crash_check;
 mod dialect;
@@ -49,7 +51,7 @@
     claims::{Claim, ClaimDecision, ClaimMessage, ClaimTicket, RECORDED_BODY_LIMIT},
     counters::{CallRecord, ProxyCounters},
     dialect::Dialect,
-    dispatcher::{Decision, DispatcherHandle, DispatcherMessage},
+    dispatcher::{CopyTarget, Decision, DispatcherHandle, DispatcherMessage},
     load_format::LoadFormat,
     options::{ConnectionLimit, ProxyOptions},
     probe::Probe,
--- a/crates/proxy/src/options.rs
+++ b/crates/proxy/src/options.rs
@@ -117,6 +117,8 @@
     /// Seed of the random positions at which weighted splits start. It must differ between entries, as they would
     /// otherwise all start with the same service.
     pub seed: u64,
+    /// Whether the dispatcher may ask for second copies of running calls.
+    pub runs_copies: bool,
     /// Limit on the connections to one server.
     pub connection_limit: Arc<ConnectionLimit>,
 }
@@ -143,6 +145,7 @@
             pool_check_interval: Duration::from_millis(100),
             spare_per_server: 1,
             seed: 0,
+            runs_copies: false,
             connection_limit: Arc::new(ConnectionLimit::new(250, 1, 1)),
         }
     }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -12,8 +12,8 @@
         quarantine::RequestFingerprint,
     },
     hemlockford_proxy::{
-        CallRecord, ClaimMessage, Decision, DispatcherHandle, DispatcherMessage, Probe, ProxyCounters, ProxyOptions,
-        Worker, WorkerBalancer,
+        CallRecord, ClaimMessage, CopyTarget, Decision, DispatcherHandle, DispatcherMessage, Probe, ProxyCounters,
+        ProxyOptions, Worker, WorkerBalancer,
     },
     std::{
         cell::{Cell, RefCell},
@@ -50,6 +50,8 @@
     pub options: ProxyOptions,
     pub config: Configuration,
     pub claims: Option<mpsc::UnboundedSender<ClaimMessage>>,
+    /// Time after which a copy is requested of a call whose worker can run one, and its server.
+    pub copy: Option<(Duration, SocketAddr)>,
 }
 
 impl Script {
@@ -64,6 +66,7 @@
             config: Configuration::parse(CONFIG).unwrap(),
             options: ProxyOptions { spare_per_server: 0, reuse_delay: Duration::ZERO, ..ProxyOptions::default() },
             claims: None,
+            copy: None,
         }
     }
 }
@@ -196,6 +199,13 @@
                 let _ = reply.send(decide(finish.call, Some(&finish), true));
             }
             DispatcherMessage::AttemptFinished(finish) => log.borrow_mut().results.push(finish.result),
+            DispatcherMessage::OfferCopy(_, reply) => {
+                let Some((after, address)) = script.copy else { continue };
+                actix_rt::spawn(async move {
+                    actix_rt::time::sleep(after).await;
+                    let _ = reply.send(CopyTarget { server: "copy".into(), address });
+                });
+            }
             DispatcherMessage::Cancel(call) => log.borrow_mut().cancelled.push(call),
             DispatcherMessage::Crash { request, .. } => log.borrow_mut().crashes.push(request),
             DispatcherMessage::Connection { is_open, .. } => log.borrow_mut().connections.push(is_open),
--- a/crates/tools/src/slopes/dispatcher_group.rs
+++ b/crates/tools/src/slopes/dispatcher_group.rs
@@ -187,6 +187,7 @@
                 DispatchAction::Reject { .. }
                 | DispatchAction::Probe { .. }
                 | DispatchAction::Relay { .. }
+                | DispatchAction::Hedge { .. }
                 | DispatchAction::CheckPath { .. }
                 | DispatchAction::ReportSuspect(_)
                 | DispatchAction::SetSuspectHeads(_) => {}
