--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -99,14 +99,15 @@
             | DispatchEvent::Crash { .. }
             | DispatchEvent::Answered(_)
             | DispatchEvent::Suspects(_)
-            | DispatchEvent::Credit { .. } => {}
+            | DispatchEvent::Credit { .. }
+            | DispatchEvent::AcceptsCopy(_) => {}
             DispatchEvent::PeerMessage { from, message } => {
                 self.slots.receive(now, &from, &message);
                 self.apply_shares(now);
                 self.dispatch_all_waiting(now, actions);
             }
             DispatchEvent::Configure(config) => self.configure(now, config, actions),
-            DispatchEvent::ProbeFinished { probe, latency, report, ok } => {
+            DispatchEvent::ProbeFinished { probe, latency, report, warm_up: _, ok } => {
                 self.finish_probe(now, probe, latency, report, ok);
             }
             DispatchEvent::Notice { server, address, notice } => {
--- a/crates/core/src/dispatch/event.rs
+++ b/crates/core/src/dispatch/event.rs
@@ -44,6 +44,8 @@
         latency: Duration,
         /// Load that the server reported.
         report: Option<LoadReport>,
+        /// How long the server stays cold, if it stated that.
+        warm_up: Option<Duration>,
         /// Whether the server answered in time.
         ok: bool,
     },
@@ -92,6 +94,8 @@
         /// The answer.
         response: CreditResponse,
     },
+    /// The worker that runs a call can run a second copy of it.
+    AcceptsCopy(CallId),
     /// Time has passed.
     Tick,
 }
--- a/crates/core/src/probing/balancer.rs
+++ b/crates/core/src/probing/balancer.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        ActiveCall, BalancerOptions, CreditQueue, EntryCount, FleetPosition, Relays, RunningProbe, ServiceState, Stage,
+        ActiveCall, BalancerOptions, CreditQueue, EntryCount, FleetPosition, HedgeCounts, Relays, RunningProbe,
+        ServiceState, Stage, WarmUpRule,
         service::{MAX_RETRY_AFTER, MIN_RETRY_AFTER},
     },
     crate::{
@@ -46,8 +47,8 @@
     pub(super) health_paths: FastMap<NameHash, Box<str>>,
     /// Number of live entries, including this one.
     pub(super) entries: EntryCount,
-    /// Index of this entry among the live ones.
-    pub(super) index: usize,
+    /// Index of this entry among the live ones, once a replica has stated it.
+    pub(super) index: Option<usize>,
     pub(super) services: FastMap<NameHash, ServiceState>,
     pub(super) calls: FastMap<CallId, ActiveCall>,
     pub(super) probes: BTreeMap<u64, RunningProbe>,
@@ -60,6 +61,8 @@
     pub(super) suspects: SuspectTable,
     /// Credit of customers with a limit.
     pub(super) credit: CreditQueue,
+    /// Second copies that were sent and refused so far.
+    pub(super) hedge_counts: HedgeCounts,
 }
 
 impl Balancer {
@@ -78,7 +81,7 @@
         Self {
             credit: CreditQueue::new(options.quota, &mut rng),
             entries: EntryCount::assumed(options.assumed_entries),
-            index: 0,
+            index: None,
             options,
             rng,
             config: None,
@@ -91,6 +94,7 @@
             waiting: 0,
             relays: Relays::default(),
             suspects: SuspectTable::default(),
+            hedge_counts: HedgeCounts::default(),
         }
     }
 
@@ -106,7 +110,7 @@
                 self.divide_limits(now);
             }
             DispatchEvent::Position(index) => {
-                self.index = index;
+                self.index = Some(index);
                 self.credit.set_index(index);
                 self.divide_limits(now);
             }
@@ -118,9 +122,10 @@
                 self.health_paths = paths.collect();
                 self.set_limits(now, &config, actions);
                 self.config = Some(config);
+                self.set_warm_up_rules(now);
             }
-            DispatchEvent::ProbeFinished { probe, latency: _, report, ok } => {
-                self.finish_probe(now, probe, report.filter(|_| ok), actions);
+            DispatchEvent::ProbeFinished { probe, latency: _, report, warm_up, ok } => {
+                self.finish_probe(now, probe, (report.filter(|_| ok), warm_up), actions);
             }
             DispatchEvent::Notice { server, address, notice } => {
                 self.record_notice(now, name_hash(&server), address, notice, actions);
@@ -134,6 +139,7 @@
             DispatchEvent::Answered(request) => self.clear_suspect(now, request, actions),
             DispatchEvent::Suspects(records) => self.merge_suspects(now, &records, actions),
             DispatchEvent::Credit { from, response } => self.receive_credit(now, &from, &response, actions),
+            DispatchEvent::AcceptsCopy(call) => self.schedule_copy(now, call),
             DispatchEvent::Tick => {}
         }
         self.remove_expired_suspects(now, actions);
@@ -188,7 +194,8 @@
                 Stage::AwaitingCredit { until } | Stage::Probing { until, .. } | Stage::Waiting { until } => {
                     *until == at
                 }
-                Stage::Running { .. } | Stage::Relayed { .. } => false,
+                Stage::Running { hedge, .. } => hedge.is_some_and(|hedge| hedge.at() == at),
+                Stage::Relayed { .. } => false,
             }),
             Timer::Service(service) => self.services.get(&service).is_some_and(|state| state.next_review == Some(at)),
         }
@@ -199,7 +206,8 @@
             Some(Stage::AwaitingCredit { .. }) => self.on_credit_timeout(now, call, actions),
             Some(Stage::Probing { .. }) => self.finish_round(now, call, true, actions),
             Some(Stage::Waiting { .. }) => self.on_wait_expired(now, call, actions),
-            Some(Stage::Running { .. } | Stage::Relayed { .. }) | None => {}
+            Some(Stage::Running { .. }) => self.on_hedge_timer(now, call, actions),
+            Some(Stage::Relayed { .. }) | None => {}
         }
     }
 
@@ -222,12 +230,17 @@
         if !is_known {
             return self.reject(now, &active, NotRunReason::UnknownService, actions);
         }
+        let entries = self.entries.get(now, self.options.retry_window);
         let Some(state) = self.services.get_mut(&service) else {
             return self.reject(now, &active, NotRunReason::NoServer, actions);
         };
+        state.baseline.record_arrival(now, entries, state.servers.len());
         // The entry that passed it on has counted it.
         if !active.call.relayed {
             state.retry_budget.record_request(now);
+            if let Some(hedging) = &mut state.hedging {
+                hedging.record_request(now);
+            }
         }
         state.baseline.work.record_arrival(now, active.call.options.objective);
         if self.quarantine_wait(now, &active).is_some() {
@@ -265,9 +278,11 @@
         actions: &mut Vec<DispatchAction>,
     ) {
         let service = name_hash(name);
-        let entries = self.entries.get(now, self.options.retry_window);
+        let position = self.position(now);
+        let rule = self.warm_up_rule(name);
         let state = self.services.entry(service).or_insert_with(|| ServiceState::new(&self.options));
-        state.servers.replace(now, views, (&self.options.data_centre, entries), &mut self.rng);
+        state.servers.set_warm_up_rule(now, rule, position);
+        state.servers.replace(now, views, (&self.options.data_centre, position), &mut self.rng);
         if state.path.is_lost() {
             // If all servers have ended, the path is back with the first one that joins.
             state.path.hasten_check();
@@ -278,7 +293,11 @@
 
     /// Returns the position of this entry, with the highest number of live entries reported lately.
     pub(super) fn position(&mut self, now: Instant) -> FleetPosition {
-        FleetPosition { entries: self.entries.get(now, self.options.retry_window), index: self.index }
+        FleetPosition {
+            entries: self.entries.get(now, self.options.retry_window),
+            index: self.index.unwrap_or(0),
+            is_known: self.index.is_some(),
+        }
     }
 
     /// Determines this entry's parts of the limits that servers have named.
@@ -287,6 +306,23 @@
         self.services.values_mut().for_each(|state| state.servers.divide_limits(now, position));
     }
 
+    fn warm_up_rule(&self, service: &str) -> Option<WarmUpRule> {
+        let service = self.config.as_ref()?.services.get(service)?;
+        WarmUpRule::new(service.warm_up, &self.options)
+    }
+
+    /// Applies the configured limits of cold servers.
+    fn set_warm_up_rules(&mut self, now: Instant) {
+        let Some(config) = self.config.clone() else { return };
+        let position = self.position(now);
+        for name in config.services.keys() {
+            let rule = self.warm_up_rule(name);
+            if let Some(state) = self.services.get_mut(&name_hash(name)) {
+                state.servers.set_warm_up_rule(now, rule, position);
+            }
+        }
+    }
+
     /// Excludes a server that asked for no further calls, or for fewer than this entry would send. Waiting calls for
     /// which no other server is left are rejected.
     fn record_notice(
--- a/crates/core/src/probing/credit.rs
+++ b/crates/core/src/probing/credit.rs
@@ -140,6 +140,16 @@
         active.spent_credit.is_some()
     }
 
+    /// Spends credit for a second copy of a call, which may run in addition to the first one. Returns whether the copy may be
+    /// sent.
+    pub(super) fn spend_credit_for_copy(&mut self, now: Instant, customer: NameHash) -> bool {
+        if !self.credit.is_limited(customer) {
+            return true;
+        }
+        let ticket = self.credit.try_take(now, customer);
+        self.credit.spend(now, ticket).is_some()
+    }
+
     /// Returns the credit of an attempt that did not run to the call.
     pub(super) fn restore_credit(&mut self, now: Instant, active: &mut ActiveCall) {
         active.credit = self.credit.restore(now, active.spent_credit.take());
--- a/crates/core/src/probing/mod.rs
+++ b/crates/core/src/probing/mod.rs
@@ -16,6 +16,9 @@
 mod entry_count;
 mod fleet_position;
 mod headroom;
+mod hedge_counts;
+mod hedging;
+mod hedging_calls;
 mod load_sample;
 mod options;
 mod path_monitor;
@@ -33,13 +36,36 @@
 mod stage;
 mod suspects;
 mod waiting;
+mod warm_up;
+mod warm_up_report;
 mod work_estimate;
 
-pub use {balancer::Balancer, options::BalancerOptions};
+pub use {
+    balancer::Balancer,
+    hedge_counts::HedgeCounts,
+    hedging::{HedgeCase, HedgeRefusal, Hedging},
+    options::BalancerOptions,
+    warm_up_report::{ColdServer, WarmUpReport},
+};
 
 use {
-    active::ActiveCall, baseline::Baseline, cost::Cost, credit_queue::CreditQueue, ejection::Ejection,
-    entry_count::EntryCount, fleet_position::FleetPosition, load_sample::LoadSample, path_monitor::PathMonitor,
-    queue::Queue, relays::Relays, running_probe::RunningProbe, server::Server, server_limit::ServerLimit,
-    servers::Servers, service::ServiceState, stage::Stage, work_estimate::WorkEstimate,
+    active::ActiveCall,
+    baseline::Baseline,
+    cost::Cost,
+    credit_queue::CreditQueue,
+    ejection::Ejection,
+    entry_count::EntryCount,
+    fleet_position::FleetPosition,
+    load_sample::LoadSample,
+    path_monitor::PathMonitor,
+    queue::Queue,
+    relays::Relays,
+    running_probe::RunningProbe,
+    server::Server,
+    server_limit::ServerLimit,
+    servers::Servers,
+    service::ServiceState,
+    stage::{HedgeTimer, RunningAttempt, Stage},
+    warm_up::{WarmUp, WarmUpRule},
+    work_estimate::WorkEstimate,
 };
--- a/crates/core/src/probing/options.rs
+++ b/crates/core/src/probing/options.rs
@@ -24,6 +24,12 @@
     pub queue_limit: usize,
     /// Tolerance of the customers' limits.
     pub quota: QuotaTolerance,
+    /// Factor on the rate that a cold server tolerates, up to which calls may reach it in a second.
+    pub warm_up_overage: f64,
+    /// Calls that may reach a cold server in a second beyond that.
+    pub warm_up_slack: f64,
+    /// Second copies of slow calls per request, over all entries together; 0 for none.
+    pub hedge_share: f64,
 }
 
 impl Default for BalancerOptions {
@@ -41,6 +47,9 @@
             // bound is for late calls; an entry gets fewer than 200 of them in half a second.
             queue_limit: 200,
             quota: QuotaTolerance::default(),
+            warm_up_overage: 1.5,
+            warm_up_slack: 8.0,
+            hedge_share: 0.0,
         }
     }
 }
--- a/crates/core/src/probing/sending.rs
+++ b/crates/core/src/probing/sending.rs
@@ -1,7 +1,7 @@
 //! Sending of a call to the chosen server.
 
 use {
-    super::{ActiveCall, Balancer, FleetPosition, Stage},
+    super::{ActiveCall, Balancer, RunningAttempt, Stage},
     crate::{dispatch::DispatchAction, outcome::NotRunReason, slots::NameHash},
     std::time::Instant,
 };
@@ -19,12 +19,12 @@
         if self.quarantine_wait(now, &active).is_some() {
             return self.reject(now, &active, NotRunReason::Quarantined, actions);
         }
-        let entries = self.entries.get(now, self.options.retry_window);
+        let position = self.position(now);
         let Some(state) = self.services.get_mut(&active.service) else {
             return self.reject(now, &active, NotRunReason::NoServer, actions);
         };
         let is_extra = !active.tried.is_empty();
-        if is_extra && !state.retry_budget.may_spend(now, entries) {
+        if is_extra && !state.retry_budget.may_spend(now, position.entries) {
             return self.reject(now, &active, active.rejection_reason, actions);
         }
         if !self.spend_credit(now, &mut active) {
@@ -33,7 +33,7 @@
         }
         let Some(state) = self.services.get_mut(&active.service) else { return };
         if is_extra {
-            state.retry_budget.try_spend(now, entries);
+            state.retry_budget.try_spend(now, position.entries);
         }
         let Some(chosen) = state.servers.get_mut(server) else {
             self.restore_credit(now, &mut active);
@@ -41,7 +41,7 @@
         };
         chosen.start_call(now);
         if let Some(limit) = &mut chosen.limit {
-            limit.record_call(now, FleetPosition { entries, index: self.index }, &mut self.rng);
+            limit.record_call(now, position, &mut self.rng);
         }
         actions.push(DispatchAction::Send {
             call: active.call.id,
@@ -52,7 +52,8 @@
             want_report: false,
         });
         active.tried.push(server);
-        active.stage = Stage::Running { server, since: chosen.known_since, work_factor };
+        let first = RunningAttempt { server, since: chosen.known_since, work_factor, sent_at: now, is_copy: false };
+        active.stage = Stage::Running { first, copy: None, hedge: None };
         self.begin_suspect_trial(now, &active);
         self.calls.insert(active.call.id, active);
     }
--- a/crates/core/src/probing/work_estimate.rs
+++ b/crates/core/src/probing/work_estimate.rs
@@ -49,6 +49,11 @@
         self.mean.unwrap_or(initial(objective))
     }
 
+    /// Returns the mean seconds of work of all calls of the service, if there were any answers.
+    pub(super) fn observed_mean(&self) -> Option<f64> {
+        self.mean
+    }
+
     /// Records the arrival of a call.
     pub(super) fn record_arrival(&mut self, now: Instant, objective: Duration) {
         if self.kinds.len() >= MAX_KINDS && !self.kinds.contains_key(&objective) {
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -348,6 +348,7 @@
             | DispatchAction::SetSuspectHeads(_)
             | DispatchAction::Credit(_)
             | DispatchAction::Relay { .. }
+            | DispatchAction::Hedge { .. }
             | DispatchAction::CheckPath { .. } => {}
         }
     }
--- a/crates/instance/src/dispatcher.rs
+++ b/crates/instance/src/dispatcher.rs
@@ -148,6 +148,7 @@
             | DispatchAction::SetSuspectHeads(_)
             | DispatchAction::Credit(_)
             | DispatchAction::Relay { .. }
+            | DispatchAction::Hedge { .. }
             | DispatchAction::CheckPath { .. } => {}
         }
     }
--- a/crates/instance/src/fleet/balancer_report.rs
+++ b/crates/instance/src/fleet/balancer_report.rs
@@ -1,6 +1,6 @@
 //! What the balancer's task tells the entry's task.
 
-use hemlockford_core::{ids::ServerId, quarantine::SuspectRecord, quota::CreditRequest};
+use hemlockford_core::{ids::ServerId, probing::ColdServer, quarantine::SuspectRecord, quota::CreditRequest};
 
 /// What the balancer's task tells the entry's task.
 #[derive(Debug)]
@@ -19,6 +19,8 @@
     Credit(CreditRequest),
     /// Whether a leader lends credit to this entry.
     CreditContact(bool),
+    /// A server that tolerates few calls became cold or warm.
+    ColdServer(ColdServer),
     /// News of a request under which servers ended.
     Suspect(SuspectRecord),
 }
--- a/crates/instance/src/fleet/balancer_task.rs
+++ b/crates/instance/src/fleet/balancer_task.rs
@@ -9,13 +9,13 @@
     actix_rt::time::sleep_until,
     hemlockford_core::{
         collections::FastSet,
-        dispatch::{DispatchAction, DispatchEvent, ServerNotice},
-        probing::Balancer,
+        dispatch::{AttemptResult, DispatchAction, DispatchEvent, FinishedAttempt, ServerNotice},
+        probing::{Balancer, ColdServer, HedgeCounts},
         quarantine::RequestDigest,
         quota::HolderAction,
     },
     hemlockford_net::BootClock,
-    hemlockford_proxy::{Decision, DispatcherMessage, Probe},
+    hemlockford_proxy::{CopyTarget, Decision, DispatcherMessage, Probe},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -29,6 +29,9 @@
 /// Time until the next tick if the balancer has no timer.
 const MAX_TICK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval between reports on cold servers.
+const WARM_UP_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Passes events to the balancer and executes its actions.
 pub(super) struct BalancerTask {
     pub(super) balancer: Balancer,
@@ -41,6 +44,10 @@
     pub(super) pending: PendingDecisions,
     /// Number of services to whose servers this entry has lost the path.
     pub(super) lost_paths: usize,
+    /// When the cold servers are reported next.
+    pub(super) next_warm_up_report: Instant,
+    /// Second copies that the metrics include.
+    pub(super) hedge_counts: HedgeCounts,
     /// Channel to the entry's task.
     pub(super) reports: mpsc::UnboundedSender<BalancerReport>,
     /// Heads of the requests that the worker must identify.
@@ -73,6 +80,8 @@
                 let Ok(message) = self.messages.try_recv() else { break };
                 self.handle_message(message, &mut actions);
             }
+            self.report_warm_up(Instant::now());
+            self.count_copies();
             self.counters.waiting_calls.set(self.balancer.waiting() as i64);
             self.counters.active_calls.set(self.balancer.active() as i64);
             self.counters.quota.count_calls(self.balancer.credit_statistics());
@@ -107,6 +116,7 @@
             self.counters.lost_paths.set(lost_paths as i64);
             self.report(BalancerReport::LostPaths(lost_paths));
         }
+        let mut lost_copies = Vec::new();
         for action in std::mem::take(actions) {
             match action {
                 DispatchAction::Send { call, server, address, fresh_connection, pass_allowance, want_report } => {
@@ -138,10 +148,53 @@
                     self.suspect_heads.send_replace(Arc::new(heads));
                     self.count_quarantined();
                 }
+                DispatchAction::Hedge { call, server, address } => {
+                    if !self.pending.start_copy(call, CopyTarget { server: server.clone(), address }) {
+                        lost_copies.push((call, server));
+                    }
+                }
                 // Entries of a fleet do not send each other messages.
                 DispatchAction::SendMessage { .. } => {}
             }
         }
+        // The first attempt has ended meanwhile.
+        for (call, server) in lost_copies {
+            let (result, latency) = (AttemptResult::Superseded, Duration::ZERO);
+            let finish = FinishedAttempt { call, server, result, latency, report: None, wants_decision: false };
+            self.handle(DispatchEvent::AttemptFinished(finish), actions);
+        }
+    }
+
+    /// Adds the second copies since the last call to the metrics.
+    fn count_copies(&mut self) {
+        let counts = self.balancer.hedge_counts();
+        if *counts == self.hedge_counts {
+            return;
+        }
+        self.counters.copies_sent.inc_by(counts.sent - self.hedge_counts.sent);
+        self.counters.copies_won.inc_by(counts.won - self.hedge_counts.won);
+        for (reason, count) in &counts.refused {
+            let before = self.hedge_counts.refused.get(reason).copied().unwrap_or(0);
+            self.counters.copies_refused.with_label_values(&[&reason.to_string()]).inc_by(count - before);
+        }
+        self.hedge_counts = counts.clone();
+    }
+
+    /// Updates the metrics of cold servers and reports changes, once per interval.
+    fn report_warm_up(&mut self, now: Instant) {
+        if now < self.next_warm_up_report {
+            return;
+        }
+        self.next_warm_up_report = now + WARM_UP_REPORT_INTERVAL;
+        let report = self.balancer.report_warm_up(now);
+        self.counters.cold_servers.set(report.servers as i64);
+        self.counters.cold_call_rate.set(report.rate);
+        for change in report.changes {
+            if let ColdServer::Warm { calls, .. } = &change {
+                self.counters.cold_calls.inc_by(*calls);
+            }
+            self.report(BalancerReport::ColdServer(change));
+        }
     }
 
     fn count_quarantined(&self) {
--- a/crates/instance/src/settings/fleet.rs
+++ b/crates/instance/src/settings/fleet.rs
@@ -43,6 +43,12 @@
     pub quota_overage: f64,
     /// Number of calls by which they may exceed it in addition.
     pub quota_slack: f64,
+    /// Factor on the rate that a cold server tolerates, up to which calls may reach it in a second.
+    pub warm_up_overage: f64,
+    /// Calls that may reach a cold server in a second beyond that, over all entries.
+    pub warm_up_slack: f64,
+    /// Second copies of slow calls per request, over all entries; 0 for none.
+    pub hedge_share: f64,
     /// Time from SIGTERM until the platform kills the process.
     pub grace_period: Duration,
 }
@@ -62,6 +68,9 @@
             quota_window: QuotaTolerance::default().window,
             quota_overage: QuotaTolerance::default().overage,
             quota_slack: QuotaTolerance::default().slack,
+            warm_up_overage: 1.5,
+            warm_up_slack: 8.0,
+            hedge_share: 0.0,
             grace_period: Duration::from_secs(6),
         }
     }
--- a/crates/instance/tests/fleet_settings.rs
+++ b/crates/instance/tests/fleet_settings.rs
@@ -28,6 +28,9 @@
 quota-window = 4s
 quota-overage = 0.2
 quota-slack = 11
+warm-up-overage = 1.25
+warm-up-slack = 6
+hedge-share = 0.05
 ";
 
 /// Guards against documented keys that are ignored, and against a dependence on the order of the sections.
@@ -47,6 +50,9 @@
         quota_overage: 0.2,
         quota_slack: 11.0,
         grace_period: Duration::from_secs(5),
+        warm_up_overage: 1.25,
+        warm_up_slack: 6.0,
+        hedge_share: 0.05,
     };
     for source in [[INSTANCE, FLEET].concat(), [FLEET, INSTANCE].concat()] {
         let settings = Settings::parse(&source).unwrap();
@@ -61,7 +67,16 @@
 fn empty_values_and_unknown_keys_are_accepted() {
     let instance = INSTANCE.replace("data = /var/lib/hemlockford", "data =\nworkers =\nnotice =");
     let mut keys = vec!["interface", "seeds", "first-start", "tolerate", "retry-ratio", "retry-slack", "retry-window"];
-    keys.extend(["grace", "data-centres", "quota-window", "quota-overage", "quota-slack"]);
+    keys.extend([
+        "grace",
+        "data-centres",
+        "quota-window",
+        "quota-overage",
+        "quota-slack",
+        "warm-up-overage",
+        "warm-up-slack",
+        "hedge-share",
+    ]);
     let empty: String = keys.iter().map(|key| format!("{key} =\n")).collect();
     let units = empty.replace("-window =", "-window = s").replace("grace =", "grace = s");
     for rest in ["", &empty, &units, "colour = red\nsizes =\n", "seeds = ,\n"] {
@@ -84,11 +99,15 @@
         ("tolerate = 2", "tolerate = -1", 12, "tolerate"),
         ("retry-ratio = 0.25", "retry-ratio = NaN", 13, "retry-ratio"),
         ("retry-slack = 62", "retry-slack = -1", 14, "retry-slack"),
+        ("hedge-share = 0.05", "hedge-share = 2", 23, "hedge-share"),
+        ("hedge-share = 0.05", "hedge-share = -1", 23, "hedge-share"),
+        ("hedge-share = 0.05", "hedge-share = nan", 23, "hedge-share"),
+        ("warm-up-slack = 6", "warm-up-slack = few", 22, "warm-up-slack"),
         ("retry-window = 9s", "retry-window = 9", 15, "retry-window"),
         ("grace = 5s", "grace = 5s\ngrace = 6s", 17, "grace"),
-        ("quota-window = 4s", "quota-window = 4", 17, "quota-window"),
-        ("quota-overage = 0.2", "quota-overage = inf", 18, "quota-overage"),
-        ("quota-slack = 11", "quota-slack = -1", 19, "quota-slack"),
+        ("quota-window = 4s", "quota-window = 4", 18, "quota-window"),
+        ("quota-overage = 0.2", "quota-overage = inf", 19, "quota-overage"),
+        ("quota-slack = 11", "quota-slack = -1", 20, "quota-slack"),
         ("data = /var/lib/hemlockford", "", 8, "role"),
         ("data = /var/lib/hemlockford", "data =", 8, "role"),
         ("listen = 10.0.0.1:8082", "", 1, "listen"),
--- a/crates/tools/src/slopes/dispatcher_group.rs
+++ b/crates/tools/src/slopes/dispatcher_group.rs
@@ -188,6 +188,7 @@
                 | DispatchAction::Probe { .. }
                 | DispatchAction::Credit(_)
                 | DispatchAction::Relay { .. }
+                | DispatchAction::Hedge { .. }
                 | DispatchAction::CheckPath { .. }
                 | DispatchAction::ReportSuspect(_)
                 | DispatchAction::SetSuspectHeads(_) => {}
@@ -210,6 +211,7 @@
             state: ServerState::Ready,
             lease_end: now + LEASE_DURATION,
             ready_since: now.checked_sub(READY_TIME).unwrap_or(now),
+            warm_at: now,
         };
         indexes.map(view).collect()
     }
