Bound what clients make a process hold

MemoryBudget decides, without I/O, which connection is closed when the bytes, connections or calls that clients make a process hold reach a limit: the one that has stalled longest, and one of an address with many connections before others. The limits derive from the new settings memory-mb and descriptors; without them only the admin listener has one. The listeners for callers, for relayed calls and for the admin share one budget.

- A call that would exceed the limit on calls displaces one whose client has stalled, or gets 503.
- A slot of a server is free as soon as a short answer is complete, and a pipeline whose answer is not read starts no further request.
- Short parts of a body are joined: a kept part of 200 bytes held the whole 16 KB buffer that it was read into, and a chunk of one byte cost a write to the server.
- An idle connection gives its read buffer back after 1 s.

--- a/crates/instance/src/admin.rs
+++ b/crates/instance/src/admin.rs
@@ -11,15 +11,12 @@
         burn::BurnReport, config::MAX_CONFIG_BYTES, control::SubmitAnswer, errors::Result, registry::Announcement,
     },
     hemlockford_net::BootClock,
+    hemlockford_proxy::ClientBudget,
     prometheus::Registry,
     std::time::Instant,
     tokio::sync::{mpsc, oneshot, watch},
 };
 
-/// Maximum number of concurrent connections. Each of 36 servers keeps one open; the others are for operators and the
-/// platform.
-const MAX_CONNECTIONS: usize = 2_500;
-
 /// Serves the admin listener.
 #[derive(Clone)]
 pub(crate) struct AdminTask {
@@ -30,15 +27,17 @@
     /// Whether the list of servers is complete enough to serve calls.
     pub(crate) are_servers_known: watch::Receiver<bool>,
     pub(crate) registry: Registry,
+    pub(crate) clients: ClientBudget,
 }
 
 impl AdminTask {
     pub(crate) async fn run(self, listener: std::net::TcpListener) -> Result<()> {
+        let clients = self.clients.clone();
         let handle = move |req| {
             let admin = self.clone();
             async move { admin.handle(req).await }
         };
-        serve(listener, MAX_CONNECTIONS, handle).await
+        serve(listener, clients, handle).await
     }
 
     async fn handle(&self, mut req: Request) -> Response<BoxBody> {
--- a/crates/instance/src/fleet/admin.rs
+++ b/crates/instance/src/fleet/admin.rs
@@ -6,11 +6,12 @@
         replica_task::{ReplicaMessage, ReplicaRequest},
         translator::Translator,
     },
-    crate::http::{metrics_response, read_body, response, serve, text_response},
-    actix_http::{Request, Response, StatusCode, body::BoxBody},
+    crate::http::{has_body, metrics_response, read_body, response, serve, text_response},
+    actix_http::{ConnectionType, Method, Request, Response, StatusCode, body::BoxBody},
     hemlockford_core::{config::MAX_CONFIG_BYTES, errors::Result, fleet::ReplicaAnswer},
+    hemlockford_proxy::ClientBudget,
     prometheus::Registry,
-    tokio::sync::{Semaphore, mpsc, oneshot, watch},
+    tokio::sync::{mpsc, oneshot, watch},
 };
 
 /// Maximum body size. A configuration in the format of the platform is at most four times as long as in INI format.
@@ -37,24 +38,43 @@
     pub(super) replica: Option<mpsc::UnboundedSender<ReplicaMessage>>,
     pub(super) readiness: Readiness,
     pub(super) registry: Registry,
+    pub(super) clients: ClientBudget,
 }
 
 impl AdminTask {
     pub(super) async fn run(self, listener: std::net::TcpListener) -> Result<()> {
+        let clients = self.clients.clone();
         let handle = move |req| {
             let admin = self.clone();
             async move { admin.handle(req).await }
         };
-        serve(listener, Semaphore::MAX_PERMITS, handle).await
+        serve(listener, clients, handle).await
     }
 
     async fn handle(&self, mut req: Request) -> Response<BoxBody> {
         let method = req.method().clone();
         let path: Box<str> = req.path().into();
-        let Some(body) = read_body(&mut req, MAX_BODY_BYTES).await else {
-            let message = format!("the body is longer than {MAX_BODY_BYTES} bytes\n");
-            return text_response(StatusCode::PAYLOAD_TOO_LARGE, &message);
+        if method == Method::GET {
+            // Closing spares reading a body that no page needs.
+            let has_body = has_body(&mut req);
+            drop(req);
+            let mut response = self.answer(method, path, Vec::new()).await;
+            if has_body {
+                response.head_mut().set_connection_type(ConnectionType::Close);
+            }
+            return response;
+        }
+        let max = self.translator.max_body(&path).unwrap_or(MAX_BODY_BYTES);
+        let Some(body) = read_body(&mut req, max).await else {
+            let mut response =
+                text_response(StatusCode::PAYLOAD_TOO_LARGE, &format!("the body is longer than {max} bytes\n"));
+            response.head_mut().set_connection_type(ConnectionType::Close);
+            return response;
         };
+        self.answer(method, path, body).await
+    }
+
+    async fn answer(&self, method: Method, path: Box<str>, body: Vec<u8>) -> Response<BoxBody> {
         match self.translator.parse_request(method, path.clone(), body).await {
             Some(Ok(request)) => self.handle_request(request).await,
             Some(Err(reply)) => response(reply.status, reply.content_type, reply.body),
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -31,7 +31,10 @@
         probing::{Balancer, BalancerOptions},
     },
     hemlockford_net::{BootClock, MESSAGE_VERSION},
-    hemlockford_proxy::{ConnectionLimit, DispatcherHandle, ProxyCounters, ProxyOptions, Worker, WorkerBalancer},
+    hemlockford_proxy::{
+        ClientBudget, ClientLimits, ConnectionLimit, DispatcherHandle, ProxyCounters, ProxyOptions, Worker,
+        WorkerBalancer,
+    },
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
     slog::{Logger, info},
@@ -84,6 +87,8 @@
         let registry = Registry::new();
         let counters = Counters::register(&registry)?;
         let proxy_counters = ProxyCounters::register(&registry)?;
+        let limits = ClientLimits::of_entry(fleet.memory_mb, fleet.descriptors);
+        let clients = ClientBudget::register(limits, &registry)?;
         let dialect = Rc::new(interface.dialect());
         let connection_limit = Arc::new(ConnectionLimit::new(Service::default().max_connections as usize, 1, 1));
 
@@ -154,6 +159,7 @@
             replica: None,
             readiness: Readiness { is_link_ready: ready_rx, is_draining: drain_rx },
             registry,
+            clients: clients.clone(),
         };
         actix_rt::spawn(admin.run(admin_listener));
         let worker = Worker {
@@ -163,6 +169,7 @@
                 serve_while_stopping: Some(close_rx),
                 suspect_heads: Some(suspect_heads),
                 connection_limit,
+                clients,
                 ..ProxyOptions::fleet((*dialect).clone(), incarnation)
             },
             dispatcher,
--- a/crates/instance/src/fleet/interface.rs
+++ b/crates/instance/src/fleet/interface.rs
@@ -20,6 +20,11 @@
     /// Parses a request to the admin listener; returns `None` if the request is not part of the interface.
     fn parse_request(&self, method: &Method, path: &str, body: &[u8]) -> Option<Result<AdminRequest, AdminReply>>;
 
+    /// Returns the maximum size of the body of a request to the admin listener, unless it is that of a configuration.
+    fn max_body(&self, _path: &str) -> Option<usize> {
+        None
+    }
+
     /// Returns the response for an answer of the replica.
     fn build_reply(&self, answer: ReplicaAnswer) -> AdminReply;
 }
--- a/crates/instance/src/fleet/replica.rs
+++ b/crates/instance/src/fleet/replica.rs
@@ -26,6 +26,7 @@
         ids::InstanceId,
     },
     hemlockford_net::{BootClock, MESSAGE_VERSION},
+    hemlockford_proxy::{ClientBudget, ClientLimits},
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
     slog::{Logger, info, warn},
@@ -66,6 +67,8 @@
         };
         let registry = Registry::new();
         let counters = Counters::register(&registry)?;
+        let limits = ClientLimits::of_replica(fleet.memory_mb, fleet.descriptors);
+        let clients = ClientBudget::register(limits, &registry)?;
         let (messages_tx, messages_rx) = mpsc::unbounded_channel();
         let (received_tx, received_rx) = mpsc::unbounded_channel();
         let (persisted_tx, persisted_rx) = mpsc::unbounded_channel();
@@ -127,6 +130,7 @@
             replica: Some(messages_tx.clone()),
             readiness,
             registry,
+            clients,
         };
         actix_rt::spawn(admin.run(admin_listener));
         info!(log, "replica started"; "admin" => %settings.admin, "listen" => %listen, "version" => PROGRAM_VERSION,
--- a/crates/instance/src/fleet/translator.rs
+++ b/crates/instance/src/fleet/translator.rs
@@ -43,6 +43,11 @@
         Self { interface, permits: Arc::new(Semaphore::new(1)), formatted: Arc::default() }
     }
 
+    /// Returns the maximum size of the body of a request, if the interface has one of its own.
+    pub(super) fn max_body(&self, path: &str) -> Option<usize> {
+        self.interface.max_body(path)
+    }
+
     /// Parses a request; returns `None` if the request is not part of the interface.
     pub(super) async fn parse_request(
         &self,
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -27,7 +27,10 @@
         measure::MeasureCounters,
     },
     hemlockford_net::Timer,
-    hemlockford_proxy::{ConnectionLimit, DispatcherHandle, ProxyCounters, ProxyOptions, Worker, WorkerBalancer},
+    hemlockford_proxy::{
+        ClientBudget, ClientLimits, ConnectionLimit, DispatcherHandle, ProxyCounters, ProxyOptions, Worker,
+        WorkerBalancer,
+    },
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
     slog::{Logger, info, warn},
@@ -68,6 +71,7 @@
         let registry = Registry::new();
         let counters = Counters::register(&registry)?;
         let proxy_counters = ProxyCounters::register(&registry)?;
+        let clients = ClientBudget::register(ClientLimits::default(), &registry)?;
 
         let (dispatcher_handle, dispatcher_rx) = DispatcherHandle::new();
         let (dispatch_tx, dispatch_rx) = mpsc::unbounded_channel();
@@ -108,6 +112,7 @@
             is_draining: drain_rx,
             are_servers_known: servers_known_rx,
             registry,
+            clients: clients.clone(),
         };
         let control = ControlThread {
             options: control_options(settings, incarnation),
@@ -164,7 +169,7 @@
         let worker = |number, balancer| Worker {
             number,
             balancer,
-            options: proxy_options(settings),
+            options: ProxyOptions { clients: clients.clone(), ..proxy_options(settings) },
             dispatcher: dispatcher_handle.clone(),
             config: config_rx.clone(),
             stop: stop_rx.clone(),
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod addresses;
 mod admin;
+mod client_stream;
 mod clock;
 mod control;
 mod counters;
--- a/crates/instance/src/settings/fleet.rs
+++ b/crates/instance/src/settings/fleet.rs
@@ -34,6 +34,12 @@
     pub retry_window: Duration,
     /// Time from SIGTERM until the platform kills the process.
     pub grace_period: Duration,
+    /// Memory of the machine in MB, if it is known.
+    pub memory_mb: Option<u64>,
+    /// Number of descriptors that the process may open, if it is known.
+    pub descriptors: Option<u64>,
+    /// Rate of the link in Mbit/s, if it is known.
+    pub link_mbps: Option<f64>,
 }
 
 impl Default for FleetSettings {
@@ -48,6 +54,9 @@
             retry_slack: 10.0,
             retry_window: Duration::from_secs(10),
             grace_period: Duration::from_secs(6),
+            memory_mb: None,
+            descriptors: None,
+            link_mbps: None,
         }
     }
 }
--- a/crates/instance/src/settings/parse.rs
+++ b/crates/instance/src/settings/parse.rs
@@ -131,6 +131,11 @@
                 ("retry-ratio", _) => fleet.retry_ratio = self.non_negative(section, key, value),
                 ("retry-slack", _) => fleet.retry_slack = self.non_negative(section, key, value),
                 ("retry-window", _) => fleet.retry_window = self.duration(section, key, value),
+                ("memory-mb", _) => fleet.memory_mb = self.positive_number(section, key, value),
+                ("descriptors", _) => fleet.descriptors = self.positive_number(section, key, value),
+                ("link-mbps", _) => {
+                    fleet.link_mbps = Some(self.non_negative(section, key, value)).filter(|rate| *rate > 0.0);
+                }
                 ("grace", _) => fleet.grace_period = self.duration(section, key, value),
                 // The platform generates the file and may use keys that this version does not know.
                 _ => {}
@@ -247,6 +252,18 @@
         })
     }
 
+    /// Parses a number of at least 1; the platform may write it with a fraction.
+    fn positive_number(&mut self, section: &str, key: &str, value: &str) -> Option<u64> {
+        let number = self.non_negative(section, key, value);
+        if number >= 1.0 {
+            return Some(number as u64);
+        }
+        if !self.has_error(section, key) {
+            self.error(section, key, "expected a number of at least 1");
+        }
+        None
+    }
+
     fn address(&mut self, section: &str, key: &str, value: &str, default: SocketAddr) -> SocketAddr {
         value.parse().unwrap_or_else(|_| {
             self.error(section, key, "expected an IP address with a port, such as 127.0.0.1:8080");
--- a/crates/instance/tests/decoders.rs
+++ b/crates/instance/tests/decoders.rs
@@ -17,7 +17,8 @@
     "[instance]\nid = c1\ndata-centre = brno-1\nadmin = 10.0.0.1:8081\nlisten = 10.0.0.1:8082\n\
         data = /var/lib/hemlockford\n[fleet]\nrole = replica\ninterface = other\n\
         seeds = 10.0.0.1:8081, 10.0.0.2:8081\nfirst-start = true\ntolerate = 2\nretry-ratio = 0.25\n\
-        retry-slack = 62\nretry-window = 9s\ngrace = 5s\n",
+        retry-slack = 62\nretry-window = 9s\ngrace = 5s\n\
+        memory-mb = 112\ndescriptors = 2870\nlink-mbps = 3.8\n",
 ];
 
 fn parse(input: &[u8]) -> Option<Settings> {
--- a/crates/instance/tests/fleet_settings.rs
+++ b/crates/instance/tests/fleet_settings.rs
@@ -24,6 +24,9 @@
 retry-slack = 62
 retry-window = 9s
 grace = 5s
+memory-mb = 112
+descriptors = 2870
+link-mbps = 3.8
 ";
 
 /// Guards against documented keys that are ignored, and against a dependence on the order of the sections.
@@ -39,6 +42,9 @@
         retry_slack: 62.0,
         retry_window: Duration::from_secs(9),
         grace_period: Duration::from_secs(5),
+        memory_mb: Some(112),
+        descriptors: Some(2_870),
+        link_mbps: Some(3.8),
     };
     for source in [[INSTANCE, FLEET].concat(), [FLEET, INSTANCE].concat()] {
         let settings = Settings::parse(&source).unwrap();
@@ -52,7 +58,19 @@
 #[test]
 fn empty_values_and_unknown_keys_are_accepted() {
     let instance = INSTANCE.replace("data = /var/lib/hemlockford", "data =\nworkers =\nnotice =");
-    let keys = ["interface", "seeds", "first-start", "tolerate", "retry-ratio", "retry-slack", "retry-window", "grace"];
+    let keys = [
+        "interface",
+        "seeds",
+        "first-start",
+        "tolerate",
+        "retry-ratio",
+        "retry-slack",
+        "retry-window",
+        "grace",
+        "memory-mb",
+        "descriptors",
+        "link-mbps",
+    ];
     let empty: String = keys.iter().map(|key| format!("{key} =\n")).collect();
     let units = empty.replace("retry-window =", "retry-window = s").replace("grace =", "grace = s");
     for rest in ["", &empty, &units, "colour = red\nsizes =\n", "seeds = ,\n"] {
@@ -77,6 +95,10 @@
         ("retry-slack = 62", "retry-slack = -1", 14, "retry-slack"),
         ("retry-window = 9s", "retry-window = 9", 15, "retry-window"),
         ("grace = 5s", "grace = 5s\ngrace = 6s", 17, "grace"),
+        ("memory-mb = 112", "memory-mb = 0", 17, "memory-mb"),
+        ("memory-mb = 112", "memory-mb = much", 17, "memory-mb"),
+        ("descriptors = 2870", "descriptors = -1", 18, "descriptors"),
+        ("link-mbps = 3.8", "link-mbps = inf", 19, "link-mbps"),
         ("data = /var/lib/hemlockford", "", 8, "role"),
         ("data = /var/lib/hemlockford", "data =", 8, "role"),
         ("listen = 10.0.0.1:8082", "", 1, "listen"),
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -2,15 +2,20 @@
 
 use {
     crate::{
-        caller::CallerError, connection::ServerWriter, counters::ProxyCounters, digest::Digest,
-        fingerprint::BodyDigest, framing::Framing, options::BUFFERED_BODY_LIMIT, request_source::RequestSource,
+        caller::CallerError, client_guard::ClientGuard, connection::ServerWriter, counters::ProxyCounters,
+        digest::Digest, fingerprint::BodyDigest, framing::Framing, options::BUFFERED_BODY_LIMIT,
+        request_source::RequestSource,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     hemlockford_core::quarantine::RequestDigest,
-    std::cell::Cell,
+    std::{cell::Cell, rc::Rc},
     tokio::select,
 };
 
+/// Size up to which the parts of a buffered body are joined. A part keeps the whole buffer that it was read into, which
+/// may be much longer.
+const JOINED_PART_BYTES: usize = 8 * 1_024;
+
 /// The body of one request.
 pub(crate) struct RequestBody {
     framing: Framing,
@@ -24,6 +29,9 @@
     sent_digest: Option<BodyDigest>,
     /// Bytes of the body that count for its fingerprint.
     fingerprint_limit: usize,
+    client: Rc<ClientGuard>,
+    /// Bytes of the buffered parts.
+    held: usize,
 }
 
 /// Progress of sending a request.
@@ -37,8 +45,49 @@
 
 impl RequestBody {
     /// Creates the body of a request. It can be sent again if its parts are buffered.
-    pub(crate) fn new(framing: Framing, buffers_parts: bool, fingerprint_limit: usize) -> Self {
-        Self { framing, buffered: Vec::new(), buffers_parts, is_consumed: false, sent_digest: None, fingerprint_limit }
+    pub(crate) fn new(
+        framing: Framing,
+        buffers_parts: bool,
+        fingerprint_limit: usize,
+        client: Rc<ClientGuard>,
+    ) -> Self {
+        Self {
+            framing,
+            buffered: Vec::new(),
+            buffers_parts,
+            is_consumed: false,
+            sent_digest: None,
+            fingerprint_limit,
+            client,
+            held: 0,
+        }
+    }
+
+    /// Buffers a part. A part that was sent before others are joined with it is not sent again in the same attempt.
+    fn buffer(&mut self, part: Bytes) {
+        self.client.hold(self.held, self.held + part.len());
+        self.held += part.len();
+        if part.len() > JOINED_PART_BYTES {
+            self.buffered.push(part);
+            return;
+        }
+        let last = self.buffered.pop_if(|last| last.len() + part.len() <= JOINED_PART_BYTES).unwrap_or_default();
+        let mut joined = BytesMut::with_capacity(last.len() + part.len());
+        joined.extend_from_slice(&last);
+        joined.extend_from_slice(&part);
+        self.buffered.push(joined.freeze());
+    }
+
+    /// Gives up the buffered parts, all of which were sent, if memory is short. Small bodies are kept.
+    fn release_if_tight(&mut self) {
+        if self.held > BUFFERED_BODY_LIMIT && self.client.is_tight() {
+            self.sent_digest = Some(self.buffered_digest());
+            self.buffered = Vec::new();
+            self.client.hold(self.held, 0);
+            self.held = 0;
+            self.buffers_parts = false;
+            self.is_consumed = true;
+        }
     }
 
     pub(crate) fn framing(&self) -> Framing {
@@ -70,7 +119,7 @@
                 return Ok(());
             };
             length += part.len();
-            self.buffered.push(part);
+            self.buffer(part);
         }
         self.buffers_parts = false;
         Ok(())
@@ -84,7 +133,7 @@
             let Some(part) = caller.read_part().await? else { break };
             digest.add(&part);
             if !self.is_consumed {
-                self.buffered.push(part);
+                self.buffer(part);
             }
         }
         let value = digest.value();
@@ -146,9 +195,10 @@
         if let Some(part) = self.buffered.get(index) {
             return Ok(Some(part.clone()));
         }
+        self.release_if_tight();
         let part = caller.read_part().await?;
         match &part {
-            Some(part) if self.buffers_parts => self.buffered.push(part.clone()),
+            Some(part) if self.buffers_parts => self.buffer(part.clone()),
             Some(part) => {
                 self.is_consumed = true;
                 let mut digest = self.sent_digest.take().unwrap_or_else(|| self.buffered_digest());
@@ -160,3 +210,9 @@
         Ok(part)
     }
 }
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        self.client.hold(self.held, 0);
+    }
+}
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -82,7 +82,7 @@
         let ParsedRequest { call, framing, key, id, expects_continue } = parsed;
         let is_recognized = shared.options.suspect_heads.is_some();
         let fingerprint_limit = if is_recognized { shared.options.max_replayable_body } else { 0 };
-        let body = RequestBody::new(framing, call.replayable, fingerprint_limit);
+        let body = RequestBody::new(framing, call.replayable, fingerprint_limit, writer.client().clone());
         Self {
             shared,
             reader,
@@ -106,9 +106,13 @@
 
     /// Handles the call and sends the caller its response.
     pub(crate) async fn run(mut self) -> ConnectionAction {
-        let end = match self.claim().await {
-            Ok(()) => self.dispatch().await,
-            Err(end) => end,
+        let client = self.writer.client().clone();
+        let end = match client.begin_call() {
+            Some(_permit) => match self.claim().await {
+                Ok(()) => self.dispatch().await,
+                Err(end) => end,
+            },
+            None => self.not_run(NotRunReason::Overload),
         };
         self.conclude(end).await
     }
--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -3,7 +3,9 @@
 use {
     crate::{
         caller_writer::CallerWriter,
+        client_guard::ClientGuard,
         framing::Framing,
+        memory_budget::ClientState,
         options::{BUFFER_LIMIT, HEAD_LIMIT, ProxyOptions},
         request::Refusal,
         request_sequence::RequestSequence,
@@ -30,6 +32,11 @@
 
 /// Bytes requested by one read.
 const READ_SIZE: usize = 16 * 1_024;
+/// Size up to which parts of a body that arrived together are joined. Each chunk would otherwise cost a write to the
+/// server, however short it is.
+const JOINED_PART_BYTES: usize = 4 * 1_024;
+/// Time after which an idle connection gives its buffer back.
+const IDLE_BUFFER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which a caller whose data is not being read is checked for a closed connection.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -72,10 +79,20 @@
     /// Remaining length of the current body, if it was declared.
     remaining_length: Option<u64>,
     sequence: Rc<RequestSequence>,
+    client: Rc<ClientGuard>,
+    /// Why the body cannot be continued behind the parts that were joined.
+    failure: Option<CallerError>,
+    /// Size of the buffer as the budget knows it.
+    held: usize,
 }
 
 /// Splits an accepted connection into reader and writer.
-pub(crate) fn split(io: TcpStream, config: ServiceConfig, options: Rc<ProxyOptions>) -> (CallerReader, CallerWriter) {
+pub(crate) fn split(
+    io: TcpStream,
+    config: ServiceConfig,
+    options: Rc<ProxyOptions>,
+    client: Rc<ClientGuard>,
+) -> (CallerReader, CallerWriter) {
     let (read, write) = io.into_split();
     let codec = Rc::new(RefCell::new(Codec::new(config.clone())));
     let sequence = Rc::<RequestSequence>::default();
@@ -90,8 +107,11 @@
         body_allowance: 0,
         remaining_length: None,
         sequence: sequence.clone(),
+        client: client.clone(),
+        failure: None,
+        held: 0,
     };
-    let writer = CallerWriter::new(write, codec, sequence);
+    let writer = CallerWriter::new(write, codec, sequence, client);
     (reader, writer)
 }
 
@@ -118,7 +138,15 @@
 
     /// Waits until data of a next request has arrived.
     pub(crate) async fn wait(&mut self) -> Result<(), CallerError> {
-        if self.buf.is_empty() { self.fill().await } else { Ok(()) }
+        if !self.buf.is_empty() {
+            return Ok(());
+        }
+        if timeout(IDLE_BUFFER_TIMEOUT, self.half.readable()).await.is_err() {
+            self.buf = BytesMut::new();
+            self.count_buffer();
+            let _ = self.half.readable().await;
+        }
+        self.fill().await
     }
 
     /// Returns whether more than `limit` bytes of the current body may have to be read before a next request.
@@ -142,6 +170,7 @@
 
     /// Reads the head of a request whose first bytes have arrived.
     pub(crate) async fn read_head(&mut self, limits: &Limits) -> Incoming {
+        self.client.set_state(ClientState::Head);
         let status = (!self.options.dialect.product_headers).then_some(408);
         let too_late = Incoming::Invalid(Refusal::malformed(status, "the request head was not sent in time"));
         let began_at = *self.head_began_at.get_or_insert_with(Instant::now);
@@ -170,6 +199,7 @@
                     let kind = self.codec.borrow().message_type();
                     self.is_body_complete = matches!(kind, MessageType::None);
                     self.head_began_at = None;
+                    self.client.set_state(ClientState::Running);
                     self.sequence.count_request();
                     self.update_has_next();
                     if matches!(kind, MessageType::Stream) {
@@ -193,17 +223,43 @@
 
     /// Reads the next part of the body; `None` marks its end.
     pub(crate) async fn read_part(&mut self) -> Result<Option<Bytes>, CallerError> {
+        if let Some(failure) = self.failure {
+            return Err(failure);
+        }
         while !self.is_body_complete {
             if let Some(part) = self.buffered_part()? {
-                return Ok(Some(part));
+                return Ok(Some(self.join_parts(part)));
             }
             if !self.is_body_complete {
+                self.client.set_state(ClientState::Body);
                 timeout(self.options.body_idle_timeout, self.fill()).await.unwrap_or(Err(CallerError::BodyTimeout))?;
+                self.client.set_state(ClientState::Running);
             }
         }
         Ok(None)
     }
 
+    /// Joins a short part with those behind it that have arrived.
+    fn join_parts(&mut self, first: Bytes) -> Bytes {
+        let mut joined = BytesMut::new();
+        while !self.is_body_complete && first.len().max(joined.len()) < JOINED_PART_BYTES {
+            match self.buffered_part() {
+                Ok(Some(part)) => {
+                    if joined.is_empty() {
+                        joined.extend_from_slice(&first);
+                    }
+                    joined.extend_from_slice(&part);
+                }
+                Ok(None) => break,
+                Err(error) => {
+                    self.failure = Some(error);
+                    break;
+                }
+            }
+        }
+        if joined.is_empty() { first } else { joined.freeze() }
+    }
+
     /// Takes the next part of the body from the buffer.
     fn buffered_part(&mut self) -> Result<Option<Bytes>, CallerError> {
         let item = self.codec.borrow_mut().decode(&mut self.buf);
@@ -267,15 +323,22 @@
 
     async fn fill(&mut self) -> Result<(), CallerError> {
         self.buf.reserve(READ_SIZE);
+        self.count_buffer();
         match self.half.read_buf(&mut self.buf).await {
             Ok(0) | Err(_) => Err(CallerError::Disconnected),
-            Ok(_) => {
+            Ok(length) => {
+                self.client.moved(length);
                 self.update_has_next();
                 Ok(())
             }
         }
     }
 
+    fn count_buffer(&mut self) {
+        let before = std::mem::replace(&mut self.held, self.buf.capacity());
+        self.client.hold(before, self.held);
+    }
+
     fn update_has_next(&self) {
         self.sequence.set_has_next(self.is_body_complete && !self.buf.is_empty());
     }
--- a/crates/proxy/src/caller_writer.rs
+++ b/crates/proxy/src/caller_writer.rs
@@ -1,11 +1,15 @@
 //! Responses written to an accepted connection.
 
 use {
-    crate::{caller::SharedCodec, options::BUFFER_LIMIT, request_sequence::RequestSequence},
+    crate::{
+        caller::SharedCodec, client_guard::ClientGuard, memory_budget::ClientState, options::BUFFER_LIMIT,
+        request_sequence::RequestSequence,
+    },
     actix_codec::Encoder,
     actix_http::{Response, body::BodySize, h1::Message},
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
+    futures_util::FutureExt,
     std::{io, rc::Rc, time::Duration},
     tokio::{io::AsyncWriteExt, net::tcp::OwnedWriteHalf, sync::oneshot},
 };
@@ -38,11 +42,19 @@
     sequence: Rc<RequestSequence>,
     /// Number of the request that is answered.
     request: u64,
+    client: Rc<ClientGuard>,
+    /// Encoded bytes as the budget knows them.
+    held: usize,
 }
 
 impl CallerWriter {
-    pub(crate) fn new(half: OwnedWriteHalf, codec: SharedCodec, sequence: Rc<RequestSequence>) -> Self {
-        Self::with_half(WriteHalf::Held(half), codec, sequence)
+    pub(crate) fn new(
+        half: OwnedWriteHalf,
+        codec: SharedCodec,
+        sequence: Rc<RequestSequence>,
+        client: Rc<ClientGuard>,
+    ) -> Self {
+        Self::with_half(WriteHalf::Held(half), codec, sequence, client)
     }
 
     /// Creates the writer of a pipelined response. It encodes the response immediately and writes it when it receives
@@ -51,11 +63,12 @@
         half: oneshot::Receiver<OwnedWriteHalf>,
         codec: SharedCodec,
         sequence: Rc<RequestSequence>,
+        client: Rc<ClientGuard>,
     ) -> Self {
-        Self::with_half(WriteHalf::Awaited(half), codec, sequence)
+        Self::with_half(WriteHalf::Awaited(half), codec, sequence, client)
     }
 
-    fn with_half(half: WriteHalf, codec: SharedCodec, sequence: Rc<RequestSequence>) -> Self {
+    fn with_half(half: WriteHalf, codec: SharedCodec, sequence: Rc<RequestSequence>, client: Rc<ClientGuard>) -> Self {
         Self {
             half,
             request: sequence.last_request(),
@@ -69,9 +82,21 @@
             is_discarding: false,
             is_blocked: false,
             sequence,
+            client,
+            held: 0,
         }
     }
 
+    /// Returns the connection's part in the budget of the process.
+    pub(crate) fn client(&self) -> &Rc<ClientGuard> {
+        &self.client
+    }
+
+    fn count_encoded(&mut self) {
+        let before = std::mem::replace(&mut self.held, self.out.len());
+        self.client.hold(before, self.held);
+    }
+
     /// Takes the sending half away, so that the writers of pipelined responses can use it.
     pub(crate) fn take_half(&mut self) -> Option<OwnedWriteHalf> {
         match std::mem::replace(&mut self.half, WriteHalf::Gone) {
@@ -133,6 +158,7 @@
         let is_unwritten = self.is_awaiting_turn();
         if is_unwritten {
             self.out.clear();
+            self.count_encoded();
             (self.has_started, self.must_reset, self.is_close_delimited) = (false, false, false);
         }
         is_unwritten
@@ -213,6 +239,7 @@
             self.codec.borrow_mut().encode(Message::Chunk(part), &mut self.out)?;
         }
         self.must_reset &= !is_end;
+        self.count_encoded();
         Ok(())
     }
 
@@ -226,9 +253,20 @@
         self.acquire_half().await?;
         while !self.out.is_empty() && !self.is_discarding {
             let WriteHalf::Held(half) = &mut self.half else { return Err(io::ErrorKind::NotConnected.into()) };
-            self.is_blocked = true;
-            let written = half.write_buf(&mut self.out).await;
-            self.is_blocked = false;
+            let written = match half.write_buf(&mut self.out).now_or_never() {
+                Some(written) => written,
+                None => {
+                    self.is_blocked = true;
+                    self.sequence.set_unread(true);
+                    self.client.set_state(ClientState::Response);
+                    let written = half.write_buf(&mut self.out).await;
+                    self.is_blocked = false;
+                    self.sequence.set_unread(false);
+                    self.client.set_state(ClientState::Running);
+                    written
+                }
+            };
+            self.client.moved(*written.as_ref().unwrap_or(&0));
             match written {
                 Ok(0) | Err(_) if self.continues_without_caller => self.is_discarding = true,
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
@@ -237,6 +275,7 @@
             }
         }
         self.out.clear();
+        self.count_encoded();
         Ok(())
     }
 
@@ -264,6 +303,7 @@
 
 impl Drop for CallerWriter {
     fn drop(&mut self) {
+        self.client.hold(self.held, 0);
         if self.must_reset
             && let Some(half) = self.take_half()
         {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -268,7 +268,10 @@
             return ExchangeEnd::Truncated;
         }
         let mut recorded = self.continues_without_caller.then(BytesMut::new);
-        if !is_whole {
+        if is_whole {
+            // The server has finished, however long the caller takes to read.
+            self.attempt.finish(if is_error { AttemptResult::ServerError } else { AttemptResult::Complete });
+        } else {
             self.writer.set_streaming(true);
         }
         let forwarded = {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,6 +12,9 @@
 mod caller;
 mod caller_writer;
 mod claims;
+mod client_budget;
+mod client_guard;
+mod client_limits;
 mod conclude;
 mod connection;
 mod counters;
@@ -24,6 +27,7 @@
 mod framing;
 mod headers;
 mod load_format;
+mod memory_budget;
 mod named_limits;
 mod options;
 mod pending_decision;
@@ -47,10 +51,14 @@
 pub use {
     actix_http::header::{HeaderName, HeaderValue},
     claims::{Claim, ClaimDecision, ClaimMessage, ClaimTicket, RECORDED_BODY_LIMIT},
+    client_budget::ClientBudget,
+    client_guard::ClientGuard,
+    client_limits::ClientLimits,
     counters::{CallRecord, ProxyCounters},
     dialect::Dialect,
     dispatcher::{Decision, DispatcherHandle, DispatcherMessage},
     load_format::LoadFormat,
+    memory_budget::{ClientId, ClientKind, ClientState, CloseReason, Closing, MemoryBudget},
     options::{ConnectionLimit, ProxyOptions},
     probe::Probe,
     request_id_echo::RequestIdEcho,
--- a/crates/proxy/src/options.rs
+++ b/crates/proxy/src/options.rs
@@ -1,7 +1,7 @@
 //! Options of the HTTP path.
 
 use {
-    crate::dialect::Dialect,
+    crate::{client_budget::ClientBudget, dialect::Dialect},
     hemlockford_core::{collections::FastSet, quarantine::RequestDigest},
     std::{
         sync::{
@@ -119,6 +119,8 @@
     pub seed: u64,
     /// Limit on the connections to one server.
     pub connection_limit: Arc<ConnectionLimit>,
+    /// Budget of what clients make the process hold.
+    pub clients: ClientBudget,
 }
 
 impl Default for ProxyOptions {
@@ -144,6 +146,7 @@
             spare_per_server: 1,
             seed: 0,
             connection_limit: Arc::new(ConnectionLimit::new(250, 1, 1)),
+            clients: ClientBudget::default(),
         }
     }
 }
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -8,6 +8,7 @@
         call::{CallHandler, ConnectionAction},
         caller::SharedCodec,
         caller_writer::CallerWriter,
+        client_guard::ClientGuard,
         request::ParsedRequest,
         request_sequence::RequestSequence,
         request_source::RequestSource,
@@ -53,6 +54,7 @@
     /// The sending half while no call has it.
     half: Option<OwnedWriteHalf>,
     disconnected: watch::Sender<bool>,
+    client: Rc<ClientGuard>,
 }
 
 impl Pipeline {
@@ -61,6 +63,7 @@
         sequence: Rc<RequestSequence>,
         peer: SocketAddr,
         half: OwnedWriteHalf,
+        client: Rc<ClientGuard>,
     ) -> Self {
         Self {
             shared,
@@ -70,6 +73,7 @@
             turns: VecDeque::new(),
             half: Some(half),
             disconnected: watch::Sender::new(false),
+            client,
         }
     }
 
@@ -80,7 +84,10 @@
 
     /// Returns whether another request may be read.
     pub(crate) fn may_read(&self) -> bool {
-        self.calls.len() < MAX_PIPELINED && !self.sequence.is_closing() && self.may_start()
+        self.calls.len() < MAX_PIPELINED
+            && !self.sequence.is_closing()
+            && !self.sequence.is_unread()
+            && self.may_start()
     }
 
     /// Returns whether a request that was read may be sent to a server before the responses to those before it are
@@ -92,7 +99,7 @@
     /// Starts the handling of a request.
     pub(crate) fn start(&mut self, req: PipelinedRequest) {
         let (turn, half) = oneshot::channel();
-        let mut writer = CallerWriter::pipelined(half, req.codec.clone(), self.sequence.clone());
+        let mut writer = CallerWriter::pipelined(half, req.codec.clone(), self.sequence.clone(), self.client.clone());
         if !req.codec.borrow().keep_alive() {
             writer.close_after();
         }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -205,7 +205,20 @@
         }
     }
 
+    /// Closes the idle connections that have been unused for longest, if there are too many connections in all.
+    fn make_room(&self) {
+        let mut servers = self.servers.borrow_mut();
+        let open: usize = servers.values().map(|server| server.in_use + server.idle.len()).sum();
+        for _ in self.options.clients.limits().calls..open {
+            // The longest unused connection of a server comes first.
+            let oldest = servers.values_mut().filter(|server| !server.idle.is_empty());
+            let Some(server) = oldest.min_by_key(|server| server.idle[0].since) else { return };
+            server.idle.remove(0);
+        }
+    }
+
     async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        self.make_room();
         let io = timeout(self.options.connect_timeout, TcpStream::connect(address)).await??;
         io.set_nodelay(true)?;
         self.counters.opened.inc();
--- a/crates/proxy/src/request_sequence.rs
+++ b/crates/proxy/src/request_sequence.rs
@@ -13,6 +13,8 @@
     is_closing: Cell<bool>,
     /// Whether a response is being forwarded whose end has not arrived.
     is_streaming: Cell<bool>,
+    /// Whether a response waits for the caller to read.
+    is_unread: Cell<bool>,
 }
 
 impl RequestSequence {
@@ -45,6 +47,15 @@
         self.is_streaming.get()
     }
 
+    /// Sets whether a response waits for the caller to read. Meanwhile no further request is started.
+    pub(crate) fn set_unread(&self, is_unread: bool) {
+        self.is_unread.set(is_unread);
+    }
+
+    pub(crate) fn is_unread(&self) -> bool {
+        self.is_unread.get()
+    }
+
     pub(crate) fn close(&self) {
         self.is_closing.set(true);
     }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -6,6 +6,8 @@
         call::{CallHandler, ConnectionAction},
         caller::{self, CallerError, CallerReader, Incoming},
         caller_writer::CallerWriter,
+        client_guard::ClientGuard,
+        memory_budget::ClientState,
         options::BUFFERED_BODY_LIMIT,
         pipeline::{Pipeline, PipelinedRequest},
         reply::Reply,
@@ -62,14 +64,21 @@
     reader: CallerReader,
     writer: CallerWriter,
     peer: SocketAddr,
+    client: Rc<ClientGuard>,
     /// Reason for which every request on this connection is refused, if any.
     refusal: Option<NotRunReason>,
 }
 
 impl Session {
-    pub(crate) fn new(shared: Rc<Shared>, io: TcpStream, peer: SocketAddr, refusal: Option<NotRunReason>) -> Self {
-        let (reader, writer) = caller::split(io, shared.http_config.clone(), shared.options.clone());
-        Self { shared, reader, writer, peer, refusal }
+    pub(crate) fn new(
+        shared: Rc<Shared>,
+        io: TcpStream,
+        peer: SocketAddr,
+        refusal: Option<NotRunReason>,
+        client: Rc<ClientGuard>,
+    ) -> Self {
+        let (reader, writer) = caller::split(io, shared.http_config.clone(), shared.options.clone(), client.clone());
+        Self { shared, reader, writer, peer, client, refusal }
     }
 
     /// Serves requests until the connection ends.
@@ -112,6 +121,7 @@
                     return self.close().await;
                 }
             }
+            self.client.set_state(ClientState::Idle);
             idle_limit = self.shared.limits().idle_timeout.min(self.shared.options.caller_idle_timeout);
         }
     }
@@ -160,7 +170,8 @@
     /// it was read already.
     async fn serve_pipelined(&mut self, first: PipelinedRequest) -> (ConnectionAction, Option<NextRequest>) {
         let Some(half) = self.writer.take_half() else { return (ConnectionAction::Reset, None) };
-        let mut pipeline = Pipeline::new(self.shared.clone(), self.reader.sequence().clone(), self.peer, half);
+        let mut pipeline =
+            Pipeline::new(self.shared.clone(), self.reader.sequence().clone(), self.peer, half, self.client.clone());
         pipeline.start(first);
         let (mut action, mut next) = (ConnectionAction::KeepOpen, None);
         while !pipeline.is_empty() && action == ConnectionAction::KeepOpen {
--- a/crates/proxy/src/worker.rs
+++ b/crates/proxy/src/worker.rs
@@ -5,6 +5,7 @@
         claims::ClaimMessage,
         counters::{CallRecord, ProxyCounters},
         dispatcher::DispatcherHandle,
+        memory_budget::ClientKind,
         options::ProxyOptions,
         pool::Pool,
         probe::Probe,
@@ -208,9 +209,15 @@
 fn serve(shared: &Rc<Shared>, sessions: &mut JoinSet<()>, io: TcpStream, peer: SocketAddr, count: ConnectionCount) {
     let _ = io.set_nodelay(true);
     let refusal = (sessions.len() >= shared.options.max_callers).then_some(NotRunReason::Overload);
-    let session = Session::new(shared.clone(), io, peer, refusal);
+    let kind = if shared.options.is_relay { ClientKind::Relay } else { ClientKind::Caller };
+    let client = Rc::new(shared.options.clients.open(kind, peer.ip()));
+    let session = Session::new(shared.clone(), io, peer, refusal, client.clone());
     sessions.spawn_local(async move {
         let _count = count;
-        session.run().await;
+        select! {
+            biased;
+            () = client.closed() => {}
+            () = session.run() => {}
+        }
     });
 }
