Hold back requests sent ahead, and close before accepting more

- A refused call gave back a permit that it did not have, so that the limit on calls did not hold.
- A listener lets the tasks of closed connections end before it accepts more, and a call waits for a connection to a server while too many are in use: bursts had used up to 311 of 256 descriptors.
- Calm tests: an upload of 64 MB at a steady rate, and reuse after 4/5 of the idle time.

--- a/crates/hemlockford/tests/clients/deployment.rs
+++ b/crates/hemlockford/tests/clients/deployment.rs
@@ -23,6 +23,11 @@
 const MEMORY_MB: u64 = 48;
 /// Descriptors that the settings name for each process.
 const DESCRIPTORS: usize = 256;
+/// Limits of the configuration.
+const MAX_BODY_BYTES: usize = 1_048_576;
+pub const IDLE_TIMEOUT_S: f64 = 4.0;
+/// Time limit of the routes in seconds.
+const TIMEOUT_S: f64 = 8.0;
 /// Number of servers, each with two slots.
 const SERVERS: usize = 40;
 const START_LIMIT: Duration = Duration::from_secs(30);
@@ -51,6 +56,15 @@
 impl Deployment {
     /// Starts the processes and waits until ordinary requests are answered. `answer_bytes` is the size of answers.
     pub fn start(answer_bytes: usize) -> Self {
+        Self::with_config(answer_bytes, &config(MAX_BODY_BYTES, TIMEOUT_S))
+    }
+
+    /// Like `start`, with a configuration for large bodies that take long.
+    pub fn for_long_uploads(answer_bytes: usize, max_body_bytes: usize, timeout_s: f64) -> Self {
+        Self::with_config(answer_bytes, &config(max_body_bytes, timeout_s))
+    }
+
+    fn with_config(answer_bytes: usize, config: &Value) -> Self {
         let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
         let seed = SystemTime::UNIX_EPOCH.elapsed().expect("a clock").as_nanos() as u64;
         println!("seed {seed}");
@@ -71,7 +85,7 @@
         let processes = [&replica, &entry].map(|node| node.process.as_ref().expect("a running process").id());
         let mut deployment =
             Self { replica, entry, servers, processes, descriptors: [0; 2], _folder: folder, _turn: turn };
-        let config = config().to_string();
+        let config = config.to_string();
         deployment.retry(START_LIMIT, "the configuration is accepted", |deployment| {
             call(&deployment.replica.admin(), "POST", "/v1/Config.Replace", &config)
         });
@@ -197,9 +211,9 @@
 }
 
 /// Returns a configuration with two routes and small limits.
-fn config() -> Value {
+fn config(max_body_bytes: usize, timeout_s: f64) -> Value {
     let route = |name: &str, prefix: &str, kind: &str| {
-        json!([name, "shop.example", prefix, kind, 8.0, 4.0, 1, null, 3, "catalogue"])
+        json!([name, "shop.example", prefix, kind, timeout_s, 4.0, 1, null, 3, "catalogue"])
     };
     json!({
         "version": 1,
@@ -213,7 +227,7 @@
             "rows": [["catalogue", "/health", 250, "h1", false]],
         },
         "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_s": 2.0, "idle_timeout_s": 4.0,
+            "max_header_bytes": 16384, "max_body_bytes": max_body_bytes, "header_timeout_s": 2.0, "idle_timeout_s": IDLE_TIMEOUT_S,
         },
     })
 }
--- a/crates/hemlockford/tests/clients/main.rs
+++ b/crates/hemlockford/tests/clients/main.rs
@@ -19,6 +19,7 @@
 mod system;
 
 mod bodies;
+mod calm;
 mod client;
 mod crowd;
 mod deployment;
--- a/crates/instance/src/http.rs
+++ b/crates/instance/src/http.rs
@@ -1,7 +1,7 @@
 //! HTTP server of the admin listeners.
 
 use {
-    crate::client_stream::ClientStream,
+    crate::{answer_gate::AnswerGate, client_stream::ClientStream},
     actix_http::{
         HttpService, Payload, Request, Response, StatusCode,
         body::BoxBody,
@@ -45,18 +45,22 @@
         .client_disconnect_timeout(HEAD_TIMEOUT)
         .on_connect_ext(|stream: &ClientStream, data| {
             data.insert(stream.client().clone());
+            data.insert(stream.gate().clone());
         })
-        .h1(fn_service(move |req: Request| {
+        .h1(fn_service(move |mut req: Request| {
             let client = req.conn_data::<Rc<ClientGuard>>().cloned();
-            if let Some(client) = &client {
-                client.set_state(ClientState::Running);
-            }
-            let answer = handle(req);
+            let gate = req.conn_data::<Rc<AnswerGate>>().cloned();
+            let handle = handle.clone();
             async move {
-                let answer = answer.await;
-                if let Some(client) = client {
-                    client.set_state(ClientState::Response);
+                let (Some(client), Some(gate)) = (client, gate) else { return Ok(handle(req).await) };
+                gate.pass().await;
+                if !has_body(&mut req) {
+                    gate.close();
                 }
+                client.set_state(ClientState::Running);
+                let answer = handle(req).await;
+                gate.close();
+                client.set_state(ClientState::Response);
                 Ok::<_, Infallible>(answer)
             }
         }));
@@ -78,7 +82,7 @@
         };
         let _ = stream.set_nodelay(true);
         let service = service.clone();
-        let client = Rc::new(clients.open(ClientKind::Admin, peer.ip()));
+        let client = Rc::new(clients.admit(ClientKind::Admin, peer.ip()).await);
         client.hold(0, CONNECTION_BYTES);
         actix_rt::spawn(async move {
             let stream = ClientStream::new(stream, client.clone());
@@ -117,6 +121,9 @@
         body.extend(&chunk);
     }
     body.set_state(ClientState::Running);
+    if let Some(gate) = req.conn_data::<Rc<AnswerGate>>() {
+        gate.close();
+    }
     Some(body.segments.concat())
 }
 
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod addresses;
 mod admin;
+mod answer_gate;
 mod client_stream;
 mod clock;
 mod control;
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -107,7 +107,7 @@
     /// Handles the call and sends the caller its response.
     pub(crate) async fn run(mut self) -> ConnectionAction {
         let client = self.writer.client().clone();
-        let end = match client.begin_call() {
+        let end = match client.begin_call().await {
             Some(_permit) => match self.claim().await {
                 Ok(()) => self.dispatch().await,
                 Err(end) => end,
@@ -303,7 +303,10 @@
         let is_fresh = route.fresh_connection || !self.call.idempotent;
         select! {
             biased;
-            opened = self.shared.pool.acquire(route.address, is_fresh) => {
+            opened = async {
+                self.shared.pool.room().await;
+                self.shared.pool.acquire(route.address, is_fresh).await
+            } => {
                 if !route.is_relay() && opened.as_ref().map_or(true, |connection| connection.is_new) {
                     self.shared.dispatcher.connection_attempted(route.target.clone(), opened.is_ok());
                 }
--- a/crates/proxy/src/client_budget.rs
+++ b/crates/proxy/src/client_budget.rs
@@ -100,16 +100,27 @@
         &self.limits
     }
 
-    /// Adds a connection, and closes others if there are too many.
-    pub fn open(&self, kind: ClientKind, address: IpAddr) -> ClientGuard {
+    /// Adds a connection, and closes others if there are too many. Lets their tasks run before it returns, so that a
+    /// listener does not accept faster than connections are closed.
+    pub async fn admit(&self, kind: ClientKind, address: IpAddr) -> ClientGuard {
+        let (guard, has_closed) = self.open(kind, address);
+        if has_closed {
+            tokio::task::yield_now().await;
+        }
+        guard
+    }
+
+    /// Adds a connection. Returns whether others must be closed for it.
+    pub(crate) fn open(&self, kind: ClientKind, address: IpAddr) -> (ClientGuard, bool) {
         let closer = Arc::new(Notify::new());
         let mut state = self.lock();
         let (id, closing) = state.budget.open(Instant::now(), kind, address);
         state.closers.insert(id, closer.clone());
+        let has_closed = !closing.is_empty();
         self.close(&state, closing);
         drop(state);
         self.gauge(ClientState::Head).inc();
-        ClientGuard::new(self.clone(), id, closer)
+        (ClientGuard::new(self.clone(), id, closer), has_closed)
     }
 
     /// Closes the connections of a kind whose clients made no progress for longer than `limit` permits.
@@ -140,14 +151,15 @@
         self.lock().budget.is_tight()
     }
 
-    pub(crate) fn begin_call(&self, id: ClientId) -> bool {
+    /// Begins a call. Returns whether there is room for it, and whether a connection must be closed for it.
+    pub(crate) fn begin_call(&self, id: ClientId) -> (bool, bool) {
         let mut state = self.lock();
         let (is_admitted, closing) = state.budget.begin_call(id, Instant::now());
         self.close(&state, closing);
         if !is_admitted {
             self.counters.refused.inc();
         }
-        is_admitted
+        (is_admitted, closing.is_some())
     }
 
     pub(crate) fn end_call(&self, id: ClientId) {
--- a/crates/proxy/src/client_guard.rs
+++ b/crates/proxy/src/client_guard.rs
@@ -86,9 +86,14 @@
         self.budget.is_tight()
     }
 
-    /// Begins a call; `None` if there are too many.
-    pub(crate) fn begin_call(&self) -> Option<CallPermit<'_>> {
-        self.budget.begin_call(self.id).then_some(CallPermit(self))
+    /// Begins a call; `None` if there are too many. Lets a connection that is closed for it end before it returns.
+    pub(crate) async fn begin_call(&self) -> Option<CallPermit<'_>> {
+        let (is_admitted, has_closed) = self.budget.begin_call(self.id);
+        let permit = is_admitted.then(|| CallPermit(self));
+        if has_closed {
+            tokio::task::yield_now().await;
+        }
+        permit
     }
 }
 
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -12,7 +12,7 @@
     actix_rt::time::{sleep, timeout},
     hemlockford_core::{collections::FastMap, dispatch::ServerNotice},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         io,
         net::SocketAddr,
         rc::Rc,
@@ -71,6 +71,9 @@
     counters: ProxyCounters,
     servers: Rc<RefCell<FastMap<SocketAddr, Server>>>,
     named_limits: Rc<RefCell<NamedLimits>>,
+    /// Connections in use, to all servers.
+    in_use: Rc<Cell<usize>>,
+    freed: Rc<Notify>,
 }
 
 /// Permit for one connection to a server. Dropping it frees the place.
@@ -81,7 +84,23 @@
 
 impl Pool {
     pub(crate) fn new(options: Rc<ProxyOptions>, config: ServiceConfig, counters: ProxyCounters) -> Self {
-        Self { options, config, counters, servers: Rc::default(), named_limits: Rc::default() }
+        Self {
+            options,
+            config,
+            counters,
+            servers: Rc::default(),
+            named_limits: Rc::default(),
+            in_use: Rc::default(),
+            freed: Rc::default(),
+        }
+    }
+
+    /// Waits until there is room for another connection, as far as the descriptors of the process are concerned. A call
+    /// that has ended may still hold its connection.
+    pub(crate) async fn room(&self) {
+        while self.in_use.get() >= self.options.clients.limits().calls {
+            self.freed.notified().await;
+        }
     }
 
     /// Takes an idle connection that is recent enough and that the server has not closed, or opens a new one.
@@ -135,6 +154,7 @@
             let has_room = server.in_use + server.idle.len() < self.options.connection_limit.per_worker();
             if is_used && server.is_reachable && has_room && server.idle.len() < self.options.spare_per_server {
                 server.in_use += 1;
+                self.in_use.set(self.in_use.get() + 1);
                 spare_permits.push(ConnectionPermit { pool: self.clone(), address: *address });
             }
             is_used || server.in_use > 0
@@ -159,6 +179,7 @@
                 server.is_reachable = true;
                 if server.in_use < self.options.connection_limit.per_worker() {
                     server.in_use += 1;
+                    self.in_use.set(self.in_use.get() + 1);
                     return ConnectionPermit { pool: self.clone(), address };
                 }
                 server.freed.clone()
@@ -264,6 +285,8 @@
             server.in_use = server.in_use.saturating_sub(1);
             server.freed.notify_one();
         }
+        self.pool.in_use.set(self.pool.in_use.get().saturating_sub(1));
+        self.pool.freed.notify_one();
     }
 }
 
--- a/crates/proxy/src/worker.rs
+++ b/crates/proxy/src/worker.rs
@@ -131,16 +131,18 @@
                     let own = if is_stopping { Some(io) } else { hand_over(&balancer, io, peer) };
                     if let Some(io) = own {
                         let count = balancer.count_own();
-                        serve(&shared, if is_stopping { &mut late_sessions } else { &mut sessions }, io, peer, count);
+                        let sessions = if is_stopping { &mut late_sessions } else { &mut sessions };
+                        serve(&shared, sessions, io, peer, count).await;
                     }
                 }
                 Some((io, peer)) = accept_relay(&relays), if sessions.len() + late_sessions.len() < limit => {
                     let sessions = if is_stopping { &mut late_sessions } else { &mut sessions };
-                    serve(&relay_shared, sessions, io, peer, balancer.count_own());
+                    serve(&relay_shared, sessions, io, peer, balancer.count_own()).await;
                 }
                 Some((io, peer, count)) = balancer.received.recv() => {
                     if let Ok(io) = TcpStream::from_std(io) {
-                        serve(&shared, if is_stopping { &mut late_sessions } else { &mut sessions }, io, peer, count);
+                        let sessions = if is_stopping { &mut late_sessions } else { &mut sessions };
+                        serve(&shared, sessions, io, peer, count).await;
                     }
                 }
                 Some(probe) = next_probe(&mut probes) => {
@@ -161,7 +163,7 @@
             let Some(Ok(listener)) = listener.map(TcpListener::into_std) else { continue };
             while let Ok((io, peer)) = listener.accept() {
                 if let Ok(io) = io.set_nonblocking(true).and_then(|()| TcpStream::from_std(io)) {
-                    serve(shared, &mut late_sessions, io, peer, balancer.count_own());
+                    serve(shared, &mut late_sessions, io, peer, balancer.count_own()).await;
                 }
             }
         }
@@ -169,7 +171,7 @@
         balancer.received.close();
         while let Ok((io, peer, count)) = balancer.received.try_recv() {
             if let Ok(io) = TcpStream::from_std(io) {
-                serve(&shared, &mut late_sessions, io, peer, count);
+                serve(&shared, &mut late_sessions, io, peer, count).await;
             }
         }
         while late_sessions.join_next().await.is_some() {}
@@ -206,11 +208,17 @@
 }
 
 /// Serves a connection in a task of its own.
-fn serve(shared: &Rc<Shared>, sessions: &mut JoinSet<()>, io: TcpStream, peer: SocketAddr, count: ConnectionCount) {
+async fn serve(
+    shared: &Rc<Shared>,
+    sessions: &mut JoinSet<()>,
+    io: TcpStream,
+    peer: SocketAddr,
+    count: ConnectionCount,
+) {
     let _ = io.set_nodelay(true);
     let refusal = (sessions.len() >= shared.options.max_callers).then_some(NotRunReason::Overload);
     let kind = if shared.options.is_relay { ClientKind::Relay } else { ClientKind::Caller };
-    let client = Rc::new(shared.options.clients.open(kind, peer.ip()));
+    let client = Rc::new(shared.options.clients.admit(kind, peer.ip()).await);
     let session = Session::new(shared.clone(), io, peer, refusal, client.clone());
     sessions.spawn_local(async move {
         let _count = count;
