--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -31,7 +31,10 @@
         probing::{Balancer, BalancerOptions, HedgeCounts},
     },
     hemlockford_net::{BootClock, MESSAGE_VERSION},
-    hemlockford_proxy::{ConnectionLimit, DispatcherHandle, ProxyCounters, ProxyOptions, Worker, WorkerBalancer},
+    hemlockford_proxy::{
+        ClientBudget, ClientLimits, ConnectionLimit, DispatcherHandle, ProxyCounters, ProxyOptions, Worker,
+        WorkerBalancer,
+    },
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
     slog::{Logger, info},
@@ -84,6 +87,8 @@
         let registry = Registry::new();
         let counters = Counters::register(&registry)?;
         let proxy_counters = ProxyCounters::register(&registry)?;
+        let limits = ClientLimits::of_entry(fleet.memory_mb, fleet.descriptors);
+        let clients = ClientBudget::register(limits, &registry)?;
         let dialect = Rc::new(interface.dialect());
         let connection_limit = Arc::new(ConnectionLimit::new(Service::default().max_connections as usize, 1, 1));
 
@@ -157,6 +162,7 @@
             readiness: Readiness { is_link_ready: ready_rx, is_draining: drain_rx },
             registry,
             status: None,
+            clients: clients.clone(),
         };
         actix_rt::spawn(admin.run(admin_listener));
         let worker = Worker {
@@ -167,6 +173,7 @@
                 suspect_heads: Some(suspect_heads),
                 connection_limit,
                 runs_copies: fleet.hedge_share > 0.0,
+                clients,
                 ..ProxyOptions::fleet((*dialect).clone(), incarnation)
             },
             dispatcher,
--- a/crates/instance/src/fleet/replica.rs
+++ b/crates/instance/src/fleet/replica.rs
@@ -27,6 +27,7 @@
         ids::{DataCentreId, InstanceId},
     },
     hemlockford_net::{BootClock, MESSAGE_VERSION},
+    hemlockford_proxy::{ClientBudget, ClientLimits},
     prometheus::Registry,
     rand::{SeedableRng, rngs::SmallRng},
     slog::{Logger, info, warn},
@@ -67,6 +68,8 @@
         };
         let registry = Registry::new();
         let counters = Counters::register(&registry)?;
+        let limits = ClientLimits::of_replica(fleet.memory_mb, fleet.descriptors);
+        let clients = ClientBudget::register(limits, &registry)?;
         let (messages_tx, messages_rx) = mpsc::unbounded_channel();
         let (received_tx, received_rx) = mpsc::unbounded_channel();
         let (persisted_tx, persisted_rx) = mpsc::unbounded_channel();
@@ -133,6 +136,7 @@
             readiness,
             registry,
             status: Some(status_rx),
+            clients,
         };
         actix_rt::spawn(admin.run(admin_listener));
         info!(log, "replica started"; "admin" => %settings.admin, "listen" => %listen, "version" => PROGRAM_VERSION,
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod addresses;
 mod admin;
+mod answer_gate;
+mod client_stream;
 mod clock;
 mod control;
 mod counters;
--- a/crates/instance/src/settings/fleet.rs
+++ b/crates/instance/src/settings/fleet.rs
@@ -51,6 +51,12 @@
     pub hedge_share: f64,
     /// Time from SIGTERM until the platform kills the process.
     pub grace_period: Duration,
+    /// Memory of the machine in MB, if it is known.
+    pub memory_mb: Option<u64>,
+    /// Number of descriptors that the process may open, if it is known.
+    pub descriptors: Option<u64>,
+    /// Rate of the link in Mbit/s, if it is known.
+    pub link_mbps: Option<f64>,
 }
 
 impl Default for FleetSettings {
@@ -72,6 +78,9 @@
             warm_up_slack: 8.0,
             hedge_share: 0.0,
             grace_period: Duration::from_secs(6),
+            memory_mb: None,
+            descriptors: None,
+            link_mbps: None,
         }
     }
 }
--- a/crates/instance/tests/fleet_settings.rs
+++ b/crates/instance/tests/fleet_settings.rs
@@ -31,6 +31,9 @@
 warm-up-overage = 1.25
 warm-up-slack = 6
 hedge-share = 0.05
+memory-mb = 112
+descriptors = 2870
+link-mbps = 3.8
 ";
 
 /// Guards against documented keys that are ignored, and against a dependence on the order of the sections.
@@ -53,6 +56,9 @@
         warm_up_overage: 1.25,
         warm_up_slack: 6.0,
         hedge_share: 0.05,
+        memory_mb: Some(112),
+        descriptors: Some(2_870),
+        link_mbps: Some(3.8),
     };
     for source in [[INSTANCE, FLEET].concat(), [FLEET, INSTANCE].concat()] {
         let settings = Settings::parse(&source).unwrap();
@@ -76,6 +82,9 @@
         "warm-up-overage",
         "warm-up-slack",
         "hedge-share",
+        "memory-mb",
+        "descriptors",
+        "link-mbps",
     ]);
     let empty: String = keys.iter().map(|key| format!("{key} =\n")).collect();
     let units = empty.replace("-window =", "-window = s").replace("grace =", "grace = s");
@@ -108,6 +117,10 @@
         ("quota-window = 4s", "quota-window = 4", 18, "quota-window"),
         ("quota-overage = 0.2", "quota-overage = inf", 19, "quota-overage"),
         ("quota-slack = 11", "quota-slack = -1", 20, "quota-slack"),
+        ("memory-mb = 112", "memory-mb = 0", 24, "memory-mb"),
+        ("memory-mb = 112", "memory-mb = much", 24, "memory-mb"),
+        ("descriptors = 2870", "descriptors = -1", 25, "descriptors"),
+        ("link-mbps = 3.8", "link-mbps = inf", 26, "link-mbps"),
         ("data = /var/lib/hemlockford", "", 8, "role"),
         ("data = /var/lib/hemlockford", "data =", 8, "role"),
         ("listen = 10.0.0.1:8082", "", 1, "listen"),
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -89,7 +89,7 @@
         let ParsedRequest { call, identity, routing, framing, key, id, expects_continue } = parsed;
         let is_recognized = shared.options.suspect_heads.is_some();
         let fingerprint_limit = if is_recognized { shared.options.max_replayable_body } else { 0 };
-        let body = RequestBody::new(framing, call.replayable, fingerprint_limit);
+        let body = RequestBody::new(framing, call.replayable, fingerprint_limit, writer.client().clone());
         Self {
             shared,
             reader,
@@ -115,9 +115,13 @@
 
     /// Handles the call and sends the caller its response.
     pub(crate) async fn run(mut self) -> ConnectionAction {
-        let end = match self.claim().await {
-            Ok(()) => self.dispatch().await,
-            Err(end) => end,
+        let client = self.writer.client().clone();
+        let end = match client.begin_call().await {
+            Some(_permit) => match self.claim().await {
+                Ok(()) => self.dispatch().await,
+                Err(end) => end,
+            },
+            None => self.not_run(NotRunReason::Overload),
         };
         self.conclude(end).await
     }
@@ -351,7 +355,10 @@
         let is_fresh = route.fresh_connection || !self.call.idempotent;
         select! {
             biased;
-            opened = self.shared.pool.acquire(route.address, is_fresh) => {
+            opened = async {
+                self.shared.pool.room().await;
+                self.shared.pool.acquire(route.address, is_fresh).await
+            } => {
                 if !route.is_relay() && opened.as_ref().map_or(true, |connection| connection.is_new) {
                     self.shared.dispatcher.connection_attempted(route.target.clone(), opened.is_ok());
                 }
--- a/crates/proxy/src/options.rs
+++ b/crates/proxy/src/options.rs
@@ -1,7 +1,7 @@
 //! Options of the HTTP path.
 
 use {
-    crate::dialect::Dialect,
+    crate::{client_budget::ClientBudget, dialect::Dialect},
     hemlockford_core::{collections::FastSet, quarantine::RequestDigest},
     std::{
         sync::{
@@ -121,6 +121,8 @@
     pub runs_copies: bool,
     /// Limit on the connections to one server.
     pub connection_limit: Arc<ConnectionLimit>,
+    /// Budget of what clients make the process hold.
+    pub clients: ClientBudget,
 }
 
 impl Default for ProxyOptions {
@@ -147,6 +149,7 @@
             seed: 0,
             runs_copies: false,
             connection_limit: Arc::new(ConnectionLimit::new(250, 1, 1)),
+            clients: ClientBudget::default(),
         }
     }
 }
