--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A worker with a scripted dispatcher, raw servers and raw callers, all on the loopback interface.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod keys;
 pub mod platform;
 
 use {
