--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -288,7 +288,14 @@
             && self.claim.is_none()
             && !route.is_relay()
             && !shared.options.is_relay;
-        let request = CopyRequest { shared, call: &self.call, head: self.head, peer: self.peer, id: self.id.as_ref() };
+        let request = CopyRequest {
+            shared,
+            call: &self.call,
+            head: self.head,
+            peer: self.peer,
+            id: self.id.as_ref(),
+            identity: &self.identity,
+        };
         let exchange = Exchange {
             shared,
             call: &self.call,
--- a/crates/proxy/src/copy_call.rs
+++ b/crates/proxy/src/copy_call.rs
@@ -5,6 +5,7 @@
         attempt::Attempt,
         connection::{BufferedBody, Connection, ResponseError},
         copy_offer::CopyOffer,
+        credentials::Identity,
         dispatcher::CopyTarget,
         exchange::{self, MAX_STREAM_HOLD},
         framing::Framing,
@@ -34,6 +35,7 @@
     pub(crate) head: &'a RequestHead,
     pub(crate) peer: SocketAddr,
     pub(crate) id: Option<&'a HeaderValue>,
+    pub(crate) identity: &'a Identity,
 }
 
 /// A second copy that runs beside the first attempt once the dispatcher asks for it. Dropping it cancels the copy and
@@ -150,6 +152,7 @@
             server: &target.server,
             address: target.address,
             id: self.id,
+            identity: self.identity,
             remaining: self.call.deadline.saturating_duration_since(Instant::now()),
             depth: self.call.depth,
             pass_allowance: false,
