--- a/crates/proxy/src/call_end.rs
+++ b/crates/proxy/src/call_end.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        caller::CallerError, claims::ClaimDecision, exchange::RecordedResponse, pending_decision::PendingDecision,
-        reply::Reply, saved_response::SavedResponse,
+        caller::CallerError, claims::ClaimDecision, pending_decision::PendingDecision,
+        recorded_response::RecordedResponse, reply::Reply, saved_response::SavedResponse,
     },
     hemlockford_core::outcome::{NotRunReason, Outcome, UnknownReason},
     std::time::Duration,
--- a/crates/proxy/src/copy_call.rs
+++ b/crates/proxy/src/copy_call.rs
@@ -6,10 +6,11 @@
         connection::{BufferedBody, Connection, ResponseError},
         copy_offer::CopyOffer,
         dispatcher::CopyTarget,
-        exchange::{self, MAX_STREAM_HOLD},
+        exchange::MAX_STREAM_HOLD,
         framing::Framing,
         headers::{self, OutgoingRequest},
         options::BUFFER_LIMIT,
+        response_check,
         shared::Shared,
     },
     actix_http::{RequestHead, ResponseHead, body::BodySize, header::HeaderValue},
@@ -171,7 +172,7 @@
             Err(ResponseError::ConnectionLost) => return Err(AttemptResult::BrokenAfterWrite),
             Err(ResponseError::Invalid) => return Err(AttemptResult::BadAnswer),
         };
-        exchange::check_response(shared, server, attempt, &head, self.id, is_first_exchange)?;
+        response_check::check_response(shared, server, attempt, &head, self.id, is_first_exchange)?;
         if head.status.is_server_error() {
             return Err(AttemptResult::ServerError);
         }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -7,38 +7,34 @@
         body::{Progress, RequestBody},
         caller::CallerError,
         caller_writer::CallerWriter,
-        claims::RECORDED_BODY_LIMIT,
-        connection::{BufferedBody, Connection, Part, ResponseError, ServerReader},
+        connection::{BufferedBody, Connection, Part, ResponseError},
         copy_call::{CopyAnswer, CopyEnd, CopyRace},
-        counters::ProxyCounters,
+        copy_wait::{Answer, CopyWait, report_end, report_failed, wait_for_copy},
         dialect::RequestIdMatch,
         dispatcher::Decision,
+        forwarding::{Forwarded, forward_body},
         framing::Framing,
         headers,
         options::{BUFFER_LIMIT, BUFFERED_BODY_LIMIT},
         pending_decision::PendingDecision,
+        recorded_response::RecordedResponse,
         reply,
         request_source::RequestSource,
+        response_check::{check_response, result_of_relay},
         saved_response::SavedResponse,
         shared::Shared,
     },
     actix_http::{
-        RequestHead, ResponseHead, StatusCode,
+        RequestHead, ResponseHead,
         header::{self, HeaderValue},
     },
-    actix_rt::time::{Sleep, sleep, sleep_until, timeout},
-    bytes::{Bytes, BytesMut},
+    actix_rt::time::{sleep, sleep_until, timeout},
+    bytes::BytesMut,
     hemlockford_core::{
-        dispatch::{AttemptResult, Call, ServerNotice},
+        dispatch::{AttemptResult, Call},
         ids::ServerId,
-        outcome::NotRunReason,
-    },
-    std::{
-        future::Future,
-        net::SocketAddr,
-        pin::{Pin, pin},
-        time::Duration,
     },
+    std::{net::SocketAddr, pin::pin, time::Duration},
     tokio::select,
 };
 
@@ -71,14 +67,6 @@
     DeadlineExceeded,
 }
 
-/// The part of a response to a claimed request that is recorded.
-#[derive(Debug)]
-pub(crate) struct RecordedResponse {
-    pub(crate) status: u16,
-    pub(crate) content_type: Option<Box<str>>,
-    pub(crate) body: Option<Bytes>,
-}
-
 /// One exchange.
 pub(crate) struct Exchange<'a, 'b> {
     pub(crate) shared: &'a Shared,
@@ -102,25 +90,6 @@
     pub(crate) failed: &'a mut Vec<(ServerId, SocketAddr, AttemptResult)>,
 }
 
-/// The response that is forwarded.
-enum Answer {
-    First(ResponseHead, Framing, Vec<Bytes>, bool),
-    Copy(Box<CopyAnswer>),
-}
-
-/// What came first while only the copy runs.
-enum CopyWait {
-    Ended(CopyEnd),
-    CallerFailed(CallerError),
-    DeadlineExceeded,
-}
-
-enum Forwarded {
-    Complete,
-    Truncated,
-    CallerDisconnected,
-}
-
 impl Exchange<'_, '_> {
     /// Sends the request, whose head is encoded already, and forwards the response.
     pub(crate) async fn run(mut self, connection: &mut Connection) -> ExchangeEnd {
@@ -421,139 +390,6 @@
     }
 }
 
-/// Checks whether the head of a server's response belongs to the request and the server has run it, and reports what
-/// else the server states.
-pub(crate) fn check_response(
-    shared: &Shared,
-    server: &mut ServerReader,
-    attempt: &mut Attempt,
-    head: &ResponseHead,
-    id: Option<&HeaderValue>,
-    is_first_exchange: bool,
-) -> Result<(), AttemptResult> {
-    let dialect = &shared.options.dialect;
-    for notice in dialect.server_notices(head) {
-        attempt.report_notice(notice);
-        if notice == ServerNotice::Leaving {
-            server.close_after();
-        }
-    }
-    let is_not_run = dialect.is_marked_not_run(head);
-    let id_match = dialect.match_request_id(head, id);
-    attempt.report_limit(shared, head, id_match);
-    if id_match != RequestIdMatch::Match {
-        // The response belongs to another request. Later responses on this connection cannot be matched either.
-        server.close_after();
-        // On a connection that was used before, a rejection without an id may be that of a health check, which has
-        // none, while the server runs this request.
-        let is_shed = is_not_run && id_match == RequestIdMatch::Missing && is_first_exchange;
-        return Err(if is_shed { AttemptResult::Shed } else { AttemptResult::BadAnswer });
-    }
-    attempt.set_load_report(dialect.load_report(head));
-    let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && dialect.expected_server_header.is_some();
-    if is_misdirected || is_not_run {
-        // Consumes a body that has arrived, so that the connection can be reused.
-        while matches!(server.buffered_part(), Part::Chunk(_)) {}
-        return Err(if is_misdirected { AttemptResult::Misdirected } else { AttemptResult::Shed });
-    }
-    Ok(())
-}
-
-/// Reports an attempt that failed while another copy of the call may still be answered.
-fn report_end(attempt: &mut Attempt, result: AttemptResult, failed: &mut Vec<(ServerId, SocketAddr, AttemptResult)>) {
-    failed.push((attempt.server().clone(), attempt.address(), result));
-    attempt.finish(result);
-}
-
-/// Reports a copy that failed while the first attempt runs.
-fn report_failed(mut attempt: Attempt, result: AttemptResult, failed: &mut Vec<(ServerId, SocketAddr, AttemptResult)>) {
-    report_end(&mut attempt, result, failed);
-}
-
-/// Waits for the copy after the first attempt has failed.
-async fn wait_for_copy(
-    race: &mut Option<CopyRace<'_>>,
-    mut upload: Pin<&mut impl Future<Output = CallerError>>,
-    mut deadline: Pin<&mut Sleep>,
-) -> CopyWait {
-    select! {
-        biased;
-        error = &mut upload => CopyWait::CallerFailed(error),
-        end = CopyRace::next(race) => CopyWait::Ended(end),
-        () = &mut deadline => CopyWait::DeadlineExceeded,
-    }
-}
-
-/// Forwards a body, starting with the parts that are buffered already. A part is read only after the parts before it
-/// were written, so that a caller that does not read slows down the server.
-async fn forward_body(
-    server: &mut ServerReader,
-    buffered: Vec<Bytes>,
-    writer: &mut CallerWriter,
-    framing: Framing,
-    recorded: &mut Option<BytesMut>,
-    counters: &ProxyCounters,
-) -> Forwarded {
-    let forwarded = counters.bytes.with_label_values(&["answer"]);
-    let mut buffered = buffered.into_iter();
-    loop {
-        let part = match buffered.next() {
-            Some(chunk) => Part::Chunk(chunk),
-            None if framing.is_empty() => Part::End,
-            None => server.buffered_part(),
-        };
-        match part {
-            Part::Chunk(chunk) => {
-                forwarded.inc_by(chunk.len() as u64);
-                if let Some(body) = recorded {
-                    body.extend_from_slice(&chunk);
-                }
-                if recorded.as_ref().is_some_and(|body| body.len() > RECORDED_BODY_LIMIT) {
-                    *recorded = None;
-                }
-                if writer.encode_part(Some(chunk)).is_err() {
-                    return Forwarded::Truncated;
-                }
-                if writer.is_full() && writer.flush().await.is_err() {
-                    return Forwarded::CallerDisconnected;
-                }
-            }
-            Part::End => {
-                if !framing.is_empty() && writer.encode_part(None).is_err() {
-                    return Forwarded::Truncated;
-                }
-                // A complete response that waits behind others is not subject to the deadline any more.
-                let is_delivered = writer.is_awaiting_turn() || writer.flush().await.is_ok();
-                return if is_delivered { Forwarded::Complete } else { Forwarded::CallerDisconnected };
-            }
-            Part::Truncated => return Forwarded::Truncated,
-            Part::Pending => {
-                if writer.flush().await.is_err() {
-                    return Forwarded::CallerDisconnected;
-                }
-                if !server.fill().await {
-                    return Forwarded::Truncated;
-                }
-            }
-        }
-    }
-}
-
-/// Returns the result of a call that another entry did not run, from the outcome that it states. Any other response of
-/// the entry is final, as it has made all attempts.
-fn result_of_relay(outcome: &HeaderValue) -> Option<AttemptResult> {
-    let reason = outcome.to_str().ok()?.strip_prefix("not-run; ")?;
-    // Yet another entry may serve the call.
-    let is_entry_unable = [
-        NotRunReason::NoServer,
-        NotRunReason::ShuttingDown,
-        NotRunReason::ConfigurationNotCurrent,
-        NotRunReason::UnknownService,
-    ];
-    let is_entry_unable = is_entry_unable.iter().any(|unable| *reason == unable.to_string());
-    Some(if is_entry_unable { AttemptResult::Misdirected } else { AttemptResult::Shed })
-}
-
 fn header_text<'a>(head: &'a ResponseHead, name: &str) -> Option<&'a str> {
     head.headers.get(name)?.to_str().ok()
 }
