--- a/crates/core/src/quota/holder.rs
+++ b/crates/core/src/quota/holder.rs
@@ -75,8 +75,8 @@
     next_listed: NameHash,
     /// Number of the last request.
     number: u64,
-    /// Requests that may be answered: number and time.
-    sent: VecDeque<(u64, Instant)>,
+    /// Requests that may be answered: number, time, and whether they list all customers with traffic or credit.
+    sent: VecDeque<(u64, Instant, bool)>,
     unanswered: u32,
     session: Option<Session>,
     /// Number of entries that the leader has named.
@@ -240,7 +240,7 @@
     pub fn next_wake(&self) -> Option<Instant> {
         let doubled = MIN_INTERVAL * (1 << self.unanswered.min(MAX_DOUBLINGS));
         let urgent = match (self.is_urgent, self.sent.back()) {
-            (true, Some((_, last))) => Some(*last + doubled.max(self.urgent_interval)),
+            (true, Some((_, last, _))) => Some(*last + doubled.max(self.urgent_interval)),
             _ => None,
         };
         [self.next_request, urgent.filter(|_| self.has_limits())].into_iter().flatten().min()
@@ -253,28 +253,35 @@
             out.push(HolderAction::CutOff);
         }
         if self.next_wake().is_some_and(|at| now >= at) {
-            out.push(HolderAction::Request(self.request(now)));
+            let is_regular = self.next_request.is_some_and(|at| now >= at);
+            out.push(HolderAction::Request(self.request(now, is_regular)));
         }
     }
 
-    fn request(&mut self, now: Instant) -> CreditRequest {
+    /// Returns a request for all customers, or for those whose calls wait.
+    fn request(&mut self, now: Instant, is_regular: bool) -> CreditRequest {
         self.number += 1;
         self.unanswered = self.unanswered.saturating_add(1);
         self.is_urgent = self.unanswered <= MAX_REPEATED && self.customers.values().any(HeldCredit::lacks_credit);
-        while self.sent.front().is_some_and(|(_, at)| now.saturating_duration_since(*at) >= ANSWER_TIMEOUT) {
+        while self.sent.front().is_some_and(|(_, at, _)| now.saturating_duration_since(*at) >= ANSWER_TIMEOUT) {
             self.sent.pop_front();
         }
-        self.sent.push_back((self.number, now));
-        let interval = if self.unanswered > MANY_UNANSWERED { SLOW_INTERVAL } else { REPEAT_INTERVAL };
-        self.next_request = Some(now + interval);
-        self.customers.retain(|_, held| !held.is_idle(now));
+        self.sent.push_back((self.number, now, is_regular));
+        if is_regular {
+            let interval = if self.unanswered > MANY_UNANSWERED { SLOW_INTERVAL } else { REPEAT_INTERVAL };
+            self.next_request = Some(now + interval);
+            self.customers.retain(|_, held| !held.is_idle(now));
+        }
         let names: Vec<NameHash> = {
             let later = self.customers.range(self.next_listed..);
             let earlier = self.customers.range((Bound::Unbounded, Bound::Excluded(self.next_listed)));
-            later.chain(earlier).map(|(name, _)| *name).take(MAX_LISTED_CUSTOMERS + 1).collect()
+            let listed = later.chain(earlier).filter(|(_, held)| is_regular || held.waiting > 0);
+            listed.map(|(name, _)| *name).take(MAX_LISTED_CUSTOMERS + 1).collect()
         };
         let listed = &names[..names.len().min(MAX_LISTED_CUSTOMERS)];
-        self.next_listed = names.get(MAX_LISTED_CUSTOMERS).copied().unwrap_or(0);
+        if is_regular {
+            self.next_listed = names.get(MAX_LISTED_CUSTOMERS).copied().unwrap_or(0);
+        }
         let mut customers = Vec::with_capacity(listed.len());
         for name in listed {
             customers.extend(self.customers.get_mut(name).map(|held| held.report(now, *name)));
@@ -295,7 +302,8 @@
         response: &CreditResponse,
         out: &mut Vec<HolderAction>,
     ) -> Vec<NameHash> {
-        let Some((_, sent_at)) = self.sent.iter().find(|(number, _)| *number == response.echo).copied() else {
+        let sent = self.sent.iter().find(|(number, ..)| *number == response.echo).copied();
+        let Some((_, sent_at, is_regular)) = sent else {
             return Vec::new();
         };
         if now.saturating_duration_since(sent_at) >= ANSWER_TIMEOUT || !self.has_limits() {
@@ -335,7 +343,11 @@
         self.unanswered = 0;
         self.divisor = response.entries.max(1);
         // Credit is lent once an answer of the leader has been acknowledged.
-        self.next_request = Some(if is_same { sent_at + REQUEST_INTERVAL } else { now });
+        match is_same {
+            true if is_regular => self.next_request = Some(sent_at + REQUEST_INTERVAL),
+            true => {}
+            false => self.next_request = Some(now),
+        }
         for grant in &response.customers {
             if let Some(held) = self.customers.get_mut(&grant.customer) {
                 held.apply(now, sent_at, grant);
--- a/crates/core/src/quota/pool.rs
+++ b/crates/core/src/quota/pool.rs
@@ -117,8 +117,11 @@
         if now.saturating_duration_since(self.began) < FORMER_PARTS_UNTIL {
             self.former_divisor = self.former_divisor.max(request.entries.min(MAX_ENTRIES as u32));
         }
+        let was_connected = self.entries.get(from).map(|entry| entry.is_connected(now));
         let (id, is_connected, acknowledged) = self.record_request(now, from, incarnation, request)?;
-        self.review(now);
+        if was_connected != Some(is_connected) {
+            self.review(now);
+        }
         let numbers = (request.number, acknowledged);
         let mut customers = Vec::with_capacity(request.customers.len());
         for demand in &request.customers {
--- a/crates/core/tests/probing_quota.rs
+++ b/crates/core/tests/probing_quota.rs
@@ -58,7 +58,8 @@
     /// Carries requests to the pool and answers back, 2 ms each way; returns the other actions.
     fn exchange(&mut self, actions: Vec<DispatchAction>) -> Vec<DispatchAction> {
         let (mut pending, mut others) = (actions, Vec::new());
-        while let Some(action) = pending.pop() {
+        while !pending.is_empty() {
+            let action = pending.remove(0);
             let DispatchAction::Credit(action) = action else {
                 others.push(action);
                 continue;
@@ -170,21 +171,25 @@
     let mut completed = 0;
     let mut times = Vec::new();
     while fleet.entry.now < started + 5_000 * MS {
-        let (id, actions) = fleet.arrive();
-        match rejected(&actions, id) {
-            Some((outcome, retry_after)) => {
-                assert_eq!(outcome, OVER_QUOTA);
-                assert_eq!(outcome.status(), 429);
-                times.push(retry_after);
-            }
-            None => {
-                let server = sent(&actions, id).expect("the call is sent");
-                let actions = fleet.entry.finish(id, &server, AttemptResult::Complete);
-                fleet.exchange(actions);
-                completed += 1;
+        // Calls go on arriving while others wait.
+        let call = fleet.entry.call();
+        let arrived = fleet.entry.arrive(call);
+        let mut actions = fleet.exchange(arrived);
+        actions.extend(fleet.advance(3 * MS));
+        for action in actions {
+            match action {
+                DispatchAction::Reject { outcome, retry_after, .. } => {
+                    assert_eq!((outcome, outcome.status()), (OVER_QUOTA, 429));
+                    times.push(retry_after);
+                }
+                DispatchAction::Send { call, server, .. } => {
+                    let actions = fleet.entry.finish(call, &server, AttemptResult::Complete);
+                    fleet.exchange(actions);
+                    completed += 1;
+                }
+                _ => {}
             }
         }
-        fleet.advance(3 * MS);
     }
     assert!((95..=141).contains(&completed), "{completed}"); // at least 0.95 x 20 x 5; (20 x 5 + 10) x 1.1 + 20
     assert!(times.len() > 100, "{}", times.len());
