--- a/crates/core/tests/quota_support/checks.rs
+++ b/crates/core/tests/quota_support/checks.rs
@@ -1,6 +1,7 @@
 //! Checks of the admitted calls.
 
 use {
+    super::World,
     hemlockford_core::quota::{QuotaLimit, QuotaTolerance},
     std::time::{Duration, Instant},
 };
@@ -35,3 +36,20 @@
     let bounds = (0..limits.len()).filter(|index| is_in_force(*index)).map(|index| limits[index].1.bound(tolerance));
     bounds.fold(0.0, f64::max)
 }
+
+impl World {
+    /// Checks that no window holds more calls of a customer than its limit permits. A lowered limit takes effect a
+    /// window after the time in which all entries learn of it.
+    pub fn check_bounds(&self) {
+        let mut most = (0.0, "");
+        for ((customer, record), limits) in self.customers.iter().zip(&self.records).zip(&self.limits) {
+            let (bound_use, start) = bound_use(&record.admitted, limits);
+            let after = start.map(|start| start - self.start);
+            assert!(bound_use <= 1.0, "customer {}: {bound_use:.2} of the bound at {after:?}", customer.name);
+            if bound_use > most.0 {
+                most = (bound_use, &customer.name);
+            }
+        }
+        println!("densest window: {:.2} of the bound, customer {}", most.0, most.1);
+    }
+}
--- a/crates/core/tests/quota_support/mod.rs
+++ b/crates/core/tests/quota_support/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod checks;
 pub mod faults;
+pub mod messages;
 pub mod network;
 pub mod node;
 pub mod traffic;
--- a/crates/core/tests/quota_support/world.rs
+++ b/crates/core/tests/quota_support/world.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Customer, MS, Network, checks,
+        Customer, MS, Network,
         node::{Entry, Replica, is_frozen},
         traffic::configuration,
     },
@@ -26,10 +26,8 @@
 const MAX_WAIT: Duration = Duration::from_millis(40);
 /// Interval between ticks of a leader.
 const POOL_TICK: Duration = Duration::from_millis(50);
-/// Time after which an entry asks another replica for the leader.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(250);
 
-enum Event {
+pub(super) enum Event {
     Arrive { customer: usize },
     Request { replica: usize, entry: usize, incarnation: u64, request: CreditRequest },
     Response { entry: usize, incarnation: u64, replica: usize, response: CreditResponse },
@@ -242,22 +240,7 @@
         println!("{counts:?}");
     }
 
-    /// Checks that no window holds more calls of a customer than its limit permits. A lowered limit takes effect a
-    /// window after the time in which all entries learn of it.
-    pub fn check_bounds(&self) {
-        let mut most = (0.0, "");
-        for ((customer, record), limits) in self.customers.iter().zip(&self.records).zip(&self.limits) {
-            let (bound_use, start) = checks::bound_use(&record.admitted, limits);
-            let after = start.map(|start| start - self.start);
-            assert!(bound_use <= 1.0, "customer {}: {bound_use:.2} of the bound at {after:?}", customer.name);
-            if bound_use > most.0 {
-                most = (bound_use, &customer.name);
-            }
-        }
-        println!("densest window: {:.2} of the bound, customer {}", most.0, most.1);
-    }
-
-    fn schedule(&mut self, at: Instant, event: Event) {
+    pub(super) fn schedule(&mut self, at: Instant, event: Event) {
         self.last_event += 1;
         self.events.insert((at, self.last_event), event);
     }
@@ -299,7 +282,7 @@
     }
 
     /// Postpones an event of a frozen entry.
-    fn thawed_at(&self, entry: usize) -> Option<Instant> {
+    pub(super) fn thawed_at(&self, entry: usize) -> Option<Instant> {
         self.entries[entry].frozen_until.filter(|until| self.now < *until)
     }
 
@@ -352,7 +335,7 @@
         }
     }
 
-    fn plan_wake(&mut self, index: usize) {
+    pub(super) fn plan_wake(&mut self, index: usize) {
         let entry = &self.entries[index];
         let Some(at) = entry.holder.as_ref().and_then(CreditHolder::next_wake) else { return };
         if self.next_wakes.get(&index).is_none_or(|planned| at < *planned || *planned <= self.now) {
@@ -384,83 +367,7 @@
         self.plan_wake(index);
     }
 
-    fn send_request(&mut self, index: usize, request: CreditRequest) {
-        let now = self.now;
-        let entry = &mut self.entries[index];
-        let since = *entry.unanswered_since.get_or_insert(now);
-        if now.duration_since(since) >= LEADER_TIMEOUT {
-            (entry.leader, entry.unanswered_since) = (None, Some(now));
-        }
-        let replica = entry.leader.unwrap_or_else(|| self.rng.random_range(0..self.replicas.len()));
-        self.deliver_request(index, replica, &request);
-    }
-
-    fn deliver_request(&mut self, index: usize, replica: usize, request: &CreditRequest) {
-        self.count(postcard::to_stdvec(request).map_or(0, |bytes| bytes.len()));
-        if !self.has_path(index, replica) {
-            return;
-        }
-        let incarnation = self.entries[index].incarnation;
-        for delay in self.network.deliver(&mut self.rng) {
-            let request = request.clone();
-            self.schedule(self.now + delay, Event::Request { replica, entry: index, incarnation, request });
-        }
-    }
-
-    fn has_path(&self, entry: usize, replica: usize) -> bool {
-        let entry = &self.entries[entry];
-        !entry.is_cut && entry.side.is_none_or(|side| side == self.replicas[replica].side)
-    }
-
-    fn answer(&mut self, replica: usize, entry: usize, incarnation: u64, request: &CreditRequest) {
-        let now = self.now;
-        if !self.replicas[replica].is_alive || !self.has_path(entry, replica) {
-            return;
-        }
-        if let Some(until) = self.replicas[replica].frozen_until.filter(|until| now < *until) {
-            let request = request.clone();
-            return self.schedule(until, Event::Request { replica, entry, incarnation, request });
-        }
-        let name = self.entries[entry].name.clone();
-        let state = &mut self.replicas[replica];
-        let response = match &mut state.pool {
-            Some(pool) => pool.handle(now, &name, incarnation, request),
-            None => {
-                let leader = state.leader.map(|leader| format!("r{leader}").into());
-                Some(CreditResponse { echo: request.number, leader, session: 0, entries: 0, customers: Vec::new() })
-            }
-        };
-        let Some(response) = response else { return };
-        self.count(postcard::to_stdvec(&response).map_or(0, |bytes| bytes.len()));
-        for delay in self.network.deliver(&mut self.rng) {
-            let response = response.clone();
-            self.schedule(now + delay, Event::Response { entry, incarnation, replica, response });
-        }
-    }
-
-    fn receive(&mut self, index: usize, incarnation: u64, replica: usize, response: CreditResponse) {
-        if let Some(at) = self.thawed_at(index) {
-            return self.schedule(at, Event::Response { entry: index, incarnation, replica, response });
-        }
-        if !self.has_path(index, replica) {
-            return;
-        }
-        let now = self.now;
-        let from = self.replicas[replica].name.clone();
-        let entry = &mut self.entries[index];
-        let Some(holder) = entry.holder.as_mut().filter(|_| entry.incarnation == incarnation) else { return };
-        if response.session == 0 {
-            let names = self.replicas.iter().map(|replica| &replica.name);
-            entry.leader = names.enumerate().find(|(_, name)| Some(*name) == response.leader.as_ref()).map(|(i, _)| i);
-        } else {
-            (entry.leader, entry.unanswered_since) = (Some(replica), None);
-        }
-        holder.receive(now, &from, &response, &mut Vec::new());
-        self.admit_waiting(index);
-        self.plan_wake(index);
-    }
-
-    fn admit_waiting(&mut self, index: usize) {
+    pub(super) fn admit_waiting(&mut self, index: usize) {
         let now = self.now;
         let entry = &mut self.entries[index];
         let Some(holder) = &mut entry.holder else { return };
@@ -483,7 +390,7 @@
         }
     }
 
-    fn count(&mut self, bytes: usize) {
+    pub(super) fn count(&mut self, bytes: usize) {
         self.messages += 1;
         self.message_bytes += bytes;
         self.largest_message = self.largest_message.max(bytes);
