--- a/crates/proxy/src/client_limits.rs
+++ b/crates/proxy/src/client_limits.rs
@@ -39,7 +39,7 @@
     /// ```
     /// use hemlockford_proxy::ClientLimits;
     /// let limits = ClientLimits::of_entry(Some(112), Some(2_870));
-    /// assert_eq!((limits.bytes, limits.callers, limits.calls), (28 << 20, 1_255, 717));
+    /// assert_eq!((limits.bytes, limits.callers, limits.calls), (28 << 20, 1_253, 717));
     /// assert_eq!(ClientLimits::of_entry(None, None), ClientLimits::default());
     /// ```
     pub fn of_entry(memory_mb: Option<u64>, descriptors: Option<u64>) -> Self {
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -24,6 +24,9 @@
 /// Maximum time for finding out whether a server runs, many round trips.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Part of the limit on calls that is added for probes.
+const PROBE_SHARE: usize = 4;
+
 /// Connections to one server.
 struct Server {
     /// Connections that are in use or being opened.
@@ -98,7 +101,18 @@
     /// Waits until there is room for another connection, as far as the descriptors of the process are concerned. A call
     /// that has ended may still hold its connection.
     pub(crate) async fn room(&self) {
-        while self.in_use.get() >= self.options.clients.limits().calls {
+        self.room_below(self.options.clients.limits().calls).await;
+    }
+
+    /// Waits until there is room for a probe. Probes have connections of their own beyond those of calls, so that
+    /// servers do not count as silent while clients hold the calls.
+    pub(crate) async fn room_for_probe(&self) {
+        let calls = self.options.clients.limits().calls;
+        self.room_below(calls.saturating_add(calls / PROBE_SHARE)).await;
+    }
+
+    async fn room_below(&self, limit: usize) {
+        while self.in_use.get() >= limit {
             self.freed.notified().await;
         }
     }
@@ -286,7 +300,8 @@
             server.freed.notify_one();
         }
         self.pool.in_use.set(self.pool.in_use.get().saturating_sub(1));
-        self.pool.freed.notify_one();
+        // Calls and probes wait for different limits.
+        self.pool.freed.notify_waiters();
     }
 }
 
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -60,6 +60,7 @@
     /// Returns the load report of a successful response.
     async fn exchange(&self, pool: &Pool, dialect: &Dialect) -> Option<Option<LoadReport>> {
         let begin = Instant::now();
+        pool.room_for_probe().await;
         let mut connection = pool.acquire(self.address, false).await.ok()?;
         connection.writer.encode_head(self.head(dialect)?, BodySize::None).ok()?;
         connection.writer.flush(&Cell::new(false)).await.ok()?;
