--- a/crates/proxy/src/routing.rs
+++ b/crates/proxy/src/routing.rs
@@ -88,9 +88,12 @@
         self.credentials.is_some()
     }
 
-    /// Selects the service of a request. A request without a valid key does not learn which services exist, and does not
-    /// count in the split of a route.
+    /// Selects the service of a request. A path without a route is unknown whatever the key. A request without a valid key
+    /// does not count in the split of a route.
     pub(crate) fn select(&self, head: &RequestHead, dialect: &Dialect) -> Result<SelectedService, SelectionError> {
+        if !self.selects_by_path(dialect) && self.route(head).is_none() {
+            return Err(SelectionError::UnknownService);
+        }
         let identity = self.authenticate(head, dialect).map_err(|UnknownKey| SelectionError::UnknownKey)?;
         let mut selected = self.select_for(identity, head, dialect).ok_or(SelectionError::UnknownService)?;
         if let Some(priority) = selected.identity.holder().and_then(|holder| holder.priority) {
