Keep the bound of cold servers for calls that leave headroom

The check for room is the one of all calls again.

probing_cold: the other server is full instead of slow.

--- a/crates/core/src/probing/headroom.rs
+++ b/crates/core/src/probing/headroom.rs
@@ -16,9 +16,11 @@
     /// calls that could wait, such as downloads, at servers that also serve calls with a short objective: without it the
     /// burst takes every slot, and each urgent call waits for the end of one of them.
     pub(super) fn has_room_for(&self, now: Instant, active: &ActiveCall, baseline: &Baseline) -> bool {
-        let slots = self.useful_slots();
-        let kept = u32::from(slots > 1 && leaves_headroom(now, active, &baseline.work));
-        self.load(now, baseline).round() < f64::from(slots - kept)
+        let is_within_headroom = || {
+            let usable = self.useful_slots().saturating_sub(1).max(1);
+            self.load(now, baseline).round() < f64::from(usable)
+        };
+        self.has_room(now, baseline) && (!leaves_headroom(now, active, &baseline.work) || is_within_headroom())
     }
 }
 
--- a/crates/core/tests/probing_cold.rs
+++ b/crates/core/tests/probing_cold.rs
@@ -104,7 +104,8 @@
 fn a_server_that_refused_a_connection_counts_as_cold_until_it_says_otherwise() {
     let mut entry = entry(&[("s1", "a"), ("s2", "a")]);
     set_alone(&mut entry);
-    entry.reports.insert("s2".into(), load(1, 400));
+    // The other server is full, so that all calls press on the one that refused a connection.
+    entry.reports.insert("s2".into(), load(2, 400));
     entry.advance(6_000 * MS);
     let (call, server) = entry.send_lookup();
     assert_eq!(&*server, "s1");
