Time a call's attempts by the clock of the call

A copy that answers takes the place of the first attempt, whose elapsed time was then subtracted from a smaller one: the process panicked (answers_of_both_copies_are_not_mixed). Only entries with a hedge share were concerned.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -10,13 +10,11 @@
         dispatch::{AttemptResult, FinishedAttempt, LoadReport, ServerNotice},
         ids::{CallId, ServerId},
     },
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, time::Instant},
 };
 
-/// An attempt to send a call to a server. Reports `CallerLeft`, or `Superseded` for a second copy, when it is dropped before another result is reported.
+/// An attempt to send a call to a server. Reports `CallerLeft`, or `Superseded` for a second copy, when it is dropped before
+/// another result is reported.
 #[derive(Debug)]
 pub(crate) struct Attempt {
     dispatcher: DispatcherHandle,
@@ -84,11 +82,6 @@
         notice.into_iter().for_each(|notice| self.report_notice(notice));
     }
 
-    /// Returns the time since the start of the attempt.
-    pub(crate) fn elapsed(&self) -> Duration {
-        self.start.elapsed()
-    }
-
     /// Returns whether the result was reported.
     pub(crate) fn is_reported(&self) -> bool {
         self.is_reported
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -278,7 +278,8 @@
             return Err(NextStep::EndCall(self.not_run(NotRunReason::ClaimUnavailable)));
         }
         let repeat_protection = self.repeat_protection();
-        let start = attempt.elapsed();
+        // A copy that answers takes the place of the attempt, whose own time then begins later.
+        let started = Instant::now();
         let progress = Progress::default();
         let mut failed = Vec::new();
         let may_run_copy = shared.options.runs_copies
@@ -313,7 +314,7 @@
             is_relay: route.is_relay(),
         };
         let ended = exchange.run(&mut connection).await;
-        self.attempt_time += attempt.elapsed() - start;
+        self.attempt_time += started.elapsed();
         if progress.has_started.get() && matches!(ended, ExchangeEnd::CallerFailed(_) | ExchangeEnd::DeadlineExceeded) {
             let is_malformed =
                 matches!(ended, ExchangeEnd::CallerFailed(CallerError::MalformedBody | CallerError::BodyTooLarge));
