--- a/crates/core/src/probing/baseline.rs
+++ b/crates/core/src/probing/baseline.rs
@@ -45,12 +45,11 @@
     }
 
     /// Returns the calls per second of all entries at a server with as many slots, according to the load of the servers
-    /// or the calls of this entry. Neither is exact: work is learnt slowly, and entries get unequal traffic.
+    /// or the calls of this entry. Neither is exact: work is learnt slowly, and entries get unequal traffic. Before the
+    /// first answer only the calls count, since an entry that then refused them would never learn the work.
     pub(super) fn calls_per_second(&self, slots: u32) -> f64 {
-        let by_load = self
-            .work
-            .observed_mean()
-            .map_or(f64::INFINITY, |work| self.load * f64::from(slots) / (work * self.slowdown));
+        let by_load = |work: f64| self.load * f64::from(slots) / (work * self.slowdown);
+        let by_load = self.work.observed_mean().map_or(0.0, by_load);
         by_load.max(self.arrivals / self.servers_per_entry)
     }
 
