--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -7,7 +7,6 @@
 import json
 import os
 import random
-import re
 import shutil
 import signal
 import socket
@@ -116,9 +115,6 @@
         values.update({f"bounds.{name}": value for name, value in BOUNDS.items()})
         for name, value in values.items():
             text = text.replace("{{" + name + "}}", str(value))
-        # A section that repeats for each zone, and values that later versions read and that have defaults.
-        text = re.sub(r"\{\{#zones\}\}.*?\{\{/zones\}\}", "zone-a,zone-b,zone-c", text)
-        text = re.sub(r"\{\{(bounds|limits)\.[a-z_]+\}\}", "", text)
         if "{{" in text:
             raise Unable("unknown placeholder in " + role["template"])
         with open(self.settings, "w", encoding="utf-8") as file:
