--- a/review/stand-ins-2/backend.rs
+++ b/review/stand-ins-2/backend.rs
@@ -72,6 +72,10 @@
         Ok(backend)
     }
 
+    pub fn address(&self) -> SocketAddr {
+        self.profile.address
+    }
+
     /// Ends the backend as a crash does: connections are reset, new ones are refused, nothing is announced.
     pub fn crash(&self) {
         self.is_up.store(false, Ordering::SeqCst);
@@ -130,8 +134,10 @@
         let load = |busy: usize| format!("{},{},{SLOTS},100", busy.min(SLOTS), busy.saturating_sub(SLOTS));
         if path == "/health" {
             let load = load(self.busy.load(Ordering::SeqCst));
-            return format!("HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nBackend-Load: {load}\r\nContent-Length: 0\r\n\r\n")
-                .into();
+            return format!(
+                "HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nBackend-Load: {load}\r\nContent-Length: 0\r\n\r\n"
+            )
+            .into();
         }
         let attempt = http::header(head, "attempt-id").unwrap_or_default().to_owned();
         let refuse = |status: &str| {
@@ -149,10 +155,8 @@
         let service = self.profile.service.clone();
         let [credential, tenant] = ["credential", "tenant"].map(|name| http::header(head, name).map(str::to_owned));
         let shown = [("Credential", &credential), ("Tenant", &tenant)];
-        let shown: String = shown
-            .iter()
-            .filter_map(|(name, value)| Some(format!(", {name}: {}", value.as_ref()?)))
-            .collect();
+        let shown: String =
+            shown.iter().filter_map(|(name, value)| Some(format!(", {name}: {}", value.as_ref()?))).collect();
         self.record.line(&format!("backend {id} ({service}) runs {attempt}{shown}"));
         self.runs.lock().unwrap().push(Run { at, attempt: attempt.clone(), service, credential, tenant });
         thread::sleep(self.profile.work);
@@ -189,3 +193,26 @@
         }
     }
 }
+
+/// Sends heartbeats of another writer, in which the field `version` is missing, for the addresses of running backends.
+pub fn other_writer(service: String, addresses: Vec<SocketAddr>, control: Vec<SocketAddr>, record: Record) {
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis());
+    let mut answers = 0;
+    for sequence in 1.. {
+        for (place, address) in addresses.iter().enumerate() {
+            let body = format!(
+                r#"{{"address":"{address}","born":{born},"info":{{"service":"{service}","zone":"zone-a","capacity":{SLOTS}}},"status":{{"state":"ready","sequence":{sequence},"warmup_left_s":0}}}}"#
+            );
+            let path = format!("/v1/Instances.Heartbeat/x-{place}");
+            let node = control[(sequence + place) % control.len()];
+            let json = [("Content-Type", "application/json")];
+            let answer = http::call(node, "POST", &path, &json, body.as_bytes(), Duration::from_secs(1));
+            let answer = answer.map_or_else(|error| error, |answer| answer.status.to_string());
+            if answers < 6 {
+                answers += 1;
+                record.line(&format!("another writer: heartbeat {path} without a version, {address}: {answer}"));
+            }
+        }
+        thread::sleep(HEARTBEAT);
+    }
+}
--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
 use crate::{
-    backend::{Backend, Profile, Run},
+    backend::{Backend, Profile, Run, other_writer as send_other_heartbeats},
     fleet::{Fleet, SIGCONT, SIGSTOP, configuration, submit, with_tenants},
     http,
     record::Record,
@@ -75,67 +75,6 @@
     Backend::start(profile, fleet.control(), runs.clone(), record)
 }
 
-/// One of three replicas is killed within the first start of the system, before the group is formed.
-pub fn formation(record: &Record, has_trouble: bool) -> Result<bool, String> {
-    /// Traffic starts so long after the machines do.
-    const LEAD: f64 = 8.0;
-    const END: f64 = 45.0;
-    const CONTACT: f64 = 3.0;
-    const ACK: f64 = 4.0;
-    let mut fleet = Fleet::new(3, record)?;
-    let runs = Arc::<Mutex<Vec<Run>>>::default();
-    let began = record.now();
-    // All machines start within 0.3 s of each other, in any order.
-    fleet.replicas[0].start(true)?;
-    fleet.replicas[1].start(true)?;
-    for entry in &mut fleet.entries {
-        entry.start(true)?;
-    }
-    sleep_until(record, began + 0.15);
-    if has_trouble {
-        fleet.replicas[1].kill();
-    }
-    sleep_until(record, began + 0.28);
-    fleet.replicas[2].start(true)?;
-    sleep_until(record, began + 0.65);
-    if has_trouble {
-        // The platform restarts the process; the whole system does not start for the first time any more.
-        fleet.replicas[1].start(false)?;
-    }
-    let last_event = record.now();
-    let mut backends = Vec::new();
-    for place in 0..3 {
-        backends.push(backend(record, &fleet, place, "kits", &runs)?);
-    }
-    let operator = {
-        let (record, control) = (record.clone(), fleet.control());
-        let body = configuration(1, "unsafe", "kits", &["kits"]);
-        thread::spawn(move || submit(&record, &control, 1, &body, Duration::from_secs_f64(END - 2.0)))
-    };
-    let mut sent = Vec::new();
-    sleep_until(record, began + LEAD);
-    while record.now() < began + END {
-        for (place, entry) in fleet.entries.iter().enumerate() {
-            sent.push(order(record, entry.front(), &format!("o{place}-{:04}", sent.len())));
-        }
-        sleep(0.5);
-    }
-    let acknowledged = operator.join().map_err(|_| "the operator failed")?;
-    let running = fleet.replicas.iter_mut().chain(&mut fleet.entries).all(|node| node.is_running());
-    let served = sent.iter().filter(|sent| sent.result == Ok(200)).count();
-    record.line(&format!("requests: {} sent, {served} served; all processes run: {running}", sent.len()));
-    let stable_since = last_event + CONTACT;
-    match acknowledged {
-        Some(at) => record.line(&format!("the first configuration was acknowledged {:.3} s after the start", at - began)),
-        None => record.line(&format!(
-            "the first configuration was not acknowledged in {:.1} s of a stable core; the bound is {ACK} s",
-            record.now() - stable_since
-        )),
-    }
-    let is_acknowledged = acknowledged.is_some_and(|at| at <= stable_since + ACK);
-    Ok(!is_acknowledged && served == 0)
-}
-
 /// An entry that was frozen while a configuration moved a route gets a request from an entry that is in touch.
 pub fn stale_relay(record: &Record, has_trouble: bool) -> Result<bool, String> {
     const FREEZE: f64 = 4.9;
@@ -148,10 +87,11 @@
     }
     sleep(0.5);
     let mut old = Vec::new();
-    for place in 0..3 {
+    for place in [0, 2, 3] {
         old.push(backend(record, &fleet, place, "old", &runs)?);
     }
-    let new = backend(record, &fleet, 3, "new", &runs)?;
+    // The new service has its backends in one zone, which has no others.
+    let new = [backend(record, &fleet, 1, "new", &runs)?, backend(record, &fleet, 4, "new", &runs)?];
     let control = fleet.control();
     let services = ["old", "new"];
     submit(record, &control, 3, &configuration(3, "unsafe", "old", &services), Duration::from_secs(10))
@@ -178,7 +118,7 @@
     }
     sleep_until(record, frozen + 4.0);
     if has_trouble {
-        new.crash();
+        new.iter().for_each(Backend::crash);
     }
     // Requests to the entry in touch only, from `config_apply_s` after the acknowledgement on.
     let mut clients = Vec::new();
@@ -296,3 +236,64 @@
     record.line(&format!("{broken} requests ran against the rules on keys"));
     Ok(broken > 0)
 }
+
+/// Another writer sends heartbeats in which a field is missing, from the final fault on.
+pub fn other_writer(record: &Record, has_trouble: bool) -> Result<bool, String> {
+    const RECOVERY: f64 = 15.0;
+    let mut fleet = Fleet::new(2, record)?;
+    let runs = Arc::<Mutex<Vec<Run>>>::default();
+    for node in fleet.replicas.iter_mut().chain(&mut fleet.entries) {
+        node.start(true)?;
+    }
+    sleep(0.5);
+    let mut backends = Vec::new();
+    for place in 0..3 {
+        backends.push(backend(record, &fleet, place, "kits", &runs)?);
+    }
+    let control = fleet.control();
+    let configure = |version: u64| {
+        let body = configuration(version, "unsafe", "kits", &["kits"]);
+        submit(record, &control, version, &body, Duration::from_secs(10))
+            .ok_or(format!("version {version} was not acknowledged"))
+    };
+    configure(3)?;
+    fleet.wait_until_ready(Duration::from_secs(15))?;
+    sleep(4.0);
+    let fronts: Vec<_> = fleet.entries.iter().map(|entry| entry.front()).collect();
+    let ask = |name: &str, seconds: f64| {
+        let begin = record.now();
+        let mut served = (0, 0);
+        while record.now() < begin + seconds {
+            for (place, front) in fronts.iter().enumerate() {
+                let sent = order(record, *front, &format!("{name}{place}-{:03}", served.0));
+                served = (served.0 + 1, served.1 + usize::from(sent.result == Ok(200)));
+            }
+            sleep(0.3);
+        }
+        served
+    };
+    let before = ask("before", 4.0);
+    // The final fault: all processes are killed right after an acknowledgement.
+    configure(5)?;
+    for node in fleet.replicas.iter_mut().chain(&mut fleet.entries) {
+        node.kill();
+    }
+    sleep(0.9);
+    for node in fleet.replicas.iter_mut().chain(&mut fleet.entries) {
+        node.start(false)?;
+    }
+    let back = record.now();
+    if has_trouble {
+        let (addresses, record) = (backends.iter().map(Backend::address).collect(), record.clone());
+        let control = control.clone();
+        thread::spawn(move || send_other_heartbeats("kits".into(), addresses, control, record));
+    }
+    sleep_until(record, back + RECOVERY);
+    let after = ask("after", 10.0);
+    record.line(&format!("before the final fault {} of {} requests were served", before.1, before.0));
+    record.line(&format!("later than {RECOVERY} s after the processes were back: {} of {}", after.1, after.0));
+    if 4 * before.1 < before.0 {
+        return Err("less than a quarter was served before the final fault".into());
+    }
+    Ok(4 * after.1 < after.0)
+}
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -172,11 +172,6 @@
         }
     }
 
-    /// Returns whether the process still runs.
-    pub fn is_running(&mut self) -> bool {
-        self.process.as_mut().is_some_and(|(child, _)| matches!(child.try_wait(), Ok(None)))
-    }
-
     pub fn front(&self) -> SocketAddr {
         SocketAddr::new(self.ip, FRONT)
     }
@@ -242,10 +237,8 @@
 /// Adds a table of tenants, each with one key, to a configuration.
 pub fn with_tenants(configuration: &str, tenants: &[(&str, &str)]) -> String {
     let rows: Vec<_> = tenants.iter().map(|(name, key)| format!(r#"["{name}",["{key}"],1,null,null]"#)).collect();
-    let table = format!(
-        r#"{{"columns":["name","api_keys","priority","rate_per_s","burst"],"rows":[{}]}}"#,
-        rows.join(",")
-    );
+    let table =
+        format!(r#"{{"columns":["name","api_keys","priority","rate_per_s","burst"],"rows":[{}]}}"#, rows.join(","));
     let body = configuration.strip_suffix('}').expect("a configuration is an object");
     format!(r#"{body},"tenants":{table}}}"#)
 }
@@ -260,14 +253,15 @@
         }
         let node = control[turn % control.len()];
         let json = [("Content-Type", "application/json")];
-        let result = match http::call(node, "POST", "/v1/Config.Replace", &json, body.as_bytes(), Duration::from_secs(1)) {
-            Ok(answer) if answer.status == 200 => {
-                record.line(&format!("operator: {node} acknowledges version {version}"));
-                return Some(record.now());
-            }
-            Ok(answer) => format!("{} {}", answer.status, String::from_utf8_lossy(&answer.body)),
-            Err(error) => error,
-        };
+        let result =
+            match http::call(node, "POST", "/v1/Config.Replace", &json, body.as_bytes(), Duration::from_secs(1)) {
+                Ok(answer) if answer.status == 200 => {
+                    record.line(&format!("operator: {node} acknowledges version {version}"));
+                    return Some(record.now());
+                }
+                Ok(answer) => format!("{} {}", answer.status, String::from_utf8_lossy(&answer.body)),
+                Err(error) => error,
+            };
         if result != last {
             record.line(&format!("operator: version {version} at {node}: {result}"));
             last = result;
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -10,13 +10,7 @@
 mod http;
 mod record;
 
-use std::{
-    env,
-    path::PathBuf,
-    process::exit,
-    thread,
-    time::Duration,
-};
+use std::{env, path::PathBuf, process::exit, thread, time::Duration};
 
 /// Longest time of a case.
 const MAX_CASE: Duration = Duration::from_secs(110);
@@ -36,8 +30,8 @@
     });
     let record = record::Record::create(&PathBuf::from(folder));
     let result = match case.as_str() {
-        "formation" => cases::formation(&record, has_trouble),
         "last-tenant" => cases::last_tenant(&record, has_trouble),
+        "other-writer" => cases::other_writer(&record, has_trouble),
         "stale-relay" => cases::stale_relay(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     };
