--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -80,7 +80,7 @@
     const FREEZE: f64 = 4.9;
     const APPLY: f64 = 2.0;
     const ROLLBACK_SLACK: f64 = 0.25;
-    let mut fleet = Fleet::new(3, record)?;
+    let mut fleet = Fleet::new(10, record)?;
     let runs = Arc::<Mutex<Vec<Run>>>::default();
     for node in fleet.replicas.iter_mut().chain(&mut fleet.entries) {
         node.start(true)?;
@@ -190,7 +190,8 @@
             order_with(record, *front, &format!("{name}-school{place}"), &[("Credential", school.1)]);
             order_with(record, *front, &format!("{name}-club{place}"), &[("Credential", club.1)]);
             order_with(record, *front, &format!("{name}-guess{place}"), &[("Credential", "key-that-never-was")]);
-            order_with(record, *front, &format!("{name}-claim{place}"), &[("Tenant", school.0)]);
+            let claim = [("Credential", "key-of-nobody"), ("Tenant", school.0)];
+            order_with(record, *front, &format!("{name}-claim{place}"), &claim);
         }
     };
     ask("both");
@@ -220,8 +221,7 @@
         if run.credential.is_some() || !may_run || run.tenant.as_deref() != Some(caller) {
             broken += 1;
             let key = match caller {
-                "guess" => "with a key that no configuration ever held",
-                "claim" => "without a key",
+                "guess" | "claim" => "with a key that no configuration ever held",
                 _ if may_run => "with a key that is held",
                 _ => "with a key that was taken away",
             };
