Measure how long a replica takes for one event

The logs of an incident could not tell a replica that stands still from a group without a majority: elections followed each other, and nothing said what the leader did meanwhile. No decision changes.

--- a/crates/core/src/fleet/entry/event.rs
+++ b/crates/core/src/fleet/entry/event.rs
@@ -32,3 +32,23 @@
     /// The seeds in the settings have changed.
     Seeds(Vec<InstanceId>),
 }
+
+impl EntryEvent {
+    /// Returns the name of the event for logs.
+    ///
+    /// ```
+    /// use hemlockford_core::fleet::EntryEvent;
+    /// assert_eq!(EntryEvent::Tick.name(), "tick");
+    /// ```
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Tick => "tick",
+            Self::Receive { message, .. } => message.name(),
+            Self::ServerLeaving(_) => "server leaving",
+            Self::Suspect(_) => "suspect",
+            Self::Credit(_) => "credit",
+            Self::Stopping => "stopping",
+            Self::Seeds(_) => "seeds",
+        }
+    }
+}
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -66,6 +66,30 @@
     },
 }
 
+impl FleetMessage {
+    /// Returns the name of the message for logs.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::Poll(_) => "poll",
+            Self::PollResponse(_) => "poll response",
+            Self::Install(_) => "install",
+            Self::Servers(_) => "servers",
+            Self::Consensus(_) => "consensus",
+            Self::StatusRequest(_) => "status request",
+            Self::StatusResponse(_) => "status response",
+            Self::Records(_) => "records",
+            Self::RecordRequest(_) => "record request",
+            Self::Request { .. } => "request",
+            Self::Reply { .. } => "reply",
+            Self::Outdated(_) => "outdated",
+            Self::Suspects(_) => "suspects",
+            Self::CreditRequest(_) => "credit request",
+            Self::CreditResponse(_) => "credit response",
+            Self::Capabilities { .. } => "capabilities",
+        }
+    }
+}
+
 /// Requests updates from a replica; sent by an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Poll {
--- a/crates/core/src/fleet/replica/event.rs
+++ b/crates/core/src/fleet/replica/event.rs
@@ -76,3 +76,27 @@
     /// The process is shutting down in a controlled way.
     Stop,
 }
+
+impl ReplicaEvent {
+    /// Returns the name of the event for logs.
+    ///
+    /// ```
+    /// use hemlockford_core::fleet::ReplicaEvent;
+    /// assert_eq!(ReplicaEvent::Read { id: 1 }.name(), "read");
+    /// ```
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Tick => "tick",
+            Self::Receive { message, .. } => message.name(),
+            Self::Announce { .. } => "announce",
+            Self::Depart { .. } => "depart",
+            Self::Submit { .. } => "submit",
+            Self::Read { .. } => "read",
+            Self::Evacuate { .. } => "evacuate",
+            Self::DataCentres(_) => "data centres",
+            Self::Seeds(_) => "seeds",
+            Self::Persisted { .. } => "persisted",
+            Self::Stop => "stop",
+        }
+    }
+}
--- a/crates/instance/src/counters.rs
+++ b/crates/instance/src/counters.rs
@@ -15,6 +15,8 @@
 pub(crate) const PROGRAM_VERSION: &str = env!("CARGO_PKG_VERSION");
 /// Upper bounds of the histogram buckets for write times, in seconds.
 const STORAGE_SECONDS_BUCKETS: [f64; 9] = [0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 1.0];
+/// Upper bounds of the histogram buckets for the time of an event, in seconds. A follower waits 0.35 s for a heartbeat.
+const EVENT_SECONDS_BUCKETS: [f64; 6] = [0.001, 0.01, 0.05, 0.1, 0.35, 1.0];
 
 /// Metrics of one instance, except for those of the HTTP path.
 #[derive(Clone, Debug)]
@@ -41,6 +43,7 @@
     pub(crate) submits: IntCounterVec,
     pub(crate) claims: IntCounterVec,
     pub(crate) storage_seconds: Histogram,
+    pub(crate) event_seconds: Histogram,
     pub(crate) full_disk_errors: IntCounter,
     pub(crate) change_number: IntGauge,
     pub(crate) ready: IntGauge,
@@ -91,6 +94,12 @@
         let options = HistogramOpts::new("hemlockford_storage_seconds", "Time until writes were durable.");
         let storage_seconds = Histogram::with_opts(options.buckets(STORAGE_SECONDS_BUCKETS.to_vec()))?;
         registry.register(Box::new(storage_seconds.clone()))?;
+        let options = HistogramOpts::new(
+            "hemlockford_event_seconds",
+            "Time for one event of a replica or of the link of an entry; meanwhile nothing else is handled.",
+        );
+        let event_seconds = Histogram::with_opts(options.buckets(EVENT_SECONDS_BUCKETS.to_vec()))?;
+        registry.register(Box::new(event_seconds.clone()))?;
         Ok(Self {
             peer_messages: vec(
                 "hemlockford_peer_messages_total",
@@ -148,6 +157,7 @@
             submits: vec("hemlockford_submits_total", "Submitted texts by result.", &["result"])?,
             claims: vec("hemlockford_claims_total", "Claims of idempotency keys by result.", &["result"])?,
             storage_seconds,
+            event_seconds,
             full_disk_errors: counter("hemlockford_storage_full_total", "Writes refused by a full disk.")?,
             change_number: gauge("hemlockford_change_number", "Number of the installed change.")?,
             ready: gauge("hemlockford_ready", "Whether the instance may serve.")?,
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -7,6 +7,7 @@
         balancer_task::BalancerTask,
         drop_log::DropLog,
         entry_task::EntryTask,
+        event_times::EventTimes,
         network::Network,
         replica::seed_ids,
         translator::Translator,
@@ -127,6 +128,7 @@
             connection_limit: connection_limit.clone(),
             counters: counters.clone(),
             log: log.clone(),
+            times: EventTimes::new(&counters, log),
             drop_log: DropLog::default(),
         };
         let guard = PanicGuard { task: "the entry task", failure: failure_tx.clone() };
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -1,7 +1,7 @@
 //! Task that runs the link of an entry to the replicas.
 
 use {
-    super::{balancer_report::BalancerReport, drop_log::DropLog, network::Network},
+    super::{balancer_report::BalancerReport, drop_log::DropLog, event_times::EventTimes, network::Network},
     crate::{clock::to_steady, counters::Counters},
     actix_rt::time::sleep_until,
     hemlockford_core::{
@@ -40,6 +40,7 @@
     pub(super) connection_limit: Arc<ConnectionLimit>,
     pub(super) counters: Counters,
     pub(super) log: Logger,
+    pub(super) times: EventTimes,
     pub(super) drop_log: DropLog,
 }
 
@@ -101,7 +102,9 @@
                 },
                 () = sleep_until(BootClock::to_steady(wake).into()) => EntryEvent::Tick,
             };
-            self.link.handle(BootClock::now(), event, &mut actions);
+            let (name, started) = (event.name(), BootClock::now());
+            self.link.handle(started, event, &mut actions);
+            self.times.record(name, started, BootClock::now());
             self.execute(&mut actions);
         }
     }
--- a/crates/instance/src/fleet/mod.rs
+++ b/crates/instance/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod drop_log;
 mod entry;
 mod entry_task;
+mod event_times;
 mod interface;
 mod network;
 mod path_check;
--- a/crates/instance/src/fleet/replica_task.rs
+++ b/crates/instance/src/fleet/replica_task.rs
@@ -1,7 +1,7 @@
 //! Task that runs the state machine of a replica.
 
 use {
-    super::{drop_log::DropLog, network::Network, replica_status::ReplicaStatus},
+    super::{drop_log::DropLog, event_times::EventTimes, network::Network, replica_status::ReplicaStatus},
     crate::{clock::wall_clock_ns, counters::Counters, storage::StorageWrite},
     actix_rt::time::sleep_until,
     hemlockford_core::{
@@ -57,6 +57,7 @@
     pub(super) failure: mpsc::UnboundedSender<Box<str>>,
     pub(super) counters: Counters,
     pub(super) log: Logger,
+    pub(super) times: EventTimes,
     pub(super) drop_log: DropLog,
     pub(super) pending: FastMap<u64, oneshot::Sender<ReplicaAnswer>>,
     pub(super) last_request: u64,
@@ -86,8 +87,11 @@
                 },
                 () = sleep_until(BootClock::to_steady(wake).into()) => ReplicaEvent::Tick,
             };
-            self.replica.handle(BootClock::now(), event, &mut actions);
-            self.counters.quota.update_credits(BootClock::now(), self.replica.credits());
+            let (name, started) = (event.name(), BootClock::now());
+            self.replica.handle(started, event, &mut actions);
+            let ended = BootClock::now();
+            self.times.record(name, started, ended);
+            self.counters.quota.update_credits(ended, self.replica.credits());
             if !self.execute(&mut actions) {
                 return;
             }
