Parse long configurations of an entry on another thread

Callers got answers by an older configuration, and late ones, while long configurations followed each other.

With 5,600 routes a parse takes 0.3 s of an entry with a quarter of a core; 25 changes within 1.5 s kept it busy for more than the two seconds in which a change must be in force.

The text is still updated at once, and stated in polls, but a text of 16 KB or more is parsed by another thread, one at a time and then the newest. An entry counts as ready only when the change that its replica names is in force.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -53,5 +53,9 @@
 /// Maximum number of services in a chain of dependencies.
 pub const MAX_DEPENDENCY_DEPTH: usize = 24;
 
+/// Size of a configuration in bytes from which on it is parsed and formatted on another thread than that of the control
+/// plane. A shorter one takes a few milliseconds.
+pub const LONG_CONFIG_BYTES: usize = 16 * 1_024;
+
 /// Maximum size of a configuration in bytes.
 pub const MAX_CONFIG_BYTES: usize = 1 << 20;
--- a/crates/core/src/fleet/entry/action.rs
+++ b/crates/core/src/fleet/entry/action.rs
@@ -5,10 +5,11 @@
         config::Configuration,
         dispatch::{RelayAddress, ServerView},
         fleet::{FleetLogEvent, FleetMessage},
-        ids::{InstanceId, ServiceId},
+        ids::{ChangeNumber, InstanceId, ServiceId},
         quarantine::SuspectRecord,
         quota::CreditResponse,
     },
+    derive_more::Debug,
     std::sync::Arc,
 };
 
@@ -22,6 +23,14 @@
         /// The message.
         message: FleetMessage,
     },
+    /// Parse a long text on another thread, and return the result as [`EntryEvent::Parsed`](super::EntryEvent::Parsed).
+    Parse {
+        /// Number of the change.
+        number: ChangeNumber,
+        /// The text.
+        #[debug("{} bytes", text.len())]
+        text: Arc<str>,
+    },
     /// Apply this configuration. Change numbers increase.
     Configure(Arc<Configuration>),
     /// Replace the servers of a service.
--- a/crates/core/src/fleet/entry/event.rs
+++ b/crates/core/src/fleet/entry/event.rs
@@ -1,10 +1,14 @@
 //! Input events of an entry's link.
 
-use crate::{
-    fleet::FleetMessage,
-    ids::{Incarnation, InstanceId, ServerId},
-    quarantine::SuspectRecord,
-    quota::CreditRequest,
+use {
+    crate::{
+        config::Configuration,
+        fleet::FleetMessage,
+        ids::{ChangeNumber, Incarnation, InstanceId, ServerId},
+        quarantine::SuspectRecord,
+        quota::CreditRequest,
+    },
+    std::sync::Arc,
 };
 
 /// An input event of an entry's link.
@@ -21,6 +25,13 @@
         /// The message.
         message: FleetMessage,
     },
+    /// A text was parsed.
+    Parsed {
+        /// Number of the change.
+        number: ChangeNumber,
+        /// The configuration; `None` if this version cannot read it.
+        config: Option<Arc<Configuration>>,
+    },
     /// A server told this entry in an answer that it is leaving.
     ServerLeaving(ServerId),
     /// This entry learned something about a request under which servers ended.
@@ -44,6 +55,7 @@
         match self {
             Self::Tick => "tick",
             Self::Receive { message, .. } => message.name(),
+            Self::Parsed { .. } => "parsed",
             Self::ServerLeaving(_) => "server leaving",
             Self::Suspect(_) => "suspect",
             Self::Credit(_) => "credit",
--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        CreditRoute, EntryAction, EntryEvent, EntryOptions, KnownReplicas, MissingChange, ReplicaSearch, SentPolls,
-        ServerSet, Statements,
+        CreditRoute, EntryAction, EntryEvent, EntryOptions, KnownReplicas, MissingChange, ReceivedConfig,
+        ReplicaSearch, SentPolls, ServerSet, Statements, UpdateResult, is_long,
     },
     crate::{
         config::{Configuration, LEVEL},
@@ -71,11 +71,7 @@
     next_poll: Instant,
     next_preferred_probe: Instant,
     synced: Option<SyncedRevision>,
-    /// Newest change received, even if it cannot be parsed.
-    change: ChangeNumber,
-    /// Its text.
-    text: Box<str>,
-    has_config: bool,
+    config: ReceivedConfig,
     /// Newest change reported by the replica in use.
     required_change: Option<ChangeNumber>,
     missing_change: Option<MissingChange>,
@@ -106,9 +102,7 @@
             next_poll: now,
             next_preferred_probe: now + PREFERRED_PROBE_INTERVAL,
             synced: None,
-            change: 0,
-            text: "".into(),
-            has_config: false,
+            config: ReceivedConfig::default(),
             required_change: None,
             missing_change: None,
             entries: 0,
@@ -133,6 +127,10 @@
                     self.receive(now, from, incarnation, message, out);
                 }
             }
+            EntryEvent::Parsed { number, config } => {
+                self.handle_parsed(number, config, out);
+                self.check_ready(out);
+            }
             EntryEvent::ServerLeaving(server) => self.servers.report_leaving(server),
             EntryEvent::Stopping => self.options.relay = None,
             EntryEvent::Suspect(record) => self.report_suspect(now, record, out),
@@ -218,7 +216,7 @@
         let leaving = if is_probe { Vec::new() } else { self.servers.leaving() };
         let poll = Poll {
             sequence,
-            change: self.change,
+            change: self.config.number(),
             known,
             is_probe,
             leaving,
@@ -327,7 +325,7 @@
 
     /// Logs once that a change which the replica has named does not arrive.
     fn check_overdue(&mut self, now: Instant, number: ChangeNumber, out: &mut Vec<EntryAction>) {
-        if number <= self.change {
+        if number <= self.config.number() {
             self.missing_change = None;
             return;
         }
@@ -339,28 +337,39 @@
 
     fn install(&mut self, now: Instant, update: &ConfigUpdate, out: &mut Vec<EntryAction>) {
         let number = update.number;
-        if number <= self.change {
+        match self.config.update(update) {
+            UpdateResult::Applied => {
+                self.missing_change = self.missing_change.take().filter(|missing| missing.number() > number);
+                self.parse_next(out);
+            }
+            UpdateResult::Outdated => {}
+            // An earlier update was lost. The next poll states what this entry has.
+            UpdateResult::OtherBase => self.next_poll = now,
+            UpdateResult::Unreadable => out.push(EntryAction::Log(FleetLogEvent::ChangeUnreadable(number))),
+        }
+    }
+
+    /// Parses the newest text unless another one is being parsed.
+    fn parse_next(&mut self, out: &mut Vec<EntryAction>) {
+        match self.config.begin_parse() {
+            Some((number, text)) if is_long(&text) => out.push(EntryAction::Parse { number, text }),
+            Some((number, text)) => self.handle_parsed(number, Configuration::parse(&text).ok().map(Arc::new), out),
+            None => {}
+        }
+    }
+
+    fn handle_parsed(&mut self, number: ChangeNumber, config: Option<Arc<Configuration>>, out: &mut Vec<EntryAction>) {
+        if !self.config.end_parse(number, config.is_some()) {
             return;
         }
-        let base = match update.base {
-            0 => "",
-            base if base == self.change => &self.text,
-            // An earlier update was lost. The next poll states what this entry has.
-            _ => return self.next_poll = now,
-        };
-        let Some(text) = update.apply(base) else {
-            return out.push(EntryAction::Log(FleetLogEvent::ChangeUnreadable(number)));
-        };
-        (self.change, self.text) = (number, text);
-        self.missing_change = self.missing_change.take().filter(|missing| missing.number() > number);
-        match Configuration::parse(&self.text) {
-            Ok(config) => {
-                self.has_config = true;
-                out.push(EntryAction::Configure(Arc::new(config)));
+        match config {
+            Some(config) => {
+                out.push(EntryAction::Configure(config));
                 out.push(EntryAction::Log(FleetLogEvent::ChangeInstalled(number)));
             }
-            Err(_) => out.push(EntryAction::Log(FleetLogEvent::ChangeUnreadable(number))),
+            None => out.push(EntryAction::Log(FleetLogEvent::ChangeUnreadable(number))),
         }
+        self.parse_next(out);
     }
 
     fn handle_servers(&mut self, now: Instant, from: &InstanceId, incarnation: Incarnation, servers: Servers) {
@@ -415,8 +424,8 @@
             .synced
             .as_ref()
             .is_some_and(|synced| synced.revision.is_exact && Some(&synced.replica) == self.replica.as_ref());
-        let is_newest = self.required_change.is_some_and(|required_change| self.change >= required_change);
-        if !self.is_ready && self.has_config && is_synced && is_newest {
+        let is_newest = self.required_change.is_some_and(|required_change| self.config.is_settled(required_change));
+        if !self.is_ready && is_synced && is_newest {
             self.is_ready = true;
             out.push(EntryAction::Ready(true));
         }
--- a/crates/core/src/fleet/entry/mod.rs
+++ b/crates/core/src/fleet/entry/mod.rs
@@ -8,6 +8,7 @@
 mod machine;
 mod missing_change;
 mod options;
+mod received_config;
 mod relays;
 mod search;
 mod sent_polls;
@@ -16,8 +17,14 @@
 mod suspects;
 
 use {
-    credit_route::CreditRoute, known_replicas::KnownReplicas, missing_change::MissingChange, search::ReplicaSearch,
-    sent_polls::SentPolls, server_set::ServerSet, statements::Statements,
+    credit_route::CreditRoute,
+    known_replicas::KnownReplicas,
+    missing_change::MissingChange,
+    received_config::{ReceivedConfig, UpdateResult, is_long},
+    search::ReplicaSearch,
+    sent_polls::SentPolls,
+    server_set::ServerSet,
+    statements::Statements,
 };
 
 pub use {action::EntryAction, event::EntryEvent, machine::EntryLink, options::EntryOptions};
--- a/crates/core/tests/fleet_long_configs.rs
+++ b/crates/core/tests/fleet_long_configs.rs
@@ -2,12 +2,15 @@
 
 use {
     hemlockford_core::{
-        config::CheckedConfig,
+        config::{CheckedConfig, Configuration},
         consensus::Recovered,
-        fleet::{Replica, ReplicaAction, ReplicaAnswer, ReplicaEvent, ReplicaOptions},
+        fleet::{
+            ConfigUpdate, EntryAction, EntryEvent, EntryLink, EntryOptions, FleetMessage, Replica, ReplicaAction,
+            ReplicaAnswer, ReplicaEvent, ReplicaOptions,
+        },
     },
     rand::{SeedableRng, rngs::SmallRng},
-    std::time::Instant,
+    std::{sync::Arc, time::Instant},
 };
 
 /// Returns a configuration with customers that have limits, and a number of routes.
@@ -54,3 +57,40 @@
     assert_eq!(customers, 20, "the leader knows the limits of the customers");
     assert!(many <= 2 * few, "one event makes {many} allocations with 5,000 routes and {few} with 10");
 }
+
+/// Guards against changes that are in force late: an entry parsed each of 25 long configurations that followed each other
+/// within 1.5 s, one after the other, and handled no request meanwhile.
+#[test]
+fn an_entry_does_not_parse_every_long_configuration_of_a_storm() {
+    let now = Instant::now();
+    let options = EntryOptions { seeds: vec!["replica".into()], ..Default::default() };
+    let mut link = EntryLink::new(now, options, SmallRng::seed_from_u64(1));
+    let texts: Vec<_> = (1..=25).map(|number| config(number, 1_000)).collect();
+    let (mut parses, mut configured) = (Vec::new(), Vec::new());
+    let mut handle = |event, parses: &mut Vec<(u64, Arc<str>)>| {
+        let mut actions = Vec::new();
+        let work = allocation_counter::measure(|| link.handle(now, event, &mut actions));
+        assert!(work.count_total < 1_000, "one event makes {} allocations", work.count_total);
+        for action in actions {
+            match action {
+                EntryAction::Parse { number, text } => parses.push((number, text)),
+                EntryAction::Configure(config) => configured.push(config.number),
+                _ => {}
+            }
+        }
+    };
+    let mut old: (u64, &str) = (0, "");
+    for (number, text) in (1..).zip(&texts) {
+        let message = FleetMessage::Install(ConfigUpdate::between(old, (number, text)));
+        handle(EntryEvent::Receive { from: "replica".into(), incarnation: 1, message }, &mut parses);
+        old = (number, text);
+    }
+    for _ in 0..2 {
+        let (number, text) = parses.pop().expect("a text is parsed");
+        assert!(parses.is_empty(), "two texts are parsed at once");
+        let config = Some(Arc::new(Configuration::parse(&text).unwrap()));
+        handle(EntryEvent::Parsed { number, config }, &mut parses);
+    }
+    assert!(parses.is_empty(), "nothing is left to parse");
+    assert_eq!(configured, [1, 25]);
+}
--- a/crates/core/tests/fleet_support/world.rs
+++ b/crates/core/tests/fleet_support/world.rs
@@ -4,17 +4,21 @@
     super::{Entry, Links, ReplicaNode, Server, checks::Checks},
     hemlockford_core::{
         collections::{FastMap, FastSet},
+        config::Configuration,
         fleet::{EntryAction, EntryEvent, FleetMessage, Replica, ReplicaAction, ReplicaAnswer, ReplicaEvent, Request},
     },
     rand::{SeedableRng, rngs::SmallRng},
     std::{
         cmp::Reverse,
         collections::BinaryHeap,
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
 
 const FSYNC_DELAY: Duration = Duration::from_millis(5);
+/// Time that another thread takes to parse a long text.
+const PARSE_TIME: Duration = Duration::from_millis(300);
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 const WALL_MS: u64 = 1_700_000_000_000;
 /// Maximum size of the envelope that the transport adds to a datagram.
@@ -34,6 +38,7 @@
     Persisted { replica: usize, incarnation: u64, up_to: u64 },
     Announce { server: usize, announcement: u64 },
     CallTimeout { server: usize, call: u64 },
+    Parsed { entry: usize, incarnation: u64, number: u64, config: Option<Arc<Configuration>> },
 }
 
 struct ScheduledStep(Duration, u64, Step);
@@ -225,6 +230,11 @@
                     self.announce(server);
                 }
             }
+            Step::Parsed { entry, incarnation, number, config } => {
+                if self.entries[entry].incarnation == incarnation {
+                    self.entry_event(entry, EntryEvent::Parsed { number, config });
+                }
+            }
             Step::CallTimeout { server, call } => {
                 if self.servers[server].is_alive && self.servers[server].call == Some(call) {
                     self.servers[server].replica = (self.servers[server].replica + 1) % self.replicas.len();
@@ -330,6 +340,10 @@
         for action in actions {
             match action {
                 EntryAction::Send { to, message } => self.send(&name, incarnation, &to, message),
+                EntryAction::Parse { number, text } => {
+                    let config = Configuration::parse(&text).ok().map(Arc::new);
+                    self.schedule(self.now + PARSE_TIME, Step::Parsed { entry: index, incarnation, number, config });
+                }
                 EntryAction::Configure(config) => {
                     let held = std::mem::replace(&mut self.entries[index].change, config.number);
                     assert!(held < config.number, "seed {}: {name} reverted to change {}", self.seed, config.number);
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -121,6 +121,7 @@
             seeds: seeds_rx,
             stop: stop_rx.clone(),
             is_stopping: false,
+            parsed: mpsc::unbounded_channel(),
             reports: reports_rx,
             balancer: events_tx,
             config: config_tx,
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -3,12 +3,12 @@
 use {
     super::{balancer_report::BalancerReport, drop_log::DropLog, event_times::EventTimes, network::Network},
     crate::{clock::to_steady, counters::Counters},
-    actix_rt::time::sleep_until,
+    actix_rt::{task::spawn_blocking, time::sleep_until},
     hemlockford_core::{
         config::Configuration,
         dispatch::DispatchEvent,
         fleet::{EntryAction, EntryEvent, EntryLink, FleetMessage},
-        ids::InstanceId,
+        ids::{ChangeNumber, InstanceId},
         probing::ColdServer,
     },
     hemlockford_net::{BootClock, Envelope},
@@ -32,6 +32,8 @@
     pub(super) seeds: mpsc::UnboundedReceiver<Vec<InstanceId>>,
     pub(super) stop: watch::Receiver<bool>,
     pub(super) is_stopping: bool,
+    /// Texts that were parsed on another thread.
+    pub(super) parsed: (mpsc::UnboundedSender<EntryEvent>, mpsc::UnboundedReceiver<EntryEvent>),
     pub(super) reports: mpsc::UnboundedReceiver<BalancerReport>,
     pub(super) balancer: mpsc::UnboundedSender<DispatchEvent>,
     pub(super) config: watch::Sender<Arc<Configuration>>,
@@ -66,6 +68,7 @@
                     Some(seeds) => EntryEvent::Seeds(seeds),
                     None => return,
                 },
+                Some(parsed) = self.parsed.1.recv() => parsed,
                 Some(report) = self.reports.recv() => match report {
                     BalancerReport::Leaving(server) => EntryEvent::ServerLeaving(server),
                     BalancerReport::Suspect(record) => EntryEvent::Suspect(record),
@@ -113,6 +116,7 @@
         for action in actions.drain(..) {
             match action {
                 EntryAction::Send { to, message } => self.network.send(&to, message),
+                EntryAction::Parse { number, text } => self.parse(number, text),
                 EntryAction::Configure(config) => {
                     info!(self.log, "configuration installed"; "number" => config.number);
                     self.counters.change_number.set(config.number as i64);
@@ -152,6 +156,16 @@
         }
     }
 
+    /// Parses a long text on another thread, so that requests and messages are handled meanwhile.
+    fn parse(&self, number: ChangeNumber, text: Arc<str>) {
+        let parsed = self.parsed.0.clone();
+        actix_rt::spawn(async move {
+            let config = spawn_blocking(move || Configuration::parse(&text).ok().map(Arc::new)).await;
+            // Without a receiver the process is stopping.
+            let _ = parsed.send(EntryEvent::Parsed { number, config: config.unwrap_or_default() });
+        });
+    }
+
     fn send_to_balancer(&self, event: DispatchEvent) {
         // Without a receiver the process is stopping.
         let _ = self.balancer.send(event);
--- a/crates/instance/src/fleet/translator.rs
+++ b/crates/instance/src/fleet/translator.rs
@@ -9,7 +9,7 @@
     actix_http::Method,
     actix_rt::task::spawn_blocking,
     hemlockford_core::{
-        config::CheckedConfig,
+        config::{CheckedConfig, LONG_CONFIG_BYTES},
         fleet::{ReplicaAnswer, check_submission},
         ids::ChangeNumber,
     },
@@ -17,10 +17,6 @@
     tokio::sync::{Mutex, Semaphore},
 };
 
-/// Length of a body or a text in bytes from which on it is translated on another thread. Shorter ones take less than a
-/// millisecond.
-const MIN_LONG_BYTES: usize = 16 * 1_024;
-
 /// The last configuration that was formatted, and its format on the platform.
 struct FormattedConfig {
     number: ChangeNumber,
@@ -56,13 +52,13 @@
         body: Vec<u8>,
     ) -> Option<Result<AdminRequest, AdminReply>> {
         let interface = self.interface.clone();
-        let is_long = body.len() >= MIN_LONG_BYTES;
+        let is_long = body.len() >= LONG_CONFIG_BYTES;
         self.run(is_long, move || interface.parse_request(&method, &path, &body)).await?
     }
 
     /// Checks a submitted configuration. Returns the answer to one that cannot be submitted.
     pub(super) async fn check_submission(&self, text: Box<str>) -> Result<CheckedConfig, ReplicaAnswer> {
-        let is_long = text.len() >= MIN_LONG_BYTES;
+        let is_long = text.len() >= LONG_CONFIG_BYTES;
         self.run(is_long, move || check_submission(text)).await.unwrap_or(Err(ReplicaAnswer::Unavailable))
     }
 
@@ -78,7 +74,7 @@
         }
         let (interface, copy) = (self.interface.clone(), text.clone());
         let build = move || interface.build_reply(ReplicaAnswer::Current { number, text: copy });
-        match self.run(text.len() >= MIN_LONG_BYTES, build).await {
+        match self.run(text.len() >= LONG_CONFIG_BYTES, build).await {
             Some(reply) => {
                 *formatted = Some(FormattedConfig { number, text, reply: reply.clone() });
                 reply
