Do not take a reset for the end of a response after a failed write

A server that answers a long upload at once without a length, sends part of the body and resets the connection: the caller got that part as a whole answer.

Cause: the kernel reports the error of a connection once. If a write of the upload takes it, the next read returns 0, as after a graceful close. The upload is polled before the response, so that this happens whenever a write waits when the reset arrives.

A response that ends with its connection is whole only if no write on the connection has failed before the end was read. A server that closes gracefully is seen first, also if writes fail later. The same reader serves calls, second copies, relayed calls and health checks.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -58,6 +58,7 @@
     is_close_delimited: bool,
     /// Whether the server has closed the connection gracefully.
     is_closed: bool,
+    has_write_failed: Rc<Cell<bool>>,
     /// Time for which the server keeps an idle connection, as declared in the last response.
     keep_alive: Option<Duration>,
 }
@@ -68,6 +69,8 @@
     codec: SharedCodec,
     out: BytesMut,
     is_complete: bool,
+    /// Whether a write failed. It has taken the error of the connection then, so that a read only finds the end.
+    has_write_failed: Rc<Cell<bool>>,
 }
 
 /// Why no response can be used.
@@ -100,6 +103,7 @@
     pub(crate) fn new(io: TcpStream, is_new: bool, config: ServiceConfig, permit: ConnectionPermit) -> Self {
         let (read, write) = io.into_split();
         let codec = Rc::new(RefCell::new(Some(ClientCodec::new(config))));
+        let has_write_failed = Rc::new(Cell::new(false));
         Self {
             reader: ServerReader {
                 half: read,
@@ -109,9 +113,10 @@
                 must_close: false,
                 is_close_delimited: false,
                 is_closed: false,
+                has_write_failed: has_write_failed.clone(),
                 keep_alive: None,
             },
-            writer: ServerWriter { half: write, codec, out: BytesMut::new(), is_complete: false },
+            writer: ServerWriter { half: write, codec, out: BytesMut::new(), is_complete: false, has_write_failed },
             is_new,
             permit,
         }
@@ -254,8 +259,8 @@
         self.buf.reserve(READ_SIZE);
         match self.half.read_buf(&mut self.buf).await {
             Ok(0) => {
-                self.is_closed = true;
-                self.is_close_delimited
+                self.is_closed = !self.has_write_failed.get();
+                self.is_close_delimited && self.is_closed
             }
             Ok(_) => true,
             Err(_) => false,
@@ -282,9 +287,12 @@
     /// Writes the encoded data, and sets `has_started` once the kernel has accepted a byte.
     pub(crate) async fn flush(&mut self, has_started: &Cell<bool>) -> io::Result<()> {
         while !self.out.is_empty() {
-            if self.half.write_buf(&mut self.out).await? == 0 {
-                return Err(io::ErrorKind::WriteZero.into());
-            }
+            let written = match self.half.write_buf(&mut self.out).await {
+                Ok(0) => Err(io::ErrorKind::WriteZero.into()),
+                written => written,
+            };
+            self.has_write_failed.set(written.is_err());
+            written?;
             has_started.set(true);
         }
         Ok(())
