Refuse a response with a field name that is no token

A server in trouble sent a head in which a blank stood before the colon of a field: callers got it as an answer, with that line passed on under the name without the blank. With "content-length : 1" the body would not be the server's either.

Cause: the codec takes blanks between a name and the colon of responses and skips them. The names of all lines that have arrived are now checked before the codec reads them, for all readers of responses (calls, copies, relayed calls, health checks). A response with another byte than those of a token in a name is none: 502, and the server's connection is closed. Names with a blank or control byte inside were refused before by the codec.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -5,6 +5,7 @@
         framing::Framing,
         options::{BUFFER_LIMIT, HEAD_LIMIT},
         pool::ConnectionPermit,
+        response_head_check::has_valid_names,
     },
     actix_codec::{Decoder, Encoder},
     actix_http::{
@@ -164,6 +165,9 @@
     ) -> Result<(ResponseHead, Framing), ResponseError> {
         let mut interim_count = 0;
         loop {
+            if !has_valid_names(&self.buf) {
+                return Err(ResponseError::Invalid);
+            }
             let item = match self.codec.borrow_mut().as_mut() {
                 Some(codec) => codec.decode(&mut self.buf),
                 None => return Err(ResponseError::Invalid),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -47,6 +47,7 @@
 mod request_sequence;
 mod request_source;
 mod response_check;
+mod response_head_check;
 mod routing;
 mod saved_response;
 mod service_selection;
