Refuse a response whose status is above 599

Status 000, 099 and codes of two or four digits or with a sign were refused by the codec already, as the test shows; 600 to 999 were passed on to the caller as an answer. RFC 9110 has no such codes: the response is none, 502 as for 000.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -5,7 +5,7 @@
         framing::Framing,
         options::{BUFFER_LIMIT, HEAD_LIMIT},
         pool::ConnectionPermit,
-        response_head_check::has_valid_names,
+        response_head_check::{MAX_STATUS, has_valid_names},
     },
     actix_codec::{Decoder, Encoder},
     actix_http::{
@@ -173,6 +173,7 @@
                 None => return Err(ResponseError::Invalid),
             };
             match item {
+                Ok(Some(head)) if head.status.as_u16() > MAX_STATUS => return Err(ResponseError::Invalid),
                 Ok(Some(head)) if head.status.is_informational() => {
                     interim_count += 1;
                     // An interim response has no body. If one declares a length, that length may refer to the bytes
--- a/crates/proxy/src/response_head_check.rs
+++ b/crates/proxy/src/response_head_check.rs
@@ -1,5 +1,8 @@
 //! Checks of the head of a response that the codec does not make.
 
+/// Largest status code of HTTP (RFC 9110, section 15).
+pub(crate) const MAX_STATUS: u16 = 599;
+
 /// Returns whether the names of the fields that have arrived are tokens (RFC 9110, section 5.1). The codec accepts blanks
 /// between a name and the colon, and skips them; the server may have meant another field.
 pub(crate) fn has_valid_names(head: &[u8]) -> bool {
--- a/crates/proxy/tests/odd_responses.rs
+++ b/crates/proxy/tests/odd_responses.rs
@@ -46,6 +46,14 @@
     }
 }
 
+/// Guards against a status that HTTP does not have.
+#[actix_rt::test]
+async fn a_status_outside_of_http_is_no_response() {
+    for status in ["000", "099", "20", "2000", "+20", "600", "999"] {
+        is_refused(&format!("HTTP/1.1 {status} OK\r\nx-signed: s\r\ncontent-length: 2\r\n\r\nok")).await;
+    }
+}
+
 /// Guards against the name of a field with a blank or a control byte, which can hide the length of a body from one reader.
 #[actix_rt::test]
 async fn a_field_name_with_other_bytes_is_no_response() {
