Answer the calls of a stopping entry before its process ends

In a planned stop a request that waited for a server at the end of the grace period was cut off with the process, without an answer. One that came late in the grace was passed on with the client's whole deadline, also when the process would end before.

Cause: the stop knew its end, the calls did not. The end (0.5 s before the grace period is over) now goes to the worker. A request that arrives in a stop has a deadline no later than that, so that it is refused at once if no server is expected to answer it by then, and a server does not work on it beyond. A call that still waits then gets 503, which is true: no server has it. New requests are refused after 2.7 s or half of the grace period, whichever is earlier; it was 2.7 s for any grace period.

The test in stopping.rs has a call that waits and one that comes late; it does not build without the change, in which a waiting call has no end but its deadline.

--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -53,6 +53,8 @@
 const SHUTDOWN_NOTICE: Duration = Duration::from_millis(2_700);
 /// Part of the grace period that is reserved for ending the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Part of the grace period before that in which the last calls are answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// Minimum share of requests that are not retries by callers. An entry cannot recognize these retries, and they do not
 /// increase the number of extra attempts that the platform permits.
@@ -66,6 +68,7 @@
     is_draining: watch::Sender<bool>,
     stop: watch::Sender<bool>,
     close: watch::Sender<bool>,
+    calls_end: watch::Sender<Option<Instant>>,
     worker: JoinHandle<Result<()>>,
     failure: mpsc::UnboundedReceiver<Box<str>>,
     log: Logger,
@@ -104,6 +107,7 @@
         let (drain_tx, drain_rx) = watch::channel(false);
         let (stop_tx, stop_rx) = watch::channel(false);
         let (close_tx, close_rx) = watch::channel(false);
+        let (calls_end_tx, calls_end_rx) = watch::channel(None);
         let (failure_tx, failure_rx) = mpsc::unbounded_channel();
 
         let options = EntryOptions {
@@ -173,6 +177,7 @@
             balancer: WorkerBalancer::for_workers(1).remove(0),
             options: ProxyOptions {
                 serve_while_stopping: Some(close_rx),
+                calls_end: Some(calls_end_rx),
                 suspect_heads: Some(suspect_heads),
                 connection_limit,
                 runs_copies: fleet.hedge_share > 0.0,
@@ -197,6 +202,7 @@
             is_draining: drain_tx,
             stop: stop_tx,
             close: close_tx,
+            calls_end: calls_end_tx,
             worker,
             failure: failure_rx,
             log: log.clone(),
@@ -221,9 +227,11 @@
     pub async fn shut_down(self) {
         let end = Instant::now() + self.grace_period.saturating_sub(EXIT_MARGIN);
         info!(self.log, "shutting down; no longer ready");
+        self.calls_end.send_replace(Some(end - ANSWER_MARGIN));
         self.is_draining.send_replace(true);
         self.stop.send_replace(true);
-        sleep(SHUTDOWN_NOTICE).await;
+        // With a short grace period, half of it is left for the calls that were accepted last.
+        sleep(SHUTDOWN_NOTICE.min(self.grace_period / 2)).await;
         info!(self.log, "shutting down; accepting no new calls");
         self.close.send_replace(true);
         let _ = timeout(end.saturating_duration_since(Instant::now()), self.worker).await;
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -233,6 +233,7 @@
             },
             error = self.reader.wait_for_disconnect() => Err(CallEnd::CallerFailed(error)),
             () = sleep_until(self.call.deadline.into()) => Err(self.not_run(NotRunReason::Deadline)),
+            () = self.shared.calls_ended() => Err(self.not_run(NotRunReason::ShuttingDown)),
         }
     }
 
--- a/crates/proxy/src/options.rs
+++ b/crates/proxy/src/options.rs
@@ -8,7 +8,7 @@
             Arc,
             atomic::{AtomicUsize, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::sync::watch,
 };
@@ -87,6 +87,9 @@
     /// Ends the serving of requests after the stop signal when it becomes true or its sender is dropped. Without it,
     /// requests are refused from the stop signal on.
     pub serve_while_stopping: Option<watch::Receiver<bool>>,
+    /// Time at which the calls of a stopping instance end, once it is known. Calls that no server runs by then are refused
+    /// instead of being cut off with the process.
+    pub calls_end: Option<watch::Receiver<Option<Instant>>>,
     /// Whether the callers are other entries, which have lost the path to the servers.
     pub is_relay: bool,
     /// Heads of the requests that are suspected of crashing servers. Without it, such requests are not recognized.
@@ -134,6 +137,7 @@
             caller_idle_timeout: Duration::MAX,
             stop_grace: Duration::from_millis(250),
             serve_while_stopping: None,
+            calls_end: None,
             is_relay: false,
             suspect_heads: None,
             retry_after: Duration::from_secs(1),
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -156,7 +156,11 @@
             return NextRequest::Exclusive { request, parsed: Err(Refusal::new(reason)), start };
         }
         let (routing, id) = (self.shared.routing(), self.shared.next_call_id());
-        let parsed = request::parse(request.head(), &routing, &self.shared.options, id, start);
+        let mut parsed = request::parse(request.head(), &routing, &self.shared.options, id, start);
+        if let (Ok(parsed), Some(end)) = (&mut parsed, self.shared.calls_end()) {
+            // The call is rejected at once if no server is expected to answer it by then.
+            parsed.call.deadline = parsed.call.deadline.min(end);
+        }
         match parsed {
             Ok(parsed) if parsed.is_repeatable_without_body() && request.head().version == Version::HTTP_11 => {
                 let codec = self.reader.codec();
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -10,6 +10,7 @@
         routing::Routing,
     },
     actix_http::ServiceConfig,
+    actix_rt::time::sleep_until,
     hemlockford_core::{
         config::{Configuration, Limits},
         dispatch::Call,
@@ -19,9 +20,10 @@
     rand::rngs::SmallRng,
     std::{
         cell::{Cell, RefCell},
+        future::pending,
         rc::Rc,
         sync::Arc,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::sync::{mpsc, watch},
 };
@@ -96,6 +98,21 @@
         }
     }
 
+    /// Returns the time at which the calls of a stopping instance end, if it is known.
+    pub(crate) fn calls_end(&self) -> Option<Instant> {
+        self.options.calls_end.as_ref().and_then(|end| *end.borrow())
+    }
+
+    /// Waits until the calls of a stopping instance end.
+    pub(crate) async fn calls_ended(&self) {
+        let Some(mut end) = self.options.calls_end.clone() else { return pending().await };
+        let end = end.wait_for(Option::is_some).await.ok().and_then(|end| *end);
+        match end {
+            Some(end) => sleep_until(end.into()).await,
+            None => pending().await,
+        }
+    }
+
     /// Returns the current configuration, prepared once and shared by all requests that use it.
     pub(crate) fn routing(&self) -> Rc<Routing> {
         let config = self.config.borrow();
--- a/crates/proxy/tests/stopping.rs
+++ b/crates/proxy/tests/stopping.rs
@@ -5,7 +5,7 @@
 
 use {
     hemlockford_core::dispatch::AttemptResult,
-    std::time::Duration,
+    std::time::{Duration, Instant},
     support::{
         Caller, Script, TestProxy, eventually, fixed_response_server,
         platform::{self, LOOK_UP, OK, ORDER, echo, echoing_server},
@@ -194,3 +194,39 @@
     assert!(eventually(LIMIT, || proxy.worker.is_finished()).await);
     assert_eq!(seen.borrow().len(), 2, "only the requests before the stop ran");
 }
+
+/// Guards against calls that wait for a server when the process ends and are cut off without a response, and against
+/// requests that are passed on although the process ends before their deadline.
+#[actix_rt::test]
+async fn calls_end_before_the_process_does() {
+    let (server, seen) = echoing_server(OK).await;
+    for holds_calls in [true, false] {
+        let mut script = platform::script(&[server.address]);
+        script.holds_calls = holds_calls;
+        let (end, rx) = watch::channel(None);
+        script.options.calls_end = Some(rx);
+        let (proxy, _closing) = start(script);
+        let mut waiting = proxy.caller().await;
+        if holds_calls {
+            waiting.send(ORDER).await;
+            assert!(eventually(LIMIT, || proxy.log.borrow().calls.len() == 1).await);
+        }
+        let ends_at = Instant::now() + Duration::from_millis(400);
+        end.send(Some(ends_at)).unwrap();
+        proxy.stop.send(true).unwrap();
+        let mut late = proxy.caller().await;
+        late.send(ORDER).await;
+        let got = late.response().await;
+        if holds_calls {
+            assert_eq!(got.status, 503, "a call that came late in the grace");
+            assert_eq!(waiting.response().await.status, 503, "a call that came before the stop");
+            assert!(Instant::now() < ends_at + Duration::from_millis(100));
+            assert!(proxy.results().is_empty(), "no server runs them");
+        } else {
+            assert_eq!(got.status, 200);
+            let left = seen.borrow()[0].lines().find_map(|line| line.strip_prefix("x-left: ")?.parse::<u64>().ok());
+            assert!(left.is_some_and(|left| left <= 400), "{:?}", seen.borrow());
+        }
+        assert!(proxy.log.borrow().calls.last().unwrap().deadline <= ends_at);
+    }
+}
