State the configuration by which a call is passed on

Cause: neither the number of the change nor the chosen service goes with a call that is passed on; the other entry reads it by what it has. The entry now states the number in hemlockford-change. An entry with an older configuration does not run the call and says so; the first one asks another. An entry of the former version neither sends nor reads the number, so that calls between versions are handled as before.

--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -270,6 +270,7 @@
             pass_allowance: route.pass_allowance,
             want_report: route.want_report,
             relay_attempts: route.relay_attempts,
+            change: self.routing.config().number,
         };
         let head = headers::request_head(&shared.options.dialect, &outgoing);
         if connection.writer.encode_head(head, self.body.framing().size()).is_err() {
--- a/crates/proxy/src/copy_call.rs
+++ b/crates/proxy/src/copy_call.rs
@@ -159,6 +159,7 @@
             pass_allowance: false,
             want_report: false,
             relay_attempts: None,
+            change: 0,
         };
         let dialect = &shared.options.dialect;
         let head = headers::request_head(dialect, &outgoing);
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -8,7 +8,7 @@
     },
     hemlockford_core::{
         dispatch::WANT_LOAD_HEADER,
-        ids::CallId,
+        ids::{CallId, ChangeNumber},
         outcome::{OUTCOME_HEADER, Outcome},
     },
     std::{net::SocketAddr, time::Duration},
@@ -28,6 +28,9 @@
 const WANT_LOAD: HeaderName = HeaderName::from_static(WANT_LOAD_HEADER);
 /// Present in a call that another entry has passed on, with the number of servers to which it may be sent.
 pub(crate) const RELAY: HeaderName = HeaderName::from_static("hemlockford-relay");
+/// Number of the change by which the entry that passes a call on has read it. An entry with an older configuration must not
+/// run it. The former version neither sends nor reads it.
+pub(crate) const CHANGE: HeaderName = HeaderName::from_static("hemlockford-change");
 /// Outcome of the request.
 pub(crate) const OUTCOME: HeaderName = HeaderName::from_static(OUTCOME_HEADER);
 /// Idempotency key of a claim.
@@ -61,6 +64,8 @@
     pub(crate) want_report: bool,
     /// Number of servers to which another entry may send the call, if the request goes to an entry.
     pub(crate) relay_attempts: Option<u32>,
+    /// Change by which the request was read.
+    pub(crate) change: ChangeNumber,
 }
 
 /// Builds the head of a request to a server.
@@ -79,9 +84,14 @@
         head.headers.insert(name.clone(), id.clone());
     }
     set_identity(dialect, &mut head.headers, outgoing);
-    head.headers.remove(RELAY);
+    for name in [RELAY, CHANGE] {
+        head.headers.remove(name);
+    }
     match (outgoing.relay_attempts, &dialect.expected_server_header, HeaderValue::from_str(outgoing.server)) {
-        (Some(attempts), ..) => drop(head.headers.insert(RELAY, HeaderValue::from(attempts))),
+        (Some(attempts), ..) => {
+            head.headers.insert(RELAY, HeaderValue::from(attempts));
+            head.headers.insert(CHANGE, HeaderValue::from(outgoing.change));
+        }
         (None, Some(name), Ok(server)) => drop(head.headers.insert(name.clone(), server)),
         (None, None, _) | (None, _, Err(_)) => {}
     }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -69,6 +69,13 @@
     key: Option<&'a str>,
 }
 
+/// Returns whether the entry that passed a request on has read it by a newer configuration than this one.
+fn is_read_by_newer(head: &RequestHead, routing: &Routing) -> Result<bool, Refusal> {
+    let change = single_value(head, &headers::CHANGE, "hemlockford-change is not one number")?;
+    let change = change.map(|text| parse_digits::<u64>(text).ok_or(bad_request("hemlockford-change is not a number")));
+    Ok(change.transpose()?.is_some_and(|change| routing.config().number < change))
+}
+
 /// Parses a request head.
 pub(crate) fn parse(
     head: &RequestHead,
@@ -82,7 +89,7 @@
     if head.method == Method::CONNECT {
         return Err(bad_request("CONNECT is not supported"));
     }
-    if !routing.is_known() {
+    if !routing.is_known() || options.is_relay && is_read_by_newer(head, routing)? {
         return Err(Refusal::new(NotRunReason::ConfigurationNotCurrent));
     }
     let selected = routing.select(head, dialect).map_err(|error| match error {
--- a/crates/proxy/tests/relays.rs
+++ b/crates/proxy/tests/relays.rs
@@ -41,6 +41,28 @@
     assert!(!entry.log.borrow().calls[0].relayed);
 }
 
+/// Guards against a request that an entry in touch has read by the newest configuration and that runs by an older one at
+/// the entry to which it was passed on.
+#[actix_rt::test]
+async fn an_entry_with_an_older_configuration_runs_no_relayed_request() {
+    let (server, seen) = echoing_server(OK).await;
+    for (own, others, is_run) in [(7, 3, false), (7, 7, true), (7, 8, true)] {
+        let mut script = platform::script(&[server.address]);
+        script.config.number = others;
+        let other = TestProxy::start(script);
+        let mut script = Script { relay_attempts: Some(2), ..platform::script(&[other.relay_address]) };
+        script.config.number = own;
+        let entry = TestProxy::start(script);
+        for request in [LOOK_UP, ORDER] {
+            seen.borrow_mut().clear();
+            entry.call(request).await;
+            assert_eq!(seen.borrow().len(), usize::from(is_run), "{own} {others}");
+        }
+        let result = if is_run { AttemptResult::Complete } else { AttemptResult::Misdirected };
+        assert_eq!(entry.results(), [result; 2], "another entry is asked");
+    }
+}
+
 /// Guards against a server that states an outcome in place of the other entry, so that a request which ran is told as not
 /// run, or sent again.
 #[actix_rt::test]
