Change a key only once the first server has the request

Cause, in the test: it changed the configuration as soon as the dispatcher knew of the call. If the worker had not yet begun the first attempt, the check before that attempt ended the call, with the one result CallerLeft; the test wants Shed at the first server and then CallerLeft. The test now waits until the first server has the request; what it checks is unchanged.

--- a/crates/proxy/tests/credentials_changes.rs
+++ b/crates/proxy/tests/credentials_changes.rs
@@ -7,7 +7,7 @@
         config::{ApiKey, Configuration},
         dispatch::AttemptResult,
     },
-    std::{sync::Arc, time::Duration},
+    std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
     support::{
         Caller, Script, TestProxy, eventually,
         keys::{config, config_without, look_up, open, order, script},
@@ -35,19 +35,26 @@
     }
 }
 
-/// Starts an entry whose first attempt at a server takes a while and then fails without having run the request.
-async fn with_slow_first_server(config: Configuration) -> (TestProxy, support::Server) {
-    let slow = serve(|mut io: Caller, _| async move {
-        while let Some(request) = io.message(false).await {
-            support::sleep_ms(150).await;
-            io.send(&echo("HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n", &request)).await;
+/// Starts an entry whose first attempt at a server takes a while and then fails without having run the request. The flag is
+/// set when that server has the request.
+async fn with_slow_first_server(config: Configuration) -> (TestProxy, support::Server, Rc<Cell<bool>>) {
+    let has_request = Rc::new(Cell::new(false));
+    let requested = has_request.clone();
+    let slow = serve(move |mut io: Caller, _| {
+        let requested = requested.clone();
+        async move {
+            while let Some(request) = io.message(false).await {
+                requested.set(true);
+                support::sleep_ms(150).await;
+                io.send(&echo("HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n", &request)).await;
+            }
         }
     })
     .await;
     let (server, seen) = echoing_server(OK).await;
     let proxy = TestProxy::start(Script { config, ..platform::script(&[slow.address, server.address]) });
     std::mem::forget(seen);
-    (proxy, server)
+    (proxy, server, has_request)
 }
 
 /// customer's name after changes that do not concern the key.
@@ -67,10 +74,10 @@
     ];
     for (fields, later, status, runs) in cases {
         let request = if fields.is_empty() { open("") } else { order(fields) };
-        let (proxy, server) = with_slow_first_server(config()).await;
+        let (proxy, server, has_request) = with_slow_first_server(config()).await;
         let mut caller = proxy.caller().await;
         caller.send(&request).await;
-        assert!(eventually(Duration::from_secs(2), || !proxy.log.borrow().calls.is_empty()).await);
+        assert!(eventually(Duration::from_secs(2), || has_request.get()).await);
         proxy.config.send_replace(Arc::new(later));
         let got = caller.response().await;
         assert_eq!((got.status, server.connections.get()), (status, runs), "{fields} {}", got.head);
