Do not print a cut answer of an instance as a whole one

The commands that ask an instance (status, report, submit) took what had arrived when the connection ended for the whole answer, as their HTTP library does, whatever length was announced. Found by looking for readers of answers with the fault of a cut response. Instances state the length of all their answers; one with another or no length is none now, and the command fails.

--- a/crates/hemlockford/src/client.rs
+++ b/crates/hemlockford/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client for the admin and caller listeners of an instance.
 
 use {
+    awc::http::header::CONTENT_LENGTH,
     error_stack::ResultExt,
     hemlockford_core::errors::{ErrorKind, Result, unavailable},
     std::{net::SocketAddr, time::Duration},
@@ -37,6 +38,11 @@
 ) -> Result<Answer> {
     let mut answer = answer.map_err(|e| unavailable(format!("no answer: {e}")))?;
     let status = answer.status().as_u16();
+    // The library takes the end of the connection for the end of a body, whatever was announced.
+    let length = answer.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
     let body = answer.body().limit(MAX_ANSWER_BYTES).await.change_context(ErrorKind::Unavailable)?;
+    if length != Some(body.len()) {
+        return Err(unavailable("the answer was cut off, or states no length"));
+    }
     Ok(Answer { status, body: String::from_utf8_lossy(&body).into() })
 }
--- a/crates/hemlockford/tests/processes/commands.rs
+++ b/crates/hemlockford/tests/processes/commands.rs
@@ -72,6 +72,22 @@
     assert_eq!(run(&["submit", path]).code, 1);
 }
 
+/// Guards against a cut answer that is printed as a whole one.
+#[test]
+fn a_cut_answer_is_none() {
+    for (head, code) in [("content-length: 2", 0), ("content-length: 200", 1), ("x-length: 2", 1)] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let from = listener.local_addr().expect("an address").to_string();
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let _ = stream.read(&mut [0; 65_536]);
+            let _ = write!(stream, "HTTP/1.1 200 OK\r\n{head}\r\nconnection: close\r\n\r\n{{}}");
+        });
+        let output = run(&["status", "--from", &from]);
+        assert_eq!(output.code, code, "{head}: {output:?}");
+    }
+}
+
 /// Guards against an entry that accepts an invalid configuration.
 #[test]
 fn an_entry_refuses_an_invalid_configuration() {
