--- a/crates/hemlockford/src/run.rs
+++ b/crates/hemlockford/src/run.rs
@@ -24,6 +24,9 @@
 }
 
 fn run_instance(arguments: &RunArguments, log: &Logger) -> Result<Exit> {
+    let system = actix_rt::System::new();
+    // A signal that arrives before its handler is installed ends the process.
+    let mut signals = system.block_on(async { SignalReceiver::install() })?;
     let settings = match Settings::parse(&read_file(&arguments.settings)?) {
         Ok(settings) => settings,
         Err(errors) => {
@@ -34,8 +37,7 @@
             return Ok(Exit::Refused);
         }
     };
-    actix_rt::System::new().block_on(async {
-        let mut signals = SignalReceiver::install()?;
+    system.block_on(async {
         if let Some(fleet) = &settings.fleet {
             let reload = || reload(&arguments.settings);
             return fleet::run(&settings, fleet, signals, reload, log).await;
