--- a/crates/core/src/fleet/entry/machine.rs
+++ b/crates/core/src/fleet/entry/machine.rs
@@ -3,21 +3,16 @@
 use {
     super::{
         CreditRoute, EntryAction, EntryEvent, EntryOptions, KnownReplicas, MissingChange, ReceivedConfig,
-        ReplicaSearch, SentPolls, ServerSet, Statements, UpdateResult, is_long,
+        ReplicaSearch, SentPolls, ServerSet, Statements,
     },
     crate::{
-        config::{Configuration, LEVEL},
-        fleet::{
-            ConfigUpdate, DirectoryRevision, FleetLogEvent, FleetMessage, Poll, PollResponse, Servers, bounds::Bounds,
-        },
+        config::LEVEL,
+        fleet::{DirectoryRevision, FleetLogEvent, FleetMessage, Poll, PollResponse, Servers, bounds::Bounds},
         ids::{ChangeNumber, Incarnation, InstanceId},
         quarantine::SuspectTable,
     },
     rand::{RngExt, rngs::SmallRng},
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::time::{Duration, Instant},
 };
 
 /// Time without a current replica after which new servers are accepted from one that is not current. A running
@@ -68,13 +63,13 @@
     last_current_at: Option<Instant>,
     search: Option<ReplicaSearch>,
     started: Instant,
-    next_poll: Instant,
+    pub(super) next_poll: Instant,
     next_preferred_probe: Instant,
     synced: Option<SyncedRevision>,
-    config: ReceivedConfig,
+    pub(super) config: ReceivedConfig,
     /// Newest change reported by the replica in use.
     required_change: Option<ChangeNumber>,
-    missing_change: Option<MissingChange>,
+    pub(super) missing_change: Option<MissingChange>,
     entries: u32,
     position: Option<u32>,
     /// Requests under which servers ended, as far as this entry knows.
@@ -335,43 +330,6 @@
         }
     }
 
-    fn install(&mut self, now: Instant, update: &ConfigUpdate, out: &mut Vec<EntryAction>) {
-        let number = update.number;
-        match self.config.update(update) {
-            UpdateResult::Applied => {
-                self.missing_change = self.missing_change.take().filter(|missing| missing.number() > number);
-                self.parse_next(out);
-            }
-            UpdateResult::Outdated => {}
-            // An earlier update was lost. The next poll states what this entry has.
-            UpdateResult::OtherBase => self.next_poll = now,
-            UpdateResult::Unreadable => out.push(EntryAction::Log(FleetLogEvent::ChangeUnreadable(number))),
-        }
-    }
-
-    /// Parses the newest text unless another one is being parsed.
-    fn parse_next(&mut self, out: &mut Vec<EntryAction>) {
-        match self.config.begin_parse() {
-            Some((number, text)) if is_long(&text) => out.push(EntryAction::Parse { number, text }),
-            Some((number, text)) => self.handle_parsed(number, Configuration::parse(&text).ok().map(Arc::new), out),
-            None => {}
-        }
-    }
-
-    fn handle_parsed(&mut self, number: ChangeNumber, config: Option<Arc<Configuration>>, out: &mut Vec<EntryAction>) {
-        if !self.config.end_parse(number, config.is_some()) {
-            return;
-        }
-        match config {
-            Some(config) => {
-                out.push(EntryAction::Configure(config));
-                out.push(EntryAction::Log(FleetLogEvent::ChangeInstalled(number)));
-            }
-            None => out.push(EntryAction::Log(FleetLogEvent::ChangeUnreadable(number))),
-        }
-        self.parse_next(out);
-    }
-
     fn handle_servers(&mut self, now: Instant, from: &InstanceId, incarnation: Incarnation, servers: Servers) {
         // Every reported departure is committed, so the sender does not matter.
         for (server, incarnation) in servers.departed {
--- a/crates/core/src/fleet/entry/mod.rs
+++ b/crates/core/src/fleet/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Link of an entry to the replicas: finds a current replica, polls it, and installs its configuration and servers.
 
 mod action;
+mod configure;
 mod credit;
 mod credit_route;
 mod event;
--- a/crates/core/src/fleet/entry/received_config.rs
+++ b/crates/core/src/fleet/entry/received_config.rs
@@ -53,6 +53,7 @@
         self.has_config && self.settled >= required
     }
 
+    /// Applies an update to the received text.
     pub(super) fn update(&mut self, update: &ConfigUpdate) -> UpdateResult {
         if update.number <= self.number {
             return UpdateResult::Outdated;
--- a/crates/instance/src/fleet/entry.rs
+++ b/crates/instance/src/fleet/entry.rs
@@ -108,6 +108,7 @@
         let (stop_tx, stop_rx) = watch::channel(false);
         let (close_tx, close_rx) = watch::channel(false);
         let (calls_end_tx, calls_end_rx) = watch::channel(None);
+        let (parsed_tx, parsed_rx) = mpsc::unbounded_channel();
         let (failure_tx, failure_rx) = mpsc::unbounded_channel();
 
         let options = EntryOptions {
@@ -125,7 +126,8 @@
             seeds: seeds_rx,
             stop: stop_rx.clone(),
             is_stopping: false,
-            parsed: mpsc::unbounded_channel(),
+            parsed_tx,
+            parsed_rx,
             reports: reports_rx,
             balancer: events_tx,
             config: config_tx,
--- a/crates/instance/src/fleet/entry_task.rs
+++ b/crates/instance/src/fleet/entry_task.rs
@@ -32,8 +32,9 @@
     pub(super) seeds: mpsc::UnboundedReceiver<Vec<InstanceId>>,
     pub(super) stop: watch::Receiver<bool>,
     pub(super) is_stopping: bool,
-    /// Texts that were parsed on another thread.
-    pub(super) parsed: (mpsc::UnboundedSender<EntryEvent>, mpsc::UnboundedReceiver<EntryEvent>),
+    /// Passes texts that were parsed on another thread to this task.
+    pub(super) parsed_tx: mpsc::UnboundedSender<EntryEvent>,
+    pub(super) parsed_rx: mpsc::UnboundedReceiver<EntryEvent>,
     pub(super) reports: mpsc::UnboundedReceiver<BalancerReport>,
     pub(super) balancer: mpsc::UnboundedSender<DispatchEvent>,
     pub(super) config: watch::Sender<Arc<Configuration>>,
@@ -68,7 +69,7 @@
                     Some(seeds) => EntryEvent::Seeds(seeds),
                     None => return,
                 },
-                Some(parsed) = self.parsed.1.recv() => parsed,
+                Some(parsed) = self.parsed_rx.recv() => parsed,
                 Some(report) = self.reports.recv() => match report {
                     BalancerReport::Leaving(server) => EntryEvent::ServerLeaving(server),
                     BalancerReport::Suspect(record) => EntryEvent::Suspect(record),
@@ -158,7 +159,7 @@
 
     /// Parses a long text on another thread, so that requests and messages are handled meanwhile.
     fn parse(&self, number: ChangeNumber, text: Arc<str>) {
-        let parsed = self.parsed.0.clone();
+        let parsed = self.parsed_tx.clone();
         actix_rt::spawn(async move {
             let config = spawn_blocking(move || Configuration::parse(&text).ok().map(Arc::new)).await;
             // Without a receiver the process is stopping.
