--- a/review/stand-ins-3/harness.rs
+++ b/review/stand-ins-3/harness.rs
@@ -506,6 +506,8 @@
     pub slots: u32,
     pub born: u64,
     pub sequence: AtomicU64,
+    /// Heartbeats that were acknowledged.
+    pub acknowledged: AtomicU64,
     pub is_up: AtomicBool,
     pub running: AtomicU64,
     pub record: Record,
@@ -523,6 +525,7 @@
             slots: 4,
             born: unix_ms(),
             sequence: AtomicU64::new(0),
+            acknowledged: AtomicU64::new(0),
             is_up: AtomicBool::new(true),
             running: AtomicU64::new(0),
             record: fleet.record.clone(),
@@ -591,6 +594,7 @@
             for _ in 0..controls.len() {
                 let control = controls[next % controls.len()];
                 if post(control, &path, &body, Duration::from_secs(1)).is_some_and(|answer| answer.status() / 100 == 2) {
+                    self.acknowledged.fetch_add(1, Ordering::Relaxed);
                     break;
                 }
                 next += 1;
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -2,6 +2,7 @@
 //! held, and 2 if the case could not run.
 
 mod first_start;
+mod foreign_beat;
 mod harness;
 mod last_tenant;
 mod late_end;
@@ -23,6 +24,7 @@
     let record = Record::create(Path::new(path));
     let outcome = match case.as_str() {
         "first-start" => first_start::run(&record),
+        "foreign-beat" => foreign_beat::run(&record),
         "last-tenant" => last_tenant::run(&record),
         "late-end" => late_end::run(&record),
         "saved-error" => saved_error::run(&record),
