--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Runs the case and writes record.txt. Ends with 1 if the rule was broken, 0 if it held, and 2 if it could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-3/cases ] && [ -x target/release/hemlockford ] || exit 2
+exec target/review-3/cases saved-error review/14/record.txt
