Record departures only of servers whose service the configuration names

Callers got 503 for everything, and went on to, after another writer had sent one draining heartbeat under the id of each running server, with a service that no configuration names.

Cause: Replica::announce requested a departure for every draining announcement. The directory rejects the record of an unknown service that concerns a configured server, but the result was not used. A departure names an id and an incarnation, so that the log recorded it for the running server. Evidence: the log of the replicas says "announcement of server i-0 with the unknown service pokladna9 ignored" and then "departure of server i-0 committed". Ruled out: the directory, which kept the running server's record, and the final fault, without which the same happens.

Change: a draining announcement is a departure if the configuration names the service, or has named it since this incarnation announced itself. Any other is refused with 503 if the replica is not current or the record concerns a server of a configured service, so that a server that meets a lagging replica calls the next one. Otherwise it is acknowledged and recorded once a configuration names the service. A deregistration without a start time no longer takes the start from such a record.

--- a/crates/core/src/fleet/answer.rs
+++ b/crates/core/src/fleet/answer.rs
@@ -52,6 +52,9 @@
     NoChange,
     /// The data centre of an order is not one of those in the settings, or its name has no permitted length.
     UnknownDataCentre,
+    /// The announced departure is of a service that the configuration does not name, as far as this replica knows.
+    /// Nothing is recorded.
+    UnknownService,
     /// The result is not known in time. A change or departure may still be committed later.
     Unavailable,
 }
--- a/crates/core/src/fleet/directory/machine.rs
+++ b/crates/core/src/fleet/directory/machine.rs
@@ -23,6 +23,8 @@
 pub(in crate::fleet) enum AnnouncementOutcome {
     /// A newer announcement is known.
     Stale,
+    /// The configuration does not name its service, but that of the server that has the id or the address.
+    UnknownService,
     /// It renewed a record.
     Renewed,
     /// It added or changed a record.
@@ -53,9 +55,20 @@
     }
 
     /// Sets the services that the configuration names. A record of another service comes from another writer, or from a
-    /// server that starts before its service is configured.
-    pub(in crate::fleet) fn set_services<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
-        self.services = names.map(ServiceId::from).collect();
+    /// server that starts before its service is configured. Returns the draining servers, with their incarnations, whose
+    /// service was not named before.
+    pub(in crate::fleet) fn set_services<'a>(&mut self, names: impl Iterator<Item = &'a str>) -> Vec<(ServerId, u64)> {
+        let services: FastSet<ServiceId> = names.map(ServiceId::from).collect();
+        let mut draining = Vec::new();
+        for stored in self.records.values_mut().filter(|stored| services.contains(&stored.record.service)) {
+            let record = &stored.record;
+            if record.is_draining && !stored.is_departed && !self.services.contains(&record.service) {
+                draining.push((record.server.clone(), record.incarnation));
+            }
+            stored.was_configured = true;
+        }
+        self.services = services;
+        draining
     }
 
     fn is_configured(&self, record: &ServerRecord) -> bool {
@@ -67,6 +80,21 @@
         self.records.get(server).map(|stored| stored.record.incarnation)
     }
 
+    /// Returns the incarnation that a departure without one concerns. A record of a service that the configuration never
+    /// named does not count, as it may come from another writer.
+    pub(in crate::fleet) fn departing_incarnation(&self, server: &str) -> Option<u64> {
+        self.records.get(server).filter(|stored| stored.was_configured).map(|stored| stored.record.incarnation)
+    }
+
+    /// Returns whether the configuration names a service, or named it since this incarnation of a server of that service
+    /// announced itself.
+    pub(in crate::fleet) fn was_configured(&self, server: &str, service: &str, incarnation: u64) -> bool {
+        let is_same =
+            |stored: &&StoredRecord| *stored.record.service == *service && stored.record.incarnation == incarnation;
+        self.services.contains(service)
+            || self.records.get(server).filter(is_same).is_some_and(|stored| stored.was_configured)
+    }
+
     pub(in crate::fleet) fn received_record(&self, now: Instant, server: &str) -> Option<ReceivedRecord> {
         self.records.get(server).map(|stored| stored.to_received(now))
     }
@@ -136,7 +164,7 @@
         let supersedes = |stored: &StoredRecord| is_configured && !self.is_configured(&stored.record);
         if previous.is_some_and(yields_to) || holder.is_some_and(yields_to) {
             logs.push(FleetLogEvent::UnknownService(server, record.service));
-            return AnnouncementOutcome::Stale;
+            return AnnouncementOutcome::UnknownService;
         }
         let is_stale = match previous {
             Some(stored) => !supersedes(stored) && stored.record.order() >= record.order(),
@@ -154,6 +182,7 @@
             is_departed: departed.is_some_and(|departed| record.incarnation <= departed),
             is_evacuated: self.evacuated.contains(&record.data_centre),
             is_restored: false,
+            was_configured: is_configured || previous.is_some_and(|previous| previous.vouches_for(&record)),
             record,
         };
         let bytes = self.bytes - previous.map_or(0, StoredRecord::size) + stored.size();
--- a/crates/core/src/fleet/directory/stored_record.rs
+++ b/crates/core/src/fleet/directory/stored_record.rs
@@ -27,6 +27,8 @@
     pub(super) is_evacuated: bool,
     /// Whether the record comes from the saved directory of an earlier run and has not been confirmed since.
     pub(super) is_restored: bool,
+    /// Whether the configuration has named its service since this incarnation announced itself.
+    pub(super) was_configured: bool,
 }
 
 impl StoredRecord {
@@ -34,6 +36,11 @@
         !self.is_departed && !self.is_evacuated && !self.record.is_draining
     }
 
+    /// Returns whether a record is of the same incarnation and service, which the configuration has named.
+    pub(super) fn vouches_for(&self, record: &ServerRecord) -> bool {
+        self.was_configured && self.record.incarnation == record.incarnation && self.record.service == record.service
+    }
+
     pub(super) fn is_received_within(&self, now: Instant, time: Duration) -> bool {
         now.saturating_duration_since(self.received_at) < time
     }
--- a/crates/core/src/fleet/replica/exchange.rs
+++ b/crates/core/src/fleet/replica/exchange.rs
@@ -40,7 +40,8 @@
             out.push(ReplicaAction::Log(FleetLogEvent::AnnouncementRefused(error)));
             return self.answer(id, ReplicaAnswer::InvalidAnnouncement(error), out);
         }
-        let (server, incarnation, is_draining) = (record.server.clone(), record.incarnation, record.is_draining);
+        let (server, is_draining) = (record.server.clone(), record.is_draining);
+        let (service, incarnation) = (record.service.clone(), record.incarnation);
         let outcome = self.apply_record(now, record, None, (self.options.id.clone(), now), out);
         match outcome {
             AnnouncementOutcome::Full => return self.answer(id, ReplicaAnswer::Unavailable, out),
@@ -48,15 +49,20 @@
                 self.broadcast_record(now, &server, None, out);
                 self.changed.insert(server.clone());
             }
-            AnnouncementOutcome::Renewed | AnnouncementOutcome::Stale => {}
+            AnnouncementOutcome::Renewed | AnnouncementOutcome::Stale | AnnouncementOutcome::UnknownService => {}
         }
         // A changed record is also sent as a renewal, so that a replica that missed the change can request it.
-        if outcome != AnnouncementOutcome::Stale {
+        if matches!(outcome, AnnouncementOutcome::Changed | AnnouncementOutcome::Renewed) {
             self.renewed.insert(server.clone());
         }
-        if is_draining {
+        if is_draining && self.directory.was_configured(&server, &service, incarnation) {
             return self.depart(now, id, server, Some(incarnation), wall_ms, out);
         }
+        // The record may be one of another writer under the id of a server in use, so that no departure is recorded. A
+        // replica that has applied the latest configuration may know the service.
+        if is_draining && (outcome == AnnouncementOutcome::UnknownService || !self.is_current()) {
+            return self.answer(id, ReplicaAnswer::UnknownService, out);
+        }
         let is_isolated = self.contact.is_isolated(now);
         let answer = if is_isolated { ReplicaAnswer::Unavailable } else { ReplicaAnswer::Acknowledged };
         self.answer(id, answer, out);
--- a/crates/core/src/fleet/replica/log_driver.rs
+++ b/crates/core/src/fleet/replica/log_driver.rs
@@ -3,7 +3,6 @@
 use {
     super::{Replica, ReplicaAction, evacuations::evacuated},
     crate::{
-        config::Configuration,
         consensus::{ConsensusAction, ConsensusEvent, Write},
         fleet::{FleetLogEvent, FleetMessage, record::is_server_name},
         ids::LogIndex,
@@ -77,7 +76,7 @@
         }
         self.ledger_outcomes.insert(index, outcome);
         if self.ledger.change_number() > change {
-            self.directory.set_services(Configuration::service_names(self.ledger.config_text()));
+            self.update_services(now, out);
         }
         self.apply_evacuations(&evacuated_before, out);
         // Earlier versions recorded the departure of any name. Instances that run one drop a message which contains a
@@ -110,7 +109,7 @@
         let evacuated_before = evacuated(&self.ledger);
         self.ledger = ledger;
         self.apply_evacuations(&evacuated_before, out);
-        self.directory.set_services(Configuration::service_names(self.ledger.config_text()));
+        self.update_services(now, out);
         self.answer_applied(out);
     }
 
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -207,7 +207,7 @@
             ReplicaEvent::Depart { id, server, incarnation, wall_ms } => {
                 // A departure binds all earlier incarnations too.
                 let stated = incarnation.filter(|incarnation| *incarnation <= MAX_INCARNATION);
-                let incarnation = stated.or_else(|| self.directory.incarnation(&server));
+                let incarnation = stated.or_else(|| self.directory.departing_incarnation(&server));
                 self.depart(now, id, server, incarnation, wall_ms, out);
             }
             ReplicaEvent::Submit { id, config } => self.submit(now, id, config, out),
--- a/crates/core/src/fleet/replica/request_handling.rs
+++ b/crates/core/src/fleet/replica/request_handling.rs
@@ -3,7 +3,7 @@
 use {
     super::{Operation, Origin, Replica, ReplicaAction, evacuations::OrderCheck, machine::INTERNAL_REQUEST},
     crate::{
-        config::{CheckedConfig, required_level},
+        config::{CheckedConfig, Configuration, required_level},
         consensus::{ConsensusEvent, ProposalResult},
         fleet::{FleetLogEvent, FleetMessage, ReplicaAnswer, Reply, Request, record::is_server_name},
         ids::{LogIndex, ServerId},
@@ -44,6 +44,15 @@
         self.enqueue_request(now, id, Request::Depart { server, incarnation, wall_ms }, out);
     }
 
+    /// Sets the services that the configuration names, and requests the recording of departures that were announced
+    /// before it named their service.
+    pub(super) fn update_services(&mut self, now: Instant, out: &mut Vec<ReplicaAction>) {
+        let names = Configuration::service_names(self.ledger.config_text());
+        for (server, incarnation) in self.directory.set_services(names) {
+            self.depart(now, INTERNAL_REQUEST, server, Some(incarnation), 0, out);
+        }
+    }
+
     /// Requests the recording of departures that entries learned of from the servers' own answers.
     pub(super) fn depart_leaving(&mut self, now: Instant, leaving: Vec<(ServerId, u64)>, out: &mut Vec<ReplicaAction>) {
         self.reported_leaving.retain(|_, at| now.saturating_duration_since(*at) < LEAVING_REPORT_INTERVAL);
@@ -98,7 +107,7 @@
                 }
             }
             Request::Depart { server, incarnation, wall_ms } => {
-                let incarnation = incarnation.or_else(|| self.directory.incarnation(&server));
+                let incarnation = incarnation.or_else(|| self.directory.departing_incarnation(&server));
                 let departed = self.ledger.departed_incarnation(&server);
                 if incarnation.is_some_and(|incarnation| departed.is_some_and(|departed| incarnation <= departed)) {
                     return self.confirm_departure(now, origin, Reply::Departed, self.consensus.commit_index());
