Redirect orders to evacuate whose sender may have given them up

An operator ended an evacuation, got no answer within a second from a replica that was frozen, had the order acknowledged by another replica, and then evacuated the zone again.

Cause: a replica tells a late copy from a new order by the index of the last order that it has applied when it takes the call up. One that resumes finds the missed log entries and the call at the same time; if it applies the entries first, the copy names the newest index. Evidence: its log says within 1 ms that the evacuation ended, began, and ended once more. Ruled out: the leader, which compares the index as it should, and requests between replicas, which carry the index of the time at which the call was read.

Any other order that would change the state is answered 307 with a location that names the index of the last order. A sender that still waits sends it there; it is carried out if no later order is recorded by then. A late copy is answered into a closed connection. Messages between instances are unchanged.

--- a/crates/core/src/fleet/answer.rs
+++ b/crates/core/src/fleet/answer.rs
@@ -4,7 +4,7 @@
     super::RecordError,
     crate::{
         config::{CheckedConfig, ConfigError},
-        ids::ChangeNumber,
+        ids::{ChangeNumber, DataCentreId, LogIndex},
         ledger::{ContentDigest, MAX_SUBMIT_BYTES},
     },
     derive_more::Debug,
@@ -55,6 +55,15 @@
     /// The announced departure is of a service that the configuration does not name, as far as this replica knows.
     /// Nothing is recorded.
     UnknownService,
+    /// The order may be outdated. Its sender is asked to send it again with the index.
+    Redirected {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Whether its servers get no calls.
+        is_active: bool,
+        /// Index of the last order for the data centre; 0 if there is none.
+        known: LogIndex,
+    },
     /// The result is not known in time. A change or departure may still be committed later.
     Unavailable,
 }
--- a/crates/core/src/fleet/log_event.rs
+++ b/crates/core/src/fleet/log_event.rs
@@ -92,6 +92,14 @@
     /// The end of the evacuation of a data centre is committed.
     #[display("evacuation of data centre {_0} ended")]
     EvacuationEnded(DataCentreId),
+    /// An order for a data centre may have waited until its sender gave it up.
+    #[display("order to {} the evacuation of data centre {data_centre} may be outdated; its sender is redirected", if *is_active { "begin" } else { "end" })]
+    EvacuationRedirected {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Whether the order is to evacuate it.
+        is_active: bool,
+    },
     /// An order for a data centre was not carried out.
     #[display("order to {} the evacuation of data centre {data_centre} not carried out: {reason}", if *is_active { "begin" } else { "end" })]
     EvacuationRefused {
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -30,5 +30,5 @@
     },
     out_of_bounds::{BoundedPart, OutOfBounds},
     record::{MAX_INCARNATION, MAX_NAME_BYTES, RecordError, ServerRecord},
-    replica::{Replica, ReplicaAction, ReplicaEvent, ReplicaOptions},
+    replica::{Arrival, Replica, ReplicaAction, ReplicaEvent, ReplicaOptions},
 };
--- a/crates/core/src/fleet/replica/evacuations.rs
+++ b/crates/core/src/fleet/replica/evacuations.rs
@@ -1,16 +1,20 @@
 //! Orders that the servers of a data centre get no calls.
 
 use {
-    super::{Operation, Replica, ReplicaAction},
+    super::{Arrival, Operation, Replica, ReplicaAction},
     crate::{
         config::LEVEL,
         fleet::{FleetLogEvent, MAX_NAME_BYTES, ReplicaAnswer, Request},
         ids::{DataCentreId, LogIndex},
         ledger::{Evacuation, Ledger, LedgerOutcome},
     },
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
+/// Maximum time from the acceptance of a connection to the order on it. Operators wait at least 1 s for an answer before
+/// they send an order to another replica, so that no later order is recorded before this time is over.
+const MAX_ARRIVAL_TIME: Duration = Duration::from_millis(500);
+
 /// What the leader does with an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum OrderCheck {
@@ -25,12 +29,14 @@
 }
 
 impl Replica {
-    /// Requests the recording of an order. One that is in the ledger already may be repeated whatever the settings say.
+    /// Requests the recording of an order. One that is in the ledger already may be repeated whatever the settings say. An
+    /// order that may be outdated is sent back to its sender, who repeats it only if it still stands.
     pub(super) fn evacuate(
         &mut self,
         now: Instant,
         id: u64,
         (data_centre, is_active): (DataCentreId, bool),
+        arrival: Arrival,
         wall_ms: u64,
         out: &mut Vec<ReplicaAction>,
     ) {
@@ -44,10 +50,29 @@
             out.push(ReplicaAction::Log(FleetLogEvent::EvacuationRefused { data_centre, is_active, reason }));
             return self.answer(id, ReplicaAnswer::UnknownDataCentre, out);
         }
-        let known = last.map_or(0, |last| last.index);
+        let recorded = last.map_or(0, |last| last.index);
+        let is_in_force = last.is_some_and(|last| last.is_active == is_active);
+        let known = match arrival {
+            Arrival::Redirected(known) => known,
+            // Without effect, unless a later order is recorded meanwhile; then the leader refuses it.
+            _ if is_in_force => recorded,
+            Arrival::Accepted(at) if self.is_recent(now, at) => recorded,
+            _ if !self.is_current() => return self.answer(id, ReplicaAnswer::Unavailable, out),
+            _ => {
+                let log = FleetLogEvent::EvacuationRedirected { data_centre: data_centre.clone(), is_active };
+                out.push(ReplicaAction::Log(log));
+                let answer = ReplicaAnswer::Redirected { data_centre, is_active, known: recorded };
+                return self.answer(id, answer, out);
+            }
+        };
         self.enqueue_request(now, id, Request::Evacuate { data_centre, is_active, known, wall_ms }, out);
     }
 
+    /// Returns whether the first request on a connection was sent so recently that its sender cannot have given it up.
+    fn is_recent(&self, now: Instant, accepted_at: Instant) -> bool {
+        now.saturating_duration_since(accepted_at) <= MAX_ARRIVAL_TIME && !self.contact.may_have_waited(accepted_at)
+    }
+
     /// Decides what the leader does with an order. Only one order for a data centre is proposed at a time, and none
     /// before all entries of earlier terms are applied, so that the last one is known.
     pub(super) fn check_order(
--- a/crates/core/src/fleet/replica/event.rs
+++ b/crates/core/src/fleet/replica/event.rs
@@ -1,9 +1,12 @@
 //! Input events of a replica.
 
-use crate::{
-    config::CheckedConfig,
-    fleet::{FleetMessage, ServerRecord},
-    ids::{DataCentreId, Incarnation, InstanceId, ServerId},
+use {
+    super::Arrival,
+    crate::{
+        config::CheckedConfig,
+        fleet::{FleetMessage, ServerRecord},
+        ids::{DataCentreId, Incarnation, InstanceId, ServerId},
+    },
 };
 
 /// An input event of a replica. Each `id` is unique within one run of the process and is answered exactly once.
@@ -61,6 +64,8 @@
         data_centre: DataCentreId,
         /// Whether its servers get no calls.
         is_active: bool,
+        /// What is known of the time at which it was sent.
+        arrival: Arrival,
         /// Wall clock in Unix milliseconds.
         wall_ms: u64,
     },
--- a/crates/core/src/fleet/replica/leader_contact.rs
+++ b/crates/core/src/fleet/replica/leader_contact.rs
@@ -17,6 +17,9 @@
 /// Maximum time for which a follower may lag behind the commit index of the leader and stay current.
 const MAX_LAG: Duration = Duration::from_millis(500);
 
+/// Time after a freeze within which the connections that were opened meanwhile are accepted.
+const BACKLOG_TIME: Duration = Duration::from_secs(2);
+
 /// Time without contact after which announcements are refused. It is longer than an election and the start of an entire
 /// fleet, during which no replica is current and servers have no alternative.
 const ISOLATED_AFTER: Duration = Duration::from_secs(3);
@@ -29,6 +32,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct LeaderContact {
     last_activity: Instant,
+    /// End of the last freeze.
+    resumed_at: Option<Instant>,
     /// Number of the first status request sent since contact was lost.
     pub(super) min_request: u64,
     /// Commit index of the leader when it answered.
@@ -48,6 +53,7 @@
     pub(super) fn new(now: Instant, min_request: u64) -> Self {
         Self {
             last_activity: now,
+            resumed_at: None,
             min_request,
             target_index: None,
             current_since: None,
@@ -63,9 +69,17 @@
     pub(super) fn record_activity(&mut self, now: Instant) -> bool {
         let was_frozen = now.saturating_duration_since(self.last_activity) > FREEZE_THRESHOLD;
         self.last_activity = now;
+        if was_frozen {
+            self.resumed_at = Some(now);
+        }
         was_frozen
     }
 
+    /// Returns whether a connection that was accepted at this time may have been open while this process was frozen.
+    pub(super) fn may_have_waited(&self, accepted_at: Instant) -> bool {
+        self.resumed_at.is_some_and(|resumed_at| accepted_at < resumed_at + BACKLOG_TIME)
+    }
+
     /// Records a loss of contact. Only status requests from number `min_request` on count from now on.
     pub(super) fn mark_lost(&mut self, now: Instant, was_frozen: bool, min_request: u64) {
         self.complete_until = match self.is_directory_complete {
--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -211,8 +211,8 @@
                 self.depart(now, id, server, incarnation, wall_ms, out);
             }
             ReplicaEvent::Submit { id, config } => self.submit(now, id, config, out),
-            ReplicaEvent::Evacuate { id, data_centre, is_active, wall_ms } => {
-                self.evacuate(now, id, (data_centre, is_active), wall_ms, out);
+            ReplicaEvent::Evacuate { id, data_centre, is_active, arrival, wall_ms } => {
+                self.evacuate(now, id, (data_centre, is_active), arrival, wall_ms, out);
             }
             ReplicaEvent::DataCentres(data_centres) => self.options.data_centres = data_centres,
             ReplicaEvent::Read { id } => self.enqueue_request(now, id, Request::Read, out),
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -1,6 +1,7 @@
 //! Replica of a fleet: the replicated log with the ledger, the directory of servers, and the entries that poll it.
 
 mod action;
+mod arrival;
 mod capabilities;
 mod credit;
 mod entry_updates;
@@ -38,7 +39,7 @@
     subscribers::Subscribers,
 };
 
-pub use {action::ReplicaAction, event::ReplicaEvent, machine::Replica, options::ReplicaOptions};
+pub use {action::ReplicaAction, arrival::Arrival, event::ReplicaEvent, machine::Replica, options::ReplicaOptions};
 
 /// Maximum number of replicas reported to an entry.
 const MAX_REPLICA_NAMES: usize = 8;
--- a/crates/core/tests/fleet_support/requests.rs
+++ b/crates/core/tests/fleet_support/requests.rs
@@ -6,7 +6,7 @@
         server::{ANNOUNCE_INTERVAL, CALL_TIMEOUT},
         world::{Call, Step},
     },
-    hemlockford_core::fleet::{ReplicaAnswer, ReplicaEvent, check_submission},
+    hemlockford_core::fleet::{Arrival, ReplicaAnswer, ReplicaEvent, check_submission},
     rand::RngExt,
 };
 
@@ -94,11 +94,16 @@
         id
     }
 
-    /// Orders that the servers of a data centre get no calls, or withdraws such an order.
+    /// Orders that the servers of a data centre get no calls, or withdraws such an order, on a new connection.
     pub fn evacuate(&mut self, replica: usize, data_centre: &str, is_active: bool) -> u64 {
+        let arrival = Arrival::Accepted(self.at());
+        self.evacuate_with(replica, data_centre, is_active, arrival)
+    }
+
+    pub fn evacuate_with(&mut self, replica: usize, data_centre: &str, is_active: bool, arrival: Arrival) -> u64 {
         let (id, wall_ms) = (self.next_id(), self.wall_ms());
         self.checks.ordered.insert(data_centre.into());
-        let event = ReplicaEvent::Evacuate { id, data_centre: data_centre.into(), is_active, wall_ms };
+        let event = ReplicaEvent::Evacuate { id, data_centre: data_centre.into(), is_active, arrival, wall_ms };
         self.replica_event(replica, event);
         id
     }
--- a/crates/instance/src/client_stream.rs
+++ b/crates/instance/src/client_stream.rs
@@ -1,13 +1,16 @@
 //! Stream of an admin connection that tells the budget of the process about its progress and its unread answers.
 
 use {
-    crate::answer_gate::AnswerGate,
+    crate::{admin_connection::AdminConnection, answer_gate::AnswerGate},
     hemlockford_proxy::{ClientGuard, ClientState},
+    socket2::SockRef,
     std::{
         io,
+        net::Shutdown,
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
+        time::Instant,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -20,7 +23,8 @@
 
 /// An accepted connection.
 pub(crate) struct ClientStream {
-    io: TcpStream,
+    io: Rc<TcpStream>,
+    connection: Rc<AdminConnection>,
     client: Rc<ClientGuard>,
     gate: Rc<AnswerGate>,
     /// Unread bytes of answers as the budget knows them.
@@ -30,14 +34,20 @@
 }
 
 impl ClientStream {
-    pub(crate) fn new(io: TcpStream, client: Rc<ClientGuard>) -> Self {
-        Self { io, client, gate: Rc::default(), unread: 0, has_read: false }
+    pub(crate) fn new(io: TcpStream, accepted_at: Instant, client: Rc<ClientGuard>) -> Self {
+        let io = Rc::new(io);
+        let connection = Rc::new(AdminConnection::new(io.clone(), accepted_at));
+        Self { io, connection, client, gate: Rc::default(), unread: 0, has_read: false }
     }
 
     pub(crate) fn client(&self) -> &Rc<ClientGuard> {
         &self.client
     }
 
+    pub(crate) fn connection(&self) -> &Rc<AdminConnection> {
+        &self.connection
+    }
+
     pub(crate) fn gate(&self) -> &Rc<AnswerGate> {
         &self.gate
     }
@@ -82,7 +92,13 @@
 impl AsyncWrite for ClientStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.set_unread(buf.len());
-        let written = ready!(Pin::new(&mut self.io).poll_write(cx, buf))?;
+        let written = loop {
+            ready!(self.io.poll_write_ready(cx))?;
+            match self.io.try_write(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => break result?,
+            }
+        };
         self.set_unread(buf.len() - written);
         self.client.moved(written);
         if self.unread == 0 {
@@ -94,11 +110,16 @@
         Poll::Ready(Ok(written))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // A TCP socket has no buffer of its own.
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match SockRef::from(&*self.io).shutdown(Shutdown::Write) {
+            // The client has reset the connection.
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => Poll::Ready(Ok(())),
+            result => Poll::Ready(result),
+        }
     }
 }
--- a/crates/instance/src/fleet/interface.rs
+++ b/crates/instance/src/fleet/interface.rs
@@ -6,7 +6,7 @@
     derive_more::Debug,
     hemlockford_core::{
         fleet::{ReplicaAnswer, ServerRecord},
-        ids::{DataCentreId, ServerId},
+        ids::{DataCentreId, LogIndex, ServerId},
     },
     hemlockford_proxy::Dialect,
 };
@@ -54,6 +54,8 @@
         data_centre: DataCentreId,
         /// Whether its servers get no calls.
         is_active: bool,
+        /// Index that the redirect to this request named.
+        known: Option<LogIndex>,
     },
 }
 
@@ -62,6 +64,8 @@
 pub struct AdminReply {
     /// HTTP status.
     pub status: StatusCode,
+    /// Path at this listener at which the client is to send its request again.
+    pub location: Option<Box<str>>,
     /// Content type of the body.
     pub content_type: &'static str,
     /// Body.
--- a/crates/instance/src/fleet/replica_task.rs
+++ b/crates/instance/src/fleet/replica_task.rs
@@ -7,7 +7,7 @@
     hemlockford_core::{
         collections::FastMap,
         config::CheckedConfig,
-        fleet::{FleetLogEvent, FleetMessage, Replica, ReplicaAction, ReplicaAnswer, ReplicaEvent},
+        fleet::{Arrival, FleetLogEvent, FleetMessage, Replica, ReplicaAction, ReplicaAnswer, ReplicaEvent},
     },
     hemlockford_net::{BootClock, Envelope},
     slog::{Logger, info},
@@ -42,7 +42,7 @@
     Depart { server: Box<str>, incarnation: Option<u64> },
     Submit(CheckedConfig),
     Read,
-    Evacuate { data_centre: Box<str>, is_active: bool },
+    Evacuate { data_centre: Box<str>, is_active: bool, arrival: Arrival },
 }
 
 /// Passes events to the state machine and executes its actions.
@@ -116,8 +116,8 @@
             ReplicaRequest::Depart { server, incarnation } => ReplicaEvent::Depart { id, server, incarnation, wall_ms },
             ReplicaRequest::Submit(config) => ReplicaEvent::Submit { id, config },
             ReplicaRequest::Read => ReplicaEvent::Read { id },
-            ReplicaRequest::Evacuate { data_centre, is_active } => {
-                ReplicaEvent::Evacuate { id, data_centre, is_active, wall_ms }
+            ReplicaRequest::Evacuate { data_centre, is_active, arrival } => {
+                ReplicaEvent::Evacuate { id, data_centre, is_active, arrival, wall_ms }
             }
         }
     }
--- a/crates/instance/src/http.rs
+++ b/crates/instance/src/http.rs
@@ -1,7 +1,7 @@
 //! HTTP server of the admin listeners.
 
 use {
-    crate::{answer_gate::AnswerGate, client_stream::ClientStream},
+    crate::{admin_connection::AdminConnection, answer_gate::AnswerGate, client_stream::ClientStream},
     actix_http::{
         HttpService, Payload, Request, Response, StatusCode,
         body::BoxBody,
@@ -12,6 +12,7 @@
     error_stack::ResultExt,
     futures_util::StreamExt,
     hemlockford_core::errors::{ErrorKind, Result, unavailable},
+    hemlockford_net::BootClock,
     hemlockford_proxy::{ClientBudget, ClientGuard, ClientKind, ClientState},
     prometheus::{Registry, TextEncoder},
     std::{convert::Infallible, rc::Rc, time::Duration},
@@ -45,11 +46,15 @@
         .client_disconnect_timeout(HEAD_TIMEOUT)
         .on_connect_ext(|stream: &ClientStream, data| {
             data.insert(stream.client().clone());
+            data.insert(stream.connection().clone());
             data.insert(stream.gate().clone());
         })
         .h1(fn_service(move |mut req: Request| {
             let client = req.conn_data::<Rc<ClientGuard>>().cloned();
             let gate = req.conn_data::<Rc<AnswerGate>>().cloned();
+            if let Some(connection) = req.conn_data::<Rc<AdminConnection>>() {
+                connection.begin_request();
+            }
             let handle = handle.clone();
             async move {
                 let (Some(client), Some(gate)) = (client, gate) else { return Ok(handle(req).await) };
@@ -80,12 +85,13 @@
             actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        let accepted_at = BootClock::now();
         let _ = stream.set_nodelay(true);
         let service = service.clone();
         let client = Rc::new(clients.admit(ClientKind::Admin, peer.ip()).await);
         client.hold(0, CONNECTION_BYTES);
         actix_rt::spawn(async move {
-            let stream = ClientStream::new(stream, client.clone());
+            let stream = ClientStream::new(stream, accepted_at, client.clone());
             select! {
                 biased;
                 () = client.closed() => {}
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod addresses;
 mod admin;
+mod admin_connection;
 mod answer_gate;
 mod client_stream;
 mod clock;
--- a/crates/instance/tests/fleet_links.rs
+++ b/crates/instance/tests/fleet_links.rs
@@ -30,7 +30,12 @@
     }
 
     fn build_reply(&self, _: hemlockford_core::fleet::ReplicaAnswer) -> AdminReply {
-        AdminReply { status: actix_http::StatusCode::OK, content_type: "text/plain", body: bytes::Bytes::new() }
+        AdminReply {
+            status: actix_http::StatusCode::OK,
+            location: None,
+            content_type: "text/plain",
+            body: bytes::Bytes::new(),
+        }
     }
 }
 
--- a/crates/instance/tests/fleet_translation.rs
+++ b/crates/instance/tests/fleet_translation.rs
@@ -52,7 +52,7 @@
             ReplicaAnswer::Accepted { .. } => (StatusCode::OK, Bytes::new()),
             _ => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         };
-        AdminReply { status, content_type: "text/plain", body }
+        AdminReply { status, location: None, content_type: "text/plain", body }
     }
 }
 
