Keep a deregistration that waited during a freeze from ending a later server

A server that started again under its id got no requests after a replica resumed that had been frozen with the deregistration of the server before in its socket.

Cause: a deregistration without a start time concerns the incarnation that is in the directory when the call is read. A replica that resumes may read it after it has learned of the later server.

Before: a_deregistration_that_waited_during_a_freeze_ends_no_later_server fails ("e0 dropped s1, which is live"); after: it passes.

--- a/crates/core/src/fleet/replica/machine.rs
+++ b/crates/core/src/fleet/replica/machine.rs
@@ -207,6 +207,10 @@
             ReplicaEvent::Depart { id, server, incarnation, wall_ms } => {
                 // A departure binds all earlier incarnations too.
                 let stated = incarnation.filter(|incarnation| *incarnation <= MAX_INCARNATION);
+                // A call that waited while this process was frozen would end a server that has started since then.
+                if stated.is_none() && self.contact.may_have_waited(now) {
+                    return self.answer(id, ReplicaAnswer::Unavailable, out);
+                }
                 let incarnation = stated.or_else(|| self.directory.departing_incarnation(&server));
                 self.depart(now, id, server, incarnation, wall_ms, out);
             }
--- a/crates/core/tests/fleet_late_orders.rs
+++ b/crates/core/tests/fleet_late_orders.rs
@@ -1,4 +1,4 @@
-//! Orders that are read long after they were sent, when a later one is in force.
+//! Orders and departures that are read long after they were sent, when a later one is in force.
 
 mod fleet_support;
 
@@ -122,3 +122,32 @@
         }
     }
 }
+
+/// Guards against a deregistration without a start time that waited in the socket of a frozen replica, and that ends the
+/// server which has started under the id since then.
+#[test]
+fn a_deregistration_that_waited_during_a_freeze_ends_no_later_server() {
+    for seed in SEEDS {
+        let mut world = World::settled(seed, 3, 4, 4);
+        let leader = world.leader().expect("leader");
+        let (frozen, other) = ((leader + 1) % 3, (leader + 2) % 3);
+        world.servers.iter_mut().for_each(|server| server.replica = other);
+        world.freeze_replica(frozen);
+        world.run(ms(1_000));
+        world.servers[1].is_deregistered = true;
+        let incarnation = world.servers[1].record.incarnation;
+        let id = world.deregister(other, "s1", None);
+        assert_eq!(answer(&mut world, id), ReplicaAnswer::Acknowledged, "seed {seed}");
+        world.departed("s1", incarnation);
+        world.run(ms(1_000));
+        world.restart_server(1, 9_001);
+        world.run(FREEZE);
+        world.thaw_replica(frozen);
+        world.run(ms(500));
+        let id = world.deregister(frozen, "s1", None);
+        assert_eq!(answer(&mut world, id), ReplicaAnswer::Unavailable, "seed {seed}");
+        world.run_until(ms(4_000), World::are_entries_exact);
+        world.run(ms(3_000));
+        assert!(world.are_entries_exact(), "seed {seed}");
+    }
+}
