Forward a saved error with its whole body

Cause: an error that is followed by a retry is saved for the case that the retry brings no answer. The entry waited at most 20 ms for its body, and not for one above 64 KB; an incomplete body was dropped and the head sent with the framing of an empty one. Ruled out: the forwarding of truncated responses, which resets the caller's connection, and the loss of the second answer itself.

Change: the connection of an incomplete error is kept, unread, until the retry has ended. If the error is needed, its body is read up to 64 KB and sent with the head, and a longer one is streamed. If it breaks off or does not come by the deadline, the caller gets 502 or 504 without a field of the server. The retry is not delayed, memory does not grow, and the connection is given up when the retry needs it, the caller leaves, or half of all connections are in use.

the_first_error_is_forwarded_if_no_better_response_follows asserted the fault: a body of 100,000 bytes that is replaced by an empty one under the server's signature. It now asserts the whole body.

--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -74,7 +74,7 @@
     /// Whether the last attempt went to another entry, whose own response may look like that of a server.
     pub(crate) was_relayed: bool,
     /// The first error response of a server that was followed by a retry.
-    pub(crate) saved_error: Option<SavedResponse>,
+    pub(crate) saved_error: Option<Box<SavedResponse>>,
 }
 
 impl<'a> CallHandler<'a> {
@@ -182,9 +182,7 @@
             while let Ok(ExchangeEnd::Retry(decision, failure)) = ended {
                 let reason = if decision.is_some() { UnknownReason::ConnectionLost } else { UnknownReason::Timeout };
                 self.may_have_run = Some(reason);
-                if self.shared.options.dialect.keeps_server_errors {
-                    self.saved_error.get_or_insert(failure);
-                }
+                self.save_error(failure);
                 let Some(decision) = decision else { return self.not_run(NotRunReason::Deadline) };
                 ended = self.attempt(decision).await;
             }
@@ -315,7 +313,7 @@
             continues_without_caller: self.claim.is_some(),
             is_relay: route.is_relay(),
         };
-        let ended = exchange.run(&mut connection).await;
+        let mut ended = exchange.run(&mut connection).await;
         self.attempt_time += started.elapsed();
         if progress.has_started.get() && matches!(ended, ExchangeEnd::CallerFailed(_) | ExchangeEnd::DeadlineExceeded) {
             let is_malformed =
@@ -323,7 +321,7 @@
             let reason = if is_malformed { UnknownReason::ConnectionLost } else { UnknownReason::Timeout };
             self.may_have_run = Some(reason);
         }
-        connection.release();
+        self.release_connection(connection, &mut ended);
         for (server, address, result) in failed {
             self.record_failure(result);
             // A request that was answered is not under suspicion.
@@ -363,6 +361,7 @@
     /// Opens or reuses a connection. `None` means that the server refused it.
     async fn connect(&mut self, attempt: &mut Attempt, route: &AttemptRoute) -> Result<Option<Connection>, NextStep> {
         let is_fresh = route.fresh_connection || !self.call.idempotent;
+        self.make_room(route.address);
         select! {
             biased;
             opened = async {
--- a/crates/proxy/src/call_end.rs
+++ b/crates/proxy/src/call_end.rs
@@ -13,8 +13,9 @@
 pub(crate) enum CallEnd {
     /// The response of a server was forwarded.
     Answered(RecordedResponse),
-    /// The saved error response of a server is forwarded, because no better response is available.
-    SavedError(SavedResponse),
+    /// The saved error response of a server is forwarded, because no better response is available. If the rest of its body
+    /// does not arrive, the call ends with the outcome.
+    SavedError(Box<SavedResponse>, Outcome, Duration),
     Outcome(Outcome, Duration),
     Reply(Reply),
     Truncated,
--- a/crates/proxy/src/conclude.rs
+++ b/crates/proxy/src/conclude.rs
@@ -6,7 +6,7 @@
         call_end::CallEnd,
         caller::CallerError,
         options::BUFFERED_BODY_LIMIT,
-        reply::{self, Reply},
+        reply::Reply,
         request::Refusal,
     },
     actix_http::Method,
@@ -16,7 +16,7 @@
 
 impl CallHandler<'_> {
     /// Replaces *not run* by *unknown* if an earlier attempt may have run the request.
-    fn outcome_after_attempts(&self, outcome: Outcome) -> Outcome {
+    pub(crate) fn outcome_after_attempts(&self, outcome: Outcome) -> Outcome {
         match (outcome, self.may_have_run) {
             (Outcome::NotRun(_), Some(reason)) => Outcome::Unknown(reason),
             (outcome, _) => outcome,
@@ -32,12 +32,21 @@
     /// outcome.
     pub(crate) fn end_call(&mut self, outcome: Outcome, retry_after: Duration) -> CallEnd {
         match self.saved_error.take() {
-            Some(response) => CallEnd::SavedError(response),
+            Some(response) => CallEnd::SavedError(response, outcome, retry_after),
             None => CallEnd::Outcome(self.outcome_after_attempts(outcome), retry_after),
         }
     }
 
     pub(crate) async fn conclude(mut self, end: CallEnd) -> ConnectionAction {
+        if let Some(mut saved) = self.saved_error.take() {
+            saved.release();
+        }
+        let end = match end {
+            CallEnd::SavedError(response, outcome, retry_after) => {
+                self.read_saved_error(response, outcome, retry_after).await
+            }
+            end => end,
+        };
         let (outcome, next) = match end {
             CallEnd::Answered(recorded) => {
                 if let Some(claim) = self.claim.take() {
@@ -48,13 +57,7 @@
                     if self.writer.keep_alive() { ConnectionAction::KeepOpen } else { ConnectionAction::Close },
                 )
             }
-            CallEnd::SavedError(response) => {
-                self.prepare_head();
-                let (dialect, repeat_protection) = (&self.shared.options.dialect, self.repeat_protection());
-                let encoded =
-                    reply::encode_saved_response(dialect, response, repeat_protection, self.head.version, self.writer);
-                (Some(Outcome::Answered), self.flush(encoded).await)
-            }
+            CallEnd::SavedError(response, ..) => self.send_saved_error(*response).await,
             CallEnd::Outcome(outcome, retry_after) => {
                 let mut reply = Reply::outcome(outcome, None, retry_after, "");
                 if matches!(outcome, Outcome::Unknown(_)) {
@@ -105,7 +108,7 @@
     }
 
     /// Announces that the connection closes if no other request can follow.
-    fn prepare_head(&mut self) {
+    pub(crate) fn prepare_head(&mut self) {
         if self.reader.has_long_remainder(BUFFERED_BODY_LIMIT) {
             self.writer.close_after();
         } else if self.shared.is_stopping() {
@@ -113,7 +116,7 @@
         }
     }
 
-    async fn flush(&mut self, encoded: io::Result<()>) -> ConnectionAction {
+    pub(crate) async fn flush(&mut self, encoded: io::Result<()>) -> ConnectionAction {
         if encoded.is_err() || self.writer.flush_with_timeout().await.is_err() {
             return ConnectionAction::Reset;
         }
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -18,6 +18,7 @@
     std::{
         cell::{Cell, RefCell},
         io,
+        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
@@ -123,6 +124,11 @@
         }
     }
 
+    /// Returns the address of the server.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.permit.address()
+    }
+
     /// Returns the connection to the pool after a complete exchange, closes it if it must not be reused, and resets
     /// it if the exchange was abandoned. A server that does not read would never see a graceful close, which is
     /// queued behind the written data.
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -38,8 +38,8 @@
     tokio::select,
 };
 
-/// Time to wait for the body of a server's error response after a retry is decided. Short bodies arrive with their
-/// head.
+/// Time to wait for the body of a server's error response before a retry. Short bodies arrive with their head, and their
+/// connection can be reused.
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// Time for which a chunked response that no request follows is held until it is complete. Servers that write a short
@@ -47,7 +47,6 @@
 pub(crate) const MAX_STREAM_HOLD: Duration = Duration::from_millis(100);
 
 /// Result of an exchange for the caller.
-#[derive(Debug)]
 pub(crate) enum ExchangeEnd {
     /// The complete response was forwarded.
     Complete(RecordedResponse),
@@ -59,7 +58,7 @@
     Failed(AttemptResult),
     /// An error response was not forwarded, and the dispatcher has chosen another server. There is no decision if the
     /// deadline has passed.
-    Retry(Option<Decision>, SavedResponse),
+    Retry(Option<Decision>, Box<SavedResponse>),
     /// The response was truncated before anything was sent to the caller, and the dispatcher must not be asked again,
     /// as the attempt was reported already.
     ResponseLost,
@@ -211,9 +210,8 @@
                         };
                         if let Some(time) = time {
                             let buffered = timeout(time, server.buffer_body(&mut parts, BUFFERED_BODY_LIMIT)).await;
-                            let is_complete = matches!(buffered, Ok(BufferedBody::Complete));
-                            let saved = SavedResponse::new(head, framing, &parts, is_complete);
-                            return ExchangeEnd::Retry(decision.flatten(), saved);
+                            let saved = SavedResponse::new(head, framing, parts, buffered.ok());
+                            return ExchangeEnd::Retry(decision.flatten(), Box::new(saved));
                         }
                     }
                 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -49,6 +49,7 @@
 mod response_check;
 mod response_head_check;
 mod routing;
+mod saved_error;
 mod saved_response;
 mod service_selection;
 mod session;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -104,6 +104,17 @@
         self.room_below(self.options.clients.limits().calls).await;
     }
 
+    /// Returns whether there is room for another connection.
+    pub(crate) fn has_room(&self) -> bool {
+        self.in_use.get() < self.options.clients.limits().calls
+    }
+
+    /// Returns whether a connection may be kept for a response that may not be needed. Half of the connections remain for
+    /// attempts.
+    pub(crate) fn may_keep(&self) -> bool {
+        self.in_use.get() <= self.options.clients.limits().calls / 2
+    }
+
     /// Waits until there is room for a probe. Probes have connections of their own beyond those of calls, so that
     /// servers do not count as silent while clients hold the calls.
     pub(crate) async fn room_for_probe(&self) {
@@ -269,6 +280,10 @@
 
 impl ConnectionPermit {
     /// Returns the delay before a connection is reused after a response.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     pub(crate) fn reuse_delay(&self) -> Duration {
         self.pool.options.reuse_delay
     }
--- a/crates/proxy/src/reply.rs
+++ b/crates/proxy/src/reply.rs
@@ -114,17 +114,19 @@
     writer.encode_head(response, framing.size())
 }
 
-/// Encodes a saved error response of a server.
+/// Encodes a saved error response of a server, whose body is complete.
 pub(crate) fn encode_saved_response(
     dialect: &Dialect,
-    response: SavedResponse,
+    response: &mut SavedResponse,
     repeat_protection: Option<&'static str>,
     caller: Version,
     writer: &mut CallerWriter,
 ) -> io::Result<()> {
     encode_response_head(dialect, (&response.head, response.framing), repeat_protection, caller, writer)?;
     if !response.framing.is_empty() {
-        writer.encode_part(Some(response.body))?;
+        for part in std::mem::take(&mut response.parts) {
+            writer.encode_part(Some(part))?;
+        }
         writer.encode_part(None)?;
     }
     Ok(())
--- a/crates/proxy/tests/request_ids.rs
+++ b/crates/proxy/tests/request_ids.rs
@@ -261,14 +261,14 @@
         let proxy = TestProxy::start(platform::script(&[first, working.address]));
         assert_eq!(proxy.call(LOOK_UP).await.status, 200);
     }
-    // A long body cannot be buffered, and its first part must not look like the complete body.
+    // A long body is not buffered, and must not be replaced by an empty one or its first part.
     let long: &'static str = Box::leak(
         format!("HTTP/1.1 500 Oh\r\nx-signed: s\r\ncontent-length: 100000\r\n\r\n{}", "a".repeat(100_000)).into(),
     );
     let (failing, _) = echoing_server(long).await;
     let proxy = TestProxy::start(platform::script(&[failing.address, refused_address()]));
     let got = proxy.call(LOOK_UP).await;
-    assert_eq!((got.status, got.header("x-signed"), got.body.len()), (500, Some("s"), 0));
+    assert_eq!((got.status, got.header("x-signed"), got.body.len()), (500, Some("s"), 100_000));
     let proxy = TestProxy::start(platform::script(&[failing.address]));
     assert_eq!(proxy.call(LOOK_UP).await.body.len(), 100_000);
 }
